--- /dev/null
+++ b/badgerspoke.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package badgerspoke assembles a box of a router fleet: the router role, the
+// control role, or both, with the listeners that they need.
+//
+// The model: a [Box] is built from values and owns its listeners. Routers
+// take callers' requests and share them fairly over backend servers; control
+// replicas keep the configuration and hand out the routers' slots. Boxes find
+// each other by the addresses in [Settings.Replicas] and trust each other by
+// one fleet key. The parts are packages of their own and may be embedded
+// without this one: [github.com/badgerspoke/badgerspoke/router],
+// [github.com/badgerspoke/badgerspoke/control], and the pure decisions under
+// coordination/.
+package badgerspoke
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/badgerspoke/badgerspoke/control"
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/router"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines Box, the assembled process.
+
+// Settings of a box. Listeners are opened by the caller, so that tests need
+// no fixed ports and the daemon can report a taken one before it starts.
+type Settings struct {
+	Name     string
+	Hall     string
+	FleetKey []byte
+	// Replicas are the fleet addresses (IP:PORT) of all control replicas by
+	// name.
+	Replicas map[string]string
+
+	Router  bool
+	Callers net.Listener // for the router role
+
+	Control       bool
+	Operators     net.Listener // for the control role; metrics on any role
+	Fleet         net.Listener // for the control role
+	DataDir       string
+	OperatorToken string
+
+	Lease             slots.Lease
+	Pace              slots.Pace
+	Election          time.Duration
+	Heartbeat         time.Duration
+	Limits            router.Limits
+	StopWithoutLeader bool
+	// Grace is how long a stopping router still takes requests, for the
+	// balancer to notice.
+	Grace time.Duration
+	Log   *slog.Logger
+}
+
+// Box is a running box.
+type Box struct {
+	set     Settings
+	metrics *metrics.Set
+	router  *router.Router
+	control *control.Control
+	servers []*http.Server
+}
+
+// Times and sizes that every listener has.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	maxConnections    = 8192
+)
+
+// Start assembles and starts a box.
+func Start(ctx context.Context, set Settings) (*Box, error) {
+	if set.Log == nil {
+		set.Log = slog.New(slog.DiscardHandler)
+	}
+	b := &Box{set: set, metrics: metrics.NewSet()}
+	if set.Control {
+		if err := b.startControl(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if set.Router {
+		b.startRouter(ctx)
+	}
+	if set.Operators != nil {
+		b.serve(set.Operators, b.operatorsMux())
+	}
+	return b, nil
+}
+
+func (b *Box) identity() link.Identity {
+	return link.Identity{Name: b.set.Name, Key: b.set.FleetKey}
+}
+
+func (b *Box) startControl(ctx context.Context) error {
+	c, err := control.Start(ctx, control.Settings{
+		Identity: b.identity(), Replicas: b.set.Replicas,
+		Dir: func(group string) (wal.Dir, error) {
+			return wal.MakeDir(filepath.Join(b.set.DataDir, group))
+		},
+		Lease: b.set.Lease, Pace: b.set.Pace, Election: b.set.Election, Heartbeat: b.set.Heartbeat,
+		Random: rand.Uint64, Log: b.set.Log, Metrics: b.metrics,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start control role")
+	}
+	b.control = c
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, c)
+	b.serve(b.set.Fleet, mux)
+	return nil
+}
+
+func (b *Box) startRouter(ctx context.Context) {
+	b.router = router.Start(ctx, router.Settings{
+		Identity: b.identity(), Hall: b.set.Hall, Replicas: b.set.Replicas,
+		Backend: backend.New(backend.Settings{}), Limits: b.set.Limits, Pace: b.set.Pace,
+		StopWithoutLeader: b.set.StopWithoutLeader, Log: b.set.Log, Metrics: b.metrics,
+	})
+	b.serve(b.set.Callers, b.router)
+}
+
+func (b *Box) operatorsMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.WritePrometheus(w) })
+	if b.control != nil {
+		mux.Handle("/", b.control.OperatorHandler(b.set.OperatorToken))
+	}
+	return mux
+}
+
+// serve serves one listener with HTTP/1.1 and, for gRPC without certificates,
+// HTTP/2.
+func (b *Box) serve(l net.Listener, h http.Handler) {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, Protocols: &protocols,
+		ErrorLog: slog.NewLogLogger(b.set.Log.Handler(), slog.LevelDebug),
+	}
+	b.servers = append(b.servers, s)
+	go func() { _ = s.Serve(limitListener(l, maxConnections)) }()
+}
+
+// Router returns the router role, or nil.
+func (b *Box) Router() *router.Router { return b.router }
+
+// Ready reports whether the box serves callers.
+func (b *Box) Ready() bool { return b.router != nil && b.router.Ready() }
+
+// Done is closed when the box cannot go on: its disk failed.
+func (b *Box) Done() <-chan struct{} {
+	if b.control == nil {
+		return nil
+	}
+	return b.control.Done()
+}
+
+// Err returns why the box cannot go on, after Done.
+func (b *Box) Err() error { return b.control.Err() }
+
+// Stop ends the box without cutting off a request, unless ctx ends first:
+// the router drains while its own control role, if it has one, still leads.
+func (b *Box) Stop(ctx context.Context) {
+	if b.router != nil {
+		b.router.Stop(ctx, b.set.Grace)
+	}
+	if b.control != nil {
+		b.control.Stop(ctx)
+	}
+	for _, s := range b.servers {
+		if s.Shutdown(ctx) != nil {
+			s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/cmd/badgerspoke-standin/main.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command badgerspoke-standin is a stand-in backend server, for trying a fleet
+// without a model engine.
+package main
+
+import (
+	"flag"
+	"log"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/standin"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:9001", "address to serve on")
+	kind := flag.String("kind", "engine", "engine or service")
+	models := flag.String("models", "badger-small", "models of an engine, separated by commas")
+	slots := flag.Int("slots", 8, "requests that an engine runs at once")
+	tokenTime := flag.Duration("token-time", 20*time.Millisecond, "time of one token")
+	promptTime := flag.Duration("prompt-time", 50*time.Millisecond, "time before the first token, or of a service's call")
+	flag.Parse()
+
+	var h http.Handler = standin.NewEngine(standin.EngineSettings{
+		Models: strings.Split(*models, ","), Slots: *slots, TokenTime: *tokenTime, PromptTime: *promptTime,
+	})
+	if *kind == "service" {
+		h = &standin.Service{Time: *promptTime}
+	}
+	srv := &http.Server{Addr: *listen, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	log.Fatal(srv.ListenAndServe())
+}
--- /dev/null
+++ b/cmd/badgerspoked/main.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command badgerspoked is one box of a router fleet.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke"
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/dev"
+	"github.com/badgerspoke/badgerspoke/router"
+	"github.com/badgerspoke/badgerspoke/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	d, err := settings.Parse(os.Args[1:], os.Getenv, os.Stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	case d.Version:
+		fmt.Println("badgerspoked", version())
+		return exitOK
+	case d.Check:
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	log := newLog(d)
+	if err := serve(d, log); err != nil {
+		log.Error("stopped", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serve runs the box until a signal. A second signal ends it at once.
+func serve(d settings.Daemon, log *slog.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.Dev {
+		clean, err := devDefaults(&d)
+		if err != nil {
+			return err
+		}
+		defer clean()
+	}
+	box, err := start(ctx, d, log)
+	if err != nil {
+		return err
+	}
+	if d.Dev {
+		stop, err := fillDev(ctx, d)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
+	log.Info("started", "name", d.Name, "roles", d.Roles, "callers", d.ListenCallers, "operators", d.ListenOperators)
+	select {
+	case <-box.Done():
+		return box.Err()
+	case s := <-signals:
+		log.Info("stopping", "signal", s.String())
+	}
+	stopCtx, stopNow := context.WithTimeout(ctx, d.StopTimeout)
+	defer stopNow()
+	go func() {
+		<-signals
+		log.Warn("stopping at once")
+		stopNow()
+	}()
+	box.Stop(stopCtx)
+	log.Info("stopped")
+	return nil
+}
+
+func start(ctx context.Context, d settings.Daemon, log *slog.Logger) (*badgerspoke.Box, error) {
+	limits := router.DefaultLimits
+	limits.Wait = d.Wait
+	pace := slots.DefaultPace
+	pace.Budget, pace.Burst = d.ControlBudget, 2*d.ControlBudget
+	set := badgerspoke.Settings{
+		Name: d.Name, Hall: d.Hall, FleetKey: d.FleetKey, Replicas: d.Control,
+		Router: d.Has(settings.Router), Control: d.Has(settings.Control),
+		DataDir: d.DataDir, OperatorToken: d.OperatorToken,
+		Lease: slots.Lease{Length: d.Lease, Margin: slots.DefaultLease.Margin},
+		Pace:  pace, Limits: limits, StopWithoutLeader: d.StopWithoutLeader, Grace: d.Grace, Log: log,
+	}
+	var err error
+	if set.Operators, err = net.Listen("tcp", d.ListenOperators); err != nil {
+		return nil, err
+	}
+	if set.Router {
+		if set.Callers, err = net.Listen("tcp", d.ListenCallers); err != nil {
+			return nil, err
+		}
+	}
+	if set.Control {
+		if set.Fleet, err = net.Listen("tcp", d.ListenFleet); err != nil {
+			return nil, err
+		}
+	}
+	return badgerspoke.Start(ctx, set)
+}
+
+// devDefaults fills in what a fleet of one process needs.
+func devDefaults(d *settings.Daemon) (clean func(), err error) {
+	d.Roles = []string{settings.Router, settings.Control}
+	if d.Name == "" {
+		d.Name = "dev"
+	}
+	d.Control = map[string]string{d.Name: d.ListenFleet}
+	d.FleetKey, d.OperatorToken = []byte(dev.FleetKey), dev.Token
+	d.Grace = 0
+	if d.DataDir != "" {
+		return func() {}, nil
+	}
+	d.DataDir, err = os.MkdirTemp("", "badgerspoke-dev-")
+	return func() { os.RemoveAll(d.DataDir) }, err
+}
+
+const devPatience = 20 * time.Second
+
+func fillDev(ctx context.Context, d settings.Daemon) (stop func(), err error) {
+	servers, err := dev.StartServers()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, devPatience)
+	defer cancel()
+	if err := servers.Configure(ctx, d.ListenOperators); err != nil {
+		servers.Close()
+		return nil, err
+	}
+	return servers.Close, nil
+}
+
+func newLog(d settings.Daemon) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(d.LogLevel)) // checked by settings
+	opts := &slog.HandlerOptions{Level: level}
+	if d.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, opts))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, opts))
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/claim"
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/replica"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines Control, the assembled control role.
+
+// Names of the groups.
+const (
+	configGroup = "config"
+	claimGroup  = "claims"
+)
+
+// Settings of a control replica.
+type Settings struct {
+	Identity link.Identity
+	// Replicas are the fleet addresses (IP:PORT) of all control replicas by
+	// name, this one included.
+	Replicas map[string]string
+	// Dir opens the folder of one group under the data folder.
+	Dir       func(group string) (wal.Dir, error)
+	Lease     slots.Lease
+	Pace      slots.Pace
+	Election  time.Duration
+	Heartbeat time.Duration
+	CompactAt int64
+	Random    func() uint64
+	Log       *slog.Logger
+	Metrics   *metrics.Set
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Lease == (slots.Lease{}) {
+		s.Lease = slots.DefaultLease
+	}
+	if s.Pace == (slots.Pace{}) {
+		s.Pace = slots.DefaultPace
+	}
+	if s.Election == 0 {
+		s.Election = replica.DefaultElection
+	}
+	if s.Heartbeat == 0 {
+		s.Heartbeat = replica.DefaultHeartbeat
+	}
+	if s.CompactAt == 0 {
+		s.CompactAt = replica.DefaultCompactAt
+	}
+	return s
+}
+
+// Control is a running control replica.
+type Control struct {
+	set        Settings
+	ctx        context.Context
+	stop       context.CancelFunc
+	meter      *link.Meter
+	state      *Replicated
+	config     *replica.Replica
+	claims     *replica.Replica
+	register   *claim.Register
+	peers      *peers
+	dispatcher *dispatcher
+	watchers   *claimWatchers
+	running    sync.WaitGroup
+}
+
+// Start opens the data folder and joins the groups. The replica runs until
+// Stop, or until its disk fails (see Done).
+func Start(ctx context.Context, set Settings) (*Control, error) {
+	set = set.withDefaults()
+	ctx, stop := context.WithCancel(ctx)
+	c := &Control{set: set, ctx: ctx, stop: stop, meter: link.NewMeter(set.Metrics), watchers: newClaimWatchers()}
+	c.dispatcher = newDispatcher(c)
+	c.state = newReplicated(c.dispatcher.configChanged)
+	c.register = claim.New()
+	c.register.Settlement = c.watchers.settled
+	c.peers = newPeers(ctx, set, c.meter)
+	if err := c.startGroups(); err != nil {
+		stop()
+		return nil, err
+	}
+	c.peers.deliver = c.deliver
+	c.peers.start()
+	c.running.Go(c.dispatcher.run)
+	c.running.Go(c.followLeader)
+	return c, nil
+}
+
+func (c *Control) startGroups() error {
+	var err error
+	if c.config, err = c.startGroup(configGroup, c.state, c.dispatcher.observe); err != nil {
+		return err
+	}
+	c.claims, err = c.startGroup(claimGroup, claims{c.register}, nil)
+	return err
+}
+
+func (c *Control) startGroup(name string, m replica.Machine,
+	observe func(time.Duration, consensus.Status, bool)) (*replica.Replica, error) {
+	dir, err := c.set.Dir(name)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(c.set.Replicas))
+	for n := range c.set.Replicas {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return replica.Start(c.ctx, replica.Settings{
+		Group: name, Name: c.set.Identity.Name, Names: names, Dir: dir, Machine: m,
+		Send: c.peers.send, Election: c.set.Election, Heartbeat: c.set.Heartbeat,
+		CompactAt: c.set.CompactAt, Random: c.set.Random, Log: c.set.Log, Observe: observe,
+	})
+}
+
+func (c *Control) deliver(m protocol.Consensus) {
+	switch m.Name {
+	case configGroup:
+		c.config.Deliver(m)
+	case claimGroup:
+		c.claims.Deliver(m)
+	}
+}
+
+// ServeHTTP accepts links of other boxes at [link.Path]: the first message
+// tells a router from a control replica.
+func (c *Control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l, err := link.Accept(w, r, c.set.Identity, c.meter)
+	if err != nil {
+		c.set.Metrics.GetOrCreateCounter(`badgerspoke_links_refused_total`).Inc()
+		return
+	}
+	defer l.Close()
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	m, err := l.Receive(ctx)
+	if err != nil {
+		return
+	}
+	switch m := m.(type) {
+	case protocol.Hello:
+		c.serveRouter(ctx, l, m)
+	case protocol.Consensus:
+		c.servePeer(ctx, l, m)
+	}
+}
+
+func (c *Control) servePeer(ctx context.Context, l *link.Link, first protocol.Consensus) {
+	c.fromPeer(l, first)
+	for {
+		m, err := l.Receive(ctx)
+		if err != nil {
+			return
+		}
+		if cm, ok := m.(protocol.Consensus); ok {
+			c.fromPeer(l, cm)
+		}
+	}
+}
+
+// fromPeer delivers a message whose sender is the proven peer of the link.
+func (c *Control) fromPeer(l *link.Link, m protocol.Consensus) {
+	if m.From.Name == l.Peer() {
+		c.deliver(m)
+	}
+}
+
+// Done is closed when a disk failed and the replica must be replaced.
+func (c *Control) Done() <-chan struct{} { return c.config.Done() }
+
+// Err returns why the replica stopped, after Done.
+func (c *Control) Err() error { return c.config.Err() }
+
+// Stop hands leadership over, if another replica can take it within the
+// context, and stops.
+func (c *Control) Stop(ctx context.Context) {
+	if len(c.set.Replicas) > 1 {
+		_ = c.claims.Transfer(ctx)
+		_ = c.config.Transfer(ctx)
+	}
+	c.stop()
+	<-c.config.Done()
+	<-c.claims.Done()
+	c.running.Wait()
+}
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,313 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/zeebo/xxh3"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+	"github.com/badgerspoke/badgerspoke/state/config"
+)
+
+// This file defines the operators' calls that change the configuration. Those
+// that only read are in status.go, the shape of errors in rpcerror.go.
+
+const (
+	maxOperatorMessage = 1 << 20
+	keyBytes           = 24
+	unprotectedTries   = 8
+)
+
+// OperatorHandler returns the operators' interface for callers that know the
+// token.
+func (c *Control) OperatorHandler(token string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operators{c: c},
+		connect.WithReadMaxBytes(maxOperatorMessage)))
+	return requireToken(token, mux)
+}
+
+// requireToken compares in constant time. Hashing first hides the length.
+func requireToken(token string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+		if subtle.ConstantTimeCompare(given[:], want[:]) != 1 {
+			_ = connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeUnauthenticated, BadToken{}))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operators implements the service.
+type operators struct{ c *Control }
+
+var _ operatorv1connect.OperatorServiceHandler = (*operators)(nil)
+
+// changeRequest is any request that changes the configuration.
+type changeRequest interface {
+	proto.Message
+	GetChange() *operatorv1.Change
+}
+
+// derive turns a request into operations on the current configuration.
+type derive func(cfg config.Config) ([]config.Op, error)
+
+// change proposes what a request asks for and returns the revision that it
+// produced, now or the first time.
+func (o *operators) change(ctx context.Context, req changeRequest, d derive) (uint64, error) {
+	ch := req.GetChange()
+	request := requestDigest(req)
+	var err error
+	for range unprotectedTries {
+		if err := o.c.mustLead(); err != nil {
+			return 0, o.c.rpcError(ch.GetId(), err)
+		}
+		var revision uint64
+		if revision, err = o.propose(ctx, ch, request, d); err == nil {
+			return revision, nil
+		}
+		if _, raced := err.(config.Conflict); !raced || ch.GetBaseRevision() != 0 {
+			break
+		}
+	}
+	return 0, o.c.rpcError(ch.GetId(), err)
+}
+
+func (o *operators) propose(ctx context.Context, ch *operatorv1.Change, request uint64, d derive) (uint64, error) {
+	if first, revision, ok := o.c.state.Find(ch.GetId()); ok {
+		if first.Request != request {
+			return 0, config.Reused{ID: ch.GetId()}
+		}
+		return revision, nil
+	}
+	cfg := o.c.state.Config()
+	proposal := config.Change{ID: ch.GetId(), Base: ch.GetBaseRevision(), Request: request}
+	if proposal.Base == 0 {
+		proposal.Base = cfg.Revision()
+	}
+	if proposal.Base == cfg.Revision() {
+		ops, err := d(cfg)
+		if err != nil {
+			return 0, err
+		}
+		proposal.Ops = ops
+	}
+	// With another base there is nothing to derive from; the log answers
+	// with the conflict, or with the first answer to a resend.
+	return o.c.proposeChange(ctx, proposal)
+}
+
+// requestDigest identifies what was asked for, without the change's own
+// identifier and base.
+func requestDigest(req changeRequest) uint64 {
+	m := proto.Clone(req)
+	fields := m.ProtoReflect().Descriptor().Fields()
+	m.ProtoReflect().Clear(fields.ByName("change"))
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return 0
+	}
+	return xxh3.Hash(append(b, string(m.ProtoReflect().Descriptor().FullName())...)) | 1
+}
+
+func (o *operators) CreateAccount(ctx context.Context, req *connect.Request[operatorv1.CreateAccountRequest]) (*connect.Response[operatorv1.CreateAccountResponse], error) {
+	key, hash, err := keyOrDraw(req.Msg.GetKeyHash())
+	if err != nil {
+		return nil, o.c.rpcError("", err)
+	}
+	derived := false
+	revision, err := o.change(ctx, req.Msg, func(cfg config.Config) ([]config.Op, error) {
+		derived = true
+		if _, exists := cfg.Account(req.Msg.GetName()); exists {
+			return nil, invalid("account "+req.Msg.GetName(), "name", "exists already")
+		}
+		a := config.Account{Name: req.Msg.GetName(), Share: req.Msg.GetShare(), Limits: limitsFrom(req.Msg.GetLimits())}.WithKey(hash)
+		return []config.Op{{PutAccount: &a}}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !derived {
+		key = "" // a resend: the key of the first answer is not known any more
+	}
+	return connect.NewResponse(&operatorv1.CreateAccountResponse{Revision: revision, Key: key}), nil
+}
+
+func (o *operators) UpdateAccount(ctx context.Context, req *connect.Request[operatorv1.UpdateAccountRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return o.changeAccount(ctx, req.Msg, req.Msg.GetName(), func(a config.Account) (config.Account, error) {
+		if req.Msg.Share != nil {
+			a = a.WithShare(req.Msg.GetShare())
+		}
+		if req.Msg.Limits != nil {
+			a = a.WithLimits(limitsFrom(req.Msg.GetLimits()))
+		}
+		return a, nil
+	})
+}
+
+func (o *operators) RotateKey(ctx context.Context, req *connect.Request[operatorv1.RotateKeyRequest]) (*connect.Response[operatorv1.RotateKeyResponse], error) {
+	key, hash, err := keyOrDraw(req.Msg.GetKeyHash())
+	if err != nil {
+		return nil, o.c.rpcError("", err)
+	}
+	derived := false
+	resp, err := o.changeAccount(ctx, req.Msg, req.Msg.GetName(), func(a config.Account) (config.Account, error) {
+		derived = true
+		if !req.Msg.GetKeepOld() {
+			a.Keys = nil
+		}
+		return a.WithKey(hash), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !derived {
+		key = ""
+	}
+	return connect.NewResponse(&operatorv1.RotateKeyResponse{Revision: resp.Msg.GetRevision(), Key: key}), nil
+}
+
+func (o *operators) RevokeKey(ctx context.Context, req *connect.Request[operatorv1.RevokeKeyRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	return o.changeAccount(ctx, req.Msg, req.Msg.GetName(), func(a config.Account) (config.Account, error) {
+		for _, k := range a.Keys {
+			given := req.Msg.GetKeyHash()
+			if given == k.String() || given == hex.EncodeToString(k[:]) {
+				return a.WithoutKey(k), nil
+			}
+		}
+		return a, invalid("account "+a.Name, "key_hash", "the account has no such key")
+	})
+}
+
+func (o *operators) RemoveAccount(ctx context.Context, req *connect.Request[operatorv1.RemoveAccountRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	revision, err := o.change(ctx, req.Msg, func(config.Config) ([]config.Op, error) {
+		return []config.Op{{RemoveAccount: req.Msg.GetName()}}, nil
+	})
+	return changeResponse(revision, err)
+}
+
+func (o *operators) AddServer(ctx context.Context, req *connect.Request[operatorv1.AddServerRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	revision, err := o.change(ctx, req.Msg, func(cfg config.Config) ([]config.Op, error) {
+		s := serverFrom(req.Msg.GetServer())
+		if _, exists := cfg.Server(s.Name); exists {
+			return nil, invalid("server "+s.Name, "name", "exists already")
+		}
+		return []config.Op{{PutServer: &s}}, nil
+	})
+	return changeResponse(revision, err)
+}
+
+func (o *operators) MarkServer(ctx context.Context, req *connect.Request[operatorv1.MarkServerRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	revision, err := o.change(ctx, req.Msg, func(cfg config.Config) ([]config.Op, error) {
+		s, ok := cfg.Server(req.Msg.GetName())
+		if !ok {
+			return nil, invalid("server "+req.Msg.GetName(), "name", "does not exist")
+		}
+		s = s.WithMark(config.Mark(req.Msg.GetMark()))
+		return []config.Op{{PutServer: &s}}, nil
+	})
+	return changeResponse(revision, err)
+}
+
+func (o *operators) RemoveServer(ctx context.Context, req *connect.Request[operatorv1.RemoveServerRequest]) (*connect.Response[operatorv1.ChangeResponse], error) {
+	revision, err := o.change(ctx, req.Msg, func(config.Config) ([]config.Op, error) {
+		return []config.Op{{RemoveServer: req.Msg.GetName()}}, nil
+	})
+	return changeResponse(revision, err)
+}
+
+// changeAccount changes one existing account.
+func (o *operators) changeAccount(ctx context.Context, req changeRequest, name string,
+	with func(config.Account) (config.Account, error)) (*connect.Response[operatorv1.ChangeResponse], error) {
+	revision, err := o.change(ctx, req, func(cfg config.Config) ([]config.Op, error) {
+		a, ok := cfg.Account(name)
+		if !ok {
+			return nil, invalid("account "+name, "name", "does not exist")
+		}
+		a, err := with(a)
+		return []config.Op{{PutAccount: &a}}, err
+	})
+	return changeResponse(revision, err)
+}
+
+func changeResponse(revision uint64, err error) (*connect.Response[operatorv1.ChangeResponse], error) {
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&operatorv1.ChangeResponse{Revision: revision}), nil
+}
+
+// keyOrDraw returns the hash that the operator gave, or a new key and its
+// hash.
+func keyOrDraw(given string) (key string, hash config.KeyHash, err error) {
+	if given == "" {
+		b := make([]byte, keyBytes)
+		_, _ = rand.Read(b) // crypto/rand does not fail since Go 1.24
+		key = "bsk-" + base64.RawURLEncoding.EncodeToString(b)
+		return key, config.HashKey(key), nil
+	}
+	b, err := hex.DecodeString(given)
+	if err != nil || len(b) != len(hash) {
+		return "", hash, invalid("change", "key_hash", "must be a SHA-256 in hexadecimal")
+	}
+	copy(hash[:], b)
+	return "", hash, nil
+}
+
+func invalid(subject, field, reason string) error {
+	return config.Invalid{Mistakes: []config.Mistake{{Subject: subject, Field: field, Reason: reason}}}
+}
+
+func limitsFrom(l *operatorv1.Limits) config.Limits {
+	return config.Limits{
+		Waiting: int(l.GetWaiting()), WaitingBytes: int64(l.GetWaitingBytes()), Running: int(l.GetRunning()),
+	}
+}
+
+func serverFrom(s *operatorv1.Server) config.Server {
+	mark := config.Mark(s.GetMark())
+	if mark == 0 {
+		mark = config.Joining
+	}
+	return config.Server{
+		Name: s.GetName(), Pool: s.GetPool(), Address: s.GetAddress(), Kind: config.Kind(s.GetKind()),
+		Mark: mark, Slots: int(s.GetSlots()), Models: s.GetModels(), Adapters: s.GetAdapters(),
+		Version: s.GetVersion(), ChecksFence: s.GetChecksFence(), Never: s.GetNeverRepeat(),
+	}
+}
+
+func serverTo(s config.Server) *operatorv1.Server {
+	return &operatorv1.Server{
+		Name: s.Name, Pool: s.Pool, Address: s.Address, Kind: operatorv1.Kind(s.Kind),
+		Mark: operatorv1.Mark(s.Mark), Slots: uint32(s.Slots), Models: s.Models, Adapters: s.Adapters,
+		Version: s.Version, ChecksFence: s.ChecksFence, NeverRepeat: s.Never,
+	}
+}
+
+func accountTo(a config.Account) *operatorv1.Account {
+	out := &operatorv1.Account{
+		Name: a.Name, Share: a.Share,
+		Limits: &operatorv1.Limits{
+			Waiting: uint32(a.Limits.Waiting), WaitingBytes: uint64(a.Limits.WaitingBytes), Running: uint32(a.Limits.Running),
+		},
+	}
+	for _, k := range a.Keys {
+		out.KeyHashes = append(out.KeyHashes, k.String())
+	}
+	return out
+}
--- /dev/null
+++ b/control/session.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package control
+
+import (
+	"context"
+
+	"github.com/badgerspoke/badgerspoke/coordination/claim"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines a router's session on the control side: its opening, the
+// messages that it carries, and its end.
+
+const routerQueue = 1024
+
+// serveRouter runs one session until its link ends.
+func (c *Control) serveRouter(ctx context.Context, l *link.Link, h protocol.Hello) {
+	if h.Router != l.Peer() || h.Boot == 0 {
+		return
+	}
+	holder := claim.Holder{Router: h.Router, Boot: h.Boot}
+	r, admitted := c.admit(h, holder)
+	if !admitted {
+		_, _ = l.Send(ctx, r)
+		return
+	}
+	defer c.dispatcher.post(func() { c.dispatcher.opened(holder) })
+	// The log must know the router before it can hold a slot.
+	if err := c.proposeCommand(command{Open: &holder}); err != nil {
+		_, _ = l.Send(ctx, protocol.Redirect{})
+		return
+	}
+	s := &session{holder: holder, out: link.NewOutbox(l, routerQueue), sent: h.Revision}
+	defer s.out.Close()
+	opened := false
+	if !c.dispatcher.do(func() { opened = c.dispatcher.open(s, h) }) || !opened {
+		return
+	}
+	defer c.dispatcher.post(func() { c.dispatcher.unlink(s) })
+	c.receive(ctx, l, s)
+}
+
+// admit reports whether this replica can serve a router, or where else it
+// might be served. From now on the router's end is not recorded until opened
+// is called.
+func (c *Control) admit(h protocol.Hello, holder claim.Holder) (r protocol.Redirect, admitted bool) {
+	d := c.dispatcher
+	d.do(func() {
+		r = protocol.Redirect{
+			Leader: d.lead.leader, Follows: d.lead.follows, Group: d.lead.group,
+			Revision: d.c.state.Config().Revision(), Pending: d.lead.pending,
+		}
+		admitted = d.acting() && h.Epoch <= d.alloc.Epoch() && !d.ending[holder]
+		if admitted {
+			d.opening[holder]++
+		}
+	})
+	return r, admitted
+}
+
+func (c *Control) receive(ctx context.Context, l *link.Link, s *session) {
+	for {
+		m, err := l.Receive(ctx)
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case protocol.Renew:
+			c.dispatcher.post(func() { c.dispatcher.renew(s, m) })
+		case protocol.Report:
+			c.dispatcher.post(func() { c.dispatcher.report(s, m) })
+		case protocol.Claim:
+			go c.answerClaim(ctx, s, m)
+		case protocol.Settle:
+			go c.answerSettle(ctx, s, m)
+		}
+	}
+}
+
+// What follows runs in the dispatcher's goroutine.
+
+// opened ends what admit began.
+func (d *dispatcher) opened(h claim.Holder) {
+	if d.opening[h]--; d.opening[h] <= 0 {
+		delete(d.opening, h)
+	}
+}
+
+func (d *dispatcher) open(s *session, h protocol.Hello) bool {
+	if !d.acting() {
+		return false
+	}
+	if old := d.sessions[h.Router]; old != nil {
+		old.out.Close()
+	}
+	now := d.now()
+	void := !d.alloc.TakingOver(now) && !d.alloc.Knows(h.Router, h.Boot)
+	reports, known := d.alloc.Open(now, h)
+	s.renewed, s.revision = now, h.Revision
+	d.sessions[h.Router] = s
+	s.out.Send(protocol.Welcome{
+		Epoch: d.alloc.Epoch(), LeaseMillis: uint32(d.c.set.Lease.Length.Milliseconds()),
+		Leader: d.c.set.Identity.Name, Known: known, Reports: reports, Void: void,
+	})
+	d.pushTo(s, d.c.state.Config())
+	return true
+}
+
+func (d *dispatcher) renew(s *session, m protocol.Renew) {
+	if d.sessions[s.holder.Router] != s || !d.acting() {
+		return
+	}
+	now := d.now()
+	s.renewed, s.revision = now, m.Revision
+	d.alloc.Renew(now, s.holder.Router)
+	s.out.Send(protocol.Renewed{Seq: m.Seq})
+}
+
+func (d *dispatcher) report(s *session, m protocol.Report) {
+	if d.sessions[s.holder.Router] != s || d.alloc == nil {
+		return
+	}
+	d.alloc.Report(d.now(), s.holder.Router, m)
+}
+
+func (d *dispatcher) unlink(s *session) {
+	if d.sessions[s.holder.Router] != s {
+		return
+	}
+	delete(d.sessions, s.holder.Router)
+	if d.alloc != nil {
+		d.alloc.Unlink(s.holder.Router, s.holder.Boot)
+	}
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+)
+
+// This file defines the operators' calls that read.
+
+func (o *operators) ListAccounts(_ context.Context, _ *connect.Request[operatorv1.ListAccountsRequest]) (*connect.Response[operatorv1.ListAccountsResponse], error) {
+	if err := o.c.mustLead(); err != nil {
+		return nil, o.c.rpcError("", err)
+	}
+	cfg := o.c.state.Config()
+	out := &operatorv1.ListAccountsResponse{Revision: cfg.Revision()}
+	for _, a := range cfg.Accounts() {
+		out.Accounts = append(out.Accounts, accountTo(a))
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (o *operators) ListServers(_ context.Context, _ *connect.Request[operatorv1.ListServersRequest]) (*connect.Response[operatorv1.ListServersResponse], error) {
+	if err := o.c.mustLead(); err != nil {
+		return nil, o.c.rpcError("", err)
+	}
+	cfg := o.c.state.Config()
+	out := &operatorv1.ListServersResponse{Revision: cfg.Revision()}
+	for _, s := range cfg.Servers() {
+		out.Servers = append(out.Servers, serverTo(s))
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (o *operators) GetStatus(_ context.Context, _ *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+	var out *operatorv1.GetStatusResponse
+	o.c.dispatcher.do(func() {
+		if o.c.dispatcher.acting() {
+			out = o.c.dispatcher.status()
+		}
+	})
+	if out == nil {
+		return nil, o.c.rpcError("", o.c.notLeader())
+	}
+	return connect.NewResponse(out), nil
+}
+
+// awaitInterval is how often AwaitRevision looks.
+const awaitInterval = 50 * time.Millisecond
+
+func (o *operators) AwaitRevision(ctx context.Context, req *connect.Request[operatorv1.AwaitRevisionRequest]) (*connect.Response[operatorv1.AwaitRevisionResponse], error) {
+	tick := time.NewTicker(awaitInterval)
+	defer tick.Stop()
+	for {
+		var out *operatorv1.AwaitRevisionResponse
+		o.c.dispatcher.do(func() {
+			if o.c.dispatcher.acting() {
+				out = o.c.dispatcher.spread(req.Msg.GetRevision())
+			}
+		})
+		if out == nil {
+			return nil, o.c.rpcError("", o.c.notLeader())
+		}
+		if out.InForce {
+			return connect.NewResponse(out), nil
+		}
+		select {
+		case <-ctx.Done():
+			return connect.NewResponse(out), nil
+		case <-tick.C:
+		}
+	}
+}
+
+// status runs in the dispatcher's goroutine.
+func (d *dispatcher) status() *operatorv1.GetStatusResponse {
+	now := d.now()
+	cfg := d.c.state.Config()
+	out := &operatorv1.GetStatusResponse{
+		Revision: cfg.Revision(), Epoch: d.alloc.Epoch(), Leader: d.c.set.Identity.Name,
+		TakingOver: d.alloc.TakingOver(now),
+	}
+	for _, p := range d.lead.members.Voters {
+		out.Replicas = append(out.Replicas, &operatorv1.ReplicaStatus{Name: p.Name, Voter: true})
+	}
+	for _, p := range d.lead.members.Learners {
+		out.Replicas = append(out.Replicas, &operatorv1.ReplicaStatus{Name: p.Name})
+	}
+	lease := d.c.set.Lease.Length + d.c.set.Lease.Margin
+	for _, r := range d.alloc.Routers() {
+		rs := &operatorv1.RouterStatus{
+			Name: r.Router, Linked: r.Linked, SlotsHeld: uint32(r.Held),
+			LeaseMillis: uint32(max(r.Renewed+lease-now, 0).Milliseconds()),
+		}
+		if s := d.sessions[r.Router]; s != nil {
+			rs.Revision = s.revision
+		}
+		out.Routers = append(out.Routers, rs)
+	}
+	for _, oc := range d.alloc.Occupancies() {
+		s, _ := cfg.Server(oc.Server)
+		out.Servers = append(out.Servers, &operatorv1.ServerStatus{
+			Name: oc.Server, Pool: oc.Pool, Mark: operatorv1.Mark(s.Mark), Slots: uint32(oc.Slots),
+			Granted: uint32(max(oc.Granted, 0)), Empty: oc.Granted <= 0 && !out.TakingOver,
+		})
+	}
+	for _, st := range d.alloc.Standings() {
+		if st.Time == 0 && st.Waiting == 0 {
+			continue
+		}
+		out.Standings = append(out.Standings, &operatorv1.Standing{
+			Pool: st.Pool, Account: st.Account, Share: st.Share, NormalisedService: st.Time, Waiting: uint32(st.Waiting),
+		})
+	}
+	return out
+}
+
+// spread tells how far a revision is in force. Nobody can be left on an older
+// one once every process that may hold a lease has confirmed it: a router is
+// not renewed before it was sent the newest configuration.
+func (d *dispatcher) spread(revision uint64) *operatorv1.AwaitRevisionResponse {
+	out := &operatorv1.AwaitRevisionResponse{}
+	listed := map[string]bool{}
+	for _, r := range d.alloc.Routers() {
+		listed[r.Router] = true
+		s := d.sessions[r.Router]
+		if s != nil && s.revision >= revision {
+			out.Confirmed = append(out.Confirmed, r.Router)
+		} else {
+			out.Outstanding = append(out.Outstanding, r.Router)
+		}
+	}
+	for _, h := range d.c.state.Routers() {
+		switch {
+		case listed[h.Router]:
+		case d.alloc.TakingOver(d.now()):
+			out.Outstanding = append(out.Outstanding, h.Router)
+		default:
+			out.Expired = append(out.Expired, h.Router)
+		}
+	}
+	slices.Sort(out.Outstanding)
+	out.InForce = len(out.Outstanding) == 0 && d.c.state.Config().Revision() >= revision
+	return out
+}
--- /dev/null
+++ b/coordination/claim/claim.go
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package claim keeps the register that makes a keyed request run at most
+// once in the whole fleet.
+//
+// The model: a request is named by its account and its idempotency key. Just
+// before a router dispatches it, the router claims the name; the register
+// grants each name once. The claim is settled with the outcome: ran (with the
+// answer when it is small), released (it truly did not run, so the name is
+// free again), or unknown. When a router vanishes, its unsettled claims become
+// unknown, and that is what a resend is told: the register never guesses.
+//
+// A [Register] is a state machine driven by a replicated log. It reads no
+// clock: commands carry the time of the leader that proposed them, and the
+// register's own time is the highest seen, so that every replica forgets the
+// same claims at the same place of the log. A claim is forgotten [Window]
+// after it was settled; a resend later than that runs again. A claim that is
+// still running is not forgotten.
+package claim
+
+import (
+	"container/list"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines Register and its commands.
+
+// Window is how long a settled claim is remembered, in milliseconds.
+const Window = 24 * 60 * 60 * 1000
+
+// MaxAnswer is the largest answer that is kept, in bytes of its body.
+const MaxAnswer = 16 << 10
+
+// MaxKey bounds an idempotency key, in bytes.
+const MaxKey = 255
+
+// Holder is a process that may hold claims.
+type Holder struct {
+	Router string `cbor:"1,keyasint"`
+	Boot   uint64 `cbor:"2,keyasint"`
+}
+
+// Command is one command of the log. One of Claim, Settle and Orphan is set.
+type Command struct {
+	Millis int64            `cbor:"1,keyasint"` // the proposer's wall clock
+	Holder Holder           `cbor:"2,keyasint"`
+	Claim  *protocol.Claim  `cbor:"3,keyasint,omitempty"`
+	Settle *protocol.Settle `cbor:"4,keyasint,omitempty"`
+	// Orphan makes every unsettled claim of Holder unknown.
+	Orphan bool `cbor:"5,keyasint,omitempty"`
+}
+
+// name identifies a keyed request.
+type name struct{ account, key string }
+
+// entry is one claim.
+type entry struct {
+	Account string              `cbor:"1,keyasint"`
+	Key     string              `cbor:"2,keyasint"`
+	Digest  uint64              `cbor:"3,keyasint"`
+	Holder  Holder              `cbor:"4,keyasint"`
+	Attempt uint64              `cbor:"5,keyasint"`
+	State   protocol.ClaimState `cbor:"6,keyasint"` // ClaimRunning, ClaimRan or ClaimUnknown
+	Answer  *protocol.Answer    `cbor:"7,keyasint,omitempty"`
+	Settled int64               `cbor:"8,keyasint,omitempty"` // when, in register time
+
+	place *list.Element // in Register.settled
+}
+
+// Register is the state machine. It is not safe for concurrent use.
+type Register struct {
+	millis  int64
+	entries map[name]*entry
+	settled list.List // entries in the order of their settling
+	// Settlement, if set, is called whenever a claim is no longer running.
+	Settlement func(account, key string, c protocol.Claimed)
+}
+
+// New returns an empty register.
+func New() *Register { return &Register{entries: map[name]*entry{}} }
+
+// Len returns the number of claims remembered.
+func (r *Register) Len() int { return len(r.entries) }
+
+// Apply applies a command and returns the answer to its proposer.
+func (r *Register) Apply(c Command) protocol.Claimed {
+	r.millis = max(r.millis, c.Millis)
+	r.forgetOld()
+	switch {
+	case c.Claim != nil:
+		return r.claim(c.Holder, *c.Claim)
+	case c.Settle != nil:
+		return r.settle(c.Holder, *c.Settle)
+	case c.Orphan:
+		r.orphan(c.Holder)
+	}
+	return protocol.Claimed{}
+}
+
+// Peek returns what a claim would be answered without making it, for a caller
+// that waits for another router's outcome.
+func (r *Register) Peek(account, key string) (protocol.Claimed, bool) {
+	e := r.entries[name{account, key}]
+	if e == nil {
+		return protocol.Claimed{}, false
+	}
+	return protocol.Claimed{State: e.State, Answer: e.Answer}, true
+}
+
+func (r *Register) claim(h Holder, c protocol.Claim) protocol.Claimed {
+	n := name{c.Account, c.Key}
+	e := r.entries[n]
+	if e == nil {
+		r.entries[n] = &entry{
+			Account: c.Account, Key: c.Key, Digest: c.Digest, Holder: h, Attempt: c.Attempt,
+			State: protocol.ClaimRunning,
+		}
+		return protocol.Claimed{Call: c.Call, State: protocol.ClaimGranted}
+	}
+	if e.Digest != c.Digest {
+		return protocol.Claimed{Call: c.Call, State: protocol.ClaimMismatch}
+	}
+	own := e.Holder == h && e.Attempt == c.Attempt
+	if own && e.State == protocol.ClaimRunning {
+		return protocol.Claimed{Call: c.Call, State: protocol.ClaimGranted} // its first answer was lost
+	}
+	return protocol.Claimed{Call: c.Call, State: e.State, Answer: e.Answer}
+}
+
+// settle takes the outcome from the holder. A late outcome of a claim that
+// became unknown meanwhile is better knowledge and replaces it.
+func (r *Register) settle(h Holder, s protocol.Settle) protocol.Claimed {
+	n := name{s.Account, s.Key}
+	e := r.entries[n]
+	if e == nil || e.Holder != h || e.Attempt != s.Attempt || e.State == protocol.ClaimRan {
+		return protocol.Claimed{Call: s.Call, State: s.State}
+	}
+	if s.State == protocol.ClaimReleased {
+		r.remove(n, e)
+	} else {
+		e.Answer = kept(s.Answer)
+		r.finish(e, s.State)
+	}
+	r.tell(e, s.State)
+	return protocol.Claimed{Call: s.Call, State: s.State}
+}
+
+func kept(a *protocol.Answer) *protocol.Answer {
+	if a == nil || len(a.Body) > MaxAnswer {
+		return nil
+	}
+	return a
+}
+
+func (r *Register) orphan(h Holder) {
+	for _, e := range r.entries {
+		if e.Holder == h && e.State == protocol.ClaimRunning {
+			r.finish(e, protocol.ClaimUnknown)
+			r.tell(e, protocol.ClaimUnknown)
+		}
+	}
+}
+
+func (r *Register) finish(e *entry, state protocol.ClaimState) {
+	e.State = state
+	e.Settled = r.millis
+	if e.place != nil {
+		r.settled.Remove(e.place)
+	}
+	e.place = r.settled.PushBack(e)
+}
+
+func (r *Register) tell(e *entry, state protocol.ClaimState) {
+	if r.Settlement != nil {
+		r.Settlement(e.Account, e.Key, protocol.Claimed{State: state, Answer: e.Answer})
+	}
+}
+
+func (r *Register) forgetOld() {
+	for el := r.settled.Front(); el != nil; el = r.settled.Front() {
+		e := el.Value.(*entry)
+		if r.millis-e.Settled < Window {
+			return
+		}
+		r.remove(name{e.Account, e.Key}, e)
+	}
+}
+
+func (r *Register) remove(n name, e *entry) {
+	if e.place != nil {
+		r.settled.Remove(e.place)
+		e.place = nil
+	}
+	delete(r.entries, n)
+}
+
+// image is the serialized form of a Register: settled entries in their order,
+// then running ones.
+type image struct {
+	Millis  int64    `cbor:"1,keyasint"`
+	Entries []*entry `cbor:"2,keyasint"`
+}
+
+// MarshalBinary returns the register's image for a log snapshot.
+func (r *Register) MarshalBinary() ([]byte, error) {
+	im := image{Millis: r.millis}
+	for el := r.settled.Front(); el != nil; el = el.Next() {
+		im.Entries = append(im.Entries, el.Value.(*entry))
+	}
+	for _, e := range r.entries {
+		if e.place == nil {
+			im.Entries = append(im.Entries, e)
+		}
+	}
+	return cbor.Marshal(im)
+}
+
+// UnmarshalBinary replaces the register by the image.
+func (r *Register) UnmarshalBinary(b []byte) error {
+	var im image
+	if err := cbor.Unmarshal(b, &im); err != nil {
+		return err
+	}
+	r.millis = im.Millis
+	r.entries = make(map[name]*entry, len(im.Entries))
+	r.settled.Init()
+	for _, e := range im.Entries {
+		r.entries[name{e.Account, e.Key}] = e
+		if e.State != protocol.ClaimRunning {
+			e.place = r.settled.PushBack(e)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/consensus/errors.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package consensus
+
+import (
+	"fmt"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines the refusals of a Node.
+
+// NotLeader refuses a proposal at a replica that does not lead. Leader is
+// zero when no leader is known.
+type NotLeader struct{ Leader protocol.Peer }
+
+// Error names the leader.
+func (e NotLeader) Error() string {
+	if e.Leader.IsZero() {
+		return "not the leader; no leader is known"
+	}
+	return "not the leader; the leader is " + e.Leader.Name
+}
+
+// Handover refuses a proposal while leadership is being handed over.
+type Handover struct{ To protocol.Peer }
+
+// Error names the successor.
+func (e Handover) Error() string { return "leadership is being handed to " + e.To.Name }
+
+// OutOfRange refuses a compaction outside of what is applied.
+type OutOfRange struct{ Index, First, Last uint64 }
+
+// Error names the range.
+func (e OutOfRange) Error() string {
+	return fmt.Sprintf("index %d is not between %d and %d", e.Index, e.First, e.Last)
+}
+
+// ChangePending refuses a membership change while another is not committed.
+type ChangePending struct{ Index uint64 }
+
+// Error names the index of the pending change.
+func (e ChangePending) Error() string {
+	return fmt.Sprintf("the membership change at index %d is not committed yet", e.Index)
+}
--- /dev/null
+++ b/coordination/consensus/formation.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines Formation, how replicas with blank disks become a group.
+//
+// A blank disk is either new or lost, and the replica cannot know which. So a
+// group forms only when every replica named in the settings says that its
+// disk is blank: one that holds something proves that the group exists, and
+// the blank one asks to be repaired instead. The replica whose name sorts
+// first founds the group; a replica accepts a foundation only from the
+// incarnation that it last answered, so a founder that lost its disk during
+// the foundation does not leave two groups behind.
+//
+// A flag "this is the first start" was rejected: somebody leaves it in the
+// settings, and the first lost disk then founds a second group.
+
+// Formation is a replica before it has a log. It is not safe for concurrent
+// use.
+type Formation struct {
+	name     string
+	self     protocol.Peer
+	names    []string // all replicas by the settings, sorted
+	groupID  uint64   // identity if this replica founds the group
+	interval time.Duration
+	next     time.Duration
+	answers  map[string]blankAnswer
+	promised protocol.Peer // whose query was answered last
+	out      []protocol.Consensus
+}
+
+type blankAnswer struct {
+	peer  protocol.Peer
+	blank bool
+}
+
+// NewFormation returns a blank replica. groupID is a random number that names
+// the group if this replica founds it.
+func NewFormation(name string, self protocol.Peer, names []string, groupID uint64, interval time.Duration) *Formation {
+	return &Formation{
+		name: name, self: self, names: slices.Sorted(slices.Values(names)),
+		groupID: groupID, interval: interval, answers: map[string]blankAnswer{},
+	}
+}
+
+// Tick tells the time and returns the first snapshot once this replica may
+// found the group.
+func (f *Formation) Tick(now time.Duration) (protocol.Snapshot, bool) {
+	if now >= f.next {
+		f.next = now + f.interval
+		f.ask()
+	}
+	if f.names[0] != f.self.Name {
+		return protocol.Snapshot{}, false
+	}
+	voters := []protocol.Peer{f.self}
+	for _, name := range f.names[1:] {
+		a, ok := f.answers[name]
+		if !ok || !a.blank {
+			return protocol.Snapshot{}, false
+		}
+		voters = append(voters, a.peer)
+	}
+	s := protocol.Snapshot{
+		Group: f.groupID, Index: 1, Term: 1, Members: protocol.Membership{Voters: voters},
+	}
+	for _, p := range voters[1:] {
+		f.send(protocol.Consensus{Kind: protocol.MsgFound, To: p, Snapshot: &s})
+	}
+	return s, true
+}
+
+// ask queries every other replica by name: its incarnation is not known yet.
+func (f *Formation) ask() {
+	for _, name := range f.names {
+		if name != f.self.Name {
+			f.send(protocol.Consensus{Kind: protocol.MsgBlankQuery, To: protocol.Peer{Name: name}})
+		}
+	}
+}
+
+// Step takes a message and returns the first snapshot if the group was
+// founded by another replica.
+func (f *Formation) Step(m protocol.Consensus) (protocol.Snapshot, bool) {
+	if m.Name != f.name || m.To.Name != f.self.Name {
+		return protocol.Snapshot{}, false
+	}
+	switch m.Kind {
+	case protocol.MsgBlankQuery:
+		f.promised = m.From
+		f.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
+	case protocol.MsgBlankReply:
+		f.answers[m.From.Name] = blankAnswer{peer: m.From, blank: m.Group == 0}
+	case protocol.MsgFound:
+		whole := m.Snapshot != nil && m.To == f.self &&
+			(f.promised.IsZero() || m.From == f.promised) &&
+			contains(m.Snapshot.Members.Voters, f.self)
+		if whole {
+			return *m.Snapshot, true
+		}
+	}
+	return protocol.Snapshot{}, false
+}
+
+// Messages returns and clears what is to be sent.
+func (f *Formation) Messages() []protocol.Consensus {
+	out := f.out
+	f.out = nil
+	return out
+}
+
+func (f *Formation) send(m protocol.Consensus) {
+	m.Name = f.name
+	m.From = f.self
+	f.out = append(f.out, m)
+}
+
+// AnswerBlankQuery is what a replica that holds a log answers to one that
+// asks, or false for any other message. The leader takes the query as a
+// request to join as well.
+func (n *Node) AnswerBlankQuery(now time.Duration, m protocol.Consensus) bool {
+	if m.Kind != protocol.MsgBlankQuery || m.Name != n.cfg.Name || m.To.Name != n.cfg.Self.Name {
+		return false
+	}
+	n.now = max(n.now, now)
+	n.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
+	if s := n.log.snapshot; s.Index == 1 && contains(s.Members.Voters, m.From) {
+		// The foundation was lost on its way. This very incarnation was
+		// named in it and has never answered anything, so it may have it.
+		n.send(protocol.Consensus{Kind: protocol.MsgFound, To: m.From, Snapshot: &s})
+	}
+	n.stepJoin(m)
+	return true
+}
--- /dev/null
+++ b/coordination/place/index.go
@@ -0,0 +1,209 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package place
+
+import (
+	"container/list"
+
+	"github.com/zeebo/xxh3"
+)
+
+// This file defines the approximate index of which server's cache holds which
+// prompt blocks.
+
+// BlockBytes is the length of prompt that one block covers.
+const BlockBytes = 512
+
+// MaxBlocks bounds the blocks of one prompt that are looked at.
+const MaxBlocks = 64
+
+// Block is the hash of a prompt's prefix up to some block's end.
+type Block uint64
+
+// Blocks returns the blocks of a prompt: the hash of each whole block chained
+// with those before it. A tail shorter than a block is left out, as engines
+// cache whole blocks only.
+func Blocks(prompt []byte) []Block {
+	n := min(len(prompt)/BlockBytes, MaxBlocks)
+	blocks := make([]Block, n)
+	var chain uint64
+	for i := range blocks {
+		chain = xxh3.HashSeed(prompt[i*BlockBytes:(i+1)*BlockBytes], chain)
+		blocks[i] = Block(chain)
+	}
+	return blocks
+}
+
+// Preferred returns the candidate that the first block prefers by rendezvous
+// hashing, or "" for a prompt without blocks.
+func Preferred(candidates []Candidate, prompt []Block) string {
+	if len(prompt) == 0 {
+		return ""
+	}
+	best, most := "", uint64(0)
+	for _, c := range candidates {
+		if h := xxh3.HashStringSeed(c.Server, uint64(prompt[0])); best == "" || h > most {
+			best, most = c.Server, h
+		}
+	}
+	return best
+}
+
+// Index remembers the newest blocks, up to a bound, with the servers that
+// should hold them.
+type Index struct {
+	max     int
+	byBlock map[Block]*list.Element
+	order   list.List // of *placed, oldest first
+	servers map[string]*serverCache
+}
+
+// placed is one block and the servers that should hold it.
+type placed struct {
+	block   Block
+	servers []string // at most serversPerBlock, newest last
+}
+
+const serversPerBlock = 3
+
+// serverCache is what is known of one server's events.
+type serverCache struct {
+	next     uint64 // expected number of the next event
+	doubtful bool
+}
+
+// NewIndex returns an index of at most max blocks.
+func NewIndex(max int) *Index {
+	return &Index{max: max, byBlock: map[Block]*list.Element{}, servers: map[string]*serverCache{}}
+}
+
+// Len returns the number of blocks held.
+func (x *Index) Len() int { return len(x.byBlock) }
+
+// Sent notes that a prompt went to a server.
+func (x *Index) Sent(server string, prompt []Block) {
+	for _, b := range prompt {
+		x.add(server, b)
+	}
+}
+
+func (x *Index) add(server string, b Block) {
+	el := x.byBlock[b]
+	if el == nil {
+		el = x.order.PushBack(&placed{block: b})
+		x.byBlock[b] = el
+		x.shrink()
+	} else {
+		x.order.MoveToBack(el)
+	}
+	p := el.Value.(*placed)
+	p.servers = appendNewest(p.servers, server)
+}
+
+func appendNewest(servers []string, server string) []string {
+	servers = remove(servers, server)
+	if len(servers) == serversPerBlock {
+		servers = servers[1:]
+	}
+	return append(servers, server)
+}
+
+func remove(servers []string, server string) []string {
+	for i, s := range servers {
+		if s == server {
+			return append(servers[:i:i], servers[i+1:]...)
+		}
+	}
+	return servers
+}
+
+func (x *Index) shrink() {
+	for len(x.byBlock) > x.max {
+		oldest := x.order.Front()
+		delete(x.byBlock, oldest.Value.(*placed).block)
+		x.order.Remove(oldest)
+	}
+}
+
+// Event is what a server tells of its cache.
+type Event struct {
+	Seq     uint64
+	Stored  []Block
+	Evicted []Block
+	Cleared bool
+}
+
+// Take applies a server's event. An old number is dropped; a gap makes the
+// server doubtful until it clears its cache.
+func (x *Index) Take(server string, e Event) {
+	c := x.servers[server]
+	if c == nil {
+		c = &serverCache{next: e.Seq}
+		x.servers[server] = c
+	}
+	if e.Seq < c.next {
+		return
+	}
+	if e.Seq > c.next {
+		c.doubtful = true
+	}
+	c.next = e.Seq + 1
+	if e.Cleared {
+		x.Forget(server)
+		x.servers[server] = &serverCache{next: e.Seq + 1}
+	}
+	for _, b := range e.Stored {
+		x.add(server, b)
+	}
+	for _, b := range e.Evicted {
+		x.evict(server, b)
+	}
+}
+
+func (x *Index) evict(server string, b Block) {
+	el := x.byBlock[b]
+	if el == nil {
+		return
+	}
+	p := el.Value.(*placed)
+	p.servers = remove(p.servers, server)
+	if len(p.servers) == 0 {
+		delete(x.byBlock, b)
+		x.order.Remove(el)
+	}
+}
+
+// Forget drops all that is known of a server, which restarted or left. It
+// costs O(blocks held).
+func (x *Index) Forget(server string) {
+	delete(x.servers, server)
+	for b := range x.byBlock {
+		x.evict(server, b)
+	}
+}
+
+// Benefit returns how many leading blocks of a prompt the server should hold,
+// discounted when its events had a gap.
+func (x *Index) Benefit(server string, prompt []Block) float64 {
+	n := 0
+	for _, b := range prompt {
+		el := x.byBlock[b]
+		if el == nil || !has(el.Value.(*placed).servers, server) {
+			break
+		}
+		n++
+	}
+	if c := x.servers[server]; c != nil && c.doubtful {
+		return doubtfulPart * float64(n)
+	}
+	return float64(n)
+}
+
+func has(servers []string, server string) bool {
+	for _, s := range servers {
+		if s == server {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/share/errors.go
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package share
+
+import "fmt"
+
+// This file defines why a request is not queued. In both cases it has not
+// run.
+
+// Full refuses a request because a limit on waiting work is reached.
+type Full struct {
+	Account string
+	Limit   string // which limit, in words
+	Max     int64
+}
+
+// Error names the account and the limit.
+func (e Full) Error() string {
+	return fmt.Sprintf("queue full for account %s: %s is at its limit of %d", e.Account, e.Limit, e.Max)
+}
+
+// NoAccount refuses a request of an account that does not exist.
+type NoAccount struct{ Account string }
+
+// Error names the account.
+func (e NoAccount) Error() string { return "no account " + e.Account }
--- /dev/null
+++ b/coordination/slots/pool.go
@@ -0,0 +1,245 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines pool, the allocator's table of one pool: its servers, the
+// fleet-wide counter of each account, and where each account's work waits.
+
+type pool struct {
+	name     string
+	servers  []*server // by name
+	accounts map[string]*account
+	unmet    unmetHeap // accounts with waiting work that no slot is on its way to
+	floor    float64   // highest floor so far; new arrivals are lifted to it
+	wasUnmet bool
+}
+
+// account is one client account in one pool.
+type account struct {
+	name   string
+	share  float64
+	time   float64 // virtual time, what routers have reported
+	cost   costMean
+	onWay  int          // grants not yet acknowledged
+	unmet  int          // waiting requests without a grant on its way, all routers
+	places []*waitingAt // routers with unmet work
+	cursor int
+	index  int // in pool.unmet, -1 when not in it
+}
+
+// waitingAt is the work of one account that waits at one router.
+type waitingAt struct {
+	session  *session
+	account  *account
+	reported int
+	onWay    int
+	index    int // in account.places, -1 when not in it
+}
+
+// unmet is the number of requests that no grant is on its way to.
+func (w *waitingAt) unmet() int { return max(w.reported-w.onWay, 0) }
+
+// costMean is the running mean of what a request costs.
+type costMean struct{ service, started float64 }
+
+// costMemory is the number of requests that the mean remembers.
+const costMemory = 64
+
+func (m *costMean) add(service float64, started int) {
+	m.service += service
+	m.started += float64(started)
+	if m.started > costMemory {
+		m.service *= costMemory / m.started
+		m.started = costMemory
+	}
+}
+
+func (m costMean) value() float64 {
+	if m.started == 0 {
+		return 0
+	}
+	return max(m.service/m.started, 0)
+}
+
+func newPool(name string) *pool {
+	return &pool{name: name, accounts: map[string]*account{}}
+}
+
+func (p *pool) add(s *server) {
+	i, found := slices.BinarySearchFunc(p.servers, s.Name, func(x *server, name string) int {
+		return cmp.Compare(x.Name, name)
+	})
+	if !found {
+		p.servers = slices.Insert(p.servers, i, s)
+	}
+}
+
+func (p *pool) remove(s *server) {
+	p.servers = slices.DeleteFunc(p.servers, func(x *server) bool { return x == s })
+}
+
+func (p *pool) setShares(shares map[string]float64) {
+	for name, share := range shares {
+		if acc := p.accounts[name]; acc != nil {
+			acc.share = share
+			continue
+		}
+		p.accounts[name] = &account{name: name, share: share, time: p.floor, index: -1}
+	}
+	for name, acc := range p.accounts {
+		if _, ok := shares[name]; !ok {
+			p.drop(acc)
+		}
+	}
+}
+
+func (p *pool) drop(acc *account) {
+	for _, w := range slices.Clone(acc.places) {
+		delete(w.session.waiting, waitingKey{p.name, acc.name})
+	}
+	if acc.index >= 0 {
+		heap.Remove(&p.unmet, acc.index)
+	}
+	delete(p.accounts, acc.name)
+}
+
+// charge adds what a router reported.
+func (acc *account) charge(ar protocol.AccountReport) {
+	acc.time += ar.Service / acc.share
+	acc.cost.add(ar.Service, ar.Started)
+}
+
+// expected is the virtual time that the account will have when the grants on
+// their way to it are used.
+func (acc *account) expected() float64 {
+	return acc.time + float64(acc.onWay)*acc.cost.value()/acc.share
+}
+
+// setWaiting takes how many requests of an account wait at a router. An
+// account that waits nowhere else is lifted to the floor.
+func (p *pool) setWaiting(s *session, acc *account, n int) {
+	if acc == nil {
+		return
+	}
+	k := waitingKey{p.name, acc.name}
+	w := s.waiting[k]
+	if w == nil {
+		if n == 0 {
+			return
+		}
+		w = &waitingAt{session: s, account: acc, index: -1}
+		s.waiting[k] = w
+	}
+	w.reported = n
+	if n == 0 && w.onWay == 0 {
+		delete(s.waiting, k)
+	}
+	p.update(w)
+}
+
+// update puts a place and its account where they belong after a change.
+func (p *pool) update(w *waitingAt) {
+	acc := w.account
+	switch {
+	case w.unmet() > 0 && w.index < 0:
+		w.index = len(acc.places)
+		acc.places = append(acc.places, w)
+	case w.unmet() == 0 && w.index >= 0:
+		last := len(acc.places) - 1
+		acc.places[w.index] = acc.places[last]
+		acc.places[w.index].index = w.index
+		acc.places = acc.places[:last]
+		w.index = -1
+	}
+	p.reorder(acc)
+}
+
+// reorder keeps the heap of unmet accounts right.
+func (p *pool) reorder(acc *account) {
+	if p.accounts[acc.name] != acc {
+		return
+	}
+	switch {
+	case len(acc.places) > 0 && acc.index < 0:
+		if acc.onWay == 0 {
+			acc.time = max(acc.time, p.floor)
+		}
+		heap.Push(&p.unmet, acc)
+	case len(acc.places) > 0:
+		heap.Fix(&p.unmet, acc.index)
+	case acc.index >= 0:
+		heap.Remove(&p.unmet, acc.index)
+	}
+}
+
+// raiseFloor remembers the lowest virtual time among accounts that wait.
+func (p *pool) raiseFloor() {
+	if len(p.unmet) > 0 {
+		p.floor = max(p.floor, p.unmet[0].expected())
+	}
+}
+
+// slack is how far above the floor a slot may be reused: the cost of one
+// request of the account for which it weighs most. With less, every request
+// would move a slot; with more, an account that returns waits longer.
+func (p *pool) slack() float64 {
+	var most float64
+	for _, acc := range p.unmet {
+		most = max(most, acc.cost.value()/acc.share)
+	}
+	return most
+}
+
+// place returns the router to grant to: the one where most of the account's
+// work waits, among a few that change with every call so that the cost does
+// not grow with the fleet.
+func (acc *account) place() *waitingAt {
+	var best *waitingAt
+	n := len(acc.places)
+	for i := range min(n, placesLooked) {
+		w := acc.places[(acc.cursor+i)%n]
+		if best == nil || w.unmet() > best.unmet() {
+			best = w
+		}
+	}
+	acc.cursor++
+	return best
+}
+
+const placesLooked = 8
+
+type unmetHeap []*account
+
+func (h unmetHeap) Len() int { return len(h) }
+func (h unmetHeap) Less(i, j int) bool {
+	x, y := h[i].expected(), h[j].expected()
+	if x != y {
+		return x < y
+	}
+	return h[i].name < h[j].name
+}
+func (h unmetHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *unmetHeap) Push(x any) {
+	a := x.(*account)
+	a.index = len(*h)
+	*h = append(*h, a)
+}
+func (h *unmetHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	a.index = -1
+	return a
+}
--- /dev/null
+++ b/coordination/slots/view.go
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines what the allocator tells each router and when.
+
+// viewState is what a router was told of one pool.
+type viewState struct {
+	idle     int // slots that it reported as free
+	told     bool
+	accounts map[string]float64 // followed accounts and the time last told
+}
+
+// follow makes the account part of the router's views.
+func (v *viewState) follow(account string) {
+	if _, ok := v.accounts[account]; !ok {
+		v.accounts[account] = -1
+	}
+}
+
+func (s *session) view(pool string) *viewState {
+	v := s.views[pool]
+	if v == nil {
+		v = &viewState{accounts: map[string]float64{}}
+		s.views[pool] = v
+	}
+	return v
+}
+
+// Outgoing is a view that is due.
+type Outgoing struct {
+	Router string
+	View   protocol.View
+}
+
+// Views returns the views that are due now, in the order of router names. The
+// caller reports the size of each with Sent. minor changes of virtual times
+// wait for the long gap, grants go after the short one.
+func (a *Allocator) Views(now time.Duration) []Outgoing {
+	var out []Outgoing
+	for _, s := range a.order {
+		if !s.linked || !s.wantView || now < s.pacer.Due(s.urgent) {
+			continue
+		}
+		v, worth := a.buildView(s)
+		s.urgent, s.wantView = false, false
+		if worth {
+			out = append(out, Outgoing{Router: s.router, View: v})
+		}
+	}
+	return out
+}
+
+// NextView returns when the next view is due, or false when none is wanted.
+func (a *Allocator) NextView() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	for _, s := range a.order {
+		if !s.linked || !s.wantView {
+			continue
+		}
+		if due := s.pacer.Due(s.urgent); !found || due < next {
+			next, found = due, true
+		}
+	}
+	return next, found
+}
+
+// Sent tells the size of a view that went to a router.
+func (a *Allocator) Sent(now time.Duration, router string, bytes int) {
+	if s := a.sessions[router]; s != nil {
+		s.pacer.Sent(now, bytes)
+	}
+}
+
+// buildView returns the view for a router and whether it says anything new.
+func (a *Allocator) buildView(s *session) (protocol.View, bool) {
+	s.viewSeq++
+	v := protocol.View{Seq: s.viewSeq, ReportSeq: s.reports, Granted: heldList(s.granted)}
+	clear(s.granted)
+	for i := range s.unacked {
+		if s.unacked[i].seq == 0 {
+			s.unacked[i].seq = s.viewSeq
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.views)) {
+		if p := a.pools[name]; p != nil {
+			if pv, worth := p.viewFor(s.views[name]); worth {
+				v.Pools = append(v.Pools, pv)
+			}
+		}
+	}
+	return v, len(v.Granted) > 0 || len(v.Pools) > 0
+}
+
+// viewFor returns how the pool stands, with the accounts that the router
+// follows and whose time moved.
+func (p *pool) viewFor(v *viewState) (protocol.PoolView, bool) {
+	pv := protocol.PoolView{Pool: p.name, Unmet: p.wasUnmet, Floor: p.floor, Slack: float64(float32(p.slack()))}
+	for _, name := range slices.Sorted(maps.Keys(v.accounts)) {
+		acc := p.accounts[name]
+		if acc == nil {
+			delete(v.accounts, name)
+			continue
+		}
+		if acc.time != v.accounts[name] {
+			v.accounts[name] = acc.time
+			pv.Accounts = append(pv.Accounts, aheadOf(p.floor, acc))
+		}
+	}
+	worth := pv.Unmet || pv.Unmet != v.told || len(pv.Accounts) > 0
+	v.told = pv.Unmet
+	return pv, worth
+}
+
+// aheadOf returns the account's time above the floor. The difference is kept
+// to 32-bit precision, which halves its bytes on the link and, unlike the
+// time itself, does not lose precision as the fleet grows old.
+func aheadOf(floor float64, acc *account) protocol.AccountView {
+	return protocol.AccountView{Account: acc.name, Ahead: float64(float32(acc.time - floor))}
+}
+
+// Standing is one account in one pool, for status and metrics.
+type Standing struct {
+	Pool    string
+	Account string
+	Share   float64
+	Time    float64 // normalised service
+	Waiting int
+}
+
+// Standings returns every account of every pool in order.
+func (a *Allocator) Standings() []Standing {
+	var out []Standing
+	for _, pn := range slices.Sorted(maps.Keys(a.pools)) {
+		p := a.pools[pn]
+		for _, an := range slices.Sorted(maps.Keys(p.accounts)) {
+			acc := p.accounts[an]
+			st := Standing{Pool: pn, Account: an, Share: acc.share, Time: acc.time}
+			for _, w := range acc.places {
+				st.Waiting += w.reported
+			}
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
+// Occupancy is the slots of one server, for status and metrics.
+type Occupancy struct {
+	Server  string
+	Pool    string
+	Slots   int
+	Granted int
+}
+
+// Occupancies returns every server in order.
+func (a *Allocator) Occupancies() []Occupancy {
+	var out []Occupancy
+	for _, name := range slices.Sorted(maps.Keys(a.servers)) {
+		s := a.servers[name]
+		out = append(out, Occupancy{Server: name, Pool: s.Pool, Slots: s.Slots, Granted: s.granted})
+	}
+	return out
+}
+
+// RouterState is one session, for status.
+type RouterState struct {
+	Router  string
+	Linked  bool
+	Renewed time.Duration
+	Held    int
+}
+
+// Routers returns every session in order.
+func (a *Allocator) Routers() []RouterState {
+	var out []RouterState
+	for _, s := range a.order {
+		held := 0
+		for _, n := range s.held {
+			held += n
+		}
+		out = append(out, RouterState{Router: s.router, Linked: s.linked, Renewed: s.renewed, Held: held})
+	}
+	return out
+}
+
+// Processes returns the processes whose lease has not run out.
+func (a *Allocator) Processes() []Process {
+	out := make([]Process, 0, len(a.order))
+	for _, s := range a.order {
+		out = append(out, Process{Router: s.name, Boot: s.boot})
+	}
+	return out
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package dev fills a one-box fleet with what a newcomer needs to see an
+// answer: two stand-in model engines, one stand-in plain service, and a
+// client account whose key is "dev".
+package dev
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+	"github.com/badgerspoke/badgerspoke/standin"
+	"github.com/badgerspoke/badgerspoke/state/config"
+)
+
+// This file defines the backend servers and the configuration of a
+// development fleet.
+
+// Key is the key of the development account, Token the operators' token, and
+// FleetKey the key between boxes.
+const (
+	Key      = "dev"
+	Token    = "dev"
+	FleetKey = "a development fleet has no secrets"
+	Model    = "badger-small"
+)
+
+const (
+	engineSlots  = 4
+	serviceSlots = 8
+	tokenTime    = 40 * time.Millisecond
+	promptTime   = 80 * time.Millisecond
+)
+
+// Servers is the running stand-ins.
+type Servers struct {
+	addresses map[string]string
+	servers   []*http.Server
+}
+
+// StartServers starts the stand-ins on free ports of 127.0.0.1.
+func StartServers() (*Servers, error) {
+	s := &Servers{addresses: map[string]string{}}
+	for _, name := range []string{"engine-1", "engine-2"} {
+		e := standin.NewEngine(standin.EngineSettings{
+			Name: name, Models: []string{Model}, Slots: engineSlots, TokenTime: tokenTime, PromptTime: promptTime,
+		})
+		if err := s.start(name, e); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.start("stock-1", &standin.Service{})
+}
+
+func (s *Servers) start(name string, h http.Handler) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "start stand-in "+name)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, srv)
+	s.addresses[name] = l.Addr().String()
+	go func() { _ = srv.Serve(l) }()
+	return nil
+}
+
+// Close stops the stand-ins.
+func (s *Servers) Close() {
+	for _, srv := range s.servers {
+		srv.Close()
+	}
+}
+
+// Configure tells the fleet, through its operators' interface, about the
+// stand-ins and the account. It waits until the fleet can be asked. What a
+// data folder kept of an earlier run is replaced.
+func (s *Servers) Configure(ctx context.Context, operators string) error {
+	c := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+operators,
+		connect.WithInterceptors(Authorize(Token)))
+	if err := awaitLeader(ctx, c); err != nil {
+		return err
+	}
+	if err := s.removeOld(ctx, c); err != nil {
+		return err
+	}
+	hash := config.HashKey(Key)
+	_, err := c.CreateAccount(ctx, connect.NewRequest(&operatorv1.CreateAccountRequest{
+		Change: change("account"), Name: "dev", Share: 1, KeyHash: hex.EncodeToString(hash[:]),
+	}))
+	if err != nil && connect.CodeOf(err) != connect.CodeInvalidArgument { // it exists already
+		return errors.Wrap(err, "create account")
+	}
+	for _, srv := range s.list() {
+		if _, err := c.AddServer(ctx, connect.NewRequest(&operatorv1.AddServerRequest{Change: change(srv.Name), Server: srv})); err != nil {
+			return errors.Wrap(err, "add server "+srv.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Servers) list() []*operatorv1.Server {
+	engine := func(name string) *operatorv1.Server {
+		return &operatorv1.Server{
+			Name: name, Pool: "engines", Address: s.addresses[name], Kind: operatorv1.Kind_KIND_ENGINE,
+			Mark: operatorv1.Mark_MARK_SERVING, Slots: engineSlots, Models: []string{Model}, ChecksFence: true,
+		}
+	}
+	service := &operatorv1.Server{
+		Name: "stock-1", Pool: "stock", Address: s.addresses["stock-1"], Kind: operatorv1.Kind_KIND_SERVICE,
+		Mark: operatorv1.Mark_MARK_SERVING, Slots: serviceSlots, NeverRepeat: []string{"POST /orders"},
+	}
+	return []*operatorv1.Server{engine("engine-1"), engine("engine-2"), service}
+}
+
+func (s *Servers) removeOld(ctx context.Context, c operatorv1connect.OperatorServiceClient) error {
+	old, err := c.ListServers(ctx, connect.NewRequest(&operatorv1.ListServersRequest{}))
+	if err != nil {
+		return errors.Wrap(err, "list servers")
+	}
+	for _, srv := range old.Msg.GetServers() {
+		if _, ours := s.addresses[srv.GetName()]; !ours {
+			continue
+		}
+		_, err := c.MarkServer(ctx, connect.NewRequest(&operatorv1.MarkServerRequest{
+			Change: change("leave " + srv.GetName()), Name: srv.GetName(), Mark: operatorv1.Mark_MARK_LEAVING,
+		}))
+		if err != nil {
+			return errors.Wrap(err, "mark old server")
+		}
+		_, err = c.RemoveServer(ctx, connect.NewRequest(&operatorv1.RemoveServerRequest{
+			Change: change("remove " + srv.GetName()), Name: srv.GetName(),
+		}))
+		if err != nil {
+			return errors.Wrap(err, "remove old server")
+		}
+	}
+	return nil
+}
+
+const leaderPoll = 50 * time.Millisecond
+
+func awaitLeader(ctx context.Context, c operatorv1connect.OperatorServiceClient) error {
+	for {
+		_, err := c.GetStatus(ctx, connect.NewRequest(&operatorv1.GetStatusRequest{}))
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "wait for a leader")
+		case <-time.After(leaderPoll):
+		}
+	}
+}
+
+// change returns an unprotected change that is new in each run.
+func change(what string) *operatorv1.Change {
+	return &operatorv1.Change{Id: what + " " + time.Now().Format(time.RFC3339Nano)}
+}
+
+// Authorize sends the operators' token with every call.
+func Authorize(token string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, req)
+		}
+	})
+}
--- /dev/null
+++ b/listener.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke
+
+import (
+	"net"
+	"sync"
+)
+
+// This file defines a listener that bounds the connections open at once.
+
+// limitListener accepts at most n connections at a time; more wait in the
+// kernel's backlog. Lock: none; the channel is the counter.
+func limitListener(l net.Listener, n int) net.Listener {
+	return &limited{Listener: l, places: make(chan struct{}, n), closed: make(chan struct{})}
+}
+
+type limited struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &limitedConn{Conn: c, free: func() { <-l.places }}, nil
+}
+
+func (l *limited) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(c.free)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/protocol/claim.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+// This file defines how a router claims the right to run a keyed request, and
+// what it says when the request has ended.
+
+// ClaimState is where a claim stands.
+type ClaimState uint8
+
+// The states of a claim.
+const (
+	ClaimGranted  ClaimState = 1 // to the asker: run it
+	ClaimRunning  ClaimState = 2 // another router holds it; ask again or wait
+	ClaimRan      ClaimState = 3 // it ran; Answer is set if it was small enough
+	ClaimUnknown  ClaimState = 4 // its router vanished; it may have run
+	ClaimMismatch ClaimState = 5 // the key was used with another content
+	ClaimRetry    ClaimState = 6 // this replica can't tell; ask the leader again
+	ClaimReleased ClaimState = 7 // it truly did not run
+)
+
+// Claim asks for the right to run a keyed request. A resend by the same
+// router with the same Attempt gets the same answer.
+type Claim struct {
+	Call    uint64 `cbor:"1,keyasint"` // pairs the answer with the question
+	Account string `cbor:"2,keyasint"`
+	Key     string `cbor:"3,keyasint"`
+	Digest  uint64 `cbor:"4,keyasint"` // of the request's content
+	Attempt uint64 `cbor:"5,keyasint"` // drawn by the router for this arrival
+	Wait    bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// Settle ends a claim that the router was granted.
+type Settle struct {
+	Call    uint64     `cbor:"1,keyasint"`
+	Account string     `cbor:"2,keyasint"`
+	Key     string     `cbor:"3,keyasint"`
+	Attempt uint64     `cbor:"4,keyasint"`
+	State   ClaimState `cbor:"5,keyasint"` // ClaimRan, ClaimReleased or ClaimUnknown
+	Answer  *Answer    `cbor:"6,keyasint,omitempty"`
+}
+
+// Claimed answers a Claim or a Settle.
+type Claimed struct {
+	Call   uint64     `cbor:"1,keyasint"`
+	State  ClaimState `cbor:"2,keyasint"`
+	Answer *Answer    `cbor:"3,keyasint,omitempty"`
+}
+
+// Answer is a stored answer, small enough to be kept.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	Body        []byte `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/protocol/codec.go
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// This file defines the envelope around every message, and the one encoder
+// and decoder that all links use.
+
+// MaxMessage bounds one message, in bytes. A larger configuration snapshot
+// does not exist at the sizes that this project is designed for (5,800
+// accounts and 10,000 backend servers take about 2 MB).
+const MaxMessage = 16 << 20
+
+// Kind names the type of a message on a link.
+type Kind uint8
+
+// The kinds of message.
+const (
+	KindHello     Kind = 1
+	KindWelcome   Kind = 2
+	KindRedirect  Kind = 3
+	KindRenew     Kind = 4
+	KindRenewed   Kind = 5
+	KindReport    Kind = 6
+	KindView      Kind = 7
+	KindConfigure Kind = 8
+	KindClaim     Kind = 9
+	KindSettle    Kind = 10
+	KindClaimed   Kind = 11
+	KindConsensus Kind = 12
+)
+
+var kindNames = map[Kind]string{
+	KindHello: "hello", KindWelcome: "welcome", KindRedirect: "redirect", KindRenew: "renew",
+	KindRenewed: "renewed", KindReport: "report", KindView: "view", KindConfigure: "configure",
+	KindClaim: "claim", KindSettle: "settle", KindClaimed: "claimed", KindConsensus: "consensus",
+}
+
+// String returns the kind's name, as metrics label it.
+func (k Kind) String() string {
+	if s, ok := kindNames[k]; ok {
+		return s
+	}
+	return "unknown"
+}
+
+// Envelope is what a link carries.
+type Envelope struct {
+	_    struct{}        `cbor:",toarray"`
+	Kind Kind            `cbor:""`
+	Body cbor.RawMessage `cbor:""`
+}
+
+// Message is any of the message types of this package.
+type Message interface{ kind() Kind }
+
+func (Hello) kind() Kind     { return KindHello }
+func (Welcome) kind() Kind   { return KindWelcome }
+func (Redirect) kind() Kind  { return KindRedirect }
+func (Renew) kind() Kind     { return KindRenew }
+func (Renewed) kind() Kind   { return KindRenewed }
+func (Report) kind() Kind    { return KindReport }
+func (View) kind() Kind      { return KindView }
+func (Configure) kind() Kind { return KindConfigure }
+func (Claim) kind() Kind     { return KindClaim }
+func (Settle) kind() Kind    { return KindSettle }
+func (Claimed) kind() Kind   { return KindClaimed }
+func (Consensus) kind() Kind { return KindConsensus }
+
+// KindOf returns the kind under which m travels.
+func KindOf(m Message) Kind { return m.kind() }
+
+var (
+	encMode = mustEnc(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16, Sort: cbor.SortNone})
+	decMode = mustDec(cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16})
+)
+
+func mustEnc(o cbor.EncOptions) cbor.EncMode {
+	m, err := o.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec(o cbor.DecOptions) cbor.DecMode {
+	m, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Malformed says that bytes from a link are no message.
+type Malformed struct {
+	Kind Kind
+	Err  error
+}
+
+// Error names the kind and the decoder's error.
+func (e Malformed) Error() string {
+	return fmt.Sprintf("protocol: malformed %s message: %v", e.Kind, e.Err)
+}
+
+// Unwrap returns the decoder's error.
+func (e Malformed) Unwrap() error { return e.Err }
+
+// TooLarge says that a message exceeds MaxMessage.
+type TooLarge struct{ Size int }
+
+// Error names the size.
+func (e TooLarge) Error() string {
+	return fmt.Sprintf("protocol: message of %d bytes exceeds %d", e.Size, MaxMessage)
+}
+
+// Encode returns the bytes of m in its envelope.
+func Encode(m Message) ([]byte, error) {
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, Malformed{Kind: m.kind(), Err: err}
+	}
+	b, err := encMode.Marshal(Envelope{Kind: m.kind(), Body: body})
+	if err != nil {
+		return nil, Malformed{Kind: m.kind(), Err: err}
+	}
+	if len(b) > MaxMessage {
+		return nil, TooLarge{Size: len(b)}
+	}
+	return b, nil
+}
+
+// Decode returns the message in b, or nil without an error for a kind that
+// this version does not know.
+func Decode(b []byte) (Message, error) {
+	if len(b) > MaxMessage {
+		return nil, TooLarge{Size: len(b)}
+	}
+	var e Envelope
+	if err := decMode.Unmarshal(b, &e); err != nil {
+		return nil, Malformed{Err: err}
+	}
+	switch e.Kind {
+	case KindHello:
+		return decodeAs[Hello](e)
+	case KindWelcome:
+		return decodeAs[Welcome](e)
+	case KindRedirect:
+		return decodeAs[Redirect](e)
+	case KindRenew:
+		return decodeAs[Renew](e)
+	case KindRenewed:
+		return decodeAs[Renewed](e)
+	case KindReport:
+		return decodeAs[Report](e)
+	case KindView:
+		return decodeAs[View](e)
+	case KindConfigure:
+		return decodeAs[Configure](e)
+	case KindClaim:
+		return decodeAs[Claim](e)
+	case KindSettle:
+		return decodeAs[Settle](e)
+	case KindClaimed:
+		return decodeAs[Claimed](e)
+	case KindConsensus:
+		return decodeAs[Consensus](e)
+	}
+	return nil, nil
+}
+
+func decodeAs[T Message](e Envelope) (Message, error) {
+	var m T
+	if err := decMode.Unmarshal(e.Body, &m); err != nil {
+		return nil, Malformed{Kind: e.Kind, Err: err}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/protocol/consensus.go
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import "fmt"
+
+// This file defines what control replicas exchange to keep a replicated log,
+// and what they write to their disks.
+
+// Peer is one replica on one disk. A replica that lost its disk comes back
+// under the same name and another incarnation, and is another peer.
+type Peer struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// String returns "name#incarnation".
+func (p Peer) String() string { return fmt.Sprintf("%s#%x", p.Name, p.Incarnation) }
+
+// IsZero reports whether p names nobody.
+func (p Peer) IsZero() bool { return p == Peer{} }
+
+// Membership is who takes part in a group. Voters make quorums; learners
+// receive the log and count for nothing.
+type Membership struct {
+	Voters   []Peer `cbor:"1,keyasint"`
+	Learners []Peer `cbor:"2,keyasint,omitempty"`
+}
+
+// EntryKind tells what the data of an entry means.
+type EntryKind uint8
+
+// The kinds of entry.
+const (
+	EntryCommand    EntryKind = 0 // for the state machine; empty data is a no-op
+	EntryMembership EntryKind = 1 // a CBOR Membership
+)
+
+// Entry is one place of a replicated log.
+type Entry struct {
+	Term  uint64    `cbor:"1,keyasint"`
+	Index uint64    `cbor:"2,keyasint"`
+	Kind  EntryKind `cbor:"3,keyasint,omitempty"`
+	Data  []byte    `cbor:"4,keyasint,omitempty"`
+}
+
+// HardState is what a replica must have on disk before it answers.
+type HardState struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Vote Peer   `cbor:"2,keyasint"`
+}
+
+// Snapshot replaces a prefix of the log.
+type Snapshot struct {
+	Group   uint64     `cbor:"1,keyasint"` // identity of the group, fixed at its formation
+	Index   uint64     `cbor:"2,keyasint"`
+	Term    uint64     `cbor:"3,keyasint"`
+	Members Membership `cbor:"4,keyasint"`
+	Data    []byte     `cbor:"5,keyasint,omitempty"`
+}
+
+// ConsensusKind tells what a consensus message asks or answers.
+type ConsensusKind uint8
+
+// The kinds of consensus message.
+const (
+	MsgPreVote       ConsensusKind = 1
+	MsgPreVoteReply  ConsensusKind = 2
+	MsgVote          ConsensusKind = 3
+	MsgVoteReply     ConsensusKind = 4
+	MsgAppend        ConsensusKind = 5
+	MsgAppendReply   ConsensusKind = 6
+	MsgSnapshot      ConsensusKind = 7 // one piece
+	MsgSnapshotReply ConsensusKind = 8
+	MsgCampaignNow   ConsensusKind = 9 // leadership transfer
+	MsgJoin          ConsensusKind = 10
+	MsgBlankQuery    ConsensusKind = 11 // formation: do you hold anything?
+	MsgBlankReply    ConsensusKind = 12
+	MsgFound         ConsensusKind = 13 // formation: the first snapshot
+)
+
+// Consensus is a message between two replicas of one group.
+type Consensus struct {
+	Name     string        `cbor:"1,keyasint"` // of the group, such as "config"
+	Group    uint64        `cbor:"2,keyasint"` // identity of the group; 0 before formation
+	Kind     ConsensusKind `cbor:"3,keyasint"`
+	From     Peer          `cbor:"4,keyasint"`
+	To       Peer          `cbor:"5,keyasint"`
+	Term     uint64        `cbor:"6,keyasint,omitempty"`
+	Index    uint64        `cbor:"7,keyasint,omitempty"` // preceding entry, or the match in a reply
+	LogTerm  uint64        `cbor:"8,keyasint,omitempty"` // term of the preceding or last entry
+	Commit   uint64        `cbor:"9,keyasint,omitempty"`
+	Entries  []Entry       `cbor:"10,keyasint,omitempty"`
+	Reject   bool          `cbor:"11,keyasint,omitempty"`
+	Hint     uint64        `cbor:"12,keyasint,omitempty"` // where to try next after a rejection
+	Sent     int64         `cbor:"13,keyasint,omitempty"` // the leader's clock, echoed by replies
+	Force    bool          `cbor:"14,keyasint,omitempty"` // vote asked for by the leader itself
+	Snapshot *Snapshot     `cbor:"15,keyasint,omitempty"` // Data holds one piece
+	Offset   uint64        `cbor:"16,keyasint,omitempty"`
+	Total    uint64        `cbor:"17,keyasint,omitempty"`
+}
--- /dev/null
+++ b/protocol/session.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+// This file defines what a router and a control replica tell each other over
+// the router's one session.
+//
+// Counters in a report are increments since the previous report of the same
+// session, and messages of one session arrive in order, so nothing is counted
+// twice; a new session starts from [Hello.Held], what the router really holds.
+
+// Hello opens a session. The router has closed its previous one before.
+type Hello struct {
+	Router   string `cbor:"1,keyasint"`
+	Hall     string `cbor:"2,keyasint,omitempty"`
+	Boot     uint64 `cbor:"3,keyasint"` // drawn at each start of the process
+	Revision uint64 `cbor:"4,keyasint"` // configuration held
+	Epoch    uint64 `cbor:"5,keyasint"` // highest epoch seen; an older leader must refuse
+	Held     []Held `cbor:"6,keyasint,omitempty"`
+	// Pools are the fleet-wide times that the router knows, without what it
+	// has not reported yet. An allocator that has just taken over rebuilds
+	// its counters from them.
+	Pools []PoolView `cbor:"7,keyasint,omitempty"`
+}
+
+// Welcome accepts a session. A router never follows an epoch lower than one it
+// has seen.
+type Welcome struct {
+	Epoch       uint64 `cbor:"1,keyasint"` // term of the leader that allocates
+	LeaseMillis uint32 `cbor:"2,keyasint"`
+	Leader      string `cbor:"3,keyasint"`
+	// Known says that the allocator remembers the router's previous session,
+	// of which it has taken Reports reports into account.
+	Known   bool   `cbor:"4,keyasint,omitempty"`
+	Reports uint64 `cbor:"5,keyasint,omitempty"`
+	// Void says that the router's lease had run out at the allocator: slots
+	// that it holds and does not use must be given back unused.
+	Void bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Redirect refuses a session at a replica that does not lead.
+type Redirect struct {
+	Leader  string `cbor:"1,keyasint,omitempty"` // empty when none is known
+	Follows bool   `cbor:"2,keyasint,omitempty"` // the replica has a leader at present
+	Group   uint64 `cbor:"3,keyasint,omitempty"` // identity of the configuration group
+	// Revision is the newest configuration that the replica has applied, and
+	// Pending that its log holds entries that it has not applied.
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
+	Pending  bool   `cbor:"5,keyasint,omitempty"`
+}
+
+// Renew asks to extend the lease from the time of its sending.
+type Renew struct {
+	Seq      uint64 `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // configuration in force at the router
+}
+
+// Renewed answers the Renew of the same number.
+type Renewed struct {
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// Held is a number of slots of one backend server.
+type Held struct {
+	Server string `cbor:"1,keyasint"`
+	Slots  int    `cbor:"2,keyasint"`
+}
+
+// Report is what happened at a router since its previous report.
+type Report struct {
+	ViewSeq  uint64       `cbor:"1,keyasint"` // newest View taken into account
+	Pools    []PoolReport `cbor:"2,keyasint,omitempty"`
+	Returned []Held       `cbor:"3,keyasint,omitempty"` // slots given back
+	Suspects []string     `cbor:"4,keyasint,omitempty"` // backend servers that fail this router's calls
+	Goodbye  bool         `cbor:"5,keyasint,omitempty"` // planned stop: nothing is held any more
+}
+
+// PoolReport is the part of a report about one pool.
+type PoolReport struct {
+	Pool     string          `cbor:"1,keyasint"`
+	Idle     int             `cbor:"2,keyasint,omitempty"` // slots held and not in use
+	Accounts []AccountReport `cbor:"3,keyasint,omitempty"` // those that changed
+}
+
+// AccountReport is one account at one router.
+type AccountReport struct {
+	Account string  `cbor:"1,keyasint"`
+	Waiting int     `cbor:"2,keyasint,omitempty"` // requests waiting now
+	Service float64 `cbor:"3,keyasint,omitempty"` // service charged since the previous report
+	Started int     `cbor:"4,keyasint,omitempty"` // requests dispatched since the previous report
+}
+
+// View is what the allocator tells one router: slots granted, and how the
+// fleet stands.
+type View struct {
+	Seq     uint64     `cbor:"1,keyasint"`
+	Granted []Held     `cbor:"2,keyasint,omitempty"`
+	Pools   []PoolView `cbor:"3,keyasint,omitempty"`
+	// ReportSeq is the number of the router's newest report (counted from 1
+	// in each session) that the view takes into account.
+	ReportSeq uint64 `cbor:"4,keyasint"`
+}
+
+// PoolView is how the fleet stands in one pool.
+type PoolView struct {
+	Pool     string        `cbor:"1,keyasint"`
+	Unmet    bool          `cbor:"2,keyasint,omitempty"` // work waits without a slot somewhere
+	Floor    float64       `cbor:"3,keyasint,omitempty"` // lowest virtual time of an account whose work waits
+	Slack    float64       `cbor:"4,keyasint,omitempty"` // how far above the floor a slot may be reused
+	Accounts []AccountView `cbor:"5,keyasint,omitempty"`
+}
+
+// AccountView is the fleet-wide virtual time of one account, every report of
+// the receiving router up to View.ReportSeq included.
+type AccountView struct {
+	Account string  `cbor:"1,keyasint"`
+	Ahead   float64 `cbor:"2,keyasint"` // above PoolView.Floor, in 32-bit precision
+}
+
+// Configure brings a router to a newer configuration. One field is set; both
+// hold the encoding of the configuration package.
+type Configure struct {
+	Delta    []byte `cbor:"1,keyasint,omitempty"`
+	Snapshot []byte `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,297 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package replica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/journal"
+)
+
+// This file defines the goroutine of a replica: first as a blank one that
+// forms a group or waits to be repaired, then as a member.
+
+// loop is what the replica's goroutine owns.
+type loop struct {
+	r         *Replica
+	journal   *journal.Journal
+	self      protocol.Peer
+	formation *consensus.Formation // nil once there is a log
+	node      *consensus.Node      // nil until then
+	waiting   map[uint64]waiter    // proposals by index
+	leads     bool
+}
+
+// waiter is a proposal that has its place in the log.
+type waiter struct {
+	term   uint64
+	answer chan outcome
+}
+
+const maxBatch = 512
+
+func (l *loop) init(r *Replica, j *journal.Journal, c journal.Contents) error {
+	l.r, l.journal = r, j
+	l.self = protocol.Peer{Name: r.set.Name, Incarnation: c.Incarnation}
+	l.waiting = map[uint64]waiter{}
+	if c.Snapshot.Group == 0 {
+		l.formation = consensus.NewFormation(r.set.Group, l.self, r.set.Names, r.set.Random(), r.set.Heartbeat)
+		return nil
+	}
+	if len(c.Snapshot.Data) > 0 {
+		if err := r.set.Machine.Restore(c.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	l.begin(0, consensus.Durable{Hard: c.Hard, Snapshot: c.Snapshot, Entries: c.Entries})
+	return nil
+}
+
+// begin makes a member of a replica that has a log.
+func (l *loop) begin(now time.Duration, d consensus.Durable) {
+	set := l.r.set
+	l.formation = nil
+	l.node = consensus.New(consensus.Config{
+		Name: set.Group, Self: l.self, Election: set.Election, Heartbeat: set.Heartbeat,
+		Rand:  func(n int64) int64 { return int64(set.Random() % uint64(n)) },
+		Admit: func(name string) bool { return slices.Contains(set.Names, name) },
+	}, now, d)
+}
+
+func (r *Replica) run(ctx context.Context) {
+	defer close(r.stopped)
+	defer r.loop.journal.Close()
+	tick := time.NewTicker(max(r.set.Heartbeat/3, time.Millisecond))
+	defer tick.Stop()
+	for {
+		var first input
+		select {
+		case <-ctx.Done():
+			r.loop.failAll(Stopped{})
+			return
+		case first = <-r.inputs:
+		case <-tick.C:
+		}
+		if err := r.loop.round(r.batch(first)); err != nil {
+			r.err = err
+			r.set.Log.Error("replica stopped", "group", r.set.Group, "error", err)
+			r.loop.failAll(Stopped{Err: err})
+			return
+		}
+	}
+}
+
+// batch returns the first input and those that wait behind it.
+func (r *Replica) batch(first input) []input {
+	in := []input{first}
+	for len(in) < maxBatch {
+		select {
+		case next := <-r.inputs:
+			in = append(in, next)
+		default:
+			return in
+		}
+	}
+	return in
+}
+
+// round steps through one batch and makes its effects durable. An error is
+// the disk's and final.
+func (l *loop) round(in []input) error {
+	now := l.r.Now()
+	for _, i := range in {
+		if err := l.take(now, i); err != nil {
+			return err
+		}
+	}
+	if l.node == nil {
+		return l.tickFormation(now)
+	}
+	l.node.Tick(now)
+	for {
+		ready := l.node.Ready()
+		if ready.Empty() {
+			break
+		}
+		if err := l.carryOut(ready); err != nil {
+			return err
+		}
+		l.node.Advance()
+	}
+	l.observe(now)
+	return l.compact()
+}
+
+func (l *loop) take(now time.Duration, i input) error {
+	switch {
+	case i.message != nil:
+		return l.deliver(now, *i.message)
+	case i.proposal != nil:
+		l.propose(*i.proposal)
+	case i.transfer != nil:
+		i.transfer <- l.node != nil && l.node.Transfer("")
+	case i.inspect != nil:
+		i.inspect(now, l.node)
+	}
+	return nil
+}
+
+func (l *loop) deliver(now time.Duration, m protocol.Consensus) error {
+	if l.node != nil {
+		if !l.node.AnswerBlankQuery(now, m) {
+			l.node.Step(now, m)
+		}
+		return nil
+	}
+	if m.To == l.self && (m.Kind == protocol.MsgAppend || m.Kind == protocol.MsgSnapshot) {
+		// A leader repairs this replica: go on as a member without a log.
+		l.begin(now, consensus.Durable{})
+		l.node.Step(now, m)
+		return nil
+	}
+	if s, ok := l.formation.Step(m); ok {
+		return l.found(now, s)
+	}
+	return nil
+}
+
+func (l *loop) tickFormation(now time.Duration) error {
+	s, ok := l.formation.Tick(now)
+	messages := l.formation.Messages()
+	if ok {
+		if err := l.found(now, s); err != nil {
+			return err
+		}
+	}
+	l.send(messages)
+	return nil
+}
+
+// found makes the group's first snapshot durable.
+func (l *loop) found(now time.Duration, s protocol.Snapshot) error {
+	if err := l.journal.Rotate(s, protocol.HardState{Term: s.Term}, nil); err != nil {
+		return err
+	}
+	l.r.set.Log.Info("group formed", "group", l.r.set.Group, "voters", len(s.Members.Voters))
+	l.begin(now, consensus.Durable{Hard: protocol.HardState{Term: s.Term}, Snapshot: s})
+	return nil
+}
+
+func (l *loop) propose(p proposal) {
+	if l.node == nil {
+		p.answer <- outcome{err: consensus.NotLeader{}}
+		return
+	}
+	index, term, err := l.node.Propose(p.data)
+	if err != nil {
+		p.answer <- outcome{err: err}
+		return
+	}
+	l.waiting[index] = waiter{term: term, answer: p.answer}
+}
+
+// carryOut does what a Ready asks, in its order.
+func (l *loop) carryOut(ready consensus.Ready) error {
+	if err := l.persist(ready); err != nil {
+		return err
+	}
+	l.send(ready.Messages)
+	if ready.Restore != nil {
+		if err := l.r.set.Machine.Restore(ready.Restore.Data); err != nil {
+			return err
+		}
+		l.failBelow(ready.Restore.Index)
+	}
+	for _, e := range ready.Committed {
+		l.apply(e)
+	}
+	return nil
+}
+
+func (l *loop) persist(ready consensus.Ready) error {
+	if ready.Snapshot == nil {
+		return l.journal.Save(ready.Hard, ready.Entries)
+	}
+	hard, entries := l.node.Tail()
+	return l.journal.Rotate(*ready.Snapshot, hard, entries)
+}
+
+func (l *loop) send(messages []protocol.Consensus) {
+	for _, m := range messages {
+		l.r.set.Send(m)
+	}
+}
+
+func (l *loop) apply(e protocol.Entry) {
+	var result any
+	if e.Kind == protocol.EntryCommand && len(e.Data) > 0 {
+		result = l.r.set.Machine.Apply(e.Data)
+	}
+	w, ok := l.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.waiting, e.Index)
+	if w.term != e.Term {
+		w.answer <- outcome{err: consensus.NotLeader{Leader: l.node.Status().Leader}}
+		return
+	}
+	w.answer <- outcome{result: result}
+}
+
+// observe tells the owner how the group stands and fails proposals that this
+// replica can no longer decide.
+func (l *loop) observe(now time.Duration) {
+	s := l.node.Status()
+	if s.Role != consensus.Leader && len(l.waiting) > 0 {
+		l.failAll(Undecided{})
+	}
+	leads := l.node.Leads(now)
+	if leads != l.leads {
+		l.leads = leads
+		l.r.set.Log.Info("lead changed", "group", l.r.set.Group, "leads", leads, "term", s.Term)
+	}
+	if l.r.set.Observe != nil {
+		l.r.set.Observe(now, s, leads)
+	}
+}
+
+func (l *loop) compact() error {
+	if l.r.set.CompactAt <= 0 || l.journal.Size() < l.r.set.CompactAt {
+		return nil
+	}
+	s := l.node.Status()
+	if s.Applied <= s.First {
+		return nil
+	}
+	image, err := l.r.set.Machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	snapshot, err := l.node.Compact(s.Applied, image)
+	if err != nil {
+		return err
+	}
+	hard, entries := l.node.Tail()
+	return l.journal.Rotate(snapshot, hard, entries)
+}
+
+func (l *loop) failBelow(index uint64) {
+	for i, w := range l.waiting {
+		if i <= index {
+			w.answer <- outcome{err: Undecided{}}
+			delete(l.waiting, i)
+		}
+	}
+}
+
+func (l *loop) failAll(err error) {
+	for i, w := range l.waiting {
+		w.answer <- outcome{err: err}
+		delete(l.waiting, i)
+	}
+}
--- /dev/null
+++ b/router/callers.go
@@ -0,0 +1,267 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package router
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/zeebo/xxh3"
+
+	"github.com/badgerspoke/badgerspoke/coordination/claim"
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/state/config"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file defines the callers' interface: paths, keys, and how a request
+// becomes a call.
+
+// Headers that callers may set.
+const (
+	keyHeader    = "Idempotency-Key"
+	repeatHeader = "Badgerspoke-Repeat" // safe or never
+	classHeader  = "Badgerspoke-Class"  // interactive or batch
+	userHeader   = "Badgerspoke-User"
+)
+
+// Headers that backend servers receive.
+const (
+	accountHeader  = "Badgerspoke-Account"
+	priorityHeader = "Badgerspoke-Priority" // 0 goes before 1
+)
+
+// classes are the classes that a caller may name, with their priorities.
+var classes = map[string]string{"interactive": "0", "batch": "1"}
+
+const defaultClass = "interactive"
+
+const maxUser = 128
+
+// ServeHTTP serves callers.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.running.Add(1)
+	defer r.running.Done()
+	path := req.URL.Path
+	switch {
+	case path == "/healthz":
+		_, _ = io.WriteString(w, "ok\n")
+	case path == "/readyz":
+		r.serveReady(w)
+	case path == "/v1/models":
+		r.withAccount(w, req, http.MethodGet, r.serveModels)
+	case path == "/v1/chat/completions" || path == "/v1/completions":
+		r.withAccount(w, req, http.MethodPost, r.serveEngine)
+	case strings.HasPrefix(path, "/services/"):
+		r.withAccount(w, req, "", r.serveService)
+	default:
+		r.refuse(w, failPath)
+	}
+}
+
+func (r *Router) refuse(w http.ResponseWriter, f Failure) {
+	r.stats.failure(f)
+	f.write(w)
+}
+
+func (r *Router) serveReady(w http.ResponseWriter) {
+	if !r.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+type handler func(w http.ResponseWriter, req *http.Request, a config.Account) error
+
+// withAccount checks method, door and key, and writes what h fails with.
+func (r *Router) withAccount(w http.ResponseWriter, req *http.Request, method string, h handler) {
+	err := r.admit(req, method)
+	if err == nil {
+		key, _ := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+		a, ok := r.routes.Load().account(key)
+		if !ok {
+			r.refuse(w, r.unknownKey())
+			return
+		}
+		err = h(w, req, a)
+	}
+	if err != nil {
+		r.refuse(w, *asFailure(err))
+	}
+}
+
+func (r *Router) admit(req *http.Request, method string) error {
+	if method != "" && req.Method != method {
+		return failMethod.With("use " + method)
+	}
+	if r.fleet.doorClosed() {
+		return failStopping
+	}
+	return nil
+}
+
+// unknownKey is a bad key, unless this router has no configuration yet to
+// know any key from.
+func (r *Router) unknownKey() Failure {
+	if r.Revision() == 0 && !r.lease.valid(r.now()) {
+		return failLease
+	}
+	return failKey
+}
+
+func (r *Router) serveModels(w http.ResponseWriter, _ *http.Request, _ config.Account) error {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Owner  string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	t := r.routes.Load()
+	for _, name := range t.modelNames() {
+		list.Data = append(list.Data, model{ID: name, Object: "model", Owner: t.models[name]})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(list)
+}
+
+// engineRequest is the part of a completion request that routing reads.
+type engineRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+	User   string `json:"user"`
+}
+
+func (r *Router) serveEngine(w http.ResponseWriter, req *http.Request, a config.Account) error {
+	c, err := r.newCall(w, req, a)
+	if err != nil {
+		return err
+	}
+	var er engineRequest
+	if err := json.Unmarshal(c.body, &er); err != nil {
+		return failMalformed.With("the body is no valid JSON: " + err.Error())
+	}
+	if er.Model == "" {
+		return failMalformed.With("the field model is missing")
+	}
+	pool, ok := r.routes.Load().models[er.Model]
+	if !ok {
+		return failModel.With("no pool serves model " + strconv.Quote(er.Model))
+	}
+	c.pool, c.stream, c.engine = pool, er.Stream, true
+	c.blocks = place.Blocks(c.body)
+	if c.flow == "" && len(er.User) <= maxUser {
+		c.flow = er.User
+	}
+	c.send.Path = req.URL.Path
+	c.send.Header.Set("Content-Type", "application/json")
+	return r.serveCall(w, req, c)
+}
+
+func (r *Router) serveService(w http.ResponseWriter, req *http.Request, a config.Account) error {
+	rest := strings.TrimPrefix(req.URL.EscapedPath(), "/services/")
+	name, path, _ := strings.Cut(rest, "/")
+	t := r.routes.Load()
+	if !t.services[name] {
+		return failService.With("no service " + strconv.Quote(name))
+	}
+	c, err := r.newCall(w, req, a)
+	if err != nil {
+		return err
+	}
+	c.pool = name
+	c.send.Path = "/" + path
+	if req.URL.RawQuery != "" {
+		c.send.Path += "?" + req.URL.RawQuery
+	}
+	copyServiceHeader(c.send.Header, req.Header)
+	plain, err := url.PathUnescape("/" + path)
+	if err != nil {
+		return failMalformed.With("the path is no valid URL path")
+	}
+	safe := req.Method == http.MethodGet || req.Method == http.MethodHead || req.Header.Get(repeatHeader) == "safe"
+	c.send.Never = c.send.Never || !safe || t.neverRepeats(name, req.Method, plain)
+	return r.serveCall(w, req, c)
+}
+
+// serveCall runs a call. An answer that broke off without a way to say so in
+// its body loses its connection.
+func (r *Router) serveCall(w http.ResponseWriter, req *http.Request, c *call) error {
+	if c.keyed != nil {
+		c.send.Never = true
+		c.keyed.digest = xxh3.Hash(append([]byte(req.Method+" "+c.send.Path+"\n"), c.body...))
+	}
+	r.serve(w, req, c)
+	if c.abort {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// newCall reads what all calls have in common.
+func (r *Router) newCall(w http.ResponseWriter, req *http.Request, a config.Account) (*call, error) {
+	c := &call{account: a, class: defaultClass, flow: req.Header.Get(userHeader)}
+	if len(c.flow) > maxUser {
+		return nil, failHeader.With(userHeader + " is longer than 128 bytes")
+	}
+	if given := req.Header.Get(classHeader); given != "" {
+		if _, ok := classes[given]; !ok {
+			return nil, failHeader.With(classHeader + " must be interactive or batch")
+		}
+		c.class = given
+	}
+	repeat := req.Header.Get(repeatHeader)
+	if repeat != "" && repeat != "safe" && repeat != "never" {
+		return nil, failHeader.With(repeatHeader + " must be safe or never")
+	}
+	key := req.Header.Get(keyHeader)
+	if len(key) > claim.MaxKey {
+		return nil, failHeader.With(keyHeader + " is longer than 255 bytes")
+	}
+	if key != "" {
+		c.keyed = &keyed{account: a.Name, key: key, attempt: rand.Uint64()}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.set.Limits.Body))
+	if err != nil {
+		return nil, bodyFailure(err)
+	}
+	c.body = body
+	c.send = backend.Call{Method: req.Method, Header: http.Header{}, Body: body, Never: repeat == "never"}
+	c.send.Header.Set(accountHeader, a.Name)
+	c.send.Header.Set(priorityHeader, classes[c.class])
+	return c, nil
+}
+
+func bodyFailure(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return failTooLarge
+	}
+	return failMalformed.With("the body could not be read: " + err.Error())
+}
+
+// copyServiceHeader copies what a plain service may see. Keys, cookies, this
+// system's own headers and those of the connection stay here.
+func copyServiceHeader(to, from http.Header) {
+	for name, values := range from {
+		if hopByHop[name] || withheld[name] || strings.HasPrefix(name, "Badgerspoke-") {
+			continue
+		}
+		to[name] = values
+	}
+}
+
+var withheld = map[string]bool{
+	"Authorization": true, "Cookie": true, "Content-Length": true, "Host": true, "X-Api-Key": true,
+	"Forwarded": true, "X-Forwarded-For": true, "X-Forwarded-Host": true, "X-Forwarded-Proto": true,
+}
--- /dev/null
+++ b/router/errors.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// This file defines Failure, the one shape in which a request fails, and the
+// table of failures.
+
+// Outcome tells a caller what became of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	Ran        Outcome = "ran"
+	NotRun     Outcome = "not-run"
+	UnknownRun Outcome = "unknown"
+)
+
+// OutcomeHeader carries the outcome of every failure and of every replayed
+// answer.
+const OutcomeHeader = "Badgerspoke-Outcome"
+
+// Failure is why a request has no answer from a backend server.
+type Failure struct {
+	Status     int
+	Type       string // the protocol's error type
+	Code       string // stable, for programs
+	Message    string
+	Outcome    Outcome
+	RetryAfter time.Duration // 0 when a retry does not help, or at once
+}
+
+// Error returns the code and the message.
+func (f Failure) Error() string { return f.Code + ": " + f.Message }
+
+// With returns the failure with another message.
+func (f Failure) With(message string) Failure { f.Message = message; return f }
+
+// WithOutcome returns the failure with another outcome.
+func (f Failure) WithOutcome(o Outcome) Failure { f.Outcome = o; return f }
+
+const (
+	badRequest   = "invalid_request_error"
+	authProblem  = "authentication_error"
+	limitProblem = "rate_limit_error"
+	ourProblem   = "server_error"
+)
+
+// The failures that callers can meet.
+var (
+	failKey         = Failure{http.StatusUnauthorized, authProblem, "invalid_api_key", "no account has this key", NotRun, 0}
+	failMalformed   = Failure{http.StatusBadRequest, badRequest, "malformed_request", "the request is malformed", NotRun, 0}
+	failHeader      = Failure{http.StatusBadRequest, badRequest, "invalid_header", "a header has no valid value", NotRun, 0}
+	failModel       = Failure{http.StatusNotFound, badRequest, "model_not_found", "no pool serves this model", NotRun, 0}
+	failService     = Failure{http.StatusNotFound, badRequest, "service_not_found", "no such service", NotRun, 0}
+	failPath        = Failure{http.StatusNotFound, badRequest, "not_found", "no such path", NotRun, 0}
+	failMethod      = Failure{http.StatusMethodNotAllowed, badRequest, "method_not_allowed", "use another method", NotRun, 0}
+	failTooLarge    = Failure{http.StatusRequestEntityTooLarge, badRequest, "request_too_large", "the body is over the limit", NotRun, 0}
+	failFull        = Failure{http.StatusTooManyRequests, limitProblem, "queue_full", "too much work waits already", NotRun, time.Second}
+	failLease       = Failure{http.StatusServiceUnavailable, ourProblem, "no_lease", "this router is cut off from the fleet", NotRun, time.Second}
+	failStopping    = Failure{http.StatusServiceUnavailable, ourProblem, "stopping", "this router is stopping", NotRun, time.Second}
+	failNoServer    = Failure{http.StatusServiceUnavailable, ourProblem, "no_server", "no backend server serves this pool", NotRun, time.Second}
+	failWaited      = Failure{http.StatusServiceUnavailable, ourProblem, "waited_too_long", "the request waited too long for its turn", NotRun, 2 * time.Second}
+	failUnreachable = Failure{http.StatusBadGateway, ourProblem, "backend_unreachable", "no backend server took the request", NotRun, time.Second}
+	failBroken      = Failure{http.StatusBadGateway, ourProblem, "backend_broken", "the backend server failed; the request may have run", UnknownRun, 0}
+	failClaims      = Failure{http.StatusServiceUnavailable, ourProblem, "claims_unavailable", "the idempotency key could not be claimed", NotRun, time.Second}
+	failRan         = Failure{http.StatusConflict, badRequest, "already_ran", "a request with this idempotency key ran; its answer is not kept", Ran, 0}
+	failUnknownRun  = Failure{http.StatusConflict, badRequest, "outcome_unknown", "a request with this idempotency key may have run", UnknownRun, 0}
+	failOtherBody   = Failure{http.StatusUnprocessableEntity, badRequest, "idempotency_key_reused", "this idempotency key was used for another request", NotRun, 0}
+	failGone        = Failure{499, badRequest, "caller_gone", "the caller went away", UnknownRun, 0}
+)
+
+// errorBody is the usual JSON error of the protocol.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    string  `json:"code"`
+	Outcome Outcome `json:"outcome"`
+}
+
+func (f Failure) body() []byte {
+	b, err := json.Marshal(errorBody{errorFields{f.Message, f.Type, f.Code, f.Outcome}})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal"}}`)
+	}
+	return b
+}
+
+// write answers a request with the failure.
+func (f Failure) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(OutcomeHeader, string(f.Outcome))
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(max(f.RetryAfter/time.Second, 1))))
+	}
+	w.WriteHeader(f.Status)
+	_, _ = w.Write(append(f.body(), '\n'))
+}
+
+// event returns the failure as the last event of a broken stream.
+func (f Failure) event() []byte {
+	return []byte("event: error\ndata: " + string(f.body()) + "\n\n")
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package router
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/state/config"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines Router, its settings, and how a configuration comes into
+// force.
+
+// Backend sends calls to backend servers. [backend.Client] is one.
+type Backend interface {
+	Send(ctx context.Context, address string, call backend.Call) (*backend.Answer, error)
+}
+
+var _ Backend = (*backend.Client)(nil)
+
+// Settings of a router.
+type Settings struct {
+	Identity link.Identity
+	Hall     string
+	Replicas map[string]string // fleet addresses of the control replicas by name
+	Backend  Backend
+	Weights  share.Weights
+	Limits   Limits
+	Pace     slots.Pace
+	// StopWithoutLeader makes the router treat the absence of a leader like
+	// being cut off, whatever a majority says.
+	StopWithoutLeader bool
+	Log               *slog.Logger
+	Metrics           *metrics.Set
+}
+
+// Limits of the callers' door and of waiting work.
+type Limits struct {
+	Body           int64         // bytes of one request's body
+	Waiting        int           // requests in one pool's queue
+	WaitingBytes   int64         // their bodies
+	AccountWaiting int           // requests of one account, unless configured
+	AccountBytes   int64         // their bodies
+	Wait           time.Duration // longest wait for a turn
+	Linger         time.Duration // how long an unused slot is kept
+}
+
+// DefaultLimits suit a box of 256 MB.
+var DefaultLimits = Limits{
+	Body: 8 << 20, Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
+	Wait: 60 * time.Second, Linger: 500 * time.Millisecond,
+}
+
+const (
+	firstEstimate = 256  // cost of a request of which nothing is known
+	prefixBlocks  = 8192 // prompt blocks remembered by each pool
+	retryPart     = 0.1
+	retryBurst    = 10
+	poolTick      = 100 * time.Millisecond
+)
+
+// Router is a running router.
+type Router struct {
+	set     Settings
+	boot    uint64
+	start   time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	meter   *link.Meter
+	stats   *stats
+	routes  atomic.Pointer[routes]
+	lease   lease
+	fleet   *fleet
+	claims  *claims
+	serving atomic.Bool // false once a stop has begun
+	running sync.WaitGroup
+
+	mu    sync.Mutex // guards pools
+	pools map[string]*pool
+
+	budgetMu sync.Mutex
+	budget   place.Budget
+}
+
+// Start runs a router until Stop. Its boot number is drawn here.
+func Start(ctx context.Context, set Settings) *Router {
+	if set.Limits == (Limits{}) {
+		set.Limits = DefaultLimits
+	}
+	if set.Weights == (share.Weights{}) {
+		set.Weights = share.DefaultWeights
+	}
+	if set.Pace == (slots.Pace{}) {
+		set.Pace = slots.DefaultPace
+	}
+	ctx, stop := context.WithCancel(ctx)
+	r := &Router{
+		set: set, boot: rand.Uint64() | 1, start: time.Now(), ctx: ctx, stop: stop,
+		meter: link.NewMeter(set.Metrics), stats: newStats(set.Metrics), pools: map[string]*pool{},
+		budget: newBudget(),
+	}
+	r.routes.Store(newRoutes(config.Config{}))
+	r.serving.Store(true)
+	r.fleet = newFleet(r)
+	r.claims = newClaims(r)
+	go r.fleet.run()
+	go r.tick()
+	return r
+}
+
+// now is the router's monotonic clock.
+func (r *Router) now() time.Duration { return time.Since(r.start) }
+
+// Ready reports whether the balancer may send requests here.
+func (r *Router) Ready() bool { return r.serving.Load() && r.lease.valid(r.now()) }
+
+// Revision returns the configuration in force here.
+func (r *Router) Revision() uint64 { return r.routes.Load().cfg.Revision() }
+
+// Stop ends the router without cutting off a request: readiness turns false,
+// new requests are still served for grace (the balancer needs time to see
+// it), then those that are here go to their end, and what is held is handed
+// back. When ctx ends first, what still runs is cut off.
+func (r *Router) Stop(ctx context.Context, grace time.Duration) {
+	r.serving.Store(false)
+	select {
+	case <-time.After(grace):
+	case <-ctx.Done():
+	}
+	r.fleet.closeDoor()
+	done := make(chan struct{})
+	go func() { r.running.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	r.claims.flush(ctx)
+	r.fleet.goodbye(ctx)
+	r.stop()
+}
+
+// tick expires waiting requests and unused slots.
+func (r *Router) tick() {
+	t := time.NewTicker(poolTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-t.C:
+		}
+		leased := r.lease.valid(r.now())
+		for _, p := range r.poolList() {
+			p.tick(r.now(), leased)
+		}
+	}
+}
+
+// apply brings a configuration into force. It never goes back.
+func (r *Router) apply(cfg config.Config) {
+	if cfg.Revision() < r.Revision() {
+		return
+	}
+	next := newRoutes(cfg)
+	r.mu.Lock()
+	r.routes.Store(next)
+	for name := range next.pools {
+		if r.pools[name] == nil {
+			r.pools[name] = newPool(r, name)
+		}
+	}
+	r.mu.Unlock()
+	for _, p := range r.poolList() {
+		p.configure(r.now(), next)
+	}
+	r.set.Log.Debug("configuration in force", "revision", cfg.Revision())
+}
+
+func (r *Router) pool(name string) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pools[name]
+}
+
+// poolList returns the pools in the order of their names, so that reports do
+// not depend on the map.
+func (r *Router) poolList() []*pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return sortedPools(r.pools)
+}
+
+// mayRetry takes a retry out of the budget.
+func (r *Router) mayRetry() bool {
+	r.budgetMu.Lock()
+	defer r.budgetMu.Unlock()
+	return r.budget.Retry()
+}
+
+func (r *Router) countRequest() {
+	r.budgetMu.Lock()
+	defer r.budgetMu.Unlock()
+	r.budget.Request()
+}
+
+var _ http.Handler = (*Router)(nil)
--- /dev/null
+++ b/router/routes.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package router
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/badgerspoke/badgerspoke/state/config"
+)
+
+// This file defines routes, the tables that a configuration turns into: from
+// a key to an account, from a model or service to a pool.
+
+// routes is immutable.
+type routes struct {
+	cfg      config.Config
+	accounts map[config.KeyHash]config.Account
+	models   map[string]string // model or adapter → pool
+	services map[string]bool   // pools that are plain services
+	pools    map[string][]config.Server
+}
+
+func newRoutes(cfg config.Config) *routes {
+	t := &routes{
+		cfg: cfg, accounts: map[config.KeyHash]config.Account{}, models: map[string]string{},
+		services: map[string]bool{}, pools: map[string][]config.Server{},
+	}
+	for _, a := range cfg.Accounts() {
+		for _, k := range a.Keys {
+			t.accounts[k] = a
+		}
+	}
+	for _, s := range cfg.Servers() {
+		t.addServer(s)
+	}
+	return t
+}
+
+func (t *routes) addServer(s config.Server) {
+	t.pools[s.Pool] = append(t.pools[s.Pool], s)
+	if s.Kind == config.Service {
+		t.services[s.Pool] = true
+		return
+	}
+	for _, name := range slices.Concat(s.Models, s.Adapters) {
+		if _, taken := t.models[name]; !taken {
+			t.models[name] = s.Pool
+		}
+	}
+}
+
+// account returns the account of a key. The table is indexed by the key's
+// hash, so the time of the search says nothing about the key itself.
+func (t *routes) account(key string) (config.Account, bool) {
+	a, ok := t.accounts[config.HashKey(key)]
+	return a, ok
+}
+
+// modelNames returns the models that callers may name, in order.
+func (t *routes) modelNames() []string { return slices.Sorted(maps.Keys(t.models)) }
+
+// neverRepeats reports whether the configuration of a service says that a
+// call may not be repeated.
+func (t *routes) neverRepeats(pool, method, path string) bool {
+	for _, s := range t.pools[pool] {
+		if s.MayNotRepeat(method, path) {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedPools(m map[string]*pool) []*pool {
+	return slices.SortedFunc(maps.Values(m), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+}
--- /dev/null
+++ b/router/usage.go
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/badgerspoke/badgerspoke/coordination/share"
+)
+
+// This file defines how usage is read from an engine's answer while it passes
+// through.
+
+// usage is the protocol's usage object.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// share returns the usage as the accounting wants it. Nonsense from an engine
+// is bounded: nothing is negative, and no more is cached than was prompted.
+func (u usage) share() share.Usage {
+	prompt := max(u.PromptTokens, 0)
+	cached := min(max(u.Details.CachedTokens, 0), prompt)
+	return share.Usage{Input: prompt - cached, Cached: cached, Output: max(u.CompletionTokens, 0)}
+}
+
+// parseUsage returns the usage in a whole JSON answer or chunk, or nil.
+func parseUsage(b []byte) *usage {
+	var v struct {
+		Usage *usage `json:"usage"`
+	}
+	if json.Unmarshal(b, &v) != nil {
+		return nil
+	}
+	return v.Usage
+}
+
+// maxLine bounds the memory that an unfinished line of a stream takes. A
+// longer line passes through uncounted.
+const maxLine = 64 << 10
+
+// streamScan reads a stream of server-sent events as it passes.
+type streamScan struct {
+	line   []byte // unfinished
+	long   bool   // the unfinished line is over maxLine
+	chunks int    // data lines but the end mark
+	usage  *usage // the last one seen
+	done   bool   // the end mark was seen
+}
+
+var (
+	dataPrefix = []byte("data:")
+	endMark    = []byte("[DONE]")
+	usageField = []byte(`"usage"`)
+)
+
+func (s *streamScan) write(b []byte) {
+	for len(b) > 0 {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			s.extend(b)
+			return
+		}
+		s.extend(b[:i])
+		if !s.long {
+			s.take(s.line)
+		}
+		s.line, s.long = s.line[:0], false
+		b = b[i+1:]
+	}
+}
+
+func (s *streamScan) extend(b []byte) {
+	if len(s.line)+len(b) > maxLine {
+		s.long = true
+		return
+	}
+	s.line = append(s.line, b...)
+}
+
+func (s *streamScan) take(line []byte) {
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok {
+		return
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, endMark) {
+		s.done = true
+		return
+	}
+	s.chunks++
+	if bytes.Contains(data, usageField) {
+		if u := parseUsage(data); u != nil {
+			s.usage = u
+		}
+	}
+}
+
+// closeLine returns what ends an unfinished line and event, so that what
+// follows is an event of its own.
+func (s *streamScan) closeLine() []byte {
+	if len(s.line) > 0 || s.long {
+		return []byte("\n\n")
+	}
+	return []byte("\n")
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// This file defines Service, the stand-in for a plain service.
+
+// Service answers every request with what it was and how often its body was
+// seen, after Time.
+type Service struct {
+	failures
+	Time time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+var _ http.Handler = (*Service)(nil)
+
+// Runs returns how often a request with that body ran.
+func (s *Service) Runs(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+// ServeHTTP runs any request.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	how := s.take()
+	if how == Refuse {
+		refuse(w)
+		return
+	}
+	runs := s.run(string(body))
+	if s.Time > 0 {
+		select {
+		case <-time.After(s.Time):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	switch how {
+	case Hang:
+		<-r.Context().Done()
+		return
+	case DieEarly:
+		panic(http.ErrAbortHandler)
+	case DieMid:
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]string{
+		"method": r.Method, "path": r.URL.RequestURI(), "body": string(body),
+		"account": r.Header.Get("Badgerspoke-Account"), "authorization": r.Header.Get("Authorization"),
+		"runs": strconv.Itoa(runs),
+	})
+}
+
+func (s *Service) run(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = map[string]int{}
+	}
+	s.runs[body]++
+	return s.runs[body]
+}
--- /dev/null
+++ b/state/config/config.go
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// This file defines Config, the immutable value that every box of the fleet
+// holds, and the operations that lead from one revision to the next.
+
+// Config is one revision of the fleet's configuration. The zero value is the
+// empty configuration at revision 0. A Config is safe for concurrent use
+// because no method changes it.
+type Config struct {
+	revision uint64
+	accounts map[string]Account
+	servers  map[string]Server
+}
+
+// Op is one operation of a change. Exactly one field is set.
+type Op struct {
+	PutAccount    *Account `cbor:"1,keyasint,omitempty"`
+	RemoveAccount string   `cbor:"2,keyasint,omitempty"`
+	PutServer     *Server  `cbor:"3,keyasint,omitempty"`
+	RemoveServer  string   `cbor:"4,keyasint,omitempty"`
+}
+
+// Subject returns the kind and name of the object that the operation touches,
+// such as "account hotel-a".
+func (o Op) Subject() string {
+	switch {
+	case o.PutAccount != nil:
+		return "account " + o.PutAccount.Name
+	case o.RemoveAccount != "":
+		return "account " + o.RemoveAccount
+	case o.PutServer != nil:
+		return "server " + o.PutServer.Name
+	case o.RemoveServer != "":
+		return "server " + o.RemoveServer
+	}
+	return "nothing"
+}
+
+// Revision returns the number of changes accepted since the empty
+// configuration.
+func (c Config) Revision() uint64 { return c.revision }
+
+// Account returns the account of that name.
+func (c Config) Account(name string) (Account, bool) {
+	a, ok := c.accounts[name]
+	return a, ok
+}
+
+// Server returns the backend server of that name.
+func (c Config) Server(name string) (Server, bool) {
+	s, ok := c.servers[name]
+	return s, ok
+}
+
+// Accounts returns all accounts ordered by name.
+func (c Config) Accounts() []Account {
+	return slices.SortedFunc(maps.Values(c.accounts), func(a, b Account) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// Servers returns all backend servers ordered by name.
+func (c Config) Servers() []Server {
+	return slices.SortedFunc(maps.Values(c.servers), func(a, b Server) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// Apply returns the configuration after ops at the next revision. Either
+// every operation holds or none does; the error is [Invalid] with every
+// mistake found.
+func (c Config) Apply(ops []Op) (Config, error) {
+	n := Config{
+		revision: c.revision + 1,
+		accounts: maps.Clone(c.accounts),
+		servers:  maps.Clone(c.servers),
+	}
+	if n.accounts == nil {
+		n.accounts = map[string]Account{}
+	}
+	if n.servers == nil {
+		n.servers = map[string]Server{}
+	}
+	var found mistakes
+	if len(ops) == 0 {
+		found.add("change", "ops", "holds no operation")
+	}
+	for _, op := range ops {
+		n.applyOne(op, &found)
+	}
+	found.addAll(n.crossChecks())
+	if len(found) > 0 {
+		return c, Invalid{Mistakes: found}
+	}
+	return n, nil
+}
+
+// applyOne changes the maps of a configuration that is still being built.
+func (c Config) applyOne(op Op, found *mistakes) {
+	switch {
+	case op.PutAccount != nil:
+		found.addAll(op.PutAccount.check())
+		c.accounts[op.PutAccount.Name] = *op.PutAccount
+	case op.RemoveAccount != "":
+		if _, ok := c.accounts[op.RemoveAccount]; !ok {
+			found.add(op.Subject(), "name", "does not exist")
+		}
+		delete(c.accounts, op.RemoveAccount)
+	case op.PutServer != nil:
+		found.addAll(op.PutServer.check())
+		c.servers[op.PutServer.Name] = *op.PutServer
+	case op.RemoveServer != "":
+		s, ok := c.servers[op.RemoveServer]
+		if !ok {
+			found.add(op.Subject(), "name", "does not exist")
+		}
+		if ok && s.Mark == Serving {
+			found.add(op.Subject(), "mark", "is serving; mark it leaving first")
+		}
+		delete(c.servers, op.RemoveServer)
+	default:
+		found.add("change", "ops", "an operation sets no field")
+	}
+}
+
+// crossChecks finds mistakes that no single object shows: two accounts with
+// one key, one pool of two kinds, two servers at one address of one pool.
+func (c Config) crossChecks() mistakes {
+	var found mistakes
+	keys := map[KeyHash]string{}
+	for _, a := range c.Accounts() {
+		for _, k := range a.Keys {
+			if other, ok := keys[k]; ok && other != a.Name {
+				found.add("account "+a.Name, "keys", "a key belongs to account "+other+" already")
+			}
+			keys[k] = a.Name
+		}
+	}
+	kinds := map[string]Kind{}
+	addresses := map[string]string{}
+	for _, s := range c.Servers() {
+		if k, ok := kinds[s.Pool]; ok && k != s.Kind {
+			found.add("server "+s.Name, "kind", "pool "+s.Pool+" holds servers of kind "+k.String())
+		}
+		kinds[s.Pool] = s.Kind
+		if other, ok := addresses[s.Address]; ok {
+			found.add("server "+s.Name, "address", "belongs to server "+other+" already")
+		}
+		addresses[s.Address] = s.Name
+	}
+	return found
+}
+
+// Snapshot is the serialized form of a Config.
+type Snapshot struct {
+	Revision uint64    `cbor:"1,keyasint"`
+	Accounts []Account `cbor:"2,keyasint"`
+	Servers  []Server  `cbor:"3,keyasint"`
+}
+
+// Snapshot returns the serializable form, ordered by name so that equal
+// configurations give equal bytes.
+func (c Config) Snapshot() Snapshot {
+	return Snapshot{Revision: c.revision, Accounts: c.Accounts(), Servers: c.Servers()}
+}
+
+// FromSnapshot returns the configuration that s describes.
+func FromSnapshot(s Snapshot) Config {
+	c := Config{
+		revision: s.Revision,
+		accounts: make(map[string]Account, len(s.Accounts)),
+		servers:  make(map[string]Server, len(s.Servers)),
+	}
+	for _, a := range s.Accounts {
+		c.accounts[a.Name] = a
+	}
+	for _, b := range s.Servers {
+		c.servers[b.Name] = b
+	}
+	return c
+}
--- /dev/null
+++ b/state/config/errors.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// This file defines the refusals of this package. Each is a type with the
+// fields that a caller needs to act.
+
+// Mistake names one thing wrong with a proposed configuration.
+type Mistake struct {
+	Subject string `cbor:"1,keyasint"` // "account hotel-a"
+	Field   string `cbor:"2,keyasint"`
+	Reason  string `cbor:"3,keyasint"`
+}
+
+// String returns "subject: field: reason".
+func (m Mistake) String() string { return m.Subject + ": " + m.Field + ": " + m.Reason }
+
+// Invalid refuses a change whose result would not be a valid configuration.
+type Invalid struct{ Mistakes []Mistake }
+
+// Error lists every mistake.
+func (e Invalid) Error() string {
+	lines := make([]string, len(e.Mistakes))
+	for i, m := range e.Mistakes {
+		lines[i] = m.String()
+	}
+	return "invalid configuration: " + strings.Join(lines, "; ")
+}
+
+// Conflict refuses a change that builds on a revision which is not the
+// current one. Winner is the change that took the number, if it is still
+// remembered.
+type Conflict struct {
+	Base    uint64  `cbor:"1,keyasint"` // the revision that the refused change named
+	Current uint64  `cbor:"2,keyasint"`
+	Winner  *Change `cbor:"3,keyasint,omitempty"`
+}
+
+// Error names both revisions and the winner.
+func (e Conflict) Error() string {
+	if e.Winner == nil {
+		return fmt.Sprintf("change builds on revision %d, the current one is %d", e.Base, e.Current)
+	}
+	return fmt.Sprintf("change builds on revision %d, which change %q took; the current one is %d",
+		e.Base, e.Winner.ID, e.Current)
+}
+
+// Reused refuses a change identifier that was used for other content.
+type Reused struct{ ID string }
+
+// Error names the identifier.
+func (e Reused) Error() string { return fmt.Sprintf("change id %q was used for another change", e.ID) }
+
+// Gap refuses a delta that does not start at the revision held.
+type Gap struct{ Held, From uint64 }
+
+// Error names both revisions.
+func (e Gap) Error() string {
+	return fmt.Sprintf("delta starts at revision %d, held is %d", e.From, e.Held)
+}
+
+// mistakes collects what a check finds.
+type mistakes []Mistake
+
+func (m *mistakes) add(subject, field, reason string) {
+	*m = append(*m, Mistake{Subject: subject, Field: field, Reason: reason})
+}
+
+func (m *mistakes) addAll(more mistakes) { *m = append(*m, more...) }
--- /dev/null
+++ b/state/config/objects.go
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// This file defines the two objects that operators manage, Account and
+// Server, with the checks that each must pass by itself.
+
+// Bounds on what operators may set.
+const (
+	MaxShare   = 1e6
+	MaxSlots   = 4096
+	MaxKeys    = 8
+	MaxWaiting = 1_000_000
+)
+
+// KeyHash is the SHA-256 of a caller's key. Keys themselves are never kept.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash under which key is kept.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Equal compares in constant time.
+func (h KeyHash) Equal(o KeyHash) bool { return subtle.ConstantTimeCompare(h[:], o[:]) == 1 }
+
+// String returns the first bytes in hexadecimal, enough to tell keys apart.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:6]) }
+
+// Account is a client account. Its share is a weight: while two accounts are
+// backlogged, they are served in the proportion of their shares.
+type Account struct {
+	Name   string    `cbor:"1,keyasint"`
+	Share  float64   `cbor:"2,keyasint"`
+	Keys   []KeyHash `cbor:"3,keyasint,omitempty"`
+	Limits Limits    `cbor:"4,keyasint"`
+}
+
+// Limits bound what one account may hold on one router. Zero means the
+// default of the router.
+type Limits struct {
+	Waiting      int   `cbor:"1,keyasint,omitempty"` // requests
+	WaitingBytes int64 `cbor:"2,keyasint,omitempty"` // bytes of request bodies
+	Running      int   `cbor:"3,keyasint,omitempty"` // requests
+}
+
+// WithShare returns the account with another share.
+func (a Account) WithShare(share float64) Account { a.Share = share; return a }
+
+// WithLimits returns the account with other limits.
+func (a Account) WithLimits(l Limits) Account { a.Limits = l; return a }
+
+// WithKey returns the account with one more key, unless it has it already.
+func (a Account) WithKey(k KeyHash) Account {
+	if !slices.Contains(a.Keys, k) {
+		a.Keys = append(slices.Clone(a.Keys), k)
+	}
+	return a
+}
+
+// WithoutKey returns the account without that key.
+func (a Account) WithoutKey(k KeyHash) Account {
+	a.Keys = slices.DeleteFunc(slices.Clone(a.Keys), func(o KeyHash) bool { return o == k })
+	return a
+}
+
+func (a Account) check() mistakes {
+	var found mistakes
+	subject := "account " + a.Name
+	checkName(&found, subject, a.Name)
+	if !(a.Share > 0 && a.Share <= MaxShare) {
+		found.add(subject, "share", "must be above 0 and at most 1000000")
+	}
+	if len(a.Keys) > MaxKeys {
+		found.add(subject, "keys", "at most 8 keys")
+	}
+	if a.Limits.Waiting < 0 || a.Limits.Waiting > MaxWaiting || a.Limits.WaitingBytes < 0 || a.Limits.Running < 0 {
+		found.add(subject, "limits", "must not be negative, and at most 1000000 waiting requests")
+	}
+	return found
+}
+
+// Kind tells what a backend server speaks.
+type Kind uint8
+
+// The kinds of backend server.
+const (
+	Engine  Kind = 1 // a model engine with the OpenAI-style interface
+	Service Kind = 2 // a plain HTTP service
+)
+
+// String returns the operators' word for the kind.
+func (k Kind) String() string {
+	switch k {
+	case Engine:
+		return "engine"
+	case Service:
+		return "service"
+	}
+	return "unset"
+}
+
+// Mark is the operators' word on a backend server.
+type Mark uint8
+
+// The marks of a backend server. Only a serving server is given new work.
+const (
+	Joining Mark = 1
+	Serving Mark = 2
+	Leaving Mark = 3
+)
+
+// String returns the operators' word for the mark.
+func (m Mark) String() string {
+	switch m {
+	case Joining:
+		return "joining"
+	case Serving:
+		return "serving"
+	case Leaving:
+		return "leaving"
+	}
+	return "unset"
+}
+
+// Server is a backend server: a model engine or a plain service.
+type Server struct {
+	Name        string   `cbor:"1,keyasint"`
+	Pool        string   `cbor:"2,keyasint"`
+	Address     string   `cbor:"3,keyasint"` // IP:PORT
+	Kind        Kind     `cbor:"4,keyasint"`
+	Mark        Mark     `cbor:"5,keyasint"`
+	Slots       int      `cbor:"6,keyasint"` // requests it may run at once
+	Models      []string `cbor:"7,keyasint,omitempty"`
+	Adapters    []string `cbor:"8,keyasint,omitempty"`
+	Version     string   `cbor:"9,keyasint,omitempty"`
+	ChecksFence bool     `cbor:"10,keyasint,omitempty"`
+	Never       []string `cbor:"11,keyasint,omitempty"` // "METHOD /path-prefix" of calls that may not be repeated
+}
+
+// WithMark returns the server with another mark.
+func (s Server) WithMark(m Mark) Server { s.Mark = m; return s }
+
+// WithSlots returns the server with another number of slots.
+func (s Server) WithSlots(n int) Server { s.Slots = n; return s }
+
+// MayNotRepeat reports whether the server's configuration says that a call
+// may run at most once.
+func (s Server) MayNotRepeat(method, path string) bool {
+	for _, rule := range s.Never {
+		m, prefix, _ := strings.Cut(rule, " ")
+		if (m == "*" || m == method) && strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s Server) check() mistakes {
+	var found mistakes
+	subject := "server " + s.Name
+	checkName(&found, subject, s.Name)
+	checkName(&found, subject, s.Pool)
+	if _, err := netip.ParseAddrPort(s.Address); err != nil {
+		found.add(subject, "address", "must be IP:PORT, not "+s.Address)
+	}
+	if s.Kind != Engine && s.Kind != Service {
+		found.add(subject, "kind", "must be engine or service")
+	}
+	if s.Mark < Joining || s.Mark > Leaving {
+		found.add(subject, "mark", "must be joining, serving or leaving")
+	}
+	if s.Slots < 1 || s.Slots > MaxSlots {
+		found.add(subject, "slots", "must be 1 to 4096")
+	}
+	if s.Kind == Engine && len(s.Models) == 0 {
+		found.add(subject, "models", "an engine serves at least one model")
+	}
+	for _, rule := range s.Never {
+		if _, prefix, ok := strings.Cut(rule, " "); !ok || !strings.HasPrefix(prefix, "/") {
+			found.add(subject, "never", `must be "METHOD /path" or "* /path", not `+rule)
+		}
+	}
+	return found
+}
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+// checkName keeps names usable as metric labels and URL path elements.
+func checkName(found *mistakes, subject, name string) {
+	if !namePattern.MatchString(name) {
+		found.add(subject, "name", "must be 1 to 63 letters, digits, dots, dashes or underscores")
+	}
+}
--- /dev/null
+++ b/state/config/store.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/xxh3"
+)
+
+// This file defines Store, the state machine that a replicated log drives:
+// the current configuration, and enough of the past to answer a resend and to
+// send deltas.
+
+// HistoryLength is the number of past changes remembered. At 28,000 changes a
+// day it covers more than three hours of resends and of missed deltas.
+const HistoryLength = 4096
+
+// MaxChangeID bounds a change identifier, in bytes.
+const MaxChangeID = 128
+
+// Change is what an operator proposes.
+type Change struct {
+	ID   string `cbor:"1,keyasint"` // chosen by the author, unique
+	Base uint64 `cbor:"2,keyasint"` // the revision it builds on
+	Ops  []Op   `cbor:"3,keyasint"`
+	// Request is a digest of what the author asked for, when Ops was derived
+	// from it (a drawn key, a field changed in the current value): a resend
+	// derives other operations from the same request.
+	Request uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// digest identifies the content of the change without its identifier.
+func (c Change) digest() uint64 {
+	if c.Request != 0 {
+		return c.Request
+	}
+	b, err := cbor.Marshal(c.Ops)
+	if err != nil {
+		return 0
+	}
+	return xxh3.Hash(b)
+}
+
+// check finds mistakes that need no configuration.
+func (c Change) check() error {
+	var found mistakes
+	if c.ID == "" || len(c.ID) > MaxChangeID {
+		found.add("change", "id", "must be 1 to 128 bytes")
+	}
+	if len(found) > 0 {
+		return Invalid{Mistakes: found}
+	}
+	return nil
+}
+
+// Delta leads from one revision to a later one.
+type Delta struct {
+	From  uint64 `cbor:"1,keyasint"`
+	Steps [][]Op `cbor:"2,keyasint"` // one list of operations a revision
+}
+
+// To returns the revision that the delta leads to.
+func (d Delta) To() uint64 { return d.From + uint64(len(d.Steps)) }
+
+// ApplyDelta returns c after d. A delta that was applied already changes
+// nothing; one that starts later than c is refused with [Gap], so that a
+// configuration never goes back and never skips.
+func (c Config) ApplyDelta(d Delta) (Config, error) {
+	if d.From > c.revision {
+		return c, Gap{Held: c.revision, From: d.From}
+	}
+	skip := c.revision - d.From
+	if skip >= uint64(len(d.Steps)) {
+		return c, nil
+	}
+	next := c
+	for _, ops := range d.Steps[skip:] {
+		var err error
+		if next, err = next.Apply(ops); err != nil {
+			return c, err
+		}
+	}
+	return next, nil
+}
+
+// Store is the state machine. It is not safe for concurrent use; a replica
+// drives it from one goroutine. The zero value is empty.
+type Store struct {
+	current Config
+	history []Change // history[i] produced revision current-len+1+i
+	byID    map[string]uint64
+}
+
+// Current returns the configuration in force.
+func (s *Store) Current() Config { return s.current }
+
+// Apply applies a change and returns the revision that it produced. A resend
+// returns the revision of the first time. The error is [Invalid], [Conflict]
+// or [Reused].
+func (s *Store) Apply(ch Change) (uint64, error) {
+	if err := ch.check(); err != nil {
+		return 0, err
+	}
+	if rev, ok := s.byID[ch.ID]; ok {
+		if first, ok := s.at(rev); ok && first.digest() == ch.digest() {
+			return rev, nil
+		}
+		return 0, Reused{ID: ch.ID}
+	}
+	if ch.Base != s.current.revision {
+		return s.answerOldBase(ch)
+	}
+	next, err := s.current.Apply(ch.Ops)
+	if err != nil {
+		return 0, err
+	}
+	s.current = next
+	s.remember(ch)
+	return next.revision, nil
+}
+
+// answerOldBase tells a resend (same number, same content) from a race.
+func (s *Store) answerOldBase(ch Change) (uint64, error) {
+	e := Conflict{Base: ch.Base, Current: s.current.revision}
+	winner, ok := s.at(ch.Base + 1)
+	if !ok {
+		return 0, e
+	}
+	if winner.digest() == ch.digest() {
+		return ch.Base + 1, nil
+	}
+	e.Winner = &winner
+	return 0, e
+}
+
+// at returns the change that produced revision rev.
+func (s *Store) at(rev uint64) (Change, bool) {
+	first := s.current.revision - uint64(len(s.history)) + 1
+	if rev < first || rev > s.current.revision {
+		return Change{}, false
+	}
+	return s.history[rev-first], true
+}
+
+func (s *Store) remember(ch Change) {
+	if s.byID == nil {
+		s.byID = map[string]uint64{}
+	}
+	s.history = append(s.history, ch)
+	s.byID[ch.ID] = s.current.revision
+	if len(s.history) <= HistoryLength {
+		return
+	}
+	delete(s.byID, s.history[0].ID)
+	s.history = s.history[1:]
+}
+
+// Find returns the change of that identifier and the revision it produced.
+func (s *Store) Find(id string) (Change, uint64, bool) {
+	rev, ok := s.byID[id]
+	if !ok {
+		return Change{}, 0, false
+	}
+	ch, ok := s.at(rev)
+	return ch, rev, ok
+}
+
+// DeltaFrom returns the delta from revision rev to the current one, or false
+// when the past is no longer remembered and only a snapshot will do.
+func (s *Store) DeltaFrom(rev uint64) (Delta, bool) {
+	d := Delta{From: rev}
+	if rev > s.current.revision {
+		return d, false
+	}
+	for r := rev + 1; r <= s.current.revision; r++ {
+		ch, ok := s.at(r)
+		if !ok {
+			return d, false
+		}
+		d.Steps = append(d.Steps, ch.Ops)
+	}
+	return d, true
+}
+
+// storeImage is the serialized form of a Store.
+type storeImage struct {
+	Config  Snapshot `cbor:"1,keyasint"`
+	History []Change `cbor:"2,keyasint"`
+}
+
+// MarshalBinary returns the store's image for a log snapshot.
+func (s *Store) MarshalBinary() ([]byte, error) {
+	return cbor.Marshal(storeImage{Config: s.current.Snapshot(), History: s.history})
+}
+
+// UnmarshalBinary replaces the store by the image.
+func (s *Store) UnmarshalBinary(b []byte) error {
+	var im storeImage
+	if err := cbor.Unmarshal(b, &im); err != nil {
+		return err
+	}
+	s.current = FromSnapshot(im.Config)
+	s.history = im.History
+	s.byID = make(map[string]uint64, len(im.History))
+	first := s.current.revision - uint64(len(s.history)) + 1
+	for i, ch := range s.history {
+		s.byID[ch.ID] = first + uint64(i)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/wal/errors.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package wal
+
+import "fmt"
+
+// This file defines the two failures that a caller must tell apart.
+
+// Damaged says that a file does not hold what was written. The replica must
+// not start from it.
+type Damaged struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error names the file, the offset and what is wrong.
+func (e Damaged) Error() string {
+	return fmt.Sprintf("wal: %s damaged at byte %d: %s; replace this replica as one that lost its disk",
+		e.File, e.Offset, e.Reason)
+}
+
+// Failed says that the disk refused a write or a sync. Nothing after it may
+// be acknowledged.
+type Failed struct {
+	Op  string
+	Err error
+}
+
+// Error names the operation and the disk's error.
+func (e Failed) Error() string { return "wal: " + e.Op + " failed: " + e.Err.Error() }
+
+// Unwrap returns the disk's error.
+func (e Failed) Unwrap() error { return e.Err }
--- /dev/null
+++ b/state/wal/log.go
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package wal
+
+import (
+	"fmt"
+	"io/fs"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines Log, the open write-ahead log of one folder.
+
+// Log appends records and rotates generations. It is not safe for concurrent
+// use: one goroutine owns it, so that group commit is decided above it.
+type Log struct {
+	dir        Dir
+	file       File
+	generation uint64
+	size       int64
+	syncs      uint64
+	broken     error
+}
+
+// Recovered is what a folder held when it was opened.
+type Recovered struct {
+	Snapshot []byte   // nil in generation 0
+	Records  [][]byte // in the order of their appending
+	Dropped  int      // bytes of a torn last frame
+}
+
+// Open reads a folder and leaves it ready for appending. The error is
+// [Damaged] when the folder must not be trusted, else the disk's own.
+func Open(dir Dir) (*Log, Recovered, error) {
+	names, err := dir.List()
+	if err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "wal: list folder")
+	}
+	gen := newestGeneration(names)
+	l := &Log{dir: dir, generation: gen}
+	var rec Recovered
+	if gen > 0 {
+		if rec.Snapshot, err = readSnapshot(dir, gen); err != nil {
+			return nil, rec, err
+		}
+	}
+	if err := l.readLog(&rec); err != nil {
+		return nil, rec, err
+	}
+	l.removeOthers(names)
+	if l.file, err = dir.OpenAppend(logName(gen), l.size); err != nil {
+		return nil, rec, errors.Wrap(err, "wal: open log")
+	}
+	if err := l.syncAll(); err != nil {
+		return nil, rec, err
+	}
+	return l, rec, nil
+}
+
+// Append makes the records durable with one write and one sync. After an
+// error the log refuses everything: [Failed].
+func (l *Log) Append(records ...[]byte) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	frame := encodeFrame(records)
+	if _, err := l.file.Write(frame); err != nil {
+		return l.fail("write", err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.fail("sync", err)
+	}
+	l.syncs++
+	l.size += int64(len(frame))
+	return nil
+}
+
+// Rotate starts a generation with a snapshot and the records that the
+// snapshot does not cover.
+func (l *Log) Rotate(snapshot []byte, tail ...[]byte) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	next := l.generation + 1
+	frame := encodeFrame(tail)
+	if err := l.writeNew(logName(next), frame); err != nil {
+		return l.fail("rotate log", err)
+	}
+	if err := l.writeNew(snapshotName(next), encodeFrame([][]byte{snapshot})); err != nil {
+		return l.fail("rotate snapshot", err)
+	}
+	file, err := l.dir.OpenAppend(logName(next), int64(len(frame)))
+	if err != nil {
+		return l.fail("open rotated log", err)
+	}
+	l.file.Close()
+	old := l.generation
+	l.file, l.generation, l.size = file, next, int64(len(frame))
+	l.removeGeneration(old)
+	return nil
+}
+
+// Size returns the bytes of the current log file.
+func (l *Log) Size() int64 { return l.size }
+
+// Syncs returns the number of syncs that Append has made.
+func (l *Log) Syncs() uint64 { return l.syncs }
+
+// Close closes the file. What was appended is durable already.
+func (l *Log) Close() error {
+	if l.broken == nil {
+		l.broken = Failed{Op: "append", Err: fs.ErrClosed}
+	}
+	return l.file.Close()
+}
+
+// writeNew writes a whole file under a temporary name, makes it durable, and
+// renames it into place.
+func (l *Log) writeNew(name string, content []byte) error {
+	tmp := name + tmpSuffix
+	f, err := l.dir.OpenAppend(tmp, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := f.Write(content); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	if err := l.dir.Rename(tmp, name); err != nil {
+		return err
+	}
+	return l.dir.Sync()
+}
+
+func (l *Log) fail(op string, err error) error {
+	l.broken = Failed{Op: op, Err: err}
+	return l.broken
+}
+
+func (l *Log) syncAll() error {
+	if err := l.file.Sync(); err != nil {
+		return l.fail("sync", err)
+	}
+	if err := l.dir.Sync(); err != nil {
+		return l.fail("sync folder", err)
+	}
+	return nil
+}
+
+// readLog replays the log file of the generation and finds where its valid
+// part ends.
+func (l *Log) readLog(rec *Recovered) error {
+	name := logName(l.generation)
+	b, err := l.dir.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		if l.generation > 0 {
+			return Damaged{File: name, Reason: "is missing beside its snapshot"}
+		}
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "wal: read log")
+	}
+	at := 0
+	for at < len(b) {
+		records, size, v := decodeFrame(b[at:])
+		if v == frameWhole {
+			rec.Records = append(rec.Records, records...)
+			at += size
+			continue
+		}
+		if !tornTail(b, at) {
+			return Damaged{File: name, Offset: int64(at), Reason: "frame checksum fails"}
+		}
+		rec.Dropped = len(b) - at
+		break
+	}
+	l.size = int64(at)
+	return nil
+}
+
+func readSnapshot(dir Dir, gen uint64) ([]byte, error) {
+	name := snapshotName(gen)
+	b, err := dir.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "wal: read snapshot")
+	}
+	records, size, v := decodeFrame(b)
+	if v != frameWhole || size != len(b) || len(records) != 1 {
+		return nil, Damaged{File: name, Reason: "snapshot checksum fails"}
+	}
+	return records[0], nil
+}
+
+// removeOthers deletes temporary files and other generations. A failure is
+// harmless: the next opening tries again.
+func (l *Log) removeOthers(names []string) {
+	for _, name := range names {
+		if name != logName(l.generation) && name != snapshotName(l.generation) && ownName(name) {
+			_ = l.dir.Remove(name)
+		}
+	}
+}
+
+func (l *Log) removeGeneration(gen uint64) {
+	_ = l.dir.Remove(logName(gen))
+	if gen > 0 {
+		_ = l.dir.Remove(snapshotName(gen))
+	}
+}
+
+const tmpSuffix = ".tmp"
+
+func logName(gen uint64) string      { return fmt.Sprintf("%016x.log", gen) }
+func snapshotName(gen uint64) string { return fmt.Sprintf("%016x.snapshot", gen) }
+
+// newestGeneration returns the highest generation with a snapshot in place.
+func newestGeneration(names []string) uint64 {
+	var newest uint64
+	for _, name := range names {
+		var gen uint64
+		if n, err := fmt.Sscanf(name, "%016x.snapshot", &gen); err == nil && n == 1 && name == snapshotName(gen) {
+			newest = max(newest, gen)
+		}
+	}
+	return newest
+}
+
+// ownName reports whether the log made a file of that name.
+func ownName(name string) bool {
+	suffixes := []string{".log", ".snapshot", ".log" + tmpSuffix, ".snapshot" + tmpSuffix}
+	return len(name) > 16 && slices.Contains(suffixes, name[16:])
+}
--- /dev/null
+++ b/transport/link/handshake.go
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// This file defines the handshake that the package comment describes.
+
+const (
+	nonceSize    = 32
+	maxHandshake = 512
+)
+
+// hello is the first frame of each side. The dialer's has no proof.
+type hello struct {
+	Nonce []byte `cbor:"1,keyasint"`
+	Name  string `cbor:"2,keyasint"`
+	Proof []byte `cbor:"3,keyasint,omitempty"`
+}
+
+func dialHandshake(ctx context.Context, conn *websocket.Conn, id Identity) (peer string, err error) {
+	conn.SetReadLimit(maxHandshake)
+	own := newHello(id)
+	if err := writeFrame(ctx, conn, own); err != nil {
+		return "", err
+	}
+	var theirs hello
+	if err := readFrame(ctx, conn, &theirs); err != nil {
+		return "", err
+	}
+	if !hmac.Equal(theirs.Proof, proof(id.Key, "acceptor", own, theirs)) {
+		return "", WrongKey{Peer: theirs.Name}
+	}
+	return theirs.Name, writeFrame(ctx, conn, hello{Proof: proof(id.Key, "dialer", own, theirs)})
+}
+
+func acceptHandshake(ctx context.Context, conn *websocket.Conn, id Identity) (peer string, err error) {
+	conn.SetReadLimit(maxHandshake)
+	var theirs hello
+	if err := readFrame(ctx, conn, &theirs); err != nil {
+		return "", err
+	}
+	if len(theirs.Nonce) != nonceSize {
+		return "", WrongKey{Peer: theirs.Name}
+	}
+	own := newHello(id)
+	own.Proof = proof(id.Key, "acceptor", theirs, own)
+	if err := writeFrame(ctx, conn, own); err != nil {
+		return "", err
+	}
+	var last hello
+	if err := readFrame(ctx, conn, &last); err != nil {
+		return "", err
+	}
+	if !hmac.Equal(last.Proof, proof(id.Key, "dialer", theirs, own)) {
+		return "", WrongKey{Peer: theirs.Name}
+	}
+	return theirs.Name, nil
+}
+
+func newHello(id Identity) hello {
+	nonce := make([]byte, nonceSize)
+	_, _ = rand.Read(nonce) // crypto/rand does not fail since Go 1.24
+	return hello{Nonce: nonce, Name: id.Name}
+}
+
+// proof binds both nonces and both names to the key. Lengths are hashed
+// before the names, so that no two pairs of names give the same bytes.
+func proof(key []byte, side string, dialer, acceptor hello) []byte {
+	h := hmac.New(sha256.New, key)
+	for _, part := range [][]byte{[]byte(side), dialer.Nonce, acceptor.Nonce, []byte(dialer.Name), []byte(acceptor.Name)} {
+		h.Write([]byte{byte(len(part) >> 8), byte(len(part))})
+		h.Write(part)
+	}
+	return h.Sum(nil)
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, v hello) error {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return Broken{Peer: v.Name, Err: err}
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return Broken{Peer: v.Name, Err: err}
+	}
+	return nil
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn, v *hello) error {
+	_, b, err := conn.Read(ctx)
+	if err != nil {
+		return Broken{Err: err}
+	}
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return Broken{Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/link/link.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package link carries protocol messages between two boxes of the fleet over
+// one WebSocket.
+//
+// The model: a link is opened by one side, proves to both that the other
+// knows the fleet key, and then carries whole messages in order until either
+// side closes it or it fails. Nothing of a message is read before the proof:
+// the handshake is three binary frames of bounded size, each at most
+// maxHandshake bytes,
+//
+//	dialer   → nonce, name
+//	acceptor → nonce, name, HMAC-SHA256(key, "acceptor" both nonces both names)
+//	dialer   → HMAC-SHA256(key, "dialer" both nonces both names)
+//
+// so that a recorded handshake proves nothing later and neither side's proof
+// can be reflected. A key in a header was rejected: whoever accepts the
+// connection would learn it. The link is not encrypted by itself; where the
+// network between halls is not trusted, give the daemons certificates.
+//
+// Every read and write has a deadline; bytes are counted by kind and
+// direction.
+package link
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines Link and the two ways to open one.
+
+// Path is where a box accepts links.
+const Path = "/fleet/v1/link"
+
+// Times that bound what a peer may take.
+const (
+	HandshakeTimeout = 3 * time.Second
+	WriteTimeout     = 5 * time.Second
+)
+
+// Identity is what a box proves and says of itself.
+type Identity struct {
+	Name string
+	Key  []byte // the fleet key, equal on all boxes
+}
+
+// Link is an open, authenticated link. Send and Receive may be called
+// concurrently with each other.
+type Link struct {
+	conn  *websocket.Conn
+	peer  string
+	meter *Meter
+}
+
+// Dial opens a link to the box at address (IP:PORT).
+func Dial(ctx context.Context, address string, id Identity, m *Meter) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
+	defer cancel()
+	conn, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if resp != nil && resp.Body != nil {
+		defer resp.Body.Close()
+	}
+	if err != nil {
+		return nil, Unreachable{Address: address, Err: err}
+	}
+	peer, err := dialHandshake(ctx, conn, id)
+	if err != nil {
+		conn.CloseNow()
+		return nil, err
+	}
+	return newLink(conn, peer, m), nil
+}
+
+// Accept opens a link from an HTTP request at Path. It writes the response
+// itself.
+func Accept(w http.ResponseWriter, r *http.Request, id Identity, m *Meter) (*Link, error) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, Unreachable{Address: r.RemoteAddr, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), HandshakeTimeout)
+	defer cancel()
+	peer, err := acceptHandshake(ctx, conn, id)
+	if err != nil {
+		conn.CloseNow()
+		return nil, err
+	}
+	return newLink(conn, peer, m), nil
+}
+
+func newLink(conn *websocket.Conn, peer string, m *Meter) *Link {
+	conn.SetReadLimit(protocol.MaxMessage)
+	return &Link{conn: conn, peer: peer, meter: m}
+}
+
+// Peer returns the proven name of the other box.
+func (l *Link) Peer() string { return l.peer }
+
+// Send writes one message and returns its size in bytes. After an error the
+// link is closed.
+func (l *Link) Send(ctx context.Context, m protocol.Message) (int, error) {
+	b, err := protocol.Encode(m)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, WriteTimeout)
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, b); err != nil {
+		l.Close()
+		return 0, Broken{Peer: l.peer, Err: err}
+	}
+	l.meter.sent(protocol.KindOf(m), len(b))
+	return len(b), nil
+}
+
+// Receive waits for the next message. It skips kinds that this version does
+// not know. After an error the link is closed.
+func (l *Link) Receive(ctx context.Context) (protocol.Message, error) {
+	for {
+		_, b, err := l.conn.Read(ctx)
+		if err != nil {
+			l.Close()
+			return nil, Broken{Peer: l.peer, Err: err}
+		}
+		m, err := protocol.Decode(b)
+		if err != nil {
+			l.Close()
+			return nil, err
+		}
+		if m != nil {
+			l.meter.received(protocol.KindOf(m), len(b))
+			return m, nil
+		}
+	}
+}
+
+// Close ends the link at once. It may be called more than once.
+func (l *Link) Close() { _ = l.conn.CloseNow() }
--- /dev/null
+++ b/transport/link/meter.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines Meter, the counters of control traffic.
+
+// Meter counts bytes and messages of control traffic by direction and kind.
+// A nil Meter counts nothing.
+type Meter struct{ set *metrics.Set }
+
+// NewMeter returns a meter whose counters are in set.
+func NewMeter(set *metrics.Set) *Meter { return &Meter{set: set} }
+
+func (m *Meter) sent(k protocol.Kind, bytes int)     { m.count("out", k, bytes) }
+func (m *Meter) received(k protocol.Kind, bytes int) { m.count("in", k, bytes) }
+
+func (m *Meter) count(direction string, k protocol.Kind, bytes int) {
+	if m == nil {
+		return
+	}
+	labels := fmt.Sprintf(`{direction=%q,kind=%q}`, direction, k)
+	m.set.GetOrCreateCounter("badgerspoke_control_bytes_total" + labels).Add(bytes)
+	m.set.GetOrCreateCounter("badgerspoke_control_messages_total" + labels).Inc()
+}
