Test consensus under random schedules, the log under crashes; make pools pure

Cause: the consensus package and the log had no tests, and the router's pool mixed decisions with its lock.

Found by the new tests and mended: - formation: a replica promised itself to whoever asked last, not to the founder, so three blank replicas never formed a group; - a blank replica answered its repairer under group 0, which the leader dropped, so a lost disk was never repaired.

--- /dev/null
+++ b/coordination/consensus/consensus_test.go
@@ -0,0 +1,314 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+func TestGroupFormsAndCommits(t *testing.T) {
+	is := is.New(t)
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		c := newCluster(t, 1, names...)
+		l := c.mustLead()
+		is.True(c.propose(l))
+		c.settle(100 * time.Millisecond)
+		is.Equal(c.acked, []string{"0"})
+		c.checkSame()
+	}
+}
+
+func TestFoundationLostOnItsWay(t *testing.T) {
+	c := newCluster(t, 2, "a", "b", "c")
+	for c.members["a"].node == nil { // a founds the group
+		c.tick(5 * time.Millisecond)
+		for len(c.net) > 0 && c.members["a"].node == nil {
+			c.deliver(0)
+		}
+	}
+	c.net = nil // and nobody hears of it
+	c.mustLead()
+	c.settle(200 * time.Millisecond)
+	c.checkSame()
+	for _, n := range c.names {
+		if c.members[n].node == nil {
+			t.Fatalf("%s never joined", n)
+		}
+	}
+}
+
+func TestLeaderCutOffInSilence(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, "a", "b", "c")
+	old := c.mustLead()
+	c.propose(old)
+	c.settle(50 * time.Millisecond)
+	c.cut[old] = true
+	c.propose(old) // can never be committed
+	c.settle(time.Second)
+	is.True(!c.members[old].node.Leads(c.now)) // its lease ran out
+	next := c.mustLead()
+	is.True(next != old)
+	c.propose(next)
+	c.settle(50 * time.Millisecond)
+	is.Equal(c.acked, []string{"0", "2"})
+	term := c.members[next].node.hard.Term
+	c.settle(3 * time.Second) // a long silence
+	delete(c.cut, old)
+	c.settle(time.Second)
+	is.Equal(c.leader(), next) // the returned one did not disturb
+	is.Equal(c.members[next].node.hard.Term, term)
+	c.checkSame()
+}
+
+func TestLostDiskIsRepaired(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4, "a", "b", "c")
+	l := c.mustLead()
+	for range 5 {
+		c.propose(l)
+	}
+	c.settle(100 * time.Millisecond)
+	lost := others(c, l)[0]
+	c.kill(lost)
+	c.blank(lost)
+	c.start(lost)
+	c.settle(time.Second)
+	members := c.members[c.leader()].node.log.members()
+	is.Equal(len(members.Voters), 3)
+	is.True(contains(members.Voters, c.members[lost].self()))
+	// A second box, lost right after the repair, loses nothing accepted.
+	second := others(c, lost)[0]
+	c.kill(second)
+	c.blank(second)
+	c.start(second)
+	c.settle(2 * time.Second)
+	is.Equal(len(c.acked), 5)
+	c.checkSame()
+	is.Equal(len(c.members[c.leader()].node.log.members().Voters), 3)
+}
+
+func TestBlankReplicaNeverVotes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5, "a", "b", "c")
+	l := c.mustLead()
+	c.propose(l)
+	c.settle(50 * time.Millisecond)
+	// The leader and a follower vanish; the third loses its disk. Nobody who
+	// is left knows what was accepted, so nobody may lead.
+	for _, n := range c.names {
+		if n != l {
+			c.kill(n)
+			c.blank(n)
+			c.start(n)
+		}
+	}
+	c.kill(l)
+	c.settle(3 * time.Second)
+	is.Equal(c.leader(), "")
+	c.start(l)
+	c.settle(2 * time.Second)
+	is.Equal(c.leader(), "") // one of three is no majority, and nothing is guessed
+}
+
+func TestMissedHundredsOfChanges(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 6, "a", "b", "c")
+	l := c.mustLead()
+	away := others(c, l)[0]
+	c.kill(away)
+	for range 200 {
+		c.propose(l)
+		c.drain()
+	}
+	c.settle(100 * time.Millisecond)
+	c.compact(l)
+	c.start(away)
+	c.settle(time.Second)
+	is.Equal(len(c.members[away].applied), 200)
+	is.True(c.members[away].node.log.snapshot.Index > 200) // it came by snapshot
+	c.checkSame()
+}
+
+func TestLeadershipIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 7, "a", "b", "c")
+	l := c.mustLead()
+	target := others(c, l)[1]
+	c.step(l, func(m *member) { is.True(m.node.Transfer(target)) })
+	c.drain()
+	is.True(!c.members[l].node.Leads(c.now)) // its lease is void at once
+	c.settle(30 * time.Millisecond)          // far less than an election timeout
+	is.Equal(c.leader(), target)
+}
+
+func TestRestartedReplicaKeepsItsPromise(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 8, "a", "b", "c")
+	l := c.mustLead()
+	lonely, forgetful := others(c, l)[0], others(c, l)[1]
+	c.cut[lonely] = true
+	c.settle(400 * time.Millisecond) // lonely wants to be elected by now
+	c.kill(forgetful)
+	c.start(forgetful)
+	lease := c.members[l].node.leaseEnd()
+	c.cut[l] = true
+	delete(c.cut, lonely)
+	for c.now < lease {
+		is.Equal(c.leader(), "") // l is cut off, and nobody else may lead yet
+		c.tick(time.Millisecond)
+		c.drain()
+	}
+	next := c.mustLead() // afterwards somebody must
+	is.True(next != l)
+}
+
+// TestOldTermIsNotCommittedByCount is the case of figure 8 of the Raft paper:
+// an entry of an earlier term on a majority may still be overwritten, until an
+// entry of the leader's own term is on a majority too.
+func TestOldTermIsNotCommittedByCount(t *testing.T) {
+	is := is.New(t)
+	a, b, x := protocol.Peer{Name: "a", Incarnation: 1}, protocol.Peer{Name: "b", Incarnation: 2}, protocol.Peer{Name: "x", Incarnation: 3}
+	n := New(Config{
+		Name: "g", Self: a, Election: testElection, Heartbeat: testHeartbeat, Rand: func(int64) int64 { return 0 },
+	}, 0, Durable{
+		Hard:     protocol.HardState{Term: 3},
+		Snapshot: protocol.Snapshot{Group: 7, Index: 1, Term: 1, Members: protocol.Membership{Voters: []protocol.Peer{a, b, x}}},
+		Entries:  []protocol.Entry{{Term: 2, Index: 2, Data: []byte("old")}},
+	})
+	now := 2 * testElection
+	n.Tick(now)
+	reply := func(m protocol.Consensus) {
+		m.Name, m.Group, m.From, m.To = "g", 7, b, a
+		n.Step(now, m)
+		n.Ready()
+		n.Advance()
+	}
+	reply(protocol.Consensus{Kind: protocol.MsgPreVoteReply, Term: 4})
+	reply(protocol.Consensus{Kind: protocol.MsgVoteReply, Term: 4})
+	is.Equal(n.Status().Role, Leader)
+	reply(protocol.Consensus{Kind: protocol.MsgAppendReply, Term: 4, Index: 2})
+	is.Equal(n.Status().Commit, uint64(1)) // on a majority, and not committed
+	reply(protocol.Consensus{Kind: protocol.MsgAppendReply, Term: 4, Index: 3})
+	is.Equal(n.Status().Commit, uint64(3))
+}
+
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 9, "a", "b", "c")
+	l := c.mustLead()
+	m := c.members[l].node
+	two := protocol.Membership{Voters: m.log.members().Voters[:1]}
+	err := m.ChangeMembership(two) // drops two voters at once
+	is.Equal(err, ChangePending{Index: m.log.lastChange()})
+	one := protocol.Membership{Voters: m.log.members().Voters[:2]}
+	is.NoErr(m.ChangeMembership(one))
+	err = m.ChangeMembership(one) // the first is not committed yet
+	is.Equal(err, ChangePending{Index: m.log.lastChange()})
+}
+
+// TestRandomSchedules lets everything go wrong in every order: messages lost,
+// late, twice and out of order, replicas killed, restarted, cut off, one disk
+// at a time lost, logs compacted, leadership handed over. The cluster checks
+// one leader a term, one leaseholder at a time and equal histories at every
+// step; at the end, without faults, it must make progress and hold everything
+// that was ever acknowledged.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		if rapid.Bool().Draw(t, "five") {
+			names = append(names, "d", "e")
+		}
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), names...)
+		c.mustLead()
+		steps := rapid.IntRange(200, 1500).Draw(t, "steps")
+		for range steps {
+			c.randomStep()
+			c.leader() // fails when two have a lease
+		}
+		c.cut = map[string]bool{}
+		for _, n := range names {
+			if !c.members[n].running {
+				c.start(n)
+			}
+		}
+		l := c.mustLead()
+		c.propose(l)
+		c.settle(3 * time.Second)
+		c.mustLead()
+		c.checkSame()
+	})
+}
+
+func (c *cluster) randomStep() {
+	name := c.names[c.rng.IntN(len(c.names))]
+	switch p := c.rng.IntN(1000); {
+	case p < 450 && len(c.net) > 0:
+		c.deliver(0)
+	case p < 550 && len(c.net) > 0:
+		c.deliver(c.rng.IntN(len(c.net))) // out of order
+	case p < 580 && len(c.net) > 0:
+		c.net = append(c.net, c.net[c.rng.IntN(len(c.net))]) // twice
+	case p < 620 && len(c.net) > 0:
+		c.net = c.net[1:] // lost
+	case p < 850:
+		c.tick(time.Duration(c.rng.IntN(20)) * time.Millisecond)
+	case p < 920:
+		c.propose(name)
+	case p < 940:
+		c.cut[name] = !c.cut[name]
+	case p < 955:
+		c.kill(name)
+	case p < 985:
+		if !c.members[name].running {
+			c.start(name)
+		}
+	case p < 992:
+		c.compact(name)
+	case p < 996:
+		c.step(name, func(m *member) {
+			if m.node != nil {
+				m.node.Transfer("")
+			}
+		})
+	default:
+		c.loseDisk(name)
+	}
+}
+
+// loseDisk empties one disk, if every other replica runs and the group is
+// whole: with more disks lost than a minority, no algorithm keeps a promise.
+func (c *cluster) loseDisk(name string) {
+	l := c.leader()
+	if l == "" || l == name {
+		return
+	}
+	voters := c.members[l].node.log.members().Voters
+	for _, n := range c.names {
+		if !c.members[n].running || c.cut[n] || !contains(voters, c.members[n].self()) {
+			return
+		}
+	}
+	if len(voters) != len(c.names) || c.members[l].node.changePending() {
+		return
+	}
+	c.kill(name)
+	c.blank(name)
+	c.start(name)
+}
+
+func others(c *cluster, name string) []string {
+	var out []string
+	for _, n := range c.names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/coordination/consensus/formation.go
+++ b/coordination/consensus/formation.go
@@ -32,7 +32,7 @@
 	interval time.Duration
 	next     time.Duration
 	answers  map[string]blankAnswer
-	promised protocol.Peer // whose query was answered last
+	promised protocol.Peer // founder whose query was answered last
 	out      []protocol.Consensus
 }
 
@@ -94,7 +94,9 @@
 	}
 	switch m.Kind {
 	case protocol.MsgBlankQuery:
-		f.promised = m.From
+		if m.From.Name == f.names[0] {
+			f.promised = m.From
+		}
 		f.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
 	case protocol.MsgBlankReply:
 		f.answers[m.From.Name] = blankAnswer{peer: m.From, blank: m.Group == 0}
--- a/coordination/consensus/node.go
+++ b/coordination/consensus/node.go
@@ -114,6 +114,7 @@
 	transferEnd time.Duration
 	leaseLost   bool // leadership was offered to another
 
+	host     uint64 // group that repairs this blank replica
 	incoming *incomingSnapshot
 	nextJoin time.Duration
 
@@ -308,14 +309,16 @@
 	if m.Kind == protocol.MsgJoin {
 		return own != 0
 	}
-	blankReceives := own == 0 && (m.Kind == protocol.MsgSnapshot || m.Kind == protocol.MsgAppend)
-	return m.Group != 0 && (m.Group == own || blankReceives)
+	if own == 0 && (m.Kind == protocol.MsgSnapshot || m.Kind == protocol.MsgAppend) {
+		n.host = m.Group // a blank replica belongs to whoever repairs it
+	}
+	return m.Group != 0 && m.Group == n.group()
 }
 
 // send queues a message, filling in what every message carries.
 func (n *Node) send(m protocol.Consensus) {
 	m.Name = n.cfg.Name
-	m.Group = n.log.snapshot.Group
+	m.Group = n.group()
 	m.From = n.cfg.Self
 	if m.Term == 0 {
 		m.Term = n.hard.Term
@@ -323,6 +326,15 @@
 	n.pending.Messages = append(n.pending.Messages, m)
 }
 
+// group returns the identity of the group, or of the one that is repairing
+// this replica.
+func (n *Node) group() uint64 {
+	if own := n.log.snapshot.Group; own != 0 {
+		return own
+	}
+	return n.host
+}
+
 func (n *Node) setHard(term uint64, vote protocol.Peer) {
 	h := protocol.HardState{Term: term, Vote: vote}
 	if h != n.hard {
--- /dev/null
+++ b/coordination/pool/pool.go
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package pool is one pool of backend servers as one router sees it: the work
+// that waits, the slots that the router holds, and the choice of server.
+//
+// The model: the decisions of coordination/share (whose work goes next),
+// coordination/slots (may it go on a slot held here) and coordination/place
+// (on which server) joined into one value. Whatever happens to the pool is a
+// method; afterwards the owner calls [Pool.Dispatch] and starts what it
+// returns, and looks at [Pool.News] to see whether the allocator should hear.
+//
+// A Pool is pure: the time is an argument and nothing waits or sends. It is
+// not safe for concurrent use; the router keeps one lock for each.
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+)
+
+// This file defines Pool: how work comes, starts and ends. What it exchanges
+// with the allocator is in fleet.go.
+
+// Settings of a pool.
+type Settings struct {
+	Limits        share.Limits // over all accounts
+	Linger        time.Duration
+	FirstEstimate float64 // cost of a request of which nothing is known
+	PrefixBlocks  int     // prompt blocks remembered
+}
+
+// Server is a serving backend server.
+type Server struct {
+	Name  string
+	Slots int
+}
+
+// Account is a client account as the pool needs it.
+type Account struct {
+	Name   string
+	Share  float64
+	Limits share.Limits
+}
+
+// Work is one request. The owner keeps it until it has ended.
+type Work struct {
+	Account  string
+	Class    string
+	Flow     string
+	Bytes    int64
+	Blocks   []place.Block
+	Deadline time.Duration // when waiting ends; 0 is never
+	Value    any           // the owner's own
+
+	ticket *share.Ticket
+	meter  share.Meter
+}
+
+// Start is work whose turn has come, on a slot of Server.
+type Start struct {
+	Work   *Work
+	Server string
+}
+
+// Pool is one pool on one router.
+type Pool struct {
+	name     string
+	set      Settings
+	queue    *share.Queue
+	holder   *slots.Holder
+	placer   *place.Placer
+	costs    *share.Estimator
+	fleet    slots.Fleet
+	servers  map[string]Server
+	accounts map[string]bool
+	suspects []string
+	idle     int // free slots as last reported
+}
+
+// New returns a pool without accounts or servers.
+func New(name string, set Settings) *Pool {
+	return &Pool{
+		name: name, set: set, queue: share.NewQueue(set.Limits), holder: slots.NewHolder(),
+		placer: place.New(set.PrefixBlocks), costs: share.NewEstimator(set.FirstEstimate),
+		servers: map[string]Server{}, accounts: map[string]bool{},
+	}
+}
+
+// Name returns the pool's name.
+func (p *Pool) Name() string { return p.name }
+
+// Configure takes the accounts and the serving servers. Slots of other
+// servers go back; the waiting work of accounts that are gone is returned.
+func (p *Pool) Configure(accounts []Account, servers []Server) (dropped []*Work) {
+	clear(p.servers)
+	for _, s := range servers {
+		p.servers[s.Name] = s
+	}
+	p.placer.Health.SetSize(len(p.servers))
+	for _, name := range p.holder.FreeServers() {
+		if _, ok := p.servers[name]; !ok {
+			p.holder.Return(name, math.MaxInt)
+		}
+	}
+	seen := make(map[string]bool, len(accounts))
+	for _, a := range accounts {
+		seen[a.Name] = true
+		p.queue.SetAccount(a.Name, a.Share, a.Limits)
+	}
+	for name := range p.accounts {
+		if !seen[name] {
+			dropped = append(dropped, works(p.queue.RemoveAccount(name))...)
+			p.costs.Forget(name)
+		}
+	}
+	p.accounts = seen
+	return dropped
+}
+
+// Push adds work to the queue. The error is [share.Full] or
+// [share.NoAccount].
+func (p *Pool) Push(w *Work) error {
+	t, err := p.queue.Push(share.Request{
+		Account: w.Account, Flow: w.Flow, Bytes: w.Bytes, Deadline: w.Deadline, Value: w,
+	})
+	if err != nil {
+		return err
+	}
+	w.ticket = t
+	return nil
+}
+
+// Cancel takes work out of the queue and reports whether it was still there.
+func (p *Pool) Cancel(w *Work) bool { return p.queue.Cancel(w.ticket) }
+
+// Expire takes out the work whose deadline is not after now.
+func (p *Pool) Expire(now time.Duration) []*Work { return works(p.queue.Expire(now)) }
+
+// Drop takes out all waiting work.
+func (p *Pool) Drop() []*Work { return works(p.queue.Drop()) }
+
+// Waiting returns the number of waiting requests.
+func (p *Pool) Waiting() int { n, _ := p.queue.Len(); return n }
+
+// Dispatch uses free slots for waiting work as far as the fleet's fairness
+// allows, gives back those that are wanted elsewhere, and returns what starts
+// now. Without a lease nothing starts.
+func (p *Pool) Dispatch(now time.Duration, leased bool) []Start {
+	var started []Start
+	for leased {
+		best := math.Inf(1)
+		account, time, waits := p.queue.Best()
+		if waits {
+			best = time
+		}
+		switch slots.Decide(now, best, p.fleet) {
+		case slots.Keep:
+			return started
+		case slots.Return:
+			p.holder.ReturnIdle()
+			return started
+		}
+		s, ok := p.startOne(now, account)
+		if !ok {
+			return started
+		}
+		started = append(started, s)
+	}
+	return started
+}
+
+// startOne starts the next work of an account on the best server, if any has
+// a free slot.
+func (p *Pool) startOne(now time.Duration, account string) (Start, bool) {
+	candidates := p.candidates(now)
+	next := p.queue.Peek(account, 1)
+	if len(candidates) == 0 || len(next) == 0 {
+		return Start{}, false
+	}
+	w := next[0].Value.(*Work)
+	server, ok := p.placer.Choose(now, candidates, w.Blocks)
+	if !ok {
+		return Start{}, false
+	}
+	p.holder.Start(server)
+	p.placer.Health.Sent(server)
+	p.placer.Index.Sent(server, w.Blocks)
+	p.queue.Start(next[0], w.meter.Start(p.costs.Estimate(account, w.Class)))
+	return Start{Work: w, Server: server}, true
+}
+
+// candidates returns the serving, healthy servers with a free slot. Slots of
+// the others go back.
+func (p *Pool) candidates(now time.Duration) []place.Candidate {
+	var out []place.Candidate
+	for _, name := range p.holder.FreeServers() {
+		s, serving := p.servers[name]
+		if !serving {
+			p.holder.Return(name, math.MaxInt)
+			continue
+		}
+		if !p.placer.Health.Usable(now, name) {
+			p.holder.Return(name, math.MaxInt)
+			p.suspects = append(p.suspects, name)
+			continue
+		}
+		out = append(out, place.Candidate{Server: name, Slots: s.Slots, Running: p.holder.Running(name)})
+	}
+	return out
+}
+
+// Progress charges what running work has cost so far.
+func (p *Pool) Progress(w *Work, cost float64) {
+	if extra := w.meter.Progress(cost); extra > 0 {
+		p.queue.Charge(w.Account, extra)
+	}
+}
+
+// Result is how work ended on a server.
+type Result uint8
+
+// The results.
+const (
+	Served    Result = iota // the server answered
+	Failed                  // the server failed
+	Abandoned               // says nothing about the server
+)
+
+// Finish settles work that used a slot. It reports whether the server is
+// ejected now.
+func (p *Pool) Finish(now time.Duration, w *Work, server string, cost float64, r Result) (ejected bool) {
+	p.queue.Charge(w.Account, w.meter.Finish(cost))
+	w.meter = share.Meter{}
+	p.queue.Finish(w.Account)
+	p.holder.Done(now, server)
+	switch r {
+	case Served:
+		p.costs.Observe(w.Account, w.Class, cost)
+		p.placer.Health.Succeeded(server)
+	case Failed:
+		if ejected = p.placer.Health.Failed(now, server); ejected {
+			p.suspects = append(p.suspects, server)
+		}
+	case Abandoned:
+		p.placer.Health.Abandoned(server)
+	}
+	return ejected
+}
+
+// Stat returns how an account stands.
+func (p *Pool) Stat(account string) share.Stat { return p.queue.Stat(account) }
+
+// Report takes a server's load report.
+func (p *Pool) Report(server string, l place.Load) { p.placer.Report(server, l) }
+
+// CacheEvent takes what a server tells of its cache.
+func (p *Pool) CacheEvent(server string, e place.Event) { p.placer.Index.Take(server, e) }
+
+func works(tickets []*share.Ticket) []*Work {
+	out := make([]*Work, 0, len(tickets))
+	for _, t := range tickets {
+		out = append(out, t.Value.(*Work))
+	}
+	return out
+}
--- a/coordination/share/queue.go
+++ b/coordination/share/queue.go
@@ -104,7 +104,7 @@
 	var dropped []*Ticket
 	for a.waiting > 0 {
 		t := a.busy[0].head
-		q.unlink(t)
+		q.Cancel(t)
 		dropped = append(dropped, t)
 	}
 	delete(q.accounts, name)
@@ -170,6 +170,20 @@
 	return expired
 }
 
+// Drop removes and returns everything that waits, in the order of accounts.
+func (q *Queue) Drop() []*Ticket {
+	var dropped []*Ticket
+	for _, name := range sortedNames(q.accounts) {
+		a := q.accounts[name]
+		for a.waiting > 0 {
+			t := a.busy[0].head
+			q.Cancel(t)
+			dropped = append(dropped, t)
+		}
+	}
+	return dropped
+}
+
 // Best returns the account that goes next and its virtual time.
 func (q *Queue) Best() (name string, time float64, ok bool) {
 	if len(q.ready) == 0 {
--- a/coordination/slots/pool.go
+++ b/coordination/slots/pool.go
@@ -29,7 +29,6 @@
 	time   float64 // virtual time, what routers have reported
 	cost   costMean
 	onWay  int          // grants not yet acknowledged
-	unmet  int          // waiting requests without a grant on its way, all routers
 	places []*waitingAt // routers with unmet work
 	cursor int
 	index  int // in pool.unmet, -1 when not in it
--- a/router/call.go
+++ b/router/call.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/badgerspoke/badgerspoke/coordination/place"
-	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
@@ -34,7 +34,7 @@
 	claimed bool
 	abort   bool // the connection must be broken: the answer is not whole
 	came    time.Duration
-	meter   share.Meter
+	work    *pool.Work // of the present turn
 }
 
 // serve runs a call to its end and writes its answer.
@@ -81,10 +81,11 @@
 	if p == nil {
 		return config.Server{}, &failNoServer
 	}
-	t, w, err := p.enqueue(r.now(), c)
+	w, err := p.enqueue(c)
 	if err != nil {
 		return config.Server{}, asFailure(err)
 	}
+	c.work = w.work
 	began := r.now()
 	select {
 	case got := <-w.turn:
@@ -92,8 +93,8 @@
 		return got.server, got.fail
 	case <-ctx.Done():
 	}
-	if got, started := p.cancel(t, w); started {
-		p.finish(r.now(), c, got.server.Name, 0, abandoned)
+	if got, started := p.cancel(w); started {
+		p.finish(c.work, got.server.Name, 0, pool.Abandoned)
 	}
 	f := failGone.WithOutcome(NotRun)
 	return config.Server{}, &f
@@ -109,7 +110,7 @@
 		c.claimed = true
 		return false, nil
 	}
-	r.pool(c.pool).finish(r.now(), c, server.Name, 0, abandoned)
+	r.pool(c.pool).finish(c.work, server.Name, 0, pool.Abandoned)
 	if !ok {
 		r.claims.settle(*c.keyed, protocol.ClaimReleased, nil) // it may have been granted
 		return false, &failClaims
@@ -161,9 +162,9 @@
 		return r.sendFailed(ctx, c, p, server, err)
 	}
 	defer a.Body.Close()
-	rel := relay{router: r, call: c, pool: p, answer: a, began: began}
+	rel := relay{router: r, call: c, pool: p, work: c.work, answer: a, began: began}
 	end := rel.run(w)
-	p.finish(r.now(), c, server.Name, end.cost, end.result)
+	p.finish(c.work, server.Name, end.cost, end.result)
 	r.stats.served(c, end.cost)
 	r.settle(c, a, end)
 	if end.failure != nil {
@@ -176,10 +177,10 @@
 }
 
 // sendFailed decides what follows from a call that got no answer.
-func (r *Router) sendFailed(ctx context.Context, c *call, p *pool, server config.Server, err error) (again bool, f *Failure) {
+func (r *Router) sendFailed(ctx context.Context, c *call, p *lockedPool, server config.Server, err error) (again bool, f *Failure) {
 	var notRun backend.NotRun
 	if ctx.Err() != nil {
-		p.finish(r.now(), c, server.Name, 0, abandoned)
+		p.finish(c.work, server.Name, 0, pool.Abandoned)
 		if errors.As(err, &notRun) {
 			r.release(c)
 			g := failGone.WithOutcome(NotRun)
@@ -188,7 +189,7 @@
 		r.settleUnknown(c)
 		return false, &failGone
 	}
-	p.finish(r.now(), c, server.Name, 0, failed)
+	p.finish(c.work, server.Name, 0, pool.Failed)
 	if errors.As(err, &notRun) {
 		if r.retry() {
 			return true, nil
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/link"
@@ -238,7 +239,7 @@
 	f.mu.Unlock()
 	f.r.lease.extend(sent, length)
 	for _, p := range f.r.poolList() {
-		p.welcomed(w)
+		p.update(func(_ time.Duration, pl *pool.Pool) { pl.Welcomed(w) })
 	}
 	f.r.claims.linked(s)
 	return true
@@ -252,7 +253,7 @@
 	f.mu.Unlock()
 	f.r.claims.unlinked(s)
 	for _, p := range f.r.poolList() {
-		p.unlinked()
+		p.update(func(_ time.Duration, pl *pool.Pool) { pl.Unlinked() })
 	}
 }
 
@@ -315,16 +316,15 @@
 	s.mu.Lock()
 	s.viewSeq = v.Seq
 	s.mu.Unlock()
-	now := f.r.now()
 	for _, pv := range v.Pools {
 		if p := f.r.pool(pv.Pool); p != nil {
-			p.takeView(now, pv, v.ReportSeq)
+			p.update(func(now time.Duration, pl *pool.Pool) { pl.TakeView(now, pv, v.ReportSeq) })
 		}
 	}
 	cfg := f.r.routes.Load().cfg
 	for _, h := range v.Granted {
 		if srv, ok := cfg.Server(h.Server); ok {
-			f.r.pool(srv.Pool).grant(now, h)
+			f.r.pool(srv.Pool).update(func(now time.Duration, pl *pool.Pool) { pl.Grant(now, h) })
 		}
 	}
 }
@@ -372,9 +372,7 @@
 		return
 	}
 	for _, p := range f.r.poolList() {
-		p.mu.Lock()
-		p.holder.ReturnIdle()
-		p.mu.Unlock()
+		p.update(func(_ time.Duration, pl *pool.Pool) { pl.ReturnIdle() })
 	}
 	report, _ := f.buildReport(s)
 	report.Goodbye = true
--- a/router/lease.go
+++ b/router/lease.go
@@ -27,8 +27,3 @@
 		}
 	}
 }
-
-// left returns how long the lease still runs.
-func (l *lease) left(now time.Duration) time.Duration {
-	return max(time.Duration(l.end.Load())-now, 0)
-}
--- a/router/relay.go
+++ b/router/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/claim"
+	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
 )
@@ -26,7 +27,8 @@
 type relay struct {
 	router *Router
 	call   *call
-	pool   *pool
+	pool   *lockedPool
+	work   *pool.Work
 	answer *backend.Answer
 	began  time.Duration
 
@@ -40,7 +42,7 @@
 // relayed is how a relay ended.
 type relayed struct {
 	cost    float64
-	result  result
+	result  pool.Result
 	failure *Failure
 	written bool   // something reached the caller, or the caller is gone
 	whole   []byte // the whole body, if it is small enough to keep
@@ -53,14 +55,14 @@
 		l.scan = &streamScan{}
 	}
 	err, callerGone := l.copy(w)
-	end := relayed{cost: l.cost(), written: true, result: served}
+	end := relayed{cost: l.cost(), written: true, result: pool.Served}
 	switch {
 	case callerGone:
 		f := failGone.WithOutcome(UnknownRun)
-		end.failure, end.result = &f, abandoned
+		end.failure, end.result = &f, pool.Abandoned
 	case err != nil || l.cutShort():
 		f := failBroken
-		end.failure, end.result = &f, failed
+		end.failure, end.result = &f, pool.Failed
 		l.breakOff(w, f)
 	case !l.tooBig:
 		end.whole = l.keep
@@ -123,7 +125,7 @@
 	before := l.scan.chunks
 	l.scan.write(b)
 	if l.scan.chunks/chargeEvery != before/chargeEvery {
-		l.pool.progress(l.call, l.cost())
+		l.pool.progress(l.work, l.cost())
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -89,7 +89,7 @@
 	running sync.WaitGroup
 
 	mu    sync.Mutex // guards pools
-	pools map[string]*pool
+	pools map[string]*lockedPool
 
 	budgetMu sync.Mutex
 	budget   place.Budget
@@ -109,7 +109,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	r := &Router{
 		set: set, boot: rand.Uint64() | 1, start: time.Now(), ctx: ctx, stop: stop,
-		meter: link.NewMeter(set.Metrics), stats: newStats(set.Metrics), pools: map[string]*pool{},
+		meter: link.NewMeter(set.Metrics), stats: newStats(set.Metrics), pools: map[string]*lockedPool{},
 		budget: newBudget(),
 	}
 	r.routes.Store(newRoutes(config.Config{}))
@@ -164,7 +164,7 @@
 		}
 		leased := r.lease.valid(r.now())
 		for _, p := range r.poolList() {
-			p.tick(r.now(), leased)
+			p.tick(leased)
 		}
 	}
 }
@@ -184,12 +184,12 @@
 	}
 	r.mu.Unlock()
 	for _, p := range r.poolList() {
-		p.configure(r.now(), next)
+		p.configure(next)
 	}
 	r.set.Log.Debug("configuration in force", "revision", cfg.Revision())
 }
 
-func (r *Router) pool(name string) *pool {
+func (r *Router) pool(name string) *lockedPool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.pools[name]
@@ -197,7 +197,7 @@
 
 // poolList returns the pools in the order of their names, so that reports do
 // not depend on the map.
-func (r *Router) poolList() []*pool {
+func (r *Router) poolList() []*lockedPool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return sortedPools(r.pools)
--- a/router/routes.go
+++ b/router/routes.go
@@ -72,6 +72,6 @@
 	return false
 }
 
-func sortedPools(m map[string]*pool) []*pool {
-	return slices.SortedFunc(maps.Values(m), func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+func sortedPools(m map[string]*lockedPool) []*lockedPool {
+	return slices.SortedFunc(maps.Values(m), func(a, b *lockedPool) int { return cmp.Compare(a.name, b.name) })
 }
--- /dev/null
+++ b/state/wal/wal_test.go
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package wal_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+)
+
+func open(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, d wal.Dir) (*wal.Log, []string, wal.Recovered) {
+	t.Helper()
+	l, rec, err := wal.Open(d)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	var texts []string
+	for _, r := range rec.Records {
+		texts = append(texts, string(r))
+	}
+	return l, texts, rec
+}
+
+const firstLog = "0000000000000000.log"
+
+// written returns a disk with three frames of one record each, and the offset
+// of each frame's end.
+func written(t *testing.T) (*fakedisk.Disk, []int) {
+	t.Helper()
+	d := fakedisk.New(1)
+	l, _, _ := open(t, d)
+	var ends []int
+	for _, s := range []string{"one", "two", "three"} {
+		if err := l.Append([]byte(s)); err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, d.Size(firstLog))
+	}
+	return d, ends
+}
+
+func TestDamage(t *testing.T) {
+	tests := []struct {
+		name    string
+		harm    func(d *fakedisk.Disk, ends []int)
+		keeps   int  // records
+		refused bool // Damaged
+	}{
+		{"none", func(*fakedisk.Disk, []int) {}, 3, false},
+		{"end cut inside the last payload", func(d *fakedisk.Disk, e []int) { d.Truncate(firstLog, e[2]-1) }, 2, false},
+		{"end cut inside the last header", func(d *fakedisk.Disk, e []int) { d.Truncate(firstLog, e[1]+5) }, 2, false},
+		{"bit flipped in the first payload", func(d *fakedisk.Disk, e []int) { d.Flip(firstLog, e[0]-1) }, 0, true},
+		{"bit flipped in the first header", func(d *fakedisk.Disk, e []int) { d.Flip(firstLog, 5) }, 0, true},
+		{"bit flipped in the middle", func(d *fakedisk.Disk, e []int) { d.Flip(firstLog, e[1]-2) }, 0, true},
+		{"bit flipped in the last payload", func(d *fakedisk.Disk, e []int) { d.Flip(firstLog, e[2]-1) }, 0, true},
+		{"bit flipped in the last header", func(d *fakedisk.Disk, e []int) { d.Flip(firstLog, e[1]+1) }, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d, ends := written(t)
+			tt.harm(d, ends)
+			l, rec, err := wal.Open(d)
+			var damaged wal.Damaged
+			is.Equal(errors.As(err, &damaged), tt.refused)
+			if tt.refused {
+				return
+			}
+			is.NoErr(err)
+			is.Equal(len(rec.Records), tt.keeps)
+			is.NoErr(l.Append([]byte("after"))) // what was dropped does not come back
+			_, texts, _ := open(t, d)
+			is.Equal(len(texts), tt.keeps+1)
+			is.Equal(texts[tt.keeps], "after")
+		})
+	}
+}
+
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	is := is.New(t)
+	d, _ := written(t)
+	l, _, _ := open(t, d)
+	is.NoErr(l.Rotate([]byte("image"), []byte("tail")))
+	d.Flip("0000000000000001.snapshot", 20)
+	_, _, err := wal.Open(d)
+	var damaged wal.Damaged
+	is.True(errors.As(err, &damaged))
+	is.Equal(damaged.File, "0000000000000001.snapshot")
+}
+
+func TestMissingLogIsRefused(t *testing.T) {
+	is := is.New(t)
+	d, _ := written(t)
+	l, _, _ := open(t, d)
+	is.NoErr(l.Rotate([]byte("image")))
+	is.NoErr(d.Remove("0000000000000001.log"))
+	_, _, err := wal.Open(d)
+	var damaged wal.Damaged
+	is.True(errors.As(err, &damaged))
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	is := is.New(t)
+	d, _ := written(t)
+	l, _, _ := open(t, d)
+	d.FailSync()
+	err := l.Append([]byte("four"))
+	var failed wal.Failed
+	is.True(errors.As(err, &failed))
+	is.True(errors.Is(err, fakedisk.ErrSync))
+	d.Crash() // syncs work again, but this log stays broken
+	is.True(errors.As(l.Append([]byte("five")), &failed))
+	_, texts, _ := open(t, d)
+	is.Equal(texts[:3], []string{"one", "two", "three"})
+}
+
+func TestFullDiskLosesNothing(t *testing.T) {
+	is := is.New(t)
+	d, _ := written(t)
+	l, _, _ := open(t, d)
+	d.Room(7)
+	err := l.Append([]byte("does not fit"))
+	is.True(errors.Is(err, fakedisk.ErrFull))
+	d.Room(-1)
+	_, texts, rec := open(t, d)
+	is.Equal(texts, []string{"one", "two", "three"})
+	is.Equal(rec.Dropped, 7)
+}
+
+// TestCrashes appends, rotates and crashes in random order. What was
+// acknowledged is there afterwards, in order, and what was not is there whole
+// or not at all.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := fakedisk.New(rapid.Uint64().Draw(t, "seed"))
+		l, _, _ := open(t, d)
+		var base, acked []string // in the snapshot, and behind it
+		n := 0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			default:
+				var batch [][]byte
+				for range rapid.IntRange(1, 4).Draw(t, "batch") {
+					text := fmt.Sprintf("%d:%s", n, string(make([]byte, rapid.IntRange(0, 900).Draw(t, "pad"))))
+					n++
+					batch = append(batch, []byte(text))
+					acked = append(acked, text)
+				}
+				if err := l.Append(batch...); err != nil {
+					t.Fatalf("append: %v", err)
+				}
+			case 7:
+				all := append(base, acked...)
+				cut := rapid.IntRange(len(base), len(all)).Draw(t, "cut")
+				var tail [][]byte
+				for _, s := range all[cut:] {
+					tail = append(tail, []byte(s))
+				}
+				if err := l.Rotate([]byte(fmt.Sprint(cut)), tail...); err != nil {
+					t.Fatalf("rotate: %v", err)
+				}
+				base, acked = all[:cut:cut], all[cut:]
+			case 8, 9:
+				// A write that is never acknowledged, then the crash.
+				d.Room(rapid.IntRange(0, 3000).Draw(t, "room"))
+				_ = l.Append([]byte("lost"), make([]byte, 2000))
+				d.Room(-1)
+				d.Crash()
+				var rec wal.Recovered
+				var texts []string
+				l, texts, rec = open(t, d)
+				if len(base) > 0 && string(rec.Snapshot) != fmt.Sprint(len(base)) {
+					t.Fatalf("snapshot is %q, want %d", rec.Snapshot, len(base))
+				}
+				if len(texts) == len(acked)+2 && texts[len(acked)] == "lost" {
+					acked = texts // it reached the disk whole
+				}
+				if fmt.Sprint(texts) != fmt.Sprint(acked) {
+					t.Fatalf("recovered %q, acknowledged %q", texts, acked)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, batch := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
+			dir, err := wal.MakeDir(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			l, _, err := wal.Open(dir)
+			if err != nil {
+				b.Fatal(err)
+			}
+			records := make([][]byte, batch)
+			for i := range records {
+				records[i] = make([]byte, 128)
+			}
+			for b.Loop() {
+				if err := l.Append(records...); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.N*batch)/b.Elapsed().Seconds(), "records/s")
+			b.ReportMetric(1/float64(batch), "syncs/record")
+		})
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{1000, 10000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			d := fakedisk.New(1)
+			l, _, err := wal.Open(d)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for range n {
+				if err := l.Append(make([]byte, 128)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for b.Loop() {
+				if _, _, err := wal.Open(d); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
