--- a/control/control.go
+++ b/control/control.go
@@ -36,15 +36,17 @@
 	// name, this one included.
 	Replicas map[string]string
 	// Dir opens the folder of one group under the data folder.
-	Dir       func(group string) (wal.Dir, error)
-	Lease     slots.Lease
-	Pace      slots.Pace
-	Election  time.Duration
-	Heartbeat time.Duration
-	CompactAt int64
-	Random    func() uint64
-	Log       *slog.Logger
-	Metrics   *metrics.Set
+	Dir   func(group string) (wal.Dir, error)
+	Lease slots.Lease
+	// Overcommit is the part of an engine's slots that is granted beyond them.
+	Overcommit float64
+	Pace       slots.Pace
+	Election   time.Duration
+	Heartbeat  time.Duration
+	CompactAt  int64
+	Random     func() uint64
+	Log        *slog.Logger
+	Metrics    *metrics.Set
 }
 
 func (s Settings) withDefaults() Settings {
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -250,26 +251,38 @@
 		return
 	}
 	cfg := d.c.state.Config()
-	d.alloc.Configure(allocatorView(cfg))
+	d.alloc.Configure(allocatorView(cfg, d.c.set.Overcommit))
 	for _, s := range d.sessions {
 		d.pushTo(s, cfg)
 	}
 }
 
-func allocatorView(cfg config.Config) ([]slots.Backend, []slots.Account) {
+// allocatorView returns what the allocator needs of a configuration, by
+// identifiers. over is the part of a server's slots that is granted beyond.
+func allocatorView(cfg config.Config, over float64) ([]slots.Backend, []slots.Account) {
 	var backends []slots.Backend
 	for _, s := range cfg.Servers() {
 		backends = append(backends, slots.Backend{
-			Name: s.Name, Pool: s.Pool, Slots: s.Slots, Serving: s.Mark == config.Serving,
+			Name: s.ID, Pool: s.Pool, Slots: s.Slots, Extra: extra(s, over), Serving: s.Mark == config.Serving,
 		})
 	}
 	var accounts []slots.Account
 	for _, a := range cfg.Accounts() {
-		accounts = append(accounts, slots.Account{Name: a.Name, Share: a.Share})
+		accounts = append(accounts, slots.Account{Name: a.ID, Share: a.Share})
 	}
 	return backends, accounts
 }
 
+// extra returns how many slots of a server are granted beyond what it runs at
+// once, to wait in its own queue and hide the way of the next grant. Plain
+// services are not assumed to queue.
+func extra(s config.Server, over float64) int {
+	if s.Kind != config.Engine {
+		return 0
+	}
+	return int(math.Ceil(over * float64(s.Slots)))
+}
+
 // pushTo sends what leads a router to cfg: a delta if the past is remembered,
 // else a snapshot.
 func (d *dispatcher) pushTo(s *session, cfg config.Config) {
@@ -306,7 +319,7 @@
 		if s := d.sessions[o.Router]; s != nil {
 			s.out.Send(o.View)
 		}
-		d.alloc.Sent(now, o.Router, viewSize(o.View))
+		d.alloc.Sent(now, o, viewSize(o.View))
 	}
 	next, ok := d.alloc.NextView()
 	if !ok {
--- a/control/status.go
+++ b/control/status.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/state/config"
 )
 
 // This file defines the operators' calls that read.
@@ -103,10 +104,11 @@
 		}
 		out.Routers = append(out.Routers, rs)
 	}
+	servers, accounts := namesByID(cfg)
 	for _, oc := range d.alloc.Occupancies() {
-		s, _ := cfg.Server(oc.Server)
+		s, _ := cfg.Server(servers[oc.Server])
 		out.Servers = append(out.Servers, &operatorv1.ServerStatus{
-			Name: oc.Server, Pool: oc.Pool, Mark: operatorv1.Mark(s.Mark), Slots: uint32(oc.Slots),
+			Name: s.Name, Pool: oc.Pool, Mark: operatorv1.Mark(s.Mark), Slots: uint32(oc.Slots),
 			Granted: uint32(max(oc.Granted, 0)), Empty: oc.Granted <= 0 && !out.TakingOver,
 		})
 	}
@@ -115,12 +117,24 @@
 			continue
 		}
 		out.Standings = append(out.Standings, &operatorv1.Standing{
-			Pool: st.Pool, Account: st.Account, Share: st.Share, NormalisedService: st.Time, Waiting: uint32(st.Waiting),
+			Pool: st.Pool, Account: accounts[st.Account], Share: st.Share, NormalisedService: st.Time, Waiting: uint32(st.Waiting),
 		})
 	}
 	return out
 }
 
+// namesByID returns the names of servers and accounts by identifier.
+func namesByID(cfg config.Config) (servers, accounts map[string]string) {
+	servers, accounts = map[string]string{}, map[string]string{}
+	for _, s := range cfg.Servers() {
+		servers[s.ID] = s.Name
+	}
+	for _, a := range cfg.Accounts() {
+		accounts[a.ID] = a.Name
+	}
+	return servers, accounts
+}
+
 // spread tells how far a revision is in force. Nobody can be left on an older
 // one once every process that may hold a lease has confirmed it: a router is
 // not renewed before it was sent the newest configuration.
--- a/coordination/pool/fleet.go
+++ b/coordination/pool/fleet.go
@@ -32,7 +32,9 @@
 	return NoNews
 }
 
-// TakeReport adds what is new in this pool to a report with number seq.
+// TakeReport adds what is new in this pool to a report with number seq. Urgent
+// or not, a report holds everything: with only the urgent part the allocator
+// took work for waiting that had started since, and granted slots for it.
 func (p *Pool) TakeReport(seq uint64, into *protocol.Report) {
 	into.Returned = append(into.Returned, p.holder.TakeReturned()...)
 	into.Suspects = append(into.Suspects, p.suspects...)
@@ -40,7 +42,7 @@
 	pr := protocol.PoolReport{Pool: p.name, Idle: p.holder.Idle()}
 	for _, c := range p.queue.TakeChanges(seq) {
 		pr.Accounts = append(pr.Accounts, protocol.AccountReport{
-			Account: c.Account, Waiting: c.Waiting, Service: c.Service, Started: c.Started,
+			Account: c.Account, Waiting: c.Waiting, Service: c.Service, Started: c.Started, Running: c.Running,
 		})
 	}
 	if len(pr.Accounts) > 0 || pr.Idle != p.idle {
@@ -52,8 +54,11 @@
 // TakeView takes what the allocator says of this pool, which includes this
 // router's reports up to number reports.
 func (p *Pool) TakeView(now time.Duration, v protocol.PoolView, reports uint64) {
-	p.fleet = slots.Fleet{Unmet: v.Unmet, Floor: v.Floor, Slack: v.Slack, At: now}
-	p.queue.SetFloor(v.Floor)
+	p.fleet = slots.Fleet{Short: v.Short, Floor: v.Floor, Slack: v.Slack, Rate: v.Rate, At: now}
+	p.queue.SetLift(v.Lift)
+	if v.Recall > 0 {
+		p.holder.Recall(v.Recall)
+	}
 	for _, a := range v.Accounts {
 		p.queue.SetTime(a.Account, v.Floor+a.Ahead, reports)
 	}
@@ -82,7 +87,7 @@
 		p.holder.Expire()
 	}
 	p.fleet = slots.Fleet{}
-	v := protocol.PoolView{Pool: p.name, Floor: p.queue.Floor()}
+	v := protocol.PoolView{Pool: p.name, Floor: p.queue.Lift(), Lift: p.queue.Lift()}
 	for _, s := range p.queue.Times() {
 		if s.Time != 0 {
 			v.Accounts = append(v.Accounts, protocol.AccountView{Account: s.Account, Ahead: s.Time - v.Floor})
--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -157,7 +157,7 @@
 		if waits {
 			best = time
 		}
-		switch slots.Decide(now, best, p.fleet) {
+		switch slots.Decide(now, best, p.holder.Granted(), p.fleet) {
 		case slots.Keep:
 			return started
 		case slots.Return:
@@ -267,3 +267,7 @@
 	}
 	return out
 }
+
+// Usable returns the slots of each server that the pool holds, in use or
+// free.
+func (p *Pool) Usable() map[string]int { return p.holder.Usable() }
--- a/coordination/share/queue.go
+++ b/coordination/share/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 	accounts  map[string]*account
 	ready     accountHeap // accounts with waiting work below their running limit
 	deadlines deadlineHeap
-	floor     float64
+	lift      float64
 	waiting   int
 	bytes     int64
 	total     Limits // of the router, over all accounts
@@ -88,7 +89,7 @@
 func (q *Queue) SetAccount(name string, share float64, l Limits) {
 	a := q.accounts[name]
 	if a == nil {
-		a = &account{name: name, flows: map[string]*flow{}, index: -1, time: q.floor}
+		a = &account{name: name, flows: map[string]*flow{}, index: -1, time: q.lift}
 		q.accounts[name] = a
 	}
 	a.share, a.limits = share, l
@@ -122,7 +123,7 @@
 		return nil, err
 	}
 	if a.waiting == 0 && a.running == 0 {
-		a.time = max(a.time, q.floor)
+		a.time = max(a.time, q.lift)
 	}
 	t := &Ticket{Request: r, account: a, deadline: -1, waiting: true}
 	q.link(t)
@@ -233,6 +234,7 @@
 func (q *Queue) Finish(name string) {
 	if a := q.accounts[name]; a != nil {
 		a.running = max(a.running-1, 0)
+		q.touch(a)
 		q.reorder(a)
 	}
 }
@@ -254,11 +256,12 @@
 	q.reorder(a)
 }
 
-// SetFloor takes the fleet-wide floor. It never goes back.
-func (q *Queue) SetFloor(floor float64) { q.floor = max(q.floor, floor) }
+// SetLift takes the virtual time to which an account is raised that begins to
+// wait. It never goes back.
+func (q *Queue) SetLift(lift float64) { q.lift = max(q.lift, lift) }
 
-// Floor returns the floor.
-func (q *Queue) Floor() float64 { return q.floor }
+// Lift returns what SetLift took.
+func (q *Queue) Lift() float64 { return q.lift }
 
 // Times returns the virtual times of all accounts without what was not
 // reported yet, in the order of names.
@@ -297,19 +300,26 @@
 	Waiting int
 	Service float64
 	Started int
+	Running int
 }
 
+// serviceStep is the fineness of reported service, in parts of a unit of cost.
+// Coarse values encode in five bytes instead of nine.
+const serviceStep = 8
+
 // TakeChanges returns what happened since the previous call, in the order of
 // names, as report number seq.
 func (q *Queue) TakeChanges(seq uint64) []Change {
 	out := make([]Change, 0, len(q.changed))
 	for _, name := range sortedNames(q.changed) {
 		a := q.changed[name]
-		out = append(out, Change{Account: name, Waiting: a.waiting, Service: a.unsent, Started: a.started})
-		if a.unsent != 0 {
-			a.sent = append(a.sent, sentPart{seq: seq, time: a.unsent / a.share})
+		service := math.Round(a.unsent*serviceStep) / serviceStep
+		out = append(out, Change{Account: name, Waiting: a.waiting, Service: service, Started: a.started, Running: a.running})
+		if service != 0 {
+			a.sent = append(a.sent, sentPart{seq: seq, time: service / a.share})
 		}
-		a.unsent, a.started, a.believed = 0, 0, a.waiting
+		a.unsent -= service // what the rounding left goes with the next report
+		a.started, a.believed = 0, a.waiting
 	}
 	clear(q.changed)
 	return out
@@ -322,13 +332,19 @@
 // does not know of, so that no slot will come for it.
 func (q *Queue) Hidden() bool {
 	for _, a := range q.changed {
-		if a.waiting > 0 && a.believed <= 0 {
+		if a.hidden() {
 			return true
 		}
 	}
 	return false
 }
 
+// hidden reports whether twice as much waits as the allocator believes. Telling
+// of every request would cost a message each while much waits; telling only
+// when the allocator believes in none lets the second of two requests wait for
+// the next full report.
+func (a *account) hidden() bool { return a.waiting > 0 && a.waiting >= 2*a.believed }
+
 // Len returns the number of waiting requests and their bytes.
 func (q *Queue) Len() (requests int, bytes int64) { return q.waiting, q.bytes }
 
--- a/coordination/slots/allocator.go
+++ b/coordination/slots/allocator.go
@@ -40,6 +40,7 @@
 	Name    string
 	Pool    string
 	Slots   int
+	Extra   int // slots granted beyond, which wait in the server's own queue
 	Serving bool
 }
 
@@ -85,8 +86,8 @@
 	viewSeq  uint64
 	reports  uint64
 	pacer    Pacer
-	urgent   bool
-	wantView bool
+	urgent   bool // a grant or a recall waits
+	wantView bool // something moved
 }
 
 type waitingKey struct{ pool, account string }
@@ -102,6 +103,16 @@
 type server struct {
 	Backend
 	granted int
+	pool    *pool
+	index   int // in pool.free, -1 when not in it
+}
+
+// free is the number of slots that may be granted.
+func (s *server) free() int {
+	if !s.Serving {
+		return 0
+	}
+	return max(s.Slots+s.Extra-s.granted, 0)
 }
 
 // NewAllocator returns an allocator under an epoch. expected are the processes
@@ -134,18 +145,18 @@
 		seen[b.Name] = true
 		s := a.servers[b.Name]
 		if s == nil {
-			s = &server{}
+			s = &server{index: -1}
 			a.servers[b.Name] = s
 		}
-		if s.Pool != "" && s.Pool != b.Pool {
-			a.pool(s.Pool).remove(s)
+		if s.pool != nil {
+			s.pool.drain(s)
 		}
-		s.Backend = b
-		a.pool(b.Pool).add(s)
+		s.Backend, s.pool = b, a.pool(b.Pool)
+		s.pool.setFree(s)
 	}
 	for name, s := range a.servers {
 		if !seen[name] {
-			a.pool(s.Pool).remove(s)
+			s.pool.drain(s)
 			delete(a.servers, name)
 		}
 	}
@@ -206,7 +217,7 @@
 		if p == nil || !finite(pv.Floor) {
 			continue
 		}
-		p.floor = max(p.floor, pv.Floor)
+		p.lift = max(p.lift, pv.Lift)
 		for _, av := range pv.Accounts {
 			acc := p.accounts[av.Account]
 			if acc != nil && finite(av.Ahead) {
@@ -267,7 +278,10 @@
 	s.reports++
 	a.acknowledge(s, r.ViewSeq)
 	for _, h := range r.Returned {
-		a.give(s, h.Server, h.Slots)
+		n := a.give(s, h.Server, h.Slots)
+		if srv := a.servers[h.Server]; srv != nil && n > 0 {
+			srv.pool.answered(s.view(srv.Pool), n)
+		}
 	}
 	for _, name := range r.Suspects {
 		s.suspect[name] = now + suspectFor
@@ -296,14 +310,18 @@
 			continue
 		}
 		acc.charge(ar)
-		p.setWaiting(s, acc, ar.Waiting)
-		s.view(pr.Pool).follow(ar.Account)
+		p.setWaiting(s, acc, ar.Waiting, ar.Running)
+		if ar.Waiting > 0 {
+			s.view(pr.Pool).follow(ar.Account)
+		} else {
+			delete(s.view(pr.Pool).accounts, ar.Account)
+		}
 	}
 }
 
 // sane refuses numbers that no router counts. The account keeps what it had.
 func sane(ar protocol.AccountReport) bool {
-	return ar.Waiting >= 0 && ar.Started >= 0 && finite(ar.Service) && math.Abs(ar.Service) < maxService
+	return ar.Waiting >= 0 && ar.Started >= 0 && ar.Running >= 0 && finite(ar.Service) && math.Abs(ar.Service) < maxService
 }
 
 // maxService bounds the service of one report: more than any router can do
@@ -346,15 +364,17 @@
 	if srv == nil || n <= 0 {
 		return
 	}
-	n = min(n, srv.Slots)
+	n = min(n, srv.Slots+srv.Extra)
 	srv.granted += n
 	s.held[name] += n
+	s.view(srv.Pool).held += n
+	srv.pool.setFree(srv)
 }
 
-func (a *Allocator) give(s *session, name string, n int) {
+func (a *Allocator) give(s *session, name string, n int) int {
 	n = min(n, s.held[name])
 	if n <= 0 {
-		return
+		return 0
 	}
 	s.held[name] -= n
 	if s.held[name] == 0 {
@@ -362,7 +382,10 @@
 	}
 	if srv := a.servers[name]; srv != nil {
 		srv.granted -= n
+		srv.pool.setFree(srv)
+		s.view(srv.Pool).held -= n
 	}
+	return n
 }
 
 // free gives back everything that a session holds.
@@ -375,9 +398,16 @@
 
 func (a *Allocator) forgetWaiting(s *session) {
 	a.acknowledge(s, math.MaxUint64)
+	for name, v := range s.views {
+		if p := a.pools[name]; p != nil {
+			p.recalling -= v.recall
+			v.recall = 0
+			p.answered(v, v.recalled)
+		}
+	}
 	for k := range s.waiting {
 		if p := a.pools[k.pool]; p != nil {
-			p.setWaiting(s, p.accounts[k.account], 0)
+			p.setWaiting(s, p.accounts[k.account], 0, 0)
 		}
 	}
 	clear(s.waiting)
--- /dev/null
+++ b/coordination/slots/bench_test.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+)
+
+// This file defines the shapes that are measured and the benchmark that
+// measures them, each under the product's policy and both baselines.
+
+// linen is Petrovi Linen: 9 boxes, 12 workers of a language model and 3 of a
+// plain service, ten accounts, three of them large with two thirds of their
+// work at one router.
+func linen() shape {
+	return shape{
+		name: "linen", routers: 9, latency: 1500 * time.Microsecond, duration: 60 * time.Second,
+		pools: []poolShape{
+			{name: "llm", workers: 12, slots: 16, rate: 40, mean: 80, over: overcommit},
+			{name: "app", workers: 3, slots: 8, rate: 1000, mean: 60},
+		},
+		accounts: tenAccounts(1.6),
+	}
+}
+
+// overcommit is the product's default.
+const overcommit = 0.125
+
+// viewer is the cadastral map viewer: 7 boxes, 9+3 workers.
+func viewer() shape {
+	s := linen()
+	s.name, s.routers = "viewer", 7
+	s.pools[0].workers = 9
+	return s
+}
+
+// tenAccounts are three large accounts that offer more than their share and
+// seven small ones that offer less.
+func tenAccounts(large float64) []accountShape {
+	var out []accountShape
+	for i := range 10 {
+		a := accountShape{name: fmt.Sprintf("a%d", i), share: 1, offered: 0.5, home: 0.1, small: true}
+		if i < 3 {
+			a.share, a.offered, a.home, a.small = 3, large, 2.0/3, false
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// variant changes a shape.
+type variant struct {
+	name      string
+	staleness time.Duration // age that views may reach
+	change    func(*shape)
+}
+
+const (
+	fresh   = slots.ViewLife
+	faulted = 4 * time.Second // a lease and its margin
+)
+
+var variants = []variant{
+	{"even", fresh, func(*shape) {}},
+	{"idle", fresh, func(s *shape) {
+		for i := range s.accounts {
+			s.accounts[i].offered = 0.5
+		}
+	}},
+	{"flood", fresh, func(s *shape) { s.accounts[0].offered, s.accounts[0].home = 8, 0 }},
+	{"onoff", fresh, func(s *shape) {
+		for i := 3; i < 6; i++ {
+			s.accounts[i].on, s.accounts[i].off, s.accounts[i].offered = time.Second, 2*time.Second, 6
+			s.accounts[i].small = false
+		}
+	}},
+	{"longtail", fresh, func(s *shape) { s.longTail = true; s.pools = s.pools[:1] }},
+	{"allocator-lost", faulted, func(s *shape) {
+		s.faults = []fault{{20 * time.Second, loseAllocator}}
+	}},
+	{"partition", faulted, func(s *shape) {
+		s.faults = []fault{
+			{15 * time.Second, func(f *fleet) { f.cutOff(0) }},
+			{45 * time.Second, func(f *fleet) { f.routers[0].cut = false }},
+		}
+	}},
+	{"restart-half", faulted, func(s *shape) {
+		s.faults = []fault{{20 * time.Second, func(f *fleet) {
+			for i := 0; i < len(f.routers); i += 2 {
+				f.restart(i)
+			}
+		}}}
+	}},
+}
+
+// loseAllocator ends the allocator; another one follows an election later.
+func loseAllocator(f *fleet) {
+	if f.policy != fleetFair {
+		return
+	}
+	f.alloc = nil
+	var expected []slots.Process
+	for _, r := range f.routers {
+		expected = append(expected, slots.Process{Router: r.name, Boot: r.boot})
+	}
+	for _, r := range f.routers {
+		r.unlink()
+	}
+	f.after(1500*time.Millisecond, func() { f.newAllocator(expected) })
+}
+
+// cutOff partitions a router in silence.
+func (f *fleet) cutOff(i int) {
+	r := f.routers[i]
+	r.cut = true
+	if f.policy != fleetFair {
+		return
+	}
+	f.after(testLease.Length, func() { // both sides notice by silence
+		r.unlink()
+	})
+}
+
+// restart makes a router forget everything and cancels what it ran.
+func (f *fleet) restart(i int) {
+	r := f.routers[i]
+	for p := range f.shape.pools {
+		for a := range f.shape.accounts {
+			for req := range f.m.running[p][a] {
+				if req.router == r && !req.ended {
+					f.cancel(req)
+				}
+			}
+		}
+		for _, w := range r.pools[p].Drop() {
+			f.m.dropped(w.Value.(*request))
+		}
+	}
+	if f.alloc != nil {
+		f.alloc.Unlink(r.name, r.boot)
+	}
+	r.boots()
+	if f.policy == fleetFair {
+		f.after(500*time.Millisecond, r.connect)
+	}
+}
+
+// cancel ends a running request at its server.
+func (f *fleet) cancel(req *request) {
+	req.ended = true
+	f.m.cancelled(req)
+	f.m.lost++
+	if req.serving {
+		req.server.leave(f)
+	}
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, base := range []func() shape{linen, viewer} {
+		for _, v := range variants {
+			for p := range policy(numPolicy) {
+				s := base()
+				v.change(&s)
+				b.Run(fmt.Sprintf("%s/%s/%s", s.name, v.name, p), func(b *testing.B) {
+					for b.Loop() {
+						report(b, newFleet(s, p, 1).run().results(v.staleness))
+					}
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, r results) {
+	b.ReportMetric(r.gapX, "gap-x")
+	b.ReportMetric(r.gap, "gap-tokens")
+	b.ReportMetric(r.util, "util-%")
+	for p, u := range r.utils {
+		b.ReportMetric(u, fmt.Sprintf("util%d-%%", p))
+	}
+	b.ReportMetric(r.bytes, "ctrl-B/s/box")
+	b.ReportMetric(r.p99, "p99-wait-s")
+	b.ReportMetric(r.maxIdle, "idle-s")
+	b.ReportMetric(float64(r.ended), "ended")
+	b.ReportMetric(float64(r.lost), "lost")
+}
--- a/coordination/slots/grant.go
+++ b/coordination/slots/grant.go
@@ -3,6 +3,7 @@
 package slots
 
 import (
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -11,8 +12,8 @@
 // This file defines how free slots find work: the account furthest behind
 // first, as long as there is a free slot that one of its routers can use.
 
-// Allocate grants every free slot that work waits for. It costs O(log n) a
-// grant, plus one pass over the servers of a pool.
+// Allocate grants every free slot that work waits for. A grant costs O(log n)
+// in the accounts that wait.
 func (a *Allocator) Allocate(now time.Duration) {
 	if a.TakingOver(now) {
 		return
@@ -23,47 +24,109 @@
 }
 
 func (a *Allocator) allocatePool(now time.Duration, p *pool) {
-	for len(p.unmet) > 0 {
+	var passed []*account // whose routers can reach no free server at present
+	for len(p.unmet) > 0 && len(p.free) > 0 {
 		acc := p.unmet[0]
-		p.raiseFloor()
 		w := acc.place()
-		srv := p.freest(now, w.session)
-		if srv == nil {
-			break
+		if srv := p.freest(now, w.session); srv != nil {
+			a.grantOne(p, w, srv)
+			continue
 		}
-		a.grantOne(p, w, srv)
+		heap.Pop(&p.unmet)
+		passed = append(passed, acc)
+	}
+	for _, acc := range passed {
+		heap.Push(&p.unmet, acc)
 	}
 	p.raiseFloor()
-	a.noteUnmet(p)
+	short := len(p.unmet) > 0 && a.recall(now, p)
+	p.measureRate(now)
+	a.noteShort(now, p, short)
 }
 
-// freest returns the serving server with the largest free part that the
-// router can reach, or nil.
-func (p *pool) freest(now time.Duration, s *session) *server {
-	var best *server
-	var most float64
-	for _, srv := range p.servers {
-		free := srv.Slots - srv.granted
-		if !srv.Serving || free <= 0 || s.suspect[srv.Name] > now {
+// recall asks routers for slots that work elsewhere waits for: free ones that
+// they keep, as many as work waits for; and for a router that holds none at
+// all, one that is in use. Routers with a slot serve the account that is
+// furthest behind with the next that becomes free, so they need no recall. It
+// reports whether more work waits than slots are known to be free.
+//
+// Asking everybody for every free slot was tried first: one waiting request
+// then emptied the whole fleet's hands, and every next request had to ask.
+func (a *Allocator) recall(now time.Duration, p *pool) (short bool) {
+	need, slotless := 0, 0
+	for _, acc := range p.unmet {
+		for _, w := range acc.places {
+			need += w.unmet()
+			if w.session.view(p.name).held == 0 {
+				slotless++
+			}
+		}
+	}
+	need -= p.recalling
+	slotless -= p.recalling
+	for _, s := range a.order {
+		v := s.views[p.name]
+		if need <= 0 || v == nil || v.idle <= 0 || !s.linked {
 			continue
 		}
-		if part := float64(free) / float64(srv.Slots); part > most {
-			best, most = srv, part
+		n := min(v.idle, need)
+		v.idle -= n
+		need -= n
+		slotless -= n
+		a.ask(now, p, s, v, n)
+	}
+	for ; slotless > 0; slotless-- {
+		if s := a.richest(p); s != nil {
+			a.ask(now, p, s, s.views[p.name], 1)
+		}
+	}
+	return need > 0
+}
+
+// richest returns the router that can best spare a slot, or nil if nobody has
+// more than one.
+func (a *Allocator) richest(p *pool) *session {
+	var best *session
+	most := 1
+	for _, s := range a.order {
+		v := s.views[p.name]
+		if v == nil || !s.linked {
+			continue
+		}
+		if spare := v.held - v.recall - v.recalled; spare > most {
+			best, most = s, spare
 		}
 	}
 	return best
 }
 
+func (a *Allocator) ask(now time.Duration, p *pool, s *session, v *viewState, n int) {
+	v.recall += n
+	v.askedAt = now
+	p.recalling += n
+	s.urgent = true
+}
+
+// answered takes back what was noted of n recalled slots.
+func (p *pool) answered(v *viewState, n int) {
+	n = min(n, v.recalled)
+	v.recalled -= n
+	p.recalling -= n
+}
+
+// recallLife is how long the allocator counts on a recall. A slot in use may
+// take longer to come back, and is welcome then too.
+const recallLife = time.Second
+
 func (a *Allocator) grantOne(p *pool, w *waitingAt, srv *server) {
 	s := w.session
 	a.take(s, srv.Name, 1)
 	s.granted[srv.Name]++
 	s.unacked = append(s.unacked, grant{pool: p.name, account: w.account.name, server: srv.Name})
-	s.urgent, s.wantView = true, true
+	s.urgent = true
 	w.onWay++
 	w.account.onWay++
 	p.update(w)
-	s.view(p.name).follow(w.account.name)
 }
 
 // acknowledge forgets the grants that a router has taken into account: what
@@ -89,29 +152,25 @@
 	}
 	w.onWay = max(w.onWay-1, 0)
 	w.account.onWay = max(w.account.onWay-1, 0)
-	if w.reported == 0 && w.onWay == 0 {
+	if w.reported == 0 && w.onWay == 0 && w.running == 0 {
 		delete(s.waiting, waitingKey{g.pool, g.account})
 	}
 	a.pools[g.pool].update(w)
 }
 
-// noteUnmet tells the routers that could help when work begins or ceases to
-// wait without a slot.
-func (a *Allocator) noteUnmet(p *pool) {
-	unmet := len(p.unmet) > 0
-	changed := unmet != p.wasUnmet
-	p.wasUnmet = unmet
-	if !unmet && !changed {
-		return
-	}
+// noteShort tells the routers when the pool begins or ceases to be short of
+// slots. While it is, the virtual times go to them with every full view.
+func (a *Allocator) noteShort(now time.Duration, p *pool, short bool) {
+	changed := short != p.short
+	p.short = short
 	for _, s := range a.order {
 		v := s.views[p.name]
 		if v == nil || !s.linked {
 			continue
 		}
-		s.wantView = true
-		if unmet && v.idle > 0 && (changed || !v.told) {
-			s.urgent = true
+		s.wantView = s.wantView || short || changed
+		if v.recalled > 0 && now-v.askedAt > recallLife {
+			p.answered(v, v.recalled)
 		}
 	}
 }
--- a/coordination/slots/holder.go
+++ b/coordination/slots/holder.go
@@ -18,6 +18,8 @@
 type Holder struct {
 	servers   map[string]*heldServer
 	returned  map[string]int
+	granted   int // slots granted and not used since
+	owed      int // slots recalled that were not free
 	idleSince time.Duration
 }
 
@@ -34,11 +36,21 @@
 // Grant adds slots of a backend server.
 func (h *Holder) Grant(now time.Duration, server string, n int) {
 	h.server(server).held += max(n, 0)
+	h.granted += max(n, 0)
 	h.idleSince = now
 }
 
 // Start uses one free slot. The caller has checked Free.
-func (h *Holder) Start(server string) { h.server(server).running++ }
+func (h *Holder) Start(server string) {
+	h.server(server).running++
+	h.granted = max(h.granted-1, 0)
+}
+
+// Granted reports whether a granted slot is still unused. The allocator knows
+// the fleet better than the router does, so its grant is used without looking
+// at the floor again. (Looking again was tried: a floor that had just passed
+// sent the slot back, and allocator and router returned it to each other.)
+func (h *Holder) Granted() bool { return h.granted > 0 }
 
 // Done ends the use of a slot, which is free again unless the lease ran out
 // meanwhile.
@@ -46,6 +58,10 @@
 	s := h.server(server)
 	s.running = max(s.running-1, 0)
 	h.idleSince = now
+	if h.owed > 0 && h.Free(server) > 0 {
+		h.Return(server, 1)
+		h.owed--
+	}
 	h.tidy(server)
 }
 
@@ -96,9 +112,47 @@
 	}
 	h.servers[server].held -= n
 	h.returned[server] += n
+	h.granted = min(h.granted, h.Idle())
 	h.tidy(server)
 }
 
+// Recall gives back n slots: free ones, from the server with most of them
+// first, then those that become free next.
+func (h *Holder) Recall(n int) {
+	h.owed = min(h.owed+n, h.total())
+	for h.owed > 0 {
+		best := ""
+		for _, name := range h.FreeServers() {
+			if best == "" || h.Free(name) > h.Free(best) {
+				best = name
+			}
+		}
+		if best == "" {
+			return
+		}
+		h.Return(best, 1)
+		h.owed--
+	}
+}
+
+// Usable returns the slots held of each server, in use or free.
+func (h *Holder) Usable() map[string]int {
+	out := map[string]int{}
+	for name, s := range h.servers {
+		out[name] = s.held
+	}
+	return out
+}
+
+// total is the number of slots held.
+func (h *Holder) total() int {
+	n := 0
+	for _, s := range h.servers {
+		n += s.held
+	}
+	return n
+}
+
 // ReturnIdle gives back every free slot.
 func (h *Holder) ReturnIdle() {
 	for _, name := range h.FreeServers() {
@@ -127,6 +181,7 @@
 // what was to be given back. Running requests go on to their end.
 func (h *Holder) Expire() {
 	clear(h.returned)
+	h.granted, h.owed = 0, 0
 	for name, s := range h.servers {
 		s.held = s.running
 		h.tidy(name)
@@ -137,6 +192,7 @@
 // Slots about to be given back count as given back.
 func (h *Holder) Held() []protocol.Held {
 	clear(h.returned)
+	h.owed = 0
 	counts := map[string]int{}
 	for name, s := range h.servers {
 		if n := max(s.held, s.running); n > 0 {
@@ -176,7 +232,7 @@
 
 // The actions.
 const (
-	Keep   Action = iota // nothing to run here, and nobody else waits
+	Keep   Action = iota // nothing to run here, and enough slots elsewhere
 	Use                  // start the account that goes next here
 	Return               // give the slot back
 )
@@ -188,25 +244,35 @@
 
 // Fleet is what a router knows of the rest of the fleet in one pool.
 type Fleet struct {
-	Unmet bool
+	Short bool // more work waits in the fleet than slots are free
 	Floor float64
 	Slack float64
+	Rate  float64       // how fast the floor rises, a second
 	At    time.Duration // when the view was received
 }
 
+// limit is the virtual time up to which a slot may be used again. The floor
+// has risen since it was told; without that, a router mistook its own share of
+// the rise for being ahead and gave back every slot between two views.
+func (f Fleet) limit(now time.Duration) float64 {
+	return f.Floor + f.Rate*(now-f.At).Seconds() + f.Slack
+}
+
 // Fresh reports whether the view may still be acted on.
 func (f Fleet) Fresh(now time.Duration) bool { return now-f.At <= ViewLife }
 
 // Decide tells what to do with a free slot. best is the virtual time of the
 // account that goes next here, or +Inf when nothing waits here.
-func Decide(now time.Duration, best float64, f Fleet) Action {
-	wanted := f.Unmet && f.Fresh(now)
+func Decide(now time.Duration, best float64, granted bool, f Fleet) Action {
+	wanted := f.Short && f.Fresh(now)
 	switch {
 	case math.IsInf(best, 1) && wanted:
 		return Return
 	case math.IsInf(best, 1):
-		return Keep
-	case wanted && best > f.Floor+f.Slack:
+		return Keep // the allocator recalls what it needs
+	case granted:
+		return Use
+	case wanted && best > f.limit(now):
 		return Return
 	}
 	return Use
--- a/coordination/slots/pool.go
+++ b/coordination/slots/pool.go
@@ -3,9 +3,10 @@
 package slots
 
 import (
-	"cmp"
 	"container/heap"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
@@ -15,28 +16,37 @@
 
 type pool struct {
 	name     string
-	servers  []*server // by name
+	free     []*server // with a free slot, in no order
+	cursor   int       // where freest looks next
 	accounts map[string]*account
 	unmet    unmetHeap // accounts with waiting work that no slot is on its way to
-	floor    float64   // highest floor so far; new arrivals are lifted to it
-	wasUnmet bool
+	floor    float64   // lowest virtual time among accounts that wait
+	lift     float64   // highest lift so far; new arrivals are raised to it
+	short    bool      // more work waits than slots are known to be free
+	// recalling is the number of slots asked back and not answered yet.
+	recalling int
+	rate      float64 // how fast the floor rises, a second
+	rateFloor float64 // floor when rate was last measured
+	rateAt    time.Duration
 }
 
 // account is one client account in one pool.
 type account struct {
-	name   string
-	share  float64
-	time   float64 // virtual time, what routers have reported
-	cost   costMean
-	onWay  int          // grants not yet acknowledged
-	places []*waitingAt // routers with unmet work
-	cursor int
-	index  int // in pool.unmet, -1 when not in it
+	name    string
+	share   float64
+	time    float64 // virtual time, what routers have reported
+	cost    costMean
+	onWay   int          // grants not yet acknowledged
+	running int          // requests, all routers
+	places  []*waitingAt // routers with unmet work
+	cursor  int
+	index   int // in pool.unmet, -1 when not in it
 }
 
 // waitingAt is the work of one account that waits at one router.
 type waitingAt struct {
 	session  *session
+	running  int
 	account  *account
 	reported int
 	onWay    int
@@ -61,37 +71,79 @@
 	}
 }
 
+// value returns the mean, and one unit as long as nothing is known: with zero,
+// the first account in the order would be granted every slot at once.
 func (m costMean) value() float64 {
 	if m.started == 0 {
-		return 0
+		return 1
 	}
-	return max(m.service/m.started, 0)
+	return max(m.service/m.started, 1)
+}
+
+// settled is the virtual time without what running requests have been charged
+// ahead of their service.
+func (acc *account) settled() float64 {
+	return acc.time - float64(acc.running)*acc.cost.value()/acc.share
 }
 
 func newPool(name string) *pool {
 	return &pool{name: name, accounts: map[string]*account{}}
 }
 
-func (p *pool) add(s *server) {
-	i, found := slices.BinarySearchFunc(p.servers, s.Name, func(x *server, name string) int {
-		return cmp.Compare(x.Name, name)
-	})
-	if !found {
-		p.servers = slices.Insert(p.servers, i, s)
+// setFree keeps the list of servers with a free slot right. It costs O(1).
+func (p *pool) setFree(s *server) {
+	switch {
+	case s.free() > 0 && s.index < 0:
+		s.index = len(p.free)
+		p.free = append(p.free, s)
+	case s.free() == 0:
+		p.drain(s)
+	}
+}
+
+// drain takes a server out of the list.
+func (p *pool) drain(s *server) {
+	if s.index < 0 {
+		return
 	}
+	last := len(p.free) - 1
+	p.free[s.index] = p.free[last]
+	p.free[s.index].index = s.index
+	p.free[last] = nil
+	p.free = p.free[:last]
+	s.index = -1
 }
 
-func (p *pool) remove(s *server) {
-	p.servers = slices.DeleteFunc(p.servers, func(x *server) bool { return x == s })
+// freest returns the server with the largest free part among a few that
+// change with every call, or nil when the router can reach none that is free.
+func (p *pool) freest(now time.Duration, s *session) *server {
+	var best *server
+	looked := 0
+	for i := range p.free {
+		srv := p.free[(p.cursor+i)%len(p.free)]
+		if s.suspect[srv.Name] > now {
+			continue
+		}
+		if best == nil || srv.free()*best.Slots > best.free()*srv.Slots {
+			best = srv
+		}
+		if looked++; looked == serversLooked {
+			break
+		}
+	}
+	p.cursor++
+	return best
 }
 
+const serversLooked = 8
+
 func (p *pool) setShares(shares map[string]float64) {
 	for name, share := range shares {
 		if acc := p.accounts[name]; acc != nil {
 			acc.share = share
 			continue
 		}
-		p.accounts[name] = &account{name: name, share: share, time: p.floor, index: -1}
+		p.accounts[name] = &account{name: name, share: share, time: p.lift, index: -1}
 	}
 	for name, acc := range p.accounts {
 		if _, ok := shares[name]; !ok {
@@ -122,23 +174,24 @@
 	return acc.time + float64(acc.onWay)*acc.cost.value()/acc.share
 }
 
-// setWaiting takes how many requests of an account wait at a router. An
-// account that waits nowhere else is lifted to the floor.
-func (p *pool) setWaiting(s *session, acc *account, n int) {
+// setWaiting takes how many requests of an account wait and run at a router.
+// An account that waits nowhere else is lifted.
+func (p *pool) setWaiting(s *session, acc *account, n, running int) {
 	if acc == nil {
 		return
 	}
 	k := waitingKey{p.name, acc.name}
 	w := s.waiting[k]
 	if w == nil {
-		if n == 0 {
+		if n == 0 && running == 0 {
 			return
 		}
 		w = &waitingAt{session: s, account: acc, index: -1}
 		s.waiting[k] = w
 	}
-	w.reported = n
-	if n == 0 && w.onWay == 0 {
+	acc.running += running - w.running
+	w.reported, w.running = n, running
+	if n == 0 && w.onWay == 0 && running == 0 {
 		delete(s.waiting, k)
 	}
 	p.update(w)
@@ -169,7 +222,7 @@
 	switch {
 	case len(acc.places) > 0 && acc.index < 0:
 		if acc.onWay == 0 {
-			acc.time = max(acc.time, p.floor)
+			acc.time += max(p.lift-acc.settled(), 0)
 		}
 		heap.Push(&p.unmet, acc)
 	case len(acc.places) > 0:
@@ -179,11 +232,37 @@
 	}
 }
 
-// raiseFloor remembers the lowest virtual time among accounts that wait.
+// rateInterval is how often the rate is measured, and rateGain the weight of
+// the newest measurement.
+const (
+	rateInterval = 100 * time.Millisecond
+	rateGain     = 0.2
+)
+
+// measureRate keeps the running mean of how fast the floor rises.
+func (p *pool) measureRate(now time.Duration) {
+	since := (now - p.rateAt).Seconds()
+	if since < rateInterval.Seconds() {
+		return
+	}
+	p.rate += rateGain * ((p.floor-p.rateFloor)/since - p.rate)
+	p.rateFloor, p.rateAt = p.floor, now
+}
+
+// raiseFloor notes the lowest virtual time among accounts that wait, and the
+// lift. The lift leaves out what is charged for requests that still run: with
+// it, an account that had filled the pool looked far ahead by service that it
+// had not received, and whoever came next waited until it had.
 func (p *pool) raiseFloor() {
-	if len(p.unmet) > 0 {
-		p.floor = max(p.floor, p.unmet[0].expected())
+	if len(p.unmet) == 0 {
+		return
 	}
+	p.floor = p.unmet[0].expected()
+	lift := math.Inf(1)
+	for _, acc := range p.unmet {
+		lift = min(lift, acc.settled())
+	}
+	p.lift = max(p.lift, lift)
 }
 
 // slack is how far above the floor a slot may be reused: the cost of one
@@ -194,9 +273,11 @@
 	for _, acc := range p.unmet {
 		most = max(most, acc.cost.value()/acc.share)
 	}
-	return most
+	return most + p.rate*slackTime.Seconds()
 }
 
+const slackTime = 200 * time.Millisecond
+
 // place returns the router to grant to: the one where most of the account's
 // work waits, among a few that change with every call so that the cost does
 // not grow with the fleet.
--- /dev/null
+++ b/coordination/slots/slots_test.go
@@ -0,0 +1,271 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file checks single decisions: what to do with a free slot, and what the
+// allocator makes of each kind of message, the late and nonsensical ones
+// included.
+
+func TestDecide(t *testing.T) {
+	const now = 10 * time.Second
+	view := slots.Fleet{Short: true, Floor: 100, Slack: 10, Rate: 50, At: now}
+	stale := view
+	stale.At = now - slots.ViewLife - 1
+	aged := view
+	aged.At = now - 200*time.Millisecond // the floor has risen by 10 since
+	enough := view
+	enough.Short = false
+	tests := []struct {
+		name    string
+		best    float64
+		granted bool
+		fleet   slots.Fleet
+		want    slots.Action
+	}{
+		{"behind the floor", 90, false, view, slots.Use},
+		{"within the slack", 110, false, view, slots.Use},
+		{"ahead", 111, false, view, slots.Return},
+		{"ahead, but the floor has risen", 119, false, aged, slots.Use},
+		{"ahead of the risen floor", 121, false, aged, slots.Return},
+		{"ahead, but the slot was just granted", 500, true, view, slots.Use},
+		{"ahead, by an old view", 500, false, stale, slots.Use},
+		{"ahead, but there are slots enough", 500, false, enough, slots.Use},
+		{"nothing waits here, others wait", math.Inf(1), false, view, slots.Return},
+		{"nothing waits here, an old view", math.Inf(1), false, stale, slots.Keep},
+		{"nothing waits here, slots enough", math.Inf(1), false, enough, slots.Keep},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(slots.Decide(now, tt.best, tt.granted, tt.fleet), tt.want)
+		})
+	}
+}
+
+var lease = slots.Lease{Length: 3 * time.Second, Margin: 400 * time.Millisecond}
+
+// bench is an allocator with one pool of one server with two slots and two
+// accounts of equal share.
+func bench(expected ...slots.Process) *slots.Allocator {
+	a := slots.NewAllocator(5, 0, lease, slots.Pace{}, expected)
+	configure(a, true)
+	return a
+}
+
+func configure(a *slots.Allocator, serving bool) {
+	a.Configure([]slots.Backend{{Name: "s", Pool: "p", Slots: 2, Serving: serving}},
+		[]slots.Account{{Name: "a", Share: 1}, {Name: "b", Share: 1}})
+}
+
+func waits(account string, n int) protocol.Report {
+	return protocol.Report{Pools: []protocol.PoolReport{{
+		Pool: "p", Accounts: []protocol.AccountReport{{Account: account, Waiting: n}},
+	}}}
+}
+
+// granted allocates and returns the slots granted to each router.
+func granted(a *slots.Allocator, now time.Duration) map[string]int {
+	a.Allocate(now)
+	out := map[string]int{}
+	for _, o := range a.Views(now) {
+		for _, h := range o.View.Granted {
+			out[o.Router] += h.Slots
+		}
+		a.Sent(now, o, 1)
+	}
+	return out
+}
+
+func TestGrantsWhatWaits(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	a.Open(0, protocol.Hello{Router: "r2", Boot: 2})
+	a.Report(0, "r1", waits("a", 5))
+	a.Report(0, "r2", waits("b", 1))
+	is.Equal(granted(a, 0), map[string]int{"r1": 1, "r2": 1}) // one each, not two to the longer queue
+	is.Equal(len(granted(a, 0)), 0)                           // and never more than there are
+}
+
+func TestLeavingServerIsNotGranted(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	configure(a, false)
+	a.Report(0, "r1", waits("a", 5))
+	is.Equal(len(granted(a, 0)), 0)
+}
+
+func TestTakeoverWaitsForThoseWhoMayHoldSlots(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(a *slots.Allocator)
+		at   time.Duration
+		want int
+	}{
+		{"nobody has told", func(*slots.Allocator) {}, lease.Length, 0},
+		{"the lease and its margin have passed", func(*slots.Allocator) {}, lease.Length + lease.Margin, 2},
+		{"it told that it holds none", func(a *slots.Allocator) {
+			a.Open(0, protocol.Hello{Router: "old", Boot: 9})
+		}, 0, 2},
+		{"it told that it holds one", func(a *slots.Allocator) {
+			a.Open(0, protocol.Hello{Router: "old", Boot: 9, Held: []protocol.Held{{Server: "s", Slots: 1}}})
+		}, 0, 1},
+		{"another process of its name told", func(a *slots.Allocator) {
+			a.Open(0, protocol.Hello{Router: "old", Boot: 10})
+		}, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := bench(slots.Process{Router: "old", Boot: 9})
+			a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+			a.Report(0, "r1", waits("a", 5))
+			tt.do(a)
+			a.Renew(tt.at, "r1")
+			is.Equal(granted(a, tt.at)["r1"], tt.want)
+		})
+	}
+}
+
+func TestRestartedRouterKeepsItsOldSlotsTaken(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	a.Report(0, "r1", waits("a", 2))
+	is.Equal(granted(a, 0)["r1"], 2)
+	a.Open(time.Second, protocol.Hello{Router: "r1", Boot: 2}) // no proof that boot 1 has stopped
+	a.Report(time.Second, "r1", waits("a", 2))
+	is.Equal(len(granted(a, time.Second)), 0)
+	is.Equal(len(a.Tick(lease.Length+lease.Margin)), 1)
+	is.Equal(granted(a, lease.Length+lease.Margin)["r1"], 2)
+}
+
+func TestReconnectedRouterIsNotCountedTwice(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	a.Report(0, "r1", waits("a", 2))
+	is.Equal(granted(a, 0)["r1"], 2)
+	a.Unlink("r1", 1)
+	reports, known := a.Open(1, protocol.Hello{Router: "r1", Boot: 1, Held: []protocol.Held{{Server: "s", Slots: 1}}})
+	is.True(known)
+	is.Equal(reports, uint64(1))
+	a.Report(1, "r1", waits("a", 5))
+	is.Equal(granted(a, 1)["r1"], 1) // the other grant was lost on its way and is free again
+}
+
+func TestNonsenseIsBounded(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1, Held: []protocol.Held{{Server: "s", Slots: 1 << 30}, {Server: "none", Slots: 3}}})
+	a.Open(0, protocol.Hello{Router: "r2", Boot: 2})
+	a.Report(0, "r2", protocol.Report{Returned: []protocol.Held{{Server: "s", Slots: 100}, {Server: "s", Slots: -4}}})
+	a.Report(0, "r2", protocol.Report{Pools: []protocol.PoolReport{{Pool: "p", Idle: -3, Accounts: []protocol.AccountReport{
+		{Account: "a", Waiting: -1}, {Account: "b", Waiting: 1, Service: math.NaN()}, {Account: "?", Waiting: 9},
+	}}, {Pool: "none"}}})
+	a.Report(0, "stranger", waits("a", 5))
+	is.Equal(len(granted(a, 0)), 0)
+	is.Equal(a.Occupancies()[0].Granted, 2) // not a thousand million
+	a.Report(0, "r2", waits("b", 1))
+	a.Report(0, "r1", protocol.Report{Returned: []protocol.Held{{Server: "s", Slots: 1 << 30}}})
+	is.Equal(granted(a, 0), map[string]int{"r2": 1})
+}
+
+func TestIdleTimeEarnsNoCreditAndPaysNoDebt(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	serve := func(account string, waiting int, service float64) {
+		a.Report(0, "r1", protocol.Report{Pools: []protocol.PoolReport{{Pool: "p", Accounts: []protocol.AccountReport{
+			{Account: account, Waiting: waiting, Service: service},
+		}}}})
+		a.Allocate(0)
+	}
+	time := func(account string) float64 {
+		for _, s := range a.Standings() {
+			if s.Account == account {
+				return s.Time
+			}
+		}
+		return -1
+	}
+	serve("a", 5, 0)
+	serve("a", 5, 1000) // a works alone while b is idle
+	serve("b", 1, 0)
+	is.Equal(time("b"), 1000.0) // b starts where a is, not 1,000 behind
+	serve("b", 0, 700)
+	serve("a", 5, 10)
+	serve("b", 1, 0)
+	is.Equal(time("b"), 1700.0) // and going idle did not pay what it is ahead
+}
+
+func TestRecallFindsFreeSlotsElsewhere(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "rich", Boot: 1, Held: []protocol.Held{{Server: "s", Slots: 2}}})
+	a.Report(0, "rich", protocol.Report{Pools: []protocol.PoolReport{{Pool: "p", Idle: 2}}})
+	a.Open(0, protocol.Hello{Router: "poor", Boot: 2})
+	a.Report(0, "poor", waits("a", 1))
+	a.Allocate(0)
+	recalled := 0
+	for _, o := range a.Views(0) {
+		for _, p := range o.View.Pools {
+			if o.Router == "rich" {
+				recalled += p.Recall
+			}
+		}
+	}
+	is.Equal(recalled, 1) // one request waits, so one slot is asked back, not both
+}
+
+func TestHolderGivesBackWhatIsRecalled(t *testing.T) {
+	is := is.New(t)
+	h := slots.NewHolder()
+	h.Grant(0, "s", 3)
+	h.Start("s")
+	h.Start("s")
+	h.Recall(2) // one is free now, one will be
+	is.Equal(h.TakeReturned(), []protocol.Held{{Server: "s", Slots: 1}})
+	h.Done(0, "s")
+	is.Equal(h.TakeReturned(), []protocol.Held{{Server: "s", Slots: 1}})
+	h.Done(0, "s")
+	is.Equal(len(h.TakeReturned()), 0)
+	is.Equal(h.Idle(), 1)
+}
+
+func TestHolderWithoutLease(t *testing.T) {
+	is := is.New(t)
+	h := slots.NewHolder()
+	h.Grant(0, "s", 3)
+	h.Start("s")
+	h.Expire()
+	is.Equal(h.Idle(), 0)
+	is.Equal(h.Held(), []protocol.Held{{Server: "s", Slots: 1}}) // what runs is told truly
+	h.Done(0, "s")
+	is.Equal(h.Idle(), 1)
+}
+
+func TestPacer(t *testing.T) {
+	is := is.New(t)
+	p := slots.Pacer{Short: 2 * time.Millisecond, Long: 250 * time.Millisecond, Budget: 1000, Burst: 500}
+	is.Equal(p.DueFull(), time.Duration(0))
+	p.Sent(0, 400, true)
+	is.Equal(p.DueUrgent(), 2*time.Millisecond) // inside the burst
+	is.Equal(p.DueFull(), 400*time.Millisecond) // when 400 bytes are earned
+	p.Sent(0, 400, false)
+	is.Equal(p.DueUrgent(), 300*time.Millisecond) // when the debt is down to the burst
+	p.Sent(0, 9000, false)
+	is.Equal(p.DueFull(), slots.StretchMost*250*time.Millisecond) // but never later than that
+}
--- a/coordination/slots/view.go
+++ b/coordination/slots/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -14,12 +15,17 @@
 
 // viewState is what a router was told of one pool.
 type viewState struct {
-	idle     int // slots that it reported as free
+	idle     int // slots that it reported as free, less those recalled
+	recall   int // to be asked back with the next view
+	recalled int // asked back and not answered
+	askedAt  time.Duration
+	held     int // slots of the pool that the router holds
 	told     bool
-	accounts map[string]float64 // followed accounts and the time last told
+	accounts map[string]float64 // accounts that wait there and the time last told
 }
 
-// follow makes the account part of the router's views.
+// follow makes the account part of the router's views, as long as its work
+// waits there: the router needs its time to order its queue, and no other.
 func (v *viewState) follow(account string) {
 	if _, ok := v.accounts[account]; !ok {
 		v.accounts[account] = -1
@@ -39,50 +45,65 @@
 type Outgoing struct {
 	Router string
 	View   protocol.View
+	full   bool
 }
 
 // Views returns the views that are due now, in the order of router names. The
-// caller reports the size of each with Sent. minor changes of virtual times
-// wait for the long gap, grants go after the short one.
+// caller reports the size of each with Sent. Grants and recalls go soon and
+// alone; the virtual times wait for a full view.
 func (a *Allocator) Views(now time.Duration) []Outgoing {
 	var out []Outgoing
 	for _, s := range a.order {
-		if !s.linked || !s.wantView || now < s.pacer.Due(s.urgent) {
+		if !s.linked || now < s.due() {
 			continue
 		}
-		v, worth := a.buildView(s)
-		s.urgent, s.wantView = false, false
+		full := s.wantView && now >= s.pacer.DueFull()
+		v, worth := a.buildView(s, full)
+		s.urgent = false
+		s.wantView = s.wantView && !full
 		if worth {
-			out = append(out, Outgoing{Router: s.router, View: v})
+			out = append(out, Outgoing{Router: s.router, View: v, full: full})
 		}
 	}
 	return out
 }
 
+// due returns when the session's next view may go.
+func (s *session) due() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	if s.urgent {
+		next = s.pacer.DueUrgent()
+	}
+	if s.wantView {
+		next = min(next, s.pacer.DueFull())
+	}
+	return next
+}
+
 // NextView returns when the next view is due, or false when none is wanted.
 func (a *Allocator) NextView() (time.Duration, bool) {
 	var next time.Duration
 	found := false
 	for _, s := range a.order {
-		if !s.linked || !s.wantView {
+		if !s.linked || !(s.urgent || s.wantView) {
 			continue
 		}
-		if due := s.pacer.Due(s.urgent); !found || due < next {
+		if due := s.due(); !found || due < next {
 			next, found = due, true
 		}
 	}
 	return next, found
 }
 
-// Sent tells the size of a view that went to a router.
-func (a *Allocator) Sent(now time.Duration, router string, bytes int) {
-	if s := a.sessions[router]; s != nil {
-		s.pacer.Sent(now, bytes)
+// Sent tells the size of a view that went out.
+func (a *Allocator) Sent(now time.Duration, o Outgoing, bytes int) {
+	if s := a.sessions[o.Router]; s != nil {
+		s.pacer.Sent(now, bytes, o.full)
 	}
 }
 
 // buildView returns the view for a router and whether it says anything new.
-func (a *Allocator) buildView(s *session) (protocol.View, bool) {
+func (a *Allocator) buildView(s *session, full bool) (protocol.View, bool) {
 	s.viewSeq++
 	v := protocol.View{Seq: s.viewSeq, ReportSeq: s.reports, Granted: heldList(s.granted)}
 	clear(s.granted)
@@ -92,19 +113,26 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.views)) {
-		if p := a.pools[name]; p != nil {
-			if pv, worth := p.viewFor(s.views[name]); worth {
-				v.Pools = append(v.Pools, pv)
-			}
+		p, vs := a.pools[name], s.views[name]
+		if p == nil || (!full && vs.recall == 0) {
+			continue
+		}
+		if pv, worth := p.viewFor(vs, full); worth {
+			v.Pools = append(v.Pools, pv)
 		}
 	}
 	return v, len(v.Granted) > 0 || len(v.Pools) > 0
 }
 
-// viewFor returns how the pool stands, with the accounts that the router
-// follows and whose time moved.
-func (p *pool) viewFor(v *viewState) (protocol.PoolView, bool) {
-	pv := protocol.PoolView{Pool: p.name, Unmet: p.wasUnmet, Floor: p.floor, Slack: float64(float32(p.slack()))}
+// viewFor returns how the pool stands; in a full view with the accounts that
+// the router follows and whose time moved.
+func (p *pool) viewFor(v *viewState, full bool) (protocol.PoolView, bool) {
+	pv := protocol.PoolView{Pool: p.name, Short: p.short, Floor: p.floor, Lift: p.lift, Slack: float64(float32(p.slack())), Recall: v.recall, Rate: float64(float32(p.rate))}
+	v.recalled += v.recall
+	v.recall = 0
+	if !full {
+		return pv, true
+	}
 	for _, name := range slices.Sorted(maps.Keys(v.accounts)) {
 		acc := p.accounts[name]
 		if acc == nil {
@@ -116,8 +144,8 @@
 			pv.Accounts = append(pv.Accounts, aheadOf(p.floor, acc))
 		}
 	}
-	worth := pv.Unmet || pv.Unmet != v.told || len(pv.Accounts) > 0
-	v.told = pv.Unmet
+	worth := pv.Short || pv.Short != v.told || len(pv.Accounts) > 0 || pv.Recall > 0
+	v.told = pv.Short
 	return pv, worth
 }
 
--- a/protocol/session.go
+++ b/protocol/session.go
@@ -8,6 +8,10 @@
 // Counters in a report are increments since the previous report of the same
 // session, and messages of one session arrive in order, so nothing is counted
 // twice; a new session starts from [Hello.Held], what the router really holds.
+//
+// Accounts and backend servers go by the short identifiers that the
+// configuration gives them. The three types that make up most of the traffic
+// are encoded as arrays: they can't grow a field, a new message would.
 
 // Hello opens a session. The router has closed its previous one before.
 type Hello struct {
@@ -62,8 +66,9 @@
 
 // Held is a number of slots of one backend server.
 type Held struct {
-	Server string `cbor:"1,keyasint"`
-	Slots  int    `cbor:"2,keyasint"`
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Slots  int
 }
 
 // Report is what happened at a router since its previous report.
@@ -84,10 +89,12 @@
 
 // AccountReport is one account at one router.
 type AccountReport struct {
-	Account string  `cbor:"1,keyasint"`
-	Waiting int     `cbor:"2,keyasint,omitempty"` // requests waiting now
-	Service float64 `cbor:"3,keyasint,omitempty"` // service charged since the previous report
-	Started int     `cbor:"4,keyasint,omitempty"` // requests dispatched since the previous report
+	_       struct{} `cbor:",toarray"`
+	Account string
+	Waiting int     // requests waiting now
+	Running int     // requests running now
+	Started int     // requests dispatched since the previous report
+	Service float64 // service charged since the previous report
 }
 
 // View is what the allocator tells one router: slots granted, and how the
@@ -104,17 +111,24 @@
 // PoolView is how the fleet stands in one pool.
 type PoolView struct {
 	Pool     string        `cbor:"1,keyasint"`
-	Unmet    bool          `cbor:"2,keyasint,omitempty"` // work waits without a slot somewhere
+	Short    bool          `cbor:"2,keyasint,omitempty"` // more work waits than slots are free
 	Floor    float64       `cbor:"3,keyasint,omitempty"` // lowest virtual time of an account whose work waits
+	Lift     float64       `cbor:"8,keyasint,omitempty"` // what an account is raised to that begins to wait, below Floor
 	Slack    float64       `cbor:"4,keyasint,omitempty"` // how far above the floor a slot may be reused
 	Accounts []AccountView `cbor:"5,keyasint,omitempty"`
+	// Recall is a number of slots to give back: free ones at once, else the
+	// next ones to become free.
+	Recall int `cbor:"6,keyasint,omitempty"`
+	// Rate is how fast the floor rises, a second.
+	Rate float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // AccountView is the fleet-wide virtual time of one account, every report of
 // the receiving router up to View.ReportSeq included.
 type AccountView struct {
-	Account string  `cbor:"1,keyasint"`
-	Ahead   float64 `cbor:"2,keyasint"` // above PoolView.Floor, in 32-bit precision
+	_       struct{} `cbor:",toarray"`
+	Account string
+	Ahead   float64 // above PoolView.Floor, in 32-bit precision
 }
 
 // Configure brings a router to a newer configuration. One field is set; both
--- a/router/call.go
+++ b/router/call.go
@@ -94,7 +94,7 @@
 	case <-ctx.Done():
 	}
 	if got, started := p.cancel(w); started {
-		p.finish(c.work, got.server.Name, 0, pool.Abandoned)
+		p.finish(c.work, got.server.ID, 0, pool.Abandoned)
 	}
 	f := failGone.WithOutcome(NotRun)
 	return config.Server{}, &f
@@ -110,7 +110,7 @@
 		c.claimed = true
 		return false, nil
 	}
-	r.pool(c.pool).finish(c.work, server.Name, 0, pool.Abandoned)
+	r.pool(c.pool).finish(c.work, server.ID, 0, pool.Abandoned)
 	if !ok {
 		r.claims.settle(*c.keyed, protocol.ClaimReleased, nil) // it may have been granted
 		return false, &failClaims
@@ -164,7 +164,7 @@
 	defer a.Body.Close()
 	rel := relay{router: r, call: c, pool: p, work: c.work, answer: a, began: began}
 	end := rel.run(w)
-	p.finish(c.work, server.Name, end.cost, end.result)
+	p.finish(c.work, server.ID, end.cost, end.result)
 	r.stats.served(c, end.cost)
 	r.settle(c, a, end)
 	if end.failure != nil {
@@ -180,7 +180,7 @@
 func (r *Router) sendFailed(ctx context.Context, c *call, p *lockedPool, server config.Server, err error) (again bool, f *Failure) {
 	var notRun backend.NotRun
 	if ctx.Err() != nil {
-		p.finish(c.work, server.Name, 0, pool.Abandoned)
+		p.finish(c.work, server.ID, 0, pool.Abandoned)
 		if errors.As(err, &notRun) {
 			r.release(c)
 			g := failGone.WithOutcome(NotRun)
@@ -189,7 +189,7 @@
 		r.settleUnknown(c)
 		return false, &failGone
 	}
-	p.finish(c.work, server.Name, 0, pool.Failed)
+	p.finish(c.work, server.ID, 0, pool.Failed)
 	if errors.As(err, &notRun) {
 		if r.retry() {
 			return true, nil
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -321,9 +321,9 @@
 			p.update(func(now time.Duration, pl *pool.Pool) { pl.TakeView(now, pv, v.ReportSeq) })
 		}
 	}
-	cfg := f.r.routes.Load().cfg
+	t := f.r.routes.Load()
 	for _, h := range v.Granted {
-		if srv, ok := cfg.Server(h.Server); ok {
+		if srv, ok := t.servers[h.Server]; ok {
 			f.r.pool(srv.Pool).update(func(now time.Duration, pl *pool.Pool) { pl.Grant(now, h) })
 		}
 	}
--- a/router/pool.go
+++ b/router/pool.go
@@ -23,7 +23,7 @@
 
 	mu      sync.Mutex // rank 2, after Router.mu
 	pool    *pool.Pool
-	servers map[string]config.Server // serving or not
+	servers map[string]config.Server // by identifier, serving or not
 }
 
 // waiter is a request in a pool's queue. turn receives the server to use, or
@@ -57,9 +57,9 @@
 	var serving []pool.Server
 	clear(p.servers)
 	for _, s := range t.pools[p.name] {
-		p.servers[s.Name] = s
+		p.servers[s.ID] = s
 		if s.Mark == config.Serving {
-			serving = append(serving, pool.Server{Name: s.Name, Slots: s.Slots})
+			serving = append(serving, pool.Server{Name: s.ID, Slots: s.Slots})
 		}
 	}
 	fail(p.pool.Configure(p.router.poolAccounts(t.cfg), serving), failKey)
@@ -81,7 +81,7 @@
 		if limits.Bytes == 0 {
 			limits.Bytes = r.set.Limits.AccountBytes
 		}
-		accounts = append(accounts, pool.Account{Name: a.Name, Share: a.Share, Limits: limits})
+		accounts = append(accounts, pool.Account{Name: a.ID, Share: a.Share, Limits: limits})
 	}
 	return accounts
 }
@@ -90,7 +90,7 @@
 func (p *lockedPool) enqueue(c *call) (*waiter, error) {
 	w := &waiter{turn: make(chan turn, 1)}
 	w.work = &pool.Work{
-		Account: c.account.Name, Class: c.class, Flow: c.flow, Bytes: int64(len(c.body)), Blocks: c.blocks,
+		Account: c.account.ID, Class: c.class, Flow: c.flow, Bytes: int64(len(c.body)), Blocks: c.blocks,
 		Deadline: p.router.now() + p.router.set.Limits.Wait, Value: w,
 	}
 	p.mu.Lock()
--- a/router/report.go
+++ b/router/report.go
@@ -50,7 +50,11 @@
 // meanwhile shortens the sleep.
 func (f *fleet) awaitDue(ctx context.Context, p *slots.Pacer, urgent bool) bool {
 	for {
-		wait := p.Due(urgent) - f.r.now()
+		due := p.DueFull()
+		if urgent {
+			due = min(due, p.DueUrgent())
+		}
+		wait := due - f.r.now()
 		if wait <= 0 {
 			return true
 		}
@@ -67,6 +71,7 @@
 	}
 }
 
+// sendReport sends what is new.
 func (f *fleet) sendReport(s *session, p *slots.Pacer) {
 	report, worth := f.buildReport(s)
 	if !worth {
@@ -77,7 +82,7 @@
 	if b, err := protocol.Encode(report); err == nil {
 		size = len(b)
 	}
-	p.Sent(f.r.now(), size)
+	p.Sent(f.r.now(), size, true)
 }
 
 // buildReport takes what is new from every pool and reports whether there was
--- a/router/routes.go
+++ b/router/routes.go
@@ -20,12 +20,13 @@
 	models   map[string]string // model or adapter → pool
 	services map[string]bool   // pools that are plain services
 	pools    map[string][]config.Server
+	servers  map[string]config.Server // by identifier
 }
 
 func newRoutes(cfg config.Config) *routes {
 	t := &routes{
 		cfg: cfg, accounts: map[config.KeyHash]config.Account{}, models: map[string]string{},
-		services: map[string]bool{}, pools: map[string][]config.Server{},
+		services: map[string]bool{}, pools: map[string][]config.Server{}, servers: map[string]config.Server{},
 	}
 	for _, a := range cfg.Accounts() {
 		for _, k := range a.Keys {
@@ -40,6 +41,7 @@
 
 func (t *routes) addServer(s config.Server) {
 	t.pools[s.Pool] = append(t.pools[s.Pool], s)
+	t.servers[s.ID] = s
 	if s.Kind == config.Service {
 		t.services[s.Pool] = true
 		return
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 )
 
 // This file defines Config, the immutable value that every box of the fleet
@@ -16,6 +17,7 @@
 // because no method changes it.
 type Config struct {
 	revision uint64
+	nextID   uint64 // of the next object created
 	accounts map[string]Account
 	servers  map[string]Server
 }
@@ -80,6 +82,7 @@
 func (c Config) Apply(ops []Op) (Config, error) {
 	n := Config{
 		revision: c.revision + 1,
+		nextID:   c.nextID,
 		accounts: maps.Clone(c.accounts),
 		servers:  maps.Clone(c.servers),
 	}
@@ -104,11 +107,13 @@
 }
 
 // applyOne changes the maps of a configuration that is still being built.
-func (c Config) applyOne(op Op, found *mistakes) {
+func (c *Config) applyOne(op Op, found *mistakes) {
 	switch {
 	case op.PutAccount != nil:
 		found.addAll(op.PutAccount.check())
-		c.accounts[op.PutAccount.Name] = *op.PutAccount
+		a := *op.PutAccount
+		a.ID = c.idOf(c.accounts[a.Name].ID)
+		c.accounts[a.Name] = a
 	case op.RemoveAccount != "":
 		if _, ok := c.accounts[op.RemoveAccount]; !ok {
 			found.add(op.Subject(), "name", "does not exist")
@@ -116,7 +121,9 @@
 		delete(c.accounts, op.RemoveAccount)
 	case op.PutServer != nil:
 		found.addAll(op.PutServer.check())
-		c.servers[op.PutServer.Name] = *op.PutServer
+		s := *op.PutServer
+		s.ID = c.idOf(c.servers[s.Name].ID)
+		c.servers[s.Name] = s
 	case op.RemoveServer != "":
 		s, ok := c.servers[op.RemoveServer]
 		if !ok {
@@ -131,6 +138,16 @@
 	}
 }
 
+// idOf returns the identifier that an object has, or the next free one. An
+// object that is removed and created again is another object.
+func (c *Config) idOf(had string) string {
+	if had != "" {
+		return had
+	}
+	c.nextID++
+	return strconv.FormatUint(c.nextID, 36)
+}
+
 // crossChecks finds mistakes that no single object shows: two accounts with
 // one key, one pool of two kinds, two servers at one address of one pool.
 func (c Config) crossChecks() mistakes {
@@ -164,18 +181,20 @@
 	Revision uint64    `cbor:"1,keyasint"`
 	Accounts []Account `cbor:"2,keyasint"`
 	Servers  []Server  `cbor:"3,keyasint"`
+	NextID   uint64    `cbor:"4,keyasint"`
 }
 
 // Snapshot returns the serializable form, ordered by name so that equal
 // configurations give equal bytes.
 func (c Config) Snapshot() Snapshot {
-	return Snapshot{Revision: c.revision, Accounts: c.Accounts(), Servers: c.Servers()}
+	return Snapshot{Revision: c.revision, Accounts: c.Accounts(), Servers: c.Servers(), NextID: c.nextID}
 }
 
 // FromSnapshot returns the configuration that s describes.
 func FromSnapshot(s Snapshot) Config {
 	c := Config{
 		revision: s.Revision,
+		nextID:   s.NextID,
 		accounts: make(map[string]Account, len(s.Accounts)),
 		servers:  make(map[string]Server, len(s.Servers)),
 	}
--- a/state/config/objects.go
+++ b/state/config/objects.go
@@ -42,6 +42,9 @@
 	Share  float64   `cbor:"2,keyasint"`
 	Keys   []KeyHash `cbor:"3,keyasint,omitempty"`
 	Limits Limits    `cbor:"4,keyasint"`
+	// ID is short and unique for ever; [Config.Apply] gives it. Boxes name the
+	// account by it among themselves.
+	ID string `cbor:"5,keyasint,omitempty"`
 }
 
 // Limits bound what one account may hold on one router. Zero means the
@@ -144,6 +147,7 @@
 	Version     string   `cbor:"9,keyasint,omitempty"`
 	ChecksFence bool     `cbor:"10,keyasint,omitempty"`
 	Never       []string `cbor:"11,keyasint,omitempty"` // "METHOD /path-prefix" of calls that may not be repeated
+	ID          string   `cbor:"12,keyasint,omitempty"` // as Account.ID
 }
 
 // WithMark returns the server with another mark.
