Fixture: take cancelled requests out of a server's queue

A restarted router's queued requests stayed in the fixture's server queue and were counted as sent. Ran: go test ./coordination/slots -rapid.checks=1500.

--- a/coordination/slots/bench_test.go
+++ b/coordination/slots/bench_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,7 +157,10 @@
 	f.m.lost++
 	if req.serving {
 		req.server.leave(f)
+		return
 	}
+	queue := req.server.queue
+	req.server.queue = slices.DeleteFunc(queue, func(q *request) bool { return q == req })
 }
 
 func BenchmarkFleet(b *testing.B) {
