Prove the promises on whole fleets in virtual time

Cause: nothing showed that the parts hold the promises together.

Change: a network in memory with silent cuts, a disk that forgets, and tests that start real boxes on both inside testing/synctest: door and failures of callers, backend failures, leader killed / cut off / stopped under load, router partitioned / restarted, server leaving while a router is cut off, no leader at all, disks of all control boxes lost one after the other, keyed requests at two routers, with dying routers and dying leaders, operators' races and resends.

Now silence of half a lease ends a session, renewals go six times a lease, retries pause 250 ms while the lease runs, elections start after 600 ms.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -53,6 +53,7 @@
 	Fleet         net.Listener // for the control role
 	DataDir       string
 	OperatorToken string
+	Overcommit    float64 // part of an engine's slots that is granted beyond them
 
 	Lease             slots.Lease
 	Pace              slots.Pace
@@ -64,6 +65,11 @@
 	// balancer to notice.
 	Grace time.Duration
 	Log   *slog.Logger
+
+	// What tests put in place of the machine. Nil is the machine's own.
+	Dialer backend.Dialer
+	Dir    func(group string) (wal.Dir, error)
+	Random func() uint64
 }
 
 // Box is a running box.
@@ -72,6 +78,7 @@
 	metrics *metrics.Set
 	router  *router.Router
 	control *control.Control
+	backend *backend.Client
 	servers []*http.Server
 }
 
@@ -88,6 +95,12 @@
 	if set.Log == nil {
 		set.Log = slog.New(slog.DiscardHandler)
 	}
+	if set.Dir == nil {
+		set.Dir = func(group string) (wal.Dir, error) { return wal.MakeDir(filepath.Join(set.DataDir, group)) }
+	}
+	if set.Random == nil {
+		set.Random = rand.Uint64
+	}
 	b := &Box{set: set, metrics: metrics.NewSet()}
 	if set.Control {
 		if err := b.startControl(ctx); err != nil {
@@ -104,17 +117,19 @@
 }
 
 func (b *Box) identity() link.Identity {
-	return link.Identity{Name: b.set.Name, Key: b.set.FleetKey}
+	id := link.Identity{Name: b.set.Name, Key: b.set.FleetKey}
+	if b.set.Dialer != nil {
+		id.Dial = b.set.Dialer.DialContext
+	}
+	return id
 }
 
 func (b *Box) startControl(ctx context.Context) error {
 	c, err := control.Start(ctx, control.Settings{
 		Identity: b.identity(), Replicas: b.set.Replicas,
-		Dir: func(group string) (wal.Dir, error) {
-			return wal.MakeDir(filepath.Join(b.set.DataDir, group))
-		},
+		Dir: b.set.Dir, Overcommit: b.set.Overcommit,
 		Lease: b.set.Lease, Pace: b.set.Pace, Election: b.set.Election, Heartbeat: b.set.Heartbeat,
-		Random: rand.Uint64, Log: b.set.Log, Metrics: b.metrics,
+		Random: b.set.Random, Log: b.set.Log, Metrics: b.metrics,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start control role")
@@ -127,10 +142,11 @@
 }
 
 func (b *Box) startRouter(ctx context.Context) {
+	b.backend = backend.New(backend.Settings{Dialer: b.set.Dialer})
 	b.router = router.Start(ctx, router.Settings{
 		Identity: b.identity(), Hall: b.set.Hall, Replicas: b.set.Replicas,
-		Backend: backend.New(backend.Settings{}), Limits: b.set.Limits, Pace: b.set.Pace,
-		StopWithoutLeader: b.set.StopWithoutLeader, Log: b.set.Log, Metrics: b.metrics,
+		Backend: b.backend, Limits: b.set.Limits, Pace: b.set.Pace,
+		StopWithoutLeader: b.set.StopWithoutLeader, Random: b.set.Random, Log: b.set.Log, Metrics: b.metrics,
 	})
 	b.serve(b.set.Callers, b.router)
 }
@@ -185,6 +201,9 @@
 	if b.control != nil {
 		b.control.Stop(ctx)
 	}
+	if b.backend != nil {
+		b.backend.Close()
+	}
 	for _, s := range b.servers {
 		if s.Shutdown(ctx) != nil {
 			s.Close()
--- /dev/null
+++ b/callers_test.go
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/standin"
+)
+
+// This file checks the callers' interface against a whole fleet: good answers
+// byte for byte, and every failure with its status, code and true outcome.
+
+func smallFleet(t *testing.T) *testFleet {
+	f := newFleet(t, 1, 1)
+	f.account("hotel", 1)
+	f.engine("e1", 1, 2)
+	f.service("s1", 1, 4, 0)
+	f.settle()
+	return f
+}
+
+func TestAnswersAreRelayedWhole(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		a := f.do(completion("r1", "hotel", 3, true))
+		is.NoErr(a.err)
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(strings.Count(a.body, "data: "), 5) // three tokens, usage, end
+		is.True(strings.HasSuffix(a.body, "data: [DONE]\n\n"))
+		is.Equal(a.outcome, "") // not a failure
+
+		a = f.do(completion("r1", "hotel", 3, false))
+		is.Equal(a.status, http.StatusOK)
+		is.True(strings.Contains(a.body, `"content":"tok0 tok1 tok2 "`))
+
+		a = f.do(request{router: "r1", method: http.MethodGet, path: "/v1/models", key: "hotel"})
+		is.Equal(a.body, `{"object":"list","data":[{"id":"m","object":"model","owned_by":"llm"}]}`+"\n")
+	})
+}
+
+func TestPlainServiceSeesNoKeys(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		a := f.do(request{
+			router: "r1", method: http.MethodPut, path: "/services/stock/rooms/7%2F8?floor=2", key: "hotel", body: "towels",
+			header: map[string]string{"Cookie": "secret", "Badgerspoke-Account": "forged"},
+		})
+		is.Equal(a.status, http.StatusOK)
+		var got map[string]string
+		is.NoErr(json.Unmarshal([]byte(a.body), &got))
+		is.Equal(got["method"], http.MethodPut)
+		is.Equal(got["path"], "/rooms/7%2F8?floor=2")
+		is.Equal(got["body"], "towels")
+		is.Equal(got["account"], "hotel")
+		is.Equal(got["authorization"], "")
+	})
+}
+
+func TestDoor(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := smallFleet(t)
+		tests := []struct {
+			name   string
+			r      request
+			status int
+			code   string
+		}{
+			{"no key", request{path: "/v1/models", method: "GET"}, 401, "invalid_api_key"},
+			{"wrong key", request{path: "/v1/models", method: "GET", key: "x"}, 401, "invalid_api_key"},
+			{"unknown path", request{path: "/v2", key: "hotel"}, 404, "not_found"},
+			{"wrong method", request{path: "/v1/models", key: "hotel"}, 405, "method_not_allowed"},
+			{"malformed JSON", request{path: "/v1/completions", key: "hotel", body: "{"}, 400, "malformed_request"},
+			{"no model", request{path: "/v1/completions", key: "hotel", body: "{}"}, 400, "malformed_request"},
+			{"unknown model", request{path: "/v1/completions", key: "hotel", body: `{"model":"x"}`}, 404, "model_not_found"},
+			{"unknown service", request{path: "/services/x/y", key: "hotel"}, 404, "service_not_found"},
+			{"body too large", request{path: "/services/stock/", key: "hotel", body: strings.Repeat("x", 9<<20)}, 413, "request_too_large"},
+			{"bad class", request{path: "/services/stock/", key: "hotel", header: map[string]string{"Badgerspoke-Class": "vip"}}, 400, "invalid_header"},
+			{"bad repeat", request{path: "/services/stock/", key: "hotel", header: map[string]string{"Badgerspoke-Repeat": "maybe"}}, 400, "invalid_header"},
+			{"long key", request{path: "/services/stock/", key: "hotel", header: map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}}, 400, "invalid_header"},
+		}
+		for _, tt := range tests {
+			is := is.New(t)
+			tt.r.router = "r1"
+			a := f.do(tt.r)
+			is.NoErr(a.err)
+			var e struct {
+				Error struct{ Code, Outcome, Message string }
+			}
+			is.NoErr(json.Unmarshal([]byte(a.body), &e)) // the protocol's usual error
+			is.Equal(a.status, tt.status)                // status
+			is.Equal(e.Error.Code, tt.code)              // code
+			is.Equal(a.outcome, "not-run")               // outcome header
+			is.Equal(e.Error.Outcome, "not-run")         // outcome field
+		}
+	})
+}
+
+func TestBackendFailures(t *testing.T) {
+	engine := completion("r1", "hotel", 4, true)
+	plain := completion("r1", "hotel", 4, false)
+	never := plain
+	never.header = map[string]string{"Badgerspoke-Repeat": "never"}
+	post := order("r1", "hotel", "sheets", "")
+	tests := []struct {
+		name    string
+		r       request
+		how     standin.Failure
+		status  int
+		outcome string // of the failure; "" is a whole answer
+		runs    int    // how often it was started
+	}{
+		{"refused, then taken", plain, standin.Refuse, 200, "", 1},
+		{"refused though it may not be repeated", never, standin.Refuse, 200, "", 1},
+		{"dies early, safe to repeat", plain, standin.DieEarly, 200, "", 2},
+		{"dies early, may not be repeated", never, standin.DieEarly, 502, "unknown", 1},
+		{"service dies early", post, standin.DieEarly, 502, "unknown", 1},
+		{"service refuses", post, standin.Refuse, 200, "", 1},
+		{"stream dies in the middle", engine, standin.DieMid, 200, "unknown", 1},
+		{"stream ends without its end mark", engine, standin.Truncate, 200, "unknown", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				f := smallFleet(t)
+				for range 12 { // earn a retry
+					f.do(request{router: "r1", method: "GET", path: "/services/stock/warm", key: "hotel"})
+				}
+				f.engines["e1"].FailNext(tt.how)
+				f.services["s1"].FailNext(tt.how)
+				a := f.do(tt.r)
+				is.NoErr(a.err)
+				is.Equal(a.status, tt.status)
+				runs := f.engines["e1"].Runs() + f.services["s1"].Runs("sheets")
+				is.Equal(runs, tt.runs)
+				switch {
+				case tt.outcome == "":
+					is.Equal(a.outcome, "")
+				case tt.status == 200: // the stream says so in an event, and does not look whole
+					is.True(strings.Contains(a.body, "event: error"))
+					is.True(strings.Contains(a.body, `"outcome":"`+tt.outcome+`"`))
+					is.True(!strings.Contains(a.body, "[DONE]"))
+				default:
+					is.Equal(a.outcome, tt.outcome)
+				}
+			})
+		})
+	}
+}
+
+func TestBrokenPlainAnswerNeverLooksWhole(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		f.services["s1"].FailNext(standin.DieMid)
+		a := f.do(order("r1", "hotel", "sheets", ""))
+		is.True(a.err != nil) // the connection breaks before the declared length
+		f.engines["e1"].FailNext(standin.DieMid)
+		a = f.do(completion("r1", "hotel", 4, false))
+		is.True(a.err != nil)
+	})
+}
+
+func TestRetriesStayInsideTheBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		failed := 0
+		for range 100 {
+			f.engines["e1"].FailNext(standin.DieEarly)
+			if a := f.do(completion("r1", "hotel", 1, false)); a.status != 200 {
+				failed++
+			}
+		}
+		is.True(f.engines["e1"].Runs() <= 110) // at most a tenth more than was asked for
+		is.True(failed > 0)
+	})
+}
+
+func TestCallerGoesAway(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		r := completion("r1", "hotel", 10000, true)
+		r.ctx = ctx
+		wait := f.startAll(r, r)
+		time.Sleep(time.Second)
+		running, _, _ := f.engines["e1"].Load()
+		is.Equal(running, 2)
+		cancel()
+		wait()
+		time.Sleep(100 * time.Millisecond)
+		running, _, _ = f.engines["e1"].Load()
+		is.Equal(running, 0)                          // cancelled at the engine
+		a := f.do(completion("r1", "hotel", 1, true)) // and the slots are free
+		is.Equal(a.status, 200)
+	})
+}
+
+func TestQueueFull(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		var rs []request
+		for range 1024 + 12 { // the limit, and two that may run before the last arrives
+			rs = append(rs, completion("r1", "hotel", 1, false))
+		}
+		full := 0
+		for _, a := range f.startAll(rs...)() {
+			if a.status == http.StatusTooManyRequests {
+				full++
+				is.Equal(a.outcome, "not-run")
+				is.Equal(a.header.Get("Retry-After"), "1")
+			}
+		}
+		is.Equal(full, 12)
+		is.Equal(f.engines["e1"].Runs(), len(rs)-full) // "not run" was true
+	})
+}
--- a/cmd/badgerspoked/main.go
+++ b/cmd/badgerspoked/main.go
@@ -107,8 +107,8 @@
 		Name: d.Name, Hall: d.Hall, FleetKey: d.FleetKey, Replicas: d.Control,
 		Router: d.Has(settings.Router), Control: d.Has(settings.Control),
 		DataDir: d.DataDir, OperatorToken: d.OperatorToken,
-		Lease: slots.Lease{Length: d.Lease, Margin: slots.DefaultLease.Margin},
-		Pace:  pace, Limits: limits, StopWithoutLeader: d.StopWithoutLeader, Grace: d.Grace, Log: log,
+		Lease:      slots.Lease{Length: d.Lease, Margin: slots.DefaultLease.Margin},
+		Overcommit: d.Overcommit, Pace: pace, Limits: limits, StopWithoutLeader: d.StopWithoutLeader, Grace: d.Grace, Log: log,
 	}
 	var err error
 	if set.Operators, err = net.Listen("tcp", d.ListenOperators); err != nil {
--- a/coordination/slots/measure_test.go
+++ b/coordination/slots/measure_test.go
@@ -22,7 +22,6 @@
 	able     []float64
 	waits    []time.Duration // of small accounts
 	largest  float64         // cost
-	slack    float64
 	ended    int
 	lost     int
 	longest  time.Duration // wait of anybody
@@ -37,7 +36,6 @@
 	both       bool
 	low, high  float64
 	gap        float64
-	bound      float64
 }
 
 const maxFollowed = 24
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,389 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/badgerspoke/badgerspoke"
+	"github.com/badgerspoke/badgerspoke/dev"
+	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+
+	"github.com/badgerspoke/badgerspoke/standin"
+	"github.com/badgerspoke/badgerspoke/state/config"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+)
+
+// This file defines testFleet, a whole fleet in one bubble of virtual time:
+// real boxes on a network and disks in memory, in front of stand-ins.
+
+const (
+	latency   = 1500 * time.Microsecond
+	token     = "operators"
+	clientIP  = "10.0.9.1"
+	tokenTime = 20 * time.Millisecond
+
+	callTimeout = 500 * time.Millisecond // of an operator's call to a box that may be cut off
+)
+
+type testFleet struct {
+	t        *testing.T
+	net      *fakenet.Network
+	rng      *rand.Rand
+	rngMu    sync.Mutex
+	replicas map[string]string
+	boxes    map[string]*testBox
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+	servers  []*http.Server
+	client   *http.Client
+	changes  int
+}
+
+// testBox is one box and what survives its restarts.
+type testBox struct {
+	name, ip string
+	control  bool
+	box      *badgerspoke.Box
+	disks    map[string]*fakedisk.Disk
+	kill     context.CancelFunc
+}
+
+// newFleet starts controls c1… and routers r1…, and waits until they are
+// ready.
+func newFleet(t *testing.T, controls, routers int) *testFleet {
+	f := &testFleet{
+		t: t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, 2)), replicas: map[string]string{},
+		boxes: map[string]*testBox{}, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
+	}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.Box(clientIP).DialContext}}
+	for i := range controls {
+		f.replicas[fmt.Sprintf("c%d", i+1)] = fmt.Sprintf("10.0.1.%d:8082", i+1)
+	}
+	for i := range controls {
+		f.add(fmt.Sprintf("c%d", i+1), fmt.Sprintf("10.0.1.%d", i+1), true)
+	}
+	for i := range routers {
+		f.add(fmt.Sprintf("r%d", i+1), fmt.Sprintf("10.0.2.%d", i+1), false)
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *testFleet) add(name, ip string, control bool) {
+	b := &testBox{name: name, ip: ip, control: control, disks: map[string]*fakedisk.Disk{}}
+	f.boxes[name] = b
+	f.start(name)
+}
+
+func (f *testFleet) random() uint64 {
+	f.rngMu.Lock()
+	defer f.rngMu.Unlock()
+	return f.rng.Uint64()
+}
+
+// start starts a box, again or for the first time.
+func (f *testFleet) start(name string) {
+	b := f.boxes[name]
+	ctx, cancel := context.WithCancel(context.Background())
+	b.kill = cancel
+	set := badgerspoke.Settings{
+		Name: name, FleetKey: []byte("a key that all boxes share"), Replicas: f.replicas, OperatorToken: token,
+		Dialer: f.net.Box(b.ip), Random: f.random, Grace: 100 * time.Millisecond,
+		Router: !b.control, Control: b.control,
+		Dir: func(group string) (wal.Dir, error) {
+			if b.disks[group] == nil {
+				b.disks[group] = fakedisk.New(f.random())
+			}
+			return b.disks[group], nil
+		},
+	}
+	if b.control {
+		set.Fleet, set.Operators = f.listen(b.ip+":8082"), f.listen(b.ip+":8081")
+	} else {
+		set.Callers = f.listen(b.ip + ":8080")
+	}
+	box, err := badgerspoke.Start(ctx, set)
+	if err != nil {
+		f.t.Fatalf("start %s: %v", name, err)
+	}
+	b.box = box
+}
+
+func (f *testFleet) listen(address string) net.Listener {
+	l, err := f.net.Listen(address)
+	if err != nil {
+		f.t.Fatalf("listen on %s: %v", address, err)
+	}
+	return l
+}
+
+// crash ends a box as kill -9 and a power cut would.
+func (f *testFleet) crash(name string) {
+	b := f.boxes[name]
+	b.kill()
+	f.net.Kill(b.ip)
+	f.stopNow(b)
+	for _, d := range b.disks {
+		d.Crash()
+	}
+}
+
+func (f *testFleet) stopNow(b *testBox) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b.box.Stop(ctx)
+	b.box = nil
+}
+
+// stop ends a box as SIGTERM would.
+func (f *testFleet) stop(name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b := f.boxes[name]
+	b.box.Stop(ctx)
+	b.kill()
+	b.box = nil
+}
+
+func (f *testFleet) close() {
+	for _, name := range []string{"r1", "r2", "r3", "c1", "c2", "c3"} {
+		if b := f.boxes[name]; b != nil && b.box != nil {
+			b.kill()
+			f.stopNow(b)
+		}
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+	f.client.CloseIdleConnections()
+	time.Sleep(10 * time.Second) // let timers of closed connections end
+}
+
+// standIn serves a stand-in at an address.
+func (f *testFleet) standIn(address string, h http.Handler) {
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	l := f.listen(address)
+	go func() { _ = s.Serve(l) }()
+}
+
+// engine starts an engine and adds it to pool "llm", model "m".
+func (f *testFleet) engine(name string, i, slots int) *standin.Engine {
+	e := standin.NewEngine(standin.EngineSettings{Name: name, Models: []string{"m"}, Slots: slots, TokenTime: tokenTime})
+	address := fmt.Sprintf("10.0.3.%d:9000", i)
+	f.standIn(address, e)
+	f.engines[name] = e
+	f.addServer(&operatorv1.Server{
+		Name: name, Pool: "llm", Address: address, Kind: operatorv1.Kind_KIND_ENGINE, Slots: uint32(slots),
+		Mark: operatorv1.Mark_MARK_SERVING, Models: []string{"m"},
+	})
+	return e
+}
+
+// service starts a plain service and adds it to pool "stock".
+func (f *testFleet) service(name string, i int, slots uint32, takes time.Duration) *standin.Service {
+	s := &standin.Service{Time: takes}
+	address := fmt.Sprintf("10.0.4.%d:9000", i)
+	f.standIn(address, s)
+	f.services[name] = s
+	f.addServer(&operatorv1.Server{
+		Name: name, Pool: "stock", Address: address, Kind: operatorv1.Kind_KIND_SERVICE, Slots: slots,
+		Mark: operatorv1.Mark_MARK_SERVING,
+	})
+	return s
+}
+
+func (f *testFleet) addServer(s *operatorv1.Server) {
+	f.mustChange(func(ctx context.Context, c operatorv1connect.OperatorServiceClient, ch *operatorv1.Change) error {
+		_, err := c.AddServer(ctx, connect.NewRequest(&operatorv1.AddServerRequest{Change: ch, Server: s}))
+		return err
+	})
+}
+
+func (f *testFleet) mark(name string, m operatorv1.Mark) {
+	f.mustChange(func(ctx context.Context, c operatorv1connect.OperatorServiceClient, ch *operatorv1.Change) error {
+		_, err := c.MarkServer(ctx, connect.NewRequest(&operatorv1.MarkServerRequest{Change: ch, Name: name, Mark: m}))
+		return err
+	})
+}
+
+// account creates an account whose key is its name.
+func (f *testFleet) account(name string, share float64) {
+	h := config.HashKey(name)
+	f.mustChange(func(ctx context.Context, c operatorv1connect.OperatorServiceClient, ch *operatorv1.Change) error {
+		_, err := c.CreateAccount(ctx, connect.NewRequest(&operatorv1.CreateAccountRequest{
+			Change: ch, Name: name, Share: share, KeyHash: hex.EncodeToString(h[:]),
+		}))
+		return err
+	})
+}
+
+// operators returns a client of one control box.
+func (f *testFleet) operators(name string) operatorv1connect.OperatorServiceClient {
+	return operatorv1connect.NewOperatorServiceClient(f.client, "http://"+f.boxes[name].ip+":8081",
+		connect.WithInterceptors(dev.Authorize(token)))
+}
+
+// mustChange makes a change at whoever leads, sending it again with the same
+// identifier until it is accepted.
+func (f *testFleet) mustChange(do func(context.Context, operatorv1connect.OperatorServiceClient, *operatorv1.Change) error) {
+	f.t.Helper()
+	f.changes++
+	ch := &operatorv1.Change{Id: fmt.Sprintf("change %d", f.changes)}
+	var last error
+	for range 200 {
+		for name := range f.replicas {
+			if f.boxes[name].box == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			last = do(ctx, f.operators(name), ch)
+			cancel()
+			if last == nil {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatalf("change was never accepted: %v", last)
+}
+
+// leader returns the control box that leads.
+func (f *testFleet) leader() string {
+	for range 200 {
+		for name := range f.replicas {
+			if f.boxes[name].box == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			_, err := f.operators(name).GetStatus(ctx, connect.NewRequest(&operatorv1.GetStatusRequest{}))
+			cancel()
+			if err == nil {
+				return name
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatal("nobody leads")
+	return ""
+}
+
+// settle waits until every running router is ready and holds the newest
+// configuration.
+func (f *testFleet) settle() {
+	f.t.Helper()
+	for range 400 {
+		ready := true
+		for _, b := range f.boxes {
+			if b.box != nil && !b.control {
+				ready = ready && b.box.Ready() && b.box.Router().Revision() >= uint64(f.changes)
+			}
+		}
+		if ready {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatal("the routers never got ready")
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	body    string
+	header  http.Header
+	err     error
+	took    time.Duration
+}
+
+type request struct {
+	router string
+	method string
+	path   string
+	key    string // of the account
+	body   string
+	header map[string]string
+	ctx    context.Context
+}
+
+func completion(router, account string, tokens int, stream bool) request {
+	return request{
+		router: router, path: "/v1/chat/completions", key: account,
+		body: fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":%d}`, stream, tokens),
+	}
+}
+
+func order(router, account, body, idempotencyKey string) request {
+	r := request{router: router, path: "/services/stock/orders", key: account, body: body}
+	if idempotencyKey != "" {
+		r.header = map[string]string{"Idempotency-Key": idempotencyKey}
+	}
+	return r
+}
+
+func (f *testFleet) do(r request) answer {
+	began := time.Now()
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.ctx == nil {
+		r.ctx = context.Background()
+	}
+	req, err := http.NewRequestWithContext(r.ctx, r.method, "http://"+f.boxes[r.router].ip+":8080"+r.path, bytes.NewReader([]byte(r.body)))
+	if err != nil {
+		f.t.Error(err)
+		return answer{err: err}
+	}
+	if r.key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.key)
+	}
+	for k, v := range r.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, outcome: resp.Header.Get("Badgerspoke-Outcome"), body: string(body),
+		header: resp.Header, err: err, took: time.Since(began),
+	}
+}
+
+// start runs requests at once and returns a function that waits for their
+// answers.
+func (f *testFleet) startAll(rs ...request) func() []answer {
+	out := make([]answer, len(rs))
+	var wg sync.WaitGroup
+	for i, r := range rs {
+		wg.Go(func() { out[i] = f.do(r) })
+	}
+	return func() []answer { wg.Wait(); return out }
+}
+
+// inBubble runs a test in virtual time.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -65,8 +65,8 @@
 
 // Defaults of the times and sizes of a replica.
 const (
-	DefaultElection  = time.Second
-	DefaultHeartbeat = 150 * time.Millisecond
+	DefaultElection  = 600 * time.Millisecond
+	DefaultHeartbeat = 120 * time.Millisecond
 	DefaultCompactAt = 4 << 20
 )
 
--- a/router/callers.go
+++ b/router/callers.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -229,7 +228,7 @@
 		return nil, failHeader.With(keyHeader + " is longer than 255 bytes")
 	}
 	if key != "" {
-		c.keyed = &keyed{account: a.Name, key: key, attempt: rand.Uint64()}
+		c.keyed = &keyed{account: a.Name, key: key, attempt: r.set.Random()}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.set.Limits.Body))
 	if err != nil {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -24,8 +24,10 @@
 
 // Times of a session.
 const (
-	renewPart     = 3 // renewals in one lease
+	renewPart     = 6 // renewals in one lease
+	silentPart    = 2 // a link is dead after this part of the lease without a message
 	shortestRetry = 20 * time.Millisecond
+	leasedRetry   = 250 * time.Millisecond // longest pause while the lease still runs
 	longestRetry  = time.Second
 	helloTimeout  = 2 * time.Second
 	defaultLease  = 3 * time.Second // until a leader has said otherwise
@@ -74,11 +76,20 @@
 		}
 		if f.r.now()-began < wait || l == nil {
 			f.sleep(wait/2 + rand.N(wait)) // jitter keeps a rack of routers from dialling at once
-			wait = min(2*wait, longestRetry)
+			wait = min(2*wait, f.longest())
 		}
 	}
 }
 
+// longest returns the longest pause between two attempts. A lease that still
+// runs is worth hurrying for: an election takes about half of it.
+func (f *fleet) longest() time.Duration {
+	if f.r.lease.valid(f.r.now()) {
+		return leasedRetry
+	}
+	return longestRetry
+}
+
 func (f *fleet) sleep(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -276,11 +287,11 @@
 	}
 }
 
-// receive takes what the leader sends until the link ends, or until the
-// leader has not renewed the lease for its whole length.
+// receive takes what the leader sends until the link ends or falls silent.
+// Renewals are answered, so silence means that the link is dead.
 func (f *fleet) receive(ctx context.Context, l *link.Link, s *session) error {
 	for {
-		rctx, cancel := context.WithTimeout(ctx, f.length)
+		rctx, cancel := context.WithTimeout(ctx, f.length/silentPart)
 		m, err := l.Receive(rctx)
 		cancel()
 		if err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +42,7 @@
 	// StopWithoutLeader makes the router treat the absence of a leader like
 	// being cut off, whatever a majority says.
 	StopWithoutLeader bool
+	Random            func() uint64 // for the boot number and attempts
 	Log               *slog.Logger
 	Metrics           *metrics.Set
 }
@@ -108,7 +108,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	r := &Router{
-		set: set, boot: rand.Uint64() | 1, start: time.Now(), ctx: ctx, stop: stop,
+		set: set, boot: set.Random() | 1, start: time.Now(), ctx: ctx, stop: stop,
 		meter: link.NewMeter(set.Metrics), stats: newStats(set.Metrics), pools: map[string]*lockedPool{},
 		budget: newBudget(),
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,7 @@
 	Grace             time.Duration
 	StopTimeout       time.Duration
 	ControlBudget     float64
+	Overcommit        float64
 	StopWithoutLeader bool
 	LogLevel          string
 	LogFormat         string
@@ -129,6 +130,7 @@
 	fs.DurationVar(&d.Grace, "grace", 2*time.Second, "how long a stopping router still takes requests")
 	fs.DurationVar(&d.StopTimeout, "stop-timeout", 10*time.Minute, "longest time for running requests to end after a stop")
 	fs.Float64Var(&d.ControlBudget, "control-budget", 2000, "bytes a second of control traffic on one link in one direction")
+	fs.Float64Var(&d.Overcommit, "overcommit", 0.125, "part of an engine's slots that is granted beyond them, to wait in its own queue (role control)")
 	fs.StringVar(&r.noLeader, "without-leader", "continue", "continue or stop: what a router does when a majority of control replicas has no leader")
 	fs.StringVar(&d.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&d.LogFormat, "log-format", "text", "text or json")
@@ -160,6 +162,7 @@
 	c.that(d.Grace >= 0, "-grace: must not be negative")
 	c.that(d.StopTimeout > 0, "-stop-timeout: must be positive")
 	c.that(d.ControlBudget >= 500, "-control-budget: must be at least 500 bytes a second")
+	c.that(d.Overcommit >= 0 && d.Overcommit <= 1, "-overcommit: must be between 0 and 1")
 	c.oneOf("-log-level", d.LogLevel, "debug", "info", "warn", "error")
 	c.oneOf("-log-format", d.LogFormat, "text", "json")
 	c.oneOf("-without-leader", r.noLeader, "continue", "stop")
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -169,6 +169,7 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if c.how == DieMid {
 		fmt.Fprint(c.w, body[:len(body)/2])
+		_ = http.NewResponseController(c.w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	fmt.Fprint(c.w, body)
--- a/standin/service.go
+++ b/standin/service.go
@@ -59,6 +59,7 @@
 	case DieMid:
 		w.Header().Set("Content-Length", "1000")
 		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, map[string]string{
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -47,6 +48,14 @@
 type Identity struct {
 	Name string
 	Key  []byte // the fleet key, equal on all boxes
+	// Dial opens connections; nil is the operating system's network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// client returns the HTTP client that opens links: one connection each, none
+// kept.
+func (id Identity) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: id.Dial, DisableKeepAlives: true}}
 }
 
 // Link is an open, authenticated link. Send and Receive may be called
@@ -62,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
 	conn, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
-		CompressionMode: websocket.CompressionDisabled,
+		CompressionMode: websocket.CompressionDisabled, HTTPClient: id.client(),
 	})
 	if resp != nil && resp.Body != nil {
 		defer resp.Body.Close()
