Add the operators' command line; send operators on to the leader

A replica that does not lead now names the operators' address of the one that does (leaders tell it to the log), and the command line follows it.

Ran with real processes on one machine: three control boxes, three routers, two stand-in engines, nine loops of streamed completions (540 in all). kill -9 of the leader, then its data folder removed and it started again, then SIGTERM of r1: 360 of 360 answers through r2 and r3 whole; through r1 129 whole, 2 refused with 503 while it stopped, 49 not connected after it had. The lost replica voted again; all processes ended on SIGTERM.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -127,7 +127,7 @@
 func (b *Box) startControl(ctx context.Context) error {
 	c, err := control.Start(ctx, control.Settings{
 		Identity: b.identity(), Replicas: b.set.Replicas,
-		Dir: b.set.Dir, Overcommit: b.set.Overcommit,
+		Operators: addressOf(b.set.Operators), Dir: b.set.Dir, Overcommit: b.set.Overcommit,
 		Lease: b.set.Lease, Pace: b.set.Pace, Election: b.set.Election, Heartbeat: b.set.Heartbeat,
 		Random: b.set.Random, Log: b.set.Log, Metrics: b.metrics,
 	})
@@ -141,6 +141,13 @@
 	return nil
 }
 
+func addressOf(l net.Listener) string {
+	if l == nil {
+		return ""
+	}
+	return l.Addr().String()
+}
+
 func (b *Box) startRouter(ctx context.Context) {
 	b.backend = backend.New(backend.Settings{Dialer: b.set.Dialer})
 	b.router = router.Start(ctx, router.Settings{
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,280 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package cli is the operators' command line: it parses one command, makes
+// one call of the operators' interface, and prints the answer as a table or
+// as JSON.
+//
+// The model: a command is a row of a table ([commands]) with its arguments,
+// its flags and the function that calls the fleet. Changes carry an identifier
+// that is drawn once and sent again until the fleet answers, so that a lost
+// answer neither loses nor doubles a change. A replica that does not lead
+// names the one that does, and the call goes there.
+//
+// Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 nobody leads or
+// answers (try again), 4 another change won the race.
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+	"github.com/badgerspoke/badgerspoke/settings"
+)
+
+// This file defines Run and what all commands share. The commands themselves
+// are in commands.go, the tables in table.go.
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitRefused     = 1
+	ExitUsage       = 2
+	ExitUnavailable = 3
+	ExitConflict    = 4
+)
+
+const (
+	defaultServer = "127.0.0.1:8081"
+	patience      = 10 * time.Second
+	retryPause    = 200 * time.Millisecond
+)
+
+// command is one command of the table.
+type command struct {
+	name    string // "account create"
+	args    []string
+	example string
+	what    string
+	flags   func(fs *flag.FlagSet, in *input)
+	run     func(ctx context.Context, c operatorv1connect.OperatorServiceClient, in *input) (proto.Message, error)
+}
+
+// input is what a command was given.
+type input struct {
+	args    []string
+	change  *operatorv1.Change
+	server  string
+	token   string
+	json    bool
+	share   float64
+	limits  operatorv1.Limits
+	address string
+	pool    string
+	kind    string
+	mark    string
+	slots   uint
+	models  string
+	adapt   string
+	version string
+	never   string
+	fence   bool
+	keep    bool
+	set     map[string]bool // flags that were given
+}
+
+// Run runs one command and returns the exit code.
+func Run(ctx context.Context, args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	cmd, rest := find(args)
+	if cmd == nil {
+		usage(stderr)
+		if len(args) == 1 && (args[0] == "-h" || args[0] == "help") {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	in, err := parse(cmd, rest, getenv, stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
+		fmt.Fprintf(stderr, "badgerspoke %s: %v\n", cmd.name, err)
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	answer, err := callLeader(ctx, cmd, in)
+	if err != nil {
+		fmt.Fprintf(stderr, "badgerspoke %s: %s\n", cmd.name, explain(err))
+		return exitCode(err)
+	}
+	if in.json {
+		fmt.Fprintln(stdout, protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(answer))
+		return ExitOK
+	}
+	print(stdout, answer)
+	return ExitOK
+}
+
+func find(args []string) (*command, []string) {
+	for i := range commands {
+		words := strings.Fields(commands[i].name)
+		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == commands[i].name {
+			return &commands[i], args[len(words):]
+		}
+	}
+	return nil, nil
+}
+
+// parse takes the positional arguments first and the flags behind them.
+func parse(cmd *command, args []string, getenv func(string) string, stderr io.Writer) (*input, error) {
+	in := &input{set: map[string]bool{}}
+	fs := flag.NewFlagSet("badgerspoke "+cmd.name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.StringVar(&in.server, "server", orDefault(getenv(settings.EnvPrefix+"SERVER"), defaultServer), "operators' address of any control box")
+	fs.StringVar(&in.token, "token", getenv(settings.EnvPrefix+"TOKEN"), "operators' token, or @FILE")
+	fs.BoolVar(&in.json, "json", false, "print the answer as JSON")
+	fs.Usage = func() {
+		fmt.Fprintf(stderr, "%s\n\n  badgerspoke %s %s\n\nExample:\n  %s\n\nFlags:\n", cmd.what, cmd.name, strings.Join(cmd.args, " "), cmd.example)
+		fs.PrintDefaults()
+	}
+	in.change = &operatorv1.Change{Id: newChangeID()}
+	if cmd.flags != nil {
+		cmd.flags(fs, in)
+	}
+	if len(args) > 0 && (args[0] == "-h" || args[0] == "-help" || args[0] == "--help") {
+		fs.Usage()
+		return nil, flag.ErrHelp
+	}
+	if len(args) < len(cmd.args) {
+		return nil, fmt.Errorf("wants %s; -h shows an example", strings.Join(cmd.args, " "))
+	}
+	in.args = args[:len(cmd.args)]
+	if err := fs.Parse(args[len(cmd.args):]); err != nil {
+		return nil, err
+	}
+	if fs.NArg() > 0 {
+		return nil, fmt.Errorf("unexpected argument %q; flags come behind %s", fs.Arg(0), strings.Join(cmd.args, " "))
+	}
+	fs.Visit(func(f *flag.Flag) { in.set[f.Name] = true })
+	return in, in.readToken()
+}
+
+// readToken reads a token given as @FILE.
+func (in *input) readToken() error {
+	path, isFile := strings.CutPrefix(in.token, "@")
+	if !isFile {
+		return nil
+	}
+	b, err := os.ReadFile(path)
+	in.token = strings.TrimSpace(string(b))
+	return err
+}
+
+func orDefault(v, d string) string {
+	if v == "" {
+		return d
+	}
+	return v
+}
+
+// callLeader runs the command at the given box, at the one that it names as
+// the leader, and again while nobody leads or an answer was lost.
+func callLeader(ctx context.Context, cmd *command, in *input) (proto.Message, error) {
+	server := in.server
+	for {
+		answer, err := cmd.run(ctx, client(server, in.token), in)
+		if err == nil || !mayRetry(err) {
+			return answer, err
+		}
+		server = in.server
+		if l, ok := detail[*operatorv1.NotLeader](err); ok && l.GetOperatorsAddress() != "" {
+			server = l.GetOperatorsAddress()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// mayRetry reports whether the same call, sent again, may succeed. Changes
+// carry their identifier, so that sending again is safe.
+func mayRetry(err error) bool {
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded
+}
+
+func client(server, token string) operatorv1connect.OperatorServiceClient {
+	return operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+server,
+		connect.WithInterceptors(bearer(token)))
+}
+
+func bearer(token string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, req)
+		}
+	})
+}
+
+func exitCode(err error) int {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
+		return ExitUnavailable
+	case connect.CodeAborted:
+		return ExitConflict
+	}
+	return ExitRefused
+}
+
+// explain says what an operator can do about an error.
+func explain(err error) string {
+	if bad, ok := detail[*operatorv1.Invalid](err); ok {
+		lines := []string{"refused:"}
+		for _, m := range bad.GetMistakes() {
+			lines = append(lines, fmt.Sprintf("  %s: %s %s", m.GetSubject(), m.GetField(), m.GetReason()))
+		}
+		return strings.Join(lines, "\n")
+	}
+	if c, ok := detail[*operatorv1.Conflict](err); ok {
+		return fmt.Sprintf("change %q took revision %d (it touched %s); the current one is %d",
+			c.GetWinnerId(), c.GetBaseRevision()+1, strings.Join(c.GetWinnerSubjects(), ", "), c.GetCurrentRevision())
+	}
+	if u, ok := detail[*operatorv1.Undecided](err); ok {
+		return fmt.Sprintf("the fleet could not tell in time; run it again with -change-id %q", u.GetChangeId())
+	}
+	return err.Error()
+}
+
+// detail returns the detail of that type that an error carries.
+func detail[T proto.Message](err error) (T, bool) {
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		for _, d := range ce.Details() {
+			if v, err := d.Value(); err == nil {
+				if typed, ok := v.(T); ok {
+					return typed, true
+				}
+			}
+		}
+	}
+	var none T
+	return none, false
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "badgerspoke drives a router fleet.")
+	fmt.Fprintln(w)
+	for _, c := range commands {
+		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", strings.TrimSpace(c.name+" "+strings.Join(c.args, " ")), c.what)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "Every command takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the last two")
+	fmt.Fprintf(w, "may come from %sSERVER and %sTOKEN. Exit codes: 0 done, 1 refused, 2 wrong\n", settings.EnvPrefix, settings.EnvPrefix)
+	fmt.Fprintln(w, "usage, 3 nobody leads or answers, 4 another change won.")
+}
--- /dev/null
+++ b/cli/commands.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+)
+
+// This file defines the commands.
+
+type fleetClient = operatorv1connect.OperatorServiceClient
+
+var commands = []command{
+	{
+		name: "account create", args: []string{"NAME"}, what: "create a client account and print its key once",
+		example: "badgerspoke account create hotel-adria -share 3",
+		flags: func(fs *flag.FlagSet, in *input) {
+			changeFlags(fs, in)
+			fs.Float64Var(&in.share, "share", 1, "weight against other accounts")
+			limitFlags(fs, in)
+		},
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.CreateAccount(ctx, connect.NewRequest(&operatorv1.CreateAccountRequest{
+				Change: in.change, Name: in.args[0], Share: in.share, Limits: &in.limits,
+			})))
+		},
+	},
+	{
+		name: "account list", what: "list the client accounts", example: "badgerspoke account list -json",
+		run: func(ctx context.Context, c fleetClient, _ *input) (proto.Message, error) {
+			return message(c.ListAccounts(ctx, connect.NewRequest(&operatorv1.ListAccountsRequest{})))
+		},
+	},
+	{
+		name: "account set", args: []string{"NAME"}, what: "change an account's share or limits",
+		example: "badgerspoke account set hotel-adria -share 5 -max-waiting 200",
+		flags: func(fs *flag.FlagSet, in *input) {
+			changeFlags(fs, in)
+			fs.Float64Var(&in.share, "share", 1, "weight against other accounts")
+			limitFlags(fs, in)
+		},
+		run: setAccount,
+	},
+	{
+		name: "account rotate-key", args: []string{"NAME"}, what: "give an account a new key and print it once",
+		example: "badgerspoke account rotate-key hotel-adria -keep-old",
+		flags: func(fs *flag.FlagSet, in *input) {
+			changeFlags(fs, in)
+			fs.BoolVar(&in.keep, "keep-old", false, "keep the earlier keys valid until they are revoked")
+		},
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.RotateKey(ctx, connect.NewRequest(&operatorv1.RotateKeyRequest{
+				Change: in.change, Name: in.args[0], KeepOld: in.keep,
+			})))
+		},
+	},
+	{
+		name: "account revoke-key", args: []string{"NAME", "HASH"}, what: "revoke one key, by its hash as the list shows it",
+		example: "badgerspoke account revoke-key hotel-adria 2bb80d537b1d", flags: changeFlags,
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.RevokeKey(ctx, connect.NewRequest(&operatorv1.RevokeKeyRequest{
+				Change: in.change, Name: in.args[0], KeyHash: in.args[1],
+			})))
+		},
+	},
+	{
+		name: "account remove", args: []string{"NAME"}, what: "remove an account; what waits is told so",
+		example: "badgerspoke account remove hotel-adria", flags: changeFlags,
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.RemoveAccount(ctx, connect.NewRequest(&operatorv1.RemoveAccountRequest{Change: in.change, Name: in.args[0]})))
+		},
+	},
+	{
+		name: "server add", args: []string{"NAME"}, what: "add a backend server",
+		example: "badgerspoke server add engine-7 -address 10.0.3.7:8000 -pool llm -slots 16 -models badger-small -mark serving",
+		flags:   serverFlags, run: addServer,
+	},
+	{
+		name: "server mark", args: []string{"NAME", "joining|serving|leaving"}, what: "mark a backend server",
+		example: "badgerspoke server mark engine-7 leaving", flags: changeFlags,
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.MarkServer(ctx, connect.NewRequest(&operatorv1.MarkServerRequest{
+				Change: in.change, Name: in.args[0], Mark: markOf(in.args[1]),
+			})))
+		},
+	},
+	{
+		name: "server list", what: "list the backend servers", example: "badgerspoke server list",
+		run: func(ctx context.Context, c fleetClient, _ *input) (proto.Message, error) {
+			return message(c.ListServers(ctx, connect.NewRequest(&operatorv1.ListServersRequest{})))
+		},
+	},
+	{
+		name: "server remove", args: []string{"NAME"}, what: "remove a backend server that is not serving",
+		example: "badgerspoke server remove engine-7", flags: changeFlags,
+		run: func(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+			return message(c.RemoveServer(ctx, connect.NewRequest(&operatorv1.RemoveServerRequest{Change: in.change, Name: in.args[0]})))
+		},
+	},
+	{
+		name: "status", what: "show how the fleet stands", example: "badgerspoke status",
+		run: func(ctx context.Context, c fleetClient, _ *input) (proto.Message, error) {
+			return message(c.GetStatus(ctx, connect.NewRequest(&operatorv1.GetStatusRequest{})))
+		},
+	},
+	{
+		name: "await", args: []string{"REVISION"}, what: "wait until a revision is in force everywhere",
+		example: "badgerspoke await 42", run: awaitRevision,
+	},
+}
+
+// message turns a typed answer into a plain one.
+func message[T any, P interface {
+	*T
+	proto.Message
+}](resp *connect.Response[T], err error) (proto.Message, error) {
+	if err != nil {
+		return nil, err
+	}
+	return P(resp.Msg), nil
+}
+
+func changeFlags(fs *flag.FlagSet, in *input) {
+	fs.StringVar(&in.change.Id, "change-id", in.change.Id, "identifier of the change; give the same one to send it again")
+	fs.Uint64Var(&in.change.BaseRevision, "base", 0, "revision that the change builds on; 0 is whatever is current")
+}
+
+func limitFlags(fs *flag.FlagSet, in *input) {
+	number := func(name, what string, to func(uint64)) {
+		fs.Func(name, what, func(v string) error {
+			n, err := strconv.ParseUint(v, 10, 32)
+			to(n)
+			return err
+		})
+	}
+	number("max-waiting", "waiting requests on one router", func(n uint64) { in.limits.Waiting = uint32(n) })
+	number("max-waiting-bytes", "bytes of waiting requests on one router", func(n uint64) { in.limits.WaitingBytes = n })
+	number("max-running", "running requests on one router", func(n uint64) { in.limits.Running = uint32(n) })
+}
+
+func serverFlags(fs *flag.FlagSet, in *input) {
+	changeFlags(fs, in)
+	fs.StringVar(&in.address, "address", "", "IP:PORT")
+	fs.StringVar(&in.pool, "pool", "", "pool; for a plain service, its name in the path")
+	fs.UintVar(&in.slots, "slots", 1, "requests that it runs at once")
+	fs.StringVar(&in.kind, "kind", "engine", "engine or service")
+	fs.StringVar(&in.mark, "mark", "joining", "joining or serving")
+	fs.StringVar(&in.models, "models", "", "models, separated by commas")
+	fs.StringVar(&in.adapt, "adapters", "", "adapters, separated by commas")
+	fs.StringVar(&in.version, "version", "", "version")
+	fs.BoolVar(&in.fence, "checks-fence", false, "it refuses orders of an older epoch")
+	fs.StringVar(&in.never, "never-repeat", "", "calls that may not be repeated: \"METHOD /path\", separated by commas")
+}
+
+func setAccount(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+	req := &operatorv1.UpdateAccountRequest{Change: in.change, Name: in.args[0]}
+	if in.set["share"] {
+		req.Share = &in.share
+	}
+	if in.set["max-waiting"] || in.set["max-waiting-bytes"] || in.set["max-running"] {
+		req.Limits = &in.limits
+	}
+	return message(c.UpdateAccount(ctx, connect.NewRequest(req)))
+}
+
+func addServer(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+	kind := operatorv1.Kind_KIND_ENGINE
+	if in.kind == "service" {
+		kind = operatorv1.Kind_KIND_SERVICE
+	}
+	return message(c.AddServer(ctx, connect.NewRequest(&operatorv1.AddServerRequest{Change: in.change, Server: &operatorv1.Server{
+		Name: in.args[0], Pool: in.pool, Address: in.address, Kind: kind, Mark: markOf(in.mark), Slots: uint32(in.slots),
+		Models: list(in.models), Adapters: list(in.adapt), Version: in.version, ChecksFence: in.fence, NeverRepeat: list(in.never),
+	}})))
+}
+
+func awaitRevision(ctx context.Context, c fleetClient, in *input) (proto.Message, error) {
+	revision, err := strconv.ParseUint(in.args[0], 10, 64)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return message(c.AwaitRevision(ctx, connect.NewRequest(&operatorv1.AwaitRevisionRequest{Revision: revision})))
+}
+
+// markOf returns the mark of that name, or unspecified, which the fleet
+// refuses with the reason.
+func markOf(name string) operatorv1.Mark {
+	return operatorv1.Mark(operatorv1.Mark_value["MARK_"+strings.ToUpper(name)])
+}
+
+func list(v string) []string {
+	if v == "" {
+		return nil
+	}
+	return strings.Split(v, ",")
+}
+
+func newChangeID() string { return "cli-" + strconv.FormatUint(rand.Uint64(), 36) }
--- a/control/control.go
+++ b/control/control.go
@@ -35,6 +35,8 @@
 	// Replicas are the fleet addresses (IP:PORT) of all control replicas by
 	// name, this one included.
 	Replicas map[string]string
+	// Operators is this replica's operators' address, as operators reach it.
+	Operators string
 	// Dir opens the folder of one group under the data folder.
 	Dir   func(group string) (wal.Dir, error)
 	Lease slots.Lease
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -187,6 +187,11 @@
 	}
 	d.alloc = slots.NewAllocator(term, d.now(), d.c.set.Lease, d.c.set.Pace, expected)
 	d.pushConfig()
+	if at := d.c.set.Operators; at != "" && d.c.state.OperatorsAt(d.c.set.Identity.Name) != at {
+		go func() {
+			_ = d.c.proposeCommand(command{Advert: &advert{Replica: d.c.set.Identity.Name, Address: at}})
+		}()
+	}
 	d.c.set.Log.Info("allocating", "epoch", term, "expected-routers", len(expected))
 }
 
--- a/control/replicated.go
+++ b/control/replicated.go
@@ -23,6 +23,14 @@
 	Change *config.Change `cbor:"1,keyasint,omitempty"`
 	Open   *claim.Holder  `cbor:"2,keyasint,omitempty"` // a router may hold slots from now on
 	End    *claim.Holder  `cbor:"3,keyasint,omitempty"` // it holds none any more
+	Advert *advert        `cbor:"4,keyasint,omitempty"`
+}
+
+// advert is where operators reach a replica. A leader tells it to the log, so
+// that the others can send operators there.
+type advert struct {
+	Replica string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
 }
 
 // changed is what the proposer of a change gets.
@@ -37,13 +45,14 @@
 	mu      sync.Mutex
 	store   config.Store
 	routers map[claim.Holder]bool
+	adverts map[string]string // operators' address by replica
 	notify  func()
 }
 
 var _ replica.Machine = (*Replicated)(nil)
 
 func newReplicated(notify func()) *Replicated {
-	return &Replicated{routers: map[claim.Holder]bool{}, notify: notify}
+	return &Replicated{routers: map[claim.Holder]bool{}, adverts: map[string]string{}, notify: notify}
 }
 
 // Config returns the configuration applied here.
@@ -105,6 +114,8 @@
 		m.routers[*c.Open] = true
 	case c.End != nil:
 		delete(m.routers, *c.End)
+	case c.Advert != nil:
+		m.adverts[c.Advert.Replica] = c.Advert.Address
 	}
 	return changed{}
 }
@@ -113,6 +124,7 @@
 type replicatedImage struct {
 	Store   []byte         `cbor:"1,keyasint"`
 	Routers []claim.Holder `cbor:"2,keyasint"`
+	Adverts []advert       `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot implements [replica.Machine].
@@ -123,7 +135,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(replicatedImage{Store: store, Routers: m.sortedRouters()})
+	im := replicatedImage{Store: store, Routers: m.sortedRouters()}
+	for _, name := range slices.Sorted(maps.Keys(m.adverts)) {
+		im.Adverts = append(im.Adverts, advert{Replica: name, Address: m.adverts[name]})
+	}
+	return cbor.Marshal(im)
 }
 
 // Restore implements [replica.Machine].
@@ -141,11 +157,22 @@
 	for _, h := range im.Routers {
 		m.routers[h] = true
 	}
+	m.adverts = map[string]string{}
+	for _, a := range im.Adverts {
+		m.adverts[a.Replica] = a.Address
+	}
 	m.mu.Unlock()
 	m.notify()
 	return err
 }
 
+// OperatorsAt returns where operators reach a replica that has led.
+func (m *Replicated) OperatorsAt(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.adverts[name]
+}
+
 // claims drives the claim register.
 type claims struct{ register *claim.Register }
 
--- a/control/rpcerror.go
+++ b/control/rpcerror.go
@@ -27,8 +27,9 @@
 
 // NotLeading refuses a call at a replica that does not lead.
 type NotLeading struct {
-	Leader  string
-	Address string // of the leader among the replicas
+	Leader    string
+	Address   string // of the leader among the replicas
+	Operators string // where operators reach it, if it has told
 }
 
 // Error names the leader.
@@ -58,6 +59,7 @@
 		}
 	})
 	e.Address = c.set.Replicas[e.Leader]
+	e.Operators = c.state.OperatorsAt(e.Leader)
 	return e
 }
 
@@ -98,9 +100,9 @@
 	case errors.As(err, &undecided):
 		return withDetail(connect.CodeDeadlineExceeded, err, &operatorv1.Undecided{ChangeId: changeID})
 	case errors.As(err, &leading):
-		return withDetail(connect.CodeUnavailable, err, &operatorv1.NotLeader{Leader: leading.Leader, LeaderAddress: leading.Address})
+		return withDetail(connect.CodeUnavailable, err, &operatorv1.NotLeader{Leader: leading.Leader, LeaderAddress: leading.Address, OperatorsAddress: leading.Operators})
 	case errors.As(err, &notLeader):
-		return withDetail(connect.CodeUnavailable, err, &operatorv1.NotLeader{Leader: notLeader.Leader.Name, LeaderAddress: c.set.Replicas[notLeader.Leader.Name]})
+		return withDetail(connect.CodeUnavailable, err, &operatorv1.NotLeader{Leader: notLeader.Leader.Name, LeaderAddress: c.set.Replicas[notLeader.Leader.Name], OperatorsAddress: c.state.OperatorsAt(notLeader.Leader.Name)})
 	case errors.As(err, &handover):
 		return withDetail(connect.CodeUnavailable, err, &operatorv1.NotLeader{Leader: handover.To.Name})
 	}
--- a/faults_test.go
+++ b/faults_test.go
@@ -285,14 +285,13 @@
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := wholeFleet(t, 2)
-		wait := func() []answer { return nil }
 		for i := range 3 {
 			var rs []request
 			for j := range 4 {
 				body, key := fmt.Sprintf("order %d-%d", i, j), fmt.Sprintf("key %d-%d", i, j)
 				rs = append(rs, order("r1", "hotel", body, key), order("r2", "hotel", body, key))
 			}
-			wait = f.startAll(rs...)
+			wait := f.startAll(rs...)
 			time.Sleep(time.Duration(i*60) * time.Millisecond)
 			leader := f.leader()
 			f.crash(leader)
