--- /dev/null
+++ b/coordination/claim/claim_test.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package claim
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+var (
+	r1 = Holder{Router: "r1", Boot: 1}
+	r2 = Holder{Router: "r2", Boot: 2}
+)
+
+func claimOf(h Holder, key string, digest, attempt uint64) Command {
+	return Command{Holder: h, Claim: &protocol.Claim{Account: "a", Key: key, Digest: digest, Attempt: attempt}}
+}
+
+func settleOf(h Holder, key string, attempt uint64, state protocol.ClaimState, body string) Command {
+	return Command{Holder: h, Settle: &protocol.Settle{
+		Account: "a", Key: key, Attempt: attempt, State: state, Answer: &protocol.Answer{Status: 200, Body: []byte(body)},
+	}}
+}
+
+func TestClaims(t *testing.T) {
+	orphan := Command{Holder: r1, Orphan: true}
+	ran := settleOf(r1, "k", 1, protocol.ClaimRan, "done")
+	tests := []struct {
+		name   string
+		before []Command
+		ask    Command
+		want   protocol.ClaimState
+	}{
+		{"first", nil, claimOf(r1, "k", 7, 1), protocol.ClaimGranted},
+		{"its answer was lost", []Command{claimOf(r1, "k", 7, 1)}, claimOf(r1, "k", 7, 1), protocol.ClaimGranted},
+		{"again at the same router", []Command{claimOf(r1, "k", 7, 1)}, claimOf(r1, "k", 7, 2), protocol.ClaimRunning},
+		{"at another router", []Command{claimOf(r1, "k", 7, 1)}, claimOf(r2, "k", 7, 1), protocol.ClaimRunning},
+		{"another body", []Command{claimOf(r1, "k", 7, 1)}, claimOf(r2, "k", 8, 1), protocol.ClaimMismatch},
+		{"after it ran", []Command{claimOf(r1, "k", 7, 1), ran}, claimOf(r2, "k", 7, 1), protocol.ClaimRan},
+		{"its own resend after it ran", []Command{claimOf(r1, "k", 7, 1), ran}, claimOf(r1, "k", 7, 1), protocol.ClaimRan},
+		{"after it did not run", []Command{claimOf(r1, "k", 7, 1), settleOf(r1, "k", 1, protocol.ClaimReleased, "")}, claimOf(r2, "k", 7, 1), protocol.ClaimGranted},
+		{"its router vanished", []Command{claimOf(r1, "k", 7, 1), orphan}, claimOf(r2, "k", 7, 1), protocol.ClaimUnknown},
+		{"its router vanished and told later", []Command{claimOf(r1, "k", 7, 1), orphan, ran}, claimOf(r2, "k", 7, 1), protocol.ClaimRan},
+		{"a stranger settles", []Command{claimOf(r1, "k", 7, 1), settleOf(r2, "k", 1, protocol.ClaimReleased, "")}, claimOf(r2, "k", 7, 1), protocol.ClaimRunning},
+		{"another attempt settles", []Command{claimOf(r1, "k", 7, 1), settleOf(r1, "k", 9, protocol.ClaimReleased, "")}, claimOf(r2, "k", 7, 1), protocol.ClaimRunning},
+		{"released after it ran", []Command{claimOf(r1, "k", 7, 1), ran, settleOf(r1, "k", 1, protocol.ClaimReleased, "")}, claimOf(r2, "k", 7, 1), protocol.ClaimRan},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := New()
+			for _, c := range tt.before {
+				r.Apply(c)
+			}
+			image, err := r.MarshalBinary()
+			is.NoErr(err)
+			restored := New()
+			is.NoErr(restored.UnmarshalBinary(image))
+			is.Equal(r.Apply(tt.ask).State, tt.want)
+			is.Equal(restored.Apply(tt.ask).State, tt.want) // the same after a snapshot
+		})
+	}
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Apply(claimOf(r1, "k", 7, 1))
+	r.Apply(settleOf(r1, "k", 1, protocol.ClaimRan, string(make([]byte, MaxAnswer+1))))
+	got := r.Apply(claimOf(r2, "k", 7, 1))
+	is.Equal(got.State, protocol.ClaimRan)
+	is.True(got.Answer == nil)
+}
+
+func TestClaimsAreForgottenAfterTheWindow(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	at := func(c Command, millis int64) protocol.ClaimState { c.Millis = millis; return r.Apply(c).State }
+	at(claimOf(r1, "runs", 7, 1), 0)
+	at(claimOf(r1, "ends", 7, 1), 0)
+	at(settleOf(r1, "ends", 1, protocol.ClaimRan, ""), 1000)
+	is.Equal(at(claimOf(r2, "ends", 7, 2), Window+999), protocol.ClaimRan)
+	is.Equal(at(claimOf(r2, "ends", 7, 2), 5), protocol.ClaimRan) // a clock that went back changes nothing
+	is.Equal(at(claimOf(r2, "ends", 7, 2), Window+1000), protocol.ClaimGranted)
+	is.Equal(at(claimOf(r2, "runs", 7, 2), 9*Window), protocol.ClaimRunning) // never while it runs
+	is.Equal(r.Len(), 2)
+}
+
+// TestGrantedOnce runs random commands of three routers: between two releases
+// a key is granted to one attempt at most.
+func TestGrantedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		granted := map[string]string{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			h := Holder{Router: fmt.Sprintf("r%d", rapid.IntRange(0, 2).Draw(t, "router")), Boot: uint64(rapid.IntRange(1, 2).Draw(t, "boot"))}
+			key := fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "key"))
+			attempt := uint64(rapid.IntRange(1, 3).Draw(t, "attempt"))
+			who := fmt.Sprint(h, attempt)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			default:
+				if r.Apply(claimOf(h, key, 7, attempt)).State == protocol.ClaimGranted {
+					if other := granted[key]; other != "" && other != who {
+						t.Fatalf("key %s was granted to %s and to %s", key, other, who)
+					}
+					granted[key] = who
+				}
+			case 3:
+				r.Apply(settleOf(h, key, attempt, protocol.ClaimRan, ""))
+			case 4:
+				if granted[key] == who && r.entries[name{"a", key}].State != protocol.ClaimRan {
+					delete(granted, key) // it says that it did not run
+				}
+				r.Apply(settleOf(h, key, attempt, protocol.ClaimReleased, ""))
+			case 5:
+				r.Apply(Command{Holder: h, Orphan: true})
+			}
+		}
+	})
+}
+
+func BenchmarkClaimAndSettle(b *testing.B) {
+	r := New()
+	i := 0
+	for b.Loop() {
+		i++
+		key := fmt.Sprint(i)
+		r.Apply(claimOf(r1, key, 7, 1))
+		r.Apply(settleOf(r1, key, 1, protocol.ClaimRan, "answer"))
+	}
+}
--- /dev/null
+++ b/coordination/place/place_test.go
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func prompt(blocks int, text string) []Block {
+	b := make([]byte, blocks*BlockBytes)
+	copy(b, text)
+	return Blocks(b)
+}
+
+func candidates(n int) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{Server: fmt.Sprintf("s%d", i), Slots: 8})
+	}
+	return out
+}
+
+func TestChoice(t *testing.T) {
+	p := prompt(16, "the parcel history of")
+	tests := []struct {
+		name string
+		set  func(pl *Placer, c []Candidate)
+		want string
+	}{
+		{"where the prompt's prefix is", func(pl *Placer, _ []Candidate) { pl.Index.Sent("s2", p) }, "s2"},
+		{"not where it is, when that is loaded", func(pl *Placer, c []Candidate) {
+			pl.Index.Sent("s2", p[:4])
+			c[2].Running = 8
+			for i := range c {
+				if i != 1 {
+					c[i].Running = 8
+				}
+			}
+		}, "s1"},
+		{"least loaded by fresh reports", func(pl *Placer, _ []Candidate) {
+			for _, s := range []string{"s0", "s1", "s2"} {
+				pl.Report(s, Load{Running: 8, Waiting: 8, At: 10 * time.Second})
+			}
+		}, "s3"},
+		{"not to one that is out", func(pl *Placer, _ []Candidate) {
+			pl.Health.SetSize(4)
+			pl.Index.Sent("s2", p)
+			for range failuresToEject {
+				pl.Health.Failed(10*time.Second, "s2")
+			}
+			pl.Index.Sent("s1", p[:2])
+		}, "s1"},
+		{"a doubtful cache counts half", func(pl *Placer, _ []Candidate) {
+			pl.Index.Take("s2", Event{Seq: 1})
+			pl.Index.Take("s2", Event{Seq: 3, Stored: p}) // event 2 was lost
+			pl.Index.Sent("s1", p[:10])
+		}, "s1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			pl, c := New(1000), candidates(4)
+			pl.Health.SetSize(4)
+			tt.set(pl, c)
+			got, ok := pl.Choose(10*time.Second, c, p)
+			is.True(ok)
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func TestRoutersAgreeWithoutAMessage(t *testing.T) {
+	is := is.New(t)
+	spread := map[string]bool{}
+	for i := range 50 {
+		p := prompt(4, fmt.Sprint("question ", i))
+		a, _ := New(10).Choose(0, candidates(6), p)
+		b, _ := New(10).Choose(time.Hour, candidates(6), p)
+		is.Equal(a, b)
+		spread[a] = true
+	}
+	is.Equal(len(spread), 6) // and not all on one server
+}
+
+func TestOldLoadReportFades(t *testing.T) {
+	is := is.New(t)
+	pl := New(10)
+	c := Candidate{Server: "s0", Slots: 8}
+	pl.Report("s0", Load{Running: 8, At: 0})
+	pl.Report("s0", Load{Running: 0, At: -time.Second}) // older, dropped
+	is.Equal(pl.load(0, c), 1.0)
+	is.Equal(pl.load(loadHalfLife, c), 0.5)
+}
+
+func TestEvents(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(100)
+	p := prompt(4, "map sheet 12")
+	x.Take("s", Event{Seq: 5, Stored: p})
+	is.Equal(x.Benefit("s", p), 4.0)
+	x.Take("s", Event{Seq: 5, Evicted: p}) // twice
+	is.Equal(x.Benefit("s", p), 4.0)
+	x.Take("s", Event{Seq: 6, Evicted: p[2:]})
+	is.Equal(x.Benefit("s", p), 2.0)
+	x.Take("s", Event{Seq: 9}) // a gap
+	is.Equal(x.Benefit("s", p), 1.0)
+	x.Take("s", Event{Seq: 10, Cleared: true, Stored: p[:1]})
+	is.Equal(x.Benefit("s", p), 1.0) // known again
+}
+
+// TestIndexIsBounded sends and evicts at random: the index never holds more
+// than its bound, nor a block without a server.
+func TestIndexIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := NewIndex(20)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			server := fmt.Sprintf("s%d", rapid.IntRange(0, 5).Draw(t, "server"))
+			p := prompt(rapid.IntRange(0, 8).Draw(t, "blocks"), fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "text")))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				x.Take(server, Event{Seq: uint64(rapid.IntRange(0, 9).Draw(t, "seq")), Evicted: p})
+			case 1:
+				x.Forget(server)
+			default:
+				x.Sent(server, p)
+			}
+			if x.Len() > 20 || x.order.Len() != x.Len() {
+				t.Fatalf("%d blocks, %d in order", x.Len(), x.order.Len())
+			}
+			for b, el := range x.byBlock {
+				if n := len(el.Value.(*placed).servers); n == 0 || n > serversPerBlock {
+					t.Fatalf("block %v has %d servers", b, n)
+				}
+			}
+		}
+	})
+}
+
+func TestHealth(t *testing.T) {
+	is := is.New(t)
+	h := NewHealth()
+	h.SetSize(4)
+	now := time.Second
+	is.True(!h.Failed(now, "a"))
+	h.Succeeded("a") // only failures in a row count
+	is.True(!h.Failed(now, "a"))
+	is.True(!h.Failed(now, "a"))
+	is.True(h.Failed(now, "a"))
+	is.True(!h.Usable(now, "a"))
+	later := now + shortestEject
+	is.True(h.Usable(later, "a"))
+	h.Sent("a")
+	is.True(!h.Usable(later, "a")) // one probe at a time
+	is.True(h.Failed(later, "a"))
+	is.True(!h.Usable(later+shortestEject, "a")) // twice as long now
+	h.Sent("a")
+	h.Abandoned("a") // the caller gave up: another may probe
+	is.True(h.Usable(later+2*shortestEject, "a"))
+	h.Sent("a")
+	h.Succeeded("a")
+	is.True(h.Usable(later, "a"))
+}
+
+func TestNeverMoreThanHalfIsOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHealth()
+		n := rapid.IntRange(1, 9).Draw(t, "servers")
+		h.SetSize(n)
+		for i := range rapid.IntRange(0, 200).Draw(t, "failures") {
+			h.Failed(time.Duration(i)*time.Millisecond, fmt.Sprint(rapid.IntRange(0, n-1).Draw(t, "server")))
+			if 2*h.ejected() > n {
+				t.Fatalf("%d of %d are out", h.ejected(), n)
+			}
+		}
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	b := Budget{Part: 0.1, Burst: 5}
+	retries := 0
+	for range 1000 {
+		b.Request()
+		if b.Retry() {
+			retries++
+		}
+	}
+	is.True(retries <= 100)
+	is.True(retries >= 99)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	pl, c, p := New(8192), candidates(12), prompt(32, "a long prompt")
+	pl.Index.Sent("s3", p)
+	for b.Loop() {
+		pl.Choose(0, c, p)
+	}
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+)
+
+// counter is a state machine that counts what it applied.
+type counter struct{ n int }
+
+func (c *counter) Apply([]byte) any          { c.n++; return c.n }
+func (c *counter) Snapshot() ([]byte, error) { return []byte(fmt.Sprint(c.n)), nil }
+func (c *counter) Restore(image []byte) error {
+	_, err := fmt.Sscan(string(image), &c.n)
+	return ignoreEmpty(image, err)
+}
+func ignoreEmpty(image []byte, err error) error {
+	if len(image) == 0 {
+		return nil
+	}
+	return err
+}
+
+func settingsOf(dir wal.Dir, m Machine) Settings {
+	return Settings{
+		Group: "g", Name: "a", Names: []string{"a"}, Dir: dir, Machine: m, Send: func(protocol.Consensus) {},
+		Election: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, CompactAt: 2000,
+		Random: rand.Uint64, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+// mustPropose proposes until somebody leads.
+func mustPropose(t testing.TB, r *Replica) any {
+	t.Helper()
+	for range 500 {
+		got, err := r.Propose(context.Background(), []byte("x"))
+		if err == nil {
+			return got
+		}
+		if !errors.As(err, new(consensus.NotLeader)) {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("nobody leads")
+	return nil
+}
+
+func TestWhatWasAcknowledgedSurvivesACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := fakedisk.New(1)
+		total := 0
+		for range 5 {
+			ctx, stop := context.WithCancel(context.Background())
+			m := &counter{}
+			r, err := Start(ctx, settingsOf(d, m))
+			is.NoErr(err)
+			for range 60 { // enough to be compacted in between
+				total++
+				is.Equal(mustPropose(t, r), total)
+			}
+			stop()
+			<-r.Done()
+			d.Crash()
+		}
+	})
+}
+
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := fakedisk.New(1)
+		r, err := Start(t.Context(), settingsOf(d, &counter{}))
+		is.NoErr(err)
+		mustPropose(t, r)
+		d.FailSync()
+		_, err = r.Propose(t.Context(), []byte("x"))
+		is.True(errors.As(err, new(Stopped))) // told as undecided: it may be on the disk
+		is.True(errors.As(err, new(Undecided)) || errors.As(err, new(Stopped)))
+		<-r.Done()
+		is.True(errors.As(r.Err(), new(wal.Failed)))
+		_, err = r.Propose(t.Context(), []byte("x"))
+		is.True(errors.As(err, new(Stopped)))
+	})
+}
+
+func TestProposalsShareSyncs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := fakedisk.New(1)
+		set := settingsOf(d, &counter{})
+		set.CompactAt = 0
+		r, err := Start(t.Context(), set)
+		is.NoErr(err)
+		mustPropose(t, r)
+		before := d.Syncs()
+		done := make(chan error, 200)
+		for range 200 {
+			go func() { _, err := r.Propose(t.Context(), []byte("x")); done <- err }()
+		}
+		for range 200 {
+			is.NoErr(<-done)
+		}
+		is.True(d.Syncs()-before < 100) // far fewer syncs than proposals
+	})
+}
+
+// BenchmarkPropose gives commits a second and syncs per commit on the
+// machine's disk, by the number of proposers.
+func BenchmarkPropose(b *testing.B) {
+	for _, proposers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) {
+			dir, err := wal.MakeDir(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			r, err := Start(ctx, settingsOf(dir, &counter{}))
+			if err != nil {
+				b.Fatal(err)
+			}
+			mustPropose(b, r)
+			before := r.loop.journal.Syncs()
+			b.SetParallelism(max(proposers/8, 1))
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := r.Propose(ctx, []byte("a command of usual length, some dozens of bytes")); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.StopTimer()
+			stop()
+			<-r.Done()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+			b.ReportMetric(float64(r.loop.journal.Syncs()-before)/float64(b.N), "syncs/commit")
+		})
+	}
+}
--- /dev/null
+++ b/transport/link/link_test.go
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+const address = "10.0.0.1:8082"
+
+// accepting serves links at address and hands each to got.
+func accepting(t *testing.T, n *fakenet.Network, key string) (got chan *link.Link, refused chan error) {
+	l, err := n.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, refused = make(chan *link.Link, 8), make(chan error, 8)
+	ended := make(chan struct{})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := link.Accept(w, r, link.Identity{Name: "acceptor", Key: []byte(key)}, nil)
+		if err != nil {
+			refused <- err
+			return
+		}
+		got <- l
+		<-ended
+		l.Close()
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { close(ended); s.Close(); time.Sleep(time.Minute) })
+	return got, refused
+}
+
+func identity(n *fakenet.Network, key string) link.Identity {
+	return link.Identity{Name: "dialer", Key: []byte(key), Dial: n.Box("10.0.0.2").DialContext}
+}
+
+func TestMessagesArriveInOrderAndAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		got, _ := accepting(t, n, "key")
+		set := metrics.NewSet()
+		d, err := link.Dial(t.Context(), address, identity(n, "key"), link.NewMeter(set))
+		is.NoErr(err)
+		defer d.Close()
+		a := <-got
+		is.Equal(d.Peer(), "acceptor")
+		is.Equal(a.Peer(), "dialer")
+		out := link.NewOutbox(d, 100)
+		for i := range 50 {
+			is.True(out.Send(protocol.Renew{Seq: uint64(i)}))
+		}
+		for i := range 50 {
+			m, err := a.Receive(t.Context())
+			is.NoErr(err)
+			is.Equal(m, protocol.Renew{Seq: uint64(i)})
+		}
+		sent := set.GetOrCreateCounter(`badgerspoke_control_messages_total{direction="out",kind="renew"}`)
+		is.Equal(sent.Get(), uint64(50))
+		out.Close()
+	})
+}
+
+func TestHandshakeRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		_, refused := accepting(t, n, "right")
+		_, err := link.Dial(t.Context(), address, identity(n, "wrong"), nil)
+		is.True(errors.As(err, new(link.WrongKey))) // the dialer does not trust the acceptor
+		<-refused                                   // nor the other way
+		// A stranger that skips the handshake is not read.
+		client := &http.Client{Transport: &http.Transport{DialContext: n.Box("10.0.0.3").DialContext}}
+		c, _, err := websocket.Dial(t.Context(), "ws://"+address+link.Path, &websocket.DialOptions{HTTPClient: client})
+		is.NoErr(err)
+		b, _ := protocol.Encode(protocol.Hello{Router: "forged", Boot: 1})
+		is.NoErr(c.Write(t.Context(), websocket.MessageBinary, b))
+		is.True(<-refused != nil)
+		c.CloseNow()
+		// One that says nothing is not waited for.
+		c, _, err = websocket.Dial(t.Context(), "ws://"+address+link.Path, &websocket.DialOptions{HTTPClient: client})
+		is.NoErr(err)
+		began := time.Now()
+		is.True(<-refused != nil)
+		is.True(time.Since(began) <= link.HandshakeTimeout)
+		c.CloseNow()
+	})
+}
+
+func TestSlowPeerLosesItsLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		got, _ := accepting(t, n, "key")
+		d, err := link.Dial(t.Context(), address, identity(n, "key"), nil)
+		is.NoErr(err)
+		a := <-got
+		out := link.NewOutbox(d, 1)
+		lost := false
+		for range 10_000 { // faster than the outbox's goroutine can be
+			lost = lost || !out.Send(protocol.Renew{})
+		}
+		is.True(lost)
+		<-out.Done()
+		_, err = a.Receive(t.Context())
+		for err == nil {
+			_, err = a.Receive(t.Context())
+		}
+		is.True(errors.As(err, new(link.Broken))) // never a gap in the middle
+	})
+}
+
+func TestDrainSendsEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		got, _ := accepting(t, n, "key")
+		d, err := link.Dial(t.Context(), address, identity(n, "key"), nil)
+		is.NoErr(err)
+		a := <-got
+		out := link.NewOutbox(d, 100)
+		for i := range 20 {
+			out.Send(protocol.Renew{Seq: uint64(i)})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		out.Drain(ctx)
+		for i := range 20 {
+			m, err := a.Receive(t.Context())
+			is.NoErr(err)
+			is.Equal(m, protocol.Renew{Seq: uint64(i)})
+		}
+	})
+}
