--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/badgerspoke/badgerspoke"
+	"github.com/badgerspoke/badgerspoke/dev"
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/protocol/operator/v1/operatorv1connect"
+	"github.com/badgerspoke/badgerspoke/router"
+	"github.com/badgerspoke/badgerspoke/standin"
+	"github.com/badgerspoke/badgerspoke/state/config"
+)
+
+// This file measures what a router costs a request, on the machine's loopback.
+
+// oneBox starts one box with both roles and one engine, and returns the
+// callers' and the engine's address.
+func oneBox(b *testing.B, engine standin.EngineSettings) (callers, direct string) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		return l
+	}
+	el := listen()
+	es := &http.Server{Handler: standin.NewEngine(engine)}
+	go func() { _ = es.Serve(el) }()
+	cl, ol, fl := listen(), listen(), listen()
+	limits := router.DefaultLimits
+	limits.Waiting, limits.AccountWaiting, limits.Wait = 100_000, 100_000, time.Hour
+	box, err := badgerspoke.Start(context.Background(), badgerspoke.Settings{
+		Name: "one", FleetKey: []byte("a key that all boxes share"), Replicas: map[string]string{"one": fl.Addr().String()},
+		Router: true, Callers: cl, Control: true, Operators: ol, Fleet: fl, DataDir: b.TempDir(), OperatorToken: token, Limits: limits,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		es.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		box.Stop(ctx)
+	})
+	c := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+ol.Addr().String(),
+		connect.WithInterceptors(dev.Authorize(token)))
+	h := config.HashKey("hotel")
+	retry(b, func(ctx context.Context) error {
+		_, err := c.CreateAccount(ctx, connect.NewRequest(&operatorv1.CreateAccountRequest{
+			Change: &operatorv1.Change{Id: "a"}, Name: "hotel", Share: 1, KeyHash: hex.EncodeToString(h[:]),
+		}))
+		return err
+	})
+	retry(b, func(ctx context.Context) error {
+		_, err := c.AddServer(ctx, connect.NewRequest(&operatorv1.AddServerRequest{
+			Change: &operatorv1.Change{Id: "s"}, Server: &operatorv1.Server{
+				Name: "e", Pool: "llm", Address: el.Addr().String(), Kind: operatorv1.Kind_KIND_ENGINE,
+				Mark: operatorv1.Mark_MARK_SERVING, Slots: uint32(engine.Slots), Models: []string{"m"},
+			}}))
+		return err
+	})
+	retry(b, func(context.Context) error {
+		if box.Ready() && box.Router().Revision() == 2 {
+			return nil
+		}
+		return fmt.Errorf("not ready")
+	})
+	return cl.Addr().String(), el.Addr().String()
+}
+
+func retry(b *testing.B, f func(ctx context.Context) error) {
+	var err error
+	for range 200 {
+		if err = f(context.Background()); err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.Fatal(err)
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func post(address string, tokens int) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions",
+		strings.NewReader(fmt.Sprintf(`{"model":"m","max_tokens":%d,"stream":true}`, tokens)))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer hotel")
+	resp, err := benchClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && !strings.HasSuffix(string(body), "[DONE]\n\n") {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return err
+}
+
+// BenchmarkRouterLatency sends each request once directly and once through
+// the router, in turns, and reports what the router adds.
+func BenchmarkRouterLatency(b *testing.B) {
+	callers, direct := oneBox(b, standin.EngineSettings{Slots: 64})
+	var straight, through []time.Duration
+	timed := func(address string) time.Duration {
+		began := time.Now()
+		if err := post(address, 4); err != nil {
+			b.Fatal(err)
+		}
+		return time.Since(began)
+	}
+	for b.Loop() {
+		straight = append(straight, timed(direct))
+		through = append(through, timed(callers))
+	}
+	slices.Sort(straight)
+	slices.Sort(through)
+	at := func(d []time.Duration, q float64) float64 {
+		return float64(d[min(int(q*float64(len(d))), len(d)-1)].Microseconds())
+	}
+	b.ReportMetric(at(through, 0.5)-at(straight, 0.5), "added-p50-µs")
+	b.ReportMetric(at(through, 0.99)-at(straight, 0.99), "added-p99-µs")
+	b.ReportMetric(at(through, 0.5)/at(straight, 0.5), "p50-ratio")
+}
+
+// BenchmarkRouterThroughput sends requests from many callers at once; client,
+// router and engine share the machine's cores.
+func BenchmarkRouterThroughput(b *testing.B) {
+	callers, direct := oneBox(b, standin.EngineSettings{Slots: 64})
+	for name, address := range map[string]string{"direct": direct, "router": callers} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := post(address, 4); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/float64(runtime.NumCPU()), "requests/s/core")
+		})
+	}
+}
+
+// BenchmarkRouterMemory reports the bytes that a waiting request and a
+// running stream take, client and engine included for the latter.
+func BenchmarkRouterMemory(b *testing.B) {
+	const n = 1000
+	for _, c := range []struct {
+		name  string
+		slots int
+	}{{"waiting", 1}, {"running", n}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				callers, _ := oneBox(b, standin.EngineSettings{Slots: c.slots, TokenTime: time.Hour})
+				before := heap()
+				ctx, cancel := context.WithCancel(context.Background())
+				for range n {
+					go func() {
+						req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers+"/v1/completions",
+							strings.NewReader(`{"model":"m","max_tokens":4,"stream":true}`))
+						req.Header.Set("Authorization", "Bearer hotel")
+						if resp, err := benchClient.Do(req); err == nil {
+							resp.Body.Close()
+						}
+					}()
+				}
+				time.Sleep(2 * time.Second)
+				b.ReportMetric(float64(heap()-before)/n, "B/request")
+				cancel()
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
