--- a/router/call.go
+++ b/router/call.go
@@ -45,7 +45,7 @@
 		r.stats.failure(*f)
 		f.write(w)
 	}
-	r.stats.observe("whole", c, r.now()-c.came)
+	r.stats.of(c).whole.Update((r.now() - c.came).Seconds())
 }
 
 // run returns a failure if nothing was written to the caller yet.
@@ -89,7 +89,7 @@
 	began := r.now()
 	select {
 	case got := <-w.turn:
-		r.stats.observe("wait", c, r.now()-began)
+		r.stats.of(c).wait.Update((r.now() - began).Seconds())
 		return got.server, got.fail
 	case <-ctx.Done():
 	}
@@ -165,7 +165,8 @@
 	rel := relay{router: r, call: c, pool: p, work: c.work, answer: a, began: began}
 	end := rel.run(w)
 	p.finish(c.work, server.ID, end.cost, end.result)
-	r.stats.served(c, end.cost)
+	r.stats.of(c).requests.Inc()
+	r.stats.of(c).service.Add(end.cost)
 	r.settle(c, a, end)
 	if end.failure != nil {
 		r.stats.failure(*end.failure)
--- a/router/relay.go
+++ b/router/relay.go
@@ -95,7 +95,7 @@
 		n, err := l.answer.Body.Read(buf)
 		if n > 0 {
 			if l.out == 0 {
-				l.router.stats.observe("first", l.call, l.router.now()-l.call.came)
+				l.router.stats.of(l.call).first.Update((l.router.now() - l.call.came).Seconds())
 			}
 			l.count(buf[:n])
 			if _, werr := w.Write(buf[:n]); werr != nil {
--- a/router/stats.go
+++ b/router/stats.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"time"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -16,6 +16,7 @@
 
 type stats struct {
 	set     *metrics.Set
+	handles sync.Map // seriesKey → *series
 	expired *metrics.Counter
 	ejected *metrics.Counter
 	retried *metrics.Counter
@@ -38,14 +39,35 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`badgerspoke_failures_total{code=%q,outcome=%q}`, f.Code, f.Outcome)).Inc()
 }
 
-func (s *stats) observe(name string, c *call, d time.Duration) {
-	s.set.GetOrCreateHistogram(fmt.Sprintf(`badgerspoke_%s_seconds{account=%q,class=%q}`, name, c.account.Name, c.class)).
-		Update(d.Seconds())
+// seriesKey names the series of one account, class and pool. All three come
+// from the configuration, so their number is bounded.
+type seriesKey struct{ account, class, pool string }
+
+// series are the metrics that every request touches.
+type series struct {
+	wait     *metrics.Histogram // until its turn
+	first    *metrics.Histogram // until the first byte of the answer
+	whole    *metrics.Histogram // until the end
+	requests *metrics.Counter
+	service  *metrics.FloatCounter
 }
 
-func (s *stats) served(c *call, cost float64) {
-	s.set.GetOrCreateCounter(fmt.Sprintf(`badgerspoke_requests_total{account=%q,pool=%q,class=%q}`, c.account.Name, c.pool, c.class)).Inc()
-	s.set.GetOrCreateFloatCounter(fmt.Sprintf(`badgerspoke_service_total{account=%q,pool=%q}`, c.account.Name, c.pool)).Add(cost)
+// of returns the series of a call. They are looked up by name once and kept:
+// writing the names anew cost more than a tenth of a request's allocations.
+func (s *stats) of(c *call) *series {
+	k := seriesKey{c.account.Name, c.class, c.pool}
+	if got, ok := s.handles.Load(k); ok {
+		return got.(*series)
+	}
+	labels := fmt.Sprintf(`account=%q,class=%q,pool=%q`, k.account, k.class, k.pool)
+	got, _ := s.handles.LoadOrStore(k, &series{
+		wait:     s.set.GetOrCreateHistogram("badgerspoke_wait_seconds{" + labels + "}"),
+		first:    s.set.GetOrCreateHistogram("badgerspoke_first_seconds{" + labels + "}"),
+		whole:    s.set.GetOrCreateHistogram("badgerspoke_whole_seconds{" + labels + "}"),
+		requests: s.set.GetOrCreateCounter("badgerspoke_requests_total{" + labels + "}"),
+		service:  s.set.GetOrCreateFloatCounter("badgerspoke_service_total{" + labels + "}"),
+	})
+	return got.(*series)
 }
 
 func newBudget() place.Budget { return place.Budget{Part: retryPart, Burst: retryBurst} }
