Measure how the exchange grows with the fleet; allocate at most every millisecond

Cause: every message caused one allocation, and an allocation looks at every session, so work grew with the square of the fleet. What arrives within a millisecond is now taken together.

--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -36,6 +36,7 @@
 	alloc     *slots.Allocator
 	sessions  map[string]*session
 	snapshots snapshotCache
+	turned    time.Duration         // when slots were last allocated
 	ending    map[claim.Holder]bool // their end is being recorded
 	opening   map[claim.Holder]int  // their session is being opened
 }
@@ -319,6 +320,10 @@
 		return nil
 	}
 	now := d.now()
+	if early := d.turned + slots.TurnGap - now; early > 0 {
+		return time.After(early)
+	}
+	d.turned = now
 	d.alloc.Allocate(now)
 	for _, o := range d.alloc.Views(now) {
 		if s := d.sessions[o.Router]; s != nil {
--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -109,7 +109,7 @@
 	seen := make(map[string]bool, len(accounts))
 	for _, a := range accounts {
 		seen[a.Name] = true
-		p.queue.SetAccount(a.Name, a.Share, a.Limits)
+		p.SetAccount(a)
 	}
 	for name := range p.accounts {
 		if !seen[name] {
@@ -121,6 +121,12 @@
 	return dropped
 }
 
+// SetAccount creates an account or changes it.
+func (p *Pool) SetAccount(a Account) {
+	p.queue.SetAccount(a.Name, a.Share, a.Limits)
+	p.accounts[a.Name] = true
+}
+
 // Push adds work to the queue. The error is [share.Full] or
 // [share.NoAccount].
 func (p *Pool) Push(w *Work) error {
--- a/coordination/slots/allocator.go
+++ b/coordination/slots/allocator.go
@@ -35,6 +35,11 @@
 // stretches that under 2,000 bytes a second.
 var DefaultPace = Pace{Short: 2 * time.Millisecond, Long: 250 * time.Millisecond, Budget: 2000, Burst: 4000}
 
+// TurnGap is the shortest time between two allocations: what arrives meanwhile
+// is taken together, so that the allocator's work does not grow with the
+// square of the fleet.
+const TurnGap = time.Millisecond
+
 // Backend is what the allocator needs to know of a backend server.
 type Backend struct {
 	Name    string
--- a/coordination/slots/fixture_test.go
+++ b/coordination/slots/fixture_test.go
@@ -99,25 +99,26 @@
 
 // fleet is a running fixture.
 type fleet struct {
-	shape   shape
-	policy  policy
-	rng     *rand.Rand
-	now     time.Duration
-	events  events
-	seq     int
-	alloc   *slots.Allocator // nil while there is none
-	epoch   uint64
-	routers []*testRouter
-	byName  map[string]*testRouter
-	servers map[string]*testServer
-	byPool  map[string][]*testServer
-	queue   []*request // of the baseline fifo, by pool in order
-	m       *measures
-	wakeAt  time.Duration
-	loop    bool // an allocator turn is scheduled
-	closed  bool // no more arrivals
-	turns   int
-	cpu     time.Duration
+	shape    shape
+	policy   policy
+	rng      *rand.Rand
+	now      time.Duration
+	events   events
+	seq      int
+	alloc    *slots.Allocator // nil while there is none
+	epoch    uint64
+	routers  []*testRouter
+	byName   map[string]*testRouter
+	servers  map[string]*testServer
+	byPool   map[string][]*testServer
+	queue    []*request // of the baseline fifo, by pool in order
+	m        *measures
+	wakeAt   time.Duration
+	loop     bool // an allocator turn is scheduled
+	closed   bool // no more arrivals
+	turns    int
+	lastTurn time.Duration
+	cpu      time.Duration
 }
 
 type testServer struct {
@@ -148,6 +149,7 @@
 	name    string
 	boot    uint64
 	pools   []*pool.Pool
+	known   map[int]bool  // accounts that it has seen
 	lease   time.Duration // end
 	linked  bool
 	link    int // generation of the link
@@ -171,7 +173,7 @@
 	}
 	for i, ps := range s.pools {
 		for w := range ps.workers {
-			srv := &testServer{name: fmt.Sprintf("%c%d", ps.name[0], w), pool: i, slots: ps.slots}
+			srv := &testServer{name: fmt.Sprintf("%c%d", 'a'+i, w), pool: i, slots: ps.slots}
 			f.servers[srv.name] = srv
 			f.byPool[ps.name] = append(f.byPool[ps.name], srv)
 		}
@@ -354,21 +356,18 @@
 func (r *testRouter) boots() {
 	r.boot = r.f.rng.Uint64() | 1
 	r.pools = nil
+	r.known = map[int]bool{}
 	r.linked, r.lease, r.reports, r.viewSeq, r.due = false, 0, 0, 0, 0
 	r.link++
 	p := r.f.shape.pace
 	r.pacer = slots.Pacer{Short: p.Short, Long: p.Long, Budget: p.Budget, Burst: p.Burst}
 	for _, ps := range r.f.shape.pools {
 		pl := pool.New(ps.name, pool.Settings{Linger: 500 * time.Millisecond, FirstEstimate: 256, PrefixBlocks: 16})
-		var accounts []pool.Account
-		for _, a := range r.f.shape.accounts {
-			accounts = append(accounts, pool.Account{Name: a.name, Share: a.share})
-		}
 		var servers []pool.Server
 		for _, s := range r.f.byPool[ps.name] {
 			servers = append(servers, pool.Server{Name: s.name, Slots: s.slots})
 		}
-		pl.Configure(accounts, servers)
+		pl.Configure(nil, servers)
 		r.pools = append(r.pools, pl)
 	}
 }
@@ -388,6 +387,12 @@
 		return
 	}
 	a := r.f.shape.accounts[req.account]
+	if !r.known[req.account] { // lazily: thousands of accounts times thousands of routers
+		r.known[req.account] = true
+		for _, p := range r.pools {
+			p.SetAccount(pool.Account{Name: a.name, Share: a.share})
+		}
+	}
 	req.work = &pool.Work{Account: a.name, Value: req}
 	if err := r.pools[req.pool].Push(req.work); err != nil {
 		panic(err)
@@ -457,7 +462,9 @@
 	link := r.link
 	r.f.after(r.f.shape.latency, func() {
 		if r.link == link && !r.cut && r.f.alloc != nil {
+			began := time.Now()
 			do(r.f.alloc)
+			r.f.cpu += time.Since(began)
 			r.f.wakeAllocator()
 		}
 	})
@@ -595,7 +602,7 @@
 func (f *fleet) wakeAllocator() {
 	if !f.loop {
 		f.loop = true
-		f.after(0, func() { f.loop = false; f.turn() })
+		f.at(max(f.now, f.lastTurn+slots.TurnGap), func() { f.loop = false; f.turn() })
 	}
 }
 
@@ -604,6 +611,7 @@
 		return
 	}
 	f.turns++
+	f.lastTurn = f.now
 	began := time.Now()
 	f.alloc.Allocate(f.now)
 	views := f.alloc.Views(f.now)
