Write down whole sessions as golden transcripts

Eleven sessions in virtual time, as callers and operators see them: plain and streamed, late and crossed, engine dying, flood, server leaving, router partitioned and restarted, operators racing, leader cut off, second disk lost, keyed request at two routers. Steps that wait for an election end on a full ten seconds, so that a transcript is the same every time.

--- a/faults_test.go
+++ b/faults_test.go
@@ -315,13 +315,7 @@
 		leader := f.leader()
 		base := f.status(leader).GetRevision()
 		mark := func(control, id string, m operatorv1.Mark) (uint64, error) {
-			resp, err := f.operators(control).MarkServer(context.Background(), connect.NewRequest(&operatorv1.MarkServerRequest{
-				Change: &operatorv1.Change{Id: id, BaseRevision: base}, Name: "e1", Mark: m,
-			}))
-			if err != nil {
-				return 0, err
-			}
-			return resp.Msg.GetRevision(), nil
+			return f.markAt(control, id, base, m)
 		}
 		revision, err := mark(leader, "ada", operatorv1.Mark_MARK_LEAVING)
 		is.NoErr(err)
@@ -344,6 +338,17 @@
 	})
 }
 
+// markAt marks e1 at one control box, building on base.
+func (f *testFleet) markAt(control, id string, base uint64, m operatorv1.Mark) (uint64, error) {
+	resp, err := f.operators(control).MarkServer(context.Background(), connect.NewRequest(&operatorv1.MarkServerRequest{
+		Change: &operatorv1.Change{Id: id, BaseRevision: base}, Name: "e1", Mark: m,
+	}))
+	if err != nil {
+		return 0, err
+	}
+	return resp.Msg.GetRevision(), nil
+}
+
 func detail[T any](t *testing.T, err error) T {
 	t.Helper()
 	var ce *connect.Error
@@ -408,15 +413,7 @@
 			f.crash(lost)
 			clear(f.boxes[lost].disks)
 			f.start(lost)
-			for voters := 0; voters < 3; {
-				time.Sleep(100 * time.Millisecond)
-				voters = 0
-				for _, r := range f.status(f.leader()).GetReplicas() {
-					if r.GetVoter() {
-						voters++
-					}
-				}
-			}
+			f.awaitVoters(3)
 			time.Sleep(2 * time.Second) // the claims group is repaired too
 		}
 		is.Equal(f.status(f.leader()).GetRevision(), revision)
@@ -427,6 +424,19 @@
 	})
 }
 
+// awaitVoters waits until the configuration group has n voters.
+func (f *testFleet) awaitVoters(n int) {
+	for voters := 0; voters < n; {
+		time.Sleep(100 * time.Millisecond)
+		voters = 0
+		for _, r := range f.status(f.leader()).GetReplicas() {
+			if r.GetVoter() {
+				voters++
+			}
+		}
+	}
+}
+
 func TestRouterRestartsWithNoMemory(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/golden_test.go
@@ -0,0 +1,306 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
+	"github.com/badgerspoke/badgerspoke/standin"
+)
+
+// This file writes transcripts of whole sessions, as callers and operators see
+// them, and compares them with testdata/sessions. What depends on an election
+// is left out or waited for, so that a transcript is the same every time. Run
+// with -update to write them anew.
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// transcript is a fleet whose visible events are written down.
+type transcript struct {
+	*testFleet
+	mu    sync.Mutex
+	lines []string
+	began time.Time
+}
+
+// say writes one line with the virtual time, in tenths of a second.
+func (s *transcript) say(who, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Since(s.began).Round(100 * time.Millisecond).Seconds()
+	s.lines = append(s.lines, fmt.Sprintf("%5.1fs  %-18s %s", at, who, fmt.Sprintf(format, args...)))
+}
+
+// align waits until the next full ten seconds, after steps whose length
+// depends on an election or on the order of equal events.
+func (s *transcript) align() {
+	const step = 10 * time.Second
+	time.Sleep(step - time.Since(s.began)%step)
+}
+
+// call makes a request and writes down the answer.
+func (s *transcript) call(r request) answer {
+	a := s.do(r)
+	s.say(r.key+" → "+r.router, "%s%s  ←  %s", what(r), keyOf(r), told(a))
+	return a
+}
+
+func what(r request) string {
+	if strings.HasPrefix(r.path, "/v1/") {
+		return "completion " + r.body
+	}
+	return r.path + " " + r.body
+}
+
+func keyOf(r request) string {
+	if k := r.header["Idempotency-Key"]; k != "" {
+		return " (key " + k + ")"
+	}
+	return ""
+}
+
+// told describes an answer without what differs between runs.
+func told(a answer) string {
+	if a.err != nil {
+		return "connection broken"
+	}
+	text := fmt.Sprint(a.status)
+	if a.outcome != "" {
+		text += ", " + a.outcome
+	}
+	if a.header.Get("Badgerspoke-Replayed") != "" {
+		text += ", replayed"
+	}
+	switch {
+	case strings.Contains(a.body, "event: error"):
+		text += fmt.Sprintf(", %d events, then an error event, outcome unknown", strings.Count(a.body, "data: ")-1)
+	case strings.HasSuffix(a.body, "[DONE]\n\n"):
+		text += fmt.Sprintf(", %d events, whole", strings.Count(a.body, "data: "))
+	case strings.HasPrefix(a.body, `{"error":`):
+		_, code, _ := strings.Cut(a.body, `"code":"`)
+		code, _, _ = strings.Cut(code, `"`)
+		text += ", " + code
+	default:
+		text += fmt.Sprintf(", %d bytes", len(a.body))
+	}
+	return text
+}
+
+// together makes requests at once and writes their answers down in order of
+// the requests.
+func (s *transcript) together(rs ...request) {
+	for i, a := range s.startAll(rs...)() {
+		s.say(rs[i].key+" → "+rs[i].router, "at once: %s%s  ←  %s", what(rs[i]), keyOf(rs[i]), told(a))
+	}
+}
+
+func (s *transcript) operator(format string, args ...any) { s.say("operator", format, args...) }
+
+var sessions = []struct {
+	name    string
+	routers int
+	play    func(s *transcript)
+}{
+	{"plain-and-streamed", 1, func(s *transcript) {
+		s.call(completion("r1", "hotel", 3, false))
+		s.call(completion("r1", "hotel", 3, true))
+		s.call(request{router: "r1", method: "GET", path: "/v1/models", key: "hotel"})
+		s.call(order("r1", "hotel", "30 sheets", ""))
+		s.call(order("r1", "stranger", "30 sheets", ""))
+	}},
+	{"late-and-crossed", 2, func(s *transcript) {
+		// Four answers that end in the opposite order of their requests.
+		s.together(completion("r1", "hotel", 40, true), completion("r2", "notary", 30, true),
+			completion("r1", "notary", 20, true), completion("r2", "hotel", 10, true))
+	}},
+	{"engine-dies-mid-stream", 1, func(s *transcript) {
+		s.engines["e1"].FailNext(standin.DieMid)
+		s.engines["e2"].FailNext(standin.DieMid)
+		s.call(completion("r1", "hotel", 8, true))
+		s.call(completion("r1", "hotel", 8, true))
+		s.call(completion("r1", "hotel", 8, true))
+	}},
+	{"flood", 2, func(s *transcript) {
+		var flood []request
+		for range 300 {
+			flood = append(flood, completion("r1", "hotel", 20, true))
+		}
+		wait := s.startAll(flood...)
+		time.Sleep(2 * time.Second)
+		s.say("hotel → r1", "300 completions at once, 2 s ago")
+		a := s.do(completion("r2", "notary", 20, true))
+		s.say("notary → r2", "one completion  ←  %s, in under 2 s: %t", told(a), a.took < 2*time.Second)
+		whole := 0
+		for _, a := range wait() {
+			if strings.HasSuffix(a.body, "[DONE]\n\n") {
+				whole++
+			}
+		}
+		s.align()
+		s.say("hotel → r1", "%d answers whole", whole)
+	}},
+	{"server-leaving-under-load", 2, func(s *transcript) {
+		wait := s.startAll(completion("r1", "hotel", 250, true), completion("r1", "hotel", 250, true),
+			completion("r2", "notary", 250, true), completion("r2", "notary", 250, true))
+		time.Sleep(time.Second)
+		s.mark("e1", operatorv1.Mark_MARK_LEAVING)
+		s.operator("server mark e1 leaving")
+		time.Sleep(3 * time.Second)
+		before := s.engines["e1"].Runs()
+		for range 6 {
+			s.call(completion("r1", "hotel", 2, true))
+		}
+		s.say("e1", "%d new requests since 3 s after it was marked", s.engines["e1"].Runs()-before)
+		for _, a := range wait() {
+			s.say("long streams", "%s", told(a))
+		}
+	}},
+	{"router-partitioned-and-rejoined", 2, func(s *transcript) {
+		for name := range s.replicas {
+			s.net.Isolate("10.0.2.1", s.boxes[name].ip) // r1 reaches no control box
+		}
+		s.net.Isolate("10.0.1.1", "10.0.1.2", "10.0.1.3")
+		s.say("network", "r1 and the control boxes are cut off from each other")
+		time.Sleep(4 * time.Second)
+		s.call(completion("r1", "hotel", 2, true))
+		s.net.Reunite()
+		s.say("network", "whole again")
+		s.settle()
+		s.align()
+		s.call(completion("r1", "hotel", 2, true))
+		s.call(completion("r2", "notary", 2, true))
+	}},
+	{"router-restarted", 2, func(s *transcript) {
+		wait := s.startAll(completion("r1", "hotel", 100, true))
+		time.Sleep(time.Second)
+		s.crash("r1")
+		s.say("r1", "killed while it streams")
+		s.say("hotel → r1", "completion  ←  %s", told(wait()[0]))
+		s.start("r1")
+		s.settle()
+		s.align()
+		s.say("r1", "ready again, with no memory")
+		s.call(completion("r1", "hotel", 2, true))
+	}},
+	{"operators-racing", 1, func(s *transcript) {
+		leader := s.leader()
+		base := s.status(leader).GetRevision()
+		try := func(id string, mark operatorv1.Mark) {
+			revision, err := s.markAt(leader, id, base, mark)
+			answer := fmt.Sprintf("revision base+%d", revision-base)
+			if err != nil {
+				answer = strings.ReplaceAll(err.Error(), fmt.Sprint(base+1), "base+1")
+				answer = strings.ReplaceAll(answer, fmt.Sprint(base), "base")
+			}
+			s.operator("change %s: mark e1 %s on base  ←  %s", id, mark, answer)
+		}
+		try("ada-1", operatorv1.Mark_MARK_LEAVING)
+		try("bob-1", operatorv1.Mark_MARK_JOINING)
+		try("ada-1", operatorv1.Mark_MARK_LEAVING)
+		try("eve-1", operatorv1.Mark_MARK_LEAVING)
+		s.crash(leader)
+		s.say(leaderWord, "killed")
+		leader = s.leader()
+		s.align()
+		try("ada-1", operatorv1.Mark_MARK_LEAVING)
+		try("bob-1", operatorv1.Mark_MARK_JOINING)
+	}},
+	{"leader-cut-off-in-silence", 2, func(s *transcript) {
+		old := s.leader()
+		s.net.Cut(s.boxes[old].ip)
+		s.say(leaderWord, "cut off in silence")
+		time.Sleep(10 * time.Second)
+		s.call(completion("r1", "hotel", 2, true))
+		s.account("late", 1)
+		s.align()
+		s.operator("account create late  ←  accepted by another leader")
+		s.net.Join(s.boxes[old].ip)
+		time.Sleep(5 * time.Second)
+		back := s.leader() == old
+		s.settle()
+		s.align()
+		s.say("the old leader", "is back; leads: %t", back)
+		s.call(completion("r2", "late", 2, true))
+	}},
+	{"second-box-lost-after-a-repair", 1, func(s *transcript) {
+		s.call(order("r1", "hotel", "12 towels", "k1"))
+		for _, lost := range []string{"c1", "c2"} {
+			s.crash(lost)
+			clear(s.boxes[lost].disks)
+			s.start(lost)
+			s.awaitVoters(3)
+			time.Sleep(2 * time.Second)
+			s.align()
+			s.say(lost, "lost its disk, was repaired and votes again")
+		}
+		s.settle()
+		s.align()
+		s.call(order("r1", "hotel", "12 towels", "k1"))
+		s.say("s1", "ran it %d time", s.services["s1"].Runs("12 towels"))
+	}},
+	{"keyed-request-at-two-routers", 2, func(s *transcript) {
+		rs := []request{order("r1", "hotel", "5 robes", "k2"), order("r2", "hotel", "5 robes", "k2")}
+		bodies := map[string]bool{}
+		for _, a := range s.startAll(rs...)() {
+			bodies[a.body] = a.status == 200
+		}
+		s.say("hotel → r1 and r2", "at once: /services/stock/orders 5 robes (key k2)  ←  both 200, %d answer", len(bodies))
+		s.say("s1", "ran it %d time", s.services["s1"].Runs("5 robes"))
+		s.call(rs[1])
+		s.call(order("r1", "hotel", "6 robes", "k2"))
+		s.services["s1"].FailNext(standin.DieEarly)
+		s.call(order("r1", "hotel", "7 robes", "k3"))
+		s.call(order("r2", "hotel", "7 robes", "k3"))
+		s.say("s1", "ran it %d time", s.services["s1"].Runs("7 robes"))
+	}},
+}
+
+const leaderWord = "the leader"
+
+func TestSessions(t *testing.T) {
+	for _, session := range sessions {
+		t.Run(session.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := wholeFleet(t, session.routers)
+				time.Sleep(10 * time.Second) // both groups have their leader in one place
+				s := &transcript{testFleet: f, began: time.Now()}
+				session.play(s)
+				s.compare(session.name)
+			})
+		})
+	}
+}
+
+func (s *transcript) compare(name string) {
+	s.t.Helper()
+	got := strings.Join(s.lines, "\n") + "\n"
+	path := filepath.Join("testdata", "sessions", name+".txt")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			s.t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if got == string(want) {
+		return
+	}
+	wants := strings.Split(string(want), "\n")
+	for i, line := range strings.Split(got, "\n") {
+		if i >= len(wants) || line != wants[i] {
+			s.t.Errorf("line %d is\n%s\nwant\n%s", i+1, line, slices.Concat(wants, make([]string, i+1))[i])
+		}
+	}
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -50,6 +50,7 @@
 // session is one link to a leader.
 type session struct {
 	out     *link.Outbox
+	length  time.Duration            // of the lease
 	mu      sync.Mutex               // guards what follows
 	sent    map[uint64]time.Duration // renewals on their way
 	seq     uint64                   // of renewals
@@ -245,10 +246,10 @@
 		return false
 	}
 	f.epoch, f.hint, f.session = w.Epoch, w.Leader, s
-	f.length = time.Duration(w.LeaseMillis) * time.Millisecond
-	length := f.length
+	s.length = time.Duration(w.LeaseMillis) * time.Millisecond
+	f.length = s.length
 	f.mu.Unlock()
-	f.r.lease.extend(sent, length)
+	f.r.lease.extend(sent, s.length)
 	for _, p := range f.r.poolList() {
 		p.update(func(_ time.Duration, pl *pool.Pool) { pl.Welcomed(w) })
 	}
@@ -270,7 +271,7 @@
 
 // renewals asks for the lease to be extended, a few times in each lease.
 func (f *fleet) renewals(ctx context.Context, s *session) {
-	t := time.NewTicker(f.length / renewPart)
+	t := time.NewTicker(s.length / renewPart)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
@@ -291,7 +292,7 @@
 // Renewals are answered, so silence means that the link is dead.
 func (f *fleet) receive(ctx context.Context, l *link.Link, s *session) error {
 	for {
-		rctx, cancel := context.WithTimeout(ctx, f.length/silentPart)
+		rctx, cancel := context.WithTimeout(ctx, s.length/silentPart)
 		m, err := l.Receive(rctx)
 		cancel()
 		if err != nil {
@@ -311,7 +312,7 @@
 		delete(s.sent, m.Seq)
 		s.mu.Unlock()
 		if ok {
-			f.r.lease.extend(sent, f.length)
+			f.r.lease.extend(sent, s.length)
 		}
 	case protocol.View:
 		f.takeView(s, m)
