Allocator: count what waits instead of looking for it

Cause: while work waits, every allocation summed the unmet requests of all accounts at all routers. Change: the pool keeps the sums; sessions' views hang on the pool.

--- a/coordination/slots/allocator.go
+++ b/coordination/slots/allocator.go
@@ -190,6 +190,7 @@
 		if old.boot == h.Boot {
 			reports, known = old.reports, true
 			a.free(old)
+			a.forgetViews(old)
 		} else {
 			a.orphan(old)
 		}
@@ -285,7 +286,7 @@
 	for _, h := range r.Returned {
 		n := a.give(s, h.Server, h.Slots)
 		if srv := a.servers[h.Server]; srv != nil && n > 0 {
-			srv.pool.answered(s.view(srv.Pool), n)
+			srv.pool.answered(s.view(srv.pool), n)
 		}
 	}
 	for _, name := range r.Suspects {
@@ -308,7 +309,8 @@
 	if p == nil {
 		return
 	}
-	s.view(pr.Pool).idle = max(pr.Idle, 0)
+	v := s.view(p)
+	v.idle = max(pr.Idle, 0)
 	for _, ar := range pr.Accounts {
 		acc := p.accounts[ar.Account]
 		if acc == nil || !sane(ar) {
@@ -317,9 +319,9 @@
 		acc.charge(ar)
 		p.setWaiting(s, acc, ar.Waiting, ar.Running)
 		if ar.Waiting > 0 {
-			s.view(pr.Pool).follow(ar.Account)
+			v.follow(ar.Account)
 		} else {
-			delete(s.view(pr.Pool).accounts, ar.Account)
+			delete(v.accounts, ar.Account)
 		}
 	}
 }
@@ -339,8 +341,8 @@
 	if s == nil {
 		return
 	}
-	a.forgetWaiting(s)
 	a.free(s)
+	a.forgetViews(s)
 	delete(a.sessions, router)
 	a.sortSessions()
 }
@@ -372,7 +374,7 @@
 	n = min(n, srv.Slots+srv.Extra)
 	srv.granted += n
 	s.held[name] += n
-	s.view(srv.Pool).held += n
+	s.view(srv.pool).hold(n)
 	srv.pool.setFree(srv)
 }
 
@@ -388,7 +390,7 @@
 	if srv := a.servers[name]; srv != nil {
 		srv.granted -= n
 		srv.pool.setFree(srv)
-		s.view(srv.Pool).held -= n
+		s.view(srv.pool).hold(-n)
 	}
 	return n
 }
@@ -403,12 +405,10 @@
 
 func (a *Allocator) forgetWaiting(s *session) {
 	a.acknowledge(s, math.MaxUint64)
-	for name, v := range s.views {
-		if p := a.pools[name]; p != nil {
-			p.recalling -= v.recall
-			v.recall = 0
-			p.answered(v, v.recalled)
-		}
+	for _, v := range s.views {
+		v.pool.recalling -= v.recall
+		v.recall = 0
+		v.pool.answered(v, v.recalled)
 	}
 	for k := range s.waiting {
 		if p := a.pools[k.pool]; p != nil {
@@ -418,6 +418,13 @@
 	clear(s.waiting)
 }
 
+// forgetViews takes a session that is over out of the pools.
+func (a *Allocator) forgetViews(s *session) {
+	for _, v := range s.views {
+		v.pool.views = slices.DeleteFunc(v.pool.views, func(o *viewState) bool { return o == v })
+	}
+}
+
 func (a *Allocator) sortSessions() {
 	a.order = a.order[:0]
 	for _, s := range a.sessions {
--- a/coordination/slots/grant.go
+++ b/coordination/slots/grant.go
@@ -39,9 +39,9 @@
 		heap.Push(&p.unmet, acc)
 	}
 	p.raiseFloor()
-	short := len(p.unmet) > 0 && a.recall(now, p)
+	short := len(p.unmet) > 0 && p.recall(now)
 	p.measureRate(now)
-	a.noteShort(now, p, short)
+	p.noteShort(now, short)
 }
 
 // recall asks routers for slots that work elsewhere waits for: free ones that
@@ -52,32 +52,22 @@
 //
 // Asking everybody for every free slot was tried first: one waiting request
 // then emptied the whole fleet's hands, and every next request had to ask.
-func (a *Allocator) recall(now time.Duration, p *pool) (short bool) {
-	need, slotless := 0, 0
-	for _, acc := range p.unmet {
-		for _, w := range acc.places {
-			need += w.unmet()
-			if w.session.view(p.name).held == 0 {
-				slotless++
-			}
-		}
-	}
-	need -= p.recalling
-	slotless -= p.recalling
-	for _, s := range a.order {
-		v := s.views[p.name]
-		if need <= 0 || v == nil || v.idle <= 0 || !s.linked {
+func (p *pool) recall(now time.Duration) (short bool) {
+	need := p.waiting - p.recalling
+	slotless := p.slotless - p.recalling
+	for _, v := range p.views {
+		if need <= 0 || v.idle <= 0 || !v.session.linked {
 			continue
 		}
 		n := min(v.idle, need)
 		v.idle -= n
 		need -= n
 		slotless -= n
-		a.ask(now, p, s, v, n)
+		p.ask(now, v, n)
 	}
 	for ; slotless > 0; slotless-- {
-		if s := a.richest(p); s != nil {
-			a.ask(now, p, s, s.views[p.name], 1)
+		if v := p.richest(); v != nil {
+			p.ask(now, v, 1)
 		}
 	}
 	return need > 0
@@ -85,26 +75,22 @@
 
 // richest returns the router that can best spare a slot, or nil if nobody has
 // more than one.
-func (a *Allocator) richest(p *pool) *session {
-	var best *session
+func (p *pool) richest() *viewState {
+	var best *viewState
 	most := 1
-	for _, s := range a.order {
-		v := s.views[p.name]
-		if v == nil || !s.linked {
-			continue
-		}
-		if spare := v.held - v.recall - v.recalled; spare > most {
-			best, most = s, spare
+	for _, v := range p.views {
+		if spare := v.held - v.recall - v.recalled; spare > most && v.session.linked {
+			best, most = v, spare
 		}
 	}
 	return best
 }
 
-func (a *Allocator) ask(now time.Duration, p *pool, s *session, v *viewState, n int) {
+func (p *pool) ask(now time.Duration, v *viewState, n int) {
 	v.recall += n
 	v.askedAt = now
 	p.recalling += n
-	s.urgent = true
+	v.session.urgent = true
 }
 
 // answered takes back what was noted of n recalled slots.
@@ -160,15 +146,14 @@
 
 // noteShort tells the routers when the pool begins or ceases to be short of
 // slots. While it is, the virtual times go to them with every full view.
-func (a *Allocator) noteShort(now time.Duration, p *pool, short bool) {
+func (p *pool) noteShort(now time.Duration, short bool) {
 	changed := short != p.short
 	p.short = short
-	for _, s := range a.order {
-		v := s.views[p.name]
-		if v == nil || !s.linked {
+	for _, v := range p.views {
+		if !v.session.linked {
 			continue
 		}
-		s.wantView = s.wantView || short || changed
+		v.session.wantView = v.session.wantView || short || changed
 		if v.recalled > 0 && now-v.askedAt > recallLife {
 			p.answered(v, v.recalled)
 		}
--- a/coordination/slots/pool.go
+++ b/coordination/slots/pool.go
@@ -25,8 +25,11 @@
 	short    bool      // more work waits than slots are known to be free
 	// recalling is the number of slots asked back and not answered yet.
 	recalling int
-	rate      float64 // how fast the floor rises, a second
-	rateFloor float64 // floor when rate was last measured
+	views     []*viewState // of all sessions that use the pool
+	waiting   int          // requests that no grant is on its way to
+	slotless  int          // accounts with such requests at routers without any slot
+	rate      float64      // how fast the floor rises, a second
+	rateFloor float64      // floor when rate was last measured
 	rateAt    time.Duration
 }
 
@@ -46,6 +49,8 @@
 // waitingAt is the work of one account that waits at one router.
 type waitingAt struct {
 	session  *session
+	view     *viewState
+	counted  int // unmet requests that are in pool.waiting
 	running  int
 	account  *account
 	reported int
@@ -154,6 +159,8 @@
 
 func (p *pool) drop(acc *account) {
 	for _, w := range slices.Clone(acc.places) {
+		w.reported, w.onWay = 0, 0
+		p.update(w)
 		delete(w.session.waiting, waitingKey{p.name, acc.name})
 	}
 	if acc.index >= 0 {
@@ -186,7 +193,7 @@
 		if n == 0 && running == 0 {
 			return
 		}
-		w = &waitingAt{session: s, account: acc, index: -1}
+		w = &waitingAt{session: s, view: s.view(p), account: acc, index: -1}
 		s.waiting[k] = w
 	}
 	acc.running += running - w.running
@@ -200,11 +207,15 @@
 // update puts a place and its account where they belong after a change.
 func (p *pool) update(w *waitingAt) {
 	acc := w.account
+	p.waiting += w.unmet() - w.counted
+	w.counted = w.unmet()
 	switch {
 	case w.unmet() > 0 && w.index < 0:
+		w.view.placed(1)
 		w.index = len(acc.places)
 		acc.places = append(acc.places, w)
 	case w.unmet() == 0 && w.index >= 0:
+		w.view.placed(-1)
 		last := len(acc.places) - 1
 		acc.places[w.index] = acc.places[last]
 		acc.places[w.index].index = w.index
--- a/coordination/slots/view.go
+++ b/coordination/slots/view.go
@@ -15,6 +15,9 @@
 
 // viewState is what a router was told of one pool.
 type viewState struct {
+	session  *session
+	pool     *pool
+	places   int // accounts with unmet work there
 	idle     int // slots that it reported as free, less those recalled
 	recall   int // to be asked back with the next view
 	recalled int // asked back and not answered
@@ -32,15 +35,37 @@
 	}
 }
 
-func (s *session) view(pool string) *viewState {
-	v := s.views[pool]
+// view returns what the router was told of a pool.
+func (s *session) view(p *pool) *viewState {
+	v := s.views[p.name]
 	if v == nil {
-		v = &viewState{accounts: map[string]float64{}}
-		s.views[pool] = v
+		v = &viewState{session: s, pool: p, accounts: map[string]float64{}}
+		s.views[p.name] = v
+		p.views = append(p.views, v)
 	}
 	return v
 }
 
+// hold changes the number of slots of the pool that the router holds.
+func (v *viewState) hold(n int) {
+	before := v.held
+	v.held += n
+	switch {
+	case before <= 0 && v.held > 0:
+		v.pool.slotless -= v.places
+	case before > 0 && v.held <= 0:
+		v.pool.slotless += v.places
+	}
+}
+
+// placed changes the number of accounts with unmet work at the router.
+func (v *viewState) placed(n int) {
+	v.places += n
+	if v.held <= 0 {
+		v.pool.slotless += n
+	}
+}
+
 // Outgoing is a view that is due.
 type Outgoing struct {
 	Router string
