--- a/coordination/slots/allocator.go
+++ b/coordination/slots/allocator.go
@@ -31,9 +31,9 @@
 	Burst       float64
 }
 
-// DefaultPace sends what is urgent within 2 ms and the rest every 250 ms, and
+// DefaultPace sends what is urgent every 5 ms and the rest every 250 ms, and
 // stretches that under 2,000 bytes a second.
-var DefaultPace = Pace{Short: 2 * time.Millisecond, Long: 250 * time.Millisecond, Budget: 2000, Burst: 4000}
+var DefaultPace = Pace{Short: 5 * time.Millisecond, Long: 250 * time.Millisecond, Budget: 2000, Burst: 4000}
 
 // TurnGap is the shortest time between two allocations: what arrives meanwhile
 // is taken together, so that the allocator's work does not grow with the
