--- a/coordination/slots/fixture_test.go
+++ b/coordination/slots/fixture_test.go
@@ -145,20 +145,21 @@
 }
 
 type testRouter struct {
-	f       *fleet
-	name    string
-	boot    uint64
-	pools   []*pool.Pool
-	known   map[int]bool  // accounts that it has seen
-	lease   time.Duration // end
-	linked  bool
-	link    int // generation of the link
-	reports uint64
-	viewSeq uint64
-	pacer   slots.Pacer
-	due     time.Duration // of a scheduled report, 0 is none
-	bytes   int
-	cut     bool // cut off from the allocator
+	f        *fleet
+	name     string
+	boot     uint64
+	pools    []*pool.Pool
+	known    map[int]bool  // accounts that it has seen
+	lease    time.Duration // end
+	linked   bool
+	link     int // generation of the link
+	reports  uint64
+	viewSeq  uint64
+	pacer    slots.Pacer
+	due      time.Duration // of a scheduled report, 0 is none
+	bytes    int
+	messages int
+	cut      bool // cut off from the allocator
 }
 
 var testLease = slots.Lease{Length: 3 * time.Second, Margin: 400 * time.Millisecond}
@@ -477,6 +478,7 @@
 		panic(err)
 	}
 	r.bytes += len(b) + wsOverhead
+	r.messages++
 	return len(b) + wsOverhead
 }
 
--- a/coordination/slots/measure_test.go
+++ b/coordination/slots/measure_test.go
@@ -190,6 +190,7 @@
 	util     float64
 	utils    []float64 // by pool
 	bytes    float64   // a second and router, both directions
+	messages float64   // likewise
 	p99      float64   // seconds that small accounts wait
 	longest  float64
 	ended    int
@@ -223,6 +224,11 @@
 	for _, rt := range m.f.routers {
 		total += rt.bytes
 	}
+	messages := 0
+	for _, rt := range m.f.routers {
+		messages += rt.messages
+	}
+	r.messages = float64(messages) / float64(len(m.f.routers)) / m.f.now.Seconds()
 	r.bytes = float64(total) / float64(len(m.f.routers)) / m.f.now.Seconds()
 	r.p99 = quantile(m.waits, 0.99).Seconds()
 	r.longest = m.longest.Seconds()
--- a/coordination/slots/scale_bench_test.go
+++ b/coordination/slots/scale_bench_test.go
@@ -45,6 +45,7 @@
 				f := newFleet(large(c.routers, c.accounts), fleetFair, 1)
 				r := f.run().results(fresh)
 				b.ReportMetric(r.bytes, "ctrl-B/s/box")
+				b.ReportMetric(r.messages, "ctrl-msg/s/box")
 				b.ReportMetric(100*r.cpuShare, "allocator-%core")
 				b.ReportMetric(float64(r.ended)/f.now.Seconds(), "ended/s")
 				b.ReportMetric(r.util, "util-%")
