--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -28,6 +29,7 @@
 	"github.com/badgerspoke/badgerspoke/control"
 	"github.com/badgerspoke/badgerspoke/coordination/slots"
 	"github.com/badgerspoke/badgerspoke/router"
+	"github.com/badgerspoke/badgerspoke/settings"
 	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
 	"github.com/badgerspoke/badgerspoke/transport/link"
@@ -55,6 +57,7 @@
 	OperatorToken string
 	Overcommit    float64 // part of an engine's slots that is granted beyond them
 
+	TLS               *settings.TLS // nil leaves all connections plain
 	Lease             slots.Lease
 	Pace              slots.Pace
 	Election          time.Duration
@@ -111,7 +114,7 @@
 		b.startRouter(ctx)
 	}
 	if set.Operators != nil {
-		b.serve(set.Operators, b.operatorsMux())
+		b.serve(set.Operators, b.operatorsMux(), b.tls().Door)
 	}
 	return b, nil
 }
@@ -121,6 +124,9 @@
 	if b.set.Dialer != nil {
 		id.Dial = b.set.Dialer.DialContext
 	}
+	if b.set.TLS != nil {
+		id.TLS = b.set.TLS.Dial
+	}
 	return id
 }
 
@@ -137,7 +143,7 @@
 	b.control = c
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, c)
-	b.serve(b.set.Fleet, mux)
+	b.serve(b.set.Fleet, mux, b.tls().Fleet)
 	return nil
 }
 
@@ -155,7 +161,7 @@
 		Backend: b.backend, Limits: b.set.Limits, Pace: b.set.Pace,
 		StopWithoutLeader: b.set.StopWithoutLeader, Random: b.set.Random, Log: b.set.Log, Metrics: b.metrics,
 	})
-	b.serve(b.set.Callers, b.router)
+	b.serve(b.set.Callers, b.router, b.tls().Door)
 }
 
 func (b *Box) operatorsMux() http.Handler {
@@ -169,7 +175,7 @@
 
 // serve serves one listener with HTTP/1.1 and, for gRPC without certificates,
 // HTTP/2.
-func (b *Box) serve(l net.Listener, h http.Handler) {
+func (b *Box) serve(l net.Listener, h http.Handler, cfg *tls.Config) {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -179,7 +185,22 @@
 		ErrorLog: slog.NewLogLogger(b.set.Log.Handler(), slog.LevelDebug),
 	}
 	b.servers = append(b.servers, s)
-	go func() { _ = s.Serve(limitListener(l, maxConnections)) }()
+	limited := limitListener(l, maxConnections)
+	if cfg == nil {
+		go func() { _ = s.Serve(limited) }()
+		return
+	}
+	protocols.SetHTTP2(true)
+	s.TLSConfig = cfg.Clone()
+	go func() { _ = s.ServeTLS(limited, "", "") }()
+}
+
+// tls returns the TLS configurations, all nil without certificates.
+func (b *Box) tls() settings.TLS {
+	if b.set.TLS == nil {
+		return settings.TLS{}
+	}
+	return *b.set.TLS
 }
 
 // Router returns the router role, or nil.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -16,6 +16,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"flag"
 	"fmt"
@@ -64,25 +66,28 @@
 
 // input is what a command was given.
 type input struct {
-	args    []string
-	change  *operatorv1.Change
-	server  string
-	token   string
-	json    bool
-	share   float64
-	limits  operatorv1.Limits
-	address string
-	pool    string
-	kind    string
-	mark    string
-	slots   uint
-	models  string
-	adapt   string
-	version string
-	never   string
-	fence   bool
-	keep    bool
-	set     map[string]bool // flags that were given
+	args   []string
+	change *operatorv1.Change
+	server string
+	token  string
+	ca     string
+
+	authority *x509.CertPool // nil without -tls-ca-file
+	json      bool
+	share     float64
+	limits    operatorv1.Limits
+	address   string
+	pool      string
+	kind      string
+	mark      string
+	slots     uint
+	models    string
+	adapt     string
+	version   string
+	never     string
+	fence     bool
+	keep      bool
+	set       map[string]bool // flags that were given
 }
 
 // Run runs one command and returns the exit code.
@@ -135,6 +140,7 @@
 	fs.SetOutput(stderr)
 	fs.StringVar(&in.server, "server", orDefault(getenv(settings.EnvPrefix+"SERVER"), defaultServer), "operators' address of any control box")
 	fs.StringVar(&in.token, "token", getenv(settings.EnvPrefix+"TOKEN"), "operators' token, or @FILE")
+	fs.StringVar(&in.ca, "tls-ca-file", getenv(settings.EnvName("tls-ca-file")), "authority of the boxes' certificates; the call is then encrypted")
 	fs.BoolVar(&in.json, "json", false, "print the answer as JSON")
 	fs.Usage = func() {
 		fmt.Fprintf(stderr, "%s\n\n  badgerspoke %s %s\n\nExample:\n  %s\n\nFlags:\n", cmd.what, cmd.name, strings.Join(cmd.args, " "), cmd.example)
@@ -159,9 +165,28 @@
 		return nil, fmt.Errorf("unexpected argument %q; flags come behind %s", fs.Arg(0), strings.Join(cmd.args, " "))
 	}
 	fs.Visit(func(f *flag.Flag) { in.set[f.Name] = true })
+	if err := in.readAuthority(); err != nil {
+		return nil, err
+	}
 	return in, in.readToken()
 }
 
+// readAuthority reads the file of -tls-ca-file.
+func (in *input) readAuthority() error {
+	if in.ca == "" {
+		return nil
+	}
+	b, err := os.ReadFile(in.ca)
+	if err != nil {
+		return err
+	}
+	in.authority = x509.NewCertPool()
+	if !in.authority.AppendCertsFromPEM(b) {
+		return fmt.Errorf("%s holds no certificate", in.ca)
+	}
+	return nil
+}
+
 // readToken reads a token given as @FILE.
 func (in *input) readToken() error {
 	path, isFile := strings.CutPrefix(in.token, "@")
@@ -185,7 +210,7 @@
 func callLeader(ctx context.Context, cmd *command, in *input) (proto.Message, error) {
 	server := in.server
 	for {
-		answer, err := cmd.run(ctx, client(server, in.token), in)
+		answer, err := cmd.run(ctx, client(server, in), in)
 		if err == nil || !mayRetry(err) {
 			return answer, err
 		}
@@ -208,9 +233,13 @@
 	return code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded
 }
 
-func client(server, token string) operatorv1connect.OperatorServiceClient {
-	return operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+server,
-		connect.WithInterceptors(bearer(token)))
+func client(server string, in *input) operatorv1connect.OperatorServiceClient {
+	scheme, hc := "http://", http.DefaultClient
+	if in.authority != nil {
+		scheme = "https://"
+		hc = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: in.authority, MinVersion: tls.VersionTLS13}}}
+	}
+	return operatorv1connect.NewOperatorServiceClient(hc, scheme+server, connect.WithInterceptors(bearer(in.token)))
 }
 
 func bearer(token string) connect.Interceptor {
--- a/cmd/badgerspoked/main.go
+++ b/cmd/badgerspoked/main.go
@@ -104,7 +104,7 @@
 	pace := slots.DefaultPace
 	pace.Budget, pace.Burst = d.ControlBudget, 2*d.ControlBudget
 	set := badgerspoke.Settings{
-		Name: d.Name, Hall: d.Hall, FleetKey: d.FleetKey, Replicas: d.Control,
+		Name: d.Name, Hall: d.Hall, FleetKey: d.FleetKey, TLS: d.TLS, Replicas: d.Control,
 		Router: d.Has(settings.Router), Control: d.Has(settings.Control),
 		DataDir: d.DataDir, OperatorToken: d.OperatorToken,
 		Lease:      slots.Lease{Length: d.Lease, Margin: slots.DefaultLease.Margin},
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -26,6 +26,7 @@
 
 	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
 
+	"github.com/badgerspoke/badgerspoke/settings"
 	"github.com/badgerspoke/badgerspoke/standin"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/state/wal"
@@ -54,6 +55,8 @@
 	services map[string]*standin.Service
 	servers  []*http.Server
 	client   *http.Client
+	certify  func(ip string) *settings.TLS
+	scheme   string
 	changes  int
 }
 
@@ -69,11 +72,22 @@
 // newFleet starts controls c1… and routers r1…, and waits until they are
 // ready.
 func newFleet(t *testing.T, controls, routers int) *testFleet {
+	return newFleetWith(t, controls, routers, nil)
+}
+
+// newFleetWith starts a fleet whose boxes have certificates, unless certify is
+// nil.
+func newFleetWith(t *testing.T, controls, routers int, certify func(ip string) *settings.TLS) *testFleet {
 	f := &testFleet{
+		certify: certify, scheme: "http://",
 		t: t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, 2)), replicas: map[string]string{},
 		boxes: map[string]*testBox{}, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.Box(clientIP).DialContext}}
+	transport := &http.Transport{DialContext: f.net.Box(clientIP).DialContext}
+	f.client = &http.Client{Transport: transport}
+	if certify != nil {
+		f.scheme, transport.TLSClientConfig = "https://", certify(clientIP).Dial
+	}
 	for i := range controls {
 		f.replicas[fmt.Sprintf("c%d", i+1)] = fmt.Sprintf("10.0.1.%d:8082", i+1)
 	}
@@ -115,6 +129,9 @@
 			return b.disks[group], nil
 		},
 	}
+	if f.certify != nil {
+		set.TLS = f.certify(b.ip)
+	}
 	if b.control {
 		set.Fleet, set.Operators = f.listen(b.ip+":8082"), f.listen(b.ip+":8081")
 	} else {
@@ -238,7 +255,7 @@
 
 // operators returns a client of one control box.
 func (f *testFleet) operators(name string) operatorv1connect.OperatorServiceClient {
-	return operatorv1connect.NewOperatorServiceClient(f.client, "http://"+f.boxes[name].ip+":8081",
+	return operatorv1connect.NewOperatorServiceClient(f.client, f.scheme+f.boxes[name].ip+":8081",
 		connect.WithInterceptors(dev.Authorize(token)))
 }
 
@@ -348,7 +365,7 @@
 	if r.ctx == nil {
 		r.ctx = context.Background()
 	}
-	req, err := http.NewRequestWithContext(r.ctx, r.method, "http://"+f.boxes[r.router].ip+":8080"+r.path, bytes.NewReader([]byte(r.body)))
+	req, err := http.NewRequestWithContext(r.ctx, r.method, f.scheme+f.boxes[r.router].ip+":8080"+r.path, bytes.NewReader([]byte(r.body)))
 	if err != nil {
 		f.t.Error(err)
 		return answer{err: err}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	Control           map[string]string // control replicas: name → fleet address
 	DataDir           string
 	FleetKey          []byte
+	TLS               *TLS // nil without certificates
 	OperatorToken     string
 	Lease             time.Duration
 	Wait              time.Duration
@@ -78,6 +79,7 @@
 	d                           Daemon
 	role, control, noLeader     string
 	fleetKeyFile, operatorsFile string
+	tlsCert, tlsKey, tlsCA      string
 }
 
 // Parse reads args and the environment. It returns [flag.ErrHelp] for -h, and
@@ -125,6 +127,9 @@
 	fs.StringVar(&d.DataDir, "data-dir", "", "data folder (role control)")
 	fs.StringVar(&r.fleetKeyFile, "fleet-key-file", "", "file with the key that all boxes share")
 	fs.StringVar(&r.operatorsFile, "operator-token-file", "", "file with the operators' token (role control)")
+	fs.StringVar(&r.tlsCert, "tls-cert-file", "", "this box's certificate, PEM; callers, operators and boxes then speak TLS only")
+	fs.StringVar(&r.tlsKey, "tls-key-file", "", "its private key, PEM")
+	fs.StringVar(&r.tlsCA, "tls-ca-file", "", "the authority that signs all boxes' certificates, PEM")
 	fs.DurationVar(&d.Lease, "lease", 3*time.Second, "how long a router may act without hearing from control; equal on all boxes")
 	fs.DurationVar(&d.Wait, "wait", time.Minute, "longest wait of a request for its turn")
 	fs.DurationVar(&d.Grace, "grace", 2*time.Second, "how long a stopping router still takes requests")
@@ -167,6 +172,7 @@
 	c.oneOf("-log-format", d.LogFormat, "text", "json")
 	c.oneOf("-without-leader", r.noLeader, "continue", "stop")
 	d.StopWithoutLeader = r.noLeader == "stop"
+	d.TLS = c.tls(r.tlsCert, r.tlsKey, r.tlsCA)
 	if d.Dev {
 		return c.found
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -32,14 +32,14 @@
 	is := is.New(t)
 	_, err := parse(map[string]string{"BADGERSPOKE_GRACE": "soon"},
 		"-role", "router,king", "-name", "no spaces", "-listen-callers", "here", "-control", "a=1.2.3.4:5,a=x",
-		"-fleet-key-file", secret(t, "short\n"), "-log-format", "xml", "-lease", "1h", "-overcommit", "2", "rest")
+		"-fleet-key-file", secret(t, "short\n"), "-log-format", "xml", "-lease", "1h", "-overcommit", "2", "-tls-cert-file", "c.pem", "rest")
 	var invalid Invalid
 	is.True(errors.As(err, &invalid))
 	for _, want := range []string{
 		"BADGERSPOKE_GRACE: ", `unexpected argument "rest"`, `-role: "king"`, "-listen-callers: must be IP:PORT",
 		"-name: must be", `-control: lists "a" twice`, `-control: must be IP:PORT, not "x"`,
 		"-fleet-key-file: the key is shorter than 16 bytes", "-log-format: must be one of text, json", "-lease: must be between",
-		"-overcommit: must be between",
+		"-overcommit: must be between", "give all three or none",
 	} {
 		is.True(strings.Contains(err.Error(), want)) // each mistake
 	}
--- /dev/null
+++ b/settings/tls.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+)
+
+// This file defines TLS, what the certificate files become.
+
+// TLS holds the three configurations that a box needs.
+type TLS struct {
+	Door  *tls.Config // for callers and operators, who need no certificate
+	Fleet *tls.Config // for boxes, who do
+	Dial  *tls.Config // towards other boxes
+}
+
+// NewTLS returns the configurations for a box's certificate and the authority
+// that signs all boxes' certificates.
+func NewTLS(cert tls.Certificate, authority *x509.CertPool) *TLS {
+	base := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}}
+	fleet := base.Clone()
+	fleet.ClientAuth, fleet.ClientCAs = tls.RequireAndVerifyClientCert, authority
+	dial := base.Clone()
+	dial.RootCAs = authority
+	return &TLS{Door: base, Fleet: fleet, Dial: dial}
+}
+
+// tls reads the certificate files: all three, or none.
+func (c *checks) tls(certFile, keyFile, caFile string) *TLS {
+	if certFile == "" && keyFile == "" && caFile == "" {
+		return nil
+	}
+	if certFile == "" || keyFile == "" || caFile == "" {
+		c.that(false, "-tls-cert-file, -tls-key-file and -tls-ca-file: give all three or none")
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	c.that(err == nil, "-tls-cert-file, -tls-key-file: %v", err)
+	pem, err := os.ReadFile(caFile)
+	c.that(err == nil, "-tls-ca-file: %v", err)
+	authority := x509.NewCertPool()
+	c.that(err != nil || authority.AppendCertsFromPEM(pem), "-tls-ca-file: holds no certificate")
+	return NewTLS(cert, authority)
+}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -15,8 +15,8 @@
 //
 // so that a recorded handshake proves nothing later and neither side's proof
 // can be reflected. A key in a header was rejected: whoever accepts the
-// connection would learn it. The link is not encrypted by itself; where the
-// network between halls is not trusted, give the daemons certificates.
+// connection would learn it. The link is encrypted only
+// if the box has certificates; the key is proved inside either way.
 //
 // Every read and write has a deadline; bytes are counted by kind and
 // direction.
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -50,12 +51,22 @@
 	Key  []byte // the fleet key, equal on all boxes
 	// Dial opens connections; nil is the operating system's network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// TLS encrypts links that this box opens; nil leaves them plain.
+	TLS *tls.Config
+}
+
+// scheme returns the WebSocket scheme of links that this box opens.
+func (id Identity) scheme() string {
+	if id.TLS != nil {
+		return "wss://"
+	}
+	return "ws://"
 }
 
 // client returns the HTTP client that opens links: one connection each, none
 // kept.
 func (id Identity) client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: id.Dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: id.Dial, TLSClientConfig: id.TLS, DisableKeepAlives: true}}
 }
 
 // Link is an open, authenticated link. Send and Receive may be called
@@ -70,7 +81,7 @@
 func Dial(ctx context.Context, address string, id Identity, m *Meter) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
-	conn, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+	conn, resp, err := websocket.Dial(ctx, id.scheme()+address+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled, HTTPClient: id.client(),
 	})
 	if resp != nil && resp.Body != nil {
