--- a/coordination/share/flow.go
+++ b/coordination/share/flow.go
@@ -3,13 +3,14 @@
 package share
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
+
+	"github.com/badgerspoke/badgerspoke/internal/pq"
 )
 
 // This file defines the inside of a queue: flows, which are first-in
-// first-out lists of one user's requests, and the heaps over accounts, flows
+// first-out lists of one user's requests, and the orders of accounts, flows
 // and deadlines.
 
 // maxFlows bounds the idle flows that one account is remembered for: users are
@@ -21,7 +22,7 @@
 	name       string
 	time       float64 // cost charged to the flow
 	head, tail *Ticket
-	index      int // in account.busy, -1 when not in it
+	index      int // in account.busy
 }
 
 // link appends a ticket to its flow.
@@ -29,7 +30,7 @@
 	a := t.account
 	f := a.flows[t.Flow]
 	if f == nil {
-		f = &flow{name: t.Flow, index: -1}
+		f = &flow{name: t.Flow, index: pq.Absent}
 		a.flows[t.Flow] = f
 	}
 	t.flow = f
@@ -40,9 +41,9 @@
 		f.head = t
 	}
 	f.tail = t
-	if f.index < 0 {
+	if !a.busy.Has(f) {
 		a.lift(f)
-		heap.Push(&a.busy, f)
+		a.busy.Set(f)
 	}
 	a.waiting++
 	a.bytes += t.Bytes
@@ -52,8 +53,8 @@
 
 // lift keeps a flow that was idle from being owed its idle time.
 func (a *account) lift(f *flow) {
-	if len(a.busy) > 0 {
-		f.time = max(f.time, a.busy[0].time)
+	if a.busy.Len() > 0 {
+		f.time = max(f.time, a.busy.Min().time)
 	}
 }
 
@@ -77,95 +78,36 @@
 	a.bytes -= t.Bytes
 	q.waiting--
 	q.bytes -= t.Bytes
-	if t.deadline >= 0 {
-		heap.Remove(&q.deadlines, t.deadline)
-	}
+	q.deadlines.Remove(t)
 	if f.head != nil {
-		heap.Fix(&a.busy, f.index)
+		a.busy.Set(f)
 		return
 	}
-	heap.Remove(&a.busy, f.index)
-	if len(a.busy) == 0 {
+	a.busy.Remove(f)
+	if a.busy.Len() == 0 {
 		clear(a.flows) // nobody is behind: all debts between flows end
 	} else if len(a.flows) > maxFlows {
 		delete(a.flows, f.name)
 	}
 }
 
-type accountHeap []*account
+// The orders are total, by name where times are equal, so that a run can be
+// repeated.
 
-func (h accountHeap) Len() int { return len(h) }
-func (h accountHeap) Less(i, j int) bool {
-	if h[i].time != h[j].time {
-		return h[i].time < h[j].time
-	}
-	return h[i].name < h[j].name
-}
-func (h accountHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+func earlierAccount(a, b *account) bool {
+	return a.time < b.time || (a.time == b.time && a.name < b.name)
 }
-func (h *accountHeap) Push(x any) {
-	a := x.(*account)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-func (h *accountHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	a.index = -1
-	return a
-}
-
-type flowHeap []*flow
 
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].time != h[j].time {
-		return h[i].time < h[j].time
-	}
-	return h[i].name < h[j].name
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	f.index = -1
-	return f
+func earlierFlow(a, b *flow) bool {
+	return a.time < b.time || (a.time == b.time && a.name < b.name)
 }
 
-type deadlineHeap []*Ticket
-
-func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline < h[j].Deadline }
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].deadline, h[j].deadline = i, j
-}
-func (h *deadlineHeap) Push(x any) {
-	t := x.(*Ticket)
-	t.deadline = len(*h)
-	*h = append(*h, t)
+func earlierDeadline(a, b *Ticket) bool {
+	return a.Deadline < b.Deadline || (a.Deadline == b.Deadline && a.seq < b.seq)
 }
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.deadline = -1
-	return t
+
+func newFlows() *pq.Queue[*flow] {
+	return pq.New(earlierFlow, func(f *flow) *int { return &f.index })
 }
 
 func sortedNames(m map[string]*account) []string { return slices.Sorted(maps.Keys(m)) }
--- a/coordination/share/queue.go
+++ b/coordination/share/queue.go
@@ -3,9 +3,10 @@
 package share
 
 import (
-	"container/heap"
 	"math"
 	"time"
+
+	"github.com/badgerspoke/badgerspoke/internal/pq"
 )
 
 // This file defines Queue, the waiting work of one pool on one router with
@@ -34,7 +35,8 @@
 	flow     *flow
 	prev     *Ticket
 	next     *Ticket
-	deadline int // index in the heap of deadlines, -1 when not in it
+	deadline int // place in Queue.deadlines
+	seq      uint64
 	waiting  bool
 }
 
@@ -46,8 +48,9 @@
 // the requests with a deadline.
 type Queue struct {
 	accounts  map[string]*account
-	ready     accountHeap // accounts with waiting work below their running limit
-	deadlines deadlineHeap
+	ready     *pq.Queue[*account] // accounts with waiting work below their running limit
+	deadlines *pq.Queue[*Ticket]
+	pushed    uint64 // tickets so far
 	lift      float64
 	waiting   int
 	bytes     int64
@@ -62,11 +65,11 @@
 	limits  Limits
 	time    float64 // virtual time
 	flows   map[string]*flow
-	busy    flowHeap // flows with waiting requests
+	busy    *pq.Queue[*flow] // flows with waiting requests
 	waiting int
 	bytes   int64
 	running int
-	index   int // in Queue.ready, -1 when not in it
+	index   int // in Queue.ready
 
 	unsent   float64    // service charged since the last report
 	started  int        // requests started since the last report
@@ -82,14 +85,18 @@
 
 // NewQueue returns an empty queue with limits over all accounts.
 func NewQueue(total Limits) *Queue {
-	return &Queue{accounts: map[string]*account{}, total: total, changed: map[string]*account{}}
+	return &Queue{
+		accounts: map[string]*account{}, total: total, changed: map[string]*account{},
+		ready:     pq.New(earlierAccount, func(a *account) *int { return &a.index }),
+		deadlines: pq.New(earlierDeadline, func(t *Ticket) *int { return &t.deadline }),
+	}
 }
 
 // SetAccount creates an account or changes its share and limits.
 func (q *Queue) SetAccount(name string, share float64, l Limits) {
 	a := q.accounts[name]
 	if a == nil {
-		a = &account{name: name, flows: map[string]*flow{}, index: -1, time: q.lift}
+		a = &account{name: name, flows: map[string]*flow{}, busy: newFlows(), index: pq.Absent, time: q.lift}
 		q.accounts[name] = a
 	}
 	a.share, a.limits = share, l
@@ -104,7 +111,7 @@
 	}
 	var dropped []*Ticket
 	for a.waiting > 0 {
-		t := a.busy[0].head
+		t := a.busy.Min().head
 		q.Cancel(t)
 		dropped = append(dropped, t)
 	}
@@ -125,10 +132,11 @@
 	if a.waiting == 0 && a.running == 0 {
 		a.time = max(a.time, q.lift)
 	}
-	t := &Ticket{Request: r, account: a, deadline: -1, waiting: true}
+	q.pushed++
+	t := &Ticket{Request: r, account: a, deadline: pq.Absent, seq: q.pushed, waiting: true}
 	q.link(t)
 	if r.Deadline > 0 {
-		heap.Push(&q.deadlines, t)
+		q.deadlines.Set(t)
 	}
 	q.touch(a)
 	q.reorder(a)
@@ -163,8 +171,8 @@
 // Expire removes and returns the requests whose deadline is not after now.
 func (q *Queue) Expire(now time.Duration) []*Ticket {
 	var expired []*Ticket
-	for len(q.deadlines) > 0 && q.deadlines[0].Deadline <= now {
-		t := q.deadlines[0]
+	for q.deadlines.Len() > 0 && q.deadlines.Min().Deadline <= now {
+		t := q.deadlines.Min()
 		q.Cancel(t)
 		expired = append(expired, t)
 	}
@@ -177,7 +185,7 @@
 	for _, name := range sortedNames(q.accounts) {
 		a := q.accounts[name]
 		for a.waiting > 0 {
-			t := a.busy[0].head
+			t := a.busy.Min().head
 			q.Cancel(t)
 			dropped = append(dropped, t)
 		}
@@ -187,21 +195,22 @@
 
 // Best returns the account that goes next and its virtual time.
 func (q *Queue) Best() (name string, time float64, ok bool) {
-	if len(q.ready) == 0 {
+	if q.ready.Len() == 0 {
 		return "", 0, false
 	}
-	return q.ready[0].name, q.ready[0].time, true
+	a := q.ready.Min()
+	return a.name, a.time, true
 }
 
 // Peek returns up to n requests of the account in the order in which its
 // current flow would send them, for a caller that may prefer one of them.
 func (q *Queue) Peek(name string, n int) []*Ticket {
 	a := q.accounts[name]
-	if a == nil || len(a.busy) == 0 {
+	if a == nil || a.busy.Len() == 0 {
 		return nil
 	}
 	var out []*Ticket
-	for t := a.busy[0].head; t != nil && len(out) < n; t = t.next {
+	for t := a.busy.Min().head; t != nil && len(out) < n; t = t.next {
 		out = append(out, t)
 	}
 	return out
@@ -373,12 +382,9 @@
 // reorder puts the account where it belongs among those that may go next.
 func (q *Queue) reorder(a *account) {
 	may := a.waiting > 0 && (a.limits.Running == 0 || a.running < a.limits.Running)
-	switch {
-	case may && a.index < 0:
-		heap.Push(&q.ready, a)
-	case may:
-		heap.Fix(&q.ready, a.index)
-	case a.index >= 0:
-		heap.Remove(&q.ready, a.index)
+	if may {
+		q.ready.Set(a)
+	} else {
+		q.ready.Remove(a)
 	}
 }
--- /dev/null
+++ b/coordination/slots/fixture_allocator_test.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines the allocator of the fixture, and the baselines that do
+// without one.
+
+func (f *fleet) newAllocator(expected []slots.Process) {
+	f.alloc = slots.NewAllocator(f.epoch, f.now, testLease, f.shape.pace, expected)
+	f.epoch++
+	var backends []slots.Backend
+	for _, name := range sortedKeys(f.servers) {
+		s := f.servers[name]
+		backends = append(backends, slots.Backend{Name: name, Pool: f.shape.pools[s.pool].name, Slots: s.slots, Extra: f.shape.pools[s.pool].extra(), Serving: true})
+	}
+	var accounts []slots.Account
+	for _, a := range f.shape.accounts {
+		accounts = append(accounts, slots.Account{Name: a.name, Share: a.share})
+	}
+	f.alloc.Configure(backends, accounts)
+}
+
+// wakeAllocator lets the allocator take a turn once everything that arrives
+// at this instant has arrived.
+func (f *fleet) wakeAllocator() {
+	if !f.loop {
+		f.loop = true
+		f.at(max(f.now, f.lastTurn+slots.TurnGap), func() { f.loop = false; f.turn() })
+	}
+}
+
+func (f *fleet) turn() {
+	if f.alloc == nil {
+		return
+	}
+	f.turns++
+	f.lastTurn = f.now
+	began := time.Now()
+	f.alloc.Allocate(f.now)
+	views := f.alloc.Views(f.now)
+	f.cpu += time.Since(began)
+	for _, o := range views {
+		r := f.byName[o.Router]
+		f.alloc.Sent(f.now, o, r.count(o.View))
+		link := r.link
+		f.after(f.shape.latency, func() {
+			if r.link == link && !r.cut {
+				r.takeView(o.View)
+			}
+		})
+	}
+	if next, ok := f.alloc.NextView(); ok && (f.wakeAt <= f.now || next < f.wakeAt) {
+		f.wakeAt = max(next, f.now+100*time.Microsecond)
+		f.at(f.wakeAt, f.wakeAllocator)
+	}
+}
+
+// baselineDispatch uses every free slot at once, with no message and no
+// delay, which flatters the baselines.
+func (f *fleet) baselineDispatch(p int) {
+	for _, srv := range f.byPool[f.shape.pools[p].name] {
+		for srv.running < srv.slots {
+			req := f.baselineNext(p, srv)
+			if req == nil {
+				return
+			}
+			f.begin(req, srv)
+		}
+	}
+}
+
+func (f *fleet) baselineNext(p int, srv *testServer) *request {
+	if f.policy == fifo {
+		for i, req := range f.queue {
+			if req.pool == p {
+				f.queue = slices.Delete(f.queue, i, i+1)
+				return req
+			}
+		}
+		return nil
+	}
+	first := f.rng.IntN(len(f.routers)) // routers compete with equal chances
+	for i := range f.routers {
+		r := f.routers[(first+i)%len(f.routers)]
+		if r.pools[p].Waiting() == 0 {
+			continue
+		}
+		r.pools[p].Grant(f.now, protocol.Held{Server: srv.name, Slots: 1})
+		for _, s := range r.pools[p].Dispatch(f.now, true) {
+			r.pools[p].ReturnIdle()
+			return s.Work.Value.(*request)
+		}
+	}
+	return nil
+}
--- a/coordination/slots/grant.go
+++ b/coordination/slots/grant.go
@@ -3,7 +3,6 @@
 package slots
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -25,21 +24,21 @@
 
 func (a *Allocator) allocatePool(now time.Duration, p *pool) {
 	var passed []*account // whose routers can reach no free server at present
-	for len(p.unmet) > 0 && len(p.free) > 0 {
-		acc := p.unmet[0]
+	for p.unmet.Len() > 0 && len(p.free) > 0 {
+		acc := p.unmet.Min()
 		w := acc.place()
 		if srv := p.freest(now, w.session); srv != nil {
 			a.grantOne(p, w, srv)
 			continue
 		}
-		heap.Pop(&p.unmet)
+		p.unmet.Remove(acc)
 		passed = append(passed, acc)
 	}
 	for _, acc := range passed {
-		heap.Push(&p.unmet, acc)
+		p.unmet.Set(acc)
 	}
 	p.raiseFloor()
-	short := len(p.unmet) > 0 && p.recall(now)
+	short := p.unmet.Len() > 0 && p.recall(now)
 	p.measureRate(now)
 	p.noteShort(now, short)
 }
--- a/coordination/slots/pool.go
+++ b/coordination/slots/pool.go
@@ -3,11 +3,12 @@
 package slots
 
 import (
-	"container/heap"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/internal/pq"
+
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -19,10 +20,10 @@
 	free     []*server // with a free slot, in no order
 	cursor   int       // where freest looks next
 	accounts map[string]*account
-	unmet    unmetHeap // accounts with waiting work that no slot is on its way to
-	floor    float64   // lowest virtual time among accounts that wait
-	lift     float64   // highest lift so far; new arrivals are raised to it
-	short    bool      // more work waits than slots are known to be free
+	unmet    *pq.Queue[*account] // accounts with waiting work that no slot is on its way to
+	floor    float64             // lowest virtual time among accounts that wait
+	lift     float64             // highest lift so far; new arrivals are raised to it
+	short    bool                // more work waits than slots are known to be free
 	// recalling is the number of slots asked back and not answered yet.
 	recalling int
 	views     []*viewState // of all sessions that use the pool
@@ -92,7 +93,10 @@
 }
 
 func newPool(name string) *pool {
-	return &pool{name: name, accounts: map[string]*account{}}
+	return &pool{
+		name: name, accounts: map[string]*account{},
+		unmet: pq.New(furtherBehind, func(a *account) *int { return &a.index }),
+	}
 }
 
 // setFree keeps the list of servers with a free slot right. It costs O(1).
@@ -148,7 +152,7 @@
 			acc.share = share
 			continue
 		}
-		p.accounts[name] = &account{name: name, share: share, time: p.lift, index: -1}
+		p.accounts[name] = &account{name: name, share: share, time: p.lift, index: pq.Absent}
 	}
 	for name, acc := range p.accounts {
 		if _, ok := shares[name]; !ok {
@@ -163,9 +167,7 @@
 		p.update(w)
 		delete(w.session.waiting, waitingKey{p.name, acc.name})
 	}
-	if acc.index >= 0 {
-		heap.Remove(&p.unmet, acc.index)
-	}
+	p.unmet.Remove(acc)
 	delete(p.accounts, acc.name)
 }
 
@@ -230,17 +232,14 @@
 	if p.accounts[acc.name] != acc {
 		return
 	}
-	switch {
-	case len(acc.places) > 0 && acc.index < 0:
-		if acc.onWay == 0 {
-			acc.time += max(p.lift-acc.settled(), 0)
-		}
-		heap.Push(&p.unmet, acc)
-	case len(acc.places) > 0:
-		heap.Fix(&p.unmet, acc.index)
-	case acc.index >= 0:
-		heap.Remove(&p.unmet, acc.index)
+	if len(acc.places) == 0 {
+		p.unmet.Remove(acc)
+		return
 	}
+	if !p.unmet.Has(acc) && acc.onWay == 0 {
+		acc.time += max(p.lift-acc.settled(), 0)
+	}
+	p.unmet.Set(acc)
 }
 
 // rateInterval is how often the rate is measured, and rateGain the weight of
@@ -265,12 +264,12 @@
 // it, an account that had filled the pool looked far ahead by service that it
 // had not received, and whoever came next waited until it had.
 func (p *pool) raiseFloor() {
-	if len(p.unmet) == 0 {
+	if p.unmet.Len() == 0 {
 		return
 	}
-	p.floor = p.unmet[0].expected()
+	p.floor = p.unmet.Min().expected()
 	lift := math.Inf(1)
-	for _, acc := range p.unmet {
+	for _, acc := range p.unmet.All() {
 		lift = min(lift, acc.settled())
 	}
 	p.lift = max(p.lift, lift)
@@ -281,7 +280,7 @@
 // would move a slot; with more, an account that returns waits longer.
 func (p *pool) slack() float64 {
 	var most float64
-	for _, acc := range p.unmet {
+	for _, acc := range p.unmet.All() {
 		most = max(most, acc.cost.value()/acc.share)
 	}
 	return most + p.rate*slackTime.Seconds()
@@ -307,30 +306,9 @@
 
 const placesLooked = 8
 
-type unmetHeap []*account
-
-func (h unmetHeap) Len() int { return len(h) }
-func (h unmetHeap) Less(i, j int) bool {
-	x, y := h[i].expected(), h[j].expected()
-	if x != y {
-		return x < y
-	}
-	return h[i].name < h[j].name
-}
-func (h unmetHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *unmetHeap) Push(x any) {
-	a := x.(*account)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-func (h *unmetHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	a.index = -1
-	return a
+// furtherBehind orders accounts by the virtual time that they will have, then
+// by name, so that a run can be repeated.
+func furtherBehind(a, b *account) bool {
+	x, y := a.expected(), b.expected()
+	return x < y || (x == y && a.name < b.name)
 }
--- /dev/null
+++ b/internal/pq/pq_test.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package pq
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+type item struct{ value, id, place int }
+
+// TestAgainstASortedList pushes, moves, removes and pops at random and compares
+// with a list that is sorted anew.
+func TestAgainstASortedList(t *testing.T) {
+	less := func(a, b *item) bool { return a.value < b.value || (a.value == b.value && a.id < b.id) }
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(less, func(x *item) *int { return &x.place })
+		var list []*item
+		for id := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			step := rapid.IntRange(0, 3).Draw(t, "step")
+			if len(list) == 0 || step == 0 {
+				x := &item{value: rapid.IntRange(0, 9).Draw(t, "value"), id: id, place: Absent}
+				q.Set(x)
+				list = append(list, x)
+				continue
+			}
+			x := list[rapid.IntRange(0, len(list)-1).Draw(t, "which")]
+			switch step {
+			case 1:
+				x.value = rapid.IntRange(0, 9).Draw(t, "value")
+				q.Set(x)
+			case 2:
+				q.Remove(x)
+				q.Remove(x) // twice does nothing
+				list = slices.DeleteFunc(list, func(y *item) bool { return y == x })
+			case 3:
+				got := q.Pop()
+				want := slices.MinFunc(list, func(a, b *item) int {
+					if less(a, b) {
+						return -1
+					}
+					return 1
+				})
+				if got != want || q.Has(got) {
+					t.Fatalf("popped %+v, want %+v", got, want)
+				}
+				list = slices.DeleteFunc(list, func(y *item) bool { return y == got })
+			}
+			if q.Len() != len(list) {
+				t.Fatalf("%d items, want %d", q.Len(), len(list))
+			}
+		}
+	})
+}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -3,9 +3,10 @@
 package standin
 
 import (
-	"container/heap"
 	"context"
 	"sync"
+
+	"github.com/badgerspoke/badgerspoke/internal/pq"
 )
 
 // This file defines batch, the slots of an engine with a queue in front that
@@ -17,10 +18,12 @@
 	running int
 	most    int // highest number ever running
 	seq     int
-	waiting waitHeap
+	waiting *pq.Queue[*waiting]
 }
 
-func newBatch(slots int) *batch { return &batch{free: slots} }
+func newBatch(slots int) *batch {
+	return &batch{free: slots, waiting: pq.New(goesFirst, func(w *waiting) *int { return &w.place })}
+}
 
 // enter waits for a place, lower priority numbers first.
 func (b *batch) enter(ctx context.Context, priority int) error {
@@ -31,8 +34,8 @@
 		return nil
 	}
 	b.seq++
-	w := &waiting{priority: priority, seq: b.seq, ready: make(chan struct{})}
-	heap.Push(&b.waiting, w)
+	w := &waiting{priority: priority, seq: b.seq, place: pq.Absent, ready: make(chan struct{})}
+	b.waiting.Set(w)
 	b.mu.Unlock()
 	select {
 	case <-w.ready:
@@ -56,7 +59,7 @@
 	b.free++
 	b.running--
 	if b.waiting.Len() > 0 {
-		w := heap.Pop(&b.waiting).(*waiting)
+		w := b.waiting.Pop()
 		b.take()
 		close(w.ready)
 	}
@@ -71,7 +74,7 @@
 		return
 	default:
 	}
-	heap.Remove(&b.waiting, w.index)
+	b.waiting.Remove(w)
 	b.mu.Unlock()
 }
 
@@ -82,31 +85,11 @@
 }
 
 type waiting struct {
-	priority, seq, index int
+	priority, seq, place int
 	ready                chan struct{}
 }
 
-type waitHeap []*waiting
-
-func (h waitHeap) Len() int { return len(h) }
-func (h waitHeap) Less(i, j int) bool {
-	if h[i].priority != h[j].priority {
-		return h[i].priority < h[j].priority
-	}
-	return h[i].seq < h[j].seq
-}
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *waitHeap) Push(x any) {
-	w := x.(*waiting)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-func (h *waitHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return w
+// goesFirst orders by priority, then by arrival.
+func goesFirst(a, b *waiting) bool {
+	return a.priority < b.priority || (a.priority == b.priority && a.seq < b.seq)
 }
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -16,7 +16,7 @@
 // because no method changes it.
 type Config struct {
 	revision uint64
-	nextID   uint64 // of the next object created
+	nextID   uint64    // of the next object created
 	accounts []Account // ordered by name
 	servers  []Server  // ordered by name
 }
