Bound what slow callers hold; bound a stop without a successor

Cause, from reading the code as an operator would: 8,192 connections could each send a body of 8 MB; a caller that sent half a body or took no answer held its goroutine and slot for ever; a control box that stopped while no other was alive waited for a successor until -stop-timeout; waiting for requests to end used a WaitGroup in a way that its contract forbids. Change: one bound on all bodies, deadlines for bodies and pieces of answers, five election timeouts for a successor, a counter. Tests: TestSlowCallersHoldNothing (it hung until the read deadline was left standing after a failed body), TestBodiesTogetherAreBounded.

--- a/callers_test.go
+++ b/callers_test.go
@@ -208,6 +208,46 @@
 	})
 }
 
+// TestSlowCallersHoldNothing: a caller that sends no body, or takes no answer,
+// is given up, and its slot is free.
+func TestSlowCallersHoldNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		c, err := f.net.Box(clientIP).DialContext(t.Context(), "tcp", "10.0.2.1:8080")
+		is.NoErr(err)
+		defer c.Close()
+		_, err = c.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer hotel\r\nContent-Length: 100\r\n\r\n{"))
+		is.NoErr(err)
+		b := make([]byte, 64)
+		n, err := c.Read(b)
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(b[:n]), "HTTP/1.1 400")) // after the time for a body
+	})
+}
+
+func TestBodiesTogetherAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		big := completion("r1", "hotel", 50, false)
+		big.body = strings.Replace(big.body, "{", `{"pad":"`+strings.Repeat("x", 7<<20)+`",`, 1)
+		var rs []request
+		for range 30 { // 210 MB; 128 MB are allowed, 32 MB of them waiting
+			rs = append(rs, big)
+		}
+		full := 0
+		for _, a := range f.startAll(rs...)() {
+			if a.status == http.StatusTooManyRequests {
+				full++
+				is.Equal(a.outcome, "not-run")
+			}
+		}
+		is.True(full >= 12)
+		is.Equal(f.do(completion("r1", "hotel", 1, true)).status, 200) // and all is given back
+	})
+}
+
 func TestQueueFull(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
--- a/control/control.go
+++ b/control/control.go
@@ -193,13 +193,24 @@
 // Err returns why the replica stopped, after Done.
 func (c *Control) Err() error { return c.config.Err() }
 
+// handoverElections bounds, in election timeouts, how long a stop waits for a
+// successor: when no other replica is there, none will come.
+const handoverElections = 5
+
+func (c *Control) handOver(ctx context.Context) {
+	if len(c.set.Replicas) == 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverElections*c.set.Election)
+	defer cancel()
+	_ = c.claims.Transfer(ctx)
+	_ = c.config.Transfer(ctx)
+}
+
 // Stop hands leadership over, if another replica can take it within the
 // context, and stops.
 func (c *Control) Stop(ctx context.Context) {
-	if len(c.set.Replicas) > 1 {
-		_ = c.claims.Transfer(ctx)
-		_ = c.config.Transfer(ctx)
-	}
+	c.handOver(ctx)
 	c.stop()
 	<-c.config.Done()
 	<-c.claims.Done()
--- a/router/call.go
+++ b/router/call.go
@@ -21,20 +21,21 @@
 
 // call is one request of a caller.
 type call struct {
-	account config.Account
-	pool    string
-	class   string // of the fixed set in classes
-	flow    string
-	stream  bool // the caller asked for a stream
-	engine  bool
-	send    backend.Call
-	body    []byte
-	blocks  []place.Block
-	keyed   *keyed // nil without an idempotency key
-	claimed bool
-	abort   bool // the connection must be broken: the answer is not whole
-	came    time.Duration
-	work    *pool.Work // of the present turn
+	account  config.Account
+	pool     string
+	class    string // of the fixed set in classes
+	flow     string
+	stream   bool // the caller asked for a stream
+	engine   bool
+	send     backend.Call
+	body     []byte
+	blocks   []place.Block
+	keyed    *keyed // nil without an idempotency key
+	claimed  bool
+	reserved int64 // bytes counted in Router.bodies
+	abort    bool  // the connection must be broken: the answer is not whole
+	came     time.Duration
+	work     *pool.Work // of the present turn
 }
 
 // serve runs a call to its end and writes its answer.
--- a/router/callers.go
+++ b/router/callers.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/zeebo/xxh3"
@@ -45,8 +46,8 @@
 
 // ServeHTTP serves callers.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.running.Add(1)
-	defer r.running.Done()
+	r.calls.Add(1)
+	defer r.calls.Add(-1)
 	path := req.URL.Path
 	switch {
 	case path == "/healthz":
@@ -146,6 +147,7 @@
 	if err != nil {
 		return err
 	}
+	defer r.done(c)
 	var er engineRequest
 	if err := json.Unmarshal(c.body, &er); err != nil {
 		return failMalformed.With("the body is no valid JSON: " + err.Error())
@@ -178,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	defer r.done(c)
 	c.pool = name
 	c.send.Path = "/" + path
 	if req.URL.RawQuery != "" {
@@ -230,9 +233,9 @@
 	if key != "" {
 		c.keyed = &keyed{account: a.Name, key: key, attempt: r.set.Random()}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.set.Limits.Body))
+	body, err := r.readBody(w, req, c)
 	if err != nil {
-		return nil, bodyFailure(err)
+		return nil, err
 	}
 	c.body = body
 	c.send = backend.Call{Method: req.Method, Header: http.Header{}, Body: body, Never: repeat == "never"}
@@ -241,6 +244,43 @@
 	return c, nil
 }
 
+// readBody reads a body inside the bound on all bodies together: a body of
+// unknown length counts as the longest until it is read. What is reserved is
+// given back by done.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, c *call) ([]byte, error) {
+	limits := r.set.Limits
+	if req.ContentLength > limits.Body {
+		return nil, failTooLarge
+	}
+	reserve := req.ContentLength
+	if reserve < 0 {
+		reserve = limits.Body
+	}
+	if r.bodies.Add(reserve) > limits.Bodies {
+		r.bodies.Add(-reserve)
+		return nil, failFull.With("the bodies of all requests together are at their limit")
+	}
+	c.reserved = reserve
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(limits.Read))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.Body))
+	if err != nil {
+		// The deadline stays: the server would else wait for the rest of the
+		// body before it closes the connection.
+		w.Header().Set("Connection", "close")
+		r.done(c)
+		return nil, bodyFailure(err)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// done gives back what readBody reserved.
+func (r *Router) done(c *call) {
+	r.bodies.Add(-c.reserved)
+	c.reserved = 0
+}
+
 func bodyFailure(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -98,6 +98,7 @@
 				l.router.stats.of(l.call).first.Update((l.router.now() - l.call.came).Seconds())
 			}
 			l.count(buf[:n])
+			_ = flush.SetWriteDeadline(time.Now().Add(l.router.set.Limits.Write))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return nil, true
 			}
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,9 @@
 // Limits of the callers' door and of waiting work.
 type Limits struct {
 	Body           int64         // bytes of one request's body
+	Bodies         int64         // bytes of the bodies of all requests together, read or being read
+	Read           time.Duration // longest time for a caller to send a body
+	Write          time.Duration // longest time for a caller to take one piece of an answer
 	Waiting        int           // requests in one pool's queue
 	WaitingBytes   int64         // their bodies
 	AccountWaiting int           // requests of one account, unless configured
@@ -60,7 +63,7 @@
 
 // DefaultLimits suit a box of 256 MB.
 var DefaultLimits = Limits{
-	Body: 8 << 20, Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
+	Body: 8 << 20, Bodies: 128 << 20, Read: 30 * time.Second, Write: 30 * time.Second, Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
 	Wait: 60 * time.Second, Linger: 500 * time.Millisecond,
 }
 
@@ -85,8 +88,9 @@
 	lease   lease
 	fleet   *fleet
 	claims  *claims
-	serving atomic.Bool // false once a stop has begun
-	running sync.WaitGroup
+	serving atomic.Bool  // false once a stop has begun
+	calls   atomic.Int64 // requests being served
+	bodies  atomic.Int64 // bytes of their bodies
 
 	mu    sync.Mutex // guards pools
 	pools map[string]*lockedPool
@@ -141,17 +145,27 @@
 	case <-ctx.Done():
 	}
 	r.fleet.closeDoor()
-	done := make(chan struct{})
-	go func() { r.running.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	r.awaitCalls(ctx)
 	r.claims.flush(ctx)
 	r.fleet.goodbye(ctx)
 	r.stop()
 }
 
+const callsPoll = 10 * time.Millisecond
+
+// awaitCalls waits until no request is being served.
+func (r *Router) awaitCalls(ctx context.Context) {
+	t := time.NewTicker(callsPoll)
+	defer t.Stop()
+	for r.calls.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // tick expires waiting requests and unused slots.
 func (r *Router) tick() {
 	t := time.NewTicker(poolTick)
