--- /dev/null
+++ b/transport/backend/backend_test.go
@@ -0,0 +1,199 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+	"github.com/badgerspoke/badgerspoke/standin"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file is the contract of a client towards a backend server: what it says
+// of a call is true, whatever the server does.
+
+const address = "10.0.0.1:9000"
+
+func serve(t *testing.T, n *fakenet.Network, h http.Handler) {
+	l, err := n.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { s.Close(); time.Sleep(time.Minute) })
+}
+
+func client(t *testing.T, n *fakenet.Network) *backend.Client {
+	c := backend.New(backend.Settings{Dialer: n.Box("10.0.0.2"), HeaderTimeout: 10 * time.Second})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestContract(t *testing.T) {
+	post := backend.Call{Method: "POST", Path: "/orders", Body: []byte("sheets"), Never: true}
+	tests := []struct {
+		name  string
+		how   standin.Failure
+		call  backend.Call
+		said  string // "", "not-run" or "unknown"
+		runs  int
+		whole bool
+	}{
+		{"answers", "", post, "", 1, true},
+		{"refuses before it starts", standin.Refuse, post, "not-run", 0, false},
+		{"dies without an answer", standin.DieEarly, post, "unknown", 1, false},
+		{"never answers", standin.Hang, post, "unknown", 1, false},
+		{"dies in the middle", standin.DieMid, post, "", 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := fakenet.New(time.Millisecond)
+				s := &standin.Service{}
+				serve(t, n, s)
+				c := client(t, n)
+				if tt.how != "" {
+					s.FailNext(tt.how)
+				}
+				a, err := c.Send(t.Context(), address, tt.call)
+				is.Equal(s.Runs("sheets"), tt.runs)
+				is.Equal(errors.As(err, new(backend.NotRun)), tt.said == "not-run")
+				is.Equal(errors.As(err, new(backend.Unknown)), tt.said == "unknown")
+				if err != nil {
+					return
+				}
+				defer a.Body.Close()
+				body, err := io.ReadAll(a.Body)
+				is.Equal(err == nil, tt.whole) // half an answer is an error
+				is.Equal(err == nil && int64(len(body)) == a.Length, tt.whole)
+			})
+		})
+	}
+}
+
+func TestUnreachableHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		_, err := client(t, n).Send(t.Context(), address, backend.Call{Method: "GET", Path: "/"})
+		is.True(errors.As(err, new(backend.NotRun)))
+		// Cut off before a connection stands: nothing was sent.
+		serve(t, n, &standin.Service{})
+		n.Cut("10.0.0.1")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = client(t, n).Send(ctx, address, backend.Call{Method: "GET", Path: "/"})
+		is.True(errors.As(err, new(backend.NotRun)))
+	})
+}
+
+// TestLibraryDoesNotRepeat closes a kept connection just as a second call is
+// sent on it. Go's transport repeats such a call by itself when it looks
+// repeatable: a GET does, and so does anything with an Idempotency-Key. One
+// that may not be repeated must reach the server once.
+func TestLibraryDoesNotRepeat(t *testing.T) {
+	tests := []struct {
+		name string
+		call backend.Call
+		most int32
+	}{
+		{"a GET that may be repeated", backend.Call{Method: "GET", Path: "/"}, 2},
+		{"a GET that may not", backend.Call{Method: "GET", Path: "/", Never: true}, 1},
+		{"a POST with a key that may not", backend.Call{Method: "POST", Path: "/", Body: []byte("x"), Never: true,
+			Header: http.Header{"Idempotency-Key": {"k"}}}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := fakenet.New(time.Millisecond)
+				var seen atomic.Int32
+				closing(t, n, &seen)
+				c := client(t, n)
+				warm := backend.Call{Method: "GET", Path: "/warm"}
+				a, err := c.Send(t.Context(), address, warm)
+				is.NoErr(err)
+				_, _ = io.ReadAll(a.Body)
+				a.Body.Close()
+				synctest.Wait() // the connection is kept now
+				a, err = c.Send(t.Context(), address, tt.call)
+				if err == nil {
+					a.Body.Close()
+				}
+				is.True(seen.Load() >= 1)
+				is.True(seen.Load() <= tt.most)
+				if tt.most == 1 {
+					is.True(errors.As(err, new(backend.Unknown))) // it may have run, and did
+				}
+			})
+		})
+	}
+}
+
+// closing serves /warm and, for anything else, counts the request and closes
+// the connection without a byte of an answer.
+func closing(t *testing.T, n *fakenet.Network, seen *atomic.Int32) {
+	l, err := n.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); time.Sleep(time.Minute) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerWarm(c, seen)
+		}
+	}()
+}
+
+func answerWarm(c net.Conn, seen *atomic.Int32) {
+	defer c.Close()
+	b := make([]byte, 4096)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return
+		}
+		if !strings.Contains(string(b[:n]), " /warm ") {
+			seen.Add(1)
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+func TestCancelledCallEndsAtTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		e := standin.NewEngine(standin.EngineSettings{Slots: 1, TokenTime: time.Second})
+		serve(t, n, e)
+		ctx, cancel := context.WithCancel(t.Context())
+		a, err := client(t, n).Send(ctx, address, backend.Call{Method: "POST", Path: "/v1/completions", Body: []byte(`{"stream":true}`)})
+		is.NoErr(err)
+		cancel()
+		_, err = io.ReadAll(a.Body)
+		is.True(err != nil)
+		a.Body.Close()
+		time.Sleep(2 * time.Second)
+		running, _, _ := e.Load()
+		is.Equal(running, 0)
+	})
+}
