Planned stops: check that slots stay taken while work runs, and go at once after

Two mutations of the shells survived the fault tests: not waiting for requests to end before the goodbye, and no goodbye. Both are noticed now.

--- a/faults_test.go
+++ b/faults_test.go
@@ -181,7 +181,11 @@
 		running := f.startAll(completion("r1", "hotel", 200, true), completion("r1", "notary", 200, true)) // 4 s
 		stop2 := f.load(4, completion("r2", "hotel", 10, true))
 		time.Sleep(time.Second)
-		f.stop("r1")
+		stopped := make(chan struct{})
+		go func() { f.stop("r1"); close(stopped) }()
+		time.Sleep(time.Second)
+		is.Equal(f.slotsHeld("r1"), 2) // what still runs there is not granted to others
+		<-stopped
 		checkWhole(is, running(), 2)
 		leader := f.leader()
 		f.stop(leader) // hands leadership over first
@@ -198,6 +202,17 @@
 	})
 }
 
+// slotsHeld returns the slots that a router holds, or -1 if no such router is
+// listed.
+func (f *testFleet) slotsHeld(router string) int {
+	for _, r := range f.status(f.leader()).GetRouters() {
+		if r.GetName() == router {
+			return int(r.GetSlotsHeld())
+		}
+	}
+	return -1
+}
+
 func TestSlotsOfAStoppedRouterAreFreeAtOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
@@ -207,6 +222,8 @@
 		}
 		time.Sleep(time.Second)
 		f.stop("r1")
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(f.slotsHeld("r1"), -1) // not even listed, with no lease waited for
 		a := f.do(completion("r2", "hotel", 1, true))
 		is.Equal(a.status, 200)
 		is.True(a.took < 200*time.Millisecond) // far less than a lease
