--- a/coordination/slots/fixture_router_test.go
+++ b/coordination/slots/fixture_router_test.go
@@ -41,7 +41,7 @@
 	p := r.f.shape.pace
 	r.pacer = slots.Pacer{Short: p.Short, Long: p.Long, Budget: p.Budget, Burst: p.Burst}
 	for _, ps := range r.f.shape.pools {
-		pl := pool.New(ps.name, pool.Settings{Linger: 500 * time.Millisecond, FirstEstimate: 256, PrefixBlocks: 16})
+		pl := pool.New(ps.name, pool.Settings{Linger: 100 * time.Millisecond, FirstEstimate: 256, PrefixBlocks: 16})
 		var servers []pool.Server
 		for _, s := range r.f.byPool[ps.name] {
 			servers = append(servers, pool.Server{Name: s.name, Slots: s.slots})
--- a/router/router.go
+++ b/router/router.go
@@ -64,7 +64,7 @@
 // DefaultLimits suit a box of 256 MB.
 var DefaultLimits = Limits{
 	Body: 8 << 20, Bodies: 128 << 20, Read: 30 * time.Second, Write: 30 * time.Second, Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
-	Wait: 60 * time.Second, Linger: 500 * time.Millisecond,
+	Wait: 60 * time.Second, Linger: 100 * time.Millisecond,
 }
 
 const (
