--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -166,7 +166,12 @@
 
 func (b *Box) operatorsMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		b.metrics.WritePrometheus(w)
+		if b.control != nil {
+			b.control.WriteMetrics(w)
+		}
+	})
 	if b.control != nil {
 		mux.Handle("/", b.control.OperatorHandler(b.set.OperatorToken))
 	}
--- a/faults_test.go
+++ b/faults_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -454,6 +455,47 @@
 	}
 }
 
+func TestMetricsTellHowTheFleetStands(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := wholeFleet(t, 1)
+		var rs []request
+		for range 20 { // 8 slots; the rest waits
+			rs = append(rs, completion("r1", "hotel", 100, true), completion("r1", "notary", 100, true))
+		}
+		wait := f.startAll(rs...)
+		time.Sleep(1500 * time.Millisecond)
+		leader := f.leader()
+		got := f.scrape(leader)
+		for _, want := range []string{
+			"badgerspoke_leads 1\n", `badgerspoke_pool_slots{pool="llm"} 8`, `badgerspoke_pool_slots_granted{pool="llm"} 8`,
+			`badgerspoke_waiting{pool="llm",account="hotel"} 16`, `badgerspoke_gap{pool="llm"} `,
+			`badgerspoke_control_bytes_total{direction="in",kind="report"}`,
+		} {
+			is.True(strings.Contains(got, want)) // each of the three measures
+		}
+		for name := range f.replicas {
+			if name != leader {
+				is.True(strings.Contains(f.scrape(name), "badgerspoke_leads 0\n"))
+			}
+		}
+		wait()
+	})
+}
+
+func (f *testFleet) scrape(control string) string {
+	resp, err := f.client.Get(f.scheme + f.boxes[control].ip + ":8081/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(b)
+}
+
 func TestRouterRestartsWithNoMemory(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
