Let faults come at any moment on whole fleets

At most once, no stream that ended early without saying so, every failure with an outcome, and everything works again afterwards.

Found: a router that stopped while a settlement was told could panic (a WaitGroup reused while waited on); a counter now.

--- /dev/null
+++ b/chaos_test.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// This file lets faults come at any moment, together and twice, on whole
+// fleets under load, and checks what must always hold.
+
+const (
+	chaosTime  = 60 * time.Second
+	chaosPause = 1500 * time.Millisecond // between two faults, at the most
+)
+
+func TestChaos(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { chaos(t, seed) })
+		})
+	}
+}
+
+// chaos runs one fleet through a minute of random faults.
+func chaos(t *testing.T, seed uint64) {
+	is := is.New(t)
+	f := wholeFleet(t, 3)
+	c := &calls{f: f, keys: map[string]bool{}}
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for caller := range 6 {
+		running.Go(func() { c.make(caller, stop) })
+	}
+	rng := rand.New(rand.NewPCG(seed, 9))
+	for began := time.Now(); time.Since(began) < chaosTime; {
+		f.randomFault(rng)
+		time.Sleep(time.Duration(rng.Int64N(int64(chaosPause))))
+	}
+	f.mendEverything()
+	close(stop)
+	running.Wait()
+	f.settle()
+	is.True(c.whole > 0) // how many depends on how long no majority was left
+	for key := range c.keys {
+		is.True(f.services["s1"].Runs(key) <= 1) // at most once
+	}
+	for _, router := range []string{"r1", "r2", "r3"} { // everything works again
+		is.Equal(f.do(completion(router, "hotel", 2, true)).status, 200)
+		is.Equal(f.do(order(router, "hotel", "after "+router, "after "+router)).status, 200)
+	}
+	f.account("after", 1) // and changes are accepted
+}
+
+// calls is what the callers did and learned.
+type calls struct {
+	f  *testFleet
+	mu sync.Mutex
+
+	whole int
+	keys  map[string]bool // bodies of keyed orders
+}
+
+// make sends requests in turn until stop: streams, and keyed orders that are
+// sent a second time elsewhere when nobody could tell what became of them.
+func (c *calls) make(caller int, stop chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		router := fmt.Sprintf("r%d", (caller+i)%3+1)
+		if i%3 == 0 {
+			body := fmt.Sprintf("order %d-%d", caller, i)
+			c.order(router, body)
+			c.order(fmt.Sprintf("r%d", (caller+i+1)%3+1), body)
+		} else {
+			c.stream(router)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// patience is how long a caller waits for an answer.
+const patience = 5 * time.Second
+
+func (c *calls) do(r request) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r.ctx = ctx
+	return c.f.do(r)
+}
+
+func (c *calls) order(router, body string) {
+	a := c.do(order(router, "hotel", body, body))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys[body] = true
+	if a.err == nil && a.status == 200 {
+		c.whole++
+	}
+	if a.err == nil && a.status != 200 && a.outcome == "" {
+		c.f.t.Errorf("order failed with %d and no outcome", a.status)
+	}
+}
+
+func (c *calls) stream(router string) {
+	a := c.do(completion(router, "notary", 5, true))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case a.err != nil: // the router died: the caller sees a broken connection
+	case a.status != 200:
+		if a.outcome == "" {
+			c.f.t.Errorf("completion failed with %d and no outcome", a.status)
+		}
+	case strings.HasSuffix(a.body, "[DONE]\n\n"):
+		c.whole++
+		if n := strings.Count(a.body, "data: "); n != 7 {
+			c.f.t.Errorf("a whole stream has %d events, want 7", n)
+		}
+	case !strings.Contains(a.body, "event: error"):
+		c.f.t.Errorf("a stream ended early and does not say so: %q", a.body)
+	}
+}
+
+// randomFault does one of: kill and restart a box, cut one off or join it,
+// cut the control boxes off from each other, lose one disk of a whole group.
+func (f *testFleet) randomFault(rng *rand.Rand) {
+	names := []string{"c1", "c2", "c3", "r1", "r2", "r3"}
+	name := names[rng.IntN(len(names))]
+	b := f.boxes[name]
+	switch p := rng.IntN(100); {
+	case b.box == nil:
+		f.start(name)
+	case p < 25:
+		f.crash(name)
+	case p < 38:
+		f.net.Cut(b.ip)
+	case p < 80:
+		f.net.Join(b.ip)
+	case p < 88:
+		f.net.Isolate("10.0.1.1", "10.0.1.2", "10.0.1.3")
+	case p < 96:
+		f.net.Reunite()
+	default:
+		f.loseDisk(b)
+	}
+}
+
+// loseDisk empties a control box's disks, if the groups are whole: no system
+// survives the loss of a majority of its disks.
+func (f *testFleet) loseDisk(b *testBox) {
+	if !b.control {
+		return
+	}
+	f.mendEverything()
+	f.awaitVoters(3)
+	time.Sleep(3 * time.Second) // the claims group is whole too
+	f.crash(b.name)
+	clear(b.disks)
+	f.start(b.name)
+	f.awaitVoters(3)
+	time.Sleep(3 * time.Second)
+}
+
+func (f *testFleet) mendEverything() {
+	f.net.Reunite()
+	for name, b := range f.boxes {
+		f.net.Join(b.ip)
+		if b.box == nil {
+			f.start(name)
+		}
+	}
+}
--- a/router/claims.go
+++ b/router/claims.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
@@ -22,7 +23,7 @@
 
 type claims struct {
 	r       *Router
-	settles sync.WaitGroup
+	settles atomic.Int64 // settlements on their way
 
 	mu      sync.Mutex // guards what follows
 	session *session
@@ -78,24 +79,19 @@
 // settle tells the outcome of a granted claim, for as long as the router
 // runs. The caller does not wait.
 func (c *claims) settle(k keyed, state protocol.ClaimState, a *protocol.Answer) {
-	c.settles.Go(func() {
+	c.settles.Add(1)
+	go func() {
+		defer c.settles.Add(-1)
 		c.ask(c.r.ctx, func(call uint64) protocol.Message {
 			return protocol.Settle{
 				Call: call, Account: k.account, Key: k.key, Attempt: k.attempt, State: state, Answer: a,
 			}
 		})
-	})
+	}()
 }
 
 // flush waits for settlements on their way.
-func (c *claims) flush(ctx context.Context) {
-	done := make(chan struct{})
-	go func() { c.settles.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
+func (c *claims) flush(ctx context.Context) { awaitZero(ctx, &c.settles) }
 
 // ask sends a question over every session in turn until it is answered with
 // more than "ask again", or ctx ends.
--- a/router/router.go
+++ b/router/router.go
@@ -145,19 +145,20 @@
 	case <-ctx.Done():
 	}
 	r.fleet.closeDoor()
-	r.awaitCalls(ctx)
+	awaitZero(ctx, &r.calls)
 	r.claims.flush(ctx)
 	r.fleet.goodbye(ctx)
 	r.stop()
 }
 
-const callsPoll = 10 * time.Millisecond
+const zeroPoll = 10 * time.Millisecond
 
-// awaitCalls waits until no request is being served.
-func (r *Router) awaitCalls(ctx context.Context) {
-	t := time.NewTicker(callsPoll)
+// awaitZero waits until a count is zero, or ctx ends. A WaitGroup would not do:
+// the count may rise again meanwhile.
+func awaitZero(ctx context.Context, count *atomic.Int64) {
+	t := time.NewTicker(zeroPoll)
 	defer t.Stop()
-	for r.calls.Load() > 0 {
+	for count.Load() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
