--- a/control/status.go
+++ b/control/status.go
@@ -93,17 +93,7 @@
 	for _, p := range d.lead.members.Learners {
 		out.Replicas = append(out.Replicas, &operatorv1.ReplicaStatus{Name: p.Name})
 	}
-	lease := d.c.set.Lease.Length + d.c.set.Lease.Margin
-	for _, r := range d.alloc.Routers() {
-		rs := &operatorv1.RouterStatus{
-			Name: r.Router, Linked: r.Linked, SlotsHeld: uint32(r.Held),
-			LeaseMillis: uint32(max(r.Renewed+lease-now, 0).Milliseconds()),
-		}
-		if s := d.sessions[r.Router]; s != nil {
-			rs.Revision = s.revision
-		}
-		out.Routers = append(out.Routers, rs)
-	}
+	out.Routers = d.routerStatus(now)
 	servers, accounts := namesByID(cfg)
 	for _, oc := range d.alloc.Occupancies() {
 		s, _ := cfg.Server(servers[oc.Server])
@@ -123,6 +113,22 @@
 	return out
 }
 
+func (d *dispatcher) routerStatus(now time.Duration) []*operatorv1.RouterStatus {
+	lease := d.c.set.Lease.Length + d.c.set.Lease.Margin
+	var out []*operatorv1.RouterStatus
+	for _, r := range d.alloc.Routers() {
+		rs := &operatorv1.RouterStatus{
+			Name: r.Router, Linked: r.Linked, SlotsHeld: uint32(r.Held),
+			LeaseMillis: uint32(max(r.Renewed+lease-now, 0).Milliseconds()),
+		}
+		if s := d.sessions[r.Router]; s != nil {
+			rs.Revision = s.revision
+		}
+		out = append(out, rs)
+	}
+	return out
+}
+
 // namesByID returns the names of servers and accounts by identifier.
 func namesByID(cfg config.Config) (servers, accounts map[string]string) {
 	servers, accounts = map[string]string{}, map[string]string{}
