--- a/state/config/config.go
+++ b/state/config/config.go
@@ -195,13 +195,9 @@
 			keys[k] = a.Name
 		}
 	}
-	kinds := map[string]Kind{}
+	found.addAll(c.poolChecks())
 	addresses := map[string]string{}
 	for _, s := range c.Servers() {
-		if k, ok := kinds[s.Pool]; ok && k != s.Kind {
-			found.add("server "+s.Name, "kind", "pool "+s.Pool+" holds servers of kind "+k.String())
-		}
-		kinds[s.Pool] = s.Kind
 		if other, ok := addresses[s.Address]; ok {
 			found.add("server "+s.Name, "address", "belongs to server "+other+" already")
 		}
@@ -210,6 +206,29 @@
 	return found
 }
 
+// poolChecks finds servers that cannot do the work of their pool: a pool is
+// what serves the same work, so kind, models and adapters are equal. Servers
+// that are leaving get no new work and may differ.
+func (c Config) poolChecks() mistakes {
+	var found mistakes
+	first := map[string]Server{}
+	for _, s := range c.Servers() {
+		if s.Mark == Leaving {
+			continue
+		}
+		f, ok := first[s.Pool]
+		switch {
+		case !ok:
+			first[s.Pool] = s
+		case f.Kind != s.Kind:
+			found.add("server "+s.Name, "kind", "pool "+s.Pool+" holds servers of kind "+f.Kind.String())
+		case !slices.Equal(f.Models, s.Models) || !slices.Equal(f.Adapters, s.Adapters):
+			found.add("server "+s.Name, "models", "must be those of server "+f.Name+" of the same pool")
+		}
+	}
+	return found
+}
+
 // Snapshot is the serialized form of a Config.
 type Snapshot struct {
 	Revision uint64    `cbor:"1,keyasint"`
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -25,6 +25,8 @@
 	key := HashKey("k")
 	service := Server{Name: "s", Pool: "llm", Address: "10.0.0.9:1", Kind: Service, Mark: Serving, Slots: 1}
 	e1, same := engineNamed("e1", "10.0.0.1:1"), engineNamed("e2", "10.0.0.1:1")
+	other := engineNamed("e3", "10.0.0.3:1")
+	other.Models = []string{"another"}
 	tests := []struct {
 		name string
 		ops  []Op
@@ -47,6 +49,9 @@
 		}},
 		{"two at one address", []Op{{PutServer: &e1}, {PutServer: &same}}, []string{"server e2: address: belongs to server e1 already"}},
 		{"two kinds in one pool", []Op{{PutServer: &e1}, {PutServer: &service}}, []string{"server s: kind: pool llm holds servers of kind engine"}},
+		{"other models than its pool", []Op{{PutServer: &e1}, {PutServer: &other}}, []string{
+			"server e3: models: must be those of server e1 of the same pool",
+		}},
 		{"bad rule", []Op{{PutServer: &Server{Name: "s", Pool: "p", Address: "1.1.1.1:1", Kind: Service, Mark: Serving, Slots: 1, Never: []string{"POST"}}}},
 			[]string{`server s: never: must be "METHOD /path" or "* /path", not POST`}},
 	}
