Take servers' load from their answers

Badgerspoke-Load: RUNNING/WAITING in an answer goes into the placer's price, discounted by age, and stays between servers and routers. Polling was rejected (routers times servers). The stand-in tells a load up to a second old. Not measured on whole fleets: where a router holds a single free slot there is nothing to choose.

--- a/callers_test.go
+++ b/callers_test.go
@@ -36,7 +36,8 @@
 		is.Equal(a.status, http.StatusOK)
 		is.Equal(strings.Count(a.body, "data: "), 5) // three tokens, usage, end
 		is.True(strings.HasSuffix(a.body, "data: [DONE]\n\n"))
-		is.Equal(a.outcome, "") // not a failure
+		is.Equal(a.outcome, "")                        // not a failure
+		is.Equal(a.header.Get("Badgerspoke-Load"), "") // between servers and routers only
 
 		a = f.do(completion("r1", "hotel", 3, false))
 		is.Equal(a.status, http.StatusOK)
--- a/router/call.go
+++ b/router/call.go
@@ -163,6 +163,9 @@
 		return r.sendFailed(ctx, c, p, server, err)
 	}
 	defer func() { a.Body.Close() }() // the relay may have put another in its place
+	if running, waiting, ok := a.Load(); ok {
+		p.report(server.ID, place.Load{Running: running, Waiting: waiting, At: r.now()})
+	}
 	rel := relay{router: r, ctx: ctx, server: server.Address, call: c, pool: p, work: c.work, answer: a, began: began}
 	end := rel.run(w)
 	p.finish(c.work, server.ID, end.cost, end.result)
--- a/router/pool.go
+++ b/router/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
 	"github.com/badgerspoke/badgerspoke/protocol"
@@ -125,6 +126,13 @@
 	p.pool.Progress(w, cost)
 }
 
+// report takes what a server tells of its load.
+func (p *lockedPool) report(server string, l place.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool.Report(server, l)
+}
+
 // finish settles a request that used a slot and lets the next one start.
 func (p *lockedPool) finish(w *pool.Work, server string, cost float64, r pool.Result) {
 	p.mu.Lock()
--- a/router/relay.go
+++ b/router/relay.go
@@ -84,7 +84,7 @@
 func (l *relay) writeHead(w http.ResponseWriter) {
 	h := w.Header()
 	for name, values := range l.answer.Header {
-		if !hopByHop[name] && name != backend.ResumeHeader {
+		if !hopByHop[name] && name != backend.ResumeHeader && name != backend.LoadHeader {
 			h[name] = values
 		}
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,9 +33,11 @@
 	batch   *batch
 	streams streams
 
-	mu    sync.Mutex
-	epoch uint64 // highest fence seen
-	runs  int
+	mu     sync.Mutex
+	epoch  uint64 // highest fence seen
+	runs   int
+	told   string // load that answers tell
+	toldAt time.Time
 }
 
 var _ http.Handler = (*Engine)(nil)
@@ -104,6 +106,7 @@
 	}
 	e.mu.Lock()
 	e.runs++
+	w.Header().Set(loadHeader, e.laggingLoad())
 	e.mu.Unlock()
 	run := &completion{w: w, ctx: r.Context(), req: req, set: e.set, how: how, prompt: int(r.ContentLength) / 4}
 	if e.set.Resumable && req.Stream {
@@ -114,6 +117,21 @@
 	run.serve()
 }
 
+const (
+	loadHeader = "Badgerspoke-Load"
+	loadLag    = time.Second // how old the load may be that answers tell
+)
+
+// laggingLoad returns the load as it was up to loadLag ago. The caller holds
+// mu.
+func (e *Engine) laggingLoad() string {
+	if now := time.Now(); e.told == "" || now.Sub(e.toldAt) >= loadLag {
+		running, waiting, _ := e.batch.load()
+		e.told, e.toldAt = fmt.Sprintf("%d/%d", running, waiting), now
+	}
+	return e.told
+}
+
 // serveResumable generates apart from the connection. The place in the batch
 // is free when the generation ends, not when the connection does.
 func (e *Engine) serveResumable(run *completion) {
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -25,6 +25,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +53,21 @@
 // missing (RFC 9110, section 14), and for DELETE when nobody wants the rest.
 const ResumeHeader = "Badgerspoke-Resume"
 
+// LoadHeader is set by a server that tells its load with its answers: the
+// numbers of running and waiting requests, "RUNNING/WAITING". It may lag.
+const LoadHeader = "Badgerspoke-Load"
+
+// Load returns what LoadHeader says, or false if it says nothing sensible.
+func (a *Answer) Load() (running, waiting int, ok bool) {
+	r, w, found := strings.Cut(a.Header.Get(LoadHeader), "/")
+	if !found {
+		return 0, 0, false
+	}
+	running, errR := strconv.Atoi(r)
+	waiting, errW := strconv.Atoi(w)
+	return running, waiting, errR == nil && errW == nil && running >= 0 && waiting >= 0
+}
+
 // Answer is a server's answer; the caller closes Body.
 type Answer struct {
 	Status int
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -179,6 +179,27 @@
 	}
 }
 
+func TestLoad(t *testing.T) {
+	tests := []struct {
+		header           string
+		running, waiting int
+		ok               bool
+	}{
+		{"3/1", 3, 1, true}, {"0/0", 0, 0, true}, {"", 0, 0, false}, {"3", 0, 0, false},
+		{"-1/2", -1, 2, false}, {"x/2", 0, 2, false}, {"3/", 3, 0, false},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		a := backend.Answer{Header: http.Header{backend.LoadHeader: {tt.header}}}
+		running, waiting, ok := a.Load()
+		is.Equal(ok, tt.ok)
+		if ok {
+			is.Equal(running, tt.running)
+			is.Equal(waiting, tt.waiting)
+		}
+	}
+}
+
 func TestCancelledCallEndsAtTheServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
