Allocator: grants that were never sent do not stay on their way

Cause, found by reading: when a session ended, only grants that had been sent were forgotten. Those still unsent kept their account charged for slots that never arrive, for as long as the allocator lived: it came later than its turn and was no longer lifted. Also, a recall that found nobody to ask went on looking once for every account without a slot.

--- a/coordination/slots/grant.go
+++ b/coordination/slots/grant.go
@@ -65,9 +65,11 @@
 		p.ask(now, v, n)
 	}
 	for ; slotless > 0; slotless-- {
-		if v := p.richest(); v != nil {
-			p.ask(now, v, 1)
+		v := p.richest()
+		if v == nil {
+			break
 		}
+		p.ask(now, v, 1)
 	}
 	return need > 0
 }
@@ -129,6 +131,14 @@
 	s.unacked = s.unacked[:n]
 }
 
+// dropUnacked forgets all grants of a session that is over, sent or not.
+func (a *Allocator) dropUnacked(s *session) {
+	for _, g := range s.unacked {
+		a.arrived(s, g)
+	}
+	s.unacked = nil
+}
+
 // arrived undoes what grantOne noted on the way.
 func (a *Allocator) arrived(s *session, g grant) {
 	w := s.waiting[waitingKey{g.pool, g.account}]
--- a/coordination/slots/ledger.go
+++ b/coordination/slots/ledger.go
@@ -2,10 +2,7 @@
 
 package slots
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // This file defines the allocator's ledger: which session holds how many slots
 // of which server, and what is undone when a session ends.
@@ -51,7 +48,7 @@
 }
 
 func (a *Allocator) forgetWaiting(s *session) {
-	a.acknowledge(s, math.MaxUint64)
+	a.dropUnacked(s)
 	for _, v := range s.views {
 		v.pool.recalling -= v.recall
 		v.recall = 0
--- /dev/null
+++ b/coordination/slots/ledger_test.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package slots
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// TestNothingStaysOnItsWayToAVanishedRouter ends a session at each point of a
+// grant's way: the account must not stay charged for slots that never arrive.
+func TestNothingStaysOnItsWayToAVanishedRouter(t *testing.T) {
+	ends := map[string]func(a *Allocator){
+		"link breaks":        func(a *Allocator) { a.Unlink("r", 1) },
+		"lease runs out":     func(a *Allocator) { a.End("r") },
+		"session replaced":   func(a *Allocator) { a.Open(0, protocol.Hello{Router: "r", Boot: 1}) },
+		"another process":    func(a *Allocator) { a.Open(0, protocol.Hello{Router: "r", Boot: 2}) },
+		"goodbye with work":  func(a *Allocator) { a.Report(0, "r", protocol.Report{Goodbye: true}) },
+		"account is removed": func(a *Allocator) { a.configureAccounts(nil) },
+	}
+	for name, end := range ends {
+		for _, sent := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				a := NewAllocator(1, 0, DefaultLease, Pace{}, nil)
+				a.Configure([]Backend{{Name: "s", Pool: "p", Slots: 2, Serving: true}}, []Account{{Name: "a", Share: 1}})
+				a.Open(0, protocol.Hello{Router: "r", Boot: 1})
+				a.Report(0, "r", protocol.Report{Pools: []protocol.PoolReport{{
+					Pool: "p", Accounts: []protocol.AccountReport{{Account: "a", Waiting: 5, Running: 1}},
+				}}})
+				a.Allocate(0)
+				if sent {
+					a.Views(0)
+				}
+				end(a)
+				p := a.pools["p"]
+				is.Equal(p.waiting, 0)
+				is.Equal(p.slotless, 0)
+				is.Equal(p.recalling, 0)
+				is.Equal(p.unmet.Len(), 0)
+				if acc := p.accounts["a"]; acc != nil {
+					is.Equal(acc.onWay, 0)
+					is.Equal(acc.running, 0)
+					is.Equal(len(acc.places), 0)
+				}
+			})
+		}
+	}
+}
