--- a/coordination/slots/slots_test.go
+++ b/coordination/slots/slots_test.go
@@ -219,15 +219,63 @@
 	a.Open(0, protocol.Hello{Router: "poor", Boot: 2})
 	a.Report(0, "poor", waits("a", 1))
 	a.Allocate(0)
-	recalled := 0
-	for _, o := range a.Views(0) {
+	is.Equal(told(a, 0)["rich"].Recall, 1) // one request waits, so one slot is asked back, not both
+}
+
+func TestFreeSlotElsewhereIsRecalledForARouterWithSlots(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "idle", Boot: 1, Held: []protocol.Held{{Server: "s", Slots: 1}}})
+	a.Report(0, "idle", protocol.Report{Pools: []protocol.PoolReport{{Pool: "p", Idle: 1}}})
+	a.Open(0, protocol.Hello{Router: "busy", Boot: 2, Held: []protocol.Held{{Server: "s", Slots: 1}}})
+	a.Report(0, "busy", waits("a", 3))
+	a.Allocate(0)
+	is.Equal(told(a, 0)["idle"].Recall, 1) // it is free there and wanted here
+}
+
+func TestRouterWithoutAnySlotIsGivenOneInUse(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "rich", Boot: 1, Held: []protocol.Held{{Server: "s", Slots: 2}}}) // both in use
+	a.Open(0, protocol.Hello{Router: "poor", Boot: 2})
+	a.Report(0, "poor", waits("a", 3))
+	a.Allocate(0)
+	is.Equal(told(a, 0)["rich"].Recall, 1) // one, for a router that has none; not three
+	a.Allocate(0)
+	is.Equal(told(a, 0)["rich"].Recall, 0) // and not again while it is on its way
+}
+
+func TestShortnessIsTold(t *testing.T) {
+	is := is.New(t)
+	a := bench()
+	a.Open(0, protocol.Hello{Router: "r1", Boot: 1})
+	a.Report(0, "r1", waits("a", 2))
+	a.Allocate(0)
+	is.True(!told(a, 0)["r1"].Short) // two wait, two slots
+	a.Report(0, "r1", protocol.Report{ViewSeq: 1, Pools: []protocol.PoolReport{{
+		Pool: "p", Accounts: []protocol.AccountReport{{Account: "a", Waiting: 3, Running: 2}},
+	}}})
+	a.Allocate(0)
+	is.True(told(a, 0)["r1"].Short) // three more wait, and nothing is free
+	a.Report(0, "r1", protocol.Report{ViewSeq: 2, Pools: []protocol.PoolReport{{
+		Pool: "p", Accounts: []protocol.AccountReport{{Account: "a", Running: 2}},
+	}}})
+	a.Allocate(0)
+	v, sent := told(a, 0)["r1"]
+	is.True(sent) // the end of it is told too
+	is.True(!v.Short)
+}
+
+// told returns what the views that are due say of pool p, by router.
+func told(a *slots.Allocator, now time.Duration) map[string]protocol.PoolView {
+	out := map[string]protocol.PoolView{}
+	for _, o := range a.Views(now) {
 		for _, p := range o.View.Pools {
-			if o.Router == "rich" {
-				recalled += p.Recall
-			}
+			out[o.Router] = p
 		}
+		a.Sent(now, o, 1)
 	}
-	is.Equal(recalled, 1) // one request waits, so one slot is asked back, not both
+	return out
 }
 
 func TestHolderGivesBackWhatIsRecalled(t *testing.T) {
--- a/keyed_test.go
+++ b/keyed_test.go
@@ -3,6 +3,7 @@
 package badgerspoke_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -49,7 +50,11 @@
 		f.services["s1"].FailNext(standin.Hang)
 		first := f.startAll(order("r1", "hotel", "towels", "k2"))
 		time.Sleep(time.Second)
-		second := f.startAll(order("r2", "hotel", "towels", "k2")) // waits for the first
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute) // it must not wait for ever
+		defer cancel()
+		again := order("r2", "hotel", "towels", "k2")
+		again.ctx = ctx
+		second := f.startAll(again) // waits for the first
 		time.Sleep(time.Second)
 		f.crash("r1")
 		first()
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -48,16 +48,24 @@
 	return link.Identity{Name: "dialer", Key: []byte(key), Dial: n.Box("10.0.0.2").DialContext}
 }
 
+// joined opens a link with the right key and returns both ends.
+func joined(t *testing.T, m *link.Meter) (dialer, acceptor *link.Link) {
+	t.Helper()
+	n := fakenet.New(time.Millisecond)
+	got, _ := accepting(t, n, "key")
+	d, err := link.Dial(t.Context(), address, identity(n, "key"), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, <-got
+}
+
 func TestMessagesArriveInOrderAndAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := fakenet.New(time.Millisecond)
-		got, _ := accepting(t, n, "key")
 		set := metrics.NewSet()
-		d, err := link.Dial(t.Context(), address, identity(n, "key"), link.NewMeter(set))
-		is.NoErr(err)
+		d, a := joined(t, link.NewMeter(set))
 		defer d.Close()
-		a := <-got
 		is.Equal(d.Peer(), "acceptor")
 		is.Equal(a.Peer(), "dialer")
 		out := link.NewOutbox(d, 100)
@@ -104,11 +112,7 @@
 func TestSlowPeerLosesItsLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := fakenet.New(time.Millisecond)
-		got, _ := accepting(t, n, "key")
-		d, err := link.Dial(t.Context(), address, identity(n, "key"), nil)
-		is.NoErr(err)
-		a := <-got
+		d, a := joined(t, nil)
 		out := link.NewOutbox(d, 1)
 		lost := false
 		for range 10_000 { // faster than the outbox's goroutine can be
@@ -116,7 +120,7 @@
 		}
 		is.True(lost)
 		<-out.Done()
-		_, err = a.Receive(t.Context())
+		_, err := a.Receive(t.Context())
 		for err == nil {
 			_, err = a.Receive(t.Context())
 		}
@@ -127,11 +131,7 @@
 func TestDrainSendsEverything(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := fakenet.New(time.Millisecond)
-		got, _ := accepting(t, n, "key")
-		d, err := link.Dial(t.Context(), address, identity(n, "key"), nil)
-		is.NoErr(err)
-		a := <-got
+		d, a := joined(t, nil)
 		out := link.NewOutbox(d, 100)
 		for i := range 20 {
 			out.Send(protocol.Renew{Seq: uint64(i)})
