--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -33,6 +33,7 @@
 	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
 	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines Box, the assembled process.
@@ -190,7 +191,7 @@
 		ErrorLog: slog.NewLogLogger(b.set.Log.Handler(), slog.LevelDebug),
 	}
 	b.servers = append(b.servers, s)
-	limited := limitListener(l, maxConnections)
+	limited := socket.Limit(l, maxConnections)
 	if cfg == nil {
 		go func() { _ = s.Serve(limited) }()
 		return
--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/mesh"
 )
 
 // This file defines Control, the assembled control role.
@@ -80,7 +81,7 @@
 	config     *replica.Replica
 	claims     *replica.Replica
 	register   *claim.Register
-	peers      *peers
+	peers      *mesh.Mesh
 	dispatcher *dispatcher
 	watchers   *claimWatchers
 	running    sync.WaitGroup
@@ -96,13 +97,11 @@
 	c.state = newReplicated(c.dispatcher.configChanged)
 	c.register = claim.New()
 	c.register.Settlement = c.watchers.settled
-	c.peers = newPeers(ctx, set, c.meter)
+	c.peers = mesh.New(ctx, set.Identity, func(name string) string { return set.Replicas[name] }, c.meter)
 	if err := c.startGroups(); err != nil {
 		stop()
 		return nil, err
 	}
-	c.peers.deliver = c.deliver
-	c.peers.start()
 	c.running.Go(c.dispatcher.run)
 	c.running.Go(c.followLeader)
 	return c, nil
@@ -130,7 +129,7 @@
 	slices.Sort(names)
 	return replica.Start(c.ctx, replica.Settings{
 		Group: name, Name: c.set.Identity.Name, Names: names, Dir: dir, Machine: m,
-		Send: c.peers.send, Election: c.set.Election, Heartbeat: c.set.Heartbeat,
+		Send: c.peers.Send, Election: c.set.Election, Heartbeat: c.set.Heartbeat,
 		CompactAt: c.set.CompactAt, Random: c.set.Random, Log: c.set.Log, Observe: observe,
 	})
 }
--- a/coordination/consensus/doc.go
+++ b/coordination/consensus/doc.go
@@ -21,7 +21,9 @@
 //   - transfer.go: snapshots in pieces, and handing leadership over.
 //   - membership.go: one change at a time, learners, and the repair of a
 //     replica that lost its disk.
-//   - formation.go: how blank replicas become a group.
+//   - formation.go: how blank replicas become a group. A closed group knows
+//     its replicas' names from the start; an open one is found through seeds,
+//     grows by whoever asks, and replaces voters that fell silent.
 //
 // Invariants: at most one leader a term; an entry that was reported as
 // committed is in the log of every later leader; Ready.Committed is the same
--- a/coordination/consensus/formation.go
+++ b/coordination/consensus/formation.go
@@ -19,8 +19,16 @@
 // incarnation that it last answered, so a founder that lost its disk during
 // the foundation does not leave two groups behind.
 //
-// A flag "this is the first start" was rejected: somebody leaves it in the
-// settings, and the first lost disk then founds a second group.
+// In a closed group a flag "this is the first start" was rejected: somebody
+// leaves it in the settings, and the first lost disk then founds a second
+// group.
+//
+// In an open group nobody is told the members, only where some of them are or
+// were (seeds). The seeds of the first start found it, and only with the word
+// of whoever starts the processes that it is the first start; any other blank
+// replica asks the seeds, and whomever they name, until the leader takes it
+// in. There the flag cannot be done without: a blank replica whose seeds are
+// all cut off or new cannot know whether a group exists.
 
 // Formation is a replica before it has a log. It is not safe for concurrent
 // use.
@@ -33,6 +41,8 @@
 	next     time.Duration
 	answers  map[string]blankAnswer
 	promised protocol.Peer // founder whose query was answered last
+	joins    bool          // never founds a group, nor lets itself be counted as blank
+	hints    []string      // members named by replicas of an existing group
 	out      []protocol.Consensus
 }
 
@@ -50,6 +60,13 @@
 	}
 }
 
+// JoinOnly makes the replica join a group that exists and never found one: it
+// is not one of the seeds, or it is not the first start. It returns f.
+func (f *Formation) JoinOnly() *Formation {
+	f.joins = true
+	return f
+}
+
 // Tick tells the time and returns the first snapshot once this replica may
 // found the group.
 func (f *Formation) Tick(now time.Duration) (protocol.Snapshot, bool) {
@@ -57,7 +74,7 @@
 		f.next = now + f.interval
 		f.ask()
 	}
-	if f.names[0] != f.self.Name {
+	if f.joins || f.names[0] != f.self.Name {
 		return protocol.Snapshot{}, false
 	}
 	voters := []protocol.Peer{f.self}
@@ -79,13 +96,25 @@
 
 // ask queries every other replica by name: its incarnation is not known yet.
 func (f *Formation) ask() {
-	for _, name := range f.names {
+	for _, name := range append(slices.Clone(f.names), f.hints...) {
 		if name != f.self.Name {
 			f.send(protocol.Consensus{Kind: protocol.MsgBlankQuery, To: protocol.Peer{Name: name}})
 		}
 	}
 }
 
+// takeHints remembers the members that a replica of an existing group names.
+func (f *Formation) takeHints(m protocol.Consensus) {
+	if m.Group == 0 || m.Snapshot == nil {
+		return
+	}
+	for _, p := range m.Snapshot.Members.Voters {
+		if !slices.Contains(f.names, p.Name) && !slices.Contains(f.hints, p.Name) {
+			f.hints = append(f.hints, p.Name)
+		}
+	}
+}
+
 // Step takes a message and returns the first snapshot if the group was
 // founded by another replica.
 func (f *Formation) Step(m protocol.Consensus) (protocol.Snapshot, bool) {
@@ -94,14 +123,18 @@
 	}
 	switch m.Kind {
 	case protocol.MsgBlankQuery:
+		if f.joins {
+			return protocol.Snapshot{}, false
+		}
 		if m.From.Name == f.names[0] {
 			f.promised = m.From
 		}
 		f.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
 	case protocol.MsgBlankReply:
 		f.answers[m.From.Name] = blankAnswer{peer: m.From, blank: m.Group == 0}
+		f.takeHints(m)
 	case protocol.MsgFound:
-		whole := m.Snapshot != nil && m.To == f.self &&
+		whole := !f.joins && m.Snapshot != nil && m.To == f.self &&
 			(f.promised.IsZero() || m.From == f.promised) &&
 			contains(m.Snapshot.Members.Voters, f.self)
 		if whole {
@@ -132,7 +165,8 @@
 		return false
 	}
 	n.now = max(n.now, now)
-	n.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
+	members := protocol.Snapshot{Members: n.log.members()}
+	n.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From, Snapshot: &members})
 	if s := n.log.snapshot; s.Index == 1 && contains(s.Members.Voters, m.From) {
 		// The foundation was lost on its way. This very incarnation was
 		// named in it and has never answered anything, so it may have it.
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -114,6 +114,12 @@
 		return
 	}
 	m := n.log.members()
+	if n.cfg.Voters > 0 && n.dropSilentVoter(m) {
+		return
+	}
+	if n.cfg.Voters > 0 && len(m.Voters) >= n.cfg.Voters && n.silentVoter(m).IsZero() {
+		return
+	}
 	for _, p := range m.Learners {
 		pr := n.peers[p]
 		if pr == nil || pr.outgoing != nil || pr.match < n.commit || n.now-pr.acked > n.cfg.Election {
@@ -126,6 +132,50 @@
 	}
 }
 
+// silentVoter returns a voter that has not answered for Config.Silence, or
+// nobody.
+func (n *Node) silentVoter(m protocol.Membership) protocol.Peer {
+	for _, p := range m.Voters {
+		pr := n.peers[p]
+		if p != n.cfg.Self && pr != nil && n.now-pr.acked > n.cfg.Silence {
+			return p
+		}
+	}
+	return protocol.Peer{}
+}
+
+// dropSilentVoter removes a voter that a replacement has made superfluous,
+// and reports whether it did. The replacement is promoted first and the
+// silent voter removed after, so the group never gets smaller: two quorums of
+// a smaller group could be two disks.
+func (n *Node) dropSilentVoter(m protocol.Membership) bool {
+	silent := n.silentVoter(m)
+	if len(m.Voters) <= n.cfg.Voters || silent.IsZero() {
+		return false
+	}
+	voters, _ := without(m.Voters, silent.Name)
+	return n.ChangeMembership(protocol.Membership{Voters: voters, Learners: m.Learners}) == nil
+}
+
+// dropSilentLearner removes a learner that has not answered for many times
+// Config.Silence: in an open group nobody else would.
+func (n *Node) dropSilentLearner() {
+	if n.cfg.Voters == 0 || n.changePending() || !n.transferTo.IsZero() {
+		return
+	}
+	m := n.log.members()
+	for _, p := range m.Learners {
+		if pr := n.peers[p]; pr != nil && n.now-pr.acked > learnerSilences*n.cfg.Silence {
+			learners, _ := without(m.Learners, p.Name)
+			_ = n.ChangeMembership(protocol.Membership{Voters: m.Voters, Learners: learners})
+			return
+		}
+	}
+}
+
+// learnerSilences is how many times Config.Silence a learner may be silent.
+const learnerSilences = 5
+
 // stepDownIfRemoved ends the leadership of a replica that is no voter once
 // the change is committed.
 func (n *Node) stepDownIfRemoved() {
--- a/coordination/consensus/replicate.go
+++ b/coordination/consensus/replicate.go
@@ -69,6 +69,7 @@
 		}
 	}
 	n.promoteLearner()
+	n.dropSilentLearner()
 }
 
 // others returns the replicas to send to, in an order that does not depend on
--- /dev/null
+++ b/coordination/registry/registry.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package registry keeps which backends have announced themselves.
+//
+// The model: soft state on the leader. A backend announces itself again and
+// again under an identifier that is new at each of its starts; one that falls
+// silent is not removed (its callers know better whether it answers) but
+// replaced when another announces the same address. Departures are not soft:
+// the caller keeps them in a replicated log and asks [Registry] only about
+// backends that have not departed. A new leader starts empty and is complete
+// once every backend has had the time to announce itself ([Registry.Complete]).
+//
+// Nothing here is safe for concurrent use, and nothing reads a clock.
+package registry
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Announcement is what a backend says of itself.
+type Announcement struct {
+	ID      string
+	Pool    string
+	Address string // IP:PORT
+	Zone    string
+	Slots   int
+	Leaving bool
+	Seq     uint64 // rises with each announcement of one ID
+}
+
+// Senseless refuses an announcement that cannot be meant.
+type Senseless struct{ What string }
+
+// Error says what is wrong.
+func (e Senseless) Error() string { return "senseless announcement: " + e.What }
+
+// Check returns [Senseless], or nil.
+func (a Announcement) Check() error {
+	if a.ID == "" || a.Pool == "" {
+		return Senseless{What: "no identifier or no pool"}
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return Senseless{What: fmt.Sprintf("address %q is not IP:PORT", a.Address)}
+	}
+	if a.Slots < 0 {
+		return Senseless{What: fmt.Sprintf("%d slots", a.Slots)}
+	}
+	return nil
+}
+
+// Backend is a backend that may be used.
+type Backend struct {
+	Announcement
+	Handle uint32        // short name within this registry
+	Heard  time.Duration // when it last announced itself
+}
+
+// Change is what an announcement changed.
+type Change struct {
+	Set  []Backend
+	Gone []string
+}
+
+// Empty reports whether nothing changed.
+func (c Change) Empty() bool { return len(c.Set) == 0 && len(c.Gone) == 0 }
+
+// Registry is the table of announced backends.
+type Registry struct {
+	began     time.Duration
+	interval  time.Duration // between announcements
+	backends  map[string]*Backend
+	byAddress map[string]string // identifier by address
+	next      uint32
+}
+
+// completeAfter is the number of announcement intervals after which every
+// backend that is alive has been heard: one may be late or lost.
+const completeAfter = 3
+
+// forgetAfter is the number of intervals of silence after which a backend is
+// forgotten. It is long: what a backend's callers see of it counts more.
+const forgetAfter = 40
+
+// New returns an empty registry of a leader that begins to lead now.
+func New(now, interval time.Duration) *Registry {
+	return &Registry{
+		began: now, interval: interval,
+		backends: map[string]*Backend{}, byAddress: map[string]string{}, next: 1,
+	}
+}
+
+// Announce takes an announcement of a backend that has not departed. A late
+// one, with a number that is not above the last, changes nothing.
+func (r *Registry) Announce(now time.Duration, a Announcement) Change {
+	b := r.backends[a.ID]
+	if b == nil {
+		return r.add(now, a)
+	}
+	if a.Seq <= b.Seq {
+		return Change{}
+	}
+	same := b.Pool == a.Pool && b.Address == a.Address && b.Zone == a.Zone && b.Slots == a.Slots
+	b.Announcement, b.Heard = a, now
+	if same {
+		return Change{}
+	}
+	return Change{Set: []Backend{*b}}
+}
+
+func (r *Registry) add(now time.Duration, a Announcement) Change {
+	var gone []string
+	if old, taken := r.byAddress[a.Address]; taken {
+		delete(r.backends, old)
+		gone = append(gone, old)
+	}
+	b := &Backend{Announcement: a, Handle: r.next, Heard: now}
+	r.next++
+	r.backends[a.ID] = b
+	r.byAddress[a.Address] = a.ID
+	return Change{Set: []Backend{*b}, Gone: gone}
+}
+
+// Remove takes out a backend that has departed. Gone names it even if it was
+// not known here: a caller may know it.
+func (r *Registry) Remove(id string) Change {
+	if b := r.backends[id]; b != nil {
+		delete(r.backends, id)
+		if r.byAddress[b.Address] == id {
+			delete(r.byAddress, b.Address)
+		}
+	}
+	return Change{Gone: []string{id}}
+}
+
+// Forget takes out backends that have been silent for very long.
+func (r *Registry) Forget(now time.Duration) Change {
+	var change Change
+	for _, b := range r.List() {
+		if now-b.Heard > forgetAfter*r.interval {
+			change.Gone = append(change.Gone, r.Remove(b.ID).Gone...)
+		}
+	}
+	return change
+}
+
+// Complete reports whether every living backend has had the time to announce
+// itself here.
+func (r *Registry) Complete(now time.Duration) bool {
+	return now-r.began >= completeAfter*r.interval
+}
+
+// List returns all backends, ordered by identifier.
+func (r *Registry) List() []Backend {
+	list := make([]Backend, 0, len(r.backends))
+	for _, b := range r.backends {
+		list = append(list, *b)
+	}
+	slices.SortFunc(list, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Size returns the number of backends.
+func (r *Registry) Size() int { return len(r.backends) }
--- /dev/null
+++ b/decision/decision.go
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package decision writes the log that explains what a process decided: one
+// JSON line for each decision that touches a request or changes what the
+// process believes.
+//
+// The model: lines go to a bounded queue that one goroutine writes out, so a
+// slow reader of the log never delays a request. Lines have a class. Routine
+// outcomes ([Log.Routine]) get a small part of the line budget of a second,
+// failures and refusals ([Log.Failure]) a large one, and changes of belief
+// ([Log.Belief]) are dropped only when the queue is full. What was dropped is
+// counted and said in a line of its own, once a second.
+package decision
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Budget bounds the lines of one second by class.
+type Budget struct {
+	Routine int
+	Failure int
+}
+
+// DefaultBudget suits a machine with a small part of a core: at most about 30
+// KB a second.
+var DefaultBudget = Budget{Routine: 20, Failure: 80}
+
+const (
+	queueDepth = 1024 // lines
+	maxLine    = 4096 // bytes
+)
+
+// Log is a bounded log. It is safe for concurrent use.
+type Log struct {
+	slog    *slog.Logger
+	budget  Budget
+	queue   chan []byte
+	done    chan struct{}
+	dropped *metrics.Counter
+	lines   *metrics.Counter
+
+	second  atomic.Int64
+	routine atomic.Int64
+	failure atomic.Int64
+	missed  atomic.Int64
+	closing sync.Once
+	end     chan struct{}
+}
+
+// New returns a log that writes to w until Close.
+func New(w io.Writer, level slog.Level, budget Budget, set *metrics.Set) *Log {
+	l := &Log{
+		budget: budget, queue: make(chan []byte, queueDepth), done: make(chan struct{}), end: make(chan struct{}),
+		dropped: set.GetOrCreateCounter("badgerspoke_log_lines_dropped_total"),
+		lines:   set.GetOrCreateCounter("badgerspoke_log_lines_total"),
+	}
+	l.slog = slog.New(slog.NewJSONHandler((*queueWriter)(l), &slog.HandlerOptions{Level: level}))
+	go l.write(w)
+	return l
+}
+
+// Belief logs a change of what the process believes, its start, its stop, or a
+// dependency lost or regained.
+func (l *Log) Belief(event string, attrs ...slog.Attr) {
+	l.slog.LogAttrs(context.Background(), slog.LevelInfo, event, attrs...)
+}
+
+// Failure logs a decision after which a request was refused, failed or sent
+// again.
+func (l *Log) Failure(event string, attrs ...slog.Attr) {
+	l.within(&l.failure, l.budget.Failure, slog.LevelWarn, event, attrs)
+}
+
+// Routine logs a decision of a request that went as hoped.
+func (l *Log) Routine(event string, attrs ...slog.Attr) {
+	l.within(&l.routine, l.budget.Routine, slog.LevelInfo, event, attrs)
+}
+
+// Slog returns the log for packages that take a slog.Logger. Its lines count
+// as beliefs.
+func (l *Log) Slog() *slog.Logger { return l.slog }
+
+// Close writes out what is queued and ends the log.
+func (l *Log) Close() {
+	l.closing.Do(func() { close(l.end) })
+	<-l.done
+}
+
+func (l *Log) within(count *atomic.Int64, budget int, level slog.Level, event string, attrs []slog.Attr) {
+	l.turn()
+	if count.Add(1) > int64(budget) {
+		l.miss()
+		return
+	}
+	l.slog.LogAttrs(context.Background(), level, event, attrs...)
+}
+
+// turn begins a new second's budget. A few lines may be counted to the wrong
+// second.
+func (l *Log) turn() {
+	now := time.Now().Unix()
+	before := l.second.Load()
+	if before == now || !l.second.CompareAndSwap(before, now) {
+		return
+	}
+	l.routine.Store(0)
+	l.failure.Store(0)
+	if missed := l.missed.Swap(0); missed > 0 {
+		l.slog.Warn("log lines dropped", "lines", missed)
+	}
+}
+
+func (l *Log) miss() {
+	l.missed.Add(1)
+	l.dropped.Inc()
+}
+
+// queueWriter takes whole lines from the JSON handler.
+type queueWriter Log
+
+// Write implements [io.Writer].
+func (q *queueWriter) Write(line []byte) (int, error) {
+	l := (*Log)(q)
+	if len(line) > maxLine {
+		l.miss()
+		return len(line), nil
+	}
+	select {
+	case l.queue <- bytes.Clone(line):
+		l.lines.Inc()
+	default:
+		l.miss()
+	}
+	return len(line), nil
+}
+
+// write writes queued lines, several with one call when they are there.
+func (l *Log) write(w io.Writer) {
+	defer close(l.done)
+	for {
+		select {
+		case line := <-l.queue:
+			_, _ = w.Write(l.more(line))
+		case <-l.end:
+			for len(l.queue) > 0 {
+				_, _ = w.Write(l.more(<-l.queue))
+			}
+			return
+		}
+	}
+}
+
+// more appends the lines that wait already.
+func (l *Log) more(lines []byte) []byte {
+	for len(lines) < 4*maxLine {
+		select {
+		case next := <-l.queue:
+			lines = append(lines, next...)
+		default:
+			return lines
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/replica"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/mesh"
+)
+
+// This file defines Directory, the assembled role, and its operations.
+
+const group = "directory"
+
+// Settings of a directory replica.
+type Settings struct {
+	// Identity's name is this replica's fleet address, IP:PORT: replicas of
+	// an open group go by their addresses.
+	Identity link.Identity
+	Seeds    []string // fleet addresses
+	First    bool     // the first start of the whole group
+	Voters   int      // wanted in the group
+	Dir      wal.Dir
+	// Interval is the time between a backend's announcements.
+	Interval  time.Duration
+	Election  time.Duration
+	Heartbeat time.Duration
+	CompactAt int64
+	Random    func() uint64
+	Log       *decision.Log
+	Metrics   *metrics.Set
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Election == 0 {
+		s.Election = replica.DefaultElection
+	}
+	if s.Heartbeat == 0 {
+		s.Heartbeat = replica.DefaultHeartbeat
+	}
+	if s.CompactAt == 0 {
+		s.CompactAt = replica.DefaultCompactAt
+	}
+	return s
+}
+
+// Directory is a running directory replica.
+type Directory struct {
+	set     Settings
+	ctx     context.Context
+	stop    context.CancelFunc
+	state   *Replicated
+	replica *replica.Replica
+	mesh    *mesh.Mesh
+	hub     *hub
+	meter   *link.Meter
+	running sync.WaitGroup
+}
+
+// Start opens the data folder and joins or founds the group. It runs until
+// Stop, or until its disk fails (see Done).
+func Start(ctx context.Context, set Settings) (*Directory, error) {
+	set = set.withDefaults()
+	ctx, stop := context.WithCancel(ctx)
+	d := &Directory{set: set, ctx: ctx, stop: stop, meter: link.NewMeter(set.Metrics)}
+	d.hub = newHub(d)
+	d.state = &Replicated{notify: d.hub.stateChanged}
+	d.mesh = mesh.New(ctx, set.Identity, func(name string) string { return name }, d.meter)
+	var err error
+	d.replica, err = replica.Start(ctx, replica.Settings{
+		Group: group, Name: set.Identity.Name, Names: set.Seeds,
+		Open: &replica.OpenGroup{First: set.First, Voters: set.Voters},
+		Dir:  set.Dir, Machine: d.state, Send: d.mesh.Send,
+		Election: set.Election, Heartbeat: set.Heartbeat, CompactAt: set.CompactAt,
+		Random: set.Random, Log: set.Log.Slog(), Observe: d.hub.observe,
+	})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	d.running.Go(d.hub.run)
+	return d, nil
+}
+
+// ServeHTTP accepts links of other nodes at [link.Path]: the first message
+// tells a gateway from a replica.
+func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l, err := link.Accept(w, r, d.set.Identity, d.meter)
+	if err != nil {
+		d.set.Metrics.GetOrCreateCounter("badgerspoke_links_refused_total").Inc()
+		return
+	}
+	defer l.Close()
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	m, err := l.Receive(ctx)
+	if err != nil {
+		return
+	}
+	switch m := m.(type) {
+	case protocol.Watch:
+		d.hub.serve(ctx, l, m)
+	case protocol.Consensus:
+		d.servePeer(ctx, l, m)
+	}
+}
+
+// servePeer delivers messages whose sender is the proven peer of the link.
+func (d *Directory) servePeer(ctx context.Context, l *link.Link, m protocol.Consensus) {
+	for {
+		if m.From.Name == l.Peer() {
+			d.replica.Deliver(m)
+		}
+		next, err := l.Receive(ctx)
+		if err != nil {
+			return
+		}
+		m, _ = next.(protocol.Consensus)
+	}
+}
+
+// Put takes a document. When it returns nil, the document, or one with a
+// higher number, is on the disks of a majority. The error is
+// [document.Invalid], [Elsewhere] or [Unsure].
+func (d *Directory) Put(ctx context.Context, h document.Held) error {
+	if err := h.Document.Check(); err != nil {
+		return err
+	}
+	if held, err := d.Read(ctx); err == nil && held.Document.Number >= h.Document.Number {
+		return nil
+	}
+	_, err := d.propose(ctx, command{Put: &h})
+	return err
+}
+
+// NoDocument says that no document was ever put.
+type NoDocument struct{}
+
+// Error says so.
+func (NoDocument) Error() string { return "no document was put yet" }
+
+// Read returns the newest acknowledged document. The error is [NoDocument],
+// [Elsewhere] or [Unsure].
+func (d *Directory) Read(ctx context.Context) (document.Held, error) {
+	var held document.Held
+	var any, leads bool
+	var leader string
+	var until time.Duration
+	err := d.replica.Inspect(ctx, func(now time.Duration, n *consensus.Node) {
+		s := n.Status()
+		leader, until, leads = s.Leader.Name, s.LeaseEnd, n.Leads(now)
+		held, any = d.state.Held()
+	})
+	switch {
+	case err != nil:
+		return held, Unsure{Err: err}
+	case !leads:
+		return held, d.elsewhere(leader)
+	case d.replica.Now() >= until: // stood still since
+		return held, Unsure{}
+	case !any:
+		return held, NoDocument{}
+	}
+	return held, nil
+}
+
+// Announce takes a backend's announcement. When it returns nil, gateways hear
+// of it; a backend that leaves is then on the disks of a majority as leaving.
+// The error is [registry.Senseless], [Elsewhere] or [Unsure].
+func (d *Directory) Announce(ctx context.Context, a registry.Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
+	if err := d.leading(); err != nil {
+		return err
+	}
+	if a.Leaving {
+		return d.Withdraw(ctx, a.ID)
+	}
+	if d.state.Departed(a.ID) {
+		return nil // a late announcement
+	}
+	return d.hub.announce(ctx, a)
+}
+
+// Withdraw takes a backend out for good. The error is [Elsewhere] or
+// [Unsure].
+func (d *Directory) Withdraw(ctx context.Context, id string) error {
+	if err := d.leading(); err != nil {
+		return err
+	}
+	if d.state.Departed(id) {
+		return nil
+	}
+	if _, err := d.propose(ctx, command{Depart: id}); err != nil {
+		return err
+	}
+	d.set.Log.Belief("backend departs", slog.String("backend", id))
+	return nil
+}
+
+// Leader returns the leader's fleet address, or "" when none is known.
+func (d *Directory) Leader() string { return d.hub.leader.Load().leader }
+
+// Leads reports whether this replica leads now.
+func (d *Directory) Leads() bool { return d.leading() == nil }
+
+// leading returns nil at the leader, [Elsewhere] or [Unsure].
+func (d *Directory) leading() error {
+	lead := d.hub.leader.Load()
+	if lead.leads && d.replica.Now() < lead.until {
+		return nil
+	}
+	return d.elsewhere(lead.leader)
+}
+
+func (d *Directory) elsewhere(leader string) error {
+	if leader == "" || leader == d.set.Identity.Name {
+		return Unsure{}
+	}
+	return Elsewhere{Leader: leader}
+}
+
+// propose puts a command into the log and waits until it is applied here.
+func (d *Directory) propose(ctx context.Context, c command) (any, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, Unsure{Err: err}
+	}
+	result, err := d.replica.Propose(ctx, data)
+	var notLeader consensus.NotLeader
+	switch {
+	case errors.As(err, &notLeader):
+		return nil, d.elsewhere(notLeader.Leader.Name)
+	case err != nil:
+		return nil, Unsure{Err: err}
+	}
+	return result, nil
+}
+
+// Done is closed when the disk failed and the process must start again.
+func (d *Directory) Done() <-chan struct{} { return d.replica.Done() }
+
+// Err returns why, after Done.
+func (d *Directory) Err() error { return d.replica.Err() }
+
+// handoverElections bounds, in election timeouts, how long a stop waits for a
+// successor.
+const handoverElections = 3
+
+// Stop hands the lead over, if another replica can take it, and stops.
+func (d *Directory) Stop(ctx context.Context) {
+	handover, cancel := context.WithTimeout(ctx, handoverElections*d.set.Election)
+	_ = d.replica.Transfer(handover)
+	cancel()
+	d.stop()
+	<-d.replica.Done()
+	d.running.Wait()
+}
--- /dev/null
+++ b/directory/hub.go
@@ -0,0 +1,344 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines hub, the goroutine that owns the registry and the
+// gateways' sessions while this replica leads.
+
+const (
+	eventDepth   = 8192
+	sessionQueue = 256
+	fleetPeriod  = 250 * time.Millisecond // between two Fleet messages
+)
+
+// lead is what the replica's goroutine last said.
+type lead struct {
+	leads   bool
+	term    uint64
+	leader  string // fleet address
+	until   time.Duration
+	members []string
+}
+
+type hub struct {
+	d      *Directory
+	events chan func()
+	wake   chan struct{} // the applied state or the lead changed
+	leader atomic.Pointer[lead]
+
+	// Owned by run.
+	term     uint64 // 0 unless this replica leads
+	registry *registry.Registry
+	departed int // departures applied to the registry
+	complete bool
+	sessions map[*session]bool
+	usage    *usage
+	image    protocol.Document // newest document, encoded once
+}
+
+// session is one gateway's link.
+type session struct {
+	gateway string
+	out     *link.Outbox
+	sent    uint64 // number of the document sent
+}
+
+func newHub(d *Directory) *hub {
+	h := &hub{
+		d: d, events: make(chan func(), eventDepth), wake: make(chan struct{}, 1),
+		sessions: map[*session]bool{}, usage: newUsage(),
+	}
+	h.leader.Store(&lead{})
+	return h
+}
+
+// stateChanged is called by the replica's goroutine.
+func (h *hub) stateChanged() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// observe is called by the replica's goroutine after every batch.
+func (h *hub) observe(_ time.Duration, s consensus.Status, leads bool) {
+	old := h.leader.Load()
+	next := &lead{leads: leads, term: s.Term, leader: s.Leader.Name, until: s.LeaseEnd, members: old.members}
+	if !sameMembers(old.members, s.Members) {
+		next.members = nil
+		for _, p := range s.Members.Voters {
+			next.members = append(next.members, p.Name)
+		}
+	}
+	h.leader.Store(next)
+	if old.leads != leads || old.term != s.Term || old.leader != next.leader {
+		h.stateChanged()
+	}
+}
+
+func sameMembers(names []string, m protocol.Membership) bool {
+	return slices.EqualFunc(names, m.Voters, func(name string, p protocol.Peer) bool { return name == p.Name })
+}
+
+func (h *hub) post(f func()) {
+	select {
+	case h.events <- f:
+	case <-h.d.ctx.Done():
+	}
+}
+
+// do runs f in the hub's goroutine and waits for it.
+func (h *hub) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	h.post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return Unsure{Err: ctx.Err()}
+	case <-h.d.ctx.Done():
+		return Unsure{Err: h.d.ctx.Err()}
+	}
+}
+
+func (h *hub) run() {
+	tick := time.NewTicker(fleetPeriod)
+	defer tick.Stop()
+	defer h.endTerm()
+	for {
+		select {
+		case <-h.d.ctx.Done():
+			return
+		case <-h.wake:
+			h.follow()
+		case f := <-h.events:
+			f()
+		case <-tick.C:
+			h.tick()
+		}
+	}
+}
+
+// follow brings the hub to the present lead and state.
+func (h *hub) follow() {
+	l := h.leader.Load()
+	switch {
+	case l.leads && h.term != l.term:
+		h.endTerm()
+		h.beginTerm(l.term)
+	case !l.leads && h.term != 0:
+		h.endTerm()
+	}
+	if h.term != 0 {
+		h.pushDepartures()
+		h.pushDocument()
+	}
+}
+
+func (h *hub) beginTerm(term uint64) {
+	h.term = term
+	h.registry = registry.New(h.d.replica.Now(), h.d.set.Interval)
+	h.departed = 0
+	h.complete = false
+	h.usage = newUsage()
+	h.d.set.Log.Belief("leading", slog.Uint64("term", term), slog.Any("members", h.leader.Load().members))
+}
+
+func (h *hub) endTerm() {
+	if h.term == 0 {
+		return
+	}
+	h.d.set.Log.Belief("leading no more", slog.Uint64("term", h.term), slog.String("leader", h.leader.Load().leader))
+	h.term = 0
+	for s := range h.sessions {
+		s.out.Close()
+		delete(h.sessions, s)
+	}
+}
+
+func (h *hub) tick() {
+	h.follow()
+	if h.term == 0 {
+		return
+	}
+	h.broadcast(h.registry.Forget(h.d.replica.Now()))
+	if !h.complete && h.registry.Complete(h.d.replica.Now()) {
+		h.complete = true
+		h.d.set.Log.Belief("registry complete", slog.Int("backends", h.registry.Size()))
+		for s := range h.sessions {
+			s.out.Send(h.wholeList())
+		}
+	}
+	h.pushFleet()
+}
+
+// pushDepartures takes departed backends out of the registry and tells
+// everybody.
+func (h *hub) pushDepartures() {
+	departures := h.d.state.Departures()
+	if len(departures) == h.departed {
+		return
+	}
+	var change registry.Change
+	for _, id := range departures[min(h.departed, len(departures)):] {
+		change.Gone = append(change.Gone, h.registry.Remove(id).Gone...)
+	}
+	h.departed = len(departures)
+	h.broadcast(change)
+}
+
+// pushDocument sends the newest document to every session that lacks it.
+func (h *hub) pushDocument() {
+	held, ok := h.d.state.Held()
+	if !ok {
+		return
+	}
+	if h.image.Number != held.Document.Number || h.image.Data == nil {
+		data, err := cbor.Marshal(held.Document)
+		if err != nil {
+			h.d.set.Log.Belief("document cannot be encoded", slog.String("error", err.Error()))
+			return
+		}
+		h.image = protocol.Document{Number: held.Document.Number, Data: data}
+		h.d.set.Log.Belief("document in force", slog.Uint64("number", h.image.Number), slog.Int("bytes", len(data)))
+	}
+	for s := range h.sessions {
+		if s.sent < h.image.Number {
+			s.out.Send(h.image)
+			s.sent = h.image.Number
+		}
+	}
+}
+
+func (h *hub) announce(ctx context.Context, a registry.Announcement) error {
+	known := false
+	err := h.do(ctx, func() {
+		if h.term == 0 || h.d.state.Departed(a.ID) {
+			return
+		}
+		known = true
+		change := h.registry.Announce(h.d.replica.Now(), a)
+		for _, b := range change.Set {
+			h.d.set.Log.Belief("backend announced", slog.String("backend", b.ID), slog.String("pool", b.Pool),
+				slog.String("address", b.Address), slog.Any("replaces", change.Gone))
+		}
+		h.broadcast(change)
+	})
+	if err == nil && !known && !h.d.state.Departed(a.ID) {
+		return Unsure{}
+	}
+	return err
+}
+
+func (h *hub) broadcast(c registry.Change) {
+	if c.Empty() {
+		return
+	}
+	m := protocol.Backends{Term: h.term, Set: wire(c.Set), Gone: c.Gone}
+	for s := range h.sessions {
+		s.out.Send(m)
+	}
+}
+
+func (h *hub) wholeList() protocol.Backends {
+	return protocol.Backends{
+		Term: h.term, Whole: true, Complete: h.complete,
+		Set: wire(h.registry.List()), Gone: h.recentDepartures(),
+	}
+}
+
+// recentDepartures are told with a whole list, because an incomplete list
+// does not say who is gone.
+func (h *hub) recentDepartures() []string {
+	const recent = 256
+	all := h.d.state.Departures()
+	return all[max(len(all)-recent, 0):]
+}
+
+func wire(backends []registry.Backend) []protocol.Backend {
+	out := make([]protocol.Backend, 0, len(backends))
+	for _, b := range backends {
+		out = append(out, protocol.Backend{
+			ID: b.ID, Pool: b.Pool, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Handle: b.Handle,
+		})
+	}
+	return out
+}
+
+// serve runs one gateway's session until its link ends.
+func (h *hub) serve(ctx context.Context, l *link.Link, w protocol.Watch) {
+	var s *session
+	err := h.do(ctx, func() { s = h.open(l, w) })
+	if err != nil || s == nil {
+		lead := h.leader.Load()
+		_, _ = l.Send(ctx, protocol.Elsewhere{Leader: lead.leader, Members: lead.members})
+		return
+	}
+	defer s.out.Close()
+	defer h.post(func() { h.close(s) })
+	for {
+		m, err := l.Receive(ctx)
+		if err != nil {
+			return
+		}
+		if u, ok := m.(protocol.Usage); ok {
+			h.post(func() { h.usage.report(s, h.d.replica.Now(), u) })
+		}
+	}
+}
+
+// open admits a gateway if this replica leads.
+func (h *hub) open(l *link.Link, w protocol.Watch) *session {
+	h.follow()
+	if h.term == 0 || w.Term > h.term || w.Gateway != l.Peer() {
+		return nil
+	}
+	for old := range h.sessions {
+		if old.gateway == w.Gateway {
+			h.close(old)
+			old.out.Close()
+		}
+	}
+	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), sent: w.Number}
+	h.sessions[s] = true
+	s.out.Send(h.wholeList())
+	h.pushDocument()
+	h.d.set.Log.Belief("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
+	return s
+}
+
+func (h *hub) close(s *session) {
+	if h.sessions[s] {
+		delete(h.sessions, s)
+		h.d.set.Log.Belief("gateway lost", slog.String("gateway", s.gateway))
+	}
+	h.usage.forget(s)
+}
+
+// pushFleet tells every gateway how all of them together stand.
+func (h *hub) pushFleet() {
+	held, _ := h.d.state.Held()
+	h.usage.settle(h.d.replica.Now(), held.Document.Limits.TokensPerSecond)
+	members := h.leader.Load().members
+	for s := range h.sessions {
+		s.out.Send(protocol.Fleet{
+			Gateways: len(h.sessions), Running: h.usage.others(s),
+			Entitlements: h.usage.entitlements, Members: members,
+		})
+	}
+}
--- /dev/null
+++ b/directory/replicated.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/badgerspoke/badgerspoke/replica"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines Replicated, the state machine that the log drives.
+
+// command is one command of the log. One field is set.
+type command struct {
+	Put    *document.Held `cbor:"1,keyasint,omitempty"`
+	Depart string         `cbor:"2,keyasint,omitempty"`
+}
+
+// Replicated is the applied state. It is safe for concurrent use.
+type Replicated struct {
+	mu     sync.Mutex
+	store  document.Store
+	notify func() // must not block
+}
+
+var _ replica.Machine = (*Replicated)(nil)
+
+// Held returns the document applied here.
+func (m *Replicated) Held() (document.Held, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Held()
+}
+
+// Departed reports whether a backend is leaving or gone.
+func (m *Replicated) Departed(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Departed(id)
+}
+
+// Departures returns the remembered departures, oldest first.
+func (m *Replicated) Departures() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Departures()
+}
+
+// Apply implements [replica.Machine].
+func (m *Replicated) Apply(data []byte) any {
+	var c command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.notify()
+	defer m.mu.Unlock()
+	switch {
+	case c.Put != nil:
+		return m.store.Put(*c.Put)
+	case c.Depart != "":
+		return m.store.Depart(c.Depart)
+	}
+	return false
+}
+
+// Snapshot implements [replica.Machine].
+func (m *Replicated) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.MarshalBinary()
+}
+
+// Restore implements [replica.Machine].
+func (m *Replicated) Restore(image []byte) error {
+	if len(image) == 0 {
+		return nil
+	}
+	m.mu.Lock()
+	err := m.store.UnmarshalBinary(image)
+	m.mu.Unlock()
+	m.notify()
+	return err
+}
--- /dev/null
+++ b/directory/usage.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines usage, the sums of what the gateways report: what runs on
+// each backend, and what each tenant asks for.
+
+// demandMemory is the time constant with which demand is averaged.
+const demandMemory = 1500 * time.Millisecond
+
+type usage struct {
+	running      map[*session][]protocol.Running
+	asked        map[string]float64 // tokens since the last settlement, by tenant
+	rates        map[string]float64 // tokens a second, averaged
+	settled      time.Duration
+	entitlements []protocol.Entitlement // tenants that ask for more than they are entitled to
+}
+
+func newUsage() *usage {
+	return &usage{running: map[*session][]protocol.Running{}, asked: map[string]float64{}, rates: map[string]float64{}}
+}
+
+func (u *usage) report(s *session, _ time.Duration, m protocol.Usage) {
+	u.running[s] = m.Running
+	for _, d := range m.Demands {
+		u.asked[d.Tenant] += float64(d.Tokens)
+	}
+}
+
+func (u *usage) forget(s *session) { delete(u.running, s) }
+
+// settle averages the demand and finds what each tenant is entitled to.
+func (u *usage) settle(now time.Duration, capacity float64) {
+	elapsed := now - u.settled
+	if elapsed <= 0 {
+		return
+	}
+	u.settled = now
+	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
+	for tenant := range u.asked {
+		u.rates[tenant] += 0
+	}
+	for tenant, rate := range u.rates {
+		fresh := u.asked[tenant] / elapsed.Seconds()
+		u.rates[tenant] = keep*rate + (1-keep)*fresh
+		if u.rates[tenant] < 1 {
+			delete(u.rates, tenant)
+		}
+	}
+	clear(u.asked)
+	u.entitle(capacity)
+}
+
+func (u *usage) entitle(capacity float64) {
+	u.entitlements = nil
+	if capacity <= 0 {
+		return
+	}
+	level := share.Level(slices.Collect(maps.Values(u.rates)), capacity)
+	for _, tenant := range slices.Sorted(maps.Keys(u.rates)) {
+		if part := share.Part(u.rates[tenant], level); part < 1 {
+			u.entitlements = append(u.entitlements, protocol.Entitlement{Tenant: tenant, Part: float32(part)})
+		}
+	}
+}
+
+// others returns what runs on all gateways but one.
+func (u *usage) others(own *session) []protocol.Running {
+	sums := map[uint32]protocol.Running{}
+	for s, running := range u.running {
+		if s == own {
+			continue
+		}
+		for _, r := range running {
+			sum := sums[r.Handle]
+			sums[r.Handle] = protocol.Running{
+				Handle: r.Handle, Requests: sum.Requests + r.Requests, Tokens: sum.Tokens + r.Tokens,
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(a, b protocol.Running) int { return cmp.Compare(a.Handle, b.Handle) })
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines call, one request from its arrival to its end.
+
+type call struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	ask      Ask
+	arrived  time.Duration
+	rs       *routes
+	route    document.Route
+	tenant   document.Tenant
+	pool     document.Pool
+	body     []byte
+	cost     float64
+	entitled bool
+	gaveUp   time.Duration // when the caller gives up or the route's time is over
+	attempts int           // backends that may have run the request
+	sends    int           // arrivals at backends
+	avoid    map[string]bool
+	relay    *relay
+}
+
+// defaultBody bounds a body when the document does not.
+const defaultBody = 4 << 20
+
+// ServeHTTP serves one caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.calls.Add(1)
+	defer g.calls.Add(-1)
+	c := &call{g: g, w: w, r: r, arrived: g.now(), ask: g.set.Dialect.Read(r)}
+	if g.stopping() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	defer func() { g.bodies.Add(-int64(len(c.body))) }()
+	err := c.admit()
+	if err == nil {
+		err = c.serve()
+	}
+	c.finish(err)
+}
+
+// admit matches the request to a route and a tenant and reads its body. The
+// error is a [Refusal].
+func (c *call) admit() error {
+	g := c.g
+	if since := g.stopping(); since > part(g.set.Grace, acceptPart) {
+		return Refusal{Cause: Stopping, After: shortReturn}
+	}
+	if c.rs = g.routes.Load(); c.rs == nil {
+		return Refusal{Cause: NoDocument, After: longReturn}
+	}
+	var known bool
+	if c.route, known = c.rs.match(c.r.Host, c.r.URL.EscapedPath()); !known {
+		return Refusal{Cause: NoRoute}
+	}
+	if c.tenant, known = c.rs.tenant(c.route, c.ask.Key); !known {
+		return Refusal{Cause: UnknownKey}
+	}
+	c.pool = c.rs.pools[draw(c.route)]
+	patience := c.route.Hold
+	if c.ask.Patience > 0 {
+		patience = min(patience, c.ask.Patience)
+	}
+	c.gaveUp = c.arrived + patience
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	c.cost = float64(c.ask.Prompt.Tokens() + outputCost*c.ask.Prompt.Output)
+	c.entitled = !c.pool.Engine || g.tenants.asks(c.tenant.Name, c.cost)
+	g.countRequest(c.pool.Name)
+	return nil
+}
+
+// outputCost is what a token made costs against a token read.
+const outputCost = 2
+
+// Times after which a refused caller may come back.
+const (
+	shortReturn = 50 * time.Millisecond
+	longReturn  = time.Second
+)
+
+func (c *call) readBody() error {
+	if c.r.Body == http.NoBody || c.r.ContentLength == 0 {
+		return nil
+	}
+	limit := c.rs.document.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if c.r.ContentLength > limit {
+		return Refusal{Cause: BodyTooLarge}
+	}
+	if c.g.bodies.Load()+max(c.r.ContentLength, 0) > c.g.set.Bodies {
+		return Refusal{Cause: Overloaded, After: shortReturn}
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.gaveUp - c.g.now()))
+	body, err := readAll(io.LimitReader(c.r.Body, limit+1), c.r.ContentLength)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	c.body = body
+	c.g.bodies.Add(int64(len(body)))
+	switch {
+	case err != nil:
+		return Refusal{Cause: BodyBroken}
+	case int64(len(body)) > limit:
+		return Refusal{Cause: BodyTooLarge}
+	}
+	return nil
+}
+
+// readAll reads to the end with one buffer if the length is known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	b := make([]byte, length)
+	n, err := io.ReadFull(r, b)
+	return b[:n], err
+}
+
+// serve gives the request to backends until one answers it whole, or nothing
+// more may be tried. The error is a [Refusal], a [broken] or the caller's
+// leaving.
+func (c *call) serve() error {
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.gaveUp-c.g.now())
+	defer cancel()
+	c.avoid = map[string]bool{}
+	c.relay = newRelay(c)
+	for {
+		l, err := c.backend(ctx)
+		if err != nil {
+			return err
+		}
+		out := c.attempt(ctx, l)
+		if out.done {
+			return nil
+		}
+		if err := c.next(ctx, l, out); err != nil {
+			return err
+		}
+	}
+}
+
+// backend waits for a backend. The error is a [Refusal].
+func (c *call) backend(ctx context.Context) (*lease, error) {
+	w := wish{
+		pool: c.pool, route: c.route, prompt: c.ask.Prompt, tenant: c.tenant.Name,
+		priority: c.tenant.Priority*priorityScale + c.route.Priority, entitled: c.entitled,
+		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.peers.Load()),
+	}
+	l := c.g.obtain(ctx, w, c.patience())
+	if l != nil {
+		if c.sends == 0 {
+			c.g.tenants.starts(c.tenant.Name, c.cost)
+		}
+		return l, nil
+	}
+	if ctx.Err() != nil {
+		return nil, c.overdue(ctx)
+	}
+	switch {
+	case c.attempts > 0:
+		return nil, Refusal{Cause: MayHaveRun}
+	case c.g.table.poolSize(c.pool.Name) == 0:
+		return nil, Refusal{Cause: NoBackend, After: c.comeBack()}
+	case !c.entitled:
+		return nil, Refusal{Cause: BeyondShare, After: c.comeBack()}
+	}
+	return nil, Refusal{Cause: Overloaded, After: c.comeBack()}
+}
+
+// priorityScale puts a tenant's priority before a route's.
+const priorityScale = 1000
+
+// patience is how long the request may wait for a backend: a refusal is worth
+// more to its caller while there is time to come back.
+func (c *call) patience() time.Duration {
+	const objectivePart = 0.22
+	p := part(c.route.Objective, objectivePart)
+	if c.attempts > 0 || c.route.Objective == 0 {
+		p = time.Second // nothing better can be said any more
+	}
+	return min(p-(c.g.now()-c.arrived), c.gaveUp-c.g.now())
+}
+
+// comeBack is when a refused caller should try again.
+func (c *call) comeBack() time.Duration {
+	const holdPart = 0.1
+	left := c.gaveUp - c.g.now()
+	return max(min(part(left, holdPart), longReturn), shortReturn)
+}
+
+// overdue is the refusal of a request whose time is over.
+func (c *call) overdue(ctx context.Context) error {
+	switch {
+	case c.r.Context().Err() != nil:
+		return callerLeft{}
+	case c.sends > 0:
+		return Refusal{Cause: TimedOut}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Refusal{Cause: Overloaded, After: shortReturn}
+	}
+	return Refusal{Cause: TimedOut}
+}
+
+// callerLeft ends a request whose caller has closed the connection.
+type callerLeft struct{}
+
+// Error says so.
+func (callerLeft) Error() string { return "the caller has left" }
+
+// broken ends a request whose answer has begun and cannot be finished: only
+// the connection's end can say so.
+type broken struct{ err error }
+
+// Error names the cause.
+func (b broken) Error() string { return "answer broken off: " + b.err.Error() }
+
+// finish writes the gateway's own answer, if it gives one, and accounts for
+// the request.
+func (c *call) finish(err error) {
+	took := c.g.now() - c.arrived
+	var refusal Refusal
+	var cut broken
+	switch {
+	case err == nil:
+		c.g.stats.count("answered", "route", c.route.Name)
+		c.g.stats.wholeAnswer(c.tenant.Name, c.route.Name, took)
+		c.g.set.Log.Routine("answered", c.facts(took)...)
+	case errors.As(err, &refusal):
+		c.g.stats.count("refused", "cause", string(refusal.Cause))
+		c.g.set.Log.Failure("refused", append(c.facts(took), slog.String("cause", string(refusal.Cause)),
+			slog.Int("status", refusal.Status()), slog.Duration("after", refusal.After))...)
+		refusal.write(c.w)
+	case errors.As(err, &cut):
+		c.g.stats.count("broken", "route", c.route.Name)
+		c.g.set.Log.Failure("broken off", append(c.facts(took), slog.String("error", cut.err.Error()))...)
+		panic(http.ErrAbortHandler)
+	default:
+		c.g.stats.count("left", "route", c.route.Name)
+		c.g.set.Log.Routine("caller left", c.facts(took)...)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// facts are the attributes of the request's last log line.
+func (c *call) facts(took time.Duration) []slog.Attr {
+	return []slog.Attr{
+		slog.String("request", c.ask.ID), slog.String("route", c.route.Name), slog.String("tenant", c.tenant.Name),
+		slog.Uint64("document", c.g.Number()), slog.Bool("entitled", c.entitled), slog.Int("attempts", c.attempts),
+		slog.Int("sends", c.sends), slog.Duration("took", took),
+	}
+}
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,326 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines which backend a request gets, when it waits for one, and
+// in which order waiting requests go.
+
+// Room of a backend, as parts of its slots.
+const (
+	entitledRoom = 1.25 // within its tenant's share: some wait in the backend's own queue
+	beyondRoom   = 0.6  // beyond it: only while there is plenty
+	plainRoom    = 2.0  // a plain service, whose work is short
+	firstEngine  = 20.0 // ms; what an idle engine needs to begin
+	readRate     = 120.0
+	plainExpect  = 50.0 // ms; what a plain service is expected to need
+)
+
+// wish is what a request needs to know when it asks for a backend.
+type wish struct {
+	pool     document.Pool
+	route    document.Route
+	prompt   place.Prompt
+	tenant   string
+	priority int
+	entitled bool
+	repeat   bool            // may run more than once: may try a suspected backend
+	avoid    map[string]bool // backends that had the request already
+	gateways int
+}
+
+// waiter is a request that waits for room.
+type waiter struct {
+	wish
+	seq     uint64
+	granted chan *lease // buffered
+}
+
+// lease is a backend given to one attempt of a request.
+type lease struct {
+	member  *member
+	backend string
+	address string
+	tokens  int
+	began   time.Duration
+	ahead   int // tokens in front when it began
+	trial   bool
+	first   bool // the first event has come, or the answer
+	ended   bool
+}
+
+// acquire returns a backend with room, or nil. The caller holds mu.
+func (t *table) acquire(now time.Duration, w wish) *lease {
+	p := t.pool(w.pool.Name)
+	engines, members := t.candidates(now, p, w)
+	at := p.affinity.Choose(w.prompt, engines)
+	if at < 0 {
+		return nil
+	}
+	m := members[at]
+	l := &lease{
+		member: m, backend: m.ID, address: m.Address, tokens: w.prompt.Tokens(),
+		began: now, ahead: engines[at].Tokens,
+	}
+	if _, trial := m.health.usable(now); trial {
+		l.trial, m.health.trying = true, true
+	}
+	m.requests++
+	m.tokens += l.tokens
+	p.affinity.Chosen(w.prompt, m.ID)
+	return l
+}
+
+// candidates returns the backends that have room for the request.
+func (t *table) candidates(now time.Duration, p *pool, w wish) ([]place.Engine, []*member) {
+	engines, members := t.gather(now, p, w, false)
+	if len(engines) == 0 {
+		// Better a backend that had the request, or is suspected, than none.
+		engines, members = t.gather(now, p, w, true)
+	}
+	return engines, members
+}
+
+func (t *table) gather(now time.Duration, p *pool, w wish, anyHealth bool) ([]place.Engine, []*member) {
+	engines := make([]place.Engine, 0, len(p.members))
+	members := make([]*member, 0, len(p.members))
+	typical := typicalPace(p)
+	for _, m := range p.members {
+		if w.avoid[m.ID] && !(anyHealth && len(p.members) == 1) {
+			continue
+		}
+		ok, trial := m.health.usable(now)
+		if !anyHealth && (!ok || (trial && !w.repeat)) {
+			continue
+		}
+		requests, tokens := m.load(now)
+		if !roomFor(w, m, requests) {
+			continue
+		}
+		engines = append(engines, place.Engine{
+			ID: m.ID, Slots: m.Slots, Requests: requests, Tokens: tokens,
+			Slowness: slowness(m, typical), Near: m.Zone == t.zone,
+		})
+		members = append(members, m)
+	}
+	return engines, members
+}
+
+// roomFor reports whether one more request may go to a backend.
+func roomFor(w wish, m *member, requests int) bool {
+	if w.pool.Connections > 0 && m.requests >= ownConnections(w) {
+		return false
+	}
+	if m.Slots <= 0 {
+		return true
+	}
+	part := plainRoom
+	switch {
+	case w.pool.Engine && w.entitled:
+		part = entitledRoom
+	case w.pool.Engine:
+		part = beyondRoom
+	}
+	return float64(requests) < math.Max(part*float64(m.Slots), 1)
+}
+
+// ownConnections is this gateway's part of the connections that a backend
+// accepts.
+func ownConnections(w wish) int {
+	const spare = 0.9
+	return max(int(spare*float64(w.pool.Connections)/float64(max(w.gateways, 1))), 2)
+}
+
+// slowness compares a backend's pace with the pool's. Small differences are
+// left alone.
+func slowness(m *member, typical float64) float64 {
+	const noticed = 1.6
+	if m.health.paceCount < minSamples || typical <= 0 || m.health.pace < noticed*typical {
+		return 1
+	}
+	return math.Min(m.health.pace/typical, 16)
+}
+
+// typicalPace is the median pace of the pool.
+func typicalPace(p *pool) float64 {
+	paces := make([]float64, 0, len(p.members))
+	for _, m := range p.members {
+		if m.health.paceCount >= minSamples {
+			paces = append(paces, m.health.pace)
+		}
+	}
+	if len(paces) < 2 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// obtain returns a backend for the request, waiting for room until ctx ends or
+// patience is over; then it returns nil.
+func (g *Gateway) obtain(ctx context.Context, w wish, patience time.Duration) *lease {
+	t := g.table
+	t.mu.Lock()
+	p := t.pool(w.pool.Name)
+	if !g.outranked(p, w) {
+		if l := t.acquire(g.now(), w); l != nil {
+			t.mu.Unlock()
+			return l
+		}
+	}
+	if patience <= 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	waiting := &waiter{wish: w, seq: g.seq.Add(1), granted: make(chan *lease, 1)}
+	p.waiting = append(p.waiting, waiting)
+	t.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case l := <-waiting.granted:
+		return l
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return g.leave(p, waiting)
+}
+
+// leave takes a request out of the queue; it may just have got a backend.
+func (g *Gateway) leave(p *pool, w *waiter) *lease {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	p.waiting = slices.DeleteFunc(p.waiting, func(o *waiter) bool { return o == w })
+	select {
+	case l := <-w.granted:
+		return l
+	default:
+		return nil
+	}
+}
+
+// outranked reports whether somebody waits who goes before the request. The
+// caller holds table.mu.
+func (g *Gateway) outranked(p *pool, w wish) bool {
+	for _, o := range p.waiting {
+		if g.before(&o.wish, &w) <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// before orders waiting requests: within the share first, then by priority,
+// then the tenant that was served least lately.
+func (g *Gateway) before(a, b *wish) int {
+	if a.entitled != b.entitled {
+		if a.entitled {
+			return -1
+		}
+		return 1
+	}
+	if a.priority != b.priority {
+		return cmp.Compare(a.priority, b.priority)
+	}
+	return cmp.Compare(g.tenants.served(a.tenant), g.tenants.served(b.tenant))
+}
+
+// grant gives backends to those who wait, in order, as far as there is room.
+// The caller holds table.mu.
+func (g *Gateway) grant(p *pool) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
+		return cmp.Or(g.before(&a.wish, &b.wish), cmp.Compare(a.seq, b.seq))
+	})
+	now := g.now()
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		l := g.table.acquire(now, w.wish)
+		if l == nil {
+			return false
+		}
+		w.granted <- l
+		return true
+	})
+}
+
+// grantAll looks at every queue: the load heard from others has changed.
+func (g *Gateway) grantAll() {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	for _, p := range g.table.pools {
+		g.grant(p)
+	}
+}
+
+// begun tells that the first part of an answer has come, so the prompt has
+// been read.
+func (g *Gateway) begun(l *lease, engine bool) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if l.first {
+		return
+	}
+	l.first = true
+	now := g.now()
+	l.member.heard = now
+	l.member.tokens -= l.tokens
+	took := float64(now-l.began) / float64(time.Millisecond)
+	expected := plainExpect
+	if engine {
+		expected = firstEngine + float64(l.tokens+l.ahead)/readRate
+	}
+	l.member.health.paced(took / expected)
+}
+
+// release ends an attempt at its backend. weight is how much of a failure it
+// was: 0 none, 1 a lost request, negative says nothing about the backend.
+func (g *Gateway) release(l *lease, weight float64) (suspected bool) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if l.ended {
+		return false
+	}
+	l.ended = true
+	m := l.member
+	m.requests--
+	if !l.first {
+		m.tokens -= l.tokens
+		l.first = true
+	}
+	p := g.table.pool(m.Pool)
+	suspected = g.judge(p, l, weight)
+	g.grant(p)
+	return suspected
+}
+
+// judge counts an attempt for the backend's health.
+func (g *Gateway) judge(p *pool, l *lease, weight float64) bool {
+	const poolMemory = 0.02
+	m := l.member
+	switch {
+	case weight < 0:
+		if l.trial {
+			m.health.trying = false
+		}
+		return false
+	case weight == 0:
+		p.failing -= poolMemory * p.failing
+		m.health.succeeded()
+		m.heard = g.now()
+		return false
+	}
+	p.failing += poolMemory * (weight - p.failing)
+	return m.health.failed(g.now(), weight, p.failing)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines Gateway, its settings, its start and its stop.
+
+// Backend sends calls to backends. [backend.Client] is one.
+type Backend interface {
+	Send(ctx context.Context, address string, call backend.Call) (*backend.Answer, error)
+}
+
+var _ Backend = (*backend.Client)(nil)
+
+// Settings of a gateway.
+type Settings struct {
+	Identity link.Identity
+	Zone     string
+	Seeds    []string // fleet addresses of directory replicas
+	Dialect  Dialect
+	Backend  Backend
+	Retries  retry.Limits
+	// Grace is how long a stopping process has.
+	Grace time.Duration
+	// Bodies bounds the bytes of all requests' bodies together.
+	Bodies  int64
+	Random  func() uint64
+	Log     *decision.Log
+	Metrics *metrics.Set
+}
+
+// Gateway is a running gateway. It is the handler of callers' requests.
+type Gateway struct {
+	set     Settings
+	start   time.Time
+	ctx     context.Context
+	stop    context.CancelFunc
+	routes  atomic.Pointer[routes] // nil before the first document
+	table   *table
+	tenants *tenants
+	stats   *stats
+	meter   *link.Meter
+	seq     atomic.Uint64
+	peers   atomic.Int64 // gateways in the fleet, as last heard
+	calls   atomic.Int64 // requests being served
+	bodies  atomic.Int64 // bytes of their bodies
+	stopped atomic.Int64 // when the stop began, by now; 0 before
+
+	retriesMu sync.Mutex // a leaf; guards retries
+	retries   map[string]*retry.Window
+}
+
+// assumedGateways is how many gateways there are before one has been told.
+const assumedGateways = 16
+
+// Start runs a gateway until Stop.
+func Start(ctx context.Context, set Settings) *Gateway {
+	ctx, stop := context.WithCancel(ctx)
+	g := &Gateway{
+		set: set, start: time.Now(), ctx: ctx, stop: stop, table: newTable(set.Zone),
+		stats: newStats(set.Metrics), meter: link.NewMeter(set.Metrics), retries: map[string]*retry.Window{},
+	}
+	g.tenants = newTenants(g.now)
+	g.peers.Store(assumedGateways)
+	go newWatcher(g).run()
+	go g.tick()
+	return g
+}
+
+// now is the gateway's monotonic clock. It is never 0.
+func (g *Gateway) now() time.Duration { return time.Since(g.start) + 1 }
+
+const tickPeriod = 20 * time.Millisecond
+
+// tick gives backends to requests that wait for what others' load leaves free.
+func (g *Gateway) tick() {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-t.C:
+			g.grantAll()
+		}
+	}
+}
+
+// Ready reports whether new callers should come here.
+func (g *Gateway) Ready() bool {
+	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0
+}
+
+// Number returns the document in force here, 0 before the first.
+func (g *Gateway) Number() uint64 {
+	if rs := g.routes.Load(); rs != nil {
+		return rs.document.Number
+	}
+	return 0
+}
+
+// apply brings a document into force. It never goes back.
+func (g *Gateway) apply(d document.Document) {
+	if held := g.routes.Load(); held != nil && held.document.Number >= d.Number {
+		return
+	}
+	g.routes.Store(newRoutes(d))
+	g.set.Log.Belief("document in force", slog.Uint64("number", d.Number), slog.Int("routes", len(d.Routes)),
+		slog.Int("tenants", len(d.Tenants)))
+}
+
+// mayRepeat takes one more attempt out of the fleet's budget.
+func (g *Gateway) mayRepeat(pool string) bool {
+	g.retriesMu.Lock()
+	defer g.retriesMu.Unlock()
+	return g.window(pool).Repeat(g.now(), int(g.peers.Load()))
+}
+
+func (g *Gateway) countRequest(pool string) {
+	g.retriesMu.Lock()
+	defer g.retriesMu.Unlock()
+	g.window(pool).Request(g.now())
+}
+
+func (g *Gateway) window(pool string) *retry.Window {
+	w := g.retries[pool]
+	if w == nil {
+		w = retry.New(g.set.Retries)
+		g.retries[pool] = w
+	}
+	return w
+}
+
+// Parts of the grace of a stop.
+const (
+	acceptPart = 0.4  // new requests are still served
+	finishPart = 0.93 // what runs may go to its end
+	stopPoll   = 20 * time.Millisecond
+)
+
+// Stop ends the gateway: it is not ready at once; requests that come are
+// served for a part of the grace, each connection closing after its answer;
+// then they are refused as not run while what runs goes to its end. Stop
+// returns early once nothing has come for a while after the first part.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.stopped.Store(int64(g.now()))
+	defer g.stop()
+	t := time.NewTicker(stopPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		since := g.stopping()
+		if since > part(g.set.Grace, finishPart) {
+			g.set.Log.Belief("stop cuts off", slog.Int64("requests", g.calls.Load()))
+			return
+		}
+		if since > part(g.set.Grace, acceptPart) && g.calls.Load() == 0 {
+			return
+		}
+	}
+}
+
+// stopping returns for how long the gateway has been stopping, or 0.
+func (g *Gateway) stopping() time.Duration {
+	began := g.stopped.Load()
+	if began == 0 {
+		return 0
+	}
+	return g.now() - time.Duration(began)
+}
+
+func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
+
+var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file defines relay, how an answer reaches the caller: a plain answer
+// once it is whole, a stream event by event.
+
+// maxPlain bounds a plain answer that is kept until it is whole, in bytes;
+// larger ones are passed on as they come.
+const maxPlain = 256 << 10
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+const readSize = 8 << 10
+
+type relay struct {
+	c     *call
+	begun bool   // the head has been written
+	last  string // identifier of the last event passed on
+	rest  []byte // an event that is not whole yet
+}
+
+func newRelay(c *call) *relay { return &relay{c: c, last: ""} }
+
+// heldAnswer is a whole plain answer.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// plain takes a plain answer: a success goes to the caller once it is whole, a
+// failure is held in case another backend does better.
+func (r *relay) plain(l *lease, answer *backend.Answer, success bool) outcome {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain))
+	if err != nil {
+		return outcome{ran: unknown, cause: "cut off", blame: lost, err: err}
+	}
+	r.c.g.begun(l, r.c.pool.Engine)
+	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+	if len(body) == maxPlain {
+		return r.large(answer, held)
+	}
+	if answer.Status >= 500 {
+		return outcome{ran: answered, cause: "server error", blame: faulty, held: held, err: faultyAnswer("status " + strconv.Itoa(answer.Status))}
+	}
+	_ = r.give(held)
+	return outcome{done: true}
+}
+
+// large passes on an answer that is too large to be kept.
+func (r *relay) large(answer *backend.Answer, head *heldAnswer) outcome {
+	r.writeHead(head.status, head.header, answer.Length)
+	if _, err := r.c.w.Write(head.body); err != nil {
+		return outcome{ran: unknown, blame: noSign, err: err}
+	}
+	if _, err := io.Copy(r.c.w, answer.Body); err != nil {
+		return outcome{ran: unknown, cause: "cut off", blame: lost, err: err}
+	}
+	return outcome{done: true}
+}
+
+// give writes a whole answer to the caller.
+func (r *relay) give(h *heldAnswer) error {
+	r.writeHead(h.status, h.header, int64(len(h.body)))
+	_, _ = r.c.w.Write(h.body)
+	return nil
+}
+
+func (r *relay) writeHead(status int, from http.Header, length int64) {
+	r.begun = true
+	h := r.c.w.Header()
+	for name, values := range r.c.g.set.Dialect.Return(from) {
+		h[name] = values
+	}
+	for _, own := range []string{"Date", "Content-Type"} { // the library would add them
+		if _, set := h[own]; !set {
+			h[own] = nil
+		}
+	}
+	if length >= 0 && r.c.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	r.c.w.WriteHeader(status)
+}
+
+// stream passes events on as they come, each once it is whole.
+func (r *relay) stream(ctx context.Context, l *lease, answer *backend.Answer) outcome {
+	r.rest = r.rest[:0]
+	buffer := make([]byte, readSize)
+	flusher := http.NewResponseController(r.c.w)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			r.c.g.begun(l, r.c.pool.Engine)
+			if !r.begun {
+				r.c.g.stats.firstPart(r.c.tenant.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
+				r.writeHead(answer.Status, answer.Header, -1)
+			}
+			if werr := r.events(buffer[:n], flusher); werr != nil {
+				return outcome{ran: unknown, cause: "caller gone", blame: noSign, err: werr}
+			}
+		}
+		if err == io.EOF {
+			return r.streamEnd(answer, flusher)
+		}
+		if err != nil || ctx.Err() != nil {
+			return outcome{ran: unknown, cause: "stream broken", blame: lost, err: errorOr(err, ctx.Err())}
+		}
+	}
+}
+
+func errorOr(err, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+// streamEnd ends a stream whose body is whole.
+func (r *relay) streamEnd(answer *backend.Answer, flusher *http.ResponseController) outcome {
+	if len(r.rest) > 0 && !r.c.route.Resumable {
+		if _, err := r.c.w.Write(r.rest); err != nil {
+			return outcome{ran: unknown, blame: noSign, err: err}
+		}
+		r.rest = r.rest[:0]
+	}
+	if len(r.rest) > 0 {
+		return outcome{ran: unknown, cause: "stream cut off", blame: lost, err: errShort}
+	}
+	if !r.begun {
+		r.writeHead(answer.Status, answer.Header, 0)
+	}
+	_ = flusher.Flush()
+	return outcome{done: true}
+}
+
+// eventEnd separates events.
+var eventEnd = []byte("\n\n")
+
+// events passes on the whole events of what has come, with one write.
+func (r *relay) events(piece []byte, flusher *http.ResponseController) error {
+	r.rest = append(r.rest, piece...)
+	end := bytes.LastIndex(r.rest, eventEnd)
+	if end < 0 {
+		if len(r.rest) > maxEvent {
+			return faultyAnswer("an event is too large")
+		}
+		return nil
+	}
+	whole := r.rest[:end+len(eventEnd)]
+	fresh := whole
+	if id, ok := lastID(whole); ok {
+		r.last = id
+	}
+	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := r.c.w.Write(fresh); err != nil {
+		return err
+	}
+	if err := flusher.Flush(); err != nil {
+		return err
+	}
+	r.rest = append(r.rest[:0], r.rest[end+len(eventEnd):]...)
+	return nil
+}
+
+// writeTimeout bounds how long a caller may take no byte of a stream.
+const writeTimeout = 10 * time.Second
+
+// lastID returns the identifier of the last event that has one.
+func lastID(events []byte) (string, bool) {
+	at := bytes.LastIndex(events, []byte("\nid:"))
+	if at < 0 {
+		if !bytes.HasPrefix(events, []byte("id:")) {
+			return "", false
+		}
+		at = -1
+	}
+	line := events[at+1+len("id:"):]
+	if nl := bytes.IndexByte(line, '\n'); nl >= 0 {
+		line = line[:nl]
+	}
+	return string(bytes.TrimSpace(line)), true
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines routes, a document made ready for matching. It is
+// immutable.
+
+type routes struct {
+	document document.Document
+	byHost   map[string][]document.Route // longest prefix first
+	tenants  map[string]document.Tenant  // by key
+	pools    map[string]document.Pool
+}
+
+func newRoutes(d document.Document) *routes {
+	rs := &routes{
+		document: d, byHost: map[string][]document.Route{},
+		tenants: map[string]document.Tenant{}, pools: map[string]document.Pool{},
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		rs.byHost[host] = append(rs.byHost[host], r)
+	}
+	for _, list := range rs.byHost {
+		slices.SortStableFunc(list, func(a, b document.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, t := range d.Tenants {
+		for _, key := range t.Keys {
+			rs.tenants[key] = t
+		}
+	}
+	for _, p := range d.Pools {
+		rs.pools[p.Name] = p
+	}
+	return rs
+}
+
+// match returns the route with the longest prefix that begins the path.
+func (rs *routes) match(host, path string) (document.Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range rs.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return document.Route{}, false
+}
+
+// tenant returns whose key it is. A request on a public route, or without any
+// tenants configured, belongs to nobody.
+func (rs *routes) tenant(r document.Route, key string) (document.Tenant, bool) {
+	if len(rs.document.Tenants) == 0 {
+		return document.Tenant{}, true
+	}
+	t, known := rs.tenants[key]
+	if !known && r.Public {
+		return document.Tenant{}, true
+	}
+	return t, known
+}
+
+// draw returns one of a route's pools by weight.
+func draw(r document.Route) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := 0
+	if total > 1 {
+		at = rand.IntN(total)
+	}
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Pool
+		}
+		at -= t.Weight
+	}
+	return r.Targets[0].Pool
+}
--- /dev/null
+++ b/gateway/table.go
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines table, the backends that the gateway knows, what runs on
+// them, and the choice of one for a request.
+
+// member is one backend as this gateway sees it.
+type member struct {
+	protocol.Backend
+	health   health
+	requests int // own, running there
+	tokens   int // of own prompts whose first event has not come
+	others   protocol.Running
+	reported time.Duration // when others was heard
+	heard    time.Duration // last sign of life on any connection
+	doubtful bool          // the directory did not list it when complete
+}
+
+// othersHalfLife is the age at which others' load counts half.
+const othersHalfLife = time.Second
+
+// load returns what runs there from all gateways, as far as known.
+func (m *member) load(now time.Duration) (requests, tokens int) {
+	requests, tokens = m.requests, m.tokens
+	if now-m.reported < 4*othersHalfLife {
+		requests += int(m.others.Requests)
+		tokens += int(m.others.Tokens)
+	}
+	return requests, tokens
+}
+
+type table struct {
+	zone string
+
+	mu       sync.Mutex
+	members  map[string]*member
+	byHandle map[uint32]*member
+	pools    map[string]*pool
+	term     uint64
+}
+
+// pool is the backends of one name with what waits for them.
+type pool struct {
+	name     string
+	members  []*member // ordered by identifier
+	affinity *place.Affinity
+	waiting  []*waiter
+	failing  float64 // averaged part of failures over all members
+}
+
+func newTable(zone string) *table {
+	return &table{zone: zone, members: map[string]*member{}, byHandle: map[uint32]*member{}, pools: map[string]*pool{}}
+}
+
+// pool returns a pool, new if need be. The caller holds mu.
+func (t *table) pool(name string) *pool {
+	p := t.pools[name]
+	if p == nil {
+		p = &pool{name: name, affinity: place.NewAffinity()}
+		t.pools[name] = p
+	}
+	return p
+}
+
+// listed is what an update of the list changed.
+type listed struct{ joined, left []string }
+
+// update takes a message of the directory.
+func (t *table) update(m protocol.Backends) listed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed listed
+	if m.Term != t.term { // handles are the leader's own
+		t.term = m.Term
+		clear(t.byHandle)
+		for _, known := range t.members {
+			known.Handle = 0
+		}
+	}
+	for _, id := range m.Gone {
+		if t.remove(id) {
+			changed.left = append(changed.left, id)
+		}
+	}
+	for _, b := range m.Set {
+		if t.set(b) {
+			changed.joined = append(changed.joined, b.ID)
+		}
+	}
+	if m.Whole && m.Complete {
+		t.doubtUnlisted(m.Set)
+	}
+	return changed
+}
+
+// set adds or changes a backend and reports whether it is new.
+func (t *table) set(b protocol.Backend) bool {
+	known := t.members[b.ID]
+	if known != nil && known.Pool == b.Pool {
+		known.Backend, known.doubtful = b, false
+		t.byHandle[b.Handle] = known
+		return false
+	}
+	if known != nil {
+		t.remove(b.ID)
+	}
+	for _, other := range t.members {
+		if other.Address == b.Address {
+			t.remove(other.ID)
+			break
+		}
+	}
+	known = &member{Backend: b}
+	t.members[b.ID] = known
+	t.byHandle[b.Handle] = known
+	p := t.pool(b.Pool)
+	p.members = append(p.members, known)
+	slices.SortFunc(p.members, func(a, b *member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return true
+}
+
+func (t *table) remove(id string) bool {
+	known := t.members[id]
+	if known == nil {
+		return false
+	}
+	delete(t.members, id)
+	delete(t.byHandle, known.Handle)
+	p := t.pool(known.Pool)
+	p.members = slices.DeleteFunc(p.members, func(m *member) bool { return m.ID == id })
+	return true
+}
+
+// doubtUnlisted marks backends that a complete list lacks: they are used only
+// as long as they answer.
+func (t *table) doubtUnlisted(list []protocol.Backend) {
+	in := map[string]bool{}
+	for _, b := range list {
+		in[b.ID] = true
+	}
+	for id, m := range t.members {
+		m.doubtful = !in[id]
+	}
+}
+
+// misplaced drops a backend whose address belongs to another one now.
+func (t *table) misplaced(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(id)
+}
+
+// heardFleet takes what runs on all other gateways.
+func (t *table) heardFleet(now time.Duration, running []protocol.Running) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		m.others, m.reported = protocol.Running{}, now
+	}
+	for _, r := range running {
+		if m := t.byHandle[r.Handle]; m != nil {
+			m.others = r
+		}
+	}
+}
+
+// running returns what runs on this gateway, for the report.
+func (t *table) running() []protocol.Running {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []protocol.Running
+	for _, p := range t.pools {
+		for _, m := range p.members {
+			if m.Handle != 0 && m.requests > 0 {
+				out = append(out, protocol.Running{Handle: m.Handle, Requests: uint32(m.requests), Tokens: uint32(max(m.tokens, 0))})
+			}
+		}
+	}
+	return out
+}
+
+// size returns how many backends are known.
+func (t *table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members)
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines watcher, the gateway's session with the directory's
+// leader.
+
+const (
+	usagePeriod   = 250 * time.Millisecond
+	silenceLimit  = time.Second // the leader says something every 250 ms
+	redialPause   = 60 * time.Millisecond
+	dialTimeout   = 700 * time.Millisecond
+	parallelDials = 3 // candidates asked before the pause grows
+)
+
+type watcher struct {
+	g       *Gateway
+	boot    uint64
+	term    uint64
+	leader  string   // where the leader was last, or was said to be
+	members []string // of the directory, as last heard
+	turn    int      // next candidate
+	linked  bool
+}
+
+func newWatcher(g *Gateway) *watcher { return &watcher{g: g, boot: g.set.Random() | 1} }
+
+// run keeps a session with whoever leads, until the gateway stops.
+func (w *watcher) run() {
+	failures := 0
+	for w.g.ctx.Err() == nil {
+		if w.session(w.next()) {
+			failures = 0
+			continue
+		}
+		failures++
+		pause := redialPause * time.Duration(min(1+failures/parallelDials, 5))
+		select {
+		case <-w.g.ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// next returns where to ask: the leader if one is known, else the members and
+// the seeds in turn.
+func (w *watcher) next() string {
+	if leader := w.leader; leader != "" {
+		w.leader = ""
+		return leader
+	}
+	candidates := slices.Clone(w.members)
+	for _, s := range w.g.set.Seeds {
+		if !slices.Contains(candidates, s) {
+			candidates = append(candidates, s)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	if w.turn == 0 {
+		w.turn = int(w.boot % uint64(len(candidates)))
+	}
+	w.turn++
+	return candidates[w.turn%len(candidates)]
+}
+
+// session runs one session and reports whether the replica led.
+func (w *watcher) session(address string) bool {
+	dialing, cancelDial := context.WithTimeout(w.g.ctx, dialTimeout)
+	l, err := link.Dial(dialing, address, w.g.set.Identity, w.g.meter)
+	cancelDial()
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	ctx, cancel := context.WithCancel(w.g.ctx)
+	defer cancel()
+	hello := protocol.Watch{Gateway: w.g.set.Identity.Name, Boot: w.boot, Number: w.g.Number(), Term: w.term}
+	if _, err := l.Send(ctx, hello); err != nil {
+		return false
+	}
+	led := false
+	for {
+		m, err := w.receive(ctx, l)
+		if err != nil {
+			w.lost(address, err)
+			return led
+		}
+		if e, ok := m.(protocol.Elsewhere); ok {
+			w.redirected(address, e)
+			return false
+		}
+		if !led {
+			led = true
+			w.found(address)
+			go w.report(ctx, l)
+		}
+		w.take(m)
+	}
+}
+
+// receive waits for a message, but not for a silent leader.
+func (w *watcher) receive(ctx context.Context, l *link.Link) (protocol.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	return l.Receive(ctx)
+}
+
+func (w *watcher) redirected(address string, e protocol.Elsewhere) {
+	if len(e.Members) > 0 {
+		w.members = e.Members
+	}
+	if e.Leader != address {
+		w.leader = e.Leader
+	}
+}
+
+func (w *watcher) found(address string) {
+	w.linked = true
+	w.g.set.Log.Belief("directory found", slog.String("leader", address))
+}
+
+func (w *watcher) lost(address string, err error) {
+	if !w.linked {
+		return
+	}
+	w.linked = false
+	w.g.set.Log.Belief("directory lost", slog.String("leader", address), slog.String("error", err.Error()),
+		slog.Uint64("document", w.g.Number()), slog.Int("backends", w.g.table.size()))
+}
+
+func (w *watcher) take(m protocol.Message) {
+	switch m := m.(type) {
+	case protocol.Document:
+		var d document.Document
+		if err := cbor.Unmarshal(m.Data, &d); err != nil {
+			w.g.set.Log.Belief("document unreadable", slog.Uint64("number", m.Number), slog.String("error", err.Error()))
+			return
+		}
+		w.g.apply(d)
+	case protocol.Backends:
+		w.term = max(w.term, m.Term)
+		if changed := w.g.table.update(m); len(changed.joined)+len(changed.left) > 0 {
+			w.g.set.Log.Belief("backends changed", slog.Any("joined", changed.joined), slog.Any("left", changed.left),
+				slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
+		}
+		w.g.grantAll()
+	case protocol.Fleet:
+		w.g.peers.Store(int64(max(m.Gateways, 1)))
+		w.members = m.Members
+		w.g.tenants.hear(m.Entitlements)
+		w.g.table.heardFleet(w.g.now(), m.Running)
+		w.g.grantAll()
+	}
+}
+
+// report tells the leader how this gateway stands, until ctx ends.
+func (w *watcher) report(ctx context.Context, l *link.Link) {
+	t := time.NewTicker(usagePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		u := protocol.Usage{Running: w.g.table.running(), Demands: w.g.tenants.demands(), Number: w.g.Number()}
+		if _, err := l.Send(ctx, u); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package node assembles a process of the routed-HTTP fleet: a gateway or a
+// directory replica with its listeners, logs and metrics, its reload and its
+// stop.
+//
+// What a deployment calls things is given from outside: a gateway gets a
+// [gateway.Dialect], a directory replica a handler that speaks to operators
+// and backends ([Door]). So one process serves any deployment, and this
+// package knows none.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
+)
+
+// This file defines Settings, and the two kinds of node.
+
+// Settings of a node. Addresses are IP:PORT; an empty one is not listened on.
+type Settings struct {
+	Name     string
+	Zone     string
+	FleetKey []byte
+	Fleet    string   // fleet address of this node; directory replicas go by it
+	Seeds    []string // fleet addresses of directory replicas
+	Metrics  string
+
+	// Of a gateway.
+	Callers string
+	Ready   string
+	Retries retry.Limits
+
+	// Of a directory replica.
+	Door     string // for operators and backends
+	DataDir  string
+	First    bool          // the first start of the whole system
+	Voters   int           // wanted in the directory's group
+	Interval time.Duration // between a backend's announcements
+
+	Grace       time.Duration // a stopping process has
+	Memory      int64         // bytes that the process may use
+	Descriptors int           // it may have open
+	LogLevel    slog.Level
+}
+
+// Parts of the machine's limits.
+const (
+	heapPart          = 0.6 // of the memory, for the runtime
+	bodiesPart        = 0.12
+	reservedFiles     = 700 // descriptors that are not callers' connections
+	fewestConnections = 256
+)
+
+// Times that every listener has. Callers reuse idle connections for as long
+// as the document allows; the listener allows somewhat more.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 75 * time.Second
+	maxHeaderBytes    = 64 << 10
+	backendIdle       = 4 * time.Second
+	backendDial       = 350 * time.Millisecond
+)
+
+// Node is a running process.
+type Node struct {
+	set     Settings
+	log     *decision.Log
+	metrics *metrics.Set
+	servers []*http.Server
+}
+
+func start(set Settings, log *decision.Log, figures *metrics.Set) (*Node, error) {
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(set.Memory)))
+	}
+	n := &Node{set: set, log: log, metrics: figures}
+	if set.Metrics == "" {
+		return n, nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		figures.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return n, n.listen(set.Metrics, mux, socket.Listen)
+}
+
+// listen serves one address.
+func (n *Node) listen(address string, h http.Handler, open func(string) (net.Listener, error)) error {
+	l, err := open(address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	n.servers = append(n.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+func (n *Node) close() {
+	for _, s := range n.servers {
+		s.Close()
+	}
+}
+
+func (n *Node) identity() link.Identity {
+	return link.Identity{Name: n.set.Fleet, Key: n.set.FleetKey, Dial: socket.Dial}
+}
+
+// Gateway runs a gateway until ctx ends, and then stops it without cutting
+// off a request as far as the grace allows.
+func Gateway(ctx context.Context, set Settings, dialect gateway.Dialect, refused func(int, http.Header) bool,
+	log *decision.Log, figures *metrics.Set) error {
+	n, err := start(set, log, figures)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	opened := figures.GetOrCreateCounter("badgerspoke_gateway_backend_connections_total")
+	client := backend.New(backend.Settings{
+		Dialer: &net.Dialer{Timeout: backendDial}, IdlePerServer: 64, IdleTime: backendIdle,
+		Refused: refused, Opened: opened.Inc,
+	})
+	defer client.Close()
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	g := gateway.Start(running, gateway.Settings{
+		Identity: n.identity(), Zone: set.Zone, Seeds: set.Seeds, Dialect: dialect, Backend: client,
+		Retries: set.Retries, Grace: set.Grace, Bodies: int64(bodiesPart * float64(set.Memory)),
+		Random: rand.Uint64, Log: log, Metrics: figures,
+	})
+	if err := n.listen(set.Ready, readiness(g), socket.Listen); err != nil {
+		return err
+	}
+	if err := n.listen(set.Callers, g, n.callersListener); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	g.Stop(running)
+	return nil
+}
+
+func (n *Node) callersListener(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return socket.Limit(l, max(n.set.Descriptors-reservedFiles, fewestConnections)), nil
+}
+
+// readiness answers whether new callers should come here.
+func readiness(g *gateway.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// Door speaks to operators and backends in a deployment's own way.
+type Door func(d *directory.Directory, log *decision.Log) http.Handler
+
+// Directory runs a directory replica until ctx ends, or its disk fails.
+func Directory(ctx context.Context, set Settings, door Door, log *decision.Log, figures *metrics.Set) error {
+	n, err := start(set, log, figures)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	dir, err := wal.MakeDir(filepath.Join(set.DataDir, "directory"))
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	d, err := directory.Start(running, directory.Settings{
+		Identity: n.identity(), Seeds: set.Seeds, First: set.First, Voters: set.Voters, Dir: dir,
+		Interval: set.Interval, Random: rand.Uint64, Log: log, Metrics: figures,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start the directory")
+	}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, d)
+	if err := n.listen(set.Fleet, mux, socket.Listen); err != nil {
+		return err
+	}
+	if err := n.listen(set.Door, door(d, log), socket.Listen); err != nil {
+		return err
+	}
+	select {
+	case <-d.Done():
+		return d.Err()
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(running, set.Grace/2)
+	defer cancel()
+	d.Stop(stopping)
+	return nil
+}
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -33,12 +33,20 @@
 	KindSettle    Kind = 10
 	KindClaimed   Kind = 11
 	KindConsensus Kind = 12
+	KindWatch     Kind = 13
+	KindElsewhere Kind = 14
+	KindDocument  Kind = 15
+	KindBackends  Kind = 16
+	KindUsage     Kind = 17
+	KindFleet     Kind = 18
 )
 
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindWelcome: "welcome", KindRedirect: "redirect", KindRenew: "renew",
 	KindRenewed: "renewed", KindReport: "report", KindView: "view", KindConfigure: "configure",
 	KindClaim: "claim", KindSettle: "settle", KindClaimed: "claimed", KindConsensus: "consensus",
+	KindWatch: "watch", KindElsewhere: "elsewhere", KindDocument: "document", KindBackends: "backends",
+	KindUsage: "usage", KindFleet: "fleet",
 }
 
 // String returns the kind's name, as metrics label it.
@@ -71,6 +79,12 @@
 func (Settle) kind() Kind    { return KindSettle }
 func (Claimed) kind() Kind   { return KindClaimed }
 func (Consensus) kind() Kind { return KindConsensus }
+func (Watch) kind() Kind     { return KindWatch }
+func (Elsewhere) kind() Kind { return KindElsewhere }
+func (Document) kind() Kind  { return KindDocument }
+func (Backends) kind() Kind  { return KindBackends }
+func (Usage) kind() Kind     { return KindUsage }
+func (Fleet) kind() Kind     { return KindFleet }
 
 // KindOf returns the kind under which m travels.
 func KindOf(m Message) Kind { return m.kind() }
@@ -169,6 +183,18 @@
 		return decodeAs[Claimed](e)
 	case KindConsensus:
 		return decodeAs[Consensus](e)
+	case KindWatch:
+		return decodeAs[Watch](e)
+	case KindElsewhere:
+		return decodeAs[Elsewhere](e)
+	case KindDocument:
+		return decodeAs[Document](e)
+	case KindBackends:
+		return decodeAs[Backends](e)
+	case KindUsage:
+		return decodeAs[Usage](e)
+	case KindFleet:
+		return decodeAs[Fleet](e)
 	}
 	return nil, nil
 }
--- /dev/null
+++ b/protocol/watch.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+// This file defines what a gateway and the leading directory replica tell each
+// other over the gateway's one session.
+//
+// A session starts with Watch. The leader answers with the document if the
+// gateway's is older, the whole list of backends, and from then on with what
+// changes; any other replica answers with Elsewhere and closes. Numbers that
+// go out several times a second are arrays.
+
+// Watch opens a session.
+type Watch struct {
+	Gateway string `cbor:"1,keyasint"`
+	Boot    uint64 `cbor:"2,keyasint"`           // drawn at each start of the process
+	Number  uint64 `cbor:"3,keyasint,omitempty"` // of the document held
+	Term    uint64 `cbor:"4,keyasint,omitempty"` // highest seen; an older leader must refuse
+}
+
+// Elsewhere refuses a session at a replica that does not lead.
+type Elsewhere struct {
+	Leader  string   `cbor:"1,keyasint,omitempty"` // fleet address; empty when unknown
+	Members []string `cbor:"2,keyasint,omitempty"` // fleet addresses of the group
+}
+
+// Document brings a gateway to a newer document: the CBOR of
+// document.Document.
+type Document struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Data   []byte `cbor:"2,keyasint"`
+}
+
+// Backend is one announced backend.
+type Backend struct {
+	ID      string `cbor:"1,keyasint"`
+	Pool    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"` // IP:PORT
+	Zone    string `cbor:"4,keyasint,omitempty"`
+	Slots   int    `cbor:"5,keyasint,omitempty"`
+	// Handle stands for the backend in Usage and Fleet, within one term.
+	Handle uint32 `cbor:"6,keyasint"`
+}
+
+// Backends brings a gateway's list up to date.
+type Backends struct {
+	Term uint64 `cbor:"1,keyasint"`
+	// Whole says that Set is the whole list that the leader knows.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Complete says that the leader has led for longer than backends take to
+	// announce themselves: who is not in the list is gone.
+	Complete bool      `cbor:"3,keyasint,omitempty"`
+	Set      []Backend `cbor:"4,keyasint,omitempty"`
+	Gone     []string  `cbor:"5,keyasint,omitempty"` // leaving, withdrawn or replaced
+}
+
+// Running is what runs on one backend.
+type Running struct {
+	_        struct{} `cbor:",toarray"`
+	Handle   uint32
+	Requests uint32
+	Tokens   uint32 // of prompts not yet read there, by what the gateways know
+}
+
+// Demand is what one tenant asked for since the previous report, in tokens.
+type Demand struct {
+	_      struct{} `cbor:",toarray"`
+	Tenant string
+	Tokens uint64
+}
+
+// Usage is a gateway's report, several times a second.
+type Usage struct {
+	Running []Running `cbor:"1,keyasint,omitempty"`
+	Demands []Demand  `cbor:"2,keyasint,omitempty"`
+	Number  uint64    `cbor:"3,keyasint,omitempty"` // of the document in force there
+}
+
+// Entitlement is the part of a tenant's demand that its fair share covers.
+// Tenants that are not listed are covered whole.
+type Entitlement struct {
+	_      struct{} `cbor:",toarray"`
+	Tenant string
+	Part   float32
+}
+
+// Fleet is how all gateways together stand, several times a second.
+type Fleet struct {
+	Gateways     int           `cbor:"1,keyasint,omitempty"`
+	Running      []Running     `cbor:"2,keyasint,omitempty"` // on all gateways but the receiving one
+	Entitlements []Entitlement `cbor:"3,keyasint,omitempty"`
+	Members      []string      `cbor:"4,keyasint,omitempty"` // fleet addresses of the directory
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -40,6 +40,9 @@
 	l.waiting = map[uint64]waiter{}
 	if c.Snapshot.Group == 0 {
 		l.formation = consensus.NewFormation(r.set.Group, l.self, r.set.Names, r.set.Random(), r.set.Heartbeat)
+		if o := r.set.Open; o != nil && (!o.First || !slices.Contains(r.set.Names, r.set.Name)) {
+			l.formation.JoinOnly()
+		}
 		return nil
 	}
 	if len(c.Snapshot.Data) > 0 {
@@ -55,11 +58,15 @@
 func (l *loop) begin(now time.Duration, d consensus.Durable) {
 	set := l.r.set
 	l.formation = nil
-	l.node = consensus.New(consensus.Config{
+	cfg := consensus.Config{
 		Name: set.Group, Self: l.self, Election: set.Election, Heartbeat: set.Heartbeat,
 		Rand:  func(n int64) int64 { return int64(set.Random() % uint64(n)) },
-		Admit: func(name string) bool { return slices.Contains(set.Names, name) },
-	}, now, d)
+		Admit: func(name string) bool { return set.Open != nil || slices.Contains(set.Names, name) },
+	}
+	if set.Open != nil {
+		cfg.Voters = set.Open.Voters
+	}
+	l.node = consensus.New(cfg, now, d)
 }
 
 func (r *Replica) run(ctx context.Context) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -45,9 +45,12 @@
 
 // Settings of a replica.
 type Settings struct {
-	Group     string   // name of the group
-	Name      string   // of this replica
-	Names     []string // of all replicas
+	Group string   // name of the group
+	Name  string   // of this replica
+	Names []string // of all replicas
+	// Open, if set, makes an open group: Names are then seeds, and whoever
+	// asks may join.
+	Open      *OpenGroup
 	Dir       wal.Dir
 	Machine   Machine
 	Send      Sender
@@ -63,6 +66,16 @@
 	Observe func(now time.Duration, s consensus.Status, leads bool)
 }
 
+// OpenGroup is what an open group needs to know besides its seeds.
+type OpenGroup struct {
+	// First says that this is the first start of the whole group: the seeds
+	// may found it.
+	First bool
+	// Voters is how many voters the group has; more replicas than that are
+	// learners, ready to take a silent voter's place.
+	Voters int
+}
+
 // Defaults of the times and sizes of a replica.
 const (
 	DefaultElection  = 600 * time.Millisecond
--- /dev/null
+++ b/state/document/document.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package document
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// This file defines Document and its parts, and the checks of a document.
+
+// Kind says what may be done with a request of a route.
+type Kind uint8
+
+// The kinds of request.
+const (
+	// Once may run at most once.
+	Once Kind = iota
+	// Repeatable may run more than once.
+	Repeatable
+	// Stream answers with events. It may run again only on a route that is
+	// Resumable.
+	Stream
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{"once", "repeatable", "stream"}[min(k, Stream)]
+}
+
+// Document is one whole configuration. Documents are never changed once made.
+type Document struct {
+	Number  uint64   `cbor:"1,keyasint"`
+	Routes  []Route  `cbor:"2,keyasint,omitempty"`
+	Pools   []Pool   `cbor:"3,keyasint,omitempty"`
+	Tenants []Tenant `cbor:"4,keyasint,omitempty"`
+	Limits  Limits   `cbor:"5,keyasint"`
+}
+
+// Route leads requests of one host and path prefix to pools.
+type Route struct {
+	Name   string        `cbor:"1,keyasint"`
+	Host   string        `cbor:"2,keyasint"`
+	Prefix string        `cbor:"3,keyasint"` // of the path
+	Kind   Kind          `cbor:"4,keyasint,omitempty"`
+	Hold   time.Duration `cbor:"5,keyasint"` // longest time that a request may be held
+	// Objective is the time to the answer, or to a stream's first event, that
+	// callers hope for.
+	Objective time.Duration `cbor:"6,keyasint,omitempty"`
+	Priority  int           `cbor:"7,keyasint,omitempty"` // 0 is highest
+	Targets   []Target      `cbor:"8,keyasint"`
+	Attempts  int           `cbor:"9,keyasint,omitempty"` // most backends that one request may run on
+	Public    bool          `cbor:"10,keyasint,omitempty"`
+	Sticky    bool          `cbor:"11,keyasint,omitempty"` // prompts share parts
+	Resumable bool          `cbor:"12,keyasint,omitempty"`
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r Route) MayRepeat() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Target is a pool that gets a part of a route's requests.
+type Target struct {
+	Pool   string `cbor:"1,keyasint"`
+	Weight int    `cbor:"2,keyasint"`
+}
+
+// Pool is a set of backends that announce themselves under one name.
+type Pool struct {
+	Name        string `cbor:"1,keyasint"`
+	Connections int    `cbor:"2,keyasint,omitempty"` // that one backend accepts from all callers together
+	Engine      bool   `cbor:"3,keyasint,omitempty"` // a model engine: work is counted in tokens
+	Memory      int    `cbor:"4,keyasint,omitempty"` // tokens that one engine holds
+}
+
+// Tenant shares the pools with others. Its keys name it.
+type Tenant struct {
+	Name     string   `cbor:"1,keyasint"`
+	Keys     []string `cbor:"2,keyasint,omitempty"`
+	Priority int      `cbor:"3,keyasint,omitempty"`
+}
+
+// Limits bound what callers may send and how long they may take.
+type Limits struct {
+	HeaderBytes     int           `cbor:"1,keyasint,omitempty"`
+	BodyBytes       int64         `cbor:"2,keyasint,omitempty"`
+	HeaderTime      time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTime        time.Duration `cbor:"4,keyasint,omitempty"`
+	TokensPerSecond float64       `cbor:"5,keyasint,omitempty"` // that the engines make together; 0 is unknown
+}
+
+// Mistake is one thing wrong with a document.
+type Mistake struct {
+	Where string // such as `route "a"`
+	What  string
+}
+
+// Invalid refuses a document and lists every mistake. Nothing was changed.
+type Invalid struct{ Mistakes []Mistake }
+
+// Error lists the mistakes.
+func (e Invalid) Error() string {
+	parts := make([]string, 0, len(e.Mistakes))
+	for _, m := range e.Mistakes {
+		parts = append(parts, m.Where+": "+m.What)
+	}
+	return "invalid document: " + strings.Join(parts, "; ")
+}
+
+type mistakes []Mistake
+
+func (m *mistakes) add(where, format string, args ...any) {
+	*m = append(*m, Mistake{Where: where, What: fmt.Sprintf(format, args...)})
+}
+
+// Check returns [Invalid] with every mistake of the document, or nil.
+func (d Document) Check() error {
+	var found mistakes
+	pools := d.checkPools(&found)
+	d.checkRoutes(&found, pools)
+	d.checkTenants(&found)
+	if len(found) > 0 {
+		return Invalid{Mistakes: found}
+	}
+	return nil
+}
+
+func (d Document) checkPools(found *mistakes) map[string]bool {
+	pools := map[string]bool{}
+	for _, p := range d.Pools {
+		where := fmt.Sprintf("pool %q", p.Name)
+		if p.Name == "" {
+			found.add(where, "has no name")
+		}
+		if pools[p.Name] {
+			found.add(where, "is there twice")
+		}
+		pools[p.Name] = true
+	}
+	return pools
+}
+
+func (d Document) checkRoutes(found *mistakes, pools map[string]bool) {
+	places := map[[2]string]string{}
+	for _, r := range d.Routes {
+		where := fmt.Sprintf("route %q", r.Name)
+		if r.Hold <= 0 {
+			found.add(where, "has no time-out")
+		}
+		if !strings.HasPrefix(r.Prefix, "/") {
+			found.add(where, "prefix %q does not begin with a slash", r.Prefix)
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			found.add(where, "shares host and prefix with route %q", other)
+		}
+		places[place] = r.Name
+		r.checkTargets(found, where, pools)
+	}
+}
+
+func (r Route) checkTargets(found *mistakes, where string, pools map[string]bool) {
+	sum := 0
+	for _, t := range r.Targets {
+		if !pools[t.Pool] {
+			found.add(where, "names the unknown pool %q", t.Pool)
+		}
+		if t.Weight < 0 {
+			found.add(where, "has the negative weight %d", t.Weight)
+		}
+		sum += t.Weight
+	}
+	if sum <= 0 {
+		found.add(where, "weights add up to %d", sum)
+	}
+}
+
+func (d Document) checkTenants(found *mistakes) {
+	owners := map[string]string{}
+	for _, t := range d.Tenants {
+		for _, key := range t.Keys {
+			if other, taken := owners[key]; taken && other != t.Name {
+				found.add(fmt.Sprintf("tenant %q", t.Name), "shares a key with tenant %q", other)
+			}
+			owners[key] = t.Name
+		}
+	}
+}
--- /dev/null
+++ b/state/document/store.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package document
+
+import "github.com/fxamacker/cbor/v2"
+
+// This file defines Store, the state machine of documents and departures.
+
+// MaxDepartures is the number of departed backends that are remembered. A
+// heartbeat that is later than so many departures is believed.
+const MaxDepartures = 8192
+
+// Held is a document with the bytes that its author sent.
+type Held struct {
+	Document Document `cbor:"1,keyasint"`
+	Source   []byte   `cbor:"2,keyasint"`
+}
+
+// Store holds the highest document and the newest departures. It is not safe
+// for concurrent use. The zero value is empty.
+type Store struct {
+	held    *Held
+	order   []string // departed backends, oldest first
+	departs map[string]bool
+}
+
+// Held returns the document in force, or false before the first one.
+func (s *Store) Held() (Held, bool) {
+	if s.held == nil {
+		return Held{}, false
+	}
+	return *s.held, true
+}
+
+// Put takes a document and reports whether it is in force now. One whose
+// number is not above the held one changes nothing.
+func (s *Store) Put(h Held) bool {
+	if s.held != nil && h.Document.Number <= s.held.Document.Number {
+		return false
+	}
+	s.held = &h
+	return true
+}
+
+// Depart records that a backend is leaving or gone, and reports whether that
+// is new. It never comes back: a backend that starts again is another one.
+func (s *Store) Depart(id string) bool {
+	if s.departs[id] {
+		return false
+	}
+	if s.departs == nil {
+		s.departs = map[string]bool{}
+	}
+	if len(s.order) >= MaxDepartures {
+		delete(s.departs, s.order[0])
+		s.order = s.order[1:]
+	}
+	s.departs[id] = true
+	s.order = append(s.order, id)
+	return true
+}
+
+// Departed reports whether a backend is leaving or gone.
+func (s *Store) Departed(id string) bool { return s.departs[id] }
+
+// Departures returns the remembered departures, oldest first.
+func (s *Store) Departures() []string { return append([]string(nil), s.order...) }
+
+// image is the serialized form.
+type image struct {
+	Held    *Held    `cbor:"1,keyasint,omitempty"`
+	Departs []string `cbor:"2,keyasint,omitempty"`
+}
+
+// MarshalBinary implements [encoding.BinaryMarshaler].
+func (s *Store) MarshalBinary() ([]byte, error) {
+	return cbor.Marshal(image{Held: s.held, Departs: s.order})
+}
+
+// UnmarshalBinary implements [encoding.BinaryUnmarshaler].
+func (s *Store) UnmarshalBinary(b []byte) error {
+	var im image
+	if err := cbor.Unmarshal(b, &im); err != nil {
+		return err
+	}
+	*s = Store{held: im.Held}
+	for _, id := range im.Departs {
+		s.Depart(id)
+	}
+	return nil
+}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -7,15 +7,15 @@
 // The model: [Client.Send] returns when the server's header has arrived, with
 // the body still to be read, or fails with [NotRun] or [Unknown]. NotRun is
 // said only when the call never left this process (no connection could be
-// opened) or when the server itself said that it refused before it started
-// (header [RefusedHeader] on a 429 or 503 answer). Everything else is
+// opened, or not one byte was written to it) or when the server itself said
+// that it refused before it started ([Settings.Refused]). Everything else is
 // Unknown, however likely it is that nothing ran.
 //
 // The standard library's transport repeats a request by itself when a kept
 // connection turns out closed and the request looks repeatable, which a GET
-// does, and so does anything with an Idempotency-Key. A call that may not be
-// repeated must not be repeated by a library either: such a call goes out
-// with a body that cannot be rewound, or on a connection of its own.
+// does, and so does anything with an Idempotency-Key. A second arrival must be
+// decided by whoever counts arrivals, not by a library: every call goes out
+// with a body, empty or not, that cannot be rewound.
 package backend
 
 import (
@@ -25,9 +25,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,10 +42,11 @@
 // Call is one call to a backend server.
 type Call struct {
 	Method string
-	Path   string // with the query
+	Path   string // with the query, sent as it is
+	Host   string // empty is the server's address
 	Header http.Header
 	Body   []byte
-	Never  bool // may not be repeated
+	Never  bool // whoever sends the call must not send it again if it may have run
 }
 
 // ResumeHeader is set by a server that can send the rest of an answer whose
@@ -79,7 +80,9 @@
 // NotRun says that the call truly did not run.
 type NotRun struct {
 	Server  string // address
-	Refused bool   // said by the server; else no connection could be opened
+	Refused bool   // said by the server; else no byte reached it
+	Header  http.Header
+	Status  int // of a refusal
 	Err     error
 }
 
@@ -118,12 +121,18 @@
 	Dialer        Dialer
 	HeaderTimeout time.Duration // until the answer's header; 0 is none
 	IdlePerServer int
+	IdleTime      time.Duration // that a connection is kept; 0 is 30 seconds
+	// Refused reports whether an answer says that the server did not start
+	// the call. Nil asks for RefusedHeader on a 429 or 503.
+	Refused func(status int, h http.Header) bool
+	// Opened, if set, is called for every new connection.
+	Opened func()
 }
 
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
-	kept  *http.Transport // connections are reused
-	fresh *http.Transport // every call has its own
+	transport *http.Transport
+	refused   func(status int, h http.Header) bool
 }
 
 // New returns a client.
@@ -131,74 +140,100 @@
 	if set.Dialer == nil {
 		set.Dialer = &net.Dialer{Timeout: 2 * time.Second}
 	}
-	kept := &http.Transport{
-		DialContext:            set.Dialer.DialContext,
+	if set.IdleTime == 0 {
+		set.IdleTime = 30 * time.Second
+	}
+	if set.Refused == nil {
+		set.Refused = refused
+	}
+	return &Client{refused: set.Refused, transport: &http.Transport{
+		DialContext:            countingDial(set),
 		ResponseHeaderTimeout:  set.HeaderTimeout,
 		MaxIdleConnsPerHost:    max(set.IdlePerServer, 16),
-		IdleConnTimeout:        30 * time.Second,
+		IdleConnTimeout:        set.IdleTime,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
-	}
-	fresh := kept.Clone()
-	fresh.DisableKeepAlives = true
-	return &Client{kept: kept, fresh: fresh}
+	}}
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.kept.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Send sends a call to the server at address and returns the head of its
 // answer. Cancelling ctx ends the call, its body included. The error is
 // [NotRun] or [Unknown].
 func (c *Client) Send(ctx context.Context, address string, call Call) (*Answer, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	var sent sending
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.begin})
 	req, err := newRequest(ctx, address, call)
 	if err != nil {
 		return nil, NotRun{Server: address, Err: err}
 	}
-	resp, err := c.transport(call).RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		if connected.Load() {
+		if sent.any() {
 			return nil, Unknown{Server: address, Err: err}
 		}
 		return nil, NotRun{Server: address, Err: err}
 	}
-	if refused(resp) {
+	if c.refused(resp.StatusCode, resp.Header) {
+		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusal)
 		resp.Body.Close()
-		return nil, NotRun{Server: address, Refused: true, Err: errors.Errorf("status %d", resp.StatusCode)}
+		return nil, NotRun{
+			Server: address, Refused: true, Status: resp.StatusCode, Header: resp.Header,
+			Err: errors.Errorf("status %d", resp.StatusCode),
+		}
 	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body}, nil
 }
 
+// maxRefusal is how much of a refusal's body is read so that its connection
+// can be kept.
+const maxRefusal = 4 << 10
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
-	var body io.Reader
-	if len(call.Body) > 0 {
-		body = bytes.NewReader(call.Body)
-	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, body)
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+"/", bodyOf(call))
 	if err != nil {
 		return nil, err
 	}
+	req.GetBody = nil // cannot be rewound, so cannot be sent twice
+	if req.URL, err = target(address, call.Path); err != nil {
+		return nil, err
+	}
+	if call.Host != "" {
+		req.Host = call.Host
+	}
 	for name, values := range call.Header {
 		req.Header[name] = values
 	}
-	if call.Never {
-		req.GetBody = nil // cannot be rewound, so cannot be repeated
-	}
 	return req, nil
 }
 
-func (c *Client) transport(call Call) *http.Transport {
-	if call.Never && len(call.Body) == 0 {
-		return c.fresh
+// target returns the URL of a call whose path goes out unchanged.
+func target(address, path string) (*url.URL, error) {
+	if strings.HasPrefix(path, "//") {
+		return url.Parse("http://" + address + path) // cannot be said as opaque
 	}
-	return c.kept
+	return &url.URL{Scheme: "http", Host: address, Opaque: path}, nil
 }
 
-func refused(resp *http.Response) bool {
-	early := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
-	return early && resp.Header.Get(RefusedHeader) == "true"
+// bodyOf returns a body that the transport cannot rewind. It takes a request
+// without one for repeatable by its method or by some headers; an empty body
+// hides that it is empty.
+func bodyOf(call Call) io.Reader {
+	switch {
+	case len(call.Body) > 0:
+		return bytes.NewReader(call.Body)
+	case call.Method == http.MethodPost && len(call.Header["Idempotency-Key"]) == 0 && len(call.Header["X-Idempotency-Key"]) == 0:
+		return http.NoBody
+	}
+	return unrewindable{strings.NewReader("")}
+}
+
+// unrewindable hides everything but Read.
+type unrewindable struct{ io.Reader }
+
+func refused(status int, h http.Header) bool {
+	early := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	return early && h.Get(RefusedHeader) == "true"
 }
--- a/listener.go
+++ b/transport/socket/limit.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package badgerspoke
+package socket
 
 import (
 	"net"
@@ -9,9 +9,9 @@
 
 // This file defines a listener that bounds the connections open at once.
 
-// limitListener accepts at most n connections at a time; more wait in the
+// Limit returns a listener that accepts at most n connections at a time; more wait in the
 // kernel's backlog. Lock: none; the channel is the counter.
-func limitListener(l net.Listener, n int) net.Listener {
+func Limit(l net.Listener, n int) net.Listener {
 	return &limited{Listener: l, places: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
--- /dev/null
+++ b/transport/socket/socket.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package socket opens connections that notice a silent peer.
+//
+// A machine that lost power or was cut off closes nothing. Connections opened
+// or accepted here fail once what they sent has been unacknowledged for
+// [Silence], and, idle, once probes are not answered.
+package socket
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// Silence is how long sent bytes may stay unacknowledged.
+const Silence = 2 * time.Second
+
+// DialTimeout bounds the opening of a connection.
+const DialTimeout = time.Second
+
+// Times of the probes on an idle connection.
+const (
+	probeAfter = 2 * time.Second
+	probeEvery = time.Second
+	probes     = 3
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h; package syscall lacks it.
+const tcpUserTimeout = 0x12
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes}
+
+// Dial opens a connection. It has the shape of net.Dialer.DialContext.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return d.DialContext(ctx, network, address)
+}
+
+// Listen opens a listener whose connections notice a silent peer.
+func Listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return lc.Listen(context.Background(), "tcp", address)
+}
+
+// setUserTimeout bounds unacknowledged bytes; accepted connections inherit it
+// from their listener.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(Silence.Milliseconds()))
+	})
+}
