--- a/coordination/place/affinity.go
+++ b/coordination/place/affinity.go
@@ -69,6 +69,7 @@
 
 // Prices of the parts of a choice, in tokens.
 const (
+	rereadPrice  = 4    // each shared token that would be read again
 	requestPrice = 60   // each request that shares the engine's steps
 	fullPrice    = 4000 // each request beyond the engine's slots
 	farPrice     = 40   // another zone
@@ -109,7 +110,7 @@
 func (a *Affinity) price(p Prompt, key uint64, e Engine, first bool) float64 {
 	read := float64(p.Own)
 	if !first && !a.recent[choice{key, e.ID}] {
-		read += float64(p.SharedTokens())
+		read += rereadPrice * float64(p.SharedTokens())
 	}
 	price := read + float64(e.Tokens) + requestPrice*float64(e.Requests)
 	if over := e.Requests + 1 - e.Slots; e.Slots > 0 && over > 0 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -140,23 +140,22 @@
 	return outcome{ran: declined, cause: "refused", blame: shed, err: err}
 }
 
-// next decides what follows a failed attempt: nil to try again, or the error
-// that ends the request.
-func (c *call) next(ctx context.Context, l *lease, out outcome) error {
+// next decides what follows a failed attempt: to try again, or to end the
+// request, with an error unless a held answer was given.
+func (c *call) next(ctx context.Context, l *lease, out outcome) (again bool, err error) {
 	c.g.stats.count("attempts_failed", "cause", out.cause)
 	if c.r.Context().Err() != nil {
-		return callerLeft{}
+		return false, callerLeft{}
 	}
 	c.avoid[l.backend] = true
-	final := c.final(ctx, out)
-	again := ctx.Err() == nil && c.mayTryAgain(out) && (out.ran == notSent || c.g.mayRepeat(c.pool.Name))
+	again = ctx.Err() == nil && c.mayTryAgain(out) && (out.ran == notSent || c.g.mayRepeat(c.pool.Name))
 	c.g.set.Log.Failure("attempt failed", slog.String("request", c.ask.ID), slog.String("backend", l.backend),
 		slog.String("cause", out.cause), slog.String("error", text(out.err)), slog.Int("attempt", c.sends),
 		slog.Duration("took", c.g.now()-l.began), slog.Bool("again", again), slog.String("after", c.relay.last))
 	if again {
-		return nil
+		return true, nil
 	}
-	return final
+	return false, c.final(ctx, out)
 }
 
 // maxSends bounds arrivals beyond those that may have run.
@@ -182,7 +181,8 @@
 	case c.relay.begun:
 		return broken{err: out.err}
 	case out.held != nil:
-		return c.relay.give(out.held)
+		c.relay.give(out.held)
+		return nil
 	case ctx.Err() != nil && c.attempts > 0:
 		return Refusal{Cause: TimedOut}
 	case c.attempts > 0:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -150,7 +150,7 @@
 		if out.done {
 			return nil
 		}
-		if err := c.next(ctx, l, out); err != nil {
+		if again, err := c.next(ctx, l, out); !again {
 			return err
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,7 +56,7 @@
 	if answer.Status >= 500 {
 		return outcome{ran: answered, cause: "server error", blame: faulty, held: held, err: faultyAnswer("status " + strconv.Itoa(answer.Status))}
 	}
-	_ = r.give(held)
+	r.give(held)
 	return outcome{done: true}
 }
 
@@ -73,10 +73,9 @@
 }
 
 // give writes a whole answer to the caller.
-func (r *relay) give(h *heldAnswer) error {
+func (r *relay) give(h *heldAnswer) {
 	r.writeHead(h.status, h.header, int64(len(h.body)))
 	_, _ = r.c.w.Write(h.body)
-	return nil
 }
 
 func (r *relay) writeHead(status int, from http.Header, length int64) {
