Gateway: admit by the time before an engine begins to read; affinity before room

Cause: engines were filled to 1.25 of their slots, so first events came after their objective while spilled prompts read shared parts again. Left: LOST around stops. A stopping gateway now refuses from 2.7 s of 8 on instead of 3.2.

--- a/coordination/place/affinity.go
+++ b/coordination/place/affinity.go
@@ -8,15 +8,15 @@
 	"github.com/zeebo/xxh3"
 )
 
-// This file defines Affinity, the choice of an engine for a prompt whose
-// parts are named by its caller.
+// This file defines the choice of an engine for a prompt whose parts are named
+// by its caller.
 //
 // The parts that others share give a rendezvous order of the engines, equal on
 // all routers without a message. The first in that order is taken to keep the
 // shared parts; any other would read them again. So the price of an engine is
 // the work in front of the request there, in tokens, plus the shared tokens if
-// it is not the first. A few of the order's first may keep them as well once
-// they were chosen ([Affinity.Chosen]).
+// it is not the first, several times: what is read again delays everybody
+// else on the engine as well, and drives out what others will ask for.
 
 // Part is one named part of a prompt.
 type Part struct {
@@ -62,92 +62,76 @@
 	ID       string
 	Slots    int
 	Requests int     // running or waiting there, from all routers
-	Tokens   int     // of prompts in front there, from all routers
+	Tokens   int     // still to be read there, from all routers
 	Slowness float64 // how many times slower than others; 1 is as fast
 	Near     bool    // in the router's zone
 }
 
 // Prices of the parts of a choice, in tokens.
 const (
-	rereadPrice  = 4    // each shared token that would be read again
+	secondPrice  = 3    // each shared token on the second engine of the order
+	otherPrice   = 5    // each shared token on any later one
 	requestPrice = 60   // each request that shares the engine's steps
 	fullPrice    = 4000 // each request beyond the engine's slots
 	farPrice     = 40   // another zone
 )
 
-// recentKeys bounds how many choices are remembered.
-const recentKeys = 4096
-
-// Affinity chooses engines. It is not safe for concurrent use.
-type Affinity struct {
-	recent map[choice]bool
-	order  []choice // ring of the remembered choices
-	next   int
-}
-
-type choice struct {
-	key    uint64
-	engine string
+// Choice is an engine and what it has to read for the prompt.
+type Choice struct {
+	Index int // of the engine
+	Read  int // tokens
 }
 
-// NewAffinity returns a table without remembered choices.
-func NewAffinity() *Affinity { return &Affinity{recent: map[choice]bool{}} }
-
-// Choose returns the index of the cheapest engine, or -1 without any.
-func (a *Affinity) Choose(p Prompt, engines []Engine) int {
-	key := p.key()
-	first := rendezvous(key, engines)
-	best, bestPrice := -1, math.Inf(1)
+// ChooseEngine returns the cheapest engine, or false without any. It costs
+// O(engines).
+func ChooseEngine(p Prompt, engines []Engine) (Choice, bool) {
+	first, second := rendezvous(p.key(), engines)
+	best, bestPrice := Choice{Index: -1}, math.Inf(1)
 	for i, e := range engines {
-		price := a.price(p, key, e, i == first)
+		read, price := p.Own, 0.0
+		switch i {
+		case first:
+		case second:
+			read, price = p.Tokens(), secondPrice*float64(p.SharedTokens())
+		default:
+			read, price = p.Tokens(), otherPrice*float64(p.SharedTokens())
+		}
+		price += loadPrice(e) + float64(p.Own)*max(e.Slowness, 1)
 		if price < bestPrice {
-			best, bestPrice = i, price
+			best, bestPrice = Choice{Index: i, Read: read}, price
 		}
 	}
-	return best
+	return best, best.Index >= 0
 }
 
-func (a *Affinity) price(p Prompt, key uint64, e Engine, first bool) float64 {
-	read := float64(p.Own)
-	if !first && !a.recent[choice{key, e.ID}] {
-		read += rereadPrice * float64(p.SharedTokens())
-	}
-	price := read + float64(e.Tokens) + requestPrice*float64(e.Requests)
+func loadPrice(e Engine) float64 {
+	price := float64(e.Tokens) + requestPrice*float64(e.Requests)
 	if over := e.Requests + 1 - e.Slots; e.Slots > 0 && over > 0 {
 		price += fullPrice * float64(over)
 	}
 	if !e.Near {
 		price += farPrice
 	}
-	return price * max(e.Slowness, 1)
-}
-
-// Chosen remembers that an engine now keeps the prompt's shared parts.
-func (a *Affinity) Chosen(p Prompt, engine string) {
-	c := choice{p.key(), engine}
-	if c.key == 0 || a.recent[c] {
-		return
-	}
-	if len(a.order) < recentKeys {
-		a.order = append(a.order, c)
-	} else {
-		delete(a.recent, a.order[a.next])
-		a.order[a.next] = c
-		a.next = (a.next + 1) % recentKeys
-	}
-	a.recent[c] = true
+	return (price + requestPrice) * max(e.Slowness, 1)
 }
 
-// rendezvous returns the index of the first engine in the key's order, or -1.
-func rendezvous(key uint64, engines []Engine) int {
+// rendezvous returns the indexes of the first two engines in the key's order,
+// or -1.
+func rendezvous(key uint64, engines []Engine) (first, second int) {
+	first, second = -1, -1
 	if key == 0 {
-		return -1
+		return first, second
 	}
-	best, bestScore := -1, uint64(0)
+	var firstScore, secondScore uint64
 	for i, e := range engines {
-		if score := xxh3.HashStringSeed(e.ID, key); best < 0 || score > bestScore {
-			best, bestScore = i, score
+		score := xxh3.HashStringSeed(e.ID, key)
+		switch {
+		case first < 0 || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
 		}
 	}
-	return best
+	return first, second
 }
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -23,7 +23,7 @@
 const (
 	eventDepth   = 8192
 	sessionQueue = 256
-	fleetPeriod  = 250 * time.Millisecond // between two Fleet messages
+	fleetPeriod  = 100 * time.Millisecond // between two Fleet messages
 )
 
 // lead is what the replica's goroutine last said.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,10 +51,9 @@
 func (c *call) attempt(ctx context.Context, l *lease) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := c.watchSilence(l, cancel)
-	defer watch.Stop()
+	c.silence = c.watchSilence(l, cancel)
 	out := c.exchange(ctx, l)
-	if !watch.Stop() && !out.done && c.r.Context().Err() == nil {
+	if !c.silence.Stop() && !out.done && c.r.Context().Err() == nil {
 		out.blame, out.cause = lost, "silent"
 	} else if ctx.Err() != nil && !out.done {
 		out.blame = noSign // the caller left, or the time is over
@@ -77,21 +76,29 @@
 }
 
 // watchSilence cancels an attempt of a request that may run again when the
-// backend is silent for much longer than it should be.
+// backend is silent for much longer than it should be. Whoever reads from the
+// backend resets the timer ([call.heard]).
 func (c *call) watchSilence(l *lease, cancel context.CancelFunc) *time.Timer {
 	if !c.route.MayRepeat() || c.attempts+1 >= max(c.route.Attempts, 1) {
-		return time.AfterFunc(c.gaveUp-c.g.now()+time.Hour, func() {})
-	}
-	const silences = 2.5 // objectives
-	silence := max(part(c.route.Objective, silences), shortestSilence)
-	return time.AfterFunc(silence, func() {
-		if !c.g.hasBegun(l) {
-			cancel()
-		}
-	})
+		return time.AfterFunc(forever, func() {})
+	}
+	return time.AfterFunc(max(part(c.route.Objective, silentObjectives), shortestSilence), cancel)
+}
+
+// heard tells that something of the answer has come.
+func (c *call) heard() {
+	if c.silence.Stop() {
+		c.silence.Reset(max(part(c.route.Pause, silentPauses), shortestSilence))
+	}
 }
 
-const shortestSilence = 400 * time.Millisecond
+// Silence of a backend after which another one is asked.
+const (
+	silentObjectives = 2.5 // before the first part of an answer
+	silentPauses     = 4.0 // between two parts
+	shortestSilence  = 400 * time.Millisecond
+	forever          = 24 * time.Hour
+)
 
 func (c *call) exchange(ctx context.Context, l *lease) outcome {
 	answer, err := c.g.set.Backend.Send(ctx, l.address, c.outgoing(l))
@@ -193,12 +200,6 @@
 	return Refusal{Cause: NoBackend, After: c.comeBack()}
 }
 
-func (g *Gateway) hasBegun(l *lease) bool {
-	g.table.mu.Lock()
-	defer g.table.mu.Unlock()
-	return l.first
-}
-
 func (t *table) poolSize(name string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -33,6 +33,7 @@
 	sends    int           // arrivals at backends
 	avoid    map[string]bool
 	relay    *relay
+	silence  *time.Timer // ends the present attempt
 }
 
 // defaultBody bounds a body when the document does not.
@@ -143,6 +144,9 @@
 	c.relay = newRelay(c)
 	for {
 		l, err := c.backend(ctx)
+		if err != nil && c.relay.begun {
+			return broken{err: err} // the head is gone: nothing else can be said
+		}
 		if err != nil {
 			return err
 		}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -16,13 +16,14 @@
 // This file defines which backend a request gets, when it waits for one, and
 // in which order waiting requests go.
 
-// Room of a backend, as parts of its slots.
+// Room of a backend.
 const (
-	entitledRoom = 1.25 // within its tenant's share: some wait in the backend's own queue
-	beyondRoom   = 0.6  // beyond it: only while there is plenty
-	plainRoom    = 2.0  // a plain service, whose work is short
-	firstEngine  = 20.0 // ms; what an idle engine needs to begin
-	readRate     = 120.0
+	entitledRoom = 0.55 // part of the objective that may pass before an engine begins to read
+	beyondRoom   = 0.2  // the same for a request beyond its tenant's share
+	slotsRoom    = 1.25 // requests on an engine, in slots
+	plainRoom    = 2.0  // requests on a plain service, whose work is short, in slots
+	firstEngine  = 25.0 // ms; what an idle engine needs to begin
+	firstRate    = 100.0
 	plainExpect  = 50.0 // ms; what a plain service is expected to need
 )
 
@@ -51,7 +52,7 @@
 	member  *member
 	backend string
 	address string
-	tokens  int
+	tokens  int // that it has to read
 	began   time.Duration
 	ahead   int // tokens in front when it began
 	trial   bool
@@ -59,33 +60,37 @@
 	ended   bool
 }
 
-// acquire returns a backend with room, or nil. The caller holds mu.
+// acquire returns the backend that suits the request best if it has room, or
+// nil. Others that have room are not taken instead: reading shared tokens
+// again is dearer than a short wait, and the price of a choice knows when it
+// is not. The caller holds mu.
 func (t *table) acquire(now time.Duration, w wish) *lease {
 	p := t.pool(w.pool.Name)
 	engines, members := t.candidates(now, p, w)
-	at := p.affinity.Choose(w.prompt, engines)
-	if at < 0 {
+	choice, ok := place.ChooseEngine(w.prompt, engines)
+	if !ok {
+		return nil
+	}
+	m, e := members[choice.Index], engines[choice.Index]
+	if !p.roomFor(w, m, e) {
 		return nil
 	}
-	m := members[at]
 	l := &lease{
-		member: m, backend: m.ID, address: m.Address, tokens: w.prompt.Tokens(),
-		began: now, ahead: engines[at].Tokens,
+		member: m, backend: m.ID, address: m.Address, tokens: choice.Read, began: now, ahead: e.Tokens,
 	}
 	if _, trial := m.health.usable(now); trial {
 		l.trial, m.health.trying = true, true
 	}
 	m.requests++
 	m.tokens += l.tokens
-	p.affinity.Chosen(w.prompt, m.ID)
 	return l
 }
 
-// candidates returns the backends that have room for the request.
+// candidates returns the backends that the request may go to.
 func (t *table) candidates(now time.Duration, p *pool, w wish) ([]place.Engine, []*member) {
 	engines, members := t.gather(now, p, w, false)
 	if len(engines) == 0 {
-		// Better a backend that had the request, or is suspected, than none.
+		// Better a backend that is suspected than none.
 		engines, members = t.gather(now, p, w, true)
 	}
 	return engines, members
@@ -104,9 +109,6 @@
 			continue
 		}
 		requests, tokens := m.load(now)
-		if !roomFor(w, m, requests) {
-			continue
-		}
 		engines = append(engines, place.Engine{
 			ID: m.ID, Slots: m.Slots, Requests: requests, Tokens: tokens,
 			Slowness: slowness(m, typical), Near: m.Zone == t.zone,
@@ -116,22 +118,45 @@
 	return engines, members
 }
 
-// roomFor reports whether one more request may go to a backend.
-func roomFor(w wish, m *member, requests int) bool {
+// roomFor reports whether one more request may go to a backend now.
+func (p *pool) roomFor(w wish, m *member, e place.Engine) bool {
 	if w.pool.Connections > 0 && m.requests >= ownConnections(w) {
 		return false
 	}
-	if m.Slots <= 0 {
-		return true
+	if !w.pool.Engine {
+		return e.Slots <= 0 || float64(e.Requests) < plainRoom*float64(e.Slots)
 	}
-	part := plainRoom
-	switch {
-	case w.pool.Engine && w.entitled:
-		part = entitledRoom
-	case w.pool.Engine:
-		part = beyondRoom
+	if e.Slots > 0 && float64(e.Requests) >= slotsRoom*float64(e.Slots) {
+		return false
+	}
+	room := beyondRoom
+	if w.entitled {
+		room = entitledRoom
+	}
+	wait := float64(e.Tokens) * e.Slowness / p.readRate() // ms
+	return wait <= room*float64(w.route.Objective)/float64(time.Millisecond)
+}
+
+// readRate is how many tokens an engine of the pool reads in a millisecond, as
+// learned from the first events.
+func (p *pool) readRate() float64 {
+	if p.rate == 0 {
+		return firstRate
+	}
+	return p.rate
+}
+
+// learnRate takes how long an engine took to read.
+func (p *pool) learnRate(tokens int, ms float64) {
+	const (
+		fewest = 4000 // tokens; less says little
+		memory = 0.01
+	)
+	if tokens < fewest || ms <= firstEngine {
+		return
 	}
-	return float64(requests) < math.Max(part*float64(m.Slots), 1)
+	p.rate = p.readRate() + memory*(float64(tokens)/(ms-firstEngine)-p.readRate())
+	p.rate = min(max(p.rate, firstRate/10), firstRate*10)
 }
 
 // ownConnections is this gateway's part of the connections that a backend
@@ -279,7 +304,9 @@
 	took := float64(now-l.began) / float64(time.Millisecond)
 	expected := plainExpect
 	if engine {
-		expected = firstEngine + float64(l.tokens+l.ahead)/readRate
+		p := g.table.pool(l.member.Pool)
+		expected = firstEngine + float64(l.tokens+l.ahead)/p.readRate()
+		p.learnRate(l.tokens+l.ahead, took)
 	}
 	l.member.health.paced(took / expected)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,7 @@
 
 // Parts of the grace of a stop.
 const (
-	acceptPart = 0.4  // new requests are still served
+	acceptPart = 0.34 // new requests are still served
 	finishPart = 0.93 // what runs may go to its end
 	stopPoll   = 20 * time.Millisecond
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -104,6 +104,7 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			r.c.g.begun(l, r.c.pool.Engine)
+			r.c.heard()
 			if !r.begun {
 				r.c.g.stats.firstPart(r.c.tenant.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
 				r.writeHead(answer.Status, answer.Header, -1)
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -51,11 +50,10 @@
 
 // pool is the backends of one name with what waits for them.
 type pool struct {
-	name     string
-	members  []*member // ordered by identifier
-	affinity *place.Affinity
-	waiting  []*waiter
-	failing  float64 // averaged part of failures over all members
+	members []*member // ordered by identifier
+	waiting []*waiter
+	failing float64 // averaged part of failures over all members
+	rate    float64 // tokens that an engine reads in a millisecond; 0 is not known
 }
 
 func newTable(zone string) *table {
@@ -66,7 +64,7 @@
 func (t *table) pool(name string) *pool {
 	p := t.pools[name]
 	if p == nil {
-		p = &pool{name: name, affinity: place.NewAffinity()}
+		p = &pool{}
 		t.pools[name] = p
 	}
 	return p
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,8 +19,8 @@
 // leader.
 
 const (
-	usagePeriod   = 250 * time.Millisecond
-	silenceLimit  = time.Second // the leader says something every 250 ms
+	usagePeriod   = 100 * time.Millisecond
+	silenceLimit  = time.Second // the leader says something every 100 ms
 	redialPause   = 60 * time.Millisecond
 	dialTimeout   = 700 * time.Millisecond
 	parallelDials = 3 // candidates asked before the pause grows
--- a/state/document/document.go
+++ b/state/document/document.go
@@ -54,6 +54,9 @@
 	Public    bool          `cbor:"10,keyasint,omitempty"`
 	Sticky    bool          `cbor:"11,keyasint,omitempty"` // prompts share parts
 	Resumable bool          `cbor:"12,keyasint,omitempty"`
+	// Pause is the longest pause between two events of a stream at which it
+	// is still in time.
+	Pause time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
