Fair shares: what engines make beyond the named rate is shared max-min too

Ruled out: losing the leader (the core was stable then). Now a second level over what is really begun; beyond both only an engine with nothing to read.

--- a/directory/usage.go
+++ b/directory/usage.go
@@ -23,6 +23,8 @@
 	running      map[*session][]protocol.Running
 	asked        map[string]float64 // tokens since the last settlement, by tenant
 	rates        map[string]float64 // tokens a second, averaged
+	begun        float64            // tokens given to engines since the last settlement
+	made         float64            // the same a second, averaged
 	settled      time.Duration
 	entitlements []protocol.Entitlement // tenants that ask for more than they are entitled to
 }
@@ -33,6 +35,7 @@
 
 func (u *usage) report(s *session, _ time.Duration, m protocol.Usage) {
 	u.running[s] = m.Running
+	u.begun += float64(m.Begun)
 	for _, d := range m.Demands {
 		u.asked[d.Tenant] += float64(d.Tokens)
 	}
@@ -59,18 +62,27 @@
 		}
 	}
 	clear(u.asked)
+	u.made = keep*u.made + (1-keep)*u.begun/elapsed.Seconds()
+	u.begun = 0
 	u.entitle(capacity)
 }
 
+// entitle finds two levels: of the named capacity, and of what is made if that
+// is more. Without the second, what the engines make beyond the named rate
+// would go to whoever asks most.
 func (u *usage) entitle(capacity float64) {
 	u.entitlements = nil
 	if capacity <= 0 {
 		return
 	}
-	level := share.Level(slices.Collect(maps.Values(u.rates)), capacity)
+	rates := slices.Collect(maps.Values(u.rates))
+	level := share.Level(rates, capacity)
+	extra := share.Level(rates, max(capacity, u.made))
 	for _, tenant := range slices.Sorted(maps.Keys(u.rates)) {
 		if part := share.Part(u.rates[tenant], level); part < 1 {
-			u.entitlements = append(u.entitlements, protocol.Entitlement{Tenant: tenant, Part: float32(part)})
+			u.entitlements = append(u.entitlements, protocol.Entitlement{
+				Tenant: tenant, Part: float32(part), Extra: float32(share.Part(u.rates[tenant], extra)),
+			})
 		}
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,7 +27,8 @@
 	pool     document.Pool
 	body     []byte
 	cost     float64
-	entitled bool
+	standing standing
+	lease    *lease        // of the last attempt
 	gaveUp   time.Duration // when the caller gives up or the route's time is over
 	attempts int           // backends that may have run the request
 	sends    int           // arrivals at backends
@@ -82,7 +83,9 @@
 		return err
 	}
 	c.cost = float64(c.ask.Prompt.Tokens() + outputCost*c.ask.Prompt.Output)
-	c.entitled = !c.pool.Engine || g.tenants.asks(c.tenant.Name, c.cost)
+	if c.pool.Engine {
+		c.standing = g.tenants.asks(c.tenant.Name, c.cost)
+	}
 	g.countRequest(c.pool.Name)
 	return nil
 }
@@ -150,6 +153,7 @@
 		if err != nil {
 			return err
 		}
+		c.lease = l
 		out := c.attempt(ctx, l)
 		if out.done {
 			return nil
@@ -164,7 +168,7 @@
 func (c *call) backend(ctx context.Context) (*lease, error) {
 	w := wish{
 		pool: c.pool, route: c.route, prompt: c.ask.Prompt, tenant: c.tenant.Name,
-		priority: c.tenant.Priority*priorityScale + c.route.Priority, entitled: c.entitled,
+		priority: c.tenant.Priority*priorityScale + c.route.Priority, standing: c.standing,
 		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.peers.Load()),
 	}
 	l := c.g.obtain(ctx, w, c.patience())
@@ -182,7 +186,7 @@
 		return nil, Refusal{Cause: MayHaveRun}
 	case c.g.table.poolSize(c.pool.Name) == 0:
 		return nil, Refusal{Cause: NoBackend, After: c.comeBack()}
-	case !c.entitled:
+	case c.standing != entitled:
 		return nil, Refusal{Cause: BeyondShare, After: c.comeBack()}
 	}
 	return nil, Refusal{Cause: Overloaded, After: c.comeBack()}
@@ -264,9 +268,15 @@
 
 // facts are the attributes of the request's last log line.
 func (c *call) facts(took time.Duration) []slog.Attr {
-	return []slog.Attr{
+	facts := []slog.Attr{
 		slog.String("request", c.ask.ID), slog.String("route", c.route.Name), slog.String("tenant", c.tenant.Name),
-		slog.Uint64("document", c.g.Number()), slog.Bool("entitled", c.entitled), slog.Int("attempts", c.attempts),
-		slog.Int("sends", c.sends), slog.Duration("took", took),
+		slog.Uint64("document", c.g.Number()), slog.String("standing", c.standing.String()), slog.Int("attempts", c.attempts),
+		slog.Int("sends", c.sends), slog.Int("took_ms", int(took.Milliseconds())),
+	}
+	if l := c.lease; l != nil {
+		facts = append(facts, slog.String("backend", l.backend), slog.Int("tokens_ahead", l.ahead),
+			slog.Int("tokens_read", l.tokens), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
+			slog.Int("first_ms", int(l.waiting.Milliseconds())))
 	}
+	return facts
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -18,8 +18,9 @@
 
 // Room of a backend.
 const (
-	entitledRoom = 0.55 // part of the objective that may pass before an engine begins to read
-	beyondRoom   = 0.2  // the same for a request beyond its tenant's share
+	entitledRoom = 0.25 // part of the objective that may pass before an engine begins to read
+	extraRoom    = 0.1  // the same for a request beyond the named share of its tenant
+	beyondRoom   = 0.0  // and beyond every share
 	slotsRoom    = 1.25 // requests on an engine, in slots
 	plainRoom    = 2.0  // requests on a plain service, whose work is short, in slots
 	firstEngine  = 25.0 // ms; what an idle engine needs to begin
@@ -34,7 +35,7 @@
 	prompt   place.Prompt
 	tenant   string
 	priority int
-	entitled bool
+	standing standing
 	repeat   bool            // may run more than once: may try a suspected backend
 	avoid    map[string]bool // backends that had the request already
 	gateways int
@@ -54,7 +55,8 @@
 	address string
 	tokens  int // that it has to read
 	began   time.Duration
-	ahead   int // tokens in front when it began
+	ahead   int           // tokens in front when it began
+	waiting time.Duration // from its beginning to the first part of the answer; 0 before
 	trial   bool
 	first   bool // the first event has come, or the answer
 	ended   bool
@@ -129,10 +131,7 @@
 	if e.Slots > 0 && float64(e.Requests) >= slotsRoom*float64(e.Slots) {
 		return false
 	}
-	room := beyondRoom
-	if w.entitled {
-		room = entitledRoom
-	}
+	room := [...]float64{entitled: entitledRoom, extra: extraRoom, beyond: beyondRoom}[w.standing]
 	wait := float64(e.Tokens) * e.Slowness / p.readRate() // ms
 	return wait <= room*float64(w.route.Objective)/float64(time.Millisecond)
 }
@@ -248,11 +247,8 @@
 // before orders waiting requests: within the share first, then by priority,
 // then the tenant that was served least lately.
 func (g *Gateway) before(a, b *wish) int {
-	if a.entitled != b.entitled {
-		if a.entitled {
-			return -1
-		}
-		return 1
+	if a.standing != b.standing {
+		return cmp.Compare(a.standing, b.standing)
 	}
 	if a.priority != b.priority {
 		return cmp.Compare(a.priority, b.priority)
@@ -299,6 +295,7 @@
 	}
 	l.first = true
 	now := g.now()
+	l.waiting = now - l.began
 	l.member.heard = now
 	l.member.tokens -= l.tokens
 	took := float64(now-l.began) / float64(time.Millisecond)
--- a/gateway/tenants.go
+++ b/gateway/tenants.go
@@ -23,17 +23,33 @@
 // staleAfter is the age at which the fleet's word is not used any more.
 const staleAfter = 10 * time.Second
 
+// standing says how a request stands against its tenant's fair share.
+type standing uint8
+
+const (
+	entitled standing = iota // within the share of the rate that the operator names
+	extra                    // within the share of what the engines make beyond it
+	beyond                   // neither: served where nothing else waits
+)
+
+// String returns the standing's name.
+func (s standing) String() string { return [...]string{"entitled", "extra", "beyond"}[s] }
+
 type tenants struct {
 	now func() time.Duration
 
 	mu      sync.Mutex // a leaf
-	parts   map[string]float64
+	parts   map[string]protocol.Entitlement
 	heard   time.Duration
-	markers map[string]*share.Marker
+	markers map[string]*markers
 	asked   map[string]uint64
 	service map[string]*service
+	begun   uint64
 }
 
+// markers of one tenant, for both levels.
+type markers struct{ entitled, extra share.Marker }
+
 // service is a decaying sum of tokens.
 type service struct {
 	tokens float64
@@ -42,27 +58,33 @@
 
 func newTenants(now func() time.Duration) *tenants {
 	return &tenants{
-		now: now, parts: map[string]float64{}, markers: map[string]*share.Marker{},
+		now: now, parts: map[string]protocol.Entitlement{}, markers: map[string]*markers{},
 		asked: map[string]uint64{}, service: map[string]*service{},
 	}
 }
 
-// asks counts a request of that cost and reports whether it is within the
-// tenant's fair share.
-func (t *tenants) asks(tenant string, cost float64) bool {
+// asks counts a request of that cost and returns how it stands.
+func (t *tenants) asks(tenant string, cost float64) standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked[tenant] += uint64(cost)
-	part, limited := t.parts[tenant]
+	e, limited := t.parts[tenant]
 	if !limited || t.now()-t.heard > staleAfter {
-		part = 1
+		return entitled
 	}
 	m := t.markers[tenant]
 	if m == nil {
-		m = &share.Marker{}
+		m = &markers{}
 		t.markers[tenant] = m
 	}
-	return m.Entitled(part, cost)
+	part := float64(e.Part)
+	if m.entitled.Entitled(part, cost) {
+		return entitled
+	}
+	if m.extra.Entitled((float64(e.Extra)-part)/(1-part), cost) {
+		return extra
+	}
+	return beyond
 }
 
 // starts counts the service that a request begins to get.
@@ -76,6 +98,7 @@
 	}
 	s.tokens = s.decayed(t.now()) + cost
 	s.at = t.now()
+	t.begun += uint64(cost)
 }
 
 func (s *service) decayed(now time.Duration) float64 {
@@ -99,29 +122,20 @@
 	t.heard = t.now()
 	clear(t.parts)
 	for _, e := range list {
-		t.parts[e.Tenant] = float64(e.Part)
+		t.parts[e.Tenant] = e
 	}
 }
 
-// demands returns and clears what was asked for since the last call.
-func (t *tenants) demands() []protocol.Demand {
+// report returns and clears what was asked for and begun since the last call.
+func (t *tenants) report() (demands []protocol.Demand, begun uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]protocol.Demand, 0, len(t.asked))
+	demands = make([]protocol.Demand, 0, len(t.asked))
 	for tenant, tokens := range t.asked {
-		out = append(out, protocol.Demand{Tenant: tenant, Tokens: tokens})
+		demands = append(demands, protocol.Demand{Tenant: tenant, Tokens: tokens})
 	}
 	clear(t.asked)
-	slices.SortFunc(out, func(a, b protocol.Demand) int { return cmp.Compare(a.Tenant, b.Tenant) })
-	return out
-}
-
-// part returns the entitled part of a tenant's demand, for the log.
-func (t *tenants) part(tenant string) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if p, limited := t.parts[tenant]; limited {
-		return p
-	}
-	return 1
+	slices.SortFunc(demands, func(a, b protocol.Demand) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	begun, t.begun = t.begun, 0
+	return demands, begun
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -178,7 +178,8 @@
 			return
 		case <-t.C:
 		}
-		u := protocol.Usage{Running: w.g.table.running(), Demands: w.g.tenants.demands(), Number: w.g.Number()}
+		u := protocol.Usage{Running: w.g.table.running(), Number: w.g.Number()}
+		u.Demands, u.Begun = w.g.tenants.report()
 		if _, err := l.Send(ctx, u); err != nil {
 			return
 		}
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -74,14 +74,18 @@
 	Running []Running `cbor:"1,keyasint,omitempty"`
 	Demands []Demand  `cbor:"2,keyasint,omitempty"`
 	Number  uint64    `cbor:"3,keyasint,omitempty"` // of the document in force there
+	Begun   uint64    `cbor:"4,keyasint,omitempty"` // tokens of requests given to engines since the previous report
 }
 
-// Entitlement is the part of a tenant's demand that its fair share covers.
-// Tenants that are not listed are covered whole.
+// Entitlement is the part of a tenant's demand that its fair share covers: of
+// the rate that the operator names (Part), and of what the engines really make
+// if that is more (Extra, never below Part). Tenants that are not listed are
+// covered whole.
 type Entitlement struct {
 	_      struct{} `cbor:",toarray"`
 	Tenant string
 	Part   float32
+	Extra  float32
 }
 
 // Fleet is how all gateways together stand, several times a second.
