--- a/coordination/consensus/cluster_test.go
+++ b/coordination/consensus/cluster_test.go
@@ -53,6 +53,7 @@
 	node      *Node
 	formation *Formation
 	running   bool
+	gone      bool     // for good
 	applied   []string // commands, in order
 	restored  int      // entries that came with a snapshot
 }
@@ -76,24 +77,40 @@
 	acked     []string                 // commands acknowledged to a proposer
 	proposed  map[string]placeInLog
 	next      int
+	// Of an open group: the number of voters, the seeds, and whether it is
+	// the first start.
+	open  int
+	seeds []string
+	first bool
 }
 
 type placeInLog struct{ index, term uint64 }
 
 func newCluster(t failer, seed uint64, names ...string) *cluster {
-	c := &cluster{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), names: names, members: map[string]*member{},
-		cut: map[string]bool{}, leaders: map[uint64]protocol.Peer{}, committed: map[uint64]string{},
-		proposed: map[string]placeInLog{},
-	}
+	c := emptyCluster(t, seed)
+	c.seeds = names
 	for _, n := range names {
-		c.members[n] = &member{name: n}
-		c.blank(n)
-		c.start(n)
+		c.add(n)
 	}
 	return c
 }
 
+func emptyCluster(t failer, seed uint64) *cluster {
+	return &cluster{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: map[string]*member{},
+		cut: map[string]bool{}, leaders: map[uint64]protocol.Peer{}, committed: map[uint64]string{},
+		proposed: map[string]placeInLog{},
+	}
+}
+
+// add starts a replica with an empty disk.
+func (c *cluster) add(name string) {
+	c.names = append(c.names, name)
+	c.members[name] = &member{name: name}
+	c.blank(name)
+	c.start(name)
+}
+
 // blank gives a replica an empty disk.
 func (c *cluster) blank(name string) {
 	c.members[name].disk = disk{incarnation: c.rng.Uint64() | 1}
@@ -104,7 +121,10 @@
 	m.running, m.node, m.formation = true, nil, nil
 	m.applied, m.restored = nil, 0
 	if m.disk.d.Snapshot.Group == 0 {
-		m.formation = NewFormation("g", m.self(), c.names, c.rng.Uint64()|1, testHeartbeat)
+		m.formation = NewFormation("g", m.self(), c.seeds, c.rng.Uint64()|1, testHeartbeat)
+		if c.open > 0 && !(c.first && slices.Contains(c.seeds, name)) {
+			m.formation.JoinOnly()
+		}
 		return
 	}
 	m.restore(m.disk.d.Snapshot)
@@ -116,7 +136,7 @@
 	m.node = New(Config{
 		Name: "g", Self: m.self(), Election: testElection, Heartbeat: testHeartbeat,
 		Rand: c.rng.Int64N, MaxAppend: 64, MaxPiece: 16, MaxInflight: 4,
-		Admit: func(name string) bool { return slices.Contains(c.names, name) },
+		Admit: func(name string) bool { return slices.Contains(c.names, name) }, Voters: c.open,
 	}, c.now, d)
 }
 
--- a/coordination/consensus/consensus_test.go
+++ b/coordination/consensus/consensus_test.go
@@ -266,7 +266,7 @@
 	case p < 955:
 		c.kill(name)
 	case p < 985:
-		if !c.members[name].running {
+		if m := c.members[name]; !m.running && !m.gone {
 			c.start(name)
 		}
 	case p < 992:
@@ -286,16 +286,7 @@
 // whole: with more disks lost than a minority, no algorithm keeps a promise.
 func (c *cluster) loseDisk(name string) {
 	l := c.leader()
-	if l == "" || l == name {
-		return
-	}
-	voters := c.members[l].node.log.members().Voters
-	for _, n := range c.names {
-		if !c.members[n].running || c.cut[n] || !contains(voters, c.members[n].self()) {
-			return
-		}
-	}
-	if len(voters) != len(c.names) || c.members[l].node.changePending() {
+	if l == "" || l == name || c.members[name].gone || !c.whole(l) {
 		return
 	}
 	c.kill(name)
@@ -303,6 +294,23 @@
 	c.start(name)
 }
 
+// whole reports whether every replica that is not gone for good runs and
+// votes, by the leader l.
+func (c *cluster) whole(l string) bool {
+	voters, present := c.members[l].node.log.members().Voters, 0
+	for _, n := range c.names {
+		m := c.members[n]
+		if m.gone {
+			continue
+		}
+		present++
+		if !m.running || c.cut[n] || !contains(voters, m.self()) {
+			return false
+		}
+	}
+	return len(voters) == present && !c.members[l].node.changePending()
+}
+
 func others(c *cluster, name string) []string {
 	var out []string
 	for _, n := range c.names {
--- /dev/null
+++ b/coordination/consensus/open_test.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// This file tests open groups: found through seeds, grown by whoever asks,
+// repaired by whoever comes instead.
+
+const openVoters = 5
+
+// openCluster starts an open group whose first three names are its seeds.
+func openCluster(t failer, seed uint64, names ...string) *cluster {
+	c := emptyCluster(t, seed)
+	c.open, c.seeds, c.first = openVoters, names[:3], true
+	for _, n := range names {
+		c.add(n)
+	}
+	return c
+}
+
+// voters returns the names of the leader's voters.
+func (c *cluster) voters() map[string]bool {
+	names := map[string]bool{}
+	for _, p := range c.members[c.mustLead()].node.log.members().Voters {
+		names[p.Name] = true
+	}
+	return names
+}
+
+func TestOpenGroupFormsAroundItsSeeds(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 1, "c", "b", "a", "e", "d")
+	c.mustLead()
+	c.settle(time.Second)
+	is.Equal(len(c.voters()), 5) // those that are no seeds have joined
+}
+
+func TestOpenGroupKeepsToItsNumberOfVoters(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 2, "a", "b", "c", "d", "e", "f", "g")
+	c.mustLead()
+	c.settle(2 * time.Second)
+	is.Equal(len(c.voters()), openVoters)
+	m := c.members[c.leader()].node.log.members()
+	is.Equal(len(m.Learners), 2)
+}
+
+// TestReplacedReplica takes one machine away for good and brings an empty one
+// under another name: the group must have its full number of voters again,
+// without the one that is gone.
+func TestReplacedReplica(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 3, "a", "b", "c", "d", "e")
+	c.mustLead()
+	c.settle(time.Second)
+	gone := others(c, c.leader())[0]
+	c.kill(gone)
+	c.first = false
+	c.add("n")
+	c.settle(2 * time.Second)
+	voters := c.voters()
+	is.Equal(len(voters), openVoters)
+	is.True(voters["n"])
+	is.True(!voters[gone])
+}
+
+// TestSilentVoterIsKeptWithoutReplacement kills two of five for long. A group
+// that shrank to the other three would have quorums of two disks.
+func TestSilentVoterIsKeptWithoutReplacement(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 4, "a", "b", "c", "d", "e")
+	c.mustLead()
+	c.settle(time.Second)
+	rest := others(c, c.leader())
+	c.kill(rest[0])
+	c.kill(rest[1])
+	c.settle(5 * time.Second)
+	is.Equal(len(c.voters()), openVoters)
+}
+
+// TestBlankReplicasNeverFoundTwice loses every disk of the seeds after the
+// first start: nobody may found a second group.
+func TestBlankReplicasNeverFoundTwice(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 5, "a", "b", "c")
+	c.mustLead()
+	c.first = false
+	for _, n := range c.names {
+		c.kill(n)
+		c.blank(n)
+		c.start(n)
+	}
+	c.settle(5 * time.Second)
+	is.Equal(c.leader(), "")
+	for _, n := range c.names {
+		is.True(c.members[n].node == nil)
+	}
+}
+
+// TestLoneSeedNeverFoundsTwice is the same with a single seed, which needs
+// nobody's answer.
+func TestLoneSeedNeverFoundsTwice(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 8, "a", "b", "c")
+	c.mustLead()
+	c.first = false
+	c.seeds = []string{"a"}
+	for _, n := range c.names {
+		c.kill(n)
+		c.blank(n)
+	}
+	c.start("a")
+	c.settle(time.Second)
+	is.True(c.members["a"].node == nil)
+}
+
+// TestJoinsThroughAnyMember starts a blank replica whose only seed is a
+// follower: it must find the leader through the members that it hears of.
+func TestJoinsThroughAnyMember(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 6, "a", "b", "c", "d")
+	c.mustLead()
+	c.settle(time.Second)
+	c.first = false
+	c.seeds = others(c, c.leader())[:1]
+	c.add("n")
+	c.settle(2 * time.Second)
+	is.True(c.voters()["n"])
+}
+
+// TestTwoDisksLostAtOnce loses two of five disks while the third follower has
+// lost power; what was acknowledged must come back with the third.
+func TestTwoDisksLostAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 7, "a", "b", "c", "d", "e")
+	c.mustLead()
+	c.settle(time.Second)
+	l := c.leader()
+	is.True(c.propose(l))
+	c.settle(200 * time.Millisecond)
+	rest := others(c, l)
+	c.first = false
+	for _, n := range rest[:2] {
+		c.kill(n)
+		c.blank(n)
+		c.start(n)
+	}
+	c.kill(rest[2])
+	c.settle(time.Second)
+	c.start(rest[2])
+	c.settle(3 * time.Second)
+	is.Equal(len(c.voters()), openVoters)
+	c.checkSame()
+}
+
+// TestRandomOpenSchedules is TestRandomSchedules for an open group, with
+// machines that are replaced for good as well.
+func TestRandomOpenSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := openCluster(t, rapid.Uint64().Draw(t, "seed"), "a", "b", "c", "d", "e")
+		c.mustLead()
+		c.settle(time.Second)
+		c.first = false
+		replaced := 0
+		for range rapid.IntRange(200, 1200).Draw(t, "steps") {
+			c.randomStep()
+			c.leader()
+			if c.rng.IntN(400) == 0 && replaced < 3 && c.replaceOne() {
+				replaced++
+			}
+		}
+		c.cut = map[string]bool{}
+		for _, n := range c.names {
+			if m := c.members[n]; !m.running && !m.gone {
+				c.start(n)
+			}
+		}
+		l := c.mustLead()
+		c.propose(l)
+		c.settle(4 * time.Second)
+		c.mustLead()
+		c.checkSame()
+	})
+}
+
+// replaceOne takes a follower away for good and brings an empty replica, if
+// the group is whole.
+func (c *cluster) replaceOne() bool {
+	l := c.leader()
+	if l == "" || !c.whole(l) {
+		return false
+	}
+	gone := others(c, l)[c.rng.IntN(len(c.names)-1)]
+	if c.members[gone].gone {
+		return false
+	}
+	c.kill(gone)
+	c.members[gone].gone = true
+	c.add(gone + "'")
+	return true
+}
