--- /dev/null
+++ b/coordination/share/level_test.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package share
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLevel(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		demands  []float64
+		capacity float64
+		want     float64
+	}{
+		{"nobody", nil, 10, 10},
+		{"no shortage", []float64{1, 2, 3}, 10, 3},
+		{"all want more", []float64{20, 30, 40}, 30, 10},
+		{"small ones are served whole", []float64{1, 2, 30, 40}, 23, 10},
+		{"exactly enough", []float64{4, 6}, 10, 6},
+		{"nothing there", []float64{4, 6}, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(Level(tt.demands, tt.capacity), tt.want)
+		})
+	}
+}
+
+func TestLevelUsesTheWholeCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 30).Draw(t, "demands")
+		capacity := rapid.Float64Range(1, 10000).Draw(t, "capacity")
+		level := Level(demands, capacity)
+		served, asked := 0.0, 0.0
+		for _, d := range demands {
+			served += min(d, level)
+			asked += d
+			if got := Part(d, level) * d; math.Abs(got-min(d, level)) > 1e-6 {
+				t.Fatalf("part of %v at %v gives %v", d, level, got)
+			}
+		}
+		if want := min(asked, capacity); math.Abs(served-want) > 1e-6 {
+			t.Fatalf("served %v of %v", served, want)
+		}
+	})
+}
+
+// TestMarkerMarksThePart checks that what is marked as entitled is the part of
+// the cost, within one request, whatever the sizes.
+func TestMarkerMarksThePart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.Float64Range(0.02, 0.98).Draw(t, "part")
+		costs := rapid.SliceOfN(rapid.Float64Range(1, 10), 200, 400).Draw(t, "costs")
+		var m Marker
+		entitled, all := 0.0, 0.0
+		for _, c := range costs {
+			all += c
+			if m.Entitled(part, c) {
+				entitled += c
+			}
+		}
+		if entitled > part*all+10 || entitled < 0.8*part*all-10 {
+			t.Fatalf("%.0f of %.0f entitled, part %.2f", entitled, all, part)
+		}
+	})
+}
+
+func TestMarkerWithoutAShortage(t *testing.T) {
+	is := is.New(t)
+	var m Marker
+	for range 10 {
+		is.True(m.Entitled(1, 5))
+	}
+	is.True(!m.Entitled(0.1, 5)) // no credit was saved up meanwhile
+}
--- /dev/null
+++ b/decision/decision_test.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package decision
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+)
+
+// sink collects what is written.
+type sink struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *sink) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(b)
+}
+
+func (s *sink) lines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Split(strings.TrimSpace(s.b.String()), "\n")
+}
+
+// stuck never takes a byte.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+func TestLinesAreJSON(t *testing.T) {
+	is := is.New(t)
+	var s sink
+	l := New(&s, slog.LevelInfo, DefaultBudget, metrics.NewSet())
+	l.Belief("started", slog.String("node", "n"))
+	l.Routine("answered", slog.String("request", "r1"), slog.Int("sends", 2))
+	l.Close()
+	is.Equal(len(s.lines()), 2)
+	var line map[string]any
+	is.NoErr(json.Unmarshal([]byte(s.lines()[1]), &line))
+	is.Equal(line["msg"], "answered")
+	is.Equal(line["request"], "r1")
+}
+
+// TestBudget floods the log for three seconds: routine lines are thinned
+// first, beliefs never, and what was dropped is said and counted.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var s sink
+		set := metrics.NewSet()
+		l := New(&s, slog.LevelInfo, Budget{Routine: 5, Failure: 20}, set)
+		for range 3 {
+			for range 100 {
+				l.Routine("answered")
+				l.Failure("refused")
+			}
+			l.Belief("leading")
+			time.Sleep(time.Second)
+		}
+		l.Failure("refused") // begins a new second
+		l.Close()
+		counts := map[string]int{}
+		for _, line := range s.lines() {
+			var v map[string]any
+			is.NoErr(json.Unmarshal([]byte(line), &v))
+			counts[v["msg"].(string)]++
+		}
+		is.Equal(counts["answered"], 15)
+		is.Equal(counts["refused"], 61)
+		is.Equal(counts["leading"], 3)
+		is.Equal(counts["log lines dropped"], 3)
+		is.Equal(set.GetOrCreateCounter("badgerspoke_log_lines_dropped_total").Get(), uint64(3*(95+80)))
+	})
+}
+
+// TestStuckReaderDelaysNobody writes far more than fits while nobody reads.
+func TestStuckReaderDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := stuck{release: make(chan struct{})}
+		set := metrics.NewSet()
+		l := New(w, slog.LevelInfo, DefaultBudget, set)
+		before := time.Now()
+		for range 3 * queueDepth {
+			l.Belief("leading")
+		}
+		is.Equal(time.Since(before), time.Duration(0)) // nothing waited
+		is.True(set.GetOrCreateCounter("badgerspoke_log_lines_dropped_total").Get() > queueDepth)
+		close(w.release)
+		l.Close()
+	})
+}
+
+func TestTooLongLineIsDropped(t *testing.T) {
+	is := is.New(t)
+	var s sink
+	set := metrics.NewSet()
+	l := New(&s, slog.LevelInfo, DefaultBudget, set)
+	l.Belief("long", slog.String("what", strings.Repeat("x", maxLine)))
+	l.Belief("short")
+	l.Close()
+	is.Equal(len(s.lines()), 1)
+	is.Equal(set.GetOrCreateCounter("badgerspoke_log_lines_dropped_total").Get(), uint64(1))
+}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -44,7 +44,7 @@
 	// Owned by run.
 	term     uint64 // 0 unless this replica leads
 	registry *registry.Registry
-	departed int // departures applied to the registry
+	departed uint64 // departures applied to the registry
 	complete bool
 	sessions map[*session]bool
 	usage    *usage
@@ -190,15 +190,12 @@
 // pushDepartures takes departed backends out of the registry and tells
 // everybody.
 func (h *hub) pushDepartures() {
-	departures := h.d.state.Departures()
-	if len(departures) == h.departed {
-		return
-	}
+	departures, total := h.d.state.DeparturesSince(h.departed)
+	h.departed = total
 	var change registry.Change
-	for _, id := range departures[min(h.departed, len(departures)):] {
+	for _, id := range departures {
 		change.Gone = append(change.Gone, h.registry.Remove(id).Gone...)
 	}
-	h.departed = len(departures)
 	h.broadcast(change)
 }
 
@@ -266,8 +263,9 @@
 // does not say who is gone.
 func (h *hub) recentDepartures() []string {
 	const recent = 256
-	all := h.d.state.Departures()
-	return all[max(len(all)-recent, 0):]
+	_, total := h.d.state.DeparturesSince(h.departed)
+	ids, _ := h.d.state.DeparturesSince(total - min(total, recent))
+	return ids
 }
 
 func wire(backends []registry.Backend) []protocol.Backend {
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -42,11 +42,12 @@
 	return m.store.Departed(id)
 }
 
-// Departures returns the remembered departures, oldest first.
-func (m *Replicated) Departures() []string {
+// DeparturesSince returns the departures after the first n, and how many there
+// were in all.
+func (m *Replicated) DeparturesSince(n uint64) (ids []string, total uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.store.Departures()
+	return m.store.DeparturesSince(n)
 }
 
 // Apply implements [replica.Machine].
--- /dev/null
+++ b/state/document/document_test.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package document
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func valid() Document {
+	return Document{
+		Number: 7,
+		Pools:  []Pool{{Name: "p"}, {Name: "q"}},
+		Routes: []Route{
+			{Name: "a", Host: "h", Prefix: "/a/", Hold: time.Second, Targets: []Target{{"p", 9}, {"q", 1}}},
+			{Name: "b", Host: "h", Prefix: "/b/", Hold: time.Second, Targets: []Target{{"q", 1}}},
+		},
+		Tenants: []Tenant{{Name: "t", Keys: []string{"k1", "k2"}}, {Name: "u", Keys: []string{"k3"}}},
+	}
+}
+
+func TestCheckNamesEveryMistake(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		spoil func(*Document)
+		want  string // part of the mistake; empty is valid
+	}{
+		{"valid", func(*Document) {}, ""},
+		{"no time-out", func(d *Document) { d.Routes[0].Hold = 0 }, `route "a": has no time-out`},
+		{"unknown pool", func(d *Document) { d.Routes[1].Targets[0].Pool = "x" }, `names the unknown pool "x"`},
+		{"same place", func(d *Document) { d.Routes[1].Prefix = "/a/" }, `shares host and prefix with route "a"`},
+		{"same prefix on another host", func(d *Document) { d.Routes[1].Prefix, d.Routes[1].Host = "/a/", "i" }, ""},
+		{"no weight", func(d *Document) { d.Routes[1].Targets[0].Weight = 0 }, "weights add up to 0"},
+		{"negative weight", func(d *Document) { d.Routes[0].Targets[1].Weight = -1 }, "negative weight -1"},
+		{"no target", func(d *Document) { d.Routes[1].Targets = nil }, "weights add up to 0"},
+		{"shared key", func(d *Document) { d.Tenants[1].Keys = []string{"k2"} }, `shares a key with tenant "t"`},
+		{"key twice at one tenant", func(d *Document) { d.Tenants[0].Keys = []string{"k1", "k1"} }, ""},
+		{"pool twice", func(d *Document) { d.Pools[1].Name = "p" }, `pool "p": is there twice`},
+		{"prefix", func(d *Document) { d.Routes[0].Prefix = "a/" }, "does not begin with a slash"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := valid()
+			tt.spoil(&d)
+			err := d.Check()
+			if tt.want == "" {
+				is.NoErr(err)
+				return
+			}
+			var invalid Invalid
+			is.True(errors.As(err, &invalid))
+			is.True(strings.Contains(err.Error(), tt.want)) // names the mistake
+		})
+	}
+}
+
+func TestCheckListsAllMistakesAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := valid()
+	d.Routes[0].Hold = 0
+	d.Routes[1].Targets[0].Pool = "x"
+	d.Tenants[1].Keys = []string{"k1"}
+	var invalid Invalid
+	is.True(errors.As(d.Check(), &invalid))
+	is.Equal(len(invalid.Mistakes), 3)
+}
+
+func TestHighestNumberWins(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	_, any := s.Held()
+	is.True(!any)
+	put := func(number uint64, source string) bool {
+		return s.Put(Held{Document: Document{Number: number}, Source: []byte(source)})
+	}
+	is.True(put(5, "five"))
+	is.True(!put(5, "another five")) // other content under the held number
+	is.True(!put(4, "four"))         // an older one comes once more
+	is.True(put(9, "nine"))
+	held, _ := s.Held()
+	is.Equal(string(held.Source), "nine")
+}
+
+func TestDeparturesAreRememberedInOrderAndBounded(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	is.True(s.Depart("x"))
+	is.True(!s.Depart("x"))
+	for i := range MaxDepartures {
+		s.Depart(fmt.Sprint(i))
+	}
+	is.True(!s.Departed("x")) // the oldest gave way
+	is.True(s.Departed("0"))
+	ids, total := s.DeparturesSince(0)
+	is.Equal(len(ids), MaxDepartures)
+	is.Equal(total, uint64(MaxDepartures+1))
+	s.Depart("last")
+	ids, total = s.DeparturesSince(total)
+	is.Equal(ids, []string{"last"}) // though the ring has moved on
+	ids, _ = s.DeparturesSince(total)
+	is.Equal(len(ids), 0)
+}
+
+func TestImageHoldsEverything(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	s.Put(Held{Document: valid(), Source: []byte("as it was sent")})
+	s.Depart("x")
+	s.Depart("y")
+	image, err := s.MarshalBinary()
+	is.NoErr(err)
+	var restored Store
+	is.NoErr(restored.UnmarshalBinary(image))
+	held, _ := restored.Held()
+	is.Equal(held.Document, valid())
+	is.Equal(string(held.Source), "as it was sent")
+	ids, total := restored.DeparturesSince(0)
+	is.Equal(ids, []string{"x", "y"})
+	is.Equal(total, uint64(2))
+}
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -21,6 +21,7 @@
 type Store struct {
 	held    *Held
 	order   []string // departed backends, oldest first
+	total   uint64   // departures ever
 	departs map[string]bool
 }
 
@@ -57,24 +58,30 @@
 	}
 	s.departs[id] = true
 	s.order = append(s.order, id)
+	s.total++
 	return true
 }
 
 // Departed reports whether a backend is leaving or gone.
 func (s *Store) Departed(id string) bool { return s.departs[id] }
 
-// Departures returns the remembered departures, oldest first.
-func (s *Store) Departures() []string { return append([]string(nil), s.order...) }
+// DeparturesSince returns the departures after the first n, as far as they are
+// remembered, and how many there were in all.
+func (s *Store) DeparturesSince(n uint64) (ids []string, total uint64) {
+	fresh := min(s.total-min(n, s.total), uint64(len(s.order)))
+	return append([]string(nil), s.order[uint64(len(s.order))-fresh:]...), s.total
+}
 
 // image is the serialized form.
 type image struct {
 	Held    *Held    `cbor:"1,keyasint,omitempty"`
 	Departs []string `cbor:"2,keyasint,omitempty"`
+	Total   uint64   `cbor:"3,keyasint,omitempty"`
 }
 
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
-	return cbor.Marshal(image{Held: s.held, Departs: s.order})
+	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total})
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler].
@@ -87,5 +94,6 @@
 	for _, id := range im.Departs {
 		s.Depart(id)
 	}
+	s.total = max(s.total, im.Total)
 	return nil
 }
