--- a/gateway/call.go
+++ b/gateway/call.go
@@ -184,7 +184,7 @@
 	switch {
 	case c.attempts > 0:
 		return nil, Refusal{Cause: MayHaveRun}
-	case c.g.table.poolSize(c.pool.Name) == 0:
+	case c.g.table.poolSize(c.pool.Name) <= len(c.avoid):
 		return nil, Refusal{Cause: NoBackend, After: c.comeBack()}
 	case c.standing != entitled:
 		return nil, Refusal{Cause: BeyondShare, After: c.comeBack()}
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines fixture, one gateway in a bubble of virtual time before
+// backends that are functions, with a dialect of its own.
+
+// testDialect uses headers that no deployment has.
+type testDialect struct{}
+
+func (testDialect) Read(r *http.Request) Ask {
+	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
+	own, _ := strconv.Atoi(r.Header.Get("Tokens"))
+	return Ask{
+		ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Patience: time.Duration(ms) * time.Millisecond,
+		Prompt: place.Prompt{Own: own}, After: r.Header.Get("After"),
+	}
+}
+
+func (testDialect) Forward(from http.Header, f Forwarding) http.Header {
+	h := from.Clone()
+	h.Del("Key")
+	h.Set("Left", strconv.FormatInt(f.Left.Milliseconds(), 10))
+	h.Set("Expect", f.Backend)
+	h.Set("Tenant", f.Tenant)
+	if f.After != "" {
+		h.Set("After", f.After)
+	}
+	return h
+}
+
+func (testDialect) Judge(status int, h http.Header) Verdict {
+	return Verdict{
+		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Misplaced: status == http.StatusMisdirectedRequest,
+		Sealed: h.Get("Sealed") != "",
+	}
+}
+
+func (testDialect) Return(from http.Header) http.Header { return from.Clone() }
+
+// behaviour is what a backend does with one call.
+type behaviour func(ctx context.Context, call backend.Call) (*backend.Answer, error)
+
+// fakeBackends counts what arrives where.
+type fakeBackends struct {
+	mu       sync.Mutex
+	does     map[string]behaviour // by address
+	arrivals []backend.Call
+}
+
+func (f *fakeBackends) Send(ctx context.Context, address string, call backend.Call) (*backend.Answer, error) {
+	f.mu.Lock()
+	f.arrivals = append(f.arrivals, call)
+	does := f.does[address]
+	f.mu.Unlock()
+	if does == nil {
+		return nil, backend.NotRun{Server: address, Err: io.ErrClosedPipe}
+	}
+	return does(ctx, call)
+}
+
+func (f *fakeBackends) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.arrivals)
+}
+
+// headOf returns the head of an answer to a call.
+func headOf(call backend.Call) http.Header {
+	return http.Header{"Id": call.Header["Id"], "Sealed": {"yes"}}
+}
+
+// answers answers with a body after a while.
+func answers(status int, body string, after time.Duration) behaviour {
+	return func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		if err := sleep(ctx, after); err != nil {
+			return nil, backend.Unknown{Err: err}
+		}
+		return &backend.Answer{
+			Status: status, Header: headOf(call), Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+		}, nil
+	}
+}
+
+// fails fails every call alike.
+func fails(err error) behaviour {
+	return func(context.Context, backend.Call) (*backend.Answer, error) { return nil, err }
+}
+
+// hangs takes the call and never answers.
+func hangs(ctx context.Context, _ backend.Call) (*backend.Answer, error) {
+	<-ctx.Done()
+	return nil, backend.Unknown{Err: ctx.Err()}
+}
+
+// refuses says that the call has not run.
+func refuses(status int) behaviour {
+	return func(_ context.Context, call backend.Call) (*backend.Answer, error) {
+		h := http.Header{"Id": call.Header["Id"], "Not-Run": {"1"}}
+		return nil, backend.NotRun{Refused: true, Status: status, Header: h, Err: io.EOF}
+	}
+}
+
+// piece is a part of a stream.
+type piece struct {
+	text  string
+	after time.Duration
+	err   error // ends the stream; io.EOF is a whole one
+}
+
+// streams sends pieces; a call that names an event begins after it.
+func streams(pieces ...piece) behaviour {
+	return func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		return &backend.Answer{
+			Status: http.StatusOK, Header: headOf(call), Length: -1, Body: &pieceReader{ctx: ctx, pieces: pieces},
+		}, nil
+	}
+}
+
+type pieceReader struct {
+	ctx    context.Context
+	pieces []piece
+}
+
+func (r *pieceReader) Read(b []byte) (int, error) {
+	if len(r.pieces) == 0 {
+		return 0, io.EOF
+	}
+	p := r.pieces[0]
+	if err := sleep(r.ctx, p.after); err != nil {
+		return 0, err
+	}
+	r.pieces = r.pieces[1:]
+	return copy(b, p.text), p.err
+}
+
+func (r *pieceReader) Close() error { return nil }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// fixture is one gateway.
+type fixture struct {
+	t        *testing.T
+	g        *Gateway
+	backends *fakeBackends
+}
+
+func testDocument() document.Document {
+	route := func(name string, kind document.Kind, attempts int, resumable bool) document.Route {
+		return document.Route{
+			Name: name, Host: "host", Prefix: "/" + name + "/", Kind: kind, Hold: 3 * time.Second, Objective: 400 * time.Millisecond,
+			Targets: []document.Target{{Pool: "plain", Weight: 1}}, Attempts: attempts, Resumable: resumable, Pause: 100 * time.Millisecond,
+		}
+	}
+	engine := route("engine", document.Stream, 2, true)
+	engine.Targets[0].Pool = "engines"
+	return document.Document{
+		Number: 3,
+		Pools:  []document.Pool{{Name: "plain", Connections: 100}, {Name: "engines", Engine: true}},
+		Routes: []document.Route{
+			route("once", document.Once, 2, false), route("again", document.Repeatable, 2, false),
+			route("stream", document.Stream, 2, false), route("resume", document.Stream, 2, true), engine,
+		},
+		Tenants: []document.Tenant{{Name: "t", Keys: []string{"key"}}, {Name: "u", Keys: []string{"other"}}},
+	}
+}
+
+// bubble runs f with a gateway that knows backends b0, b1, … of the pool
+// "plain", by their behaviours, and none of the directory.
+func bubble(t *testing.T, f func(x *fixture), does ...behaviour) {
+	synctest.Test(t, func(t *testing.T) {
+		set := metrics.NewSet()
+		x := &fixture{t: t, backends: &fakeBackends{does: map[string]behaviour{}}}
+		x.g = Start(t.Context(), Settings{
+			Identity: link.Identity{Name: "g"}, Zone: "z", Dialect: testDialect{}, Backend: x.backends,
+			Retries: retry.Limits{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, Grace: 8 * time.Second,
+			Bodies: 1 << 20, Random: func() uint64 { return 1 }, Metrics: set,
+			Log: decision.New(io.Discard, slog.LevelInfo, decision.DefaultBudget, set),
+		})
+		defer func() {
+			x.g.stop()
+			x.g.set.Log.Close()
+			synctest.Wait()
+		}()
+		x.g.peers.Store(1)
+		x.g.apply(testDocument())
+		x.backendsOf("plain", does...)
+		f(x)
+	})
+}
+
+// backendsOf announces backends with behaviours.
+func (x *fixture) backendsOf(pool string, does ...behaviour) {
+	m := protocol.Backends{Term: 1}
+	for i, d := range does {
+		b := protocol.Backend{
+			ID: fmt.Sprintf("%s%d", pool[:1], i), Pool: pool, Address: fmt.Sprintf("10.0.%d.%d:80", len(pool), i), Zone: "z",
+			Slots: 4, Handle: uint32(len(pool)*10 + i),
+		}
+		x.backends.does[b.Address] = d
+		m.Set = append(m.Set, b)
+	}
+	x.g.table.update(m)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	cut    bool // the connection was closed, without an answer or in its middle
+	took   time.Duration
+}
+
+// ask sends a request and waits for the reply.
+func (x *fixture) ask(path string, header ...string) reply {
+	return x.askWith(x.t.Context(), http.MethodPost, path, "a body", header...)
+}
+
+func (x *fixture) askWith(ctx context.Context, method, path, body string, header ...string) (out reply) {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	r.Host = "host"
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	began := time.Now()
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+			out.cut = true
+		}
+		out.status, out.header, out.body, out.took = w.Code, w.Result().Header, w.Body.String(), time.Since(began)
+	}()
+	x.g.ServeHTTP(w, r)
+	return out
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,408 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file tests what callers get, by what backends do.
+
+var errReset = errors.New("connection reset")
+
+// TestOutcomes is the table of failures: what a caller is told, and how often
+// the request arrived at a backend.
+func TestOutcomes(t *testing.T) {
+	unreachable := fails(backend.NotRun{Err: errReset})
+	lostAnswer := fails(backend.Unknown{Err: errReset})
+	ok := answers(200, "fine", 0)
+	crossed := func(_ context.Context, call backend.Call) (*backend.Answer, error) {
+		h := headOf(call)
+		h.Set("Id", "another")
+		return &backend.Answer{Status: 200, Header: h, Length: 4, Body: io.NopCloser(strings.NewReader("evil"))}, nil
+	}
+	unsealed := func(_ context.Context, call backend.Call) (*backend.Answer, error) {
+		h := headOf(call)
+		h.Del("Sealed")
+		return &backend.Answer{Status: 200, Header: h, Length: 4, Body: io.NopCloser(strings.NewReader("evil"))}, nil
+	}
+	cutOff := func(_ context.Context, call backend.Call) (*backend.Answer, error) {
+		body := &pieceReader{ctx: context.Background(), pieces: []piece{{text: "fi", err: io.ErrUnexpectedEOF}}}
+		return &backend.Answer{Status: 200, Header: headOf(call), Length: 4, Body: body}, nil
+	}
+	for _, tt := range []struct {
+		name     string
+		route    string
+		does     []behaviour // of the backends, in the order in which they are asked
+		status   int
+		body     string // part of it
+		arrivals int
+	}{
+		{"answered", "once", []behaviour{ok, ok}, 200, "fine", 1},
+		{"unreachable is tried elsewhere", "once", []behaviour{unreachable, ok}, 200, "fine", 2},
+		{"nobody reachable has not run", "once", []behaviour{unreachable, unreachable}, 503, "no-backend", 2},
+		{"a lost answer may have run", "once", []behaviour{lostAnswer, ok}, 502, "may-have-run", 1},
+		{"a lost answer is repeated where that is allowed", "again", []behaviour{lostAnswer, ok}, 200, "fine", 2},
+		{"twice lost may have run", "again", []behaviour{lostAnswer, lostAnswer, ok}, 502, "may-have-run", 2},
+		{"refused there has not run", "once", []behaviour{refuses(503), refuses(503), refuses(503)}, 503, "refused-by-backend", 3},
+		{"refused there, then fine", "once", []behaviour{refuses(503), ok}, 200, "fine", 2},
+		{"refused after it may have run", "again", []behaviour{lostAnswer, refuses(503), refuses(503)}, 502, "may-have-run", 3},
+		{"an own failure is passed on", "once", []behaviour{answers(500, "broken", 0), ok}, 500, "broken", 1},
+		{"an own failure is repeated where that is allowed", "again", []behaviour{answers(500, "broken", 0), ok}, 200, "fine", 2},
+		{"two own failures: the last is passed on", "again", []behaviour{answers(500, "a", 0), answers(500, "b", 0), ok}, 500, "b", 2},
+		{"a client error is final", "again", []behaviour{answers(404, "nothing", 0), ok}, 404, "nothing", 1},
+		{"a crossed answer may have run", "once", []behaviour{crossed, ok}, 502, "may-have-run", 1},
+		{"a crossed answer is repeated", "again", []behaviour{crossed, ok}, 200, "fine", 2},
+		{"an unsealed success is none", "once", []behaviour{unsealed, ok}, 502, "may-have-run", 1},
+		{"a cut answer is none", "once", []behaviour{cutOff, ok}, 502, "may-have-run", 1},
+		{"a cut answer is repeated", "again", []behaviour{cutOff, ok}, 200, "fine", 2},
+		{"an answer that never comes", "once", []behaviour{hangs, ok}, 504, "timed-out", 1},
+		{"a silent backend is left for another", "again", []behaviour{hangs, ok}, 200, "fine", 2},
+		{"no backend at all", "once", nil, 503, "no-backend", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.inOrder(tt.does)
+				got := x.ask("/" + tt.route + "/x")
+				is.Equal(got.status, tt.status)
+				is.True(strings.Contains(got.body, tt.body))
+				is.Equal(x.backends.count(), tt.arrivals)
+				is.True(!got.cut)
+				if promise := got.status == 503 || got.status == 429; promise {
+					is.True(got.header.Get("Retry-After") != "") // says when to come back
+				}
+			})
+		})
+	}
+}
+
+// inOrder announces as many backends as there are behaviours; whichever is
+// asked first does the first, and so on.
+func (x *fixture) inOrder(does []behaviour) {
+	var mu sync.Mutex
+	next := 0
+	each := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		mu.Lock()
+		d := does[min(next, len(does)-1)]
+		next++
+		mu.Unlock()
+		return d(ctx, call)
+	}
+	all := make([]behaviour, len(does))
+	for i := range all {
+		all[i] = each
+	}
+	x.backendsOf("plain", all...)
+}
+
+func TestOwnAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		path   string
+		header []string
+		status int
+	}{
+		{"no route", "/nowhere/x", nil, 404},
+		{"another host", "/once/x", []string{"Host", "x"}, 200}, // the header is not the host
+		{"unknown key", "/once/x", []string{"Key", "wrong"}, 401},
+		{"no key", "/once/x", []string{"Key", ""}, 401},
+		{"known", "/once/x", nil, 200},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				is.New(x.t).Equal(x.ask(tt.path, tt.header...).status, tt.status)
+			}, answers(200, "fine", 0))
+		})
+	}
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		d := testDocument()
+		d.Number, d.Limits.BodyBytes = 4, 10
+		x.g.apply(d)
+		is.Equal(x.askWith(x.t.Context(), "POST", "/once/x", strings.Repeat("x", 11)).status, 413)
+		is.Equal(x.askWith(x.t.Context(), "POST", "/once/x", strings.Repeat("x", 10)).status, 200)
+	}, answers(200, "fine", 0))
+}
+
+// TestBeforeTheFirstDocument refuses as not run, never as unknown.
+func TestBeforeTheFirstDocument(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.routes.Store(nil)
+		is.True(!x.g.Ready())
+		is.Equal(x.ask("/nowhere/x", "Key", "wrong").status, 503)
+	}, answers(200, "fine", 0))
+}
+
+func TestDocumentNeverGoesBack(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		older := testDocument()
+		older.Number, older.Routes = 2, nil
+		x.g.apply(older)
+		is.Equal(x.g.Number(), uint64(3))
+		is.Equal(x.ask("/once/x").status, 200)
+	}, answers(200, "fine", 0))
+}
+
+// TestWhatTheBackendGets checks the head that goes out.
+func TestWhatTheBackendGets(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.ask("/once/a%2Fb?q=1", "Patience", "1000", "Tenant", "forged", "Other", "kept")
+		call := x.backends.arrivals[0]
+		is.Equal(call.Path, "/once/a%2Fb?q=1")
+		is.Equal(call.Host, "host")
+		is.Equal(string(call.Body), "a body")
+		is.Equal(call.Header.Get("Left"), "1000")
+		is.Equal(call.Header.Get("Expect"), "p0")
+		is.Equal(call.Header.Get("Tenant"), "t")
+		is.Equal(call.Header.Get("Key"), "")
+		is.Equal(call.Header.Get("Other"), "kept")
+	}, answers(200, "fine", 0))
+}
+
+// TestLeftOverTime checks that a second backend is told what is left, and that
+// the route's time bounds a caller's patience.
+func TestLeftOverTime(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{hangs, answers(200, "fine", 0)})
+		x.ask("/again/x", "Patience", "9000")
+		is.Equal(x.backends.arrivals[0].Header.Get("Left"), "3000") // the route's
+		is.Equal(x.backends.arrivals[1].Header.Get("Left"), "2000") // after 2.5 objectives
+	})
+}
+
+func TestTimeOutIsOnTime(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/once/x", "Patience", "1500")
+		is.Equal(got.status, 504)
+		is.Equal(got.took, 1500*time.Millisecond)
+	}, hangs)
+}
+
+// TestLeavingCallerCancels checks that a backend stops working for a caller
+// that has gone.
+func TestLeavingCallerCancels(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		ctx, cancel := context.WithTimeout(x.t.Context(), 300*time.Millisecond)
+		defer cancel()
+		var stoppedAt time.Time
+		x.backends.does["10.0.5.0:80"] = func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+			defer func() { stoppedAt = time.Now() }()
+			return hangs(ctx, call)
+		}
+		began := time.Now()
+		got := x.askWith(ctx, "POST", "/again/x", "")
+		is.True(got.cut)
+		is.Equal(stoppedAt.Sub(began), 300*time.Millisecond)
+		is.Equal(x.backends.count(), 1) // not asked again for nobody
+	}, hangs)
+}
+
+// TestMisplacedBackendIsDropped: another backend has the address; the request
+// has not run and goes on, and the list loses the entry.
+func TestMisplacedBackendIsDropped(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{refuses(http.StatusMisdirectedRequest), answers(200, "fine", 0)})
+		is.Equal(x.ask("/once/x").status, 200)
+		is.Equal(x.g.table.size(), 1)
+	})
+}
+
+func TestSuspectedBackendIsLeftAlone(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("plain", fails(backend.NotRun{Err: errReset}), answers(200, "fine", 0))
+		for range 12 {
+			is.Equal(x.ask("/once/x").status, 200)
+		}
+		wasted := x.backends.count() - 12
+		is.True(wasted <= 3) // then it was left alone
+		x.backends.does["10.0.5.0:80"] = answers(200, "fine", 0)
+		time.Sleep(shortestSuspect)
+		is.Equal(x.ask("/again/x").status, 200) // one that may be repeated tries it
+		ok, trial := x.g.table.members["p0"].health.usable(x.g.now())
+		is.True(ok && !trial)
+	})
+}
+
+// TestOnceIsNoTrial checks that a request that may not be repeated never tries
+// a suspected backend while another one is there.
+func TestOnceIsNoTrial(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("plain", answers(200, "fine", 0), answers(200, "fine", 0))
+		x.g.table.members["p0"].health.suspect(x.g.now())
+		time.Sleep(2 * shortestSuspect)
+		for range 5 {
+			x.ask("/once/x")
+		}
+		for _, call := range x.backends.arrivals {
+			is.Equal(call.Header.Get("Expect"), "p1")
+		}
+	})
+}
+
+// TestRetryBudget lets every backend fail: repeats stop at the budget.
+func TestRetryBudget(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.set.Retries.Extra = 10
+		x.inOrder([]behaviour{answers(500, "broken", 0), answers(500, "broken", 0)})
+		for range 100 {
+			x.ask("/again/x")
+		}
+		repeats := x.backends.count() - 100
+		is.True(repeats >= 10 && repeats <= 21) // 0.7 x (0.2 x 100 + 10)
+	})
+}
+
+// TestRoomIsShared holds every slot; one request too many waits for its part
+// of the objective and is refused, and one that finds room in time is served.
+func TestRoomIsShared(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var group sync.WaitGroup
+		for range 8 { // plainRoom x 4 slots
+			group.Go(func() { x.ask("/once/x") })
+		}
+		time.Sleep(10 * time.Millisecond)
+		refused := x.ask("/once/x")
+		is.Equal(refused.status, 503)
+		is.Equal(refused.took, 88*time.Millisecond) // 0.22 of the objective
+		is.True(refused.header.Get("Retry-After") != "")
+		time.Sleep(340 * time.Millisecond) // the eight end at 500 ms
+		served := x.ask("/once/x")
+		is.Equal(served.status, 200)
+		group.Wait()
+	}, answers(200, "fine", 500*time.Millisecond))
+}
+
+// TestOthersLoadCounts checks that what runs on other gateways takes room.
+func TestOthersLoadCounts(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: 50, Requests: 8}})
+		is.Equal(x.ask("/once/x").status, 503)
+		time.Sleep(4 * othersHalfLife) // nobody says so any more
+		is.Equal(x.ask("/once/x").status, 200)
+	}, answers(200, "fine", 0))
+}
+
+// TestBeyondTheShareWaitsForIdleEngines gives a tenant a tenth of what it asks:
+// while the engine has something to read, nine in ten are refused with 429 and
+// the other tenant's requests are served.
+func TestBeyondTheShareWaitsForIdleEngines(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.1, Extra: 0.1}})
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: 70, Requests: 1, Tokens: 500}})
+		served, refused := 0, 0
+		for range 50 {
+			switch x.ask("/engine/x", "Tokens", "1000").status {
+			case 200:
+				served++
+			case 429:
+				refused++
+			}
+		}
+		is.True(served >= 4 && served <= 6)
+		is.Equal(served+refused, 50)
+		is.Equal(x.ask("/engine/x", "Tokens", "1000", "Key", "other").status, 200)
+	})
+}
+
+// TestNobodyWaitsWhileEnginesAreIdle: beyond its share, but nothing else is
+// there to do.
+func TestNobodyWaitsWhileEnginesAreIdle(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.1, Extra: 0.1}})
+		for range 20 {
+			got := x.ask("/engine/x", "Tokens", "1000")
+			is.Equal(got.status, 200)
+			is.Equal(got.took, time.Duration(0))
+		}
+	})
+}
+
+// TestStop checks the parts of a planned stop.
+func TestStop(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var group sync.WaitGroup
+		var long reply
+		group.Go(func() { long = x.ask("/once/x", "Patience", "3000") })
+		time.Sleep(10 * time.Millisecond)
+		ended := make(chan time.Duration, 1)
+		began := time.Now()
+		go func() { x.g.Stop(context.Background()); ended <- time.Since(began) }()
+		time.Sleep(time.Second)
+		is.True(!x.g.Ready())
+		early := x.ask("/once/x")
+		is.Equal(early.status, 200) // the balancer has not noticed yet
+		is.Equal(early.header.Get("Connection"), "close")
+		time.Sleep(time.Second)
+		late := x.ask("/once/x")
+		is.Equal(late.status, 503)
+		is.True(strings.Contains(late.body, "stopping"))
+		group.Wait()
+		is.Equal(long.status, 200)
+		is.True(<-ended < 4*time.Second) // nothing was left to do
+	}, answers(200, "fine", 900*time.Millisecond))
+}
+
+func TestCallersBodyBreaks(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.askBody(&pieceReader{ctx: x.t.Context(), pieces: []piece{{text: "a b", err: errReset}}}, 10)
+		is.Equal(got.status, 400)
+		is.Equal(x.backends.count(), 0)
+	}, answers(200, "fine", 0))
+}
+
+func TestManyRequestsAtOnce(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var group sync.WaitGroup
+		statuses := make([]int, 200)
+		for i := range statuses {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				statuses[i] = x.ask(fmt.Sprintf("/again/%d", i)).status
+			})
+		}
+		group.Wait()
+		for _, s := range statuses {
+			is.Equal(s, 200)
+		}
+		for _, m := range x.g.table.members {
+			is.Equal(m.requests, 0) // every lease came back
+			is.Equal(m.tokens, 0)
+		}
+	}, answers(200, "a", 20*time.Millisecond), answers(200, "b", 20*time.Millisecond))
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file tests streams: whole events, in order, once each.
+
+const pause = 50 * time.Millisecond
+
+// resuming streams events up to last, beginning after the one that the call
+// names, and breaks once after it has sent breakAfter.
+func resuming(last, breakAfter int, broken error) behaviour {
+	return func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		from, _ := strconv.Atoi(call.Header.Get("After"))
+		var pieces []piece
+		for id := from + 1; id <= last; id++ {
+			pieces = append(pieces, piece{text: event(id), after: pause})
+			if id == breakAfter {
+				half := event(id + 1)[:10] // in the middle of an event
+				pieces = append(pieces, piece{text: half}, piece{after: pause, err: broken})
+				break
+			}
+		}
+		return streams(pieces...)(ctx, call)
+	}
+}
+
+func wholeStream(last int) string {
+	text := ""
+	for id := 1; id <= last; id++ {
+		text += event(id)
+	}
+	return text
+}
+
+func TestStreamIsPassedOn(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/stream/x")
+		is.Equal(got.status, 200)
+		is.Equal(got.body, wholeStream(5))
+		is.Equal(got.header.Get("Sealed"), "yes")
+		is.True(!got.cut)
+	}, resuming(5, 0, nil))
+}
+
+// TestBrokenStreamIsTakenUp breaks a stream in the middle of an event: the
+// second backend goes on after the last whole one.
+func TestBrokenStreamIsTakenUp(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(6, 3, errReset), resuming(6, 0, nil)})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+		is.True(!got.cut)
+		is.Equal(x.backends.arrivals[1].Header.Get("After"), "3")
+	})
+}
+
+// TestStreamThatEndsInsideAnEventIsBroken: an end without an error is not
+// whole if an event is not.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(6, 3, io.EOF), resuming(6, 0, nil)})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+	})
+}
+
+// TestStreamThatMayNotRunAgainIsCut: the caller must see that it is not whole,
+// and no other backend may get it.
+func TestStreamThatMayNotRunAgainIsCut(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(6, 3, errReset), resuming(6, 0, nil)})
+		got := x.ask("/stream/x")
+		is.Equal(got.body, wholeStream(3))
+		is.True(got.cut)
+		is.Equal(x.backends.count(), 1)
+	})
+}
+
+// TestBrokenStreamWithNobodyLeftIsCut: no answer of the gateway's own may be
+// written into a stream that has begun.
+func TestBrokenStreamWithNobodyLeftIsCut(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(6, 3, errReset), fails(backend.NotRun{Err: errReset})})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(3))
+		is.True(got.cut)
+	})
+}
+
+// TestBrokenStreamGoesOnAtItsOnlyBackend: with no other, the same is asked.
+func TestBrokenStreamGoesOnAtItsOnlyBackend(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+		is.Equal(x.backends.count(), 2)
+	}, resuming(6, 3, errReset))
+}
+
+func TestStreamBreaksAgain(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(9, 2, errReset), resuming(9, 4, errReset), resuming(9, 0, nil)})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(4))
+		is.True(got.cut) // two backends are all that the route allows
+		is.Equal(x.backends.count(), 2)
+	})
+}
+
+// TestSilentStreamIsTakenUp: a backend stops in the middle without a word.
+func TestSilentStreamIsTakenUp(t *testing.T) {
+	silent := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		return streams(piece{text: event(1)}, piece{text: event(2), after: time.Hour})(ctx, call)
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{silent, resuming(4, 0, nil)})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(4))
+		is.True(got.took < 700*time.Millisecond)
+	})
+}
+
+// TestRouteTimeEndsAStream cuts a stream that is still going on.
+func TestRouteTimeEndsAStream(t *testing.T) {
+	endless := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		return resuming(1000, 0, nil)(ctx, call)
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/stream/x")
+		is.True(got.cut)
+		is.Equal(got.took, 3*time.Second)
+	}, endless)
+}
+
+// TestCallerTakesUpItsOwnStream passes on where the caller wants to go on.
+func TestCallerTakesUpItsOwnStream(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/resume/x", "After", "3")
+		is.Equal(got.body, event(4)+event(5))
+	}, resuming(5, 0, nil))
+}
+
+func TestEventsInOddPieces(t *testing.T) {
+	whole := wholeStream(4)
+	var pieces []piece
+	for i := 0; i < len(whole); i += 7 {
+		pieces = append(pieces, piece{text: whole[i:min(i+7, len(whole))], after: time.Millisecond})
+	}
+	bubble(t, func(x *fixture) {
+		is.New(x.t).Equal(x.ask("/resume/x").body, whole)
+	}, streams(pieces...))
+}
+
+func TestLastID(t *testing.T) {
+	for _, tt := range []struct {
+		events, want string
+		ok           bool
+	}{
+		{"id: 4\ndata: x\n\n", "4", true},
+		{"data: x\nid: 7\n\n", "7", true},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", true},
+		{"id:9\n\n", "9", true},
+		{"data: id: 3\n\n", "", false},
+		{"data: x\n\n", "", false},
+	} {
+		got, ok := lastID([]byte(tt.events))
+		is.New(t).Equal(got, tt.want)
+		is.New(t).Equal(ok, tt.ok)
+	}
+}
+
+// askBody sends a request with a body of its own making.
+func (x *fixture) askBody(body io.Reader, length int64) reply {
+	r := httptest.NewRequestWithContext(x.t.Context(), http.MethodPost, "/once/x", body)
+	r.Host, r.ContentLength = "host", length
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Key", "key")
+	w := httptest.NewRecorder()
+	x.g.ServeHTTP(w, r)
+	return reply{status: w.Code, header: w.Result().Header, body: w.Body.String()}
+}
