--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,307 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file tests what operators, backends and gateways may rely on.
+
+func TestPutAndRead(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead().d
+		_, err := l.Read(x.t.Context())
+		is.True(errors.As(err, new(directory.NoDocument)))
+		is.NoErr(l.Put(x.t.Context(), held(7)))
+		is.NoErr(l.Put(x.t.Context(), held(7))) // again
+		is.NoErr(l.Put(x.t.Context(), held(3))) // an older one comes late
+		h, err := l.Read(x.t.Context())
+		is.NoErr(err)
+		is.Equal(string(h.Source), "source of 7")
+	})
+}
+
+func TestInvalidDocumentChangesNothing(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead().d
+		is.NoErr(l.Put(x.t.Context(), held(7)))
+		bad := held(8)
+		bad.Document.Routes[0].Hold = 0
+		is.True(errors.As(l.Put(x.t.Context(), bad), new(document.Invalid)))
+		old := held(6)
+		old.Document.Routes[0].Hold = 0
+		is.True(errors.As(l.Put(x.t.Context(), old), new(document.Invalid))) // refused even when it changes nothing
+		h, _ := l.Read(x.t.Context())
+		is.Equal(h.Document.Number, uint64(7))
+	})
+}
+
+func TestFollowersNameTheLeader(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead()
+		for ip, n := range x.nodes {
+			if n == l {
+				continue
+			}
+			_, err := n.d.Read(x.t.Context())
+			is.Equal(err, error(directory.Elsewhere{Leader: l.ip + ":7400"}))
+			is.Equal(n.d.Put(x.t.Context(), held(1)), error(directory.Elsewhere{Leader: l.ip + ":7400"}))
+			is.Equal(n.d.Withdraw(x.t.Context(), "b1"), error(directory.Elsewhere{Leader: l.ip + ":7400"}))
+			_ = ip
+		}
+	})
+}
+
+// TestCutOffLeaderNeverReadsOld cuts the leader off in silence; the others
+// accept a newer document. The old leader must not answer with the older one,
+// at any moment.
+func TestCutOffLeaderNeverReadsOld(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		old := x.mustLead()
+		x.put(1)
+		x.net.Cut(old.ip)
+		acknowledged := false
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			if !acknowledged {
+				for _, n := range x.nodes {
+					if n != old && n.d.Leads() {
+						is.NoErr(n.d.Put(x.t.Context(), held(2)))
+						acknowledged = true
+					}
+				}
+			}
+			h, err := old.d.Read(x.t.Context())
+			if acknowledged && err == nil {
+				x.t.Fatalf("the old leader reads document %d", h.Document.Number)
+			}
+		}
+		is.True(acknowledged)
+		x.net.Join(old.ip)
+		time.Sleep(2 * time.Second)
+		h, err := x.mustLead().d.Read(x.t.Context())
+		is.NoErr(err)
+		is.Equal(h.Document.Number, uint64(2))
+	})
+}
+
+// TestAcknowledgedSurvivesPowerLoss crashes every disk right after an
+// acknowledgement.
+func TestAcknowledgedSurvivesPowerLoss(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		for round := uint64(1); round <= 5; round++ {
+			x.put(round)
+			is.NoErr(x.announce("b1", false))
+			for _, ip := range x.order {
+				x.nodes[ip].kill()
+				x.nodes[ip].disk.Crash()
+			}
+			for _, ip := range x.order {
+				x.start(ip, false)
+			}
+			h, err := x.mustLead().d.Read(x.t.Context())
+			is.NoErr(err)
+			is.Equal(h.Document.Number, round)
+		}
+	})
+}
+
+// TestTwoDisksLostAfterAcknowledgement wipes two of five right after an
+// acknowledgement, the leader among them, while the others lose power.
+func TestTwoDisksLostAfterAcknowledgement(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		for round := uint64(1); round <= 4; round++ {
+			x.put(round)
+			lost := []string{x.mustLead().ip}
+			for _, ip := range x.order {
+				if ip != lost[0] {
+					lost = append(lost, ip)
+					break
+				}
+			}
+			for _, ip := range x.order {
+				x.nodes[ip].kill()
+				x.nodes[ip].disk.Crash()
+			}
+			for _, ip := range x.order {
+				if slices.Contains(lost, ip) {
+					x.replaceDisk(ip)
+				}
+				x.start(ip, false)
+			}
+			h, err := x.mustLead().d.Read(x.t.Context())
+			is.NoErr(err)
+			is.Equal(h.Document.Number, round)
+			time.Sleep(4 * time.Second) // the lost ones have caught up
+		}
+	})
+}
+
+func TestDepartureIsForGood(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		g := x.gateway("10.0.2.1")
+		x.put(1)
+		is.NoErr(x.announce("b1", false))
+		is.NoErr(x.announce("b2", false))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(g.Backends(), []string{"b1", "b2"})
+		is.NoErr(x.announce("b1", true))
+		time.Sleep(20 * time.Millisecond) // one way is 1.5 ms
+		is.Equal(g.Backends(), []string{"b2"})
+		is.NoErr(x.announce("b1", false)) // a late announcement is acknowledged
+		time.Sleep(time.Second)
+		is.Equal(g.Backends(), []string{"b2"})
+		x.mustLead().kill() // and a new leader knows
+		is.NoErr(x.announce("b1", false))
+		is.NoErr(x.announce("b2", false))
+		time.Sleep(2 * time.Second)
+		is.Equal(g.Backends(), []string{"b2"})
+	})
+}
+
+func TestSenselessAnnouncementIsRefused(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		err := x.mustLead().d.Announce(x.t.Context(), registry.Announcement{ID: "b1", Pool: "p", Address: "nowhere"})
+		is.New(x.t).True(errors.As(err, new(registry.Senseless)))
+	})
+}
+
+// TestGatewayFollows checks that a document is in force at every gateway soon
+// after its acknowledgement, also while leaders die.
+func TestGatewayFollows(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		for _, ip := range []string{"10.0.2.1", "10.0.2.2", "10.0.2.3"} {
+			x.gateway(ip)
+		}
+		time.Sleep(time.Second)
+		for number := uint64(1); number <= 4; number++ {
+			x.put(number)
+			time.Sleep(50 * time.Millisecond)
+			for _, g := range x.gateways {
+				is.Equal(g.g.Number(), number)
+			}
+			l := x.mustLead()
+			l.kill()
+			x.put(number + 100*number) // through the next leader
+			acked := time.Now()
+			for !allAt(x, number+100*number) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.True(time.Since(acked) < 1500*time.Millisecond)
+			x.start(l.ip, false)
+			time.Sleep(2 * time.Second)
+			number += 100 * number
+		}
+	})
+}
+
+func allAt(x *fleet, number uint64) bool {
+	for _, g := range x.gateways {
+		if g.g.Number() != number {
+			return false
+		}
+	}
+	return true
+}
+
+// TestGatewayKeepsBackendsOverANewLeader: a new leader knows nobody at first.
+func TestGatewayKeepsBackendsOverANewLeader(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		g := x.gateway("10.0.2.1")
+		x.put(1)
+		is.NoErr(x.announce("b1", false))
+		time.Sleep(100 * time.Millisecond)
+		l := x.mustLead()
+		l.kill()
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(g.Backends(), []string{"b1"})
+		}
+	})
+}
+
+// TestGatewayWithCutSeeds starts a gateway whose seeds are all cut off but
+// one, which does not lead.
+func TestGatewayWithCutSeeds(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		x.net.Cut("10.0.1.1")
+		x.net.Cut("10.0.1.2")
+		x.mustLead()
+		g := x.gateway("10.0.2.1")
+		time.Sleep(5 * time.Second)
+		is.Equal(g.Number(), uint64(1))
+	})
+}
+
+// TestReplacedMachine takes a replica away for good; an empty one at another
+// address takes its place, and then the group bears two more losses.
+func TestReplacedMachine(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		x.nodes["10.0.1.5"].kill()
+		delete(x.nodes, "10.0.1.5")
+		x.order = slices.DeleteFunc(x.order, func(ip string) bool { return ip == "10.0.1.5" })
+		x.add("10.0.1.9", false)
+		time.Sleep(4 * time.Second)
+		x.nodes["10.0.1.1"].kill()
+		x.nodes["10.0.1.2"].kill()
+		x.put(2)
+		h, err := x.mustLead().d.Read(x.t.Context())
+		is.NoErr(err)
+		is.Equal(h.Document.Number, uint64(2))
+	})
+}
+
+// TestFullDiskStopsTheReplica: what cannot be written is not acknowledged, and
+// the others go on.
+func TestFullDiskStopsTheReplica(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		l := x.mustLead()
+		l.disk.Room(0)
+		ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+		defer cancel()
+		is.True(l.d.Put(ctx, held(2)) != nil)
+		<-l.d.Done()
+		is.True(l.d.Err() != nil)
+		x.put(3)
+	})
+}
+
+func TestStopHandsOver(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		l := x.mustLead()
+		began := time.Now()
+		l.d.Stop(x.t.Context())
+		is.True(time.Since(began) < 500*time.Millisecond)
+		time.Sleep(200 * time.Millisecond) // less than an election would take
+		next := x.leader()
+		is.True(next != nil && next != l)
+	})
+}
--- /dev/null
+++ b/directory/fixture_test.go
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines fleet, directory replicas and gateways in one bubble of
+// virtual time, on a network and disks in memory.
+
+const (
+	latency  = 1500 * time.Microsecond
+	interval = time.Second // between announcements
+	voters   = 5
+)
+
+var fleetKey = []byte("a key that all nodes share")
+
+type fleet struct {
+	t        *testing.T
+	net      *fakenet.Network
+	rngMu    sync.Mutex
+	rng      *rand.Rand
+	seeds    []string
+	nodes    map[string]*directoryNode // by IP
+	order    []string
+	gateways map[string]*gatewayNode
+	beats    map[string]uint64 // announcements made, by backend
+}
+
+// directoryNode is one replica and what survives its restarts.
+type directoryNode struct {
+	ip   string
+	disk *fakedisk.Disk
+	d    *directory.Directory
+	kill context.CancelFunc
+}
+
+type gatewayNode struct {
+	ip   string
+	g    *gateway.Gateway
+	kill context.CancelFunc
+}
+
+// inFleet runs f with n directory replicas that have formed their group.
+func inFleet(t *testing.T, n int, f func(x *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &fleet{
+			t: t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, uint64(n))),
+			nodes: map[string]*directoryNode{}, gateways: map[string]*gatewayNode{}, beats: map[string]uint64{},
+		}
+		for i := range min(n, 3) {
+			x.seeds = append(x.seeds, fleetAddress(i))
+		}
+		defer x.close()
+		for i := range n {
+			x.add(fmt.Sprintf("10.0.1.%d", i+1), true)
+		}
+		x.mustLead()
+		time.Sleep(2 * time.Second)
+		f(x)
+	})
+}
+
+func fleetAddress(i int) string { return fmt.Sprintf("10.0.1.%d:7400", i+1) }
+
+func (x *fleet) random() uint64 {
+	x.rngMu.Lock()
+	defer x.rngMu.Unlock()
+	return x.rng.Uint64()
+}
+
+func (x *fleet) add(ip string, first bool) {
+	x.nodes[ip] = &directoryNode{ip: ip, disk: fakedisk.New(x.random())}
+	x.order = append(x.order, ip)
+	x.start(ip, first)
+}
+
+func (x *fleet) log(set *metrics.Set) *decision.Log {
+	return decision.New(io.Discard, slog.LevelInfo, decision.DefaultBudget, set)
+}
+
+func (x *fleet) start(ip string, first bool) {
+	n := x.nodes[ip]
+	ctx, cancel := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	log := x.log(set)
+	d, err := directory.Start(ctx, directory.Settings{
+		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
+		Seeds:    x.seeds, First: first, Voters: voters, Dir: n.disk, Interval: interval,
+		Random: x.random, Log: log, Metrics: set,
+	})
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	stop := x.serve(ip+":7400", d)
+	n.d = d
+	n.kill = func() {
+		stop()
+		x.net.Kill(ip)
+		cancel()
+		<-d.Done()
+		log.Close()
+		n.d = nil
+	}
+}
+
+// serve accepts links at an address until the returned function is called.
+func (x *fleet) serve(address string, h http.Handler) (stop func()) {
+	l, err := x.net.Listen(address)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, h)
+	s := &http.Server{Handler: mux, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
+	go func() { _ = s.Serve(l) }()
+	return func() { s.Close() }
+}
+
+// close ends everything. Cut links are joined first: the library lets dials go
+// on in the background.
+func (x *fleet) close() {
+	for _, ip := range x.order {
+		x.net.Join(ip)
+	}
+	time.Sleep(time.Second)
+	for _, g := range x.gateways {
+		g.kill()
+	}
+	for _, n := range x.nodes {
+		if n.d != nil {
+			n.kill()
+		}
+	}
+	synctest.Wait()
+}
+
+// leader returns the replica that leads, or nil.
+func (x *fleet) leader() *directoryNode {
+	for _, ip := range x.order {
+		if n := x.nodes[ip]; n.d != nil && n.d.Leads() {
+			return n
+		}
+	}
+	return nil
+}
+
+func (x *fleet) mustLead() *directoryNode {
+	for range 1000 {
+		if n := x.leader(); n != nil {
+			return n
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	x.t.Fatal("nobody leads after 10 s")
+	return nil
+}
+
+func held(number uint64) document.Held {
+	d := document.Document{
+		Number: number, Pools: []document.Pool{{Name: "p"}},
+		Routes: []document.Route{{
+			Name: "r", Host: "h", Prefix: "/", Hold: time.Second, Targets: []document.Target{{Pool: "p", Weight: 1}},
+		}},
+	}
+	return document.Held{Document: d, Source: fmt.Appendf(nil, "source of %d", number)}
+}
+
+// put sends a document to replicas in turn until one acknowledges it.
+func (x *fleet) put(number uint64) {
+	for range 200 {
+		for _, ip := range x.order {
+			n := x.nodes[ip]
+			if n.d == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+			err := n.d.Put(ctx, held(number))
+			cancel()
+			if err == nil {
+				return
+			}
+			if errors.As(err, new(document.Invalid)) {
+				x.t.Fatal(err)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	x.t.Fatalf("document %d is not acknowledged after 10 s", number)
+}
+
+// announce lets a backend announce itself at the leader.
+func (x *fleet) announce(id string, leaving bool) error {
+	x.beats[id]++
+	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+	defer cancel()
+	return x.mustLead().d.Announce(ctx, registry.Announcement{
+		ID: id, Pool: "p", Address: address(id), Slots: 4, Leaving: leaving, Seq: x.beats[id],
+	})
+}
+
+// address of a backend, by its identifier b1, b2, ….
+func address(id string) string { return "10.0.3." + id[1:] + ":80" }
+
+// noDialect is for gateways that get no requests.
+type noDialect struct{ gateway.Dialect }
+
+func (x *fleet) gateway(ip string) *gateway.Gateway {
+	ctx, cancel := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	log := x.log(set)
+	g := gateway.Start(ctx, gateway.Settings{
+		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
+		Seeds:    x.seeds, Dialect: noDialect{}, Backend: backend.New(backend.Settings{Dialer: x.net.Box(ip)}),
+		Retries: retry.Limits{Window: time.Second}, Random: x.random, Log: log, Metrics: set,
+	})
+	x.gateways[ip] = &gatewayNode{ip: ip, g: g, kill: func() { cancel(); synctest.Wait(); log.Close() }}
+	return g
+}
+
+// replaceDisk gives a stopped replica an empty disk.
+func (x *fleet) replaceDisk(ip string) { x.nodes[ip].disk = fakedisk.New(x.random()) }
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -198,3 +199,11 @@
 	defer t.mu.Unlock()
 	return len(t.members)
 }
+
+// Backends returns the identifiers of the backends that the gateway knows, in
+// order.
+func (g *Gateway) Backends() []string {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.table.members))
+}
