--- a/cmd/badgerspoke-node/main.go
+++ b/cmd/badgerspoke-node/main.go
@@ -11,7 +11,9 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -58,28 +60,49 @@
 func serve(set node.Settings, role platform.Role, log *decision.Log, figures *metrics.Set) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go reload(ctx, hangups, log)
+	reloads := make(chan node.Settings, 1)
+	go reload(ctx, reloads, log)
 	context.AfterFunc(ctx, func() { log.Belief("stopping") })
 	if role == platform.ControlRole {
-		return node.Directory(ctx, set, platform.NewDoor(set.Door), log, figures)
+		return node.Directory(ctx, set, reloads, platform.NewDoor(set.Door), log, figures)
 	}
-	return node.Gateway(ctx, set, platform.Dialect{}, platform.Refused, log, figures)
+	return node.Gateway(ctx, set, reloads, platform.Dialect{}, platform.Refused, log, figures)
 }
 
-// reload reads the settings again on SIGHUP.
-func reload(ctx context.Context, hangups <-chan os.Signal, log *decision.Log) {
+// reloadPeriod is how often the settings are looked at without a signal.
+const reloadPeriod = 2 * time.Second
+
+// reload reads the settings again on SIGHUP and from time to time, and passes
+// on what has changed. What is invalid changes nothing.
+func reload(ctx context.Context, reloads chan<- node.Settings, log *decision.Log) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	tick := time.NewTicker(reloadPeriod)
+	defer tick.Stop()
+	var last []string
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+		case <-tick.C:
+		}
+		set, _, err := platform.LoadSettings(os.Getenv)
+		if err != nil {
+			log.Failure("reload refused", slog.String("error", err.Error()))
+			continue
 		}
-		if _, _, err := platform.LoadSettings(os.Getenv); err != nil {
-			log.Belief("reload refused", slog.String("error", err.Error()))
+		if slices.Equal(set.Seeds, last) {
 			continue
 		}
-		log.Belief("reloaded")
+		if last != nil {
+			log.Belief("reloaded", slog.Any("seeds", set.Seeds), slog.Any("before", last))
+		}
+		last = set.Seeds
+		select {
+		case reloads <- set:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -218,6 +218,10 @@
 // Leader returns the leader's fleet address, or "" when none is known.
 func (d *Directory) Leader() string { return d.hub.leader.Load().leader }
 
+// Formed reports whether this replica belongs to a group; before that it only
+// knows its seeds.
+func (d *Directory) Formed() bool { return d.hub.leader.Load().formed }
+
 // Leads reports whether this replica leads now.
 func (d *Directory) Leads() bool { return d.leading() == nil }
 
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -33,6 +33,7 @@
 	leader  string // fleet address
 	until   time.Duration
 	members []string
+	formed  bool // the replica has a log
 }
 
 type hub struct {
@@ -78,7 +79,7 @@
 // observe is called by the replica's goroutine after every batch.
 func (h *hub) observe(_ time.Duration, s consensus.Status, leads bool) {
 	old := h.leader.Load()
-	next := &lead{leads: leads, term: s.Term, leader: s.Leader.Name, until: s.LeaseEnd, members: old.members}
+	next := &lead{leads: leads, term: s.Term, leader: s.Leader.Name, until: s.LeaseEnd, members: old.members, formed: true}
 	if !sameMembers(old.members, s.Members) {
 		next.members = nil
 		for _, p := range s.Members.Voters {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	routes  atomic.Pointer[routes] // nil before the first document
+	seeds   atomic.Pointer[[]string]
 	table   *table
 	tenants *tenants
 	stats   *stats
@@ -77,12 +78,16 @@
 		stats: newStats(set.Metrics), meter: link.NewMeter(set.Metrics), retries: map[string]*retry.Window{},
 	}
 	g.tenants = newTenants(g.now)
+	g.Reseed(set.Seeds)
 	g.peers.Store(assumedGateways)
 	go newWatcher(g).run()
 	go g.tick()
 	return g
 }
 
+// Reseed tells where else the directory may be found from now on.
+func (g *Gateway) Reseed(seeds []string) { g.seeds.Store(&seeds) }
+
 // now is the gateway's monotonic clock. It is never 0.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) + 1 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -63,7 +63,7 @@
 		return leader
 	}
 	candidates := slices.Clone(w.members)
-	for _, s := range w.g.set.Seeds {
+	for _, s := range *w.g.seeds.Load() {
 		if !slices.Contains(candidates, s) {
 			candidates = append(candidates, s)
 		}
--- /dev/null
+++ b/node/directory.go
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/state/wal"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
+)
+
+// This file defines the node that is a directory replica. A replica whose disk
+// fails stops for good, because it cannot know what was written; the process
+// goes on and opens the folder again, as a new process would.
+
+// Door speaks to operators and backends in a deployment's own way.
+type Door func(d *directory.Directory, log *decision.Log) http.Handler
+
+// reopenPause is the time between two attempts to open the data folder.
+const reopenPause = 500 * time.Millisecond
+
+// replicaNode is a directory replica and its listeners, which outlive it.
+type replicaNode struct {
+	*Node
+	door    Door
+	links   handover
+	callers handover
+	running *directory.Directory // nil while the folder cannot be opened
+}
+
+// handover is a handler that can be exchanged. Without one it answers that it
+// cannot tell.
+type handover struct{ to atomic.Pointer[http.Handler] }
+
+// ServeHTTP implements [http.Handler].
+func (h *handover) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if to := h.to.Load(); to != nil {
+		(*to).ServeHTTP(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (h *handover) set(to http.Handler) { h.to.Store(&to) }
+
+// Directory runs a directory replica until ctx ends. Of reloaded settings it
+// takes the seeds, if it has not found its group yet.
+func Directory(ctx context.Context, set Settings, reloads <-chan Settings, door Door,
+	log *decision.Log, figures *metrics.Set) error {
+	base, err := start(set, log, figures)
+	if err != nil {
+		return err
+	}
+	defer base.close()
+	n := &replicaNode{Node: base, door: door}
+	if err := n.open(); err != nil {
+		log.Belief("disk fails at the start", slog.String("error", err.Error()))
+	}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, &n.links)
+	if err := n.listen(set.Fleet, mux, socket.Listen); err != nil {
+		return err
+	}
+	if err := n.listen(set.Door, &n.callers, socket.Listen); err != nil {
+		return err
+	}
+	n.serve(ctx, reloads)
+	return nil
+}
+
+func (n *replicaNode) serve(ctx context.Context, reloads <-chan Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			n.stopReplica(n.set.Grace / 2)
+			return
+		case next := <-reloads:
+			n.reseed(next.Seeds)
+		case <-n.ended():
+			n.reopen()
+		}
+	}
+}
+
+// ended is closed when the replica has stopped by itself, or fires when it is
+// time to open its folder again.
+func (n *replicaNode) ended() <-chan struct{} {
+	if n.running != nil {
+		return n.running.Done()
+	}
+	again := make(chan struct{})
+	time.AfterFunc(reopenPause, func() { close(again) })
+	return again
+}
+
+// open starts the replica from its folder.
+func (n *replicaNode) open() error {
+	dir, err := wal.MakeDir(filepath.Join(n.set.DataDir, "directory"))
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	d, err := directory.Start(context.Background(), directory.Settings{
+		Identity: n.identity(), Seeds: n.set.Seeds, First: n.set.First, Voters: n.set.Voters, Dir: dir,
+		Interval: n.set.Interval, Random: rand.Uint64, Log: n.log, Metrics: n.metrics,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start the directory")
+	}
+	n.running = d
+	n.links.set(d)
+	n.callers.set(n.door(d, n.log))
+	return nil
+}
+
+// reopen opens the folder again after its disk failed.
+func (n *replicaNode) reopen() {
+	if n.running != nil {
+		n.log.Belief("disk failed", slog.String("error", n.running.Err().Error()))
+		n.stopReplica(0)
+		return
+	}
+	if err := n.open(); err != nil {
+		n.log.Belief("disk fails still", slog.String("error", err.Error()))
+		return
+	}
+	n.log.Belief("disk works again")
+}
+
+// reseed starts a replica that has found no group again with other seeds.
+func (n *replicaNode) reseed(seeds []string) {
+	if slices.Equal(seeds, n.set.Seeds) {
+		return
+	}
+	n.set.Seeds = seeds
+	if n.running != nil && !n.running.Formed() {
+		n.stopReplica(0)
+	}
+}
+
+func (n *replicaNode) stopReplica(grace time.Duration) {
+	if n.running == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	n.running.Stop(ctx)
+	n.running = nil
+	n.links.to.Store(nil)
+	n.callers.to.Store(nil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"path/filepath"
 	"runtime/debug"
 	"time"
 
@@ -25,15 +24,13 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/decision"
-	"github.com/badgerspoke/badgerspoke/directory"
 	"github.com/badgerspoke/badgerspoke/gateway"
-	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
-// This file defines Settings, and the two kinds of node.
+// This file defines Settings, what both kinds of node share, and the gateway.
 
 // Settings of a node. Addresses are IP:PORT; an empty one is not listened on.
 type Settings struct {
@@ -78,6 +75,7 @@
 	maxHeaderBytes    = 64 << 10
 	backendIdle       = 4 * time.Second
 	backendDial       = 350 * time.Millisecond
+	idlePerBackend    = 64
 )
 
 // Node is a running process.
@@ -130,9 +128,10 @@
 }
 
 // Gateway runs a gateway until ctx ends, and then stops it without cutting
-// off a request as far as the grace allows.
-func Gateway(ctx context.Context, set Settings, dialect gateway.Dialect, refused func(int, http.Header) bool,
-	log *decision.Log, figures *metrics.Set) error {
+// off a request as far as the grace allows. Of reloaded settings it takes the
+// seeds.
+func Gateway(ctx context.Context, set Settings, reloads <-chan Settings, dialect gateway.Dialect,
+	refused func(int, http.Header) bool, log *decision.Log, figures *metrics.Set) error {
 	n, err := start(set, log, figures)
 	if err != nil {
 		return err
@@ -140,7 +139,7 @@
 	defer n.close()
 	opened := figures.GetOrCreateCounter("badgerspoke_gateway_backend_connections_total")
 	client := backend.New(backend.Settings{
-		Dialer: &net.Dialer{Timeout: backendDial}, IdlePerServer: 64, IdleTime: backendIdle,
+		Dialer: &net.Dialer{Timeout: backendDial}, IdlePerServer: idlePerBackend, IdleTime: backendIdle,
 		Refused: refused, Opened: opened.Inc,
 	})
 	defer client.Close()
@@ -157,9 +156,15 @@
 	if err := n.listen(set.Callers, g, n.callersListener); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	g.Stop(running)
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			g.Stop(running)
+			return nil
+		case next := <-reloads:
+			g.Reseed(next.Seeds)
+		}
+	}
 }
 
 func (n *Node) callersListener(address string) (net.Listener, error) {
@@ -178,45 +183,3 @@
 		}
 	})
 }
-
-// Door speaks to operators and backends in a deployment's own way.
-type Door func(d *directory.Directory, log *decision.Log) http.Handler
-
-// Directory runs a directory replica until ctx ends, or its disk fails.
-func Directory(ctx context.Context, set Settings, door Door, log *decision.Log, figures *metrics.Set) error {
-	n, err := start(set, log, figures)
-	if err != nil {
-		return err
-	}
-	defer n.close()
-	dir, err := wal.MakeDir(filepath.Join(set.DataDir, "directory"))
-	if err != nil {
-		return errors.Wrap(err, "data folder")
-	}
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	d, err := directory.Start(running, directory.Settings{
-		Identity: n.identity(), Seeds: set.Seeds, First: set.First, Voters: set.Voters, Dir: dir,
-		Interval: set.Interval, Random: rand.Uint64, Log: log, Metrics: figures,
-	})
-	if err != nil {
-		return errors.Wrap(err, "start the directory")
-	}
-	mux := http.NewServeMux()
-	mux.Handle(link.Path, d)
-	if err := n.listen(set.Fleet, mux, socket.Listen); err != nil {
-		return err
-	}
-	if err := n.listen(set.Door, door(d, log), socket.Listen); err != nil {
-		return err
-	}
-	select {
-	case <-d.Done():
-		return d.Err()
-	case <-ctx.Done():
-	}
-	stopping, cancel := context.WithTimeout(running, set.Grace/2)
-	defer cancel()
-	d.Stop(stopping)
-	return nil
-}
