--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// Remember adds a backend of which another leader heard, before anybody has
+// spoken here. Any announcement goes before it.
+func (r *Registry) Remember(now time.Duration, a Announcement) {
+	a.Seq = 0
+	if r.backends[a.ID] == nil && r.byAddress[a.Address] == "" {
+		r.add(now, a)
+	}
+}
+
 // Announce takes an announcement of a backend that has not departed. A late
 // one, with a number that is not above the last, changes nothing.
 func (r *Registry) Announce(now time.Duration, a Announcement) Change {
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -98,3 +98,14 @@
 	is.True(!r.Complete(12 * interval))
 	is.True(r.Complete(13 * interval))
 }
+
+func TestRememberedBackends(t *testing.T) {
+	is := is.New(t)
+	r := New(0, interval)
+	r.Announce(0, announcement("new", "10.0.0.1:80", 1))
+	r.Remember(0, announcement("old", "10.0.0.1:80", 9)) // its address is taken
+	r.Remember(0, announcement("a", "10.0.0.2:80", 9))
+	is.Equal(ids(r.List()), []string{"a", "new"})
+	is.True(r.Announce(interval, announcement("a", "10.0.0.2:80", 1)).Empty()) // speaks, whatever its number was
+	is.Equal(r.Forget((forgetAfter+1)*interval).Gone, []string{"new"})
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -240,6 +240,30 @@
 	})
 }
 
+// TestBackendsOutliveAllPower: after every machine has lost power, gateways
+// know the backends again before these have spoken.
+func TestBackendsOutliveAllPower(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		is.NoErr(x.announce("b1", false))
+		is.NoErr(x.announce("b2", false))
+		is.NoErr(x.announce("b1", true))
+		time.Sleep(time.Second)
+		for _, ip := range x.order {
+			x.nodes[ip].kill()
+			x.nodes[ip].disk.Crash()
+		}
+		for _, ip := range x.order {
+			x.start(ip, false)
+		}
+		g := x.gateway("10.0.2.1")
+		time.Sleep(3 * time.Second)
+		is.Equal(g.Number(), uint64(1))
+		is.Equal(g.Backends(), []string{"b2"})
+	})
+}
+
 // TestGatewayWithCutSeeds starts a gateway whose seeds are all cut off but
 // one, which does not lead.
 func TestGatewayWithCutSeeds(t *testing.T) {
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -14,6 +14,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/consensus"
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
@@ -24,6 +25,7 @@
 	eventDepth   = 8192
 	sessionQueue = 256
 	fleetPeriod  = 100 * time.Millisecond // between two Fleet messages
+	joinTimeout  = 2 * time.Second        // for joins to be logged
 )
 
 // lead is what the replica's goroutine last said.
@@ -47,6 +49,7 @@
 	registry *registry.Registry
 	departed uint64 // departures applied to the registry
 	complete bool
+	unlogged []document.Backend // announced, not yet put into the log
 	sessions map[*session]bool
 	usage    *usage
 	image    protocol.Document // newest document, encoded once
@@ -156,6 +159,12 @@
 	h.registry = registry.New(h.d.replica.Now(), h.d.set.Interval)
 	h.departed = 0
 	h.complete = false
+	h.unlogged = nil
+	for _, b := range h.d.state.Joined() {
+		h.registry.Remember(h.d.replica.Now(), registry.Announcement{
+			ID: b.ID, Pool: b.Pool, Address: b.Address, Zone: b.Zone, Slots: b.Slots,
+		})
+	}
 	h.usage = newUsage()
 	h.d.set.Log.Belief("leading", slog.Uint64("term", term), slog.Any("members", h.leader.Load().members))
 }
@@ -185,9 +194,25 @@
 			s.out.Send(h.wholeList())
 		}
 	}
+	h.logJoins()
 	h.pushFleet()
 }
 
+// logJoins puts what was announced since the last tick into the log. What is
+// lost on the way is heard again by a later leader.
+func (h *hub) logJoins() {
+	if len(h.unlogged) == 0 {
+		return
+	}
+	c := command{Join: h.unlogged}
+	h.unlogged = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(h.d.ctx, joinTimeout)
+		defer cancel()
+		_, _ = h.d.propose(ctx, c)
+	}()
+}
+
 // pushDepartures takes departed backends out of the registry and tells
 // everybody.
 func (h *hub) pushDepartures() {
@@ -234,6 +259,9 @@
 		for _, b := range change.Set {
 			h.d.set.Log.Belief("backend announced", slog.String("backend", b.ID), slog.String("pool", b.Pool),
 				slog.String("address", b.Address), slog.Any("replaces", change.Gone))
+			h.unlogged = append(h.unlogged, document.Backend{
+				ID: b.ID, Pool: b.Pool, Address: b.Address, Zone: b.Zone, Slots: b.Slots,
+			})
 		}
 		h.broadcast(change)
 	})
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -17,6 +17,9 @@
 type command struct {
 	Put    *document.Held `cbor:"1,keyasint,omitempty"`
 	Depart string         `cbor:"2,keyasint,omitempty"`
+	// Join is who was announced. Nobody waits for it: it only spares a new
+	// leader the time until everybody has spoken again.
+	Join []document.Backend `cbor:"3,keyasint,omitempty"`
 }
 
 // Replicated is the applied state. It is safe for concurrent use.
@@ -50,6 +53,13 @@
 	return m.store.DeparturesSince(n)
 }
 
+// Joined returns the backends that were announced and have not departed.
+func (m *Replicated) Joined() []document.Backend {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.store.Joined()
+}
+
 // Apply implements [replica.Machine].
 func (m *Replicated) Apply(data []byte) any {
 	var c command
@@ -65,6 +75,9 @@
 	case c.Depart != "":
 		return m.store.Depart(c.Depart)
 	}
+	for _, b := range c.Join {
+		m.store.Join(b)
+	}
 	return false
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -261,7 +261,7 @@
 		panic(http.ErrAbortHandler)
 	default:
 		c.g.stats.count("left", "route", c.route.Name)
-		c.g.set.Log.Routine("caller left", c.facts(took)...)
+		c.g.set.Log.Failure("caller left", c.facts(took)...)
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -278,5 +278,9 @@
 			slog.Int("tokens_read", l.tokens), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
 			slog.Int("first_ms", int(l.waiting.Milliseconds())))
 	}
+	if c.relay != nil && c.relay.passed > 0 {
+		facts = append(facts, slog.Int("pieces", c.relay.passed), slog.String("last_event", c.relay.last),
+			slog.Int("quiet_ms", int((c.g.now()-c.relay.passedAt).Milliseconds())))
+	}
 	return facts
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -30,6 +30,9 @@
 	begun bool   // the head has been written
 	last  string // identifier of the last event passed on
 	rest  []byte // an event that is not whole yet
+	// Of the stream so far, for the log.
+	passed   int // writes to the caller
+	passedAt time.Duration
 }
 
 func newRelay(c *call) *relay { return &relay{c: c, last: ""} }
@@ -161,18 +164,19 @@
 		return nil
 	}
 	whole := r.rest[:end+len(eventEnd)]
-	fresh := whole
 	if id, ok := lastID(whole); ok {
 		r.last = id
 	}
 	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := r.c.w.Write(fresh); err != nil {
+	if _, err := r.c.w.Write(whole); err != nil {
 		return err
 	}
 	if err := flusher.Flush(); err != nil {
 		return err
 	}
 	r.rest = append(r.rest[:0], r.rest[end+len(eventEnd):]...)
+	r.passed++
+	r.passedAt = r.c.g.now()
 	return nil
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -32,6 +32,13 @@
 // reopenPause is the time between two attempts to open the data folder.
 const reopenPause = 500 * time.Millisecond
 
+// Times of the group. Its replicas are a few milliseconds apart and sync their
+// disks in a few more.
+const (
+	election  = 400 * time.Millisecond
+	heartbeat = 80 * time.Millisecond
+)
+
 // replicaNode is a directory replica and its listeners, which outlive it.
 type replicaNode struct {
 	*Node
@@ -114,7 +121,8 @@
 	}
 	d, err := directory.Start(context.Background(), directory.Settings{
 		Identity: n.identity(), Seeds: n.set.Seeds, First: n.set.First, Voters: n.set.Voters, Dir: dir,
-		Interval: n.set.Interval, Random: rand.Uint64, Log: n.log, Metrics: n.metrics,
+		Interval: n.set.Interval, Election: election, Heartbeat: heartbeat,
+		Random: rand.Uint64, Log: n.log, Metrics: n.metrics,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start the directory")
--- a/state/document/document_test.go
+++ b/state/document/document_test.go
@@ -106,12 +106,27 @@
 	is.Equal(len(ids), 0)
 }
 
+func TestJoinedBackends(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	s.Join(Backend{ID: "b", Address: "10.0.0.2:80"})
+	s.Join(Backend{ID: "a", Address: "10.0.0.1:80"})
+	is.Equal(len(s.Joined()), 2)
+	s.Join(Backend{ID: "c", Address: "10.0.0.1:80"}) // a's address
+	is.Equal(s.Joined()[0].ID, "b")
+	s.Depart("b")
+	s.Join(Backend{ID: "b", Address: "10.0.0.2:80"}) // late
+	is.Equal(len(s.Joined()), 1)
+	is.Equal(s.Joined()[0].ID, "c")
+}
+
 func TestImageHoldsEverything(t *testing.T) {
 	is := is.New(t)
 	var s Store
 	s.Put(Held{Document: valid(), Source: []byte("as it was sent")})
 	s.Depart("x")
 	s.Depart("y")
+	s.Join(Backend{ID: "z", Pool: "p", Address: "10.0.0.1:80", Slots: 4})
 	image, err := s.MarshalBinary()
 	is.NoErr(err)
 	var restored Store
@@ -122,4 +137,5 @@
 	ids, total := restored.DeparturesSince(0)
 	is.Equal(ids, []string{"x", "y"})
 	is.Equal(total, uint64(2))
+	is.Equal(restored.Joined(), s.Joined())
 }
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -2,7 +2,12 @@
 
 package document
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 // This file defines Store, the state machine of documents and departures.
 
@@ -16,12 +21,27 @@
 	Source   []byte   `cbor:"2,keyasint"`
 }
 
-// Store holds the highest document and the newest departures. It is not safe
-// for concurrent use. The zero value is empty.
+// MaxBackends is the number of backends that are remembered.
+const MaxBackends = 16384
+
+// Backend is an announced backend, as far as it outlives the leader that heard
+// it.
+type Backend struct {
+	ID      string `cbor:"1,keyasint"`
+	Pool    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"` // IP:PORT
+	Zone    string `cbor:"4,keyasint,omitempty"`
+	Slots   int    `cbor:"5,keyasint,omitempty"`
+}
+
+// Store holds the highest document, the newest departures, and who was
+// announced and has not departed. It is not safe for concurrent use. The zero
+// value is empty.
 type Store struct {
 	held    *Held
-	order   []string // departed backends, oldest first
-	total   uint64   // departures ever
+	joined  map[string]Backend // by identifier
+	order   []string           // departed backends, oldest first
+	total   uint64             // departures ever
 	departs map[string]bool
 }
 
@@ -56,12 +76,39 @@
 		delete(s.departs, s.order[0])
 		s.order = s.order[1:]
 	}
+	delete(s.joined, id)
 	s.departs[id] = true
 	s.order = append(s.order, id)
 	s.total++
 	return true
 }
 
+// Join remembers an announced backend, in place of any at the same address.
+// One that has departed stays away.
+func (s *Store) Join(b Backend) {
+	if s.departs[b.ID] || len(s.joined) >= MaxBackends {
+		return
+	}
+	if s.joined == nil {
+		s.joined = map[string]Backend{}
+	}
+	for id, other := range s.joined {
+		if other.Address == b.Address {
+			delete(s.joined, id)
+		}
+	}
+	s.joined[b.ID] = b
+}
+
+// Joined returns the remembered backends, ordered by identifier.
+func (s *Store) Joined() []Backend {
+	out := make([]Backend, 0, len(s.joined))
+	for _, id := range slices.Sorted(maps.Keys(s.joined)) {
+		out = append(out, s.joined[id])
+	}
+	return out
+}
+
 // Departed reports whether a backend is leaving or gone.
 func (s *Store) Departed(id string) bool { return s.departs[id] }
 
@@ -74,14 +121,15 @@
 
 // image is the serialized form.
 type image struct {
-	Held    *Held    `cbor:"1,keyasint,omitempty"`
-	Departs []string `cbor:"2,keyasint,omitempty"`
-	Total   uint64   `cbor:"3,keyasint,omitempty"`
+	Held    *Held     `cbor:"1,keyasint,omitempty"`
+	Departs []string  `cbor:"2,keyasint,omitempty"`
+	Total   uint64    `cbor:"3,keyasint,omitempty"`
+	Joined  []Backend `cbor:"4,keyasint,omitempty"`
 }
 
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
-	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total})
+	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined()})
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler].
@@ -95,5 +143,8 @@
 		s.Depart(id)
 	}
 	s.total = max(s.total, im.Total)
+	for _, b := range im.Joined {
+		s.Join(b)
+	}
 	return nil
 }
