--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,6 +63,9 @@
 	if since := g.stopping(); since > part(g.set.Grace, acceptPart) {
 		return Refusal{Cause: Stopping, After: shortReturn}
 	}
+	if g.pressure.high.Load() {
+		return Refusal{Cause: Pressed, After: shortReturn}
+	}
 	if c.rs = g.routes.Load(); c.rs == nil {
 		return Refusal{Cause: NoDocument, After: longReturn}
 	}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -21,6 +21,7 @@
 	BodyTooLarge Cause = "body-too-large"
 	BodyBroken   Cause = "body-broken"
 	Stopping     Cause = "stopping"
+	Pressed      Cause = "processor-pressure"
 	Overloaded   Cause = "overloaded"
 	BeyondShare  Cause = "beyond-share"
 	NoBackend    Cause = "no-backend"
@@ -34,7 +35,7 @@
 // and never will; 502 and 504 promise nothing.
 var statuses = map[Cause]int{
 	NoDocument: http.StatusServiceUnavailable, NoRoute: http.StatusNotFound, UnknownKey: http.StatusUnauthorized,
-	BodyTooLarge: http.StatusRequestEntityTooLarge, BodyBroken: http.StatusBadRequest,
+	Pressed: http.StatusServiceUnavailable, BodyTooLarge: http.StatusRequestEntityTooLarge, BodyBroken: http.StatusBadRequest,
 	Stopping: http.StatusServiceUnavailable, Overloaded: http.StatusServiceUnavailable,
 	BeyondShare: http.StatusTooManyRequests, NoBackend: http.StatusServiceUnavailable,
 	NoBudget: http.StatusServiceUnavailable, NotRunThere: http.StatusServiceUnavailable,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 	bodies  atomic.Int64 // bytes of their bodies
 	stopped atomic.Int64 // when the stop began, by now; 0 before
 
+	pressure pressure
+
 	retriesMu sync.Mutex // a leaf; guards retries
 	retries   map[string]*retry.Window
 }
@@ -93,23 +95,18 @@
 
 const tickPeriod = 20 * time.Millisecond
 
-// tick gives backends to requests that wait for what others' load leaves free.
-func (g *Gateway) tick() {
-	t := time.NewTicker(tickPeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-t.C:
-			g.grantAll()
-		}
-	}
-}
-
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready() bool {
-	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0
+	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.pressure.high.Load()
+}
+
+// IdleTime is how long callers may leave a connection unused, by the document
+// in force; 0 is not said.
+func (g *Gateway) IdleTime() time.Duration {
+	if rs := g.routes.Load(); rs != nil {
+		return rs.document.Limits.IdleTime
+	}
+	return 0
 }
 
 // Number returns the document in force here, 0 before the first.
--- /dev/null
+++ b/node/connections_test.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// countedConn counts its end.
+type countedConn struct {
+	net.Conn
+	ended *atomic.Int64
+}
+
+func (c *countedConn) SetReadDeadline(time.Time) error { c.ended.Add(1); return nil }
+
+func TestIdleConnectionsEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var ended atomic.Int64
+		c := newIdleConnections(100)
+		go c.sweep(t.Context(), func() time.Duration { return 15 * time.Second })
+		busy, idle := &countedConn{ended: &ended}, &countedConn{ended: &ended}
+		for _, conn := range []net.Conn{busy, idle} {
+			c.track(conn, http.StateNew)
+			c.track(conn, http.StateActive)
+		}
+		c.track(idle, http.StateIdle)
+		time.Sleep(12 * time.Second) // callers use it until then
+		synctest.Wait()
+		is.Equal(ended.Load(), int64(0))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.Equal(ended.Load(), int64(1))
+	})
+}
+
+// TestManyConnectionsEndTheIdle opens more and more connections: the longest
+// idle are ended, those in use never.
+func TestManyConnectionsEndTheIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var busy, old, young atomic.Int64
+		c := newIdleConnections(100)
+		add := func(ended *atomic.Int64, state http.ConnState) {
+			conn := &countedConn{ended: ended}
+			c.track(conn, http.StateNew)
+			c.track(conn, state)
+		}
+		for range 30 {
+			add(&busy, http.StateActive)
+			add(&old, http.StateIdle)
+		}
+		time.Sleep(time.Second)
+		for range 20 {
+			add(&young, http.StateIdle)
+		}
+		add(&young, http.StateIdle) // over 80
+		synctest.Wait()
+		is.Equal(old.Load(), int64(10))
+		is.Equal(young.Load(), int64(0))
+		is.Equal(busy.Load(), int64(0))
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -63,15 +63,16 @@
 const (
 	heapPart          = 0.6 // of the memory, for the runtime
 	bodiesPart        = 0.12
-	reservedFiles     = 700 // descriptors that are not callers' connections
+	connectionsPart   = 0.4
+	connectionBytes   = 24 << 10 // of memory for each of callers' connections
+	reservedFiles     = 700      // descriptors that are not callers' connections
 	fewestConnections = 256
 )
 
-// Times that every listener has. Callers reuse idle connections for as long
-// as the document allows; the listener allows somewhat more.
+// Times that every listener has.
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 75 * time.Second
+	idleTimeout       = 5 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	backendIdle       = 4 * time.Second
 	backendDial       = 350 * time.Millisecond
@@ -117,6 +118,32 @@
 	return nil
 }
 
+// listenToCallers serves callers with a bound on their connections.
+func (n *Node) listenToCallers(ctx context.Context, g *gateway.Gateway) error {
+	most := n.mostConnections()
+	open := func(address string) (net.Listener, error) {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.Limit(l, most), nil
+	}
+	if err := n.listen(n.set.Callers, g, open); err != nil {
+		return err
+	}
+	idle := newIdleConnections(most)
+	n.servers[len(n.servers)-1].ConnState = idle.track
+	go idle.sweep(ctx, g.IdleTime)
+	return nil
+}
+
+// mostConnections is how many callers' connections the machine's limits allow.
+func (n *Node) mostConnections() int {
+	byFiles := n.set.Descriptors - reservedFiles
+	byMemory := int(connectionsPart * float64(n.set.Memory) / connectionBytes)
+	return max(min(byFiles, byMemory), fewestConnections)
+}
+
 func (n *Node) close() {
 	for _, s := range n.servers {
 		s.Close()
@@ -153,7 +180,7 @@
 	if err := n.listen(set.Ready, readiness(g), socket.Listen); err != nil {
 		return err
 	}
-	if err := n.listen(set.Callers, g, n.callersListener); err != nil {
+	if err := n.listenToCallers(running, g); err != nil {
 		return err
 	}
 	for {
@@ -167,14 +194,6 @@
 	}
 }
 
-func (n *Node) callersListener(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return socket.Limit(l, max(n.set.Descriptors-reservedFiles, fewestConnections)), nil
-}
-
 // readiness answers whether new callers should come here.
 func readiness(g *gateway.Gateway) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
