Gateway: pressure counts by time; events are gathered under pressure

Cause: a gateway that got most of a flooding tenant's callers (500 requests a second, some 12,000 events) used up its processor; the timer that should have shown it fired so rarely that its average stayed low, and answers lay in the process until callers gave up. Ruled out: connections (155 requests in service, 3,000 allowed), the link.

--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/decision"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file measures what a gateway costs a request and an event, over
+// loopback, with callers and backends in the same process.
+
+const (
+	benchEvents = 30
+	benchPause  = 5 * time.Millisecond
+	benchStream = 100 // streams at once
+)
+
+// BenchmarkEvents reports the processor time of the whole process for one
+// event of a stream, and that without a gateway.
+func BenchmarkEvents(b *testing.B) {
+	address := benchBackend(b)
+	b.Run("gateway", func(b *testing.B) { benchEventsAt(b, benchGateway(b, address)) })
+	b.Run("direct", func(b *testing.B) { benchEventsAt(b, address) })
+}
+
+func benchEventsAt(b *testing.B, address string) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchStream}}
+	before := processorTime()
+	for b.Loop() {
+		var group sync.WaitGroup
+		for range benchStream {
+			group.Go(func() { readStream(b, client, address) })
+		}
+		group.Wait()
+	}
+	used := processorTime() - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N*benchStream*benchEvents), "cpu-µs/event")
+}
+
+func readStream(b *testing.B, client *http.Client, address string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/resume/x", nil)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	req.Host = "host"
+	req.Header.Set("Id", "1")
+	req.Header.Set("Key", "key")
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer resp.Body.Close()
+	n, _ := io.Copy(io.Discard, resp.Body)
+	if want := int64(len(wholeStream(benchEvents))); n != want {
+		b.Errorf("%d bytes, status %d; want %d", n, resp.StatusCode, want)
+	}
+}
+
+// benchBackend serves streams of events.
+func benchBackend(b *testing.B) string {
+	return benchServe(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Sealed", "yes")
+		flusher := http.NewResponseController(w)
+		for id := range benchEvents {
+			time.Sleep(benchPause)
+			fmt.Fprint(w, event(id+1))
+			_ = flusher.Flush()
+		}
+	}))
+}
+
+func benchGateway(b *testing.B, backendAddress string) string {
+	set := metrics.NewSet()
+	g := Start(b.Context(), Settings{
+		Identity: link.Identity{Name: "g"}, Dialect: testDialect{}, Backend: backend.New(backend.Settings{IdlePerServer: benchStream}),
+		Retries: retry.Limits{Window: time.Second}, Bodies: 1 << 20, Random: func() uint64 { return 1 }, Metrics: set,
+		Log: decision.New(io.Discard, slog.LevelInfo, decision.DefaultBudget, set),
+	})
+	g.peers.Store(1)
+	d := testDocument()
+	d.Pools[0].Connections = 10 * benchStream
+	g.apply(d)
+	g.table.update(protocol.Backends{Term: 1, Set: []protocol.Backend{{ID: "b", Pool: "plain", Address: backendAddress, Slots: benchStream}}})
+	return benchServe(b, g)
+}
+
+func benchServe(b *testing.B, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+// processorTime is what the process has used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -16,26 +16,40 @@
 // it is late on average, new requests are refused at once, as not run, with
 // their connections closed, and the gateway is not ready: their callers reach
 // other gateways, whose processors may be idle, because the balancer spreads
-// callers unevenly. One long delay says nothing: the machine stood still.
+// callers unevenly. A firing counts for as long as it took to come, because a
+// starved timer fires rarely; a machine that stood still looks the same for
+// the first half second after.
+
+// Well before that, streams are passed on in larger pieces: a gateway that
+// waits a little after each piece finds several events for one read and one
+// write, which is most of what an event costs.
 
 // Limits of the averaged delay.
 const (
+	delayNoticed = 5 * time.Millisecond // pieces of streams are gathered from here on
 	delayTooLong = 35 * time.Millisecond
 	delayShort   = 10 * time.Millisecond
-	delayMost    = 150 * time.Millisecond // that one firing counts
-	delayWeight  = 0.12                   // of one firing
+	delayMost    = 120 * time.Millisecond // that one firing counts
+	delayMemory  = 250 * time.Millisecond // time constant of the average
 )
 
+// gatherTime is how long a stream waits after a piece under pressure. Several
+// fit into the pause that callers notice.
+const gatherTime = 40 * time.Millisecond
+
 type pressure struct {
-	delay float64 // averaged, in seconds; owned by the ticking goroutine
-	high  atomic.Bool
+	delay   float64 // averaged, in seconds; owned by the ticking goroutine
+	noticed atomic.Bool
+	high    atomic.Bool
 }
 
 // fired takes how late the timer was and reports whether the pressure has
 // become high or low by it.
 func (p *pressure) fired(late time.Duration) (changed bool) {
+	weight := 1 - math.Exp(-float64(tickPeriod+late)/float64(delayMemory))
 	late = min(max(late, 0), delayMost)
-	p.delay += delayWeight * (late.Seconds() - p.delay)
+	p.delay += weight * (late.Seconds() - p.delay)
+	p.noticed.Store(p.delay > delayNoticed.Seconds())
 	high := p.high.Load()
 	switch {
 	case !high && p.delay > delayTooLong.Seconds():
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,6 +33,7 @@
 	// Of the stream so far, for the log.
 	passed   int // writes to the caller
 	passedAt time.Duration
+	extended time.Duration // when the write deadline was last moved
 }
 
 func newRelay(c *call) *relay { return &relay{c: c, last: ""} }
@@ -106,8 +107,10 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			r.c.g.begun(l, r.c.pool.Engine)
 			r.c.heard()
+			if !l.first {
+				r.c.g.begun(l, r.c.pool.Engine)
+			}
 			if !r.begun {
 				r.c.g.stats.firstPart(r.c.tenant.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
 				r.writeHead(answer.Status, answer.Header, -1)
@@ -119,12 +122,25 @@
 		if err == io.EOF {
 			return r.streamEnd(answer, flusher)
 		}
+		if err == nil && r.c.g.pressure.noticed.Load() {
+			r.gather(ctx)
+		}
 		if err != nil || ctx.Err() != nil {
 			return outcome{ran: unknown, cause: "stream broken", blame: lost, err: errorOr(err, ctx.Err())}
 		}
 	}
 }
 
+// gather waits a little, so that several events come with one read.
+func (r *relay) gather(ctx context.Context) {
+	t := time.NewTimer(gatherTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func errorOr(err, other error) error {
 	if err != nil {
 		return err
@@ -167,7 +183,7 @@
 	if id, ok := lastID(whole); ok {
 		r.last = id
 	}
-	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
+	r.extendWriteDeadline(flusher)
 	if _, err := r.c.w.Write(whole); err != nil {
 		return err
 	}
@@ -183,6 +199,17 @@
 // writeTimeout bounds how long a caller may take no byte of a stream.
 const writeTimeout = 10 * time.Second
 
+// extendWriteDeadline moves the deadline now and then; for every event would
+// cost more than the event.
+func (r *relay) extendWriteDeadline(flusher *http.ResponseController) {
+	now := r.c.g.now()
+	if now < r.extended+writeTimeout/4 && r.extended > 0 {
+		return
+	}
+	r.extended = now
+	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // lastID returns the identifier of the last event that has one.
 func lastID(events []byte) (string, bool) {
 	at := bytes.LastIndex(events, []byte("\nid:"))
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -174,6 +174,67 @@
 	}, streams(pieces...))
 }
 
+// timedBody is a stream whose events come at set times, read or not.
+type timedBody struct {
+	began time.Time
+	every time.Duration
+	last  int
+	sent  int
+	reads int
+}
+
+func (r *timedBody) Read(b []byte) (int, error) {
+	if r.sent == r.last {
+		return 0, io.EOF
+	}
+	r.reads++
+	time.Sleep(time.Until(r.began.Add(time.Duration(r.sent+1) * r.every)))
+	n := 0
+	for r.sent < r.last && time.Since(r.began) >= time.Duration(r.sent+1)*r.every {
+		r.sent++
+		n += copy(b[n:], event(r.sent))
+	}
+	return n, nil
+}
+
+func (r *timedBody) Close() error { return nil }
+
+// TestUnderPressureEventsAreGathered: the same bytes with fewer reads, and as
+// many reads as events without pressure.
+func TestUnderPressureEventsAreGathered(t *testing.T) {
+	for _, pressed := range []bool{false, true} {
+		var body *timedBody
+		does := func(_ context.Context, call backend.Call) (*backend.Answer, error) {
+			body = &timedBody{began: time.Now(), every: 10 * time.Millisecond, last: 40}
+			return &backend.Answer{Status: 200, Header: headOf(call), Length: -1, Body: body}, nil
+		}
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() { // the ticking goroutine would take it back
+				defer close(stopped)
+				for {
+					x.g.pressure.noticed.Store(pressed)
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Millisecond):
+					}
+				}
+			}()
+			got := x.ask("/resume/x")
+			close(stop)
+			<-stopped
+			is.Equal(got.body, wholeStream(40))
+			if pressed {
+				is.True(body.reads <= 11)
+			} else {
+				is.Equal(body.reads, 40)
+			}
+		}, does)
+	}
+}
+
 func TestLastID(t *testing.T) {
 	for _, tt := range []struct {
 		events, want string
