--- a/cli/cli.go
+++ b/cli/cli.go
@@ -92,6 +92,9 @@
 
 // Run runs one command and returns the exit code.
 func Run(ctx context.Context, args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "explain" {
+		return explainRequest(args[1:], stdout, stderr)
+	}
 	cmd, rest := find(args)
 	if cmd == nil {
 		usage(stderr)
@@ -302,8 +305,9 @@
 	for _, c := range commands {
 		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", strings.TrimSpace(c.name+" "+strings.Join(c.args, " ")), c.what)
 	}
+	fmt.Fprintf(w, "  badgerspoke %-40s %s\n", "explain ID [FILE ...]", "print the life of a request from logs")
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "Every command takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the last two")
+	fmt.Fprintln(w, "Every command but explain takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the last two")
 	fmt.Fprintf(w, "may come from %sSERVER and %sTOKEN. Exit codes: 0 done, 1 refused, 2 wrong\n", settings.EnvPrefix, settings.EnvPrefix)
 	fmt.Fprintln(w, "usage, 3 nobody leads or answers, 4 another change won.")
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -131,3 +131,25 @@
 	is.NoErr(err)
 	is.Equal(got, string(want))
 }
+
+func TestExplainFromFiles(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "gateway.log")
+	line := `{"time":"2026-09-26T04:20:43.9Z","level":"WARN","msg":"refused","request":"r1","cause":"stopping","status":503}`
+	is.NoErr(os.WriteFile(path, []byte(line+"\n"), 0o600))
+	run := func(args ...string) (int, string) {
+		var out, errs strings.Builder
+		code := Run(t.Context(), append([]string{"explain"}, args...), func(string) string { return "" }, &out, &errs)
+		return code, out.String() + errs.String()
+	}
+	code, text := run("r1", path)
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(text, "stopping: the gateway was being stopped"))
+	code, text = run("r2", path)
+	is.Equal(code, ExitRefused)
+	is.True(strings.Contains(text, `no line about "r2"`))
+	code, _ = run("r1", path+".missing")
+	is.Equal(code, ExitRefused)
+	code, _ = run()
+	is.Equal(code, ExitUsage)
+}
--- /dev/null
+++ b/decision/explain.go
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package decision
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// This file defines Explain, which finds the life of one request in the logs
+// of many processes.
+
+// Line is one line of a decision log.
+type Line struct {
+	Time   time.Time
+	Node   string // from what stands before the line, if anything does
+	Event  string
+	Fields map[string]any
+}
+
+// around is how long before a request's first line changes of belief are
+// shown.
+const around = 10 * time.Second
+
+// meanings tell what the cause of a refusal says and where to look next.
+var meanings = map[string]string{
+	"no-document":        "the gateway had not heard the first document: see 'directory found' and 'directory lost' on that node",
+	"no-route":           "no route of the document in force has that host and path: compare 'document' with what the operator put",
+	"unknown-key":        "no tenant of the document in force has that key",
+	"beyond-share":       "the tenant asked for more than its share and every engine had something to read: see 'standing' and the tenant's demand",
+	"overloaded":         "no backend had room within the objective: see 'queued_ms', and suspected backends below",
+	"no-backend":         "every backend of the pool was unreachable or unknown: see 'attempt failed' and 'backends changed'",
+	"refused-by-backend": "the backends that were asked refused before they started it: see 'attempt failed'",
+	"no-retry-budget":    "one more attempt would have gone beyond the fleet's budget of repeats",
+	"may-have-run":       "a backend took the request and its answer was lost: see 'attempt failed'; it must not be sent again by itself",
+	"timed-out":          "a backend still worked when the caller's or the route's time was over: see 'first_ms' and 'tokens_ahead'",
+	"processor-pressure": "the gateway's processor could not keep up: see 'processor pressure'",
+	"stopping":           "the gateway was being stopped: see 'stopping' on that node",
+}
+
+// ReadLines reads the lines of a log. What is not a line of this log is passed
+// over.
+func ReadLines(r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, maxLine), 1<<20)
+	for scanner.Scan() {
+		if l, ok := parseLine(scanner.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parseLine(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(text[at:], &fields) != nil {
+		return Line{}, false
+	}
+	event, _ := fields["msg"].(string)
+	when, _ := fields["time"].(string)
+	parsed, err := time.Parse(time.RFC3339Nano, when)
+	if err != nil || event == "" {
+		return Line{}, false
+	}
+	for _, name := range []string{"msg", "time", "level"} {
+		delete(fields, name)
+	}
+	l := Line{Time: parsed, Event: event, Fields: fields}
+	if before := strings.Fields(string(text[:at])); len(before) > 0 {
+		l.Node = before[len(before)-1]
+	}
+	return l, true
+}
+
+// Explain writes the life of a request in order, with what its processes came
+// to believe around it, and what its end means. It reports whether the request
+// was found.
+func Explain(w io.Writer, lines []Line, request string) bool {
+	own, nodes, backends := life(lines, request)
+	if len(own) == 0 {
+		return false
+	}
+	first, last := own[0].Time, own[len(own)-1].Time
+	for _, l := range lines {
+		near := !l.Time.Before(first.Add(-around)) && !l.Time.After(last)
+		if near && nodes[l.Node] && l.Fields["request"] == nil && l.concerns(backends) {
+			own = append(own, l)
+		}
+	}
+	sortByTime(own)
+	for _, l := range own {
+		fmt.Fprintln(w, l)
+	}
+	for _, l := range own {
+		cause, _ := l.Fields["cause"].(string)
+		if meaning := meanings[cause]; l.Event == "refused" && meaning != "" {
+			fmt.Fprintf(w, "%s: %s\n", cause, meaning)
+		}
+	}
+	return true
+}
+
+// life returns a request's own lines in order, and which nodes and backends
+// they name.
+func life(lines []Line, request string) (own []Line, nodes, backends map[string]bool) {
+	nodes, backends = map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.Fields["request"] != request {
+			continue
+		}
+		own = append(own, l)
+		nodes[l.Node] = true
+		if b, ok := l.Fields["backend"].(string); ok {
+			backends[b] = true
+		}
+	}
+	sortByTime(own)
+	return own, nodes, backends
+}
+
+// concerns reports whether a change of belief may explain a request: one about
+// another backend does not.
+func (l Line) concerns(backends map[string]bool) bool {
+	if b, ok := l.Fields["backend"].(string); ok {
+		return backends[b]
+	}
+	if l.Event != "backends changed" {
+		return l.Event != "log lines dropped"
+	}
+	for _, list := range []string{"joined", "left"} {
+		ids, _ := l.Fields[list].([]any)
+		for _, id := range ids {
+			if name, ok := id.(string); ok && backends[name] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+// String returns the line for a person: time, node, event, and the fields in
+// the order of their names.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.Time.Format("15:04:05.000"), l.Node, l.Event)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -278,7 +278,7 @@
 	}
 	if l := c.lease; l != nil {
 		facts = append(facts, slog.String("backend", l.backend), slog.Int("tokens_ahead", l.ahead),
-			slog.Int("tokens_read", l.tokens), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
+			slog.Int("tokens_read", l.tokens), slog.Int("tokens_shared", c.ask.Prompt.SharedTokens()), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
 			slog.Int("first_ms", int(l.waiting.Milliseconds())))
 	}
 	if c.relay != nil && c.relay.passed > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 // Parts of the grace of a stop.
 const (
 	acceptPart = 0.34 // new requests are still served
-	finishPart = 0.93 // what runs may go to its end
+	finishPart = 0.88 // what runs may go to its end
 	stopPoll   = 20 * time.Millisecond
 )
 
