--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,9 +60,6 @@
 // error is a [Refusal].
 func (c *call) admit() error {
 	g := c.g
-	if since := g.stopping(); since > part(g.set.Grace, acceptPart) {
-		return Refusal{Cause: Stopping, After: shortReturn}
-	}
 	if g.pressure.high.Load() {
 		return Refusal{Cause: Pressed, After: shortReturn}
 	}
@@ -82,6 +79,9 @@
 		patience = min(patience, c.ask.Patience)
 	}
 	c.gaveUp = c.arrived + patience
+	if !g.endsBeforeStop(patience) {
+		return Refusal{Cause: Stopping, After: shortReturn}
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,15 +151,16 @@
 
 // Parts of the grace of a stop.
 const (
-	acceptPart = 0.34 // new requests are still served
+	acceptPart = 0.34 // new requests are served however long they may take
 	finishPart = 0.88 // what runs may go to its end
 	stopPoll   = 20 * time.Millisecond
 )
 
 // Stop ends the gateway: it is not ready at once; requests that come are
 // served for a part of the grace, each connection closing after its answer;
-// then they are refused as not run while what runs goes to its end. Stop
-// returns early once nothing has come for a while after the first part.
+// then only those that surely end in time, and the others are refused as not
+// run, while what runs goes to its end. Stop returns early once nothing is
+// being served after the first part.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.stopped.Store(int64(g.now()))
 	defer g.stop()
@@ -182,6 +183,13 @@
 	}
 }
 
+// endsBeforeStop reports whether a request that may take that long can be
+// begun.
+func (g *Gateway) endsBeforeStop(patience time.Duration) bool {
+	since := g.stopping()
+	return since <= part(g.set.Grace, acceptPart) || since+patience <= part(g.set.Grace, finishPart)
+}
+
 // stopping returns for how long the gateway has been stopping, or 0.
 func (g *Gateway) stopping() time.Duration {
 	began := g.stopped.Load()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -21,9 +21,10 @@
 const (
 	usagePeriod   = 100 * time.Millisecond
 	silenceLimit  = time.Second // the leader says something every 100 ms
-	redialPause   = 60 * time.Millisecond
+	redialPause   = 50 * time.Millisecond
+	redialLongest = 300 * time.Millisecond
+	redialsAtOnce = 60 // redials before the pause grows: an election or two
 	dialTimeout   = 700 * time.Millisecond
-	parallelDials = 3 // candidates asked before the pause grows
 )
 
 type watcher struct {
@@ -47,7 +48,10 @@
 			continue
 		}
 		failures++
-		pause := redialPause * time.Duration(min(1+failures/parallelDials, 5))
+		pause := redialPause
+		if failures > redialsAtOnce {
+			pause = redialLongest
+		}
 		select {
 		case <-w.g.ctx.Done():
 		case <-time.After(pause):
