--- a/gateway/call.go
+++ b/gateway/call.go
@@ -89,6 +89,9 @@
 	if c.pool.Engine {
 		c.standing = g.tenants.asks(c.tenant.Name, c.cost)
 	}
+	if !g.pressure.admits(c.standing) {
+		return Refusal{Cause: Pressed, After: c.comeBack()}
+	}
 	g.countRequest(c.pool.Name)
 	return nil
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -21,7 +21,8 @@
 	entitledRoom = 0.25 // part of the objective that may pass before an engine begins to read
 	extraRoom    = 0.1  // the same for a request beyond the named share of its tenant
 	beyondRoom   = 0.0  // and beyond every share
-	slotsRoom    = 1.25 // requests on an engine, in slots
+	slotsMost    = 1.25 // requests on an engine, in slots, when it queues them
+	slotsFewest  = 0.7  // and when it refuses them
 	plainRoom    = 2.0  // requests on a plain service, whose work is short, in slots
 	firstEngine  = 25.0 // ms; what an idle engine needs to begin
 	firstRate    = 100.0
@@ -128,7 +129,7 @@
 	if !w.pool.Engine {
 		return e.Slots <= 0 || float64(e.Requests) < plainRoom*float64(e.Slots)
 	}
-	if e.Slots > 0 && float64(e.Requests) >= slotsRoom*float64(e.Slots) {
+	if e.Slots > 0 && float64(e.Requests) >= p.slotsRoom()*float64(e.Slots) {
 		return false
 	}
 	room := [...]float64{entitled: entitledRoom, extra: extraRoom, beyond: beyondRoom}[w.standing]
@@ -136,6 +137,20 @@
 	return wait <= room*float64(w.route.Objective)/float64(time.Millisecond)
 }
 
+// slotsRoom is how many requests an engine of the pool is given, in slots. How
+// many it queues is nowhere said: refusals lower the number, answers raise it.
+func (p *pool) slotsRoom() float64 { return slotsMost - p.refusing*(slotsMost-slotsFewest) }
+
+// learnSlots takes whether an engine refused a request as full.
+func (p *pool) learnSlots(refused bool) {
+	const rise, fall = 0.05, 0.002
+	if refused {
+		p.refusing += rise * (1 - p.refusing)
+		return
+	}
+	p.refusing -= fall * p.refusing
+}
+
 // readRate is how many tokens an engine of the pool reads in a millisecond, as
 // learned from the first events.
 func (p *pool) readRate() float64 {
@@ -333,6 +348,9 @@
 func (g *Gateway) judge(p *pool, l *lease, weight float64) bool {
 	const poolMemory = 0.02
 	m := l.member
+	if weight == shed || weight == 0 {
+		p.learnSlots(weight == shed)
+	}
 	switch {
 	case weight < 0:
 		if l.trial {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -20,27 +20,58 @@
 // starved timer fires rarely; a machine that stood still looks the same for
 // the first half second after.
 
-// Well before that, streams are passed on in larger pieces: a gateway that
+// Before that, requests beyond their tenant's share are refused, the further
+// beyond the sooner. And well before that, streams are passed on in larger pieces: a gateway that
 // waits a little after each piece finds several events for one read and one
 // write, which is most of what an event costs.
 
 // Limits of the averaged delay.
 const (
-	delayNoticed = 5 * time.Millisecond // pieces of streams are gathered from here on
+	delayNoticed = 5 * time.Millisecond  // pieces of streams are gathered from here on
+	delayBeyond  = 12 * time.Millisecond // and for longer; what is beyond every share is refused
+	delayExtra   = 20 * time.Millisecond // what is beyond the named share is refused
 	delayTooLong = 35 * time.Millisecond
 	delayShort   = 10 * time.Millisecond
 	delayMost    = 120 * time.Millisecond // that one firing counts
 	delayMemory  = 250 * time.Millisecond // time constant of the average
 )
 
-// gatherTime is how long a stream waits after a piece under pressure. Several
-// fit into the pause that callers notice.
-const gatherTime = 40 * time.Millisecond
+// How long a stream waits after a piece under pressure.
+const (
+	gatherTime   = 40 * time.Millisecond
+	gatherMost   = 100 * time.Millisecond
+	gatherPauses = 0.3 // of the pause that callers notice
+)
 
 type pressure struct {
-	delay   float64 // averaged, in seconds; owned by the ticking goroutine
-	noticed atomic.Bool
-	high    atomic.Bool
+	delay float64      // averaged, in seconds; owned by the ticking goroutine
+	level atomic.Int64 // the same, for everybody
+	high  atomic.Bool
+}
+
+// admits reports whether a request of that standing may begin.
+func (p *pressure) admits(s standing) bool {
+	delay := time.Duration(p.level.Load())
+	switch s {
+	case beyond:
+		return delay < delayBeyond
+	case extra:
+		return delay < delayExtra
+	}
+	return true
+}
+
+// gather returns how long a stream should wait after a piece, if callers
+// notice a pause of that length; 0 without pressure.
+func (p *pressure) gather(pause time.Duration) time.Duration {
+	delay := time.Duration(p.level.Load())
+	switch {
+	case delay <= delayNoticed:
+		return 0
+	case delay <= delayBeyond || pause == 0:
+		return gatherTime
+	}
+	return max(min(part(pause, gatherPauses), gatherMost), gatherTime)
 }
 
 // fired takes how late the timer was and reports whether the pressure has
@@ -49,7 +80,7 @@
 	weight := 1 - math.Exp(-float64(tickPeriod+late)/float64(delayMemory))
 	late = min(max(late, 0), delayMost)
 	p.delay += weight * (late.Seconds() - p.delay)
-	p.noticed.Store(p.delay > delayNoticed.Seconds())
+	p.level.Store(int64(p.delay * float64(time.Second)))
 	high := p.high.Load()
 	switch {
 	case !high && p.delay > delayTooLong.Seconds():
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -20,7 +20,7 @@
 		rise++
 	}
 	is.True(p.high.Load())
-	is.True(p.noticed.Load())
+	is.True(p.gather(0) > 0)
 	is.True(rise < 5)
 	fall := 0
 	for !p.fired(0) {
@@ -44,6 +44,28 @@
 	is.True(fall*int(tickPeriod) < int(700*time.Millisecond))
 }
 
+// TestPressureRefusesByStanding raises the delay step by step.
+func TestPressureRefusesByStanding(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct {
+		delay                   time.Duration
+		entitled, extra, beyond bool
+		gather                  time.Duration // with a pause of 300 ms
+	}{
+		{0, true, true, true, 0},
+		{6 * time.Millisecond, true, true, true, 40 * time.Millisecond},
+		{15 * time.Millisecond, true, true, false, 90 * time.Millisecond},
+		{25 * time.Millisecond, true, false, false, 90 * time.Millisecond},
+	} {
+		var p pressure
+		p.level.Store(int64(tt.delay))
+		is.Equal(p.admits(entitled), tt.entitled)
+		is.Equal(p.admits(extra), tt.extra)
+		is.Equal(p.admits(beyond), tt.beyond)
+		is.Equal(p.gather(300*time.Millisecond), tt.gather)
+	}
+}
+
 func TestUnderPressureRequestsAreRefusedAtOnce(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -122,7 +122,7 @@
 		if err == io.EOF {
 			return r.streamEnd(answer, flusher)
 		}
-		if err == nil && r.c.g.pressure.noticed.Load() {
+		if err == nil {
 			r.gather(ctx)
 		}
 		if err != nil || ctx.Err() != nil {
@@ -131,9 +131,14 @@
 	}
 }
 
-// gather waits a little, so that several events come with one read.
+// gather waits a little under pressure, so that several events come with one
+// read.
 func (r *relay) gather(ctx context.Context) {
-	t := time.NewTimer(gatherTime)
+	wait := r.c.g.pressure.gather(r.c.route.Pause)
+	if wait == 0 {
+		return
+	}
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -211,10 +211,14 @@
 		bubble(t, func(x *fixture) {
 			is := is.New(x.t)
 			stop, stopped := make(chan struct{}), make(chan struct{})
+			level := int64(0)
+			if pressed {
+				level = int64(2 * delayNoticed)
+			}
 			go func() { // the ticking goroutine would take it back
 				defer close(stopped)
 				for {
-					x.g.pressure.noticed.Store(pressed)
+					x.g.pressure.level.Store(level)
 					select {
 					case <-stop:
 						return
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -51,10 +51,11 @@
 
 // pool is the backends of one name with what waits for them.
 type pool struct {
-	members []*member // ordered by identifier
-	waiting []*waiter
-	failing float64 // averaged part of failures over all members
-	rate    float64 // tokens that an engine reads in a millisecond; 0 is not known
+	members  []*member // ordered by identifier
+	waiting  []*waiter
+	failing  float64 // averaged part of failures over all members
+	rate     float64 // tokens that an engine reads in a millisecond; 0 is not known
+	refusing float64 // how far engines refuse what is beyond their slots, 0 to 1
 }
 
 func newTable(zone string) *table {
