--- a/directory/hub.go
+++ b/directory/hub.go
@@ -324,7 +324,7 @@
 			return
 		}
 		if u, ok := m.(protocol.Usage); ok {
-			h.post(func() { h.usage.report(s, h.d.replica.Now(), u) })
+			h.post(func() { h.usage.report(s, u) })
 		}
 	}
 }
@@ -365,7 +365,7 @@
 	for s := range h.sessions {
 		s.out.Send(protocol.Fleet{
 			Gateways: len(h.sessions), Running: h.usage.others(s),
-			Entitlements: h.usage.entitlements, Members: members,
+			Entitlements: h.usage.entitlements, Members: members, Short: h.usage.short(),
 		})
 	}
 }
--- a/directory/usage.go
+++ b/directory/usage.go
@@ -25,6 +25,8 @@
 	rates        map[string]float64 // tokens a second, averaged
 	begun        float64            // tokens given to engines since the last settlement
 	made         float64            // the same a second, averaged
+	missed       float64            // tokens within a share that found no room since the last settlement
+	missing      float64            // the same a second, averaged
 	settled      time.Duration
 	entitlements []protocol.Entitlement // tenants that ask for more than they are entitled to
 }
@@ -33,9 +35,10 @@
 	return &usage{running: map[*session][]protocol.Running{}, asked: map[string]float64{}, rates: map[string]float64{}}
 }
 
-func (u *usage) report(s *session, _ time.Duration, m protocol.Usage) {
+func (u *usage) report(s *session, m protocol.Usage) {
 	u.running[s] = m.Running
 	u.begun += float64(m.Begun)
+	u.missed += float64(m.Missed)
 	for _, d := range m.Demands {
 		u.asked[d.Tenant] += float64(d.Tokens)
 	}
@@ -63,10 +66,18 @@
 	}
 	clear(u.asked)
 	u.made = keep*u.made + (1-keep)*u.begun/elapsed.Seconds()
-	u.begun = 0
+	u.missing = keep*u.missing + (1-keep)*u.missed/elapsed.Seconds()
+	u.begun, u.missed = 0, 0
 	u.entitle(capacity)
 }
 
+// shortPart is the part of what is made that may be missed within shares
+// before nobody is let go beyond them.
+const shortPart = 0.02
+
+// short reports whether requests within their shares find no room.
+func (u *usage) short() bool { return u.missing > shortPart*u.made }
+
 // entitle finds two levels: of the named capacity, and of what is made if that
 // is more. Without the second, what the engines make beyond the named rate
 // would go to whoever asks most.
--- /dev/null
+++ b/directory/usage_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// settleFor reports the same usage every 100 ms for a while.
+func settleFor(u *usage, d time.Duration, capacity float64, reports map[*session]protocol.Usage) {
+	for end := u.settled + d; u.settled < end; {
+		for s, m := range reports {
+			u.report(s, m)
+		}
+		u.settle(u.settled+100*time.Millisecond, capacity)
+	}
+}
+
+// TestEntitlements lets three tenants ask at two gateways for twice what is
+// named, while the engines make half as much again.
+func TestEntitlements(t *testing.T) {
+	is := is.New(t)
+	u := newUsage()
+	a, b := &session{}, &session{}
+	reports := map[*session]protocol.Usage{
+		a: {Demands: []protocol.Demand{{Tenant: "big", Tokens: 1000}, {Tenant: "small", Tokens: 50}}, Begun: 750},
+		b: {Demands: []protocol.Demand{{Tenant: "big", Tokens: 500}, {Tenant: "middle", Tokens: 450}}, Begun: 750},
+	}
+	settleFor(u, 10*time.Second, 10000, reports) // a second: big 15000, middle 4500, small 500
+	parts := map[string]protocol.Entitlement{}
+	for _, e := range u.entitlements {
+		parts[e.Tenant] = e
+	}
+	near := func(got float32, want float64) bool { return math.Abs(float64(got)-want) < 0.02 }
+	is.Equal(len(parts), 1) // the others are covered whole
+	is.True(near(parts["big"].Part, 5000.0/15000))
+	is.True(near(parts["big"].Extra, 10000.0/15000)) // of 15000 made
+	is.True(!u.short())
+}
+
+func TestShortWhenSharesAreMissed(t *testing.T) {
+	is := is.New(t)
+	u := newUsage()
+	s := &session{}
+	settleFor(u, 5*time.Second, 10000, map[*session]protocol.Usage{s: {Begun: 1000, Missed: 10}})
+	is.True(!u.short())
+	settleFor(u, 5*time.Second, 10000, map[*session]protocol.Usage{s: {Begun: 1000, Missed: 60}})
+	is.True(u.short())
+}
+
+func TestOthersRun(t *testing.T) {
+	is := is.New(t)
+	u := newUsage()
+	a, b, c := &session{}, &session{}, &session{}
+	u.report(a, protocol.Usage{Running: []protocol.Running{{Handle: 1, Requests: 2, Tokens: 10}}})
+	u.report(b, protocol.Usage{Running: []protocol.Running{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}}})
+	is.Equal(u.others(a), []protocol.Running{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}})
+	is.Equal(u.others(c), []protocol.Running{{Handle: 1, Requests: 5, Tokens: 15}, {Handle: 2, Requests: 1}})
+	u.forget(b)
+	is.Equal(len(u.others(a)), 0)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -92,6 +92,9 @@
 	if !g.pressure.admits(c.standing) {
 		return Refusal{Cause: Pressed, After: c.comeBack()}
 	}
+	if !g.tenants.lets(c.standing) {
+		return Refusal{Cause: BeyondShare, After: c.comeBack()}
+	}
 	g.countRequest(c.pool.Name)
 	return nil
 }
@@ -187,6 +190,9 @@
 	if ctx.Err() != nil {
 		return nil, c.overdue(ctx)
 	}
+	if c.pool.Engine && c.sends == 0 {
+		c.g.tenants.misses(c.standing, c.cost)
+	}
 	switch {
 	case c.attempts > 0:
 		return nil, Refusal{Cause: MayHaveRun}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready() bool {
-	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.pressure.high.Load()
+	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.pressure.away(g.now())
 }
 
 // IdleTime is how long callers may leave a connection unused, by the document
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -12,18 +12,21 @@
 // This file defines pressure: how a gateway notices that its processor cannot
 // keep up, and what it does then.
 //
-// A timer that fires late says how long everything else waits as well. While
-// it is late on average, new requests are refused at once, as not run, with
-// their connections closed, and the gateway is not ready: their callers reach
-// other gateways, whose processors may be idle, because the balancer spreads
-// callers unevenly. A firing counts for as long as it took to come, because a
-// starved timer fires rarely; a machine that stood still looks the same for
-// the first half second after.
-
-// Before that, requests beyond their tenant's share are refused, the further
-// beyond the sooner. And well before that, streams are passed on in larger pieces: a gateway that
-// waits a little after each piece finds several events for one read and one
-// write, which is most of what an event costs.
+// A timer that fires late says how long everything else waits as well. The
+// sterner the averaged delay, the more is done:
+//
+//   - streams are passed on in larger pieces: a gateway that waits a little
+//     after each piece finds several events for one read and one write, which
+//     is most of what an event costs;
+//   - the gateway is not ready for a while, because the balancer spreads
+//     callers unevenly and other gateways may be idle, and requests beyond
+//     their tenant's share are refused, the further beyond the sooner;
+//   - every new request is refused at once, as not run, with its connection
+//     closed, so that its caller reaches another gateway.
+//
+// A firing counts for as long as it took to come, because a starved timer
+// fires rarely; a machine that stood still looks the same for the first half
+// second after.
 
 // Limits of the averaged delay.
 const (
@@ -47,8 +50,16 @@
 	delay float64      // averaged, in seconds; owned by the ticking goroutine
 	level atomic.Int64 // the same, for everybody
 	high  atomic.Bool
+	until atomic.Int64 // when the gateway may be ready again, by its clock
 }
 
+// keepsAway is how long a gateway under pressure is not ready: the balancer
+// must see it twice before it sends callers elsewhere.
+const keepsAway = 2500 * time.Millisecond
+
+// away reports whether new callers should go to other gateways.
+func (p *pressure) away(now time.Duration) bool { return int64(now) < p.until.Load() }
+
 // admits reports whether a request of that standing may begin.
 func (p *pressure) admits(s standing) bool {
 	delay := time.Duration(p.level.Load())
@@ -106,6 +117,9 @@
 		case <-t.C:
 		}
 		now := g.now()
+		if time.Duration(g.pressure.level.Load()) >= delayBeyond {
+			g.pressure.until.Store(int64(now + keepsAway))
+		}
 		if g.pressure.fired(now - last - tickPeriod) {
 			g.set.Log.Belief("processor pressure", slog.Bool("high", g.pressure.high.Load()),
 				slog.Int("delay_ms", int(math.Round(1000*g.pressure.delay))), slog.Int64("requests", g.calls.Load()))
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -75,9 +75,24 @@
 		is.Equal(got.header.Get("Connection"), "close")
 		is.Equal(got.took, time.Duration(0))
 		is.Equal(x.backends.count(), 0)
-		is.True(!x.g.Ready())
 		x.g.pressure.high.Store(false)
 		is.Equal(x.ask("/once/x").status, 200)
+	}, answers(200, "fine", 0))
+}
+
+// TestUnderPressureCallersGoElsewhere: not ready long enough to be seen twice
+// by a balancer that asks every second.
+func TestUnderPressureCallersGoElsewhere(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		is.True(x.g.Ready())
+		x.g.pressure.level.Store(int64(delayBeyond))
+		time.Sleep(tickPeriod + time.Millisecond) // the tick sees it, and then no delay any more
+		for range 2 {
+			is.True(!x.g.Ready())
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
 		is.True(x.g.Ready())
 	}, answers(200, "fine", 0))
 }
--- a/gateway/tenants.go
+++ b/gateway/tenants.go
@@ -45,6 +45,8 @@
 	asked   map[string]uint64
 	service map[string]*service
 	begun   uint64
+	missed  uint64
+	short   bool // the fleet's word: nobody may go beyond the shares
 }
 
 // markers of one tenant, for both levels.
@@ -105,6 +107,26 @@
 	return s.tokens * math.Exp(-float64(now-s.at)/float64(servedMemory))
 }
 
+// misses counts a request that found no room.
+func (t *tenants) misses(s standing, cost float64) {
+	if s == beyond {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.missed += uint64(cost)
+}
+
+// lets reports whether a request of that standing may be served now.
+func (t *tenants) lets(s standing) bool {
+	if s != beyond {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.short || t.now()-t.heard > staleAfter
+}
+
 // served returns the tokens that a tenant was served lately.
 func (t *tenants) served(tenant string) float64 {
 	t.mu.Lock()
@@ -116,18 +138,20 @@
 }
 
 // hear takes the fleet's word.
-func (t *tenants) hear(list []protocol.Entitlement) {
+func (t *tenants) hear(list []protocol.Entitlement, short bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.heard = t.now()
+	t.short = short
 	clear(t.parts)
 	for _, e := range list {
 		t.parts[e.Tenant] = e
 	}
 }
 
-// report returns and clears what was asked for and begun since the last call.
-func (t *tenants) report() (demands []protocol.Demand, begun uint64) {
+// report returns and clears what was asked for, begun and
+// missed since the last call.
+func (t *tenants) report() (demands []protocol.Demand, begun, missed uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	demands = make([]protocol.Demand, 0, len(t.asked))
@@ -136,6 +160,7 @@
 	}
 	clear(t.asked)
 	slices.SortFunc(demands, func(a, b protocol.Demand) int { return cmp.Compare(a.Tenant, b.Tenant) })
-	begun, t.begun = t.begun, 0
-	return demands, begun
+	begun, missed = t.begun, t.missed
+	t.begun, t.missed = 0, 0
+	return demands, begun, missed
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -166,7 +166,7 @@
 	case protocol.Fleet:
 		w.g.peers.Store(int64(max(m.Gateways, 1)))
 		w.members = m.Members
-		w.g.tenants.hear(m.Entitlements)
+		w.g.tenants.hear(m.Entitlements, m.Short)
 		w.g.table.heardFleet(w.g.now(), m.Running)
 		w.g.grantAll()
 	}
@@ -183,7 +183,7 @@
 		case <-t.C:
 		}
 		u := protocol.Usage{Running: w.g.table.running(), Number: w.g.Number()}
-		u.Demands, u.Begun = w.g.tenants.report()
+		u.Demands, u.Begun, u.Missed = w.g.tenants.report()
 		if _, err := l.Send(ctx, u); err != nil {
 			return
 		}
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -75,6 +75,7 @@
 	Demands []Demand  `cbor:"2,keyasint,omitempty"`
 	Number  uint64    `cbor:"3,keyasint,omitempty"` // of the document in force there
 	Begun   uint64    `cbor:"4,keyasint,omitempty"` // tokens of requests given to engines since the previous report
+	Missed  uint64    `cbor:"5,keyasint,omitempty"` // tokens of requests within a share that found no room since then
 }
 
 // Entitlement is the part of a tenant's demand that its fair share covers: of
@@ -94,4 +95,7 @@
 	Running      []Running     `cbor:"2,keyasint,omitempty"` // on all gateways but the receiving one
 	Entitlements []Entitlement `cbor:"3,keyasint,omitempty"`
 	Members      []string      `cbor:"4,keyasint,omitempty"` // fleet addresses of the directory
+	// Short says that requests within their tenants' shares find no room
+	// somewhere: nobody may go beyond them.
+	Short bool `cbor:"5,keyasint,omitempty"`
 }
