--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,7 +158,8 @@
 	again = ctx.Err() == nil && c.mayTryAgain(out) && (out.ran == notSent || c.g.mayRepeat(c.pool.Name))
 	c.g.set.Log.Failure("attempt failed", slog.String("request", c.ask.ID), slog.String("backend", l.backend),
 		slog.String("cause", out.cause), slog.String("error", text(out.err)), slog.Int("attempt", c.sends),
-		slog.Duration("took", c.g.now()-l.began), slog.Bool("again", again), slog.String("after", c.relay.last))
+		slog.Int("took_ms", int((c.g.now()-l.began).Milliseconds())), slog.Bool("again", again),
+		slog.String("last_event", c.relay.last))
 	if again {
 		return true, nil
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,6 +29,7 @@
 	cost     float64
 	standing standing
 	lease    *lease        // of the last attempt
+	short    shortage      // why there was no backend in the end
 	gaveUp   time.Duration // when the caller gives up or the route's time is over
 	attempts int           // backends that may have run the request
 	sends    int           // arrivals at backends
@@ -180,7 +181,8 @@
 		priority: c.tenant.Priority*priorityScale + c.route.Priority, standing: c.standing,
 		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.peers.Load()),
 	}
-	l := c.g.obtain(ctx, w, c.patience())
+	l, short := c.g.obtain(ctx, w, c.patience())
+	c.short = short
 	if l != nil {
 		if c.sends == 0 {
 			c.g.tenants.starts(c.tenant.Name, c.cost)
@@ -265,7 +267,7 @@
 	case errors.As(err, &refusal):
 		c.g.stats.count("refused", "cause", string(refusal.Cause))
 		c.g.set.Log.Failure("refused", append(c.facts(took), slog.String("cause", string(refusal.Cause)),
-			slog.Int("status", refusal.Status()), slog.Duration("after", refusal.After))...)
+			slog.Int("status", refusal.Status()), slog.Int("after_ms", int(refusal.After.Milliseconds())))...)
 		refusal.write(c.w)
 	case errors.As(err, &cut):
 		c.g.stats.count("broken", "route", c.route.Name)
@@ -285,6 +287,15 @@
 		slog.Uint64("document", c.g.Number()), slog.String("standing", c.standing.String()), slog.Int("attempts", c.attempts),
 		slog.Int("sends", c.sends), slog.Int("took_ms", int(took.Milliseconds())),
 	}
+	if c.standing != entitled {
+		told, age := c.g.tenants.told(c.tenant.Name)
+		facts = append(facts, slog.Float64("part", float64(told.Part)), slog.Float64("extra_part", float64(told.Extra)),
+			slog.Int("told_ms_ago", int(age.Milliseconds())))
+	}
+	if short := c.short; short.backend != "" {
+		facts = append(facts, slog.String("full", short.backend), slog.Int("full_requests", short.requests),
+			slog.Int("full_tokens", short.tokens), slog.Int("seen_ms_ago", int(short.age.Milliseconds())))
+	}
 	if l := c.lease; l != nil {
 		facts = append(facts, slog.String("backend", l.backend), slog.Int("tokens_ahead", l.ahead),
 			slog.Int("tokens_read", l.tokens), slog.Int("tokens_shared", c.ask.Prompt.SharedTokens()), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -47,6 +47,7 @@
 	wish
 	seq     uint64
 	granted chan *lease // buffered
+	short   shortage    // why it got nothing when it was last looked at
 }
 
 // lease is a backend given to one attempt of a request.
@@ -63,20 +64,29 @@
 	ended   bool
 }
 
+// shortage says why a request got no backend: the one that suits it best, as
+// it was seen. It is empty if there was none to ask.
+type shortage struct {
+	backend  string
+	requests int
+	tokens   int
+	age      time.Duration // of what is known of other gateways' requests
+}
+
 // acquire returns the backend that suits the request best if it has room, or
 // nil. Others that have room are not taken instead: reading shared tokens
 // again is dearer than a short wait, and the price of a choice knows when it
 // is not. The caller holds mu.
-func (t *table) acquire(now time.Duration, w wish) *lease {
+func (t *table) acquire(now time.Duration, w wish) (*lease, shortage) {
 	p := t.pool(w.pool.Name)
 	engines, members := t.candidates(now, p, w)
 	choice, ok := place.ChooseEngine(w.prompt, engines)
 	if !ok {
-		return nil
+		return nil, shortage{}
 	}
 	m, e := members[choice.Index], engines[choice.Index]
 	if !p.roomFor(w, m, e) {
-		return nil
+		return nil, shortage{backend: m.ID, requests: e.Requests, tokens: e.Tokens, age: now - m.reported}
 	}
 	l := &lease{
 		member: m, backend: m.ID, address: m.Address, tokens: choice.Read, began: now, ahead: e.Tokens,
@@ -86,7 +96,7 @@
 	}
 	m.requests++
 	m.tokens += l.tokens
-	return l
+	return l, shortage{}
 }
 
 // candidates returns the backends that the request may go to.
@@ -206,29 +216,31 @@
 }
 
 // obtain returns a backend for the request, waiting for room until ctx ends or
-// patience is over; then it returns nil.
-func (g *Gateway) obtain(ctx context.Context, w wish, patience time.Duration) *lease {
+// patience is over; then it returns nil and why.
+func (g *Gateway) obtain(ctx context.Context, w wish, patience time.Duration) (*lease, shortage) {
 	t := g.table
 	t.mu.Lock()
 	p := t.pool(w.pool.Name)
+	var short shortage
 	if !g.outranked(p, w) {
-		if l := t.acquire(g.now(), w); l != nil {
+		var l *lease
+		if l, short = t.acquire(g.now(), w); l != nil {
 			t.mu.Unlock()
-			return l
+			return l, short
 		}
 	}
 	if patience <= 0 {
 		t.mu.Unlock()
-		return nil
+		return nil, short
 	}
-	waiting := &waiter{wish: w, seq: g.seq.Add(1), granted: make(chan *lease, 1)}
+	waiting := &waiter{wish: w, seq: g.seq.Add(1), granted: make(chan *lease, 1), short: short}
 	p.waiting = append(p.waiting, waiting)
 	t.mu.Unlock()
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case l := <-waiting.granted:
-		return l
+		return l, shortage{}
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -236,15 +248,15 @@
 }
 
 // leave takes a request out of the queue; it may just have got a backend.
-func (g *Gateway) leave(p *pool, w *waiter) *lease {
+func (g *Gateway) leave(p *pool, w *waiter) (*lease, shortage) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *waiter) bool { return o == w })
 	select {
 	case l := <-w.granted:
-		return l
+		return l, shortage{}
 	default:
-		return nil
+		return nil, w.short
 	}
 }
 
@@ -282,8 +294,9 @@
 	})
 	now := g.now()
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
-		l := g.table.acquire(now, w.wish)
+		l, short := g.table.acquire(now, w.wish)
 		if l == nil {
+			w.short = short
 			return false
 		}
 		w.granted <- l
--- a/gateway/tenants.go
+++ b/gateway/tenants.go
@@ -164,3 +164,15 @@
 	t.begun, t.missed = 0, 0
 	return demands, begun, missed
 }
+
+// told returns what the fleet last said of a tenant, and how long ago, for the
+// log.
+func (t *tenants) told(tenant string) (e protocol.Entitlement, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, limited := t.parts[tenant]
+	if !limited {
+		e = protocol.Entitlement{Tenant: tenant, Part: 1, Extra: 1}
+	}
+	return e, t.now() - t.heard
+}
