--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -264,6 +264,24 @@
 	})
 }
 
+// TestGatewayWhoseLeaderIsCutOff: the link to a leader that is cut off in
+// silence stays open; the gateway must notice and find the next leader.
+func TestGatewayWhoseLeaderIsCutOff(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		g := x.gateway("10.0.2.1")
+		x.put(1)
+		time.Sleep(time.Second)
+		is.Equal(g.Number(), uint64(1))
+		old := x.mustLead()
+		x.net.Cut(old.ip)
+		time.Sleep(2 * time.Second)
+		x.put(2)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(g.Number(), uint64(2))
+	})
+}
+
 // TestGatewayWithCutSeeds starts a gateway whose seeds are all cut off but
 // one, which does not lead.
 func TestGatewayWithCutSeeds(t *testing.T) {
--- /dev/null
+++ b/gateway/queue_test.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file tests in which order waiting requests go, and what bounds them.
+
+func TestOrderOfWaiting(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.tenants.starts("busy", 1000)
+		for _, tt := range []struct {
+			name          string
+			first, second wish
+		}{
+			{"within the share before beyond the named one", wish{standing: entitled, priority: 9}, wish{standing: extra}},
+			{"beyond the named share before beyond every one", wish{standing: extra, priority: 9}, wish{standing: beyond}},
+			{"priority", wish{priority: 1, tenant: "busy"}, wish{priority: 2, tenant: "idle"}},
+			{"the tenant that was served least", wish{tenant: "idle"}, wish{tenant: "busy"}},
+		} {
+			is.True(x.g.before(&tt.first, &tt.second) < 0) // tt.name
+			is.True(x.g.before(&tt.second, &tt.first) > 0)
+		}
+	})
+}
+
+// TestWaitingGoInOrder fills the only backend; of three that wait, the one of
+// the tenant that was served least goes first, whenever it came.
+func TestWaitingGoInOrder(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		d := testDocument()
+		d.Number = 4
+		d.Pools[0].Connections = 1
+		d.Routes[0].Objective = 10 * time.Second
+		x.g.apply(d)
+		var mu sync.Mutex
+		var order []string
+		x.backends.does["10.0.5.0:80"] = func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+			mu.Lock()
+			order = append(order, call.Header.Get("Id"))
+			mu.Unlock()
+			return answers(200, "fine", 100*time.Millisecond)(ctx, call)
+		}
+		var group sync.WaitGroup
+		for i, header := range [][]string{{"Id", "a"}, {"Id", "b"}, {"Id", "c"}, {"Id", "d", "Key", "other"}} {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				x.ask("/once/x", header...)
+			})
+		}
+		x.g.tenants.starts("t", 1000)
+		group.Wait()
+		// Two connections are the least that a gateway takes.
+		is.Equal(strings.Join(order, ""), "abdc")
+	}, answers(200, "fine", 0))
+}
+
+// TestConnectionsAreShared: a backend's connections are divided by the
+// gateways.
+func TestConnectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct{ accepts, gateways, own int }{
+		{300, 7, 38}, {300, 1, 270}, {100, 59, 2}, {100, 0, 90},
+	} {
+		w := wish{pool: document.Pool{Connections: tt.accepts}, gateways: tt.gateways}
+		is.Equal(ownConnections(w), tt.own)
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.peers.Store(45) // of 100 connections, two are this gateway's
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() { x.ask("/once/x") })
+		}
+		time.Sleep(time.Millisecond)
+		is.Equal(x.ask("/once/x").status, 503)
+		group.Wait()
+		is.Equal(x.backends.count(), 2)
+	}, answers(200, "fine", time.Second))
+}
