--- /dev/null
+++ b/directory/bench_test.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file measures what the leader spends on gateways and backends.
+
+// BenchmarkFleet reports the bytes of one Fleet message, and the time to make
+// and encode it for one gateway, with every backend in use and a tenth of the
+// tenants beyond its share.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ gateways, backends, tenants int }{
+		{9, 15, 16}, {60, 95, 30}, {1600, 10000, 5800},
+	} {
+		b.Run(fmt.Sprintf("gateways=%d/backends=%d", size.gateways, size.backends), func(b *testing.B) {
+			u := newUsage()
+			sessions := make([]*session, size.gateways)
+			each := min(size.backends, 100) // that one gateway uses at a time
+			for i := range sessions {
+				sessions[i] = &session{}
+				m := protocol.Usage{}
+				for j := range each {
+					m.Running = append(m.Running, protocol.Running{Handle: uint32((i*each+j)%size.backends + 1), Requests: 3, Tokens: 2000})
+				}
+				u.report(sessions[i], m)
+			}
+			for i := range size.tenants / 10 {
+				u.entitlements = append(u.entitlements, protocol.Entitlement{Tenant: fmt.Sprintf("tenant%d", i), Part: 0.3, Extra: 0.4})
+			}
+			bytes := 0
+			u.sum()
+			for b.Loop() {
+				m, err := protocol.Encode(protocol.Fleet{Gateways: size.gateways, Running: u.others(sessions[0]), Entitlements: u.entitlements})
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(m)
+			}
+			b.ReportMetric(float64(bytes), "B/message")
+		})
+	}
+}
+
+// BenchmarkSum reports the time to add up all gateways' reports, ten times a
+// second.
+func BenchmarkSum(b *testing.B) {
+	u := newUsage()
+	for i := range 1600 {
+		m := protocol.Usage{}
+		for j := range 100 {
+			m.Running = append(m.Running, protocol.Running{Handle: uint32((i*100+j)%10000 + 1), Requests: 3, Tokens: 2000})
+		}
+		u.report(&session{gateway: fmt.Sprint(i)}, m)
+	}
+	for b.Loop() {
+		u.sum()
+	}
+}
+
+// BenchmarkAnnounce reports the time to take one announcement that changes
+// nothing.
+func BenchmarkAnnounce(b *testing.B) {
+	r := registry.New(0, time.Second)
+	const backends = 10000
+	announce := func(i int, seq uint64) {
+		r.Announce(0, registry.Announcement{
+			ID: fmt.Sprintf("i-%d", i), Pool: "p", Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Slots: 48, Seq: seq,
+		})
+	}
+	for i := range backends {
+		announce(i, 1)
+	}
+	seq := uint64(2)
+	i := 0
+	for b.Loop() {
+		announce(i, seq)
+		if i++; i == backends {
+			i = 0
+			seq++
+		}
+	}
+}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -25,6 +25,8 @@
 	eventDepth   = 8192
 	sessionQueue = 256
 	fleetPeriod  = 100 * time.Millisecond // between two Fleet messages
+	fleetLongest = 600 * time.Millisecond // gateways take a leader that is silent for longer for lost
+	fleetBudget  = 8 << 10                // bytes a second of Fleet messages on one link
 	joinTimeout  = 2 * time.Second        // for joins to be logged
 )
 
@@ -59,7 +61,8 @@
 type session struct {
 	gateway string
 	out     *link.Outbox
-	sent    uint64 // number of the document sent
+	sent    uint64        // number of the document sent
+	due     time.Duration // of the next Fleet message
 }
 
 func newHub(d *Directory) *hub {
@@ -357,15 +360,33 @@
 	h.usage.forget(s)
 }
 
-// pushFleet tells every gateway how all of them together stand.
+// pushFleet tells every gateway how all of them together stand, as often as
+// the budget of its link allows.
 func (h *hub) pushFleet() {
 	held, _ := h.d.state.Held()
-	h.usage.settle(h.d.replica.Now(), held.Document.Limits.TokensPerSecond)
+	now := h.d.replica.Now()
+	h.usage.settle(now, held.Document.Limits.TokensPerSecond)
 	members := h.leader.Load().members
 	for s := range h.sessions {
-		s.out.Send(protocol.Fleet{
+		if now < s.due {
+			continue
+		}
+		m := protocol.Fleet{
 			Gateways: len(h.sessions), Running: h.usage.others(s),
 			Entitlements: h.usage.entitlements, Members: members, Short: h.usage.short(),
-		})
+		}
+		s.out.Send(m)
+		s.due = now + fleetPause(m)
+	}
+}
+
+// fleetPause is how long a link rests after a message so that it keeps to its
+// budget.
+func fleetPause(m protocol.Fleet) time.Duration {
+	b, err := protocol.Encode(m)
+	if err != nil {
+		return fleetLongest
 	}
+	byBudget := time.Duration(float64(len(b)) / fleetBudget * float64(time.Second))
+	return min(max(byBudget, fleetPeriod), fleetLongest) - fleetPeriod/2 // the tick that is nearest
 }
--- a/directory/usage.go
+++ b/directory/usage.go
@@ -21,6 +21,7 @@
 
 type usage struct {
 	running      map[*session][]protocol.Running
+	total        []protocol.Running // of all sessions, ordered by handle
 	asked        map[string]float64 // tokens since the last settlement, by tenant
 	rates        map[string]float64 // tokens a second, averaged
 	begun        float64            // tokens given to engines since the last settlement
@@ -53,6 +54,7 @@
 		return
 	}
 	u.settled = now
+	u.sum()
 	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
 	for tenant := range u.asked {
 		u.rates[tenant] += 0
@@ -98,13 +100,10 @@
 	}
 }
 
-// others returns what runs on all gateways but one.
-func (u *usage) others(own *session) []protocol.Running {
+// sum adds up what runs on all gateways, by handle.
+func (u *usage) sum() {
 	sums := map[uint32]protocol.Running{}
-	for s, running := range u.running {
-		if s == own {
-			continue
-		}
+	for _, running := range u.running {
 		for _, r := range running {
 			sum := sums[r.Handle]
 			sums[r.Handle] = protocol.Running{
@@ -112,5 +111,23 @@
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Values(sums), func(a, b protocol.Running) int { return cmp.Compare(a.Handle, b.Handle) })
+	u.total = slices.SortedFunc(maps.Values(sums), func(a, b protocol.Running) int { return cmp.Compare(a.Handle, b.Handle) })
+}
+
+// others returns what runs on all gateways but one, as of the last sum.
+func (u *usage) others(own *session) []protocol.Running {
+	mine := map[uint32]protocol.Running{}
+	for _, r := range u.running[own] {
+		mine[r.Handle] = r
+	}
+	out := make([]protocol.Running, 0, len(u.total))
+	for _, r := range u.total {
+		o := mine[r.Handle]
+		r.Requests -= min(o.Requests, r.Requests)
+		r.Tokens -= min(o.Tokens, r.Tokens)
+		if r.Requests > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
 }
--- a/directory/usage_test.go
+++ b/directory/usage_test.go
@@ -60,8 +60,10 @@
 	a, b, c := &session{}, &session{}, &session{}
 	u.report(a, protocol.Usage{Running: []protocol.Running{{Handle: 1, Requests: 2, Tokens: 10}}})
 	u.report(b, protocol.Usage{Running: []protocol.Running{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}}})
+	u.sum()
 	is.Equal(u.others(a), []protocol.Running{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}})
 	is.Equal(u.others(c), []protocol.Running{{Handle: 1, Requests: 5, Tokens: 15}, {Handle: 2, Requests: 1}})
 	u.forget(b)
+	u.sum()
 	is.Equal(len(u.others(a)), 0)
 }
