--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -155,7 +155,9 @@
 		return false, callerLeft{}
 	}
 	c.avoid[l.backend] = true
-	again = ctx.Err() == nil && c.mayTryAgain(out) && (out.ran == notSent || c.g.mayRepeat(c.pool.Name))
+	allowed := ctx.Err() == nil && c.mayTryAgain(out)
+	again = allowed && (out.ran == notSent || c.g.mayRepeat(c.pool.Name))
+	c.spent = allowed && !again
 	c.g.set.Log.Failure("attempt failed", slog.String("request", c.ask.ID), slog.String("backend", l.backend),
 		slog.String("cause", out.cause), slog.String("error", text(out.err)), slog.Int("attempt", c.sends),
 		slog.Int("took_ms", int((c.g.now()-l.began).Milliseconds())), slog.Bool("again", again),
@@ -195,6 +197,8 @@
 		return Refusal{Cause: TimedOut}
 	case c.attempts > 0:
 		return Refusal{Cause: MayHaveRun}
+	case out.ran == declined && c.spent:
+		return Refusal{Cause: NoBudget, After: c.comeBack()}
 	case out.ran == declined:
 		return Refusal{Cause: NotRunThere, After: c.comeBack()}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,7 @@
 	attempts int           // backends that may have run the request
 	sends    int           // arrivals at backends
 	avoid    map[string]bool
+	spent    bool // one more attempt was allowed but for the fleet's budget
 	relay    *relay
 	silence  *time.Timer // ends the present attempt
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -324,7 +324,6 @@
 	l.first = true
 	now := g.now()
 	l.waiting = now - l.began
-	l.member.heard = now
 	l.member.tokens -= l.tokens
 	took := float64(now-l.began) / float64(time.Millisecond)
 	expected := plainExpect
@@ -373,9 +372,12 @@
 	case weight == 0:
 		p.failing -= poolMemory * p.failing
 		m.health.succeeded()
-		m.heard = g.now()
 		return false
 	}
 	p.failing += poolMemory * (weight - p.failing)
-	return m.health.failed(g.now(), weight, p.failing)
+	suspected := m.health.failed(g.now(), weight, p.failing)
+	if suspected && m.doubtful {
+		g.table.remove(m.ID) // the directory does not know it either
+	}
+	return suspected
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -32,14 +32,10 @@
 // Verdict is what an answer's head says.
 type Verdict struct {
 	ID string // of the request that it answers
-	// NotRun says that the backend did not run the request and will not.
-	NotRun bool
 	// Misplaced says that another backend has the address.
 	Misplaced bool
 	// Sealed says that the answer carries the backend's mark.
 	Sealed bool
-	// Leaving says that the backend closes its connections.
-	Leaving bool
 }
 
 // Dialect translates heads. Its methods are safe for concurrent use.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -56,8 +56,7 @@
 
 func (testDialect) Judge(status int, h http.Header) Verdict {
 	return Verdict{
-		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Misplaced: status == http.StatusMisdirectedRequest,
-		Sealed: h.Get("Sealed") != "",
+		ID: h.Get("Id"), Misplaced: status == http.StatusMisdirectedRequest, Sealed: h.Get("Sealed") != "",
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -279,6 +279,41 @@
 	})
 }
 
+// TestSpentBudgetIsSaid: the request was refused there and might have gone
+// elsewhere.
+func TestSpentBudgetIsSaid(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.set.Retries.Extra = 0
+		x.inOrder([]behaviour{refuses(503), refuses(503)})
+		got := x.ask("/once/x")
+		is.Equal(got.status, 503)
+		is.True(strings.Contains(got.body, "no-retry-budget"))
+		is.Equal(x.backends.count(), 1)
+	})
+}
+
+// TestDoubtfulBackendIsDroppedOnceItFails: a complete list lacks it; it is used
+// as long as it answers, and no longer.
+func TestDoubtfulBackendIsDroppedOnceItFails(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("plain", answers(200, "fine", 0), answers(200, "fine", 0))
+		list := []protocol.Backend{x.g.table.members["p1"].Backend}
+		x.g.table.update(protocol.Backends{Term: 1, Whole: true, Complete: true, Set: list})
+		for range 4 {
+			is.Equal(x.ask("/again/x").status, 200)
+		}
+		is.Equal(x.g.Backends(), []string{"p0", "p1"})
+		x.backends.does["10.0.5.0:80"] = fails(backend.NotRun{Err: errReset})
+		x.g.table.members["p1"].requests = 1 // so that the other is asked
+		for range 4 {
+			is.Equal(x.ask("/again/x").status, 200)
+		}
+		is.Equal(x.g.Backends(), []string{"p1"})
+	})
+}
+
 // TestRoomIsShared holds every slot; one request too many waits for its part
 // of the objective and is refused, and one that finds room in time is served.
 func TestRoomIsShared(t *testing.T) {
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -22,7 +22,6 @@
 	tokens   int // of own prompts whose first event has not come
 	others   protocol.Running
 	reported time.Duration // when others was heard
-	heard    time.Duration // last sign of life on any connection
 	doubtful bool          // the directory did not list it when complete
 }
 
