--- a/directory/hub.go
+++ b/directory/hub.go
@@ -15,7 +15,6 @@
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
-	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
 // This file defines hub, the goroutine that owns the registry and the
@@ -57,14 +56,6 @@
 	image    protocol.Document // newest document, encoded once
 }
 
-// session is one gateway's link.
-type session struct {
-	gateway string
-	out     *link.Outbox
-	sent    uint64        // number of the document sent
-	due     time.Duration // of the next Fleet message
-}
-
 func newHub(d *Directory) *hub {
 	h := &hub{
 		d: d, events: make(chan func(), eventDepth), wake: make(chan struct{}, 1),
@@ -273,120 +264,3 @@
 	}
 	return err
 }
-
-func (h *hub) broadcast(c registry.Change) {
-	if c.Empty() {
-		return
-	}
-	m := protocol.Backends{Term: h.term, Set: wire(c.Set), Gone: c.Gone}
-	for s := range h.sessions {
-		s.out.Send(m)
-	}
-}
-
-func (h *hub) wholeList() protocol.Backends {
-	return protocol.Backends{
-		Term: h.term, Whole: true, Complete: h.complete,
-		Set: wire(h.registry.List()), Gone: h.recentDepartures(),
-	}
-}
-
-// recentDepartures are told with a whole list, because an incomplete list
-// does not say who is gone.
-func (h *hub) recentDepartures() []string {
-	const recent = 256
-	_, total := h.d.state.DeparturesSince(h.departed)
-	ids, _ := h.d.state.DeparturesSince(total - min(total, recent))
-	return ids
-}
-
-func wire(backends []registry.Backend) []protocol.Backend {
-	out := make([]protocol.Backend, 0, len(backends))
-	for _, b := range backends {
-		out = append(out, protocol.Backend{
-			ID: b.ID, Pool: b.Pool, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Handle: b.Handle,
-		})
-	}
-	return out
-}
-
-// serve runs one gateway's session until its link ends.
-func (h *hub) serve(ctx context.Context, l *link.Link, w protocol.Watch) {
-	var s *session
-	err := h.do(ctx, func() { s = h.open(l, w) })
-	if err != nil || s == nil {
-		lead := h.leader.Load()
-		_, _ = l.Send(ctx, protocol.Elsewhere{Leader: lead.leader, Members: lead.members})
-		return
-	}
-	defer s.out.Close()
-	defer h.post(func() { h.close(s) })
-	for {
-		m, err := l.Receive(ctx)
-		if err != nil {
-			return
-		}
-		if u, ok := m.(protocol.Usage); ok {
-			h.post(func() { h.usage.report(s, u) })
-		}
-	}
-}
-
-// open admits a gateway if this replica leads.
-func (h *hub) open(l *link.Link, w protocol.Watch) *session {
-	h.follow()
-	if h.term == 0 || w.Term > h.term || w.Gateway != l.Peer() {
-		return nil
-	}
-	for old := range h.sessions {
-		if old.gateway == w.Gateway {
-			h.close(old)
-			old.out.Close()
-		}
-	}
-	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), sent: w.Number}
-	h.sessions[s] = true
-	s.out.Send(h.wholeList())
-	h.pushDocument()
-	h.d.set.Log.Belief("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
-	return s
-}
-
-func (h *hub) close(s *session) {
-	if h.sessions[s] {
-		delete(h.sessions, s)
-		h.d.set.Log.Belief("gateway lost", slog.String("gateway", s.gateway))
-	}
-	h.usage.forget(s)
-}
-
-// pushFleet tells every gateway how all of them together stand, as often as
-// the budget of its link allows.
-func (h *hub) pushFleet() {
-	held, _ := h.d.state.Held()
-	now := h.d.replica.Now()
-	h.usage.settle(now, held.Document.Limits.TokensPerSecond)
-	members := h.leader.Load().members
-	for s := range h.sessions {
-		if now < s.due {
-			continue
-		}
-		m := protocol.Fleet{
-			Gateways: len(h.sessions), Running: h.usage.others(s),
-			Entitlements: h.usage.entitlements, Members: members, Short: h.usage.short(),
-		}
-		s.out.Send(m)
-		s.due = now + fleetPause(m)
-	}
-}
-
-// fleetPause is how long a link rests after a message so that it keeps to its
-// budget.
-func fleetPause(m protocol.Fleet) time.Duration {
-	b, err := protocol.Encode(m)
-	if err != nil {
-		return fleetLongest
-	}
-	byBudget := time.Duration(float64(len(b)) / fleetBudget * float64(time.Second))
-	return min(max(byBudget, fleetPeriod), fleetLongest) - fleetPeriod/2 // the tick that is nearest
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,7 +48,7 @@
 )
 
 // attempt sends the request to one backend and relays what it answers.
-func (c *call) attempt(ctx context.Context, l *lease) outcome {
+func (c *call) attempt(ctx context.Context, l *assignment) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.silence = c.watchSilence(l, cancel)
@@ -78,7 +78,7 @@
 // watchSilence cancels an attempt of a request that may run again when the
 // backend is silent for much longer than it should be. Whoever reads from the
 // backend resets the timer ([call.heard]).
-func (c *call) watchSilence(l *lease, cancel context.CancelFunc) *time.Timer {
+func (c *call) watchSilence(l *assignment, cancel context.CancelFunc) *time.Timer {
 	if !c.route.MayRepeat() || c.attempts+1 >= max(c.route.Attempts, 1) {
 		return time.AfterFunc(forever, func() {})
 	}
@@ -100,7 +100,7 @@
 	forever          = 24 * time.Hour
 )
 
-func (c *call) exchange(ctx context.Context, l *lease) outcome {
+func (c *call) exchange(ctx context.Context, l *assignment) outcome {
 	answer, err := c.g.set.Backend.Send(ctx, l.address, c.outgoing(l))
 	if err != nil {
 		return c.sendFailed(err)
@@ -121,7 +121,7 @@
 }
 
 // outgoing is the request as a backend gets it.
-func (c *call) outgoing(l *lease) backend.Call {
+func (c *call) outgoing(l *assignment) backend.Call {
 	f := Forwarding{Left: c.gaveUp - c.g.now(), Backend: l.backend, Tenant: c.tenant.Name, After: c.relay.last}
 	return backend.Call{
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
@@ -149,7 +149,7 @@
 
 // next decides what follows a failed attempt: to try again, or to end the
 // request, with an error unless a held answer was given.
-func (c *call) next(ctx context.Context, l *lease, out outcome) (again bool, err error) {
+func (c *call) next(ctx context.Context, l *assignment, out outcome) (again bool, err error) {
 	c.g.stats.count("attempts_failed", "cause", out.cause)
 	if c.r.Context().Err() != nil {
 		return false, callerLeft{}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,7 +28,7 @@
 	body     []byte
 	cost     float64
 	standing standing
-	lease    *lease        // of the last attempt
+	assigned *assignment   // of the last attempt
 	short    shortage      // why there was no backend in the end
 	gaveUp   time.Duration // when the caller gives up or the route's time is over
 	attempts int           // backends that may have run the request
@@ -164,7 +164,7 @@
 		if err != nil {
 			return err
 		}
-		c.lease = l
+		c.assigned = l
 		out := c.attempt(ctx, l)
 		if out.done {
 			return nil
@@ -176,8 +176,8 @@
 }
 
 // backend waits for a backend. The error is a [Refusal].
-func (c *call) backend(ctx context.Context) (*lease, error) {
-	w := wish{
+func (c *call) backend(ctx context.Context) (*assignment, error) {
+	w := criteria{
 		pool: c.pool, route: c.route, prompt: c.ask.Prompt, tenant: c.tenant.Name,
 		priority: c.tenant.Priority*priorityScale + c.route.Priority, standing: c.standing,
 		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.peers.Load()),
@@ -297,7 +297,7 @@
 		facts = append(facts, slog.String("full", short.backend), slog.Int("full_requests", short.requests),
 			slog.Int("full_tokens", short.tokens), slog.Int("seen_ms_ago", int(short.age.Milliseconds())))
 	}
-	if l := c.lease; l != nil {
+	if l := c.assigned; l != nil {
 		facts = append(facts, slog.String("backend", l.backend), slog.Int("tokens_ahead", l.ahead),
 			slog.Int("tokens_read", l.tokens), slog.Int("tokens_shared", c.ask.Prompt.SharedTokens()), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
 			slog.Int("first_ms", int(l.waiting.Milliseconds())))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -460,7 +460,7 @@
 			is.Equal(s, 200)
 		}
 		for _, m := range x.g.table.members {
-			is.Equal(m.requests, 0) // every lease came back
+			is.Equal(m.requests, 0) // every assignment came back
 			is.Equal(m.tokens, 0)
 		}
 	}, answers(200, "a", 20*time.Millisecond), answers(200, "b", 20*time.Millisecond))
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -23,12 +23,12 @@
 		x.g.tenants.starts("busy", 1000)
 		for _, tt := range []struct {
 			name          string
-			first, second wish
+			first, second criteria
 		}{
-			{"within the share before beyond the named one", wish{standing: entitled, priority: 9}, wish{standing: extra}},
-			{"beyond the named share before beyond every one", wish{standing: extra, priority: 9}, wish{standing: beyond}},
-			{"priority", wish{priority: 1, tenant: "busy"}, wish{priority: 2, tenant: "idle"}},
-			{"the tenant that was served least", wish{tenant: "idle"}, wish{tenant: "busy"}},
+			{"within the share before beyond the named one", criteria{standing: entitled, priority: 9}, criteria{standing: extra}},
+			{"beyond the named share before beyond every one", criteria{standing: extra, priority: 9}, criteria{standing: beyond}},
+			{"priority", criteria{priority: 1, tenant: "busy"}, criteria{priority: 2, tenant: "idle"}},
+			{"the tenant that was served least", criteria{tenant: "idle"}, criteria{tenant: "busy"}},
 		} {
 			is.True(x.g.before(&tt.first, &tt.second) < 0) // tt.name
 			is.True(x.g.before(&tt.second, &tt.first) > 0)
@@ -75,7 +75,7 @@
 	for _, tt := range []struct{ accepts, gateways, own int }{
 		{300, 7, 38}, {300, 1, 270}, {100, 59, 2}, {100, 0, 90},
 	} {
-		w := wish{pool: document.Pool{Connections: tt.accepts}, gateways: tt.gateways}
+		w := criteria{pool: document.Pool{Connections: tt.accepts}, gateways: tt.gateways}
 		is.Equal(ownConnections(w), tt.own)
 	}
 	bubble(t, func(x *fixture) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,7 +47,7 @@
 
 // plain takes a plain answer: a success goes to the caller once it is whole, a
 // failure is held in case another backend does better.
-func (r *relay) plain(l *lease, answer *backend.Answer, success bool) outcome {
+func (r *relay) plain(l *assignment, answer *backend.Answer, success bool) outcome {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain))
 	if err != nil {
 		return outcome{ran: unknown, cause: "cut off", blame: lost, err: err}
@@ -100,7 +100,7 @@
 }
 
 // stream passes events on as they come, each once it is whole.
-func (r *relay) stream(ctx context.Context, l *lease, answer *backend.Answer) outcome {
+func (r *relay) stream(ctx context.Context, l *assignment, answer *backend.Answer) outcome {
 	r.rest = r.rest[:0]
 	buffer := make([]byte, readSize)
 	flusher := http.NewResponseController(r.c.w)
