--- a/control/control.go
+++ b/control/control.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// ServeHTTP accepts links of other boxes at [link.Path]: the first message
+// ServeHTTP accepts links of other nodes at [link.Path]: the first message
 // tells a router from a control replica.
 func (c *Control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l, err := link.Accept(w, r, c.set.Identity, c.meter)
--- a/coordination/consensus/consensus_test.go
+++ b/coordination/consensus/consensus_test.go
@@ -83,7 +83,7 @@
 	members := c.members[c.leader()].node.log.members()
 	is.Equal(len(members.Voters), 3)
 	is.True(contains(members.Voters, c.members[lost].self()))
-	// A second box, lost right after the repair, loses nothing accepted.
+	// A second node, lost right after the repair, loses nothing accepted.
 	second := others(c, lost)[0]
 	c.kill(second)
 	c.blank(second)
--- a/coordination/consensus/node.go
+++ b/coordination/consensus/node.go
@@ -12,7 +12,7 @@
 // in the files beside it.
 
 // DriftMargin is the part of the election timeout by which a lease is
-// shortened: clocks of two boxes may differ in speed by that much.
+// shortened: clocks of two nodes may differ in speed by that much.
 const DriftMargin = 0.1
 
 // Config sets up one replica of one group.
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package backend sends calls to backend servers, model engines and plain
+// Package backend sends calls to backends, model engines and plain
 // services alike, over HTTP/1.1, and says truly what became of a call that
 // failed.
 //
@@ -39,7 +39,7 @@
 // gave before it started the call.
 const RefusedHeader = "Badgerspoke-Refused"
 
-// Call is one call to a backend server.
+// Call is one call to a backend.
 type Call struct {
 	Method string
 	Path   string // with the query, sent as it is
@@ -89,9 +89,9 @@
 // Error names the server and the cause.
 func (e NotRun) Error() string {
 	if e.Refused {
-		return "backend server " + e.Server + " refused the call before starting it"
+		return "backend " + e.Server + " refused the call before starting it"
 	}
-	return "backend server " + e.Server + " could not be reached: " + e.Err.Error()
+	return "backend " + e.Server + " could not be reached: " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
@@ -105,7 +105,7 @@
 
 // Error names the server and the cause.
 func (e Unknown) Error() string {
-	return "connection to backend server " + e.Server + " broke, the call may have run: " + e.Err.Error()
+	return "connection to backend " + e.Server + " broke, the call may have run: " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -21,7 +21,7 @@
 	"github.com/badgerspoke/badgerspoke/transport/backend"
 )
 
-// This file is the contract of a client towards a backend server: what it says
+// This file is the contract of a client towards a backend: what it says
 // of a call is true, whatever the server does.
 
 const address = "10.0.0.1:9000"
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package link carries protocol messages between two boxes of the fleet over
+// Package link carries protocol messages between two nodes of the fleet over
 // one WebSocket.
 //
 // The model: a link is opened by one side, proves to both that the other
@@ -16,7 +16,7 @@
 // so that a recorded handshake proves nothing later and neither side's proof
 // can be reflected. A key in a header was rejected: whoever accepts the
 // connection would learn it. The link is encrypted only
-// if the box has certificates; the key is proved inside either way.
+// if the node has certificates; the key is proved inside either way.
 //
 // Every read and write has a deadline; bytes are counted by kind and
 // direction.
@@ -36,7 +36,7 @@
 
 // This file defines Link and the two ways to open one.
 
-// Path is where a box accepts links.
+// Path is where a node accepts links.
 const Path = "/fleet/v1/link"
 
 // Times that bound what a peer may take.
@@ -45,17 +45,17 @@
 	WriteTimeout     = 5 * time.Second
 )
 
-// Identity is what a box proves and says of itself.
+// Identity is what a node proves and says of itself.
 type Identity struct {
 	Name string
-	Key  []byte // the fleet key, equal on all boxes
+	Key  []byte // the fleet key, equal on all nodes
 	// Dial opens connections; nil is the operating system's network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// TLS encrypts links that this box opens; nil leaves them plain.
+	// TLS encrypts links that this node opens; nil leaves them plain.
 	TLS *tls.Config
 }
 
-// scheme returns the WebSocket scheme of links that this box opens.
+// scheme returns the WebSocket scheme of links that this node opens.
 func (id Identity) scheme() string {
 	if id.TLS != nil {
 		return "wss://"
@@ -77,7 +77,7 @@
 	meter *Meter
 }
 
-// Dial opens a link to the box at address (IP:PORT).
+// Dial opens a link to the node at address (IP:PORT).
 func Dial(ctx context.Context, address string, id Identity, m *Meter) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
@@ -122,7 +122,7 @@
 	return &Link{conn: conn, peer: peer, meter: m}
 }
 
-// Peer returns the proven name of the other box.
+// Peer returns the proven name of the other node.
 func (l *Link) Peer() string { return l.peer }
 
 // Send writes one message and returns its size in bytes. After an error the
