--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"time"
 
@@ -16,26 +15,30 @@
 // This file defines call, one request from its arrival to its end.
 
 type call struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Duration
+	gaveUp  time.Duration // when the caller gives up or the route's time is over
+
+	// What the request is.
 	ask      Ask
-	arrived  time.Duration
 	rs       *routes
 	route    document.Route
 	tenant   document.Tenant
 	pool     document.Pool
 	body     []byte
-	cost     float64
+	cost     float64 // tokens
 	standing standing
-	assigned *assignment   // of the last attempt
-	short    shortage      // why there was no backend in the end
-	gaveUp   time.Duration // when the caller gives up or the route's time is over
-	attempts int           // backends that may have run the request
-	sends    int           // arrivals at backends
+
+	// What has become of it.
+	attempts int // backends that may have run it
+	sends    int // arrivals at backends
 	avoid    map[string]bool
-	spent    bool // one more attempt was allowed but for the fleet's budget
-	relay    *relay
+	spent    bool        // one more attempt was allowed but for the fleet's budget
+	assigned *assignment // of the last attempt
+	short    shortage    // why there was no backend in the end
+	relay    *relay      // nil before the first backend is asked for
 	silence  *time.Timer // ends the present attempt
 }
 
@@ -58,46 +61,59 @@
 	c.finish(err)
 }
 
-// admit matches the request to a route and a tenant and reads its body. The
-// error is a [Refusal].
+// admit matches the request to a route and a tenant, reads its body and ranks
+// it. The error is a [Refusal].
 func (c *call) admit() error {
-	g := c.g
-	if g.pressure.high.Load() {
+	if c.g.pressure.high.Load() {
 		return Refusal{Cause: Pressed, After: shortReturn}
 	}
-	if c.rs = g.routes.Load(); c.rs == nil {
-		return Refusal{Cause: NoDocument, After: longReturn}
-	}
-	var known bool
-	if c.route, known = c.rs.match(c.r.Host, c.r.URL.EscapedPath()); !known {
-		return Refusal{Cause: NoRoute}
-	}
-	if c.tenant, known = c.rs.tenant(c.route, c.ask.Key); !known {
-		return Refusal{Cause: UnknownKey}
+	if err := c.match(); err != nil {
+		return err
 	}
-	c.pool = c.rs.pools[draw(c.route)]
 	patience := c.route.Hold
 	if c.ask.Patience > 0 {
 		patience = min(patience, c.ask.Patience)
 	}
 	c.gaveUp = c.arrived + patience
-	if !g.endsBeforeStop(patience) {
+	if !c.g.endsBeforeStop(patience) {
 		return Refusal{Cause: Stopping, After: shortReturn}
 	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	return c.rank()
+}
+
+// match finds the request's route, tenant and pool in the document in force.
+func (c *call) match() error {
+	if c.rs = c.g.routes.Load(); c.rs == nil {
+		return Refusal{Cause: NoDocument, After: longReturn}
+	}
+	var known bool
+	if c.route, known = c.rs.match(c.r.Host, c.r.URL.EscapedPath()); !known {
+		return Refusal{Cause: NoRoute}
+	}
+	if c.tenant, known = c.rs.tenant(c.route, c.ask.Key); !known {
+		return Refusal{Cause: UnknownKey}
+	}
+	c.pool = c.rs.pools[draw(c.route)]
+	return nil
+}
+
+// rank finds how the request stands against its tenant's share, and refuses
+// what may not be served now.
+func (c *call) rank() error {
 	c.cost = float64(c.ask.Prompt.Tokens() + outputCost*c.ask.Prompt.Output)
 	if c.pool.Engine {
-		c.standing = g.tenants.asks(c.tenant.Name, c.cost)
+		c.standing = c.g.tenants.asks(c.tenant.Name, c.cost)
 	}
-	if !g.pressure.admits(c.standing) {
+	if !c.g.pressure.admits(c.standing) {
 		return Refusal{Cause: Pressed, After: c.comeBack()}
 	}
-	if !g.tenants.lets(c.standing) {
+	if !c.g.tenants.lets(c.standing) {
 		return Refusal{Cause: BeyondShare, After: c.comeBack()}
 	}
-	g.countRequest(c.pool.Name)
+	c.g.countRequest(c.pool.Name)
 	return nil
 }
 
@@ -240,71 +256,3 @@
 	}
 	return Refusal{Cause: TimedOut}
 }
-
-// callerLeft ends a request whose caller has closed the connection.
-type callerLeft struct{}
-
-// Error says so.
-func (callerLeft) Error() string { return "the caller has left" }
-
-// broken ends a request whose answer has begun and cannot be finished: only
-// the connection's end can say so.
-type broken struct{ err error }
-
-// Error names the cause.
-func (b broken) Error() string { return "answer broken off: " + b.err.Error() }
-
-// finish writes the gateway's own answer, if it gives one, and accounts for
-// the request.
-func (c *call) finish(err error) {
-	took := c.g.now() - c.arrived
-	var refusal Refusal
-	var cut broken
-	switch {
-	case err == nil:
-		c.g.stats.count("answered", "route", c.route.Name)
-		c.g.stats.wholeAnswer(c.tenant.Name, c.route.Name, took)
-		c.g.set.Log.Routine("answered", c.facts(took)...)
-	case errors.As(err, &refusal):
-		c.g.stats.count("refused", "cause", string(refusal.Cause))
-		c.g.set.Log.Failure("refused", append(c.facts(took), slog.String("cause", string(refusal.Cause)),
-			slog.Int("status", refusal.Status()), slog.Int("after_ms", int(refusal.After.Milliseconds())))...)
-		refusal.write(c.w)
-	case errors.As(err, &cut):
-		c.g.stats.count("broken", "route", c.route.Name)
-		c.g.set.Log.Failure("broken off", append(c.facts(took), slog.String("error", cut.err.Error()))...)
-		panic(http.ErrAbortHandler)
-	default:
-		c.g.stats.count("left", "route", c.route.Name)
-		c.g.set.Log.Failure("caller left", c.facts(took)...)
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// facts are the attributes of the request's last log line.
-func (c *call) facts(took time.Duration) []slog.Attr {
-	facts := []slog.Attr{
-		slog.String("request", c.ask.ID), slog.String("route", c.route.Name), slog.String("tenant", c.tenant.Name),
-		slog.Uint64("document", c.g.Number()), slog.String("standing", c.standing.String()), slog.Int("attempts", c.attempts),
-		slog.Int("sends", c.sends), slog.Int("took_ms", int(took.Milliseconds())),
-	}
-	if c.standing != entitled {
-		told, age := c.g.tenants.told(c.tenant.Name)
-		facts = append(facts, slog.Float64("part", float64(told.Part)), slog.Float64("extra_part", float64(told.Extra)),
-			slog.Int("told_ms_ago", int(age.Milliseconds())))
-	}
-	if short := c.short; short.backend != "" {
-		facts = append(facts, slog.String("full", short.backend), slog.Int("full_requests", short.requests),
-			slog.Int("full_tokens", short.tokens), slog.Int("seen_ms_ago", int(short.age.Milliseconds())))
-	}
-	if l := c.assigned; l != nil {
-		facts = append(facts, slog.String("backend", l.backend), slog.Int("tokens_ahead", l.ahead),
-			slog.Int("tokens_read", l.tokens), slog.Int("tokens_shared", c.ask.Prompt.SharedTokens()), slog.Int("queued_ms", int((l.began-c.arrived).Milliseconds())),
-			slog.Int("first_ms", int(l.waiting.Milliseconds())))
-	}
-	if c.relay != nil && c.relay.passed > 0 {
-		facts = append(facts, slog.Int("pieces", c.relay.passed), slog.String("last_event", c.relay.last),
-			slog.Int("quiet_ms", int((c.g.now()-c.relay.passedAt).Milliseconds())))
-	}
-	return facts
-}
