Gateway: silence is watched only where somebody else may go on

Found by reading: after a pause the timer of an attempt that is not watched had run out, so a later break was put down to silence. Streams were not cut by it (its function does nothing); the new test of pausing streams passes before and after.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,9 +33,8 @@
 	blame float64 // how much of a failure of the backend it was; negative is none of its doing
 	// held is a whole answer of a failure that is given to the caller if
 	// nothing better comes.
-	held *heldAnswer
-	// placed is false when another backend has the address.
-	misplaced bool
+	held      *heldAnswer
+	misplaced bool // another backend has the address
 	err       error
 }
 
@@ -51,7 +50,7 @@
 func (c *call) attempt(ctx context.Context, l *assignment) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.silence = c.watchSilence(l, cancel)
+	c.silence = c.watchSilence(cancel)
 	out := c.exchange(ctx, l)
 	if !c.silence.Stop() && !out.done && c.r.Context().Err() == nil {
 		out.blame, out.cause = lost, "silent"
@@ -75,11 +74,13 @@
 	return out
 }
 
-// watchSilence cancels an attempt of a request that may run again when the
-// backend is silent for much longer than it should be. Whoever reads from the
-// backend resets the timer ([call.heard]).
-func (c *call) watchSilence(l *assignment, cancel context.CancelFunc) *time.Timer {
-	if !c.route.MayRepeat() || c.attempts+1 >= max(c.route.Attempts, 1) {
+// watchSilence cancels an attempt when the backend is silent for much longer
+// than it should be, if another one may take the request up: otherwise silence
+// justifies nothing. Whoever reads from the backend resets the timer
+// ([call.heard]).
+func (c *call) watchSilence(cancel context.CancelFunc) *time.Timer {
+	c.watched = c.route.MayRepeat() && c.attempts+1 < c.route.Attempts
+	if !c.watched {
 		return time.AfterFunc(forever, func() {})
 	}
 	return time.AfterFunc(max(part(c.route.Objective, silentObjectives), shortestSilence), cancel)
@@ -87,7 +88,7 @@
 
 // heard tells that something of the answer has come.
 func (c *call) heard() {
-	if c.silence.Stop() {
+	if c.watched && c.silence.Stop() {
 		c.silence.Reset(max(part(c.route.Pause, silentPauses), shortestSilence))
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,7 @@
 	short    shortage    // why there was no backend in the end
 	relay    *relay      // nil before the first backend is asked for
 	silence  *time.Timer // ends the present attempt
+	watched  bool        // silence is bounded in the present attempt
 }
 
 // defaultBody bounds a body when the document does not.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -141,6 +141,28 @@
 	})
 }
 
+// TestPausingStreamIsNotCut: a pause justifies nothing where nobody else may go
+// on, be it that the stream may not run again or that all attempts are used.
+func TestPausingStreamIsNotCut(t *testing.T) {
+	pausing := streams(piece{text: event(1)}, piece{text: event(2), after: 1500 * time.Millisecond})
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/stream/x")
+		is.Equal(got.body, wholeStream(2))
+		is.True(!got.cut)
+	}, pausing)
+	resumed := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		return streams(piece{text: event(2)}, piece{text: event(3), after: 1500 * time.Millisecond})(ctx, call)
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.inOrder([]behaviour{resuming(3, 1, errReset), resumed})
+		got := x.ask("/resume/x")
+		is.Equal(got.body, wholeStream(3))
+		is.True(!got.cut)
+	})
+}
+
 // TestRouteTimeEndsAStream cuts a stream that is still going on.
 func TestRouteTimeEndsAStream(t *testing.T) {
 	endless := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
