--- a/settings/settings.go
+++ b/settings/settings.go
@@ -174,6 +174,7 @@
 	d.StopWithoutLeader = r.noLeader == "stop"
 	d.TLS = c.tls(r.tlsCert, r.tlsKey, r.tlsCA)
 	if d.Dev {
+		c.that(r.operatorsFile == "" && r.fleetKeyFile == "", "-dev: has its own token and key; -operator-token-file and -fleet-key-file can't be used with it")
 		return c.found
 	}
 	r.checkFleet(&c)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -78,3 +78,13 @@
 	_, err = parse(nil, "-h")
 	is.True(errors.Is(err, flag.ErrHelp))
 }
+
+// TestDevRefusesWhatItIgnores: a setting that cannot be honoured is refused.
+func TestDevRefusesWhatItIgnores(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"-operator-token-file", "-fleet-key-file"} {
+		_, err := parse(nil, "-dev", name, secret(t, "a key of enough bytes\n"))
+		is.True(errors.As(err, new(Invalid)))
+		is.True(strings.Contains(err.Error(), name)) // names it
+	}
+}
