--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -108,10 +108,7 @@
 		for round := uint64(1); round <= 5; round++ {
 			x.put(round)
 			is.NoErr(x.announce("b1", false))
-			for _, ip := range x.order {
-				x.nodes[ip].kill()
-				x.nodes[ip].disk.Crash()
-			}
+			x.losePower()
 			for _, ip := range x.order {
 				x.start(ip, false)
 			}
@@ -136,10 +133,7 @@
 					break
 				}
 			}
-			for _, ip := range x.order {
-				x.nodes[ip].kill()
-				x.nodes[ip].disk.Crash()
-			}
+			x.losePower()
 			for _, ip := range x.order {
 				if slices.Contains(lost, ip) {
 					x.replaceDisk(ip)
@@ -250,10 +244,7 @@
 		is.NoErr(x.announce("b2", false))
 		is.NoErr(x.announce("b1", true))
 		time.Sleep(time.Second)
-		for _, ip := range x.order {
-			x.nodes[ip].kill()
-			x.nodes[ip].disk.Crash()
-		}
+		x.losePower()
 		for _, ip := range x.order {
 			x.start(ip, false)
 		}
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -245,3 +245,11 @@
 
 // replaceDisk gives a stopped replica an empty disk.
 func (x *fleet) replaceDisk(ip string) { x.nodes[ip].disk = fakedisk.New(x.random()) }
+
+// losePower ends every replica at once; disks keep what was synced.
+func (x *fleet) losePower() {
+	for _, ip := range x.order {
+		x.nodes[ip].kill()
+		x.nodes[ip].disk.Crash()
+	}
+}
