--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"time"
 
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/backend"
@@ -52,7 +51,7 @@
 	defer cancel()
 	c.silence = c.watchSilence(cancel)
 	out := c.exchange(ctx, l)
-	if !c.silence.Stop() && !out.done && c.r.Context().Err() == nil {
+	if c.silence.stop() && !out.done && c.r.Context().Err() == nil {
 		out.blame, out.cause = lost, "silent"
 	} else if ctx.Err() != nil && !out.done {
 		out.blame = noSign // the caller left, or the time is over
@@ -74,33 +73,6 @@
 	return out
 }
 
-// watchSilence cancels an attempt when the backend is silent for much longer
-// than it should be, if another one may take the request up: otherwise silence
-// justifies nothing. Whoever reads from the backend resets the timer
-// ([call.heard]).
-func (c *call) watchSilence(cancel context.CancelFunc) *time.Timer {
-	c.watched = c.route.MayRepeat() && c.attempts+1 < c.route.Attempts
-	if !c.watched {
-		return time.AfterFunc(forever, func() {})
-	}
-	return time.AfterFunc(max(part(c.route.Objective, silentObjectives), shortestSilence), cancel)
-}
-
-// heard tells that something of the answer has come.
-func (c *call) heard() {
-	if c.watched && c.silence.Stop() {
-		c.silence.Reset(max(part(c.route.Pause, silentPauses), shortestSilence))
-	}
-}
-
-// Silence of a backend after which another one is asked.
-const (
-	silentObjectives = 2.5 // before the first part of an answer
-	silentPauses     = 4.0 // between two parts
-	shortestSilence  = 400 * time.Millisecond
-	forever          = 24 * time.Hour
-)
-
 func (c *call) exchange(ctx context.Context, l *assignment) outcome {
 	answer, err := c.g.set.Backend.Send(ctx, l.address, c.outgoing(l))
 	if err != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,8 +39,7 @@
 	assigned *assignment // of the last attempt
 	short    shortage    // why there was no backend in the end
 	relay    *relay      // nil before the first backend is asked for
-	silence  *time.Timer // ends the present attempt
-	watched  bool        // silence is bounded in the present attempt
+	silence  *silence    // of the present attempt
 }
 
 // defaultBody bounds a body when the document does not.
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -51,6 +51,14 @@
 	level atomic.Int64 // the same, for everybody
 	high  atomic.Bool
 	until atomic.Int64 // when the gateway may be ready again, by its clock
+	fires atomic.Int64 // when the timer last fired, by the gateway's clock
+}
+
+// late reports whether this gateway cannot keep up now, or has just stood
+// still, so that it may not have read what has come.
+func (p *pressure) late(now time.Duration) bool {
+	overdue := now-time.Duration(p.fires.Load()) > tickPeriod+delayNoticed
+	return overdue || time.Duration(p.level.Load()) > delayNoticed
 }
 
 // keepsAway is how long a gateway under pressure is not ready: the balancer
@@ -125,6 +133,7 @@
 				slog.Int("delay_ms", int(math.Round(1000*g.pressure.delay))), slog.Int64("requests", g.calls.Load()))
 		}
 		last = now
+		g.pressure.fires.Store(int64(now))
 		g.grantAll()
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -107,7 +107,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			r.c.heard()
+			r.c.silence.heard()
 			if !l.first {
 				r.c.g.begun(l, r.c.pool.Engine)
 			}
