--- a/gateway/call.go
+++ b/gateway/call.go
@@ -61,12 +61,10 @@
 	c.finish(err)
 }
 
-// admit matches the request to a route and a tenant, reads its body and ranks
-// it. The error is a [Refusal].
+// admit matches the request to a route and a tenant, ranks it and reads its
+// body. What is refused for its rank costs little that way, however much a
+// tenant floods: its body is never kept. The error is a [Refusal].
 func (c *call) admit() error {
-	if c.g.pressure.high.Load() {
-		return Refusal{Cause: Pressed, After: shortReturn}
-	}
 	if err := c.match(); err != nil {
 		return err
 	}
@@ -75,13 +73,17 @@
 		patience = min(patience, c.ask.Patience)
 	}
 	c.gaveUp = c.arrived + patience
+	if err := c.rank(); err != nil {
+		return err
+	}
 	if !c.g.endsBeforeStop(patience) {
 		return Refusal{Cause: Stopping, After: shortReturn}
 	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	return c.rank()
+	c.g.countRequest(c.pool.Name)
+	return nil
 }
 
 // match finds the request's route, tenant and pool in the document in force.
@@ -108,15 +110,24 @@
 		c.standing = c.g.tenants.asks(c.tenant.Name, c.cost)
 	}
 	if !c.g.pressure.admits(c.standing) {
-		return Refusal{Cause: Pressed, After: c.comeBack()}
+		return Refusal{Cause: Pressed, After: c.returnUnderPressure()}
 	}
 	if !c.g.tenants.lets(c.standing) {
 		return Refusal{Cause: BeyondShare, After: c.comeBack()}
 	}
-	c.g.countRequest(c.pool.Name)
 	return nil
 }
 
+// returnUnderPressure is when a caller that the processor cannot serve should
+// try again. Within its tenant's share it may at once: most other gateways
+// have room.
+func (c *call) returnUnderPressure() time.Duration {
+	if c.standing == entitled {
+		return shortReturn
+	}
+	return c.comeBack()
+}
+
 // outputCost is what a token made costs against a token read.
 const outputCost = 2
 
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -21,8 +21,12 @@
 //   - the gateway is not ready for a while, because the balancer spreads
 //     callers unevenly and other gateways may be idle, and requests beyond
 //     their tenant's share are refused, the further beyond the sooner;
-//   - every new request is refused at once, as not run, with its connection
-//     closed, so that its caller reaches another gateway.
+//   - every new request is refused, as not run, with its connection closed, so
+//     that its caller reaches another gateway.
+//
+// Requests are ranked before any of that: the cause of pressure is mostly one
+// tenant far beyond its share, and refusing what is beyond it is cheap, so that
+// the others on this gateway need not be refused with it.
 //
 // A firing counts for as long as it took to come, because a starved timer
 // fires rarely; a machine that stood still looks the same for the first half
@@ -77,7 +81,7 @@
 	case extra:
 		return delay < delayExtra
 	}
-	return true
+	return !p.high.Load()
 }
 
 // gather returns how long a stream should wait after a piece, if callers
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -3,10 +3,15 @@
 package gateway
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
 func TestPressureRisesAndFalls(t *testing.T) {
@@ -96,3 +101,30 @@
 		is.True(x.g.Ready())
 	}, answers(200, "fine", 0))
 }
+
+// untouchedBody fails a test when it is read.
+type untouchedBody struct{ t *testing.T }
+
+func (b untouchedBody) Read([]byte) (int, error) {
+	b.t.Error("the body was read")
+	return 0, io.EOF
+}
+
+// TestFloodIsRefusedWithoutItsBody: what is beyond its tenant's share is
+// refused by its head alone, while another tenant is served.
+func TestFloodIsRefusedWithoutItsBody(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.001, Extra: 0.002}}, true)
+		r := httptest.NewRequestWithContext(x.t.Context(), http.MethodPost, "/engine/x", untouchedBody{x.t})
+		r.Host, r.ContentLength = "host", 12000
+		r.Header.Set("Id", "request-1")
+		r.Header.Set("Key", "key")
+		r.Header.Set("Tokens", "9000")
+		w := httptest.NewRecorder()
+		x.g.ServeHTTP(w, r)
+		is.Equal(w.Code, 429)
+		is.True(w.Result().Header.Get("Retry-After") != "")
+		is.Equal(x.ask("/once/x", "Key", "other").status, 200)
+	}, answers(200, "fine", 0))
+}
