--- a/decision/decision.go
+++ b/decision/decision.go
@@ -80,11 +80,27 @@
 	l.within(&l.failure, l.budget.Failure, slog.LevelWarn, event, attrs)
 }
 
+// FailureOf is Failure with attributes that are made only if the line is
+// written: under a flood of refusals most lines are not.
+func (l *Log) FailureOf(event string, attrs func() []slog.Attr) {
+	if l.takes(&l.failure, l.budget.Failure) {
+		l.slog.LogAttrs(context.Background(), slog.LevelWarn, event, attrs()...)
+	}
+}
+
 // Routine logs a decision of a request that went as hoped.
 func (l *Log) Routine(event string, attrs ...slog.Attr) {
 	l.within(&l.routine, l.budget.Routine, slog.LevelInfo, event, attrs)
 }
 
+// RoutineOf is Routine with attributes that are made only if the line is
+// written.
+func (l *Log) RoutineOf(event string, attrs func() []slog.Attr) {
+	if l.takes(&l.routine, l.budget.Routine) {
+		l.slog.LogAttrs(context.Background(), slog.LevelInfo, event, attrs()...)
+	}
+}
+
 // Slog returns the log for packages that take a slog.Logger. Its lines count
 // as beliefs.
 func (l *Log) Slog() *slog.Logger { return l.slog }
@@ -96,12 +112,20 @@
 }
 
 func (l *Log) within(count *atomic.Int64, budget int, level slog.Level, event string, attrs []slog.Attr) {
+	if l.takes(count, budget) {
+		l.slog.LogAttrs(context.Background(), level, event, attrs...)
+	}
+}
+
+// takes reports whether the second's budget has room for one more line, and
+// counts it.
+func (l *Log) takes(count *atomic.Int64, budget int) bool {
 	l.turn()
 	if count.Add(1) > int64(budget) {
 		l.miss()
-		return
+		return false
 	}
-	l.slog.LogAttrs(context.Background(), level, event, attrs...)
+	return true
 }
 
 // turn begins a new second's budget. A few lines may be counted to the wrong
--- a/decision/decision_test.go
+++ b/decision/decision_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -117,3 +118,22 @@
 	is.Equal(len(s.lines()), 1)
 	is.Equal(set.GetOrCreateCounter("badgerspoke_log_lines_dropped_total").Get(), uint64(1))
 }
+
+// TestFactsOfDroppedLinesAreNotMade: what would not be written costs nothing.
+func TestFactsOfDroppedLinesAreNotMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(io.Discard, slog.LevelInfo, Budget{Routine: 2, Failure: 3}, metrics.NewSet())
+		defer l.Close()
+		made := 0
+		facts := func() []slog.Attr { made++; return nil }
+		for range 10 {
+			l.RoutineOf("answered", facts)
+		}
+		is.Equal(made, 2)
+		for range 10 {
+			l.FailureOf("refused", facts)
+		}
+		is.Equal(made, 5)
+	})
+}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -89,8 +90,13 @@
 }
 
 func benchGateway(b *testing.B, backendAddress string) string {
+	address, _ := benchGatewayOf(b, backendAddress)
+	return address
+}
+
+func benchGatewayOf(b *testing.B, backendAddress string) (address string, g *Gateway) {
 	set := metrics.NewSet()
-	g := Start(b.Context(), Settings{
+	g = Start(b.Context(), Settings{
 		Identity: link.Identity{Name: "g"}, Dialect: testDialect{}, Backend: backend.New(backend.Settings{IdlePerServer: benchStream}),
 		Retries: retry.Limits{Window: time.Second}, Bodies: 1 << 20, Random: func() uint64 { return 1 }, Metrics: set,
 		Log: decision.New(io.Discard, slog.LevelInfo, decision.DefaultBudget, set),
@@ -100,7 +106,7 @@
 	d.Pools[0].Connections = 10 * benchStream
 	g.apply(d)
 	g.table.update(protocol.Backends{Term: 1, Set: []protocol.Backend{{ID: "b", Pool: "plain", Address: backendAddress, Slots: benchStream}}})
-	return benchServe(b, g)
+	return benchServe(b, g), g
 }
 
 func benchServe(b *testing.B, h http.Handler) string {
@@ -120,3 +126,39 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkRefusal reports the processor time of the whole process, its caller's
+// included, for one request that is refused as beyond its tenant's share, each
+// on a connection of its own or all on one.
+func BenchmarkRefusal(b *testing.B) {
+	address, g := benchGatewayOf(b, benchBackend(b))
+	g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.0001, Extra: 0.0002}}, true)
+	b.Run("new", func(b *testing.B) { benchRefusals(b, address, &http.Transport{DisableKeepAlives: true}) })
+	b.Run("kept", func(b *testing.B) { benchRefusals(b, address, &http.Transport{}) })
+}
+
+func benchRefusals(b *testing.B, address string, transport *http.Transport) {
+	const bodyBytes = 12000
+	client := &http.Client{Transport: transport}
+	defer client.CloseIdleConnections()
+	body := strings.Repeat("x", bodyBytes)
+	before := processorTime()
+	for b.Loop() {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/engine/x", strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Host = "host"
+		req.Header.Set("Id", "1")
+		req.Header.Set("Key", "key")
+		req.Header.Set("Tokens", "10000")
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	used := processorTime() - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-µs/request")
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -35,11 +35,13 @@
 	case err == nil:
 		c.g.stats.count("answered", "route", c.route.Name)
 		c.g.stats.wholeAnswer(c.tenant.Name, c.route.Name, took)
-		c.g.set.Log.Routine("answered", c.facts(took)...)
+		c.g.set.Log.RoutineOf("answered", func() []slog.Attr { return c.facts(took) })
 	case errors.As(err, &refusal):
 		c.g.stats.count("refused", "cause", string(refusal.Cause))
-		c.g.set.Log.Failure("refused", append(c.facts(took), slog.String("cause", string(refusal.Cause)),
-			slog.Int("status", refusal.Status()), slog.Int("after_ms", int(refusal.After.Milliseconds())))...)
+		c.g.set.Log.FailureOf("refused", func() []slog.Attr {
+			return append(c.facts(took), slog.String("cause", string(refusal.Cause)),
+				slog.Int("status", refusal.Status()), slog.Int("after_ms", int(refusal.After.Milliseconds())))
+		})
 		refusal.write(c.w)
 	case errors.As(err, &cut):
 		c.g.stats.count("broken", "route", c.route.Name)
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -19,24 +19,27 @@
 	mu     sync.Mutex // a leaf; guards the caches
 	first  map[[2]string]*metrics.Histogram
 	whole  map[[2]string]*metrics.Histogram
-	counts map[string]*metrics.Counter
+	counts map[counterKey]*metrics.Counter
 }
 
+// counterKey is a counter's name and its one label.
+type counterKey struct{ name, label, value string }
+
 func newStats(set *metrics.Set) *stats {
 	return &stats{
 		set: set, first: map[[2]string]*metrics.Histogram{}, whole: map[[2]string]*metrics.Histogram{},
-		counts: map[string]*metrics.Counter{},
+		counts: map[counterKey]*metrics.Counter{},
 	}
 }
 
 // count adds one to a counter with one label.
 func (s *stats) count(name, label, value string) {
-	full := fmt.Sprintf("badgerspoke_gateway_%s_total{%s=%q}", name, label, value)
+	key := counterKey{name, label, value}
 	s.mu.Lock()
-	c := s.counts[full]
+	c := s.counts[key]
 	if c == nil {
-		c = s.set.GetOrCreateCounter(full)
-		s.counts[full] = c
+		c = s.set.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_%s_total{%s=%q}", name, label, value))
+		s.counts[key] = c
 	}
 	s.mu.Unlock()
 	c.Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -121,8 +121,11 @@
 // listenToCallers serves callers with a bound on their connections.
 func (n *Node) listenToCallers(ctx context.Context, g *gateway.Gateway) error {
 	most := n.mostConnections()
+	// A caller that has gone in silence is noticed by the bounds on idle
+	// connections and on writes; probes would cost system calls for each caller.
+	listening := net.ListenConfig{KeepAlive: -1}
 	open := func(address string) (net.Listener, error) {
-		l, err := net.Listen("tcp", address)
+		l, err := listening.Listen(ctx, "tcp", address)
 		if err != nil {
 			return nil, err
 		}
