--- a/coordination/place/affinity.go
+++ b/coordination/place/affinity.go
@@ -15,8 +15,13 @@
 // all routers without a message. The first in that order is taken to keep the
 // shared parts; any other would read them again. So the price of an engine is
 // the work in front of the request there, in tokens, plus the shared tokens if
-// it is not the first, several times: what is read again delays everybody
-// else on the engine as well, and drives out what others will ask for.
+// it is not the first, many times: what is read again delays everybody else on
+// the engine as well, drives out what others will ask for, and makes the next
+// choices worse. Far from full, a request still begins in time on the first.
+//
+// An engine that is the cheapest and has no room is waited for. Giving the
+// request to another that has room was tried: what is read again takes room
+// from others, so that ever more requests leave their first engine.
 
 // Part is one named part of a prompt.
 type Part struct {
@@ -69,13 +74,17 @@
 
 // Prices of the parts of a choice, in tokens.
 const (
-	secondPrice  = 3    // each shared token on the second engine of the order
-	otherPrice   = 5    // each shared token on any later one
-	requestPrice = 60   // each request that shares the engine's steps
-	fullPrice    = 4000 // each request beyond the engine's slots
-	farPrice     = 40   // another zone
+	againPrice   = 30     // each shared token on any engine but the first of the order
+	againMost    = 40_000 // for all of them
+	rankPart     = 0.1    // of that, more for each later place in the order
+	requestPrice = 60     // each request that shares the engine's steps
+	fullPrice    = 4000   // each request beyond the engine's slots
+	farPrice     = 40     // another zone
 )
 
+// orderDepth is how many engines of a prompt's order are told apart.
+const orderDepth = 4
+
 // Choice is an engine and what it has to read for the prompt.
 type Choice struct {
 	Index int // of the engine
@@ -85,16 +94,12 @@
 // ChooseEngine returns the cheapest engine, or false without any. It costs
 // O(engines).
 func ChooseEngine(p Prompt, engines []Engine) (Choice, bool) {
-	first, second := rendezvous(p.key(), engines)
+	order := rendezvous(p.key(), engines)
 	best, bestPrice := Choice{Index: -1}, math.Inf(1)
 	for i, e := range engines {
 		read, price := p.Own, 0.0
-		switch i {
-		case first:
-		case second:
-			read, price = p.Tokens(), secondPrice*float64(p.SharedTokens())
-		default:
-			read, price = p.Tokens(), otherPrice*float64(p.SharedTokens())
+		if rank := order.rank(i); rank > 0 {
+			read, price = p.Tokens(), leavingPrice(p.SharedTokens(), rank)
 		}
 		price += loadPrice(e) + float64(p.Own)*max(e.Slowness, 1)
 		if price < bestPrice {
@@ -104,6 +109,12 @@
 	return best, best.Index >= 0
 }
 
+// leavingPrice is the price of reading shared tokens again, at a later place
+// of the order.
+func leavingPrice(shared, rank int) float64 {
+	return min(againPrice*float64(shared), againMost) * (1 + rankPart*float64(rank-1))
+}
+
 func loadPrice(e Engine) float64 {
 	price := float64(e.Tokens) + requestPrice*float64(e.Requests)
 	if over := e.Requests + 1 - e.Slots; e.Slots > 0 && over > 0 {
@@ -115,23 +126,46 @@
 	return (price + requestPrice) * max(e.Slowness, 1)
 }
 
-// rendezvous returns the indexes of the first two engines in the key's order,
-// or -1.
-func rendezvous(key uint64, engines []Engine) (first, second int) {
-	first, second = -1, -1
+// order is the indexes of the first engines in a key's order.
+type order struct {
+	indexes [orderDepth]int
+	n       int
+}
+
+// rank is an engine's place in the order, at most orderDepth. Without a key
+// all are the first.
+func (o *order) rank(index int) int {
+	for rank, i := range o.indexes[:o.n] {
+		if i == index {
+			return rank
+		}
+	}
+	if o.n == 0 {
+		return 0
+	}
+	return orderDepth
+}
+
+// rendezvous returns the first engines in the key's order.
+func rendezvous(key uint64, engines []Engine) order {
+	var o order
 	if key == 0 {
-		return first, second
+		return o
 	}
-	var firstScore, secondScore uint64
+	var scores [orderDepth]uint64
 	for i, e := range engines {
 		score := xxh3.HashStringSeed(e.ID, key)
-		switch {
-		case first < 0 || score > firstScore:
-			second, secondScore = first, firstScore
-			first, firstScore = i, score
-		case second < 0 || score > secondScore:
-			second, secondScore = i, score
+		at := o.n
+		for at > 0 && score > scores[at-1] {
+			at--
+		}
+		if at == orderDepth {
+			continue
 		}
+		o.n = min(o.n+1, orderDepth)
+		copy(scores[at+1:o.n], scores[at:])
+		copy(o.indexes[at+1:o.n], o.indexes[at:])
+		scores[at], o.indexes[at] = score, i
 	}
-	return first, second
+	return o
 }
