--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,8 +28,8 @@
 	tenant   document.Tenant
 	pool     document.Pool
 	body     []byte
-	cost     float64 // tokens
-	standing standing
+	cost     float64  // tokens
+	standing standing // of requests to engines
 
 	// What has become of it.
 	attempts int // backends that may have run it
@@ -106,6 +106,7 @@
 // what may not be served now.
 func (c *call) rank() error {
 	c.cost = float64(c.ask.Prompt.Tokens() + outputCost*c.ask.Prompt.Output)
+	c.standing = entitled
 	if c.pool.Engine {
 		c.standing = c.g.tenants.asks(c.tenant.Name, c.cost)
 	}
@@ -122,7 +123,7 @@
 // try again. Within its tenant's share it may at once: most other gateways
 // have room.
 func (c *call) returnUnderPressure() time.Duration {
-	if c.standing == entitled {
+	if c.standing <= entitled {
 		return shortReturn
 	}
 	return c.comeBack()
@@ -228,7 +229,7 @@
 		return nil, Refusal{Cause: MayHaveRun}
 	case c.g.table.poolSize(c.pool.Name) <= len(c.avoid):
 		return nil, Refusal{Cause: NoBackend, After: c.comeBack()}
-	case c.standing != entitled:
+	case c.standing > entitled:
 		return nil, Refusal{Cause: BeyondShare, After: c.comeBack()}
 	}
 	return nil, Refusal{Cause: Overloaded, After: c.comeBack()}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -62,6 +62,33 @@
 	if !p.roomFor(w, m, e) {
 		return nil, shortage{backend: m.ID, requests: e.Requests, tokens: e.Tokens, age: now - m.reported}
 	}
+	return assign(now, m, e, choice), shortage{}
+}
+
+// acquireAnywhere returns the backend that suits the request best among those
+// that have room, or nil. It is for requests that would else be refused and
+// should not be: few, because what is read again takes room from others. The
+// caller holds mu.
+func (t *table) acquireAnywhere(now time.Duration, w criteria) *assignment {
+	p := t.pool(w.pool.Name)
+	all, members := t.candidates(now, p, w)
+	var open []place.Engine
+	var openMembers []*member
+	for i, e := range all {
+		if p.roomFor(w, members[i], e) {
+			open, openMembers = append(open, e), append(openMembers, members[i])
+		}
+	}
+	choice, ok := place.ChooseEngine(w.prompt, open)
+	if !ok {
+		return nil
+	}
+	choice.Read = w.prompt.Tokens() // nothing of it is kept there
+	return assign(now, openMembers[choice.Index], open[choice.Index], choice)
+}
+
+// assign counts a request at its backend.
+func assign(now time.Duration, m *member, e place.Engine, choice place.Choice) *assignment {
 	l := &assignment{
 		member: m, backend: m.ID, address: m.Address, tokens: choice.Read, began: now, ahead: e.Tokens,
 	}
@@ -70,7 +97,7 @@
 	}
 	m.requests++
 	m.tokens += l.tokens
-	return l, shortage{}
+	return l
 }
 
 // candidates returns the backends that the request may go to.
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -61,7 +61,7 @@
 		slog.Uint64("document", c.g.Number()), slog.String("standing", c.standing.String()), slog.Int("attempts", c.attempts),
 		slog.Int("sends", c.sends), slog.Int("took_ms", int(took.Milliseconds())),
 	}
-	if c.standing != entitled {
+	if c.standing > entitled {
 		told, age := c.g.tenants.told(c.tenant.Name)
 		facts = append(facts, slog.Float64("part", float64(told.Part)), slog.Float64("extra_part", float64(told.Extra)),
 			slog.Int("told_ms_ago", int(age.Milliseconds())))
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -30,15 +30,22 @@
 // This file defines fixture, one gateway in a bubble of virtual time before
 // backends that are functions, with a dialect of its own.
 
+// sharedTokens are the tokens of the part that the header Shared names.
+const sharedTokens = 3000
+
 // testDialect uses headers that no deployment has.
 type testDialect struct{}
 
 func (testDialect) Read(r *http.Request) Ask {
 	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
 	own, _ := strconv.Atoi(r.Header.Get("Tokens"))
+	prompt := place.Prompt{Own: own}
+	if name := r.Header.Get("Shared"); name != "" {
+		prompt.Shared = []place.Part{{Name: name, Tokens: sharedTokens}}
+	}
 	return Ask{
 		ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Patience: time.Duration(ms) * time.Millisecond,
-		Prompt: place.Prompt{Own: own}, After: r.Header.Get("After"),
+		Prompt: prompt, After: r.Header.Get("After"),
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -385,6 +385,31 @@
 	})
 }
 
+// TestCoveredTenantIsServedElsewhere: the engine that keeps a prompt's shared
+// parts has no room. Who asks for more than a share waits and is refused;
+// others go to another engine in the end.
+func TestCoveredTenantIsServedElsewhere(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		served := streams(piece{text: event(1)})
+		x.backendsOf("engines", served, served, served)
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.9, Extra: 0.9}}, false)
+		before := x.ask("/engine/x", "Tokens", "100", "Shared", "a", "Key", "other")
+		is.Equal(before.status, 200)
+		is.Equal(before.took, time.Duration(0))
+		keeps := x.g.table.members[x.backends.arrivals[0].Header.Get("Backend")]
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: keeps.Handle, Requests: 1, Tokens: 25_000}})
+
+		refused := x.ask("/engine/x", "Tokens", "100", "Shared", "a")
+		is.Equal(refused.status, 503)
+		is.Equal(refused.took, 88*time.Millisecond) // 0.22 of the objective
+		got := x.ask("/engine/x", "Tokens", "100", "Shared", "a", "Key", "other")
+		is.Equal(got.status, 200)
+		is.Equal(got.took, 88*time.Millisecond)
+		is.True(x.backends.arrivals[1].Header.Get("Backend") != keeps.ID)
+	})
+}
+
 // TestShortFleetLetsNobodyBeyond: engines are idle here, but somebody within a
 // share waits elsewhere.
 func TestShortFleetLetsNobodyBeyond(t *testing.T) {
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -64,11 +64,19 @@
 	} {
 		var p pressure
 		p.level.Store(int64(tt.delay))
+		is.True(p.admits(covered))
 		is.Equal(p.admits(entitled), tt.entitled)
 		is.Equal(p.admits(extra), tt.extra)
 		is.Equal(p.admits(beyond), tt.beyond)
 		is.Equal(p.gather(300*time.Millisecond), tt.gather)
 	}
+	var p pressure
+	p.high.Store(true)
+	p.level.Store(int64(delayLongest) - 1)
+	is.True(p.admits(covered))
+	is.True(!p.admits(entitled))
+	p.level.Store(int64(delayLongest))
+	is.True(!p.admits(covered))
 }
 
 func TestUnderPressureRequestsAreRefusedAtOnce(t *testing.T) {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -48,11 +48,13 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return g.leave(p, waiting)
+	return g.leave(ctx, p, waiting)
 }
 
-// leave takes a request out of the queue; it may just have got a backend.
-func (g *Gateway) leave(p *pool, w *waiter) (*assignment, shortage) {
+// leave takes a request out of the queue; it may just have got a backend. One
+// that its tenant's share covers takes any backend that has room before it is
+// refused.
+func (g *Gateway) leave(ctx context.Context, p *pool, w *waiter) (*assignment, shortage) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *waiter) bool { return o == w })
@@ -60,8 +62,13 @@
 	case l := <-w.granted:
 		return l, shortage{}
 	default:
-		return nil, w.short
 	}
+	if w.pool.Engine && w.standing == covered && ctx.Err() == nil {
+		if l := g.table.acquireAnywhere(g.now(), w.criteria); l != nil {
+			return l, shortage{}
+		}
+	}
+	return nil, w.short
 }
 
 // outranked reports whether somebody waits who goes before the request. The
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -15,8 +15,9 @@
 
 // Room of a backend.
 const (
-	entitledRoom = 0.25 // part of the objective that may pass before an engine begins to read
-	extraRoom    = 0.1  // the same for a request beyond the named share of its tenant
+	coveredRoom  = 0.45 // part of the objective that may pass before an engine begins to read
+	entitledRoom = 0.25 // the same if the request's tenant asks for more than its share
+	extraRoom    = 0.1  // and for a request beyond the named share of its tenant
 	beyondRoom   = 0.0  // and beyond every share
 	slotsMost    = 1.25 // requests on an engine, in slots, when it queues them
 	slotsFewest  = 0.7  // and when it refuses them
@@ -37,7 +38,7 @@
 	if e.Slots > 0 && float64(e.Requests) >= p.slotsRoom()*float64(e.Slots) {
 		return false
 	}
-	room := [...]float64{entitled: entitledRoom, extra: extraRoom, beyond: beyondRoom}[w.standing]
+	room := [...]float64{covered: coveredRoom, entitled: entitledRoom, extra: extraRoom, beyond: beyondRoom}[w.standing]
 	wait := float64(e.Tokens) * e.Slowness / p.readRate() // ms
 	return wait <= room*float64(w.route.Objective)/float64(time.Millisecond)
 }
--- a/gateway/tenants.go
+++ b/gateway/tenants.go
@@ -27,13 +27,14 @@
 type standing uint8
 
 const (
-	entitled standing = iota // within the share of the rate that the operator names
+	covered  standing = iota // its tenant asks for no more than its share, so nothing of it need wait
+	entitled                 // within the share of the rate that the operator names
 	extra                    // within the share of what the engines make beyond it
 	beyond                   // neither: served where nothing else waits
 )
 
 // String returns the standing's name.
-func (s standing) String() string { return [...]string{"entitled", "extra", "beyond"}[s] }
+func (s standing) String() string { return [...]string{"covered", "entitled", "extra", "beyond"}[s] }
 
 type tenants struct {
 	now func() time.Duration
@@ -70,9 +71,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked[tenant] += uint64(cost)
+	if t.heard == 0 || t.now()-t.heard > staleAfter {
+		return entitled // nobody knows
+	}
 	e, limited := t.parts[tenant]
-	if !limited || t.now()-t.heard > staleAfter {
-		return entitled
+	if !limited {
+		return covered
 	}
 	m := t.markers[tenant]
 	if m == nil {
