--- a/coordination/consensus/consensus_test.go
+++ b/coordination/consensus/consensus_test.go
@@ -320,3 +320,37 @@
 	}
 	return out
 }
+
+// TestRestartInTurnElectsSoon restarts a whole group one after the other. Those
+// that are back first ask too early for the others, which may have promised
+// their vote to a leader before; they ask again soon instead of waiting for an
+// election timeout more.
+func TestRestartInTurnElectsSoon(t *testing.T) {
+	is := is.New(t)
+	const groups = 200
+	names := []string{"a", "b", "c", "d", "e"}
+	pauses := []time.Duration{0, 0, testElection * 9 / 10} // before each of a majority
+	var total, longest time.Duration
+	for seed := range uint64(groups) {
+		c := newCluster(t, seed, names...)
+		c.mustLead()
+		c.settle(50 * time.Millisecond)
+		for _, n := range names {
+			c.kill(n)
+		}
+		var majority time.Duration
+		for i, n := range names[:3] {
+			c.settle(pauses[i])
+			c.start(n)
+			majority = c.now
+		}
+		for c.leader() == "" {
+			c.settle(5 * time.Millisecond)
+		}
+		total += c.now - majority
+		longest = max(longest, c.now-majority)
+		c.checkSame()
+	}
+	t.Logf("a leader %v after a majority is back on average, %v at the longest", total/groups, longest)
+	is.True(total/groups < testElection*13/10)
+}
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -31,12 +31,27 @@
 	n.resetDeadline()
 }
 
+// preVoteParts is how many times in an election timeout a pre-candidate asks.
+const preVoteParts = 4
+
+// resetPreVote draws the next time to ask for pre-votes again. It is soon:
+// pre-votes change nothing, and replicas that have just started drop them for
+// an election timeout, because they may have promised a leader so much before.
+func (n *Node) resetPreVote() {
+	pause := n.cfg.Election / preVoteParts
+	n.deadline = n.now + pause + time.Duration(n.cfg.Rand(int64(pause)))
+}
+
 // campaign asks for votes. A pre-candidate asks whether it could win and
 // changes no term; force marks an election that the leader itself asked for.
 func (n *Node) campaign(role Role, force bool) {
 	n.role = role
 	n.leader = protocol.Peer{}
-	n.resetDeadline()
+	if role == PreCandidate {
+		n.resetPreVote()
+	} else {
+		n.resetDeadline()
+	}
 	kind, term := protocol.MsgPreVote, n.hard.Term+1
 	if role == Candidate {
 		kind = protocol.MsgVote
