--- a/coordination/consensus/cluster_test.go
+++ b/coordination/consensus/cluster_test.go
@@ -168,6 +168,9 @@
 		c.step(n, func(m *member) {
 			if m.node != nil {
 				m.node.Tick(c.now)
+				if m.node.RepairStopped() {
+					m.node, m.formation = nil, NewFormation("g", m.self(), c.seeds, c.rng.Uint64()|1, testHeartbeat).JoinOnly()
+				}
 				return
 			}
 			if s, ok := m.formation.Tick(c.now); ok {
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// repairElections is how many election timeouts a blank replica waits for the
+// next word of a leader that began to repair it.
+const repairElections = 5
+
+// RepairStopped reports whether a replica without a log has lost the leader
+// that began to repair it. It knows no member that it could ask, and the next
+// leader may not know of it, so it must look for its group anew, as after a
+// restart. It was never a voter, so it has promised nothing to anybody.
+func (n *Node) RepairStopped() bool {
+	blank := n.log.snapshot.Group == 0 && n.log.last() == 0 && len(n.log.members().Voters) == 0
+	return blank && n.now-n.leaderSeen > repairElections*n.cfg.Election
+}
+
 func (n *Node) sendJoin(to protocol.Peer) {
 	n.send(protocol.Consensus{Kind: protocol.MsgJoin, To: to})
 }
--- a/coordination/consensus/open_test.go
+++ b/coordination/consensus/open_test.go
@@ -164,30 +164,81 @@
 // machines that are replaced for good as well.
 func TestRandomOpenSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := openCluster(t, rapid.Uint64().Draw(t, "seed"), "a", "b", "c", "d", "e")
-		c.mustLead()
-		c.settle(time.Second)
-		c.first = false
-		replaced := 0
-		for range rapid.IntRange(200, 1200).Draw(t, "steps") {
-			c.randomStep()
-			c.leader()
-			if c.rng.IntN(400) == 0 && replaced < 3 && c.replaceOne() {
-				replaced++
-			}
+		randomOpenSchedule(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(200, 1200).Draw(t, "steps"))
+	})
+}
+
+// TestKeptOpenSchedules plays schedules that failed once.
+func TestKeptOpenSchedules(t *testing.T) {
+	for _, tt := range []struct {
+		seed  uint64
+		steps int
+	}{
+		{0x6d3a7f0c34, 200}, // a blank replica whose repairer was lost stayed outside
+	} {
+		randomOpenSchedule(t, tt.seed, tt.steps)
+	}
+}
+
+func randomOpenSchedule(t failer, seed uint64, steps int) {
+	c := openCluster(t, seed, "a", "b", "c", "d", "e")
+	c.mustLead()
+	c.settle(time.Second)
+	c.first = false
+	replaced := 0
+	for range steps {
+		c.randomStep()
+		c.leader()
+		if c.rng.IntN(400) == 0 && replaced < 3 && c.replaceOne() {
+			replaced++
 		}
-		c.cut = map[string]bool{}
-		for _, n := range c.names {
-			if m := c.members[n]; !m.running && !m.gone {
-				c.start(n)
-			}
+	}
+	c.cut = map[string]bool{}
+	for _, n := range c.names {
+		if m := c.members[n]; !m.running && !m.gone {
+			c.start(n)
 		}
-		l := c.mustLead()
-		c.propose(l)
-		c.settle(4 * time.Second)
-		c.mustLead()
-		c.checkSame()
-	})
+	}
+	l := c.mustLead()
+	c.propose(l)
+	c.settle(4 * time.Second)
+	c.mustLead()
+	c.checkSame()
+}
+
+// TestRepairerIsLost loses the leader right after it has begun to repair a
+// replica without a disk: the next one knows nothing of that replica, which
+// must find the group again by itself.
+func TestRepairerIsLost(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 11, "a", "b", "c", "d", "e")
+	old := c.mustLead()
+	c.settle(time.Second)
+	c.first = false
+	c.propose(old)
+	c.settle(100 * time.Millisecond)
+	lost := others(c, old)[0]
+	c.kill(lost)
+	c.blank(lost)
+	c.start(lost)
+	leader := c.members[old].node
+	for len(leader.log.members().Voters) == 5 || leader.changePending() {
+		c.tick(5 * time.Millisecond)
+		c.drain()
+	}
+	for _, n := range c.names { // nobody else hears that it is taken in
+		c.cut[n] = n != old && n != lost
+	}
+	for c.members[lost].node == nil {
+		c.tick(5 * time.Millisecond)
+		c.drain()
+	}
+	c.kill(old)
+	c.cut = map[string]bool{}
+	c.mustLead()
+	c.settle(3 * time.Second)
+	is.Equal(c.members[lost].applied, []string{"0"})
+	c.checkSame()
 }
 
 // replaceOne takes a follower away for good and brings an empty replica, if
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -39,7 +39,7 @@
 	l.self = protocol.Peer{Name: r.set.Name, Incarnation: c.Incarnation}
 	l.waiting = map[uint64]waiter{}
 	if c.Snapshot.Group == 0 {
-		l.formation = consensus.NewFormation(r.set.Group, l.self, r.set.Names, r.set.Random(), r.set.Heartbeat)
+		l.formation = l.newFormation()
 		if o := r.set.Open; o != nil && (!o.First || !slices.Contains(r.set.Names, r.set.Name)) {
 			l.formation.JoinOnly()
 		}
@@ -54,6 +54,11 @@
 	return nil
 }
 
+func (l *loop) newFormation() *consensus.Formation {
+	set := l.r.set
+	return consensus.NewFormation(set.Group, l.self, set.Names, set.Random(), set.Heartbeat)
+}
+
 // begin makes a member of a replica that has a log.
 func (l *loop) begin(now time.Duration, d consensus.Durable) {
 	set := l.r.set
@@ -119,6 +124,11 @@
 		return l.tickFormation(now)
 	}
 	l.node.Tick(now)
+	if l.node.RepairStopped() {
+		l.r.set.Log.Info("repair stopped, looking for the group again", "group", l.r.set.Group)
+		l.node, l.formation = nil, l.newFormation().JoinOnly()
+		return nil
+	}
 	for {
 		ready := l.node.Ready()
 		if ready.Empty() {
