--- a/coordination/consensus/open_test.go
+++ b/coordination/consensus/open_test.go
@@ -231,8 +231,11 @@
 	}
 	for c.members[lost].node == nil {
 		c.tick(5 * time.Millisecond)
-		c.drain()
+		for len(c.net) > 0 && c.members[lost].node == nil {
+			c.deliver(0)
+		}
 	}
+	c.net = nil // it has heard one message and no more
 	c.kill(old)
 	c.cut = map[string]bool{}
 	c.mustLead()
