--- a/directory/usage.go
+++ b/directory/usage.go
@@ -19,16 +19,21 @@
 // demandMemory is the time constant with which demand is averaged.
 const demandMemory = 1500 * time.Millisecond
 
+// leastWeight bounds how much an average over a short time is scaled up: that
+// of 300 ms is taken for what it says, and a shorter one for less.
+const leastWeight = 0.18
+
 type usage struct {
 	running      map[*session][]protocol.Running
-	total        []protocol.Running // of all sessions, ordered by handle
-	asked        map[string]float64 // tokens since the last settlement, by tenant
-	rates        map[string]float64 // tokens a second, averaged
-	begun        float64            // tokens given to engines since the last settlement
-	made         float64            // the same a second, averaged
-	missed       float64            // tokens within a share that found no room since the last settlement
-	missing      float64            // the same a second, averaged
-	settled      time.Duration
+	total        []protocol.Running     // of all sessions, ordered by handle
+	asked        map[string]float64     // tokens since the last settlement, by tenant
+	rates        map[string]float64     // tokens a second, averaged
+	begun        float64                // tokens given to engines since the last settlement
+	made         float64                // the same a second, averaged
+	missed       float64                // tokens within a share that found no room since the last settlement
+	missing      float64                // the same a second, averaged
+	weight       float64                // of what the averages hold, 0 to 1: they begin at nothing
+	settled      time.Duration          // 0 before the first settlement
 	entitlements []protocol.Entitlement // tenants that ask for more than they are entitled to
 }
 
@@ -36,8 +41,14 @@
 	return &usage{running: map[*session][]protocol.Running{}, asked: map[string]float64{}, rates: map[string]float64{}}
 }
 
+// report takes what a gateway says. Its first report may cover any time, such
+// as the one that it was without a leader, so only what runs there counts.
 func (u *usage) report(s *session, m protocol.Usage) {
+	_, known := u.running[s]
 	u.running[s] = m.Running
+	if !known {
+		return
+	}
 	u.begun += float64(m.Begun)
 	u.missed += float64(m.Missed)
 	for _, d := range m.Demands {
@@ -49,12 +60,16 @@
 
 // settle averages the demand and finds what each tenant is entitled to.
 func (u *usage) settle(now time.Duration, capacity float64) {
+	first := u.settled == 0
 	elapsed := now - u.settled
 	if elapsed <= 0 {
 		return
 	}
 	u.settled = now
 	u.sum()
+	if first {
+		return // nobody knows since when
+	}
 	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
 	for tenant := range u.asked {
 		u.rates[tenant] += 0
@@ -70,6 +85,7 @@
 	u.made = keep*u.made + (1-keep)*u.begun/elapsed.Seconds()
 	u.missing = keep*u.missing + (1-keep)*u.missed/elapsed.Seconds()
 	u.begun, u.missed = 0, 0
+	u.weight = keep*u.weight + 1 - keep
 	u.entitle(capacity)
 }
 
@@ -88,6 +104,8 @@
 	if capacity <= 0 {
 		return
 	}
+	weight := max(u.weight, leastWeight)
+	capacity *= weight // instead of dividing every average by it
 	rates := slices.Collect(maps.Values(u.rates))
 	level := share.Level(rates, capacity)
 	extra := share.Level(rates, max(capacity, u.made))
--- a/directory/usage_test.go
+++ b/directory/usage_test.go
@@ -44,6 +44,35 @@
 	is.True(!u.short())
 }
 
+// TestFloodIsKnownSoon: a new leader's averages begin at nothing, and a tenant
+// that asks for three times its share is still known after 400 ms.
+func TestFloodIsKnownSoon(t *testing.T) {
+	is := is.New(t)
+	u := newUsage()
+	s := &session{}
+	reports := map[*session]protocol.Usage{
+		s: {Demands: []protocol.Demand{{Tenant: "big", Tokens: 3000}, {Tenant: "small", Tokens: 50}}},
+	}
+	settleFor(u, 500*time.Millisecond, 10000, reports) // the first of the five is not counted
+	is.Equal(len(u.entitlements), 1)
+	is.Equal(u.entitlements[0].Tenant, "big")
+	is.True(math.Abs(float64(u.entitlements[0].Part)-9500.0/30000) < 0.02)
+}
+
+// TestFirstReportIsNotARate: a gateway that was without a leader for two
+// seconds tells all that was asked meanwhile at once.
+func TestFirstReportIsNotARate(t *testing.T) {
+	is := is.New(t)
+	u := newUsage()
+	old, back := &session{}, &session{}
+	steady := protocol.Usage{Demands: []protocol.Demand{{Tenant: "a", Tokens: 400}}}
+	settleFor(u, 2*time.Second, 10000, map[*session]protocol.Usage{old: steady})
+	is.Equal(len(u.entitlements), 0)
+	u.report(back, protocol.Usage{Demands: []protocol.Demand{{Tenant: "a", Tokens: 20_000}}})
+	settleFor(u, 200*time.Millisecond, 10000, map[*session]protocol.Usage{old: steady, back: steady})
+	is.Equal(len(u.entitlements), 0)
+}
+
 func TestShortWhenSharesAreMissed(t *testing.T) {
 	is := is.New(t)
 	u := newUsage()
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -37,8 +37,7 @@
 	delayNoticed = 5 * time.Millisecond  // pieces of streams are gathered from here on
 	delayBeyond  = 12 * time.Millisecond // and for longer; what is beyond every share is refused
 	delayExtra   = 20 * time.Millisecond // what is beyond the named share is refused
-	delayTooLong = 35 * time.Millisecond // new requests are refused, but for tenants that their share covers
-	delayLongest = 80 * time.Millisecond // all new requests are refused
+	delayTooLong = 35 * time.Millisecond // all new requests are refused
 	delayShort   = 10 * time.Millisecond
 	delayMost    = 120 * time.Millisecond // that one firing counts
 	delayMemory  = 250 * time.Millisecond // time constant of the average
@@ -77,8 +76,6 @@
 func (p *pressure) admits(s standing) bool {
 	delay := time.Duration(p.level.Load())
 	switch s {
-	case covered:
-		return delay < delayLongest
 	case beyond:
 		return delay < delayBeyond
 	case extra:
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -72,11 +72,8 @@
 	}
 	var p pressure
 	p.high.Store(true)
-	p.level.Store(int64(delayLongest) - 1)
-	is.True(p.admits(covered))
-	is.True(!p.admits(entitled))
-	p.level.Store(int64(delayLongest))
 	is.True(!p.admits(covered))
+	is.True(!p.admits(entitled))
 }
 
 func TestUnderPressureRequestsAreRefusedAtOnce(t *testing.T) {
