--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,7 @@
 func (c *call) attempt(ctx context.Context, l *assignment) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.tries++
 	c.silence = c.watchSilence(cancel)
 	out := c.exchange(ctx, l)
 	if c.silence.stop() && !out.done && c.r.Context().Err() == nil {
@@ -108,7 +109,7 @@
 		return outcome{ran: unknown, cause: "lost", blame: lost, err: err}
 	}
 	if !not.Refused {
-		return outcome{ran: notSent, cause: "unreachable", blame: lost, err: err}
+		return outcome{ran: notSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
 	verdict := c.g.set.Dialect.Judge(not.Status, not.Header)
 	if verdict.ID != "" && verdict.ID != c.ask.ID {
@@ -120,6 +121,17 @@
 	return outcome{ran: declined, cause: "refused", blame: shed, err: err}
 }
 
+// unreachableBlame is what a backend that could not be connected to is blamed
+// for: nothing by a gateway that is late itself, whose own processor may have
+// let the time for it run out. Else a flood at one gateway would cost it one
+// backend after the other.
+func (c *call) unreachableBlame() float64 {
+	if c.g.pressure.late(c.g.now()) {
+		return noSign
+	}
+	return lost
+}
+
 // next decides what follows a failed attempt: to try again, or to end the
 // request, with an error unless a held answer was given.
 func (c *call) next(ctx context.Context, l *assignment, out outcome) (again bool, err error) {
@@ -141,15 +153,18 @@
 	return false, c.final(ctx, out)
 }
 
-// maxSends bounds arrivals beyond those that may have run.
-const maxSends = 3
+// Bounds of the attempts of one request.
+const (
+	maxSends = 3 // arrivals
+	maxTries = 5 // attempts, whether they arrived or not: the only backend may be gone
+)
 
 // mayTryAgain reports whether the request may go to another backend.
 func (c *call) mayTryAgain(out outcome) bool {
 	if c.relay.begun && !c.route.Resumable {
 		return false
 	}
-	if c.sends >= max(c.route.Attempts, 1)+1 || c.sends >= maxSends || len(c.avoid) > maxSends+1 {
+	if c.sends >= max(c.route.Attempts, 1)+1 || c.sends >= maxSends || c.tries >= maxTries {
 		return false
 	}
 	if out.ran <= declined {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,7 @@
 	standing standing // of requests to engines
 
 	// What has become of it.
+	tries    int // attempts begun
 	attempts int // backends that may have run it
 	sends    int // arrivals at backends
 	avoid    map[string]bool
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -385,6 +385,22 @@
 	})
 }
 
+// TestOnlyBackendIsUnreachable: a request does not go to the same dead address
+// for as long as its caller waits.
+func TestOnlyBackendIsUnreachable(t *testing.T) {
+	refusing := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		time.Sleep(time.Millisecond)
+		return nil, backend.NotRun{Err: errReset}
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/again/x")
+		is.Equal(got.status, 503)
+		is.True(got.header.Get("Retry-After") != "")
+		is.Equal(x.backends.count(), maxTries)
+	}, refusing)
+}
+
 // TestCoveredTenantIsServedElsewhere: the engine that keeps a prompt's shared
 // parts has no room. Who asks for more than a share waits and is refused;
 // others go to another engine in the end.
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
 )
 
 func TestPressureRisesAndFalls(t *testing.T) {
@@ -133,3 +134,25 @@
 		is.Equal(x.ask("/once/x", "Key", "other").status, 200)
 	}, answers(200, "fine", 0))
 }
+
+// TestLateGatewayBlamesNobody cannot connect to its only backend: one that is
+// late itself trusts the backend as before.
+func TestLateGatewayBlamesNobody(t *testing.T) {
+	for _, tt := range []struct {
+		level   time.Duration
+		trusted bool
+	}{{0, false}, {2 * delayNoticed, true}} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.backendsOf("plain", fails(backend.NotRun{Err: errReset}))
+			release := x.holdPressure(tt.level)
+			time.Sleep(tickPeriod / 3) // between two ticks
+			for range 2 * minSamples {
+				is.Equal(x.ask("/once/x").status, 503)
+			}
+			trusted, _ := x.g.table.members["p0"].health.usable(x.g.now())
+			release()
+			is.Equal(trusted, tt.trusted)
+		})
+	}
+}
