--- a/directory/usage.go
+++ b/directory/usage.go
@@ -93,6 +93,11 @@
 // before nobody is let go beyond them.
 const shortPart = 0.02
 
+// missedWeight is how much of what is made beyond the named rate is held back
+// for what is missed within shares: some gateway cannot serve its part, and
+// what others get more than their share must not run away from that.
+const missedWeight = 3
+
 // short reports whether requests within their shares find no room.
 func (u *usage) short() bool { return u.missing > shortPart*u.made }
 
@@ -108,7 +113,7 @@
 	capacity *= weight // instead of dividing every average by it
 	rates := slices.Collect(maps.Values(u.rates))
 	level := share.Level(rates, capacity)
-	extra := share.Level(rates, max(capacity, u.made))
+	extra := share.Level(rates, max(capacity, u.made-missedWeight*u.missing))
 	for _, tenant := range slices.Sorted(maps.Keys(u.rates)) {
 		if part := share.Part(u.rates[tenant], level); part < 1 {
 			u.entitlements = append(u.entitlements, protocol.Entitlement{
--- a/directory/usage_test.go
+++ b/directory/usage_test.go
@@ -83,6 +83,24 @@
 	is.True(u.short())
 }
 
+// TestExtraFallsWithWhatIsMissed: the more is missed within shares, the less
+// anybody gets beyond the named rate.
+func TestExtraFallsWithWhatIsMissed(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct {
+		missed uint64 // each 100 ms
+		extra  float64
+	}{{0, 15000.0 / 40000}, {100, 12000.0 / 40000}, {400, 10000.0 / 40000}} {
+		u := newUsage()
+		s := &session{}
+		settleFor(u, 10*time.Second, 10000, map[*session]protocol.Usage{s: {
+			Demands: []protocol.Demand{{Tenant: "big", Tokens: 4000}}, Begun: 1500, Missed: tt.missed,
+		}})
+		is.True(math.Abs(float64(u.entitlements[0].Extra)-tt.extra) < 0.02)
+		is.True(math.Abs(float64(u.entitlements[0].Part)-0.25) < 0.02)
+	}
+}
+
 func TestOthersRun(t *testing.T) {
 	is := is.New(t)
 	u := newUsage()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -112,6 +112,7 @@
 		c.standing = c.g.tenants.asks(c.tenant.Name, c.cost)
 	}
 	if !c.g.pressure.admits(c.standing) {
+		c.g.tenants.misses(c.standing, c.cost)
 		return Refusal{Cause: Pressed, After: c.returnUnderPressure()}
 	}
 	if !c.g.tenants.lets(c.standing) {
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -108,6 +108,19 @@
 	}, answers(200, "fine", 0))
 }
 
+// TestRefusalsUnderPressureAreMissed: what is within a share and refused for
+// the processor is told to the leader like what finds no engine.
+func TestRefusalsUnderPressureAreMissed(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.pressure.high.Store(true)
+		is.Equal(x.ask("/engine/x", "Tokens", "700").status, 503)
+		_, begun, missed := x.g.tenants.report()
+		is.Equal(begun, uint64(0))
+		is.Equal(missed, uint64(700))
+	})
+}
+
 // untouchedBody fails a test when it is read.
 type untouchedBody struct{ t *testing.T }
 
--- a/gateway/tenants.go
+++ b/gateway/tenants.go
@@ -111,7 +111,8 @@
 	return s.tokens * math.Exp(-float64(now-s.at)/float64(servedMemory))
 }
 
-// misses counts a request that found no room.
+// misses counts a request that found no room, on engines or on this gateway's
+// processor.
 func (t *tenants) misses(s standing, cost float64) {
 	if s == beyond {
 		return
