--- /dev/null
+++ b/gateway/shares_test.go
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/backend"
+)
+
+// This file tests who gets room on backends, and who waits or is refused.
+
+// TestRoomIsShared holds every slot; one request too many waits for its part
+// of the objective and is refused, and one that finds room in time is served.
+func TestRoomIsShared(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var group sync.WaitGroup
+		for range 8 { // plainRoom x 4 slots
+			group.Go(func() { x.ask("/once/x") })
+		}
+		time.Sleep(10 * time.Millisecond)
+		refused := x.ask("/once/x")
+		is.Equal(refused.status, 503)
+		is.Equal(refused.took, 88*time.Millisecond) // 0.22 of the objective
+		is.True(refused.header.Get("Retry-After") != "")
+		time.Sleep(340 * time.Millisecond) // the eight end at 500 ms
+		served := x.ask("/once/x")
+		is.Equal(served.status, 200)
+		group.Wait()
+	}, answers(200, "fine", 500*time.Millisecond))
+}
+
+// TestOthersLoadCounts checks that what runs on other gateways takes room.
+func TestOthersLoadCounts(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: 50, Requests: 8}})
+		is.Equal(x.ask("/once/x").status, 503)
+		time.Sleep(4 * othersHalfLife) // nobody says so any more
+		is.Equal(x.ask("/once/x").status, 200)
+	}, answers(200, "fine", 0))
+}
+
+// TestBeyondTheShareWaitsForIdleEngines gives a tenant a tenth of what it asks:
+// while the engine has something to read, nine in ten are refused with 429 and
+// the other tenant's requests are served.
+func TestBeyondTheShareWaitsForIdleEngines(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.1, Extra: 0.1}}, false)
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: 70, Requests: 1, Tokens: 500}})
+		served, refused := 0, 0
+		for range 50 {
+			switch x.ask("/engine/x", "Tokens", "1000").status {
+			case 200:
+				served++
+			case 429:
+				refused++
+			}
+		}
+		is.True(served >= 4 && served <= 6)
+		is.Equal(served+refused, 50)
+		is.Equal(x.ask("/engine/x", "Tokens", "1000", "Key", "other").status, 200)
+	})
+}
+
+// TestNobodyWaitsWhileEnginesAreIdle: beyond its share, but nothing else is
+// there to do.
+func TestNobodyWaitsWhileEnginesAreIdle(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.1, Extra: 0.1}}, false)
+		for range 20 {
+			got := x.ask("/engine/x", "Tokens", "1000")
+			is.Equal(got.status, 200)
+			is.Equal(got.took, time.Duration(0))
+		}
+	})
+}
+
+// TestOnlyBackendIsUnreachable: a request does not go to the same dead address
+// for as long as its caller waits.
+func TestOnlyBackendIsUnreachable(t *testing.T) {
+	refusing := func(ctx context.Context, call backend.Call) (*backend.Answer, error) {
+		time.Sleep(time.Millisecond)
+		return nil, backend.NotRun{Err: errReset}
+	}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		got := x.ask("/again/x")
+		is.Equal(got.status, 503)
+		is.True(got.header.Get("Retry-After") != "")
+		is.Equal(x.backends.count(), maxTries)
+	}, refusing)
+}
+
+// TestCoveredTenantIsServedElsewhere: the engine that keeps a prompt's shared
+// parts has no room. Who asks for more than a share waits and is refused;
+// others go to another engine in the end.
+func TestCoveredTenantIsServedElsewhere(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		served := streams(piece{text: event(1)})
+		x.backendsOf("engines", served, served, served)
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.9, Extra: 0.9}}, false)
+		before := x.ask("/engine/x", "Tokens", "100", "Shared", "a", "Key", "other")
+		is.Equal(before.status, 200)
+		is.Equal(before.took, time.Duration(0))
+		keeps := x.g.table.members[x.backends.arrivals[0].Header.Get("Backend")]
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: keeps.Handle, Requests: 1, Tokens: 25_000}})
+
+		refused := x.ask("/engine/x", "Tokens", "100", "Shared", "a")
+		is.Equal(refused.status, 503)
+		is.Equal(refused.took, 88*time.Millisecond) // 0.22 of the objective
+		got := x.ask("/engine/x", "Tokens", "100", "Shared", "a", "Key", "other")
+		is.Equal(got.status, 200)
+		is.Equal(got.took, 88*time.Millisecond)
+		is.True(x.backends.arrivals[1].Header.Get("Backend") != keeps.ID)
+	})
+}
+
+// TestShortFleetLetsNobodyBeyond: engines are idle here, but somebody within a
+// share waits elsewhere.
+func TestShortFleetLetsNobodyBeyond(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.2, Extra: 0.5}}, true)
+		served := 0
+		for range 40 {
+			if x.ask("/engine/x", "Tokens", "1000").status == 200 {
+				served++
+			}
+		}
+		is.True(served >= 19 && served <= 21) // the extra share, and no more
+		_, begun, missed := x.g.tenants.report()
+		is.Equal(begun, uint64(served*1000))
+		is.Equal(missed, uint64(0)) // what is beyond every share is not missed
+	})
+}
