--- a/coordination/place/affinity_test.go
+++ b/coordination/place/affinity_test.go
@@ -123,7 +123,7 @@
 		other := slices.Clone(engines)
 		for i := range other {
 			other[i].Near = i%3 == 0
-			other[i].Tokens += 100 * i // and other loads
+			other[i].Tokens += 100 * (len(other) - i) // and other loads, the least at the end
 		}
 		same, _ := ChooseEngine(p, other)
 		is.Equal(same.Index, c.Index)
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -128,6 +128,22 @@
 	})
 }
 
+// TestCoveredTenantHasMoreRoom: an engine that begins to read after a third of
+// the objective takes a request of a tenant that its share covers, at once, and
+// none of one that asks for more.
+func TestCoveredTenantHasMoreRoom(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.backendsOf("engines", streams(piece{text: event(1)}))
+		x.g.tenants.hear([]protocol.Entitlement{{Tenant: "t", Part: 0.9, Extra: 0.9}}, false)
+		x.g.table.heardFleet(x.g.now(), []protocol.Running{{Handle: 70, Requests: 1, Tokens: 14_000}})
+		is.Equal(x.ask("/engine/x", "Tokens", "100").status, 503)
+		got := x.ask("/engine/x", "Tokens", "100", "Key", "other")
+		is.Equal(got.status, 200)
+		is.Equal(got.took, time.Duration(0))
+	})
+}
+
 // TestShortFleetLetsNobodyBeyond: engines are idle here, but somebody within a
 // share waits elsewhere.
 func TestShortFleetLetsNobodyBeyond(t *testing.T) {
