--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -3,6 +3,7 @@
 package entitlement
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -30,14 +31,21 @@
 
 // Demand estimates the accounts' demands from the gateways' reports.
 type Demand struct {
-	accounts     map[string]*rate // the demand of each
-	started      rate             // of requests given to engines
-	missed       rate             // of requests within a share that found no room
-	weight       float64          // of what the averages hold, 0 to 1: they begin at nothing
-	settled      time.Duration    // 0 before the first settlement
+	accounts     map[string]*account
+	started      rate          // of requests given to engines
+	missed       rate          // of requests within a share that found no room
+	weight       float64       // of what the averages hold, 0 to 1: they begin at nothing
+	settled      time.Duration // 0 before the first settlement
+	level, extra float64       // tokens a second
 	entitlements []protocol.Entitlement
 }
 
+// account is what one account demands and is given.
+type account struct {
+	demand rate
+	given  rate // of its requests given to engines
+}
+
 // rate is an averaged rate of tokens.
 type rate struct {
 	tokens  float64 // since the last settlement
@@ -50,22 +58,30 @@
 }
 
 // NewDemand returns an estimate without any account.
-func NewDemand() *Demand { return &Demand{accounts: map[string]*rate{}} }
+func NewDemand() *Demand { return &Demand{accounts: map[string]*account{}} }
 
 // Add counts what a gateway reports for the time since its previous report.
 func (d *Demand) Add(m protocol.Usage) {
 	d.started.tokens += float64(m.Started)
 	d.missed.tokens += float64(m.Missed)
 	for _, a := range m.Demands {
-		r := d.accounts[a.Account]
-		if r == nil {
-			r = &rate{}
-			d.accounts[a.Account] = r
-		}
-		r.tokens += float64(a.Tokens)
+		d.account(a.Account).demand.tokens += float64(a.Tokens)
+	}
+	for _, a := range m.Served {
+		d.account(a.Account).given.tokens += float64(a.Tokens)
 	}
 }
 
+// account returns what is known of an account, new if need be.
+func (d *Demand) account(name string) *account {
+	a := d.accounts[name]
+	if a == nil {
+		a = &account{}
+		d.accounts[name] = a
+	}
+	return a
+}
+
 // Settle averages what was added since the last settlement and finds the
 // entitlements anew. capacity is the rate that the operator names, in tokens a
 // second; without one, 0, no account is limited. It costs O(n log n) for n accounts.
@@ -79,10 +95,11 @@
 		return // the time that the first reports cover is unknown
 	}
 	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
-	for _, r := range d.accounts {
-		r.settle(elapsed, keep)
+	for _, a := range d.accounts {
+		a.demand.settle(elapsed, keep)
+		a.given.settle(elapsed, keep)
 	}
-	maps.DeleteFunc(d.accounts, func(_ string, r *rate) bool { return r.average < leastRate })
+	maps.DeleteFunc(d.accounts, func(_ string, a *account) bool { return a.demand.average < leastRate })
 	d.started.settle(elapsed, keep)
 	d.missed.settle(elapsed, keep)
 	d.weight = keep*d.weight + 1 - keep
@@ -106,16 +123,17 @@
 	}
 	capacity *= max(d.weight, leastWeight) // instead of dividing every average by it
 	rates := make([]float64, 0, len(d.accounts))
-	for _, r := range d.accounts {
-		rates = append(rates, r.average)
+	for _, a := range d.accounts {
+		rates = append(rates, a.demand.average)
 	}
 	level := Level(rates, capacity)
 	extra := Level(rates, max(capacity, d.started.average-missedWeight*d.missed.average))
-	for _, account := range slices.Sorted(maps.Keys(d.accounts)) {
-		demand := d.accounts[account].average
+	d.level, d.extra = level, extra
+	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
+		demand := d.accounts[name].demand.average
 		if part := Part(demand, level); part < 1 {
 			d.entitlements = append(d.entitlements, protocol.Entitlement{
-				Account: account, Part: float32(part), Extra: float32(Part(demand, extra)),
+				Account: name, Part: float32(part), Extra: float32(Part(demand, extra)),
 			})
 		}
 	}
@@ -133,3 +151,32 @@
 // Short reports whether requests within their shares find no room. Requests
 // beyond every share must not count as missed: they would keep themselves out.
 func (d *Demand) Short() bool { return d.missed.average > shortPart*d.started.average }
+
+// Rates are the averages that the entitlements follow from, for the log, in tokens a
+// second.
+type Rates struct {
+	Level, Extra    int64 // of the named rate, and of what the engines make
+	Started, Missed int64
+	Accounts        []AccountRates // the largest demands first
+}
+
+// AccountRates are the averages of one account.
+type AccountRates struct {
+	Account       string
+	Demand, Given int64
+}
+
+// Rates returns the averages, with up to most of the accounts.
+func (d *Demand) Rates(most int) Rates {
+	r := Rates{
+		Level: int64(d.level), Extra: int64(d.extra), Started: int64(d.started.average), Missed: int64(d.missed.average),
+	}
+	for name, a := range d.accounts {
+		r.Accounts = append(r.Accounts, AccountRates{Account: name, Demand: int64(a.demand.average), Given: int64(a.given.average)})
+	}
+	slices.SortFunc(r.Accounts, func(a, b AccountRates) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Account, b.Account))
+	})
+	r.Accounts = r.Accounts[:min(most, len(r.Accounts))]
+	return r
+}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -52,6 +52,8 @@
 	sessions map[*session]bool
 	usage    *usage
 	encoded  protocol.Document // newest document, encoded once
+
+	sharesLogged time.Duration // when
 }
 
 func newHub(d *Directory) *hub {
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -118,6 +118,7 @@
 	now := h.d.replica.Now()
 	h.usage.sum()
 	h.usage.demand.Settle(now, held.Document.Limits.TokensPerSecond)
+	h.logShares(now)
 	voters := h.leadership.Load().voters
 	for s := range h.sessions {
 		if now < s.due {
@@ -132,6 +133,25 @@
 	}
 }
 
+// Lines with the shares. Chosen, not measured.
+const (
+	sharesPeriod   = time.Second
+	loggedAccounts = 8 // with the largest demands
+)
+
+// logShares logs once a second, while any account demands more than its share, what
+// the shares follow from and what the accounts are given.
+func (h *hub) logShares(now time.Duration) {
+	if now-h.sharesLogged < sharesPeriod || len(h.usage.demand.Entitlements()) == 0 {
+		return
+	}
+	h.sharesLogged = now
+	r := h.usage.demand.Rates(loggedAccounts)
+	h.d.cfg.Log.StateChange("shares", slog.Int64("level", r.Level), slog.Int64("extra_level", r.Extra),
+		slog.Int64("started", r.Started), slog.Int64("missed", r.Missed), slog.Bool("short", h.usage.demand.Short()),
+		slog.Any("accounts", r.Accounts))
+}
+
 // encodedSize returns the bytes that a message takes on a link.
 func encodedSize(m protocol.Message) int {
 	b, err := protocol.Encode(m)
--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -23,6 +23,7 @@
 	served     entitlement.Served
 	// Tokens since the last report.
 	demanded map[string]uint64 // by account
+	began    map[string]uint64 // the same of started
 	started  uint64
 	missed   uint64
 }
@@ -30,6 +31,7 @@
 func newAccounts(now func() time.Duration) *accounts {
 	return &accounts{
 		now: now, classifier: entitlement.NewClassifier(), served: entitlement.Served{}, demanded: map[string]uint64{},
+		began: map[string]uint64{},
 	}
 }
 
@@ -54,6 +56,7 @@
 	defer a.mu.Unlock()
 	a.served.Add(a.now(), account, cost)
 	a.started += uint64(cost)
+	a.began[account] += uint64(cost)
 }
 
 // countMissed counts a request that found no room, on engines or on this gateway's
@@ -89,18 +92,23 @@
 	return a.classifier.Entitlement(a.now(), account)
 }
 
-// takeReport returns and clears the tokens that were demanded, started and missed
-// since the last call.
-func (a *accounts) takeReport() (demands []protocol.Demand, started, missed uint64) {
+// takeReport returns the tokens that were demanded, started and missed since the last
+// call, as the fields of a report.
+func (a *accounts) takeReport() protocol.Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	demands = make([]protocol.Demand, 0, len(a.demanded))
-	for account, tokens := range a.demanded {
-		demands = append(demands, protocol.Demand{Account: account, Tokens: tokens})
-	}
-	clear(a.demanded)
-	slices.SortFunc(demands, func(x, y protocol.Demand) int { return cmp.Compare(x.Account, y.Account) })
-	started, missed = a.started, a.missed
+	u := protocol.Usage{Demands: takeTokens(a.demanded), Served: takeTokens(a.began), Started: a.started, Missed: a.missed}
 	a.started, a.missed = 0, 0
-	return demands, started, missed
+	return u
+}
+
+// takeTokens clears tokens by account and returns them in the order of the names.
+func takeTokens(byAccount map[string]uint64) []protocol.Demand {
+	taken := make([]protocol.Demand, 0, len(byAccount))
+	for account, tokens := range byAccount {
+		taken = append(taken, protocol.Demand{Account: account, Tokens: tokens})
+	}
+	clear(byAccount)
+	slices.SortFunc(taken, func(x, y protocol.Demand) int { return cmp.Compare(x.Account, y.Account) })
+	return taken
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -127,6 +127,7 @@
 	c.class = entitlement.Entitled
 	if c.pool.Engine {
 		c.class = c.g.accounts.classify(c.account.Name, c.cost)
+		c.countTokens(tokensDemanded)
 	}
 	if !c.g.overload.Load().Admits(c.class) {
 		c.g.accounts.countMissed(c.class, c.cost)
@@ -138,6 +139,13 @@
 	return nil
 }
 
+// countTokens counts what became of the request's tokens.
+func (c *call) countTokens(end string) {
+	if c.pool.Engine {
+		c.g.tokens.add(c.account.Name, c.class, end, c.cost)
+	}
+}
+
 // left is the time until the deadline; it may be negative.
 func (c *call) left() time.Duration { return c.deadline - c.g.now() }
 
@@ -223,6 +231,7 @@
 	if a, c.shortage = c.g.awaitServer(ctx, req, patience); a != nil {
 		if c.counts.Arrived == 0 {
 			c.g.accounts.countStarted(c.account.Name, c.cost)
+			c.countTokens(tokensBegun)
 		}
 		return a, nil
 	}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -29,17 +29,18 @@
 //   - relay.go: a plain answer goes to the caller once it is whole, a stream
 //     event by event.
 //   - finish.go: the gateway's own answer, if there is one (errors.go), the
-//     counters (stats.go) and the log's line.
+//     counters (stats.go; tokens.go by account) and the log's line.
 //
 // # Goroutines
 //
 // One for each request (net/http's own); one for the watcher (watch.go), and one
 // for its reports while a session lasts; one for tick (gateway.go), which
-// measures how late the processor is.
+// measures how late the processor is; one for the sums of tokens that are logged
+// once a second (tokens.go).
 //
 // # Locks
 //
 // table.mu, then accounts.mu, because the order of waiting requests needs the
-// accounts' service. Gateway.retriesMu and stats.mu are taken alone. No lock is
+// accounts' service. Gateway.retriesMu, stats.mu and tokens.mu are taken alone. No lock is
 // held across I/O or a channel send that can block.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	seeds    atomic.Pointer[[]string]
 	table    *table
 	accounts *accounts
+	tokens   *tokens
 	stats    *stats
 	meter    *link.Meter
 	seq      atomic.Uint64
@@ -78,7 +79,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	g := &Gateway{
 		cfg: cfg, start: time.Now(), ctx: ctx, stop: stop, table: newTable(cfg.Hall),
-		stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
+		tokens: newTokens(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
 	}
 	g.accounts = newAccounts(g.now)
 	g.SetSeeds(cfg.Seeds)
@@ -87,6 +88,7 @@
 	g.overload.Store(&detector)
 	go (&watcher{g: g, startID: cfg.Random() | 1}).run()
 	go g.tick()
+	go g.logTokens()
 	return g
 }
 
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -68,9 +68,9 @@
 		is := is.New(x.t)
 		x.setOverload(func(d *overload.Detector) { d.Shedding = true })
 		is.Equal(x.ask("/engine/x", "Tokens", "700").status, 503)
-		_, started, missed := x.g.accounts.takeReport()
-		is.Equal(started, uint64(0))
-		is.Equal(missed, uint64(700))
+		u := x.g.accounts.takeReport()
+		is.Equal(u.Started, uint64(0))
+		is.Equal(u.Missed, uint64(700))
 	})
 }
 
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -160,8 +160,9 @@
 			}
 		}
 		is.True(served >= 19 && served <= 21) // the extra share, and no more
-		_, started, missed := x.g.accounts.takeReport()
-		is.Equal(started, uint64(served*1000))
-		is.Equal(missed, uint64(0)) // what is beyond every share is not missed
+		u := x.g.accounts.takeReport()
+		is.Equal(u.Started, uint64(served*1000))
+		is.Equal(u.Served, []protocol.Demand{{Account: "t", Tokens: u.Started}})
+		is.Equal(u.Missed, uint64(0)) // what is beyond every share is not missed
 	})
 }
--- /dev/null
+++ b/gateway/tokens.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"maps"
+	"runtime/metrics"
+	"slices"
+	"sync"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+)
+
+// This file defines tokens, which counts what became of each account's tokens at this
+// gateway: demanded, begun, or refused for a cause, each by class. Lines of single
+// requests are dropped first where a flood is; these sums are whole.
+
+// Ends of a request's tokens besides the causes of refusals.
+const (
+	tokensDemanded = "demanded" // every request to an engine, on arrival
+	tokensBegun    = "begun"    // those that got a backend server
+)
+
+// tokenKey is one sum.
+type tokenKey struct {
+	account string
+	class   entitlement.Class
+	end     string
+}
+
+type tokens struct {
+	set *vm.Set
+
+	mu       sync.Mutex // a leaf; guards all below
+	counters map[tokenKey]*vm.Counter
+	second   map[tokenKey]int // since the last line of the log
+}
+
+func newTokens(set *vm.Set) *tokens {
+	return &tokens{set: set, counters: map[tokenKey]*vm.Counter{}, second: map[tokenKey]int{}}
+}
+
+// add counts tokens of one request.
+func (t *tokens) add(account string, class entitlement.Class, end string, n float64) {
+	key := tokenKey{account, class, end}
+	t.mu.Lock()
+	c := t.counters[key]
+	if c == nil {
+		c = t.set.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_tokens_total{tenant=%q,standing=%q,end=%q}",
+			account, class, end))
+		t.counters[key] = c
+	}
+	t.second[key] += int(n)
+	t.mu.Unlock()
+	c.Add(int(n))
+}
+
+// takeSecond returns and clears the sums since the last call.
+func (t *tokens) takeSecond() map[tokenKey]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := t.second
+	t.second = make(map[tokenKey]int, len(sums))
+	return sums
+}
+
+// accountTokens are one account's sums of a second.
+type accountTokens struct {
+	account         string
+	demanded, begun int
+	withinShare     int            // refused although covered or entitled
+	refused         map[string]int // by cause
+}
+
+// byAccount adds up the sums of each account, the one with the most tokens refused
+// within its share first, then the one with the most demanded.
+func byAccount(sums map[tokenKey]int) []accountTokens {
+	accounts := map[string]*accountTokens{}
+	for key, n := range sums {
+		a := accounts[key.account]
+		if a == nil {
+			a = &accountTokens{account: key.account, refused: map[string]int{}}
+			accounts[key.account] = a
+		}
+		switch key.end {
+		case tokensDemanded:
+			a.demanded += n
+		case tokensBegun:
+			a.begun += n
+		default:
+			a.refused[key.end] += n
+			if key.class <= entitlement.Entitled {
+				a.withinShare += n
+			}
+		}
+	}
+	sorted := make([]accountTokens, 0, len(accounts))
+	for _, a := range accounts {
+		sorted = append(sorted, *a)
+	}
+	slices.SortFunc(sorted, func(a, b accountTokens) int {
+		return cmp.Or(cmp.Compare(b.withinShare, a.withinShare), cmp.Compare(b.demanded, a.demanded), cmp.Compare(a.account, b.account))
+	})
+	return sorted
+}
+
+// Lines of a second. Chosen, not measured: a flood is one account or two at one gateway.
+const (
+	tokensPeriod   = time.Second
+	loggedAccounts = 2
+)
+
+// logTokens logs once a second which accounts were refused how much, and what this
+// process uses, while there is anything to say.
+func (g *Gateway) logTokens() {
+	for range sleep.Every(g.ctx, tokensPeriod) {
+		logged := 0
+		for _, a := range byAccount(g.tokens.takeSecond()) {
+			if len(a.refused) == 0 || logged == loggedAccounts {
+				continue
+			}
+			logged++
+			g.logAccount(a)
+		}
+		if logged > 0 {
+			g.logProcess()
+		}
+	}
+}
+
+func (g *Gateway) logAccount(a accountTokens) {
+	e, age := g.accounts.entitlement(a.account)
+	attrs := []slog.Attr{
+		slog.String("tenant", a.account), slog.Int("demanded", a.demanded), slog.Int("begun", a.begun),
+		slog.Int("missed", a.withinShare), slog.Float64("part", float64(e.Part)),
+		slog.Float64("extra_part", float64(e.Extra)), milliseconds("told_ms_ago", age),
+	}
+	for _, cause := range slices.Sorted(maps.Keys(a.refused)) {
+		attrs = append(attrs, slog.Int("refused_"+cause, a.refused[cause]))
+	}
+	g.cfg.Log.StateChange("tokens refused", attrs...)
+}
+
+// Samples of the runtime, in the order in which logProcess reads them.
+const (
+	memoryTotal    = "/memory/classes/total:bytes"
+	memoryReleased = "/memory/classes/heap/released:bytes"
+	goroutines     = "/sched/goroutines:goroutines"
+	collections    = "/gc/cycles/total:gc-cycles"
+)
+
+// logProcess logs what this process uses of its processor and memory.
+func (g *Gateway) logProcess() {
+	samples := []metrics.Sample{{Name: memoryTotal}, {Name: memoryReleased}, {Name: goroutines}, {Name: collections}}
+	metrics.Read(samples)
+	value := func(i int) uint64 { return samples[i].Value.Uint64() }
+	g.cfg.Log.StateChange("process load", milliseconds("delay_ms", g.overload.Load().Delay),
+		slog.Int64("requests", g.calls.Load()), slog.Int64("bodies_bytes", g.bodies.Load()),
+		slog.Uint64("memory_bytes", value(0)-value(1)), slog.Uint64("goroutines", value(2)), slog.Uint64("collections", value(3)))
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -171,8 +171,8 @@
 // session is lost.
 func (w *watcher) report(ctx context.Context, l *link.Link) {
 	for range sleep.Every(ctx, registry.ReportPeriod) {
-		u := protocol.Usage{Loads: w.g.table.loads(), Number: w.g.DocumentNumber()}
-		u.Demands, u.Started, u.Missed = w.g.accounts.takeReport()
+		u := w.g.accounts.takeReport()
+		u.Loads, u.Number = w.g.table.loads(), w.g.DocumentNumber()
 		if err := l.Send(ctx, u); err != nil {
 			return // receive fails as well, and logs it
 		}
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -81,7 +81,7 @@
 	Usage{
 		Loads:   []ServerLoad{{Handle: 7, Requests: 2, Tokens: 90000}, {Handle: 8, Requests: 300, Tokens: 1}},
 		Demands: []Demand{{Account: "t1", Tokens: big}, {Account: "t2", Tokens: 12}},
-		Number:  86, Started: 87, Missed: 88,
+		Number:  86, Started: 87, Missed: 88, Served: []Demand{{Account: "t2", Tokens: 89}},
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -87,6 +87,8 @@
 	// report, Missed those of requests within a share that found no room.
 	Started uint64 `cbor:"4,keyasint,omitempty"`
 	Missed  uint64 `cbor:"5,keyasint,omitempty"`
+	// Served is Started by account: what each was given, beside what it demanded.
+	Served []Demand `cbor:"6,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
