--- /dev/null
+++ b/coordination/entitlement/fleet_test.go
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entitlement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/coordination/overload"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines fleet, a model of many gateways, the leader and the engines in
+// virtual time. The decisions are the real ones of entitlement and overload; callers,
+// processors, engines and links are models of a few lines each.
+
+// Times and rates of the model.
+const (
+	step       = 20 * time.Millisecond
+	settleTime = 100 * time.Millisecond // between two reports of a gateway, and two lists
+	listDelay  = 120 * time.Millisecond // from a settlement until gateways have its list
+	named      = 2.3e6                  // tokens a second that the operator names
+	made       = 3.0e6                  // that the engines make
+	objective  = 400 * time.Millisecond
+	refuseTime = 500 * time.Microsecond // of a gateway's processor: 100 µs at a fifth of a core
+	serveTime  = 5 * time.Millisecond   // the same for a request that is served
+	patience   = time.Second            // after which a caller that was not read is gone
+)
+
+// roomParts are how much of the objective engines may be busy for, by class.
+var roomParts = [...]float64{0.45, 0.25, 0.1, 0}
+
+// modelAccount is one account's callers.
+type modelAccount struct {
+	name    string
+	usual   float64 // tokens a second
+	home    []int   // gateways where its callers meet: first tries, then second ones; nil: any
+	floods  []flood
+	demands float64 // of the present step, carried over
+}
+
+// flood multiplies an account's demand for a while.
+type flood struct {
+	from, to time.Duration
+	times    float64
+}
+
+func (a *modelAccount) rate(now time.Duration) float64 {
+	rate := a.usual
+	for _, f := range a.floods {
+		if f.from <= now && now < f.to {
+			rate *= f.times
+		}
+	}
+	return rate
+}
+
+// modelGateway is one gateway: its classes, and how far its processor is behind.
+type modelGateway struct {
+	classifier *entitlement.Classifier
+	detector   overload.Detector
+	behind     time.Duration
+	report     protocol.Usage
+	demanded   map[string]uint64
+	served     map[string]uint64
+}
+
+// try is one request of an account that comes to a gateway.
+type try struct {
+	account *modelAccount
+	cost    float64
+	second  bool
+	at      time.Duration
+}
+
+// window is one second of one account.
+type window struct {
+	asked, got float64
+	waited     bool
+}
+
+// fleet is all of it.
+type fleet struct {
+	rng      *rand.Rand
+	now      time.Duration
+	gateways []*modelGateway
+	accounts []*modelAccount
+	leader   *entitlement.Demand
+	changes  []time.Duration // of leaders
+	lists    []sentList
+	again    []try // that come back later
+	busy     float64
+	seconds  map[string][]window
+}
+
+// sentList is on its way to the gateways.
+type sentList struct {
+	due   time.Duration
+	list  []protocol.Entitlement
+	short bool
+}
+
+func newFleet(seed uint64, gateways int, accounts []*modelAccount) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, accounts: accounts, leader: entitlement.NewDemand(),
+		seconds: map[string][]window{},
+	}
+	for range gateways {
+		f.gateways = append(f.gateways, &modelGateway{
+			classifier: entitlement.NewClassifier(), detector: overload.New(f.now),
+			demanded: map[string]uint64{}, served: map[string]uint64{},
+		})
+	}
+	return f
+}
+
+// run lets the fleet serve for a while.
+func (f *fleet) run(span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += step {
+		f.deliverLists()
+		for _, g := range f.gateways {
+			g.detector = g.detector.Tick(f.now + min(g.behind, patience))
+			g.behind = max(g.behind-step, 0)
+		}
+		f.busy = max(f.busy-made*step.Seconds(), 0)
+		f.arrive()
+		if f.now%settleTime == 0 {
+			f.settle()
+		}
+	}
+}
+
+func (f *fleet) deliverLists() {
+	for len(f.lists) > 0 && f.lists[0].due <= f.now {
+		for _, g := range f.gateways {
+			g.classifier.Update(f.now, f.lists[0].list, f.lists[0].short)
+		}
+		f.lists = f.lists[1:]
+	}
+}
+
+// settle sends all reports to the leader, and its list on the way.
+func (f *fleet) settle() {
+	for len(f.changes) > 0 && f.changes[0] <= f.now {
+		f.leader = entitlement.NewDemand()
+		f.changes = f.changes[1:]
+	}
+	for _, g := range f.gateways {
+		if g.behind > patience {
+			continue // its reports wait for its processor as well
+		}
+		for account, n := range g.demanded {
+			g.report.Demands = append(g.report.Demands, protocol.Demand{Account: account, Tokens: n})
+		}
+		for account, n := range g.served {
+			g.report.Served = append(g.report.Served, protocol.Demand{Account: account, Tokens: n})
+			g.report.Started += n
+		}
+		f.leader.Add(g.report)
+		g.report = protocol.Usage{}
+		clear(g.demanded)
+		clear(g.served)
+	}
+	f.leader.Settle(f.now, named)
+	f.lists = append(f.lists, sentList{due: f.now + listDelay, list: f.leader.Entitlements(), short: f.leader.Short()})
+}
+
+// arrive lets the step's requests come, new ones and those that come back.
+func (f *fleet) arrive() {
+	for _, a := range f.accounts {
+		a.demands += a.rate(f.now) * step.Seconds()
+		for a.demands > 0 {
+			cost := 600 + f.rng.ExpFloat64()*2400
+			a.demands -= cost
+			f.second(a).asked += cost
+			f.ask(try{account: a, cost: cost})
+		}
+	}
+	back := f.again
+	f.again = nil
+	for _, t := range back {
+		if t.at > f.now {
+			f.again = append(f.again, t)
+			continue
+		}
+		f.ask(t)
+	}
+}
+
+// second is the present second of an account.
+func (f *fleet) second(a *modelAccount) *window {
+	n := int(f.now / time.Second)
+	for len(f.seconds[a.name]) <= n {
+		f.seconds[a.name] = append(f.seconds[a.name], window{})
+	}
+	return &f.seconds[a.name][n]
+}
+
+// gateway is where a try comes: the account's own gateways, or any.
+func (f *fleet) gateway(t try) *modelGateway {
+	home := t.account.home
+	switch {
+	case len(home) == 0:
+		return f.gateways[f.rng.IntN(len(f.gateways))]
+	case t.second:
+		return f.gateways[home[len(home)-1]]
+	}
+	return f.gateways[home[0]]
+}
+
+// ask lets a try be served or refused.
+func (f *fleet) ask(t try) {
+	g := f.gateway(t)
+	if g.behind > patience {
+		f.refused(t, step) // it was not read, and its caller knows no better than to come again at once
+		return
+	}
+	g.behind += refuseTime
+	g.demanded[t.account.name] += uint64(t.cost)
+	class := g.classifier.Classify(f.now, t.account.name, t.cost)
+	room := f.busy <= roomParts[class]*objective.Seconds()*made
+	if !g.detector.Admits(class) || !g.classifier.Admits(f.now, class) || !room {
+		if class != entitlement.Beyond {
+			g.report.Missed += uint64(t.cost)
+		}
+		f.refused(t, 100*time.Millisecond)
+		return
+	}
+	f.busy += t.cost
+	g.behind += serveTime
+	g.served[t.account.name] += uint64(t.cost)
+	f.second(t.account).got += t.cost
+}
+
+// refused lets the caller wait, and come back once.
+func (f *fleet) refused(t try, after time.Duration) {
+	f.second(t.account).waited = true
+	if t.second {
+		return
+	}
+	t.second, t.at = true, f.now+after
+	f.again = append(f.again, t)
+}
+
+// unfair is the worst six seconds of a run.
+type unfair struct {
+	part       float64 // of the least that the promise gives
+	account    string
+	from       int // second
+	asked, got float64
+	best       float64
+}
+
+// worst looks at all spans of six seconds for the account that waited in each of them
+// and got the least of half of what it asked, or the best served got.
+func (f *fleet) worst() unfair {
+	const span = 6
+	w := unfair{part: math.Inf(1)}
+	for from := 2; from+span <= int(f.now/time.Second); from++ { // the first second is not whole
+		best, sums := 0.0, map[string]window{}
+		for _, a := range f.accounts {
+			sum := window{waited: true}
+			for _, s := range f.seconds[a.name][from : from+span] {
+				sum = window{sum.asked + s.asked, sum.got + s.got, sum.waited && s.waited}
+			}
+			sums[a.name] = sum
+			best = max(best, sum.got)
+		}
+		for name, sum := range sums {
+			if part := sum.got / (0.5 * min(sum.asked, best)); sum.waited && part < w.part {
+				w = unfair{part, name, from, sum.asked, sum.got, best}
+			}
+		}
+	}
+	return w
+}
+
+// served returns the tokens given a second.
+func (f *fleet) served() float64 {
+	total := 0.0
+	for _, seconds := range f.seconds {
+		for _, s := range seconds {
+			total += s.got
+		}
+	}
+	return total / (f.now - time.Second).Seconds()
+}
