--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -13,7 +13,7 @@
 //     callers unevenly and other gateways may be idle, and requests beyond
 //     their account's share are refused, the further beyond the sooner;
 //   - every new request is refused, as not run, with its connection closed, so
-//     that its caller reaches another gateway.
+//     that its caller reaches another gateway, for as long as the delay is that long.
 //
 // Requests are classed (package entitlement) before any of that: the cause of
 // overload is mostly one account far beyond its share, and refusing what is
@@ -44,8 +44,8 @@
 	DelayNoticed = 5 * time.Millisecond  // pieces of streams are gathered from here on
 	DelayBeyond  = 12 * time.Millisecond // and for longer; the gateway is not ready; what is beyond every share is refused
 	delayExtra   = 20 * time.Millisecond // what is beyond the named share is refused
-	delayTooLong = 35 * time.Millisecond // all new requests are refused,
-	delayShort   = 10 * time.Millisecond // until the delay is below this
+	DelayTooLong = 35 * time.Millisecond // all new requests are refused
+	delayShort   = 10 * time.Millisecond // a pressure that was high is over
 )
 
 // A firing counts for as long as it took to come, because a starved timer
@@ -73,7 +73,7 @@
 // Detector is what is known of a gateway's delay at one firing of its timer.
 type Detector struct {
 	Delay        time.Duration // averaged
-	Shedding     bool          // all new requests are refused
+	High         bool          // it was too long and has not been short since; for the log
 	unreadyUntil time.Duration // when the gateway may be ready again
 	lastTick     time.Duration // when the timer last fired
 }
@@ -92,10 +92,10 @@
 	late := min(max(elapsed-TickPeriod, 0), delayMost)
 	d.Delay += time.Duration(weight * float64(late-d.Delay))
 	switch {
-	case d.Delay > delayTooLong:
-		d.Shedding = true
+	case d.Delay > DelayTooLong:
+		d.High = true
 	case d.Delay < delayShort:
-		d.Shedding = false
+		d.High = false
 	}
 	return d
 }
@@ -110,7 +110,11 @@
 	return overdue || d.Delay > DelayNoticed
 }
 
-// Admits reports whether a request of that class may begin.
+// Admits reports whether a request of that class may begin. The present delay alone
+// decides, the same way for all classes: while a flood is refused, what is within its
+// account's share begins as soon as there is processor for it. Refusing all until the
+// delay was short again took an account's whole share from it at the gateway where its own
+// callers flooded (docs/incidents/fair-kmo-mapa-grown.md).
 func (d Detector) Admits(c entitlement.Class) bool {
 	switch c {
 	case entitlement.Beyond:
@@ -118,7 +122,7 @@
 	case entitlement.Extra:
 		return d.Delay < delayExtra
 	}
-	return !d.Shedding
+	return d.Delay <= DelayTooLong
 }
 
 // Coalesce returns how long a stream should wait after a piece, if callers
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -14,10 +14,10 @@
 // fire returns the detector after a firing that was late.
 func (d Detector) fire(late time.Duration) Detector { return d.Tick(d.lastTick + TickPeriod + late) }
 
-// fireUntil fires until all new requests are refused, or not any more, and
-// returns how often it fired before the last time.
-func (d Detector) fireUntil(shedding bool, late time.Duration) (_ Detector, n int) {
-	for d = d.fire(late); d.Shedding != shedding; d = d.fire(late) {
+// fireUntil fires until the pressure is high, or not any more, and returns how
+// often it fired before the last time.
+func (d Detector) fireUntil(high bool, late time.Duration) (_ Detector, n int) {
+	for d = d.fire(late); d.High != high; d = d.fire(late) {
 		n++
 	}
 	return d, n
@@ -28,9 +28,11 @@
 	d := New(time.Second)
 	for range 1000 {
 		d = d.fire(2 * time.Millisecond)
-		is.True(!d.Shedding)
+		is.True(!d.High)
+		is.True(d.Admits(entitlement.Beyond))
 	}
 	d, rise := d.fireUntil(true, 80*time.Millisecond)
+	is.True(!d.Admits(entitlement.Covered))
 	is.True(d.Coalesce(0) > 0)
 	is.True(rise < 5)
 	d, fall := d.fireUntil(false, 0)
@@ -43,7 +45,8 @@
 func TestStarvedTimerFiresRarely(t *testing.T) {
 	is := is.New(t)
 	d := New(time.Second).fire(2 * time.Second)
-	is.True(d.Shedding)
+	is.True(d.High)
+	is.True(!d.Admits(entitlement.Covered))
 	_, fall := d.fireUntil(false, 0)
 	is.True(fall*int(TickPeriod) < int(700*time.Millisecond))
 }
@@ -68,21 +71,21 @@
 		is.Equal(d.Admits(entitlement.Beyond), tt.beyond)
 		is.Equal(d.Coalesce(300*time.Millisecond), tt.gather)
 	}
-	d := Detector{Shedding: true}
+	d := Detector{Delay: DelayTooLong + 1}
 	is.True(!d.Admits(entitlement.Covered))
 	is.True(!d.Admits(entitlement.Entitled))
 }
 
-// TestNoClassIsAdmittedThatABetterOneIsNot looks at all delays, shedding or not: also
-// while the delay falls and shedding is still on.
+// TestNoClassIsAdmittedThatABetterOneIsNot looks at all delays, with the pressure high
+// or not: also while the delay falls and was too long.
 func TestNoClassIsAdmittedThatABetterOneIsNot(t *testing.T) {
 	classes := []entitlement.Class{entitlement.Covered, entitlement.Entitled, entitlement.Extra, entitlement.Beyond}
-	for delay := time.Duration(0); delay <= 2*delayTooLong; delay += time.Millisecond / 2 {
-		for _, shedding := range []bool{false, true} {
-			d := Detector{Delay: delay, Shedding: shedding}
+	for delay := time.Duration(0); delay <= 2*DelayTooLong; delay += time.Millisecond / 2 {
+		for _, high := range []bool{false, true} {
+			d := Detector{Delay: delay, High: high}
 			for i, c := range classes[1:] {
 				if better := classes[i]; d.Admits(c) && !d.Admits(better) {
-					t.Errorf("delay %v, shedding %t: %v is admitted, %v is not", delay, shedding, c, better)
+					t.Errorf("delay %v, high %t: %v is admitted, %v is not", delay, high, c, better)
 				}
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,8 +135,9 @@
 		old := g.overload.Load()
 		d := old.Tick(g.now())
 		g.overload.Store(&d)
-		if d.Shedding != old.Shedding {
-			g.cfg.Log.StateChange("processor pressure", slog.Bool("high", d.Shedding),
+		pace = g.setPace(pace, pace.Next(g.now(), d.Delay, int(g.taken.Swap(0))), d.Delay)
+		if d.High != old.High {
+			g.cfg.Log.StateChange("processor pressure", slog.Bool("high", d.High),
 				milliseconds("delay_ms", d.Delay.Round(time.Millisecond)), slog.Int64("requests", g.calls.Load()))
 		}
 		g.grantAll()
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -33,13 +33,13 @@
 func TestUnderPressureRequestsAreRefusedAtOnce(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
-		x.setOverload(func(d *overload.Detector) { d.Shedding = true })
+		x.setOverload(func(d *overload.Detector) { d.Delay = overload.DelayTooLong + 1 })
 		got := x.ask("/once/x")
 		is.Equal(got.status, 503)
 		is.Equal(got.header.Get("Connection"), "close")
 		is.Equal(got.took, time.Duration(0))
 		is.Equal(x.servers.count(), 0)
-		x.setOverload(func(d *overload.Detector) { d.Shedding = false })
+		x.setOverload(func(d *overload.Detector) { d.Delay = 0 })
 		is.Equal(x.ask("/once/x").status, 200)
 	}, answers(200, "fine", 0))
 }
@@ -66,7 +66,7 @@
 func TestRefusalsUnderPressureAreMissed(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
-		x.setOverload(func(d *overload.Detector) { d.Shedding = true })
+		x.setOverload(func(d *overload.Detector) { d.Delay = overload.DelayTooLong + 1 })
 		is.Equal(x.ask("/engine/x", "Tokens", "700").status, 503)
 		u := x.g.accounts.takeReport()
 		is.Equal(u.Started, uint64(0))
--- a/gateway/tokens_test.go
+++ b/gateway/tokens_test.go
@@ -26,7 +26,7 @@
 		for range 500 {
 			x.ask("/engine/x", "Tokens", "1000")
 		}
-		x.setOverload(func(d *overload.Detector) { d.Shedding = true })
+		x.setOverload(func(d *overload.Detector) { d.Delay = overload.DelayTooLong + 1 })
 		x.ask("/engine/x", "Tokens", "700", "Key", "other")
 		sorted := byAccount(x.g.tokens.takeSecond())
 		is.Equal(len(sorted), 2)
