--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,11 @@
 
 	overload atomic.Pointer[overload.Detector] // replaced by tick
 
+	// Callers' connections, see [overload.Pace].
+	paced   atomic.Bool
+	allowed atomic.Int64 // to be taken until the next tick, while paced
+	taken   atomic.Int64 // since the last tick
+
 	retriesMu sync.Mutex // a leaf; guards retries
 	retries   map[string]*retry.Window
 }
@@ -100,9 +105,23 @@
 
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready() bool {
-	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.overload.Load().Unready(g.now())
+	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.overload.Load().Unready(g.now()) &&
+		!g.paced.Load()
+}
+
+// TakeConnection reports whether one more connection of a caller may be taken now, and
+// counts it.
+func (g *Gateway) TakeConnection() bool {
+	if g.paced.Load() && g.allowed.Add(-1) < 0 {
+		return false
+	}
+	g.taken.Add(1)
+	return true
 }
 
+// ConnectionsPaced reports whether connections of callers are kept waiting.
+func (g *Gateway) ConnectionsPaced() bool { return g.paced.Load() }
+
 // Limits returns what callers may send and how long they may take, by the
 // document in force; before the first, nothing is limited.
 func (g *Gateway) Limits() document.Limits { return g.document().Limits }
@@ -131,6 +150,7 @@
 // tick publishes how late its timer fires, and gives backend servers to requests
 // that wait for what others' load leaves free.
 func (g *Gateway) tick() {
+	var pace overload.Pace
 	for range sleep.Every(g.ctx, overload.TickPeriod) {
 		old := g.overload.Load()
 		d := old.Tick(g.now())
@@ -144,6 +164,18 @@
 	}
 }
 
+// setPace brings a pace of callers' connections into force and returns it.
+func (g *Gateway) setPace(old, p overload.Pace, delay time.Duration) overload.Pace {
+	n, bounded := p.Allowance()
+	g.allowed.Store(int64(n))
+	g.paced.Store(bounded)
+	if bounded != old.Bounded() {
+		g.cfg.Log.StateChange("connections paced", slog.Bool("bounded", bounded), slog.Int("in_20_ms", n),
+			milliseconds("delay_ms", delay.Round(time.Millisecond)), slog.Int64("requests", g.calls.Load()))
+	}
+	return p
+}
+
 // takeRetry takes one more attempt out of the fleet's budget, if it allows one.
 func (g *Gateway) takeRetry(pool string) bool {
 	g.retriesMu.Lock()
--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -24,6 +24,12 @@
 
 const callersAddress = "10.0.0.1:80"
 
+// unpaced takes every connection.
+type unpaced struct{}
+
+func (unpaced) TakeConnection() bool   { return true }
+func (unpaced) ConnectionsPaced() bool { return false }
+
 // callers runs f with a function that connects to a server of callers, and the
 // limits in force there.
 func callers(t *testing.T, f func(t *testing.T, connect func() net.Conn, limits *atomic.Pointer[document.Limits])) {
@@ -37,7 +43,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		b := &base{}
 		echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }) // errors: see the answer
-		b.serveCallers(ctx, l, echo, func() document.Limits { return *limits.Load() })
+		b.serveCallers(ctx, l, echo, func() document.Limits { return *limits.Load() }, unpaced{})
 		defer func() {
 			stop()
 			b.close()
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -89,16 +89,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", b.cfg.Callers)
 	}
-	b.serveCallers(ctx, l, g, g.Limits)
+	b.serveCallers(ctx, l, g, g.Limits, g)
 	return nil
 }
 
 // serveCallers serves callers with a bound on their connections, and within the
 // limits of the document in force.
-func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits) {
+func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) {
 	most := b.cfg.mostConnections()
 	idle := newIdleConnections(most)
-	l = &callerListener{Listener: socket.Limit(l, most), limits: limits}
+	paced := newPacedListener(l, p, ctx.Done(), b.log)
+	l = &callerListener{Listener: socket.Limit(paced, most), limits: limits}
 	b.serve(l, &http.Server{Handler: h, ConnState: func(conn net.Conn, state http.ConnState) {
 		conn.(*callerConn).serving.Store(state == http.StateActive)
 		idle.track(conn, state)
--- /dev/null
+++ b/process/pace.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package process
+
+import (
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/decision"
+)
+
+// This file defines pacedListener, which takes callers' connections no faster than the
+// gateway's processor bears.
+
+// How many new connections the kernel holds that the gateway has not taken yet. While it
+// takes all, the queue must hold what comes while its goroutine waits for a processor: 8,000
+// connections a second overflowed 128 (TestGatewaySurvivesAFlood). While it is paced the
+// queue is short: whoever waits in it is not answered, its unread bytes are this process's
+// memory (at the largest bodies seen, 72 KB, 9 MB), and callers that wait a second at most must
+// not have gone when they are taken, at the least pace (overload.Pace).
+const (
+	longBacklog  = 1024 // chosen, not measured
+	shortBacklog = 128
+)
+
+// pacePoll is how often a listener that may not take a connection looks again. Chosen: a
+// quarter of the time between two allowances (overload.TickPeriod).
+const pacePoll = 5 * time.Millisecond
+
+// pacer says how fast connections may be taken.
+type pacer interface {
+	// TakeConnection reports whether one more may be taken now, and counts it.
+	TakeConnection() bool
+	// ConnectionsPaced reports whether some are kept waiting.
+	ConnectionsPaced() bool
+}
+
+// pacedListener waits before it takes a connection for as long as its pacer says no.
+// Only one goroutine may accept.
+type pacedListener struct {
+	net.Listener
+	pacer  pacer
+	closed <-chan struct{}
+	log    *decision.Log
+	short  bool // the kernel's queue
+}
+
+// newPacedListener returns a listener with the long queue.
+func newPacedListener(l net.Listener, p pacer, closed <-chan struct{}, log *decision.Log) *pacedListener {
+	paced := &pacedListener{Listener: l, pacer: p, closed: closed, log: log}
+	paced.setBacklog(longBacklog)
+	return paced
+}
+
+// Accept implements [net.Listener].
+func (l *pacedListener) Accept() (net.Conn, error) {
+	for !l.pacer.TakeConnection() {
+		l.fitBacklog()
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(pacePoll):
+		}
+	}
+	l.fitBacklog()
+	return l.Listener.Accept()
+}
+
+// fitBacklog changes the kernel's queue when the pacing begins or ends.
+func (l *pacedListener) fitBacklog() {
+	paced := l.pacer.ConnectionsPaced()
+	if paced == l.short {
+		return
+	}
+	l.short = paced
+	if paced {
+		l.setBacklog(shortBacklog)
+	} else {
+		l.setBacklog(longBacklog)
+	}
+}
+
+// setBacklog bounds the kernel's queue. A queue of another length serves as well, but for
+// what its constants say.
+func (l *pacedListener) setBacklog(n int) {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok {
+		return // not of the kernel's
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		var failed error
+		err = raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), n) })
+		if err == nil {
+			err = failed
+		}
+	}
+	if err != nil {
+		l.log.Failure("queue of callers unchanged", slog.Int("wanted", n), slog.String("error", err.Error()))
+	}
+}
--- /dev/null
+++ b/process/pace_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package process
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+)
+
+// allowance is a number of connections that may be taken.
+type allowance struct{ atomic.Int64 }
+
+func (a *allowance) TakeConnection() bool   { return a.Add(-1) >= 0 }
+func (a *allowance) ConnectionsPaced() bool { return true }
+
+// TestConnectionsArePaced: no connection is taken while the gateway may take none, those
+// that wait are taken in time, and the end of the listener ends a wait.
+func TestConnectionsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := fakenet.New(time.Millisecond)
+		l, err := network.Listen(callersAddress)
+		is.NoErr(err)
+		var taken atomic.Int64
+		var allowance allowance
+		closed := make(chan struct{})
+		paced := newPacedListener(l, &allowance, closed, nil)
+		ended := make(chan error, 1)
+		go func() {
+			for {
+				conn, err := paced.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				taken.Add(1)
+				defer conn.Close()
+			}
+		}()
+		for range 5 {
+			conn, err := network.Box("10.0.0.2").DialContext(t.Context(), "tcp", callersAddress)
+			is.NoErr(err)
+			defer conn.Close()
+		}
+		time.Sleep(time.Second)
+		is.Equal(taken.Load(), int64(0))
+		allowance.Store(3)
+		time.Sleep(time.Second)
+		is.Equal(taken.Load(), int64(3))
+		close(closed)
+		time.Sleep(pacePoll)
+		is.Equal(<-ended, net.ErrClosed)
+	})
+}
