--- a/coordination/entitlement/class.go
+++ b/coordination/entitlement/class.go
@@ -31,6 +31,13 @@
 // need the lease"). Chosen, not measured.
 const staleAfter = 10 * time.Second
 
+// Bounds of what a gateway gives one account without news of the leader. Chosen: lists
+// come every 0.1 to 0.6 s, and an account's callers are seen to meet at two or three gateways.
+const (
+	silentAfter = time.Second
+	silentPart  = 0.5
+)
+
 // Classifier classes the requests that arrive at one gateway, by the fleet's
 // last list of accounts that demand more than their share.
 type Classifier struct {
@@ -38,6 +45,8 @@
 	short   bool          // somewhere requests within their shares find no room
 	updated time.Duration // 0: there has been no list
 	markers map[string]*markers
+	most    float64 // tokens a second that one account may be given; 0: not bounded
+	given   map[string]bucket
 }
 
 // markers of one account, for both levels.
@@ -45,7 +54,9 @@
 
 // NewClassifier returns a classifier without a list.
 func NewClassifier() *Classifier {
-	return &Classifier{listed: map[string]protocol.Entitlement{}, markers: map[string]*markers{}}
+	return &Classifier{
+		listed: map[string]protocol.Entitlement{}, markers: map[string]*markers{}, given: map[string]bucket{},
+	}
 }
 
 // Update replaces the list. short means that somewhere in the fleet requests
@@ -59,6 +70,28 @@
 	}
 }
 
+// SetMost bounds what this gateway alone may give to one account, in tokens a second: what
+// the whole fleet may give it. It holds until the next call, also while no list
+// comes: an account whose callers meet at one gateway is bounded there however late the
+// leader knows of its flood, or this gateway of the leader. 0 does not bound.
+func (c *Classifier) SetMost(rate float64) { c.most = rate }
+
+// mostNow is the bound now. Without news of the leader it is less: other gateways may
+// give the account as much, and nobody adds that up.
+func (c *Classifier) mostNow(now time.Duration) float64 {
+	if now-c.updated > silentAfter {
+		return c.most * silentPart
+	}
+	return c.most
+}
+
+// Started counts a request that gets its first backend server.
+func (c *Classifier) Started(now time.Duration, account string, cost float64) {
+	if most := c.mostNow(now); most > 0 {
+		c.given[account] = c.given[account].take(now, most, cost)
+	}
+}
+
 // fresh reports whether the list can be used.
 func (c *Classifier) fresh(now time.Duration) bool {
 	return c.updated != 0 && now-c.updated <= staleAfter
@@ -89,10 +122,14 @@
 	return Beyond
 }
 
-// Admits reports whether a request of that class may be served now. What is
+// Admits reports whether a request of that account and class may be served now. What is
 // beyond every share may not while the fleet is short: a gateway with an idle
-// engine cannot see who waits elsewhere.
-func (c *Classifier) Admits(now time.Duration, class Class) bool {
+// engine cannot see who waits elsewhere. Nor may anything once this gateway alone has given
+// the account all that the fleet may.
+func (c *Classifier) Admits(now time.Duration, account string, class Class) bool {
+	if most := c.mostNow(now); most > 0 && c.given[account].empty(now, most) {
+		return false
+	}
 	return class != Beyond || !c.short || !c.fresh(now)
 }
 
--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -5,25 +5,14 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines Demand, the leader's estimate of what each account demands
-// and of what the engines make, and the entitlements that follow from it.
-
-// demandMemory is the time constant of all averages. Chosen, not measured: a
-// longer one shows a flood later, a shorter one follows every burst.
-const demandMemory = 1500 * time.Millisecond
-
-// leastWeight bounds how much averages over a short time are scaled up: those
-// of 300 ms are taken for what they say (1-exp(-300 ms/demandMemory) is 0.18),
-// and shorter ones for less. Before there was this scaling floods were unknown
-// for 0.7 s after each change of leaders (commit b9a79bb).
-const leastWeight = 0.18
+// This file defines Demand, the leader's estimate of what each account demands and is
+// given and of what the engines make, and the entitlements that follow from it.
 
 // leastRate, in tokens a second, is below any request's: an account that demands
 // less sends nothing any more. Chosen, not measured.
@@ -32,29 +21,21 @@
 // Demand estimates the accounts' demands from the gateways' reports.
 type Demand struct {
 	accounts     map[string]*account
-	started      rate          // of requests given to engines
-	missed       rate          // of requests within a share that found no room
-	weight       float64       // of what the averages hold, 0 to 1: they begin at nothing
+	started      rate // of requests given to engines
+	missed       rate // of requests within a share that found no room
+	weights      weights
 	settled      time.Duration // 0 before the first settlement
+	unnamed      time.Duration // when a report last did not say which accounts were served; 0: never
 	level, extra float64       // tokens a second
+	most         float64       // the same
 	entitlements []protocol.Entitlement
 }
 
 // account is what one account demands and is given.
 type account struct {
-	demand rate
-	given  rate // of its requests given to engines
-}
-
-// rate is an averaged rate of tokens.
-type rate struct {
-	tokens  float64 // since the last settlement
-	average float64 // tokens a second
-}
-
-func (r *rate) settle(elapsed time.Duration, keep float64) {
-	r.average = keep*r.average + (1-keep)*r.tokens/elapsed.Seconds()
-	r.tokens = 0
+	demand  rate
+	given   rate // of its requests given to engines
+	balance balance
 }
 
 // NewDemand returns an estimate without any account.
@@ -70,6 +51,9 @@
 	for _, a := range m.Served {
 		d.account(a.Account).given.tokens += float64(a.Tokens)
 	}
+	if m.Started > 0 && len(m.Served) == 0 { // of an older gateway
+		d.unnamed = max(d.settled, 1)
+	}
 }
 
 // account returns what is known of an account, new if need be.
@@ -94,16 +78,15 @@
 	if first {
 		return // the time that the first reports cover is unknown
 	}
-	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
+	d.weights = d.weights.settle(elapsed)
 	for _, a := range d.accounts {
-		a.demand.settle(elapsed, keep)
-		a.given.settle(elapsed, keep)
+		a.demand.settle(elapsed, d.weights)
+		a.given.settle(elapsed, d.weights)
 	}
 	maps.DeleteFunc(d.accounts, func(_ string, a *account) bool { return a.demand.average < leastRate })
-	d.started.settle(elapsed, keep)
-	d.missed.settle(elapsed, keep)
-	d.weight = keep*d.weight + 1 - keep
-	d.entitle(capacity)
+	d.started.settleSteady(elapsed, d.weights)
+	d.missed.settleSteady(elapsed, d.weights)
+	d.entitle(elapsed, capacity)
 }
 
 // missedWeight is how much of what is made beyond the named rate is held back
@@ -113,44 +96,99 @@
 // values were not tried.
 const missedWeight = 3
 
+// probe is how much more than they made last the engines are asked to make: what they could
+// make is not reported, and while several accounts wait it is found this way alone. Chosen;
+// from the named rate it finds twice as much in about ten seconds.
+const probe = 1.25
+
 // entitle finds two levels: of the named capacity, and of what is made if that
 // is more. Without the second, what the engines make beyond the named rate
-// would go to the account with the largest demand.
-func (d *Demand) entitle(capacity float64) {
+// would go to the account with the largest demand. Each account's share is the level,
+// corrected by its balance.
+func (d *Demand) entitle(elapsed time.Duration, capacity float64) {
 	d.entitlements = nil
+	d.most = 0
 	if capacity <= 0 {
 		return
 	}
-	capacity *= max(d.weight, leastWeight) // instead of dividing every average by it
 	rates := make([]float64, 0, len(d.accounts))
 	for _, a := range d.accounts {
 		rates = append(rates, a.demand.average)
 	}
-	level := Level(rates, capacity)
-	extra := Level(rates, max(capacity, d.started.average-missedWeight*d.missed.average))
-	d.level, d.extra = level, extra
+	d.level = Level(rates, capacity)
+	makes := max(capacity, probe*(d.started.average-missedWeight*(d.missed.average+d.owed())))
+	d.extra = Level(rates, makes)
+	if d.Known() {
+		d.most = mostLevels*d.extra + max(makes-covered(rates, d.extra), 0)
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
-		demand := d.accounts[name].demand.average
-		if part := Part(demand, level); part < 1 {
+		a := d.accounts[name]
+		demand := a.demand.average
+		if d.Known() {
+			a.balance = a.balance.settle(elapsed, min(demand, d.extra), a.given.average)
+		}
+		if demand <= d.level {
+			continue // what it was given before takes nothing from who is within a share now
+		}
+		factor := 1.0
+		if d.balanced() {
+			factor = a.balance.factor(d.extra)
+		}
+		if part := Part(demand, factor*d.level); part < 1 {
 			d.entitlements = append(d.entitlements, protocol.Entitlement{
-				Account: name, Part: float32(part), Extra: float32(Part(demand, extra)),
+				Account: name, Part: float32(part), Extra: float32(Part(demand, factor*d.extra)),
 			})
 		}
 	}
 }
 
+// balanced reports whether all gateways have said for a while which accounts they served.
+func (d *Demand) balanced() bool { return d.unnamed == 0 || d.settled-d.unnamed > balanceMemory }
+
+// owed is what the accounts are given less than they are due. Connections that a gateway
+// does not take show in nothing else.
+func (d *Demand) owed() float64 {
+	if !d.balanced() {
+		return 0
+	}
+	sum := 0.0
+	for _, a := range d.accounts {
+		sum += a.balance.owed()
+	}
+	return sum
+}
+
 // Entitlements returns the accounts that demand more than their share, in
 // order of their names. The caller must not change them.
 func (d *Demand) Entitlements() []protocol.Entitlement { return d.entitlements }
 
+// mostLevels is how many times the level one account may be given at one gateway: what it
+// is behind must be made up for, and nobody may get twice what another gets. Chosen.
+const mostLevels = 1.25
+
+// Most returns what one account may be given, in tokens a second: somewhat more than the
+// higher level, and what nobody demands. It is 0 before anything is known and where the
+// operator names no rate.
+func (d *Demand) Most() float64 { return d.most }
+
+// Known reports whether the averages hold enough to decide by. A new leader's do not at
+// first, and the list of the one before is better than none.
+func (d *Demand) Known() bool { return d.weights.full() }
+
 // shortPart is the part of what is made that may be missed within shares
 // before no request beyond them is served. Chosen: with it the days that had broken
 // fairness kept it (commit ddfd6cc); other values were not tried.
 const shortPart = 0.02
 
-// Short reports whether requests within their shares find no room. Requests
-// beyond every share must not count as missed: they would keep themselves out.
-func (d *Demand) Short() bool { return d.missed.average > shortPart*d.started.average }
+// Short reports whether what is beyond every share must wait: because requests within
+// their shares find no room, or because several accounts demand more than theirs. What the
+// engines make beyond the shares would else go to the account with the most callers: one was
+// given seven times what another one got, in a second in which both waited
+// (docs/incidents/fair-kmo-mapa-grown.md). Requests beyond every share must not count as
+// missed: they would keep themselves out.
+func (d *Demand) Short() bool {
+	return len(d.entitlements) > 1 || d.missed.average > shortPart*d.started.average
+}
 
 // Rates are the averages that the entitlements follow from, for the log, in tokens a
 // second.
--- a/coordination/entitlement/level.go
+++ b/coordination/entitlement/level.go
@@ -26,6 +26,15 @@
 	return sorted[len(sorted)-1]
 }
 
+// covered returns what a level gives to all of the demands together.
+func covered(demands []float64, level float64) float64 {
+	sum := 0.0
+	for _, d := range demands {
+		sum += min(d, level)
+	}
+	return sum
+}
+
 // Part returns which part of a demand a level covers.
 func Part(demand, level float64) float64 {
 	if demand <= level {
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -117,7 +117,8 @@
 	held, _ := h.d.state.Held()
 	now := h.d.replica.Now()
 	h.usage.sum()
-	h.usage.demand.Settle(now, held.Document.Limits.TokensPerSecond)
+	demand := h.usage.demand
+	demand.Settle(now, held.Document.Limits.TokensPerSecond)
 	h.logShares(now)
 	voters := h.leadership.Load().voters
 	for s := range h.sessions {
@@ -126,7 +127,7 @@
 		}
 		m := protocol.Fleet{
 			Gateways: len(h.sessions), Loads: h.usage.others(s),
-			Entitlements: h.usage.demand.Entitlements(), Members: voters, Short: h.usage.demand.Short(),
+			Entitlements: demand.Entitlements(), Members: voters, Short: demand.Short(), Unknown: !demand.Known(), Most: demand.Most(),
 		}
 		s.out.Send(m)
 		s.due = now + registry.FleetPause(encodedSize(m))
--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -23,15 +23,15 @@
 	served     entitlement.Served
 	// Tokens since the last report.
 	demanded map[string]uint64 // by account
-	began    map[string]uint64 // the same of started
-	started  uint64
+	began    map[string]int64  // the same of started; negative: to be taken from what starts next
+	started  int64
 	missed   uint64
 }
 
 func newAccounts(now func() time.Duration) *accounts {
 	return &accounts{
 		now: now, classifier: entitlement.NewClassifier(), served: entitlement.Served{}, demanded: map[string]uint64{},
-		began: map[string]uint64{},
+		began: map[string]int64{},
 	}
 }
 
@@ -43,11 +43,11 @@
 	return a.classifier.Classify(a.now(), account, cost)
 }
 
-// admits reports whether a request of that class may be served now.
-func (a *accounts) admits(c entitlement.Class) bool {
+// admits reports whether a request of that account and class may be served now.
+func (a *accounts) admits(account string, c entitlement.Class) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.classifier.Admits(a.now(), c)
+	return a.classifier.Admits(a.now(), account, c)
 }
 
 // countStarted counts a request that gets its first backend server.
@@ -55,12 +55,23 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.served.Add(a.now(), account, cost)
-	a.started += uint64(cost)
-	a.began[account] += uint64(cost)
+	a.classifier.Started(a.now(), account, cost)
+	a.started += int64(cost)
+	a.began[account] += int64(cost)
 }
 
-// countMissed counts a request that found no room, on engines or on this gateway's
-// processor. What is beyond every share does not count, see [entitlement.Demand].
+// countNotServed takes back a request that was counted as started and got nothing of an
+// answer, because its caller had left or no backend server could be reached. What a gateway
+// starts for callers that waited too long is nothing that their account was given.
+func (a *accounts) countNotServed(account string, cost float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.started -= int64(cost)
+	a.began[account] -= int64(cost)
+}
+
+// countMissed counts a request that found no room, on engines or at this gateway: its
+// processor, its memory, or its time until a stop. What is beyond every share does not count, see [entitlement.Demand].
 func (a *accounts) countMissed(c entitlement.Class, cost float64) {
 	if c == entitlement.Beyond {
 		return
@@ -84,6 +95,13 @@
 	a.classifier.Update(a.now(), list, short)
 }
 
+// setMost bounds what this gateway may give to one account, in tokens a second.
+func (a *accounts) setMost(rate float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.classifier.SetMost(rate)
+}
+
 // entitlement returns an account's entry in the fleet's list, and the list's age, for
 // the log.
 func (a *accounts) entitlement(account string) (e protocol.Entitlement, age time.Duration) {
@@ -97,18 +115,25 @@
 func (a *accounts) takeReport() protocol.Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	u := protocol.Usage{Demands: takeTokens(a.demanded), Served: takeTokens(a.began), Started: a.started, Missed: a.missed}
-	a.started, a.missed = 0, 0
+	u := protocol.Usage{Demands: takeTokens(a.demanded), Served: takeTokens(a.began), Missed: a.missed}
+	if a.started > 0 {
+		u.Started = uint64(a.started)
+		a.started = 0
+	}
+	a.missed = 0
 	return u
 }
 
-// takeTokens clears tokens by account and returns them in the order of the names.
-func takeTokens(byAccount map[string]uint64) []protocol.Demand {
+// takeTokens removes the tokens of all accounts that have some and returns them in the
+// order of the names.
+func takeTokens[T int64 | uint64](byAccount map[string]T) []protocol.Demand {
 	taken := make([]protocol.Demand, 0, len(byAccount))
 	for account, tokens := range byAccount {
-		taken = append(taken, protocol.Demand{Account: account, Tokens: tokens})
+		if tokens >= 0 {
+			taken = append(taken, protocol.Demand{Account: account, Tokens: uint64(tokens)})
+			delete(byAccount, account)
+		}
 	}
-	clear(byAccount)
 	slices.SortFunc(taken, func(x, y protocol.Demand) int { return cmp.Compare(x.Account, y.Account) })
 	return taken
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -133,7 +133,7 @@
 		c.g.accounts.countMissed(c.class, c.cost)
 		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left())}
 	}
-	if !c.g.accounts.admits(c.class) {
+	if c.pool.Engine && !c.g.accounts.admits(c.account.Name, c.class) {
 		return Refusal{Cause: BeyondShare, RetryAfter: retry.After(c.left())}
 	}
 	return nil
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -161,7 +161,10 @@
 	case protocol.Fleet:
 		w.g.gateways.Store(int64(max(m.Gateways, 1)))
 		w.replicas = m.Members
-		w.g.accounts.update(m.Entitlements, m.Short)
+		if !m.Unknown {
+			w.g.accounts.update(m.Entitlements, m.Short)
+			w.g.accounts.setMost(m.Most)
+		}
 		w.g.table.updateLoads(w.g.now(), m.Loads)
 		w.g.grantAll()
 	}
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -109,7 +109,12 @@
 	Loads        []ServerLoad  `cbor:"2,keyasint,omitempty"` // on all gateways but the receiving one
 	Entitlements []Entitlement `cbor:"3,keyasint,omitempty"`
 	Members      []string      `cbor:"4,keyasint,omitempty"` // fleet addresses of the directory
-	// Short is set if requests within their accounts' shares find no room
-	// somewhere: no account may exceed its share.
+	// Short is set if requests within their accounts' shares find no room somewhere, or
+	// several accounts demand more than their shares: no account may exceed its share.
 	Short bool `cbor:"5,keyasint,omitempty"`
+	// Unknown is set while the leader is new: its sums hold too little to decide by, and
+	// Entitlements, Short and Most say nothing.
+	Unknown bool `cbor:"6,keyasint,omitempty"`
+	// Most bounds what one account may be given, in tokens a second; 0 does not.
+	Most float64 `cbor:"7,keyasint,omitempty"`
 }
