--- a/gateway/call.go
+++ b/gateway/call.go
@@ -37,6 +37,7 @@
 
 	// What has become of it.
 	counts   retry.Counts
+	started  bool            // it got a backend server once
 	avoid    map[string]bool // backend servers that had it already
 	assigned *assignment     // of the last attempt
 	shortage shortage        // why there was no backend server in the end
@@ -80,6 +81,7 @@
 		return err
 	}
 	if !drain.Grace(c.g.cfg.Grace).Admits(c.g.stopping(), patience) {
+		c.countMissed()
 		return Refusal{Cause: Stopping, RetryAfter: retry.Soon}
 	}
 	if err := c.readBody(); err != nil {
@@ -130,7 +132,7 @@
 		c.countTokens(tokensDemanded)
 	}
 	if !c.g.overload.Load().Admits(c.class) {
-		c.g.accounts.countMissed(c.class, c.cost)
+		c.countMissed()
 		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left())}
 	}
 	if c.pool.Engine && !c.g.accounts.admits(c.account.Name, c.class) {
@@ -139,6 +141,24 @@
 	return nil
 }
 
+// countStarted counts the request when it gets its first backend server. An attempt that
+// reaches nobody does not make the next one another start.
+func (c *call) countStarted() {
+	if c.started {
+		return
+	}
+	c.started = true
+	c.g.accounts.countStarted(c.account.Name, c.cost)
+	c.countTokens(tokensBegun)
+}
+
+// countMissed counts a request to an engine that is refused without having had one.
+func (c *call) countMissed() {
+	if c.pool.Engine {
+		c.g.accounts.countMissed(c.class, c.cost)
+	}
+}
+
 // countTokens counts what became of the request's tokens.
 func (c *call) countTokens(end string) {
 	if c.pool.Engine {
@@ -162,6 +182,7 @@
 		return Refusal{Cause: BodyTooLarge}
 	}
 	if c.g.bodies.Load()+max(c.r.ContentLength, 0) > c.g.cfg.Bodies {
+		c.countMissed()
 		return Refusal{Cause: Overloaded, RetryAfter: retry.Soon}
 	}
 	// A writer without deadlines is no error: the server's own still bound the read.
@@ -229,18 +250,15 @@
 	patience := retry.QueueTimeout(c.route, c.counts.Runs, c.g.now()-c.arrived, c.left())
 	var a *assignment
 	if a, c.shortage = c.g.awaitServer(ctx, req, patience); a != nil {
-		if c.counts.Arrived == 0 {
-			c.g.accounts.countStarted(c.account.Name, c.cost)
-			c.countTokens(tokensBegun)
-		}
+		c.countStarted()
 		return a, nil
 	}
 	policy := c.policy(ctx)
 	if !policy.TimeLeft && c.r.Context().Err() != nil {
 		return nil, callerLeft{}
 	}
-	if policy.TimeLeft && c.pool.Engine && c.counts.Arrived == 0 {
-		c.g.accounts.countMissed(c.class, c.cost)
+	if policy.TimeLeft && c.counts.Arrived == 0 {
+		c.countMissed()
 	}
 	allTried := c.g.table.poolSize(c.pool.Name) <= len(c.avoid)
 	return nil, c.refusal(policy.WithoutServer(c.class, allTried))
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -31,6 +31,9 @@
 // the request.
 func (c *call) finish(err error) {
 	took := c.g.now() - c.arrived
+	if c.started && !c.relay.headWritten {
+		c.g.accounts.countNotServed(c.account.Name, c.cost)
+	}
 	var refusal Refusal
 	var cut brokenAnswer
 	switch {
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -89,6 +92,75 @@
 	})
 }
 
+// TestStartIsCountedOnce: an attempt that reaches nobody does not make the next one
+// another start.
+func TestStartIsCountedOnce(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		unreachable := fails(forward.NotRun{Err: errReset})
+		x.serversOf("engines", unreachable, unreachable, streams(piece{text: event(1)}))
+		is.Equal(x.ask("/engine/x", "Tokens", "700", "Shared", sharedFor(x, 2)).status, 200)
+		is.Equal(x.servers.count(), 3)
+		is.Equal(x.g.accounts.takeReport().Started, uint64(700+sharedTokens))
+	})
+}
+
+// sharedFor names a shared part that the engine of that number keeps last: a request with it
+// goes to the others first.
+func sharedFor(x *fixture, last int) string {
+	var servers []place.Server
+	for i := range 3 {
+		servers = append(servers, place.Server{ID: fmt.Sprintf("e%d", i), Slots: 4, SameHall: true})
+	}
+	for n := 0; ; n++ {
+		name := fmt.Sprint("part", n)
+		prompt := place.Prompt{Shared: []place.Part{{Name: name, Tokens: sharedTokens}}, Own: 700}
+		r := place.Request{Prompt: prompt, Objective: 400 * time.Millisecond, Engine: true, Gateways: 1}
+		left := slices.Clone(servers)
+		for range 2 {
+			choice := (&place.RoomPlacer{}).Choose(r, left)
+			left[choice.Index].Avoid = true
+		}
+		if !left[last].Avoid {
+			return name
+		}
+	}
+}
+
+// TestWhatGetsNoAnswerIsNotServed: a request that no engine could be reached for, and
+// one whose caller leaves first, are taken back from what was started.
+func TestWhatGetsNoAnswerIsNotServed(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.serversOf("engines", fails(forward.NotRun{Err: errReset}))
+		is.Equal(x.ask("/engine/x", "Tokens", "700").status, 503)
+		x.serversOf("engines", hangs)
+		ctx, leave := context.WithTimeout(x.t.Context(), 100*time.Millisecond)
+		defer leave()
+		is.True(x.askWith(ctx, http.MethodPost, "/engine/x", "a body", "Tokens", "900").cut)
+		u := x.g.accounts.takeReport()
+		is.Equal(u.Started, uint64(0))
+		is.Equal(len(u.Served), 1)
+		is.Equal(u.Served[0].Tokens, uint64(0))
+	})
+}
+
+// TestRefusalsOfThisGatewayAreMissed: what is refused for the memory of bodies, or because
+// the gateway stops, is missed like what finds no engine.
+func TestRefusalsOfThisGatewayAreMissed(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.bodies.Store(x.g.cfg.Bodies)
+		is.Equal(x.ask("/engine/x", "Tokens", "700").status, 503)
+		is.Equal(x.g.accounts.takeReport().Missed, uint64(700))
+		x.g.bodies.Store(0)
+		x.g.stopped.Store(int64(x.g.now()))
+		time.Sleep(x.g.cfg.Grace)
+		is.Equal(x.ask("/engine/x", "Tokens", "900").status, 503)
+		is.Equal(x.g.accounts.takeReport().Missed, uint64(900))
+	})
+}
+
 // TestOnlyBackendIsUnreachable: a request does not go to the same dead address
 // for as long as its caller waits.
 func TestOnlyBackendIsUnreachable(t *testing.T) {
