--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -149,6 +149,48 @@
 	})
 }
 
+// TestOneHolderOutlivesAllPower: an acknowledged change is on the leader and two
+// followers alone; the leader and one of them lose their disks while every other machine
+// loses power, replicas that do not vote and gateways too. What is left of it is one disk.
+func TestOneHolderOutlivesAllPower(t *testing.T) {
+	inFleet(t, 7, func(x *fleet) { // five vote
+		is := is.New(x.t)
+		g := x.gateway("10.0.2.1")
+		for round := uint64(1); round <= 8; round++ {
+			leader := x.mustLead()
+			voters := x.voters()
+			is.Equal(len(voters), 5)
+			followers := slices.DeleteFunc(voters, func(ip string) bool { return ip == leader.ip })
+			x.rng.Shuffle(len(followers), func(i, j int) { followers[i], followers[j] = followers[j], followers[i] })
+			for _, ip := range followers[2:] {
+				x.net.Cut(ip) // they do not get it
+			}
+			slow := x.nodes[followers[1]].disk // the only one left with it: nothing may be acknowledged before its sync
+			slow.SyncTime(50 * time.Millisecond)
+			x.put(round)
+			slow.SyncTime(0)
+			lost := []string{leader.ip, followers[0]}
+			x.losePower()
+			x.gateways["10.0.2.1"].kill()
+			for _, ip := range followers[2:] {
+				x.net.Join(ip)
+			}
+			for _, ip := range x.order {
+				if slices.Contains(lost, ip) {
+					x.replaceDisk(ip)
+				}
+				x.start(ip, false)
+			}
+			g = x.gateway("10.0.2.1")
+			h, err := x.mustLead().d.Read(x.t.Context())
+			is.NoErr(err)
+			is.Equal(h.Document.Number, round)
+			time.Sleep(8 * time.Second) // the lost ones have caught up
+			is.Equal(g.DocumentNumber(), round)
+		}
+	})
+}
+
 func TestDepartureIsForGood(t *testing.T) {
 	inFleet(t, 5, func(x *fleet) {
 		is := is.New(x.t)
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -171,6 +172,15 @@
 	return nil
 }
 
+// voters returns the replicas that vote, as the leader knows them.
+func (x *fleet) voters() []string {
+	var ips []string
+	for _, name := range x.mustLead().d.Voters() {
+		ips = append(ips, strings.TrimSuffix(name, ":7400"))
+	}
+	return ips
+}
+
 func (x *fleet) mustLead() *directoryNode {
 	for range 1000 {
 		if n := x.leader(); n != nil {
@@ -248,10 +258,13 @@
 // replaceDisk gives a stopped replica an empty disk.
 func (x *fleet) replaceDisk(ip string) { x.nodes[ip].disk = fakedisk.New(x.random()) }
 
-// losePower ends every replica at once; disks keep what was synced.
+// losePower ends every replica at once; disks keep what was synced before. The disks go
+// first, because to end a process takes time, in which another one could still sync.
 func (x *fleet) losePower() {
 	for _, ip := range x.order {
-		x.nodes[ip].kill()
 		x.nodes[ip].disk.Crash()
 	}
+	for _, ip := range x.order {
+		x.nodes[ip].kill()
+	}
 }
