--- a/coordination/entitlement/class_test.go
+++ b/coordination/entitlement/class_test.go
@@ -49,3 +49,27 @@
 	is.True(counts[Entitled] >= 199 && counts[Entitled] <= 201)
 	is.True(counts[Extra] >= 298 && counts[Extra] <= 302)
 }
+
+// TestOneGatewayGivesNoMore: what one gateway gives to one account is bounded, whatever the
+// list says of it, and to half without news of the leader.
+func TestOneGatewayGivesNoMore(t *testing.T) {
+	is := is.New(t)
+	c := NewClassifier()
+	c.SetMost(1000)
+	c.Update(time.Second, nil, false)
+	given := func(from, to time.Duration) (tokens float64) {
+		for now := from; now < to; now += 10 * time.Millisecond {
+			if class := c.Classify(now, "a", 100); c.Admits(now, "a", class) {
+				c.Started(now, "a", 100)
+				tokens += 100
+			}
+		}
+		return tokens
+	}
+	is.True(given(time.Second, 2*time.Second) <= 1000*(1+bucketSpan.Seconds())+100)
+	silent := given(2*time.Second, 6*time.Second) // since the first second
+	is.True(silent > 1500 && silent <= 2000)
+	c.Update(6*time.Second, nil, false)
+	is.True(given(6*time.Second, 7*time.Second) >= 1000)
+	is.True(c.Admits(7*time.Second, "b", Covered)) // others are not bounded by it
+}
