--- a/coordination/entitlement/demand_test.go
+++ b/coordination/entitlement/demand_test.go
@@ -99,3 +99,16 @@
 	settleFor(d, 5*time.Second, 10000, protocol.Usage{Demands: []protocol.Demand{big, second}, Started: 1000})
 	is.True(d.Short())
 }
+
+// TestNewLeaderKnowsNothing: its averages must hold 300 ms before they decide anything.
+func TestNewLeaderKnowsNothing(t *testing.T) {
+	is := is.New(t)
+	d := NewDemand()
+	report := protocol.Usage{Demands: []protocol.Demand{{Account: "big", Tokens: 3000}}}
+	settleFor(d, 300*time.Millisecond, 10000, report) // two settlements after the first
+	is.True(!d.Known())
+	is.Equal(d.Most(), 0.0)
+	settleFor(d, 200*time.Millisecond, 10000, report)
+	is.True(d.Known())
+	is.True(d.Most() > 0)
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -155,7 +155,7 @@
 func TestOneHolderOutlivesAllPower(t *testing.T) {
 	inFleet(t, 7, func(x *fleet) { // five vote
 		is := is.New(x.t)
-		g := x.gateway("10.0.2.1")
+		x.gateway("10.0.2.1")
 		for round := uint64(1); round <= 8; round++ {
 			leader := x.mustLead()
 			voters := x.voters()
@@ -181,7 +181,7 @@
 				}
 				x.start(ip, false)
 			}
-			g = x.gateway("10.0.2.1")
+			g := x.gateway("10.0.2.1")
 			h, err := x.mustLead().d.Read(x.t.Context())
 			is.NoErr(err)
 			is.Equal(h.Document.Number, round)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
@@ -124,6 +125,7 @@
 // redirected handles the answer of a replica that does not lead. One that names
 // itself as the leader is not tried again at once.
 func (w *watcher) redirected(address string, e protocol.WatchRedirect) {
+	w.lost(address, errRedirected)
 	if len(e.Members) > 0 {
 		w.replicas = e.Members
 	}
@@ -132,6 +134,10 @@
 	}
 }
 
+// errRedirected ends a session whose replica does not lead any more.
+var errRedirected = errors.New("the replica does not lead")
+
+// lost logs the end of a session, if there was one.
 func (w *watcher) lost(address string, err error) {
 	if !w.connected {
 		return
