--- a/process/pace.go
+++ b/process/pace.go
@@ -15,14 +15,14 @@
 // gateway's processor bears.
 
 // How many new connections the kernel holds that the gateway has not taken yet. While it
-// takes all, the queue must hold what comes while its goroutine waits for a processor: 8,000
+// takes all, the queue must hold what comes while its goroutine waits for a processor: 14,000
 // connections a second overflowed 128 (TestGatewaySurvivesAFlood). While it is paced the
 // queue is short: whoever waits in it is not answered, its unread bytes are this process's
-// memory (at the largest bodies seen, 72 KB, 9 MB), and callers that wait a second at most must
+// memory (at the largest bodies seen, 72 KB, 14 MB), and callers that wait a second at most must
 // not have gone when they are taken, at the least pace (overload.Pace).
 const (
 	longBacklog  = 1024 // chosen, not measured
-	shortBacklog = 128  // chosen: 0.43 s at the least pace
+	shortBacklog = 200  // chosen: 0.67 s at the least pace
 )
 
 // pacePoll is how often a listener that may not take a connection looks again. Chosen: a
