--- a/coordination/entitlement/balance.go
+++ b/coordination/entitlement/balance.go
@@ -14,10 +14,10 @@
 // Constants of a balance. Chosen; TestWhoWaitsGetsHalf holds with them.
 const (
 	balanceMemory = time.Second // time constant
-	balanceGain   = 2.0         // times the difference that the share is changed
-	factorLeast   = 0.6         // of the level: who is given less than half of it is treated unfairly too
+	balanceGain   = 3.0         // times the difference that the share is changed
+	factorLeast   = 0.5         // of the level: who is given less than half of it is treated unfairly too
 	owedPart      = 0.15        // of what is due, that may be missing without notice
-	factorMost    = 2.0         // of the level: where it cannot be given, asking for more does not help
+	factorMost    = 3.0         // of the level: where it cannot be given, asking for more does not help
 )
 
 // balance holds averages of what an account was due and was given, in tokens a second.
--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -101,6 +101,16 @@
 // from the named rate it finds twice as much in about ten seconds.
 const probe = 1.25
 
+// makes is what the engines may be asked to make, in tokens a second: less than they made last
+// while any account is missed or owed something, else a little more.
+func (d *Demand) makes() float64 {
+	lacking := d.missed.average + d.owed()
+	if lacking > shortPart*d.started.average {
+		return d.started.average - missedWeight*lacking
+	}
+	return probe * d.started.average
+}
+
 // entitle finds two levels: of the named capacity, and of what is made if that
 // is more. Without the second, what the engines make beyond the named rate
 // would go to the account with the largest demand. Each account's share is the level,
@@ -116,7 +126,7 @@
 		rates = append(rates, a.demand.average)
 	}
 	d.level = Level(rates, capacity)
-	makes := max(capacity, probe*(d.started.average-missedWeight*(d.missed.average+d.owed())))
+	makes := max(capacity, d.makes())
 	d.extra = Level(rates, makes)
 	if d.Known() {
 		d.most = mostLevels*d.extra + max(makes-covered(rates, d.extra), 0)
