--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -3,7 +3,6 @@
 package entitlement
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,7 +24,7 @@
 	missed       rate // of requests within a share that found no room
 	weights      weights
 	settled      time.Duration // 0 before the first settlement
-	unnamed      time.Duration // when a report last did not say which accounts were served; 0: never
+	unattributed time.Duration // when a report last did not say which accounts were served; 0: never
 	level, extra float64       // tokens a second
 	most         float64       // the same
 	entitlements []protocol.Entitlement
@@ -52,7 +51,7 @@
 		d.account(a.Account).given.tokens += float64(a.Tokens)
 	}
 	if m.Started > 0 && len(m.Served) == 0 { // of an older gateway
-		d.unnamed = max(d.settled, 1)
+		d.unattributed = max(d.settled, 1)
 	}
 }
 
@@ -153,7 +152,9 @@
 }
 
 // balanced reports whether all gateways have said for a while which accounts they served.
-func (d *Demand) balanced() bool { return d.unnamed == 0 || d.settled-d.unnamed > balanceMemory }
+func (d *Demand) balanced() bool {
+	return d.unattributed == 0 || d.settled-d.unattributed > balanceMemory
+}
 
 // owed is what the accounts are given less than they are due. Connections that a gateway
 // does not take show in nothing else.
@@ -199,32 +200,3 @@
 func (d *Demand) Short() bool {
 	return len(d.entitlements) > 1 || d.missed.average > shortPart*d.started.average
 }
-
-// Rates are the averages that the entitlements follow from, for the log, in tokens a
-// second.
-type Rates struct {
-	Level, Extra    int64 // of the named rate, and of what the engines make
-	Started, Missed int64
-	Accounts        []AccountRates // the largest demands first
-}
-
-// AccountRates are the averages of one account.
-type AccountRates struct {
-	Account       string
-	Demand, Given int64
-}
-
-// Rates returns the averages, with up to most of the accounts.
-func (d *Demand) Rates(most int) Rates {
-	r := Rates{
-		Level: int64(d.level), Extra: int64(d.extra), Started: int64(d.started.average), Missed: int64(d.missed.average),
-	}
-	for name, a := range d.accounts {
-		r.Accounts = append(r.Accounts, AccountRates{Account: name, Demand: int64(a.demand.average), Given: int64(a.given.average)})
-	}
-	slices.SortFunc(r.Accounts, func(a, b AccountRates) int {
-		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Account, b.Account))
-	})
-	r.Accounts = r.Accounts[:min(most, len(r.Accounts))]
-	return r
-}
--- /dev/null
+++ b/coordination/entitlement/rates.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entitlement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// This file defines Rates, what the leader logs of its estimate.
+
+// Rates are the averages that the entitlements follow from, for the log, in tokens a
+// second.
+type Rates struct {
+	Level, Extra    int64 // of the named rate, and of what the engines make
+	Started, Missed int64
+	Accounts        []AccountRates // the largest demands first
+}
+
+// AccountRates are the averages of one account.
+type AccountRates struct {
+	Account       string
+	Demand, Given int64
+}
+
+// Rates returns the averages, with up to most of the accounts.
+func (d *Demand) Rates(most int) Rates {
+	r := Rates{
+		Level: int64(d.level), Extra: int64(d.extra), Started: int64(d.started.average), Missed: int64(d.missed.average),
+	}
+	for name, a := range d.accounts {
+		r.Accounts = append(r.Accounts, AccountRates{Account: name, Demand: int64(a.demand.average), Given: int64(a.given.average)})
+	}
+	slices.SortFunc(r.Accounts, func(a, b AccountRates) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Account, b.Account))
+	})
+	r.Accounts = r.Accounts[:min(most, len(r.Accounts))]
+	return r
+}
--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -12,6 +12,7 @@
 //   - the gateway is not ready for a while, because the balancer spreads
 //     callers unevenly and other gateways may be idle, and requests beyond
 //     their account's share are refused, the further beyond the sooner;
+//   - new connections are taken no faster than the processor bears ([Pace]);
 //   - every new request is refused, as not run, with its connection closed, so
 //     that its caller reaches another gateway, for as long as the delay is that long.
 //
--- a/process/process.go
+++ b/process/process.go
@@ -3,7 +3,7 @@
 // Package process assembles a process of the routed-HTTP fleet: a gateway
 // ([Gateway]) or a directory replica ([Directory]).
 //
-// It owns the listeners and their limits, the part of the box's memory and
+// It owns the listeners, their limits and the pace of their callers, the part of the box's memory and
 // descriptors that each use gets, the callers' idle connections, the reload of
 // settings, and the restart of a directory replica whose disk failed. What is
 // decided about requests and documents is in [gateway] and [directory].
