--- a/coordination/entitlement/fleet_test.go
+++ b/coordination/entitlement/fleet_test.go
@@ -3,8 +3,10 @@
 package entitlement_test
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
@@ -175,12 +177,9 @@
 			clear(g.served)
 			continue
 		}
-		for account, n := range g.demanded {
-			g.report.Demands = append(g.report.Demands, protocol.Demand{Account: account, Tokens: n})
-		}
-		for account, n := range g.served {
-			g.report.Served = append(g.report.Served, protocol.Demand{Account: account, Tokens: n})
-			g.report.Started += n
+		g.report.Demands, g.report.Served = tokensOf(g.demanded), tokensOf(g.served)
+		for _, s := range g.report.Served {
+			g.report.Started += s.Tokens
 		}
 		f.leader.Add(g.report)
 		g.report = protocol.Usage{}
@@ -193,6 +192,15 @@
 	})
 }
 
+// tokensOf returns tokens by account in the order of the names, so that every run is the same.
+func tokensOf(byAccount map[string]uint64) []protocol.Demand {
+	var out []protocol.Demand
+	for _, account := range slices.Sorted(maps.Keys(byAccount)) {
+		out = append(out, protocol.Demand{Account: account, Tokens: byAccount[account]})
+	}
+	return out
+}
+
 // arrive lets the step's requests come, new ones and those that come back.
 func (f *fleet) arrive() {
 	for _, a := range f.accounts {
