--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -23,8 +23,7 @@
 	served     entitlement.Served
 	// Tokens since the last report.
 	demanded map[string]uint64 // by account
-	began    map[string]int64  // the same of started; negative: to be taken from what starts next
-	started  int64
+	began    map[string]int64  // the same of what started; negative: to be taken from what starts next
 	missed   uint64
 }
 
@@ -56,7 +55,6 @@
 	defer a.mu.Unlock()
 	a.served.Add(a.now(), account, cost)
 	a.classifier.Started(a.now(), account, cost)
-	a.started += int64(cost)
 	a.began[account] += int64(cost)
 }
 
@@ -66,12 +64,12 @@
 func (a *accounts) countNotServed(account string, cost float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.started -= int64(cost)
 	a.began[account] -= int64(cost)
 }
 
 // countMissed counts a request that found no room, on engines or at this gateway: its
-// processor, its memory, or its time until a stop. What is beyond every share does not count, see [entitlement.Demand].
+// processor, its memory, or its time until a stop. What is beyond every share does not
+// count, see [entitlement.Demand].
 func (a *accounts) countMissed(c entitlement.Class, cost float64) {
 	if c == entitlement.Beyond {
 		return
@@ -116,9 +114,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u := protocol.Usage{Demands: takeTokens(a.demanded), Served: takeTokens(a.began), Missed: a.missed}
-	if a.started > 0 {
-		u.Started = uint64(a.started)
-		a.started = 0
+	for _, s := range u.Served {
+		u.Started += s.Tokens // a report that starts something says for whom, see [entitlement.Demand]
 	}
 	a.missed = 0
 	return u
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -144,6 +144,26 @@
 	})
 }
 
+// TestReportSaysWhoWasServed: whatever is taken back, a report whose requests have started
+// says for which accounts; the leader takes one that does not for an older gateway's.
+func TestReportSaysWhoWasServed(t *testing.T) {
+	is := is.New(t)
+	a := newAccounts(func() time.Duration { return time.Second })
+	a.countStarted("a", 100)
+	a.countNotServed("b", 40) // started with an earlier report
+	u := a.takeReport()
+	is.Equal(u.Started, uint64(100))
+	is.Equal(u.Served, []protocol.Demand{{Account: "a", Tokens: 100}})
+	a.countStarted("b", 30)
+	u = a.takeReport()
+	is.Equal(u.Started, uint64(0))
+	is.Equal(len(u.Served), 0)
+	a.countStarted("b", 30)
+	u = a.takeReport()
+	is.Equal(u.Started, uint64(20))
+	is.Equal(u.Served, []protocol.Demand{{Account: "b", Tokens: 20}})
+}
+
 // TestRefusalsOfThisGatewayAreMissed: what is refused for the memory of bodies, or because
 // the gateway stops, is missed like what finds no engine.
 func TestRefusalsOfThisGatewayAreMissed(t *testing.T) {
