--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/drain"
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
@@ -226,6 +227,10 @@
 		if err != nil {
 			return err
 		}
+		if callerHasLeft(ctx) {
+			c.g.release(a, outlier.NoVerdict)
+			return callerLeft{}
+		}
 		c.assigned = a
 		out := c.attempt(ctx, a)
 		if out.execution == retry.Answered {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -17,6 +18,22 @@
 // callerLeft ends a request whose caller has closed the connection.
 type callerLeft struct{}
 
+// callerLeftKey is the key of a context's value that says whether the caller has left.
+type callerLeftKey struct{}
+
+// WithCallerLeft returns a context of requests whose caller has left once left says so. It
+// is asked before each attempt: a request may have waited in the kernel for longer than its
+// caller, and nothing is to run for nobody.
+func WithCallerLeft(ctx context.Context, left func() bool) context.Context {
+	return context.WithValue(ctx, callerLeftKey{}, left)
+}
+
+// callerHasLeft reports what the value of WithCallerLeft says; false without one.
+func callerHasLeft(ctx context.Context) bool {
+	left, ok := ctx.Value(callerLeftKey{}).(func() bool)
+	return ok && left()
+}
+
 // Error implements error.
 func (callerLeft) Error() string { return "the caller has left" }
 
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -144,6 +144,22 @@
 	})
 }
 
+// TestNothingRunsForACallerThatHasLeft: a caller that closed its connection before its request
+// was read, which net/http may notice later, costs no attempt.
+func TestNothingRunsForACallerThatHasLeft(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.serversOf("engines", streams(piece{text: event(1)}))
+		ctx := WithCallerLeft(x.t.Context(), func() bool { return true })
+		is.True(x.askWith(ctx, http.MethodPost, "/engine/x", "a body", "Tokens", "700").cut)
+		is.Equal(x.servers.count(), 0)
+		is.Equal(x.g.accounts.takeReport().Started, uint64(0))
+		is.Equal(len(x.g.table.loads()), 0) // and takes no room
+		ctx = WithCallerLeft(x.t.Context(), func() bool { return false })
+		is.Equal(x.askWith(ctx, http.MethodPost, "/engine/x", "a body", "Tokens", "700").status, 200)
+	})
+}
+
 // TestReportSaysWhoWasServed: whatever is taken back, a report whose requests have started
 // says for which accounts; the leader takes one that does not for an older gateway's.
 func TestReportSaysWhoWasServed(t *testing.T) {
--- a/process/caller.go
+++ b/process/caller.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -47,3 +48,24 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+// left reports whether the caller has closed the connection. net/http notices that too, but
+// in a goroutine of its own, which at a late gateway comes after the request went on to a
+// backend server. What the kernel has not taken from the caller is not seen.
+func (c *callerConn) left() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false // not of the kernel's
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false // the same
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err == syscall.ECONNRESET
+	})
+	return ended || err != nil // closed on this side
+}
--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/badgerspoke/badgerspoke/internal/fakenet"
 	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file tests the time that callers have for a head, with net/http on a
@@ -120,3 +121,36 @@
 		is.True(ended)
 	})
 }
+
+// TestCallerThatLeftIsSeen uses the kernel's connections: one that its caller closed is seen as
+// left, whatever of it has not been read, and one that is open is not.
+func TestCallerThatLeftIsSeen(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	listener := &callerListener{Listener: socket.Limit(l, 10), limits: func() document.Limits { return document.Limits{} }}
+	accept := func() (caller net.Conn, conn *callerConn) {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		accepted, err := listener.Accept()
+		is.NoErr(err)
+		return caller, accepted.(*callerConn)
+	}
+	stays, open := accept()
+	defer stays.Close()
+	goes, closed := accept()
+	_, err = io.WriteString(goes, "GET /")
+	is.NoErr(err)
+	read := make([]byte, 5)
+	_, err = io.ReadFull(closed, read)
+	is.NoErr(err)
+	is.True(!closed.left())
+	is.NoErr(goes.Close())
+	_, err = closed.Read(read) // waits until the end has come
+	is.Equal(err, io.EOF)
+	is.True(closed.left())
+	is.True(!open.left())
+	is.NoErr(closed.Close())
+	is.True(closed.left())
+}
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -101,13 +101,18 @@
 	idle := newIdleConnections(most)
 	paced := newPacedListener(l, p, ctx.Done(), b.log)
 	l = &callerListener{Listener: socket.Limit(paced, most), limits: limits}
-	b.serve(l, &http.Server{Handler: h, ConnState: func(conn net.Conn, state http.ConnState) {
+	b.serve(l, &http.Server{Handler: h, ConnContext: callerContext, ConnState: func(conn net.Conn, state http.ConnState) {
 		conn.(*callerConn).serving.Store(state == http.StateActive)
 		idle.track(conn, state)
 	}})
 	go idle.sweep(ctx, func() time.Duration { return limits().IdleTime })
 }
 
+// callerContext lets the gateway see whether the caller of a request is still there.
+func callerContext(ctx context.Context, conn net.Conn) context.Context {
+	return gateway.WithCallerLeft(ctx, conn.(*callerConn).left)
+}
+
 // mostConnections returns how many callers may be connected at a time.
 func (cfg Settings) mostConnections() int {
 	byDescriptors := cfg.Descriptors - reservedDescriptors
--- a/transport/socket/limit.go
+++ b/transport/socket/limit.go
@@ -3,8 +3,10 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // This file defines a listener that bounds the connections open at once.
@@ -46,6 +48,14 @@
 	free func() // may be called more than once
 }
 
+// SyscallConn implements [syscall.Conn]. The error is of a connection that has none.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 func (c *limitedConn) Close() error {
 	c.free()
 	return c.Conn.Close()
