Registry: a late announcement of a dead server does not take its successor's address

Cause: an identifier that the registry did not know was taken for a new server and got its address, so a heartbeat held up by a cut, of a server that had crashed, removed the one that had started there since; that one's requests were answered as misdirected until it announced itself again.

The ways weighed are in the package comment; the same holds after a change of leader, where the log has one of the two or none. Announced addresses without a port, unspecified or multicast are invalid.

TestLateAnnouncementOfADeadServer: fails without the rule, passes with it.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -7,6 +7,15 @@
 // The model: soft state on the leader. A backend server announces itself once in each
 // interval, under an identifier that is new at each of its starts; one that falls
 // silent is not removed soon but replaced when another announces the same address.
+// Announcements may be seconds late, also beyond the end of their sender. So of two
+// identifiers at one address the one with the smaller number is taken for the later
+// start: each start numbers its announcements from 1, and both announce at one interval.
+// Ways weighed: the later arrival wins (the rule before; a late announcement took the
+// address from the live server until that announced itself again); departures logged
+// for whoever is replaced (a wrong one would be for good); the replaced identifiers
+// kept for a while (one that was wrongly replaced must be able to come back, and a new
+// leader does not have them).
+//
 // Departures are not soft: the caller keeps them in a replicated log and passes on only
 // the announcements of backend servers that have not departed. A new leader starts from
 // the registrations in the log and is complete once all had the time to announce
@@ -46,9 +55,13 @@
 	if a.ID == "" || a.Pool == "" {
 		return Invalid{What: "no identifier or no pool"}
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil {
 		return Invalid{What: fmt.Sprintf("address %q is not IP:PORT", a.Address)}
 	}
+	if ip := address.Addr(); address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
+		return Invalid{What: fmt.Sprintf("address %q is of no single server", a.Address)}
+	}
 	if a.Slots < 0 {
 		return Invalid{What: fmt.Sprintf("%d slots", a.Slots)}
 	}
@@ -89,6 +102,16 @@
 // this bound only keeps the table from growing. Chosen, not measured.
 const forgetAfter = 40
 
+// Which of two backend servers has an address.
+const (
+	// firstNumbers are of a backend server that has just started: one announcement may
+	// have got no answer. Chosen, not measured.
+	firstNumbers = 2
+	// aliveFor is how long a backend server counts as alive after an announcement, in
+	// intervals: one may be late. Chosen, not measured.
+	aliveFor = 2
+)
+
 // New returns an empty registry of a replica that leads from now on.
 func New(now, interval time.Duration) *Registry {
 	return &Registry{
@@ -106,9 +129,13 @@
 }
 
 // Announce takes an announcement of a backend server that has not departed. A late
-// one, with a number that is not above the last, changes nothing.
+// one changes nothing: one with a number that is not above the last, and one of a backend
+// server whose address another one has that started later.
 func (r *Registry) Announce(now time.Duration, a Announcement) Change {
 	e := r.servers[a.ID]
+	if e == nil && r.outlived(now, a) {
+		return Change{}
+	}
 	if e == nil {
 		return r.add(now, a.Registration, a.Seq)
 	}
@@ -128,6 +155,15 @@
 	return Change{Set: []protocol.Server{e.Server}, Gone: gone}
 }
 
+// outlived reports whether the announcement of an unlisted backend server is of one that
+// ended before the present one at its address started. One that was listed by an earlier
+// leader and has not announced itself here has no number yet, and counts as the later
+// start for as long as it may be alive.
+func (r *Registry) outlived(now time.Duration, a Announcement) bool {
+	present := r.servers[r.byAddress[a.Address]]
+	return present != nil && now-present.lastSeen <= aliveFor*r.interval && a.Seq > max(present.seq, firstNumbers)
+}
+
 // occupy gives a backend server its address, and removes and returns any other one
 // there.
 func (r *Registry) occupy(s protocol.Registration) (gone []string) {
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -32,6 +32,9 @@
 		"no pool":        {ID: "a", Address: "10.0.0.1:80"},
 		"no port":        {ID: "a", Pool: "p", Address: "10.0.0.1"},
 		"a name":         {ID: "a", Pool: "p", Address: "host:80"},
+		"port 0":         {ID: "a", Pool: "p", Address: "10.0.0.1:0"},
+		"unspecified":    {ID: "a", Pool: "p", Address: "0.0.0.0:80"},
+		"multicast":      {ID: "a", Pool: "p", Address: "224.0.0.1:80"},
 		"negative slots": {ID: "a", Pool: "p", Address: "10.0.0.1:80", Slots: -1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -146,3 +149,47 @@
 	is.Equal(RedialPause(redialsAtOnce+1), redialLongest)
 	is.True(fleetLongest < SilenceLimit) // a leader with little to send is not left
 }
+
+// TestLateAnnouncementOfADeadServer: at one address "a" has crashed and "b" has started;
+// an announcement of "a" was held up on its way.
+func TestLateAnnouncementOfADeadServer(t *testing.T) {
+	const address = "10.0.0.1:80"
+	crashed := func(r *Registry) {
+		for n := range uint64(20) {
+			r.Announce(time.Duration(n)*interval, announcement("a", address, n+1))
+		}
+	}
+	is := is.New(t)
+	r := New(0, interval)
+	crashed(r)
+	is.Equal(r.Announce(21*interval, announcement("b", address, 1)).Gone, []string{"a"})
+	is.True(r.Announce(21*interval+1, announcement("a", address, 21)).Empty())
+	is.True(r.Announce(22*interval, announcement("b", address, 2)).Empty())
+	is.True(r.Announce(24*interval, announcement("a", address, 22)).Empty())
+	is.Equal(ids(r.List()), []string{"b"})
+
+	// A third one starts: its number is the smallest.
+	is.Equal(r.Announce(24*interval, announcement("c", address, 1)).Gone, []string{"b"})
+	// Its address goes to a fourth, whose first announcements got no answer.
+	is.True(r.Announce(24*interval, announcement("d", address, 4)).Empty())
+	is.Equal(r.Announce((24+aliveFor)*interval+1, announcement("d", address, 7)).Gone, []string{"c"}) // c is silent
+
+	// A new leader that has "b" from the log, and "a" from nowhere.
+	r = New(0, interval)
+	r.Restore(0, announcement("b", address, 0).Registration)
+	is.True(r.Announce(interval/2, announcement("a", address, 22)).Empty())
+	is.True(r.Announce(interval, announcement("b", address, 3)).Empty())
+	is.Equal(ids(r.List()), []string{"b"})
+
+	// One that has nothing from the log takes whoever comes first, and corrects itself.
+	r = New(0, interval)
+	is.Equal(ids(r.Announce(0, announcement("a", address, 22)).Set), []string{"a"})
+	is.Equal(r.Announce(interval, announcement("b", address, 3)).Gone, []string{"a"})
+	is.True(r.Announce(interval, announcement("a", address, 23)).Empty())
+
+	// One that was wrongly kept out is listed once the other is silent.
+	r = New(0, interval)
+	r.Announce(0, announcement("a", address, 1))
+	is.True(r.Announce(interval, announcement("b", address, 9)).Empty())
+	is.Equal(r.Announce(aliveFor*interval+1, announcement("b", address, 10)).Gone, []string{"a"})
+}
