Links: a connection that falls silent for good is left

The sender of a mesh link reads nothing from it, so only the kernel's bound on unacknowledged bytes ended it, if there was one; the leader kept the session of a gateway, and what it had reported last, until the kernel did.

Change: the sender of a mesh link pings (every 250 ms, 1 s for the answer); the leader ends a session that reported nothing for 3 s. fakenet can silence all open connections.

--- a/coordination/registry/pace.go
+++ b/coordination/registry/pace.go
@@ -30,6 +30,12 @@
 // above fleetLongest, not measured.
 const SilenceLimit = time.Second
 
+// ReportSilence is the silence of a gateway after which the leader ends its session, so
+// that what it reported last does not count for ever. A gateway whose connection fell
+// silent has left it after SilenceLimit and opened another. Chosen, not measured: 30
+// reports, so that one that only is late is rarely sent the whole list again.
+const ReportSilence = 3 * time.Second
+
 // FleetPause returns how long a link waits after a Fleet message of a size in bytes,
 // so that it keeps to its budget. It is less by half a period because the caller looks
 // once a period: the tick that is nearest counts.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/gateway"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
@@ -383,3 +384,28 @@
 		is.True(next != nil && next != l)
 	})
 }
+
+// TestConnectionsFallSilent: all open connections are silent for good while new ones
+// work. The group elects, takes a document and brings it to its gateways on new ones, and
+// nothing that was reported over an old one counts on.
+func TestConnectionsFallSilent(t *testing.T) {
+	inFleet(t, voters, func(x *fleet) {
+		is := is.New(t)
+		gateways := []*gateway.Gateway{x.gateway("10.0.2.1"), x.gateway("10.0.2.2")}
+		is.NoErr(x.announce("b1", false))
+		x.put(1)
+		time.Sleep(time.Second)
+		for n := range uint64(3) {
+			x.net.Silence()
+			began := time.Now()
+			x.put(n + 2)
+			for _, g := range gateways {
+				for g.DocumentNumber() < n+2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			is.True(time.Since(began) < 3*time.Second)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -6,7 +6,9 @@
 // A connection carries bytes after a latency, in order, through a buffer. A
 // box can be cut off in silence: its connections stay open and nothing
 // arrives, in either direction, until it is joined again, as with a cable
-// pulled. Connections to and from a box that was killed break at once.
+// pulled. Connections to and from a box that was killed break at once. All open
+// connections can fall silent for good while new ones work, as when something on the
+// way has forgotten them.
 package fakenet
 
 import (
@@ -154,6 +156,17 @@
 	n.wakeTravellers()
 }
 
+// Silence makes every connection that is open now silent for good: both sides may go
+// on writing, and nothing arrives, not even the end. Connections opened later work.
+func (n *Network) Silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.in.change(func() { c.in.silent = true })
+		c.out.change(func() { c.out.silent = true })
+	}
+}
+
 // wakeTravellers lets all that waits for a box look again. The caller holds mu.
 func (n *Network) wakeTravellers() {
 	close(n.joined)
@@ -266,6 +279,7 @@
 	chunks   []chunk
 	finished bool // by the writer
 	gone     bool // the reader has closed
+	silent   bool // nothing arrives any more
 	deadline time.Time
 	changed  chan struct{} // closed and replaced on every change
 }
@@ -295,7 +309,7 @@
 			err = net.ErrClosed
 			return
 		}
-		if p.gone {
+		if p.gone && !p.silent {
 			err = io.ErrClosedPipe
 			return
 		}
@@ -345,7 +359,7 @@
 	if !p.deadline.IsZero() {
 		wait = p.deadline.Sub(now)
 	}
-	if cut || len(p.chunks) == 0 {
+	if cut || p.silent || len(p.chunks) == 0 {
 		return 0, wait, p.changed, nil
 	}
 	c := &p.chunks[0]
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -21,7 +21,9 @@
 // writes, and the counters of bytes and messages ([Meter]). It relies on
 // package protocol for the encoding and its size limit. A read has no deadline
 // of its own: a caller that expects messages at some rate passes a context that
-// ends ([Link.Receive]). There are no locks; an [Outbox] has one goroutine.
+// ends ([Link.Receive]), and one that only sends lets [Link.CloseWhenSilent] watch:
+// a connection may fall silent for good, without an error, while new ones work.
+// There are no locks; an [Outbox] has one goroutine.
 package link
 
 import (
@@ -33,6 +35,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -51,6 +54,13 @@
 	WriteTimeout = 5 * time.Second
 )
 
+// Pings of a link on which nothing comes back otherwise. Chosen, not measured: a second
+// bears two lost packets, and a gateway waits as long for a leader (registry.SilenceLimit).
+const (
+	pingPeriod  = 250 * time.Millisecond
+	pingTimeout = time.Second // for the answer
+)
+
 // Identity is the name that a box claims and the key that it proves.
 type Identity struct {
 	Name string
@@ -164,6 +174,21 @@
 	}
 }
 
+// CloseWhenSilent pings the peer until ctx or the link ends, and closes the link when an
+// answer does not come within pingTimeout. The peer answers while it calls Receive, and
+// this side must call it too, in another goroutine.
+func (l *Link) CloseWhenSilent(ctx context.Context) {
+	for range sleep.Every(ctx, pingPeriod) {
+		waiting, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := l.conn.Ping(waiting)
+		cancel()
+		if err != nil {
+			l.Close()
+			return
+		}
+	}
+}
+
 // Close ends the link at once. It may be called more than once; the error of a
 // connection that is closed already has no consequence.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -6,7 +6,8 @@
 // Each replica sends on the links that it opened and receives on those that
 // it accepted, so two replicas never have to agree on which link to keep. A
 // message that cannot be sent now is dropped, as consensus allows: a newer one
-// replaces it. A link without messages for [idleTime] is closed.
+// replaces it. A link without messages for [idleTime] is closed, and so is one whose
+// peer answers no ping: the sender of a link reads nothing else from it.
 //
 // The package owns the queues, the links that it opens and, while it serves them,
 // those that it accepts. It relies on its caller for the replicas' addresses and
@@ -152,6 +153,7 @@
 		_, _ = l.Receive(ctx)
 		cancel()
 	}()
+	go l.CloseWhenSilent(ctx)
 	idle := time.NewTimer(idleTime)
 	defer idle.Stop()
 	for {
