Gateway: silence on a kept connection says nothing of the backend server

Cause: connections to backend servers had no bound on unacknowledged bytes, so a request on one that had fallen silent waited for its deadline where it may not be repeated; where it may, each silent connection counted against its server, and three in a row eject it: all servers at once, since all old connections fall silent together.

Change: connections to backend servers have the bound and the probes of our links (2 s of unacknowledged bytes; probes after 2 s). Silence on a kept connection is no verdict on the server, closes its other idle connections, and counts only once a connection opened later is silent too (outlier.Doubt). forward.Client knows its open connections and which are idle.

TestSilentConnectionsEjectNobody fails with the verdict of before; TestSilentConnections, TestDropIdle.

--- /dev/null
+++ b/coordination/outlier/silence_test.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSilentConnections follows the attempts at one server, in seconds.
+func TestSilentConnections(t *testing.T) {
+	var d Doubt
+	for _, tt := range []struct {
+		what               string
+		now, began, opened float64
+		verdict            Verdict
+		drop               bool
+	}{
+		{"a new connection", 5, 4, 4, Lost, false},
+		{"the first kept one", 10, 9, 3, NoVerdict, true},
+		{"others that were open then", 10.5, 9.5, 8, NoVerdict, false},
+		{"the same", 12, 11, 10, NoVerdict, false},
+		{"one opened after it, for the attempt", 13, 12, 12, Lost, false},
+		{"one opened after it, and kept", 14, 13, 11, Lost, false},
+		{"much later", 21, 20, 15, NoVerdict, true},
+	} {
+		t.Run(tt.what, func(t *testing.T) {
+			is := is.New(t)
+			at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+			v, drop := d.Silent(at(tt.now), at(tt.began), at(tt.opened))
+			is.Equal(v, tt.verdict)
+			is.Equal(drop, tt.drop)
+		})
+	}
+}
--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -57,6 +57,8 @@
 // scripted does what the identifier of a request says.
 type scripted struct{}
 
+func (scripted) DropIdle(string) {}
+
 func (scripted) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
 	answer := &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}
 	switch call.Header.Get("Id") {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,8 +36,9 @@
 	c.stall = c.watchStall(cancel)
 	out := c.exchange(ctx, a)
 	answered := out.execution == retry.Answered
-	if c.stall.stop() && !answered && c.r.Context().Err() == nil {
-		out.blame, out.cause = outlier.Lost, "silent"
+	silent := c.stall.stop() || forward.Silent(out.err)
+	if silent && !answered && c.r.Context().Err() == nil {
+		out.blame, out.cause = c.g.silentBlame(a), "silent"
 	} else if ctx.Err() != nil && !answered {
 		out.blame = outlier.NoVerdict // the caller left, or the time is over
 	}
@@ -56,9 +57,10 @@
 func (c *call) exchange(ctx context.Context, a *assignment) outcome {
 	answer, err := c.g.cfg.Server.Send(ctx, a.address, c.outgoing(a))
 	if err != nil {
-		return c.sendFailed(err)
+		return c.sendFailed(a, err)
 	}
 	defer answer.Body.Close()
+	a.opened = c.g.since(answer.Opened)
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
 	if head.ID != c.head.ID {
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", blame: outlier.Faulty, err: errCrossed}
@@ -82,7 +84,11 @@
 	}
 }
 
-func (c *call) sendFailed(err error) outcome {
+func (c *call) sendFailed(a *assignment, err error) outcome {
+	var unknown forward.Unknown
+	if errors.As(err, &unknown) {
+		a.opened = c.g.since(unknown.Opened)
+	}
 	var not forward.NotRun
 	if !errors.As(err, &not) {
 		return outcome{execution: retry.MayHaveRun, cause: "lost", blame: outlier.Lost, err: err}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
@@ -43,6 +44,7 @@
 	began       time.Duration
 	tokensAhead int           // tokens in front when it began
 	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
+	opened      time.Duration // the connection; 0: it got none
 	trial       bool          // of an ejected server
 	answering   bool          // a part of the answer has come
 	ended       bool
@@ -121,6 +123,20 @@
 	a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst))
 }
 
+// silentBlame returns the verdict for an attempt that ended because nothing came from
+// its backend server, and has the next request try a new connection if that is a kept
+// connection's fault.
+func (g *Gateway) silentBlame(a *assignment) outlier.Verdict {
+	g.table.mu.Lock()
+	v, drop := a.known.doubt.Silent(g.now(), a.began, a.opened)
+	g.table.mu.Unlock()
+	if drop {
+		g.cfg.Server.DropIdle(a.address)
+		g.cfg.Log.Failure("connection silent", slog.String("backend", a.server), milliseconds("open_ms", g.now()-a.opened))
+	}
+	return v
+}
+
 // release ends an attempt at its backend server, with the verdict on the server, and
 // reports whether that ejects it. A server that the directory does not list is used
 // as long as it answers, and no longer.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -78,6 +78,7 @@
 	mu       sync.Mutex
 	does     map[string]behaviour // by address
 	arrivals []forward.Call
+	dropped  []string // addresses whose idle connections were closed
 }
 
 func (f *fakeServers) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
@@ -91,6 +92,12 @@
 	return does(ctx, call)
 }
 
+func (f *fakeServers) DropIdle(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped = append(f.dropped, address)
+}
+
 func (f *fakeServers) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 // Server sends calls to backend servers. [forward.Client] is one.
 type Server interface {
 	Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error)
+	// DropIdle closes the idle connections to an address.
+	DropIdle(address string)
 }
 
 var _ Server = (*forward.Client)(nil)
@@ -103,6 +105,14 @@
 // now is the gateway's monotonic clock. It is never 0.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) + 1 }
 
+// since is a time by the gateway's monotonic clock; 0 for the zero time.
+func (g *Gateway) since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(g.start) + 1
+}
+
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready() bool {
 	return g.stopped.Load() == 0 && g.routes.Load() != nil && g.table.size() > 0 && !g.overload.Load().Unready(g.now()) &&
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
@@ -326,3 +327,49 @@
 	x.g.ServeHTTP(w, r)
 	return reply{status: w.Code, header: w.Result().Header, body: w.Body.String()}
 }
+
+// TestSilentConnectionsEjectNobody: the kept connections to both servers fall silent.
+// Their streams are taken up elsewhere, no server is ejected for it, and the idle
+// connections are dropped. When the new connections are silent too, the server is.
+func TestSilentConnectionsEjectNobody(t *testing.T) {
+	var x *fixture
+	opened, silent := time.Time{}, false
+	kept := func(does behaviour) behaviour {
+		return func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
+			if silent {
+				<-ctx.Done()
+				return nil, forward.Unknown{Opened: opened, Err: ctx.Err()}
+			}
+			return does(ctx, call)
+		}
+	}
+	bubble(t, func(fx *fixture) {
+		x = fx
+		is := is.New(x.t)
+		opened = time.Now()
+		time.Sleep(time.Second)
+		silent = true
+		for range 8 {
+			x.ask("/resume/x")
+		}
+		x.g.table.mu.Lock()
+		for _, k := range x.g.table.servers {
+			is.Equal(k.health.State(x.g.now()), outlier.InUse)
+		}
+		x.g.table.mu.Unlock()
+		is.True(len(x.servers.dropped) > 0)
+		opened = time.Now().Add(time.Hour) // all are new from here on
+		for range 8 {
+			x.ask("/resume/x")
+		}
+		ejected := 0
+		x.g.table.mu.Lock()
+		for _, k := range x.g.table.servers {
+			if k.health.State(x.g.now()) != outlier.InUse {
+				ejected++
+			}
+		}
+		x.g.table.mu.Unlock()
+		is.True(ejected > 0)
+	}, kept(resuming(5, 0, nil)), kept(resuming(5, 0, nil)))
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -21,6 +21,7 @@
 type knownServer struct {
 	protocol.Server
 	health   outlier.FailureRate
+	doubt    outlier.Doubt
 	pace     place.Pace
 	own      place.Work // running there from this gateway; prompts count until their first event
 	others   place.Work // the same of all other gateways, as of othersAt
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -53,7 +53,7 @@
 	defer b.close()
 	opened := metricSet.GetOrCreateCounter("badgerspoke_gateway_backend_connections_total")
 	client := forward.New(forward.Settings{
-		Dialer: &net.Dialer{Timeout: serverDialTimeout}, IdlePerServer: idlePerServer, IdleTime: serverIdleTimeout,
+		Dialer: socket.Dialer(serverDialTimeout), IdlePerServer: idlePerServer, IdleTime: serverIdleTimeout,
 		Refused: notRun, Opened: opened.Inc,
 	})
 	defer client.Close()
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -6,17 +6,22 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// This file defines how a Client learns whether anything of a call was sent: it
-// counts the bytes written to each connection. It stands apart because net/http
-// does not report that.
+// This file defines countingConn, a connection to a backend server: whether anything of
+// a call was sent on it, and whether it is idle, neither of which net/http reports.
 
-// countingConn counts the bytes that the kernel has accepted.
+// countingConn counts the bytes that the kernel has accepted, and the calls.
 type countingConn struct {
 	net.Conn
+	opened  time.Time
+	closed  func() // forgets the connection
 	written atomic.Int64
+	calls   atomic.Int64 // that were given the connection
+	ended   atomic.Int64 // number of the last call after which it was kept
 }
 
 // Write implements [net.Conn].
@@ -26,8 +31,59 @@
 	return n, err
 }
 
+// Close implements [net.Conn].
+func (c *countingConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// idle reports whether no call has the connection. One may get it right after: to it,
+// a connection that is closed then is one that the server closed.
+func (c *countingConn) idle() bool { return c.ended.Load() == c.calls.Load() && c.calls.Load() > 0 }
+
+// connections are the open connections of a client, by the server's address.
+type connections struct {
+	mu   sync.Mutex // a leaf
+	open map[string]map[*countingConn]bool
+}
+
+// add takes a new connection and returns it as one that counts.
+func (o *connections) add(address string, conn net.Conn) *countingConn {
+	c := &countingConn{Conn: conn, opened: time.Now()}
+	c.closed = func() { o.remove(address, c) }
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.open[address] == nil {
+		o.open[address] = map[*countingConn]bool{}
+	}
+	o.open[address][c] = true
+	return c
+}
+
+func (o *connections) remove(address string, c *countingConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open[address], c)
+	if len(o.open[address]) == 0 {
+		delete(o.open, address)
+	}
+}
+
+// idleTo returns the idle connections to an address.
+func (o *connections) idleTo(address string) []*countingConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var idle []*countingConn
+	for c := range o.open[address] {
+		if c.idle() {
+			idle = append(idle, c)
+		}
+	}
+	return idle
+}
+
 // countingDial returns a dial function whose connections count.
-func countingDial(cfg Settings) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (o *connections) countingDial(cfg Settings) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := cfg.Dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -36,28 +92,49 @@
 		if cfg.Opened != nil {
 			cfg.Opened()
 		}
-		return &countingConn{Conn: conn}, nil
+		return o.add(address, conn), nil
 	}
 }
 
 // sending is one call on its connection. The zero value has none yet.
 type sending struct {
 	conn   atomic.Pointer[countingConn]
+	number int64 // of the call on the connection
 	before int64 // bytes that the connection had taken before the call
 }
 
+// trace lets net/http report to s.
+func (s *sending) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.begin, PutIdleConn: s.end})
+}
+
 // begin is called by net/http when the call gets its connection.
 func (s *sending) begin(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*countingConn)
 	if !ok {
 		return
 	}
-	s.before = c.written.Load()
+	s.number, s.before = c.calls.Add(1), c.written.Load()
 	s.conn.Store(c)
 }
 
+// end is called by net/http when it keeps the connection.
+func (s *sending) end(err error) {
+	if c := s.conn.Load(); c != nil && err == nil {
+		c.ended.Store(s.number)
+	}
+}
+
 // begun reports whether a byte of the call may have been sent.
 func (s *sending) begun() bool {
 	c := s.conn.Load()
 	return c != nil && c.written.Load() > s.before
 }
+
+// opened returns when the call's connection was opened; zero without one.
+func (s *sending) opened() time.Time {
+	if c := s.conn.Load(); c != nil {
+		return c.opened
+	}
+	return time.Time{}
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -14,7 +14,7 @@
 // The package owns the pool of kept connections. It relies on the caller's
 // context for every limit of time after the dial, except for
 // [Settings.HeaderTimeout], and on the caller to close [Answer.Body]. A Client
-// has no locks of its own; the count of bytes on a connection is atomic.
+// has one lock, a leaf, over its list of open connections.
 //
 // The standard library's transport repeats a request by itself when a kept
 // connection turns out closed and the request looks repeatable, which a GET
@@ -29,10 +29,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,6 +79,7 @@
 	Header http.Header
 	Length int64 // of the body, -1 when unknown
 	Body   io.ReadCloser
+	Opened time.Time // the connection
 }
 
 // NotRun is a call that certainly did not run.
@@ -104,6 +105,7 @@
 // Unknown is a call that may have run.
 type Unknown struct {
 	Server string
+	Opened time.Time // the connection
 	Err    error
 }
 
@@ -115,6 +117,10 @@
 // Unwrap returns the cause.
 func (e Unknown) Unwrap() error { return e.Err }
 
+// Silent reports whether an error of a call, or of its answer's body, is that of a
+// connection whose other side acknowledged nothing for too long.
+func Silent(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // Dialer opens connections; *net.Dialer is one.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -145,6 +151,7 @@
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
+	conns     *connections
 	refused   func(status int, h http.Header) bool
 }
 
@@ -159,8 +166,9 @@
 	if cfg.Refused == nil {
 		cfg.Refused = refused
 	}
-	return &Client{refused: cfg.Refused, transport: &http.Transport{
-		DialContext:            countingDial(cfg),
+	conns := &connections{open: map[string]map[*countingConn]bool{}}
+	return &Client{refused: cfg.Refused, conns: conns, transport: &http.Transport{
+		DialContext:            conns.countingDial(cfg),
 		ResponseHeaderTimeout:  cfg.HeaderTimeout,
 		MaxIdleConnsPerHost:    max(cfg.IdlePerServer, fewestIdle),
 		IdleConnTimeout:        cfg.IdleTime,
@@ -172,20 +180,27 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// DropIdle closes the idle connections to an address, so that the next calls go out on
+// new ones.
+func (c *Client) DropIdle(address string) {
+	for _, conn := range c.conns.idleTo(address) {
+		_ = conn.Close() // it may be closed already
+	}
+}
+
 // Send sends a call to the server at address and returns the head of its
 // answer. Cancelling ctx ends the call, its body included. The error is
 // [NotRun] or [Unknown].
 func (c *Client) Send(ctx context.Context, address string, call Call) (*Answer, error) {
 	var sent sending
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.begin})
-	req, err := newRequest(ctx, address, call)
+	req, err := newRequest(sent.trace(ctx), address, call)
 	if err != nil {
 		return nil, NotRun{Server: address, Err: err}
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		if sent.begun() {
-			return nil, Unknown{Server: address, Err: err}
+			return nil, Unknown{Server: address, Opened: sent.opened(), Err: err}
 		}
 		return nil, NotRun{Server: address, Err: err}
 	}
@@ -198,7 +213,9 @@
 			Err: errors.Errorf("status %d", resp.StatusCode),
 		}
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body}, nil
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, Opened: sent.opened(),
+	}, nil
 }
 
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
--- a/transport/forward/sent_test.go
+++ b/transport/forward/sent_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -186,3 +187,47 @@
 		is.Equal(opened, 1) // a refusal keeps its connection
 	})
 }
+
+// TestDropIdle: kept connections fall silent, and once they are dropped calls go out on
+// new ones. One that a call has is left alone.
+func TestDropIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		rawServer(t, n, func(conn net.Conn, _ *bufio.Reader, _ int) {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(conn, fineAnswer)
+		})
+		opened := 0
+		c := forward.New(forward.Settings{Dialer: n.Box("10.0.0.2"), Opened: func() { opened++ }})
+		defer n.Kill("10.0.0.1") // what is silent ends nothing by itself
+		defer c.Close()
+		call := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			a, err := c.Send(ctx, address, forward.Call{Method: "POST", Path: "/x", Body: []byte("b")})
+			if err == nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+			}
+			return err
+		}
+		is.NoErr(call(time.Second))
+		before := time.Now()
+		time.Sleep(time.Second)
+		n.Silence()
+		var unknown forward.Unknown
+		is.True(errors.As(call(time.Second), &unknown)) // it may have run
+		is.True(unknown.Opened.Before(before))
+		go func() { is.NoErr(call(time.Second)) }()
+		time.Sleep(50 * time.Millisecond)
+		c.DropIdle(address) // while a call has the connection
+		time.Sleep(time.Second)
+		is.Equal(opened, 2)
+		n.Silence()
+		c.DropIdle(address)
+		synctest.Wait() // the library sees that they are closed
+		is.NoErr(call(time.Second))
+		is.Equal(opened, 3)
+	})
+}
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -36,8 +36,12 @@
 
 // Dial opens a connection. It has the shape of net.Dialer.DialContext.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return d.DialContext(ctx, network, address)
+	return Dialer(DialTimeout).DialContext(ctx, network, address)
+}
+
+// Dialer opens connections, each within a time.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 }
 
 // Listen opens a listener whose connections notice a silent peer.
