Process: a gateway that would accept no connection does not say that it is ready

While its connections are paced it was not ready already.

Change: readiness asks the listener whether it is full.

TestReadyMeansAccepting: 200 instead of 503 without it.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -169,7 +169,11 @@
 }
 
 func (b *Box) startRouter(ctx context.Context) {
-	b.server = forward.New(forward.Settings{Dialer: b.cfg.Dialer})
+	dialer := b.cfg.Dialer
+	if dialer == nil {
+		dialer = socket.Dialer(socket.DialTimeout)
+	}
+	b.server = forward.New(forward.Settings{Dialer: dialer})
 	b.router = router.Start(ctx, router.Settings{
 		Identity: b.identity(), Hall: b.cfg.Hall, Replicas: b.cfg.Replicas,
 		Server: b.server, Limits: b.cfg.Limits, Pace: b.cfg.Pace,
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -64,10 +64,11 @@
 		Retries: cfg.Retries, Grace: cfg.Grace, Bodies: int64(bodiesPart * float64(cfg.Memory)),
 		Random: rand.Uint64, Log: log, Metrics: metricSet,
 	})
-	if err := b.listen(cfg.Ready, readiness(g)); err != nil {
+	callers, err := b.listenToCallers(running, g)
+	if err != nil {
 		return err
 	}
-	if err := b.listenToCallers(running, g); err != nil {
+	if err := b.listen(cfg.Ready, readiness(g, callers)); err != nil {
 		return err
 	}
 	for {
@@ -82,30 +83,30 @@
 }
 
 // listenToCallers serves callers at their address.
-func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) error {
+func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (*socket.Limited, error) {
 	// The bounds on idle connections and on writes end the connection of a caller
 	// that is gone; probes would cost system calls for each caller.
 	listening := net.ListenConfig{KeepAlive: -1}
 	l, err := listening.Listen(ctx, "tcp", b.cfg.Callers)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", b.cfg.Callers)
+		return nil, errors.Wrapf(err, "listen on %s", b.cfg.Callers)
 	}
-	b.serveCallers(ctx, l, g, g.Limits, g)
-	return nil
+	return b.serveCallers(ctx, l, g, g.Limits, g), nil
 }
 
 // serveCallers serves callers with a bound on their connections, and within the
 // limits of the document in force.
-func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) {
+func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) *socket.Limited {
 	most := b.cfg.mostConnections()
 	idle := newIdleConnections(most)
 	paced := newPacedListener(l, p, ctx.Done(), b.log)
-	l = &callerListener{Listener: socket.Limit(paced, most), limits: limits}
-	b.serve(l, &http.Server{Handler: h, ConnContext: callerContext, ConnState: func(conn net.Conn, state http.ConnState) {
+	limited := socket.Limit(paced, most)
+	b.serve(&callerListener{Listener: limited, limits: limits}, &http.Server{Handler: h, ConnContext: callerContext, ConnState: func(conn net.Conn, state http.ConnState) {
 		conn.(*callerConn).serving.Store(state == http.StateActive)
 		idle.track(conn, state)
 	}})
 	go idle.sweep(ctx, func() time.Duration { return limits().IdleTime })
+	return limited
 }
 
 // callerContext lets the gateway see whether the caller of a request is still there.
@@ -120,10 +121,14 @@
 	return max(min(byDescriptors, byMemory), fewestConnections)
 }
 
-// readiness answers whether new callers should come here.
-func readiness(g *gateway.Gateway) http.Handler {
+// ready is what says whether new callers should come here.
+type ready interface{ Ready() bool }
+
+// readiness answers whether new callers should come here: not while none of their
+// connections would be accepted.
+func readiness(g ready, callers *socket.Limited) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !g.Ready() {
+		if !g.Ready() || callers.Full() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- /dev/null
+++ b/process/gateway_test.go
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package process
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
+)
+
+type alwaysReady struct{}
+
+func (alwaysReady) Ready() bool { return true }
+
+// TestReadyMeansAccepting: a gateway that would accept no connection of a caller does not
+// say that it is ready.
+func TestReadyMeansAccepting(t *testing.T) {
+	is := is.New(t)
+	n := fakenet.New(0)
+	l, err := n.Listen("10.0.0.1:80")
+	is.NoErr(err)
+	callers := socket.Limit(l, 2)
+	defer callers.Close()
+	status := func() int {
+		w := httptest.NewRecorder()
+		readiness(alwaysReady{}, callers).ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+		return w.Code
+	}
+	for range 2 {
+		is.Equal(status(), 200)
+		_, err := n.Box("10.0.0.2").DialContext(t.Context(), "tcp", "10.0.0.1:80")
+		is.NoErr(err)
+		conn, err := callers.Accept()
+		is.NoErr(err)
+		defer conn.Close()
+		if callers.Full() {
+			is.Equal(status(), 503)
+			conn.Close()
+			is.Equal(status(), 200)
+		}
+	}
+}
--- a/transport/socket/limit.go
+++ b/transport/socket/limit.go
@@ -13,18 +13,23 @@
 
 // Limit returns a listener that accepts at most n connections at a time; more
 // wait in the kernel's backlog. Lock: none; the channel is the counter.
-func Limit(l net.Listener, n int) net.Listener {
-	return &limited{Listener: l, places: make(chan struct{}, n), closed: make(chan struct{})}
+func Limit(l net.Listener, n int) *Limited {
+	return &Limited{Listener: l, places: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
-type limited struct {
+// Limited is a listener with a bound on its connections.
+type Limited struct {
 	net.Listener
 	places chan struct{}
 	closed chan struct{}
 	once   sync.Once
 }
 
-func (l *limited) Accept() (net.Conn, error) {
+// Full reports whether no connection can be accepted until another one ends.
+func (l *Limited) Full() bool { return len(l.places) == cap(l.places) }
+
+// Accept implements [net.Listener]. It waits while the listener is full.
+func (l *Limited) Accept() (net.Conn, error) {
 	select {
 	case l.places <- struct{}{}:
 	case <-l.closed:
@@ -38,7 +43,8 @@
 	return &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.places })}, nil
 }
 
-func (l *limited) Close() error {
+// Close implements [net.Listener].
+func (l *Limited) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
