Directory: what all gateways get is made once, and changes go out by the tick

Cause: the leader's work and bytes grew with gateways times servers. Each announced server was a message of its own to each session (3,000 servers that start before 300 gateways are 900,000 messages in a second, over the queue of 256 that a session has: all sessions closed and came back for the whole list); the whole list was encoded for each session and sent again when it was complete; a Fleet message was made and encoded twice for each gateway with every server in use, ten times a second.

Change: changes of the registry are gathered until the tick (100 ms) and encoded once; a whole list is encoded once for all that open between two changes, and that it is complete is said without a list; a Fleet message is the same for all gateways and has only the sums that changed, at most 440 (registry.Feed), and each gateway subtracts its own report, whose number goes before the message (Counted). Joins in the store and the search for silent servers are not quadratic any more. A gateway of before takes no sums from such a leader, and a leader of before sends none that count here: during an upgrade gateways place by their own work, as without a leader.

--- a/coordination/registry/pace.go
+++ b/coordination/registry/pace.go
@@ -36,8 +36,8 @@
 // reports, so that one that only is late is rarely sent the whole list again.
 const ReportSilence = 3 * time.Second
 
-// FleetPause returns how long a link waits after a Fleet message of a size in bytes,
-// so that it keeps to its budget. It is less by half a period because the caller looks
+// FleetPause returns how long the leader waits after a Fleet message of a size in bytes,
+// so that each link keeps to its budget. It is less by half a period because the caller looks
 // once a period: the tick that is nearest counts.
 func FleetPause(size int) time.Duration {
 	byBudget := time.Duration(float64(size) / fleetBudget * float64(time.Second))
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -77,6 +77,24 @@
 // Empty reports whether nothing changed.
 func (c Change) Empty() bool { return len(c.Set) == 0 && len(c.Gone) == 0 }
 
+// Then returns both changes as one, a later one of a backend server in place of the
+// earlier.
+func (c Change) Then(next Change) Change {
+	if c.Empty() {
+		return next
+	}
+	later := make(map[string]bool, len(next.Set)+len(next.Gone))
+	for _, s := range next.Set {
+		later[s.ID] = true
+	}
+	for _, id := range next.Gone {
+		later[id] = true
+	}
+	set := slices.DeleteFunc(slices.Clone(c.Set), func(s protocol.Server) bool { return later[s.ID] })
+	gone := slices.DeleteFunc(slices.Clone(c.Gone), func(id string) bool { return later[id] })
+	return Change{Set: append(set, next.Set...), Gone: append(gone, next.Gone...)}
+}
+
 // Registry is the table of announced backend servers.
 type Registry struct {
 	leaderSince time.Duration
@@ -198,12 +216,15 @@
 // forgetAfter intervals.
 func (r *Registry) ExpireSilent(now time.Duration) Change {
 	var change Change
-	for _, s := range r.List() {
-		if now-r.servers[s.ID].lastSeen > forgetAfter*r.interval {
-			r.Remove(s.ID)
-			change.Gone = append(change.Gone, s.ID)
+	for id, e := range r.servers {
+		if now-e.lastSeen > forgetAfter*r.interval {
+			change.Gone = append(change.Gone, id)
 		}
 	}
+	slices.Sort(change.Gone)
+	for _, id := range change.Gone {
+		r.Remove(id)
+	}
 	return change
 }
 
@@ -213,6 +234,9 @@
 	return now-r.leaderSince >= completeAfter*r.interval
 }
 
+// Len returns the number of backend servers.
+func (r *Registry) Len() int { return len(r.servers) }
+
 // List returns all backend servers, ordered by identifier.
 func (r *Registry) List() []protocol.Server {
 	list := make([]protocol.Server, 0, len(r.servers))
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -193,3 +193,15 @@
 	is.True(r.Announce(interval, announcement("b", address, 9)).Empty())
 	is.Equal(r.Announce(aliveFor*interval+1, announcement("b", address, 10)).Gone, []string{"a"})
 }
+
+// TestChangesAreGathered: of one server the later change counts.
+func TestChangesAreGathered(t *testing.T) {
+	is := is.New(t)
+	a, b := protocol.Server{Registration: protocol.Registration{ID: "a"}}, protocol.Server{Registration: protocol.Registration{ID: "b"}}
+	moved := protocol.Server{Registration: protocol.Registration{ID: "a", Address: "x"}}
+	c := Change{}.Then(Change{Set: []protocol.Server{a, b}}).Then(Change{Set: []protocol.Server{moved}, Gone: []string{"b", "c"}})
+	is.Equal(c, Change{Set: []protocol.Server{moved}, Gone: []string{"b", "c"}})
+	c = c.Then(Change{Set: []protocol.Server{b}, Gone: []string{"a"}})
+	is.Equal(c, Change{Set: []protocol.Server{b}, Gone: []string{"c", "a"}})
+	is.Equal(c.Then(Change{}), c)
+}
--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -13,33 +13,30 @@
 
 // This file measures what the leader spends on gateways and backend servers.
 
-// BenchmarkFleet reports the bytes of one Fleet message, and the time to make
-// and encode it for one gateway, with every backend server in use and a tenth of the
-// accounts beyond its share.
+// BenchmarkFleet reports the bytes of one Fleet message, and the time to make and encode
+// it for all gateways, with every backend server in use, all sums changed since the last
+// one, and a tenth of the accounts beyond its share.
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []struct{ gateways, servers, accounts int }{
-		{9, 15, 16}, {60, 95, 30}, {1600, 10000, 5800},
+		{9, 15, 16}, {60, 95, 30}, {295, 171, 60}, {1600, 10000, 5800},
 	} {
 		b.Run(fmt.Sprintf("gateways=%d/backends=%d", size.gateways, size.servers), func(b *testing.B) {
-			u := newUsage()
-			sessions := make([]*session, size.gateways)
-			each := min(size.servers, 100) // that one gateway uses at a time
-			for i := range sessions {
-				sessions[i] = &session{}
-				m := protocol.Usage{}
-				for j := range each {
-					m.Loads = append(m.Loads, protocol.ServerLoad{Handle: uint32((i*each+j)%size.servers + 1), Requests: 3, Tokens: 2000})
-				}
-				u.add(sessions[i], m)
-			}
 			var entitlements []protocol.Entitlement
 			for i := range size.accounts / 10 {
 				entitlements = append(entitlements, protocol.Entitlement{Account: fmt.Sprintf("tenant%d", i), Part: 0.3, Extra: 0.4})
 			}
+			sums := make([]protocol.ServerLoad, size.servers)
+			var feed registry.Feed
 			bytes := 0
-			u.sum()
+			n := uint32(0)
 			for b.Loop() {
-				m, err := protocol.Encode(protocol.Fleet{Gateways: size.gateways, Loads: u.others(sessions[0]), Entitlements: entitlements})
+				n++
+				for i := range sums {
+					sums[i] = protocol.ServerLoad{Handle: uint32(i + 1), Requests: 30 + n%9, Tokens: 20_000 + n%999}
+				}
+				m, err := protocol.Encode(protocol.Fleet{
+					Gateways: size.gateways, Loads: feed.Next(sums, registry.FleetLoads), Entitlements: entitlements,
+				})
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -63,9 +63,10 @@
 }
 
 type gatewayNode struct {
-	ip   string
-	g    *gateway.Gateway
-	kill context.CancelFunc
+	ip      string
+	g       *gateway.Gateway
+	metrics *metrics.Set
+	kill    context.CancelFunc
 }
 
 // inFleet runs f with n directory replicas that have formed their group.
@@ -251,10 +252,18 @@
 		Seeds:    x.seeds, Headers: noHeaders{}, Server: forward.New(forward.Settings{Dialer: x.net.Box(ip)}),
 		Retries: retry.Limits{Window: time.Second}, Random: x.random, Log: log, Metrics: set,
 	})
-	x.gateways[ip] = &gatewayNode{ip: ip, g: g, kill: func() { cancel(); synctest.Wait(); log.Close() }}
+	x.gateways[ip] = &gatewayNode{ip: ip, g: g, metrics: set, kill: func() { cancel(); synctest.Wait(); log.Close() }}
 	return g
 }
 
+// count returns the bytes and messages of a kind that a gateway has received ("in") or
+// sent ("out").
+func (n *gatewayNode) count(direction, kind string) (bytes, messages uint64) {
+	labels := fmt.Sprintf("{direction=%q,kind=%q}", direction, kind)
+	return n.metrics.GetOrCreateCounter("badgerspoke_control_bytes_total" + labels).Get(),
+		n.metrics.GetOrCreateCounter("badgerspoke_control_messages_total" + labels).Get()
+}
+
 // replaceDisk gives a stopped replica an empty disk.
 func (x *fleet) replaceDisk(ip string) { x.nodes[ip].disk = fakedisk.New(x.random()) }
 
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -50,7 +50,11 @@
 	complete bool                    // the registry is, and the sessions were sent the whole list since
 	unlogged []protocol.Registration // announced, not yet put into the log
 	sessions map[*session]bool
+	pending  registry.Change   // not sent to the sessions yet
+	list     *protocol.Encoded // the whole list, for sessions that open; nil: to be made anew
 	usage    *usage
+	feed     registry.Feed
+	fleetDue time.Duration     // of the next Fleet message
 	encoded  protocol.Document // newest document, encoded once
 
 	sharesLogged time.Duration // when
@@ -153,7 +157,8 @@
 	for _, s := range h.d.state.Joined() {
 		h.registry.Restore(h.d.replica.Now(), s)
 	}
-	h.usage = newUsage()
+	h.usage, h.feed, h.fleetDue = newUsage(), registry.Feed{}, 0
+	h.pending, h.list = registry.Change{}, nil
 	h.d.cfg.Log.StateChange("leading", slog.Uint64("term", term), slog.Any("members", h.leadership.Load().voters))
 }
 
@@ -174,15 +179,13 @@
 	if h.term == 0 {
 		return
 	}
-	h.broadcast(h.registry.ExpireSilent(h.d.replica.Now()))
-	if !h.complete && h.registry.Complete(h.d.replica.Now()) {
+	h.pending = h.pending.Then(h.registry.ExpireSilent(h.d.replica.Now()))
+	completed := !h.complete && h.registry.Complete(h.d.replica.Now())
+	if completed {
 		h.complete = true
-		list := h.wholeList()
-		h.d.cfg.Log.StateChange("registry complete", slog.Int("backends", len(list.Set)))
-		for s := range h.sessions {
-			s.out.Send(list)
-		}
+		h.d.cfg.Log.StateChange("registry complete", slog.Int("backends", h.registry.Len()))
 	}
+	h.pushChanges(completed)
 	h.logJoins()
 	h.pushFleet()
 }
@@ -210,7 +213,10 @@
 	for _, id := range departures {
 		h.registry.Remove(id)
 	}
-	h.broadcast(registry.Change{Gone: departures})
+	if len(departures) > 0 {
+		h.pending = h.pending.Then(registry.Change{Gone: departures})
+		h.pushChanges(false)
+	}
 }
 
 // pushDocument sends the newest document to every session that lacks it.
@@ -251,7 +257,7 @@
 				slog.String("address", s.Address), slog.Any("replaces", change.Gone))
 			h.unlogged = append(h.unlogged, s.Registration)
 		}
-		h.broadcast(change)
+		h.pending = h.pending.Then(change)
 		return nil
 	})
 }
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -17,6 +17,11 @@
 //
 // What an outbox refuses is not sent again: a queue that is full closes its link, and
 // the gateway's next session starts with the whole list.
+//
+// What a session costs the leader must not grow with the fleet. So what all get is
+// encoded once, and changes of the registry are gathered until the next tick: sent one by
+// one, the announcements of 3,000 backend servers that start overran the queues of 300
+// sessions, each of which came back for the whole list (TestManyAnnounceAtOnce).
 
 // sessionQueue is the number of messages that may wait for one gateway's link, at
 // most ten of them a second being Fleet messages. Chosen, not measured.
@@ -30,25 +35,55 @@
 type session struct {
 	gateway string
 	out     *link.Outbox
-	number  uint64        // of the newest document that the gateway has or was sent
-	due     time.Duration // of the next Fleet message
+	number  uint64 // of the newest document that the gateway has or was sent
+	counted uint64 // number of its last report in the sums
+}
+
+// pushChanges sends what has changed in the registry since the last time to every
+// session, and with completed that the list is complete from now on.
+func (h *hub) pushChanges(completed bool) {
+	if h.pending.Empty() && !completed {
+		return
+	}
+	m := protocol.Servers{Term: h.term, Set: h.pending.Set, Gone: h.pending.Gone, Complete: h.complete}
+	h.pending, h.list = registry.Change{}, nil
+	h.sendAll(m)
 }
 
-func (h *hub) broadcast(c registry.Change) {
-	if c.Empty() {
+// sendAll sends a message to every session.
+func (h *hub) sendAll(m protocol.Message) {
+	encoded, ok := h.encode(m)
+	if !ok {
 		return
 	}
-	m := protocol.Servers{Term: h.term, Set: c.Set, Gone: c.Gone}
 	for s := range h.sessions {
-		s.out.Send(m)
+		s.out.Send(encoded)
 	}
 }
 
-func (h *hub) wholeList() protocol.Servers {
-	return protocol.Servers{
-		Term: h.term, Whole: true, Complete: h.complete,
-		Set: h.registry.List(), Gone: h.recentDepartures(),
+// encode encodes a message for several sessions.
+func (h *hub) encode(m protocol.Message) (e protocol.Encoded, ok bool) {
+	e, err := protocol.EncodeOnce(m)
+	if err != nil {
+		h.d.cfg.Log.StateChange("message cannot be encoded", slog.String("error", err.Error()))
 	}
+	return e, err == nil
+}
+
+// wholeList returns the whole list as of the last changes that were sent, or a later one:
+// a session gets all changes that are sent after it has opened, some perhaps twice.
+func (h *hub) wholeList() (list protocol.Encoded, ok bool) {
+	if h.list == nil {
+		list, ok = h.encode(protocol.Servers{
+			Term: h.term, Whole: true, Complete: h.complete,
+			Set: h.registry.List(), Gone: h.recentDepartures(),
+		})
+		if !ok {
+			return list, false
+		}
+		h.list = &list
+	}
+	return *h.list, true
 }
 
 // recentDepartures go out with a whole list, because one that is not complete does
@@ -103,8 +138,17 @@
 		}
 	}
 	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number}
+	list, ok := h.wholeList()
+	if !ok {
+		s.out.Close()
+		return nil, Unavailable{}
+	}
 	h.sessions[s] = true
-	s.out.Send(h.wholeList())
+	s.out.Send(list)
+	if sent := h.feed.Sent(); len(sent) > 0 {
+		s.out.Send(protocol.Counted{})
+		s.out.Send(h.fleetMessage(sent))
+	}
 	h.pushDocument()
 	h.d.cfg.Log.StateChange("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
 	return s, nil
@@ -118,26 +162,34 @@
 	h.usage.forget(s)
 }
 
-// pushFleet sends every gateway the state of all others, as often as the budget of
-// its link allows.
+// pushFleet sends every gateway the sums over all of them, as often as the budget of a
+// link allows.
 func (h *hub) pushFleet() {
 	held, _ := h.d.state.Held()
 	now := h.d.replica.Now()
 	h.usage.sum()
-	demand := h.usage.demand
-	demand.Settle(now, held.Document.Limits.TokensPerSecond)
+	h.usage.demand.Settle(now, held.Document.Limits.TokensPerSecond)
 	h.logShares(now)
-	voters := h.leadership.Load().voters
+	if now < h.fleetDue || len(h.sessions) == 0 {
+		return
+	}
+	m, ok := h.encode(h.fleetMessage(h.feed.Next(h.usage.total, registry.FleetLoads)))
+	if !ok {
+		return
+	}
+	h.fleetDue = now + registry.FleetPause(m.Size())
 	for s := range h.sessions {
-		if now < s.due {
-			continue
-		}
-		m := protocol.Fleet{
-			Gateways: len(h.sessions), Loads: h.usage.others(s),
-			Entitlements: demand.Entitlements(), Members: voters, Short: demand.Short(), Unknown: !demand.Known(), Most: demand.Most(),
-		}
+		s.out.Send(protocol.Counted{Seq: s.counted})
 		s.out.Send(m)
-		s.due = now + registry.FleetPause(encodedSize(m))
+	}
+}
+
+// fleetMessage returns a message with these sums.
+func (h *hub) fleetMessage(loads []protocol.ServerLoad) protocol.Fleet {
+	demand := h.usage.demand
+	return protocol.Fleet{
+		Gateways: len(h.sessions), Loads: loads, Entitlements: demand.Entitlements(),
+		Members: h.leadership.Load().voters, Short: demand.Short(), Unknown: !demand.Known(), Most: demand.Most(),
 	}
 }
 
@@ -159,12 +211,3 @@
 		slog.Int64("started", r.Started), slog.Int64("missed", r.Missed), slog.Bool("short", h.usage.demand.Short()),
 		slog.Any("accounts", r.Accounts))
 }
-
-// encodedSize returns the bytes that a message takes on a link.
-func encodedSize(m protocol.Message) int {
-	b, err := protocol.Encode(m)
-	if err != nil {
-		return protocol.MaxMessage // the outbox meets the same error and closes the link
-	}
-	return len(b)
-}
--- a/directory/usage.go
+++ b/directory/usage.go
@@ -29,6 +29,7 @@
 func (u *usage) add(s *session, m protocol.Usage) {
 	_, known := u.loads[s]
 	u.loads[s] = m.Loads
+	s.counted = m.Seq
 	if known {
 		u.demand.Add(m)
 	}
@@ -49,21 +50,3 @@
 	}
 	u.total = slices.SortedFunc(maps.Values(sums), func(a, b protocol.ServerLoad) int { return cmp.Compare(a.Handle, b.Handle) })
 }
-
-// others returns what runs on all gateways but one, as of the last sum.
-func (u *usage) others(own *session) []protocol.ServerLoad {
-	mine := map[uint32]protocol.ServerLoad{}
-	for _, l := range u.loads[own] {
-		mine[l.Handle] = l
-	}
-	out := make([]protocol.ServerLoad, 0, len(u.total))
-	for _, l := range u.total {
-		o := mine[l.Handle]
-		l.Requests -= min(o.Requests, l.Requests)
-		l.Tokens -= min(o.Tokens, l.Tokens)
-		if l.Requests > 0 {
-			out = append(out, l)
-		}
-	}
-	return out
-}
--- a/directory/usage_test.go
+++ b/directory/usage_test.go
@@ -35,16 +35,19 @@
 	is.Equal(len(u.demand.Entitlements()), 0)
 }
 
-func TestOthersRun(t *testing.T) {
+// TestSumsOverGateways: the last report of each session counts, and its number is known.
+func TestSumsOverGateways(t *testing.T) {
 	is := is.New(t)
 	u := newUsage()
-	a, b, c := &session{}, &session{}, &session{}
-	u.add(a, protocol.Usage{Loads: []protocol.ServerLoad{{Handle: 1, Requests: 2, Tokens: 10}}})
-	u.add(b, protocol.Usage{Loads: []protocol.ServerLoad{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}}})
+	a, b := &session{}, &session{}
+	u.add(a, protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{{Handle: 1, Requests: 7, Tokens: 70}}})
+	u.add(a, protocol.Usage{Seq: 2, Loads: []protocol.ServerLoad{{Handle: 1, Requests: 2, Tokens: 10}}})
+	u.add(b, protocol.Usage{Seq: 9, Loads: []protocol.ServerLoad{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}}})
 	u.sum()
-	is.Equal(u.others(a), []protocol.ServerLoad{{Handle: 1, Requests: 3, Tokens: 5}, {Handle: 2, Requests: 1}})
-	is.Equal(u.others(c), []protocol.ServerLoad{{Handle: 1, Requests: 5, Tokens: 15}, {Handle: 2, Requests: 1}})
+	is.Equal(u.total, []protocol.ServerLoad{{Handle: 1, Requests: 5, Tokens: 15}, {Handle: 2, Requests: 1}})
+	is.Equal(a.counted, uint64(2))
+	is.Equal(b.counted, uint64(9))
 	u.forget(b)
 	u.sum()
-	is.Equal(len(u.others(a)), 0)
+	is.Equal(u.total, []protocol.ServerLoad{{Handle: 1, Requests: 2, Tokens: 10}})
 }
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -46,13 +46,46 @@
 func TestOthersLoadCounts(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
-		x.g.table.updateLoads(x.g.now(), []protocol.ServerLoad{{Handle: 50, Requests: 8}})
+		x.g.table.updateLoads(x.g.now(), 0, []protocol.ServerLoad{{Handle: 50, Requests: 8}})
 		is.Equal(x.ask("/once/x").status, 503)
 		time.Sleep(place.MaxOthersAge) // nobody says so any more
 		is.Equal(x.ask("/once/x").status, 200)
 	}, answers(200, "fine", 0))
 }
 
+// TestOthersAreTheSumLessThisGateway: sums hold a report of this gateway, not always the
+// last one, and only those that have changed come.
+func TestOthersAreTheSumLessThisGateway(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.serversOf("engines", hangs, hangs)
+		table := x.g.table
+		one, two := table.servers["e0"], table.servers["e1"]
+		others := func(counted uint64, loads ...protocol.ServerLoad) [2]place.Work {
+			table.updateLoads(x.g.now(), counted, loads)
+			return [2]place.Work{one.others, two.others}
+		}
+		table.update(protocol.Servers{Term: 1, Whole: true, Set: []protocol.Server{one.Server, two.Server}})
+		one.own = place.Work{Requests: 2, Tokens: 300}
+		table.takeReport(1)
+		one.own = place.Work{Requests: 3, Tokens: 500}
+		table.takeReport(2)
+		sum := protocol.ServerLoad{Handle: one.Handle, Requests: 10, Tokens: 4000}
+		is.Equal(others(1, sum), [2]place.Work{{Requests: 8, Tokens: 3700}, {}})
+		is.Equal(others(2), [2]place.Work{{Requests: 7, Tokens: 3500}, {}}) // the sum is the same
+		is.Equal(others(2, protocol.ServerLoad{Handle: two.Handle, Requests: 1, Tokens: 9}),
+			[2]place.Work{{Requests: 7, Tokens: 3500}, {Requests: 1, Tokens: 9}})
+		is.Equal(others(2, protocol.ServerLoad{Handle: one.Handle})[0], place.Work{}) // never negative
+		is.Equal(others(77, sum)[0], place.Work{Requests: 10, Tokens: 4000})          // a report that is not known
+		table.update(protocol.Servers{Term: 1, Whole: true, Set: []protocol.Server{one.Server, two.Server}})
+		is.Equal(others(0)[0], place.Work{}) // a new session begins without sums
+		for n := range uint64(2 * reportsKept) {
+			table.takeReport(n)
+		}
+		is.Equal(len(table.reports), reportsKept)
+	})
+}
+
 // TestBeyondTheShareWaitsForIdleEngines gives an account a tenth of what it asks:
 // while the engine has something to read, nine in ten are refused with 429 and
 // the other account's requests are served.
@@ -61,7 +94,7 @@
 		is := is.New(x.t)
 		x.serversOf("engines", streams(piece{text: event(1)}))
 		x.g.accounts.update([]protocol.Entitlement{{Account: "t", Part: 0.1, Extra: 0.1}}, false)
-		x.g.table.updateLoads(x.g.now(), []protocol.ServerLoad{{Handle: 70, Requests: 1, Tokens: 500}})
+		x.g.table.updateLoads(x.g.now(), 0, []protocol.ServerLoad{{Handle: 70, Requests: 1, Tokens: 500}})
 		served, refused := 0, 0
 		for range 50 {
 			switch x.ask("/engine/x", "Tokens", "1000").status {
@@ -225,7 +258,7 @@
 		is.Equal(before.status, 200)
 		is.Equal(before.took, time.Duration(0))
 		keeps := x.g.table.servers[x.servers.arrivals[0].Header.Get("Backend")]
-		x.g.table.updateLoads(x.g.now(), []protocol.ServerLoad{{Handle: keeps.Handle, Requests: 1, Tokens: 25_000}})
+		x.g.table.updateLoads(x.g.now(), 0, []protocol.ServerLoad{{Handle: keeps.Handle, Requests: 1, Tokens: 25_000}})
 
 		refused := x.ask("/engine/x", "Tokens", "100", "Shared", "a")
 		is.Equal(refused.status, 503)
@@ -245,7 +278,7 @@
 		is := is.New(x.t)
 		x.serversOf("engines", streams(piece{text: event(1)}))
 		x.g.accounts.update([]protocol.Entitlement{{Account: "t", Part: 0.9, Extra: 0.9}}, false)
-		x.g.table.updateLoads(x.g.now(), []protocol.ServerLoad{{Handle: 70, Requests: 1, Tokens: 14_000}})
+		x.g.table.updateLoads(x.g.now(), 0, []protocol.ServerLoad{{Handle: 70, Requests: 1, Tokens: 14_000}})
 		is.Equal(x.ask("/engine/x", "Tokens", "100").status, 503)
 		got := x.ask("/engine/x", "Tokens", "100", "Key", "other")
 		is.Equal(got.status, 200)
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -24,9 +24,21 @@
 	doubt    outlier.Doubt
 	pace     place.Pace
 	own      place.Work // running there from this gateway; prompts count until their first event
-	others   place.Work // the same of all other gateways, as of othersAt
+	all      place.Work // the same of all gateways, as the leader last sent it
+	others   place.Work // of all but this gateway, as of othersAt
 	othersAt time.Duration
-	unlisted bool // a complete list of the directory lacked it
+	list     uint64 // number of the last whole list that had it, itself or by a change since
+	unlisted bool   // a complete list of the directory lacked it
+}
+
+// reportsKept is how many of the last reports are kept, to be taken from the sums that
+// hold them. Chosen, not measured: 3.2 s, above every delay with which sums are used.
+const reportsKept = 32
+
+// report is what was reported to run here, under its number.
+type report struct {
+	seq   uint64
+	loads []protocol.ServerLoad
 }
 
 type table struct {
@@ -37,6 +49,8 @@
 	byHandle map[uint32]*knownServer
 	pools    map[string]*pool
 	term     uint64
+	lists    uint64   // whole lists taken
+	reports  []report // of this session, newest last
 }
 
 // pool is the backend servers of one name with what waits for them.
@@ -74,6 +88,9 @@
 			k.Handle = 0
 		}
 	}
+	if m.Whole {
+		t.beginSession()
+	}
 	for _, id := range m.Gone {
 		if t.remove(id) {
 			left = append(left, id)
@@ -84,17 +101,27 @@
 			joined = append(joined, s.ID)
 		}
 	}
-	if m.Whole && m.Complete {
-		t.markUnlisted(m.Set)
+	if m.Complete {
+		t.markUnlisted()
 	}
 	return joined, left
 }
 
+// beginSession forgets what was sent in the session before: a whole list opens one, and
+// all sums and numbers of reports begin anew. The caller holds mu.
+func (t *table) beginSession() {
+	t.lists++
+	t.reports = nil
+	for _, k := range t.servers {
+		k.all = place.Work{}
+	}
+}
+
 // set adds or changes a backend server and reports whether it is new.
 func (t *table) set(s protocol.Server) bool {
 	k := t.servers[s.ID]
 	if k != nil && k.Pool == s.Pool {
-		k.Server, k.unlisted = s, false
+		k.Server, k.list, k.unlisted = s, t.lists, false
 		t.byHandle[s.Handle] = k
 		return false
 	}
@@ -105,7 +132,7 @@
 			break
 		}
 	}
-	k = &knownServer{Server: s}
+	k = &knownServer{Server: s, list: t.lists}
 	t.servers[s.ID] = k
 	t.byHandle[s.Handle] = k
 	p := t.pool(s.Pool)
@@ -127,15 +154,11 @@
 	return true
 }
 
-// markUnlisted marks backend servers that a complete list lacks: they are used only
-// as long as they answer.
-func (t *table) markUnlisted(list []protocol.Server) {
-	listed := map[string]bool{}
-	for _, s := range list {
-		listed[s.ID] = true
-	}
-	for id, k := range t.servers {
-		k.unlisted = !listed[id]
+// markUnlisted marks backend servers that neither the last whole list nor a change since
+// has: they are used only as long as they answer.
+func (t *table) markUnlisted() {
+	for _, k := range t.servers {
+		k.unlisted = k.list != t.lists
 	}
 }
 
@@ -146,24 +169,49 @@
 	t.remove(id)
 }
 
-// updateLoads takes what runs on all other gateways.
-func (t *table) updateLoads(now time.Duration, loads []protocol.ServerLoad) {
+// updateLoads takes the sums over all gateways that have changed. They hold this
+// gateway's report of the number counted.
+func (t *table) updateLoads(now time.Duration, counted uint64, loads []protocol.ServerLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, l := range loads {
+		if k := t.byHandle[l.Handle]; k != nil {
+			k.all = place.Work{Requests: int(l.Requests), Tokens: int(l.Tokens)}
+		}
+	}
 	for _, k := range t.servers {
-		k.others, k.othersAt = place.Work{}, now
+		k.others, k.othersAt = k.all, now
 	}
-	for _, l := range loads {
+	for _, r := range t.reports {
+		if r.seq == counted {
+			t.subtract(r.loads)
+		}
+	}
+}
+
+// subtract takes what this gateway reported from what runs on all.
+func (t *table) subtract(own []protocol.ServerLoad) {
+	for _, l := range own {
 		if k := t.byHandle[l.Handle]; k != nil {
-			k.others = place.Work{Requests: int(l.Requests), Tokens: int(l.Tokens)}
+			k.others = place.Work{
+				Requests: max(k.all.Requests-int(l.Requests), 0), Tokens: max(k.all.Tokens-int(l.Tokens), 0),
+			}
 		}
 	}
 }
 
-// loads returns what runs on this gateway, for the report.
-func (t *table) loads() []protocol.ServerLoad {
+// takeReport returns what runs on this gateway, for the report of a number, and keeps it.
+func (t *table) takeReport(seq uint64) []protocol.ServerLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	loads := t.loads()
+	t.reports = append(t.reports, report{seq: seq, loads: loads})
+	t.reports = t.reports[max(len(t.reports)-reportsKept, 0):]
+	return loads
+}
+
+// loads returns what runs on this gateway. The caller holds mu.
+func (t *table) loads() []protocol.ServerLoad {
 	var out []protocol.ServerLoad
 	for _, p := range t.pools {
 		for _, k := range p.servers {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,6 +34,7 @@
 	replicas  []string // addresses of the directory's voters, as last reported
 	tried     int      // candidates tried so far; it begins at a random one
 	connected bool     // the last session was with a leader
+	counted   uint64   // number of the last report that is in the sums that come next
 }
 
 // run keeps a session with whoever leads, until the gateway stops.
@@ -164,6 +165,8 @@
 				slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
 		}
 		w.g.grantAll()
+	case protocol.Counted:
+		w.counted = m.Seq
 	case protocol.Fleet:
 		w.g.gateways.Store(int64(max(m.Gateways, 1)))
 		w.replicas = m.Members
@@ -171,7 +174,7 @@
 			w.g.accounts.update(m.Entitlements, m.Short)
 			w.g.accounts.setMost(m.Most)
 		}
-		w.g.table.updateLoads(w.g.now(), m.Loads)
+		w.g.table.updateLoads(w.g.now(), w.counted, m.Loads)
 		w.g.grantAll()
 	}
 }
@@ -179,9 +182,11 @@
 // report sends the leader what runs here and what was demanded, until ctx ends or the
 // session is lost.
 func (w *watcher) report(ctx context.Context, l *link.Link) {
+	seq := uint64(0)
 	for range sleep.Every(ctx, registry.ReportPeriod) {
+		seq++
 		u := w.g.accounts.takeReport()
-		u.Loads, u.Number = w.g.table.loads(), w.g.DocumentNumber()
+		u.Seq, u.Loads, u.Number = seq, w.g.table.takeReport(seq), w.g.DocumentNumber()
 		if err := l.Send(ctx, u); err != nil {
 			return // receive fails as well, and logs it
 		}
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -44,6 +44,7 @@
 	KindServers       Kind = 16 // leader: backend servers that came or went
 	KindUsage         Kind = 17 // gateway: what runs and what was requested
 	KindFleet         Kind = 18 // leader: the sums over all gateways
+	KindCounted       Kind = 19 // leader: the last report that is in the sums
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -69,6 +70,7 @@
 	KindServers:       {"backends", decodeAs[Servers]},
 	KindUsage:         {"usage", decodeAs[Usage]},
 	KindFleet:         {"fleet", decodeAs[Fleet]},
+	KindCounted:       {"counted", decodeAs[Counted]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -107,6 +109,8 @@
 func (Servers) kind() Kind       { return KindServers }
 func (Usage) kind() Kind         { return KindUsage }
 func (Fleet) kind() Kind         { return KindFleet }
+func (Counted) kind() Kind       { return KindCounted }
+func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
 func KindOf(m Message) Kind { return m.kind() }
@@ -147,8 +151,26 @@
 	return fmt.Sprintf("protocol: message of %d bytes exceeds %d", e.Size, MaxMessage)
 }
 
+// Encoded is a message with its bytes: one that goes out on many links is encoded once.
+type Encoded struct {
+	of    Kind
+	bytes []byte
+}
+
+// EncodeOnce encodes m for any number of links. The error is [Malformed] or [TooLarge].
+func EncodeOnce(m Message) (Encoded, error) {
+	b, err := Encode(m)
+	return Encoded{of: m.kind(), bytes: b}, err
+}
+
+// Size returns the bytes that the message takes on a link.
+func (e Encoded) Size() int { return len(e.bytes) }
+
 // Encode returns the bytes of m in its envelope.
 func Encode(m Message) ([]byte, error) {
+	if e, ok := m.(Encoded); ok {
+		return e.bytes, nil
+	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, Malformed{Kind: m.kind(), Err: err}
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -81,13 +81,14 @@
 	Usage{
 		Loads:   []ServerLoad{{Handle: 7, Requests: 2, Tokens: 90000}, {Handle: 8, Requests: 300, Tokens: 1}},
 		Demands: []Demand{{Account: "t1", Tokens: big}, {Account: "t2", Tokens: 12}},
-		Number:  86, Started: 87, Missed: 88, Served: []Demand{{Account: "t2", Tokens: 89}},
+		Number:  86, Started: 87, Missed: 88, Served: []Demand{{Account: "t2", Tokens: 89}}, Seq: 90,
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
 		Entitlements: []Entitlement{{Account: "t1", Part: 0.25, Extra: 0.7}, {Account: "t2", Part: 0.1, Extra: 1}},
 		Members:      []string{"10.0.0.1:7000", "10.0.0.2:7000"}, Short: true, Unknown: true, Most: 1.5,
 	},
+	Counted{Seq: 91},
 }
 
 var goldenPools = []PoolView{
@@ -123,7 +124,7 @@
 	names := []string{
 		1: "hello", 2: "welcome", 3: "redirect", 4: "renew", 5: "renewed", 6: "report", 7: "view", 8: "configure",
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
-		16: "backends", 17: "usage", 18: "fleet",
+		16: "backends", 17: "usage", 18: "fleet", 19: "counted",
 	}
 	for number := 1; number < len(names); number++ {
 		is.Equal(Kind(number).String(), names[number])
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -50,14 +50,15 @@
 	Handle uint32 `cbor:"6,keyasint"`
 }
 
-// Servers is sent by the leader to every gateway: the whole list when the session opens
-// and when the list has become complete, otherwise each change.
+// Servers is sent by the leader to every gateway: the whole list when the session opens,
+// then what has changed.
 type Servers struct {
 	Term uint64 `cbor:"1,keyasint"`
 	// Whole is set if Set is the whole list that the leader has.
 	Whole bool `cbor:"2,keyasint,omitempty"`
-	// Complete is set if the leader has led for longer than backend servers take to
-	// announce themselves: one that is not in the list does not announce itself.
+	// Complete is set, once at least, if the leader has led for longer than backend servers
+	// take to announce themselves: one that was not in the last whole list, or set since,
+	// does not announce itself.
 	Complete bool     `cbor:"3,keyasint,omitempty"`
 	Set      []Server `cbor:"4,keyasint,omitempty"`
 	Gone     []string `cbor:"5,keyasint,omitempty"` // leaving, withdrawn or replaced
@@ -89,6 +90,8 @@
 	Missed  uint64 `cbor:"5,keyasint,omitempty"`
 	// Served is Started by account: what each was given, beside what it demanded.
 	Served []Demand `cbor:"6,keyasint,omitempty"`
+	// Seq numbers the reports of a session from 1.
+	Seq uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
@@ -103,10 +106,13 @@
 }
 
 // Fleet is sent by the leader to every gateway, ten times a second or less often if it
-// is large (registry.FleetPause): the state of all gateways together.
+// is large (registry.FleetPause): the state of all gateways together. It is the same for
+// all, so that it is made and encoded once.
 type Fleet struct {
-	Gateways     int           `cbor:"1,keyasint,omitempty"`
-	Loads        []ServerLoad  `cbor:"2,keyasint,omitempty"` // on all gateways but the receiving one
+	Gateways int `cbor:"1,keyasint,omitempty"`
+	// Loads are the sums over all gateways that differ from those sent before, as far as
+	// the budget of a link allows (registry.Feed). Number 2 was another form of it.
+	Loads        []ServerLoad  `cbor:"8,keyasint,omitempty"`
 	Entitlements []Entitlement `cbor:"3,keyasint,omitempty"`
 	Members      []string      `cbor:"4,keyasint,omitempty"` // fleet addresses of the directory
 	// Short is set if requests within their accounts' shares find no room somewhere, or
@@ -118,3 +124,9 @@
 	// Most bounds what one account may be given, in tokens a second; 0 does not.
 	Most float64 `cbor:"7,keyasint,omitempty"`
 }
+
+// Counted goes before each Fleet: the last report of the receiving gateway that is in its
+// sums, 0 for none. What runs from other gateways is the sum less that report.
+type Counted struct {
+	Seq uint64 `cbor:"1,keyasint,omitempty"`
+}
--- a/state/document/document_test.go
+++ b/state/document/document_test.go
@@ -126,10 +126,9 @@
 func TestFullStoreTakesNewsOfWhatItHolds(t *testing.T) {
 	is := is.New(t)
 	var s Store
-	s.joined = map[string]protocol.Registration{}
-	for i := range MaxServers { // not by Join, which looks at all of them each time
+	for i := range MaxServers {
 		id := fmt.Sprint(i)
-		s.joined[id] = protocol.Registration{ID: id, Address: id}
+		s.Join(protocol.Registration{ID: id, Address: id})
 	}
 	s.Join(protocol.Registration{ID: "new", Address: "new"})
 	is.Equal(len(s.joined), MaxServers)
@@ -140,6 +139,11 @@
 	is.Equal(s.joined["next"].Address, "8") // in place of the one that was there
 	is.Equal(s.joined["8"].ID, "")
 	is.Equal(len(s.joined), MaxServers)
+	s.Join(protocol.Registration{ID: "9", Address: "9"}) // as it is
+	s.Depart("9")
+	s.Join(protocol.Registration{ID: "new", Address: "9"}) // where one departed
+	is.Equal(s.joined["new"].Address, "9")
+	is.Equal(len(s.at), len(s.joined))
 }
 
 func TestImageHoldsEverything(t *testing.T) {
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -34,6 +34,7 @@
 type Store struct {
 	held    *Held
 	joined  map[string]protocol.Registration // by identifier, one an address
+	at      map[string]string                // identifier in joined by address
 	order   []string                         // departed backend servers, oldest first
 	total   uint64                           // departures ever
 	departs map[string]bool
@@ -70,7 +71,7 @@
 		delete(s.departs, s.order[0])
 		s.order = s.order[1:]
 	}
-	delete(s.joined, id)
+	s.leave(id)
 	s.departs[id] = true
 	s.order = append(s.order, id)
 	s.total++
@@ -83,16 +84,24 @@
 	if s.departs[r.ID] {
 		return
 	}
-	maps.DeleteFunc(s.joined, func(id string, other protocol.Registration) bool {
-		return id == r.ID || other.Address == r.Address
-	})
+	s.leave(r.ID)
+	s.leave(s.at[r.Address])
 	if len(s.joined) >= MaxServers {
 		return
 	}
 	if s.joined == nil {
-		s.joined = map[string]protocol.Registration{}
+		s.joined, s.at = map[string]protocol.Registration{}, map[string]string{}
 	}
 	s.joined[r.ID] = r
+	s.at[r.Address] = r.ID
+}
+
+// leave removes a registration, if there is one.
+func (s *Store) leave(id string) {
+	if r, ok := s.joined[id]; ok {
+		delete(s.joined, id)
+		delete(s.at, r.Address)
+	}
 }
 
 // Joined returns the remembered backend servers, ordered by identifier.
