Shares: what can be in time goes before what comes back late

And a request waited 0.22 of its objective, chosen for prices that are gone: it was refused while it could still be in time, and came back after a second to be late.

Change: how long ago a caller asked first is known from the time that it will still wait (retry.Patience). Gateways report what came back after its objective; the leader gives it what the account's other requests leave of the share (Usage.Late, Fleet.Late). A request within its share waits for as long as it can be in time by what the server is expected to need, one that cannot waits a second, one beyond it a tenth of the objective. What a share does not cover is told to come back after up to a third of the time left, by lot.

--- a/coordination/entitlement/class.go
+++ b/coordination/entitlement/class.go
@@ -42,31 +42,37 @@
 // last list of accounts that demand more than their share.
 type Classifier struct {
 	listed  map[string]protocol.Entitlement
-	short   bool          // somewhere requests within their shares find no room
-	updated time.Duration // 0: there has been no list
+	late    map[string]protocol.Entitlement // of what comes back late; of accounts in listed
+	short   bool                            // somewhere requests within their shares find no room
+	updated time.Duration                   // 0: there has been no list
 	markers map[string]*markers
 	most    float64 // tokens a second that one account may be given; 0: not bounded
 	given   map[string]bucket
 }
 
-// markers of one account, for both levels.
-type markers struct{ entitled, extra Marker }
+// markers of one account, for both levels: of what can be in time, and of what is late.
+type markers struct{ entitled, extra, lateEntitled, lateExtra Marker }
 
 // NewClassifier returns a classifier without a list.
 func NewClassifier() *Classifier {
 	return &Classifier{
-		listed: map[string]protocol.Entitlement{}, markers: map[string]*markers{}, given: map[string]bucket{},
+		listed: map[string]protocol.Entitlement{}, late: map[string]protocol.Entitlement{}, markers: map[string]*markers{}, given: map[string]bucket{},
 	}
 }
 
-// Update replaces the list. short means that somewhere in the fleet requests
-// within their shares find no room.
-func (c *Classifier) Update(now time.Duration, list []protocol.Entitlement, short bool) {
+// Update replaces the list and the parts of what comes back late. short means that
+// somewhere in the fleet requests within their shares find no room.
+func (c *Classifier) Update(now time.Duration, list, late []protocol.Entitlement, short bool) {
 	c.updated = now
 	c.short = short
-	clear(c.listed)
+	replace(c.listed, list)
+	replace(c.late, late)
+}
+
+func replace(byAccount map[string]protocol.Entitlement, list []protocol.Entitlement) {
+	clear(byAccount)
 	for _, e := range list {
-		c.listed[e.Account] = e
+		byAccount[e.Account] = e
 	}
 }
 
@@ -98,8 +104,10 @@
 }
 
 // Classify returns the class of a request that costs that many tokens. Without
-// a fresh list all accounts are alike, and every request is Entitled.
-func (c *Classifier) Classify(now time.Duration, account string, cost float64) Class {
+// a fresh list all accounts are alike, and every request is Entitled. late is a request
+// that came back and cannot be in time any more: it has what the account's others leave of
+// the share, which still can.
+func (c *Classifier) Classify(now time.Duration, account string, cost float64, late bool) Class {
 	if !c.fresh(now) {
 		return Entitled
 	}
@@ -112,11 +120,20 @@
 		m = &markers{}
 		c.markers[account] = m
 	}
+	if late {
+		e = c.late[account]
+		return classOf(e, cost, &m.lateEntitled, &m.lateExtra)
+	}
+	return classOf(e, cost, &m.entitled, &m.extra)
+}
+
+// classOf marks the parts of an entitlement.
+func classOf(e protocol.Entitlement, cost float64, entitled, extra *Marker) Class {
 	part := float64(e.Part)
-	if m.entitled.Entitled(part, cost) {
+	if entitled.Entitled(part, cost) {
 		return Entitled
 	}
-	if m.extra.Entitled((float64(e.Extra)-part)/(1-part), cost) { // of what the first level leaves
+	if extra.Entitled((float64(e.Extra)-part)/(1-part), cost) { // of what the first level leaves
 		return Extra
 	}
 	return Beyond
--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -28,11 +28,13 @@
 	level, extra float64       // tokens a second
 	most         float64       // the same
 	entitlements []protocol.Entitlement
+	late         []protocol.Entitlement
 }
 
 // account is what one account demands and is given.
 type account struct {
 	demand  rate
+	late    rate // the part of it that came back late
 	given   rate // of its requests given to engines
 	balance balance
 }
@@ -47,6 +49,9 @@
 	for _, a := range m.Demands {
 		d.account(a.Account).demand.tokens += float64(a.Tokens)
 	}
+	for _, a := range m.Late {
+		d.account(a.Account).late.tokens += float64(a.Tokens)
+	}
 	for _, a := range m.Served {
 		d.account(a.Account).given.tokens += float64(a.Tokens)
 	}
@@ -80,6 +85,7 @@
 	d.weights = d.weights.settle(elapsed)
 	for _, a := range d.accounts {
 		a.demand.settle(elapsed, d.weights)
+		a.late.settle(elapsed, d.weights)
 		a.given.settle(elapsed, d.weights)
 	}
 	maps.DeleteFunc(d.accounts, func(_ string, a *account) bool { return a.demand.average < leastRate })
@@ -115,7 +121,7 @@
 // would go to the account with the largest demand. Each account's share is the level,
 // corrected by its balance.
 func (d *Demand) entitle(elapsed time.Duration, capacity float64) {
-	d.entitlements = nil
+	d.entitlements, d.late = nil, nil
 	d.most = 0
 	if capacity <= 0 {
 		return
@@ -143,14 +149,28 @@
 		if d.balanced() {
 			factor = a.balance.factor(d.extra)
 		}
-		if part := Part(demand, factor*d.level); part < 1 {
-			d.entitlements = append(d.entitlements, protocol.Entitlement{
-				Account: name, Part: float32(part), Extra: float32(Part(demand, factor*d.extra)),
-			})
+		if factor*d.level < demand {
+			d.list(name, a, factor)
 		}
 	}
 }
 
+// list adds an account to the lists. What can be in time goes first: a late answer is
+// worth less to its caller, and what it takes of the share makes another one late.
+func (d *Demand) list(name string, a *account, factor float64) {
+	late := min(a.late.average, a.demand.average)
+	fresh := a.demand.average - late
+	level, extra := factor*d.level, factor*d.extra
+	d.entitlements = append(d.entitlements, protocol.Entitlement{
+		Account: name, Part: float32(Part(fresh, level)), Extra: float32(Part(fresh, extra)),
+	})
+	if extra > fresh {
+		d.late = append(d.late, protocol.Entitlement{
+			Account: name, Part: float32(Part(late, max(level-fresh, 0))), Extra: float32(Part(late, extra-fresh)),
+		})
+	}
+}
+
 // balanced reports whether all gateways have said for a while which accounts they served.
 func (d *Demand) balanced() bool {
 	return d.unattributed == 0 || d.settled-d.unattributed > balanceMemory
@@ -173,6 +193,10 @@
 // order of their names. The caller must not change them.
 func (d *Demand) Entitlements() []protocol.Entitlement { return d.entitlements }
 
+// Late returns the parts of what comes back late, for some of the same accounts. The
+// caller must not change them.
+func (d *Demand) Late() []protocol.Entitlement { return d.late }
+
 // mostLevels is how many times the level one account may be given at one gateway: what it
 // is behind must be made up for, and nobody may get twice what another gets. Chosen.
 const mostLevels = 1.25
--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -103,6 +103,16 @@
 	return p.rate
 }
 
+// ExpectedFirst returns how long a server that runs nothing else is expected to need until
+// the first part of its answer, with that many tokens to read.
+func (p *RoomPlacer) ExpectedFirst(engine bool, tokens int) time.Duration {
+	ms := plainExpected
+	if engine {
+		ms = engineOverhead + float64(tokens)/p.readRate()
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // ObserveFirst takes how long an answer took to begin, and the tokens that an
 // engine had to read before. It returns the ratio to what was expected.
 func (p *RoomPlacer) ObserveFirst(engine bool, tokens int, took time.Duration) (ratio float64) {
--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -15,25 +15,44 @@
 
 // Bounds of the wait for a server, from the arrival on.
 const (
-	// objectivePart is the part of the objective that a request waits: later,
-	// the refusal leaves its caller too little time to come back elsewhere.
+	// beyondPart is the part of the objective that a request beyond its account's share
+	// waits: it finds room at once or only once others have gone. Chosen, not measured.
+	beyondPart = 0.1
+	// reserve is the part of the objective that is kept for what delays a request after
+	// its wait: the server's own queue, the network. Chosen, not measured.
+	reserve = 0.3
+	// lastWait bounds the wait where the objective cannot be kept, or there is none.
 	// Chosen, not measured.
-	objectivePart = 0.22
-	// lastWait bounds the wait where no early refusal helps. Chosen, not
-	// measured.
 	lastWait = time.Second
 )
 
-// QueueTimeout returns how long a request may wait for a server from now on,
-// given the time since its arrival and the time left until its deadline. One
-// that may have run, or has no objective, waits longer: a refusal could not
-// promise that it has not run, or would come no sooner than is useful.
-func QueueTimeout(route document.Route, runs int, waited, left time.Duration) time.Duration {
-	most := scale(route.Objective, objectivePart)
-	if runs > 0 || route.Objective == 0 {
+// Waiting is what decides how long a request waits for a server.
+type Waiting struct {
+	Route    document.Route
+	Class    entitlement.Class
+	Runs     int           // that it may have had
+	Spent    time.Duration // since its caller asked first, before it came here
+	Waited   time.Duration // since it came here
+	Left     time.Duration // until its deadline
+	Expected time.Duration // from a server until the first part of the answer
+}
+
+// QueueTimeout returns how long a request may wait for a server from now on: for as long
+// as it can still begin in time. One that cannot, or may have run, waits a little longer
+// for any answer: a refusal would send it away for good, or could not promise that it has
+// not run.
+func QueueTimeout(w Waiting) time.Duration {
+	objective := w.Route.Objective
+	most := objective - w.Spent - w.Expected - scale(objective, reserve)
+	switch {
+	case w.Runs > 0, objective == 0:
+		most = lastWait
+	case w.Class >= entitlement.Extra:
+		most = scale(objective, beyondPart)
+	case most <= 0:
 		most = lastWait
 	}
-	return min(most-waited, left)
+	return min(most-w.Waited, w.Left)
 }
 
 // Times after which a refused caller should come back. Chosen, not measured.
@@ -42,6 +61,11 @@
 	Later = time.Second           // what refused it lasts
 
 	leftPart = 0.1 // of the time that the caller has left: room for several tries
+
+	// sharePart is the same for what its account's share does not cover: the flood lasts,
+	// and a second refusal is worth nothing to the caller. Callers wait for up to a third.
+	sharePart = 0.33
+	spread    = 0.25 // by which that is less, at most, so that callers do not meet again
 )
 
 // After returns when a refused caller that has some time left should come back.
@@ -49,14 +73,20 @@
 	return min(max(scale(left, leftPart), Soon), Later)
 }
 
+// AfterShare returns the same for a request that its account's share does not cover.
+// random is from 0 to 1.
+func AfterShare(left time.Duration, random float64) time.Duration {
+	return max(scale(left, sharePart*(1-spread*random)), Soon)
+}
+
 // AfterOverload returns the same for a caller whom the gateway's processor
 // cannot serve. Within its account's share it may come back soon: most other
 // gateways have room.
-func AfterOverload(class entitlement.Class, left time.Duration) time.Duration {
+func AfterOverload(class entitlement.Class, left time.Duration, random float64) time.Duration {
 	if class <= entitlement.Entitled {
 		return Soon
 	}
-	return After(left)
+	return AfterShare(left, random)
 }
 
 // Times after which a server that sends nothing is given up. Chosen, not
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -188,7 +188,7 @@
 func (h *hub) fleetMessage(loads []protocol.ServerLoad) protocol.Fleet {
 	demand := h.usage.demand
 	return protocol.Fleet{
-		Gateways: len(h.sessions), Loads: loads, Entitlements: demand.Entitlements(),
+		Gateways: len(h.sessions), Loads: loads, Entitlements: demand.Entitlements(), Late: demand.Late(),
 		Members: h.leadership.Load().voters, Short: demand.Short(), Unknown: !demand.Known(), Most: demand.Most(),
 	}
 }
--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -23,6 +23,7 @@
 	served     entitlement.Served
 	// Tokens since the last report.
 	demanded map[string]uint64 // by account
+	late     map[string]uint64 // the part of it that came back late
 	began    map[string]int64  // the same of what started; negative: to be taken from what starts next
 	missed   uint64
 }
@@ -30,16 +31,20 @@
 func newAccounts(now func() time.Duration) *accounts {
 	return &accounts{
 		now: now, classifier: entitlement.NewClassifier(), served: entitlement.Served{}, demanded: map[string]uint64{},
-		began: map[string]int64{},
+		late: map[string]uint64{}, began: map[string]int64{},
 	}
 }
 
-// classify counts a request of that cost and returns its class.
-func (a *accounts) classify(account string, cost float64) entitlement.Class {
+// classify counts a request of that cost and returns its class; late is one that came back
+// after its objective.
+func (a *accounts) classify(account string, cost float64, late bool) entitlement.Class {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.demanded[account] += uint64(cost)
-	return a.classifier.Classify(a.now(), account, cost)
+	if late {
+		a.late[account] += uint64(cost)
+	}
+	return a.classifier.Classify(a.now(), account, cost, late)
 }
 
 // admits reports whether a request of that account and class may be served now.
@@ -86,11 +91,12 @@
 	return a.served.Compare(a.now(), x, y)
 }
 
-// update takes the fleet's list of accounts that demand more than their share.
-func (a *accounts) update(list []protocol.Entitlement, short bool) {
+// update takes the fleet's list of accounts that demand more than their share, with their
+// parts of what comes back late.
+func (a *accounts) update(list, late []protocol.Entitlement, short bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.classifier.Update(a.now(), list, short)
+	a.classifier.Update(a.now(), list, late, short)
 }
 
 // setMost bounds what this gateway may give to one account, in tokens a second.
@@ -113,7 +119,7 @@
 func (a *accounts) takeReport() protocol.Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	u := protocol.Usage{Demands: takeTokens(a.demanded), Served: takeTokens(a.began), Missed: a.missed}
+	u := protocol.Usage{Demands: takeTokens(a.demanded), Late: takeTokens(a.late), Served: takeTokens(a.began), Missed: a.missed}
 	for _, s := range u.Served {
 		u.Started += s.Tokens // a report that starts something says for whom, see [entitlement.Demand]
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -34,6 +35,7 @@
 	pool    document.Pool
 	body    []byte
 	cost    float64           // tokens
+	spent   time.Duration     // since the caller asked for the first time, before it arrived here
 	class   entitlement.Class // of requests to engines
 
 	// What has become of it.
@@ -78,6 +80,7 @@
 		patience = min(patience, c.head.Timeout)
 	}
 	c.deadline = c.arrived + patience
+	c.spent = c.rs.spent(c.route.Name, c.arrived, c.head.Timeout)
 	if err := c.classify(); err != nil {
 		return err
 	}
@@ -129,19 +132,23 @@
 	c.cost = entitlement.Cost(c.head.Prompt.Tokens(), c.head.Prompt.Output)
 	c.class = entitlement.Entitled
 	if c.pool.Engine {
-		c.class = c.g.accounts.classify(c.account.Name, c.cost)
+		c.class = c.g.accounts.classify(c.account.Name, c.cost, c.late())
 		c.countTokens(tokensDemanded)
 	}
 	if !c.g.overload.Load().Admits(c.class) {
 		c.countMissed()
-		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left())}
+		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left(), rand.Float64())}
 	}
 	if c.pool.Engine && !c.g.accounts.admits(c.account.Name, c.class) {
-		return Refusal{Cause: BeyondShare, RetryAfter: retry.After(c.left())}
+		return Refusal{Cause: BeyondShare, RetryAfter: retry.AfterShare(c.left(), rand.Float64())}
 	}
 	return nil
 }
 
+// late reports whether the request came back after its objective, so that no answer can
+// be in time.
+func (c *call) late() bool { return c.route.Objective > 0 && c.spent >= c.route.Objective }
+
 // countStarted counts the request when it gets its first backend server. An attempt that
 // reaches nobody does not make the next one another start.
 func (c *call) countStarted() {
@@ -252,7 +259,7 @@
 		pool: c.pool, route: c.route, prompt: c.head.Prompt,
 		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.gateways.Load()),
 	}
-	patience := retry.QueueTimeout(c.route, c.counts.Runs, c.g.now()-c.arrived, c.left())
+	patience := retry.QueueTimeout(c.waiting())
 	var a *assignment
 	if a, c.shortage = c.g.awaitServer(ctx, req, patience); a != nil {
 		c.countStarted()
@@ -269,6 +276,14 @@
 	return nil, c.refusal(policy.WithoutServer(c.class, allTried))
 }
 
+// waiting is what decides how long the request may wait for a server.
+func (c *call) waiting() retry.Waiting {
+	return retry.Waiting{
+		Route: c.route, Class: c.class, Runs: c.counts.Runs, Spent: c.spent, Waited: c.g.now() - c.arrived, Left: c.left(),
+		Expected: c.g.table.expectedFirst(c.pool, c.head.Prompt),
+	}
+}
+
 // policy is what decides about further attempts, as of now.
 func (c *call) policy(ctx context.Context) retry.Request {
 	return retry.Request{Route: c.route, Counts: c.counts, HeadWritten: c.relay.headWritten, TimeLeft: ctx.Err() == nil}
@@ -277,8 +292,11 @@
 // refusal is the gateway's own answer for an ending.
 func (c *call) refusal(e retry.Ending) error {
 	cause := endings[e]
-	if !causes[cause].notRun {
+	switch {
+	case !causes[cause].notRun:
 		return Refusal{Cause: cause}
+	case cause == BeyondShare:
+		return Refusal{Cause: cause, RetryAfter: retry.AfterShare(c.left(), rand.Float64())}
 	}
 	return Refusal{Cause: cause, RetryAfter: retry.After(c.left())}
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -85,6 +85,14 @@
 	return p.assign(now, choice)
 }
 
+// expectedFirst returns how long a server that runs nothing else is expected to need
+// until the first part of its answer.
+func (t *table) expectedFirst(pool document.Pool, prompt place.Prompt) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pool(pool.Name).placer.ExpectedFirst(pool.Engine, prompt.Tokens())
+}
+
 // view returns what is known of the pool's servers, for one choice.
 func (p *pool) view(now time.Duration, hall string, avoid map[string]bool) []place.Server {
 	p.viewed = p.viewed[:0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,10 +149,11 @@
 
 // apply brings a document into force. It never goes back.
 func (g *Gateway) apply(d document.Document) {
-	if held := g.routes.Load(); held != nil && held.document.Number >= d.Number {
+	held := g.routes.Load()
+	if held != nil && held.document.Number >= d.Number {
 		return
 	}
-	g.routes.Store(newRoutes(d))
+	g.routes.Store(newRoutes(d, held))
 	g.cfg.Log.StateChange("document in force", slog.Uint64("number", d.Number), slog.Int("routes", len(d.Routes)),
 		slog.Int("tenants", len(d.Accounts)))
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -8,26 +8,35 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
+	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
 // This file defines routes, a document made ready for matching.
 
-// routes is immutable.
+// routes is immutable, but for what it learns of callers.
 type routes struct {
 	document document.Document
+	callers  *callers
 	byHost   map[string][]document.Route // longest prefix first
 	accounts map[string]document.Account // by key
 	pools    map[string]document.Pool
 }
 
-func newRoutes(d document.Document) *routes {
+// newRoutes makes a document ready; before is the one in force, or nil.
+func newRoutes(d document.Document, before *routes) *routes {
 	rs := &routes{
-		document: d, byHost: map[string][]document.Route{},
+		document: d, callers: &callers{patience: map[string]*retry.Patience{}}, byHost: map[string][]document.Route{},
 		accounts: map[string]document.Account{}, pools: map[string]document.Pool{},
 	}
 	for _, r := range d.Routes {
+		rs.callers.patience[r.Name] = &retry.Patience{}
+		if before != nil {
+			before.callers.copyTo(rs.callers, r.Name)
+		}
 		host := strings.ToLower(r.Host)
 		rs.byHost[host] = append(rs.byHost[host], r)
 	}
@@ -45,6 +54,28 @@
 	return rs
 }
 
+// callers is what is learned of the callers of each route of a document.
+type callers struct {
+	mu       sync.Mutex // a leaf
+	patience map[string]*retry.Patience
+}
+
+// copyTo gives another one what is known of a route's callers.
+func (c *callers) copyTo(next *callers, route string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.patience[route]; p != nil {
+		*next.patience[route] = *p
+	}
+}
+
+// spent returns how long ago a caller asked first that will still wait for left.
+func (rs *routes) spent(route string, now, left time.Duration) time.Duration {
+	rs.callers.mu.Lock()
+	defer rs.callers.mu.Unlock()
+	return rs.callers.patience[route].Observe(now, left)
+}
+
 // match returns the route with the longest prefix that begins the path.
 func (rs *routes) match(host, path string) (document.Route, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -171,7 +171,7 @@
 		w.g.gateways.Store(int64(max(m.Gateways, 1)))
 		w.replicas = m.Members
 		if !m.Unknown {
-			w.g.accounts.update(m.Entitlements, m.Short)
+			w.g.accounts.update(m.Entitlements, m.Late, m.Short)
 			w.g.accounts.setMost(m.Most)
 		}
 		w.g.table.updateLoads(w.g.now(), w.counted, m.Loads)
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -92,6 +92,9 @@
 	Served []Demand `cbor:"6,keyasint,omitempty"`
 	// Seq numbers the reports of a session from 1.
 	Seq uint64 `cbor:"7,keyasint,omitempty"`
+	// Late is the part of Demands that came back after its objective: served now, it is
+	// late in any case.
+	Late []Demand `cbor:"8,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
@@ -123,6 +126,9 @@
 	Unknown bool `cbor:"6,keyasint,omitempty"`
 	// Most bounds what one account may be given, in tokens a second; 0 does not.
 	Most float64 `cbor:"7,keyasint,omitempty"`
+	// Late has, for accounts in Entitlements, the parts of what comes back late: what their
+	// requests that can be in time leave of the share. None is no part.
+	Late []Entitlement `cbor:"9,keyasint,omitempty"`
 }
 
 // Counted goes before each Fleet: the last report of the receiving gateway that is in its
