Placement: a gateway that is late learns nothing of engines; a refusal names its bound

Seen in the log of a flooded gateway: entitled requests refused with 2 to 8 requests of 12 places and 2,319 to 6,451 tokens to read on the engine, 15 to 41 ms where 75 are allowed.

Change: no observation while the gateway is late. Lines of requests that found no room say which bound refused (connections, slots, reading) and what the gateway had learned (tokens_a_ms, slowness, per_slot).

--- a/coordination/place/example_test.go
+++ b/coordination/place/example_test.go
@@ -55,6 +55,6 @@
 	fmt.Printf("%+v\n", p.Choose(r, []place.Server{busy, idle}))
 	fmt.Printf("%+v\n", p.Choose(r, []place.Server{busy}))
 	// Output:
-	// {Index:1 Room:true Read:2000 Before:{Requests:0 Tokens:0}}
-	// {Index:0 Room:false Read:2000 Before:{Requests:2 Tokens:50000}}
+	// {Index:1 Bound: Read:2000 Before:{Requests:0 Tokens:0} Slowness:1}
+	// {Index:0 Bound:reading Read:2000 Before:{Requests:2 Tokens:50000} Slowness:1}
 }
--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -56,25 +56,51 @@
 	fewestConnections = 2   // of each gateway, even if the sum is too large then
 )
 
-// hasRoom reports whether one more request may go to a server now.
-func (p *RoomPlacer) hasRoom(r Request, c candidate) bool {
+// Bound is what keeps a server from taking one more request.
+type Bound uint8
+
+// The bounds, in the order in which they are looked at.
+const (
+	Free        Bound = iota // it takes one
+	Connections              // this gateway's part of the connections that it accepts
+	Slots                    // requests on it
+	Reading                  // prompts that it has to read first
+)
+
+// String returns the bound's name, as log lines carry it.
+func (b Bound) String() string { return [...]string{"", "connections", "slots", "reading"}[b] }
+
+// bound returns what keeps a server from taking one more request now.
+func (p *RoomPlacer) bound(r Request, c candidate) Bound {
 	if r.Connections > 0 && c.Own.Requests >= ownConnections(r.Connections, r.Gateways) {
-		return false
+		return Connections
 	}
 	perSlot := plainPerSlot
 	if r.Engine {
 		perSlot = p.requestsPerSlot()
 	}
 	if c.Slots > 0 && float64(c.load.Requests) >= perSlot*float64(c.Slots) {
-		return false
+		return Slots
 	}
 	if !r.Engine {
-		return true
+		return Free
 	}
 	wait := float64(c.load.Tokens) * c.slowness / p.readRate() // ms
-	return wait <= roomParts[r.Class]*float64(r.Objective)/float64(time.Millisecond)
+	if wait > roomParts[r.Class]*float64(r.Objective)/float64(time.Millisecond) {
+		return Reading
+	}
+	return Free
+}
+
+// Learned is what the placer has learned of its servers.
+type Learned struct {
+	Rate    float64 // tokens that an engine reads in a millisecond; 0 is unknown
+	PerSlot float64 // requests that an engine is given for each slot
 }
 
+// Learned returns what is learned, for the log and the metrics.
+func (p *RoomPlacer) Learned() Learned { return Learned{Rate: p.rate, PerSlot: p.requestsPerSlot()} }
+
 // ownConnections is one gateway's part of the connections that a server accepts.
 func ownConnections(accepted, gateways int) int {
 	return max(int(connectionsUsed*float64(accepted)/float64(max(gateways, 1))), fewestConnections)
--- a/coordination/place/room_test.go
+++ b/coordination/place/room_test.go
@@ -47,7 +47,7 @@
 			is := is.New(t)
 			got := new(RoomPlacer).Choose(tt.r, []Server{tt.s})
 			is.Equal(got.Index, 0)
-			is.Equal(got.Room, tt.room)
+			is.Equal(got.Bound == Free, tt.room)
 			is.Equal(got.Before, tt.s.fromAll())
 		})
 	}
@@ -86,11 +86,11 @@
 	r := Request{Prompt: promptOf("a"), Class: entitlement.Covered, Objective: 400 * time.Millisecond, Engine: true}
 	servers := []Server{{ID: "e0"}, {ID: "e1"}}
 	first := p.Choose(r, servers)
-	is.True(first.Room)
+	is.Equal(first.Bound, Free)
 	is.Equal(first.Read, 1000)
 	servers[first.Index].Own.Tokens = 20_000
-	is.Equal(p.Choose(r, servers), Choice{Index: first.Index, Read: 1000, Before: Work{Tokens: 20_000}})
-	is.Equal(p.ChooseWithRoom(r, servers), Choice{Index: 1 - first.Index, Room: true, Read: 6500})
+	is.Equal(p.Choose(r, servers), Choice{Index: first.Index, Bound: Reading, Read: 1000, Before: Work{Tokens: 20_000}, Slowness: 1})
+	is.Equal(p.ChooseWithRoom(r, servers), Choice{Index: 1 - first.Index, Read: 6500, Slowness: 1})
 	servers[1-first.Index].Own.Tokens = 20_000
 	is.Equal(p.ChooseWithRoom(r, servers).Index, -1)
 }
@@ -143,6 +143,6 @@
 		servers[i].Own.Tokens = 2000
 	}
 	for _, c := range candidates(r, servers) {
-		is.Equal(new(RoomPlacer).hasRoom(r, c), c.index != 2)
+		is.Equal(new(RoomPlacer).bound(r, c) == Free, c.index != 2)
 	}
 }
--- a/coordination/place/roomplacer.go
+++ b/coordination/place/roomplacer.go
@@ -61,10 +61,11 @@
 
 // Choice is the server that suits a request best.
 type Choice struct {
-	Index  int  // of the server; -1 if there is no candidate
-	Room   bool // it may have the request now
-	Read   int  // tokens that it has to read for the request
-	Before Work // on it, from all gateways
+	Index    int     // of the server; -1 if there is no candidate
+	Bound    Bound   // why it may not have the request now; Free if it may
+	Read     int     // tokens that it has to read for the request
+	Before   Work    // on it, from all gateways
+	Slowness float64 // how many times slower than others it counts
 }
 
 // RoomPlacer chooses servers of one pool, and holds what is learned of them for
@@ -83,20 +84,20 @@
 	if !ok {
 		return Choice{Index: -1}
 	}
-	return Choice{Index: best.index, Room: p.hasRoom(r, best), Read: read, Before: best.load}
+	return Choice{Index: best.index, Bound: p.bound(r, best), Read: read, Before: best.load, Slowness: best.slowness}
 }
 
 // ChooseWithRoom returns the server that suits the request best among those
 // that have room. It is for requests that would otherwise be refused and should not
 // be. There may be few of them, because what is read again takes room from others.
 func (p *RoomPlacer) ChooseWithRoom(r Request, servers []Server) Choice {
-	open := slices.DeleteFunc(candidates(r, servers), func(c candidate) bool { return !p.hasRoom(r, c) })
+	open := slices.DeleteFunc(candidates(r, servers), func(c candidate) bool { return p.bound(r, c) != Free })
 	best, _, ok := cheapest(r.Prompt, open)
 	if !ok {
 		return Choice{Index: -1}
 	}
 	// No shared part of the prompt is kept there.
-	return Choice{Index: best.index, Room: true, Read: r.Prompt.Tokens(), Before: best.load}
+	return Choice{Index: best.index, Read: r.Prompt.Tokens(), Before: best.load, Slowness: best.slowness}
 }
 
 // candidate is a server that a request may go to.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -54,8 +54,11 @@
 // what was known to run there. It is empty if there was no candidate.
 type shortage struct {
 	server   string
+	bound    place.Bound
 	requests int
 	tokens   int
+	slowness float64
+	learned  place.Learned
 	age      time.Duration // of what is known of other gateways' requests
 }
 
@@ -67,9 +70,12 @@
 	switch {
 	case choice.Index < 0:
 		return nil, shortage{}
-	case !choice.Room:
+	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
-		return nil, shortage{server: k.ID, requests: choice.Before.Requests, tokens: choice.Before.Tokens, age: now - k.othersAt}
+		return nil, shortage{
+			server: k.ID, bound: choice.Bound, requests: choice.Before.Requests, tokens: choice.Before.Tokens,
+			slowness: choice.Slowness, learned: p.placer.Learned(), age: now - k.othersAt,
+		}
 	}
 	return p.assign(now, choice), shortage{}
 }
@@ -128,7 +134,10 @@
 	a.untilFirst = g.now() - a.began
 	a.known.own.Tokens -= a.tokens
 	p := g.table.pool(a.known.Pool)
-	a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst))
+	// A gateway that is late itself would take its own lateness for the servers'.
+	if !g.overload.Load().Late(g.now()) {
+		a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst))
+	}
 }
 
 // silentBlame returns the verdict for an attempt that ended because nothing came from
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -91,8 +91,10 @@
 			milliseconds("told_ms_ago", age))
 	}
 	if s := c.shortage; s.server != "" {
-		attrs = append(attrs, slog.String("full", s.server), slog.Int("full_requests", s.requests),
-			slog.Int("full_tokens", s.tokens), milliseconds("seen_ms_ago", s.age))
+		attrs = append(attrs, slog.String("full", s.server), slog.String("full_for", s.bound.String()),
+			slog.Int("full_requests", s.requests), slog.Int("full_tokens", s.tokens), slog.Float64("slowness", s.slowness),
+			slog.Float64("tokens_a_ms", s.learned.Rate), slog.Float64("per_slot", s.learned.PerSlot),
+			milliseconds("seen_ms_ago", s.age))
 	}
 	if a := c.assigned; a != nil {
 		attrs = append(attrs, slog.String("backend", a.server), slog.Int("tokens_ahead", a.tokensAhead),
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// TestLateGatewayLearnsNothing: what a gateway that is late itself sees of engines' pace
+// says nothing of them. It would count them as slow, and so as full, and refuse its
+// callers while they are idle.
+func TestLateGatewayLearnsNothing(t *testing.T) {
+	for _, tt := range []struct {
+		level  time.Duration
+		learns bool
+	}{{0, true}, {2 * overload.DelayNoticed, false}} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.serversOf("engines", streams(piece{text: event(1), after: 300 * time.Millisecond}))
+			release := x.holdPressure(tt.level)
+			time.Sleep(overload.TickPeriod / 3) // between two ticks
+			is.Equal(x.ask("/engine/x", "Tokens", "6000").status, 200)
+			release()
+			learned := x.g.table.pools["engines"].placer.Learned()
+			is.Equal(learned.Rate != 0, tt.learns)
+		})
+	}
+}
