Gateway: silent connections to two servers are the network's

Change: kept connections to two servers found silent within 2 s close all idle ones (outlier.Outage); a request whose time ends before anything came counts for that, without a verdict on its server.

--- a/coordination/outlier/silence.go
+++ b/coordination/outlier/silence.go
@@ -4,10 +4,11 @@
 
 import "time"
 
-// This file defines Doubt, which tells a server that has stopped answering from a kept
+// This file defines Doubt and Outage. Doubt tells a server that has stopped answering from a kept
 // connection that fell silent: something on the way may forget connections, without a
 // reset, while new ones work. So silence on a kept connection says nothing of the server
-// until a connection opened after it is silent too.
+// until a connection opened after it is silent too. Outage tells that from connections to
+// one server alone, so that not each server's are found out by requests that wait in vain.
 
 // doubtFor is how long the silence of one connection excuses others opened before it.
 // Chosen, not measured: above the time for which idle connections are kept.
@@ -34,3 +35,28 @@
 	}
 	return Lost, false
 }
+
+// togetherWithin is how soon after each other the connections to two servers must be found
+// silent for it to be the network's doing. Chosen, not measured: requests of all kinds are
+// given up within about two objectives.
+const togetherWithin = 2 * time.Second
+
+// Outage is what is known of silence on kept connections to all servers. The zero value
+// knows of none.
+type Outage struct {
+	server string        // whose connection was found silent last
+	at     time.Duration // when
+	ended  time.Duration // when all idle connections were last closed; 0: never
+}
+
+// Silent takes that a kept connection to a server was silent, and reports whether all idle
+// connections should be closed: two servers' were, and that was not done lately.
+func (o *Outage) Silent(now time.Duration, server string) (dropAll bool) {
+	together := o.server != "" && o.server != server && now-o.at <= togetherWithin
+	o.server, o.at = server, now
+	if !together || o.ended != 0 && now-o.ended <= doubtFor {
+		return false
+	}
+	o.ended = now
+	return true
+}
--- a/coordination/outlier/silence_test.go
+++ b/coordination/outlier/silence_test.go
@@ -35,3 +35,15 @@
 		})
 	}
 }
+
+func TestOutage(t *testing.T) {
+	is := is.New(t)
+	var o Outage
+	is.True(!o.Silent(1*time.Second, "a"))
+	is.True(!o.Silent(1*time.Second, "a")) // one server only
+	is.True(!o.Silent(4*time.Second, "b")) // too late after it
+	is.True(o.Silent(5*time.Second, "a"))
+	is.True(!o.Silent(6*time.Second, "b")) // done already
+	is.True(!o.Silent(20*time.Second, "a"))
+	is.True(o.Silent(21*time.Second, "c"))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,9 @@
 		out.blame, out.cause = c.g.silentBlame(a), "silent"
 	} else if ctx.Err() != nil && !answered {
 		out.blame = outlier.NoVerdict // the caller left, or the time is over
+		if c.r.Context().Err() == nil && !a.answering && a.opened > 0 && a.opened < a.began {
+			c.g.silentBlame(a) // nobody is blamed, but its other connections may be silent too
+		}
 	}
 	c.counts = c.counts.With(out.execution)
 	if c.g.release(a, out.blame) {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -141,16 +141,23 @@
 }
 
 // silentBlame returns the verdict for an attempt that ended because nothing came from
-// its backend server, and has the next request try a new connection if that is a kept
+// its backend server, and has the next requests try new connections if that is a kept
 // connection's fault.
 func (g *Gateway) silentBlame(a *assignment) outlier.Verdict {
+	now := g.now()
 	g.table.mu.Lock()
-	v, drop := a.known.doubt.Silent(g.now(), a.began, a.opened)
+	v, drop := a.known.doubt.Silent(now, a.began, a.opened)
+	dropAll := v == outlier.NoVerdict && g.table.outage.Silent(now, a.server)
 	g.table.mu.Unlock()
-	if drop {
+	switch {
+	case dropAll:
+		g.cfg.Server.DropAllIdle()
+	case drop:
 		g.cfg.Server.DropIdle(a.address)
-		g.cfg.Log.Failure("connection silent", slog.String("backend", a.server), milliseconds("open_ms", g.now()-a.opened))
+	default:
+		return v
 	}
+	g.cfg.Log.Failure("connection silent", slog.String("backend", a.server), milliseconds("open_ms", now-a.opened), slog.Bool("others", dropAll))
 	return v
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -98,6 +98,8 @@
 	f.dropped = append(f.dropped, address)
 }
 
+func (f *fakeServers) DropAllIdle() { f.DropIdle("all") }
+
 func (f *fakeServers) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 	Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error)
 	// DropIdle closes the idle connections to an address.
 	DropIdle(address string)
+	// DropAllIdle closes the idle connections to all addresses.
+	DropAllIdle()
 }
 
 var _ Server = (*forward.Client)(nil)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -357,8 +357,8 @@
 			is.Equal(k.health.State(x.g.now()), outlier.InUse)
 		}
 		x.g.table.mu.Unlock()
-		is.True(len(x.servers.dropped) > 0)
-		opened = time.Now().Add(time.Hour) // all are new from here on
+		is.Equal(x.servers.dropped[:2], []string{"10.0.5.0:80", "all"}) // the second server's: it is the network
+		opened = time.Now().Add(time.Hour)                              // all are new from here on
 		for range 8 {
 			x.ask("/resume/x")
 		}
@@ -373,3 +373,21 @@
 		is.True(ejected > 0)
 	}, kept(resuming(5, 0, nil)), kept(resuming(5, 0, nil)))
 }
+
+// TestRequestThatMayNotRunAgainOnASilentConnection waits for its time, since a slow server
+// looks the same, but the next one goes out on a new connection.
+func TestRequestThatMayNotRunAgainOnASilentConnection(t *testing.T) {
+	opened := time.Time{}
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		opened = time.Now()
+		time.Sleep(time.Second)
+		got := x.ask("/once/x")
+		is.Equal(got.status, 504)
+		is.Equal(x.servers.dropped, []string{"10.0.5.0:80"})
+		is.Equal(x.g.table.servers["p0"].health.State(x.g.now()), outlier.InUse)
+	}, func(ctx context.Context, _ forward.Call) (*forward.Answer, error) {
+		<-ctx.Done()
+		return nil, forward.Unknown{Opened: opened, Err: ctx.Err()}
+	})
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -49,7 +49,8 @@
 	byHandle map[uint32]*knownServer
 	pools    map[string]*pool
 	term     uint64
-	lists    uint64   // whole lists taken
+	lists    uint64 // whole lists taken
+	outage   outlier.Outage
 	reports  []report // of this session, newest last
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -178,7 +178,7 @@
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.DropAllIdle() }
 
 // DropIdle closes the idle connections to an address, so that the next calls go out on
 // new ones.
@@ -188,6 +188,9 @@
 	}
 }
 
+// DropAllIdle does the same for all addresses.
+func (c *Client) DropAllIdle() { c.transport.CloseIdleConnections() }
+
 // Send sends a call to the server at address and returns the head of its
 // answer. Cancelling ctx ends the call, its body included. The error is
 // [NotRun] or [Unknown].
