--- a/coordination/entitlement/late_test.go
+++ b/coordination/entitlement/late_test.go
@@ -23,99 +23,128 @@
 	late        bool          // the classes tell what comes back late
 	fresh, back float64       // tokens served in time, and late, by flooding accounts
 	small       float64       // part of the small account's tokens that was served in time
+
+	now      time.Duration
+	gateways [2]modelGateway // fresh requests arrive at the first, what comes back at the second
+	demand   *Demand
+	owed     []float64 // tokens of each account that are to be asked for
+	later    map[time.Duration][]arrival
+}
+
+// modelGateway is a classifier and what it reports.
+type modelGateway struct {
+	*Classifier
+	demanded, late, served map[string]uint64
 }
 
 const (
 	modelShare = 100_000.0 // tokens a second of each flooding account
+	modelCost  = 1000.0    // tokens of a request
 	modelTick  = 10 * time.Millisecond
-	modelWarm  = 4 * time.Second
+	modelWarm  = 4 * time.Second // from then on is counted
 	modelEnd   = 14 * time.Second
 )
 
 // arrival is a request of the model.
 type arrival struct {
 	account string
-	cost    float64
 	back    bool
 }
 
-// run plays the model: fresh requests arrive at the first gateway, what comes back at the
-// second.
+// run plays the model.
 func (m *returning) run() {
-	gateways := []*Classifier{NewClassifier(), NewClassifier()}
-	demand := NewDemand()
-	later := map[time.Duration][]arrival{}
-	owed := make([]float64, m.floods+1)
+	m.demand, m.later, m.owed = NewDemand(), map[time.Duration][]arrival{}, make([]float64, m.floods+1)
+	for i := range m.gateways {
+		m.gateways[i] = modelGateway{NewClassifier(), map[string]uint64{}, map[string]uint64{}, map[string]uint64{}}
+	}
 	asked, inTime := 0.0, 0.0
-	for now := modelTick; now < modelEnd; now += modelTick {
-		arrivals := later[now]
-		delete(later, now)
-		for i := range owed {
-			rate := m.offered * modelShare
-			if i == m.floods {
-				rate = modelShare / 5
-			}
-			for owed[i] += rate * modelTick.Seconds(); owed[i] >= 1000; owed[i] -= 1000 {
-				arrivals = append(arrivals, arrival{account: fmt.Sprint(i), cost: 1000})
-			}
-		}
-		reports := [2]map[string]*[3]float64{{}, {}} // demanded, late, served
-		for _, a := range arrivals {
-			at := 0
-			if a.back {
-				at = 1
-			}
-			r := reports[at][a.account]
-			if r == nil {
-				r = &[3]float64{}
-				reports[at][a.account] = r
-			}
-			r[0] += a.cost
-			if a.back && m.late {
-				r[1] += a.cost
-			}
-			measured := now >= modelWarm
-			small := a.account == fmt.Sprint(m.floods)
-			if small && measured && !a.back {
-				asked += a.cost
-			}
-			class := gateways[at].Classify(now, a.account, a.cost, a.back && m.late)
-			if !gateways[at].Admits(now, a.account, class) || class > Entitled {
-				if !a.back {
-					when := (now + m.after).Truncate(modelTick)
-					later[when] = append(later[when], arrival{account: a.account, cost: a.cost, back: true})
-				}
+	small := fmt.Sprint(m.floods)
+	for m.now = modelTick; m.now < modelEnd; m.now += modelTick {
+		for _, a := range m.arrivals() {
+			served := m.serve(a)
+			if m.now < modelWarm {
 				continue
 			}
-			r[2] += a.cost
 			switch {
-			case !measured:
-			case small && !a.back:
-				inTime += a.cost
-			case !small && a.back:
-				m.back += a.cost
-			case !small:
-				m.fresh += a.cost
+			case a.account == small && !a.back:
+				asked += modelCost
+				inTime += served
+			case a.account != small && a.back:
+				m.back += served
+			case a.account != small:
+				m.fresh += served
 			}
 		}
-		for _, report := range reports {
-			u := protocol.Usage{}
-			for account, r := range report {
-				u.Demands = append(u.Demands, protocol.Demand{Account: account, Tokens: uint64(r[0])})
-				u.Late = append(u.Late, protocol.Demand{Account: account, Tokens: uint64(r[1])})
-				u.Served = append(u.Served, protocol.Demand{Account: account, Tokens: uint64(r[2])})
-				u.Started += uint64(r[2])
-			}
-			demand.Add(u)
+		m.report()
+	}
+	m.small = inTime / asked
+}
+
+// arrivals returns what comes back now, and what is asked for the first time.
+func (m *returning) arrivals() []arrival {
+	all := m.later[m.now]
+	delete(m.later, m.now)
+	for i := range m.owed {
+		rate := m.offered * modelShare
+		if i == m.floods {
+			rate = modelShare / 5
 		}
-		if now%(100*time.Millisecond) == 0 {
-			demand.Settle(now, modelShare*(float64(m.floods)+0.2))
-			for _, g := range gateways {
-				g.Update(now, demand.Entitlements(), demand.Late(), demand.Short())
-			}
+		for m.owed[i] += rate * modelTick.Seconds(); m.owed[i] >= modelCost; m.owed[i] -= modelCost {
+			all = append(all, arrival{account: fmt.Sprint(i)})
 		}
 	}
-	m.small = inTime / asked
+	return all
+}
+
+// serve returns the tokens that a request is served: all, or none. A refused one comes back
+// once.
+func (m *returning) serve(a arrival) float64 {
+	g := m.gateways[0]
+	if a.back {
+		g = m.gateways[1]
+	}
+	late := a.back && m.late
+	g.demanded[a.account] += modelCost
+	if late {
+		g.late[a.account] += modelCost
+	}
+	class := g.Classify(m.now, a.account, modelCost, late)
+	if g.Admits(m.now, a.account, class) && class <= Entitled {
+		g.served[a.account] += modelCost
+		return modelCost
+	}
+	if !a.back {
+		when := (m.now + m.after).Truncate(modelTick)
+		m.later[when] = append(m.later[when], arrival{account: a.account, back: true})
+	}
+	return 0
+}
+
+// report tells the leader what came, and ten times a second the gateways its lists.
+func (m *returning) report() {
+	for _, g := range m.gateways {
+		u := protocol.Usage{Demands: takeAll(g.demanded), Late: takeAll(g.late), Served: takeAll(g.served)}
+		for _, s := range u.Served {
+			u.Started += s.Tokens
+		}
+		m.demand.Add(u)
+	}
+	if m.now%(100*time.Millisecond) != 0 {
+		return
+	}
+	m.demand.Settle(m.now, modelShare*(float64(m.floods)+0.2))
+	for _, g := range m.gateways {
+		g.Update(m.now, m.demand.Entitlements(), m.demand.Late(), m.demand.Short())
+	}
+}
+
+// takeAll removes and returns what is counted by account.
+func takeAll(byAccount map[string]uint64) (all []protocol.Demand) {
+	for account, tokens := range byAccount {
+		all = append(all, protocol.Demand{Account: account, Tokens: tokens})
+	}
+	clear(byAccount)
+	return all
 }
 
 // TestFreshRequestsGoFirst: accounts beyond their share are given as much as when all
--- /dev/null
+++ b/directory/sessions_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file tests the gateways' sessions with the leader: what ends them, and what they
+// cost when much happens at once.
+
+// TestConnectionsFallSilent: all open connections are silent for good while new ones
+// work. The group elects, takes a document and brings it to its gateways on new ones, and
+// nothing that was reported over an old one counts on.
+func TestConnectionsFallSilent(t *testing.T) {
+	inFleet(t, voters, func(x *fleet) {
+		is := is.New(x.t)
+		gateways := []*gateway.Gateway{x.gateway("10.0.2.1"), x.gateway("10.0.2.2")}
+		is.NoErr(x.announce("b1", false))
+		x.put(1)
+		time.Sleep(time.Second)
+		for n := range uint64(3) {
+			x.net.Silence()
+			began := time.Now()
+			x.put(n + 2)
+			for _, g := range gateways {
+				for g.DocumentNumber() < n+2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			is.True(time.Since(began) < 3*time.Second)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// TestManyAnnounceAtOnce starts more backend servers within a second than a session's
+// queue holds messages, before many gateways. No session is lost, every gateway knows all
+// soon, and it was sent a list or two, not one for each server.
+func TestManyAnnounceAtOnce(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		const gateways, servers = 30, 1200
+		for i := range gateways {
+			x.gateway(fmt.Sprintf("10.0.2.%d", i+1))
+		}
+		time.Sleep(time.Second)
+		leader := x.mustLead().d
+		var announcing sync.WaitGroup
+		for i := range servers {
+			announcing.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / servers)
+				is.NoErr(leader.Announce(x.t.Context(), registry.Announcement{Registration: protocol.Registration{
+					ID: fmt.Sprintf("b%d", i), Pool: "p", Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200), Slots: 4,
+				}, Seq: 1}))
+			})
+		}
+		announcing.Wait()
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range x.gateways {
+			is.Equal(len(n.g.Servers()), servers)
+			_, sessions := n.count("out", "watch")
+			is.True(sessions <= 3) // until the leader was found
+			bytes, messages := n.count("in", "backends")
+			is.True(messages < 30)
+			is.True(bytes < 100*servers) // one registration is about 50
+		}
+	})
+}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -57,8 +57,8 @@
 // Pings of a link on which nothing comes back otherwise. Chosen, not measured: a second
 // bears two lost packets, and a gateway waits as long for a leader (registry.SilenceLimit).
 const (
-	pingPeriod  = 250 * time.Millisecond
-	pingTimeout = time.Second // for the answer
+	pingPeriod  = 250 * time.Millisecond // between an answer and the next ping
+	pingTimeout = time.Second            // for the answer
 )
 
 // Identity is the name that a box claims and the key that it proves.
