--- a/coordination/outlier/silence_test.go
+++ b/coordination/outlier/silence_test.go
@@ -19,6 +19,7 @@
 		drop               bool
 	}{
 		{"a new connection", 5, 4, 4, Lost, false},
+		{"none came about", 6, 5, 0, Lost, false},
 		{"the first kept one", 10, 9, 3, NoVerdict, true},
 		{"others that were open then", 10.5, 9.5, 8, NoVerdict, false},
 		{"the same", 12, 11, 10, NoVerdict, false},
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -80,7 +80,10 @@
 // Then returns both changes as one, a later one of a backend server in place of the
 // earlier.
 func (c Change) Then(next Change) Change {
-	if c.Empty() {
+	switch {
+	case next.Empty():
+		return c
+	case c.Empty():
 		return next
 	}
 	later := make(map[string]bool, len(next.Set)+len(next.Gone))
