Gateways: the whole list costs little, and may take longer than a silence

A gateway looked at all servers and sorted its pool for each server of a list; and a leader was left when a message took longer than a second to arrive, as one of 250 KB to 300 gateways at once may on the leader's link, so that all came back for it.

Change: an index by address, and servers are inserted in their place; the silence of a leader or a gateway ends with each part of a message (Link.ReceiveWithin).

TestFleetReturnsOverASlowLink fails with the deadline of a whole message.

--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -244,11 +245,16 @@
 type noHeaders struct{ gateway.HeaderCodec }
 
 func (x *fleet) gateway(ip string) *gateway.Gateway {
+	return x.gatewayOn(ip, x.net.Box(ip).DialContext)
+}
+
+// gatewayOn starts a gateway that opens its links with dial.
+func (x *fleet) gatewayOn(ip string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *gateway.Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	log := x.log(set)
 	g := gateway.Start(ctx, gateway.Settings{
-		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
+		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: dial},
 		Seeds:    x.seeds, Headers: noHeaders{}, Server: forward.New(forward.Settings{Dialer: x.net.Box(ip)}),
 		Retries: retry.Limits{Window: time.Second}, Random: x.random, Log: log, Metrics: set,
 	})
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -107,7 +107,7 @@
 	defer s.out.Close()
 	defer h.post(func() { h.close(s) })
 	for {
-		m, err := receive(ctx, l)
+		m, err := l.ReceiveWithin(ctx, registry.ReportSilence)
 		if err != nil {
 			return
 		}
@@ -117,13 +117,6 @@
 	}
 }
 
-// receive waits for a message, but not for a gateway that has gone silent.
-func receive(ctx context.Context, l *link.Link) (protocol.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, registry.ReportSilence)
-	defer cancel()
-	return l.Receive(ctx)
-}
-
 // open admits a gateway. It returns [Unavailable] if this replica does not lead, or
 // leads in an older term than the gateway has seen.
 func (h *hub) open(l *link.Link, w protocol.Watch) (*session, error) {
--- a/directory/sessions_test.go
+++ b/directory/sessions_test.go
@@ -76,3 +76,30 @@
 		}
 	})
 }
+
+// TestFleetReturnsOverASlowLink: all gateways come back at once and share the leader's
+// link, so that the whole list takes each of them several times longer than the silence
+// after which a leader is left. None leaves it, or all would come back for ever.
+func TestFleetReturnsOverASlowLink(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		const servers, gateways = 1500, 10
+		leader := x.mustLead().d
+		for i := range servers {
+			is.NoErr(leader.Announce(x.t.Context(), registry.Announcement{Registration: protocol.Registration{
+				ID: fmt.Sprintf("b%d", i), Pool: "p", Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200), Slots: 4,
+			}, Seq: 1}))
+		}
+		time.Sleep(time.Second)
+		for i := range gateways {
+			ip := fmt.Sprintf("10.0.2.%d", i+1)
+			x.gatewayOn(ip, x.net.Box(ip).Slow(25_000).DialContext) // the list takes about three seconds
+		}
+		time.Sleep(8 * time.Second)
+		for _, n := range x.gateways {
+			is.Equal(len(n.g.Servers()), servers)
+			_, sessions := n.count("out", "watch")
+			is.True(sessions <= 3) // until the leader was found
+		}
+	})
+}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -164,3 +165,22 @@
 	used := processorTime() - before
 	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-µs/request")
 }
+
+// BenchmarkWholeList takes a whole list of backend servers that a gateway does not know,
+// as after its start.
+func BenchmarkWholeList(b *testing.B) {
+	for _, n := range []int{300, 3000, 10000} {
+		list := make([]protocol.Server, n)
+		for i := range list {
+			list[i] = protocol.Server{Handle: uint32(i + 1), Registration: protocol.Registration{
+				ID: fmt.Sprintf("i-%x", uint32(i)*2654435761), Pool: "p", Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Slots: 12,
+			}}
+		}
+		slices.SortFunc(list, func(x, y protocol.Server) int { return strings.Compare(x.ID, y.ID) })
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				newTable("z").update(protocol.Servers{Term: 1, Whole: true, Set: list})
+			}
+		})
+	}
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	servers  map[string]*knownServer
 	byHandle map[uint32]*knownServer
+	at       map[string]*knownServer // by address
 	pools    map[string]*pool
 	term     uint64
 	lists    uint64 // whole lists taken
@@ -64,7 +65,7 @@
 }
 
 func newTable(hall string) *table {
-	return &table{hall: hall, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{}, pools: map[string]*pool{}}
+	return &table{hall: hall, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{}, at: map[string]*knownServer{}, pools: map[string]*pool{}}
 }
 
 // pool returns a pool, new if need be. The caller holds mu.
@@ -122,23 +123,20 @@
 func (t *table) set(s protocol.Server) bool {
 	k := t.servers[s.ID]
 	if k != nil && k.Pool == s.Pool {
+		t.leaveAddress(k)
 		k.Server, k.list, k.unlisted = s, t.lists, false
-		t.byHandle[s.Handle] = k
+		t.byHandle[s.Handle], t.at[s.Address] = k, k
 		return false
 	}
 	t.remove(s.ID)
-	for _, other := range t.servers {
-		if other.Address == s.Address {
-			t.remove(other.ID)
-			break
-		}
+	if other := t.at[s.Address]; other != nil {
+		t.remove(other.ID)
 	}
 	k = &knownServer{Server: s, list: t.lists}
-	t.servers[s.ID] = k
-	t.byHandle[s.Handle] = k
+	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
-	p.servers = append(p.servers, k)
-	slices.SortFunc(p.servers, func(a, b *knownServer) int { return strings.Compare(a.ID, b.ID) })
+	i, _ := slices.BinarySearchFunc(p.servers, k.ID, func(o *knownServer, id string) int { return strings.Compare(o.ID, id) })
+	p.servers = slices.Insert(p.servers, i, k)
 	return true
 }
 
@@ -150,11 +148,19 @@
 	}
 	delete(t.servers, id)
 	delete(t.byHandle, k.Handle)
+	t.leaveAddress(k)
 	p := t.pool(k.Pool)
 	p.servers = slices.DeleteFunc(p.servers, func(o *knownServer) bool { return o == k })
 	return true
 }
 
+// leaveAddress forgets that a backend server is at its address, unless another one is.
+func (t *table) leaveAddress(k *knownServer) {
+	if t.at[k.Address] == k {
+		delete(t.at, k.Address)
+	}
+}
+
 // markUnlisted marks backend servers that neither the last whole list nor a change since
 // has: they are used only as long as they answer.
 func (t *table) markUnlisted() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -97,7 +97,7 @@
 	}
 	led := false
 	for {
-		m, err := w.receive(ctx, l)
+		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
 		if err != nil {
 			w.lost(address, err)
 			return led
@@ -116,13 +116,6 @@
 	}
 }
 
-// receive waits for a message, but not for a leader that has gone silent.
-func (w *watcher) receive(ctx context.Context, l *link.Link) (protocol.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, registry.SilenceLimit)
-	defer cancel()
-	return l.Receive(ctx)
-}
-
 // redirected handles the answer of a replica that does not lead. One that names
 // itself as the leader is not tried again at once.
 func (w *watcher) redirected(address string, e protocol.WatchRedirect) {
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -29,6 +29,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -156,8 +157,50 @@
 // version does not have. After an error, the end of ctx included, the link is
 // closed.
 func (l *Link) Receive(ctx context.Context) (protocol.Message, error) {
-	for {
+	return l.receive(func() ([]byte, error) {
 		_, b, err := l.conn.Read(ctx)
+		return b, err
+	})
+}
+
+// ReceiveWithin is Receive from a peer that is never silent for longer than a time. A part
+// of a message ends the silence: a large one may take longer on a link that many share.
+func (l *Link) ReceiveWithin(ctx context.Context, silence time.Duration) (protocol.Message, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(silence, cancel)
+	defer timer.Stop()
+	return l.receive(func() ([]byte, error) { return l.readParts(ctx, func() { timer.Reset(silence) }) })
+}
+
+// partSize is how much of a message is read at a time, in bytes. Chosen, not measured.
+const partSize = 16 << 10
+
+// readParts reads the bytes of one message and calls came after each part.
+func (l *Link) readParts(ctx context.Context, came func()) ([]byte, error) {
+	_, r, err := l.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var whole []byte
+	part := make([]byte, partSize)
+	for {
+		n, err := r.Read(part)
+		whole = append(whole, part[:n]...)
+		switch {
+		case err == io.EOF:
+			return whole, nil
+		case err != nil:
+			return nil, err
+		}
+		came()
+	}
+}
+
+// receive reads messages until one is of a known kind.
+func (l *Link) receive(read func() ([]byte, error)) (protocol.Message, error) {
+	for {
+		b, err := read()
 		if err != nil {
 			l.Close()
 			return nil, Broken{Peer: l.peer, Err: err}
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -146,3 +146,30 @@
 		}
 	})
 }
+
+// TestLargeMessageOnASlowLink takes longer than the silence that is borne; a peer that
+// stops in the middle of a message is silent.
+func TestLargeMessageOnASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		got, _ := accepting(t, n, "key")
+		id := identity(n, "key")
+		id.Dial = n.Box("10.0.0.2").Slow(50_000).DialContext
+		d, err := link.Dial(t.Context(), address, id, nil)
+		is.NoErr(err)
+		a := <-got
+		large := protocol.Document{Number: 1, Data: make([]byte, 200_000)} // four seconds
+		began := time.Now()
+		is.NoErr(a.Send(t.Context(), large))
+		m, err := d.ReceiveWithin(t.Context(), time.Second)
+		is.NoErr(err)
+		is.Equal(m, large)
+		is.True(time.Since(began) > 3*time.Second)
+		is.NoErr(a.Send(t.Context(), large))
+		time.AfterFunc(2*time.Second, n.Silence)
+		_, err = d.ReceiveWithin(t.Context(), time.Second)
+		is.True(errors.As(err, new(link.Broken)))
+		n.Kill("10.0.0.1")
+	})
+}
