--- a/directory/sessions_test.go
+++ b/directory/sessions_test.go
@@ -19,8 +19,8 @@
 // cost when much happens at once.
 
 // TestConnectionsFallSilent: all open connections are silent for good while new ones
-// work. The group elects, takes a document and brings it to its gateways on new ones, and
-// nothing that was reported over an old one counts on.
+// work. The group elects, takes a document and brings it to its gateways on new ones. That
+// the leader ends silent sessions (registry.ReportSilence) is not seen here.
 func TestConnectionsFallSilent(t *testing.T) {
 	inFleet(t, voters, func(x *fleet) {
 		is := is.New(x.t)
