Directory, gateways: data halls out of service, and cold backend servers

Cause: an operator's order to empty a data hall got 404, and nothing read which backend servers are cold.

Change: an order about a hall is a change in the log (state/document), decided by coordination/evacuation, which refuses as unclear what may be a late copy of an earlier order; gateways get the halls with every list of backend servers, and nothing of such a hall is a candidate. What no hall can serve is refused at once. The rate that a cold server bears is divided among four gateways by the leader, under a lease of a second (coordination/coldstart). A hall that returns counts as cold for two announcement intervals.

Tests: the model of orders over 300 draws of late and reordered copies; whole fleets in virtual time with a leader lost, all power lost, gateways that restart, 21 servers that return cold. Seen to fail: without the halls in the choice (TestHallOutGetsNothing), with the order of arrival (TestLateCopiesChangeNothing, TestHallOrdersAreChecked), without the pause of a new leader (TestColdHallGetsWhatItBears), without the suspicion of a returned hall (TestHallThatReturnsIsTakenForCold). The ways of dividing a cold rate: TestWaysOfDividing.

--- a/coordination/place/roomplacer.go
+++ b/coordination/place/roomplacer.go
@@ -43,6 +43,7 @@
 	Pace      Pace
 	Health    outlier.State
 	Avoid     bool // the request has failed there
+	Closed    bool // it gets nothing now, whatever else there is
 }
 
 // MaxOthersAge is the age from which the report of other gateways' work is not
@@ -119,7 +120,7 @@
 			s := &servers[i]
 			healthy := s.Health == outlier.InUse || (s.Health == outlier.Trial && r.Repeatable)
 			mayHave := !s.Avoid || (anyHealth && len(servers) == 1)
-			if mayHave && (healthy || anyHealth) {
+			if mayHave && (healthy || anyHealth) && !s.Closed {
 				found = append(found, candidate{Server: s, index: i, load: s.fromAll(), slowness: s.Pace.slowness(typical)})
 			}
 		}
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -40,8 +40,9 @@
 // Announcement is what a backend server reports about itself.
 type Announcement struct {
 	protocol.Registration
-	Leaving bool
-	Seq     uint64 // rises with each announcement of one ID
+	Leaving  bool
+	Seq      uint64        // rises with each announcement of one ID
+	ColdLeft time.Duration // for which it still bears few requests
 }
 
 // Invalid refuses an announcement. Nothing was changed.
@@ -65,6 +66,9 @@
 	if a.Slots < 0 {
 		return Invalid{What: fmt.Sprintf("%d slots", a.Slots)}
 	}
+	if a.ColdLeft < 0 || a.ColdLeft > longestCold {
+		return Invalid{What: fmt.Sprintf("cold for %v", a.ColdLeft)}
+	}
 	return nil
 }
 
@@ -111,6 +115,7 @@
 	protocol.Server
 	seq      uint64        // of the last announcement; 0 if restored
 	lastSeen time.Duration // time of the last announcement, or of the restoring
+	cold     coldness
 }
 
 // completeAfter is how long a leader waits, in announcement intervals, before it
@@ -158,14 +163,19 @@
 		return Change{}
 	}
 	if e == nil {
-		return r.add(now, a.Registration, a.Seq)
+		change := r.add(now, a.Registration, a.Seq)
+		e = r.servers[a.ID]
+		e.cold = e.cold.withAnnounced(now, a.ColdLeft)
+		change.Set[0] = e.server(now)
+		return change
 	}
 	if a.Seq <= e.seq {
 		return Change{}
 	}
-	before := e.Registration
+	before, coldBefore := e.Registration, e.cold
 	e.Registration, e.seq, e.lastSeen = a.Registration, a.Seq, now
-	if before == a.Registration {
+	e.cold = e.cold.withAnnounced(now, a.ColdLeft)
+	if before == a.Registration && e.cold.until == coldBefore.until {
 		return Change{}
 	}
 	var gone []string
@@ -173,7 +183,7 @@
 		delete(r.byAddress, before.Address)
 		gone = r.occupy(a.Registration)
 	}
-	return Change{Set: []protocol.Server{e.Server}, Gone: gone}
+	return Change{Set: []protocol.Server{e.server(now)}, Gone: gone}
 }
 
 // outlived reports whether the announcement of an unlisted backend server is of one that
@@ -202,7 +212,14 @@
 	e := &entry{Server: protocol.Server{Registration: s, Handle: r.next}, seq: seq, lastSeen: now}
 	r.next++
 	r.servers[s.ID] = e
-	return Change{Set: []protocol.Server{e.Server}, Gone: gone}
+	return Change{Set: []protocol.Server{e.server(now)}, Gone: gone}
+}
+
+// server returns the entry as gateways are sent it.
+func (e *entry) server(now time.Duration) protocol.Server {
+	s := e.Server
+	s.Cold = e.cold.sent(now)
+	return s
 }
 
 // Remove removes a backend server that has departed.
@@ -240,11 +257,11 @@
 // Len returns the number of backend servers.
 func (r *Registry) Len() int { return len(r.servers) }
 
-// List returns all backend servers, ordered by identifier.
-func (r *Registry) List() []protocol.Server {
+// List returns all backend servers, ordered by identifier, as gateways are sent them.
+func (r *Registry) List(now time.Duration) []protocol.Server {
 	list := make([]protocol.Server, 0, len(r.servers))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
-		list = append(list, r.servers[id].Server)
+		list = append(list, r.servers[id].server(now))
 	}
 	return list
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,11 @@
 	Dir       wal.Dir
 	// Interval is the time between a backend server's announcements.
 	Interval time.Duration
+	// Halls are the data halls that exist, besides those that backend servers name.
+	Halls []string
+	// OrderWindow is for how long an operator repeats an order about a hall; 0 is
+	// evacuation.DefaultWindow.
+	OrderWindow time.Duration
 	replica.Tuning
 	Random  func() uint64
 	Log     *decision.Log
@@ -65,7 +70,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	d := &Directory{cfg: cfg, ctx: ctx, stop: stop}
 	d.hub = newHub(d)
-	d.state = &Replicated{notify: d.hub.stateChanged}
+	d.state = newReplicated(cfg.OrderWindow, d.hub.stateChanged)
 	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, link.NewMeter(cfg.Metrics))
 	var err error
 	d.replica, err = replica.Start(ctx, replica.Settings{
@@ -115,21 +120,11 @@
 // [NotLeader] or [Unavailable].
 func (d *Directory) Read(ctx context.Context) (document.Held, error) {
 	var held document.Held
-	var exists, leads bool
-	var leader string
-	var until time.Duration
-	err := d.replica.Inspect(ctx, func(now time.Duration, n *consensus.Replica) {
-		s := n.Status()
-		leader, until, leads = s.Leader.Name, s.LeaseEnd, n.Leads(now)
-		held, exists = d.state.Held()
-	})
+	var exists bool
+	err := d.inspectLed(ctx, func() { held, exists = d.state.Held() })
 	switch {
 	case err != nil:
-		return held, Unavailable{Err: err}
-	case !leads:
-		return held, d.notLeader(leader)
-	case d.replica.Now() >= until: // the lease ran out while this goroutine waited
-		return held, Unavailable{}
+		return held, err
 	case !exists:
 		return held, NoDocument{}
 	}
--- /dev/null
+++ b/directory/halls.go
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/consensus"
+	"github.com/badgerspoke/badgerspoke/coordination/evacuation"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines the orders that take a data hall out of service or put it back.
+
+// maxHallName bounds a hall's name, in bytes. Chosen, not measured.
+const maxHallName = 255
+
+// UnknownHall refuses an order for a data hall that neither the settings name nor any
+// backend server announced. Nothing was changed.
+type UnknownHall struct{ Hall string }
+
+// Error names the hall.
+func (e UnknownHall) Error() string { return "no data hall is called " + e.Hall }
+
+// UnclearOrder refuses an order that may be a late copy of an earlier one. Nothing was
+// changed; it may be sent again.
+type UnclearOrder struct{ Hall string }
+
+// Error names the hall.
+func (e UnclearOrder) Error() string {
+	return "an equal order for " + e.Hall + " was followed by its opposite a moment ago; this may be a late copy of it"
+}
+
+// TakeHallOut asks that no backend server of a data hall gets anything more, until
+// PutHallBack. When it returns nil, the order is on the disks of a majority and on its way
+// to the gateways. The error is [UnknownHall], [UnclearOrder], [NotLeader] or [Unavailable].
+func (d *Directory) TakeHallOut(ctx context.Context, hall string) error {
+	return d.orderHall(ctx, hall, true)
+}
+
+// PutHallBack ends TakeHallOut, with the same errors.
+func (d *Directory) PutHallBack(ctx context.Context, hall string) error {
+	return d.orderHall(ctx, hall, false)
+}
+
+// HallsOut returns the data halls that are out of service by the newest acknowledged state.
+// The error is [NotLeader] or [Unavailable].
+func (d *Directory) HallsOut(ctx context.Context) (out []string, err error) {
+	err = d.inspectLed(ctx, func() { out, _ = d.state.HallsOut() })
+	return out, err
+}
+
+// orderHall carries an order out. A change that another one came before is decided anew.
+func (d *Directory) orderHall(ctx context.Context, hall string, out bool) error {
+	for {
+		verdict, change, err := d.decideHall(ctx, hall, out)
+		switch {
+		case err != nil:
+			return err
+		case verdict == evacuation.Done:
+			return nil
+		case verdict == evacuation.Unclear:
+			d.cfg.Log.Failure("hall order unclear", slog.String("hall", hall), slog.Bool("out", out))
+			return UnclearOrder{Hall: hall}
+		case !d.knowsHall(hall):
+			return UnknownHall{Hall: hall}
+		}
+		if err := d.propose(ctx, command{Hall: &change}); err != nil {
+			return err
+		}
+	}
+}
+
+// decideHall returns what is to be done about an order by the newest acknowledged state,
+// which only the leader knows.
+func (d *Directory) decideHall(ctx context.Context, hall string, out bool) (evacuation.Verdict, document.HallChange, error) {
+	var verdict evacuation.Verdict
+	var change document.HallChange
+	err := d.inspectLed(ctx, func() { verdict, change = d.state.order(hall, out) })
+	return verdict, change, err
+}
+
+// inspectLed runs f while this replica leads, with all that was acknowledged applied. The
+// error is [NotLeader] or [Unavailable]; f may have run then.
+func (d *Directory) inspectLed(ctx context.Context, f func()) error {
+	var leads bool
+	var leader string
+	var until time.Duration
+	err := d.replica.Inspect(ctx, func(now time.Duration, n *consensus.Replica) {
+		s := n.Status()
+		leader, until, leads = s.Leader.Name, s.LeaseEnd, n.Leads(now)
+		f()
+	})
+	switch {
+	case err != nil:
+		return Unavailable{Err: err}
+	case !leads:
+		return d.notLeader(leader)
+	case d.replica.Now() >= until: // the lease ran out while this goroutine waited
+		return Unavailable{}
+	}
+	return nil
+}
+
+// knowsHall reports whether the settings or a backend server name a hall.
+func (d *Directory) knowsHall(hall string) bool {
+	if hall == "" || len(hall) > maxHallName {
+		return false
+	}
+	return slices.Contains(d.cfg.Halls, hall) ||
+		slices.ContainsFunc(d.state.Joined(), func(s protocol.Registration) bool { return s.Hall == hall })
+}
+
+// pushHalls sends every session the halls that are out of service, if they have changed, and
+// in the same message that the backend servers of a hall that is back may be cold.
+func (h *hub) pushHalls() {
+	out, changes := h.d.state.HallsOut()
+	if changes == h.hallChanges {
+		return
+	}
+	h.hallChanges = changes
+	now := h.d.replica.Now()
+	returned := h.d.state.putBackWithin(h.registry.Suspicion())
+	h.pending = h.pending.Then(h.registry.ServersReturn(now, returned, h.d.state.coldRates()))
+	h.sendChanges()
+	h.d.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes),
+		slog.Any("returned", returned), slog.Int("gateways", len(h.sessions)), slog.Any("unaware", h.unawareOfHalls()))
+}
+
+// unawareOfHalls returns the gateways whose version does not know halls that are out of
+// service: they go on sending there until they are upgraded.
+func (h *hub) unawareOfHalls() []string {
+	var names []string
+	for s := range h.sessions {
+		if !s.knowsHalls {
+			names = append(names, s.gateway)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/directory/halls_test.go
@@ -0,0 +1,310 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file tests data halls that are taken out of service, and what cold backend servers
+// get from a whole fleet.
+
+// arrivals is what gateways send to backend servers, all of which answer after 20 ms.
+type arrivals struct {
+	mu sync.Mutex
+	at map[string][]time.Time // by address
+}
+
+func (a *arrivals) DropIdle(string) {}
+func (a *arrivals) DropAllIdle()    {}
+
+func (a *arrivals) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
+	a.mu.Lock()
+	a.at[address] = append(a.at[address], time.Now())
+	a.mu.Unlock()
+	if !sleep.For(ctx, 20*time.Millisecond) {
+		return nil, forward.Unknown{Server: address, Err: ctx.Err()}
+	}
+	return &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}, nil
+}
+
+// since returns how many requests came to an address after a time, and the most of them
+// in one second.
+func (a *arrivals) since(address string, from time.Time) (all, most int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var times []time.Time
+	for _, t := range a.at[address] {
+		if t.After(from) {
+			times = append(times, t)
+		}
+	}
+	first := 0
+	for last := range times {
+		for times[last].Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return len(times), most
+}
+
+// loaded starts a gateway that gets a request in each period, and sends to a.
+func (x *fleet) loaded(ip string, a *arrivals, period time.Duration) *gateway.Gateway {
+	ctx, cancel := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	log := x.log(set)
+	g := gateway.Start(ctx, gateway.Settings{
+		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
+		Seeds:    x.seeds, Headers: idHeaders{}, Server: a, Retries: retry.Limits{Ratio: 0.2, Extra: 1000, Window: time.Second},
+		Grace: time.Second, Bodies: 1 << 20, Random: x.random, Log: log, Metrics: set,
+	})
+	var asking sync.WaitGroup
+	asking.Go(func() {
+		for range sleep.Every(ctx, period) {
+			asking.Go(func() { x.request(g, "r") })
+		}
+	})
+	x.gateways[ip] = &gatewayNode{ip: ip, g: g, metrics: set, kill: func() { cancel(); asking.Wait(); synctest.Wait(); log.Close() }}
+	return g
+}
+
+// announceIn lets a backend server of a hall announce itself, cold for some more time.
+func (x *fleet) announceIn(id, hall string, cold time.Duration) error {
+	x.beats[id]++
+	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+	defer cancel()
+	return x.mustLead().d.Announce(ctx, registry.Announcement{
+		Registration: protocol.Registration{ID: id, Pool: "p", Address: address(id), Hall: hall, Slots: 4},
+		Seq:          x.beats[id], ColdLeft: cold,
+	})
+}
+
+// coldHeld is a document whose pool states what cold servers bear.
+func coldHeld(number uint64, rate float64) document.Held {
+	h := held(number)
+	h.Document.Pools[0].ColdPerSecond = rate
+	return h
+}
+
+// orderHall gives an order about a hall to whoever leads until it is acknowledged.
+func (x *fleet) orderHall(hall string, out bool) {
+	for range 1000 {
+		d := x.mustLead().d
+		ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+		err := d.PutHallBack
+		if out {
+			err = d.TakeHallOut
+		}
+		failed := err(ctx, hall)
+		cancel()
+		if failed == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	x.t.Fatal("the order is not acknowledged")
+}
+
+func TestHallOrdersAreChecked(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead()
+		is.Equal(l.d.TakeHallOut(x.t.Context(), "nowhere"), error(directory.UnknownHall{Hall: "nowhere"}))
+		is.Equal(l.d.TakeHallOut(x.t.Context(), ""), error(directory.UnknownHall{}))
+		is.NoErr(l.d.PutHallBack(x.t.Context(), "nowhere")) // it is as the order asks
+		is.NoErr(x.announceIn("b1", "hall-a", 0))
+		time.Sleep(time.Second) // it is in the log
+		is.NoErr(l.d.TakeHallOut(x.t.Context(), "hall-a"))
+		is.NoErr(l.d.TakeHallOut(x.t.Context(), "hall-a")) // again
+		is.NoErr(l.d.PutHallBack(x.t.Context(), "hall-a"))
+		is.Equal(l.d.TakeHallOut(x.t.Context(), "hall-a"), error(directory.UnclearOrder{Hall: "hall-a"}))
+		time.Sleep(5 * time.Second)
+		is.NoErr(l.d.TakeHallOut(x.t.Context(), "hall-a"))
+		for ip, n := range x.nodes {
+			if ip != l.ip {
+				is.Equal(n.d.TakeHallOut(x.t.Context(), "hall-a"), error(directory.NotLeader{Leader: l.ip + ":7400"}))
+			}
+		}
+	})
+}
+
+// TestHallOutGetsNothing takes a hall out under load, while gateways come, restart and lose
+// the leader: nothing reaches its servers, until it is put back.
+func TestHallOutGetsNothing(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		halls := map[string]string{"b1": "hall-a", "b2": "hall-a", "b3": "hall-b"}
+		stop := x.keepAnnounced(halls)
+		defer stop()
+		a := &arrivals{at: map[string][]time.Time{}}
+		for i := range 3 {
+			x.loaded(fmt.Sprintf("10.0.2.%d", i+1), a, 50*time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		x.orderHall("hall-a", true)
+		time.Sleep(200 * time.Millisecond)
+		out := time.Now()
+		time.Sleep(time.Second)
+		x.mustLead().kill()
+		x.gateways["10.0.2.1"].kill()
+		x.loaded("10.0.2.1", a, 50*time.Millisecond)
+		x.loaded("10.0.2.4", a, 50*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		x.losePower() // of what is left of the directory
+		for _, ip := range x.order {
+			x.start(ip, false)
+		}
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"b1", "b2"} {
+			n, _ := a.since(address(id), out)
+			is.Equal(n, 0)
+		}
+		n, _ := a.since(address("b3"), out)
+		is.True(n > 100)
+		x.orderHall("hall-a", false)
+		time.Sleep(2 * time.Second)
+		n, _ = a.since(address("b1"), out)
+		is.True(n > 10)
+	})
+}
+
+// keepAnnounced lets backend servers announce themselves once in each interval, until stop.
+func (x *fleet) keepAnnounced(halls map[string]string) (stop func()) {
+	ctx, cancel := context.WithCancel(x.t.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		for range sleep.Every(ctx, interval) {
+			for id, hall := range halls {
+				_ = x.announceIn(id, hall, 0) // whoever does not lead any more refuses it
+			}
+		}
+	})
+	return func() { cancel(); running.Wait() }
+}
+
+// TestColdHallGetsWhatItBears brings 21 servers of a hall back cold under a load of which
+// they would get most, and loses the leader meanwhile. No cold server gets more than its
+// rate in any second, and together they get a good part of what they bear.
+func TestColdHallGetsWhatItBears(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		const rate, cold = 18, 6 * time.Second
+		is.NoErr(x.mustLead().d.Put(x.t.Context(), coldHeld(1, rate)))
+		halls := map[string]string{}
+		for i := range 4 {
+			halls[fmt.Sprint("b", i+1)] = "hall-a"
+		}
+		stop := x.keepAnnounced(halls)
+		a := &arrivals{at: map[string][]time.Time{}}
+		for i := range 12 {
+			x.loaded(fmt.Sprintf("10.0.2.%d", i+1), a, 5*time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		stop()
+		back := time.Now()
+		for i := range 21 {
+			is.NoErr(x.announceIn(fmt.Sprint("b", i+11), "hall-b", cold))
+		}
+		time.Sleep(2500 * time.Millisecond)
+		x.mustLead().kill()
+		next := x.mustLead()
+		for i := range 21 {
+			if left := cold - time.Since(back); left > 0 && next.d.Leads() {
+				_ = x.announceIn(fmt.Sprint("b", i+11), "hall-b", left)
+			}
+		}
+		time.Sleep(cold - time.Since(back))
+		synctest.Wait()
+		sum := 0
+		for i := range 21 {
+			all, most := a.since(address(fmt.Sprint("b", i+11)), back)
+			is.True(most <= rate)
+			sum += all
+		}
+		part := float64(sum) / (21 * rate * cold.Seconds())
+		x.t.Logf("the cold servers got %.2f of what they bear", part)
+		is.True(part > 0.5)
+	})
+}
+
+// TestHallThatReturnsIsTakenForCold: its servers may have become cold while nobody saw it.
+func TestHallThatReturnsIsTakenForCold(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		const rate = 18
+		is.NoErr(x.mustLead().d.Put(x.t.Context(), coldHeld(1, rate)))
+		halls := map[string]string{"b1": "hall-a", "b2": "hall-b"}
+		stop := x.keepAnnounced(halls)
+		defer stop()
+		a := &arrivals{at: map[string][]time.Time{}}
+		for i := range 6 {
+			x.loaded(fmt.Sprintf("10.0.2.%d", i+1), a, 10*time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		x.orderHall("hall-a", true)
+		time.Sleep(2 * time.Second)
+		back := time.Now()
+		x.orderHall("hall-a", false)
+		time.Sleep(2*interval - 50*time.Millisecond)
+		all, most := a.since(address("b1"), back)
+		is.True(most <= rate)
+		is.True(all > rate/2)
+		time.Sleep(3 * time.Second) // it announces that it is warm
+		_, most = a.since(address("b1"), back)
+		is.True(most > 2*rate)
+	})
+}
+
+// TestOrderOfAHallIsForGood loses all power, and two of five disks, right after orders
+// were acknowledged.
+func TestOrderOfAHallIsForGood(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		is.NoErr(x.announceIn("b1", "hall-a", 0))
+		time.Sleep(time.Second)
+		for round := range 6 {
+			out := round%2 == 0
+			x.orderHall("hall-a", out)
+			leader := x.mustLead().ip
+			x.losePower()
+			lost := []string{leader}
+			for _, ip := range x.order {
+				if ip != leader && len(lost) < 2 {
+					lost = append(lost, ip)
+				}
+			}
+			for _, ip := range x.order {
+				if ip == lost[0] || ip == lost[1] {
+					x.replaceDisk(ip)
+				}
+				x.start(ip, false)
+			}
+			halls, _ := x.mustLead().d.HallsOut(x.t.Context())
+			is.Equal(len(halls) == 1, out)
+			time.Sleep(8 * time.Second) // the lost ones have caught up, and no order may be a copy
+		}
+	})
+}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -44,18 +44,19 @@
 	leadership atomic.Pointer[leadership]
 
 	// Owned by run.
-	term     uint64 // 0 unless this replica leads
-	registry *registry.Registry
-	departed uint64                  // departures applied to the registry
-	complete bool                    // the registry is, and the sessions were sent the whole list since
-	unlogged []protocol.Registration // announced, not yet put into the log
-	sessions map[*session]bool
-	pending  registry.Change   // not sent to the sessions yet
-	list     *protocol.Encoded // the whole list, for sessions that open; nil: to be made anew
-	usage    *usage
-	feed     registry.Feed
-	fleetDue time.Duration     // of the next Fleet message
-	encoded  protocol.Document // newest document, encoded once
+	term        uint64 // 0 unless this replica leads
+	registry    *registry.Registry
+	departed    uint64                  // departures applied to the registry
+	complete    bool                    // the registry is, and the sessions were sent the whole list since
+	unlogged    []protocol.Registration // announced, not yet put into the log
+	sessions    map[*session]bool
+	pending     registry.Change   // not sent to the sessions yet
+	hallChanges uint64            // in the last halls that the sessions were sent
+	list        *protocol.Encoded // the whole list, for sessions that open; nil: to be made anew
+	usage       *usage
+	feed        registry.Feed
+	fleetDue    time.Duration     // of the next Fleet message
+	encoded     protocol.Document // newest document, encoded once
 
 	sharesLogged time.Duration // when
 }
@@ -144,6 +145,7 @@
 	}
 	if h.term != 0 {
 		h.pushDepartures()
+		h.pushHalls()
 		h.pushDocument()
 	}
 }
@@ -158,7 +160,7 @@
 		h.registry.Restore(h.d.replica.Now(), s)
 	}
 	h.usage, h.feed, h.fleetDue = newUsage(), registry.Feed{}, 0
-	h.pending, h.list = registry.Change{}, nil
+	h.pending, h.list, h.hallChanges = registry.Change{}, nil, 0
 	h.d.cfg.Log.StateChange("leading", slog.Uint64("term", term), slog.Any("members", h.leadership.Load().voters))
 }
 
@@ -179,8 +181,10 @@
 	if h.term == 0 {
 		return
 	}
-	h.pending = h.pending.Then(h.registry.ExpireSilent(h.d.replica.Now()))
-	completed := !h.complete && h.registry.Complete(h.d.replica.Now())
+	now := h.d.replica.Now()
+	h.pending = h.pending.Then(h.registry.ExpireSilent(now))
+	h.divideCold(now)
+	completed := !h.complete && h.registry.Complete(now)
 	if completed {
 		h.complete = true
 		h.d.cfg.Log.StateChange("registry complete", slog.Int("backends", h.registry.Len()))
@@ -190,6 +194,23 @@
 	h.pushFleet()
 }
 
+// divideCold gives the rates of cold backend servers to gateways.
+func (h *hub) divideCold(now time.Duration) {
+	if !h.registry.AnyCold(now) {
+		return
+	}
+	names := make([]string, 0, len(h.sessions))
+	for s := range h.sessions {
+		names = append(names, s.gateway)
+	}
+	change := h.registry.DivideCold(now, names, h.d.state.coldRates())
+	for _, s := range change.Set {
+		h.d.cfg.Log.StateChange("cold backend divided", slog.String("backend", s.ID),
+			slog.Int64("left_ms", s.Cold.Left.Milliseconds()), slog.Any("shares", s.Cold.Shares))
+	}
+	h.pending = h.pending.Then(change)
+}
+
 // logJoins puts the backend servers announced since the last tick into the log.
 func (h *hub) logJoins() {
 	if len(h.unlogged) == 0 {
@@ -251,6 +272,9 @@
 		case h.term == 0:
 			return Unavailable{}
 		}
+		if a.ColdLeft > 0 && h.d.state.coldRates()[a.Pool] == 0 {
+			a.ColdLeft = 0 // nothing says what it bears
+		}
 		change := h.registry.Announce(h.d.replica.Now(), a)
 		for _, s := range change.Set {
 			h.d.cfg.Log.StateChange("backend announced", slog.String("backend", s.ID), slog.String("pool", s.Pool),
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -4,9 +4,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/badgerspoke/badgerspoke/coordination/evacuation"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -21,13 +23,27 @@
 	// Join is backend servers that announced themselves. Nobody waits for it: it only
 	// spares a new leader the time until all have announced themselves again.
 	Join []protocol.Registration `cbor:"3,keyasint,omitempty"`
+	// Hall takes a data hall out of service or puts it back.
+	Hall *document.HallChange `cbor:"4,keyasint,omitempty"`
 }
 
 // Replicated is the applied state. It is safe for concurrent use.
 type Replicated struct {
 	mu     sync.Mutex
 	store  document.Store
-	notify func() // must not block
+	orders evacuation.Orders
+	notify func()               // must not block
+	now    func() time.Duration // monotonic
+}
+
+// newReplicated returns an empty state. notify is called after each change and must not
+// block.
+func newReplicated(orderWindow time.Duration, notify func()) *Replicated {
+	began := time.Now()
+	return &Replicated{
+		orders: evacuation.Orders{Window: orderWindow}, notify: notify,
+		now: func() time.Duration { return time.Since(began) },
+	}
 }
 
 var _ replica.Machine = (*Replicated)(nil)
@@ -61,6 +77,43 @@
 	return r.store.Joined()
 }
 
+// HallsOut returns the data halls that are out of service, and the number of changes of
+// all halls.
+func (r *Replicated) HallsOut() (out []string, changes uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.HallsOut()
+}
+
+// putBackWithin returns the data halls that were put back into service lately.
+func (r *Replicated) putBackWithin(d time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders.PutBackWithin(r.now(), d)
+}
+
+// coldRates returns the rate that each pool states for cold backend servers, in requests a
+// second, by the document in force.
+func (r *Replicated) coldRates() map[string]float64 {
+	held, _ := r.Held()
+	rates := map[string]float64{}
+	for _, p := range held.Document.Pools {
+		if p.ColdPerSecond > 0 {
+			rates[p.Name] = p.ColdPerSecond
+		}
+	}
+	return rates
+}
+
+// order returns what is to be done about an operator's order for a data hall, and the
+// change that does it.
+func (r *Replicated) order(hall string, out bool) (evacuation.Verdict, document.HallChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.store.HallState(hall)
+	return r.orders.Decide(r.now(), hall, out, state.Out), document.HallChange{Hall: hall, Out: out, After: state.Changes}
+}
+
 // Apply implements [replica.Machine].
 func (r *Replicated) Apply(data []byte) any {
 	var c command
@@ -75,6 +128,12 @@
 		return r.store.Put(*c.Put)
 	case c.Depart != "":
 		return r.store.Depart(c.Depart)
+	case c.Hall != nil:
+		applied := r.store.ChangeHall(*c.Hall)
+		if applied {
+			r.orders = r.orders.WithTaken(r.now(), c.Hall.Hall, c.Hall.Out)
+		}
+		return applied
 	}
 	for _, s := range c.Join {
 		r.store.Join(s)
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -37,6 +37,8 @@
 	out     *link.Outbox
 	number  uint64 // of the newest document that the gateway has or was sent
 	counted uint64 // number of its last report in the sums
+	// knowsHalls is whether the gateway's version obeys halls that are out of service.
+	knowsHalls bool
 }
 
 // pushChanges sends what has changed in the registry since the last time to every
@@ -45,7 +47,15 @@
 	if h.pending.Empty() && !completed {
 		return
 	}
-	m := protocol.Servers{Term: h.term, Set: h.pending.Set, Gone: h.pending.Gone, Complete: h.complete}
+	h.sendChanges()
+}
+
+// sendChanges sends what has changed in the registry since the last time to every session.
+func (h *hub) sendChanges() {
+	out, changes := h.d.state.HallsOut()
+	m := protocol.Servers{
+		Term: h.term, Set: h.pending.Set, Gone: h.pending.Gone, Complete: h.complete, HallsOut: out, HallChanges: changes,
+	}
 	h.pending, h.list = registry.Change{}, nil
 	h.sendAll(m)
 }
@@ -73,10 +83,12 @@
 // wholeList returns the whole list as of the last changes that were sent, or a later one:
 // a session gets all changes that are sent after it has opened, some perhaps twice.
 func (h *hub) wholeList() (list protocol.Encoded, ok bool) {
-	if h.list == nil {
+	now := h.d.replica.Now()
+	if h.list == nil || h.registry.AnyCold(now) {
+		out, changes := h.d.state.HallsOut()
 		list, ok = h.encode(protocol.Servers{
 			Term: h.term, Whole: true, Complete: h.complete,
-			Set: h.registry.List(), Gone: h.recentDepartures(),
+			Set: h.registry.List(now), Gone: h.recentDepartures(), HallsOut: out, HallChanges: changes,
 		})
 		if !ok {
 			return list, false
@@ -130,7 +142,7 @@
 			old.out.Close()
 		}
 	}
-	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number}
+	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number, knowsHalls: w.KnowsHalls}
 	list, ok := h.wholeList()
 	if !ok {
 		s.out.Close()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -272,6 +272,9 @@
 	if policy.TimeLeft && c.counts.Arrived == 0 {
 		c.countMissed()
 	}
+	if len(c.shortage.halls) > 0 && policy.TimeLeft && c.counts.Runs == 0 {
+		return nil, Refusal{Cause: HallsOut, RetryAfter: retry.Later}
+	}
 	allTried := c.g.table.poolSize(c.pool.Name) <= len(c.avoid)
 	return nil, c.refusal(policy.WithoutServer(c.class, allTried))
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -4,6 +4,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
@@ -60,16 +62,17 @@
 	slowness float64
 	learned  place.Learned
 	age      time.Duration // of what is known of other gateways' requests
+	halls    []string      // out of service, where all servers of the pool are
 }
 
 // acquire returns the backend server that suits the request best if it has room, or
 // nil and why. The caller holds mu.
 func (t *table) acquire(now time.Duration, req requirements) (*assignment, shortage) {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.Choose(req.choiceRequest(), p.view(now, t.hall, req.avoid))
+	choice := p.placer.Choose(req.choiceRequest(), t.view(p, now, req.avoid))
 	switch {
 	case choice.Index < 0:
-		return nil, shortage{}
+		return nil, shortage{halls: t.allOut(p)}
 	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
 		return nil, shortage{
@@ -80,11 +83,25 @@
 	return p.assign(now, choice), shortage{}
 }
 
+// allOut returns the data halls that are out of service, if all servers of the pool are in
+// them: then nothing can be served until an operator puts one back. The caller holds mu.
+func (t *table) allOut(p *pool) []string {
+	if len(t.hallsOut) == 0 || len(p.servers) == 0 {
+		return nil
+	}
+	for _, k := range p.servers {
+		if !t.hallsOut[k.Hall] {
+			return nil
+		}
+	}
+	return slices.Sorted(maps.Keys(t.hallsOut))
+}
+
 // acquireWithRoom returns the backend server that suits the request best among those
 // that have room, or nil. The caller holds mu.
 func (t *table) acquireWithRoom(now time.Duration, req requirements) *assignment {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.ChooseWithRoom(req.choiceRequest(), p.view(now, t.hall, req.avoid))
+	choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, req.avoid))
 	if choice.Index < 0 {
 		return nil
 	}
@@ -99,13 +116,15 @@
 	return t.pool(pool.Name).placer.ExpectedFirst(pool.Engine, prompt.Tokens())
 }
 
-// view returns what is known of the pool's servers, for one choice.
-func (p *pool) view(now time.Duration, hall string, avoid map[string]bool) []place.Server {
+// view returns what is known of the pool's servers, for one choice. The caller holds mu.
+func (t *table) view(p *pool, now time.Duration, avoid map[string]bool) []place.Server {
+	leased := now < t.leased
 	p.viewed = p.viewed[:0]
 	for _, k := range p.servers {
 		p.viewed = append(p.viewed, place.Server{
-			ID: k.ID, Slots: k.Slots, SameHall: k.Hall == hall, Own: k.own, Others: k.others, OthersAge: now - k.othersAt,
+			ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - k.othersAt,
 			Pace: k.pace, Health: k.health.State(now), Avoid: avoid[k.ID],
+			Closed: t.hallsOut[k.Hall] || !k.cold.Admits(now, leased),
 		})
 	}
 	return p.viewed
@@ -116,6 +135,7 @@
 	k := p.servers[choice.Index]
 	k.own.Requests++
 	k.own.Tokens += choice.Read
+	k.cold = k.cold.WithBegun(now)
 	return &assignment{
 		known: k, server: k.ID, address: k.Address, tokens: choice.Read, began: now,
 		tokensAhead: choice.Before.Tokens, trial: k.health.Sent(now),
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -96,6 +96,9 @@
 			slog.Float64("tokens_a_ms", s.learned.Rate), slog.Float64("per_slot", s.learned.PerSlot),
 			milliseconds("seen_ms_ago", s.age))
 	}
+	if out, changes := c.g.table.halls(); len(out) > 0 {
+		attrs = append(attrs, slog.Any("halls_out", out), slog.Uint64("hall_changes", changes))
+	}
 	if a := c.assigned; a != nil {
 		attrs = append(attrs, slog.String("backend", a.server), slog.Int("tokens_ahead", a.tokensAhead),
 			slog.Int("tokens_read", a.tokens), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -279,3 +279,9 @@
 	x.g.ServeHTTP(w, r)
 	return out
 }
+
+// monotonic returns a clock that begins now.
+func monotonic() func() time.Duration {
+	began := time.Now()
+	return func() time.Duration { return time.Since(began) }
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,9 +87,10 @@
 func Start(ctx context.Context, cfg Settings) *Gateway {
 	ctx, stop := context.WithCancel(ctx)
 	g := &Gateway{
-		cfg: cfg, start: time.Now(), ctx: ctx, stop: stop, table: newTable(cfg.Hall),
+		cfg: cfg, start: time.Now(), ctx: ctx, stop: stop,
 		tokens: newTokens(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
 	}
+	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
 	g.accounts = newAccounts(g.now)
 	g.SetSeeds(cfg.Seeds)
 	g.gateways.Store(retry.AssumedGateways)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -32,7 +32,7 @@
 	if !g.outranked(p, req) {
 		a, full = t.acquire(g.now(), req)
 	}
-	if a != nil || patience <= 0 {
+	if a != nil || patience <= 0 || len(full.halls) > 0 {
 		t.mu.Unlock()
 		return a, full
 	}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/coldstart"
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/protocol"
@@ -27,6 +28,7 @@
 	all      place.Work // the same of all gateways, as the leader last sent it
 	others   place.Work // of all but this gateway, as of othersAt
 	othersAt time.Duration
+	cold     coldstart.Allowance
 	list     uint64 // number of the last whole list that had it, itself or by a change since
 	unlisted bool   // a complete list of the directory lacked it
 }
@@ -38,11 +40,14 @@
 // report is what was reported to run here, under its number.
 type report struct {
 	seq   uint64
+	at    time.Duration
 	loads []protocol.ServerLoad
 }
 
 type table struct {
-	hall string
+	gateway string // this one's name
+	hall    string
+	now     func() time.Duration // the gateway's clock
 
 	mu       sync.Mutex
 	servers  map[string]*knownServer
@@ -53,6 +58,10 @@
 	lists    uint64 // whole lists taken
 	outage   outlier.Outage
 	reports  []report // of this session, newest last
+
+	hallsOut    map[string]bool // data halls whose servers get nothing
+	hallChanges uint64          // as of which
+	leased      time.Duration   // until when this gateway's shares of cold servers are in force
 }
 
 // pool is the backend servers of one name with what waits for them.
@@ -64,8 +73,8 @@
 	viewed   []place.Server // the last view; kept for its memory
 }
 
-func newTable(hall string) *table {
-	return &table{hall: hall, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{}, at: map[string]*knownServer{}, pools: map[string]*pool{}}
+func newTable(gateway, hall string, now func() time.Duration) *table {
+	return &table{gateway: gateway, hall: hall, now: now, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{}, at: map[string]*knownServer{}, pools: map[string]*pool{}}
 }
 
 // pool returns a pool, new if need be. The caller holds mu.
@@ -87,7 +96,7 @@
 		t.term = m.Term
 		clear(t.byHandle)
 		for _, k := range t.servers {
-			k.Handle = 0
+			k.Handle, k.cold = 0, k.cold.WithoutShare() // the leader that renewed it leads no more
 		}
 	}
 	if m.Whole {
@@ -103,12 +112,33 @@
 			joined = append(joined, s.ID)
 		}
 	}
+	t.setHalls(m)
 	if m.Complete {
 		t.markUnlisted()
 	}
 	return joined, left
 }
 
+// setHalls takes the data halls that are out of service, unless it has a newer list. The
+// caller holds mu.
+func (t *table) setHalls(m protocol.Servers) {
+	if m.HallChanges <= t.hallChanges {
+		return
+	}
+	t.hallChanges = m.HallChanges
+	t.hallsOut = make(map[string]bool, len(m.HallsOut))
+	for _, hall := range m.HallsOut {
+		t.hallsOut[hall] = true
+	}
+}
+
+// halls returns the data halls that are out of service, in order, and as of which change.
+func (t *table) halls() (out []string, changes uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.hallsOut)), t.hallChanges
+}
+
 // beginSession forgets what was sent in the session before: a whole list opens one, and
 // all sums and numbers of reports begin anew. The caller holds mu.
 func (t *table) beginSession() {
@@ -125,6 +155,7 @@
 	if k != nil && k.Pool == s.Pool {
 		t.leaveAddress(k)
 		k.Server, k.list, k.unlisted = s, t.lists, false
+		t.setCold(k)
 		t.byHandle[s.Handle], t.at[s.Address] = k, k
 		return false
 	}
@@ -133,6 +164,7 @@
 		t.remove(other.ID)
 	}
 	k = &knownServer{Server: s, list: t.lists}
+	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
 	i, _ := slices.BinarySearchFunc(p.servers, k.ID, func(o *knownServer, id string) int { return strings.Compare(o.ID, id) })
@@ -140,6 +172,14 @@
 	return true
 }
 
+// setCold takes from the directory's entry that a backend server is cold. It ends being so
+// by itself: a new leader does not know yet which ones are.
+func (t *table) setCold(k *knownServer) {
+	if k.Cold != nil {
+		k.cold = k.cold.WithCold(t.now(), k.Cold.Left, k.ID, t.gateway, k.Cold.Shares)
+	}
+}
+
 // remove drops a backend server and reports whether it was known.
 func (t *table) remove(id string) bool {
 	k := t.servers[id]
@@ -192,6 +232,7 @@
 	for _, r := range t.reports {
 		if r.seq == counted {
 			t.subtract(r.loads)
+			t.leased = max(t.leased, r.at+coldstart.Lease)
 		}
 	}
 }
@@ -212,7 +253,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads := t.loads()
-	t.reports = append(t.reports, report{seq: seq, loads: loads})
+	t.reports = append(t.reports, report{seq: seq, at: t.now(), loads: loads})
 	t.reports = t.reports[max(len(t.reports)-reportsKept, 0):]
 	return loads
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -91,7 +91,7 @@
 	defer l.Close()
 	ctx, cancel := context.WithCancel(w.g.ctx)
 	defer cancel()
-	hello := protocol.Watch{Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term}
+	hello := protocol.Watch{Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true}
 	if err := l.Send(ctx, hello); err != nil {
 		return false
 	}
@@ -153,10 +153,14 @@
 		w.g.apply(d)
 	case protocol.Servers:
 		w.term = max(w.term, m.Term)
+		_, before := w.g.table.halls()
 		if joined, left := w.g.table.update(m); len(joined)+len(left) > 0 {
 			w.g.cfg.Log.StateChange("backends changed", slog.Any("joined", joined), slog.Any("left", left),
 				slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
 		}
+		if out, changes := w.g.table.halls(); changes != before {
+			w.g.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes))
+		}
 		w.g.grantAll()
 	case protocol.Counted:
 		w.counted = m.Seq
--- a/process/caller.go
+++ b/process/caller.go
@@ -3,6 +3,7 @@
 package process
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -52,8 +53,11 @@
 // left reports whether the caller has closed the connection. net/http notices that too, but
 // in a goroutine of its own, which at a late gateway comes after the request went on to a
 // backend server. What the kernel has not taken from the caller is not seen.
-func (c *callerConn) left() bool {
-	conn, ok := c.Conn.(syscall.Conn)
+func (c *callerConn) left() bool { return closedByPeer(c.Conn) }
+
+// closedByPeer reports whether the other side has closed a connection.
+func closedByPeer(c net.Conn) bool {
+	conn, ok := c.(syscall.Conn)
 	if !ok {
 		return false // not of the kernel's
 	}
@@ -69,3 +73,19 @@
 	})
 	return ended || err != nil // closed on this side
 }
+
+// connectionKey is the key of a context's value with the connection of a call to a listener
+// of [base.listen].
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// CallerHasLeft reports whether the caller of a request has closed its connection: what it
+// asks for was held up on its way, and nobody waits for the answer. ctx is the request's;
+// without a connection in it nobody has left.
+func CallerHasLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
+	return ok && closedByPeer(conn)
+}
--- a/process/process.go
+++ b/process/process.go
@@ -54,6 +54,9 @@
 	Bootstrap bool          // the first start of the whole system
 	Voters    int           // wanted in the directory's group
 	Interval  time.Duration // between a backend server's announcements
+	Halls     []string      // the data halls that exist
+	// OrderWindow is for how long an operator repeats an order about a hall; 0 is unknown.
+	OrderWindow time.Duration
 
 	Grace       time.Duration // from the signal to stop until the process is killed
 	Memory      int64         // bytes that the process may use; 0 is not bounded
@@ -105,7 +108,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	b.serve(l, &http.Server{Handler: h})
+	b.serve(l, &http.Server{Handler: h, ConnContext: withConnection})
 	return nil
 }
 
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -2,6 +2,8 @@
 
 package protocol
 
+import "time"
+
 // This file defines what a gateway and the leading directory replica send each
 // other over the gateway's one session.
 //
@@ -16,6 +18,8 @@
 	Boot    uint64 `cbor:"2,keyasint"`           // drawn at each start of the process
 	Number  uint64 `cbor:"3,keyasint,omitempty"` // of the document held
 	Term    uint64 `cbor:"4,keyasint,omitempty"` // highest seen; an older leader must refuse
+	// KnowsHalls is set by gateways that obey HallsOut. Earlier versions did not have it.
+	KnowsHalls bool `cbor:"5,keyasint,omitempty"`
 }
 
 // WatchRedirect is the answer of a directory replica that does not lead to a Watch; it
@@ -48,6 +52,21 @@
 	Registration
 	// Handle identifies the backend server in Usage and Fleet, within one term.
 	Handle uint32 `cbor:"6,keyasint"`
+	// Cold is set while the backend server has just started or become cold again.
+	Cold *Cold `cbor:"7,keyasint,omitempty"`
+}
+
+// Cold is a backend server that bears few requests for a while.
+type Cold struct {
+	Left   time.Duration `cbor:"1,keyasint"`           // as of sending
+	Shares []ColdShare   `cbor:"2,keyasint,omitempty"` // of the gateways that may send to it
+}
+
+// ColdShare is what one gateway may send to a cold backend server.
+type ColdShare struct {
+	_         struct{} `cbor:",toarray"`
+	Gateway   string
+	PerSecond int // requests
 }
 
 // Servers is sent by the leader to every gateway: the whole list when the session opens,
@@ -62,6 +81,10 @@
 	Complete bool     `cbor:"3,keyasint,omitempty"`
 	Set      []Server `cbor:"4,keyasint,omitempty"`
 	Gone     []string `cbor:"5,keyasint,omitempty"` // leaving, withdrawn or replaced
+	// HallsOut are the data halls whose backend servers get nothing, as of HallChanges, which
+	// rises with each change; 0 says nothing about halls.
+	HallsOut    []string `cbor:"6,keyasint,omitempty"`
+	HallChanges uint64   `cbor:"7,keyasint,omitempty"`
 }
 
 // ServerLoad is what runs on one backend server.
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -11,7 +11,7 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines Store, the state machine of documents, departures and joins.
+// This file defines Store, the state machine of documents, departures, joins and halls.
 
 // MaxDepartures is the number of departed backend servers that are remembered. A late
 // announcement of one that departed before them adds it again. Chosen, not measured.
@@ -28,8 +28,8 @@
 // until they announce themselves.
 const MaxServers = 16384
 
-// Store holds the highest document, the newest departures, and the registrations of
-// backend servers that have not departed. It is not safe for concurrent use. The zero
+// Store holds the highest document, the newest departures, the registrations of
+// backend servers that have not departed, and the data halls out of service. It is not safe for concurrent use. The zero
 // value is empty.
 type Store struct {
 	held    *Held
@@ -38,6 +38,7 @@
 	order   []string                         // departed backend servers, oldest first
 	total   uint64                           // departures ever
 	departs map[string]bool
+	halls   map[string]HallState // those that were taken out of service once
 }
 
 // Held returns the document in force, or false before the first one.
@@ -129,11 +130,12 @@
 	Departs []string                `cbor:"2,keyasint,omitempty"`
 	Total   uint64                  `cbor:"3,keyasint,omitempty"`
 	Joined  []protocol.Registration `cbor:"4,keyasint,omitempty"`
+	Halls   []HallState             `cbor:"5,keyasint,omitempty"`
 }
 
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
-	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined()})
+	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined(), Halls: s.Halls()})
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler].
@@ -150,5 +152,11 @@
 	for _, r := range im.Joined {
 		s.Join(r)
 	}
+	for _, h := range im.Halls {
+		if s.halls == nil {
+			s.halls = map[string]HallState{}
+		}
+		s.halls[h.Hall] = h
+	}
 	return nil
 }
