Process: what was accepted is read before more is accepted

The API of a directory replica had no bound on its connections.

The API takes 0.45 of the descriptors, and ends the longest idle when it has nearly as many, or after four intervals between announcements.

--- a/process/directory.go
+++ b/process/directory.go
@@ -20,6 +20,7 @@
 	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/link"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines the process of a directory replica. A replica whose disk
@@ -90,13 +91,40 @@
 	if err := p.listen(cfg.Fleet, mux); err != nil {
 		return err
 	}
-	if err := p.listen(cfg.API, &p.api); err != nil {
+	if err := p.listenToAPI(ctx); err != nil {
 		return err
 	}
 	p.run(ctx, reloads)
 	return nil
 }
 
+// Connections of the API's callers, nearly all of them backend servers that announce
+// themselves. Chosen, not measured.
+const (
+	// apiPart is the part of the descriptors that they may have: the rest is for gateways'
+	// links, of which there are as many at the leader, and files.
+	apiPart = 0.45
+	// apiIdleIntervals is how long one may be idle, in intervals between two announcements:
+	// after that its caller has gone elsewhere.
+	apiIdleIntervals = 4
+	// fewestAPI is the number of connections however few descriptors there are.
+	fewestAPI = 64
+)
+
+// listenToAPI serves the API with a bound on its connections: when there are nearly too
+// many, those that were idle longest are ended.
+func (p *directoryProcess) listenToAPI(ctx context.Context) error {
+	l, err := socket.Listen(p.cfg.API)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", p.cfg.API)
+	}
+	most := max(int(apiPart*float64(p.cfg.Descriptors)), fewestAPI)
+	idle := newIdleConnections(most)
+	p.serve(socket.Limit(l, most), &http.Server{Handler: &p.api, ConnContext: withConnection, ConnState: idle.track})
+	go idle.sweep(ctx, func() time.Duration { return apiIdleIntervals * p.cfg.Interval })
+	return nil
+}
+
 // run keeps a replica running: it watches the one that runs for a failed disk,
 // and otherwise opens the folder again and again.
 func (p *directoryProcess) run(ctx context.Context, reloads <-chan Settings) {
--- a/process/pace.go
+++ b/process/pace.go
@@ -46,6 +46,7 @@
 	closed <-chan struct{}
 	log    *decision.Log
 	short  bool // the kernel's queue
+	unread unreadConns
 }
 
 // newPacedListener returns a listener with the long queue.
@@ -57,7 +58,7 @@
 
 // Accept implements [net.Listener].
 func (l *pacedListener) Accept() (net.Conn, error) {
-	for !l.pacer.TakeConnection() {
+	for l.unread.full() || !l.pacer.TakeConnection() {
 		l.fitBacklog()
 		select {
 		case <-l.closed:
@@ -66,7 +67,11 @@
 		}
 	}
 	l.fitBacklog()
-	return l.Listener.Accept()
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.unread.track(conn), nil
 }
 
 // fitBacklog changes the kernel's queue when the pacing begins or ends.
