--- a/directory/directory.go
+++ b/directory/directory.go
@@ -53,14 +53,16 @@
 
 // Directory is a running directory replica.
 type Directory struct {
-	cfg     Settings
-	ctx     context.Context
-	stop    context.CancelFunc
-	state   *Replicated
-	replica *replica.Replica
-	mesh    *mesh.Mesh
-	hub     *hub
-	running sync.WaitGroup
+	cfg       Settings
+	ctx       context.Context
+	stop      context.CancelFunc
+	state     *Replicated
+	replica   *replica.Replica
+	mesh      *mesh.Mesh
+	meter     *link.Meter
+	hub       *hub
+	announcer *announcer
+	running   sync.WaitGroup
 }
 
 // Start opens the data folder and joins or founds the group. It runs until
@@ -70,8 +72,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	d := &Directory{cfg: cfg, ctx: ctx, stop: stop}
 	d.hub = newHub(d)
+	d.announcer = newAnnouncer(d)
+	d.meter = link.NewMeter(cfg.Metrics)
 	d.state = newReplicated(cfg.OrderWindow, d.hub.stateChanged)
-	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, link.NewMeter(cfg.Metrics))
+	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, d.meter)
 	var err error
 	d.replica, err = replica.Start(ctx, replica.Settings{
 		Group: group, Name: cfg.Identity.Name, Names: cfg.Seeds,
@@ -84,6 +88,7 @@
 		return nil, err
 	}
 	d.running.Go(d.hub.run)
+	d.running.Go(d.announcer.run)
 	return d, nil
 }
 
@@ -91,8 +96,11 @@
 // a [protocol.Watch], a replica's is a [protocol.Consensus].
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mesh.Serve(w, r, d.replica.Deliver, func(ctx context.Context, l *link.Link, first protocol.Message) {
-		if w, ok := first.(protocol.Watch); ok {
-			d.hub.serve(ctx, l, w)
+		switch first := first.(type) {
+		case protocol.Watch:
+			d.hub.serve(ctx, l, first)
+		case protocol.Announce:
+			d.hub.serveAnnouncer(ctx, l, first)
 		}
 	})
 }
@@ -131,19 +139,21 @@
 	return held, nil
 }
 
-// Announce takes a backend server's announcement. When it returns nil, it is on its
+// Announce takes a backend server's announcement, at any replica. When it returns nil, it is on its
 // way to the gateways; the departure of one that is leaving is then on the disks of a
 // majority. The error is [registry.Invalid], [NotLeader] or [Unavailable].
 func (d *Directory) Announce(ctx context.Context, a registry.Announcement) error {
 	if err := a.Check(); err != nil {
 		return err
 	}
-	if err := d.leading(); err != nil {
-		return err
-	}
 	if a.Leaving {
 		return d.Withdraw(ctx, a.ID)
 	}
+	if err := d.leading(); errors.As(err, new(NotLeader)) {
+		return d.announcer.announce(ctx, a)
+	} else if err != nil {
+		return err
+	}
 	if d.state.Departed(a.ID) {
 		return nil // a late announcement
 	}
@@ -166,6 +176,9 @@
 	return nil
 }
 
+// Address returns this replica's fleet address.
+func (d *Directory) Address() string { return d.cfg.Identity.Name }
+
 // Leader returns the leader's fleet address, or "" when none is known.
 func (d *Directory) Leader() string { return d.hub.leadership.Load().leader }
 
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -265,23 +265,25 @@
 
 // announce takes an announcement in the hub's goroutine. The error is [Unavailable].
 func (h *hub) announce(ctx context.Context, a registry.Announcement) error {
-	return h.do(ctx, func() error {
-		switch {
-		case h.d.state.Departed(a.ID):
-			return nil // since the announcement came
-		case h.term == 0:
-			return Unavailable{}
-		}
-		if a.ColdLeft > 0 && h.d.state.coldRates()[a.Pool] == 0 {
-			a.ColdLeft = 0 // nothing says what it bears
-		}
-		change := h.registry.Announce(h.d.replica.Now(), a)
-		for _, s := range change.Set {
-			h.d.cfg.Log.StateChange("backend announced", slog.String("backend", s.ID), slog.String("pool", s.Pool),
-				slog.String("address", s.Address), slog.Any("replaces", change.Gone))
-			h.unlogged = append(h.unlogged, s.Registration)
-		}
-		h.pending = h.pending.Then(change)
-		return nil
-	})
+	return h.do(ctx, func() error { return h.take(a) })
+}
+
+// take takes an announcement. The error is [Unavailable].
+func (h *hub) take(a registry.Announcement) error {
+	switch {
+	case h.term == 0:
+		return Unavailable{}
+	case h.d.state.Departed(a.ID):
+		return nil // since the announcement came, or it is late
+	case a.ColdLeft > 0 && h.d.state.coldRates()[a.Pool] == 0:
+		a.ColdLeft = 0 // nothing says what it bears
+	}
+	change := h.registry.Announce(h.d.replica.Now(), a)
+	for _, s := range change.Set {
+		h.d.cfg.Log.StateChange("backend announced", slog.String("backend", s.ID), slog.String("pool", s.Pool),
+			slog.String("address", s.Address), slog.Any("replaces", change.Gone))
+		h.unlogged = append(h.unlogged, s.Registration)
+	}
+	h.pending = h.pending.Then(change)
+	return nil
 }
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -45,6 +45,10 @@
 	KindUsage         Kind = 17 // gateway: what runs and what was requested
 	KindFleet         Kind = 18 // leader: the sums over all gateways
 	KindCounted       Kind = 19 // leader: the last report that is in the sums
+
+	// Between the replicas of the directory.
+	KindAnnounce  Kind = 20 // replica: announcements of backend servers
+	KindAnnounced Kind = 21 // leader: they are taken
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -71,6 +75,8 @@
 	KindUsage:         {"usage", decodeAs[Usage]},
 	KindFleet:         {"fleet", decodeAs[Fleet]},
 	KindCounted:       {"counted", decodeAs[Counted]},
+	KindAnnounce:      {"announce", decodeAs[Announce]},
+	KindAnnounced:     {"announced", decodeAs[Announced]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -110,6 +116,8 @@
 func (Usage) kind() Kind         { return KindUsage }
 func (Fleet) kind() Kind         { return KindFleet }
 func (Counted) kind() Kind       { return KindCounted }
+func (Announce) kind() Kind      { return KindAnnounce }
+func (Announced) kind() Kind     { return KindAnnounced }
 func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -94,6 +94,11 @@
 		Late: []Entitlement{{Account: "t2", Part: 0.05, Extra: 0.5}},
 	},
 	Counted{Seq: 91},
+	Announce{Seq: 94, List: []Announcement{
+		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16}, Seq: 95, ColdLeft: 3 * time.Second},
+		{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Seq: 96},
+	}},
+	Announced{Seq: 97},
 }
 
 var goldenPools = []PoolView{
@@ -129,7 +134,7 @@
 	names := []string{
 		1: "hello", 2: "welcome", 3: "redirect", 4: "renew", 5: "renewed", 6: "report", 7: "view", 8: "configure",
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
-		16: "backends", 17: "usage", 18: "fleet", 19: "counted",
+		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced",
 	}
 	for number := 1; number < len(names); number++ {
 		is.Equal(Kind(number).String(), names[number])
