Directory: a wiped hall finds its group when all the seeds were in it

Cause: blank replicas know only the seeds of their settings. If the replicas of all seeds lose their disks together, each of them asks only the others, which are blank too, and none ever joins: three of seven stayed out for good, and the loss of another hall then left no majority. Change: a blank replica remembers who sends to the incarnation whose disk it had, and asks there as well. Test: TestHallOfTheDirectoryIsLost, 3, 5 and 7 replicas with 9 wanted, a hall cut, killed, wiped, or lost with one disk; it failed on 7 replicas wiped before.

--- a/coordination/consensus/formation.go
+++ b/coordination/consensus/formation.go
@@ -143,10 +143,21 @@
 		if whole {
 			return *m.Snapshot, true
 		}
+	default:
+		f.takeSender(m)
 	}
 	return protocol.Snapshot{}, false
 }
 
+// takeSender remembers a member of an existing group that sends to the incarnation whose
+// disk this replica had. The names in the settings may all be of replicas that lost their
+// disks together, and then nobody else leads to the group.
+func (f *Formation) takeSender(m protocol.Consensus) {
+	if m.Group != 0 && m.From.Name != "" && !slices.Contains(f.names, m.From.Name) && !slices.Contains(f.hints, m.From.Name) {
+		f.hints = append(f.hints, m.From.Name)
+	}
+}
+
 // Messages returns and clears what is to be sent.
 func (f *Formation) Messages() []protocol.Consensus {
 	out := f.out
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -53,6 +53,7 @@
 	order    []string
 	gateways map[string]*gatewayNode
 	beats    map[string]uint64 // announcements made, by backend server
+	wanted   int               // replicas that vote
 }
 
 // directoryNode is one replica and what survives its restarts.
@@ -71,9 +72,13 @@
 }
 
 // inFleet runs f with n directory replicas that have formed their group.
-func inFleet(t *testing.T, n int, f func(x *fleet)) {
+func inFleet(t *testing.T, n int, f func(x *fleet)) { inFleetOf(t, n, voters, f) }
+
+// inFleetOf does the same with a number of replicas that vote.
+func inFleetOf(t *testing.T, n, wanted int, f func(x *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{
+			wanted: wanted,
 			t: t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, uint64(n))),
 			nodes: map[string]*directoryNode{}, gateways: map[string]*gatewayNode{}, beats: map[string]uint64{},
 		}
@@ -115,7 +120,7 @@
 	log := x.log(set)
 	d, err := directory.Start(ctx, directory.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
-		Seeds:    x.seeds, Bootstrap: first, Voters: voters, Dir: n.disk, Interval: interval,
+		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval,
 		Random: x.random, Log: log, Metrics: set,
 	})
 	if err != nil {
