--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -79,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{
 			wanted: wanted,
-			t: t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, uint64(n))),
+			t:      t, net: fakenet.New(latency), rng: rand.New(rand.NewPCG(1, uint64(n))),
 			nodes: map[string]*directoryNode{}, gateways: map[string]*gatewayNode{}, beats: map[string]uint64{},
 		}
 		for i := range min(n, 3) {
