Gateways: lateness is what ready work waits; a call is looked at again right before its first byte

Cause: the timer whose lateness shows the processor's pressure runs before all that is ready, so a long queue of ready goroutines did not show.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -82,15 +82,17 @@
 // New returns a detector whose timer is started now.
 func New(now time.Duration) Detector { return Detector{lastTick: now} }
 
-// Tick returns the detector after a firing of the timer.
-func (d Detector) Tick(now time.Duration) Detector {
+// Tick returns the detector after a firing of the timer. waited is how long what was ready
+// to run has waited since the last one, 0 if nothing says so: the timer's own goroutine goes
+// before all others, and is late only when the processor is held by something else.
+func (d Detector) Tick(now, waited time.Duration) Detector {
 	if d.Delay >= DelayBeyond {
 		d.unreadyUntil = now + unreadyFor
 	}
 	elapsed := now - d.lastTick
 	d.lastTick = now
 	weight := 1 - math.Exp(-float64(elapsed)/float64(delayMemory))
-	late := min(max(elapsed-TickPeriod, 0), delayMost)
+	late := min(max(elapsed-TickPeriod, waited, 0), delayMost)
 	d.Delay += time.Duration(weight * float64(late-d.Delay))
 	switch {
 	case d.Delay > DelayTooLong:
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -12,7 +12,7 @@
 )
 
 // fire returns the detector after a firing that was late.
-func (d Detector) fire(late time.Duration) Detector { return d.Tick(d.lastTick + TickPeriod + late) }
+func (d Detector) fire(late time.Duration) Detector { return d.Tick(d.lastTick+TickPeriod+late, 0) }
 
 // fireUntil fires until the pressure is high, or not any more, and returns how
 // often it fired before the last time.
@@ -106,3 +106,14 @@
 	is.True(d.Unready(d.lastTick + unreadyFor - 1))
 	is.True(!d.Unready(d.lastTick + unreadyFor))
 }
+
+// TestQueueBehindATimerInTime: what is ready to run waits, though the timer fires in time.
+func TestQueueBehindATimerInTime(t *testing.T) {
+	is := is.New(t)
+	d := New(time.Second)
+	for range 50 {
+		d = d.Tick(d.lastTick+TickPeriod, 80*time.Millisecond)
+	}
+	is.True(d.High)
+	is.True(!d.Admits(entitlement.Covered))
+}
--- a/coordination/overload/pace_test.go
+++ b/coordination/overload/pace_test.go
@@ -25,7 +25,7 @@
 			taken += came
 			behind = max(behind+time.Duration(came)*cost-TickPeriod, 0)
 			now += TickPeriod + min(behind, time.Second)
-			d = d.Tick(now)
+			d = d.Tick(now, 0)
 			p = p.Next(now, d.Delay, came)
 		}
 		for range 200 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,7 @@
 	return forward.Call{
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
 		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body,
+		Unwanted: func() bool { return callerHasLeft(c.r.Context()) },
 	}
 }
 
@@ -96,6 +97,9 @@
 	if !errors.As(err, &not) {
 		return outcome{execution: retry.MayHaveRun, cause: "lost", blame: outlier.Lost, err: err}
 	}
+	if forward.Unwanted(not.Err) {
+		return outcome{execution: retry.NotSent, cause: "caller left", blame: outlier.NoVerdict, err: err}
+	}
 	if !not.Refused {
 		return outcome{execution: retry.NotSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,8 +47,11 @@
 	// Grace is how long a stopping process has.
 	Grace time.Duration
 	// Bodies bounds the bytes of all requests' bodies together.
-	Bodies  int64
-	Random  func() uint64
+	Bodies int64
+	Random func() uint64
+	// Waited returns how long what was ready to run in this process has waited for the
+	// processor, since the last call; nil is unknown.
+	Waited  func() time.Duration
 	Log     *decision.Log
 	Metrics *metrics.Set
 }
@@ -86,6 +89,9 @@
 // Start runs a gateway until Stop.
 func Start(ctx context.Context, cfg Settings) *Gateway {
 	ctx, stop := context.WithCancel(ctx)
+	if cfg.Waited == nil {
+		cfg.Waited = func() time.Duration { return 0 }
+	}
 	g := &Gateway{
 		cfg: cfg, start: time.Now(), ctx: ctx, stop: stop,
 		tokens: newTokens(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
@@ -167,7 +173,7 @@
 	var pace overload.Pace
 	for range sleep.Every(g.ctx, overload.TickPeriod) {
 		old := g.overload.Load()
-		d := old.Tick(g.now())
+		d := old.Tick(g.now(), g.cfg.Waited())
 		g.overload.Store(&d)
 		pace = g.setPace(pace, pace.Next(g.now(), d.Delay, int(g.taken.Swap(0))), d.Delay)
 		if d.High != old.High {
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -62,7 +62,7 @@
 	g := gateway.Start(running, gateway.Settings{
 		Identity: b.identity(), Hall: cfg.Hall, Seeds: cfg.Seeds, Headers: headers, Server: client,
 		Retries: cfg.Retries, Grace: cfg.Grace, Bodies: int64(bodiesPart * float64(cfg.Memory)),
-		Random: rand.Uint64, Log: log, Metrics: metricSet,
+		Random: rand.Uint64, Waited: newScheduling().Wait, Log: log, Metrics: metricSet,
 	})
 	callers, err := b.listenToCallers(running, g)
 	if err != nil {
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -22,10 +23,24 @@
 	written atomic.Int64
 	calls   atomic.Int64 // that were given the connection
 	ended   atomic.Int64 // number of the last call after which it was kept
+	// unwanted is asked before the first byte of the present call: nil once it was.
+	unwanted atomic.Pointer[func() bool]
 }
 
-// Write implements [net.Conn].
+// errUnwanted ends a call that nobody wants any more.
+var errUnwanted = errors.New("the call is not wanted any more")
+
+// Unwanted reports whether a call failed because nobody wanted it any more.
+func Unwanted(err error) bool { return errors.Is(err, errUnwanted) }
+
+// Write implements [net.Conn]. The first write of a call that is unwanted fails: between any
+// earlier look and this one, goroutines hand the call on, and each of them waits for the
+// processor of a late gateway, so that calls went out half a second after their callers had
+// left.
 func (c *countingConn) Write(b []byte) (int, error) {
+	if unwanted := c.unwanted.Swap(nil); unwanted != nil && (*unwanted)() {
+		return 0, errUnwanted
+	}
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
 	return n, err
@@ -101,6 +116,8 @@
 	conn   atomic.Pointer[countingConn]
 	number int64 // of the call on the connection
 	before int64 // bytes that the connection had taken before the call
+	// unwanted is that of the call, or nil.
+	unwanted func() bool
 }
 
 // trace lets net/http report to s.
@@ -115,6 +132,9 @@
 		return
 	}
 	s.number, s.before = c.calls.Add(1), c.written.Load()
+	if s.unwanted != nil {
+		c.unwanted.Store(&s.unwanted)
+	}
 	s.conn.Store(c)
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -51,6 +51,9 @@
 	Host   string // empty is the server's address
 	Header http.Header
 	Body   []byte
+	// Unwanted, if set, is asked right before the first byte goes out: if it returns true,
+	// nothing is sent and the call fails with [NotRun], see [Unwanted].
+	Unwanted func() bool
 }
 
 // ResumeHeader is set by a server that can send the rest of an answer whose
@@ -195,7 +198,7 @@
 // answer. Cancelling ctx ends the call, its body included. The error is
 // [NotRun] or [Unknown].
 func (c *Client) Send(ctx context.Context, address string, call Call) (*Answer, error) {
-	var sent sending
+	sent := sending{unwanted: call.Unwanted}
 	req, err := newRequest(sent.trace(ctx), address, call)
 	if err != nil {
 		return nil, NotRun{Server: address, Err: err}
--- a/transport/forward/sent_test.go
+++ b/transport/forward/sent_test.go
@@ -231,3 +231,30 @@
 		is.Equal(opened, 3)
 	})
 }
+
+// TestUnwantedCallIsNotSent: a call that is not wanted any more when its head is about to be
+// written reaches nobody, on a new connection and on a kept one, and the next call does.
+func TestUnwantedCallIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		requests := rawServer(t, n, func(conn net.Conn, _ *bufio.Reader, _ int) { _, _ = io.WriteString(conn, fineAnswer) })
+		c := client(t, n)
+		send := func(unwanted bool) error {
+			a, err := c.Send(t.Context(), address, forward.Call{Method: "POST", Path: "/", Body: []byte("a body"), Unwanted: func() bool { return unwanted }})
+			if err == nil {
+				_, err = io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+			}
+			synctest.Wait()
+			return err
+		}
+		for range 2 { // a new connection, then a kept one
+			var not forward.NotRun
+			err := send(true)
+			is.True(errors.As(err, &not) && !not.Refused && forward.Unwanted(err))
+			is.NoErr(send(false))
+		}
+		is.Equal(*requests, 2)
+	})
+}
