--- a/coordination/entitlement/fleet_test.go
+++ b/coordination/entitlement/fleet_test.go
@@ -135,7 +135,7 @@
 		f.deliverLists()
 		for _, g := range f.gateways {
 			if f.now >= g.fires {
-				g.detector = g.detector.Tick(max(g.fires, f.now-step))
+				g.detector = g.detector.Tick(max(g.fires, f.now-step), 0)
 				g.pace = g.pace.Next(f.now, g.detector.Delay, g.taken)
 				g.taken = 0
 				g.fires = max(g.fires, f.now-step) + step + g.behind // the timer waits behind all other work
