Routers: an unused slot is kept for 50 ms, and looked for as often

A slot that one router keeps unused is missing elsewhere until it is recalled. Change: DefaultLimits.Linger 50 ms instead of 100, and poolTick, which ends it, the same.

--- a/coordination/slots/fixture_router_test.go
+++ b/coordination/slots/fixture_router_test.go
@@ -40,7 +40,7 @@
 	r.link++
 	r.pacer = slots.Pacer{Pace: r.f.shape.pace}
 	for _, ps := range r.f.shape.pools {
-		pl := pool.New(ps.name, pool.Settings{Linger: 100 * time.Millisecond, FirstEstimate: 256, PrefixBlocks: 16})
+		pl := pool.New(ps.name, pool.Settings{Linger: 50 * time.Millisecond, FirstEstimate: 256, PrefixBlocks: 16})
 		var servers []pool.Server
 		for _, s := range r.f.byPool[ps.name] {
 			servers = append(servers, pool.Server{Name: s.name, Slots: s.slots})
--- a/router/router.go
+++ b/router/router.go
@@ -69,14 +69,14 @@
 var DefaultLimits = Limits{
 	Body: 8 << 20, Bodies: 128 << 20, Read: 30 * time.Second, Write: 30 * time.Second,
 	Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
-	Wait: 60 * time.Second, Linger: 100 * time.Millisecond,
+	Wait: 60 * time.Second, Linger: 50 * time.Millisecond,
 }
 
 // Settings of every pool. Chosen, not measured.
 const (
 	firstEstimate = 256                    // cost, in share.Weights, of a request whose account and class have finished none
 	prefixBlocks  = 8192                   // prompt blocks remembered by each pool
-	poolTick      = 100 * time.Millisecond // between two checks for waits, slots and a lease that have ended
+	poolTick      = 50 * time.Millisecond // between two checks for waits, slots and a lease that have ended
 )
 
 // Router is a running router.
