--- a/router/router.go
+++ b/router/router.go
@@ -74,8 +74,8 @@
 
 // Settings of every pool. Chosen, not measured.
 const (
-	firstEstimate = 256                    // cost, in share.Weights, of a request whose account and class have finished none
-	prefixBlocks  = 8192                   // prompt blocks remembered by each pool
+	firstEstimate = 256                   // cost, in share.Weights, of a request whose account and class have finished none
+	prefixBlocks  = 8192                  // prompt blocks remembered by each pool
 	poolTick      = 50 * time.Millisecond // between two checks for waits, slots and a lease that have ended
 )
 
