Directory: an order about a hall is decided on a few times at most

A store that remembers as many halls as it may passes over a change of another one, and the order was proposed again until its time was over.

--- a/coordination/place/spread.go
+++ b/coordination/place/spread.go
@@ -18,7 +18,8 @@
 // 0.002. With requests of a second, which outlast reports, all three lose nothing.
 
 // spread chooses one of the servers that have room by lot, in proportion to what they can
-// bear: their slots over their slowness, and less where requests were lost. Without room anywhere it is one of all.
+// bear: their slots over their slowness, and less where requests were lost. Without room
+// anywhere it is one of all.
 func (p *RoomPlacer) spread(r Request, found []candidate) Choice {
 	open := slices.DeleteFunc(slices.Clone(found), func(c candidate) bool { return p.bound(r, c) != Free })
 	if len(open) == 0 {
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -36,6 +36,7 @@
 	// each, 50 KB.
 	batchMost = 512
 	// waitingMost is the number of announcements that may wait; beyond it they are refused.
+	// Chosen, not measured: a replica's part of 10,000 backend servers, several times.
 	waitingMost = 8192
 	// announceSilence ends a link to the leader that answers nothing. Chosen, not measured:
 	// within the time that a backend server waits.
--- a/directory/halls.go
+++ b/directory/halls.go
@@ -54,9 +54,13 @@
 	return out, err
 }
 
+// orderTries is how often an order is decided on anew whose change another one came before.
+// Chosen, not measured: two operators at most give orders at a time.
+const orderTries = 4
+
 // orderHall carries an order out. A change that another one came before is decided anew.
 func (d *Directory) orderHall(ctx context.Context, hall string, out bool) error {
-	for {
+	for range orderTries {
 		verdict, change, err := d.decideHall(ctx, hall, out)
 		switch {
 		case err != nil:
@@ -73,6 +77,7 @@
 			return err
 		}
 	}
+	return Unavailable{}
 }
 
 // decideHall returns what is to be done about an order by the newest acknowledged state,
