--- a/coordination/registry/pace.go
+++ b/coordination/registry/pace.go
@@ -26,8 +26,8 @@
 	fleetBudget = 8 << 10
 	// fleetTotal is the bytes a second of Fleet messages on all links of a leader. With the
 	// budget of a link alone 300 gateways may be sent 2.4 MB/s, most of it to other data halls,
-	// and each has the smaller part of the requests the more there are. Chosen; one sweep each
-	// at 300 gateways: prices of 0.468 of a day before, mostly bytes between halls, 0.421 with it.
+	// and each has the smaller part of the requests the more there are. Chosen, not measured by
+	// itself.
 	fleetTotal = 1 << 20
 )
 
--- a/process/pace.go
+++ b/process/pace.go
@@ -18,8 +18,8 @@
 // takes all, the queue must hold what comes while its goroutine waits for a processor: 150
 // callers that come at once overflowed 128 (TestGatewaySurvivesAFlood). What it holds when the
 // pacing begins is taken at the least pace, and callers leave after a second: with 1,024, a
-// wait of 3.4 s, requests were read 2.3 s after they were sent and reached servers for callers
-// that left the moment after. While it is paced the
+// wait of 3.4 s, a request reached a server 2.3 s after it was sent, 76 ms before its caller's
+// time was over. While it is paced the
 // queue is short: whoever waits in it is not answered, its unread bytes are this process's
 // memory (at the largest bodies seen, 72 KB, 4.6 MB), and what is taken must still be able to
 // be in time, at the least pace (overload.LeastPace): with 200, a wait of 0.67 s, a flooded
