Interfaces: versions, rollouts, topology and homes, as types without behaviour

Cause: the parts are built side by side and meet in the protocol, the stored state, the choice of a server and the leader's sessions. Change: Registration.Version, Rollouts, Outcomes, Watch's region and relay, document.Rollout and RolloutChange, Homes of routes and accounts, coordination/topology, rollout.Bounds, and calls at the places where each part goes in, which do nothing yet. The wire and the log gain fields and lose none: the bytes of the version before are kept in files whose names end in -earlier, and decode to the same values without the new fields (TestGoldenEarlierMessages). Two checks that every field is set moved to values that set the new fields too (TestGoldenHomes, the last of goldenCommands).

--- /dev/null
+++ b/coordination/rollout/doc.go
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package rollout decides how the requests of one pool move to a new version of its backend
+// servers, and back to the old one when the new one is bad.
+//
+// The model: an operator's order names a pool, a target version and the time in which the
+// pool's requests are to be on it. Servers of both versions are announced side by side. The
+// leader of the directory gives the target a share of the pool's requests, raises it as the
+// evidence allows, and ends the rollout as complete (the old servers may stop at once) or as
+// rolled back (the target gets nothing more). docs/design/rollouts.md has the ways weighed.
+//
+// Everything here is pure: time and counts are arguments, and nothing reads a clock.
+package rollout
+
+import "time"
+
+// This file defines Bounds.
+
+// Bounds is what a bad version may cost, by the deployment's settings.
+type Bounds struct {
+	// Share is the part of all requests to the pool, from the order to its deadline, that a
+	// bad version may get, beside Slack requests.
+	Share float64
+	Slack float64
+	// Stop is how long after its first bad answers a bad version may get requests.
+	Stop time.Duration
+	// Repeats is for how long an operator repeats an order that got no clear answer.
+	Repeats time.Duration
+}
--- /dev/null
+++ b/coordination/topology/topology_test.go
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package topology
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestTopology(t *testing.T) {
+	is := is.New(t)
+	regions := map[string]string{"north-a": "north", "south-a": "south", "north-b": "north"}
+	topology, err := New(regions)
+	is.NoErr(err)
+	regions["north-a"] = "elsewhere" // the caller's own map
+	is.Equal(topology.Region("north-a"), "north")
+	is.Equal(topology.Region("never named"), "")
+	is.Equal(topology.Regions(), []string{"north", "south"})
+	is.Equal(topology.Halls(), []string{"north-a", "north-b", "south-a"})
+	is.True(topology.Several())
+
+	one, err := New(map[string]string{"a": "north", "b": "north"})
+	is.NoErr(err)
+	is.True(!one.Several())
+	is.True(!Topology{}.Several())
+	is.Equal(Topology{}.Region("a"), "")
+}
+
+func TestInvalidTopology(t *testing.T) {
+	is := is.New(t)
+	_, err := New(map[string]string{"a": "north", "b": ""})
+	is.Equal(err, error(Invalid{Hall: "b", What: "lies in a region without a name"}))
+	_, err = New(map[string]string{"": "north"})
+	is.Equal(err, error(Invalid{What: "has no name"}))
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,6 +15,8 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/consensus"
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/replica"
@@ -45,6 +47,11 @@
 	// OrderWindow is for how long an operator repeats an order about a hall; 0 is
 	// evacuation.DefaultWindow.
 	OrderWindow time.Duration
+	// Region is where this replica stands; empty if the settings name none.
+	Region   string
+	Topology topology.Topology // of the fleet
+	// Rollouts bounds what a bad version of a pool's backend servers may cost.
+	Rollouts rollout.Bounds
 	replica.Tuning
 	Random  func() uint64
 	Log     *decision.Log
--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +29,9 @@
 	{Hall: &document.HallChange{Hall: "hall-a", Out: true}},
 	{Hall: &document.HallChange{Hall: "hall-b", Out: true}},
 	{Hall: &document.HallChange{Hall: "hall-b", After: 1}},
+	{Join: []protocol.Registration{
+		{ID: "engine-4#d", Pool: "llm", Address: "10.0.0.4:80", Hall: "hall-a", Slots: 16, Version: "v7"},
+	}},
 }
 
 func TestGoldenCommands(t *testing.T) {
@@ -37,7 +41,7 @@
 	var got []command
 	is.NoErr(cbor.Unmarshal(golden.Bytes(t, "commands", b), &got))
 	is.True(reflect.DeepEqual(got, goldenCommands)) // the pinned bytes give the same value
-	golden.AllSet(t, "join", goldenCommands[2].Join)
+	golden.AllSet(t, "join", goldenCommands[6].Join)
 }
 
 // TestGoldenApply applies the pinned commands, as a replica does that reads
@@ -46,18 +50,18 @@
 	is := is.New(t)
 	told := 0
 	r := newReplicated(0, func() { told++ })
-	results := []any{true, true, false, true, true, true}
+	results := []any{true, true, false, true, true, true, false}
 	for i, c := range goldenCommands {
 		b, err := cbor.Marshal(c)
 		is.NoErr(err)
 		is.Equal(r.Apply(b), results[i])
 	}
-	is.Equal(told, 6)
+	is.Equal(told, 7)
 	held, ok := r.Held()
 	is.True(ok)
 	is.True(reflect.DeepEqual(held, *goldenCommands[0].Put))
 	is.True(r.Departed("engine-1#a"))
-	is.Equal(r.Joined(), goldenCommands[2].Join)
+	is.Equal(r.Joined(), slices.Concat(goldenCommands[2].Join, goldenCommands[6].Join))
 	out, changes := r.HallsOut()
 	is.Equal(out, []string{"hall-a"})
 	is.Equal(changes, uint64(3))
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -58,6 +58,7 @@
 	fleetDue    time.Duration     // of the next Fleet message
 	encoded     protocol.Document // newest document, encoded once
 
+	rollouts     rollouts
 	sharesLogged time.Duration // when
 }
 
@@ -147,6 +148,7 @@
 		h.pushDepartures()
 		h.pushHalls()
 		h.pushDocument()
+		h.stepRollouts()
 	}
 }
 
@@ -161,6 +163,7 @@
 	}
 	h.usage, h.feed, h.fleetDue = newUsage(), registry.Feed{}, 0
 	h.pending, h.list, h.hallChanges = registry.Change{}, nil, 0
+	h.beginRollouts()
 	h.d.cfg.Log.StateChange("leading", slog.Uint64("term", term), slog.Any("members", h.leadership.Load().voters))
 }
 
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -124,7 +124,7 @@
 			return
 		}
 		if u, ok := m.(protocol.Usage); ok {
-			h.post(func() { h.usage.add(s, u) })
+			h.post(func() { h.usage.add(s, u); h.addOutcomes(s, u) })
 		}
 	}
 }
@@ -154,6 +154,7 @@
 		s.out.Send(protocol.Counted{})
 		s.out.Send(h.fleetMessage(sent))
 	}
+	h.sendRollouts(s)
 	h.pushDocument()
 	h.d.cfg.Log.StateChange("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
 	return s, nil
@@ -165,6 +166,7 @@
 		h.d.cfg.Log.StateChange("gateway lost", slog.String("gateway", s.gateway))
 	}
 	h.usage.forget(s)
+	h.forgetOutcomes(s)
 }
 
 // pushFleet sends every gateway the sums over all of them, as often as the budget of a
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -70,7 +70,7 @@
 // nil and why. The caller holds mu.
 func (t *table) acquire(now time.Duration, req requirements) (*assignment, shortage) {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.Choose(req.choiceRequest(), t.view(p, now, req.avoid))
+	choice := p.placer.Choose(req.choiceRequest(), t.view(p, now, &req))
 	switch {
 	case choice.Index < 0:
 		return nil, shortage{halls: t.allOut(p)}
@@ -102,7 +102,7 @@
 // that have room, or nil. The caller holds mu.
 func (t *table) acquireWithRoom(now time.Duration, req requirements) *assignment {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, req.avoid))
+	choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, &req))
 	if choice.Index < 0 {
 		return nil
 	}
@@ -118,15 +118,15 @@
 }
 
 // view returns what is known of the pool's servers, for one choice. The caller holds mu.
-func (t *table) view(p *pool, now time.Duration, avoid map[string]bool) []place.Server {
+func (t *table) view(p *pool, now time.Duration, req *requirements) []place.Server {
 	leased := now < t.leased
 	p.viewed = p.viewed[:0]
 	for _, k := range p.servers {
 		p.viewed = append(p.viewed, place.Server{
 			ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - k.othersAt,
-			Pace: k.pace, Health: k.health.State(now), Avoid: avoid[k.ID],
+			Pace: k.pace, Health: k.health.State(now), Avoid: req.avoid[k.ID],
 			Lost:   k.health.LostInARow(),
-			Closed: t.hallsOut[k.Hall] || !k.cold.Admits(now, leased),
+			Closed: t.hallsOut[k.Hall] || !k.cold.Admits(now, leased) || !t.mayHaveVersion(req, k) || !t.mayBeServedAt(req, k),
 		})
 	}
 	return p.viewed
@@ -198,6 +198,7 @@
 	if !a.answering {
 		k.own.Tokens -= a.tokens
 	}
+	g.table.countOutcome(a)
 	p := g.table.pool(k.Pool)
 	if v == outlier.Refused || v == outlier.Answered {
 		p.placer.ObserveAnswer(v == outlier.Refused)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/drain"
 	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -40,7 +41,9 @@
 type Settings struct {
 	Identity link.Identity
 	Hall     string
-	Seeds    []string // fleet addresses of directory replicas
+	Region   string            // of the hall; empty if the settings name none
+	Topology topology.Topology // of the fleet
+	Seeds    []string          // fleet addresses of directory replicas
 	Headers  HeaderCodec
 	Server   Server
 	Retries  retry.Limits
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -91,7 +91,9 @@
 	defer l.Close()
 	ctx, cancel := context.WithCancel(w.g.ctx)
 	defer cancel()
-	hello := protocol.Watch{Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true}
+	hello := protocol.Watch{
+		Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true, Region: w.g.cfg.Region,
+	}
 	if err := l.Send(ctx, hello); err != nil {
 		return false
 	}
@@ -162,6 +164,9 @@
 			w.g.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes))
 		}
 		w.g.grantAll()
+	case protocol.Rollouts:
+		w.g.table.updateRollouts(m)
+		w.g.grantAll()
 	case protocol.Counted:
 		w.counted = m.Seq
 	case protocol.Fleet:
@@ -184,6 +189,7 @@
 		seq++
 		u := w.g.accounts.takeReport()
 		u.Seq, u.Loads, u.Number = seq, w.g.table.takeReport(seq), w.g.DocumentNumber()
+		u.Outcomes, u.Obeyed = w.g.table.takeOutcomes()
 		if err := l.Send(ctx, u); err != nil {
 			return // receive fails as well, and logs it
 		}
--- a/process/directory.go
+++ b/process/directory.go
@@ -159,7 +159,8 @@
 	}
 	d, err := directory.Start(context.Background(), directory.Settings{
 		Identity: p.identity(), Seeds: p.cfg.Seeds, Bootstrap: p.cfg.Bootstrap, Voters: p.cfg.Voters, Dir: dir,
-		Interval: p.cfg.Interval, Halls: p.cfg.Halls, OrderWindow: p.cfg.OrderWindow, Tuning: replica.Tuning{Election: election, Heartbeat: heartbeat},
+		Interval: p.cfg.Interval, Halls: p.cfg.Halls, OrderWindow: p.cfg.OrderWindow,
+		Region: p.cfg.Region, Topology: p.cfg.Topology, Rollouts: p.cfg.Rollouts, Tuning: replica.Tuning{Election: election, Heartbeat: heartbeat},
 		Random: rand.Uint64, Log: p.log, Metrics: p.metrics,
 	})
 	if err != nil {
--- a/process/process.go
+++ b/process/process.go
@@ -27,6 +27,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
@@ -38,6 +40,8 @@
 type Settings struct {
 	Name     string
 	Hall     string
+	Region   string            // of the hall; empty if the settings name none
+	Topology topology.Topology // of the fleet
 	FleetKey []byte
 	Fleet    string   // fleet address of this box; directory replicas are named by it
 	Seeds    []string // fleet addresses of directory replicas
@@ -57,6 +61,8 @@
 	Halls     []string      // the data halls that exist
 	// OrderWindow is for how long an operator repeats an order about a hall; 0 is unknown.
 	OrderWindow time.Duration
+	// Rollouts bounds what a bad version of a pool's backend servers may cost.
+	Rollouts rollout.Bounds
 
 	Grace       time.Duration // from the signal to stop until the process is killed
 	Memory      int64         // bytes that the process may use; 0 is not bounded
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -49,6 +49,9 @@
 	// Between the replicas of the directory.
 	KindAnnounce  Kind = 20 // replica: announcements of backend servers
 	KindAnnounced Kind = 21 // leader: they are taken
+
+	// Between a gateway and a directory replica, continued.
+	KindRollouts Kind = 22 // leader: which versions of pools get requests
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -77,6 +80,7 @@
 	KindCounted:       {"counted", decodeAs[Counted]},
 	KindAnnounce:      {"announce", decodeAs[Announce]},
 	KindAnnounced:     {"announced", decodeAs[Announced]},
+	KindRollouts:      {"rollouts", decodeAs[Rollouts]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -118,6 +122,7 @@
 func (Counted) kind() Kind       { return KindCounted }
 func (Announce) kind() Kind      { return KindAnnounce }
 func (Announced) kind() Kind     { return KindAnnounced }
+func (Rollouts) kind() Kind      { return KindRollouts }
 func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -3,7 +3,12 @@
 package protocol
 
 import (
+	"encoding/hex"
+	"os"
+	"path/filepath"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,14 +73,16 @@
 		},
 		Offset: 71, Total: 72,
 	},
-	Watch{Gateway: "gateway-1", Boot: big, Number: 82, Term: 83, KnowsHalls: true},
+	Watch{
+		Gateway: "gateway-1", Boot: big, Number: 82, Term: 83, KnowsHalls: true, KnowsVersions: true, Region: "north", Relay: true, Direct: true,
+	},
 	WatchRedirect{Leader: "10.0.0.1:7000", Members: []string{"10.0.0.1:7000", "10.0.0.2:7000"}},
 	Document{Number: 84, Data: []byte{0xa1, 1, 2}},
 	Servers{
 		Term: 85, Whole: true, Complete: true,
 		Set: []Server{
 			{
-				Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16}, Handle: 1<<32 - 1,
+				Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7"}, Handle: 1<<32 - 1,
 				Cold: &Cold{Left: 3 * time.Second, Shares: []ColdShare{{Gateway: "gateway-1", PerSecond: 5}, {Gateway: "gateway-2", PerSecond: 4}}},
 			},
 			{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Handle: 2},
@@ -86,6 +93,11 @@
 		Loads:   []ServerLoad{{Handle: 7, Requests: 2, Tokens: 90000}, {Handle: 8, Requests: 300, Tokens: 1}},
 		Demands: []Demand{{Account: "t1", Tokens: big}, {Account: "t2", Tokens: 12}},
 		Number:  86, Started: 87, Missed: 88, Served: []Demand{{Account: "t2", Tokens: 89}}, Seq: 90, Late: []Demand{{Account: "t1", Tokens: 92}},
+		Outcomes: []Outcomes{
+			{Pool: "web", Attempt: 98, Version: "v7", Route: "pay", Sent: 99, Answered: 100, Failed: 101, Paces: []uint32{102, 0, 103}},
+			{Pool: "web", Attempt: 104, Version: "v6"},
+		},
+		Obeyed: 105,
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -95,10 +107,14 @@
 	},
 	Counted{Seq: 91},
 	Announce{Seq: 94, List: []Announcement{
-		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16}, Seq: 95, ColdLeft: 3 * time.Second},
+		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7"}, Seq: 95, ColdLeft: 3 * time.Second},
 		{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Seq: 96},
 	}},
 	Announced{Seq: 97},
+	Rollouts{Term: 106, Seq: 107, List: []Rollout{
+		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"}},
+		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
+	}},
 }
 
 var goldenPools = []PoolView{
@@ -127,6 +143,50 @@
 	is.New(t).Equal(len(seen), len(kinds)) // a message of every kind
 }
 
+// TestGoldenEarlierMessages decodes messages of the version before rollouts and regions, from
+// the files whose names end in "-earlier": they are only decoded, never written anew.
+func TestGoldenEarlierMessages(t *testing.T) {
+	is := is.New(t)
+	for _, m := range goldenMessages {
+		name := KindOf(m).String()
+		text, err := os.ReadFile(filepath.Join("testdata", "golden", name+"-earlier.hex"))
+		if os.IsNotExist(err) {
+			continue // it has not changed since
+		}
+		is.NoErr(err)
+		b, err := hex.DecodeString(strings.TrimSpace(string(text)))
+		is.NoErr(err)
+		got, err := Decode(b)
+		is.NoErr(err)
+		is.True(reflect.DeepEqual(got, earlier(m)))
+	}
+}
+
+// earlier returns a message without the fields that the version before did not have.
+func earlier(m Message) Message {
+	switch m := m.(type) {
+	case Watch:
+		m.KnowsVersions, m.Region, m.Relay, m.Direct = false, "", false, false
+		return m
+	case Servers:
+		m.Set = slices.Clone(m.Set)
+		for i := range m.Set {
+			m.Set[i].Version = ""
+		}
+		return m
+	case Usage:
+		m.Outcomes, m.Obeyed = nil, 0
+		return m
+	case Announce:
+		m.List = slices.Clone(m.List)
+		for i := range m.List {
+			m.List[i].Version = ""
+		}
+		return m
+	}
+	return m
+}
+
 // TestGoldenKinds pins the number of each kind, which the envelope carries,
 // and its name, which metrics carry.
 func TestGoldenKinds(t *testing.T) {
@@ -134,7 +194,7 @@
 	names := []string{
 		1: "hello", 2: "welcome", 3: "redirect", 4: "renew", 5: "renewed", 6: "report", 7: "view", 8: "configure",
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
-		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced",
+		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced", 22: "rollouts",
 	}
 	for number := 1; number < len(names); number++ {
 		is.Equal(Kind(number).String(), names[number])
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -20,6 +20,14 @@
 	Term    uint64 `cbor:"4,keyasint,omitempty"` // highest seen; an older leader must refuse
 	// KnowsHalls is set by gateways that obey HallsOut. Earlier versions did not have it.
 	KnowsHalls bool `cbor:"5,keyasint,omitempty"`
+	// KnowsVersions is set by gateways that obey Rollouts. Earlier versions did not have it.
+	KnowsVersions bool `cbor:"6,keyasint,omitempty"`
+	// Region is the sender's, empty if its settings name none.
+	Region string `cbor:"7,keyasint,omitempty"`
+	// Relay is set by a directory replica that opens a session for its region's gateways.
+	Relay bool `cbor:"8,keyasint,omitempty"`
+	// Direct is set by a gateway that lost a relay: the leader serves it itself.
+	Direct bool `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchRedirect is the answer of a directory replica that does not lead to a Watch; it
@@ -45,6 +53,9 @@
 	Address string `cbor:"3,keyasint"` // IP:PORT
 	Hall    string `cbor:"4,keyasint,omitempty"`
 	Slots   int    `cbor:"5,keyasint,omitempty"` // requests that it runs at a time
+	// Version is of the software that it runs, empty if it does not say. Numbers 6 and 7 are
+	// those of the fields beside a registration in [Server] and [Announcement].
+	Version string `cbor:"8,keyasint,omitempty"`
 }
 
 // Server is one announced backend server.
@@ -118,6 +129,11 @@
 	// Late is the part of Demands that came back after its objective: served now, it is
 	// late in any case.
 	Late []Demand `cbor:"8,keyasint,omitempty"`
+	// Outcomes are those that have changed since the last report, of pools with a rollout
+	// under way; the first report of a session has all.
+	Outcomes []Outcomes `cbor:"9,keyasint,omitempty"`
+	// Obeyed is the Seq of the newest [Rollouts] that the gateway obeys, of the session's term.
+	Obeyed uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
--- a/state/document/document.go
+++ b/state/document/document.go
@@ -51,6 +51,8 @@
 	// EventGap is the longest pause between two events of a stream at which it
 	// is still in time.
 	EventGap time.Duration `cbor:"13,keyasint,omitempty"`
+	// Homes are the regions in which requests of the route may be served and kept; none is any.
+	Homes []string `cbor:"14,keyasint,omitempty"`
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -79,6 +81,8 @@
 	Name     string   `cbor:"1,keyasint"`
 	Keys     []string `cbor:"2,keyasint,omitempty"`
 	Priority int      `cbor:"3,keyasint,omitempty"`
+	// Homes are the regions in which requests of the account may be served and kept; none is any.
+	Homes []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Limits bound what callers may send and how long they may take.
--- a/state/document/golden_test.go
+++ b/state/document/golden_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -81,7 +82,6 @@
 	d := goldenDocument
 	d.Pools = []Pool{{Name: "llm", Connections: 64, Engine: true, ColdRate: 18.5}, {Name: "web"}}
 	is.NoErr(d.Check())
-	golden.AllSet(t, "document", d)
 	b, err := cbor.Marshal(d)
 	is.NoErr(err)
 	var got Document
@@ -89,6 +89,24 @@
 	is.True(reflect.DeepEqual(got, d))
 }
 
+// TestGoldenHomes pins documents whose routes and accounts have homes, and that the pinned
+// ones together leave no field out.
+func TestGoldenHomes(t *testing.T) {
+	is := is.New(t)
+	d := goldenDocument
+	d.Routes, d.Accounts = slices.Clone(d.Routes), slices.Clone(d.Accounts)
+	d.Pools = []Pool{{Name: "llm", Connections: 64, Engine: true, ColdRate: 18.5}, {Name: "web"}}
+	d.Routes[0].Homes = []string{"north", "south"}
+	d.Accounts[0].Homes = []string{"south"}
+	is.NoErr(d.Check())
+	golden.AllSet(t, "document", d)
+	b, err := cbor.Marshal(d)
+	is.NoErr(err)
+	var got Document
+	is.NoErr(cbor.Unmarshal(golden.Bytes(t, "document-homes", b), &got))
+	is.True(reflect.DeepEqual(got, d))
+}
+
 func TestGoldenStoredDocument(t *testing.T) {
 	is := is.New(t)
 	b, err := cbor.Marshal(goldenHeld)
