--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -25,6 +25,8 @@
 	Join []protocol.Registration `cbor:"3,keyasint,omitempty"`
 	// Hall takes a data hall out of service or puts it back.
 	Hall *document.HallChange `cbor:"4,keyasint,omitempty"`
+	// Rollout begins a rollout, notes how far it is, or ends it.
+	Rollout *document.RolloutChange `cbor:"5,keyasint,omitempty"`
 }
 
 // Replicated is the applied state. It is safe for concurrent use.
@@ -85,6 +87,13 @@
 	return r.store.HallsOut()
 }
 
+// Rollouts returns the newest rollout of each pool that had one, ordered by pool.
+func (r *Replicated) Rollouts() []document.Rollout {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Rollouts()
+}
+
 // putBackWithin returns the data halls that were put back into service lately.
 func (r *Replicated) putBackWithin(d time.Duration) []string {
 	r.mu.Lock()
@@ -134,6 +143,8 @@
 			r.orders = r.orders.WithTaken(r.now(), c.Hall.Hall, c.Hall.Out)
 		}
 		return applied
+	case c.Rollout != nil:
+		return r.store.ChangeRollout(*c.Rollout)
 	}
 	for _, s := range c.Join {
 		r.store.Join(s)
--- a/state/document/golden_test.go
+++ b/state/document/golden_test.go
@@ -164,3 +164,31 @@
 	is.Equal(got.Halls(), []HallState{{Hall: "hall-a", Out: true, Changes: 1}, {Hall: "hall-b", Changes: 2}})
 	golden.AllSet(t, "halls", got.Halls())
 }
+
+// TestGoldenRollouts pins a store with rollouts, which earlier records lack.
+func TestGoldenRollouts(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	for _, c := range []RolloutChange{
+		{Pool: "web", Target: "v2", Duration: time.Minute, State: RolloutUnderWay},
+		{Pool: "llm", Target: "v7", Duration: time.Minute, State: RolloutUnderWay},
+		{Pool: "llm", Target: "v7", State: RolloutComplete, After: 1, Elapsed: 40 * time.Second, Replaced: []string{"v5", "v6"}},
+		{Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutUnderWay, After: 2},
+		{Pool: "llm", Target: "v8", State: RolloutRolledBack, After: 3, Elapsed: 3 * time.Second},
+	} {
+		is.True(s.ChangeRollout(c))
+	}
+	b, err := s.MarshalBinary()
+	is.NoErr(err)
+	var got Store
+	is.NoErr(got.UnmarshalBinary(golden.Bytes(t, "store-rollouts", b)))
+	is.Equal(got.Rollouts(), []Rollout{
+		{
+			Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutRolledBack, Attempt: 2, Changes: 4,
+			Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v5", "v6"},
+		},
+		{Pool: "web", Target: "v2", Duration: time.Minute, State: RolloutUnderWay, Attempt: 1, Changes: 1},
+	})
+	golden.AllSet(t, "rollouts", got.Rollouts())
+	is.Equal([]RolloutState{RolloutUnderWay, RolloutComplete, RolloutRolledBack}, []RolloutState{1, 2, 3})
+}
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -11,7 +11,8 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines Store, the state machine of documents, departures, joins and halls.
+// This file defines Store, the state machine of documents, departures, joins, halls
+// and rollouts.
 
 // MaxDepartures is the number of departed backend servers that are remembered. A late
 // announcement of one that departed before them adds it again. Chosen, not measured.
@@ -29,8 +30,8 @@
 const MaxServers = 16384
 
 // Store holds the highest document, the newest departures, the registrations of
-// backend servers that have not departed, and the data halls out of service. It is not safe for concurrent use. The zero
-// value is empty.
+// backend servers that have not departed, the data halls out of service, and the pools'
+// rollouts. It is not safe for concurrent use. The zero value is empty.
 type Store struct {
 	held    *Held
 	joined  map[string]protocol.Registration // by identifier, one an address
@@ -39,6 +40,8 @@
 	total   uint64                           // departures ever
 	departs map[string]bool
 	halls   map[string]HallState // those that were taken out of service once
+	// rollouts is the newest rollout of each pool that had one, by pool.
+	rollouts map[string]Rollout
 }
 
 // Held returns the document in force, or false before the first one.
@@ -131,11 +134,15 @@
 	Total   uint64                  `cbor:"3,keyasint,omitempty"`
 	Joined  []protocol.Registration `cbor:"4,keyasint,omitempty"`
 	Halls   []HallState             `cbor:"5,keyasint,omitempty"`
+	// Rollouts are ordered by pool.
+	Rollouts []Rollout `cbor:"6,keyasint,omitempty"`
 }
 
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
-	return cbor.Marshal(image{Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined(), Halls: s.Halls()})
+	return cbor.Marshal(image{
+		Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined(), Halls: s.Halls(), Rollouts: s.Rollouts(),
+	})
 }
 
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler].
@@ -158,5 +165,11 @@
 		}
 		s.halls[h.Hall] = h
 	}
+	for _, r := range im.Rollouts {
+		if s.rollouts == nil {
+			s.rollouts = map[string]Rollout{}
+		}
+		s.rollouts[r.Pool] = r
+	}
 	return nil
 }
