Directory: orders of rollouts, at the leader

Cause: an operator orders, reads and aborts a rollout at any replica; what is acknowledged must be on a majority's disks, and of two orders decided on from one state one may begin. UnknownPool, RolloutConflict, NoRollout, rollout.InvalidOrder. Replicated remembers orders by what it applies, also at followers. proposeChange returns whether the command changed anything. Line "rollout order" with each order taken, copied or in conflict, and each abort; its "unaware" names gateways whose Watch does not say KnowsVersions. Seen to fail: without the memory of what the log applied, TestCopyReachesTheNextLeader; without knowsPool TestRolloutOrdersAreChecked and TestDocumentNamesPools; without the document's pools the latter; acknowledged whether or not the change took effect, TestOrdersAtOnce; acknowledged before it is committed, TestAcknowledgedRolloutOutlives; read without asking whether this replica leads, TestRolloutOrdersAreChecked and TestMinorityRefusesRollouts; an abort of a complete rollout let through, TestOneRolloutAtATime; KnowsVersions passed over, TestOrderNamesGatewaysWithoutRollouts. Not seen to fail: an order that is decided on under the lease alone, without what is not yet applied (inspectLed replaced by leading); the number of changes catches it where a rollout would begin.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -81,7 +81,7 @@
 	d.hub = newHub(d)
 	d.announcer = newAnnouncer(d)
 	d.meter = link.NewMeter(cfg.Metrics)
-	d.state = newReplicated(cfg.OrderWindow, d.hub.stateChanged)
+	d.state = newReplicated(cfg.OrderWindow, cfg.Rollouts.Repeats, d.hub.stateChanged)
 	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, d.meter)
 	var err error
 	d.replica, err = replica.Start(ctx, replica.Settings{
@@ -214,19 +214,26 @@
 
 // propose puts a command into the log and waits until it is applied here.
 func (d *Directory) propose(ctx context.Context, c command) error {
+	_, err := d.proposeChange(ctx, c)
+	return err
+}
+
+// proposeChange does the same and reports whether the command changed the state.
+func (d *Directory) proposeChange(ctx context.Context, c command) (changed bool, err error) {
 	data, err := cbor.Marshal(c)
 	if err != nil {
-		return Unavailable{Err: err}
+		return false, Unavailable{Err: err}
 	}
-	_, err = d.replica.Propose(ctx, data)
+	result, err := d.replica.Propose(ctx, data)
 	var notLeader consensus.NotLeader
 	switch {
 	case errors.As(err, &notLeader):
-		return d.notLeader(notLeader.Leader.Name)
+		return false, d.notLeader(notLeader.Leader.Name)
 	case err != nil:
-		return Unavailable{Err: err}
+		return false, Unavailable{Err: err}
 	}
-	return nil
+	changed, _ = result.(bool) // a command that cannot be read gives an error
+	return changed, nil
 }
 
 // Done is closed when the disk failed and the process must start again.
--- a/directory/export_test.go
+++ b/directory/export_test.go
@@ -2,5 +2,22 @@
 
 package directory
 
+import (
+	"context"
+
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
 // Voters returns the fleet addresses of the replicas that vote, for tests.
 func (d *Directory) Voters() []string { return d.hub.leadership.Load().voters }
+
+// ChangeRollout puts a change into the log, as the leader does that ends a rollout, for tests.
+func (d *Directory) ChangeRollout(ctx context.Context, c document.RolloutChange) (changed bool, err error) {
+	return d.proposeChange(ctx, command{Rollout: &c})
+}
+
+// UnawareOfVersions returns the gateways that a line about an order names, for tests.
+func (d *Directory) UnawareOfVersions(ctx context.Context) (names []string, err error) {
+	err = d.hub.do(ctx, func() error { names = d.hub.unawareOfVersions(); return nil })
+	return names, err
+}
--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -24,6 +24,7 @@
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/directory"
 	"github.com/badgerspoke/badgerspoke/gateway"
@@ -120,6 +121,8 @@
 			time.Sleep(interval / 2)
 			synctest.Wait()
 		}
+		is.New(t).NoErr(d.StartRollout(t.Context(), rollout.Order{Pool: "p", Target: "v2", Duration: time.Hour}))
+		is.New(t).NoErr(d.AbortRollout(t.Context(), "p"))
 		is.New(t).NoErr(x.announce("b1", true))
 		time.Sleep(5 * interval)
 		stop()
--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -64,7 +64,7 @@
 	var got []command
 	is.NoErr(cbor.Unmarshal(earlier(t, "commands"), &got))
 	is.True(reflect.DeepEqual(got, goldenCommands[:before]))
-	r, snapshot := newReplicated(0, func() {}), newReplicated(0, func() {})
+	r, snapshot := newReplicated(0, 0, func() {}), newReplicated(0, 0, func() {})
 	for _, c := range got {
 		b, err := cbor.Marshal(c)
 		is.NoErr(err)
@@ -94,7 +94,7 @@
 func TestGoldenApply(t *testing.T) {
 	is := is.New(t)
 	told := 0
-	r := newReplicated(0, func() { told++ })
+	r := newReplicated(0, 0, func() { told++ })
 	results := []any{true, true, false, true, true, true, false, true, true, true, true, true}
 	for i, c := range goldenCommands {
 		b, err := cbor.Marshal(c)
@@ -116,7 +116,7 @@
 	}})
 	b, err := r.Snapshot()
 	is.NoErr(err)
-	again := newReplicated(0, func() {})
+	again := newReplicated(0, 0, func() {})
 	is.NoErr(again.Restore(golden.Bytes(t, "snapshot", b)))
 	is.True(reflect.DeepEqual(again.store, r.store))
 }
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/badgerspoke/badgerspoke/coordination/evacuation"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -34,16 +35,18 @@
 	mu     sync.Mutex
 	store  document.Store
 	orders evacuation.Orders
-	notify func()               // must not block
-	now    func() time.Duration // monotonic
+	// rolloutOrders are operators' orders of rollouts, as taken here.
+	rolloutOrders rollout.Orders
+	notify        func()               // must not block
+	now           func() time.Duration // monotonic
 }
 
-// newReplicated returns an empty state. notify is called after each change and must not
-// block.
-func newReplicated(orderWindow time.Duration, notify func()) *Replicated {
+// newReplicated returns an empty state. hallWindow and rolloutWindow are for how long operators
+// repeat orders. notify is called after each change and must not block.
+func newReplicated(hallWindow, rolloutWindow time.Duration, notify func()) *Replicated {
 	began := time.Now()
 	return &Replicated{
-		orders: evacuation.Orders{Window: orderWindow}, notify: notify,
+		orders: evacuation.Orders{Window: hallWindow}, rolloutOrders: rollout.Orders{Window: rolloutWindow}, notify: notify,
 		now: func() time.Duration { return time.Since(began) },
 	}
 }
@@ -94,6 +97,26 @@
 	return r.store.Rollouts()
 }
 
+// Rollout returns the newest rollout of a pool, or false if it had none.
+func (r *Replicated) Rollout(pool string) (document.Rollout, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Rollout(pool)
+}
+
+// orderRollout returns what is to be done about an operator's order, the change that does it,
+// and the pool's newest rollout. One that nothing is to be done about is remembered.
+func (r *Replicated) orderRollout(o rollout.Order) (rollout.Verdict, document.RolloutChange, document.Rollout) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest, _ := r.store.Rollout(o.Pool)
+	verdict, change := r.rolloutOrders.Decide(r.now(), o, newest)
+	if verdict == rollout.Done {
+		r.rolloutOrders = r.rolloutOrders.WithRepeat(r.now(), o)
+	}
+	return verdict, change, newest
+}
+
 // putBackWithin returns the data halls that were put back into service lately.
 func (r *Replicated) putBackWithin(d time.Duration) []string {
 	r.mu.Lock()
@@ -144,7 +167,7 @@
 		}
 		return applied
 	case c.Rollout != nil:
-		return r.store.ChangeRollout(*c.Rollout)
+		return r.changeRollout(*c.Rollout)
 	}
 	for _, s := range c.Join {
 		r.store.Join(s)
@@ -152,6 +175,15 @@
 	return false
 }
 
+// changeRollout applies a change of a rollout. It is called with mu held.
+func (r *Replicated) changeRollout(c document.RolloutChange) bool {
+	applied := r.store.ChangeRollout(c)
+	if newest, known := r.store.Rollout(c.Pool); applied && known {
+		r.rolloutOrders = r.rolloutOrders.WithRollout(r.now(), newest)
+	}
+	return applied
+}
+
 // Snapshot implements [replica.Machine].
 func (r *Replicated) Snapshot() ([]byte, error) {
 	r.mu.Lock()
@@ -163,6 +195,7 @@
 func (r *Replicated) Restore(image []byte) error {
 	r.mu.Lock()
 	err := r.store.UnmarshalBinary(image)
+	r.rolloutOrders = r.rolloutOrders.WithSnapshot(r.now(), r.store.Rollouts())
 	r.mu.Unlock()
 	r.notify()
 	return err
--- /dev/null
+++ b/directory/rolloutorders.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines the operators' orders about rollouts: one begins, one is aborted, and what
+// became of the newest.
+
+// UnknownPool refuses an order for a pool that no document in force names and no backend server
+// announced. Nothing was changed.
+type UnknownPool struct{ Pool string }
+
+// Error names the pool.
+func (e UnknownPool) Error() string { return "no pool is called " + e.Pool }
+
+// RolloutConflict refuses an order while another version of the pool is under way. Nothing was
+// changed.
+type RolloutConflict struct {
+	Pool   string
+	Target string // that is under way
+}
+
+// Error names the version that is under way.
+func (e RolloutConflict) Error() string {
+	return "a rollout of " + e.Pool + " to " + e.Target + " is under way"
+}
+
+// NoRollout is the error of a read for a pool that had no rollout, and of an abort where none is
+// under way.
+type NoRollout struct{ Pool string }
+
+// Error names the pool.
+func (e NoRollout) Error() string { return "no rollout of " + e.Pool }
+
+// StartRollout asks that a pool's requests move to a version. When it returns nil, the rollout is
+// on the disks of a majority, or the order is a copy, or the version has the pool's requests by a
+// rollout. The error is [rollout.InvalidOrder], [UnknownPool], [RolloutConflict], [NotLeader] or
+// [Unavailable].
+func (d *Directory) StartRollout(ctx context.Context, o rollout.Order) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
+	for range orderTries {
+		verdict, change, newest, err := d.decideRollout(ctx, o)
+		switch {
+		case err != nil:
+			return err
+		case verdict == rollout.Done:
+			d.logOrder(o, verdict.String(), newest)
+			return nil
+		case verdict == rollout.Conflict:
+			d.logOrder(o, verdict.String(), newest)
+			return RolloutConflict{Pool: o.Pool, Target: newest.Target}
+		case newest.State == 0 && !d.knowsPool(o.Pool):
+			return UnknownPool{Pool: o.Pool}
+		}
+		changed, err := d.proposeChange(ctx, command{Rollout: &change})
+		if err != nil {
+			return err
+		}
+		if changed {
+			newest.Attempt++
+			d.logOrder(o, verdict.String(), newest)
+			return nil
+		}
+	}
+	return Unavailable{}
+}
+
+// decideRollout returns what is to be done about an order by the newest acknowledged state, which
+// only the leader knows, and the pool's rollout in it.
+func (d *Directory) decideRollout(ctx context.Context, o rollout.Order) (rollout.Verdict, document.RolloutChange, document.Rollout, error) {
+	var verdict rollout.Verdict
+	var change document.RolloutChange
+	var newest document.Rollout
+	err := d.inspectLed(ctx, func() { verdict, change, newest = d.state.orderRollout(o) })
+	return verdict, change, newest, err
+}
+
+// Rollout returns the newest rollout of a pool by the newest acknowledged state. The error is
+// [NoRollout], [NotLeader] or [Unavailable].
+func (d *Directory) Rollout(ctx context.Context, pool string) (document.Rollout, error) {
+	var newest document.Rollout
+	var known bool
+	err := d.inspectLed(ctx, func() { newest, known = d.state.Rollout(pool) })
+	switch {
+	case err != nil:
+		return document.Rollout{}, err
+	case !known:
+		return document.Rollout{}, NoRollout{Pool: pool}
+	}
+	return newest, nil
+}
+
+// AbortRollout ends a rollout under way as rolled back. When it returns nil, that is on the
+// disks of a majority; so it is if the newest rollout was rolled back already. The error is
+// [NoRollout], [NotLeader] or [Unavailable].
+func (d *Directory) AbortRollout(ctx context.Context, pool string) error {
+	for range orderTries {
+		newest, err := d.Rollout(ctx, pool)
+		switch {
+		case err != nil:
+			return err
+		case newest.State == document.RolloutRolledBack:
+			return nil
+		}
+		change, underWay := rollout.Abort(newest)
+		if !underWay {
+			return NoRollout{Pool: pool}
+		}
+		changed, err := d.proposeChange(ctx, command{Rollout: &change})
+		if err != nil {
+			return err
+		}
+		if changed {
+			d.logOrder(rollout.Order{Pool: pool, Target: newest.Target, Duration: newest.Duration}, "abort", newest)
+			return nil
+		}
+	}
+	return Unavailable{}
+}
+
+// knowsPool reports whether the document in force or a backend server names a pool.
+func (d *Directory) knowsPool(pool string) bool {
+	held, _ := d.state.Held()
+	return slices.ContainsFunc(held.Document.Pools, func(p document.Pool) bool { return p.Name == pool }) ||
+		slices.ContainsFunc(d.state.Joined(), func(s protocol.Registration) bool { return s.Pool == pool })
+}
+
+// logOrder logs an order, what was decided on it, and the gateways whose version does not know
+// rollouts: they send to all versions by load until they are upgraded. The hub knows them.
+func (d *Directory) logOrder(o rollout.Order, verdict string, newest document.Rollout) {
+	d.hub.post(func() {
+		d.cfg.Log.StateChange("rollout order", slog.String("pool", o.Pool), slog.String("target", o.Target),
+			slog.Float64("duration_s", o.Duration.Seconds()), slog.String("verdict", verdict), slog.Uint64("attempt", newest.Attempt),
+			slog.String("newest", newest.Target), slog.Int("gateways", len(d.hub.sessions)), slog.Any("unaware", d.hub.unawareOfVersions()))
+	})
+}
+
+// unawareOfVersions returns the gateways whose version does not know rollouts.
+func (h *hub) unawareOfVersions() []string {
+	var names []string
+	for s := range h.sessions {
+		if !s.knowsVersions {
+			names = append(names, s.gateway)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/directory/rolloutorders_test.go
@@ -0,0 +1,303 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file tests operators' orders about rollouts. Their times are long, so that no schedule
+// ends one while a test runs.
+
+// to is an order to move pool p to a version.
+func to(target string) rollout.Order {
+	return rollout.Order{Pool: "p", Target: target, Duration: 24 * time.Hour}
+}
+
+// rolled returns the newest rollout of pool p by whoever leads.
+func (x *fleet) rolled() document.Rollout {
+	for range 1000 {
+		r, err := x.mustLead().d.Rollout(x.t.Context(), "p")
+		switch {
+		case err == nil:
+			return r
+		case errors.As(err, new(directory.NoRollout)):
+			return document.Rollout{}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	x.t.Fatal("no rollout is read after 10 s")
+	return document.Rollout{}
+}
+
+// orderRollout gives an order to whoever leads until it is answered, and returns the answer.
+func (x *fleet) orderRollout(o rollout.Order) error {
+	for range 1000 {
+		ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+		err := x.mustLead().d.StartRollout(ctx, o)
+		cancel()
+		if !errors.As(err, new(directory.Unavailable)) && !errors.As(err, new(directory.NotLeader)) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return directory.Unavailable{}
+}
+
+func TestRolloutOrdersAreChecked(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		l, ctx := x.mustLead(), x.t.Context()
+		is.Equal(l.d.StartRollout(ctx, to("v2")), error(directory.UnknownPool{Pool: "p"}))
+		is.True(errors.As(l.d.StartRollout(ctx, to("")), new(rollout.InvalidOrder)))
+		_, err := l.d.Rollout(ctx, "p")
+		is.Equal(err, error(directory.NoRollout{Pool: "p"}))
+		is.Equal(l.d.AbortRollout(ctx, "p"), error(directory.NoRollout{Pool: "p"}))
+		is.NoErr(x.announce("b1", false))
+		time.Sleep(time.Second)                   // it is in the log
+		is.NoErr(l.d.StartRollout(ctx, to("v2"))) // no document names the pool, but a server
+		is.Equal(x.rolled(), document.Rollout{
+			Pool: "p", Target: "v2", Duration: 24 * time.Hour, State: document.RolloutUnderWay, Attempt: 1, Changes: 1,
+		})
+		for ip, n := range x.nodes {
+			if ip != l.ip {
+				elsewhere := error(directory.NotLeader{Leader: l.ip + ":7400"})
+				is.Equal(n.d.StartRollout(ctx, to("v2")), elsewhere)
+				is.Equal(n.d.AbortRollout(ctx, "p"), elsewhere)
+				_, err := n.d.Rollout(ctx, "p")
+				is.Equal(err, elsewhere)
+			}
+		}
+	})
+}
+
+// TestDocumentNamesPools: the servers of a pool need not be there yet.
+func TestDocumentNamesPools(t *testing.T) {
+	inFleet(t, 1, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		is.NoErr(x.orderRollout(to("v2")))
+		other := to("v2")
+		other.Pool = "q"
+		is.Equal(x.orderRollout(other), error(directory.UnknownPool{Pool: "q"}))
+	})
+}
+
+// TestOneRolloutAtATime gives orders while one is under way, after its end, and after the time
+// for which orders are repeated.
+func TestOneRolloutAtATime(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		attempt := func(n uint64, target string, state document.RolloutState) {
+			x.t.Helper()
+			r := x.rolled()
+			is.Equal(r.Attempt, n)
+			is.Equal(r.Target, target)
+			is.Equal(r.State, state)
+		}
+		is.NoErr(x.orderRollout(to("v2")))
+		shorter := to("v2")
+		shorter.Duration = time.Hour
+		is.NoErr(x.orderRollout(shorter)) // a copy
+		is.Equal(x.rolled().Duration, 24*time.Hour)
+		is.Equal(x.orderRollout(to("v3")), error(directory.RolloutConflict{Pool: "p", Target: "v2"}))
+		attempt(1, "v2", document.RolloutUnderWay)
+
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p")) // again
+		is.NoErr(x.orderRollout(to("v2")))                        // a copy after the end
+		attempt(1, "v2", document.RolloutRolledBack)
+		is.Equal(x.rolled().Barred, []string{"v2"})
+		time.Sleep(rollout.DefaultWindow + time.Second)
+		is.NoErr(x.orderRollout(to("v2")))
+		attempt(2, "v2", document.RolloutUnderWay)
+
+		newest := x.rolled()
+		changed, err := x.mustLead().d.ChangeRollout(x.t.Context(), document.RolloutChange{
+			Pool: "p", Target: "v2", State: document.RolloutComplete, After: newest.Changes, Elapsed: newest.Elapsed, Replaced: []string{"v1"},
+		})
+		is.NoErr(err)
+		is.True(changed)
+		is.NoErr(x.orderRollout(to("v2"))) // it has the requests
+		time.Sleep(rollout.DefaultWindow + time.Second)
+		is.NoErr(x.orderRollout(to("v2")))
+		attempt(2, "v2", document.RolloutComplete)
+		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p"), error(directory.NoRollout{Pool: "p"})) // the old servers may be gone
+		is.NoErr(x.orderRollout(to("v3")))
+		attempt(3, "v3", document.RolloutUnderWay)
+	})
+}
+
+// TestAcknowledgedRolloutOutlives loses the leader, its disk, or all power right after an order
+// was acknowledged, and right after its end was. A copy of the order changes nothing then.
+func TestAcknowledgedRolloutOutlives(t *testing.T) {
+	for how, lose := range map[string]func(x *fleet){
+		"the leader": func(x *fleet) { l := x.mustLead(); l.kill(); x.mustLead(); x.start(l.ip, false) },
+		"its disk":   func(x *fleet) { l := x.mustLead(); l.kill(); x.replaceDisk(l.ip); x.mustLead(); x.start(l.ip, false) },
+		"all power": func(x *fleet) {
+			x.losePower()
+			for _, ip := range x.order {
+				x.start(ip, false)
+			}
+		},
+		"all power and two disks": func(x *fleet) {
+			lost := []string{x.mustLead().ip, ""}
+			x.losePower()
+			for _, ip := range x.order {
+				if ip != lost[0] {
+					lost[1] = ip
+				}
+			}
+			x.replaceDisk(lost[0])
+			x.replaceDisk(lost[1])
+			for _, ip := range x.order {
+				x.start(ip, false)
+			}
+		},
+	} {
+		t.Run(how, func(t *testing.T) {
+			inFleet(t, 5, func(x *fleet) {
+				is := is.New(x.t)
+				x.put(1)
+				for n := uint64(1); n <= 3; n++ {
+					is.NoErr(x.orderRollout(to("v2")))
+					lose(x)
+					r := x.rolled()
+					is.Equal(r.Attempt, n)
+					is.Equal(r.State, document.RolloutUnderWay)
+					is.NoErr(x.orderRollout(to("v2")))
+					is.Equal(x.rolled().Attempt, n)
+					time.Sleep(8 * time.Second) // the lost ones have caught up
+					is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
+					lose(x)
+					is.Equal(x.rolled().State, document.RolloutRolledBack)
+					is.Equal(x.rolled().Barred, []string{"v2"})
+					time.Sleep(8 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestCopyReachesTheNextLeader: an order is taken and its rollout rolled back, and the leader is
+// lost. The next one, to which the order never came, takes a repeat for a copy.
+func TestCopyReachesTheNextLeader(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		is.NoErr(x.orderRollout(to("v2")))
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
+		x.mustLead().kill()
+		is.NoErr(x.orderRollout(to("v2")))
+		is.Equal(x.rolled().State, document.RolloutRolledBack)
+		is.Equal(x.rolled().Attempt, uint64(1))
+	})
+}
+
+// TestOrdersAtOnce gives many orders at once: copies of two, for two versions, at every replica.
+// One rollout begins, and what was acknowledged is what is under way.
+func TestOrdersAtOnce(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		var mu sync.Mutex
+		answers := map[string][]error{}
+		var ordering sync.WaitGroup
+		for range 4 {
+			for _, target := range []string{"v2", "v3"} {
+				for _, n := range x.nodes {
+					ordering.Go(func() {
+						err := n.d.StartRollout(x.t.Context(), to(target))
+						if errors.As(err, new(directory.NotLeader)) {
+							err = x.orderRollout(to(target)) // where the answer points
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						answers[target] = append(answers[target], err)
+					})
+				}
+			}
+		}
+		ordering.Wait()
+		r := x.rolled()
+		is.Equal(r.Attempt, uint64(1))
+		is.Equal(r.Changes, uint64(1))
+		for target, errs := range answers {
+			is.Equal(len(errs), 20)
+			for _, err := range errs {
+				if target == r.Target {
+					is.NoErr(err)
+				} else {
+					is.Equal(err, error(directory.RolloutConflict{Pool: "p", Target: r.Target}))
+				}
+			}
+		}
+	})
+}
+
+// TestMinorityRefusesRollouts: a leader that is cut off acknowledges nothing and reads nothing
+// old, while the others go on.
+func TestMinorityRefusesRollouts(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		is.NoErr(x.orderRollout(to("v2")))
+		old := x.mustLead()
+		x.net.Cut(old.ip)
+		time.Sleep(3 * time.Second)
+		refused := func() {
+			x.t.Helper()
+			ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+			defer cancel()
+			is.True(errors.As(old.d.StartRollout(ctx, to("v2")), new(directory.Unavailable)))
+			is.True(errors.As(old.d.AbortRollout(ctx, "p"), new(directory.Unavailable)))
+			_, err := old.d.Rollout(ctx, "p")
+			is.True(errors.As(err, new(directory.Unavailable)))
+		}
+		refused()
+		for _, n := range x.nodes {
+			if n != old && n.d.Leads() {
+				is.NoErr(n.d.AbortRollout(x.t.Context(), "p"))
+			}
+		}
+		refused()
+		x.net.Join(old.ip)
+		time.Sleep(2 * time.Second)
+		is.Equal(x.rolled().State, document.RolloutRolledBack)
+		is.Equal(x.rolled().Changes, uint64(2))
+	})
+}
+
+// TestOrderNamesGatewaysWithoutRollouts: a gateway says whether its version knows rollouts when
+// it opens its session.
+func TestOrderNamesGatewaysWithoutRollouts(t *testing.T) {
+	inFleet(t, 1, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead()
+		for i, knows := range []bool{true, false} {
+			name := []string{"10.0.2.1:7400", "10.0.2.2:7400"}[i]
+			id := link.Identity{Name: name, Key: fleetKey, Dial: x.net.Box(name[:8]).DialContext}
+			session, err := link.Dial(x.t.Context(), l.ip+":7400", id, nil)
+			is.NoErr(err)
+			defer session.Close()
+			is.NoErr(session.Send(x.t.Context(), protocol.Watch{Gateway: name, KnowsVersions: knows}))
+		}
+		time.Sleep(100 * time.Millisecond)
+		names, err := l.d.UnawareOfVersions(x.t.Context())
+		is.NoErr(err)
+		is.Equal(names, []string{"10.0.2.2:7400"})
+	})
+}
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -39,6 +39,8 @@
 	counted uint64 // number of its last report in the sums
 	// knowsHalls is whether the gateway's version obeys halls that are out of service.
 	knowsHalls bool
+	// knowsVersions is whether it obeys rollouts.
+	knowsVersions bool
 }
 
 // pushChanges sends what has changed in the registry since the last time to every
@@ -142,7 +144,10 @@
 			old.out.Close()
 		}
 	}
-	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number, knowsHalls: w.KnowsHalls}
+	s := &session{
+		gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number,
+		knowsHalls: w.KnowsHalls, knowsVersions: w.KnowsVersions,
+	}
 	list, ok := h.wholeList()
 	if !ok {
 		s.out.Close()
