--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
 // This file defines Registry, the table of announced backend servers.
@@ -63,6 +64,9 @@
 	if ip := address.Addr(); address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
 		return Invalid{What: fmt.Sprintf("address %q is of no single server", a.Address)}
 	}
+	if len(a.Version) > document.MaxVersionName {
+		return Invalid{What: fmt.Sprintf("a version's name of %d bytes", len(a.Version))}
+	}
 	if a.Slots < 0 {
 		return Invalid{What: fmt.Sprintf("%d slots", a.Slots)}
 	}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
 const interval = time.Second
@@ -36,12 +38,16 @@
 		"unspecified":    {ID: "a", Pool: "p", Address: "0.0.0.0:80"},
 		"multicast":      {ID: "a", Pool: "p", Address: "224.0.0.1:80"},
 		"negative slots": {ID: "a", Pool: "p", Address: "10.0.0.1:80", Slots: -1},
+		"a long version": {ID: "a", Pool: "p", Address: "10.0.0.1:80", Version: strings.Repeat("v", document.MaxVersionName+1)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is.New(t).True(errors.As(Announcement{Registration: s}.Check(), new(Invalid)))
 		})
 	}
 	is.New(t).NoErr(announcement("a", "10.0.0.1:80", 1).Check())
+	longest := announcement("a", "10.0.0.1:80", 1)
+	longest.Version = strings.Repeat("v", document.MaxVersionName)
+	is.New(t).NoErr(longest.Check())
 }
 
 func TestAnnounceAgainChangesNothing(t *testing.T) {
--- a/directory/announcer_test.go
+++ b/directory/announcer_test.go
@@ -64,3 +64,21 @@
 		}
 	})
 }
+
+// TestVersionsReachTheLog: the version of a backend server is known to the next leader, at
+// whichever replica the server announced itself.
+func TestVersionsReachTheLog(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		var want []protocol.Registration
+		for i, ip := range x.order {
+			id := fmt.Sprint("b", i+1)
+			r := protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 4, Version: fmt.Sprint("v", i)}
+			is.NoErr(x.nodes[ip].d.Announce(x.t.Context(), registry.Announcement{Registration: r, Seq: 1}))
+			want = append(want, r)
+		}
+		time.Sleep(time.Second)
+		x.mustLead().kill()
+		is.Equal(x.mustLead().d.Joined(), want)
+	})
+}
--- a/directory/export_test.go
+++ b/directory/export_test.go
@@ -5,12 +5,16 @@
 import (
 	"context"
 
+	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
 // Voters returns the fleet addresses of the replicas that vote, for tests.
 func (d *Directory) Voters() []string { return d.hub.leadership.Load().voters }
 
+// Joined returns the backend servers that the log holds, for tests.
+func (d *Directory) Joined() []protocol.Registration { return d.state.Joined() }
+
 // ChangeRollout puts a change into the log, as the leader does that ends a rollout, for tests.
 func (d *Directory) ChangeRollout(ctx context.Context, c document.RolloutChange) (changed bool, err error) {
 	return d.proposeChange(ctx, command{Rollout: &c})
