Command line: rollout start, status and abort, on fleet links to the directory

Cause: an operator without HTTP calls of a platform could not order a rollout, and nobody could abort one. A wrong key ends it at once. Changed in tests: TestGoldenFlags' reading of help texts is a function of its own (flagsOf), the same lines; TestGoldenKinds, TestGoldenNumbers have the new numbers.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -11,7 +11,8 @@
 // names the one that does, and the call goes there.
 //
 // The package owns nothing beyond one call; it relies on the operators' schema
-// (protocol/operator/v1) and, for explain, on package decision. There are no locks
+// (protocol/operator/v1), for explain on package decision, and for rollouts, which go to the
+// directory, on fleet links. There are no locks
 // and no goroutines.
 package cli
 
@@ -24,8 +25,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -99,6 +102,9 @@
 	if len(args) > 0 && args[0] == "explain" {
 		return explainRequest(args[1:], stdout, stderr)
 	}
+	if len(args) > 0 && args[0] == "rollout" {
+		return runRollout(ctx, args[1:], getenv, stdout, stderr)
+	}
 	cmd, rest := find(args)
 	if cmd == nil {
 		usage(stderr)
@@ -301,9 +307,14 @@
 	for _, c := range commands {
 		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", strings.TrimSpace(c.name+" "+strings.Join(c.args, " ")), c.summary)
 	}
+	for _, name := range slices.Sorted(maps.Keys(rolloutCommands)) {
+		c := rolloutCommands[name]
+		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", "rollout "+name+" "+strings.Join(c.args, " "), c.summary)
+	}
 	fmt.Fprintf(w, "  badgerspoke %-40s %s\n", "explain ID [FILE ...]", "print the life of a request from logs")
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "Every command but explain takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the last two")
-	fmt.Fprintf(w, "may come from %sSERVER and %sTOKEN. Exit codes: 0 done, 1 refused, 2 wrong\n", settings.EnvPrefix, settings.EnvPrefix)
+	fmt.Fprintln(w, "Every command but explain and rollout takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the")
+	fmt.Fprintf(w, "last two may come from %sSERVER and %sTOKEN. rollout takes -h, -json, -fleet IP:PORT and\n", settings.EnvPrefix, settings.EnvPrefix)
+	fmt.Fprintf(w, "-fleet-key-file FILE, or %s and %s. Exit codes: 0 done, 1 refused, 2 wrong\n", settings.EnvName("fleet"), settings.EnvName("fleet-key-file"))
 	fmt.Fprintln(w, "usage, 3 nobody leads or answers, 4 another change won.")
 }
--- a/cli/golden_test.go
+++ b/cli/golden_test.go
@@ -38,19 +38,37 @@
 			} else {
 				got.WriteString(strings.TrimSpace(c.name+" "+strings.Join(c.args, " ")) + "\n")
 			}
-			// Names, kinds and defaults; the explanations may be reworded.
-			for line := range strings.Lines(changeID.ReplaceAllString(help.String(), "cli-ID")) {
-				line = strings.TrimRight(line, "\n")
-				switch {
-				case flagLine.MatchString(line):
-					got.WriteString(line + "\n")
-				case strings.HasPrefix(line, "    \t"):
-					if d := standard.FindString(line); d != "" {
-						got.WriteString("    " + d + "\n")
-					}
-				}
-			}
+			got.WriteString(flagsOf(help.String()))
 		}
 	}
 	golden.Text(t, "flags.txt", got.String())
 }
+
+// flagsOf returns names, kinds and defaults; the explanations may be reworded.
+func flagsOf(help string) string {
+	var got strings.Builder
+	for line := range strings.Lines(changeID.ReplaceAllString(help, "cli-ID")) {
+		line = strings.TrimRight(line, "\n")
+		switch {
+		case flagLine.MatchString(line):
+			got.WriteString(line + "\n")
+		case strings.HasPrefix(line, "    \t"):
+			if d := standard.FindString(line); d != "" {
+				got.WriteString("    " + d + "\n")
+			}
+		}
+	}
+	return got.String()
+}
+
+func TestGoldenRolloutFlags(t *testing.T) {
+	var got strings.Builder
+	asked := map[string]string{"BADGERSPOKE_FLEET": "from FLEET", "BADGERSPOKE_FLEET_KEY_FILE": "from KEY"}
+	for _, name := range []string{"start", "status", "abort"} {
+		var help bytes.Buffer
+		code := Run(context.Background(), []string{"rollout", name, "-h"}, func(k string) string { return asked[k] }, &help, &help)
+		is.New(t).Equal(code, ExitOK)
+		got.WriteString("rollout " + name + " " + strings.Join(rolloutCommands[name].args, " ") + "\n" + flagsOf(help.String()))
+	}
+	golden.Text(t, "rollout-flags.txt", got.String())
+}
--- /dev/null
+++ b/cli/rollout.go
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/settings"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines the commands about rollouts. They go to the directory, not to a control
+// replica, so they open a fleet link with the fleet key in place of a call with a token.
+
+// Times of a command about a rollout. All are chosen, not measured.
+const (
+	// rolloutTimeout bounds all tries of one command together. It is below the time in which
+	// replicas take a repeated order for a copy (rollout.DefaultWindow, 5 s), so that no
+	// repeat begins a second attempt.
+	rolloutTimeout = 4 * time.Second
+	// rolloutSilence ends one try: a replica answers within 2 s.
+	rolloutSilence = 2500 * time.Millisecond
+	// defaultWithin is the time of an order that names none.
+	defaultWithin = 10 * time.Minute
+)
+
+// operatorName is the name of an operator's side of a fleet link.
+const operatorName = "operator"
+
+// rolloutCommand is one command about rollouts.
+type rolloutCommand struct {
+	act     protocol.OrderAct
+	args    []string
+	summary string
+	example string
+}
+
+var rolloutCommands = map[string]rolloutCommand{
+	"start": {
+		protocol.OrderStart, []string{"POOL", "VERSION"}, "move a pool's requests to a version of its backend servers",
+		"badgerspoke rollout start llm v8 -within 20m -fleet 10.0.0.3:7400 -fleet-key-file fleet.key",
+	},
+	"status": {
+		protocol.OrderStatus, []string{"POOL"}, "show the newest rollout of a pool",
+		"badgerspoke rollout status llm -fleet 10.0.0.3:7400 -fleet-key-file fleet.key",
+	},
+	"abort": {
+		protocol.OrderAbort, []string{"POOL"}, "end the rollout under way as rolled back",
+		"badgerspoke rollout abort llm -fleet 10.0.0.3:7400 -fleet-key-file fleet.key",
+	},
+}
+
+// rolloutInput is the flags of a command about a rollout.
+type rolloutInput struct {
+	order   protocol.RolloutOrder
+	fleet   string // fleet address of any directory replica
+	keyFile string
+	key     []byte
+	json    bool
+}
+
+// runRollout runs a command about a rollout and returns the exit code.
+func runRollout(ctx context.Context, args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	var cmd rolloutCommand
+	known := false
+	if len(args) > 0 {
+		cmd, known = rolloutCommands[args[0]]
+	}
+	if !known {
+		usage(stderr)
+		return ExitUsage
+	}
+	in, err := parseRollout(cmd, args[0], args[1:], getenv, stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
+		fmt.Fprintf(stderr, "badgerspoke rollout %s: %v\n", args[0], err)
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
+	defer cancel()
+	answer, err := order(ctx, in)
+	if err != nil {
+		fmt.Fprintf(stderr, "badgerspoke rollout %s: %v\n", args[0], err)
+		if errors.As(err, new(link.WrongKey)) {
+			return ExitRefused
+		}
+		return ExitUnavailable
+	}
+	if answer.Outcome != protocol.OrderDone {
+		fmt.Fprintf(stderr, "badgerspoke rollout %s: %s\n", args[0], answer.Reason)
+		return rolloutExit(answer.Outcome)
+	}
+	printRollout(stdout, in, answer.Newest)
+	return ExitOK
+}
+
+// parseRollout takes the positional arguments first and the flags behind them.
+func parseRollout(cmd rolloutCommand, name string, args []string, getenv func(string) string, stderr io.Writer) (*rolloutInput, error) {
+	in := &rolloutInput{order: protocol.RolloutOrder{Act: cmd.act}}
+	fs := flag.NewFlagSet("badgerspoke rollout "+name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.StringVar(&in.fleet, "fleet", getenv(settings.EnvName("fleet")), "fleet address of any directory replica: IP:PORT")
+	fs.StringVar(&in.keyFile, "fleet-key-file", getenv(settings.EnvName("fleet-key-file")), "file with the key that all boxes share")
+	fs.BoolVar(&in.json, "json", false, "print the answer as JSON")
+	if cmd.act == protocol.OrderStart {
+		fs.DurationVar(&in.order.Duration, "within", defaultWithin, "from the order until the version is to have all requests")
+	}
+	fs.Usage = func() {
+		fmt.Fprintf(stderr, "%s\n\n  badgerspoke rollout %s %s\n\nExample:\n  %s\n\nFlags:\n", cmd.summary, name, strings.Join(cmd.args, " "), cmd.example)
+		fs.PrintDefaults()
+	}
+	if len(args) > 0 && (args[0] == "-h" || args[0] == "-help" || args[0] == "--help") {
+		fs.Usage()
+		return nil, flag.ErrHelp
+	}
+	if len(args) < len(cmd.args) {
+		return nil, fmt.Errorf("wants %s; -h shows an example", strings.Join(cmd.args, " "))
+	}
+	if err := fs.Parse(args[len(cmd.args):]); err != nil {
+		return nil, err
+	}
+	if fs.NArg() > 0 {
+		return nil, fmt.Errorf("unexpected argument %q; flags come behind %s", fs.Arg(0), strings.Join(cmd.args, " "))
+	}
+	in.order.Pool = args[0]
+	if len(cmd.args) > 1 {
+		in.order.Target = args[1]
+	}
+	return in, in.readKey()
+}
+
+// readKey reads the file with the fleet key.
+func (in *rolloutInput) readKey() error {
+	if in.fleet == "" || in.keyFile == "" {
+		return errors.New("wants -fleet IP:PORT and -fleet-key-file FILE")
+	}
+	b, err := os.ReadFile(in.keyFile)
+	in.key = bytes.TrimSpace(b)
+	return err
+}
+
+// order sends an order to the given replica or to the leader that it names, and again while
+// nobody leads or an answer was lost. The error is of the last try if none got an answer.
+func order(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
+	replica := in.fleet
+	var last protocol.RolloutAnswer
+	for {
+		answer, err := ask(ctx, replica, in)
+		if err == nil && answer.Outcome != protocol.OrderElsewhere && answer.Outcome != protocol.OrderUnclear {
+			return answer, nil
+		}
+		if errors.As(err, new(link.WrongKey)) {
+			return answer, err
+		}
+		replica = in.fleet
+		if err == nil {
+			last = answer
+		}
+		if err == nil && answer.Outcome == protocol.OrderElsewhere && answer.Leader != "" {
+			replica = answer.Leader
+		}
+		if sleep.For(ctx, retryPause) {
+			continue
+		}
+		if last.Outcome != 0 {
+			return last, nil
+		}
+		return last, err
+	}
+}
+
+// ask sends an order to one replica and waits for its answer.
+func ask(ctx context.Context, replica string, in *rolloutInput) (protocol.RolloutAnswer, error) {
+	l, err := link.Dial(ctx, replica, link.Identity{Name: operatorName, Key: in.key}, nil)
+	if err != nil {
+		return protocol.RolloutAnswer{}, err
+	}
+	defer l.Close()
+	if err := l.Send(ctx, in.order); err != nil {
+		return protocol.RolloutAnswer{}, err
+	}
+	m, err := l.ReceiveWithin(ctx, rolloutSilence)
+	if err != nil {
+		return protocol.RolloutAnswer{}, err
+	}
+	answer, ok := m.(protocol.RolloutAnswer)
+	if !ok {
+		return answer, fmt.Errorf("%s answers with another message", replica)
+	}
+	return answer, nil
+}
+
+// rolloutExit returns the exit code of an order that was not done.
+func rolloutExit(o protocol.OrderOutcome) int {
+	switch o {
+	case protocol.OrderConflict:
+		return ExitConflict
+	case protocol.OrderElsewhere, protocol.OrderUnclear:
+		return ExitUnavailable
+	}
+	return ExitRefused
+}
+
+// rolloutWords are the states as they are printed.
+var rolloutWords = map[document.RolloutState]string{
+	document.RolloutUnderWay: "under way", document.RolloutComplete: "complete", document.RolloutRolledBack: "rolled back",
+}
+
+// rolloutJSON is the answer as JSON.
+type rolloutJSON struct {
+	Pool           string   `json:"pool"`
+	Target         string   `json:"target"`
+	State          string   `json:"state"`
+	Attempt        uint64   `json:"attempt"`
+	WithinSeconds  float64  `json:"withinSeconds"`
+	ElapsedSeconds float64  `json:"elapsedSeconds"`
+	RolledBack     []string `json:"rolledBack"`
+	Replaced       []string `json:"replaced"`
+}
+
+// printRollout prints the newest rollout of a pool after an order that was done.
+func printRollout(w io.Writer, in *rolloutInput, r *protocol.RolloutStatus) {
+	if r == nil {
+		fmt.Fprintln(w, "done; what became of it can't be read now")
+		return
+	}
+	state := rolloutWords[document.RolloutState(r.State)]
+	if in.json {
+		out := json.NewEncoder(w)
+		out.SetIndent("", "  ")
+		// Standard output that takes nothing has nobody to be told.
+		_ = out.Encode(rolloutJSON{
+			Pool: in.order.Pool, Target: r.Target, State: state, Attempt: r.Attempt, WithinSeconds: r.Duration.Seconds(),
+			ElapsedSeconds: r.Elapsed.Seconds(), RolledBack: r.Barred, Replaced: r.Replaced,
+		})
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintf(t, "POOL\tVERSION\tSTATE\tATTEMPT\tELAPSED\tWITHIN\tROLLED BACK\tREPLACED\n")
+	fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%v\t%v\t%s\t%s\n", in.order.Pool, r.Target, state, r.Attempt,
+		r.Elapsed.Round(time.Second), r.Duration, orNone(r.Barred), orNone(r.Replaced))
+}
+
+func orNone(versions []string) string {
+	if len(versions) == 0 {
+		return "none"
+	}
+	return strings.Join(versions, " ")
+}
--- /dev/null
+++ b/cli/rollout_test.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/internal/golden"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file runs the commands about rollouts against fakes of directory replicas.
+
+const fleetKey = "a key that all nodes share"
+
+// fakeReplica answers orders with one answer after the other, the last for good.
+type fakeReplica struct {
+	address string
+	mu      sync.Mutex
+	answers []protocol.Message
+	orders  []protocol.RolloutOrder
+	links   int // that were tried
+}
+
+// newReplica starts a replica that gives these answers.
+func newReplica(t *testing.T, answers ...protocol.Message) *fakeReplica {
+	t.Helper()
+	f := &fakeReplica{answers: answers}
+	mux := http.NewServeMux()
+	mux.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.links++
+		f.mu.Unlock()
+		l, err := link.Accept(w, r, link.Identity{Name: "replica", Key: []byte(fleetKey)}, nil)
+		if err != nil {
+			return
+		}
+		defer l.Close()
+		if m, err := l.Receive(r.Context()); err == nil {
+			_ = l.Send(r.Context(), f.next(m)) // a command that has gone
+		}
+	})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	f.address = strings.TrimPrefix(s.URL, "http://")
+	return f
+}
+
+func (f *fakeReplica) next(m protocol.Message) protocol.Message {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := m.(protocol.RolloutOrder); ok {
+		f.orders = append(f.orders, o)
+	}
+	answer := f.answers[0]
+	if len(f.answers) > 1 {
+		f.answers = f.answers[1:]
+	}
+	return answer
+}
+
+// runOn runs a command line against a replica, with a fleet key.
+func runOn(t *testing.T, f *fakeReplica, key string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "fleet.key")
+	is.New(t).NoErr(os.WriteFile(path, []byte(key+"\n"), 0o600))
+	var out, errs bytes.Buffer
+	env := map[string]string{"BADGERSPOKE_FLEET": f.address, "BADGERSPOKE_FLEET_KEY_FILE": path}
+	code = Run(context.Background(), append([]string{"rollout"}, args...), func(k string) string { return env[k] }, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+var underWay = protocol.RolloutAnswer{Outcome: protocol.OrderDone, Newest: &protocol.RolloutStatus{
+	Target: "v8", State: 1, Attempt: 3, Duration: 20 * time.Minute, Elapsed: 90 * time.Second, Barred: []string{"v5", "v6"}, Replaced: []string{"v4"},
+}}
+
+func TestRolloutCommands(t *testing.T) {
+	refused := protocol.RolloutAnswer{Outcome: protocol.OrderRefused, Reason: "no pool is called llm"}
+	conflict := protocol.RolloutAnswer{Outcome: protocol.OrderConflict, Reason: "v7 is under way"}
+	for _, tt := range []struct {
+		name   string
+		args   []string
+		answer protocol.Message
+		code   int
+		text   string
+		order  protocol.RolloutOrder // that was sent
+	}{
+		{
+			"start", []string{"start", "llm", "v8", "-within", "20m"}, underWay, ExitOK, "under way",
+			protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "llm", Target: "v8", Duration: 20 * time.Minute},
+		},
+		{
+			"start without a time", []string{"start", "llm", "v8"}, underWay, ExitOK, "under way",
+			protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "llm", Target: "v8", Duration: defaultWithin},
+		},
+		{"status", []string{"status", "llm"}, underWay, ExitOK, "under way", protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
+		{"status as JSON", []string{"status", "llm", "-json"}, underWay, ExitOK, `"elapsedSeconds": 90`, protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
+		{"abort", []string{"abort", "llm"}, underWay, ExitOK, "under way", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
+		{"not read", []string{"abort", "llm"}, protocol.RolloutAnswer{Outcome: protocol.OrderDone}, ExitOK, "done", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
+		{"refused", []string{"status", "llm"}, refused, ExitRefused, "no pool is called llm", protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
+		{"conflict", []string{"abort", "llm"}, conflict, ExitConflict, "v7 is under way", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
+		{"too few arguments", []string{"start", "llm"}, nil, ExitUsage, "wants POOL VERSION", protocol.RolloutOrder{}},
+		{"flag first", []string{"status", "-json", "llm"}, nil, ExitUsage, "unexpected argument", protocol.RolloutOrder{}},
+		{"no such command", []string{"explode"}, nil, ExitUsage, "badgerspoke drives a router fleet", protocol.RolloutOrder{}},
+		{"none", nil, nil, ExitUsage, "badgerspoke drives a router fleet", protocol.RolloutOrder{}},
+		{"help", []string{"start", "-h"}, nil, ExitOK, "badgerspoke rollout start llm v8", protocol.RolloutOrder{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newReplica(t, tt.answer)
+			code, stdout, stderr := runOn(t, f, fleetKey, tt.args...)
+			is.Equal(code, tt.code)
+			is.True(strings.Contains(stdout+stderr, tt.text))
+			if tt.answer == nil {
+				is.Equal(len(f.orders), 0)
+			} else {
+				is.Equal(f.orders, []protocol.RolloutOrder{tt.order})
+			}
+		})
+	}
+}
+
+// TestRolloutGoesToTheLeader: a replica that does not lead names the one that does; while
+// none does, the same order is sent again.
+func TestRolloutGoesToTheLeader(t *testing.T) {
+	is := is.New(t)
+	leader := newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderUnclear, Reason: "no leader"}, underWay)
+	follower := newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderElsewhere, Leader: leader.address})
+	code, _, _ := runOn(t, follower, fleetKey, "start", "llm", "v8")
+	is.Equal(code, ExitOK)
+	is.Equal(len(follower.orders), 2)
+	is.Equal(len(leader.orders), 2)
+	is.Equal(leader.orders[0], leader.orders[1])
+}
+
+func TestRolloutNeedsAReplicaAndAKey(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	nothing := func(string) string { return "" }
+	is.Equal(Run(t.Context(), []string{"rollout", "status", "llm"}, nothing, &out, &out), ExitUsage)
+	is.True(strings.Contains(out.String(), "-fleet-key-file"))
+	missing := []string{"rollout", "status", "llm", "-fleet", "127.0.0.1:1", "-fleet-key-file", filepath.Join(t.TempDir(), "missing")}
+	is.Equal(Run(t.Context(), missing, nothing, &out, &out), ExitUsage)
+}
+
+// TestWrongFleetKey: no repeat makes a key right.
+func TestWrongFleetKey(t *testing.T) {
+	is := is.New(t)
+	f := newReplica(t, underWay)
+	code, _, stderr := runOn(t, f, "a key of another fleet", "status", "llm")
+	is.Equal(code, ExitRefused)
+	is.True(strings.Contains(stderr, "key"))
+	is.Equal(len(f.orders), 0)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(f.links, 1)
+}
+
+// TestNobodyKnows: an order that gets no clear answer in time may be given again.
+func TestNobodyKnows(t *testing.T) {
+	is := is.New(t)
+	f := newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderUnclear, Reason: "no leader"})
+	in := &rolloutInput{fleet: f.address, key: []byte(fleetKey), order: protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}}
+	ctx, cancel := context.WithTimeout(t.Context(), retryPause)
+	defer cancel()
+	answer, err := order(ctx, in)
+	is.NoErr(err)
+	is.Equal(rolloutExit(answer.Outcome), ExitUnavailable)
+	is.Equal(rolloutExit(protocol.OrderElsewhere), ExitUnavailable)
+	is.True(rolloutTimeout < rollout.DefaultWindow) // later repeats would be orders of their own
+}
+
+// TestRolloutTable pins what people read.
+func TestRolloutTable(t *testing.T) {
+	var got strings.Builder
+	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "llm"}}, underWay.Newest)
+	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "llm"}, json: true}, underWay.Newest)
+	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "web"}}, &protocol.RolloutStatus{Target: "v2", State: 3, Attempt: 1, Duration: time.Minute})
+	golden.Text(t, "rollout.txt", got.String())
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -108,6 +108,8 @@
 			d.hub.serve(ctx, l, first)
 		case protocol.Announce:
 			d.hub.serveAnnouncer(ctx, l, first)
+		case protocol.RolloutOrder:
+			d.serveOrder(ctx, l, first)
 		}
 	})
 }
--- a/directory/rolloutorders_test.go
+++ b/directory/rolloutorders_test.go
@@ -281,6 +281,59 @@
 	})
 }
 
+// command sends an order on a fleet link, as an operator's command does.
+func (x *fleet) command(n *directoryNode, o protocol.RolloutOrder) protocol.RolloutAnswer {
+	is := is.New(x.t)
+	id := link.Identity{Name: "operator", Key: fleetKey, Dial: x.net.Box(n.ip).DialContext}
+	l, err := link.Dial(x.t.Context(), n.ip+":7400", id, nil)
+	is.NoErr(err)
+	defer l.Close()
+	is.NoErr(l.Send(x.t.Context(), o))
+	m, err := l.ReceiveWithin(x.t.Context(), 3*time.Second)
+	is.NoErr(err)
+	answer, ok := m.(protocol.RolloutAnswer)
+	is.True(ok)
+	return answer
+}
+
+// TestCommandsAboutRollouts gives orders on fleet links, at the leader and elsewhere.
+func TestCommandsAboutRollouts(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead()
+		start := protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "p", Target: "v2", Duration: time.Hour}
+		is.Equal(x.command(l, start).Outcome, protocol.OrderRefused) // no such pool
+		x.put(1)
+		is.Equal(x.command(l, protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "p"}).Outcome, protocol.OrderRefused)
+		is.Equal(x.command(l, protocol.RolloutOrder{Act: 9, Pool: "p"}).Outcome, protocol.OrderRefused)
+		answer := x.command(l, start)
+		is.Equal(answer, protocol.RolloutAnswer{Outcome: protocol.OrderDone, Newest: &protocol.RolloutStatus{
+			Target: "v2", State: uint8(document.RolloutUnderWay), Attempt: 1, Duration: time.Hour,
+		}})
+		other := start
+		other.Target = "v3"
+		is.Equal(x.command(l, other).Outcome, protocol.OrderConflict)
+		is.Equal(x.command(l, protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "p"}).Newest.State, uint8(document.RolloutRolledBack))
+		status := x.command(l, protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "p"})
+		is.Equal(status.Outcome, protocol.OrderDone)
+		is.Equal(status.Newest.Barred, []string{"v2"})
+		for _, n := range x.nodes {
+			if n != l {
+				answer := x.command(n, start)
+				is.Equal(answer.Outcome, protocol.OrderElsewhere)
+				is.Equal(answer.Leader, l.ip+":7400")
+			}
+		}
+		for _, ip := range x.order {
+			if ip != l.ip {
+				x.net.Cut(ip)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(x.command(l, start).Outcome, protocol.OrderUnclear)
+	})
+}
+
 // TestOrderNamesGatewaysWithoutRollouts: a gateway says whether its version knows rollouts when
 // it opens its session.
 func TestOrderNamesGatewaysWithoutRollouts(t *testing.T) {
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -52,6 +52,10 @@
 
 	// Between a gateway and a directory replica, continued.
 	KindRollouts Kind = 22 // leader: which versions of pools get requests
+
+	// Between an operator's command and a directory replica.
+	KindRolloutOrder  Kind = 23 // command: begin, read or end a rollout
+	KindRolloutAnswer Kind = 24 // replica: what became of it
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -81,6 +85,8 @@
 	KindAnnounce:      {"announce", decodeAs[Announce]},
 	KindAnnounced:     {"announced", decodeAs[Announced]},
 	KindRollouts:      {"rollouts", decodeAs[Rollouts]},
+	KindRolloutOrder:  {"rollout-order", decodeAs[RolloutOrder]},
+	KindRolloutAnswer: {"rollout-answer", decodeAs[RolloutAnswer]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -123,6 +129,8 @@
 func (Announce) kind() Kind      { return KindAnnounce }
 func (Announced) kind() Kind     { return KindAnnounced }
 func (Rollouts) kind() Kind      { return KindRollouts }
+func (RolloutOrder) kind() Kind  { return KindRolloutOrder }
+func (RolloutAnswer) kind() Kind { return KindRolloutAnswer }
 func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -115,6 +115,14 @@
 		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"}},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
+	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute},
+	RolloutAnswer{
+		Outcome: OrderElsewhere, Reason: "another leads", Leader: "10.0.0.1:7000",
+		Newest: &RolloutStatus{
+			Target: "v7", State: 1, Attempt: 110, Duration: 10 * time.Minute, Elapsed: 3 * time.Second,
+			Barred: []string{"v5", "v4"}, Replaced: []string{"v3"},
+		},
+	},
 }
 
 var goldenPools = []PoolView{
@@ -195,6 +203,7 @@
 		1: "hello", 2: "welcome", 3: "redirect", 4: "renew", 5: "renewed", 6: "report", 7: "view", 8: "configure",
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
 		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced", 22: "rollouts",
+		23: "rollout-order", 24: "rollout-answer",
 	}
 	for number := 1; number < len(names); number++ {
 		is.Equal(Kind(number).String(), names[number])
@@ -220,6 +229,12 @@
 	} {
 		is.Equal(int(k), i+1)
 	}
+	for i, a := range []OrderAct{OrderStart, OrderStatus, OrderAbort} {
+		is.Equal(int(a), i+1)
+	}
+	for i, o := range []OrderOutcome{OrderDone, OrderRefused, OrderConflict, OrderElsewhere, OrderUnclear} {
+		is.Equal(int(o), i+1)
+	}
 	is.Equal(int(EntryCommand), 0)
 	is.Equal(int(EntryMembership), 1)
 }
