Platform: orders of callers that have left, tested

Cause: that an order whose caller has closed its connection is passed over had no test, neither for halls nor for rollouts, and for rollouts it is asked after a body was read.

--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -154,3 +155,33 @@
 	is.NoErr(closed.Close())
 	is.True(closed.left())
 }
+
+// TestCallerHasLeft: a caller that closes its connection is seen at once by a handler that has
+// read the whole request, and one that waits for its answer is not taken for gone.
+func TestCallerHasLeft(t *testing.T) {
+	for _, body := range []string{"", "an order"} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		read, goOn, left := make(chan struct{}), make(chan struct{}), make(chan bool)
+		s := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body) // it came whole
+			read <- struct{}{}
+			left <- CallerHasLeft(r.Context())
+			<-goOn
+			left <- CallerHasLeft(r.Context())
+		})}
+		go func() { _ = s.Serve(l) }() // until it is closed
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		is.NoErr(err)
+		<-read
+		is.True(!<-left)
+		is.NoErr(conn.Close())
+		goOn <- struct{}{}
+		is.True(<-left)
+		is.NoErr(s.Close())
+	}
+	is.New(t).True(!CallerHasLeft(t.Context())) // without a connection
+}
