--- a/coordination/slots/bench_test.go
+++ b/coordination/slots/bench_test.go
@@ -131,7 +131,7 @@
 	r := f.routers[i]
 	for p := range f.shape.pools {
 		for a := range f.shape.accounts {
-			for req := range f.m.running[p][a] {
+			for _, req := range slices.Clone(f.m.running[p][a]) {
 				if req.router == r && !req.ended {
 					f.cancel(req)
 				}
--- a/coordination/slots/measure_test.go
+++ b/coordination/slots/measure_test.go
@@ -13,8 +13,8 @@
 
 type measures struct {
 	f        *fleet
-	service  [][]float64 // pool × account, of ended requests
-	running  [][]map[*request]bool
+	service  [][]float64    // pool × account, of ended requests
+	running  [][][]*request // in the order of their starts, so that sums and faults follow it
 	waiting  [][]int
 	pairs    []*pair
 	followed []int // accounts whose gaps are followed
@@ -46,11 +46,7 @@
 	for range f.shape.pools {
 		m.service = append(m.service, make([]float64, n))
 		m.waiting = append(m.waiting, make([]int, n))
-		running := make([]map[*request]bool, n)
-		for i := range running {
-			running[i] = map[*request]bool{}
-		}
-		m.running = append(m.running, running)
+		m.running = append(m.running, make([][]*request, n))
 		m.busy = append(m.busy, 0)
 		m.able = append(m.able, 0)
 		m.idleRun = append(m.idleRun, 0)
@@ -74,7 +70,7 @@
 
 func (m *measures) started(r *request) {
 	m.waiting[r.pool][r.account]--
-	m.running[r.pool][r.account][r] = true
+	m.running[r.pool][r.account] = append(m.running[r.pool][r.account], r)
 	wait := m.f.now - r.came
 	m.longest = max(m.longest, wait)
 	if m.f.shape.accounts[r.account].small {
@@ -83,7 +79,7 @@
 }
 
 func (m *measures) finished(r *request) {
-	delete(m.running[r.pool][r.account], r)
+	m.stopped(r)
 	m.service[r.pool][r.account] += r.cost
 	m.largest = max(m.largest, r.cost)
 	m.ended++
@@ -92,10 +88,16 @@
 // cancelled ends a running request whose router restarted; what it had
 // received counts as service.
 func (m *measures) cancelled(r *request) {
-	delete(m.running[r.pool][r.account], r)
+	m.stopped(r)
 	m.service[r.pool][r.account] += m.received(r)
 }
 
+func (m *measures) stopped(r *request) {
+	running := m.running[r.pool][r.account]
+	i := slices.Index(running, r)
+	m.running[r.pool][r.account] = slices.Delete(running, i, i+1)
+}
+
 func (m *measures) dropped(r *request) {
 	m.waiting[r.pool][r.account]--
 	m.lost++
@@ -111,7 +113,7 @@
 // normalised is the service that an account has received up to now.
 func (m *measures) normalised(p, a int) float64 {
 	s := m.service[p][a]
-	for r := range m.running[p][a] {
+	for _, r := range m.running[p][a] {
 		s += m.received(r)
 	}
 	return s / m.f.shape.accounts[a].share
