Slots: the drain is given the time of the work that was drawn

Traced on the shrunk schedule, the slot looked at every millisecond: no slot is lost and none idles. At 12 s, when the arrivals end, 16 requests wait, 5 of a and 11 of b; the work drawn for them is 77.2 s on the one slot (their mean is 32.0 s), and 1.2 s are left of the one that runs. The slot serves them without a gap, a: 10.7, 8.3, 9.6, 15.9 s, b: 12.8, 16.7, 3.0, 8.6 s and shorter ones of both, and all have started by 90 s. The check ended at 88 s: 1.5 times the mean work, the time of two faults and of one request, 76 s after the drain.

Change: the check ends when the work that was drawn fits on the slots, plus the time of two faults as before. The half again and the longest request are gone: a request that waits starts at the latest when all others would be done. The schedule is TestLongWorkIsDrained, which also asks that the slot is never free while work waits.

Measured: with the old time's part of the work (62 of 77) TestLongWorkIsDrained fails with the same 3 requests.

--- a/coordination/slots/fixture_test.go
+++ b/coordination/slots/fixture_test.go
@@ -277,8 +277,7 @@
 	srv := req.server
 	req.began, req.serving = f.now, true
 	srv.running++
-	rate := f.shape.pools[req.pool].rate
-	f.after(time.Duration(req.cost/rate*float64(time.Second)), func() {
+	f.after(f.whole(req), func() {
 		if req.ended {
 			return
 		}
@@ -290,6 +289,11 @@
 	req.router.charge(req)
 }
 
+// whole is how long a request runs.
+func (f *fleet) whole(req *request) time.Duration {
+	return time.Duration(req.cost / f.shape.pools[req.pool].rate * float64(time.Second))
+}
+
 // charge charges streamed cost every 250 ms while the request runs.
 func (r *testRouter) charge(req *request) {
 	r.f.after(250*time.Millisecond, func() {
--- a/coordination/slots/measure_test.go
+++ b/coordination/slots/measure_test.go
@@ -16,6 +16,7 @@
 	service  [][]float64    // pool × account, of ended requests
 	running  [][][]*request // in the order of their starts, so that sums and faults follow it
 	waiting  [][]int
+	owed     []time.Duration // by pool: what one slot takes for all requests there, had or not
 	pairs    []*pair
 	followed []int // accounts whose gaps are followed
 	busy     []float64
@@ -47,6 +48,7 @@
 		m.service = append(m.service, make([]float64, n))
 		m.waiting = append(m.waiting, make([]int, n))
 		m.running = append(m.running, make([][]*request, n))
+		m.owed = append(m.owed, 0)
 		m.busy = append(m.busy, 0)
 		m.able = append(m.able, 0)
 		m.idleRun = append(m.idleRun, 0)
@@ -66,7 +68,10 @@
 	return m
 }
 
-func (m *measures) arrived(r *request) { m.waiting[r.pool][r.account]++ }
+func (m *measures) arrived(r *request) {
+	m.waiting[r.pool][r.account]++
+	m.owed[r.pool] += m.f.whole(r)
+}
 
 func (m *measures) started(r *request) {
 	m.waiting[r.pool][r.account]--
@@ -96,13 +101,28 @@
 	running := m.running[r.pool][r.account]
 	i := slices.Index(running, r)
 	m.running[r.pool][r.account] = slices.Delete(running, i, i+1)
+	m.owed[r.pool] -= m.f.whole(r)
 }
 
 func (m *measures) dropped(r *request) {
 	m.waiting[r.pool][r.account]--
+	m.owed[r.pool] -= m.f.whole(r)
 	m.lost++
 }
 
+// left is how long one slot takes for all that waits and runs.
+func (m *measures) left(pool int) time.Duration {
+	left := m.owed[pool]
+	for _, running := range m.running[pool] {
+		for _, r := range running {
+			if r.serving {
+				left -= m.f.now - r.began
+			}
+		}
+	}
+	return left
+}
+
 func (m *measures) received(r *request) float64 {
 	if !r.serving {
 		return 0
--- a/coordination/slots/property_test.go
+++ b/coordination/slots/property_test.go
@@ -105,6 +105,34 @@
 	}}}, false
 }
 
+// TestLongWorkIsDrained is a schedule that was drawn: 16 requests wait when the
+// arrivals end, and their work on the one slot is 77.2 s, where 16 of the mean
+// are 32 s. The slot is never free until the last of them starts.
+func TestLongWorkIsDrained(t *testing.T) {
+	s := linen()
+	s.duration = 12 * time.Second
+	s.routers, s.latency, s.longTail = 2, 0, true
+	s.pools = s.pools[:1]
+	s.pools[0].workers, s.pools[0].slots = 1, 1
+	s.accounts = []accountShape{
+		{name: "a", share: 4, offered: 4},
+		{name: "b", share: 5, offered: 3.1, home: 1},
+		{name: "c", share: 2, offered: 0.1, on: 300 * time.Millisecond, off: 700 * time.Millisecond},
+	}
+	s.faults = []fault{{time.Second, loseAllocator}}
+	f := newFleet(s, fleetFair, 0)
+	f.at(s.duration, func() {
+		f.drain()
+		f.m.maxIdle = 0 // it was free while there was no allocator
+	})
+	f.shape.duration = time.Hour // drain sets the end
+	m := f.run()
+	m.checkDrained(t)
+	if m.maxIdle > 0 {
+		t.Fatalf("the slot was free for %v while work waited", m.maxIdle)
+	}
+}
+
 // checkGrants checks that routers together never hold more slots of a server
 // than it has, counting those of routers whose lease runs. After a partition,
 // requests that run on past a lease are reported by the router when it is back,
@@ -135,31 +163,19 @@
 	}
 }
 
-// drain ends the arrivals and sets the end of the run to when all the work
-// that is there can have been done, with half as much time again and that of
-// a fault.
+// drain ends the arrivals and sets the end of the run to when all the work that
+// is there must have been granted: the time that it was drawn to take, on slots
+// that are never free while work waits, and twice that of a fault. Its mean
+// would not do: of a few requests with a long tail, all that is there may be
+// sixty times as much.
 func (f *fleet) drain() {
 	f.closed = true
-	work := 0.0
 	ps := f.shape.pools[0]
-	for a := range f.shape.accounts {
-		work += float64(f.m.waiting[0][a]) * ps.mean
-	}
-	capacity := float64(ps.workers*ps.slots) * ps.rate
-	need := time.Duration(1.5 * work / capacity * float64(time.Second))
-	f.shape.duration = f.now + need + 2*faulted + longestRequest(f.shape)
-}
-
-// longestRequest is how long one request may run.
-func longestRequest(s shape) time.Duration {
-	if s.longTail {
-		return time.Duration(10 * s.pools[0].mean / s.pools[0].rate * float64(time.Second))
-	}
-	return time.Duration(6 * s.pools[0].mean / s.pools[0].rate * float64(time.Second))
+	f.shape.duration = f.now + f.m.left(0)/time.Duration(ps.workers*ps.slots) + 2*faulted
 }
 
 // checkDrained checks that everything that waited was granted at last.
-func (m *measures) checkDrained(t *rapid.T) {
+func (m *measures) checkDrained(t rapid.TB) {
 	for a, n := range m.waiting[0] {
 		if n > 0 {
 			t.Fatalf("%d requests of account %d still wait at %v", n, a, m.f.now)
