Properties are played over seeds that stand in the repository

Cause: rapid draws 100 new schedules in every run, plays a file of a failed draw that an earlier run left in testdata/rapid first, and passes with fewer schedules when the time limit of go test is near.

No file of a draw is written or looked for, and rapid does not see the deadline.

--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -95,7 +96,7 @@
 // TestGrantedOnce runs random commands of three routers: between two releases
 // a key is granted to one attempt at most.
 func TestGrantedOnce(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		r := New()
 		granted := map[string]string{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
--- a/coordination/consensus/consensus_test.go
+++ b/coordination/consensus/consensus_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -221,7 +222,7 @@
 // step; at the end, without faults, it must make progress and hold everything
 // that was ever acknowledged.
 func TestRandomSchedules(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c"}
 		if rapid.Bool().Draw(t, "five") {
 			names = append(names, "d", "e")
--- a/coordination/consensus/open_test.go
+++ b/coordination/consensus/open_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 // This file tests open groups: found through seeds, grown by every replica that joins,
@@ -163,7 +165,7 @@
 // TestRandomOpenSchedules is TestRandomSchedules for an open group, with
 // machines that are replaced for good as well.
 func TestRandomOpenSchedules(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		randomOpenSchedule(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(200, 1200).Draw(t, "steps"))
 	})
 }
--- a/coordination/entitlement/level_test.go
+++ b/coordination/entitlement/level_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 func TestLevel(t *testing.T) {
@@ -31,7 +33,7 @@
 }
 
 func TestLevelUsesTheWholeCapacity(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		demands := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 30).Draw(t, "demands")
 		capacity := rapid.Float64Range(1, 10000).Draw(t, "capacity")
 		level := Level(demands, capacity)
--- a/coordination/entitlement/marker_test.go
+++ b/coordination/entitlement/marker_test.go
@@ -7,12 +7,14 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 // TestMarkerMarksThePart checks that what is marked as entitled is the part of
 // the cost, within a few of the largest requests, whatever the sizes.
 func TestMarkerMarksThePart(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		const largest = 50000
 		part := rapid.Float64Range(0.02, 0.98).Draw(t, "part")
 		costs := rapid.SliceOfN(rapid.SampledFrom([]float64{100, 1000, 5000, largest}), 300, 600).Draw(t, "costs")
--- a/coordination/outlier/consecutive_test.go
+++ b/coordination/outlier/consecutive_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 func TestConsecutiveFailures(t *testing.T) {
@@ -37,7 +39,7 @@
 }
 
 func TestNeverMoreThanHalfIsOut(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		h := NewConsecutive()
 		n := rapid.IntRange(1, 9).Draw(t, "servers")
 		h.SetSize(n)
--- a/coordination/place/slotplacer_test.go
+++ b/coordination/place/slotplacer_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 func prompt(blocks int, text string) []Block {
@@ -116,7 +118,7 @@
 // TestIndexIsBounded sends and evicts at random: the index never holds more
 // than its bound, nor a block without a server.
 func TestIndexIsBounded(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		x := NewIndex(20)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			server := fmt.Sprintf("s%d", rapid.IntRange(0, 5).Draw(t, "server"))
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 var limits = Limits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}
@@ -53,7 +55,7 @@
 // TestFleetKeepsToItsBudget lets several gateways with uneven traffic retry as
 // often as they may, and counts over every window of the whole fleet.
 func TestFleetKeepsToItsBudget(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		n := rapid.IntRange(1, 9).Draw(t, "gateways")
 		gateways := make([]*Window, n)
--- a/coordination/share/share_test.go
+++ b/coordination/share/share_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -150,7 +151,7 @@
 }
 
 func TestMeterSettlesWhatWasCharged(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		var m Meter
 		total := m.Start(rapid.Float64Range(0, 1000).Draw(t, "estimate"))
 		cost := 0.0
@@ -172,7 +173,7 @@
 // TestFleetTimesAddUp lets reports and fleet-wide times cross in every order:
 // after everything has arrived, the router's time is the allocator's.
 func TestFleetTimesAddUp(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		q := queueOf(map[string]float64{"a": 2})
 		var arrived, seq uint64
 		allocator := 0.0
--- a/coordination/slots/property_test.go
+++ b/coordination/slots/property_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/badgerspoke/badgerspoke/coordination/slots"
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 // This file checks the promises of the package comment over random fleets,
@@ -17,7 +18,7 @@
 
 // TestPromisesOverRandomSchedules runs random fleets.
 func TestPromisesOverRandomSchedules(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		s, faulty, partitioned := randomShape(t)
 		f := newFleet(s, fleetFair, rapid.Uint64().Draw(t, "seed"))
 		f.every(50*time.Millisecond, func() { f.checkGrants(t, partitioned) })
--- a/internal/pq/pq_test.go
+++ b/internal/pq/pq_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 type item struct{ value, id, place int }
@@ -15,7 +17,7 @@
 // with a list that is sorted anew.
 func TestAgainstASortedList(t *testing.T) {
 	less := func(a, b *item) bool { return a.value < b.value || (a.value == b.value && a.id < b.id) }
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		q := New(less, func(x *item) *int { return &x.place })
 		var list []*item
 		for id := range rapid.IntRange(1, 60).Draw(t, "steps") {
--- /dev/null
+++ b/internal/seeds/seeds_test.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package seeds
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// This file checks what is played, and that every property of the repository is
+// played from its seeds.
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	got, err := parse("# seed schedules\n1 300\n\n18446744073709551615 1 # why\n")
+	is.NoErr(err)
+	is.Equal(got, []seed{{1, 300}, {18446744073709551615, 1}})
+	for _, bad := range []string{"", "# none\n", "1\n", "0 5\n", "1 0\n", "1 2 3\n", "x 1\n", "1 300 why\n"} {
+		_, err := parse(bad)
+		is.True(err != nil) // not a list of seeds
+	}
+}
+
+// TestOneSeedDrawsTheSame plays a list twice, with a file of a failed draw left
+// behind, which rapid would play first.
+func TestOneSeedDrawsTheSame(t *testing.T) {
+	if byHand() {
+		t.Skip("the command line says what is drawn")
+	}
+	is := is.New(t)
+	name := t.Name()
+	t.Chdir(t.TempDir())
+	is.NoErr(os.MkdirAll("testdata/seeds", 0o700))
+	is.NoErr(os.WriteFile("testdata/seeds/"+name+".txt", []byte("7 3\n8407117806593818294 1\n"), 0o600))
+	leftOver := "testdata/rapid/" + name
+	is.NoErr(os.MkdirAll(leftOver, 0o700))
+	is.NoErr(os.WriteFile(leftOver+"/"+name+"-1.fail", []byte("v0.4.8#5\n0x2a\n"), 0o600))
+	var draws []uint64
+	play := func(t *rapid.T) { draws = append(draws, rapid.Uint64().Draw(t, "draw")) }
+	for range 2 { // subtests of one name get a number, so that the names differ and the seeds do not
+		Check(t, play)
+	}
+	is.Equal(len(draws), 8)        // and none of the file
+	is.Equal(draws[:4], draws[4:]) // the same twice
+	is.True(draws[0] != draws[1])  // and not one schedule again and again
+	is.True(draws[0] != draws[3])  // nor one seed
+	_, err := os.Stat(leftOver)    // the test looked where rapid would
+	is.NoErr(err)
+}
+
+// TestPropertiesHaveSeeds finds properties that are played in another way, and
+// files of seeds that no test reads.
+func TestPropertiesHaveSeeds(t *testing.T) {
+	is := is.New(t)
+	root := filepath.Join("..", "..")
+	var files []string
+	tests := map[string]bool{} // files of seeds that tests read
+	is.NoErr(filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case strings.Contains(path, "testdata/seeds/"):
+			files = append(files, path)
+		case strings.HasSuffix(path, "_test.go") && filepath.Dir(path) != filepath.Join(root, "internal", "seeds"):
+			return properties(t, path, tests)
+		}
+		return nil
+	}))
+	is.True(len(files) > 0)
+	for _, f := range files {
+		if !tests[f] {
+			t.Errorf("no test reads %s", f)
+		}
+		delete(tests, f)
+	}
+	for f := range tests {
+		t.Errorf("%s is missing", f)
+	}
+}
+
+// properties notes the files of seeds of the tests in a file, and fails on
+// properties that have none.
+func properties(t *testing.T, path string, tests map[string]bool) error {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		return err
+	}
+	for _, d := range file.Decls {
+		f, ok := d.(*ast.FuncDecl)
+		if !ok {
+			continue
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			s, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			switch x, _ := s.X.(*ast.Ident); {
+			case x == nil:
+			case x.Name == "rapid" && slices.Contains([]string{"Check", "MakeCheck", "MakeFuzz"}, s.Sel.Name):
+				t.Errorf("%s: %s is not played from seeds", path, f.Name.Name)
+			case x.Name == "seeds" && s.Sel.Name == "Check":
+				tests[filepath.Join(filepath.Dir(path), "testdata", "seeds", f.Name.Name+".txt")] = true
+			}
+			return true
+		})
+	}
+	return nil
+}
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -10,6 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 )
 
 func putAccount(name string, share float64) Op {
@@ -137,7 +139,7 @@
 // out of order: the revision never decreases and every configuration reached
 // is one of the history.
 func TestDeltasNeverGoBack(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		var s Store
 		history := []Config{{}}
 		for i := range rapid.IntRange(1, 20).Draw(t, "changes") {
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
 	"github.com/badgerspoke/badgerspoke/state/wal"
 )
 
@@ -140,7 +141,7 @@
 // acknowledged is there afterwards, in order, and what was not is there whole
 // or not at all.
 func TestCrashes(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	seeds.Check(t, func(t *rapid.T) {
 		d := fakedisk.New(rapid.Uint64().Draw(t, "seed"))
 		l, _, _ := open(t, d)
 		var base, acked []string // in the snapshot, and behind it
