Fake disk: what a crash leaves follows from the seed

Cause: a crash drew what is left of each file in the order of a map, so with several files one seed had many outcomes. TestCrashes, the whole fleets and the directory's fixtures crash such disks.

Change: in the order of the names.

Measured: TestOneSeedIsOneCrash failed before (the first repetition differed) and passes.

--- a/internal/fakedisk/fakedisk.go
+++ b/internal/fakedisk/fakedisk.go
@@ -68,8 +68,8 @@
 	d.epoch++
 	d.failSync = false
 	d.files = map[string]*file{}
-	for name, f := range d.durable {
-		left := d.remains(f)
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) { // the chances go by this order
+		left := d.remains(d.durable[name])
 		nf := &file{content: left, synced: slices.Clone(left)}
 		d.files[name] = nf
 		d.durable[name] = nf
--- /dev/null
+++ b/internal/fakedisk/fakedisk_test.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fakedisk_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
+)
+
+// TestOneSeedIsOneCrash: what a crash leaves of each of several files is the same each
+// time for one seed.
+func TestOneSeedIsOneCrash(t *testing.T) {
+	is := is.New(t)
+	left := func() (sizes []int) {
+		d := fakedisk.New(1)
+		for n := range 8 {
+			f, err := d.OpenAppend(fmt.Sprint(n), 0)
+			is.NoErr(err)
+			_, err = f.Write(make([]byte, 10000))
+			is.NoErr(err)
+		}
+		is.NoErr(d.Sync())
+		d.Crash()
+		for n := range 8 {
+			sizes = append(sizes, d.Size(fmt.Sprint(n)))
+		}
+		return sizes
+	}
+	first := left()
+	for range 20 {
+		is.Equal(left(), first)
+	}
+}
