--- a/chaos_test.go
+++ b/chaos_test.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -172,7 +174,8 @@
 
 func (f *testFleet) mendEverything() {
 	f.net.Reunite()
-	for name, b := range f.boxes {
+	for _, name := range slices.Sorted(maps.Keys(f.boxes)) {
+		b := f.boxes[name]
 		f.net.Join(b.ip)
 		if b.box == nil {
 			f.start(name)
--- a/coordination/entitlement/fleet_test.go
+++ b/coordination/entitlement/fleet_test.go
@@ -334,8 +334,8 @@
 // served returns the tokens given a second.
 func (f *fleet) served() float64 {
 	total := 0.0
-	for _, seconds := range f.seconds {
-		for _, s := range seconds {
+	for _, name := range slices.Sorted(maps.Keys(f.seconds)) {
+		for _, s := range f.seconds[name] {
 			total += s.got
 		}
 	}
--- a/coordination/entitlement/late_test.go
+++ b/coordination/entitlement/late_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,8 +142,8 @@
 
 // takeAll removes and returns what is counted by account.
 func takeAll(byAccount map[string]uint64) (all []protocol.Demand) {
-	for account, tokens := range byAccount {
-		all = append(all, protocol.Demand{Account: account, Tokens: tokens})
+	for _, account := range slices.Sorted(maps.Keys(byAccount)) {
+		all = append(all, protocol.Demand{Account: account, Tokens: byAccount[account]})
 	}
 	clear(byAccount)
 	return all
--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -188,8 +190,8 @@
 	var running sync.WaitGroup
 	running.Go(func() {
 		for range sleep.Every(ctx, interval) {
-			for id, hall := range halls {
-				_ = x.announceIn(id, hall, 0) // whoever does not lead any more refuses it
+			for _, id := range slices.Sorted(maps.Keys(halls)) {
+				_ = x.announceIn(id, halls[id], 0) // whoever does not lead any more refuses it
 			}
 		}
 	})
--- a/operators_test.go
+++ b/operators_test.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,7 +47,7 @@
 	f.t.Helper()
 	var last error
 	for range 200 {
-		for name := range f.replicas {
+		for _, name := range slices.Sorted(maps.Keys(f.replicas)) {
 			if f.boxes[name].box == nil {
 				continue
 			}
@@ -315,7 +317,7 @@
 		leader := f.leader()
 		f.stop(leader) // hands leadership over first
 		time.Sleep(time.Second)
-		for name := range f.replicas {
+		for _, name := range slices.Sorted(maps.Keys(f.replicas)) {
 			if f.boxes[name].box != nil && name != f.leader() {
 				f.stop(name) // a follower; one of three is left, no majority
 				break
