Router, gateway: every chance comes from the configured source

Cause: a router's pauses before it dials or sends a claim again, and a gateway's choice of a pool by weight and the times it advises to come back, were drawn from the global source, which tests cannot seed, though both have Random. The tests of the replica drew from it too.

Change: they come from Random; the distributions are the same. The replica's tests and example have a seed.

Left on the global source: the number of a change of the command line; and crypto/rand for nonces, tokens and certificates.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -110,7 +109,7 @@
 	if c.account, known = c.rs.account(c.route, c.head.Key); !known {
 		return Refusal{Cause: UnknownKey}
 	}
-	c.pool = c.rs.pools[pickPool(c.route)]
+	c.pool = c.rs.pools[pickPool(c.route, c.g.random())]
 	return nil
 }
 
@@ -137,10 +136,10 @@
 	}
 	if !c.g.overload.Load().Admits(c.class) {
 		c.countMissed()
-		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left(), rand.Float64())}
+		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left(), c.g.random())}
 	}
 	if c.pool.Engine && !c.g.accounts.admits(c.account.Name, c.class) {
-		return Refusal{Cause: BeyondShare, RetryAfter: retry.AfterShare(c.left(), rand.Float64())}
+		return Refusal{Cause: BeyondShare, RetryAfter: retry.AfterShare(c.left(), c.g.random())}
 	}
 	return nil
 }
@@ -306,7 +305,7 @@
 	case !causes[cause].notRun:
 		return Refusal{Cause: cause}
 	case cause == BeyondShare:
-		return Refusal{Cause: cause, RetryAfter: retry.AfterShare(c.left(), rand.Float64())}
+		return Refusal{Cause: cause, RetryAfter: retry.AfterShare(c.left(), c.g.random())}
 	}
 	return Refusal{Cause: cause, RetryAfter: retry.After(c.left())}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,7 @@
 	Grace time.Duration
 	// Bodies bounds the bytes of all requests' bodies together.
 	Bodies int64
-	Random func() uint64
+	Random func() uint64 // called by many goroutines at once
 	// Waited returns how long what was ready to run in this process has waited for the
 	// processor, since the last call; nil is unknown.
 	Waited  func() time.Duration
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -107,13 +106,13 @@
 	return a, known
 }
 
-// pickPool returns one of a route's pools by weight.
-func pickPool(r document.Route) string {
+// pickPool returns one of a route's pools by weight; random is from 0 to 1.
+func pickPool(r document.Route, random float64) string {
 	total := 0
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	at := rand.IntN(max(total, 1))
+	at := int(random * float64(total))
 	for _, t := range r.Targets {
 		if at < t.Weight {
 			return t.Pool
--- a/replica/example_test.go
+++ b/replica/example_test.go
@@ -31,7 +31,7 @@
 	r, err := replica.Start(ctx, replica.Settings{
 		Group: "config", Name: "a", Names: []string{"a"}, Dir: fakedisk.New(1), Machine: &register{},
 		Send: func(protocol.Consensus) {}, Tuning: replica.Tuning{Heartbeat: 5 * time.Millisecond}.WithDefaults(),
-		Random: rand.Uint64, Log: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(1, 1)).Uint64, Log: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		fmt.Println(err)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -43,7 +43,7 @@
 	return Settings{
 		Group: "g", Name: "a", Names: []string{"a"}, Dir: dir, Machine: m, Send: func(protocol.Consensus) {},
 		Tuning: Tuning{Election: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, CompactAt: 2000},
-		Random: rand.Uint64, Log: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(1, 1)).Uint64, Log: slog.New(slog.DiscardHandler),
 	}
 }
 
--- a/router/claimclient.go
+++ b/router/claimclient.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,7 +95,7 @@
 		if answered && got.State != protocol.ClaimRetry {
 			return got, true
 		}
-		if !sleep.For(ctx, claimRetryPause/2+rand.N(claimRetryPause)) {
+		if !sleep.For(ctx, claimRetryPause/2+c.r.jitter(claimRetryPause)) {
 			return protocol.Claimed{}, false
 		}
 	}
--- a/router/leader.go
+++ b/router/leader.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -61,7 +60,7 @@
 			wait = shortestRetry
 		}
 		if l.r.now()-began < wait || got.link == nil {
-			sleep.For(l.r.ctx, wait/2+rand.N(wait)) // jitter keeps a rack of routers from dialling at once
+			sleep.For(l.r.ctx, wait/2+l.r.jitter(wait)) // jitter keeps a rack of routers from dialling at once
 			wait = min(2*wait, l.longestPause())
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -44,7 +44,7 @@
 	// StopWithoutLeader lets the lease run out when there is no leader, even if a
 	// majority of the replicas reports that there is none.
 	StopWithoutLeader bool
-	Random            func() uint64 // for the boot number and the numbers of attempts
+	Random            func() uint64 // for the boot number, the numbers of attempts and pauses
 	Log               *slog.Logger
 	Metrics           *metrics.Set
 }
@@ -127,6 +127,11 @@
 // now is the router's monotonic clock.
 func (r *Router) now() time.Duration { return time.Since(r.start) }
 
+// jitter returns a time from 0 to most.
+func (r *Router) jitter(most time.Duration) time.Duration {
+	return time.Duration(r.cfg.Random() % uint64(most))
+}
+
 // Ready reports whether the balancer may send requests here.
 func (r *Router) Ready() bool { return r.serving.Load() && r.lease.valid(r.now()) }
 
