--- a/internal/seeds/seeds.go
+++ b/internal/seeds/seeds.go
@@ -37,6 +37,14 @@
 	schedules int
 }
 
+// checks is what makes rapid draw the schedules: with -short it draws a fifth.
+func (s seed) checks() int {
+	if testing.Short() {
+		return 5 * s.schedules
+	}
+	return s.schedules
+}
+
 // Check plays a property over the seeds of the calling test, each in a subtest
 // that prints what it played.
 func Check(t *testing.T, property func(*rapid.T)) {
@@ -49,7 +57,7 @@
 	for _, s := range read(t, filepath.Join("testdata", "seeds", t.Name()+".txt")) {
 		t.Run(strconv.FormatUint(s.seed, 10), func(t *testing.T) {
 			set(t, "rapid.seed", strconv.FormatUint(s.seed, 10))
-			set(t, "rapid.checks", strconv.Itoa(s.schedules))
+			set(t, "rapid.checks", strconv.Itoa(s.checks()))
 			set(t, "rapid.failfile", "")
 			set(t, "rapid.nofailfile", "true")
 			n := play(t, t.Name(), property)
--- a/internal/seeds/seeds_test.go
+++ b/internal/seeds/seeds_test.go
@@ -69,6 +69,8 @@
 		switch {
 		case err != nil:
 			return err
+		case d.IsDir() && d.Name() == ".git":
+			return filepath.SkipDir
 		case strings.Contains(path, "testdata/seeds/"):
 			files = append(files, path)
 		case strings.HasSuffix(path, "_test.go") && filepath.Dir(path) != filepath.Join(root, "internal", "seeds"):
