--- a/coordination/slots/measure_test.go
+++ b/coordination/slots/measure_test.go
@@ -13,9 +13,10 @@
 
 type measures struct {
 	f        *fleet
-	service  [][]float64 // pool × account, of ended requests
-	running  [][]map[*request]bool
+	service  [][]float64    // pool × account, of ended requests
+	running  [][][]*request // in the order of their starts, so that sums and faults follow it
 	waiting  [][]int
+	owed     []time.Duration // by pool: what one slot takes for all requests there, had or not
 	pairs    []*pair
 	followed []int // accounts whose gaps are followed
 	busy     []float64
@@ -46,11 +47,8 @@
 	for range f.shape.pools {
 		m.service = append(m.service, make([]float64, n))
 		m.waiting = append(m.waiting, make([]int, n))
-		running := make([]map[*request]bool, n)
-		for i := range running {
-			running[i] = map[*request]bool{}
-		}
-		m.running = append(m.running, running)
+		m.running = append(m.running, make([][]*request, n))
+		m.owed = append(m.owed, 0)
 		m.busy = append(m.busy, 0)
 		m.able = append(m.able, 0)
 		m.idleRun = append(m.idleRun, 0)
@@ -70,11 +68,14 @@
 	return m
 }
 
-func (m *measures) arrived(r *request) { m.waiting[r.pool][r.account]++ }
+func (m *measures) arrived(r *request) {
+	m.waiting[r.pool][r.account]++
+	m.owed[r.pool] += m.f.whole(r)
+}
 
 func (m *measures) started(r *request) {
 	m.waiting[r.pool][r.account]--
-	m.running[r.pool][r.account][r] = true
+	m.running[r.pool][r.account] = append(m.running[r.pool][r.account], r)
 	wait := m.f.now - r.came
 	m.longest = max(m.longest, wait)
 	if m.f.shape.accounts[r.account].small {
@@ -83,7 +84,7 @@
 }
 
 func (m *measures) finished(r *request) {
-	delete(m.running[r.pool][r.account], r)
+	m.stopped(r)
 	m.service[r.pool][r.account] += r.cost
 	m.largest = max(m.largest, r.cost)
 	m.ended++
@@ -92,15 +93,36 @@
 // cancelled ends a running request whose router restarted; what it had
 // received counts as service.
 func (m *measures) cancelled(r *request) {
-	delete(m.running[r.pool][r.account], r)
+	m.stopped(r)
 	m.service[r.pool][r.account] += m.received(r)
 }
 
+func (m *measures) stopped(r *request) {
+	running := m.running[r.pool][r.account]
+	i := slices.Index(running, r)
+	m.running[r.pool][r.account] = slices.Delete(running, i, i+1)
+	m.owed[r.pool] -= m.f.whole(r)
+}
+
 func (m *measures) dropped(r *request) {
 	m.waiting[r.pool][r.account]--
+	m.owed[r.pool] -= m.f.whole(r)
 	m.lost++
 }
 
+// left is how long one slot takes for all that waits and runs.
+func (m *measures) left(pool int) time.Duration {
+	left := m.owed[pool]
+	for _, running := range m.running[pool] {
+		for _, r := range running {
+			if r.serving {
+				left -= m.f.now - r.began
+			}
+		}
+	}
+	return left
+}
+
 func (m *measures) received(r *request) float64 {
 	if !r.serving {
 		return 0
@@ -111,7 +133,7 @@
 // normalised is the service that an account has received up to now.
 func (m *measures) normalised(p, a int) float64 {
 	s := m.service[p][a]
-	for r := range m.running[p][a] {
+	for _, r := range m.running[p][a] {
 		s += m.received(r)
 	}
 	return s / m.f.shape.accounts[a].share
