--- /dev/null
+++ b/coordination/rollout/schedule.go
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// This file defines Schedule, which share of a pool's requests its rollout's target gets when,
+// and when the rollout ends.
+
+// Parts of the time between the order and its deadline, weighed in docs/design/rollouts.md.
+const (
+	// trialPart is when the target gets all requests if it is good: what turns bad after some
+	// seconds is seen before, and 1 s of all requests and the end of what runs on the old
+	// servers still fit in.
+	trialPart = 0.6
+	// latestPart is when it is decided at the latest whether it gets them.
+	latestPart = 0.78
+	// completePart is when a rollout that has switched is complete at the latest: the log takes
+	// some 100 ms, and a new leader may have to come first.
+	completePart = 0.88
+)
+
+// fullTime is for how long the target must have had all requests before a rollout is complete:
+// what only all of them show is seen in some 100 ms. Chosen, not measured.
+const fullTime = time.Second
+
+// stopTime is how long it takes from a switch until the leader has seen that the target is bad
+// and the gateways send it nothing any more: an answer, a report (registry.ReportPeriod), a
+// step of the leader, two ways on the network. Chosen, with the delays of those.
+const stopTime = 450 * time.Millisecond
+
+// The trial.
+const (
+	// trialOfBound is the share in the trial, as a part of Bounds.Share: 0.04 of 0.1.
+	trialOfBound = 0.4
+	// leastOfBound is the least share, as a part of Bounds.Share.
+	leastOfBound = 0.2
+	// mostShare is the most, where few requests come, so that the old version gets as many to
+	// compare with.
+	mostShare = 0.5
+	// enoughSent is how many requests in a trial are enough on each route: 5 % of failures are
+	// seen in 150 to 300 answers (TestModel).
+	enoughSent = 300
+	// usedBudget is the part of what the bound allows that a trial plans to use.
+	usedBudget = 0.85
+	// enoughKnown is how many good answers make a route good: after 16 without a failure one
+	// that fails 20 % of them is out of the question by 35 to 1.
+	enoughKnown = 16
+	// suspicion is Page's sum from which a switch waits: about one failure.
+	suspicion = 3.5
+	// suspicionLate is the sum from which there is no switch at the latest moment.
+	suspicionLate = 7
+	// rareSent is up to how many requests a route may stay untried.
+	rareSent = 10
+)
+
+// rateTime is over how long the rate of requests is averaged. Chosen, not measured.
+const rateTime = time.Second
+
+// Ending is what becomes of a rollout under way. The zero value is no end.
+type Ending uint8
+
+// The endings.
+const (
+	GoOn     Ending = iota
+	Complete        // the old servers may stop
+	RollBack        // the target's servers get nothing any more
+)
+
+// Observed is what the leader knows at one moment.
+type Observed struct {
+	Elapsed time.Duration // since the order, at least
+	// Totals are the outcomes by route since the rollout began.
+	Totals map[string]*Pair
+	// Informed is whether all gateways in touch have reported, or have had the time.
+	Informed bool
+	// OldIdle is whether all gateways obey the switch and nothing runs on the old servers.
+	OldIdle bool
+}
+
+// Decision is what is to be done until the next step.
+type Decision struct {
+	Ending  Ending
+	Share   float64            // of all requests
+	Routes  map[string]float64 // by route, where it is not Share
+	Why     string             // for the log
+	Grounds Grounds
+	Sent    uint64 // to the target
+	Of      uint64 // requests of the pool
+}
+
+// Schedule is one rollout under way. It is used by one goroutine.
+type Schedule struct {
+	Duration time.Duration
+	Bounds   Bounds
+
+	evidence evidence
+	last     time.Duration // of the last step
+	begun    bool
+	switched time.Duration // when the target got all requests; 0: not yet
+	rate     rateMeter
+	decided  Decision // the last one
+}
+
+// rateMeter averages the rate of requests.
+type rateMeter struct {
+	sent    uint64
+	weight  float64 // seconds
+	counted float64
+	begun   bool
+}
+
+func (m *rateMeter) step(passed time.Duration, sent uint64) {
+	if m.begun {
+		kept := math.Exp(-passed.Seconds() / rateTime.Seconds())
+		m.weight = m.weight*kept + passed.Seconds()
+		m.counted = m.counted*kept + rise(m.sent, sent)
+	}
+	m.begun, m.sent = true, max(m.sent, sent)
+}
+
+// perSecond returns the rate, and whether it is known.
+func (m *rateMeter) perSecond() (rate float64, known bool) {
+	if m.weight < 0.25 { // seconds; chosen, not measured
+		return 0, false
+	}
+	return m.counted / m.weight, true
+}
+
+// Switched reports whether the target was given all requests.
+func (s *Schedule) Switched() bool { return s.switched > 0 }
+
+// Step takes what is known now and returns what is to be done.
+func (s *Schedule) Step(o Observed) Decision {
+	passed := max(o.Elapsed-s.last, 0)
+	s.last = o.Elapsed
+	d := Decision{}
+	for _, p := range o.Totals {
+		d.Sent += p.Target.Sent
+		d.Of += p.Target.Sent + p.Old.Sent
+	}
+	s.rate.step(passed, d.Of)
+	s.evidence.step(passed, o.Totals, s.Switched())
+	d.Grounds = s.evidence.worst()
+	switch {
+	case d.Grounds.Sum >= alarm:
+		d.Ending, d.Why = RollBack, "bad answers"
+	case !o.Informed:
+		d.Why = "reports are awaited"
+	case s.Switched():
+		s.finish(o, &d)
+	default:
+		s.try(o, &d)
+	}
+	s.decided = d
+	return d
+}
+
+// finish decides after the switch.
+func (s *Schedule) finish(o Observed, d *Decision) {
+	d.Share = 1
+	full := o.Elapsed-s.switched >= min(fullTime, s.Duration/8)
+	switch {
+	case o.Elapsed >= s.at(completePart):
+		d.Ending, d.Why = Complete, "the time is nearly over"
+	case full && o.OldIdle && d.Grounds.Sum < suspicion:
+		d.Ending, d.Why = Complete, "nothing runs on the old servers"
+	default:
+		d.Why = "all requests"
+	}
+}
+
+func (s *Schedule) at(part float64) time.Duration {
+	return time.Duration(part * float64(s.Duration))
+}
+
+// try decides before the switch.
+func (s *Schedule) try(o Observed, d *Decision) {
+	rate, known := s.rate.perSecond()
+	good := s.good(o, d)
+	late := o.Elapsed >= s.at(latestPart)
+	reserve := s.allowed(d.Of)-float64(d.Sent) >= rate*stopTime.Seconds()
+	few := known && d.Grounds.Sum < suspicionLate && s.fits(rate, o.Elapsed, d)
+	switch {
+	case o.Elapsed >= s.at(trialPart) && good && (reserve || late):
+		s.switchAll(o, d, "good answers")
+	case late && few:
+		s.switchAll(o, d, "few requests, and nothing speaks against it")
+	case late:
+		d.Ending, d.Why = RollBack, "too little is known in time"
+	default:
+		s.share(o, d, rate, known)
+	}
+}
+
+func (s *Schedule) switchAll(o Observed, d *Decision, why string) {
+	s.switched = max(o.Elapsed, 1)
+	d.Share, d.Why = 1, why
+}
+
+// allowed returns how many requests a bad version may have had of as many in all.
+func (s *Schedule) allowed(of uint64) float64 {
+	return s.Bounds.Share*float64(of) + s.Bounds.Slack
+}
+
+// fits reports whether all requests until the deadline may go to a bad version.
+func (s *Schedule) fits(rate float64, elapsed time.Duration, d *Decision) bool {
+	rest := rate * (s.Duration - elapsed).Seconds()
+	return float64(d.Sent)+rest <= s.allowed(d.Of+uint64(rest))
+}
+
+// good reports whether each route was tried and nothing speaks against the target.
+func (s *Schedule) good(o Observed, d *Decision) bool {
+	late := o.Elapsed >= s.at(latestPart)
+	if d.Grounds.Sum >= suspicion && !late || d.Grounds.Sum >= suspicionLate || d.Grounds.Known < enoughKnown {
+		return false
+	}
+	for _, p := range o.Totals {
+		known, all := p.Target.known(), p.Target.Sent+p.Old.Sent
+		if known < enoughKnown && !late && all > rareSent || known == 0 && all > rareSent {
+			return false
+		}
+	}
+	return true
+}
+
+// share sets the shares of a trial.
+func (s *Schedule) share(o Observed, d *Decision, rate float64, known bool) {
+	d.Share, d.Why = trialOfBound*s.Bounds.Share, "trial"
+	if !known || rate == 0 {
+		return
+	}
+	until := max(s.at(trialPart)-o.Elapsed, stopTime).Seconds()
+	budget := usedBudget * (s.allowed(d.Of+uint64(rate*until)) - rate*stopTime.Seconds())
+	wanted := max(d.Share, float64(enoughSent*len(o.Totals))/(float64(d.Of)+rate*until))
+	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*s.Bounds.Share)
+	if float64(d.Sent)+d.Share*rate*stopTime.Seconds() > s.allowed(d.Of) {
+		d.Share, d.Why = 0, "the bound is used up"
+		return
+	}
+	d.Routes = divide(o.Totals, d.Share)
+}
+
+// divide gives each route as many requests as the others where the share of all allows it, so
+// that a route with few is tried as well. No route gets more than mostShare.
+func divide(totals map[string]*Pair, share float64) map[string]float64 {
+	if len(totals) < 2 {
+		return nil
+	}
+	routes := slices.Sorted(maps.Keys(totals))
+	sent := func(r string) float64 { return float64(totals[r].Target.Sent + totals[r].Old.Sent) }
+	slices.SortStableFunc(routes, func(a, b string) int {
+		switch x, y := sent(a), sent(b); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	left := 0.0
+	for _, r := range routes {
+		left += share * sent(r)
+	}
+	shares := map[string]float64{}
+	for i, r := range routes {
+		part := min(left/float64(len(routes)-i), mostShare*sent(r))
+		left -= part
+		if sent(r) > 0 {
+			shares[r] = part / sent(r)
+		}
+	}
+	return shares
+}
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -112,7 +112,8 @@
 	}},
 	Announced{Seq: 97},
 	Rollouts{Term: 106, Seq: 107, List: []Rollout{
-		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"}},
+		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"},
+			Routes: []RouteShare{{Route: "chat", Share: 0.5}}},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
 }
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -12,13 +12,23 @@
 	Attempt uint64 `cbor:"2,keyasint,omitempty"`
 	// Target is the version that the rollout under way moves requests to; empty if none is.
 	Target string `cbor:"3,keyasint,omitempty"`
-	// Share is the part of the pool's requests that goes to Target, 0 to 1.
+	// Share is the part of the pool's requests that goes to Target, 0 to 1, on routes that
+	// Routes does not have.
 	Share float64 `cbor:"4,keyasint,omitempty"`
 	// Barred are versions whose servers get nothing, because they were rolled back.
 	Barred []string `cbor:"5,keyasint,omitempty"`
 	// Replaced are versions that a complete rollout has replaced: their servers get nothing
 	// while the pool has any other.
 	Replaced []string `cbor:"6,keyasint,omitempty"`
+	// Routes are other shares by route, so that a route with few requests is tried as well.
+	Routes []RouteShare `cbor:"7,keyasint,omitempty"`
+}
+
+// RouteShare is the part of one route's requests that goes to a rollout's target.
+type RouteShare struct {
+	_     struct{} `cbor:",toarray"`
+	Route string
+	Share float32
 }
 
 // Rollouts is sent by the leader to every gateway when its session opens and with each
