Gateway: which versions a request may go to, and what is counted of them

Cause: gateways sent to all versions of a pool by load, and counted nothing by version. Change: versions.go sorts a pool's servers by version once for each list, so that a choice costs one AND; a lot by route; retries go to the old version before the switch; the share is in force while the leader counts reports; outcomes.go has the totals for the leader, and stops a target by itself after four bad answers in a row.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -239,6 +239,7 @@
 			return callerLeft{}
 		}
 		c.assigned = a
+		c.g.stats.countVersion(c.pool.Name, &a.tried)
 		out := c.attempt(ctx, a)
 		if out.execution == retry.Answered {
 			return nil
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -27,7 +27,8 @@
 	repeat   bool            // may run more than once
 	avoid    map[string]bool // backend servers that had the request already
 	gateways int
-	random   float64 // from 0 to 1
+	random   float64  // from 0 to 1
+	versions versions // the servers' versions that the choice under way is among
 }
 
 // choiceRequest translates them for package place.
@@ -49,6 +50,7 @@
 	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
 	opened      time.Duration // the connection; 0: it got none
 	trial       bool          // of an ejected server
+	tried       tried         // of a pool that had a rollout
 	answering   bool          // a part of the answer has come
 	ended       bool
 }
@@ -70,18 +72,30 @@
 // nil and why. The caller holds mu.
 func (t *table) acquire(now time.Duration, req requirements) (*assignment, shortage) {
 	p := t.pool(req.pool.Name)
+	order := t.order(p, now, &req)
+	a, full, found := t.acquireOf(p, now, req, order.first, order.why)
+	if a != nil || order.second == 0 || (order.ifNone && found) {
+		return a, full
+	}
+	a, full, _ = t.acquireOf(p, now, req, order.second, order.otherwise)
+	return a, full
+}
+
+// acquireOf does so among some versions, and reports whether there was a candidate.
+func (t *table) acquireOf(p *pool, now time.Duration, req requirements, among versions, why string) (a *assignment, full shortage, found bool) {
+	req.versions = among
 	choice := p.placer.Choose(req.choiceRequest(), t.view(p, now, &req))
 	switch {
 	case choice.Index < 0:
-		return nil, shortage{halls: t.allOut(p)}
+		return nil, shortage{halls: t.allOut(p)}, false
 	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
 		return nil, shortage{
 			server: k.ID, bound: choice.Bound, requests: choice.Before.Requests, tokens: choice.Before.Tokens,
 			slowness: choice.Slowness, learned: p.placer.Learned(), age: now - k.othersAt,
-		}
+		}, true
 	}
-	return p.assign(now, choice), shortage{}
+	return p.assign(now, choice, &req, why), shortage{}, true
 }
 
 // allOut returns the data halls that are out of service, if all servers of the pool are in
@@ -102,11 +116,17 @@
 // that have room, or nil. The caller holds mu.
 func (t *table) acquireWithRoom(now time.Duration, req requirements) *assignment {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, &req))
-	if choice.Index < 0 {
-		return nil
+	order := t.order(p, now, &req)
+	for i, among := range []versions{order.first, order.second} {
+		req.versions = among
+		if among == 0 || (i > 0 && order.ifNone && t.anyUsable(p, now, order.first)) {
+			continue
+		}
+		if choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, &req)); choice.Index >= 0 {
+			return p.assign(now, choice, &req, []string{order.why, order.otherwise}[i])
+		}
 	}
-	return p.assign(now, choice)
+	return nil
 }
 
 // expectedFirst returns how long a server that runs nothing else is expected to need
@@ -133,14 +153,14 @@
 }
 
 // assign counts a request at the chosen backend server.
-func (p *pool) assign(now time.Duration, choice place.Choice) *assignment {
+func (p *pool) assign(now time.Duration, choice place.Choice, req *requirements, why string) *assignment {
 	k := p.servers[choice.Index]
 	k.own.Requests++
 	k.own.Tokens += choice.Read
 	k.cold = k.cold.WithBegun(now)
 	return &assignment{
 		known: k, server: k.ID, address: k.Address, tokens: choice.Read, began: now,
-		tokensAhead: choice.Before.Tokens, trial: k.health.Sent(now),
+		tokensAhead: choice.Before.Tokens, trial: k.health.Sent(now), tried: p.begin(k, req, choice, why),
 	}
 }
 
@@ -158,7 +178,9 @@
 	p := g.table.pool(a.known.Pool)
 	// A gateway that is late itself would take its own lateness for the servers'.
 	if !g.overload.Load().Late(g.now()) {
-		a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst))
+		ratio := p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst)
+		a.known.pace.Observe(ratio)
+		a.countPace(g.now(), ratio)
 	}
 }
 
@@ -198,8 +220,8 @@
 	if !a.answering {
 		k.own.Tokens -= a.tokens
 	}
-	g.table.countOutcome(a)
 	p := g.table.pool(k.Pool)
+	g.countOutcome(p, a, v)
 	if v == outlier.Refused || v == outlier.Answered {
 		p.placer.ObserveAnswer(v == outlier.Refused)
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -106,6 +106,7 @@
 		attrs = append(attrs, slog.String("backend", a.server), slog.Int("tokens_ahead", a.tokensAhead),
 			slog.Int("tokens_read", a.tokens), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
 			milliseconds("queued_ms", a.began-c.arrived), milliseconds("first_ms", a.untilFirst))
+		attrs = append(attrs, a.tried.logAttrs()...)
 	}
 	if r := c.relay; r != nil && r.passed > 0 {
 		attrs = append(attrs, slog.Int("pieces", r.passed), slog.String("last_event", r.lastEventID),
--- /dev/null
+++ b/gateway/outcomes.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines what is counted of the answers of a pool's versions for the leader's
+// verdict, and what the gateway does by itself about a bad one. All is guarded by table.mu.
+
+// tally counts how the attempts at one version on one route ended.
+type tally struct {
+	sent, answered, failed uint64
+	paces                  [rollout.PaceBuckets]uint32
+	changed                bool // since it was reported
+}
+
+// outcomes are the tallies of one attempt of a pool's rollouts. The zero value has none.
+type outcomes struct {
+	tallies map[tallyKey]*tally
+}
+
+type tallyKey struct{ version, route string }
+
+// maxTallies bounds the tallies of one pool: a few versions on some routes. Chosen, not
+// measured.
+const maxTallies = 256
+
+func (o *outcomes) of(version, route string) *tally {
+	key := tallyKey{version, route}
+	if t := o.tallies[key]; t != nil {
+		return t
+	}
+	if o.tallies == nil {
+		o.tallies = map[tallyKey]*tally{}
+	}
+	if len(o.tallies) >= maxTallies {
+		return &tally{}
+	}
+	t := &tally{}
+	o.tallies[key] = t
+	return t
+}
+
+// beginOutcomes has the first report of a session carry all. Shares are in force again once
+// the leader has counted a report. The caller holds mu.
+func (t *table) beginOutcomes() {
+	t.sharesUntil = 0
+	for _, p := range t.pools {
+		if p.rollout == nil {
+			continue
+		}
+		for _, c := range p.rollout.outcomes.tallies {
+			c.changed = true
+		}
+	}
+}
+
+// endShares ends the shares with the session that gave them.
+func (t *table) endShares() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sharesUntil = 0
+}
+
+// takeOutcomes returns what a report says of rollouts: the outcomes that have changed since
+// the last one, and the number of the newest list that is obeyed.
+func (t *table) takeOutcomes() (out []protocol.Outcomes, obeyed uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.pools {
+		if p.rollout == nil || !p.rollout.underWay() {
+			continue
+		}
+		for key, c := range p.rollout.outcomes.tallies {
+			if c.changed {
+				c.changed = false
+				out = append(out, c.report(name, p.rollout.Attempt, key))
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b protocol.Outcomes) int {
+		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Version, b.Version), strings.Compare(a.Route, b.Route))
+	})
+	return out, t.rollouts.seq
+}
+
+func (c *tally) report(pool string, attempt uint64, key tallyKey) protocol.Outcomes {
+	paces := c.paces[:]
+	for len(paces) > 0 && paces[len(paces)-1] == 0 {
+		paces = paces[:len(paces)-1]
+	}
+	return protocol.Outcomes{
+		Pool: pool, Attempt: attempt, Version: key.version, Route: key.route,
+		Sent: c.sent, Answered: c.answered, Failed: c.failed, Paces: slices.Clone(paces),
+	}
+}
+
+// countPace counts how long an answer took to begin. Cold servers are slow for that.
+func (a *assignment) countPace(now time.Duration, ratio float64) {
+	if c := a.tried.tally; c != nil && !a.known.cold.Cold(now) {
+		c.paces[rollout.PaceBucket(ratio)]++
+		c.changed = true
+	}
+}
+
+// countOutcome counts how an attempt ended. One that had brought nothing when its time was
+// over took that time at least. The caller holds mu.
+func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) {
+	c := a.tried.tally
+	if c == nil {
+		return
+	}
+	switch v {
+	case outlier.Answered:
+		c.answered++
+	case outlier.Faulty, outlier.Lost:
+		c.failed++
+	case outlier.NoVerdict:
+		took := g.now() - a.began
+		if !a.answering && took > a.tried.expected && !g.overload.Load().Late(g.now()) {
+			a.countPace(g.now(), float64(took)/float64(a.tried.expected))
+		}
+		return
+	default:
+		return
+	}
+	c.changed = true
+	if r := p.rollout; r.Attempt == a.tried.attempt {
+		r.mistrust = r.mistrust.with(g.now(), a.tried.target, v != outlier.Answered)
+	}
+}
+
+// Mistrust: chosen, not measured.
+const (
+	badInARow   = 4               // of the target's answers; of a version that fails 20 % one of 600
+	mistrustFor = 2 * time.Second // that the target gets nothing from this gateway
+)
+
+// mistrust is what this gateway itself has seen of the target, so that a bad version stops
+// here before the leader has summed up. The zero value has seen nothing.
+type mistrust struct {
+	target, old int // bad answers in a row
+	until       time.Duration
+}
+
+func (m mistrust) holds(now time.Duration) bool { return now < m.until }
+
+// with returns the mistrust after one more answer.
+func (m mistrust) with(now time.Duration, target, bad bool) mistrust {
+	row := &m.old
+	if target {
+		row = &m.target
+	}
+	if !bad {
+		*row = 0
+		return m
+	}
+	*row++
+	if m.target >= badInARow && m.old == 0 {
+		m.target, m.until = 0, now+mistrustFor
+	}
+	return m
+}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -21,9 +21,33 @@
 	histograms map[histogramKey]*metrics.Histogram
 }
 
-// counterKey is a counter's name and its one label.
+// counterKey is a counter's name and its one label, or its pool and version.
 type counterKey struct{ name, label, value string }
 
+// otherVersion is the label of all versions but a rollout's target: servers may announce any.
+const otherVersion = "other"
+
+// countVersion counts an attempt in a pool that has a rollout under way, by its version. The
+// names of targets come from operators.
+func (s *stats) countVersion(pool string, t *tried) {
+	if t.tally == nil {
+		return
+	}
+	version := otherVersion
+	if t.target {
+		version = t.version
+	}
+	key := counterKey{"version_requests", pool, version}
+	s.mu.Lock()
+	c := s.counters[key]
+	if c == nil {
+		c = s.set.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_version_requests_total{pool=%q,version=%q}", pool, version))
+		s.counters[key] = c
+	}
+	s.mu.Unlock()
+	c.Inc()
+}
+
 // histogramKey is a histogram's name and the values of its labels.
 type histogramKey struct{ name, account, route string }
 
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -29,8 +29,9 @@
 	others   place.Work // of all but this gateway, as of othersAt
 	othersAt time.Duration
 	cold     coldstart.Allowance
-	list     uint64 // number of the last whole list that had it, itself or by a change since
-	unlisted bool   // a complete list of the directory lacked it
+	list     uint64   // number of the last whole list that had it, itself or by a change since
+	unlisted bool     // a complete list of the directory lacked it
+	versions versions // its version, as the pool's rollout has it
 }
 
 // reportsKept is how many of the last reports are kept, to be taken from the sums that
@@ -62,6 +63,9 @@
 	hallsOut    map[string]bool // data halls whose servers get nothing
 	hallChanges uint64          // as of which
 	leased      time.Duration   // until when this gateway's shares of cold servers are in force
+
+	rollouts    rolloutList   // that is obeyed
+	sharesUntil time.Duration // until when its shares are in force
 }
 
 // pool is the backend servers of one name with what waits for them.
@@ -71,6 +75,7 @@
 	placer   place.RoomPlacer
 	failures outlier.PoolRate
 	viewed   []place.Server // the last view; kept for its memory
+	rollout  *poolRollout   // nil: the pool had none
 }
 
 func newTable(gateway, hall string, now func() time.Duration) *table {
@@ -116,6 +121,7 @@
 	if m.Complete {
 		t.markUnlisted()
 	}
+	t.sortVersions()
 	return joined, left
 }
 
@@ -144,6 +150,7 @@
 func (t *table) beginSession() {
 	t.lists++
 	t.reports = nil
+	t.beginOutcomes()
 	for _, k := range t.servers {
 		k.all = place.Work{}
 	}
@@ -163,7 +170,7 @@
 	if other := t.at[s.Address]; other != nil {
 		t.remove(other.ID)
 	}
-	k = &knownServer{Server: s, list: t.lists}
+	k = &knownServer{Server: s, list: t.lists, versions: anyVersion}
 	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
@@ -233,6 +240,7 @@
 		if r.seq == counted {
 			t.subtract(r.loads)
 			t.leased = max(t.leased, r.at+coldstart.Lease)
+			t.sharesUntil = max(t.sharesUntil, r.at+sharesLease)
 		}
 	}
 }
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -2,21 +2,264 @@
 
 package gateway
 
-import "github.com/badgerspoke/badgerspoke/protocol"
+import (
+	"cmp"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
 
 // This file defines which versions of a pool's backend servers a request may go to while the
-// pool has a rollout, and what is counted of the answers for the leader's verdict.
+// pool has a rollout. What is counted of the answers is in outcomes.go.
+
+// sharesLease is for how long a share is in force after the report by which it was last
+// renewed: the leader has counted it. It is twice the longest pause between two of the leader's
+// sums and some reports. Chosen, not measured.
+const sharesLease = 2 * time.Second
+
+// versions is a set of kinds of server, by their version.
+type versions uint8
+
+// The kinds. A server that is barred, or replaced while there is another, is of none.
+const (
+	oldVersion    versions = 1 << iota // any but the target
+	trialVersion                       // those of the target that a trial goes to
+	targetVersion                      // all of the target
+)
+
+// anyVersion is a server of a pool without a rollout, or any server.
+const anyVersion = oldVersion | trialVersion | targetVersion
+
+// rolloutList names a list of rollouts.
+type rolloutList struct{ term, seq uint64 }
+
+// poolRollout is a pool's rollouts, as the directory's newest list has them.
+type poolRollout struct {
+	protocol.Rollout
+	routes    map[string]float64 // shares
+	switched  bool               // the target was given all requests last
+	oldListed bool               // a server of the old version is listed, in a hall in service
+	outcomes  outcomes
+	mistrust  mistrust
+}
+
+// underWay reports whether there is a target that may have requests.
+func (r *poolRollout) underWay() bool {
+	return r.Target != "" && !slices.Contains(r.Barred, r.Target)
+}
+
+// share returns the part of a route's requests that goes to the target.
+func (r *poolRollout) share(route string) float64 {
+	if share, ok := r.routes[route]; ok {
+		return share
+	}
+	return r.Share
+}
 
-// updateRollouts takes the directory's list of rollouts.
-func (t *table) updateRollouts(protocol.Rollouts) {}
+// updateRollouts takes the directory's list of rollouts and returns those that have changed.
+// An older list than the one held changes nothing, nor does an older attempt.
+func (t *table) updateRollouts(m protocol.Rollouts) (changed []protocol.Rollout) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := rolloutList{m.Term, m.Seq}
+	if list.term < t.rollouts.term || (list.term == t.rollouts.term && list.seq <= t.rollouts.seq) {
+		return nil
+	}
+	t.rollouts = list
+	for _, next := range m.List {
+		if t.pool(next.Pool).take(next) {
+			changed = append(changed, next)
+		}
+	}
+	t.sortVersions()
+	return changed
+}
 
-// takeOutcomes returns what a report says of rollouts: the outcomes that have changed since
-// the last one, and the number of the newest list that is obeyed.
-func (t *table) takeOutcomes() (outcomes []protocol.Outcomes, obeyed uint64) { return nil, 0 }
+// take takes the pool's rollout and reports whether it is another than before.
+func (p *pool) take(next protocol.Rollout) bool {
+	r := p.rollout
+	if r == nil {
+		r = &poolRollout{}
+		p.rollout = r
+	}
+	if next.Attempt < r.Attempt {
+		return false
+	}
+	// What a leader has barred before the log had it stays barred: the next leader may not
+	// know. Only the log's end of this attempt, or another attempt, says otherwise.
+	if next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
+		!slices.Contains(next.Barred, next.Target) {
+		next.Barred = append(slices.Clone(next.Barred), next.Target)
+	}
+	if next.Attempt != r.Attempt {
+		r.outcomes, r.mistrust = outcomes{}, mistrust{}
+	}
+	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
+		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
+	r.Rollout, r.switched = next, next.Share >= 1
+	r.routes = make(map[string]float64, len(next.Routes))
+	for _, s := range next.Routes {
+		r.routes[s.Route] = float64(s.Share)
+	}
+	return !same
+}
+
+// sortVersions sorts the servers of pools that had a rollout by their versions, so that no
+// choice has to compare names. The caller holds mu.
+func (t *table) sortVersions() {
+	for _, p := range t.pools {
+		if p.rollout != nil {
+			p.sortVersions(t.hallsOut)
+		}
+	}
+}
+
+func (p *pool) sortVersions(hallsOut map[string]bool) {
+	r := p.rollout
+	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return !slices.Contains(r.Barred, k.Version) && !slices.Contains(r.Replaced, k.Version)
+	})
+	var target []*knownServer
+	r.oldListed = false
+	for _, k := range p.servers {
+		k.versions = 0
+		switch {
+		case slices.Contains(r.Barred, k.Version):
+		case r.Target != "" && k.Version == r.Target:
+			k.versions = targetVersion
+			if !hallsOut[k.Hall] {
+				target = append(target, k)
+			}
+		case other && slices.Contains(r.Replaced, k.Version):
+		default:
+			k.versions = oldVersion
+			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
+		}
+	}
+	for _, k := range trialServers(target, r.Share) {
+		k.versions |= trialVersion
+	}
+}
+
+// trialServers returns the target's servers that a trial goes to: as many as the share is of
+// all, so that each has the load that an old one has. All gateways choose the same.
+func trialServers(target []*knownServer, share float64) []*knownServer {
+	if len(target) == 0 {
+		return nil
+	}
+	n := max(int(math.Round(share*float64(len(target)))), 1)
+	slices.SortFunc(target, func(a, b *knownServer) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(a.ID), xxh3.HashString(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return target[:min(n, len(target))]
+}
+
+// order is which versions a request may go to, one after the other.
+type order struct {
+	first, second  versions // second may be none
+	ifNone         bool     // second only if first has no candidate at all, not for want of room
+	why, otherwise string   // why the request goes there, for the log
+}
+
+// Why a request went to a version.
+const (
+	byNone    = ""               // the pool has no rollout under way
+	byShare   = "share"          // by lot
+	byRest    = "rest"           // by lot to the old version
+	byRetry   = "retry"          // it failed once
+	byRoom    = "no room"        // the target's servers in the trial have none
+	byLease   = "no lease"       // the leader's shares are not in force
+	byOwn     = "bad answers"    // this gateway's own experience
+	byAll     = "switched"       // the target gets all requests
+	byNoUse   = "none usable"    // of the target's servers
+	byOldGone = "old gone"       // no server of the old version is listed
+	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
+)
+
+// order returns which versions a request may go to. The caller holds mu.
+func (t *table) order(p *pool, now time.Duration, req *requirements) order {
+	r := p.rollout
+	switch {
+	case r == nil || !r.underWay():
+		return order{first: anyVersion, why: byNone}
+	case !r.oldListed:
+		return order{first: anyVersion, why: byOldGone}
+	case now >= t.sharesUntil:
+		o := order{first: oldVersion, why: byLease}
+		if r.switched && len(req.avoid) > 0 { // the old servers may have stopped
+			o.second, o.otherwise = targetVersion, byRetry
+		}
+		return o
+	case r.mistrust.holds(now):
+		return order{first: oldVersion, why: byOwn}
+	case r.switched:
+		return order{first: targetVersion, why: byAll, second: oldVersion, ifNone: true, otherwise: byNoUse}
+	case len(req.avoid) > 0:
+		return order{first: oldVersion, why: byRetry}
+	case lot(req.random) < r.share(req.route.Name):
+		return order{first: trialVersion, why: byShare, second: oldVersion, otherwise: byRoom}
+	}
+	return order{first: oldVersion, why: byRest}
+}
+
+// lot returns a number from 0 to 1 that does not depend on the first digits of random, which
+// choose among servers.
+func lot(random float64) float64 {
+	_, rest := math.Modf(random * lotParts)
+	return rest
+}
+
+// anyUsable reports whether a server of some versions may have requests now. The caller holds
+// mu.
+func (t *table) anyUsable(p *pool, now time.Duration, among versions) bool {
+	leased := now < t.leased
+	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased)
+	})
+}
 
 // mayHaveVersion reports whether a request may go to a server by the server's version. The
 // caller holds mu.
-func (t *table) mayHaveVersion(*requirements, *knownServer) bool { return true }
+func (t *table) mayHaveVersion(req *requirements, k *knownServer) bool {
+	return req.versions&k.versions != 0
+}
+
+// tried is what an attempt counts for, while its pool has a rollout.
+type tried struct {
+	tally    *tally // nil: not counted
+	attempt  uint64 // of the pool's rollouts
+	version  string
+	target   bool
+	why      string
+	expected time.Duration // until the first part of the answer
+}
+
+// begin counts an attempt that begins.
+func (p *pool) begin(k *knownServer, req *requirements, choice place.Choice, why string) tried {
+	r := p.rollout
+	if r == nil {
+		return tried{}
+	}
+	t := tried{version: k.Version, why: why, attempt: r.Attempt, target: r.Target != "" && k.Version == r.Target}
+	if r.underWay() {
+		t.tally = r.outcomes.of(k.Version, req.route.Name)
+		t.tally.sent++
+		t.tally.changed = true
+		t.expected = p.placer.ExpectedFirst(req.pool.Engine, choice.Read+choice.Before.Tokens)
+	}
+	return t
+}
 
-// countOutcome counts how an attempt ended. The caller holds mu.
-func (t *table) countOutcome(*assignment) {}
+// logAttrs are the attributes of a request's last line.
+func (t *tried) logAttrs() []slog.Attr {
+	if t.why == "" && t.version == "" {
+		return nil
+	}
+	return []slog.Attr{slog.String("version", t.version), slog.String("version_for", t.why)}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -92,7 +92,8 @@
 	ctx, cancel := context.WithCancel(w.g.ctx)
 	defer cancel()
 	hello := protocol.Watch{
-		Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true, Region: w.g.cfg.Region,
+		Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true,
+		KnowsVersions: true, Region: w.g.cfg.Region,
 	}
 	if err := l.Send(ctx, hello); err != nil {
 		return false
@@ -139,6 +140,7 @@
 		return
 	}
 	w.connected = false
+	w.g.table.endShares()
 	w.g.cfg.Log.StateChange("directory lost", slog.String("leader", address), slog.String("error", err.Error()),
 		slog.Uint64("document", w.g.DocumentNumber()), slog.Int("backends", w.g.table.size()))
 }
@@ -165,7 +167,11 @@
 		}
 		w.g.grantAll()
 	case protocol.Rollouts:
-		w.g.table.updateRollouts(m)
+		for _, r := range w.g.table.updateRollouts(m) {
+			w.g.cfg.Log.StateChange("rollout share", slog.String("pool", r.Pool), slog.String("target", r.Target),
+				slog.Uint64("attempt", r.Attempt), slog.Float64("share", r.Share), slog.Any("barred", r.Barred),
+				slog.Any("replaced", r.Replaced), slog.Uint64("term", m.Term), slog.Uint64("seq", m.Seq))
+		}
 		w.g.grantAll()
 	case protocol.Counted:
 		w.counted = m.Seq
