Directory: the leader carries out rollouts

Cause: orders of rollouts were logged, and nothing moved requests. Change: directory/rollouts.go sums what gateways report, by run of a gateway, so that one that starts again loses nothing; has package rollout decide with each tick; sends shares at once, encoded once; notes in the log how far a rollout is and how it ends. A verdict bad is in force at gateways before the log has it. Complete waits until every gateway obeys the switch and no old server runs anything.

--- a/coordination/rollout/model_test.go
+++ b/coordination/rollout/model_test.go
@@ -12,11 +12,11 @@
 	"time"
 )
 
-// This file defines model, a pool with two versions under a load, moved by the real
+// This file defines poolModel, a pool with two versions under a load, moved by the real
 // Schedule, with the delays of reports and of what gateways are sent.
 
 const (
-	modelTick = 10 * time.Millisecond
+	poolTick  = 10 * time.Millisecond
 	stepTicks = 10 // between two steps of the leader, as between two reports
 	// reportSteps and sendTicks are the delays of a report and of a share.
 	reportSteps, sendTicks = 1, 5
@@ -34,8 +34,8 @@
 
 func good(time.Duration, int, float64) quality { return quality{} }
 
-// model is one run.
-type model struct {
+// poolModel is one run.
+type poolModel struct {
 	duration    time.Duration
 	servers     int
 	perSecond   float64
@@ -45,7 +45,7 @@
 
 	rng     *rand.Rand
 	totals  map[string]*Pair
-	pending endings
+	pending dueList
 	running int // on old servers
 	decided []Decision
 	reports []map[string]*Pair
@@ -62,13 +62,13 @@
 	wasSlow bool
 }
 
-type endings []ending
+type dueList []ending
 
-func (e endings) Len() int           { return len(e) }
-func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
-func (e *endings) Pop() any {
+func (e dueList) Len() int           { return len(e) }
+func (e dueList) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e dueList) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *dueList) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *dueList) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
@@ -86,7 +86,7 @@
 	why, worst string
 }
 
-func (m *model) run(seed uint64) result {
+func (m *poolModel) run(seed uint64) result {
 	m.rng = rand.New(rand.NewPCG(seed, 1))
 	m.totals, m.pending, m.running, m.decided, m.reports = map[string]*Pair{}, nil, 0, nil, nil
 	s := &Schedule{Duration: m.duration, Bounds: Bounds{Share: 0.1, Slack: 50, Stop: 5 * time.Second}}
@@ -94,8 +94,8 @@
 	bad, fiftieth := 0, time.Duration(0)
 	var last time.Duration
 	inForce := Decision{}
-	for tick := 0; time.Duration(tick)*modelTick < m.duration; tick++ {
-		now := time.Duration(tick) * modelTick
+	for tick := 0; time.Duration(tick)*poolTick < m.duration; tick++ {
+		now := time.Duration(tick) * poolTick
 		if tick%stepTicks == 0 && (r.verdict == GoOn) {
 			m.reports = append(m.reports, m.snapshot())
 			seen := m.reports[max(len(m.reports)-1-reportSteps, 0)]
@@ -109,7 +109,9 @@
 			}
 		}
 		if tick%stepTicks == sendTicks && len(m.decided) > 0 {
-			inForce = m.decided[len(m.decided)-1]
+			if last := m.decided[len(m.decided)-1]; last.Ending != GoOn || last.Differs(inForce) {
+				inForce = last
+			}
 		}
 		bad += m.end(now)
 		if bad >= 50 && fiftieth == 0 {
@@ -124,7 +126,7 @@
 			}
 			return inForce.Share
 		}
-		for n := m.poisson(m.perSecond * modelTick.Seconds()); n > 0; n-- {
+		for n := m.poisson(m.perSecond * poolTick.Seconds()); n > 0; n-- {
 			route := m.route()
 			toTarget := m.rng.Float64() < share(route)
 			m.send(now, route, toTarget, inForce.Share)
@@ -142,9 +144,9 @@
 	return r
 }
 
-func (m *model) name(route int) string { return fmt.Sprint("r", route) }
+func (m *poolModel) name(route int) string { return fmt.Sprint("r", route) }
 
-func (m *model) route() int {
+func (m *poolModel) route() int {
 	x := m.rng.Float64()
 	for i, part := range m.routes {
 		if x < part {
@@ -156,7 +158,7 @@
 }
 
 // poisson draws how many requests come.
-func (m *model) poisson(mean float64) int {
+func (m *poolModel) poisson(mean float64) int {
 	n, p := 0, math.Exp(-mean)
 	for x := m.rng.Float64(); x > p; x *= m.rng.Float64() {
 		n++
@@ -164,7 +166,7 @@
 	return n
 }
 
-func (m *model) snapshot() map[string]*Pair {
+func (m *poolModel) snapshot() map[string]*Pair {
 	out := map[string]*Pair{}
 	for name, p := range m.totals {
 		c := *p
@@ -174,7 +176,7 @@
 }
 
 // send begins a request.
-func (m *model) send(now time.Duration, route int, toTarget bool, share float64) {
+func (m *poolModel) send(now time.Duration, route int, toTarget bool, share float64) {
 	p := m.totals[m.name(route)]
 	if p == nil {
 		p = &Pair{}
@@ -205,7 +207,7 @@
 }
 
 // end carries out what is due and returns how many answers of the target were bad.
-func (m *model) end(now time.Duration) (bad int) {
+func (m *poolModel) end(now time.Duration) (bad int) {
 	for len(m.pending) > 0 && m.pending[0].at <= now {
 		e := heap.Pop(&m.pending).(ending)
 		if e.pace >= 0 {
@@ -262,7 +264,7 @@
 						var when, sw time.Duration
 						why := map[string]int{}
 						for seed := range n {
-							m := &model{duration: d * time.Second, servers: servers, perSecond: rate, stream: stream, routes: threeRoutes, target: versions[name], old: good}
+							m := &poolModel{duration: d * time.Second, servers: servers, perSecond: rate, stream: stream, routes: threeRoutes, target: versions[name], old: good}
 							r := m.run(uint64(seed))
 							if r.verdict == RollBack {
 								back++
@@ -319,7 +321,7 @@
 			back, n := map[string]int{}, 1000
 			worst := 0.0
 			for seed := range n {
-				m := &model{duration: l.d * time.Second, servers: 60, perSecond: l.rate, routes: threeRoutes, target: both.does, old: both.does}
+				m := &poolModel{duration: l.d * time.Second, servers: 60, perSecond: l.rate, routes: threeRoutes, target: both.does, old: both.does}
 				r := m.run(uint64(seed))
 				if r.verdict == RollBack {
 					back[r.why]++
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -29,6 +29,10 @@
 // what only all of them show is seen in some 100 ms. Chosen, not measured.
 const fullTime = time.Second
 
+// leastFull is the same as a part of the duration of a short rollout: what is between
+// latestPart and completePart.
+const leastFull = completePart - latestPart
+
 // stopTime is how long it takes from a switch until the leader has seen that the target is bad
 // and the gateways send it nothing any more: an answer, a report (registry.ReportPeriod), a
 // step of the leader, two ways on the network. Chosen, with the delays of those.
@@ -94,6 +98,25 @@
 	Of      uint64 // requests of the pool
 }
 
+// hardly is the part by which a share may differ from the one that gateways were sent before
+// they are sent another: every message goes to every gateway. Chosen, not measured.
+const hardly = 0.2
+
+// Differs reports whether gateways have to be sent d's shares in place of those of before.
+func (d Decision) Differs(before Decision) bool {
+	if differ(d.Share, before.Share) || len(d.Routes) != len(before.Routes) {
+		return true
+	}
+	for route, share := range d.Routes {
+		if differ(share, before.Routes[route]) {
+			return true
+		}
+	}
+	return false
+}
+
+func differ(a, b float64) bool { return math.Abs(a-b) > hardly*b || (a == 1) != (b == 1) }
+
 // Schedule is one rollout under way. It is used by one goroutine.
 type Schedule struct {
 	Duration time.Duration
@@ -144,6 +167,9 @@
 		d.Sent += p.Target.Sent
 		d.Of += p.Target.Sent + p.Old.Sent
 	}
+	if !o.Informed {
+		s.rate = rateMeter{} // what comes now was sent at any time
+	}
 	s.rate.step(passed, d.Of)
 	s.evidence.step(passed, o.Totals, s.Switched())
 	d.Grounds = s.evidence.worst()
@@ -164,9 +190,9 @@
 // finish decides after the switch.
 func (s *Schedule) finish(o Observed, d *Decision) {
 	d.Share = 1
-	full := o.Elapsed-s.switched >= min(fullTime, s.Duration/8)
+	full := o.Elapsed-s.switched >= min(fullTime, s.at(leastFull))
 	switch {
-	case o.Elapsed >= s.at(completePart):
+	case full && o.Elapsed >= s.at(completePart):
 		d.Ending, d.Why = Complete, "the time is nearly over"
 	case full && o.OldIdle && d.Grounds.Sum < suspicion:
 		d.Ending, d.Why = Complete, "nothing runs on the old servers"
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -2,27 +2,344 @@
 
 package directory
 
-import "github.com/badgerspoke/badgerspoke/protocol"
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
 
 // This file defines how the leader carries out the rollouts of pools: it gathers what gateways
 // report, has package rollout decide, and sends the gateways the shares. All runs in the hub's
 // goroutine.
 
+// informedAfter is how long a new leader waits for the gateways' first reports before it gives
+// a target anything: it does not know yet what was seen. Chosen, not measured: gateways leave a
+// silent leader after registry.SilenceLimit, and come at once when their link closes.
+const informedAfter = time.Second
+
+// Notes in the log of how far a rollout is, at the shortest after a second. Chosen, not
+// measured: a new leader takes at most as much too little for elapsed.
+const (
+	notedPeriod = time.Second
+	notedPart   = 50 // of the rollout's duration
+)
+
+// endTimeout bounds one try to put a change of a rollout into the log; the next step tries
+// again. Chosen, not measured.
+const endTimeout = time.Second
+
 // rollouts is the rollouts of one term.
-type rollouts struct{}
+type rollouts struct {
+	began    time.Duration
+	underWay map[string]*leadRollout // by pool
+	obeyed   map[*session]obedience
+	list     []protocol.Rollout // as last sent
+	seq      uint64             // of that
+	encoded  protocol.Encoded
+}
+
+// obedience is the newest lists that a session's last two reports obeyed: a report's loads were
+// taken before its list, so that only the one after says what runs under it.
+type obedience struct{ last, before uint64 }
+
+// leadRollout is one rollout under way.
+type leadRollout struct {
+	document.Rollout
+	schedule  rollout.Schedule
+	since     time.Duration // when it was seen first, after Elapsed0
+	elapsed0  time.Duration
+	reported  map[reporter]map[outcomeKey]protocol.Outcomes
+	totals    map[string]*rollout.Pair
+	decision  rollout.Decision
+	sent      rollout.Decision // whose shares the gateways were sent
+	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
+	proposing bool
+	loggedAt  time.Duration
+}
+
+// reporter is one run of a gateway: its totals begin at none when it starts again, and what the
+// run before had sent counts on.
+type reporter struct {
+	gateway string
+	boot    uint64
+}
+
+type outcomeKey struct{ version, route string }
 
 // beginRollouts begins a term with the rollouts that the log holds.
-func (h *hub) beginRollouts() { h.rollouts = rollouts{} }
+func (h *hub) beginRollouts() {
+	h.rollouts = rollouts{
+		began: h.d.replica.Now(), underWay: map[string]*leadRollout{}, obeyed: map[*session]obedience{},
+	}
+}
 
 // addOutcomes takes a gateway's report.
-func (h *hub) addOutcomes(*session, protocol.Usage) {}
+func (h *hub) addOutcomes(s *session, u protocol.Usage) {
+	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
+	for _, o := range u.Outcomes {
+		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
+			r.add(reporter{s.gateway, s.boot}, o)
+		}
+	}
+}
+
+// add takes one reporter's totals in place of those before. One that are less come from a
+// reporter that counts anew, and add to them.
+func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
+	mine := r.reported[from]
+	if mine == nil {
+		mine = map[outcomeKey]protocol.Outcomes{}
+		r.reported[from] = mine
+	}
+	key := outcomeKey{o.Version, o.Route}
+	before := mine[key]
+	mine[key] = o
+	pair := r.totals[o.Route]
+	if pair == nil {
+		pair = &rollout.Pair{}
+		r.totals[o.Route] = pair
+	}
+	t := &pair.Old
+	if o.Version == r.Target {
+		t = &pair.Target
+	}
+	t.Sent += o.Sent - before.Sent // wraps around where it is less
+	t.Answered += o.Answered - before.Answered
+	t.Failed += o.Failed - before.Failed
+	for i := range t.Paces {
+		t.Paces[i] += paces(o, i) - paces(before, i)
+	}
+}
+
+func paces(o protocol.Outcomes, bucket int) uint64 {
+	if bucket < len(o.Paces) {
+		return uint64(o.Paces[bucket])
+	}
+	return 0
+}
 
 // stepRollouts decides on each rollout under way. It is called with each tick and each change
 // of the applied state.
-func (h *hub) stepRollouts() {}
+func (h *hub) stepRollouts() {
+	now := h.d.replica.Now()
+	state := h.d.state.Rollouts()
+	h.takeRollouts(now, state)
+	for _, pool := range slices.Sorted(maps.Keys(h.rollouts.underWay)) {
+		h.stepRollout(now, h.rollouts.underWay[pool])
+	}
+	h.pushRollouts(state)
+}
+
+// takeRollouts takes what is applied: rollouts that have begun, are noted, or have ended.
+func (h *hub) takeRollouts(now time.Duration, state []document.Rollout) {
+	for _, d := range state {
+		r := h.rollouts.underWay[d.Pool]
+		if r != nil && (r.Attempt != d.Attempt || d.State != document.RolloutUnderWay) {
+			h.logEnd(now, r, d)
+			delete(h.rollouts.underWay, d.Pool)
+			r = nil
+		}
+		if d.State != document.RolloutUnderWay {
+			continue
+		}
+		if r == nil {
+			r = &leadRollout{
+				since: now, elapsed0: d.Elapsed, reported: map[reporter]map[outcomeKey]protocol.Outcomes{}, totals: map[string]*rollout.Pair{},
+				schedule: rollout.Schedule{Duration: d.Duration, Bounds: h.d.cfg.Rollouts},
+			}
+			h.rollouts.underWay[d.Pool] = r
+		}
+		r.Rollout = d
+	}
+}
+
+// elapsed returns the time since the order, at least: what the log says, and since that was
+// seen.
+func (r *leadRollout) elapsed(now time.Duration) time.Duration { return r.elapsed0 + now - r.since }
+
+// stepRollout decides on one rollout. A decision that ends it stays, until the log has it.
+func (h *hub) stepRollout(now time.Duration, r *leadRollout) {
+	if r.decision.Ending == rollout.GoOn {
+		before := r.decision
+		r.decision = r.schedule.Step(rollout.Observed{
+			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r),
+			Informed: now-h.rollouts.began >= informedAfter && h.d.leading() == nil,
+		})
+		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
+			h.logStep(now, r)
+		}
+	}
+	h.proposeStep(now, r)
+}
+
+// proposeStep puts into the log how the rollout ends, or now and then how far it is.
+func (h *hub) proposeStep(now time.Duration, r *leadRollout) {
+	c := document.RolloutChange{
+		Pool: r.Pool, Target: r.Target, After: r.Changes, Elapsed: max(r.elapsed(now), r.Elapsed), State: document.RolloutUnderWay,
+	}
+	switch r.decision.Ending {
+	case rollout.Complete:
+		c.State, c.Replaced = document.RolloutComplete, h.otherVersions(r)
+	case rollout.RollBack:
+		c.State = document.RolloutRolledBack
+	default:
+		if c.Elapsed-r.Elapsed < max(notedPeriod, r.Duration/notedPart) {
+			return
+		}
+	}
+	if r.proposing {
+		return
+	}
+	r.proposing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(h.d.ctx, endTimeout)
+		defer cancel()
+		// What was not applied is proposed again with a later step.
+		_ = h.d.propose(ctx, command{Rollout: &c})
+		h.post(func() { r.proposing = false })
+	}()
+}
+
+// otherVersions returns the versions that the target replaces.
+func (h *hub) otherVersions(r *leadRollout) []string {
+	others := map[string]bool{}
+	for _, v := range h.registry.Versions(r.Pool) {
+		if v != r.Target && !slices.Contains(r.Barred, v) {
+			others[v] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(others))
+}
+
+// oldIdle reports whether all gateways obey the list that gives the target all requests, and
+// nothing runs on servers of other versions.
+func (h *hub) oldIdle(r *leadRollout) bool {
+	if r.fullSeq == 0 {
+		return false
+	}
+	for s := range h.sessions {
+		if s.knowsVersions && h.rollouts.obeyed[s].before < r.fullSeq {
+			return false
+		}
+	}
+	versions := h.registry.Versions(r.Pool)
+	h.usage.sum()
+	return !slices.ContainsFunc(h.usage.total, func(l protocol.ServerLoad) bool {
+		v, known := versions[l.Handle]
+		return known && v != r.Target && l.Requests > 0
+	})
+}
+
+// pushRollouts sends all sessions the list, if it has changed.
+func (h *hub) pushRollouts(state []document.Rollout) {
+	list := make([]protocol.Rollout, 0, len(state))
+	changed := len(state) != len(h.rollouts.list)
+	for i, d := range state {
+		e := protocol.Rollout{Pool: d.Pool, Attempt: d.Attempt, Barred: d.Barred, Replaced: d.Replaced}
+		if r := h.rollouts.underWay[d.Pool]; r != nil {
+			e = r.entry(e)
+		}
+		list = append(list, e)
+		changed = changed || !sameEntry(h.rollouts.list[i], e)
+	}
+	if !changed {
+		return
+	}
+	m := protocol.Rollouts{Term: h.term, Seq: h.rollouts.seq + 1, List: list}
+	encoded, ok := h.encode(m)
+	if !ok {
+		return
+	}
+	h.rollouts.list, h.rollouts.seq, h.rollouts.encoded = list, m.Seq, encoded
+	for _, e := range list {
+		if r := h.rollouts.underWay[e.Pool]; r != nil {
+			r.noteSent(m.Seq, e.Share)
+		}
+	}
+	for s := range h.sessions {
+		s.out.Send(encoded)
+	}
+}
+
+// entry returns what gateways are to do about a rollout under way. A target that is rolled back
+// gets nothing from now on, whenever the log has it. Shares that have hardly changed stay as
+// they were sent.
+func (r *leadRollout) entry(e protocol.Rollout) protocol.Rollout {
+	e.Target = r.Target
+	switch r.decision.Ending {
+	case rollout.RollBack:
+		e.Barred = append(slices.Clone(e.Barred), r.Target)
+		return e
+	case rollout.Complete:
+		e.Share = 1
+		return e
+	}
+	if r.decision.Differs(r.sent) {
+		r.sent = r.decision
+	}
+	e.Share = r.sent.Share
+	for _, route := range slices.Sorted(maps.Keys(r.sent.Routes)) {
+		e.Routes = append(e.Routes, protocol.RouteShare{Route: route, Share: float32(r.sent.Routes[route])})
+	}
+	return e
+}
+
+// noteSent takes the share in a list that was sent.
+func (r *leadRollout) noteSent(seq uint64, share float64) {
+	switch {
+	case share < 1:
+		r.fullSeq = 0
+	case r.fullSeq == 0:
+		r.fullSeq = seq
+	}
+}
+
+func sameEntry(a, b protocol.Rollout) bool {
+	return a.Pool == b.Pool && a.Attempt == b.Attempt && a.Target == b.Target && a.Share == b.Share &&
+		slices.Equal(a.Barred, b.Barred) && slices.Equal(a.Replaced, b.Replaced) && slices.Equal(a.Routes, b.Routes)
+}
 
 // sendRollouts sends a session that opens all rollouts.
-func (h *hub) sendRollouts(*session) {}
+func (h *hub) sendRollouts(s *session) {
+	if h.rollouts.seq > 0 {
+		s.out.Send(h.rollouts.encoded)
+	}
+}
+
+// forgetOutcomes forgets what a session that has ended obeys. What it reported stays: the
+// target has had those requests.
+func (h *hub) forgetOutcomes(s *session) { delete(h.rollouts.obeyed, s) }
+
+// logStep logs what a rollout rests on.
+func (h *hub) logStep(now time.Duration, r *leadRollout) {
+	r.loggedAt = now
+	h.d.cfg.Log.StateChange("rollout step", h.rolloutAttrs(now, r)...)
+}
+
+// logEnd logs that the log has a rollout's end.
+func (h *hub) logEnd(now time.Duration, r *leadRollout, d document.Rollout) {
+	h.d.cfg.Log.StateChange("rollout ended", append(h.rolloutAttrs(now, r),
+		slog.Bool("complete", d.State == document.RolloutComplete), slog.Any("barred", d.Barred), slog.Any("replaced", d.Replaced))...)
+}
 
-// forgetOutcomes forgets what a session that has ended reported.
-func (h *hub) forgetOutcomes(*session) {}
+func (h *hub) rolloutAttrs(now time.Duration, r *leadRollout) []slog.Attr {
+	d := r.decision
+	kind := "slow"
+	if d.Grounds.Failures {
+		kind = "failed"
+	}
+	return []slog.Attr{
+		slog.String("pool", r.Pool), slog.String("target", r.Target), slog.Uint64("attempt", r.Attempt),
+		slog.Int64("elapsed_ms", r.elapsed(now).Milliseconds()), slog.Float64("share", d.Share), slog.Uint64("sent", d.Sent),
+		slog.Uint64("of", d.Of), slog.Uint64("known", d.Grounds.Known), slog.Uint64("failed", d.Grounds.Failed),
+		slog.String("worst_route", d.Grounds.Route), slog.String("worst_for", kind),
+		slog.Float64("evidence", math.Round(10*d.Grounds.Sum)/10), slog.Bool("old_idle", h.oldIdle(r)), slog.String("why", d.Why),
+	}
+}
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -41,6 +41,7 @@
 	knowsHalls bool
 	// knowsVersions is whether it obeys rollouts.
 	knowsVersions bool
+	boot          uint64 // drawn at each start of the gateway
 }
 
 // pushChanges sends what has changed in the registry since the last time to every
@@ -146,7 +147,7 @@
 	}
 	s := &session{
 		gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number,
-		knowsHalls: w.KnowsHalls, knowsVersions: w.KnowsVersions,
+		knowsHalls: w.KnowsHalls, knowsVersions: w.KnowsVersions, boot: w.Boot,
 	}
 	list, ok := h.wholeList()
 	if !ok {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -211,3 +211,36 @@
 		})
 	}
 }
+
+// BenchmarkChooseVersions is BenchmarkChoose while the pool moves to another version, which
+// half of the servers run: in the trial, and once it gets all requests.
+func BenchmarkChooseVersions(b *testing.B) {
+	for _, n := range []int{60, 10_000} {
+		for _, share := range []float64{0.04, 1} {
+			b.Run(fmt.Sprintf("backends=%d/share=%v", n, share), func(b *testing.B) {
+				t := newTable("g", "hall-0", monotonic())
+				m := protocol.Servers{Term: 1, Whole: true}
+				for i := range n {
+					m.Set = append(m.Set, protocol.Server{Handle: uint32(i + 1), Registration: protocol.Registration{
+						ID: fmt.Sprintf("i-%05d", i), Pool: "engines", Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250),
+						Hall: fmt.Sprint("hall-", i%3), Slots: 32, Version: fmt.Sprint("v", 1+i%2),
+					}})
+				}
+				t.update(m)
+				t.updateRollouts(protocol.Rollouts{Term: 1, Seq: 1, List: []protocol.Rollout{
+					{Pool: "engines", Attempt: 1, Target: "v2", Share: share},
+				}})
+				t.sharesUntil = time.Hour
+				req := requirements{pool: document.Pool{Name: "engines", Engine: true}, route: document.Route{Name: "r", Objective: 400 * time.Millisecond}}
+				req.prompt = place.Prompt{Own: 600, Shared: []place.Part{{Name: "a", Tokens: 500}, {Name: "b", Tokens: 4000}}}
+				drawn := 0
+				for b.Loop() {
+					drawn++
+					req.random = float64(drawn%1000) / 1000 / lotParts
+					a, _ := t.acquire(t.now(), req)
+					a.known.own = place.Work{}
+				}
+			})
+		}
+	}
+}
