Directory: whole rollouts in virtual time; how long ago the order was, on every replica

Cause: a new leader counted the time since the order from the last note and its own election, 2 s too little: with all connections silent before complete, a good version was complete after its deadline.

--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -29,9 +29,9 @@
 // what only all of them show is seen in some 100 ms. Chosen, not measured.
 const fullTime = time.Second
 
-// leastFull is the same as a part of the duration of a short rollout: what is between
-// latestPart and completePart.
-const leastFull = completePart - latestPart
+// fullOfRest is the same as a part of what is left until the deadline at the switch, where that
+// is less. Chosen, not measured.
+const fullOfRest = 0.5
 
 // stopTime is how long it takes from a switch until the leader has seen that the target is bad
 // and the gateways send it nothing any more: an answer, a report (registry.ReportPeriod), a
@@ -190,7 +190,8 @@
 // finish decides after the switch.
 func (s *Schedule) finish(o Observed, d *Decision) {
 	d.Share = 1
-	full := o.Elapsed-s.switched >= min(fullTime, s.at(leastFull))
+	rest := float64(s.Duration - s.switched)
+	full := o.Elapsed-s.switched >= min(fullTime, time.Duration(fullOfRest*rest))
 	switch {
 	case full && o.Elapsed >= s.at(completePart):
 		d.Ending, d.Why = Complete, "the time is nearly over"
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/directory"
 	"github.com/badgerspoke/badgerspoke/gateway"
@@ -41,6 +42,9 @@
 	voters   = 5
 )
 
+// exposure bounds what a bad version may get.
+var exposure = rollout.Bounds{Share: 0.1, Slack: 50, Stop: 5 * time.Second, Repeats: 5 * time.Second}
+
 var fleetKey = []byte("a key that all nodes share")
 
 type fleet struct {
@@ -120,7 +124,7 @@
 	log := x.log(set)
 	d, err := directory.Start(ctx, directory.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
-		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval,
+		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval, Rollouts: exposure,
 		Random: x.random, Log: log, Metrics: set,
 	})
 	if err != nil {
--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -69,7 +69,7 @@
 }
 
 // loaded starts a gateway that gets a request in each period, and sends to a.
-func (x *fleet) loaded(ip string, a *arrivals, period time.Duration) *gateway.Gateway {
+func (x *fleet) loaded(ip string, a gateway.Server, period time.Duration) *gateway.Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	log := x.log(set)
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -59,7 +59,8 @@
 	encoded     protocol.Document // newest document, encoded once
 
 	rollouts     rollouts
-	sharesLogged time.Duration // when
+	ordered      map[orderKey]time.Duration // rollouts under way, in every term
+	sharesLogged time.Duration              // when
 }
 
 func newHub(d *Directory) *hub {
@@ -136,6 +137,7 @@
 // syncLeadership begins or ends a term if the leader has changed, and sends on what
 // has been applied since.
 func (h *hub) syncLeadership() {
+	h.noteOrders()
 	l := h.leadership.Load()
 	switch {
 	case l.leads && h.term != l.term:
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -53,8 +53,7 @@
 type leadRollout struct {
 	document.Rollout
 	schedule  rollout.Schedule
-	since     time.Duration // when it was seen first, after Elapsed0
-	elapsed0  time.Duration
+	ordered   time.Duration // when, at the latest
 	reported  map[reporter]map[outcomeKey]protocol.Outcomes
 	totals    map[string]*rollout.Pair
 	decision  rollout.Decision
@@ -151,18 +150,42 @@
 		}
 		if r == nil {
 			r = &leadRollout{
-				since: now, elapsed0: d.Elapsed, reported: map[reporter]map[outcomeKey]protocol.Outcomes{}, totals: map[string]*rollout.Pair{},
+				reported: map[reporter]map[outcomeKey]protocol.Outcomes{}, totals: map[string]*rollout.Pair{},
 				schedule: rollout.Schedule{Duration: d.Duration, Bounds: h.d.cfg.Rollouts},
 			}
 			h.rollouts.underWay[d.Pool] = r
 		}
-		r.Rollout = d
+		r.Rollout, r.ordered = d, h.ordered[orderKey{d.Pool, d.Attempt}]
 	}
 }
 
-// elapsed returns the time since the order, at least: what the log says, and since that was
-// seen.
-func (r *leadRollout) elapsed(now time.Duration) time.Duration { return r.elapsed0 + now - r.since }
+// elapsed returns the time since the order, at least.
+func (r *leadRollout) elapsed(now time.Duration) time.Duration { return now - r.ordered }
+
+// orderKey is one attempt of a pool's rollouts.
+type orderKey struct {
+	pool    string
+	attempt uint64
+}
+
+// noteOrders notes by this replica's clock when rollouts under way were ordered at the latest:
+// what the log says of them may have been applied late, never early. It is called whether this
+// replica leads or not, so that a new leader knows.
+func (h *hub) noteOrders() {
+	now := h.d.replica.Now()
+	ordered := map[orderKey]time.Duration{}
+	for _, d := range h.d.state.Rollouts() {
+		if d.State != document.RolloutUnderWay {
+			continue
+		}
+		key := orderKey{d.Pool, d.Attempt}
+		ordered[key] = now - d.Elapsed
+		if before, known := h.ordered[key]; known {
+			ordered[key] = min(ordered[key], before)
+		}
+	}
+	h.ordered = ordered
+}
 
 // stepRollout decides on one rollout. A decision that ends it stays, until the log has it.
 func (h *hub) stepRollout(now time.Duration, r *leadRollout) {
