Gateway: tests of versions

What each shows is in its comment. Seen to fail: without the lease (TestShareNeedsALease, also where a new session keeps the old lease), with the pool's share on all routes (TestSharesByRoute), without what is remembered as barred, with lists of older terms or equal numbers (TestBarredVersionGetsNothing), with replaced versions refused where there is no other (TestReplacedVersion), with retries by lot (TestRetryGoesToTheOldVersion), without the way back after the switch (TestTargetWithoutUse), with mistrust whatever the old version does (TestOwnMistrust), without the tallies of a new session (TestOutcomesAreTotals).

--- /dev/null
+++ b/gateway/versions_test.go
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file tests which versions a gateway sends to, and what it counts.
+
+// versionsOf announces servers p0, p1, … of pool "plain" with versions.
+func (x *fixture) versionsOf(versions ...string) {
+	m := protocol.Servers{Term: 1}
+	for i, v := range versions {
+		s := x.g.table.servers[fmt.Sprint("p", i)].Server
+		s.Version = v
+		m.Set = append(m.Set, s)
+	}
+	x.g.table.update(m)
+}
+
+// rollouts sends the list of a number with one rollout.
+func (x *fixture) rollouts(term, seq uint64, r protocol.Rollout) {
+	r.Pool = "plain"
+	x.g.table.updateRollouts(protocol.Rollouts{Term: term, Seq: seq, List: []protocol.Rollout{r}})
+}
+
+// leaseShares has the leader count a report that is sent now.
+func (x *fixture) leaseShares() {
+	x.g.table.takeReport(1)
+	x.g.table.updateLoads(x.g.now(), 1, nil)
+}
+
+// draw has each tenth lot of the gateway be low.
+func (x *fixture) draw() {
+	n := uint64(0)
+	x.g.cfg.Random = func() uint64 {
+		n++
+		// The first 24 of 53 digits choose among servers; the lot is in the others.
+		return (n % 10 << 53 / 10 >> 24) << 11
+	}
+}
+
+// served asks some times and returns how many answers came from each body.
+func (x *fixture) served(path string, times int) map[string]int {
+	got := map[string]int{}
+	for range times {
+		got[x.ask(path, "Patience", "2000").body]++
+	}
+	return got
+}
+
+var oldAndNew = []behaviour{answers(200, "old", time.Millisecond), answers(200, "new", time.Millisecond)}
+
+// TestShareNeedsALease: the target gets its share while the leader counts reports; without, the
+// old version gets all, and the target only where there is no other.
+func TestShareNeedsALease(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.draw()
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.25})
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100}) // no report was counted
+		x.leaseShares()
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 70, "new": 30})
+		time.Sleep(sharesLease)
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100})
+		x.leaseShares()
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 70, "new": 30})
+		x.g.table.endShares() // the session ended
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100})
+		x.leaseShares()
+		x.g.table.update(protocol.Servers{Term: 1, Whole: true}) // another began
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100})
+		x.g.table.update(protocol.Servers{Term: 1, Gone: []string{"p0"}})
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+	}, oldAndNew...)
+}
+
+// TestSharesByRoute: a route may have a share of its own.
+func TestSharesByRoute(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.draw()
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.05, Routes: []protocol.RouteShare{{Route: "again", Share: 0.45}}})
+		x.leaseShares()
+		is.Equal(x.served("/once/1", 100)["new"], 10)
+		is.Equal(x.served("/again/1", 100)["new"], 50)
+	}, oldAndNew...)
+}
+
+// TestBarredVersionGetsNothing: for good, also by a later leader's list that lacks it, unless
+// the log has the attempt complete or another one began.
+func TestBarredVersionGetsNothing(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.draw()
+		x.versionsOf("v1", "v2")
+		x.leaseShares()
+		asked := func() map[string]int { return x.served("/once/1", 10) }
+		all := map[string]int{"old": 10}
+		x.rollouts(2, 1, protocol.Rollout{Attempt: 1, Target: "v2", Barred: []string{"v2"}})
+		is.Equal(asked(), all)
+		x.rollouts(1, 9, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1}) // an older leader's
+		is.Equal(asked(), all)
+		x.rollouts(1, 10, protocol.Rollout{Attempt: 1})
+		is.Equal(asked(), all)
+		x.rollouts(2, 1, protocol.Rollout{Attempt: 1}) // not newer
+		is.Equal(asked(), all)
+		x.rollouts(3, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1}) // does not know the verdict
+		is.Equal(asked(), all)
+		x.rollouts(3, 2, protocol.Rollout{Attempt: 1, Barred: []string{"v2"}}) // the log's
+		is.Equal(asked(), all)
+		x.g.table.update(protocol.Servers{Term: 3, Gone: []string{"p0"}})
+		is.Equal(x.ask("/once/1", "Patience", "300").status, 503) // also where there is no other
+		x.rollouts(3, 3, protocol.Rollout{Attempt: 2, Target: "v2", Share: 1})
+		is.Equal(asked(), map[string]int{"new": 10})
+	}, oldAndNew...)
+}
+
+// TestReplacedVersion gets something only where there is no other that is not barred.
+func TestReplacedVersion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Replaced: []string{"v1"}})
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+		x.rollouts(1, 2, protocol.Rollout{Attempt: 2, Barred: []string{"v2"}, Replaced: []string{"v1"}})
+		is.Equal(x.served("/once/1", 10), map[string]int{"old": 10})
+		x.versionsOf("v1", "v3") // one that no rollout is about is used
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+	}, oldAndNew...)
+}
+
+// TestRetryGoesToTheOldVersion: what failed at the target, and what found no room there.
+func TestRetryGoesToTheOldVersion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2", "v2", "v2") // lots are always low
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.99})
+		x.leaseShares()
+		is.Equal(x.served("/again/1", 3), map[string]int{"old": 3})
+		var sent, failed uint64
+		outcomes, obeyed := x.g.table.takeOutcomes()
+		is.Equal(obeyed, uint64(1))
+		for _, o := range outcomes {
+			if o.Version == "v2" {
+				sent, failed = sent+o.Sent, failed+o.Failed
+			}
+		}
+		is.Equal(sent, uint64(3)) // each once
+		is.Equal(failed, uint64(3))
+	}, answers(200, "old", time.Millisecond), answers(500, "bad", time.Millisecond), answers(500, "bad", time.Millisecond), answers(500, "bad", time.Millisecond))
+}
+
+// TestOwnMistrust: bad answers in a row stop the target here at once, for a while.
+func TestOwnMistrust(t *testing.T) {
+	is := is.New(t)
+	m := mistrust{}
+	for range badInARow {
+		is.True(!m.holds(time.Second))
+		m = m.with(time.Second, true, true)
+	}
+	is.True(m.holds(time.Second))
+	is.True(!m.holds(time.Second + mistrustFor))
+	m = mistrust{}.with(0, false, true) // the old version's are bad as well
+	for range 2 * badInARow {
+		m = m.with(time.Second, true, true)
+	}
+	is.True(!m.holds(time.Second))
+}
+
+// TestTrialServers: as many as the share is of all, the same at every gateway, and all once the
+// target gets all.
+func TestTrialServers(t *testing.T) {
+	is := is.New(t)
+	chosen := func(share float64, n int) map[string]bool {
+		table := newTable("g", "z", monotonic())
+		m := protocol.Servers{Term: 1}
+		for i := range n {
+			m.Set = append(m.Set, protocol.Server{Handle: uint32(i + 1), Registration: protocol.Registration{
+				ID: fmt.Sprint("s", i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i), Version: "v2",
+			}})
+		}
+		table.update(m)
+		table.updateRollouts(protocol.Rollouts{Term: 1, Seq: 1, List: []protocol.Rollout{{Pool: "p", Attempt: 1, Target: "v2", Share: share}}})
+		ids := map[string]bool{}
+		for _, k := range table.servers {
+			if k.versions&trialVersion != 0 {
+				ids[k.ID] = true
+			}
+		}
+		return ids
+	}
+	is.Equal(len(chosen(0.04, 60)), 2)
+	is.Equal(chosen(0.04, 60), chosen(0.04, 60))
+	is.Equal(len(chosen(0.04, 3)), 1)
+	is.Equal(len(chosen(0.5, 60)), 30)
+	is.Equal(len(chosen(1, 60)), 60)
+	for id := range chosen(0.04, 60) { // a larger share takes servers along
+		is.True(chosen(0.5, 60)[id])
+	}
+}
+
+// TestTargetWithoutUse: after the switch the old version gets something only if no server of
+// the target may have requests.
+func TestTargetWithoutUse(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		x.leaseShares()
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+		s := x.g.table.servers["p1"].Server
+		s.Hall = "y"
+		x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}, HallsOut: []string{"y"}, HallChanges: 1})
+		is.Equal(x.served("/once/1", 10), map[string]int{"old": 10})
+	}, oldAndNew...)
+}
+
+// TestOutcomesAreTotals: each report has what has changed, and the first of a session all. An
+// answer that had not begun when its time was over counts with that time.
+func TestOutcomesAreTotals(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		x.leaseShares()
+		x.served("/once/1", 2)
+		first, _ := x.g.table.takeOutcomes()
+		is.Equal(len(first), 1)
+		is.Equal([]uint64{first[0].Sent, first[0].Answered, first[0].Failed}, []uint64{2, 2, 0})
+		none, _ := x.g.table.takeOutcomes()
+		is.Equal(len(none), 0)
+		x.g.table.update(protocol.Servers{Term: 1, Whole: true, Set: []protocol.Server{x.g.table.servers["p0"].Server, x.g.table.servers["p1"].Server}})
+		again, _ := x.g.table.takeOutcomes()
+		is.Equal(again, first)
+		x.leaseShares()
+		x.servers.does[x.g.table.servers["p1"].Address] = hangs
+		is.Equal(x.ask("/once/1", "Patience", "800").status, 504)
+		slow, _ := x.g.table.takeOutcomes()
+		is.Equal(slow[0].Sent, uint64(3))
+		is.Equal(slow[0].Failed, uint64(0))
+		is.Equal(slow[0].Paces[rollout.PaceBucket(16)], uint32(1)) // 800 of 50 ms
+	}, oldAndNew...)
+}
