Rollout: the schedule as a model test; no switch to a target without servers

Cause: the figures of the schedule were chosen by hand, and a target without any server would have been switched to where few requests come.

--- a/coordination/rollout/evidence.go
+++ b/coordination/rollout/evidence.go
@@ -69,7 +69,7 @@
 const (
 	// alarm is the sum at which a version is bad, ln(1/error) with an error of 1 in 36,000 for
 	// each of the sums, of which a rollout has some dozens.
-	alarm = 10.5
+	alarm = 11.5
 	// leastBad is the least part of bad answers that the old version is taken to have: an excess
 	// over none at all would make one failure a verdict. Chosen, not measured.
 	leastBad = 0.005
@@ -78,7 +78,7 @@
 	leastBadAlone = 0.02
 	// leastSlow is the least part of slow answers that the old version is taken to have: their
 	// bound is drawn from its own answers, which may be few.
-	leastSlow = 0.02
+	leastSlow = 0.05
 	// recentPrior is the weight of all the old version's answers in that average, in answers.
 	// Chosen, not measured.
 	recentPrior = 4.0
@@ -86,7 +86,7 @@
 	// Chosen, not measured.
 	usualPart = 0.05
 	// slowMargin is by how many half octaves an answer is slower than that: 1.4 to 2 times.
-	slowMargin = 1
+	slowMargin = 0
 	// fewestOld is from how many paces on the old version's are known. Chosen, not measured.
 	fewestOld = 20
 )
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -50,6 +50,9 @@
 	// enoughSent is how many requests in a trial are enough on each route: 5 % of failures are
 	// seen in 150 to 300 answers (TestModel).
 	enoughSent = 300
+	// neededSent is how many requests on each route a trial gets even if no reserve is left for
+	// what only the switch shows: without evidence the switch is the larger risk.
+	neededSent = 17
 	// usedBudget is the part of what the bound allows that a trial plans to use.
 	usedBudget = 0.85
 	// enoughKnown is how many good answers make a route good: after 16 without a failure one
@@ -58,7 +61,11 @@
 	// suspicion is Page's sum from which a switch waits: about one failure.
 	suspicion = 3.5
 	// suspicionLate is the sum from which there is no switch at the latest moment.
-	suspicionLate = 7
+	suspicionLate = 8
+	// fewestKnown and fewestPart are how many good answers do at the latest moment, and as which
+	// part of a route's requests if that is less. Chosen, not measured.
+	fewestKnown = 4
+	fewestPart  = 0.1
 	// rareSent is up to how many requests a route may stay untried.
 	rareSent = 10
 )
@@ -85,6 +92,8 @@
 	Informed bool
 	// OldIdle is whether all gateways obey the switch and nothing runs on the old servers.
 	OldIdle bool
+	// TargetListed is whether a server of the target is listed.
+	TargetListed bool
 }
 
 // Decision is what is to be done until the next step.
@@ -214,7 +223,11 @@
 	reserve := s.allowed(d.Of)-float64(d.Sent) >= rate*stopTime.Seconds()
 	few := known && d.Grounds.Sum < suspicionLate && s.fits(rate, o.Elapsed, d)
 	switch {
-	case o.Elapsed >= s.at(trialPart) && good && (reserve || late):
+	case late && !o.TargetListed:
+		d.Ending, d.Why = RollBack, "no server of the target"
+	case late && !known:
+		d.Why = "the rate is not known yet"
+	case o.Elapsed >= s.at(trialPart) && o.TargetListed && good && (reserve || late):
 		s.switchAll(o, d, "good answers")
 	case late && few:
 		s.switchAll(o, d, "few requests, and nothing speaks against it")
@@ -237,7 +250,7 @@
 
 // fits reports whether all requests until the deadline may go to a bad version.
 func (s *Schedule) fits(rate float64, elapsed time.Duration, d *Decision) bool {
-	rest := rate * (s.Duration - elapsed).Seconds()
+	rest := rate * max(s.Duration-elapsed, 0).Seconds()
 	return float64(d.Sent)+rest <= s.allowed(d.Of+uint64(rest))
 }
 
@@ -248,8 +261,12 @@
 		return false
 	}
 	for _, p := range o.Totals {
-		known, all := p.Target.known(), p.Target.Sent+p.Old.Sent
-		if known < enoughKnown && !late && all > rareSent || known == 0 && all > rareSent {
+		all := float64(p.Target.Sent + p.Old.Sent)
+		needed := float64(enoughKnown)
+		if late {
+			needed = min(fewestKnown, fewestPart*all)
+		}
+		if all > rareSent && float64(p.Target.known()) < needed {
 			return false
 		}
 	}
@@ -263,7 +280,8 @@
 		return
 	}
 	until := max(s.at(trialPart)-o.Elapsed, stopTime).Seconds()
-	budget := usedBudget * (s.allowed(d.Of+uint64(rate*until)) - rate*stopTime.Seconds())
+	allowed := usedBudget * s.allowed(d.Of+uint64(rate*until))
+	budget := max(allowed-usedBudget*rate*stopTime.Seconds(), min(allowed, float64(neededSent*len(o.Totals))))
 	wanted := max(d.Share, float64(enoughSent*len(o.Totals))/(float64(d.Of)+rate*until))
 	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*s.Bounds.Share)
 	if float64(d.Sent)+d.Share*rate*stopTime.Seconds() > s.allowed(d.Of) {
--- /dev/null
+++ b/coordination/rollout/schedule_test.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// This file tests what a schedule does where little is known.
+
+// seen runs a schedule of 10 s on its own steps until it ends, with observe's view of each, and
+// returns all decisions.
+func seen(observe func(at time.Duration, d Decision) Observed) (all []Decision) {
+	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	var d Decision
+	for at := time.Duration(0); at < 20*time.Second && d.Ending == GoOn; at += 100 * time.Millisecond {
+		o := observe(at, d)
+		o.Elapsed = at
+		d = s.Step(o)
+		all = append(all, d)
+	}
+	return all
+}
+
+// TestNoRequests: a pool without any is moved, since the bound holds whatever comes.
+func TestNoRequests(t *testing.T) {
+	is := is.New(t)
+	all := seen(func(time.Duration, Decision) Observed {
+		return Observed{Informed: true, TargetListed: true, OldIdle: true}
+	})
+	is.Equal(all[len(all)-1].Ending, Complete)
+	is.True(len(all) < 96) // 9.5 s
+}
+
+// TestNoServerOfTheTarget: what nothing can serve is not switched to, with or without requests.
+func TestNoServerOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	for _, perStep := range []uint64{0, 1, 15} {
+		all := seen(func(at time.Duration, _ Decision) Observed {
+			n := perStep * uint64(at/(100*time.Millisecond))
+			return Observed{Informed: true, Totals: map[string]*Pair{"r": {Old: Tally{Sent: n, Answered: n}}}}
+		})
+		is.Equal(all[len(all)-1].Ending, RollBack)
+		for _, d := range all {
+			is.True(d.Share < 1)
+		}
+	}
+}
+
+// TestTooLittleIsKnown: many requests, of which the target gets none, for want of room, say.
+func TestTooLittleIsKnown(t *testing.T) {
+	is := is.New(t)
+	all := seen(func(at time.Duration, _ Decision) Observed {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		return Observed{Informed: true, TargetListed: true, Totals: map[string]*Pair{"r": {Old: Tally{Sent: n, Answered: n}}}}
+	})
+	is.Equal(all[len(all)-1].Ending, RollBack)
+	is.Equal(all[len(all)-1].Why, "too little is known in time")
+}
+
+// TestNewLeaderWaits: nothing goes to the target before the gateways have reported; what they
+// report then was sent at any time, and counts, but not for the rate.
+func TestNewLeaderWaits(t *testing.T) {
+	is := is.New(t)
+	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	at := 8 * time.Second
+	is.Equal(s.Step(Observed{Elapsed: at, TargetListed: true}).Share, 0.0)
+	totals := map[string]*Pair{"r": {Target: Tally{Sent: 40, Answered: 40}, Old: Tally{Sent: 960, Answered: 960}}}
+	is.Equal(s.Step(Observed{Elapsed: at + 500*time.Millisecond, TargetListed: true, Totals: totals}).Share, 0.0)
+	var d Decision
+	for step := range 4 {
+		d = s.Step(Observed{Elapsed: at + time.Second + time.Duration(step)*100*time.Millisecond, TargetListed: true, Informed: true, Totals: totals})
+		rate, _ := s.rate.perSecond()
+		is.Equal(rate, 0.0)
+	}
+	is.Equal(d.Share, 1.0) // the evidence is that of the leader before
+	is.Equal(d.Sent, uint64(40))
+}
+
+// TestRouteMustBeTried: no switch before the latest moment while a route has had nothing, and
+// then none either.
+func TestRouteMustBeTried(t *testing.T) {
+	is := is.New(t)
+	all := seen(func(at time.Duration, _ Decision) Observed {
+		n := uint64(at / (100 * time.Millisecond))
+		return Observed{Informed: true, TargetListed: true, Totals: map[string]*Pair{
+			"a": {Target: Tally{Sent: n, Answered: n}, Old: Tally{Sent: 14 * n, Answered: 14 * n}},
+			"b": {Old: Tally{Sent: 3 * n, Answered: 3 * n}},
+		}}
+	})
+	is.Equal(all[len(all)-1].Ending, RollBack)
+	for _, d := range all {
+		is.True(d.Share < 1)
+	}
+}
+
+// TestPaceBuckets: half octaves, with the ends of the scale.
+func TestPaceBuckets(t *testing.T) {
+	is := is.New(t)
+	is.Equal(PaceBucket(1), PaceBuckets/2)
+	is.Equal(PaceBucket(2), PaceBuckets/2+2)
+	is.Equal(PaceBucket(1.5), PaceBuckets/2+1)
+	is.Equal([]int{PaceBucket(0), PaceBucket(-1), PaceBucket(1e-9), PaceBucket(1e9)}, []int{0, 0, 0, PaceBuckets - 1})
+}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -192,7 +192,7 @@
 	if r.decision.Ending == rollout.GoOn {
 		before := r.decision
 		r.decision = r.schedule.Step(rollout.Observed{
-			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r),
+			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: h.targetListed(r),
 			Informed: now-h.rollouts.began >= informedAfter && h.d.leading() == nil,
 		})
 		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
@@ -260,6 +260,16 @@
 	})
 }
 
+// targetListed reports whether a server of the target is listed.
+func (h *hub) targetListed(r *leadRollout) bool {
+	for _, v := range h.registry.Versions(r.Pool) {
+		if v == r.Target {
+			return true
+		}
+	}
+	return false
+}
+
 // pushRollouts sends all sessions the list, if it has changed.
 func (h *hub) pushRollouts(state []document.Rollout) {
 	list := make([]protocol.Rollout, 0, len(state))
