--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -270,3 +270,30 @@
 		}
 	}
 }
+
+// TestRolloutBytes measures what a rollout adds to a gateway's session, in the trial.
+func TestRolloutBytes(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		v := &versioned{}
+		x.rolling(v, func() {
+			time.Sleep(2 * time.Second)
+			n := x.gateways[rolloutGateway(0)]
+			sent, reports := n.count("out", "usage")
+			got, lists := n.count("in", "rollouts")
+			time.Sleep(4 * time.Second)
+			sentThen, reportsThen := n.count("out", "usage")
+			gotThen, listsThen := n.count("in", "rollouts")
+			_, after := x.ended(v)
+			time.Sleep(rolloutTime - after)
+			sentEnd, reportsEnd := n.count("out", "usage")
+			time.Sleep(4 * time.Second)
+			sentLast, reportsLast := n.count("out", "usage")
+			under, without := (sentThen-sent)/(reportsThen-reports), (sentLast-sentEnd)/(reportsLast-reportsEnd)
+			x.t.Logf("a report has %d bytes under way and %d without; %d lists in 4 s, %d bytes each",
+				under, without, listsThen-lists, (gotThen-got)/max(listsThen-lists, 1))
+			is.True(under < without+120)
+			is.True(listsThen-lists < 12)
+		})
+	})
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -184,6 +184,7 @@
 	t       *testing.T
 	g       *Gateway
 	servers *fakeServers
+	reports uint64 // counted by the leader
 }
 
 func testDocument() document.Document {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -3,13 +3,18 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -34,8 +39,9 @@
 
 // leaseShares has the leader count a report that is sent now.
 func (x *fixture) leaseShares() {
-	x.g.table.takeReport(1)
-	x.g.table.updateLoads(x.g.now(), 1, nil)
+	x.reports++
+	x.g.table.takeReport(x.reports)
+	x.g.table.updateLoads(x.g.now(), x.reports, nil)
 }
 
 // draw has each tenth lot of the gateway be low.
@@ -72,6 +78,8 @@
 		is.Equal(x.served("/once/1", 100), map[string]int{"old": 70, "new": 30})
 		time.Sleep(sharesLease)
 		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100})
+		x.g.table.updateLoads(x.g.now(), 1, nil) // what comes late, as to a gateway that was frozen
+		is.Equal(x.served("/once/1", 100), map[string]int{"old": 100})
 		x.leaseShares()
 		is.Equal(x.served("/once/1", 100), map[string]int{"old": 70, "new": 30})
 		x.g.table.endShares() // the session ended
@@ -161,6 +169,33 @@
 	}, answers(200, "old", time.Millisecond), answers(500, "bad", time.Millisecond), answers(500, "bad", time.Millisecond), answers(500, "bad", time.Millisecond))
 }
 
+// TestVersionIsLogged: the last line of a request says which version served it and why, and a
+// counter has the target's attempts by name and all others together.
+func TestVersionIsLogged(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var text bytes.Buffer
+		old := x.g.cfg.Log
+		x.g.cfg.Log = decision.New(&text, slog.LevelInfo, decision.DefaultBudget, metrics.NewSet())
+		defer old.Close()
+		x.ask("/once/1")
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.5})
+		x.ask("/once/1")
+		x.leaseShares()
+		x.ask("/once/1")
+		x.g.cfg.Log.Close()
+		is.Equal(strings.Count(text.String(), `"answered"`), 3)
+		is.Equal(strings.Count(text.String(), `"version"`), 2)
+		is.True(strings.Contains(text.String(), `"version":"v1","version_for":"no lease"`))
+		is.True(strings.Contains(text.String(), `"version":"v2","version_for":"share"`))
+		for _, version := range []string{"v2", "other"} {
+			name := fmt.Sprintf("badgerspoke_gateway_version_requests_total{pool=\"plain\",version=%q}", version)
+			is.Equal(x.g.stats.set.GetOrCreateCounter(name).Get(), uint64(1))
+		}
+	}, oldAndNew...)
+}
+
 // TestOwnMistrust: bad answers in a row stop the target here at once, for a while.
 func TestOwnMistrust(t *testing.T) {
 	is := is.New(t)
