--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -191,6 +191,12 @@
 		x.gateways[rolloutGateway(0)].kill()
 		x.loaded(rolloutGateway(0), v, rolloutPeriod)
 	}},
+	{"power of the directory lost", func(x *fleet, _ *versioned) {
+		x.losePower()
+		for _, ip := range x.order {
+			x.start(ip, false)
+		}
+	}},
 	{"connections silent", func(x *fleet, _ *versioned) { x.net.Silence() }},
 }
 
