--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -274,7 +274,7 @@
 
 // share sets the shares of a trial.
 func (s *Schedule) share(o Observed, d *Decision, rate float64, known bool) {
-	d.Share, d.Why = trialOfBound*s.Bounds.Share, "trial"
+	d.Share, d.Why = math.Round(1000*trialOfBound*s.Bounds.Share)/1000, "trial"
 	if !known || rate == 0 {
 		return
 	}
@@ -287,6 +287,7 @@
 		d.Share, d.Why = 0, "the bound is used up"
 		return
 	}
+	d.Share = math.Round(1000*d.Share) / 1000 // as it is logged
 	d.Routes = divide(o.Totals, d.Share)
 }
 
--- a/decision/golden_test.go
+++ b/decision/golden_test.go
@@ -34,3 +34,16 @@
 	}
 	golden.Text(t, "explained.txt", got.String())
 }
+
+// TestGoldenExplainRollout explains requests of a log that was recorded during a rollout, with
+// lines of its leader and of one gateway: which version served each, and why.
+func TestGoldenExplainRollout(t *testing.T) {
+	is := is.New(t)
+	log, err := os.ReadFile(filepath.Join("testdata", "golden", "recorded-rollout.log"))
+	is.NoErr(err)
+	lines, err := decision.ReadLines(bytes.NewReader(log))
+	is.NoErr(err)
+	var got bytes.Buffer
+	is.True(decision.Explain(&got, lines, "r"))
+	golden.Text(t, "explained-rollout.txt", got.String())
+}
