Directory: a session begins with the rollouts

Cause: a gateway that has just started had all servers before it knew what is barred. Seen to fail: TestRolloutsComeFirst with the list of servers first. Measured: go test ./directory passes.

--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -21,6 +21,7 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
 // This file tests whole rollouts: a leader, gateways under load, and servers of two versions.
@@ -303,3 +304,25 @@
 		})
 	})
 }
+
+// TestRolloutsComeFirst: a gateway that has just started knows what is barred before it knows
+// any server.
+func TestRolloutsComeFirst(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		x.put(1)
+		is.NoErr(x.orderRollout(to("v2")))
+		l := x.mustLead()
+		is.NoErr(l.d.AbortRollout(x.t.Context(), "p"))
+		id := link.Identity{Name: "10.0.2.1:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.1").DialContext}
+		session, err := link.Dial(x.t.Context(), l.ip+":7400", id, nil)
+		is.NoErr(err)
+		defer session.Close()
+		is.NoErr(session.Send(x.t.Context(), protocol.Watch{Gateway: id.Name, KnowsVersions: true}))
+		m, err := session.ReceiveWithin(x.t.Context(), time.Second)
+		is.NoErr(err)
+		list, ok := m.(protocol.Rollouts)
+		is.True(ok)
+		is.Equal(list.List, []protocol.Rollout{{Pool: "p", Attempt: 1, Barred: []string{"v2"}}})
+	})
+}
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -155,12 +155,12 @@
 		return nil, Unavailable{}
 	}
 	h.sessions[s] = true
+	h.sendRollouts(s) // first, or the new servers would be used by load until it comes
 	s.out.Send(list)
 	if sent := h.feed.Sent(); len(sent) > 0 {
 		s.out.Send(protocol.Counted{})
 		s.out.Send(h.fleetMessage(sent))
 	}
-	h.sendRollouts(s)
 	h.pushDocument()
 	h.d.cfg.Log.StateChange("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
 	return s, nil
