--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -183,6 +183,12 @@
 }{
 	{"none", func(*fleet, *versioned) {}},
 	{"leader killed", func(x *fleet, _ *versioned) { x.mustLead().kill() }},
+	{"leader cut off", func(x *fleet, _ *versioned) {
+		l := x.mustLead().ip
+		x.net.Cut(l)
+		time.Sleep(3 * time.Second)
+		x.net.Join(l)
+	}},
 	{"gateway cut off", func(x *fleet, _ *versioned) {
 		x.net.Cut(rolloutGateway(0))
 		time.Sleep(3 * time.Second)
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -261,6 +261,26 @@
 	}, oldAndNew...)
 }
 
+// TestColdTarget: a cold server of the target gets its share as a cold one alone; what finds no
+// room there goes to the old version, and no pace is counted.
+func TestColdTarget(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		s := x.g.table.servers["p1"].Server
+		s.Cold = &protocol.Cold{Left: 10 * time.Second, Shares: []protocol.ColdShare{{Gateway: "g", PerSecond: 2}}}
+		x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}})
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.9}) // lots are always low
+		x.leaseShares()
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 2, "old": 8})
+		outcomes, _ := x.g.table.takeOutcomes()
+		is.Equal(outcomes[1].Version, "v2")
+		is.Equal(outcomes[1].Answered, uint64(2))
+		is.Equal(len(outcomes[1].Paces), 0)
+		is.Equal(len(outcomes[0].Paces) > 0, true)
+	}, oldAndNew...)
+}
+
 // TestOutcomesAreTotals: each report has what has changed, and the first of a session all. An
 // answer that had not begun when its time was over counts with that time.
 func TestOutcomesAreTotals(t *testing.T) {
