--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -332,3 +332,59 @@
 		is.Equal(list.List, []protocol.Rollout{{Pool: "p", Attempt: 1, Barred: []string{"v2"}}})
 	})
 }
+
+// TestCompleteWaits for a gateway that does not obey the switch yet, and for one that still has
+// a request at an old server, until the time is nearly over.
+func TestCompleteWaits(t *testing.T) {
+	for _, obeys := range []bool{false, true} {
+		t.Run(fmt.Sprint("obeys ", obeys), func(t *testing.T) {
+			inFleet(t, 3, func(x *fleet) {
+				is := is.New(x.t)
+				v := &versioned{}
+				x.rolling(v, func() {
+					ctx, cancel := context.WithCancel(x.t.Context())
+					var session sync.WaitGroup
+					session.Go(func() { x.busyAtOld(ctx, obeys) })
+					state, after := x.ended(v)
+					cancel()
+					session.Wait()
+					is.Equal(state, document.RolloutComplete)
+					is.True(after > rolloutTime*88/100)
+					is.True(after < rolloutTime)
+				})
+			})
+		})
+	}
+}
+
+// busyAtOld is a gateway that, if it obeys lists, always runs a request at server b1.
+func (x *fleet) busyAtOld(ctx context.Context, obeys bool) {
+	is := is.New(x.t)
+	id := link.Identity{Name: "10.0.2.9:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.9").DialContext}
+	l, err := link.Dial(ctx, x.mustLead().ip+":7400", id, nil)
+	is.NoErr(err)
+	defer l.Close()
+	is.NoErr(l.Send(ctx, protocol.Watch{Gateway: id.Name, KnowsVersions: true}))
+	var u protocol.Usage
+	for ctx.Err() == nil {
+		m, err := l.ReceiveWithin(ctx, time.Second)
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case protocol.Servers:
+			for _, s := range m.Set {
+				if s.ID == "b1" && obeys {
+					u.Loads = []protocol.ServerLoad{{Handle: s.Handle, Requests: 1}}
+				}
+			}
+		case protocol.Rollouts:
+			if obeys {
+				u.Obeyed = m.Seq
+			}
+		case protocol.Fleet:
+			u.Seq++
+			_ = l.Send(ctx, u) // it fails when the test is over
+		}
+	}
+}
