--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -66,6 +66,7 @@
 func TestNewLeaderWaits(t *testing.T) {
 	is := is.New(t)
 	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	is.Equal(s.Step(Observed{Elapsed: 2 * time.Second, TargetListed: true}).Share, 0.0)
 	at := 8 * time.Second
 	is.Equal(s.Step(Observed{Elapsed: at, TargetListed: true}).Share, 0.0)
 	totals := map[string]*Pair{"r": {Target: Tally{Sent: 40, Answered: 40}, Old: Tally{Sent: 960, Answered: 960}}}
@@ -80,6 +81,18 @@
 	is.Equal(d.Sent, uint64(40))
 }
 
+// TestLateLeaderMeasuresFirst: one that comes when it has to be decided knows the rate before it
+// says that too little is known; of a pool without requests nothing has to be.
+func TestLateLeaderMeasuresFirst(t *testing.T) {
+	is := is.New(t)
+	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	var d Decision
+	for at := 8 * time.Second; at < 12*time.Second && d.Ending == GoOn; at += 100 * time.Millisecond {
+		d = s.Step(Observed{Elapsed: at, TargetListed: true, OldIdle: true, Informed: at >= 9*time.Second})
+	}
+	is.Equal(d.Ending, Complete)
+}
+
 // TestRouteMustBeTried: no switch before the latest moment while a route has had nothing, and
 // then none either.
 func TestRouteMustBeTried(t *testing.T) {
