--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -81,6 +81,20 @@
 	is.Equal(d.Sent, uint64(40))
 }
 
+// TestBoundIsUsedUp: after a leader whose switch was not over, say: nothing more in the trial.
+func TestBoundIsUsedUp(t *testing.T) {
+	is := is.New(t)
+	all := seen(func(at time.Duration, _ Decision) Observed {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		return Observed{Informed: true, TargetListed: true, Totals: map[string]*Pair{
+			"r": {Target: Tally{Sent: 300, Answered: 300}, Old: Tally{Sent: n, Answered: n}},
+		}}
+	})
+	is.Equal(all[40].Share, 0.0)
+	is.Equal(all[40].Why, "the bound is used up")
+	is.Equal(all[len(all)-1].Ending, Complete) // at the latest, it is good by what was seen
+}
+
 // TestLateLeaderMeasuresFirst: one that comes when it has to be decided knows the rate before it
 // says that too little is known; of a pool without requests nothing has to be.
 func TestLateLeaderMeasuresFirst(t *testing.T) {
