Document: homes are checked, and combined

Cause: routes and accounts have homes since the interfaces; nothing said what two lists mean together, and a region without a name passed. Change: CommonHomes (where both have some, what they have in common, which may be nothing); a home without a name is a mistake of the document, a region that nobody knows is none. Measured: go test ./state/document passes.

--- a/state/document/document.go
+++ b/state/document/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -85,6 +86,24 @@
 	Homes []string `cbor:"4,keyasint,omitempty"`
 }
 
+// CommonHomes returns the regions that the homes of a route and of an account allow together,
+// and whether they bind at all: where one has none, the other's bind, and where both have some,
+// only what they have in common is left, which may be nothing.
+func CommonHomes(route, account []string) (regions []string, bound bool) {
+	switch {
+	case len(route) == 0:
+		return account, len(account) > 0
+	case len(account) == 0:
+		return route, true
+	}
+	for _, region := range route {
+		if slices.Contains(account, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, true
+}
+
 // Limits bound what callers may send and how long they may take.
 type Limits struct {
 	HeaderBytes     int           `cbor:"1,keyasint,omitempty"`
@@ -163,6 +182,7 @@
 			found.add(where, "shares host and prefix with route %q", other)
 		}
 		places[place] = r.Name
+		checkHomes(found, where, r.Homes)
 		r.checkTargets(found, where, pools)
 	}
 }
@@ -183,9 +203,18 @@
 	}
 }
 
+// checkHomes looks at the regions' names alone. A region that nobody knows is no mistake: another
+// box may know it, and all other changes of the document would be refused with it.
+func checkHomes(found *mistakes, where string, homes []string) {
+	if slices.Contains(homes, "") {
+		found.add(where, "has a home without a name")
+	}
+}
+
 func (d Document) checkAccounts(found *mistakes) {
 	owners := map[string]string{}
 	for _, t := range d.Accounts {
+		checkHomes(found, fmt.Sprintf("tenant %q", t.Name), t.Homes)
 		for _, key := range t.Keys {
 			if other, taken := owners[key]; taken && other != t.Name {
 				found.add(fmt.Sprintf("tenant %q", t.Name), "shares a key with tenant %q", other)
--- a/state/document/document_test.go
+++ b/state/document/document_test.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,9 @@
 		{"shared key", func(d *Document) { d.Accounts[1].Keys = []string{"k2"} }, `shares a key with tenant "t"`},
 		{"key twice at one tenant", func(d *Document) { d.Accounts[0].Keys = []string{"k1", "k1"} }, ""},
 		{"pool twice", func(d *Document) { d.Pools[1].Name = "p" }, `pool "p": is there twice`},
+		{"home without a name", func(d *Document) { d.Routes[0].Homes = []string{"north", ""} }, `route "a": has a home without a name`},
+		{"account's home without a name", func(d *Document) { d.Accounts[1].Homes = []string{""} }, `tenant "u": has a home without a name`},
+		{"home that nobody knows", func(d *Document) { d.Routes[0].Homes = []string{"moon"} }, ""},
 		{"prefix", func(d *Document) { d.Routes[0].Prefix = "a/" }, "does not begin with a slash"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -165,3 +169,23 @@
 	is.Equal(total, uint64(2))
 	is.Equal(restored.Joined(), s.Joined())
 }
+
+// TestCommonHomes: both bind where both have some, and what they have in common may be nothing.
+func TestCommonHomes(t *testing.T) {
+	for _, tt := range []struct {
+		route, account, want []string
+		bound                bool
+	}{
+		{nil, nil, nil, false},
+		{[]string{}, []string{}, nil, false},
+		{[]string{"north"}, nil, []string{"north"}, true},
+		{nil, []string{"south"}, []string{"south"}, true},
+		{[]string{"north", "south"}, []string{"south", "west"}, []string{"south"}, true},
+		{[]string{"north"}, []string{"south"}, nil, true},
+	} {
+		is := is.New(t)
+		got, bound := CommonHomes(tt.route, tt.account)
+		is.Equal(bound, tt.bound)
+		is.True(slices.Equal(got, tt.want))
+	}
+}
