--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -65,10 +65,11 @@
 	Connections              // this gateway's part of the connections that it accepts
 	Slots                    // requests on it
 	Reading                  // prompts that it has to read first
+	Crossing                 // this gateway's part of the link to its region
 )
 
 // String returns the bound's name, as log lines carry it.
-func (b Bound) String() string { return [...]string{"", "connections", "slots", "reading"}[b] }
+func (b Bound) String() string { return [...]string{"", "connections", "slots", "reading", "link"}[b] }
 
 // bound returns what keeps a server from taking one more request now.
 func (p *RoomPlacer) bound(r Request, c candidate) Bound {
--- a/coordination/place/room_test.go
+++ b/coordination/place/room_test.go
@@ -70,7 +70,8 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var got []int
-			for _, c := range candidates(Request{Repeatable: tt.repeatable}, tt.servers) {
+			found, _ := candidates(Request{Repeatable: tt.repeatable}, tt.servers)
+			for _, c := range found {
 				got = append(got, c.index)
 			}
 			is.New(t).Equal(got, tt.want)
@@ -142,7 +143,8 @@
 	for i := range servers {
 		servers[i].Own.Tokens = 2000
 	}
-	for _, c := range candidates(r, servers) {
+	found, _ := candidates(r, servers)
+	for _, c := range found {
 		is.Equal(new(RoomPlacer).bound(r, c) == Free, c.index != 2)
 	}
 }
--- a/coordination/place/roomplacer.go
+++ b/coordination/place/roomplacer.go
@@ -86,7 +86,12 @@
 // instead. That was tried (0.264 on a day that had 0.555 before, commit 3c9399e): what is
 // read again takes room from others, so that ever more requests leave their first engine.
 func (p *RoomPlacer) Choose(r Request, servers []Server) Choice {
-	found := candidates(r, servers)
+	found, _ := candidates(r, servers)
+	return p.choose(r, found)
+}
+
+// choose is Choose among candidates.
+func (p *RoomPlacer) choose(r Request, found []candidate) Choice {
 	if !r.Engine {
 		return p.spread(r, found)
 	}
@@ -101,13 +106,19 @@
 // that have room. It is for requests that would otherwise be refused and should not
 // be. There may be few of them, because what is read again takes room from others.
 func (p *RoomPlacer) ChooseWithRoom(r Request, servers []Server) Choice {
+	found, _ := candidates(r, servers)
+	return p.withRoom(r, found)
+}
+
+// withRoom is ChooseWithRoom among candidates, whose slice it uses up.
+func (p *RoomPlacer) withRoom(r Request, found []candidate) Choice {
 	if !r.Engine {
-		if c := p.spread(r, candidates(r, servers)); c.Bound == Free {
+		if c := p.spread(r, found); c.Bound == Free {
 			return c
 		}
 		return Choice{Index: -1}
 	}
-	open := slices.DeleteFunc(candidates(r, servers), func(c candidate) bool { return p.bound(r, c) != Free })
+	open := slices.DeleteFunc(found, func(c candidate) bool { return p.bound(r, c) != Free })
 	best, _, ok := cheapest(r.Prompt, open)
 	if !ok {
 		return Choice{Index: -1}
@@ -126,22 +137,23 @@
 
 // candidates returns the servers that the request may go to: those in use, and
 // for what may run more than once those that are due for a trial. Better an
-// ejected one than none; and the only server of a pool may have a request again.
-func candidates(r Request, servers []Server) []candidate {
-	found := make([]candidate, 0, len(servers))
+// ejected one than none, then healthy is false; and the only server of a pool may have a
+// request again.
+func candidates(r Request, servers []Server) (found []candidate, healthy bool) {
+	found = make([]candidate, 0, len(servers))
 	typical := typicalPace(servers)
 	for _, anyHealth := range []bool{false, true} {
 		for i := range servers {
 			s := &servers[i]
-			healthy := s.Health == outlier.InUse || (s.Health == outlier.Trial && r.Repeatable)
+			inUse := s.Health == outlier.InUse || (s.Health == outlier.Trial && r.Repeatable)
 			mayHave := !s.Avoid || (anyHealth && len(servers) == 1)
-			if mayHave && (healthy || anyHealth) && !s.Closed {
+			if mayHave && (inUse || anyHealth) && !s.Closed {
 				found = append(found, candidate{Server: s, index: i, load: s.fromAll(), slowness: s.Pace.slowness(typical)})
 			}
 		}
 		if len(found) > 0 {
-			break
+			return found, !anyHealth
 		}
 	}
-	return found
+	return nil, false
 }
--- a/coordination/place/spread_test.go
+++ b/coordination/place/spread_test.go
@@ -140,7 +140,8 @@
 func leastLoaded(_ *rand.Rand, servers []Server) Choice {
 	p := &RoomPlacer{}
 	r := Request{}
-	best, read, ok := cheapest(r.Prompt, candidates(r, servers))
+	found, _ := candidates(r, servers)
+	best, read, ok := cheapest(r.Prompt, found)
 	if !ok {
 		return Choice{Index: -1}
 	}
