--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
@@ -46,6 +47,7 @@
 		}
 	}
 	c.counts = c.counts.With(out.execution)
+	c.g.settleLink(a, len(c.body)+headerBytes(c.r))
 	if c.g.release(a, out.blame) {
 		c.g.stats.count("suspected", "pool", c.pool.Name)
 		c.g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.server), slog.String("cause", out.cause))
@@ -64,6 +66,10 @@
 	}
 	defer answer.Body.Close()
 	a.opened = c.g.since(answer.Opened)
+	c.g.observeWay(a)
+	if a.left != place.Stay {
+		answer.Body = countedBody{ReadCloser: answer.Body, n: &a.received}
+	}
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
 	if head.ID != c.head.ID {
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", blame: outlier.Faulty, err: errCrossed}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -192,22 +193,30 @@
 // 0.79 to 0.97 ms with them (four runs each in turn, beside other load).
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{60, 10_000} {
-		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
-			t := newTable("g", "hall-0", monotonic())
-			m := protocol.Servers{Term: 1, Whole: true}
-			for i := range n {
-				m.Set = append(m.Set, protocol.Server{Handle: uint32(i + 1), Registration: protocol.Registration{
-					ID: fmt.Sprintf("i-%05d", i), Pool: "engines", Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250),
-					Hall: fmt.Sprint("hall-", i%3), Slots: 32,
-				}})
-			}
-			t.update(m)
-			req := requirements{pool: document.Pool{Name: "engines", Engine: true}, route: document.Route{Objective: 400 * time.Millisecond}}
-			req.prompt = place.Prompt{Own: 600, Shared: []place.Part{{Name: "a", Tokens: 500}, {Name: "b", Tokens: 4000}}}
-			for b.Loop() {
-				a, _ := t.acquire(t.now(), req)
-				a.known.own = place.Work{}
-			}
-		})
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) { benchChoose(b, n, topology.Topology{}) })
+	}
+	two, err := topology.New(map[string]string{"hall-0": "north", "hall-1": "north", "hall-2": "south"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("backends=10000,regions=2", func(b *testing.B) { benchChoose(b, 10_000, two) })
+}
+
+func benchChoose(b *testing.B, n int, fleet topology.Topology) {
+	t := newTable("g", "hall-0", monotonic())
+	t.setSite(fleet.Region("hall-0"), fleet, 0)
+	m := protocol.Servers{Term: 1, Whole: true}
+	for i := range n {
+		m.Set = append(m.Set, protocol.Server{Handle: uint32(i + 1), Registration: protocol.Registration{
+			ID: fmt.Sprintf("i-%05d", i), Pool: "engines", Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250),
+			Hall: fmt.Sprint("hall-", i%3), Slots: 32,
+		}})
+	}
+	t.update(m)
+	req := requirements{pool: document.Pool{Name: "engines", Engine: true}, route: document.Route{Objective: 400 * time.Millisecond}}
+	req.prompt = place.Prompt{Own: 600, Shared: []place.Part{{Name: "a", Tokens: 500}, {Name: "b", Tokens: 4000}}}
+	for b.Loop() {
+		a, _ := t.acquire(t.now(), req)
+		a.known.own = place.Work{}
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -235,6 +235,7 @@
 			return err
 		}
 		if callerHasLeft(ctx) {
+			c.g.settleLink(a, 0)
 			c.g.release(a, outlier.NoVerdict)
 			return callerLeft{}
 		}
@@ -258,6 +259,10 @@
 		},
 		pool: c.pool, route: c.route, prompt: c.head.Prompt,
 		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.gateways.Load()), random: c.g.random(),
+		accountHomes: c.account.Homes, bytes: len(c.body) + headerBytes(c.r),
+	}
+	if c.route.Objective > 0 {
+		req.objectiveEnds = c.arrived + c.route.Objective - c.spent
 	}
 	waiting := c.waiting()
 	switch {
@@ -272,18 +277,32 @@
 		c.countStarted()
 		return a, nil
 	}
+	return nil, c.withoutServer(ctx, &req)
+}
+
+// withoutServer is the end of a request that got no backend server. What its homes let nothing
+// serve does not count as missed: no engine lacks for it.
+func (c *call) withoutServer(ctx context.Context, req *requirements) error {
 	policy := c.policy(ctx)
 	if !policy.TimeLeft && c.r.Context().Err() != nil {
-		return nil, callerLeft{}
+		return callerLeft{}
+	}
+	if c.shortage.stayed != "" {
+		c.g.stats.count("region_stayed", "why", string(c.shortage.stayed))
 	}
-	if policy.TimeLeft && c.counts.Arrived == 0 {
+	if policy.TimeLeft && c.counts.Arrived == 0 && c.shortage.homes == "" {
 		c.countMissed()
 	}
-	if len(c.shortage.halls) > 0 && policy.TimeLeft && c.counts.Runs == 0 {
-		return nil, Refusal{Cause: HallsOut, RetryAfter: retry.Later}
+	if policy.TimeLeft && c.counts.Runs == 0 {
+		switch {
+		case c.shortage.homes != "":
+			return Refusal{Cause: c.shortage.homes, RetryAfter: retry.Later}
+		case len(c.shortage.halls) > 0:
+			return Refusal{Cause: HallsOut, RetryAfter: retry.Later}
+		}
 	}
-	allTried := c.g.table.poolSize(c.pool.Name) <= len(c.avoid)
-	return nil, c.refusal(policy.WithoutServer(c.class, allTried))
+	allTried := c.g.table.reachable(req) <= len(c.avoid)
+	return c.refusal(policy.WithoutServer(c.class, allTried))
 }
 
 // waiting is what decides how long the request may wait for a server.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -28,6 +28,11 @@
 	avoid    map[string]bool // backend servers that had the request already
 	gateways int
 	random   float64 // from 0 to 1
+
+	accountHomes  []string      // as of the document that the request was taken with
+	homes         homes         // as of the last choice
+	bytes         int           // that it sends
+	objectiveEnds time.Duration // by the gateway's clock; 0 is none
 }
 
 // choiceRequest translates them for package place.
@@ -51,6 +56,12 @@
 	trial       bool          // of an ejected server
 	answering   bool          // a part of the answer has come
 	ended       bool
+
+	left     place.Leave   // why it goes to another region
+	homes    homes         // that bound it
+	way      time.Duration // the round trip there
+	charged  float64       // bytes that were taken of the link for it
+	received int           // bytes that came from another region
 }
 
 // shortage is why a request got no backend server: the one that suits it best, with
@@ -64,34 +75,41 @@
 	learned  place.Learned
 	age      time.Duration // of what is known of other gateways' requests
 	halls    []string      // out of service, where all servers of the pool are
+	homes    Cause         // why its homes let nothing serve it, if so
+	stayed   stayed        // what kept it in its region, if it had a reason to leave
 }
 
+// final reports whether waiting is of no use.
+func (s *shortage) final() bool { return len(s.halls) > 0 || s.homes != "" }
+
 // acquire returns the backend server that suits the request best if it has room, or
 // nil and why. The caller holds mu.
 func (t *table) acquire(now time.Duration, req requirements) (*assignment, shortage) {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.Choose(req.choiceRequest(), t.view(p, now, &req))
+	choice, left := t.choose(p, now, &req)
 	switch {
 	case choice.Index < 0:
-		return nil, shortage{halls: t.allOut(p)}
+		return nil, shortage{halls: t.allOut(p, &req), homes: t.homesRefusal(p, &req), stayed: left.stayed}
 	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
 		return nil, shortage{
 			server: k.ID, bound: choice.Bound, requests: choice.Before.Requests, tokens: choice.Before.Tokens,
 			slowness: choice.Slowness, learned: p.placer.Learned(), age: now - k.othersAt,
+			stayed: left.stayed,
 		}
 	}
-	return p.assign(now, choice), shortage{}
+	return t.depart(p.assign(now, choice), now, &req, left), shortage{}
 }
 
-// allOut returns the data halls that are out of service, if all servers of the pool are in
-// them: then nothing can be served until an operator puts one back. The caller holds mu.
-func (t *table) allOut(p *pool) []string {
+// allOut returns the data halls that are out of service, if all servers of the pool that the
+// request's homes allow are in them: then nothing can be served until an operator puts one
+// back. The caller holds mu.
+func (t *table) allOut(p *pool, req *requirements) []string {
 	if len(t.hallsOut) == 0 || len(p.servers) == 0 {
 		return nil
 	}
 	for _, k := range p.servers {
-		if !t.hallsOut[k.Hall] {
+		if !t.hallsOut[k.Hall] && t.mayBeServedAt(req, k) {
 			return nil
 		}
 	}
@@ -102,11 +120,11 @@
 // that have room, or nil. The caller holds mu.
 func (t *table) acquireWithRoom(now time.Duration, req requirements) *assignment {
 	p := t.pool(req.pool.Name)
-	choice := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, now, &req))
+	choice, left := t.chooseWithRoom(p, now, &req)
 	if choice.Index < 0 {
 		return nil
 	}
-	return p.assign(now, choice)
+	return t.depart(p.assign(now, choice), now, &req, left)
 }
 
 // expectedFirst returns how long a server that runs nothing else is expected to need
@@ -117,16 +135,19 @@
 	return t.pool(pool.Name).placer.ExpectedFirst(pool.Engine, prompt.Tokens())
 }
 
-// view returns what is known of the pool's servers, for one choice. The caller holds mu.
-func (t *table) view(p *pool, now time.Duration, req *requirements) []place.Server {
+// view returns what is known of some of the pool's servers, for one choice. The caller holds
+// mu.
+func (t *table) view(p *pool, servers []*knownServer, now time.Duration, req *requirements) []place.Server {
 	leased := now < t.leased
+	// The only server of a region is not the only one of its pool, which may have a request again.
+	alone := len(servers) == 1 && len(p.servers) > 1 && !req.homes.bound
 	p.viewed = p.viewed[:0]
-	for _, k := range p.servers {
+	for _, k := range servers {
 		p.viewed = append(p.viewed, place.Server{
 			ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - k.othersAt,
 			Pace: k.pace, Health: k.health.State(now), Avoid: req.avoid[k.ID],
 			Lost:   k.health.LostInARow(),
-			Closed: t.hallsOut[k.Hall] || !k.cold.Admits(now, leased) || !t.mayHaveVersion(req, k) || !t.mayBeServedAt(req, k),
+			Closed: (alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, leased) || !t.mayHaveVersion(req, k) || !t.mayBeServedAt(req, k),
 		})
 	}
 	return p.viewed
@@ -158,7 +179,7 @@
 	p := g.table.pool(a.known.Pool)
 	// A gateway that is late itself would take its own lateness for the servers'.
 	if !g.overload.Load().Late(g.now()) {
-		a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, a.untilFirst))
+		a.known.pace.Observe(p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, max(a.untilFirst-a.way, 0)))
 	}
 }
 
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -34,7 +34,11 @@
 	MayHaveRun        Cause = "may-have-run"       // an answer was lost, a second run is not allowed
 	TooLate           Cause = "too-late"           // no answer can come before its deadline
 	HallsOut          Cause = "halls-out"          // all its servers are in halls out of service - retry.Later
-	TimedOut          Cause = "timed-out"          // a server had it when the time was over
+	// NoCommonHome: route and account have homes, and none in common - retry.Later.
+	NoCommonHome Cause = "no-common-home"
+	// HomesWithoutServer: no listed server of the pool is in its homes - retry.Later.
+	HomesWithoutServer Cause = "homes-without-server"
+	TimedOut           Cause = "timed-out" // a server had it when the time was over
 )
 
 // ownAnswer is how a gateway answers for one cause.
@@ -60,13 +64,17 @@
 	NotRunThere:       {http.StatusServiceUnavailable, true, true},
 	HallsOut:          {http.StatusServiceUnavailable, true, false},
 	TooLate:           {http.StatusServiceUnavailable, true, false},
-	MayHaveRun:        {http.StatusBadGateway, false, false},
-	TimedOut:          {http.StatusGatewayTimeout, false, false},
-	NoRoute:           {http.StatusNotFound, false, false},
-	UnknownKey:        {http.StatusUnauthorized, false, false},
-	HeaderTooLarge:    {http.StatusRequestHeaderFieldsTooLarge, false, false},
-	BodyTooLarge:      {http.StatusRequestEntityTooLarge, false, false},
-	BodyBroken:        {http.StatusBadRequest, false, false},
+	// Not 403: the caller may have what it asks for, the fleet cannot give it. 503 promises that
+	// it has not run, and the next document or server may mend it.
+	NoCommonHome:       {http.StatusServiceUnavailable, true, false},
+	HomesWithoutServer: {http.StatusServiceUnavailable, true, false},
+	MayHaveRun:         {http.StatusBadGateway, false, false},
+	TimedOut:           {http.StatusGatewayTimeout, false, false},
+	NoRoute:            {http.StatusNotFound, false, false},
+	UnknownKey:         {http.StatusUnauthorized, false, false},
+	HeaderTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, false, false},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, false, false},
+	BodyBroken:         {http.StatusBadRequest, false, false},
 }
 
 // endings are the causes for the policy's endings, but for retry.EndBroken and
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -107,6 +107,7 @@
 			slog.Int("tokens_read", a.tokens), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
 			milliseconds("queued_ms", a.began-c.arrived), milliseconds("first_ms", a.untilFirst))
 	}
+	attrs = append(attrs, c.regionAttrs()...)
 	if r := c.relay; r != nil && r.passed > 0 {
 		attrs = append(attrs, slog.Int("pieces", r.passed), slog.String("last_event", r.lastEventID),
 			milliseconds("quiet_ms", c.g.now()-r.passedAt), milliseconds("longest_gap_ms", r.longestGap))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,10 @@
 	Hall     string
 	Region   string            // of the hall; empty if the settings name none
 	Topology topology.Topology // of the fleet
-	Seeds    []string          // fleet addresses of directory replicas
+	// LinkRate is the capacity of the link between two regions one way, in bytes a second; 0 is
+	// [place.DefaultLinkRate].
+	LinkRate float64
+	Seeds    []string // fleet addresses of directory replicas
 	Headers  HeaderCodec
 	Server   Server
 	Retries  retry.Limits
@@ -100,6 +103,7 @@
 		tokens: newTokens(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
 	}
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
+	g.table.setSite(cfg.Region, cfg.Topology, cfg.LinkRate)
 	g.accounts = newAccounts(g.now)
 	g.SetSeeds(cfg.Seeds)
 	g.gateways.Store(retry.AssumedGateways)
@@ -165,6 +169,7 @@
 	if held != nil && held.document.Number >= d.Number {
 		return
 	}
+	g.table.setHomes(d)
 	g.routes.Store(newRoutes(d, held))
 	g.cfg.Log.StateChange("document in force", slog.Uint64("number", d.Number), slog.Int("routes", len(d.Routes)),
 		slog.Int("tenants", len(d.Accounts)))
--- /dev/null
+++ b/gateway/homes_test.go
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests that a request is served in its homes alone.
+
+func TestHomes(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		route, account []string
+		served         string // the region's halls; empty is refused
+		error          string
+	}{
+		{"none", nil, nil, "n", ""},
+		{"the route's, here", []string{"north"}, nil, "n", ""},
+		{"the route's, elsewhere", []string{"south"}, nil, "s", ""},
+		{"the account's, elsewhere", nil, []string{"south"}, "s", ""},
+		{"both", []string{"north", "south"}, []string{"south", "west"}, "s", ""},
+		{"none in common", []string{"north"}, []string{"south"}, "", "no-common-home"},
+		{"no server there", []string{"west"}, nil, "", "homes-without-server"},
+		{"a region that nobody knows", nil, []string{"moon"}, "", "homes-without-server"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.twoRegions()
+				x.g.apply(homesDocument(4, tt.route, tt.account))
+				x.at("plain", 2, answers(200, "ok", time.Millisecond), "n1", "s1", "nowhere")
+				for range 10 {
+					r := x.ask("/again/x", "Patience", "1000")
+					if tt.served != "" {
+						is.Equal(r.status, 200)
+						continue
+					}
+					is.Equal(r.status, 503)
+					is.Equal(r.body, "{\"error\":\""+tt.error+"\"}\n")
+					is.Equal(r.took, time.Duration(0))
+					is.Equal(r.header.Get("Retry-After"), "1.000")
+				}
+				if tt.served == "" {
+					is.Equal(x.servers.count(), 0)
+					is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_refused_total{cause="`+tt.error+`"} 10`))
+					return
+				}
+				is.Equal(x.servedIn(tt.served+"1"), 10)
+			})
+		})
+	}
+}
+
+// TestHomeIsFullOrGone: a request waits for its home and is refused there, while servers
+// elsewhere are idle; without a listed server in its homes it is refused at once.
+func TestHomeIsFullOrGone(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.twoRegions()
+			x.g.apply(homesDocument(4, []string{home}, nil))
+			x.at("plain", 2, answers(200, "ok", time.Millisecond), "n1", "s1", "nowhere")
+			hall := home[:1] + "1"
+			x.full(true, hall)
+			r := x.ask("/again/x", "Patience", "1000")
+			is.Equal(r.status, 503)
+			is.Equal(r.body, "{\"error\":\"overloaded\"}\n")
+			is.True(r.took > 0)
+			x.g.table.update(protocol.Servers{Term: 1, HallsOut: []string{hall}, HallChanges: 1})
+			is.Equal(x.ask("/again/x", "Patience", "1000").body, "{\"error\":\"halls-out\"}\n")
+			x.g.table.update(protocol.Servers{Term: 1, HallChanges: 2})
+			x.gone("plain", 2, hall)
+			r = x.ask("/again/x", "Patience", "1000")
+			is.Equal(r.body, "{\"error\":\"homes-without-server\"}\n")
+			is.Equal(r.took, time.Duration(0))
+			is.Equal(x.servers.count(), 0)
+			x.at("plain", 2, answers(200, "ok", time.Millisecond), hall)
+			is.Equal(x.ask("/again/x").status, 200)
+			is.Equal(x.servedIn(hall), 1)
+		})
+	}
+}
+
+// TestRepeatsKeepToTheHomes: a second attempt, and a stream that is taken up.
+func TestRepeatsKeepToTheHomes(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.g.apply(homesDocument(4, []string{"south"}, nil))
+		x.at("plain", 2, fails(forward.NotRun{Err: io.EOF}), "s1")
+		x.at("plain", 2, answers(200, "ok", time.Millisecond), "n1", "nowhere")
+		is.Equal(x.ask("/again/x", "Patience", "1000").status, 503)
+		is.Equal(x.servedIn("n")+x.servedIn("nowhere"), 0)
+		x.at("plain", 2, streams(piece{text: event(1)}, piece{err: io.ErrUnexpectedEOF}), "s1")
+		x.ask("/resume/x", "Patience", "1000")
+		is.Equal(x.servedIn("n")+x.servedIn("nowhere"), 0)
+		is.True(x.servedIn("s1") >= 3)
+	})
+}
+
+// TestHomesGivenLater: what runs ends where it is; what waits, and each further attempt, obeys
+// the newer document, also where it takes homes away.
+func TestHomesGivenLater(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, answers(200, "ok", 200*time.Millisecond), "n1")
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "s1")
+		var group sync.WaitGroup
+		var running, waiting reply
+		group.Go(func() { running = x.ask("/again/x") })
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(x.servedIn("n1"), 1)
+		x.full(true, "n1", "s1")
+		group.Go(func() { waiting = x.ask("/again/x", "Patience", "1000") })
+		time.Sleep(10 * time.Millisecond)
+		x.g.apply(homesDocument(4, []string{"south"}, nil))
+		x.full(false, "n1") // idle, and no home any more
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(x.servers.count(), 1)
+		x.full(false, "s1")
+		group.Wait()
+		is.Equal([]int{running.status, waiting.status}, []int{200, 200})
+		is.Equal(x.servedIn("s1"), 1)
+
+		x.at("plain", 1, func(_ context.Context, call forward.Call) (*forward.Answer, error) {
+			x.g.apply(homesDocument(x.g.DocumentNumber()+1, []string{"north"}, nil))
+			return nil, forward.NotRun{Err: io.EOF}
+		}, "s1")
+		is.Equal(x.ask("/again/x").status, 200) // the first attempt in the south, the second by the newer document
+		is.Equal(x.servedIn("s1"), 2)
+		is.Equal(x.servedIn("n1"), 2)
+		x.g.apply(homesDocument(20, nil, nil))
+		x.gone("plain", 1, "n1")
+		is.Equal(x.ask("/again/x").status, 503) // the south fails still, but may be asked
+		is.Equal(x.servedIn("s1"), 3)
+	})
+}
+
+// TestHomesWithoutRegions: without settings of regions nothing is known to be in a home; with one
+// region its halls are, and a hall that is not named is not.
+func TestHomesWithoutRegions(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		ok := answers(200, "ok", time.Millisecond)
+		x.at("plain", 1, ok, "n1")
+		x.g.apply(homesDocument(4, []string{"north"}, nil))
+		is.Equal(x.ask("/again/x").body, "{\"error\":\"homes-without-server\"}\n")
+		fleet, err := topology.New(map[string]string{"n1": "north"})
+		is.NoErr(err)
+		x.g.table.mu.Lock()
+		x.g.table.setSite("north", fleet, 0)
+		x.g.table.mu.Unlock()
+		x.gone("plain", 1, "n1")
+		x.at("plain", 1, ok, "nowhere")
+		is.Equal(x.ask("/again/x").body, "{\"error\":\"homes-without-server\"}\n")
+		x.at("plain", 1, ok, "n1")
+		is.Equal(x.ask("/again/x").status, 200)
+		is.Equal(x.servedIn("n1"), 1)
+	})
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -29,10 +29,10 @@
 	p := t.pool(req.pool.Name)
 	var a *assignment
 	var full shortage
-	if !g.outranked(p, req) {
+	if full.homes = t.homesRefusal(p, &req); !full.final() && !g.outranked(p, req) {
 		a, full = t.acquire(g.now(), req)
 	}
-	if a != nil || patience <= 0 || len(full.halls) > 0 {
+	if a != nil || patience <= 0 || full.final() {
 		t.mu.Unlock()
 		return a, full
 	}
--- /dev/null
+++ b/gateway/regions.go
@@ -0,0 +1,322 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file defines how the choice of a backend server goes over regions: a pool's servers by
+// region, the requests that leave the gateway's own, and the bytes that they put on the link.
+// The rules are in coordination/place.
+
+// site is where a gateway stands.
+type site struct {
+	region   string
+	topology topology.Topology
+	regions  int // in the fleet
+	linkRate float64
+}
+
+// hasFarSide reports whether some servers are far: there are several regions, and the gateway
+// knows its own.
+func (s *site) hasFarSide() bool { return s.regions > 1 && s.region != "" }
+
+// setSite says where the gateway stands, before it knows any server.
+func (t *table) setSite(region string, fleet topology.Topology, linkRate float64) {
+	t.site = site{region: region, topology: fleet, regions: len(fleet.Regions()), linkRate: linkRate}
+}
+
+// share is what divides the link's capacity among the region's gateways: as many as if all
+// regions had equally many.
+func (s *site) share(gateways int) place.Share {
+	return place.Share{Rate: s.linkRate, Gateways: gateways / max(s.regions, 1)}
+}
+
+// part is the servers of a pool in one region, ordered by identifier.
+type part struct {
+	region  string
+	servers []*knownServer
+}
+
+// insert adds a server in the order of identifiers.
+func insert(servers []*knownServer, k *knownServer) []*knownServer {
+	i, _ := slices.BinarySearchFunc(servers, k.ID, compareID)
+	return slices.Insert(servers, i, k)
+}
+
+func compareID(k *knownServer, id string) int { return strings.Compare(k.ID, id) }
+
+// joinPart adds a server to the part of its region, where the gateway has a far side.
+func (t *table) joinPart(p *pool, k *knownServer) {
+	k.region = t.site.topology.Region(k.Hall)
+	if !t.site.hasFarSide() {
+		return
+	}
+	if len(p.parts) == 0 {
+		p.parts = []part{{region: t.site.region}}
+	}
+	i := slices.IndexFunc(p.parts, func(x part) bool { return x.region == k.region })
+	if i < 0 {
+		i = len(p.parts)
+		p.parts = append(p.parts, part{region: k.region})
+	}
+	p.parts[i].servers = insert(p.parts[i].servers, k)
+}
+
+// leavePart drops a server from the part of its region.
+func (p *pool) leavePart(k *knownServer) {
+	for i, x := range p.parts {
+		if x.region == k.region {
+			p.parts[i].servers = slices.DeleteFunc(x.servers, func(o *knownServer) bool { return o == k })
+		}
+	}
+}
+
+// departure is why a choice leaves the gateway's region, or what kept it there.
+type departure struct {
+	why    place.Leave
+	stayed stayed
+}
+
+// stayed is what kept a request in its region that had a reason to leave it.
+type stayed string
+
+// What keeps a request in its region.
+const (
+	stayedForClass stayed = "class" // beyond its account's share
+	stayedForTime  stayed = "time"  // the way takes longer than its objective leaves
+	stayedForLink  stayed = "link"  // the budget lacks the bytes, or the link looks full
+	stayedForRoom  stayed = "room"  // no other region has room either
+)
+
+// choose returns the backend server that suits the request best, as an index of the pool's
+// servers. It looks at the gateway's own region first, and at others only with a reason. The
+// caller holds mu.
+func (t *table) choose(p *pool, now time.Duration, req *requirements) (place.Choice, departure) {
+	req.homes = t.homes.of(req)
+	if !t.site.hasFarSide() || len(p.parts) == 0 {
+		return p.placer.Choose(req.choiceRequest(), t.view(p, p.servers, now, req)), departure{}
+	}
+	own := p.parts[0].servers
+	c, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
+	c = p.indexed(c, own)
+	if why == place.Stay {
+		return c, departure{}
+	}
+	far, kept := t.chooseFar(p, now, req, why, c.Index >= 0)
+	if kept == "" || c.Index < 0 || (why == place.NoServer && far.Index >= 0 && kept == stayedForRoom) {
+		return far, departure{why: why, stayed: kept}
+	}
+	return c, departure{stayed: kept}
+}
+
+// chooseFar returns the server of the nearest other region that may have the request, or else
+// one that it would wait for, and what kept it from going. Ejected ones are looked at unless
+// its own region has some. The caller holds mu.
+func (t *table) chooseFar(p *pool, now time.Duration, req *requirements, why place.Leave, ownEjected bool) (place.Choice, stayed) {
+	none := place.Choice{Index: -1}
+	if why == place.NoRoom && !place.MayLeave(req.Class) {
+		return none, stayedForClass
+	}
+	best, kept := none, stayedForRoom
+	passage := place.Passage{Bytes: float64(req.bytes) + p.expectedAnswer(), Class: req.Class, Must: why == place.NoServer}
+	admitted := t.link.Admits(now, t.site.share(req.gateways), passage)
+	if !admitted && !passage.Must {
+		return none, stayedForLink
+	}
+	for _, x := range t.farParts(p) {
+		c, farWhy := t.chooseIn(p, x, now, req, why)
+		switch {
+		case c.Index < 0, farWhy == place.NoServer && ownEjected:
+		case why == place.NoRoom && !t.inTime(p, now, req, x.region):
+			kept = stayedForTime
+		case c.Bound == place.Free && admitted && farWhy != place.NoServer:
+			return c, ""
+		case best.Index < 0 && why == place.NoServer:
+			best = c // it is waited for, or is ejected and better than none
+		}
+	}
+	if !admitted {
+		return waitedFor(best), stayedForLink
+	}
+	return best, kept
+}
+
+// waitedFor is a choice that the link keeps from being taken now.
+func waitedFor(c place.Choice) place.Choice {
+	if c.Index >= 0 && c.Bound == place.Free {
+		c.Bound = place.Crossing
+	}
+	return c
+}
+
+// chooseIn chooses in another region: what has no servers of its own follows that region's
+// order as it would its own, what finds no room goes to any with room.
+func (t *table) chooseIn(p *pool, x part, now time.Duration, req *requirements, why place.Leave) (place.Choice, place.Leave) {
+	seen := t.view(p, x.servers, now, req)
+	if why == place.NoServer {
+		c, farWhy := p.placer.ChooseNear(req.choiceRequest(), seen)
+		return p.indexed(c, x.servers), farWhy
+	}
+	return p.indexed(p.placer.ChooseFar(req.choiceRequest(), seen), x.servers), place.Stay
+}
+
+// farParts returns the pool's servers of other regions, the nearest first; those in no known
+// region come last.
+func (t *table) farParts(p *pool) []part {
+	far := slices.Clone(p.parts[1:])
+	slices.SortStableFunc(far, func(a, b part) int {
+		if (a.region == "") != (b.region == "") {
+			return cmp.Compare(b.region, a.region)
+		}
+		return cmp.Or(cmp.Compare(t.link.Way(a.region), t.link.Way(b.region)), cmp.Compare(a.region, b.region))
+	})
+	return far
+}
+
+// inTime reports whether the way to a region and a server that runs nothing else leave the
+// request within its objective.
+func (t *table) inTime(p *pool, now time.Duration, req *requirements, region string) bool {
+	if req.objectiveEnds == 0 {
+		return true
+	}
+	return now+t.link.Way(region)+p.placer.ExpectedFirst(req.pool.Engine, req.prompt.Tokens()) <= req.objectiveEnds
+}
+
+// indexed turns a choice among some of the pool's servers into one among all.
+func (p *pool) indexed(c place.Choice, among []*knownServer) place.Choice {
+	if c.Index >= 0 {
+		c.Index, _ = slices.BinarySearchFunc(p.servers, among[c.Index].ID, compareID)
+	}
+	return c
+}
+
+// chooseWithRoom is choose among servers that have room. The caller holds mu.
+func (t *table) chooseWithRoom(p *pool, now time.Duration, req *requirements) (place.Choice, departure) {
+	req.homes = t.homes.of(req)
+	if !t.site.hasFarSide() || len(p.parts) == 0 {
+		return p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, p.servers, now, req)), departure{}
+	}
+	own := p.parts[0].servers
+	c := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, own, now, req))
+	if c.Index >= 0 {
+		return p.indexed(c, own), departure{}
+	}
+	_, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
+	if why == place.Stay {
+		return c, departure{}
+	}
+	far, kept := t.chooseFar(p, now, req, why, false)
+	if kept != "" {
+		return place.Choice{Index: -1}, departure{stayed: kept}
+	}
+	return far, departure{why: why}
+}
+
+// Bytes that an answer from another region brings, until some have come, and the weight of one
+// in what is learned. Chosen, not measured.
+const (
+	assumedAnswer = 4e3
+	answerWeight  = 0.05
+)
+
+// expectedAnswer returns how many bytes an answer of the pool brings.
+func (p *pool) expectedAnswer() float64 {
+	if p.answerBytes == 0 {
+		return assumedAnswer
+	}
+	return p.answerBytes
+}
+
+// depart notes where an attempt goes, and takes what it needs of the link. The caller holds mu.
+func (t *table) depart(a *assignment, now time.Duration, req *requirements, left departure) *assignment {
+	a.left, a.homes = left.why, req.homes
+	if left.why == place.Stay {
+		return a
+	}
+	a.way = t.link.Way(a.known.region)
+	a.charged = float64(req.bytes) + t.pool(a.known.Pool).expectedAnswer()
+	t.link.Spend(now, t.site.share(req.gateways), a.charged)
+	return a
+}
+
+// settleLink corrects what an attempt has taken of the link by what it has put there, and
+// counts it.
+func (g *Gateway) settleLink(a *assignment, sent int) {
+	if a.left == place.Stay {
+		return
+	}
+	t := g.table
+	t.mu.Lock()
+	if a.received > 0 {
+		p := t.pool(a.known.Pool)
+		p.answerBytes = p.expectedAnswer() + answerWeight*(float64(a.received)-p.expectedAnswer())
+	}
+	t.link.Spend(g.now(), t.site.share(int(g.gateways.Load())), float64(sent+a.received)-a.charged)
+	t.mu.Unlock()
+	from, to := t.site.region, a.known.region
+	count := func(name, labels string, n int) {
+		g.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_region_%s_total{%s}", name, labels)).Add(n)
+	}
+	count("requests", fmt.Sprintf("from=%q,to=%q,why=%q", from, to, a.left), 1)
+	count("bytes", fmt.Sprintf("from=%q,to=%q", from, to), sent)
+	count("bytes", fmt.Sprintf("from=%q,to=%q", to, from), a.received)
+}
+
+// observeWay learns the round trip to another region of a connection that was opened for an
+// attempt there. A gateway that is late itself would take its own lateness for the link's.
+func (g *Gateway) observeWay(a *assignment) {
+	if a.left == place.Stay || a.opened <= a.began || g.overload.Load().Late(g.now()) {
+		return
+	}
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	g.table.link.ObserveWay(g.now(), a.known.region, a.opened-a.began)
+}
+
+// countedBody counts the bytes of an answer that comes over the link.
+type countedBody struct {
+	io.ReadCloser
+	n *int
+}
+
+// Read implements [io.Reader].
+func (b countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	*b.n += n
+	return n, err
+}
+
+// regionAttrs are the log's attributes of where a request's last attempt went and why, or what
+// kept it from going, and of the homes that bound it.
+func (c *call) regionAttrs() []slog.Attr {
+	var attrs []slog.Attr
+	homes, bound := document.CommonHomes(c.route.Homes, c.account.Homes)
+	if a := c.assigned; a != nil {
+		if a.known.region != "" {
+			attrs = append(attrs, slog.String("region", a.known.region))
+		}
+		if a.left != place.Stay {
+			attrs = append(attrs, slog.String("left_region", a.left.String()))
+		}
+		homes, bound = a.homes.regions, a.homes.bound
+	}
+	if kept := c.shortage.stayed; kept != "" {
+		attrs = append(attrs, slog.String("stayed", string(kept)))
+	}
+	if bound {
+		attrs = append(attrs, slog.Any("homes", homes))
+	}
+	return attrs
+}
--- /dev/null
+++ b/gateway/regions_test.go
@@ -0,0 +1,388 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests where a gateway of the region "north" sends requests while there are servers
+// in "south" and in halls of no known region as well.
+
+// twoRegions lets the gateway stand in a hall of "north".
+func (x *fixture) twoRegions() {
+	fleet, err := topology.New(map[string]string{"n1": "north", "n2": "north", "s1": "south", "s2": "south", "w1": "west"})
+	is.New(x.t).NoErr(err)
+	x.g.table.mu.Lock()
+	defer x.g.table.mu.Unlock()
+	x.g.table.hall = "n1"
+	x.g.table.setSite("north", fleet, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	x.g.cfg.Random = rng.Uint64
+}
+
+// known returns a server as the directory lists it.
+func known(pool, hall string, i int) protocol.Server {
+	id := fmt.Sprintf("%s-%s-%02d", hall, pool, i)
+	return protocol.Server{Registration: protocol.Registration{ID: id, Pool: pool, Address: id, Hall: hall, Slots: 4}}
+}
+
+// at announces servers of a pool in halls, each with the behaviour.
+func (x *fixture) at(pool string, each int, does behaviour, halls ...string) {
+	m := protocol.Servers{Term: 1}
+	x.servers.mu.Lock()
+	for _, hall := range halls {
+		for i := range each {
+			s := known(pool, hall, i)
+			s.Handle = uint32(1000*len(x.servers.does) + 1)
+			x.servers.does[s.Address] = does
+			m.Set = append(m.Set, s)
+		}
+	}
+	x.servers.mu.Unlock()
+	x.g.table.update(m)
+}
+
+// gone removes servers of a pool in halls.
+func (x *fixture) gone(pool string, each int, halls ...string) {
+	m := protocol.Servers{Term: 1}
+	for _, hall := range halls {
+		for i := range each {
+			m.Gone = append(m.Gone, known(pool, hall, i).ID)
+		}
+	}
+	x.g.table.update(m)
+}
+
+// full lets all engines of halls be full by the work of other gateways.
+func (x *fixture) full(is bool, halls ...string) {
+	t := x.g.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range t.servers {
+		if slices.Contains(halls, k.Hall) {
+			k.others, k.othersAt = place.Work{}, t.now()
+			if is {
+				k.others = place.Work{Requests: 100, Tokens: 100_000}
+			}
+		}
+	}
+}
+
+// servedIn counts what arrived in a hall's servers, whose names begin with its name.
+func (x *fixture) servedIn(prefix string) (n int) {
+	x.servers.mu.Lock()
+	defer x.servers.mu.Unlock()
+	for _, call := range x.servers.arrivals {
+		if strings.HasPrefix(call.Header.Get("Backend"), prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestIdleFleetStaysInItsRegion: engines and plain services, also one with a single server in
+// each hall.
+func TestIdleFleetStaysInItsRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("engines", 6, streams(piece{text: event(1)}), "n1", "n2", "s1", "s2", "nowhere")
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "n1", "n2", "s1", "s2", "nowhere")
+		for i := range 200 {
+			is.Equal(x.ask("/engine/x", "Shared", fmt.Sprint(i), "Tokens", "500").status, 200)
+			is.Equal(x.ask("/again/x").status, 200)
+		}
+		is.Equal(x.servers.count(), 400)
+		is.Equal(x.servedIn("n"), 400-x.servedIn("s")-x.servedIn("nowhere"))
+		is.True(x.servedIn("n1")+x.servedIn("n2") >= 380)
+		is.True(x.servedIn("n2-plain") > 60) // and spread over both halls
+	})
+}
+
+// TestRegionWithoutServers: the nearest other region serves, and the own one again once it has
+// servers; those that stand nowhere known come last.
+func TestRegionWithoutServers(t *testing.T) {
+	for _, path := range []string{"/again/x", "/engine/x"} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.twoRegions()
+			pool := map[string]string{"/again/x": "plain", "/engine/x": "engines"}[path]
+			ok := streams(piece{text: event(1)})
+			x.at(pool, 2, ok, "n1", "nowhere", "s1")
+			x.gone(pool, 2, "n1")
+			for range 20 {
+				is.Equal(x.ask(path, "Shared", "a").status, 200)
+			}
+			is.Equal(x.servedIn("s1"), 20)
+			x.gone(pool, 2, "s1")
+			is.Equal(x.ask(path).status, 200)
+			is.Equal(x.servedIn("nowhere"), 1)
+			x.at(pool, 2, ok, "n2", "s1")
+			for range 20 {
+				is.Equal(x.ask(path).status, 200)
+			}
+			is.Equal(x.servedIn("n2"), 20)
+			is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_requests_total{from="north",to="south",why="no-server"} 20`))
+			is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_bytes_total{from="south",to="north"} `+fmt.Sprint(20*len(event(1)))))
+		})
+	}
+}
+
+func (x *fixture) metrics() string {
+	var b strings.Builder
+	x.g.cfg.Metrics.WritePrometheus(&b)
+	return b.String()
+}
+
+// TestRegionOutOfServiceOrEjected: what the own region has and may not give is none.
+func TestRegionOutOfServiceOrEjected(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		ok := answers(200, "ok", time.Millisecond)
+		x.at("plain", 2, ok, "n1", "s1")
+		x.g.table.update(protocol.Servers{Term: 1, HallsOut: []string{"n1"}, HallChanges: 1})
+		is.Equal(x.ask("/again/x").status, 200)
+		is.Equal(x.servedIn("s1"), 1)
+		x.g.table.update(protocol.Servers{Term: 1, HallsOut: []string{"n1", "s1"}, HallChanges: 2})
+		r := x.ask("/again/x")
+		is.Equal(r.status, 503)
+		is.Equal(r.body, "{\"error\":\"halls-out\"}\n")
+		x.g.table.update(protocol.Servers{Term: 1, HallChanges: 3})
+		x.at("plain", 2, fails(forward.NotRun{Err: http.ErrAbortHandler}), "n1")
+		for range 40 {
+			x.ask("/again/x")
+		}
+		x.servers.mu.Lock()
+		x.servers.arrivals = nil
+		x.servers.mu.Unlock()
+		is.Equal(x.ask("/again/x").status, 200)
+		is.Equal(x.servedIn("n1"), 0) // both are ejected
+	})
+}
+
+// TestNoRoomInTheRegion: a request goes over if another region has room, its objective leaves
+// the time, and it is not beyond its account's share; else it waits, and goes over while it
+// waits once there is room.
+func TestNoRoomInTheRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("engines", 2, streams(piece{text: event(1)}), "n1", "s1")
+		ask := func(header ...string) reply {
+			return x.ask("/engine/x", append([]string{"Tokens", "500", "Patience", "1000"}, header...)...)
+		}
+		is.Equal(ask().status, 200)
+		is.Equal(x.servedIn("n1"), 1)
+		x.full(true, "n1")
+		is.Equal(ask().status, 200)
+		is.Equal(x.servedIn("s1"), 1)
+		is.True(strings.Contains(x.metrics(), `why="no-room"} 1`))
+
+		x.full(true, "n1", "s1")
+		var later reply
+		var group sync.WaitGroup
+		group.Go(func() { later = ask() })
+		time.Sleep(50 * time.Millisecond)
+		x.full(true, "n1")
+		x.full(false, "s1")
+		group.Wait()
+		is.Equal(later.status, 200)
+		is.Equal(x.servedIn("s1"), 2)
+
+		x.full(true, "n1")
+		x.g.table.link.ObserveWay(x.g.now(), "south", 390*time.Millisecond) // of an objective of 400
+		is.Equal(ask().status, 503)
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_stayed_total{why="time"} 1`))
+		x.g.table.link = place.Link{}
+		x.full(true, "n1")
+		x.g.accounts.update([]protocol.Entitlement{{Account: "t", Part: 0.0001, Extra: 0.0002}}, nil, false)
+		ask()
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_stayed_total{why="class"} 1`))
+		is.Equal(x.servedIn("s1"), 2)
+	})
+}
+
+// TestBestEngineIsWaitedFor: a full engine that suits best is no reason to leave the region, nor
+// to take another one, while the region has room. The same holds in a home elsewhere.
+func TestBestEngineIsWaitedFor(t *testing.T) {
+	for _, home := range []string{"", "north", "south"} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.twoRegions()
+			if home != "" {
+				x.g.apply(homesDocument(4, nil, []string{home}))
+			}
+			x.at("engines", 4, streams(piece{text: event(1)}), "n1", "s1")
+			ask := func() reply { return x.ask("/engine/x", "Shared", "a", "Tokens", "500", "Patience", "1000") }
+			is.Equal(ask().status, 200)
+			best := x.servers.arrivals[0].Header.Get("Backend")
+			is.True(home != "south" || strings.HasPrefix(best, "s1"))
+			t := x.g.table
+			t.mu.Lock()
+			t.servers[best].others, t.servers[best].othersAt = place.Work{Tokens: 30_000}, t.now()
+			t.mu.Unlock()
+			var r reply
+			var group sync.WaitGroup
+			group.Go(func() { r = ask() })
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(x.servers.count(), 1)
+			x.full(false, "n1", "s1")
+			group.Wait()
+			is.Equal(r.status, 200)
+			is.Equal(x.servedIn(best), 2)
+		})
+	}
+}
+
+// TestHomeBeyondTheLink: what may be served in another region alone goes over when nothing goes
+// by choice any more, and waits, or is refused as not run, when the link's part is used up.
+func TestHomeBeyondTheLink(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.g.apply(homesDocument(4, []string{"south"}, nil))
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "n1", "s1")
+		t := x.g.table
+		spend := func(seconds float64) { // of the budget's rate
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.link = place.Link{}
+			t.link.Spend(x.g.now(), t.site.share(1), seconds*place.DefaultLinkRate*0.35)
+		}
+		spend(0.9) // nothing is left for requests that need not leave
+		is.True(!t.link.Admits(x.g.now(), t.site.share(1), place.Passage{Bytes: 1000}))
+		is.Equal(x.ask("/again/x").status, 200)
+		spend(10)
+		r := x.ask("/again/x", "Patience", "1000")
+		is.Equal(r.body, "{\"error\":\"overloaded\"}\n")
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_stayed_total{why="link"} 1`))
+		spend(1.2)
+		r = x.ask("/again/x", "Patience", "1000")
+		is.Equal(r.status, 200)
+		is.True(r.took > 200*time.Millisecond)
+		is.Equal(x.servedIn("s1"), 2)
+	})
+}
+
+// TestFloodStaysWithinTheLink: seven times what a region's servers bear, with bodies of 10 KB,
+// before a narrow link: what goes over stays within the gateway's part of it, and the rest is
+// refused as not run.
+func TestFloodStaysWithinTheLink(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		const rate = 1e6
+		x.g.table.site.linkRate = rate
+		x.at("plain", 1, answers(200, strings.Repeat("x", 10_000), 60*time.Millisecond), "n1", "s1", "s2")
+		const span = 5 * time.Second
+		var group sync.WaitGroup
+		refused := 0
+		var mu sync.Mutex
+		body := strings.Repeat("y", 10_000)
+		for began := time.Now(); time.Since(began) < span; time.Sleep(time.Millisecond) {
+			group.Go(func() {
+				r := x.askWith(x.t.Context(), http.MethodPost, "/again/x", body, "Patience", "1000")
+				mu.Lock()
+				defer mu.Unlock()
+				if r.status == http.StatusServiceUnavailable {
+					refused++
+				}
+			})
+		}
+		group.Wait()
+		over := 20_000 * (x.servedIn("s1") + x.servedIn("s2"))
+		x.t.Logf("%.2f of the link, %d refused", float64(over)/span.Seconds()/rate, refused)
+		is.True(over > 0)
+		is.True(float64(over) < 0.35*rate*(span.Seconds()+1)) // one region's part, and a full bucket at first
+		is.True(refused > 1000)
+	})
+}
+
+// TestConnectionsTellOfTheLink: a new connection to another region is its round trip, one that
+// takes much longer keeps requests from going over by choice.
+func TestConnectionsTellOfTheLink(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		opening := 40 * time.Millisecond
+		x.at("plain", 1, func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
+			time.Sleep(opening)
+			a, err := answers(200, "ok", time.Millisecond)(ctx, call)
+			if a != nil {
+				a.Opened = time.Now().Add(-time.Millisecond)
+			}
+			return a, err
+		}, "s1")
+		is.Equal(x.ask("/again/x").status, 200)
+		is.Equal(x.g.table.link.Way("south"), opening)
+		opening = 300 * time.Millisecond
+		is.Equal(x.ask("/again/x").status, 200)
+		is.Equal(x.g.table.link.Way("south"), 40*time.Millisecond)
+		is.True(!x.g.table.link.Admits(x.g.now(), place.Share{}, place.Passage{Bytes: 1}))
+	})
+}
+
+// TestPartsFollowTheList: each server is in the part of its region, whatever changes.
+func TestPartsFollowTheList(t *testing.T) {
+	is := is.New(t)
+	table := newTable("g", "n1", monotonic())
+	fleet, err := topology.New(map[string]string{"n1": "north", "s1": "south"})
+	is.NoErr(err)
+	table.setSite("north", fleet, 0)
+	rng := rand.New(rand.NewPCG(3, 4))
+	halls := []string{"n1", "s1", "nowhere"}
+	for range 500 {
+		s := known("p", "", rng.IntN(20))
+		s.Hall = halls[rng.IntN(3)]
+		m := protocol.Servers{Term: 1, Set: []protocol.Server{s}}
+		if rng.IntN(3) == 0 {
+			m = protocol.Servers{Term: 1, Gone: []string{s.ID}}
+		}
+		table.update(m)
+		p, n := table.pool("p"), 0
+		for _, x := range p.parts {
+			is.True(slices.IsSortedFunc(x.servers, func(a, b *knownServer) int { return strings.Compare(a.ID, b.ID) }))
+			for _, k := range x.servers {
+				is.Equal(k.region, x.region)
+				is.Equal(k.region, fleet.Region(k.Hall))
+			}
+			n += len(x.servers)
+		}
+		is.Equal(n, len(p.servers))
+		if n > 0 {
+			is.Equal(p.parts[0].region, "north")
+		}
+	}
+}
+
+// homesDocument is the test document with homes of its routes "again" and "resume" and of its
+// account "t", under a number.
+func homesDocument(number uint64, route, account []string) document.Document {
+	d := testDocument()
+	d.Number = number
+	for i, r := range d.Routes {
+		if r.Name == "again" || r.Name == "resume" {
+			d.Routes[i].Homes = route
+		}
+	}
+	d.Accounts[0].Homes = account
+	return d
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +28,7 @@
 	others   place.Work // of all but this gateway, as of othersAt
 	othersAt time.Duration
 	cold     coldstart.Allowance
+	region   string // of its hall; empty if no setting names it
 	list     uint64 // number of the last whole list that had it, itself or by a change since
 	unlisted bool   // a complete list of the directory lacked it
 }
@@ -47,6 +47,7 @@
 type table struct {
 	gateway string // this one's name
 	hall    string
+	site    site
 	now     func() time.Duration // the gateway's clock
 
 	mu       sync.Mutex
@@ -62,15 +63,21 @@
 	hallsOut    map[string]bool // data halls whose servers get nothing
 	hallChanges uint64          // as of which
 	leased      time.Duration   // until when this gateway's shares of cold servers are in force
+
+	link  place.Link // between this gateway's region and others
+	homes homesIndex // of the document in force
 }
 
 // pool is the backend servers of one name with what waits for them.
 type pool struct {
 	servers  []*knownServer // ordered by identifier
+	parts    []part         // the same by region, the gateway's own first; empty without a far side
 	waiting  []*waiter
 	placer   place.RoomPlacer
 	failures outlier.PoolRate
 	viewed   []place.Server // the last view; kept for its memory
+
+	answerBytes float64 // that an answer from another region brings; 0 is unknown
 }
 
 func newTable(gateway, hall string, now func() time.Duration) *table {
@@ -154,6 +161,10 @@
 	k := t.servers[s.ID]
 	if k != nil && k.Pool == s.Pool {
 		t.leaveAddress(k)
+		if k.Hall != s.Hall {
+			t.pool(k.Pool).leavePart(k)
+			defer t.joinPart(t.pool(k.Pool), k)
+		}
 		k.Server, k.list, k.unlisted = s, t.lists, false
 		t.setCold(k)
 		t.byHandle[s.Handle], t.at[s.Address] = k, k
@@ -167,8 +178,8 @@
 	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
-	i, _ := slices.BinarySearchFunc(p.servers, k.ID, func(o *knownServer, id string) int { return strings.Compare(o.ID, id) })
-	p.servers = slices.Insert(p.servers, i, k)
+	p.servers = insert(p.servers, k)
+	t.joinPart(p, k)
 	return true
 }
 
@@ -191,6 +202,7 @@
 	t.leaveAddress(k)
 	p := t.pool(k.Pool)
 	p.servers = slices.DeleteFunc(p.servers, func(o *knownServer) bool { return o == k })
+	p.leavePart(k)
 	return true
 }
 
@@ -280,13 +292,6 @@
 	return len(t.servers)
 }
 
-// poolSize returns how many backend servers of a pool are known.
-func (t *table) poolSize(name string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.pool(name).servers)
-}
-
 // Servers returns the identifiers of the backend servers that the gateway knows, in
 // order.
 func (g *Gateway) Servers() []string {
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -60,7 +60,8 @@
 	running, stop := context.WithCancel(context.Background()) // beyond ctx: requests end within the grace
 	defer stop()
 	g := gateway.Start(running, gateway.Settings{
-		Identity: b.identity(), Hall: cfg.Hall, Region: cfg.Region, Topology: cfg.Topology, Seeds: cfg.Seeds, Headers: headers, Server: client,
+		Identity: b.identity(), Hall: cfg.Hall, Region: cfg.Region, Topology: cfg.Topology, LinkRate: cfg.LinkRate,
+		Seeds: cfg.Seeds, Headers: headers, Server: client,
 		Retries: cfg.Retries, Grace: cfg.Grace, Bodies: int64(bodiesPart * float64(cfg.Memory)),
 		Random: rand.Uint64, Waited: newScheduling().Wait, Log: log, Metrics: metricSet,
 	})
--- a/process/process.go
+++ b/process/process.go
@@ -42,6 +42,9 @@
 	Hall     string
 	Region   string            // of the hall; empty if the settings name none
 	Topology topology.Topology // of the fleet
+	// LinkRate is the capacity of the link between two regions one way, in bytes a second; 0 is
+	// not known.
+	LinkRate float64
 	FleetKey []byte
 	Fleet    string   // fleet address of this box; directory replicas are named by it
 	Seeds    []string // fleet addresses of directory replicas
