--- a/coordination/place/twosides_test.go
+++ b/coordination/place/twosides_test.go
@@ -158,8 +158,7 @@
 	asked    int
 	inTime   int
 	over     int
-	tokens   [2]int // read, by region
-	shared   int    // read again
+	shared   int // read again
 	workings [2]time.Duration
 }
 
