Gateway tests: what the regions' tests share is locked

Cause: the race run found the tests' own source of random numbers used by many goroutines. Measured: go test -race ./gateway passes; before, TestFloodStaysWithinTheLink failed under it.

--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -33,8 +33,13 @@
 	defer x.g.table.mu.Unlock()
 	x.g.table.hall = "n1"
 	x.g.table.setSite("north", fleet, 0)
+	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(1, 2))
-	x.g.cfg.Random = rng.Uint64
+	x.g.cfg.Random = func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Uint64()
+	}
 }
 
 // known returns a server as the directory lists it.
@@ -217,10 +222,17 @@
 		is.Equal(x.servedIn("s1"), 2)
 
 		x.full(true, "n1")
-		x.g.table.link.ObserveWay(x.g.now(), "south", 390*time.Millisecond) // of an objective of 400
+		setLink := func(link place.Link) {
+			x.g.table.mu.Lock()
+			defer x.g.table.mu.Unlock()
+			x.g.table.link = link
+		}
+		slow := place.Link{}
+		slow.ObserveWay(x.g.now(), "south", 390*time.Millisecond) // of an objective of 400
+		setLink(slow)
 		is.Equal(ask().status, 503)
 		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_stayed_total{why="time"} 1`))
-		x.g.table.link = place.Link{}
+		setLink(place.Link{})
 		x.full(true, "n1")
 		x.g.accounts.update([]protocol.Entitlement{{Account: "t", Part: 0.0001, Extra: 0.0002}}, nil, false)
 		ask()
@@ -310,7 +322,9 @@
 		is := is.New(x.t)
 		x.twoRegions()
 		const rate = 1e6
+		x.g.table.mu.Lock()
 		x.g.table.site.linkRate = rate
+		x.g.table.mu.Unlock()
 		x.at("plain", 1, answers(200, strings.Repeat("x", 10_000), 60*time.Millisecond), "n1", "s1", "s2")
 		const span = 5 * time.Second
 		var group sync.WaitGroup
