--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -171,3 +173,47 @@
 		is.Equal(x.servedIn("n1"), 1)
 	})
 }
+
+// TestHomeBeyondTheLink: what may be served in another region alone goes over when nothing goes
+// by choice any more, and waits, or is refused as not run, when the link's part is used up.
+func TestHomeBeyondTheLink(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.g.apply(homesDocument(4, []string{"south"}, nil))
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "n1", "s1")
+		t := x.g.table
+		spend := func(seconds float64) { // of the budget's rate
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.link = place.Link{}
+			t.link.Spend(x.g.now(), t.site.share(1), seconds*place.DefaultLinkRate*0.35)
+		}
+		spend(0.9) // nothing is left for requests that need not leave
+		is.True(!t.link.Admits(x.g.now(), t.site.share(1), place.Passage{Bytes: 1000}))
+		is.Equal(x.ask("/again/x").status, 200)
+		spend(10)
+		r := x.ask("/again/x", "Patience", "1000")
+		is.Equal(r.body, "{\"error\":\"overloaded\"}\n")
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_stayed_total{why="link"} 1`))
+		spend(1.2)
+		r = x.ask("/again/x", "Patience", "1000")
+		is.Equal(r.status, 200)
+		is.True(r.took > 200*time.Millisecond)
+		is.Equal(x.servedIn("s1"), 2)
+	})
+}
+
+// homesDocument is the test document with homes of its routes "again" and "resume" and of its
+// account "t", under a number.
+func homesDocument(number uint64, route, account []string) document.Document {
+	d := testDocument()
+	d.Number = number
+	for i, r := range d.Routes {
+		if r.Name == "again" || r.Name == "resume" {
+			d.Routes[i].Homes = route
+		}
+	}
+	d.Accounts[0].Homes = account
+	return d
+}
