--- /dev/null
+++ b/coordination/place/regions_test.go
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+)
+
+// This file tests when a request may leave its region, and where it goes.
+
+// engines returns idle engines of one region.
+func engines(region string, n int) []Server {
+	servers := make([]Server, n)
+	for i := range servers {
+		servers[i] = Server{ID: fmt.Sprint(region, i), Slots: 16}
+	}
+	return servers
+}
+
+func engineRequest(p Prompt) Request {
+	return Request{Prompt: p, Engine: true, Class: entitlement.Covered, Objective: 400 * time.Millisecond}
+}
+
+// fill leaves a server without room.
+func fill(s *Server) { s.Own.Tokens = 30_000 }
+
+// TestWhenARequestMayLeave: not at once while an engine of the region has room, also where the one
+// that suits it best has none.
+func TestWhenARequestMayLeave(t *testing.T) {
+	p, r := &RoomPlacer{}, engineRequest(promptOf("a"))
+	first, _ := p.ChooseNear(r, engines("n", 4))
+	for _, tt := range []struct {
+		name   string
+		change func(i int, s *Server)
+		want   Leave
+	}{
+		{"idle", func(int, *Server) {}, Stay},
+		{"the best is full", func(i int, s *Server) {
+			if i == first.Index {
+				fill(s)
+			}
+		}, BestFull},
+		{"all are full", func(_ int, s *Server) { fill(s) }, NoRoom},
+		{"all but one are closed, and that one is full", func(i int, s *Server) { fill(s); s.Closed = i != 2 }, NoRoom},
+		{"all are closed", func(_ int, s *Server) { s.Closed = true }, NoServer},
+		{"all are ejected", func(_ int, s *Server) { s.Health = outlier.Ejected }, NoServer},
+		{"all had it", func(_ int, s *Server) { s.Avoid = true }, NoServer},
+	} {
+		for _, engine := range []bool{true, false} {
+			t.Run(fmt.Sprint(tt.name, " engine ", engine), func(t *testing.T) {
+				is := is.New(t)
+				servers := engines("n", 4)
+				for i := range servers {
+					tt.change(i, &servers[i])
+					if !engine && servers[i].Own.Tokens > 0 {
+						servers[i].Own.Requests = 100
+					}
+				}
+				r := r
+				r.Engine = engine
+				_, why := p.ChooseNear(r, servers)
+				if !engine && tt.want == BestFull {
+					tt.want = Stay // any other one suits a plain request as well
+				}
+				is.Equal(why, tt.want)
+			})
+		}
+	}
+	is := is.New(t)
+	_, why := p.ChooseNear(r, nil)
+	is.Equal(why, NoServer)
+	is.True(!BestFull.Due(59*time.Millisecond, 60*time.Millisecond))
+	is.True(BestFull.Due(60*time.Millisecond, 60*time.Millisecond))
+	is.True(NoRoom.Due(0, 60*time.Millisecond))
+	is.True(NoServer.Due(0, 60*time.Millisecond))
+	is.True(!Stay.Due(time.Second, 60*time.Millisecond))
+	is.True(!MayLeave(entitlement.Beyond))
+	is.True(MayLeave(entitlement.Extra))
+}
+
+// TestOrderIsOneInEachRegion: the first engine of a prompt is the region's own, whatever engines
+// there are elsewhere, and a far one is not looked at for a rank.
+func TestOrderIsOneInEachRegion(t *testing.T) {
+	is := is.New(t)
+	p := &RoomPlacer{}
+	for i := range 50 {
+		r := engineRequest(promptOf(fmt.Sprint(i)))
+		near, _ := p.ChooseNear(r, engines("n", 6))
+		alone := p.Choose(r, engines("n", 6))
+		is.Equal(near, alone)
+		is.Equal(near.Read, r.Prompt.Own)
+	}
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -5,7 +5,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,9 +28,10 @@
 	others   place.Work // of all but this gateway, as of othersAt
 	othersAt time.Duration
 	cold     coldstart.Allowance
+	region   string   // of its hall; empty if no setting names it
+	versions versions // its version, as the pool's rollout has it
 	list     uint64   // number of the last whole list that had it, itself or by a change since
 	unlisted bool     // a complete list of the directory lacked it
-	versions versions // its version, as the pool's rollout has it
 }
 
 // reportsKept is how many of the last reports are kept, to be taken from the sums that
@@ -48,6 +48,7 @@
 type table struct {
 	gateway string // this one's name
 	hall    string
+	site    site
 	now     func() time.Duration // the gateway's clock
 
 	mu       sync.Mutex
@@ -66,16 +67,21 @@
 
 	rollouts    rolloutList   // that is obeyed
 	sharesUntil time.Duration // until when its shares are in force
+	link        place.Link    // between this gateway's region and others
+	homes       homesIndex    // of the document in force
 }
 
 // pool is the backend servers of one name with what waits for them.
 type pool struct {
 	servers  []*knownServer // ordered by identifier
+	parts    []part         // the same by region, the gateway's own first; empty without a far side
 	waiting  []*waiter
 	placer   place.RoomPlacer
 	failures outlier.PoolRate
 	viewed   []place.Server // the last view; kept for its memory
 	rollout  *poolRollout   // nil: the pool had none
+
+	answerBytes float64 // that an answer from another region brings; 0 is unknown
 }
 
 func newTable(gateway, hall string, now func() time.Duration) *table {
@@ -161,6 +167,10 @@
 	k := t.servers[s.ID]
 	if k != nil && k.Pool == s.Pool {
 		t.leaveAddress(k)
+		if k.Hall != s.Hall {
+			t.pool(k.Pool).leavePart(k)
+			defer t.joinPart(t.pool(k.Pool), k)
+		}
 		k.Server, k.list, k.unlisted = s, t.lists, false
 		t.setCold(k)
 		t.byHandle[s.Handle], t.at[s.Address] = k, k
@@ -174,8 +184,8 @@
 	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
-	i, _ := slices.BinarySearchFunc(p.servers, k.ID, func(o *knownServer, id string) int { return strings.Compare(o.ID, id) })
-	p.servers = slices.Insert(p.servers, i, k)
+	p.servers = insert(p.servers, k)
+	t.joinPart(p, k)
 	return true
 }
 
@@ -198,6 +208,7 @@
 	t.leaveAddress(k)
 	p := t.pool(k.Pool)
 	p.servers = slices.DeleteFunc(p.servers, func(o *knownServer) bool { return o == k })
+	p.leavePart(k)
 	return true
 }
 
@@ -288,13 +299,6 @@
 	return len(t.servers)
 }
 
-// poolSize returns how many backend servers of a pool are known.
-func (t *table) poolSize(name string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.pool(name).servers)
-}
-
 // Servers returns the identifiers of the backend servers that the gateway knows, in
 // order.
 func (g *Gateway) Servers() []string {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -44,13 +44,14 @@
 	x.g.table.updateLoads(x.g.now(), x.reports, nil)
 }
 
-// draw has each tenth lot of the gateway be low.
+// draw has each tenth request's lot be low. A request draws twice: its pool, and its server
+// with the lot.
 func (x *fixture) draw() {
 	n := uint64(0)
 	x.g.cfg.Random = func() uint64 {
 		n++
 		// The first 24 of 53 digits choose among servers; the lot is in the others.
-		return (n % 10 << 53 / 10 >> 24) << 11
+		return (n / 2 % 10 << 53 / 10 >> 24) << 11
 	}
 }
 
