Rollout: what a replica remembers of earlier attempts says nothing of later ones

After it became leader a copy began the rollout anew, or was a conflict. The same comparison was left out where nothing had noted an elapsed time, so an abort counted as an order. Change: Orders remembers the attempt with the time. The age of an order is taken from memory for the same attempt alone, whatever Elapsed is; of a barred version, if no attempt came between. Without the attempt, TestOrdersKnowTheAgeOfARollout, TestSnapshotsSkipAttempts and TestCopiesBeginNothing; with Elapsed above 0 asked for, TestOrdersKnowTheAgeOfARollout; with the barred taken for known, or with attempt 0 in place of the newest but one, TestSnapshotsSkipAttempts.

--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -96,54 +96,67 @@
 type Orders struct {
 	Window time.Duration // for which senders repeat an order; 0 is DefaultWindow
 
-	taken map[version]time.Duration // when an order began a rollout
-	again map[version]time.Duration // when one was last acknowledged that began none
+	taken map[version]ordered // when an order began a rollout
+	again map[version]ordered // when one was last acknowledged that began none
 }
 
 // version is one version of one pool's backend servers.
 type version struct{ pool, name string }
 
+// ordered is when an order came, and of one that began a rollout the pool's attempt that it
+// began, or one after it.
+type ordered struct {
+	at      time.Duration
+	attempt uint64
+}
+
 // WithRollout returns the orders after a change that made a pool's newest rollout what it is.
-// A rollout that has just begun was ordered now. Of another one, which may be known from
-// the log or from a snapshot of a time before this process, it is known that its order is at
-// least as old as the rollout.
 func (o Orders) WithRollout(now time.Duration, newest document.Rollout) Orders {
-	key, at := version{newest.Pool, newest.Target}, now-newest.Elapsed
-	if earlier, known := o.taken[key]; known && newest.Elapsed > 0 {
-		at = min(at, earlier)
-	}
-	return Orders{Window: o.Window, taken: o.fresh(now, o.taken, key, at), again: o.again}
+	taken := o.fresh(now, o.taken)
+	taken[version{newest.Pool, newest.Target}] = o.begun(now, newest)
+	return Orders{Window: o.Window, taken: taken, again: o.again}
 }
 
 // WithSnapshot returns the orders after a snapshot was read, which holds the newest rollout of
-// each pool. When a version that was rolled back before that was ordered, it does not say: perhaps
-// a moment ago.
+// each pool, in place of changes that did not come. When a version that was rolled back before
+// that was ordered, it does not say: perhaps a moment ago, unless no attempt between the one that
+// is known here and the newest could be of that version.
 func (o Orders) WithSnapshot(now time.Duration, newest []document.Rollout) Orders {
+	taken := o.fresh(now, o.taken)
 	for _, r := range newest {
 		for _, barred := range r.Barred {
 			key := version{r.Pool, barred}
-			if _, known := o.taken[key]; !known && barred != r.Target {
-				o = Orders{Window: o.Window, taken: o.fresh(now, o.taken, key, now), again: o.again}
+			if earlier, known := o.taken[key]; !known || r.Attempt > earlier.attempt+1 {
+				taken[key] = ordered{at: now, attempt: max(r.Attempt, 1) - 1}
 			}
 		}
-		o = o.WithRollout(now, r)
+		taken[version{r.Pool, r.Target}] = o.begun(now, r)
 	}
-	return o
+	return Orders{Window: o.Window, taken: taken, again: o.again}
+}
+
+// begun returns when a pool's newest rollout was ordered: no later than its elapsed time says,
+// which may be too little, nor than this attempt is known here.
+func (o Orders) begun(now time.Duration, newest document.Rollout) ordered {
+	at := now - newest.Elapsed
+	if earlier, known := o.taken[version{newest.Pool, newest.Target}]; known && earlier.attempt == newest.Attempt {
+		at = min(at, earlier.at)
+	}
+	return ordered{at: at, attempt: newest.Attempt}
 }
 
 // WithRepeat returns the orders after one that was acknowledged and began nothing.
 func (o Orders) WithRepeat(now time.Duration, order Order) Orders {
-	key := version{order.Pool, order.Target}
-	return Orders{Window: o.Window, taken: o.taken, again: o.fresh(now, o.again, key, now)}
+	again := o.fresh(now, o.again)
+	again[version{order.Pool, order.Target}] = ordered{at: now}
+	return Orders{Window: o.Window, taken: o.taken, again: again}
 }
 
-// fresh returns a copy of what is remembered, without what is older than the window, and with
-// one more.
-func (o Orders) fresh(now time.Duration, of map[version]time.Duration, key version, at time.Duration) map[version]time.Duration {
-	out := map[version]time.Duration{}
+// fresh returns a copy of what is remembered, without what is older than the window.
+func (o Orders) fresh(now time.Duration, of map[version]ordered) map[version]ordered {
+	out := map[version]ordered{}
 	maps.Copy(out, of)
-	maps.DeleteFunc(out, func(_ version, at time.Duration) bool { return now-at > o.window() })
-	out[key] = at
+	maps.DeleteFunc(out, func(_ version, order ordered) bool { return now-order.at > o.window() })
 	return out
 }
 
@@ -166,9 +179,9 @@
 // takenLately reports whether an equal order was taken or acknowledged within the window.
 func (o Orders) takenLately(now time.Duration, order Order) bool {
 	key := version{order.Pool, order.Target}
-	at, taken := o.taken[key]
+	first, taken := o.taken[key]
 	last, repeated := o.again[key]
-	return taken && now-at <= o.window() || repeated && now-last <= o.window()
+	return taken && now-first.at <= o.window() || repeated && now-last.at <= o.window()
 }
 
 func (o Orders) window() time.Duration {
--- a/coordination/rollout/orders_test.go
+++ b/coordination/rollout/orders_test.go
@@ -102,18 +102,23 @@
 // for younger than the log says, nor for older.
 func TestOrdersKnowTheAgeOfARollout(t *testing.T) {
 	is := is.New(t)
-	back := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutRolledBack, Elapsed: 3 * time.Second}
+	back := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutRolledBack, Attempt: 1, Elapsed: 3 * time.Second}
 	verdict, _ := Orders{}.WithRollout(0, back).Decide(2*time.Second, order("v2"), back)
 	is.Equal(verdict, Done)
 	verdict, _ = Orders{}.WithRollout(0, back).Decide(2*time.Second+1, order("v2"), back)
 	is.Equal(verdict, Take)
-	began := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutUnderWay}
+	began := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutUnderWay, Attempt: 1}
 	orders := Orders{}.WithRollout(0, began).WithRollout(time.Second, document.Rollout{
-		Pool: "p", Target: "v2", State: document.RolloutRolledBack, Elapsed: 1, // too little
+		Pool: "p", Target: "v2", State: document.RolloutRolledBack, Attempt: 1, Elapsed: 1, // too little
 	})
 	verdict, _ = orders.Decide(DefaultWindow+1, order("v2"), back)
 	is.Equal(verdict, Take)
-	orders = orders.WithRollout(4*time.Second, began) // a new attempt
+	ended := began
+	ended.State = document.RolloutRolledBack // before any time was noted
+	verdict, _ = Orders{}.WithRollout(0, began).WithRollout(time.Minute, ended).Decide(time.Minute, order("v2"), ended)
+	is.Equal(verdict, Take)
+	began.Attempt = 2
+	orders = orders.WithRollout(4*time.Second, began)
 	verdict, _ = orders.Decide(4*time.Second+DefaultWindow, order("v2"), back)
 	is.Equal(verdict, Done)
 }
@@ -135,7 +140,7 @@
 // snapshot does not say when; a replica that ran meanwhile knows it.
 func TestSnapshotsSayLittle(t *testing.T) {
 	is := is.New(t)
-	newest := []document.Rollout{{Pool: "p", Target: "v3", State: document.RolloutRolledBack, Barred: []string{"v2", "v3"}, Elapsed: time.Hour}}
+	newest := []document.Rollout{{Pool: "p", Target: "v3", State: document.RolloutRolledBack, Attempt: 2, Barred: []string{"v2", "v3"}, Elapsed: time.Hour}}
 	orders := Orders{}.WithSnapshot(0, newest)
 	verdict, _ := orders.Decide(DefaultWindow, order("v2"), newest[0])
 	is.Equal(verdict, Done)
@@ -143,11 +148,44 @@
 	is.Equal(verdict, Take)
 	verdict, _ = orders.Decide(0, order("v3"), newest[0])
 	is.Equal(verdict, Take)
-	orders = Orders{}.WithRollout(0, document.Rollout{Pool: "p", Target: "v2"}).WithSnapshot(time.Second, newest)
+	orders = Orders{}.WithRollout(0, document.Rollout{Pool: "p", Target: "v2", Attempt: 1}).WithSnapshot(time.Second, newest)
 	verdict, _ = orders.Decide(DefaultWindow+1, order("v2"), newest[0])
 	is.Equal(verdict, Take)
 }
 
+// TestSnapshotsSkipAttempts: what a replica remembers of earlier attempts says nothing of those
+// that it did not see.
+func TestSnapshotsSkipAttempts(t *testing.T) {
+	is := is.New(t)
+	first := Orders{}.WithRollout(0, document.Rollout{Pool: "p", Target: "v2", Attempt: 1})
+	again := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutRolledBack, Attempt: 2, Barred: []string{"v2"}, Elapsed: time.Second}
+	verdict, _ := first.WithSnapshot(time.Minute, []document.Rollout{again}).Decide(time.Minute+DefaultWindow-time.Second, order("v2"), again)
+	is.Equal(verdict, Done)
+	next := document.Rollout{Pool: "p", Target: "v3", State: document.RolloutRolledBack, Attempt: 3, Barred: []string{"v2", "v3"}, Elapsed: time.Second}
+	orders := first.WithSnapshot(time.Minute, []document.Rollout{next})
+	verdict, _ = orders.Decide(time.Minute+DefaultWindow, order("v2"), next)
+	is.Equal(verdict, Done)
+	same := orders.WithSnapshot(time.Minute+time.Second, []document.Rollout{next}) // that has nothing new
+	verdict, _ = same.Decide(time.Minute+DefaultWindow+1, order("v2"), next)
+	is.Equal(verdict, Take)
+}
+
+// TestLargestSnapshot reads as much as a snapshot may hold; that must not take the square of it.
+func TestLargestSnapshot(t *testing.T) {
+	var barred []string
+	for v := range document.MaxVersions {
+		barred = append(barred, fmt.Sprint("v", v))
+	}
+	var newest []document.Rollout
+	for pool := range document.MaxRollouts {
+		newest = append(newest, document.Rollout{
+			Pool: fmt.Sprint(pool), Target: "t", State: document.RolloutComplete, Attempt: document.MaxVersions + 1, Barred: barred,
+		})
+	}
+	orders := Orders{}.WithSnapshot(0, newest)
+	is.New(t).Equal(len(orders.taken), document.MaxRollouts*(document.MaxVersions+1))
+}
+
 func TestAbort(t *testing.T) {
 	is := is.New(t)
 	r := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutUnderWay, Changes: 3, Elapsed: time.Second}
@@ -233,16 +271,24 @@
 	r := &m.replicas[i]
 	*r = member{offset: time.Duration(m.rng.Int64N(int64(time.Hour))) - m.now, orders: Orders{Window: modelWindow}}
 	if m.rng.IntN(2) == 0 {
-		r.store, r.applied = m.truth, len(m.log)
-		b, err := m.truth.MarshalBinary()
-		is.New(m.t).NoErr(err)
-		is.New(m.t).NoErr(r.store.UnmarshalBinary(b))
-		r.orders = r.orders.WithSnapshot(m.now+r.offset, r.store.Rollouts())
+		m.install(i)
 	}
 	m.apply(i)
 }
 
-// disturb changes the leader, restarts a replica, lets one catch up, or ends the rollout.
+// install lets a replica that lacks entries take a snapshot in their place. It keeps what it
+// remembers of orders.
+func (m *model) install(i int) {
+	r := &m.replicas[i]
+	b, err := m.truth.MarshalBinary()
+	is.New(m.t).NoErr(err)
+	is.New(m.t).NoErr(r.store.UnmarshalBinary(b))
+	r.applied = len(m.log)
+	r.orders = r.orders.WithSnapshot(m.now+r.offset, r.store.Rollouts())
+}
+
+// disturb changes the leader, restarts a replica, lets one catch up by the log or by a snapshot,
+// or ends the rollout.
 func (m *model) disturb() {
 	switch m.rng.IntN(20) {
 	case 0:
@@ -266,6 +312,10 @@
 		}
 		change.Elapsed = time.Duration(m.rng.Int64N(int64(m.now-m.began) + 1)) // a new leader knows too little
 		m.commit(entry{change: change})
+	case 7:
+		if i := m.rng.IntN(3); i != m.leader {
+			m.install(i)
+		}
 	}
 }
 
