Rollout: an abort names an attempt; a status is read once

Cause: an abort named a pool alone, so a late copy ended whatever was under way. A command's status was read twice, and when the second read failed the answer was "done" without a status, which -json printed as a sentence. An answer that came after the time for the order could not be sent any more. Change: RolloutOrder.Attempt (key 5); AbortRollout ends that attempt alone: rolled back already is done, no attempt is invalid, one that is not the newest yet or is complete is none, and one that others have followed is unclear, since a copy must not be refused. The command reads which attempt is the newest and repeats the abort of that one. serveOrder reads a status once, and sends the answer outside of the time for the order. Seen to fail: without each of the four rules about the attempt, TestOneRolloutAtATime; with another attempt passed on, or a status that cannot be read taken for done, TestCommandsAboutRollouts; without the attempt in the command, TestAbortNamesAnAttempt. Not seen to fail: the answer sent within the order's time. Measured: go test of cli, protocol and platform, and the tests of orders in directory, pass.

--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -93,7 +93,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
-	answer, err := order(ctx, in)
+	answer, err := carryOut(ctx, in)
 	if err != nil {
 		fmt.Fprintf(stderr, "badgerspoke rollout %s: %v\n", args[0], err)
 		if errors.As(err, new(link.WrongKey)) {
@@ -154,6 +154,25 @@
 	return err
 }
 
+// carryOut sends an order until it is answered. An abort is of the attempt that is the newest
+// now: a copy of it that comes late must not end the next one.
+func carryOut(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
+	if in.order.Act != protocol.OrderAbort {
+		return order(ctx, in)
+	}
+	status, abort := *in, *in
+	status.order = protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: in.order.Pool}
+	answer, err := order(ctx, &status)
+	if err != nil || answer.Outcome != protocol.OrderDone {
+		return answer, err
+	}
+	if answer.Newest == nil {
+		return answer, errors.New("the answer does not say which attempt is the newest")
+	}
+	abort.order.Attempt = answer.Newest.Attempt
+	return order(ctx, &abort)
+}
+
 // order sends an order to the given replica or to the leader that it names, and again while
 // nobody leads or an answer was lost. The error is of the last try if none got an answer.
 func order(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
--- a/cli/rollout_test.go
+++ b/cli/rollout_test.go
@@ -89,6 +89,7 @@
 
 func TestRolloutCommands(t *testing.T) {
 	refused := protocol.RolloutAnswer{Outcome: protocol.OrderRefused, Reason: "no pool is called llm"}
+	ordered := protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "llm", Target: "v8", Duration: defaultWithin}
 	conflict := protocol.RolloutAnswer{Outcome: protocol.OrderConflict, Reason: "v7 is under way"}
 	for _, tt := range []struct {
 		name   string
@@ -103,15 +104,13 @@
 			protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "llm", Target: "v8", Duration: 20 * time.Minute},
 		},
 		{
-			"start without a time", []string{"start", "llm", "v8"}, underWay, ExitOK, "under way",
-			protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "llm", Target: "v8", Duration: defaultWithin},
+			"start without a time", []string{"start", "llm", "v8"}, underWay, ExitOK, "under way", ordered,
 		},
 		{"status", []string{"status", "llm"}, underWay, ExitOK, "under way", protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
 		{"status as JSON", []string{"status", "llm", "-json"}, underWay, ExitOK, `"elapsedSeconds": 90`, protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
-		{"abort", []string{"abort", "llm"}, underWay, ExitOK, "under way", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
-		{"not read", []string{"abort", "llm"}, protocol.RolloutAnswer{Outcome: protocol.OrderDone}, ExitOK, "done", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
+		{"not read", []string{"start", "llm", "v8"}, protocol.RolloutAnswer{Outcome: protocol.OrderDone}, ExitOK, "done", ordered},
 		{"refused", []string{"status", "llm"}, refused, ExitRefused, "no pool is called llm", protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}},
-		{"conflict", []string{"abort", "llm"}, conflict, ExitConflict, "v7 is under way", protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm"}},
+		{"conflict", []string{"start", "llm", "v8"}, conflict, ExitConflict, "v7 is under way", ordered},
 		{"too few arguments", []string{"start", "llm"}, nil, ExitUsage, "wants POOL VERSION", protocol.RolloutOrder{}},
 		{"flag first", []string{"status", "-json", "llm"}, nil, ExitUsage, "unexpected argument", protocol.RolloutOrder{}},
 		{"no such command", []string{"explode"}, nil, ExitUsage, "badgerspoke drives a router fleet", protocol.RolloutOrder{}},
@@ -133,6 +132,29 @@
 	}
 }
 
+// TestAbortNamesAnAttempt: a command reads which attempt is the newest, and ends that one, however
+// often it asks for it.
+func TestAbortNamesAnAttempt(t *testing.T) {
+	is := is.New(t)
+	unclear := protocol.RolloutAnswer{Outcome: protocol.OrderUnclear, Reason: "no leader"}
+	back := protocol.RolloutAnswer{Outcome: protocol.OrderDone, Newest: &protocol.RolloutStatus{Target: "v8", State: 3, Attempt: 3}}
+	f := newReplica(t, underWay, unclear, back)
+	code, stdout, _ := runOn(t, f, fleetKey, "abort", "llm")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(stdout, "rolled back"))
+	abort := protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "llm", Attempt: 3}
+	is.Equal(f.orders, []protocol.RolloutOrder{{Act: protocol.OrderStatus, Pool: "llm"}, abort, abort})
+
+	f = newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderRefused, Reason: "no rollout of llm"})
+	code, _, _ = runOn(t, f, fleetKey, "abort", "llm")
+	is.Equal(code, ExitRefused)
+	is.Equal(len(f.orders), 1)
+	f = newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderDone}) // says nothing
+	code, _, _ = runOn(t, f, fleetKey, "abort", "llm")
+	is.Equal(code, ExitUnavailable)
+	is.Equal(len(f.orders), 1)
+}
+
 // TestRolloutGoesToTheLeader: a replica that does not lead names the one that does; while
 // none does, the same order is sent again.
 func TestRolloutGoesToTheLeader(t *testing.T) {
--- a/directory/ordercalls.go
+++ b/directory/ordercalls.go
@@ -19,39 +19,44 @@
 // milliseconds, an election some hundred.
 const commandTimeout = 2 * time.Second
 
-// serveOrder answers an operator's command on a link that its first message has opened.
+// serveOrder answers an operator's command on a link that its first message has opened. An operator
+// that gets no answer sends the order again.
 func (d *Directory) serveOrder(ctx context.Context, l *link.Link, o protocol.RolloutOrder) {
+	_ = l.Send(ctx, d.obey(ctx, o)) // not in the order's time: it may be over
+}
+
+// obey does what an operator's command asks for and returns the answer.
+func (d *Directory) obey(ctx context.Context, o protocol.RolloutOrder) protocol.RolloutAnswer {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	answer := answerTo(d.obey(ctx, o))
-	if answer.Outcome == protocol.OrderDone {
-		// What cannot be read now is left out: the order itself is acknowledged.
-		if newest, err := d.Rollout(ctx, o.Pool); err == nil {
-			answer.Newest = statusOf(newest)
-		}
+	if err := d.change(ctx, o); err != nil {
+		return answerTo(err)
 	}
-	_ = l.Send(ctx, answer) // an operator that gets none sends the order again
+	newest, err := d.Rollout(ctx, o.Pool)
+	switch {
+	case err == nil:
+		return protocol.RolloutAnswer{Outcome: protocol.OrderDone, Newest: statusOf(newest)}
+	case o.Act == protocol.OrderStatus:
+		return answerTo(err)
+	}
+	return protocol.RolloutAnswer{Outcome: protocol.OrderDone} // the order itself is acknowledged
 }
 
-// obey does what an operator's command asks for.
-func (d *Directory) obey(ctx context.Context, o protocol.RolloutOrder) error {
+// change does what an operator's command asks to be changed, if it does.
+func (d *Directory) change(ctx context.Context, o protocol.RolloutOrder) error {
 	switch o.Act {
 	case protocol.OrderStart:
 		return d.StartRollout(ctx, rollout.Order{Pool: o.Pool, Target: o.Target, Duration: o.Duration})
 	case protocol.OrderStatus:
-		_, err := d.Rollout(ctx, o.Pool)
-		return err
+		return nil
 	case protocol.OrderAbort:
-		return d.AbortRollout(ctx, o.Pool)
+		return d.AbortRollout(ctx, o.Pool, o.Attempt)
 	}
 	return rollout.InvalidOrder{What: "this version does not know what it asks for"}
 }
 
-// answerTo returns the answer to an order that ended so.
+// answerTo returns the answer to an order that ended with an error.
 func answerTo(err error) protocol.RolloutAnswer {
-	if err == nil {
-		return protocol.RolloutAnswer{Outcome: protocol.OrderDone}
-	}
 	var elsewhere NotLeader
 	answer := protocol.RolloutAnswer{Outcome: protocol.OrderRefused, Reason: err.Error()}
 	switch {
--- a/directory/rolloutorders.go
+++ b/directory/rolloutorders.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -34,8 +36,8 @@
 	return "a rollout of " + e.Pool + " to " + e.Target + " is under way"
 }
 
-// NoRollout is the error of a read for a pool that had no rollout, and of an abort where none is
-// under way.
+// NoRollout is the error of a read for a pool that had no rollout, and of an abort of one that is
+// not under way.
 type NoRollout struct{ Pool string }
 
 // Error names the pool.
@@ -101,20 +103,26 @@
 	return newest, nil
 }
 
-// AbortRollout ends a rollout under way as rolled back. When it returns nil, that is on the
-// disks of a majority; so it is if the newest rollout was rolled back already. The error is
-// [NoRollout], [NotLeader] or [Unavailable].
-func (d *Directory) AbortRollout(ctx context.Context, pool string) error {
+// AbortRollout ends a pool's attempt as rolled back, if it is under way. When it returns nil, that
+// is on the disks of a majority; so it is if the attempt was rolled back already. The error is
+// [rollout.InvalidOrder] without an attempt, [NoRollout], [NotLeader] or [Unavailable]; the last
+// also once the next attempt has begun, because how this one ended is not known then.
+func (d *Directory) AbortRollout(ctx context.Context, pool string, attempt uint64) error {
+	if attempt == 0 {
+		return rollout.InvalidOrder{What: "an abort names no attempt"}
+	}
 	for range orderTries {
 		newest, err := d.Rollout(ctx, pool)
-		switch {
-		case err != nil:
+		if err != nil {
 			return err
-		case newest.State == document.RolloutRolledBack:
-			return nil
 		}
 		change, underWay := rollout.Abort(newest)
-		if !underWay {
+		switch {
+		case newest.Attempt > attempt:
+			return Unavailable{Err: errors.Errorf("attempt %d of %s is over, the newest is %d", attempt, pool, newest.Attempt)}
+		case newest.Attempt == attempt && newest.State == document.RolloutRolledBack:
+			return nil
+		case newest.Attempt < attempt || !underWay:
 			return NoRollout{Pool: pool}
 		}
 		changed, err := d.proposeChange(ctx, command{Rollout: &change})
--- a/directory/rolloutorders_test.go
+++ b/directory/rolloutorders_test.go
@@ -64,7 +64,7 @@
 		is.True(errors.As(l.d.StartRollout(ctx, to("")), new(rollout.InvalidOrder)))
 		_, err := l.d.Rollout(ctx, "p")
 		is.Equal(err, error(directory.NoRollout{Pool: "p"}))
-		is.Equal(l.d.AbortRollout(ctx, "p"), error(directory.NoRollout{Pool: "p"}))
+		is.Equal(l.d.AbortRollout(ctx, "p", 1), error(directory.NoRollout{Pool: "p"}))
 		is.NoErr(x.announce("b1", false))
 		time.Sleep(time.Second)                   // it is in the log
 		is.NoErr(l.d.StartRollout(ctx, to("v2"))) // no document names the pool, but a server
@@ -75,7 +75,7 @@
 			if ip != l.ip {
 				elsewhere := error(directory.NotLeader{Leader: l.ip + ":7400"})
 				is.Equal(n.d.StartRollout(ctx, to("v2")), elsewhere)
-				is.Equal(n.d.AbortRollout(ctx, "p"), elsewhere)
+				is.Equal(n.d.AbortRollout(ctx, "p", 1), elsewhere)
 				_, err := n.d.Rollout(ctx, "p")
 				is.Equal(err, elsewhere)
 			}
@@ -116,14 +116,19 @@
 		is.Equal(x.orderRollout(to("v3")), error(directory.RolloutConflict{Pool: "p", Target: "v2"}))
 		attempt(1, "v2", document.RolloutUnderWay)
 
-		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
-		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p")) // again
-		is.NoErr(x.orderRollout(to("v2")))                        // a copy after the end
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", 1))
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", 1)) // again
+		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p", 2), error(directory.NoRollout{Pool: "p"}))
+		is.NoErr(x.orderRollout(to("v2"))) // a copy after the end
 		attempt(1, "v2", document.RolloutRolledBack)
 		is.Equal(x.rolled().Barred, []string{"v2"})
 		time.Sleep(rollout.DefaultWindow + time.Second)
 		is.NoErr(x.orderRollout(to("v2")))
 		attempt(2, "v2", document.RolloutUnderWay)
+		is.True(errors.As(x.mustLead().d.AbortRollout(x.t.Context(), "p", 1), new(directory.Unavailable))) // a late copy
+		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p", 3), error(directory.NoRollout{Pool: "p"}))
+		is.True(errors.As(x.mustLead().d.AbortRollout(x.t.Context(), "p", 0), new(rollout.InvalidOrder)))
+		attempt(2, "v2", document.RolloutUnderWay)
 
 		newest := x.rolled()
 		changed, err := x.mustLead().d.ChangeRollout(x.t.Context(), document.RolloutChange{
@@ -135,7 +140,7 @@
 		time.Sleep(rollout.DefaultWindow + time.Second)
 		is.NoErr(x.orderRollout(to("v2")))
 		attempt(2, "v2", document.RolloutComplete)
-		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p"), error(directory.NoRollout{Pool: "p"})) // the old servers may be gone
+		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p", 2), error(directory.NoRollout{Pool: "p"})) // the old servers may be gone
 		is.NoErr(x.orderRollout(to("v3")))
 		attempt(3, "v3", document.RolloutUnderWay)
 	})
@@ -181,7 +186,7 @@
 					is.NoErr(x.orderRollout(to("v2")))
 					is.Equal(x.rolled().Attempt, n)
 					time.Sleep(8 * time.Second) // the lost ones have caught up
-					is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
+					is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", n))
 					lose(x)
 					is.Equal(x.rolled().State, document.RolloutRolledBack)
 					is.Equal(x.rolled().Barred, []string{"v2"})
@@ -199,7 +204,7 @@
 		is := is.New(x.t)
 		x.put(1)
 		is.NoErr(x.orderRollout(to("v2")))
-		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p"))
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", 1))
 		x.mustLead().kill()
 		is.NoErr(x.orderRollout(to("v2")))
 		is.Equal(x.rolled().State, document.RolloutRolledBack)
@@ -263,14 +268,14 @@
 			ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
 			defer cancel()
 			is.True(errors.As(old.d.StartRollout(ctx, to("v2")), new(directory.Unavailable)))
-			is.True(errors.As(old.d.AbortRollout(ctx, "p"), new(directory.Unavailable)))
+			is.True(errors.As(old.d.AbortRollout(ctx, "p", 1), new(directory.Unavailable)))
 			_, err := old.d.Rollout(ctx, "p")
 			is.True(errors.As(err, new(directory.Unavailable)))
 		}
 		refused()
 		for _, n := range x.nodes {
 			if n != old && n.d.Leads() {
-				is.NoErr(n.d.AbortRollout(x.t.Context(), "p"))
+				is.NoErr(n.d.AbortRollout(x.t.Context(), "p", 1))
 			}
 		}
 		refused()
@@ -313,7 +318,8 @@
 		other := start
 		other.Target = "v3"
 		is.Equal(x.command(l, other).Outcome, protocol.OrderConflict)
-		is.Equal(x.command(l, protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "p"}).Newest.State, uint8(document.RolloutRolledBack))
+		is.Equal(x.command(l, protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "p", Attempt: 2}).Outcome, protocol.OrderRefused)
+		is.Equal(x.command(l, protocol.RolloutOrder{Act: protocol.OrderAbort, Pool: "p", Attempt: 1}).Newest.State, uint8(document.RolloutRolledBack))
 		status := x.command(l, protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "p"})
 		is.Equal(status.Outcome, protocol.OrderDone)
 		is.Equal(status.Newest.Barred, []string{"v2"})
@@ -329,6 +335,7 @@
 				x.net.Cut(ip)
 			}
 		}
+		is.Equal(x.command(l, other).Outcome, protocol.OrderUnclear) // it leads still, and waits for the others
 		time.Sleep(3 * time.Second)
 		is.Equal(x.command(l, start).Outcome, protocol.OrderUnclear)
 	})
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -115,7 +115,7 @@
 		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"}},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
-	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute},
+	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute, Attempt: 110},
 	RolloutAnswer{
 		Outcome: OrderElsewhere, Reason: "another leads", Leader: "10.0.0.1:7000",
 		Newest: &RolloutStatus{
--- a/protocol/order.go
+++ b/protocol/order.go
@@ -24,6 +24,7 @@
 	Pool     string        `cbor:"2,keyasint"`
 	Target   string        `cbor:"3,keyasint,omitempty"` // version, of one that begins
 	Duration time.Duration `cbor:"4,keyasint,omitempty"` // of one that begins
+	Attempt  uint64        `cbor:"5,keyasint,omitempty"` // that an abort ends, so that a late copy ends no later one
 }
 
 // OrderOutcome is what became of a [RolloutOrder]. Its numbers are on the wire.
