Directory: an order on a link that its command has closed is passed over

Cause: over HTTP an order that was held up is passed over once its caller has closed the connection; on a fleet link it was carried out however late it came, beyond the time in which it is known for a copy. Change: link.PeerWaits pings the peer before the order is looked at; the order's context ends with the link. Seen to fail: TestCommandThatHasGone without the question (a rollout begins).

--- a/directory/ordercalls.go
+++ b/directory/ordercalls.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
@@ -20,8 +21,14 @@
 const commandTimeout = 2 * time.Second
 
 // serveOrder answers an operator's command on a link that its first message has opened. An operator
-// that gets no answer sends the order again.
+// that gets no answer sends the order again. An order of one that waits no longer is passed over:
+// it was held up on the way.
 func (d *Directory) serveOrder(ctx context.Context, l *link.Link, o protocol.RolloutOrder) {
+	ctx, waits := l.PeerWaits(ctx)
+	if !waits {
+		d.cfg.Log.Failure("rollout order too late", slog.String("pool", o.Pool), slog.String("target", o.Target))
+		return
+	}
 	_ = l.Send(ctx, d.obey(ctx, o)) // not in the order's time: it may be over
 }
 
--- a/directory/rolloutorders_test.go
+++ b/directory/rolloutorders_test.go
@@ -341,6 +341,22 @@
 	})
 }
 
+// TestCommandThatHasGone: an order that comes when its command has closed the link changes nothing.
+func TestCommandThatHasGone(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		l := x.mustLead()
+		x.put(1)
+		id := link.Identity{Name: "operator", Key: fleetKey, Dial: x.net.Box(l.ip).DialContext}
+		gone, err := link.Dial(x.t.Context(), l.ip+":7400", id, nil)
+		is.NoErr(err)
+		is.NoErr(gone.Send(x.t.Context(), protocol.RolloutOrder{Act: protocol.OrderStart, Pool: "p", Target: "v2", Duration: time.Hour}))
+		gone.Close()
+		time.Sleep(5 * time.Second)
+		is.Equal(x.rolled(), document.Rollout{})
+	})
+}
+
 // TestOrderNamesGatewaysWithoutRollouts: a gateway says whether its version knows rollouts when
 // it opens its session.
 func TestOrderNamesGatewaysWithoutRollouts(t *testing.T) {
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -59,7 +59,7 @@
 // bears two lost packets, and a gateway waits as long for a leader (registry.SilenceLimit).
 const (
 	pingPeriod  = 250 * time.Millisecond // between an answer and the next ping
-	pingTimeout = time.Second            // for the answer
+	pingTimeout = time.Second            // for the answer to any ping
 )
 
 // Identity is the name that a box claims and the key that it proves.
@@ -232,6 +232,16 @@
 	}
 }
 
+// PeerWaits reports whether the peer, which sends nothing more, still waits for an answer in
+// Receive: whether it answers a ping within pingTimeout. The context that it returns ends with
+// the link. This side must not call Receive any more.
+func (l *Link) PeerWaits(ctx context.Context) (context.Context, bool) {
+	open := l.conn.CloseRead(ctx)
+	asking, cancel := context.WithTimeout(open, pingTimeout)
+	defer cancel()
+	return open, l.conn.Ping(asking) == nil
+}
+
 // Close ends the link at once. It may be called more than once; the error of a
 // connection that is closed already has no consequence.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
