Rollout: copies are known for as long as the command line repeats, whatever a deployment states

Cause: the command line repeats an order for 4 s, but a replica takes a repeat for a copy for the time that the settings name. With less than 4 s there a repeat after a quick end began a second attempt. Change: rollout.LeastWindow (4 s) is the shortest window, and the time for the command's tries is defined by it. Changed in tests: TestNobodyKnows compares with LeastWindow, which is shorter than DefaultWindow before. Seen to fail: TestWindowHasALeast without the least. Measured: go test ./cli ./coordination/... passes.

--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -15,6 +15,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/settings"
@@ -27,10 +28,9 @@
 
 // Times of a command about a rollout. All are chosen, not measured.
 const (
-	// rolloutTimeout bounds all tries of one command together. It is below the time in which
-	// replicas take a repeated order for a copy (rollout.DefaultWindow, 5 s), so that no
-	// repeat begins a second attempt.
-	rolloutTimeout = 4 * time.Second
+	// rolloutTimeout bounds all tries of one command together: for as long replicas surely
+	// take a repeated order for a copy, so that no repeat begins a second attempt.
+	rolloutTimeout = rollout.LeastWindow
 	// rolloutSilence ends one try, from the dial to the answer, so that one replica that is
 	// gone leaves time for another: a replica answers within 2 s.
 	rolloutSilence = 2500 * time.Millisecond
--- a/cli/rollout_test.go
+++ b/cli/rollout_test.go
@@ -215,7 +215,7 @@
 	is.NoErr(err)
 	is.Equal(rolloutExit(answer.Outcome), ExitUnavailable)
 	is.Equal(rolloutExit(protocol.OrderElsewhere), ExitUnavailable)
-	is.True(rolloutTimeout < rollout.DefaultWindow) // later repeats would be orders of their own
+	is.True(rolloutTimeout <= rollout.LeastWindow) // later repeats would be orders of their own
 }
 
 // TestRolloutTable pins what people read.
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -88,13 +88,19 @@
 	return "unknown"
 }
 
-// DefaultWindow is for deployments that state none. Chosen, not measured.
-const DefaultWindow = 5 * time.Second
+// Windows. Both are chosen, not measured.
+const (
+	// DefaultWindow is for deployments that state none.
+	DefaultWindow = 5 * time.Second
+	// LeastWindow is the shortest, whatever a deployment states: the command line repeats an
+	// order for as long.
+	LeastWindow = 4 * time.Second
+)
 
 // Orders is when the last orders for each version of a pool were taken and acknowledged. The zero value has
 // taken none, and its window is DefaultWindow.
 type Orders struct {
-	Window time.Duration // for which senders repeat an order; 0 is DefaultWindow
+	Window time.Duration // for which senders repeat an order, LeastWindow at least; 0 is DefaultWindow
 
 	taken map[version]ordered // when an order began a rollout
 	again map[version]ordered // when one was last acknowledged that began none
@@ -188,7 +194,7 @@
 	if o.Window <= 0 {
 		return DefaultWindow
 	}
-	return o.Window
+	return max(o.Window, LeastWindow)
 }
 
 // Abort returns the change that ends a rollout under way as rolled back, or false if it is not
--- a/coordination/rollout/orders_test.go
+++ b/coordination/rollout/orders_test.go
@@ -121,6 +121,19 @@
 	is.Equal(verdict, Done)
 }
 
+// TestWindowHasALeast: the command line repeats for LeastWindow, whatever the deployment states.
+func TestWindowHasALeast(t *testing.T) {
+	is := is.New(t)
+	back := document.Rollout{Pool: "p", Target: "v2", State: document.RolloutRolledBack, Attempt: 1}
+	orders := Orders{Window: time.Second}.WithRollout(0, back)
+	verdict, _ := orders.Decide(LeastWindow, order("v2"), back)
+	is.Equal(verdict, Done)
+	verdict, _ = orders.Decide(LeastWindow+1, order("v2"), back)
+	is.Equal(verdict, Take)
+	verdict, _ = Orders{Window: time.Minute}.WithRollout(0, back).Decide(time.Minute, order("v2"), back)
+	is.Equal(verdict, Done)
+}
+
 // TestRepeatsAreRemembered: an order that was acknowledged and began nothing has copies too.
 func TestRepeatsAreRemembered(t *testing.T) {
 	is := is.New(t)
