--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -15,6 +15,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/settings"
@@ -27,11 +28,11 @@
 
 // Times of a command about a rollout. All are chosen, not measured.
 const (
-	// rolloutTimeout bounds all tries of one command together. It is below the time in which
-	// replicas take a repeated order for a copy (rollout.DefaultWindow, 5 s), so that no
-	// repeat begins a second attempt.
-	rolloutTimeout = 4 * time.Second
-	// rolloutSilence ends one try: a replica answers within 2 s.
+	// rolloutTimeout bounds all tries of one command together: for as long replicas surely
+	// take a repeated order for a copy, so that no repeat begins a second attempt.
+	rolloutTimeout = rollout.LeastWindow
+	// rolloutSilence ends one try, from the dial to the answer, so that one replica that is
+	// gone leaves time for another: a replica answers within 2 s.
 	rolloutSilence = 2500 * time.Millisecond
 	// defaultWithin is the time of an order that names none.
 	defaultWithin = 10 * time.Minute
@@ -93,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
-	answer, err := order(ctx, in)
+	answer, err := carryOut(ctx, in)
 	if err != nil {
 		fmt.Fprintf(stderr, "badgerspoke rollout %s: %v\n", args[0], err)
 		if errors.As(err, new(link.WrongKey)) {
@@ -154,6 +155,25 @@
 	return err
 }
 
+// carryOut sends an order until it is answered. An abort is of the attempt that is the newest
+// now: a copy of it that comes late must not end the next one.
+func carryOut(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
+	if in.order.Act != protocol.OrderAbort {
+		return order(ctx, in)
+	}
+	status, abort := *in, *in
+	status.order = protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: in.order.Pool}
+	answer, err := order(ctx, &status)
+	if err != nil || answer.Outcome != protocol.OrderDone {
+		return answer, err
+	}
+	if answer.Newest == nil {
+		return answer, errors.New("the answer does not say which attempt is the newest")
+	}
+	abort.order.Attempt = answer.Newest.Attempt
+	return order(ctx, &abort)
+}
+
 // order sends an order to the given replica or to the leader that it names, and again while
 // nobody leads or an answer was lost. The error is of the last try if none got an answer.
 func order(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
@@ -186,6 +206,8 @@
 
 // ask sends an order to one replica and waits for its answer.
 func ask(ctx context.Context, replica string, in *rolloutInput) (protocol.RolloutAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, rolloutSilence)
+	defer cancel()
 	l, err := link.Dial(ctx, replica, link.Identity{Name: operatorName, Key: in.key}, nil)
 	if err != nil {
 		return protocol.RolloutAnswer{}, err
@@ -194,7 +216,7 @@
 	if err := l.Send(ctx, in.order); err != nil {
 		return protocol.RolloutAnswer{}, err
 	}
-	m, err := l.ReceiveWithin(ctx, rolloutSilence)
+	m, err := l.Receive(ctx)
 	if err != nil {
 		return protocol.RolloutAnswer{}, err
 	}
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -319,7 +319,7 @@
 		x.put(1)
 		is.NoErr(x.orderRollout(to("v2")))
 		l := x.mustLead()
-		is.NoErr(l.d.AbortRollout(x.t.Context(), "p"))
+		is.NoErr(l.d.AbortRollout(x.t.Context(), "p", 1))
 		id := link.Identity{Name: "10.0.2.1:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.1").DialContext}
 		session, err := link.Dial(x.t.Context(), l.ip+":7400", id, nil)
 		is.NoErr(err)
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -116,7 +116,7 @@
 			Routes: []RouteShare{{Route: "chat", Share: 0.5}}},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
-	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute},
+	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute, Attempt: 110},
 	RolloutAnswer{
 		Outcome: OrderElsewhere, Reason: "another leads", Leader: "10.0.0.1:7000",
 		Newest: &RolloutStatus{
