Rollouts: an order for the version that has the requests is complete at once

Cause: with v2 complete and v3 rolled back after it, an order for v2 began a rollout from v2 to v2, which ended as rolled back, and both versions were barred. Change: the state keeps the target of the newest complete rollout; a rollout to it ends as complete with its first step. Measured: TestOneRolloutAtATime, continued by such an order, fails without the change (the fourth attempt is under way after a second).

--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -112,7 +112,7 @@
 	is.Equal(changes, uint64(3))
 	is.Equal(r.Rollouts(), []document.Rollout{{
 		Pool: "llm", Target: "v8", Duration: time.Minute, State: document.RolloutRolledBack, Attempt: 2, Changes: 5,
-		Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v6"},
+		Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v6"}, Completed: "v7",
 	}})
 	b, err := r.Snapshot()
 	is.NoErr(err)
--- a/directory/rolloutorders_test.go
+++ b/directory/rolloutorders_test.go
@@ -143,6 +143,13 @@
 		is.Equal(x.mustLead().d.AbortRollout(x.t.Context(), "p", 2), error(directory.NoRollout{Pool: "p"})) // the old servers may be gone
 		is.NoErr(x.orderRollout(to("v3")))
 		attempt(3, "v3", document.RolloutUnderWay)
+
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", 3))
+		time.Sleep(rollout.DefaultWindow + time.Second)
+		is.NoErr(x.orderRollout(to("v2"))) // that has had the requests all the while
+		time.Sleep(time.Second)
+		attempt(4, "v2", document.RolloutComplete)
+		is.Equal(x.rolled().Barred, []string{"v3"})
 	})
 }
 
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -189,7 +189,12 @@
 
 // stepRollout decides on one rollout. A decision that ends it stays, until the log has it.
 func (h *hub) stepRollout(now time.Duration, r *leadRollout) {
-	if r.decision.Ending == rollout.GoOn {
+	switch {
+	case r.decision.Ending != rollout.GoOn:
+	case r.Target == r.Completed:
+		r.decision = rollout.Decision{Ending: rollout.Complete, Share: 1, Why: "it has the requests"}
+		h.logStep(now, r)
+	default:
 		before := r.decision
 		r.decision = r.schedule.Step(rollout.Observed{
 			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: h.targetListed(r),
--- a/state/document/golden_test.go
+++ b/state/document/golden_test.go
@@ -185,7 +185,7 @@
 	is.Equal(got.Rollouts(), []Rollout{
 		{
 			Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutRolledBack, Attempt: 2, Changes: 4,
-			Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v5", "v6"},
+			Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v5", "v6"}, Completed: "v7",
 		},
 		{Pool: "web", Target: "v2", Duration: time.Minute, State: RolloutUnderWay, Attempt: 1, Changes: 1},
 	})
--- a/state/document/rollout.go
+++ b/state/document/rollout.go
@@ -55,6 +55,9 @@
 	Barred []string `cbor:"8,keyasint,omitempty"`
 	// Replaced are the versions that the newest complete rollout has replaced, ordered.
 	Replaced []string `cbor:"9,keyasint,omitempty"`
+	// Completed is the target of the newest complete rollout: the version that has the pool's
+	// requests while no later one is under way.
+	Completed string `cbor:"10,keyasint,omitempty"`
 }
 
 // RolloutChange begins a rollout, notes how far it is, or ends it.
@@ -119,7 +122,7 @@
 			return r, false
 		}
 	case RolloutComplete:
-		r.Replaced = named(c.Replaced, c.Target)
+		r.Replaced, r.Completed = named(c.Replaced, c.Target), c.Target
 	case RolloutRolledBack:
 		r.Barred = append(without(r.Barred, c.Target), c.Target)
 		r.Barred = r.Barred[max(0, len(r.Barred)-MaxVersions):]
@@ -137,7 +140,7 @@
 	}
 	return Rollout{
 		Pool: c.Pool, Target: c.Target, Duration: c.Duration, State: RolloutUnderWay, Attempt: r.Attempt + 1,
-		Barred: without(r.Barred, c.Target), Replaced: without(r.Replaced, c.Target),
+		Barred: without(r.Barred, c.Target), Replaced: without(r.Replaced, c.Target), Completed: r.Completed,
 	}, true
 }
 
