Fakenet: regions, with a latency and a bound of bytes between them

Tests of a fleet over several regions need a way that is longer than the others and that all connections share. Boxes without a region have what they had.

--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -8,7 +8,8 @@
 // arrives, in either direction, until it is joined again, as with a cable
 // pulled. Connections to and from a box that was killed break at once. All open
 // connections can fall silent for good while new ones work, as when something on the
-// way has forgotten them.
+// way has forgotten them. Boxes may stand in regions that are far from each other, with a
+// link of some bytes a second between them.
 package fakenet
 
 import (
@@ -36,6 +37,7 @@
 	conns     map[*conn]bool
 	joined    chan struct{} // closed and replaced when something is joined
 	port      int
+	far       far
 }
 
 const (
@@ -51,7 +53,7 @@
 func New(latency time.Duration) *Network {
 	return &Network{
 		latency: latency, listeners: map[string]*listener{}, cut: map[string]bool{}, isolated: map[string]bool{},
-		conns: map[*conn]bool{}, joined: make(chan struct{}), port: firstPort,
+		conns: map[*conn]bool{}, joined: make(chan struct{}), port: firstPort, far: newFar(),
 	}
 }
 
@@ -106,7 +108,7 @@
 
 // travel waits for the latency, and while either side is cut off.
 func (n *Network) travel(ctx context.Context, from, to string) error {
-	if !sleep.For(ctx, n.latency) {
+	if !sleep.For(ctx, time.Until(n.arrival(from, to, 0))) {
 		return ctx.Err()
 	}
 	for {
@@ -176,7 +178,7 @@
 // severed reports whether nothing passes between two boxes. The caller holds
 // mu.
 func (n *Network) severed(from, to string) bool {
-	return n.cut[from] || n.cut[to] || (from != to && n.isolated[from] && n.isolated[to])
+	return n.cut[from] || n.cut[to] || n.far.severed(from, to) || (from != to && n.isolated[from] && n.isolated[to])
 }
 
 // Kill breaks every connection of a box and closes its listeners, as the end
@@ -304,6 +306,7 @@
 }
 
 func (p *pipe) write(b []byte) (n int, err error) {
+	at := p.n.arrival(p.from, p.to, len(b))
 	p.change(func() {
 		if p.finished {
 			err = net.ErrClosed
@@ -313,17 +316,18 @@
 			err = io.ErrClosedPipe
 			return
 		}
-		p.chunks = append(p.chunks, chunk{data: append([]byte(nil), b...), at: time.Now().Add(p.n.latency)})
+		p.chunks = append(p.chunks, chunk{data: append([]byte(nil), b...), at: at})
 		n = len(b)
 	})
 	return n, err
 }
 
 func (p *pipe) finish() {
+	at := p.n.arrival(p.from, p.to, 0)
 	p.change(func() {
 		if !p.finished {
 			p.finished = true
-			p.chunks = append(p.chunks, chunk{end: true, at: time.Now().Add(p.n.latency)})
+			p.chunks = append(p.chunks, chunk{end: true, at: at})
 		}
 	})
 }
