Directory: relays serve the gateways of a region that the leader is not in

Cause: in a fleet over two regions the leader kept a session with every gateway, so what crosses the link grew with gateways times servers; at 300 gateways and 3,000 servers a document was in force after 5.6 s.

A replica in another region than the leader opens one session there (Watch.Relay) and serves its region's gateways: it passes on lists, sums and rollouts, takes documents from the log, and adds the gateways' reports up to one. Sums of loads that changed go up within a budget; Counted is mapped back to each gateway's own report. Watch.Direct became Watch.Avoid: the leader then names another relay, and serves the gateway itself only without one.

The order of kinds in TestGoldenKinds was i+1; kinds now leave numbers out, so the test walks all 256 numbers, which is stricter: every number without a name must be unknown.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -96,6 +96,9 @@
 	}
 	d.running.Go(d.hub.run)
 	d.running.Go(d.announcer.run)
+	if cfg.Region != "" && cfg.Topology.Several() {
+		d.running.Go(d.hub.findLeader)
+	}
 	return d, nil
 }
 
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -54,14 +54,17 @@
 	gateways map[string]*gatewayNode
 	beats    map[string]uint64 // announcements made, by backend server
 	wanted   int               // replicas that vote
+	regions  map[string]string // by IP; without any, there is one
+	syncTime time.Duration     // of each disk
 }
 
 // directoryNode is one replica and what survives its restarts.
 type directoryNode struct {
-	ip   string
-	disk *fakedisk.Disk
-	d    *directory.Directory
-	kill context.CancelFunc
+	ip      string
+	disk    *fakedisk.Disk
+	d       *directory.Directory
+	metrics *metrics.Set
+	kill    context.CancelFunc
 }
 
 type gatewayNode struct {
@@ -76,6 +79,11 @@
 
 // inFleetOf does the same with a number of replicas that vote.
 func inFleetOf(t *testing.T, n, wanted int, f func(x *fleet)) {
+	inFleetWith(t, n, wanted, func(*fleet) {}, f)
+}
+
+// inFleetWith does the same after prepare, before which nothing runs.
+func inFleetWith(t *testing.T, n, wanted int, prepare, f func(x *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{
 			wanted: wanted,
@@ -86,6 +94,7 @@
 			x.seeds = append(x.seeds, fleetAddress(i))
 		}
 		defer x.close()
+		prepare(x)
 		for i := range n {
 			x.add(fmt.Sprintf("10.0.1.%d", i+1), true)
 		}
@@ -105,6 +114,7 @@
 
 func (x *fleet) add(ip string, first bool) {
 	x.nodes[ip] = &directoryNode{ip: ip, disk: fakedisk.New(x.random())}
+	x.nodes[ip].disk.SyncTime(x.syncTime)
 	x.order = append(x.order, ip)
 	x.start(ip, first)
 }
@@ -121,13 +131,14 @@
 	d, err := directory.Start(ctx, directory.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
 		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval,
+		Region: x.regions[ip], Topology: x.topology(),
 		Random: x.random, Log: log, Metrics: set,
 	})
 	if err != nil {
 		x.t.Fatal(err)
 	}
 	stop := x.serve(ip+":7400", d)
-	n.d = d
+	n.d, n.metrics = d, set
 	n.kill = func() {
 		stop()
 		x.net.Kill(ip)
@@ -261,6 +272,7 @@
 	g := gateway.Start(ctx, gateway.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: dial},
 		Seeds:    x.seeds, Headers: noHeaders{}, Server: forward.New(forward.Settings{Dialer: x.net.Box(ip)}),
+		Region: x.regions[ip], Topology: x.topology(),
 		Retries: retry.Limits{Window: time.Second}, Random: x.random, Log: log, Metrics: set,
 	})
 	x.gateways[ip] = &gatewayNode{ip: ip, g: g, metrics: set, kill: func() { cancel(); synctest.Wait(); log.Close() }}
--- a/directory/halls.go
+++ b/directory/halls.go
@@ -133,16 +133,16 @@
 	h.pending = h.pending.Then(h.registry.ServersReturn(now, returned, h.d.state.coldRates()))
 	h.sendChanges()
 	h.d.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes),
-		slog.Any("returned", returned), slog.Int("gateways", len(h.sessions)), slog.Any("unaware", h.unawareOfHalls()))
+		slog.Any("returned", returned), slog.Int("gateways", len(h.gateways())), slog.Any("unaware", h.unawareOfHalls()))
 }
 
 // unawareOfHalls returns the gateways whose version does not know halls that are out of
 // service: they go on sending there until they are upgraded.
 func (h *hub) unawareOfHalls() []string {
 	var names []string
-	for s := range h.sessions {
-		if !s.knowsHalls {
-			names = append(names, s.gateway)
+	for name, g := range h.gateways() {
+		if !g.KnowsHalls {
+			names = append(names, name)
 		}
 	}
 	slices.Sort(names)
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,12 +62,17 @@
 
 	rollouts     rollouts
 	sharesLogged time.Duration // when
+
+	began   time.Duration     // of the term
+	relay   *relay            // nil unless this replica passes on what the leader sends
+	regions map[string]string // of the replicas that have tried to become relays, by fleet address
+	refused atomic.Uint64     // the last term whose leader needs no relay here
 }
 
 func newHub(d *Directory) *hub {
 	h := &hub{
 		d: d, events: make(chan func(), eventDepth), wake: make(chan struct{}, 1),
-		sessions: map[*session]bool{}, usage: newUsage(),
+		sessions: map[*session]bool{}, usage: newUsage(), regions: map[string]string{},
 	}
 	h.leadership.Store(&leadership{})
 	return h
@@ -119,6 +126,7 @@
 	tick := time.NewTicker(registry.FleetPeriod)
 	defer tick.Stop()
 	defer h.endTerm()
+	defer h.endRelay()
 	for {
 		select {
 		case <-h.d.ctx.Done():
@@ -139,21 +147,26 @@
 	l := h.leadership.Load()
 	switch {
 	case l.leads && h.term != l.term:
+		h.endRelay()
 		h.endTerm()
 		h.beginTerm(l.term)
 	case !l.leads && h.term != 0:
 		h.endTerm()
 	}
-	if h.term != 0 {
+	h.syncRelay(l)
+	switch {
+	case h.term != 0:
 		h.pushDepartures()
 		h.pushHalls()
 		h.pushDocument()
 		h.stepRollouts()
+	case h.relay != nil:
+		h.pushDocument()
 	}
 }
 
 func (h *hub) beginTerm(term uint64) {
-	h.term = term
+	h.term, h.began = term, h.d.replica.Now()
 	h.registry = registry.New(h.d.replica.Now(), h.d.cfg.Interval)
 	h.departed = 0
 	h.complete = false
@@ -181,6 +194,9 @@
 
 func (h *hub) tick() {
 	h.syncLeadership()
+	if h.relay != nil {
+		h.relay.tick()
+	}
 	if h.term == 0 {
 		return
 	}
@@ -195,6 +211,7 @@
 	h.pushChanges(completed)
 	h.logJoins()
 	h.pushFleet()
+	h.moveToRelays()
 }
 
 // divideCold gives the rates of cold backend servers to gateways.
@@ -202,10 +219,7 @@
 	if !h.registry.AnyCold(now) {
 		return
 	}
-	names := make([]string, 0, len(h.sessions))
-	for s := range h.sessions {
-		names = append(names, s.gateway)
-	}
+	names := slices.Sorted(maps.Keys(h.gateways()))
 	change := h.registry.DivideCold(now, names, h.d.state.coldRates())
 	for _, s := range change.Set {
 		h.d.cfg.Log.StateChange("cold backend divided", slog.String("backend", s.ID),
@@ -259,7 +273,7 @@
 		h.d.cfg.Log.StateChange("document in force", slog.Uint64("number", h.encoded.Number), slog.Int("bytes", len(data)))
 	}
 	for s := range h.sessions {
-		if s.number < h.encoded.Number {
+		if !s.relay && s.number < h.encoded.Number { // a relay has the log
 			s.out.Send(h.encoded)
 			s.number = h.encoded.Number
 		}
--- /dev/null
+++ b/directory/regions_fixture_test.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file adds regions to the fixture: five replicas, three in the north and two in the
+// south, and a link between the regions.
+
+const (
+	north, south = "north", "south"
+	farLatency   = 30 * time.Millisecond // one way
+)
+
+// inRegions runs f in two regions with a link of some bytes a second each way.
+func inRegions(t *testing.T, bytesPerSecond int, f func(x *fleet)) {
+	inFleetWith(t, voters, voters, func(x *fleet) {
+		x.regions = map[string]string{}
+		x.syncTime = 5 * time.Millisecond
+		x.net.Far(farLatency, bytesPerSecond)
+		for i := range voters {
+			x.place(fmt.Sprintf("10.0.1.%d", i+1), []string{north, north, north, south, south}[i])
+		}
+	}, f)
+}
+
+func (x *fleet) place(ip, region string) {
+	x.regions[ip] = region
+	x.net.Place(ip, region)
+}
+
+// topology of the fleet: a data hall in each region, of the same name.
+func (x *fleet) topology() topology.Topology {
+	halls := map[string]string{}
+	for _, region := range x.regions {
+		halls[region] = region
+	}
+	t, err := topology.New(halls)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return t
+}
+
+// gatewaysIn starts gateways in a region, each with an address of its own.
+func (x *fleet) gatewaysIn(region string, n int) (all []*gateway.Gateway) {
+	for range n {
+		ip := fmt.Sprintf("10.0.2.%d", len(x.gateways)+1)
+		x.place(ip, region)
+		all = append(all, x.gateway(ip))
+	}
+	return all
+}
+
+// announceMany lets backend servers announce themselves at the leader.
+func (x *fleet) announceMany(n int) {
+	is := is.New(x.t)
+	for i := range n {
+		is.NoErr(x.mustLead().d.Announce(x.t.Context(), manyServer(i, 1)))
+	}
+}
+
+// manyServer is one announcement of one of many backend servers.
+func manyServer(i int, seq uint64) registry.Announcement {
+	return registry.Announcement{Registration: protocol.Registration{
+		ID: fmt.Sprintf("b%d", i), Pool: "p", Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200), Slots: 4,
+	}, Seq: seq}
+}
+
+// relays returns the replicas of a region, without the leader.
+func (x *fleet) relays(region string) (all []*directoryNode) {
+	for _, ip := range x.order {
+		if n := x.nodes[ip]; x.regions[ip] == region && n.d != nil && !n.d.Leads() {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// leadIn makes a replica of a region lead.
+func (x *fleet) leadIn(region string) {
+	for range 20 {
+		n := x.mustLead()
+		if x.regions[n.ip] == region {
+			return
+		}
+		n.kill()
+		x.mustLead()
+		x.start(n.ip, false)
+		time.Sleep(2 * time.Second)
+	}
+	x.t.Fatalf("nobody in the %s leads", region)
+}
--- /dev/null
+++ b/directory/relay.go
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines relay, with which a replica in another region than the leader serves its
+// region's gateways: it passes on what the leader sends, and their reports as one.
+//
+// A relay has one session with the leader, like a gateway's. Documents it takes from the log,
+// which it has in any case. What it passes on is of one leader's term: when another replica
+// leads, its gateways keep their sessions until it has a session there, and then open new ones,
+// because handles of backend servers are the leader's own. Weighed: the sessions end with the
+// leader's (all gateways of a region then dial across regions while nobody leads); reports
+// that name the term they are of (a relay would still have to send every gateway the whole
+// list, and older gateways name none).
+
+const (
+	// relayPoll is how often a replica looks whether it should open a session with the leader,
+	// and how long it waits after one that failed. Chosen, not measured: a dial between regions
+	// takes longer.
+	relayPoll = 50 * time.Millisecond
+	// relayDial is the time for one connection to the leader. Chosen, not measured: as for a
+	// gateway.
+	relayDial = 700 * time.Millisecond
+	// relayGrace is how long a relay keeps its gateways without the leader: an election, twice.
+	// Chosen, not measured.
+	relayGrace = 3 * time.Second
+)
+
+// relay is what a replica passes on. All runs in the hub's goroutine.
+type relay struct {
+	h       *hub
+	out     *link.Outbox // to the leader; nil while it is lost
+	lost    time.Duration
+	list    registry.Copy
+	encoded *protocol.Encoded // the whole list, for gateways that open; nil: to be made anew
+	sums    registry.Sums
+	changed bool // the gateways, since the leader was sent them
+	sumDue  time.Duration
+
+	loads    map[uint32]protocol.ServerLoad // sums of the leader, by handle
+	feed     registry.Feed                  // what the gateways were sent of them
+	fleet    *protocol.Fleet                // the newest, without its loads; nil before the first
+	fleetNew bool                           // it was not sent on yet
+	fleetDue time.Duration
+	rollouts *protocol.Rollouts
+}
+
+// findLeader keeps a session with the leader, unless this replica leads or the leader stands in
+// its region.
+func (h *hub) findLeader() {
+	for h.d.ctx.Err() == nil {
+		l := h.leadership.Load()
+		if l.leader != "" && l.leader != h.d.Address() && h.refused.Load() != l.term {
+			h.followLeader(l.leader, l.term)
+		}
+		sleep.For(h.d.ctx, relayPoll) // the loop looks whether ctx has ended
+	}
+}
+
+// followLeader runs one session with the leader.
+func (h *hub) followLeader(leader string, term uint64) {
+	ctx, cancel := context.WithCancel(h.d.ctx)
+	defer cancel()
+	dialing, dialed := context.WithTimeout(ctx, relayDial)
+	l, err := link.Dial(dialing, leader, h.d.cfg.Identity, h.d.meter)
+	dialed()
+	if err != nil {
+		return
+	}
+	defer l.Close()
+	hello := protocol.Watch{
+		Gateway: h.d.Address(), Boot: h.d.cfg.Random(), Term: term, KnowsHalls: true, KnowsVersions: true,
+		Region: h.d.cfg.Region, Relay: true,
+	}
+	if err := l.Send(ctx, hello); err != nil {
+		return
+	}
+	first, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
+	if err != nil {
+		return
+	}
+	switch first := first.(type) {
+	case protocol.WatchRedirect:
+		if first.Leader == leader { // it needs no relay here
+			h.refused.Store(term)
+		}
+	case protocol.Servers:
+		h.passOn(ctx, l, leader, first)
+	}
+}
+
+// passOn takes what the leader sends until the session ends.
+func (h *hub) passOn(ctx context.Context, l *link.Link, leader string, first protocol.Servers) {
+	var r *relay
+	if err := h.do(ctx, func() (err error) { r, err = h.beginRelay(l, leader, first); return err }); err != nil {
+		return
+	}
+	out := r.out
+	defer out.Close()
+	defer h.post(func() { r.lose(out) })
+	for {
+		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
+		if err != nil {
+			return
+		}
+		if _, over := m.(protocol.WatchRedirect); over {
+			return
+		}
+		h.post(func() {
+			if h.relay == r && r.out == out {
+				r.take(m)
+			}
+		})
+	}
+}
+
+// beginRelay begins to pass on what a leader sends. It returns [Unavailable] if this replica
+// leads itself, or knows of a later term.
+func (h *hub) beginRelay(l *link.Link, leader string, first protocol.Servers) (*relay, error) {
+	h.syncLeadership()
+	if known := h.leadership.Load(); known.leads || first.Term < known.term {
+		return nil, Unavailable{}
+	}
+	if h.relay != nil && h.relay.list.Term() != first.Term {
+		h.endRelay()
+	}
+	if h.relay == nil {
+		h.relay = &relay{h: h}
+	}
+	r := h.relay
+	r.out, r.changed, r.sumDue = link.NewOutbox(l, sessionQueue), true, 0
+	r.loads, r.feed, r.fleet, r.fleetNew = map[uint32]protocol.ServerLoad{}, registry.Feed{}, nil, false
+	r.sums.Restart()
+	r.take(first)
+	r.tick()
+	h.d.cfg.Log.StateChange("relaying", slog.String("leader", leader), slog.Uint64("term", first.Term),
+		slog.Int("gateways", len(h.sessions)))
+	return r, nil
+}
+
+// lose ends the session with the leader whose outbox it is. The gateways stay for a while.
+func (r *relay) lose(out *link.Outbox) {
+	if r.h.relay != r || r.out != out {
+		return
+	}
+	r.out.Close()
+	r.out, r.lost = nil, r.h.d.replica.Now()
+	r.h.d.cfg.Log.StateChange("leader lost", slog.Uint64("term", r.list.Term()), slog.Int("gateways", len(r.h.sessions)))
+}
+
+// syncRelay ends what is of an older term, and a relay that has been without the leader for
+// too long.
+func (h *hub) syncRelay(l *leadership) {
+	r := h.relay
+	switch {
+	case r == nil:
+	case r.out != nil && l.term > r.list.Term():
+		r.lose(r.out)
+	case r.out == nil && h.d.replica.Now()-r.lost > relayGrace:
+		h.endRelay()
+	}
+}
+
+// endRelay ends the sessions of the gateways, who come back here.
+func (h *hub) endRelay() {
+	if h.relay == nil {
+		return
+	}
+	h.d.cfg.Log.StateChange("relaying no more", slog.Uint64("term", h.relay.list.Term()), slog.Int("gateways", len(h.sessions)))
+	for s := range h.sessions {
+		h.dismiss(s, h.d.Address())
+	}
+	if h.relay.out != nil {
+		h.relay.out.Close()
+	}
+	h.relay = nil
+}
+
+// dismiss ends a gateway's session and names the replica to go to.
+func (h *hub) dismiss(s *session, to string) {
+	h.close(s)
+	s.out.Send(protocol.WatchRedirect{Leader: to, Members: h.leadership.Load().voters})
+	go func() {
+		ctx, cancel := context.WithTimeout(h.d.ctx, link.WriteTimeout)
+		defer cancel()
+		s.out.Drain(ctx)
+	}()
+}
+
+// take takes a message of the leader.
+func (r *relay) take(m protocol.Message) {
+	switch m := m.(type) {
+	case protocol.Servers:
+		r.list.Take(r.h.d.replica.Now(), m)
+		r.encoded = nil
+		r.h.sendAll(m)
+	case protocol.Rollouts:
+		r.rollouts = &m
+		r.sums.KeepAttempts(m.List)
+		r.h.sendAll(m)
+	case protocol.Counted:
+		r.sums.Counted(m.Seq)
+	case protocol.Fleet:
+		registry.ApplyLoads(r.loads, m.Loads)
+		m.Loads = nil
+		r.fleet, r.fleetNew = &m, true
+		r.pushFleet()
+	}
+}
+
+// opened sends a gateway that opens, after the whole list, what the others were sent.
+func (r *relay) opened(s *session) {
+	r.sums.Open(s.gateway, s.knowsVersions)
+	r.changed = true
+	if sent := r.feed.Sent(); r.fleet != nil && len(sent) > 0 {
+		m := *r.fleet
+		m.Loads = sent
+		s.out.Send(protocol.Counted{})
+		s.out.Send(m)
+	}
+	if r.rollouts != nil {
+		s.out.Send(*r.rollouts)
+	}
+}
+
+// wholeList returns the list with which a gateway's session opens.
+func (r *relay) wholeList() (protocol.Encoded, bool) {
+	now := r.h.d.replica.Now()
+	if r.encoded == nil || r.list.AnyCold(now) {
+		list, ok := r.h.encode(r.list.Whole(now))
+		if !ok {
+			return list, false
+		}
+		r.encoded = &list
+	}
+	return *r.encoded, true
+}
+
+// tick sends the leader what the gateways reported, and them what is due.
+func (r *relay) tick() {
+	if r.out == nil {
+		for s := range r.h.sessions { // a relay that is silent is left
+			s.out.Send(protocol.Counted{Seq: r.sums.CountedOf(s.gateway)})
+		}
+		return
+	}
+	r.pushFleet()
+	if r.changed {
+		r.changed = false
+		var m protocol.Behind
+		for s := range r.h.sessions {
+			m.Gateways = append(m.Gateways, s.gateways()...)
+		}
+		r.out.Send(m)
+	}
+	now := r.h.d.replica.Now()
+	if now < r.sumDue {
+		return
+	}
+	if m, ok := r.h.encode(r.sums.Next()); ok {
+		r.sumDue = now + registry.SumPause(m.Size())
+		r.out.Send(m)
+	}
+}
+
+// pushFleet sends the gateways the sums over all, as often as the budget of a link allows.
+func (r *relay) pushFleet() {
+	now := r.h.d.replica.Now()
+	links := len(r.h.sessions)
+	if !r.fleetNew || now < r.fleetDue || links == 0 {
+		return
+	}
+	fleet := *r.fleet
+	fleet.Loads = r.feed.Next(registry.OrderedLoads(r.loads), registry.FleetLoads(links))
+	m, ok := r.h.encode(fleet)
+	if !ok {
+		return
+	}
+	r.fleetNew, r.fleetDue = false, now+registry.FleetPause(m.Size(), links)
+	for s := range r.h.sessions {
+		s.out.Send(protocol.Counted{Seq: r.sums.CountedOf(s.gateway)})
+		s.out.Send(m)
+	}
+}
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
@@ -31,14 +33,23 @@
 // earlier ones show in the first complete list. Chosen, not measured.
 const listedDepartures = 256
 
-// session is one gateway's link.
+// session is one gateway's link, or at the leader one relay's.
 type session struct {
-	gateway string
+	gateway string // or the relay's fleet address
 	out     *link.Outbox
 	number  uint64 // of the newest document that the gateway has or was sent
 	counted uint64 // number of its last report in the sums
 	// knowsHalls is whether the gateway's version obeys halls that are out of service.
-	knowsHalls bool
+	knowsHalls    bool
+	knowsVersions bool   // the same of rollouts
+	region        string // empty if it did not name one
+	opened        time.Duration
+	avoid         string // the relay that it had lost when it opened
+
+	// Of a relay's session alone.
+	relay  bool
+	behind []protocol.BehindGateway
+	loads  map[uint32]protocol.ServerLoad // by handle, as last reported
 }
 
 // pushChanges sends what has changed in the registry since the last time to every
@@ -83,6 +94,9 @@
 // wholeList returns the whole list as of the last changes that were sent, or a later one:
 // a session gets all changes that are sent after it has opened, some perhaps twice.
 func (h *hub) wholeList() (list protocol.Encoded, ok bool) {
+	if h.relay != nil {
+		return h.relay.wholeList()
+	}
 	now := h.d.replica.Now()
 	if h.list == nil || h.registry.AnyCold(now) {
 		out, changes := h.d.state.HallsOut()
@@ -108,41 +122,81 @@
 
 // serve runs one gateway's session until its link ends.
 func (h *hub) serve(ctx context.Context, l *link.Link, w protocol.Watch) {
-	var s *session
-	err := h.do(ctx, func() (err error) { s, err = h.open(l, w); return err })
+	s, err := h.admit(ctx, l, w)
 	if err != nil {
 		leadership := h.leadership.Load()
+		m := protocol.WatchRedirect{Leader: leadership.leader, Members: leadership.voters}
+		var elsewhere served
+		if errors.As(err, &elsewhere) {
+			m.Leader = elsewhere.by
+		}
 		// The link closes now in any case, and the gateway tries the next replica.
-		_ = l.Send(ctx, protocol.WatchRedirect{Leader: leadership.leader, Members: leadership.voters})
+		_ = l.Send(ctx, m)
 		return
 	}
 	defer s.out.Close()
 	defer h.post(func() { h.close(s) })
+	silence := registry.ReportSilence
+	if s.relay {
+		silence = registry.RelaySilence
+	}
 	for {
-		m, err := l.ReceiveWithin(ctx, registry.ReportSilence)
+		m, err := l.ReceiveWithin(ctx, silence)
 		if err != nil {
 			return
 		}
-		if u, ok := m.(protocol.Usage); ok {
-			h.post(func() { h.usage.add(s, u); h.addOutcomes(s, u) })
+		h.post(func() { h.receive(s, m) })
+	}
+}
+
+// receive takes a message of a session, unless that has ended.
+func (h *hub) receive(s *session, m protocol.Message) {
+	if !h.sessions[s] {
+		return
+	}
+	switch m := m.(type) {
+	case protocol.Usage:
+		if h.relay != nil {
+			h.relay.sums.Add(s.gateway, m)
+			return
+		}
+		h.usage.add(s, m)
+		h.addOutcomes(s, m)
+	case protocol.Behind:
+		s.behind = m.Gateways
+	}
+}
+
+// admit opens a session. A replica of a fleet with several regions that may serve the gateway
+// in a moment, because it or a relay to name is just looking for the leader, keeps it waiting
+// for as long. The error is [served] or [Unavailable].
+func (h *hub) admit(ctx context.Context, l *link.Link, w protocol.Watch) (s *session, err error) {
+	until := time.Now().Add(relayWait)
+	for {
+		err = h.do(ctx, func() (err error) { s, err = h.open(l, w, time.Now().Before(until)); return err })
+		if !errors.As(err, new(soon)) || !sleep.For(ctx, relayPoll) {
+			return s, err
 		}
 	}
 }
 
-// open admits a gateway. It returns [Unavailable] if this replica does not lead, or
-// leads in an older term than the gateway has seen.
-func (h *hub) open(l *link.Link, w protocol.Watch) (*session, error) {
+// open admits a gateway or a relay. It returns [Unavailable] if this replica neither leads nor
+// relays, or does so in an older term than the other side has seen, [served] if another one is
+// to serve the gateway, and with mayWait [soon] if it shows in a moment what to do.
+func (h *hub) open(l *link.Link, w protocol.Watch, mayWait bool) (*session, error) {
 	h.syncLeadership()
-	if h.term == 0 || w.Term > h.term || w.Gateway != l.Peer() {
+	if w.Gateway != l.Peer() {
 		return nil, Unavailable{}
 	}
-	for old := range h.sessions {
-		if old.gateway == w.Gateway {
-			h.close(old)
-			old.out.Close()
-		}
+	if err := h.mayServe(w, mayWait); err != nil {
+		return nil, err
+	}
+	h.closeOthers(w.Gateway)
+	s := &session{
+		gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number, knowsHalls: w.KnowsHalls,
+		knowsVersions: w.KnowsVersions, region: w.Region, opened: h.d.replica.Now(), avoid: w.Avoid,
+		relay: w.Relay, loads: map[uint32]protocol.ServerLoad{},
 	}
-	s := &session{gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number, knowsHalls: w.KnowsHalls}
 	list, ok := h.wholeList()
 	if !ok {
 		s.out.Close()
@@ -150,25 +204,66 @@
 	}
 	h.sessions[s] = true
 	s.out.Send(list)
-	if sent := h.feed.Sent(); len(sent) > 0 {
-		s.out.Send(protocol.Counted{})
-		s.out.Send(h.fleetMessage(sent))
+	if h.relay != nil {
+		h.relay.opened(s)
+	} else {
+		if sent := h.feed.Sent(); len(sent) > 0 {
+			s.out.Send(protocol.Counted{})
+			s.out.Send(h.fleetMessage(sent))
+		}
+		h.sendRollouts(s)
 	}
-	h.sendRollouts(s)
 	h.pushDocument()
-	h.d.cfg.Log.StateChange("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number))
+	h.d.cfg.Log.StateChange("gateway watches", slog.String("gateway", w.Gateway), slog.Uint64("document", w.Number),
+		slog.String("region", w.Region), slog.Bool("relay", w.Relay))
 	return s, nil
 }
 
+// closeOthers ends the earlier session of a gateway.
+func (h *hub) closeOthers(gateway string) {
+	for old := range h.sessions {
+		if old.gateway == gateway {
+			h.close(old)
+			old.out.Close()
+		}
+	}
+}
+
 func (h *hub) close(s *session) {
-	if h.sessions[s] {
-		delete(h.sessions, s)
-		h.d.cfg.Log.StateChange("gateway lost", slog.String("gateway", s.gateway))
+	if !h.sessions[s] {
+		return
+	}
+	delete(h.sessions, s)
+	h.d.cfg.Log.StateChange("gateway lost", slog.String("gateway", s.gateway))
+	if h.relay != nil {
+		h.relay.sums.Close(s.gateway)
+		h.relay.changed = true
+		return
 	}
 	h.usage.forget(s)
 	h.forgetOutcomes(s)
 }
 
+// gateways returns all gateways of the fleet that have a session here or behind a relay, by
+// name: one that moves may be at two.
+func (h *hub) gateways() map[string]protocol.BehindGateway {
+	all := map[string]protocol.BehindGateway{}
+	for s := range h.sessions {
+		for _, g := range s.gateways() {
+			all[g.Gateway] = g
+		}
+	}
+	return all
+}
+
+// gateways returns the gateways that a session serves.
+func (s *session) gateways() []protocol.BehindGateway {
+	if s.relay {
+		return s.behind
+	}
+	return []protocol.BehindGateway{{Gateway: s.gateway, KnowsHalls: s.knowsHalls, KnowsVersions: s.knowsVersions}}
+}
+
 // pushFleet sends every gateway the sums over all of them, as often as the budget of a
 // link allows.
 func (h *hub) pushFleet() {
@@ -195,7 +290,7 @@
 func (h *hub) fleetMessage(loads []protocol.ServerLoad) protocol.Fleet {
 	demand := h.usage.demand
 	return protocol.Fleet{
-		Gateways: len(h.sessions), Loads: loads, Entitlements: demand.Entitlements(), Late: demand.Late(),
+		Gateways: len(h.gateways()), Loads: loads, Entitlements: demand.Entitlements(), Late: demand.Late(),
 		Members: h.leadership.Load().voters, Short: demand.Short(), Unknown: !demand.Known(), Most: demand.Most(),
 	}
 }
--- a/directory/usage.go
+++ b/directory/usage.go
@@ -3,11 +3,8 @@
 package directory
 
 import (
-	"cmp"
-	"maps"
-	"slices"
-
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -24,10 +21,14 @@
 	return &usage{loads: map[*session][]protocol.ServerLoad{}, demand: entitlement.NewDemand()}
 }
 
-// add takes a gateway's report. Its first one may cover any time, such as the one that
-// it was without a leader, so only what runs there counts.
+// add takes a gateway's report, or a relay's. Its first one may cover any time, such as the one
+// that it was without a leader, so only what runs there counts.
 func (u *usage) add(s *session, m protocol.Usage) {
 	_, known := u.loads[s]
+	if m.Changes {
+		registry.ApplyLoads(s.loads, m.Loads)
+		m.Loads = registry.OrderedLoads(s.loads)
+	}
 	u.loads[s] = m.Loads
 	s.counted = m.Seq
 	if known {
@@ -41,12 +42,7 @@
 func (u *usage) sum() {
 	sums := map[uint32]protocol.ServerLoad{}
 	for _, loads := range u.loads {
-		for _, l := range loads {
-			sum := sums[l.Handle]
-			sums[l.Handle] = protocol.ServerLoad{
-				Handle: l.Handle, Requests: sum.Requests + l.Requests, Tokens: sum.Tokens + l.Tokens,
-			}
-		}
+		registry.AddLoads(sums, loads)
 	}
-	u.total = slices.SortedFunc(maps.Values(sums), func(a, b protocol.ServerLoad) int { return cmp.Compare(a.Handle, b.Handle) })
+	u.total = registry.OrderedLoads(sums)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -30,10 +30,12 @@
 	g         *Gateway
 	startID   uint64   // random; a restarted gateway has another one
 	term      uint64   // the highest of a leader that has sent servers
-	leader    string   // where the leader is by the last redirect; it is tried once
+	leader    string   // the replica that the last redirect named; it is tried once
 	replicas  []string // addresses of the directory's voters, as last reported
 	tried     int      // candidates tried so far; it begins at a random one
-	connected bool     // the last session was with a leader
+	named     bool     // a redirect gave the address that is tried
+	connected bool     // the last session was with a leader or a relay
+	avoid     string   // the replica that was lost, or named and not reached, since the last session
 	counted   uint64   // number of the last report that is in the sums that come next
 }
 
@@ -50,9 +52,9 @@
 	}
 }
 
-// next returns the address to try: the leader's if a redirect gave it, else the
-// candidates in turn.
+// next returns the address to try: the one that a redirect gave, else the candidates in turn.
 func (w *watcher) next() string {
+	w.named = w.leader != ""
 	if leader := w.leader; leader != "" {
 		w.leader = ""
 		return leader
@@ -80,12 +82,15 @@
 	return all
 }
 
-// session runs one session and reports whether the replica led.
+// session runs one session and reports whether the replica served it.
 func (w *watcher) session(address string) bool {
 	dialing, cancelDial := context.WithTimeout(w.g.ctx, dialTimeout)
 	l, err := link.Dial(dialing, address, w.g.cfg.Identity, w.g.meter)
 	cancelDial()
 	if err != nil {
+		if w.named {
+			w.avoid = address
+		}
 		return false
 	}
 	defer l.Close()
@@ -93,6 +98,7 @@
 	defer cancel()
 	hello := protocol.Watch{
 		Gateway: w.g.cfg.Identity.Name, Boot: w.startID, Number: w.g.DocumentNumber(), Term: w.term, KnowsHalls: true, Region: w.g.cfg.Region,
+		Avoid: w.avoid,
 	}
 	if err := l.Send(ctx, hello); err != nil {
 		return false
@@ -101,6 +107,7 @@
 	for {
 		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
 		if err != nil {
+			w.avoid = address
 			w.lost(address, err)
 			return led
 		}
@@ -109,7 +116,7 @@
 			return false
 		}
 		if !led {
-			led = true
+			led, w.avoid = true, ""
 			w.connected = true
 			w.g.cfg.Log.StateChange("directory found", slog.String("leader", address))
 			go w.report(ctx, l)
@@ -118,14 +125,16 @@
 	}
 }
 
-// redirected handles the answer of a replica that does not lead. One that names
-// itself as the leader is not tried again at once.
+// redirected handles the answer of a replica that does not serve this gateway, or not
+// any more. One that names itself is tried again at once only if it has just served: it
+// passes on what another leader sends now.
 func (w *watcher) redirected(address string, e protocol.WatchRedirect) {
+	served := w.connected
 	w.lost(address, errRedirected)
 	if len(e.Members) > 0 {
 		w.replicas = e.Members
 	}
-	if e.Leader != address {
+	if e.Leader != address || served {
 		w.leader = e.Leader
 	}
 }
@@ -181,7 +190,7 @@
 	}
 }
 
-// report sends the leader what runs here and what was demanded, until ctx ends or the
+// report sends the replica what runs here and what was demanded, until ctx ends or the
 // session is lost.
 func (w *watcher) report(ctx context.Context, l *link.Link) {
 	seq := uint64(0)
--- a/protocol/announce.go
+++ b/protocol/announce.go
@@ -18,6 +18,17 @@
 type Announce struct {
 	Seq  uint64         `cbor:"1,keyasint"` // from 1 on each link
 	List []Announcement `cbor:"2,keyasint"`
+	// Again are announcements that differ from what the leader of Term last sent of these
+	// servers in nothing but their numbers; a leader of another term ends the link.
+	Again []AnnouncedAgain `cbor:"3,keyasint,omitempty"`
+	Term  uint64           `cbor:"4,keyasint,omitempty"`
+}
+
+// AnnouncedAgain is one announcement of a backend server that is not cold and has not changed.
+type AnnouncedAgain struct {
+	_      struct{} `cbor:",toarray"`
+	Handle uint32
+	Seq    uint64
 }
 
 // Announced is the leader's answer: it has taken the list of that number. Of one that it
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -52,6 +52,9 @@
 
 	// Between a gateway and a directory replica, continued.
 	KindRollouts Kind = 22 // leader: which versions of pools get requests
+
+	// Between the replicas of the directory, continued.
+	KindBehind Kind = 30 // relay: the gateways that it serves
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -81,6 +84,7 @@
 	KindAnnounce:      {"announce", decodeAs[Announce]},
 	KindAnnounced:     {"announced", decodeAs[Announced]},
 	KindRollouts:      {"rollouts", decodeAs[Rollouts]},
+	KindBehind:        {"behind", decodeAs[Behind]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -123,6 +127,7 @@
 func (Announce) kind() Kind      { return KindAnnounce }
 func (Announced) kind() Kind     { return KindAnnounced }
 func (Rollouts) kind() Kind      { return KindRollouts }
+func (Behind) kind() Kind        { return KindBehind }
 func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -74,7 +74,7 @@
 		Offset: 71, Total: 72,
 	},
 	Watch{
-		Gateway: "gateway-1", Boot: big, Number: 82, Term: 83, KnowsHalls: true, KnowsVersions: true, Region: "north", Relay: true, Direct: true,
+		Gateway: "gateway-1", Boot: big, Number: 82, Term: 83, KnowsHalls: true, KnowsVersions: true, Region: "north", Relay: true, Avoid: "10.0.0.1:7000",
 	},
 	WatchRedirect{Leader: "10.0.0.1:7000", Members: []string{"10.0.0.1:7000", "10.0.0.2:7000"}},
 	Document{Number: 84, Data: []byte{0xa1, 1, 2}},
@@ -97,7 +97,7 @@
 			{Pool: "web", Attempt: 98, Version: "v7", Route: "pay", Sent: 99, Answered: 100, Failed: 101, Paces: []uint32{102, 0, 103}},
 			{Pool: "web", Attempt: 104, Version: "v6"},
 		},
-		Obeyed: 105,
+		Obeyed: 105, Changes: true,
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -109,12 +109,13 @@
 	Announce{Seq: 94, List: []Announcement{
 		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7"}, Seq: 95, ColdLeft: 3 * time.Second},
 		{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Seq: 96},
-	}},
+	}, Again: []AnnouncedAgain{{Handle: 110, Seq: 111}, {Handle: 112, Seq: 113}}, Term: 114},
 	Announced{Seq: 97},
 	Rollouts{Term: 106, Seq: 107, List: []Rollout{
 		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"}},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
+	Behind{Gateways: []BehindGateway{{Gateway: "gateway-1", KnowsHalls: true, KnowsVersions: true}, {Gateway: "gateway-2"}}},
 }
 
 var goldenPools = []PoolView{
@@ -166,7 +167,7 @@
 func earlier(m Message) Message {
 	switch m := m.(type) {
 	case Watch:
-		m.KnowsVersions, m.Region, m.Relay, m.Direct = false, "", false, false
+		m.KnowsVersions, m.Region, m.Relay, m.Avoid = false, "", false, ""
 		return m
 	case Servers:
 		m.Set = slices.Clone(m.Set)
@@ -175,13 +176,14 @@
 		}
 		return m
 	case Usage:
-		m.Outcomes, m.Obeyed = nil, 0
+		m.Outcomes, m.Obeyed, m.Changes = nil, 0, false
 		return m
 	case Announce:
 		m.List = slices.Clone(m.List)
 		for i := range m.List {
 			m.List[i].Version = ""
 		}
+		m.Again, m.Term = nil, 0
 		return m
 	}
 	return m
@@ -195,14 +197,20 @@
 		1: "hello", 2: "welcome", 3: "redirect", 4: "renew", 5: "renewed", 6: "report", 7: "view", 8: "configure",
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
 		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced", 22: "rollouts",
+		30: "behind",
 	}
-	for number := 1; number < len(names); number++ {
-		is.Equal(Kind(number).String(), names[number])
+	var used []int
+	for number := range 1 << 8 {
+		if number < len(names) && names[number] != "" {
+			used = append(used, number)
+			is.Equal(Kind(number).String(), names[number])
+			continue
+		}
+		is.Equal(Kind(number).String(), "unknown") // a kind without a golden message
 	}
-	is.Equal(Kind(0).String(), "unknown")
-	is.Equal(Kind(len(names)).String(), "unknown") // a kind without a golden message
+	is.Equal(len(goldenMessages), len(used))
 	for i, m := range goldenMessages {
-		is.Equal(int(KindOf(m)), i+1) // the messages are ordered by kind
+		is.Equal(int(KindOf(m)), used[i]) // the messages are ordered by kind
 	}
 }
 
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -26,8 +26,9 @@
 	Region string `cbor:"7,keyasint,omitempty"`
 	// Relay is set by a directory replica that opens a session for its region's gateways.
 	Relay bool `cbor:"8,keyasint,omitempty"`
-	// Direct is set by a gateway that lost a relay: the leader serves it itself.
-	Direct bool `cbor:"9,keyasint,omitempty"`
+	// Avoid is the fleet address of a replica that the gateway could not reach, or lost, in
+	// its last try: the leader names another relay, or serves the gateway itself.
+	Avoid string `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchRedirect is the answer of a directory replica that does not lead to a Watch; it
@@ -134,6 +135,9 @@
 	Outcomes []Outcomes `cbor:"9,keyasint,omitempty"`
 	// Obeyed is the Seq of the newest [Rollouts] that the gateway obeys, of the session's term.
 	Obeyed uint64 `cbor:"10,keyasint,omitempty"`
+	// Changes is set in a relay's reports: Loads are the sums that have changed since its
+	// previous report, with zeros for what runs nothing any more.
+	Changes bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
