--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -108,6 +108,7 @@
 	interval    time.Duration // between two announcements of one backend server
 	servers     map[string]*entry
 	byAddress   map[string]string // identifier by address
+	byHandle    map[uint32]string // the same by handle
 	next        uint32            // handle; none is used twice, and 0 is none
 }
 
@@ -142,7 +143,7 @@
 func New(now, interval time.Duration) *Registry {
 	return &Registry{
 		leaderSince: now, interval: interval,
-		servers: map[string]*entry{}, byAddress: map[string]string{}, next: 1,
+		servers: map[string]*entry{}, byAddress: map[string]string{}, byHandle: map[uint32]string{}, next: 1,
 	}
 }
 
@@ -186,6 +187,16 @@
 	return Change{Set: []protocol.Server{e.server(now)}, Gone: gone}
 }
 
+// Again returns the announcement of a listed backend server that has not changed and is not
+// cold. ok is false if no server has the handle any more.
+func (r *Registry) Again(m protocol.AnnouncedAgain) (a Announcement, ok bool) {
+	id, ok := r.byHandle[m.Handle]
+	if !ok {
+		return Announcement{}, false
+	}
+	return Announcement{Registration: r.servers[id].Registration, Seq: m.Seq}, true
+}
+
 // outlived reports whether the announcement of an unlisted backend server is of one that
 // ended before the present one at its address started. One that was listed by an earlier
 // leader and has not announced itself here has no number yet, and counts as the later
@@ -199,6 +210,7 @@
 // there.
 func (r *Registry) occupy(s protocol.Registration) (gone []string) {
 	if old, taken := r.byAddress[s.Address]; taken {
+		delete(r.byHandle, r.servers[old].Handle)
 		delete(r.servers, old)
 		gone = append(gone, old)
 	}
@@ -211,7 +223,7 @@
 	gone := r.occupy(s)
 	e := &entry{Server: protocol.Server{Registration: s, Handle: r.next}, seq: seq, lastSeen: now}
 	r.next++
-	r.servers[s.ID] = e
+	r.servers[s.ID], r.byHandle[e.Handle] = e, s.ID
 	return Change{Set: []protocol.Server{e.server(now)}, Gone: gone}
 }
 
@@ -226,6 +238,7 @@
 func (r *Registry) Remove(id string) {
 	if e := r.servers[id]; e != nil {
 		delete(r.servers, id)
+		delete(r.byHandle, e.Handle)
 		if r.byAddress[e.Address] == id {
 			delete(r.byAddress, e.Address)
 		}
--- /dev/null
+++ b/coordination/registry/sums_test.go
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file tests what a relay keeps: the leader's list and the reports of its gateways.
+
+func runs(handle, requests uint32) protocol.ServerLoad {
+	return protocol.ServerLoad{Handle: handle, Requests: requests, Tokens: 10 * requests}
+}
+
+// TestSumsCountOnce: what gateways demand is reported once, their first reports in nothing but
+// what runs, and the leader's count of a report is one of each gateway's.
+func TestSumsCountOnce(t *testing.T) {
+	is := is.New(t)
+	var s Sums
+	s.Restart()
+	s.Open("g1", true)
+	s.Open("g2", true)
+	s.Add("g1", protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{runs(7, 2)}, Started: 1000, Demands: []protocol.Demand{{Account: "a", Tokens: 1000}}})
+	m := s.Next()
+	is.Equal(m.Loads, []protocol.ServerLoad{runs(7, 2)})
+	is.Equal(m.Started, uint64(0)) // of any time
+	is.Equal(len(m.Demands), 0)
+
+	s.Add("g1", protocol.Usage{
+		Seq: 2, Loads: []protocol.ServerLoad{runs(7, 2)}, Started: 5, Missed: 6, Number: 3, Obeyed: 4,
+		Demands: []protocol.Demand{{Account: "a", Tokens: 7}}, Served: []protocol.Demand{{Account: "a", Tokens: 8}}, Late: []protocol.Demand{{Account: "a", Tokens: 9}},
+	})
+	s.Add("g2", protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{runs(7, 1), runs(8, 1)}, Number: 2, Obeyed: 5})
+	s.Add("g2", protocol.Usage{
+		Seq: 2, Loads: []protocol.ServerLoad{runs(7, 1)}, Started: 10, Number: 2, Obeyed: 5,
+		Demands: []protocol.Demand{{Account: "b", Tokens: 1}, {Account: "a", Tokens: 100}},
+	})
+	m = s.Next()
+	is.Equal(m, protocol.Usage{
+		Seq: 2, Changes: true, Loads: []protocol.ServerLoad{runs(7, 3)}, Started: 15, Missed: 6, Number: 2, Obeyed: 4,
+		Demands: []protocol.Demand{{Account: "a", Tokens: 107}, {Account: "b", Tokens: 1}},
+		Served:  []protocol.Demand{{Account: "a", Tokens: 8}}, Late: []protocol.Demand{{Account: "a", Tokens: 9}},
+	})
+	is.Equal(s.Next(), protocol.Usage{Seq: 3, Changes: true, Number: 2, Obeyed: 4}) // once
+
+	s.Counted(1)
+	is.Equal([]uint64{s.CountedOf("g1"), s.CountedOf("g2")}, []uint64{1, 0})
+	s.Counted(2)
+	is.Equal([]uint64{s.CountedOf("g1"), s.CountedOf("g2")}, []uint64{2, 2})
+	s.Counted(9) // of no report
+	is.Equal(s.CountedOf("g1"), uint64(2))
+
+	s.Open("g1", false) // comes back: its reports have other numbers, and it obeys nothing
+	is.Equal(s.CountedOf("g1"), uint64(0))
+	s.Counted(3)
+	is.Equal(s.CountedOf("g1"), uint64(0))
+	s.Close("g2")
+	m = s.Next()
+	is.Equal(m.Loads, []protocol.ServerLoad{{Handle: 7}}) // nothing runs any more
+	s.Add("g2", protocol.Usage{Seq: 3, Loads: []protocol.ServerLoad{runs(7, 3)}})
+	is.Equal(len(s.Next().Loads), 0) // late
+
+	s.Add("g1", protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{runs(9, 1)}})
+	s.Next()
+	s.Restart()
+	m = s.Next()
+	is.Equal(m.Seq, uint64(1))
+	is.Equal(m.Loads, []protocol.ServerLoad{runs(9, 1)}) // all of it, to another leader
+}
+
+// TestSumsOfOutcomes: totals over the gateways that a relay has, sent when they change.
+func TestSumsOfOutcomes(t *testing.T) {
+	is := is.New(t)
+	var s Sums
+	s.Restart()
+	s.Open("g1", true)
+	s.Open("g2", true)
+	count := func(sent, failed uint64, paces ...uint32) protocol.Outcomes {
+		return protocol.Outcomes{Pool: "p", Attempt: 2, Version: "v2", Route: "r", Sent: sent, Answered: sent - failed, Failed: failed, Paces: paces}
+	}
+	s.Add("g1", protocol.Usage{Seq: 1, Outcomes: []protocol.Outcomes{count(5, 1, 1, 2)}})
+	s.Add("g2", protocol.Usage{Seq: 1, Outcomes: []protocol.Outcomes{count(7, 0, 3)}})
+	is.Equal(s.Next().Outcomes, []protocol.Outcomes{count(12, 1, 4, 2)})
+	is.Equal(len(s.Next().Outcomes), 0)
+	s.Add("g1", protocol.Usage{Seq: 2, Outcomes: []protocol.Outcomes{count(6, 1, 1, 2)}})
+	is.Equal(s.Next().Outcomes, []protocol.Outcomes{count(13, 1, 4, 2)})
+	s.Close("g1") // it reports all of it elsewhere
+	is.Equal(s.Next().Outcomes, []protocol.Outcomes{count(7, 0, 3)})
+	s.Close("g2")
+	is.Equal(s.Next().Outcomes, []protocol.Outcomes{{Pool: "p", Attempt: 2, Version: "v2", Route: "r"}})
+	s.Open("g2", true)
+	s.Add("g2", protocol.Usage{Seq: 1, Outcomes: []protocol.Outcomes{count(7, 0, 3)}})
+	s.KeepAttempts([]protocol.Rollout{{Pool: "p", Attempt: 3}})
+	is.Equal(len(s.Next().Outcomes), 0)
+}
+
+// TestCopy: a copy of the list is what the leader has, and what is cold is so for as long as
+// it was when the leader sent it.
+func TestCopy(t *testing.T) {
+	is := is.New(t)
+	server := func(id, address string, handle uint32, cold time.Duration) protocol.Server {
+		s := protocol.Server{Registration: protocol.Registration{ID: id, Pool: "p", Address: address}, Handle: handle}
+		if cold > 0 {
+			s.Cold = &protocol.Cold{Left: cold, Shares: []protocol.ColdShare{{Gateway: "g", PerSecond: 1}}}
+		}
+		return s
+	}
+	var c Copy
+	c.Take(0, protocol.Servers{Term: 3, Whole: true, Set: []protocol.Server{server("a", "1", 1, 0), server("b", "2", 2, 4*time.Second)}, Gone: []string{"x"}, HallsOut: []string{"h"}, HallChanges: 2})
+	is.Equal(c.Term(), uint64(3))
+	is.True(c.AnyCold(time.Second))
+	is.Equal(c.Whole(time.Second), protocol.Servers{
+		Term: 3, Whole: true, Set: []protocol.Server{server("a", "1", 1, 0), server("b", "2", 2, 3*time.Second)}, Gone: []string{"x"},
+		HallsOut: []string{"h"}, HallChanges: 2,
+	})
+	_, ok := c.Handle(time.Second, server("b", "2", 2, 0).Registration)
+	is.True(!ok) // it is cold
+	handle, ok := c.Handle(5*time.Second, server("b", "2", 2, 0).Registration)
+	is.True(ok)
+	is.Equal(handle, uint32(2))
+	_, ok = c.Handle(0, protocol.Registration{ID: "a", Pool: "q", Address: "1"})
+	is.True(!ok) // it has changed
+
+	c.Take(5*time.Second, protocol.Servers{Term: 3, Complete: true, Set: []protocol.Server{server("c", "1", 3, 0)}, Gone: []string{"b"}, HallChanges: 1})
+	is.True(!c.AnyCold(5 * time.Second))
+	is.Equal(c.Whole(5*time.Second), protocol.Servers{
+		Term: 3, Whole: true, Complete: true, Set: []protocol.Server{server("c", "1", 3, 0)}, Gone: []string{"x", "b"}, // a's address is c's
+		HallsOut: []string{"h"}, HallChanges: 2,
+	})
+	c.Take(6*time.Second, protocol.Servers{Term: 4, Whole: true})
+	is.Equal(c.Whole(6*time.Second), protocol.Servers{Term: 4, Whole: true, Set: []protocol.Server{}})
+}
+
+// TestSumPause: reports come ten times a second and at least every 300 ms.
+func TestSumPause(t *testing.T) {
+	is := is.New(t)
+	is.Equal(SumPause(10), ReportPeriod-ReportPeriod/2)
+	is.Equal(SumPause(1<<20), 300*time.Millisecond-ReportPeriod/2)
+	is.Equal(SumPause(1638).Round(10*time.Millisecond), 150*time.Millisecond)
+}
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -27,6 +27,10 @@
 // leader has them (one that is lost then is late by an interval, and a new server waits for
 // as long); acknowledged once the leader has them (kept: what is acknowledged is on its way
 // to the gateways, as at the leader).
+//
+// Where this replica relays, the leader is far, and an announcement that differs from what the
+// leader lists in nothing but its number goes as that number and a handle: 3,000 servers, half
+// of them behind the link, would else take 150 KB/s of it.
 
 const (
 	// batchPause is how long announcements are gathered: short against the second within
@@ -125,7 +129,7 @@
 			return batch
 		}
 		batch = append(batch, n.gather()...)
-		if err := exchange(ctx, l, seq, batch); err != nil {
+		if err := n.exchange(ctx, l, seq, batch); err != nil {
 			end(batch, NotLeader{Leader: leader})
 			return nil
 		}
@@ -163,10 +167,11 @@
 }
 
 // exchange sends a batch and waits for its answer.
-func exchange(ctx context.Context, l *link.Link, seq uint64, batch []announcing) error {
+func (n *announcer) exchange(ctx context.Context, l *link.Link, seq uint64, batch []announcing) error {
 	m := protocol.Announce{Seq: seq}
-	for _, a := range batch {
-		m.List = append(m.List, a.Announcement)
+	err := n.d.hub.do(ctx, func() error { n.d.hub.shorten(&m, batch); return nil })
+	if err != nil {
+		return err
 	}
 	if err := l.Send(ctx, m); err != nil {
 		return err
@@ -182,6 +187,21 @@
 	}
 }
 
+// shorten fills a message with announcements, by their handles where the list of the leader
+// that this replica relays has them.
+func (h *hub) shorten(m *protocol.Announce, batch []announcing) {
+	now := h.d.replica.Now()
+	for _, a := range batch {
+		if r := h.relay; r != nil && r.out != nil && a.ColdLeft == 0 {
+			if handle, ok := r.list.Handle(now, a.Registration); ok {
+				m.Again, m.Term = append(m.Again, protocol.AnnouncedAgain{Handle: handle, Seq: a.Seq}), r.list.Term()
+				continue
+			}
+		}
+		m.List = append(m.List, a.Announcement)
+	}
+}
+
 // end ends the wait of all announcements in a batch; without an error they were taken.
 func end(batch []announcing, err error) {
 	for _, a := range batch {
@@ -193,7 +213,7 @@
 // ends or this replica does not lead.
 func (h *hub) serveAnnouncer(ctx context.Context, l *link.Link, first protocol.Announce) {
 	for m := first; ; {
-		err := h.do(ctx, func() error { return h.takeAll(m.List) })
+		err := h.do(ctx, func() error { return h.takeAll(m) })
 		if err != nil || l.Send(ctx, protocol.Announced{Seq: m.Seq}) != nil {
 			return
 		}
@@ -208,9 +228,14 @@
 	}
 }
 
-// takeAll takes announcements in the hub's goroutine. One that is senseless changes nothing.
-func (h *hub) takeAll(list []protocol.Announcement) error {
-	for _, a := range list {
+// takeAll takes announcements in the hub's goroutine. One that is senseless changes nothing, nor
+// does one of a server that is not listed any more: the sender learns that, and sends all of it
+// the next time. The error is [Unavailable].
+func (h *hub) takeAll(m protocol.Announce) error {
+	if h.term == 0 || (len(m.Again) > 0 && m.Term != h.term) {
+		return Unavailable{}
+	}
+	for _, a := range m.List {
 		announcement := registry.Announcement{Registration: a.Registration, Seq: a.Seq, ColdLeft: a.ColdLeft}
 		if announcement.Check() != nil {
 			continue
@@ -219,5 +244,12 @@
 			return err
 		}
 	}
+	for _, a := range m.Again {
+		if announcement, ok := h.registry.Again(a); ok {
+			if err := h.take(announcement); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -126,7 +126,7 @@
 	tick := time.NewTicker(registry.FleetPeriod)
 	defer tick.Stop()
 	defer h.endTerm()
-	defer h.endRelay()
+	defer func() { h.endRelay("") }()
 	for {
 		select {
 		case <-h.d.ctx.Done():
@@ -147,7 +147,7 @@
 	l := h.leadership.Load()
 	switch {
 	case l.leads && h.term != l.term:
-		h.endRelay()
+		h.endRelay(h.d.Address())
 		h.endTerm()
 		h.beginTerm(l.term)
 	case !l.leads && h.term != 0:
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -94,6 +94,7 @@
 	case protocol.WatchRedirect:
 		if first.Leader == leader { // it needs no relay here
 			h.refused.Store(term)
+			h.post(func() { h.endRelay(leader) })
 		}
 	case protocol.Servers:
 		h.passOn(ctx, l, leader, first)
@@ -133,7 +134,7 @@
 		return nil, Unavailable{}
 	}
 	if h.relay != nil && h.relay.list.Term() != first.Term {
-		h.endRelay()
+		h.endRelay(h.d.Address())
 	}
 	if h.relay == nil {
 		h.relay = &relay{h: h}
@@ -168,18 +169,18 @@
 	case r.out != nil && l.term > r.list.Term():
 		r.lose(r.out)
 	case r.out == nil && h.d.replica.Now()-r.lost > relayGrace:
-		h.endRelay()
+		h.endRelay(h.d.Address())
 	}
 }
 
-// endRelay ends the sessions of the gateways, who come back here.
-func (h *hub) endRelay() {
+// endRelay ends the sessions of the gateways, who go to the replica named.
+func (h *hub) endRelay(to string) {
 	if h.relay == nil {
 		return
 	}
 	h.d.cfg.Log.StateChange("relaying no more", slog.Uint64("term", h.relay.list.Term()), slog.Int("gateways", len(h.sessions)))
 	for s := range h.sessions {
-		h.dismiss(s, h.d.Address())
+		h.dismiss(s, to)
 	}
 	if h.relay.out != nil {
 		h.relay.out.Close()
--- /dev/null
+++ b/directory/relay_test.go
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/gateway"
+)
+
+// This file tests relays: what their gateways are sent, and what happens when one of the two
+// fails.
+
+// inRelayed runs f with the leader in the north, some servers and gateways, and a document.
+func inRelayed(t *testing.T, servers, gateways int, f func(x *fleet, near, far []*gateway.Gateway)) {
+	inRegions(t, 1_000_000, func(x *fleet) {
+		x.leadIn(north)
+		x.announceMany(servers)
+		near, far := x.gatewaysIn(north, gateways), x.gatewaysIn(south, gateways)
+		x.put(1)
+		time.Sleep(3 * time.Second)
+		f(x, near, far)
+	})
+}
+
+// mustFollow waits until all gateways have a document that is put now, and returns how long it
+// takes.
+func (x *fleet) mustFollow(number uint64, all ...*gateway.Gateway) time.Duration {
+	x.put(number)
+	began := time.Now()
+	for _, g := range all {
+		for g.DocumentNumber() < number {
+			time.Sleep(10 * time.Millisecond)
+			if time.Since(began) > 20*time.Second {
+				x.t.Fatalf("document %d is not in force after 20 s", number)
+			}
+		}
+	}
+	return time.Since(began)
+}
+
+// watched returns how many sessions a replica has accepted, by what gateways have sent it.
+func (n *directoryNode) watched() uint64 {
+	return n.metrics.GetOrCreateCounter(`badgerspoke_control_messages_total{direction="in",kind="watch"}`).Get()
+}
+
+// sent returns the messages of a kind that a replica has sent.
+func (n *directoryNode) sent(kind string) uint64 {
+	return n.metrics.GetOrCreateCounter(fmt.Sprintf(`badgerspoke_control_messages_total{direction="out",kind=%q}`, kind)).Get()
+}
+
+// TestRelayServesItsRegion: gateways of the region without the leader are served by its two
+// replicas, those of the other by the leader, and all know all servers, changes and departures.
+func TestRelayServesItsRegion(t *testing.T) {
+	inRelayed(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+		is := is.New(x.t)
+		leader := x.mustLead()
+		before := leader.sent("fleet")
+		time.Sleep(10 * time.Second)
+		fleets := leader.sent("fleet") - before
+		is.True(fleets > 8*90) // its own region's
+		is.True(fleets < 11*101)
+		for _, r := range x.relays(south) {
+			is.True(r.sent("fleet") > 0) // spread over both
+		}
+		is.True(x.mustFollow(2, append(near, far...)...) < 200*time.Millisecond)
+		is.NoErr(leader.d.Announce(x.t.Context(), manyServer(30, 1)))
+		is.NoErr(leader.d.Withdraw(x.t.Context(), "b3"))
+		time.Sleep(300 * time.Millisecond)
+		for _, g := range append(near, far...) {
+			is.Equal(len(g.Servers()), 20)
+		}
+	})
+}
+
+// TestRelayEnds: one of two relays is killed, falls silent, or is cut off and comes back. Its
+// gateways are served by the other one within about a second, and get documents again.
+func TestRelayEnds(t *testing.T) {
+	for _, how := range []string{"killed", "silent", "cut"} {
+		t.Run(how, func(t *testing.T) {
+			inRelayed(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+				is := is.New(x.t)
+				relays := x.relays(south)
+				gone := relays[0]
+				switch how {
+				case "killed":
+					gone.kill()
+				case "silent":
+					x.net.Silence()
+				case "cut":
+					x.net.Cut(gone.ip)
+				}
+				took := x.mustFollow(2, append(near, far...)...)
+				x.t.Logf("in force after %v", took)
+				is.True(took < 2500*time.Millisecond)
+				x.net.Join(gone.ip)
+				time.Sleep(6 * time.Second)
+				is.True(x.mustFollow(3, append(near, far...)...) < 300*time.Millisecond)
+			})
+		})
+	}
+}
+
+// TestAllRelaysEnd: without a relay in its region the leader serves the gateways itself; when
+// one is back, it serves them.
+func TestAllRelaysEnd(t *testing.T) {
+	inRelayed(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+		is := is.New(x.t)
+		relays := x.relays(south)
+		for _, r := range relays {
+			r.kill()
+		}
+		took := x.mustFollow(2, far...)
+		x.t.Logf("in force after %v", took)
+		is.True(took < 2500*time.Millisecond)
+		x.start(relays[0].ip, false)
+		time.Sleep(10 * time.Second)
+		leader := x.mustLead()
+		before := leader.sent("fleet")
+		time.Sleep(10 * time.Second)
+		is.True(leader.sent("fleet")-before < 10*101) // eight gateways, and the relay
+		is.True(x.mustFollow(3, append(near, far...)...) < 300*time.Millisecond)
+	})
+}
+
+// TestLeaderChangesBehindRelays: the leader is killed again and again, wherever it is. After each
+// time all gateways are served, by the relays of their region and not by the leader.
+func TestLeaderChangesBehindRelays(t *testing.T) {
+	inRelayed(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+		is := is.New(x.t)
+		for round := range uint64(6) {
+			old := x.mustLead()
+			old.kill()
+			took := x.mustFollow(round+2, append(near, far...)...)
+			x.t.Logf("in force after %v", took)
+			is.True(took < 2*time.Second)
+			x.start(old.ip, false)
+			time.Sleep(8 * time.Second)
+			leader := x.mustLead()
+			before := leader.sent("fleet")
+			time.Sleep(5 * time.Second)
+			served := 8 + len(x.relays(map[string]string{north: south, south: north}[x.regions[leader.ip]]))
+			is.True(leader.sent("fleet")-before < uint64(served)*51)
+		}
+	})
+}
+
+// TestRegionIsCutOff: while a region is cut off its gateways keep what they have, and when it is
+// joined again they follow.
+func TestRegionIsCutOff(t *testing.T) {
+	inRelayed(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+		is := is.New(x.t)
+		x.net.CutRegion(south)
+		time.Sleep(10 * time.Second)
+		is.True(x.mustFollow(2, near...) < 300*time.Millisecond)
+		for _, g := range far {
+			is.Equal(g.DocumentNumber(), uint64(1))
+			is.Equal(len(g.Servers()), 20)
+		}
+		x.net.JoinRegion(south)
+		began := time.Now()
+		for _, g := range far {
+			for g.DocumentNumber() < 2 {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		x.t.Logf("in force after %v", time.Since(began))
+		is.True(time.Since(began) < 2*time.Second)
+	})
+}
--- /dev/null
+++ b/directory/relaysums_test.go
@@ -0,0 +1,266 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file tests the sums of what runs and of what was demanded, across relays.
+
+// reporter is a gateway's side of a session: it reports the same work again and again, and
+// keeps what it is sent as a gateway does.
+type reporter struct {
+	x    *fleet
+	ip   string
+	runs uint32 // requests on each server
+
+	mu       sync.Mutex
+	address  string // of the replica, as last dialled
+	term     uint64
+	handles  map[string]uint32
+	sums     map[uint32]protocol.ServerLoad
+	counted  uint64
+	seq      uint64
+	gateways int
+	short    bool
+	stop     context.CancelFunc
+	served   string // by which replica; empty while by none
+}
+
+// report starts a reporter in a region that dials these replicas in turn.
+func (x *fleet) report(ip, region string, runs uint32, addresses ...string) *reporter {
+	x.place(ip, region)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &reporter{x: x, ip: ip, runs: runs, stop: cancel}
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			r.session(ctx, addresses[i%len(addresses)])
+			sleep.For(ctx, 50*time.Millisecond)
+		}
+	}()
+	return r
+}
+
+// session runs one session, and that with the replica to which it is redirected.
+func (r *reporter) session(ctx context.Context, address string) {
+	id := link.Identity{Name: r.ip + ":7400", Key: fleetKey, Dial: r.x.net.Box(r.ip).DialContext}
+	dialing, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+	l, err := link.Dial(dialing, address, id, nil)
+	cancel()
+	if err != nil {
+		return
+	}
+	defer l.Close()
+	ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	if l.Send(ctx, protocol.Watch{Gateway: id.Name, Number: 1000, Term: r.term, KnowsHalls: true, Region: r.x.regions[r.ip]}) != nil {
+		return
+	}
+	first := true
+	defer func() { r.mu.Lock(); r.served = ""; r.mu.Unlock() }()
+	for {
+		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
+		if err != nil {
+			return
+		}
+		if e, ok := m.(protocol.WatchRedirect); ok {
+			if first && e.Leader != "" && e.Leader != address {
+				l.Close()
+				r.session(ctx, e.Leader)
+			}
+			return
+		}
+		r.take(m, address)
+		if first {
+			first = false
+			go r.send(ctx, l)
+		}
+	}
+}
+
+// take takes a message.
+func (r *reporter) take(m protocol.Message, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch m := m.(type) {
+	case protocol.Servers:
+		r.term, r.served = m.Term, address
+		if m.Whole {
+			r.handles, r.sums, r.seq, r.counted = map[string]uint32{}, map[uint32]protocol.ServerLoad{}, 0, 0
+		}
+		for _, s := range m.Set {
+			r.handles[s.ID] = s.Handle
+		}
+	case protocol.Counted:
+		r.counted = m.Seq
+	case protocol.Fleet:
+		registry.ApplyLoads(r.sums, m.Loads)
+		r.gateways, r.short = m.Gateways, m.Short
+	}
+}
+
+// send reports until ctx ends.
+func (r *reporter) send(ctx context.Context, l *link.Link) {
+	for range sleep.Every(ctx, registry.ReportPeriod) {
+		r.mu.Lock()
+		r.seq++
+		u := protocol.Usage{Seq: r.seq, Demands: []protocol.Demand{{Account: "a", Tokens: 100}}, Started: 100}
+		for _, h := range r.handles {
+			u.Loads = append(u.Loads, protocol.ServerLoad{Handle: h, Requests: r.runs})
+		}
+		r.mu.Unlock()
+		if l.Send(ctx, u) != nil {
+			return
+		}
+	}
+}
+
+// sum returns what runs on a server by the sums, and whether this reporter's own part is in.
+func (r *reporter) sum(id string) (requests uint32, own bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sums[r.handles[id]].Requests, r.counted > 0
+}
+
+func (r *reporter) termSeen() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.term
+}
+
+func (r *reporter) by() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served
+}
+
+// mustSum waits until every reporter has this sum on a server, its own part included, and
+// returns how long it takes.
+func mustSum(x *fleet, want uint32, all ...*reporter) time.Duration {
+	began := time.Now()
+	for _, r := range all {
+		for got, own := r.sum("b1"); got != want || !own; got, own = r.sum("b1") {
+			if time.Since(began) > 5*time.Second {
+				x.t.Fatalf("%s has %d of %d on b1, own part in: %v, served by %q", r.ip, got, want, own, r.by())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+// TestSumsAcrossRelays: gateways behind two relays and at the leader report what runs, and
+// everybody's sums are what runs, with its own part; when one moves from relay to relay, when
+// one ends, when a relay ends, and when the leader does. What runs is at no time counted beside
+// its sum by more than the moving gateway's part.
+func TestSumsAcrossRelays(t *testing.T) {
+	inRegions(t, 1_000_000, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.announceMany(5)
+		relays := x.relays(south)
+		a, b := relays[0].ip+":7400", relays[1].ip+":7400"
+		var others []string
+		for i := range voters {
+			others = append(others, fleetAddress(i))
+		}
+		all := []*reporter{
+			x.report("10.0.5.1", north, 1, others...), x.report("10.0.5.2", south, 10, a, b),
+			x.report("10.0.5.3", south, 100, b, a), x.report("10.0.5.4", south, 1000, a, b),
+		}
+		defer func() {
+			for _, r := range all {
+				r.stop()
+			}
+		}()
+		x.t.Logf("sums after %v", mustSum(x, 1111, all...))
+		is.Equal(all[1].by(), a)
+		is.Equal(all[2].by(), b)
+
+		all[3].stop() // it moves: a session with the other relay, no other end of the old one
+		all[3] = x.report("10.0.5.4", south, 1000, b, a)
+		most := uint32(0)
+		for range 50 {
+			time.Sleep(10 * time.Millisecond)
+			got, _ := all[0].sum("b1")
+			most = max(most, got)
+		}
+		x.t.Logf("at most %d while one moves", most)
+		is.True(most <= 1111+1000)
+		x.t.Logf("sums after %v", mustSum(x, 1111, all...))
+		is.Equal(all[3].by(), b)
+
+		relays[1].kill()
+		time.Sleep(100 * time.Millisecond)
+		x.t.Logf("sums after the end of a relay after %v", mustSum(x, 1111, all...))
+		is.Equal(all[3].by(), a)
+		x.start(relays[1].ip, false)
+		time.Sleep(3 * time.Second)
+
+		term := all[0].termSeen()
+		x.mustLead().kill()
+		began := time.Now()
+		for _, r := range all {
+			for r.termSeen() == term {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		mustSum(x, 1111, all...)
+		x.t.Logf("sums after the end of the leader after %v", time.Since(began))
+		is.True(time.Since(began) < 3*time.Second)
+
+		all[2].stop()
+		time.Sleep(600 * time.Millisecond)
+		x.t.Logf("sums after the end of a gateway after %v", mustSum(x, 1011, all[0], all[1], all[3]))
+		is.Equal(all[0].gateways, 3)
+	})
+}
+
+// TestFrozenRelayWakes: a relay's links carry nothing for a while in either direction, as when
+// its box is frozen, and then all that was written meanwhile. Its gateways are served elsewhere
+// before, and what it had reported counts no more.
+func TestFrozenRelayWakes(t *testing.T) {
+	inRegions(t, 1_000_000, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.announceMany(5)
+		relays := x.relays(south)
+		a, b := relays[0].ip+":7400", relays[1].ip+":7400"
+		all := []*reporter{
+			x.report("10.0.5.2", south, 10, a, b), x.report("10.0.5.3", south, 100, b, a), x.report("10.0.5.4", south, 1000, a, b),
+		}
+		defer func() {
+			for _, r := range all {
+				r.stop()
+			}
+		}()
+		mustSum(x, 1110, all...)
+		x.net.Cut(relays[0].ip)
+		time.Sleep(1200 * time.Millisecond)
+		x.t.Logf("sums after %v", 1200*time.Millisecond+mustSum(x, 1110, all...))
+		for _, r := range all {
+			is.Equal(r.by(), b)
+		}
+		time.Sleep(2 * time.Second)
+		x.net.Join(relays[0].ip)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			for _, r := range all {
+				got, _ := r.sum("b1")
+				is.Equal(fmt.Sprint(got), "1110")
+			}
+		}
+	})
+}
