Mesh: links between all voters are kept open

Cause: followers have nothing to send each other until they miss the leader, so the first request for a vote began with a dial: three and a half round trips, a quarter of a second between regions, and as long again when the way is full.

--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -27,6 +27,7 @@
 	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
 	"github.com/badgerspoke/badgerspoke/internal/fakenet"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/link"
@@ -56,6 +57,7 @@
 	wanted   int               // replicas that vote
 	regions  map[string]string // by IP; without any, there is one
 	syncTime time.Duration     // of each disk
+	tuning   replica.Tuning    // of each replica
 }
 
 // directoryNode is one replica and what survives its restarts.
@@ -131,7 +133,7 @@
 	d, err := directory.Start(ctx, directory.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
 		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval,
-		Region: x.regions[ip], Topology: x.topology(),
+		Region: x.regions[ip], Topology: x.topology(), Tuning: x.tuning,
 		Random: x.random, Log: log, Metrics: set,
 	})
 	if err != nil {
@@ -168,6 +170,9 @@
 	for _, ip := range x.order {
 		x.net.Join(ip)
 	}
+	for _, region := range x.regions {
+		x.net.JoinRegion(region)
+	}
 	time.Sleep(time.Second)
 	for _, g := range x.gateways {
 		g.kill()
@@ -177,6 +182,7 @@
 			n.kill()
 		}
 	}
+	time.Sleep(time.Second) // dials on their way
 	synctest.Wait()
 }
 
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -94,6 +94,9 @@
 		next.voters = append(next.voters, p.Name)
 	}
 	h.leadership.Store(next)
+	if !slices.Equal(old.voters, next.voters) {
+		h.d.mesh.Keep(next.voters)
+	}
 	if old.leads != leads || old.term != s.Term || old.leader != next.leader {
 		h.stateChanged()
 	}
--- a/directory/regions_fixture_test.go
+++ b/directory/regions_fixture_test.go
@@ -13,6 +13,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/topology"
 	"github.com/badgerspoke/badgerspoke/gateway"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/replica"
 )
 
 // This file adds regions to the fixture: five replicas, three in the north and two in the
@@ -28,6 +29,7 @@
 	inFleetWith(t, voters, voters, func(x *fleet) {
 		x.regions = map[string]string{}
 		x.syncTime = 5 * time.Millisecond
+		x.tuning = replica.Tuning{Election: 400 * time.Millisecond, Heartbeat: 80 * time.Millisecond} // as a process has it
 		x.net.Far(farLatency, bytesPerSecond)
 		for i := range voters {
 			x.place(fmt.Sprintf("10.0.1.%d", i+1), []string{north, north, north, south, south}[i])
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,8 +45,9 @@
 	addressOf func(replica string) string
 	meter     *link.Meter
 
-	mu     sync.Mutex // a leaf; guards queues
+	mu     sync.Mutex // a leaf; guards queues and kept
 	queues map[string]chan protocol.Consensus
+	kept   []string // replicas to which a link is kept without messages
 }
 
 // New returns a mesh that sends until ctx ends. addressOf returns a replica's
@@ -60,15 +62,9 @@
 func (m *Mesh) Send(msg protocol.Consensus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	queue := m.queues[msg.To.Name]
+	queue := m.queue(msg.To.Name)
 	if queue == nil {
-		address := m.addressOf(msg.To.Name)
-		if address == "" || msg.To.Name == m.identity.Name {
-			return
-		}
-		queue = make(chan protocol.Consensus, queueDepth)
-		m.queues[msg.To.Name] = queue
-		go m.run(msg.To.Name, address, queue)
+		return
 	}
 	select {
 	case queue <- msg:
@@ -76,6 +72,42 @@
 	}
 }
 
+// queue returns a replica's queue, with a goroutine that sends what is in it, or nil for an
+// unknown one. The caller holds mu.
+func (m *Mesh) queue(name string) chan protocol.Consensus {
+	queue := m.queues[name]
+	if queue != nil {
+		return queue
+	}
+	address := m.addressOf(name)
+	if address == "" || name == m.identity.Name {
+		return nil
+	}
+	queue = make(chan protocol.Consensus, queueDepth)
+	m.queues[name] = queue
+	go m.run(name, address, queue)
+	return queue
+}
+
+// Keep opens links to these replicas and keeps them open, also while there is nothing to
+// send, in place of those kept before. Followers have nothing to send each other until they
+// miss the leader, and a dial over a far way then takes half as long as an election.
+func (m *Mesh) Keep(replicas []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kept = slices.Clone(replicas)
+	for _, name := range replicas {
+		m.queue(name)
+	}
+}
+
+// keeps reports whether a link to a replica is kept open.
+func (m *Mesh) keeps(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.kept, name)
+}
+
 // Serve accepts a link from an HTTP request at [link.Path] and serves it until it
 // ends. The first message decides: a replica's messages go to deliver, less
 // those that name another sender than the proven peer; any other link is session's.
@@ -109,7 +141,7 @@
 		l, err := link.Dial(m.ctx, address, m.identity, m.meter)
 		if err == nil {
 			wait = redialShortest
-			m.drain(l, queue)
+			m.drain(name, l, queue)
 			l.Close()
 			continue
 		}
@@ -119,9 +151,12 @@
 	}
 }
 
-// retire waits for a message and, if none comes, removes the queue and reports
-// that its goroutine is to end.
+// retire waits for a message, unless the link is kept, and if none comes, removes the queue and
+// reports that its goroutine is to end.
 func (m *Mesh) retire(name string, queue chan protocol.Consensus) bool {
+	if m.keeps(name) {
+		return false
+	}
 	idle := time.NewTimer(idleTime)
 	defer idle.Stop()
 	select {
@@ -144,8 +179,8 @@
 	return true
 }
 
-// drain sends what is queued until the link fails or is idle for idleTime.
-func (m *Mesh) drain(l *link.Link, queue chan protocol.Consensus) {
+// drain sends what is queued until the link fails, or is idle for idleTime and not kept.
+func (m *Mesh) drain(name string, l *link.Link, queue chan protocol.Consensus) {
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	go func() { // notices a link that the other side closed
@@ -161,7 +196,10 @@
 		case <-ctx.Done():
 			return
 		case <-idle.C:
-			return
+			if !m.keeps(name) {
+				return
+			}
+			idle.Reset(idleTime)
 		case msg := <-queue:
 			if err := l.Send(ctx, msg); err != nil {
 				return
