Directory: the leader stands with the majority of voters, and not on a slow disk

A leader in a region without the majority decides over the link; one whose disk has become slow delays every decision, since it writes before it sends. Replicas say in their answers how long a sync takes.

--- a/coordination/consensus/replicate.go
+++ b/coordination/consensus/replicate.go
@@ -23,6 +23,7 @@
 	inflight int           // unanswered appends
 	acked    time.Duration // leader's clock stamped on the newest answered message
 	sent     time.Duration // when something was last sent
+	sync     time.Duration // what it takes to make entries durable, as it said last
 	outgoing *outgoingSnapshot
 }
 
@@ -218,6 +219,7 @@
 		return
 	}
 	pr.acked = max(pr.acked, time.Duration(m.Sent))
+	pr.sync = time.Duration(m.Sync)
 	if m.Reject {
 		r.retreat(pr, m)
 		return
@@ -241,6 +243,16 @@
 	}
 }
 
+// Follows reports, at the leader, whether another replica holds all of the log and has answered
+// lately, and how long it takes to make entries durable; 0 if it has not said.
+func (r *Replica) Follows(p protocol.Peer) (ready bool, sync time.Duration) {
+	pr := r.peers[p]
+	if r.role != Leader || pr == nil {
+		return false, 0
+	}
+	return pr.match >= r.log.last() && r.now-pr.acked <= r.cfg.Election/2, pr.sync
+}
+
 // retreat moves next back to where a follower's log may agree.
 func (r *Replica) retreat(pr *progress, m protocol.Consensus) {
 	pr.probing, pr.waiting, pr.inflight = true, false, 0
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -63,10 +63,11 @@
 	rollouts     rollouts
 	sharesLogged time.Duration // when
 
-	began   time.Duration     // of the term
-	relay   *relay            // nil unless this replica passes on what the leader sends
-	regions map[string]string // of the replicas that have tried to become relays, by fleet address
-	refused atomic.Uint64     // the last term whose leader needs no relay here
+	began    time.Duration     // of the term
+	placeDue time.Duration     // when to look next where the leader should stand
+	relay    *relay            // nil unless this replica passes on what the leader sends
+	regions  map[string]string // of the replicas that have tried to become relays, by fleet address
+	refused  atomic.Uint64     // the last term whose leader needs no relay here
 }
 
 func newHub(d *Directory) *hub {
@@ -169,7 +170,7 @@
 }
 
 func (h *hub) beginTerm(term uint64) {
-	h.term, h.began = term, h.d.replica.Now()
+	h.term, h.began, h.placeDue = term, h.d.replica.Now(), 0
 	h.registry = registry.New(h.d.replica.Now(), h.d.cfg.Interval)
 	h.departed = 0
 	h.complete = false
@@ -215,6 +216,7 @@
 	h.logJoins()
 	h.pushFleet()
 	h.moveToRelays()
+	h.place(now)
 }
 
 // divideCold gives the rates of cold backend servers to gateways.
--- a/directory/leaderplace_test.go
+++ b/directory/leaderplace_test.go
@@ -57,3 +57,67 @@
 		})
 	}
 }
+
+// TestLeaderStandsWithTheMajority: a leader in the region with fewer voters hands over to one
+// with more, once, and what is put meanwhile is acknowledged soon.
+func TestLeaderStandsWithTheMajority(t *testing.T) {
+	inRegions(t, 1_000_000, func(x *fleet) {
+		is := is.New(x.t)
+		changes, number := 0, uint64(0)
+		for round := range 5 {
+			for _, ip := range x.order[:3] { // what stands in the north
+				x.nodes[ip].kill()
+				if round%2 == 0 && ip == x.order[0] {
+					x.start(ip, false)
+				}
+			}
+			time.Sleep(2 * time.Second)
+			for _, ip := range x.order[:3] {
+				if x.nodes[ip].d == nil {
+					x.start(ip, false)
+				}
+			}
+			number++
+			is.True(x.acknowledgedAfter(number, round) < 2*time.Second)
+			last := x.mustLead().ip
+			changes = 0
+			longest := time.Duration(0)
+			for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(200 * time.Millisecond) {
+				number++
+				longest = max(longest, x.acknowledgedAfter(number, int(number)))
+				if l := x.mustLead().ip; l != last {
+					last, changes = l, changes+1
+				}
+			}
+			x.t.Logf("%d changes, acknowledged after %v at worst", changes, longest)
+			is.Equal(x.regions[last], north)
+			is.True(changes <= 2)
+			is.True(longest < 700*time.Millisecond)
+		}
+	})
+}
+
+// TestLeaderWithASlowDisk: a leader whose disk has become slow hands over to one whose has not.
+func TestLeaderWithASlowDisk(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		for _, n := range x.nodes {
+			n.disk.SyncTime(5 * time.Millisecond)
+		}
+		for number := range uint64(10) {
+			x.put(number + 1)
+		}
+		old := x.mustLead()
+		old.disk.SyncTime(150 * time.Millisecond)
+		for number := range uint64(30) {
+			x.put(number + 11)
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.True(x.mustLead() != old)
+		time.Sleep(20 * time.Second)
+		is.True(x.mustLead() != old)
+		began := time.Now()
+		x.put(100)
+		is.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
--- a/protocol/consensus.go
+++ b/protocol/consensus.go
@@ -99,4 +99,7 @@
 	Snapshot *Snapshot     `cbor:"15,keyasint,omitempty"` // Data holds one piece
 	Offset   uint64        `cbor:"16,keyasint,omitempty"`
 	Total    uint64        `cbor:"17,keyasint,omitempty"`
+	// Sync is, in a MsgAppendReply, how long the sender takes to make entries durable, in
+	// nanoseconds; 0 if it does not say.
+	Sync int64 `cbor:"18,keyasint,omitempty"`
 }
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -71,7 +71,7 @@
 			},
 			Data: []byte("piece"),
 		},
-		Offset: 71, Total: 72,
+		Offset: 71, Total: 72, Sync: 115,
 	},
 	Watch{
 		Gateway: "gateway-1", Boot: big, Number: 82, Term: 83, KnowsHalls: true, KnowsVersions: true, Region: "north", Relay: true, Avoid: "10.0.0.1:7000",
@@ -166,6 +166,9 @@
 // earlier returns a message without the fields that the version before did not have.
 func earlier(m Message) Message {
 	switch m := m.(type) {
+	case Consensus:
+		m.Sync = 0
+		return m
 	case Watch:
 		m.KnowsVersions, m.Region, m.Relay, m.Avoid = false, "", false, ""
 		return m
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -250,14 +250,33 @@
 }
 
 func (l *loop) persist(ready consensus.Ready) error {
+	if ready.Snapshot == nil && len(ready.Entries) > 0 {
+		defer l.measure(l.r.Now())
+	}
 	if ready.Snapshot == nil {
 		return l.journal.Save(ready.Hard, ready.Entries)
 	}
 	return l.rotate(*ready.Snapshot)
 }
 
+// syncParts is the part of one sync in the average, inverted. Chosen, not measured: eight syncs
+// outweigh what was before.
+const syncParts = 8
+
+// measure averages the time of a sync that began at a time.
+func (l *loop) measure(began time.Duration) {
+	took, average := int64(l.r.Now()-began), l.r.syncTime.Load()
+	if average != 0 {
+		took = average + (took-average)/syncParts
+	}
+	l.r.syncTime.Store(took)
+}
+
 func (l *loop) send(messages []protocol.Consensus) {
 	for _, m := range messages {
+		if m.Kind == protocol.MsgAppendReply {
+			m.Sync = int64(l.r.SyncTime())
+		}
 		l.r.cfg.Send(m)
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,6 +23,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/consensus"
@@ -114,6 +115,8 @@
 	stopped chan struct{}
 	err     error // why it stopped; read after stopped is closed
 	loop    loop
+
+	syncTime atomic.Int64 // nanoseconds that a sync of entries takes, averaged; 0 before the first
 }
 
 // input is one thing that the loop takes. One field is set.
@@ -166,6 +169,10 @@
 // Now returns the replica's monotonic clock.
 func (r *Replica) Now() time.Duration { return time.Since(r.start) }
 
+// SyncTime returns how long it takes to make entries durable here, averaged over the last ones;
+// 0 before the first.
+func (r *Replica) SyncTime() time.Duration { return time.Duration(r.syncTime.Load()) }
+
 // Deliver hands in a message from another replica. It drops the message when
 // the replica is overloaded, as a network would.
 func (r *Replica) Deliver(m protocol.Consensus) {
