--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,7 @@
 	d       *directory.Directory
 	metrics *metrics.Set
 	kill    context.CancelFunc
+	up      atomic.Pointer[directory.Directory] // d, for other goroutines
 }
 
 type gatewayNode struct {
@@ -141,6 +143,7 @@
 	}
 	stop := x.serve(ip+":7400", d)
 	n.d, n.metrics = d, set
+	n.up.Store(d)
 	n.kill = func() {
 		stop()
 		x.net.Kill(ip)
@@ -148,6 +151,7 @@
 		<-d.Done()
 		log.Close()
 		n.d = nil
+		n.up.Store(nil)
 	}
 }
 
--- a/directory/regions_fixture_test.go
+++ b/directory/regions_fixture_test.go
@@ -104,3 +104,11 @@
 	}
 	x.t.Fatalf("nobody in the %s leads", region)
 }
+
+// addresses returns the fleet addresses of all replicas.
+func (x *fleet) addresses() (all []string) {
+	for _, ip := range x.order {
+		all = append(all, ip+":7400")
+	}
+	return all
+}
--- a/directory/regions_test.go
+++ b/directory/regions_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +46,29 @@
 	is.New(t).True(crossed[40] < crossed[5]*3/2)
 }
 
+// TestBusyRegionsKeepToTheirBudget: what runs on every server changes with every report of every
+// gateway, and what crosses between regions stays below 50 KB/s both ways together.
+func TestBusyRegionsKeepToTheirBudget(t *testing.T) {
+	const servers, gateways, measured = 600, 30, 10
+	inRegions(t, 7_500_000, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.announceMany(servers)
+		for i := range 2 * gateways {
+			region := []string{north, south}[i%2]
+			r := x.report(fmt.Sprintf("10.0.5.%d", i+1), region, uint32(i+1), x.addresses()...)
+			r.vary = true
+			defer r.stop()
+		}
+		time.Sleep(10 * time.Second)
+		before := x.net.Crossed(north, south) + x.net.Crossed(south, north)
+		time.Sleep(measured * time.Second)
+		rate := (x.net.Crossed(north, south) + x.net.Crossed(south, north) - before) / measured
+		x.t.Logf("%d bytes a second between regions", rate)
+		is.True(rate < 50_000)
+	})
+}
+
 // TestAnnouncementsCrossAsNumbers: backend servers that announce themselves at the replicas of
 // a region without the leader take few bytes of the link once the leader lists them, and stay
 // listed for longer than one that is silent does.
@@ -82,3 +106,76 @@
 		is.Equal(least, servers)
 	})
 }
+
+// TestFleetReturnsOverRegions: all replicas and all gateways lose power at once while backend
+// servers go on announcing themselves. Soon after the start every gateway serves again: it has
+// the document and nearly all servers.
+func TestFleetReturnsOverRegions(t *testing.T) {
+	const servers, gateways = 1200, 40
+	inRegions(t, 1_000_000, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		stop := x.keepAnnouncing(servers)
+		x.gatewaysIn(north, gateways)
+		x.gatewaysIn(south, gateways)
+		x.put(1)
+		time.Sleep(10 * time.Second)
+		x.losePower()
+		for _, g := range x.gateways {
+			x.net.Kill(g.ip)
+			g.kill()
+		}
+		time.Sleep(3 * time.Second)
+		for _, ip := range x.order {
+			x.start(ip, false)
+		}
+		for ip := range x.gateways {
+			x.gateway(ip)
+		}
+		began := time.Now()
+		for ip, g := range x.gateways {
+			for g.g.DocumentNumber() < 1 || len(g.g.Servers()) < servers*95/100 {
+				if time.Since(began) > 20*time.Second {
+					x.t.Fatalf("%s has document %d and %d servers", ip, g.g.DocumentNumber(), len(g.g.Servers()))
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		x.t.Logf("serves after %v", time.Since(began))
+		is.True(time.Since(began) < 2*time.Second)
+		stop()
+	})
+}
+
+// keepAnnouncing lets backend servers announce themselves once a second, each at any replica
+// that answers, until the returned function is called.
+func (x *fleet) keepAnnouncing(servers int) (stop func()) {
+	ctx, cancel := context.WithCancel(x.t.Context())
+	var announcing sync.WaitGroup
+	for i := range servers {
+		announcing.Go(func() {
+			sleep.For(ctx, time.Duration(i)*interval/time.Duration(servers))
+			for seq := uint64(1); ctx.Err() == nil; seq++ {
+				x.announceAnywhere(ctx, i, seq)
+				sleep.For(ctx, interval)
+			}
+		})
+	}
+	return func() { cancel(); announcing.Wait() }
+}
+
+// announceAnywhere tries the replicas in turn until one takes an announcement.
+func (x *fleet) announceAnywhere(ctx context.Context, i int, seq uint64) {
+	for try := i; try < i+2*len(x.order) && ctx.Err() == nil; try++ {
+		n := x.nodes[x.order[try%len(x.order)]]
+		if d := n.up.Load(); d != nil {
+			trying, cancel := context.WithTimeout(ctx, time.Second)
+			err := d.Announce(trying, manyServer(i, seq))
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		sleep.For(ctx, 100*time.Millisecond)
+	}
+}
--- a/directory/relaysums_test.go
+++ b/directory/relaysums_test.go
@@ -25,6 +25,7 @@
 	x    *fleet
 	ip   string
 	runs uint32 // requests on each server
+	vary bool   // more or less with each report
 
 	mu       sync.Mutex
 	address  string // of the replica, as last dialled
@@ -118,7 +119,7 @@
 		r.seq++
 		u := protocol.Usage{Seq: r.seq, Demands: []protocol.Demand{{Account: "a", Tokens: 100}}, Started: 100}
 		for _, h := range r.handles {
-			u.Loads = append(u.Loads, protocol.ServerLoad{Handle: h, Requests: r.runs})
+			u.Loads = append(u.Loads, protocol.ServerLoad{Handle: h, Requests: r.runs + r.more(h)})
 		}
 		r.mu.Unlock()
 		if l.Send(ctx, u) != nil {
@@ -127,6 +128,14 @@
 	}
 }
 
+// more returns by how much a server's requests exceed runs now. The caller holds mu.
+func (r *reporter) more(handle uint32) uint32 {
+	if !r.vary {
+		return 0
+	}
+	return uint32(r.seq+uint64(handle)) % 3
+}
+
 // sum returns what runs on a server by the sums, and whether this reporter's own part is in.
 func (r *reporter) sum(id string) (requests uint32, own bool) {
 	r.mu.Lock()
@@ -172,12 +181,8 @@
 		x.announceMany(5)
 		relays := x.relays(south)
 		a, b := relays[0].ip+":7400", relays[1].ip+":7400"
-		var others []string
-		for i := range voters {
-			others = append(others, fleetAddress(i))
-		}
 		all := []*reporter{
-			x.report("10.0.5.1", north, 1, others...), x.report("10.0.5.2", south, 10, a, b),
+			x.report("10.0.5.1", north, 1, x.addresses()...), x.report("10.0.5.2", south, 10, a, b),
 			x.report("10.0.5.3", south, 100, b, a), x.report("10.0.5.4", south, 1000, a, b),
 		}
 		defer func() {
