Directory: bytes by the peer's region are counted

badgerspoke_directory_region_bytes_total{direction,kind,region}, only where the settings name several regions, so that it is seen whether what crosses grows with gateways.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,7 @@
 	meter     *link.Meter
 	hub       *hub
 	announcer *announcer
+	regions   sync.Map // region by fleet address, of nodes that have named one
 	running   sync.WaitGroup
 }
 
@@ -81,6 +82,9 @@
 	d.hub = newHub(d)
 	d.announcer = newAnnouncer(d)
 	d.meter = link.NewMeter(cfg.Metrics)
+	if d.several() {
+		d.meter = d.meter.WithRegions(d.regionOf)
+	}
 	d.state = newReplicated(cfg.OrderWindow, d.hub.stateChanged)
 	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, d.meter)
 	var err error
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -63,17 +63,16 @@
 	rollouts     rollouts
 	sharesLogged time.Duration // when
 
-	began    time.Duration     // of the term
-	placeDue time.Duration     // when to look next where the leader should stand
-	relay    *relay            // nil unless this replica passes on what the leader sends
-	regions  map[string]string // of the replicas that have tried to become relays, by fleet address
-	refused  atomic.Uint64     // the last term whose leader needs no relay here
+	began    time.Duration // of the term
+	placeDue time.Duration // when to look next where the leader should stand
+	relay    *relay        // nil unless this replica passes on what the leader sends
+	refused  atomic.Uint64 // the last term whose leader needs no relay here
 }
 
 func newHub(d *Directory) *hub {
 	h := &hub{
 		d: d, events: make(chan func(), eventDepth), wake: make(chan struct{}, 1),
-		sessions: map[*session]bool{}, usage: newUsage(), regions: map[string]string{},
+		sessions: map[*session]bool{}, usage: newUsage(),
 	}
 	h.leadership.Store(&leadership{})
 	return h
--- a/directory/leaderplace.go
+++ b/directory/leaderplace.go
@@ -92,15 +92,22 @@
 		return
 	}
 	h.placeDue = now + placePeriod
-	regions := map[string]string{h.d.Address(): h.d.cfg.Region}
-	for name, region := range h.regions {
-		regions[name] = region
+	go h.d.handOver(func() { h.post(func() { h.placeDue = h.d.replica.Now() + placeAgain }) })
+}
+
+// voterRegion returns the region of a replica, "" if it has not named one: it does when it
+// offers itself as a relay.
+func (d *Directory) voterRegion(name string) string {
+	if name == d.Address() {
+		return d.cfg.Region
 	}
-	go h.d.handOver(regions, func() { h.post(func() { h.placeDue = h.d.replica.Now() + placeAgain }) })
+	region, _ := d.regions.Load(name)
+	known, _ := region.(string)
+	return known
 }
 
 // handOver looks once who should lead, and calls tried if it is another replica.
-func (d *Directory) handOver(regions map[string]string, tried func()) {
+func (d *Directory) handOver(tried func()) {
 	ctx, cancel := context.WithTimeout(d.ctx, placePeriod)
 	defer cancel()
 	own := d.replica.SyncTime()
@@ -112,7 +119,7 @@
 		var voters []voter
 		for _, p := range n.Status().Members.Voters {
 			ready, sync := n.Follows(p)
-			voters = append(voters, voter{name: p.Name, region: regions[p.Name], ready: ready, sync: sync})
+			voters = append(voters, voter{name: p.Name, region: d.voterRegion(p.Name), ready: ready, sync: sync})
 		}
 		if to, why = betterLeader(d.Address(), own, voters); to != "" {
 			n.Transfer(to)
@@ -121,6 +128,6 @@
 	if err == nil && to != "" {
 		tried()
 		d.cfg.Log.StateChange("lead handed over", slog.String("to", to), slog.String("why", why),
-			slog.Duration("sync", own), slog.String("region", regions[to]))
+			slog.Duration("sync", own), slog.String("region", d.voterRegion(to)))
 	}
 }
--- a/directory/regions.go
+++ b/directory/regions.go
@@ -5,6 +5,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
@@ -40,6 +41,24 @@
 // several reports whether the fleet has regions of which this replica knows its own.
 func (d *Directory) several() bool { return d.cfg.Region != "" && d.cfg.Topology.Several() }
 
+// unknownRegion labels, in metrics, nodes that have not named one of the fleet's regions.
+const unknownRegion = "unknown"
+
+// noteRegion keeps the region that a node names.
+func (d *Directory) noteRegion(node, region string) {
+	if slices.Contains(d.cfg.Topology.Regions(), region) {
+		d.regions.Store(node, region)
+	}
+}
+
+// regionOf returns the region of a node, for metrics.
+func (d *Directory) regionOf(node string) string {
+	if region, ok := d.regions.Load(node); ok {
+		return region.(string)
+	}
+	return unknownRegion
+}
+
 // far reports whether a region that a node named is known to be another one.
 func (h *hub) far(region string) bool {
 	return h.d.several() && region != "" && region != h.d.cfg.Region
@@ -69,7 +88,6 @@
 		return Unavailable{}
 	}
 	if w.Relay {
-		h.regions[w.Gateway] = w.Region
 		if !h.far(w.Region) {
 			return served{by: h.d.Address()}
 		}
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -43,16 +43,16 @@
 	return time.Since(began)
 }
 
-// watched returns how many sessions a replica has accepted, by what gateways have sent it.
-func (n *directoryNode) watched() uint64 {
-	return n.metrics.GetOrCreateCounter(`badgerspoke_control_messages_total{direction="in",kind="watch"}`).Get()
-}
-
 // sent returns the messages of a kind that a replica has sent.
 func (n *directoryNode) sent(kind string) uint64 {
 	return n.metrics.GetOrCreateCounter(fmt.Sprintf(`badgerspoke_control_messages_total{direction="out",kind=%q}`, kind)).Get()
 }
 
+// bytesTo returns the bytes of a kind that a replica has sent to a region.
+func (n *directoryNode) bytesTo(kind, region string) uint64 {
+	return n.metrics.GetOrCreateCounter(fmt.Sprintf(`badgerspoke_directory_region_bytes_total{direction="out",kind=%q,region=%q}`, kind, region)).Get()
+}
+
 // TestRelayServesItsRegion: gateways of the region without the leader are served by its two
 // replicas, those of the other by the leader, and all know all servers, changes and departures.
 func TestRelayServesItsRegion(t *testing.T) {
@@ -67,6 +67,8 @@
 		for _, r := range x.relays(south) {
 			is.True(r.sent("fleet") > 0) // spread over both
 		}
+		is.True(leader.bytesTo("fleet", south) > 0)
+		is.True(leader.bytesTo("fleet", south) < leader.bytesTo("fleet", north)) // two relays, eight gateways
 		is.True(x.mustFollow(2, append(near, far...)...) < 200*time.Millisecond)
 		is.NoErr(leader.d.Announce(x.t.Context(), manyServer(30, 1)))
 		is.NoErr(leader.d.Withdraw(x.t.Context(), "b3"))
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -122,6 +122,7 @@
 
 // serve runs one gateway's session until its link ends.
 func (h *hub) serve(ctx context.Context, l *link.Link, w protocol.Watch) {
+	h.d.noteRegion(l.Peer(), w.Region)
 	s, err := h.admit(ctx, l, w)
 	if err != nil {
 		leadership := h.leadership.Load()
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -149,7 +149,7 @@
 		l.Close()
 		return Broken{Peer: l.peer, Err: err}
 	}
-	l.meter.count("out", protocol.KindOf(m), len(b))
+	l.meter.count("out", l.peer, protocol.KindOf(m), len(b))
 	return nil
 }
 
@@ -211,7 +211,7 @@
 			return nil, err
 		}
 		if m != nil {
-			l.meter.count("in", protocol.KindOf(m), len(b))
+			l.meter.count("in", l.peer, protocol.KindOf(m), len(b))
 			return m, nil
 		}
 	}
--- a/transport/link/meter.go
+++ b/transport/link/meter.go
@@ -14,22 +14,35 @@
 
 // Meter counts bytes and messages of control traffic by direction and kind, and
 // refused links. A nil Meter counts no traffic.
-type Meter struct{ set *metrics.Set }
+type Meter struct {
+	set      *metrics.Set
+	regionOf func(peer string) string // nil if regions are not counted
+}
 
 // NewMeter returns a meter whose counters are in set.
 func NewMeter(set *metrics.Set) *Meter { return &Meter{set: set} }
 
+// WithRegions returns a meter that counts bytes by the peer's region as well. regionOf returns
+// one of few names; it is called from many goroutines.
+func (m *Meter) WithRegions(regionOf func(peer string) string) *Meter {
+	return &Meter{set: m.set, regionOf: regionOf}
+}
+
 // Refused counts a link that could not be accepted.
 func (m *Meter) Refused() {
 	m.set.GetOrCreateCounter("badgerspoke_links_refused_total").Inc()
 }
 
 // count counts a message; direction is "in" or "out".
-func (m *Meter) count(direction string, k protocol.Kind, bytes int) {
+func (m *Meter) count(direction, peer string, k protocol.Kind, bytes int) {
 	if m == nil {
 		return
 	}
 	labels := fmt.Sprintf(`{direction=%q,kind=%q}`, direction, k)
 	m.set.GetOrCreateCounter("badgerspoke_control_bytes_total" + labels).Add(bytes)
 	m.set.GetOrCreateCounter("badgerspoke_control_messages_total" + labels).Inc()
+	if m.regionOf != nil {
+		labels := fmt.Sprintf(`{direction=%q,kind=%q,region=%q}`, direction, k, m.regionOf(peer))
+		m.set.GetOrCreateCounter("badgerspoke_directory_region_bytes_total" + labels).Add(bytes)
+	}
 }
