--- a/directory/relaysums_test.go
+++ b/directory/relaysums_test.go
@@ -28,7 +28,6 @@
 	vary bool   // more or less with each report
 
 	mu       sync.Mutex
-	address  string // of the replica, as last dialled
 	term     uint64
 	handles  map[string]uint32
 	sums     map[uint32]protocol.ServerLoad
