Gateway: all relays that could not serve are named, not the last one alone

Cause: a gateway that reaches the leader and neither of two relays was named one after the other for ever: Watch.Avoid held the last one (TestRelaysAreOutOfReach failed so: no document in 20 s).

--- a/directory/regions.go
+++ b/directory/regions.go
@@ -19,8 +19,9 @@
 	// leaves. Chosen, not measured: a dial between regions takes three of their round trips.
 	relayWait = 600 * time.Millisecond
 	// directStay is how long the leader serves a gateway itself that had lost a relay, before it
-	// names that one again. Chosen, not measured.
-	directStay = 5 * time.Second
+	// names one again. Chosen, not measured: a gateway that reaches none is without the directory
+	// for the time of one dial or two each time.
+	directStay = 15 * time.Second
 	// movesAtOnce is the number of gateways that the leader sends to relays in a tick: each is
 	// sent the whole list there. Chosen, not measured.
 	movesAtOnce = 8
@@ -99,18 +100,18 @@
 	if relay := h.relayOf(w.Region, w.Gateway, w.Avoid); relay != "" {
 		return served{by: relay}
 	}
-	if young := h.d.replica.Now()-h.began < relayWait; mayWait && young && w.Avoid == "" {
+	if young := h.d.replica.Now()-h.began < relayWait; mayWait && young && len(w.Avoid) == 0 {
 		return soon{}
 	}
 	return nil
 }
 
-// relayOf returns the relay for a gateway of a region, "" if there is none but the one to
+// relayOf returns the relay for a gateway of a region, "" if there is none but those to
 // avoid. Each relay is given an equal part of the gateways, and one that ends moves only its own.
-func (h *hub) relayOf(region, gateway, avoid string) string {
+func (h *hub) relayOf(region, gateway string, avoid []string) string {
 	best, weight := "", uint64(0)
 	for s := range h.sessions {
-		if !s.relay || s.region != region || s.gateway == avoid {
+		if !s.relay || s.region != region || slices.Contains(avoid, s.gateway) {
 			continue
 		}
 		hash := fnv.New64a()
@@ -135,10 +136,10 @@
 func (h *hub) moveToRelays() {
 	now, moved := h.d.replica.Now(), 0
 	for s := range h.sessions {
-		if s.relay || !h.far(s.region) || (s.avoid != "" && now-s.opened < directStay) {
+		if s.relay || !h.far(s.region) || (s.avoided && now-s.opened < directStay) {
 			continue
 		}
-		if relay := h.relayOf(s.region, s.gateway, ""); relay != "" && moved < movesAtOnce {
+		if relay := h.relayOf(s.region, s.gateway, nil); relay != "" && moved < movesAtOnce {
 			h.dismiss(s, relay)
 			moved++
 		}
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -44,7 +44,7 @@
 	knowsVersions bool   // the same of rollouts
 	region        string // empty if it did not name one
 	opened        time.Duration
-	avoid         string // the relay that it had lost when it opened
+	avoided       bool // it had lost a relay, or reached none, when it opened
 
 	// Of a relay's session alone.
 	relay  bool
@@ -195,7 +195,7 @@
 	h.closeOthers(w.Gateway)
 	s := &session{
 		gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number, knowsHalls: w.KnowsHalls,
-		knowsVersions: w.KnowsVersions, region: w.Region, opened: h.d.replica.Now(), avoid: w.Avoid,
+		knowsVersions: w.KnowsVersions, region: w.Region, opened: h.d.replica.Now(), avoided: len(w.Avoid) > 0,
 		relay: w.Relay, loads: map[uint32]protocol.ServerLoad{},
 	}
 	list, ok := h.wholeList()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,7 +35,7 @@
 	tried     int      // candidates tried so far; it begins at a random one
 	named     bool     // a redirect gave the address that is tried
 	connected bool     // the last session was with a leader or a relay
-	avoid     string   // the replica that was lost, or named and not reached, since the last session
+	avoid     []string // replicas that were lost, or named and not reached, since the last session
 	counted   uint64   // number of the last report that is in the sums that come next
 }
 
@@ -89,7 +89,7 @@
 	cancelDial()
 	if err != nil {
 		if w.named {
-			w.avoid = address
+			w.avoids(address)
 		}
 		return false
 	}
@@ -107,7 +107,7 @@
 	for {
 		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
 		if err != nil {
-			w.avoid = address
+			w.avoids(address)
 			w.lost(address, err)
 			return led
 		}
@@ -116,7 +116,7 @@
 			return false
 		}
 		if !led {
-			led, w.avoid = true, ""
+			led, w.avoid = true, nil
 			w.connected = true
 			w.g.cfg.Log.StateChange("directory found", slog.String("leader", address))
 			go w.report(ctx, l)
@@ -139,6 +139,17 @@
 	}
 }
 
+// avoidMost is the number of replicas to avoid that are named, the newest. Chosen, not measured:
+// the voters of the largest directory.
+const avoidMost = 9
+
+// avoids keeps a replica that could not serve.
+func (w *watcher) avoids(address string) {
+	w.avoid = slices.DeleteFunc(w.avoid, func(a string) bool { return a == address })
+	w.avoid = append(w.avoid, address)
+	w.avoid = w.avoid[max(len(w.avoid)-avoidMost, 0):]
+}
+
 // errRedirected ends a session whose replica does not lead any more.
 var errRedirected = errors.New("the replica does not lead")
 
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -26,9 +26,9 @@
 	Region string `cbor:"7,keyasint,omitempty"`
 	// Relay is set by a directory replica that opens a session for its region's gateways.
 	Relay bool `cbor:"8,keyasint,omitempty"`
-	// Avoid is the fleet address of a replica that the gateway could not reach, or lost, in
-	// its last try: the leader names another relay, or serves the gateway itself.
-	Avoid string `cbor:"9,keyasint,omitempty"`
+	// Avoid are the fleet addresses of replicas that the gateway lost, or was named and did not
+	// reach, since its last session: the leader names another relay, or serves it itself.
+	Avoid []string `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchRedirect is the answer of a directory replica that does not lead to a Watch; it
