Tests: a frozen relay's session ends by its silence, and no report of an older term counts

Fakenet let the end of a connection through a cut, so that a cut-off relay's session ended at the leader without any time limit; a write to a peer that has closed now fails only once the cut is over. TestFrozenRelayWakes fails with 9 s in place of RelaySilence, TestSumsAcrossRelays if gateways keep their sessions over a change of terms.

--- a/directory/relaysums_test.go
+++ b/directory/relaysums_test.go
@@ -152,6 +152,19 @@
 	return r.term, r.handles["b1"]
 }
 
+// strays returns how many servers but b1 have something running by the sums.
+func (r *reporter) strays() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for handle := range r.sums {
+		if handle != r.handles["b1"] {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *reporter) by() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -225,10 +238,15 @@
 		for _, r := range all {
 			for now, _ := r.seen(); now == term; now, _ = r.seen() {
 				time.Sleep(10 * time.Millisecond)
+				is.Equal(all[0].strays(), 0)
 			}
 		}
 		_, next := all[0].seen()
 		is.True(next != handle)
+		for range 100 {
+			is.Equal(all[0].strays(), 0)
+			time.Sleep(10 * time.Millisecond)
+		}
 		mustSum(x, 1111, all...)
 		x.t.Logf("sums after the end of the leader after %v", time.Since(began))
 		is.True(time.Since(began) < 3*time.Second)
@@ -248,6 +266,7 @@
 		is := is.New(x.t)
 		x.leadIn(north)
 		x.announceMany(5)
+		time.Sleep(2 * time.Second) // relays have their sessions
 		relays := x.relays(south)
 		a, b := relays[0].ip+":7400", relays[1].ip+":7400"
 		all := []*reporter{
@@ -259,6 +278,7 @@
 			}
 		}()
 		mustSum(x, 1110, all...)
+		is.Equal([]string{all[0].by(), all[1].by(), all[2].by()}, []string{a, b, a})
 		x.net.Cut(relays[0].ip)
 		time.Sleep(1200 * time.Millisecond)
 		x.t.Logf("sums after %v", 1200*time.Millisecond+mustSum(x, 1110, all...))
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -307,12 +307,15 @@
 
 func (p *pipe) write(b []byte) (n int, err error) {
 	at := p.n.arrival(p.from, p.to, len(b))
+	p.n.mu.Lock()
+	cut := p.n.severed(p.from, p.to)
+	p.n.mu.Unlock()
 	p.change(func() {
 		if p.finished {
 			err = net.ErrClosed
 			return
 		}
-		if p.gone && !p.silent {
+		if p.gone && !p.silent && !cut {
 			err = io.ErrClosedPipe
 			return
 		}
