--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,7 @@
 	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
 	"github.com/badgerspoke/badgerspoke/internal/fakenet"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/link"
@@ -58,14 +60,19 @@
 	gateways map[string]*gatewayNode
 	beats    map[string]uint64 // announcements made, by backend server
 	wanted   int               // replicas that vote
+	regions  map[string]string // by IP; without any, there is one
+	syncTime time.Duration     // of each disk
+	tuning   replica.Tuning    // of each replica
 }
 
 // directoryNode is one replica and what survives its restarts.
 type directoryNode struct {
-	ip   string
-	disk *fakedisk.Disk
-	d    *directory.Directory
-	kill context.CancelFunc
+	ip      string
+	disk    *fakedisk.Disk
+	d       *directory.Directory
+	metrics *metrics.Set
+	kill    context.CancelFunc
+	up      atomic.Pointer[directory.Directory] // d, for other goroutines
 }
 
 type gatewayNode struct {
@@ -80,6 +87,11 @@
 
 // inFleetOf does the same with a number of replicas that vote.
 func inFleetOf(t *testing.T, n, wanted int, f func(x *fleet)) {
+	inFleetWith(t, n, wanted, func(*fleet) {}, f)
+}
+
+// inFleetWith does the same after prepare, before which nothing runs.
+func inFleetWith(t *testing.T, n, wanted int, prepare, f func(x *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{
 			wanted: wanted,
@@ -90,6 +102,7 @@
 			x.seeds = append(x.seeds, fleetAddress(i))
 		}
 		defer x.close()
+		prepare(x)
 		for i := range n {
 			x.add(fmt.Sprintf("10.0.1.%d", i+1), true)
 		}
@@ -109,6 +122,7 @@
 
 func (x *fleet) add(ip string, first bool) {
 	x.nodes[ip] = &directoryNode{ip: ip, disk: fakedisk.New(x.random())}
+	x.nodes[ip].disk.SyncTime(x.syncTime)
 	x.order = append(x.order, ip)
 	x.start(ip, first)
 }
@@ -125,13 +139,15 @@
 	d, err := directory.Start(ctx, directory.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
 		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval, Rollouts: exposure,
+		Region: x.regions[ip], Topology: x.topology(), Tuning: x.tuning,
 		Random: x.random, Log: log, Metrics: set,
 	})
 	if err != nil {
 		x.t.Fatal(err)
 	}
 	stop := x.serve(ip+":7400", d)
-	n.d = d
+	n.d, n.metrics = d, set
+	n.up.Store(d)
 	n.kill = func() {
 		stop()
 		x.net.Kill(ip)
@@ -139,6 +155,7 @@
 		<-d.Done()
 		log.Close()
 		n.d = nil
+		n.up.Store(nil)
 	}
 }
 
@@ -161,6 +178,9 @@
 	for _, ip := range x.order {
 		x.net.Join(ip)
 	}
+	for _, region := range x.regions {
+		x.net.JoinRegion(region)
+	}
 	time.Sleep(time.Second)
 	for _, g := range x.gateways {
 		g.kill()
@@ -170,6 +190,7 @@
 			n.kill()
 		}
 	}
+	time.Sleep(time.Second) // dials on their way
 	synctest.Wait()
 }
 
@@ -265,6 +286,7 @@
 	g := gateway.Start(ctx, gateway.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: dial},
 		Seeds:    x.seeds, Headers: noHeaders{}, Server: forward.New(forward.Settings{Dialer: x.net.Box(ip)}),
+		Region: x.regions[ip], Topology: x.topology(),
 		Retries: retry.Limits{Window: time.Second}, Random: x.random, Log: log, Metrics: set,
 	})
 	x.gateways[ip] = &gatewayNode{ip: ip, g: g, metrics: set, kill: func() { cancel(); synctest.Wait(); log.Close() }}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +63,11 @@
 	rollouts     rollouts
 	ordered      map[orderKey]time.Duration // rollouts under way, in every term
 	sharesLogged time.Duration              // when
+
+	began    time.Duration // of the term
+	placeDue time.Duration // when to look next where the leader should stand
+	relay    *relay        // nil unless this replica passes on what the leader sends
+	refused  atomic.Uint64 // the last term whose leader needs no relay here
 }
 
 func newHub(d *Directory) *hub {
@@ -88,6 +95,9 @@
 		next.voters = append(next.voters, p.Name)
 	}
 	h.leadership.Store(next)
+	if !slices.Equal(old.voters, next.voters) {
+		h.d.mesh.Keep(next.voters)
+	}
 	if old.leads != leads || old.term != s.Term || old.leader != next.leader {
 		h.stateChanged()
 	}
@@ -120,6 +130,7 @@
 	tick := time.NewTicker(registry.FleetPeriod)
 	defer tick.Stop()
 	defer h.endTerm()
+	defer func() { h.endRelay("") }()
 	for {
 		select {
 		case <-h.d.ctx.Done():
@@ -141,21 +152,26 @@
 	l := h.leadership.Load()
 	switch {
 	case l.leads && h.term != l.term:
+		h.endRelay(h.d.Address())
 		h.endTerm()
 		h.beginTerm(l.term)
 	case !l.leads && h.term != 0:
 		h.endTerm()
 	}
-	if h.term != 0 {
+	h.syncRelay(l)
+	switch {
+	case h.term != 0:
 		h.pushDepartures()
 		h.pushHalls()
 		h.pushDocument()
 		h.stepRollouts()
+	case h.relay != nil:
+		h.pushDocument()
 	}
 }
 
 func (h *hub) beginTerm(term uint64) {
-	h.term = term
+	h.term, h.began, h.placeDue = term, h.d.replica.Now(), 0
 	h.registry = registry.New(h.d.replica.Now(), h.d.cfg.Interval)
 	h.departed = 0
 	h.complete = false
@@ -183,6 +199,9 @@
 
 func (h *hub) tick() {
 	h.syncLeadership()
+	if h.relay != nil {
+		h.relay.tick()
+	}
 	if h.term == 0 {
 		return
 	}
@@ -197,6 +216,8 @@
 	h.pushChanges(completed)
 	h.logJoins()
 	h.pushFleet()
+	h.moveToRelays()
+	h.place(now)
 }
 
 // divideCold gives the rates of cold backend servers to gateways.
@@ -204,10 +225,7 @@
 	if !h.registry.AnyCold(now) {
 		return
 	}
-	names := make([]string, 0, len(h.sessions))
-	for s := range h.sessions {
-		names = append(names, s.gateway)
-	}
+	names := slices.Sorted(maps.Keys(h.gateways()))
 	change := h.registry.DivideCold(now, names, h.d.state.coldRates())
 	for _, s := range change.Set {
 		h.d.cfg.Log.StateChange("cold backend divided", slog.String("backend", s.ID),
@@ -261,7 +279,7 @@
 		h.d.cfg.Log.StateChange("document in force", slog.Uint64("number", h.encoded.Number), slog.Int("bytes", len(data)))
 	}
 	for s := range h.sessions {
-		if s.number < h.encoded.Number {
+		if !s.relay && s.number < h.encoded.Number { // a relay has the log
 			s.out.Send(h.encoded)
 			s.number = h.encoded.Number
 		}
--- /dev/null
+++ b/directory/leaderplace_test.go
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// This file tests where the leader stands, and how soon there is another one.
+
+// acknowledgedAfter puts a document as an operator does: at replicas in turn, from one on, with
+// a second for each. It returns how long that takes.
+func (x *fleet) acknowledgedAfter(number uint64, first int) time.Duration {
+	began := time.Now()
+	for i := first; time.Since(began) < 20*time.Second; i++ {
+		n := x.nodes[x.order[i%len(x.order)]]
+		if n.d == nil {
+			continue // refused at once
+		}
+		ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+		err := n.d.Put(ctx, held(number))
+		cancel()
+		if err == nil {
+			return time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	x.t.Fatalf("document %d is not acknowledged after 20 s", number)
+	return 0
+}
+
+// TestAcknowledgesSoonAfterALeader: leaders in either region are killed in turn. An operator is
+// acknowledged again soon, whichever replica is tried first: also with so many gateways in the
+// other region that their lists fill the link for seconds.
+func TestAcknowledgesSoonAfterALeader(t *testing.T) {
+	for gateways, rounds := range map[int]int{4: 10, 60: 4} {
+		inRegions(t, 1_000_000, func(x *fleet) {
+			is := is.New(x.t)
+			x.announceMany(1500)
+			x.gatewaysIn(north, gateways)
+			x.gatewaysIn(south, gateways)
+			time.Sleep(10 * time.Second)
+			longest := time.Duration(0)
+			for round := range rounds {
+				old := x.mustLead()
+				old.kill()
+				longest = max(longest, x.acknowledgedAfter(uint64(round+1), round))
+				x.start(old.ip, false)
+				time.Sleep(10 * time.Second)
+			}
+			x.t.Logf("%d gateways in each region: acknowledged after %v at worst", gateways, longest)
+			is.True(longest < 1200*time.Millisecond)
+		})
+	}
+}
+
+// TestLeaderStandsWithTheMajority: a leader in the region with fewer voters hands over to one
+// with more, once, and what is put meanwhile is acknowledged soon.
+func TestLeaderStandsWithTheMajority(t *testing.T) {
+	inRegions(t, 1_000_000, func(x *fleet) {
+		is := is.New(x.t)
+		changes, number := 0, uint64(0)
+		for round := range 5 {
+			for _, ip := range x.order[:3] { // what stands in the north
+				x.nodes[ip].kill()
+				if round%2 == 0 && ip == x.order[0] {
+					x.start(ip, false)
+				}
+			}
+			time.Sleep(2 * time.Second)
+			for _, ip := range x.order[:3] {
+				if x.nodes[ip].d == nil {
+					x.start(ip, false)
+				}
+			}
+			number++
+			is.True(x.acknowledgedAfter(number, round) < 2*time.Second)
+			last := x.mustLead().ip
+			changes = 0
+			longest := time.Duration(0)
+			for began := time.Now(); time.Since(began) < 12*time.Second; time.Sleep(200 * time.Millisecond) {
+				number++
+				longest = max(longest, x.acknowledgedAfter(number, int(number)))
+				if l := x.mustLead().ip; l != last {
+					last, changes = l, changes+1
+				}
+			}
+			x.t.Logf("%d changes, acknowledged after %v at worst", changes, longest)
+			is.Equal(x.regions[last], north)
+			is.True(changes <= 2)
+			is.True(longest < 700*time.Millisecond)
+		}
+	})
+}
+
+// TestLeaderWithASlowDisk: a leader whose disk has become slow hands over to one whose has not.
+func TestLeaderWithASlowDisk(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		for _, n := range x.nodes {
+			n.disk.SyncTime(5 * time.Millisecond)
+		}
+		for number := range uint64(10) {
+			x.put(number + 1)
+		}
+		old := x.mustLead()
+		old.disk.SyncTime(150 * time.Millisecond)
+		for number := range uint64(30) {
+			x.put(number + 11)
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.True(x.mustLead() != old)
+		time.Sleep(20 * time.Second)
+		is.True(x.mustLead() != old)
+		began := time.Now()
+		x.put(100)
+		is.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -346,6 +346,10 @@
 
 // sendRollouts sends a session that opens all rollouts.
 func (h *hub) sendRollouts(s *session) {
+	if h.relay != nil {
+		h.relay.sendRollouts(s)
+		return
+	}
 	if h.rollouts.seq > 0 {
 		s.out.Send(h.rollouts.encoded)
 	}
