--- /dev/null
+++ b/directory/relayrollouts_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file tests rollouts on their way through relays.
+
+// TestRelayPassesRolloutsOn: a relay whose session opens while there are rollouts serves its
+// region, and a gateway there knows what is barred before it knows any server.
+func TestRelayPassesRolloutsOn(t *testing.T) {
+	inRegions(t, 1<<20, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.put(1)
+		is.NoErr(x.announce("b1", false))
+		is.NoErr(x.orderRollout(to("v2")))
+		is.NoErr(x.mustLead().d.AbortRollout(x.t.Context(), "p", 1))
+		relay := x.relays(south)[0]
+		relay.kill()
+		time.Sleep(time.Second)
+		x.start(relay.ip, false)
+		time.Sleep(3 * time.Second)
+
+		x.place("10.0.2.1", south)
+		id := link.Identity{Name: "10.0.2.1:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.1").DialContext}
+		session, err := link.Dial(x.t.Context(), relay.ip+":7400", id, nil)
+		is.NoErr(err)
+		defer session.Close()
+		is.NoErr(session.Send(x.t.Context(), protocol.Watch{Gateway: id.Name, KnowsVersions: true, Region: south}))
+		m, err := session.ReceiveWithin(x.t.Context(), time.Second)
+		is.NoErr(err)
+		list, ok := m.(protocol.Rollouts)
+		is.True(ok) // else it was redirected, or got the servers first
+		is.Equal(list.List, []protocol.Rollout{{Pool: "p", Attempt: 1, Barred: []string{"v2"}}})
+		m, err = session.ReceiveWithin(x.t.Context(), time.Second)
+		is.NoErr(err)
+		servers, ok := m.(protocol.Servers)
+		is.True(ok)
+		is.True(servers.Whole)
+	})
+}
