Rollouts: complete only while a server of the target is in a hall in service

A server in a hall out of service doesn't make a target listed any more, and without one a rollout that has switched is rolled back.

Seen to fail before: TestHallIsTakenOutInARollout (without a server left, at all three times) and TestHallOfAQuietPoolsTarget ended complete. The others by breaking the code: with the hall not looked at in poolRollout's trial servers TestTrialsHallIsTakenOut fails, with it not looked at in table.view eight of nine rows, with the alarm off and a trial of a half the bad rows.

--- a/coordination/registry/versions.go
+++ b/coordination/registry/versions.go
@@ -2,6 +2,8 @@
 
 package registry
 
+import "slices"
+
 // This file defines what the registry knows of the versions of a pool's backend servers.
 
 // Versions returns the versions of a pool's backend servers by handle.
@@ -14,3 +16,13 @@
 	}
 	return versions
 }
+
+// Lists reports whether a backend server of a pool's version is listed outside some halls.
+func (r *Registry) Lists(pool, version string, without []string) bool {
+	for _, e := range r.servers {
+		if e.Pool == pool && e.Version == version && !slices.Contains(without, e.Hall) {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -92,7 +92,7 @@
 	Informed bool
 	// OldIdle is whether all gateways obey the switch and nothing runs on the old servers.
 	OldIdle bool
-	// TargetListed is whether a server of the target is listed.
+	// TargetListed is whether a server of the target is listed, in a data hall in service.
 	TargetListed bool
 }
 
@@ -201,9 +201,11 @@
 	rest := float64(s.Duration - s.switched)
 	full := o.Elapsed-s.switched >= min(fullTime, time.Duration(fullOfRest*rest))
 	switch {
+	case full && !o.TargetListed && o.Elapsed >= s.at(completePart):
+		d.Ending, d.Why = RollBack, "no server of the target"
 	case full && o.Elapsed >= s.at(completePart):
 		d.Ending, d.Why = Complete, "the time is nearly over"
-	case full && o.OldIdle && d.Grounds.Sum < suspicion:
+	case full && o.OldIdle && o.TargetListed && d.Grounds.Sum < suspicion:
 		d.Ending, d.Why = Complete, "nothing runs on the old servers"
 	default:
 		d.Why = "all requests"
--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -40,15 +40,19 @@
 func (a *arrivals) DropAllIdle()    {}
 
 func (a *arrivals) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
-	a.mu.Lock()
-	a.at[address] = append(a.at[address], time.Now())
-	a.mu.Unlock()
+	a.note(address)
 	if !sleep.For(ctx, 20*time.Millisecond) {
 		return nil, forward.Unknown{Server: address, Err: ctx.Err()}
 	}
 	return &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}, nil
 }
 
+func (a *arrivals) note(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at[address] = append(a.at[address], time.Now())
+}
+
 // since returns how many requests came to an address after a time, and the most of them
 // in one second.
 func (a *arrivals) since(address string, from time.Time) (all, most int) {
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -265,14 +265,10 @@
 	})
 }
 
-// targetListed reports whether a server of the target is listed.
+// targetListed reports whether a server of the target is listed, in a data hall in service.
 func (h *hub) targetListed(r *leadRollout) bool {
-	for _, v := range h.registry.Versions(r.Pool) {
-		if v == r.Target {
-			return true
-		}
-	}
-	return false
+	out, _ := h.d.state.HallsOut()
+	return h.registry.Lists(r.Pool, r.Target, out)
 }
 
 // pushRollouts sends all sessions the list, if it has changed.
--- /dev/null
+++ b/directory/together_test.go
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests rollouts together with data halls that are taken out of service.
+
+// counted counts what reaches each server of a versioned.
+type counted struct {
+	*versioned
+	reached *arrivals
+}
+
+func newCounted(v *versioned) counted {
+	return counted{versioned: v, reached: &arrivals{at: map[string][]time.Time{}}}
+}
+
+func (c counted) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+	c.reached.note(at)
+	return c.versioned.Send(ctx, at, call)
+}
+
+// sinceAll returns how many requests came to some servers, by their numbers, after a time.
+func (c counted) sinceAll(from time.Time, servers ...int) (n int) {
+	for _, i := range servers {
+		all, _ := c.reached.since(address(fmt.Sprint("b", i)), from)
+		n += all
+	}
+	return n
+}
+
+// inHalls is a rollout of which each server stands in a hall.
+func (x *fleet) inHalls(v *versioned, halls [7]string, period time.Duration, f func(c counted)) {
+	c := newCounted(v)
+	x.rollingIn(v, scene{document: held(1), server: c, period: period, announce: func() {
+		for n := 1; n < len(halls); n++ {
+			r := versionedServer(n)
+			r.Hall = halls[n]
+			x.announceVersion(registry.Announcement{Registration: r})
+		}
+	}}, func() { f(c) })
+}
+
+// mixedHalls has servers of both versions in each hall; b4 is the target's in hall-a.
+var mixedHalls = [7]string{1: "hall-a", 2: "hall-b", 3: "hall-b", 4: "hall-a", 5: "hall-b", 6: "hall-b"}
+
+// apartHalls has the target's servers in a hall of their own.
+var apartHalls = [7]string{1: "hall-b", 2: "hall-b", 3: "hall-b", 4: "hall-a", 5: "hall-a", 6: "hall-a"}
+
+// TestHallIsTakenOutInARollout: nothing reaches it, and the rollout ends as the rest of the
+// target deserves.
+func TestHallIsTakenOutInARollout(t *testing.T) {
+	bad := func(time.Duration) float64 { return 0.2 }
+	for _, test := range []struct {
+		name  string
+		halls [7]string
+		fails func(time.Duration) float64
+		state document.RolloutState
+		at    []time.Duration // when it is taken out
+	}{
+		{"good", mixedHalls, nil, document.RolloutComplete, steps},
+		{"bad", mixedHalls, bad, document.RolloutRolledBack, []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second}},
+		{"without a server left", apartHalls, nil, document.RolloutRolledBack, steps},
+	} {
+		for _, at := range test.at {
+			t.Run(fmt.Sprint(test.name, " ", at), func(t *testing.T) {
+				inFleet(t, 5, func(x *fleet) {
+					is := is.New(x.t)
+					v := &versioned{fails: test.fails}
+					x.inHalls(v, test.halls, rolloutPeriod, func(c counted) {
+						time.Sleep(at)
+						x.orderHall("hall-a", true)
+						out := time.Now()
+						state, after := x.ended(v)
+						end := time.Now()
+						x.t.Logf("ended after %v, %.0f below the bound at least", after, v.room)
+						is.Equal(state, test.state)
+						is.True(after <= rolloutTime)
+						time.Sleep(3 * time.Second)
+						for n, hall := range test.halls {
+							if hall == "hall-a" {
+								is.Equal(c.sinceAll(out.Add(reach), n), 0)
+							}
+						}
+						target, old := v.after(end.Add(reach))
+						is.True(max(target, old) > 300)
+						is.Equal(min(target, old), 0)
+						is.True(test.fails == nil || v.room >= 0)
+					})
+				})
+			})
+		}
+	}
+}
+
+// TestTrialsHallIsTakenOut: all of the target's servers that the trial goes to stand in the hall;
+// others take their place.
+func TestTrialsHallIsTakenOut(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		v := &versioned{}
+		halls := [7]string{1: "hall-1", 2: "hall-1", 3: "hall-1", 4: "hall-4", 5: "hall-5", 6: "hall-6"}
+		x.inHalls(v, halls, rolloutPeriod, func(c counted) {
+			time.Sleep(3 * time.Second)
+			var tried []int
+			for n := 4; n <= 6; n++ {
+				if c.sinceAll(v.ordered, n) > 0 {
+					tried = append(tried, n)
+				}
+			}
+			is.Equal(len(tried), 1)
+			x.orderHall(halls[tried[0]], true)
+			out := time.Now()
+			time.Sleep(2 * time.Second)
+			target, _ := v.after(out.Add(reach))
+			is.True(target > 0)
+			state, after := x.ended(v)
+			is.Equal(state, document.RolloutComplete)
+			is.True(after <= rolloutTime)
+			time.Sleep(2 * time.Second)
+			is.Equal(c.sinceAll(out.Add(reach), tried...), 0)
+		})
+	})
+}
+
+// TestHallOfAQuietPoolsTarget: so few requests come that they may all go to an untried version;
+// but none of its servers may have any, and the old ones must not stop.
+func TestHallOfAQuietPoolsTarget(t *testing.T) {
+	inFleet(t, 5, func(x *fleet) {
+		is := is.New(x.t)
+		v := &versioned{}
+		x.inHalls(v, apartHalls, 3*time.Second, func(c counted) {
+			time.Sleep(time.Second)
+			x.orderHall("hall-a", true)
+			state, after := x.ended(v)
+			is.Equal(state, document.RolloutRolledBack)
+			is.True(after <= rolloutTime)
+			end := time.Now()
+			time.Sleep(8 * time.Second)
+			_, old := v.after(end)
+			is.True(old > 4)
+		})
+	})
+}
