--- /dev/null
+++ b/directory/together_cold_test.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests rollouts to a version half of whose servers are cold.
+
+const (
+	coldRate = 18 // requests a second that a cold server bears
+	coldTime = 9 * time.Second
+)
+
+// coldStarting is servers b1 to b9, the target's from b4 on. From the order on those of even
+// numbers are cold: they answer five times slower, and fail what is above their rate.
+type coldStarting struct{ counted }
+
+// coldLeft returns for how long a server is cold.
+func (c *coldStarting) coldLeft(n int) time.Duration {
+	c.versioned.mu.Lock()
+	defer c.versioned.mu.Unlock()
+	if n < 4 || n%2 == 1 || c.ordered.IsZero() {
+		return 0
+	}
+	return max(coldTime-time.Since(c.ordered), 0)
+}
+
+func (c *coldStarting) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+	cold := false
+	for n := 4; n <= 9; n++ {
+		cold = cold || at == address(fmt.Sprint("b", n)) && c.coldLeft(n) > 0
+	}
+	if !cold {
+		return c.counted.Send(ctx, at, call)
+	}
+	c.reached.note(at)
+	_, lately := c.reached.since(at, time.Now().Add(-time.Second))
+	if !sleep.For(ctx, 80*time.Millisecond) {
+		return nil, forward.Unknown{Server: at, Err: ctx.Err()}
+	}
+	answer, err := c.versioned.Send(ctx, at, call)
+	if lately > coldRate && err == nil {
+		answer.Status = 500
+	}
+	return answer, err
+}
+
+// TestRolloutToColdServers: no cold server gets more than it bears, of all gateways together and
+// at any moment; a good version is complete in time, and a bad one rolled back within its bound.
+func TestRolloutToColdServers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fails func(time.Duration) float64
+		state document.RolloutState
+	}{
+		{"good", nil, document.RolloutComplete},
+		{"bad", func(time.Duration) float64 { return 0.2 }, document.RolloutRolledBack},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inFleet(t, 5, func(x *fleet) {
+				is := is.New(x.t)
+				v := &versioned{fails: test.fails}
+				c := &coldStarting{counted: newCounted(v)}
+				x.rollingIn(v, scene{document: coldHeld(1, coldRate), server: c, period: rolloutPeriod, announce: func() {
+					for n := range 9 {
+						x.announceVersion(registry.Announcement{Registration: versionedServer(n + 1), ColdLeft: c.coldLeft(n + 1)})
+					}
+				}}, func() {
+					state, after := x.ended(v)
+					is.Equal(state, test.state)
+					is.True(after <= rolloutTime)
+					time.Sleep(coldTime - time.Since(v.ordered))
+					for n := 4; n <= 9; n += 2 {
+						all, most := c.reached.since(address(fmt.Sprint("b", n)), v.ordered)
+						x.t.Logf("ended after %v; cold server b%d got %d, %d in one second", after, n, all, most)
+						is.True(most <= coldRate)
+						is.True(all > 0 || test.fails != nil)
+					}
+					is.True(test.fails == nil || v.room >= 0)
+				})
+			})
+		})
+	}
+}
