--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -76,20 +76,25 @@
 
 // loaded starts a gateway that gets a request in each period, and sends to a.
 func (x *fleet) loaded(ip string, a gateway.Server, period time.Duration) *gateway.Gateway {
+	return x.loadedBy(ip, idHeaders{}, a, func(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
+		for range sleep.Every(ctx, period) {
+			asking.Go(func() { x.request(g, "r") })
+		}
+	})
+}
+
+// loadedBy starts a gateway that gets the requests of ask, which ends with its context.
+func (x *fleet) loadedBy(ip string, headers gateway.HeaderCodec, a gateway.Server, ask func(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway)) *gateway.Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	log := x.log(set)
 	g := gateway.Start(ctx, gateway.Settings{
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
-		Seeds:    x.seeds, Headers: idHeaders{}, Server: a, Retries: retry.Limits{Ratio: 0.2, Extra: 1000, Window: time.Second},
+		Seeds:    x.seeds, Headers: headers, Server: a, Retries: retry.Limits{Ratio: 0.2, Extra: 1000, Window: time.Second},
 		Grace: time.Second, Bodies: 1 << 20, Random: x.random, Log: log, Metrics: set,
 	})
 	var asking sync.WaitGroup
-	asking.Go(func() {
-		for range sleep.Every(ctx, period) {
-			asking.Go(func() { x.request(g, "r") })
-		}
-	})
+	asking.Go(func() { ask(ctx, &asking, g) })
 	x.gateways[ip] = &gatewayNode{ip: ip, g: g, metrics: set, kill: func() { cancel(); asking.Wait(); synctest.Wait(); log.Close() }}
 	return g
 }
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -110,14 +110,19 @@
 // scene is what a rollout runs in.
 type scene struct {
 	document document.Held
-	server   gateway.Server // of the gateways
-	period   time.Duration  // between two requests of a gateway
-	announce func()         // of the servers, once in each interval
+	load     func(gateway string) // starts it, and its requests
+	announce func()               // of the servers, once in each interval
+	without  bool                 // no rollout is ordered
 }
 
 // rolling is a fleet with gateways under load and a rollout to the target that begins now.
 func (x *fleet) rolling(v *versioned, f func()) {
-	x.rollingIn(v, scene{document: held(1), server: v, period: rolloutPeriod, announce: x.announceVersions}, f)
+	x.rollingIn(v, scene{document: held(1), load: x.evenly(v, rolloutPeriod), announce: x.announceVersions}, f)
+}
+
+// evenly starts gateways with a request in each period.
+func (x *fleet) evenly(server gateway.Server, period time.Duration) func(ip string) {
+	return func(ip string) { x.loaded(ip, server, period) }
 }
 
 // rollingIn does the same in a scene.
@@ -127,10 +132,14 @@
 	stop := x.keeping(s.announce)
 	defer stop()
 	for i := range 3 {
-		x.loaded(rolloutGateway(i), s.server, s.period)
+		s.load(rolloutGateway(i))
 	}
 	time.Sleep(3 * time.Second)
-	x.orderFor(v)
+	if s.without {
+		v.ordered = time.Now()
+	} else {
+		x.orderFor(v)
+	}
 	f()
 }
 
--- a/directory/together_cold_test.go
+++ b/directory/together_cold_test.go
@@ -73,7 +73,7 @@
 				is := is.New(x.t)
 				v := &versioned{fails: test.fails}
 				c := &coldStarting{counted: newCounted(v)}
-				x.rollingIn(v, scene{document: coldHeld(1, coldRate), server: c, period: rolloutPeriod, announce: func() {
+				x.rollingIn(v, scene{document: coldHeld(1, coldRate), load: x.evenly(c, rolloutPeriod), announce: func() {
 					for n := range 9 {
 						x.announceVersion(registry.Announcement{Registration: versionedServer(n + 1), ColdLeft: c.coldLeft(n + 1)})
 					}
--- a/directory/together_test.go
+++ b/directory/together_test.go
@@ -44,7 +44,7 @@
 // inHalls is a rollout of which each server stands in a hall.
 func (x *fleet) inHalls(v *versioned, halls [7]string, period time.Duration, f func(c counted)) {
 	c := newCounted(v)
-	x.rollingIn(v, scene{document: held(1), server: c, period: period, announce: func() {
+	x.rollingIn(v, scene{document: held(1), load: x.evenly(c, period), announce: func() {
 		for n := 1; n < len(halls); n++ {
 			r := versionedServer(n)
 			r.Hall = halls[n]
