--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
-	"github.com/badgerspoke/badgerspoke/gateway"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -107,100 +106,60 @@
 	return count(v.target), count(v.old)
 }
 
-// scene is what a rollout runs in.
-type scene struct {
-	document document.Held
-	load     func(gateway string) // starts it, and its requests
-	announce func()               // of the servers, once in each interval
-	without  bool                 // no rollout is ordered
-}
-
 // rolling is a fleet with gateways under load and a rollout to the target that begins now.
 func (x *fleet) rolling(v *versioned, f func()) {
-	x.rollingIn(v, scene{document: held(1), load: x.evenly(v, rolloutPeriod), announce: x.announceVersions}, f)
-}
-
-// evenly starts gateways with a request in each period.
-func (x *fleet) evenly(server gateway.Server, period time.Duration) func(ip string) {
-	return func(ip string) { x.loaded(ip, server, period) }
-}
-
-// rollingIn does the same in a scene.
-func (x *fleet) rollingIn(v *versioned, s scene, f func()) {
 	is := is.New(x.t)
-	is.NoErr(x.mustLead().d.Put(x.t.Context(), s.document))
-	stop := x.keeping(s.announce)
+	x.put(1)
+	stop := x.keepVersions()
 	defer stop()
 	for i := range 3 {
-		s.load(rolloutGateway(i))
+		x.loaded(rolloutGateway(i), v, rolloutPeriod)
 	}
 	time.Sleep(3 * time.Second)
-	if s.without {
-		v.ordered = time.Now()
-	} else {
-		x.orderFor(v)
-	}
-	f()
-}
-
-// orderFor orders the rollout to the target.
-func (x *fleet) orderFor(v *versioned) {
 	v.mu.Lock()
 	v.rng, v.room = rand.New(rand.NewPCG(1, 2)), exposure.Slack
 	v.mu.Unlock()
-	is.New(x.t).NoErr(x.orderRollout(rollout.Order{Pool: "p", Target: "v2", Duration: rolloutTime}))
+	is.NoErr(x.orderRollout(rollout.Order{Pool: "p", Target: "v2", Duration: rolloutTime}))
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.ordered = time.Now()
+	v.mu.Unlock()
+	f()
 }
 
 func rolloutGateway(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
 
-// keeping calls announce in each interval, until stop.
-func (x *fleet) keeping(announce func()) (stop func()) {
+// keepVersions announces the servers of both versions in each interval, until stop. Before the
+// order the target's do not run.
+func (x *fleet) keepVersions() (stop func()) {
 	ctx, cancel := context.WithCancel(x.t.Context())
 	var running sync.WaitGroup
 	running.Go(func() {
 		for range sleep.Every(ctx, interval) {
-			announce()
+			for i := range 6 {
+				x.announceVersion(fmt.Sprint("b", i+1), fmt.Sprint("v", 1+i/3))
+			}
 		}
 	})
 	return func() { cancel(); running.Wait() }
 }
 
-// announceVersions announces the servers of both versions. Before the order the target's do not
-// run.
-func (x *fleet) announceVersions() {
-	for i := range 6 {
-		x.announceVersion(registry.Announcement{Registration: versionedServer(i + 1)})
-	}
-}
-
-// versionedServer is server b1 to b3 of the old version, or one of the target.
-func versionedServer(n int) protocol.Registration {
-	id := fmt.Sprint("b", n)
-	version := "v1"
-	if n > 3 {
-		version = "v2"
-	}
-	return protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 40, Version: version}
-}
-
 // announceVersion announces a server of the target only once a rollout is under way: without
 // one it would get its part of the requests.
-func (x *fleet) announceVersion(a registry.Announcement) {
+func (x *fleet) announceVersion(id, version string) {
 	l := x.leader()
 	if l == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
 	defer cancel()
-	if _, err := l.d.Rollout(ctx, "p"); err != nil && a.Version == "v2" {
+	if _, err := l.d.Rollout(ctx, "p"); err != nil && version == "v2" {
 		return
 	}
-	x.beats[a.ID]++
-	a.Seq = x.beats[a.ID]
-	_ = l.d.Announce(ctx, a) // whoever does not lead any more refuses it
+	x.beats[id]++
+	// Whoever does not lead any more refuses it.
+	_ = l.d.Announce(ctx, registry.Announcement{
+		Registration: protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 40, Version: version}, Seq: x.beats[id],
+	})
 }
 
 // ended waits for the rollout's end and returns it, and how long after the order it was.
--- a/directory/together_cold_test.go
+++ b/directory/together_cold_test.go
@@ -75,7 +75,7 @@
 				c := &coldStarting{counted: newCounted(v)}
 				x.rollingIn(v, scene{document: coldHeld(1, coldRate), load: x.evenly(c, rolloutPeriod), announce: func() {
 					for n := range 9 {
-						x.announceVersion(registry.Announcement{Registration: versionedServer(n + 1), ColdLeft: c.coldLeft(n + 1)})
+						x.announceAs(registry.Announcement{Registration: versionedServer(n + 1), ColdLeft: c.coldLeft(n + 1)})
 					}
 				}}, func() {
 					state, after := x.ended(v)
--- a/directory/together_flood_test.go
+++ b/directory/together_flood_test.go
@@ -147,7 +147,7 @@
 			for n := range 6 {
 				r := versionedServer(n + 1)
 				r.Slots = engineSlots
-				x.announceVersion(registry.Announcement{Registration: r})
+				x.announceAs(registry.Announcement{Registration: r})
 			}
 		}}
 		x.rollingIn(v, s, func() {
--- a/directory/together_test.go
+++ b/directory/together_test.go
@@ -3,7 +3,6 @@
 package directory_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -12,35 +11,10 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/state/document"
-	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
 // This file tests rollouts together with data halls that are taken out of service.
 
-// counted counts what reaches each server of a versioned.
-type counted struct {
-	*versioned
-	reached *arrivals
-}
-
-func newCounted(v *versioned) counted {
-	return counted{versioned: v, reached: &arrivals{at: map[string][]time.Time{}}}
-}
-
-func (c counted) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
-	c.reached.note(at)
-	return c.versioned.Send(ctx, at, call)
-}
-
-// sinceAll returns how many requests came to some servers, by their numbers, after a time.
-func (c counted) sinceAll(from time.Time, servers ...int) (n int) {
-	for _, i := range servers {
-		all, _ := c.reached.since(address(fmt.Sprint("b", i)), from)
-		n += all
-	}
-	return n
-}
-
 // inHalls is a rollout of which each server stands in a hall.
 func (x *fleet) inHalls(v *versioned, halls [7]string, period time.Duration, f func(c counted)) {
 	c := newCounted(v)
@@ -48,7 +22,7 @@
 		for n := 1; n < len(halls); n++ {
 			r := versionedServer(n)
 			r.Hall = halls[n]
-			x.announceVersion(registry.Announcement{Registration: r})
+			x.announceAs(registry.Announcement{Registration: r})
 		}
 	}}, func() { f(c) })
 }
