Gateway: replaced servers serve requests whose homes have no others

A route whose home is a region in which the new version has no server was refused once a rollout was complete, also while old servers were listed there: a replaced version got nothing while the pool had another. They serve it now for as long as they are there; nobody else's requests go there.

TestHomeWithoutTheTarget: complete failed before (0 of 40 served); trial and switched seen to fail with the homes not looked at in table.view, and without the second choice of table.order.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -163,13 +163,14 @@
 	leased := now < t.leased
 	// The only server of a region is not the only one of its pool, which may have a request again.
 	alone := len(servers) == 1 && len(p.servers) > 1 && !req.homes.bound
+	among := t.versionsFor(p, req)
 	p.viewed = p.viewed[:0]
 	for _, k := range servers {
 		p.viewed = append(p.viewed, place.Server{
 			ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - k.othersAt,
 			Pace: k.pace, Health: k.health.State(now), Avoid: req.avoid[k.ID],
 			Lost:   k.health.LostInARow(),
-			Closed: (alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, leased) || !t.mayHaveVersion(req, k) || !t.mayBeServedAt(req, k),
+			Closed: (alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, leased) || among&k.versions == 0 || !t.mayBeServedAt(req, k),
 		})
 	}
 	return p.viewed
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -26,14 +26,15 @@
 // versions is a set of kinds of server, by their version.
 type versions uint8
 
-// The kinds. A server that is barred, or replaced while there is another, is of none.
+// The kinds. A server that is barred is of none.
 const (
 	oldVersion    versions = 1 << iota // any but the target
 	trialVersion                       // those of the target that a trial goes to
 	targetVersion                      // all of the target
+	replacedVersion                    // replaced by another that is listed
 )
 
-// anyVersion is a server of a pool without a rollout, or any server.
+// anyVersion is a server of a pool without a rollout, or any that is not replaced.
 const anyVersion = oldVersion | trialVersion | targetVersion
 
 // rolloutList names a list of rollouts.
@@ -137,6 +138,7 @@
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
+			k.versions = replacedVersion
 		default:
 			k.versions = oldVersion
 			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
@@ -224,10 +226,19 @@
 	})
 }
 
-// mayHaveVersion reports whether a request may go to a server by the server's version. The
-// caller holds mu.
-func (t *table) mayHaveVersion(req *requirements, k *knownServer) bool {
-	return req.versions&k.versions != 0
+// versionsFor returns the versions that a choice is among. Where a request's homes have servers
+// in service of replaced versions alone, those serve it for as long as they are there. The caller
+// holds mu.
+func (t *table) versionsFor(p *pool, req *requirements) versions {
+	if p.rollout == nil || len(p.rollout.Replaced) == 0 || !req.homes.bound {
+		return req.versions
+	}
+	if slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&anyVersion != 0 && !t.hallsOut[k.Hall] && t.mayBeServedAt(req, k)
+	}) {
+		return req.versions
+	}
+	return req.versions | replacedVersion
 }
 
 // tried is what an attempt counts for, while its pool has a rollout.
