Rollouts: a route whose homes have no server of the target is not waited for

The leader knows which routes these are by the document, the halls' regions and the target's servers; the others decide. Requests of such a route stay at old servers, so that complete is said when the time is nearly over. If all routes are kept away too little is known, as before.

TestRouteKeptAwayIsNotAwaited failed before for one of two routes; the other rows pin what stays.

--- a/coordination/registry/versions.go
+++ b/coordination/registry/versions.go
@@ -2,7 +2,10 @@
 
 package registry
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // This file defines what the registry knows of the versions of a pool's backend servers.
 
@@ -17,12 +20,13 @@
 	return versions
 }
 
-// Lists reports whether a backend server of a pool's version is listed outside some halls.
-func (r *Registry) Lists(pool, version string, without []string) bool {
+// HallsOf returns the data halls in which backend servers of a pool's version are listed.
+func (r *Registry) HallsOf(pool, version string) []string {
+	halls := map[string]bool{}
 	for _, e := range r.servers {
-		if e.Pool == pool && e.Version == version && !slices.Contains(without, e.Hall) {
-			return true
+		if e.Pool == pool && e.Version == version {
+			halls[e.Hall] = true
 		}
 	}
-	return false
+	return slices.Sorted(maps.Keys(halls))
 }
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -88,6 +88,8 @@
 	Elapsed time.Duration // since the order, at least
 	// Totals are the outcomes by route since the rollout began.
 	Totals map[string]*Pair
+	// KeptAway are the routes whose homes have no server of the target: they cannot try it.
+	KeptAway map[string]bool
 	// Informed is whether all gateways in touch have reported, or have had the time.
 	Informed bool
 	// OldIdle is whether all gateways obey the switch and nothing runs on the old servers.
@@ -255,13 +257,16 @@
 	return float64(d.Sent)+rest <= s.allowed(d.Of+uint64(rest))
 }
 
-// good reports whether each route was tried and nothing speaks against the target.
+// good reports whether each route that can be was tried and nothing speaks against the target.
 func (s *Schedule) good(o Observed, d *Decision) bool {
 	late := o.Elapsed >= s.at(latestPart)
 	if d.Grounds.Sum >= suspicion && !late || d.Grounds.Sum >= suspicionLate || d.Grounds.Known < enoughKnown {
 		return false
 	}
-	for _, p := range o.Totals {
+	for route, p := range o.Totals {
+		if o.KeptAway[route] {
+			continue
+		}
 		all := float64(p.Target.Sent + p.Old.Sent)
 		needed := float64(enoughKnown)
 		if late {
--- /dev/null
+++ b/coordination/rollout/together_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// This file tests the schedule together with homes.
+
+// TestRouteKeptAwayIsNotAwaited: a route that cannot try the target holds up neither the switch
+// nor the end, which its requests at old servers put off until the time is nearly over. Where no
+// route can, too little is known.
+func TestRouteKeptAwayIsNotAwaited(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		keptAway map[string]bool
+		ending   Ending
+		switches bool
+	}{
+		{"one", map[string]bool{"b": true}, Complete, true},
+		{"none", nil, RollBack, false},
+		{"all", map[string]bool{"a": true, "b": true}, RollBack, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			all := seen(func(at time.Duration, _ Decision) Observed {
+				n := uint64(at / (100 * time.Millisecond))
+				o := Observed{Informed: true, TargetListed: true, KeptAway: test.keptAway, Totals: map[string]*Pair{
+					"a": {Target: Tally{Sent: n, Answered: n}, Old: Tally{Sent: 14 * n, Answered: 14 * n}},
+					"b": {Old: Tally{Sent: 3 * n, Answered: 3 * n}},
+				}}
+				if test.keptAway["a"] {
+					o.Totals["a"].Target = Tally{}
+				}
+				return o
+			})
+			switches := false
+			for _, d := range all {
+				switches = switches || d.Share == 1
+			}
+			is.Equal(switches, test.switches)
+			is.Equal(all[len(all)-1].Ending, test.ending)
+		})
+	}
+}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -195,9 +195,10 @@
 		r.decision = rollout.Decision{Ending: rollout.Complete, Share: 1, Why: "it has the requests"}
 		h.logStep(now, r)
 	default:
-		before := r.decision
+		before, halls := r.decision, h.targetHalls(r)
 		r.decision = r.schedule.Step(rollout.Observed{
-			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: h.targetListed(r),
+			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: len(halls) > 0,
+			KeptAway: h.keptAway(halls),
 			Informed: now-h.rollouts.began >= informedAfter && h.d.leading() == nil,
 		})
 		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
@@ -265,10 +266,25 @@
 	})
 }
 
-// targetListed reports whether a server of the target is listed, in a data hall in service.
-func (h *hub) targetListed(r *leadRollout) bool {
+// targetHalls returns the data halls in service in which a server of the target is listed.
+func (h *hub) targetHalls(r *leadRollout) []string {
 	out, _ := h.d.state.HallsOut()
-	return h.registry.Lists(r.Pool, r.Target, out)
+	return slices.DeleteFunc(h.registry.HallsOf(r.Pool, r.Target), func(hall string) bool { return slices.Contains(out, hall) })
+}
+
+// keptAway returns the routes whose homes have no server of a target that stands in some halls.
+func (h *hub) keptAway(halls []string) map[string]bool {
+	held, _ := h.d.state.Held()
+	away := map[string]bool{}
+	for _, route := range held.Document.Routes {
+		if len(route.Homes) > 0 && !slices.ContainsFunc(halls, func(hall string) bool {
+			region := h.d.cfg.Topology.Region(hall)
+			return region != "" && slices.Contains(route.Homes, region)
+		}) {
+			away[route.Name] = true
+		}
+	}
+	return away
 }
 
 // pushRollouts sends all sessions the list, if it has changed.
