Rollout: servers that name no version are replaced as well

Cause: Store.named dropped the empty name from Replaced, so the old servers of a pool that named no version before its first rollout got requests by load after complete.

--- a/state/document/rollout.go
+++ b/state/document/rollout.go
@@ -53,7 +53,8 @@
 	// Barred are the versions that were rolled back, the one of longest ago first: their
 	// servers get nothing.
 	Barred []string `cbor:"8,keyasint,omitempty"`
-	// Replaced are the versions that the newest complete rollout has replaced, ordered.
+	// Replaced are the versions that the newest complete rollout has replaced, ordered. Empty is
+	// that of servers that name none.
 	Replaced []string `cbor:"9,keyasint,omitempty"`
 }
 
@@ -119,7 +120,7 @@
 			return r, false
 		}
 	case RolloutComplete:
-		r.Replaced = named(c.Replaced, c.Target)
+		r.Replaced = replaced(c.Replaced, c.Target)
 	case RolloutRolledBack:
 		r.Barred = append(without(r.Barred, c.Target), c.Target)
 		r.Barred = r.Barred[max(0, len(r.Barred)-MaxVersions):]
@@ -141,10 +142,10 @@
 	}, true
 }
 
-// named returns the versions but one, ordered, without what is no name and what is beyond
-// MaxVersions.
-func named(versions []string, but string) []string {
-	out := slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return v == but || !nameFits(v) })
+// replaced returns the versions but one, ordered, without what is too long for a version and
+// what is beyond MaxVersions.
+func replaced(versions []string, but string) []string {
+	out := slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return v == but || len(v) > MaxVersionName })
 	slices.Sort(out)
 	out = slices.Compact(out)
 	return listed(out[:min(len(out), MaxVersions)])
