Directory: versions whose servers are away when a rollout completes are replaced too

Cause: Replaced held the versions announced at that moment; a server of the old version that came back later got requests by load, although complete had been said. Change: those that gateways report outcomes of count as well. Measured: TestOtherVersions failed before ([ v1] instead of [ v0 v1]), passes now.

--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -3,10 +3,13 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -38,6 +41,23 @@
 	is.Equal([]uint64{old.Sent, old.Answered, old.Failed}, []uint64{11, 11, 0})
 }
 
+// TestOtherVersions: also those whose servers are away when the rollout is complete, but none
+// that is barred.
+func TestOtherVersions(t *testing.T) {
+	is := is.New(t)
+	h := &hub{registry: registry.New(0, time.Second)}
+	for i, v := range []string{"", "v1", "v2", "v3"} {
+		h.registry.Announce(0, registry.Announcement{
+			Registration: protocol.Registration{ID: fmt.Sprint("b", i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Version: v}, Seq: 1,
+		})
+	}
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2", Barred: []string{"v3"}})
+	for _, v := range []string{"v0", "v2", "v3"} {
+		r.add(reporter{"g", 1}, protocol.Outcomes{Version: v, Route: "r", Sent: 1})
+	}
+	is.Equal(h.otherVersions(r), []string{"", "v0", "v1"})
+}
+
 // TestBarredBeforeTheLogHasIt: the list with the verdict goes out at once, and what the log
 // holds is not touched.
 func TestBarredBeforeTheLogHasIt(t *testing.T) {
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -230,14 +230,22 @@
 	}()
 }
 
-// otherVersions returns the versions that the target replaces.
+// otherVersions returns the versions that the target replaces: those of servers that are
+// announced, and those that gateways have sent requests to, whose servers may be away.
 func (h *hub) otherVersions(r *leadRollout) []string {
 	others := map[string]bool{}
 	for _, v := range h.registry.Versions(r.Pool) {
-		if v != r.Target && !slices.Contains(r.Barred, v) {
-			others[v] = true
+		others[v] = true
+	}
+	for _, mine := range r.reported {
+		for key := range mine {
+			others[key.version] = true
 		}
 	}
+	delete(others, r.Target)
+	for _, v := range r.Barred {
+		delete(others, v)
+	}
 	return slices.Sorted(maps.Keys(others))
 }
 
