Rollout: bounds that state nothing are the default ones

Cause: with the zero value of Bounds no request may go to a target: its share was none, and it was called good or not on nothing; the defaults were in platform alone, which other programs lack. Measured: TestBoundsByDefault failed before (share 0 throughout), passes now.

--- a/coordination/rollout/doc.go
+++ b/coordination/rollout/doc.go
@@ -16,7 +16,14 @@
 
 // This file defines Bounds.
 
-// Bounds is what a bad version may cost, by the deployment's settings.
+// Bounds of deployments that state neither a share nor requests besides. Chosen, not measured.
+const (
+	DefaultShare = 0.1 // of a pool's requests
+	DefaultSlack = 50  // requests
+)
+
+// Bounds is what a bad version may cost, by the deployment's settings. With neither a share nor
+// a slack they are DefaultShare and DefaultSlack: under none no version could be tried.
 type Bounds struct {
 	// Share is the part of all requests to the pool, from the order to its deadline, that a
 	// bad version may get, beside Slack requests.
@@ -27,3 +34,11 @@
 	// Repeats is for how long an operator repeats an order that got no clear answer.
 	Repeats time.Duration
 }
+
+// orDefault returns the bounds that are in force.
+func (b Bounds) orDefault() Bounds {
+	if b.Share <= 0 && b.Slack <= 0 {
+		b.Share, b.Slack = DefaultShare, DefaultSlack
+	}
+	return b
+}
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -244,7 +244,8 @@
 
 // allowed returns how many requests a bad version may have had of as many in all.
 func (s *Schedule) allowed(of uint64) float64 {
-	return s.Bounds.Share*float64(of) + s.Bounds.Slack
+	b := s.Bounds.orDefault()
+	return b.Share*float64(of) + b.Slack
 }
 
 // fits reports whether all requests until the deadline may go to a bad version.
@@ -274,7 +275,8 @@
 
 // share sets the shares of a trial.
 func (s *Schedule) share(o Observed, d *Decision, rate float64, known bool) {
-	d.Share, d.Why = math.Round(1000*trialOfBound*s.Bounds.Share)/1000, "trial"
+	bound := s.Bounds.orDefault().Share
+	d.Share, d.Why = math.Round(1000*trialOfBound*bound)/1000, "trial"
 	if !known || rate == 0 {
 		return
 	}
@@ -282,7 +284,7 @@
 	allowed := usedBudget * s.allowed(d.Of+uint64(rate*until))
 	budget := max(allowed-usedBudget*rate*stopTime.Seconds(), min(allowed, float64(neededSent*len(o.Totals))))
 	wanted := max(d.Share, float64(enoughSent*len(o.Totals))/(float64(d.Of)+rate*until))
-	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*s.Bounds.Share)
+	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*bound)
 	if float64(d.Sent)+d.Share*rate*stopTime.Seconds() > s.allowed(d.Of) {
 		d.Share, d.Why = 0, "the bound is used up"
 		return
--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -14,7 +14,11 @@
 // seen runs a schedule of 10 s on its own steps until it ends, with observe's view of each, and
 // returns all decisions.
 func seen(observe func(at time.Duration, d Decision) Observed) (all []Decision) {
-	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	return seenWithin(Bounds{Share: 0.1, Slack: 50}, observe)
+}
+
+func seenWithin(b Bounds, observe func(at time.Duration, d Decision) Observed) (all []Decision) {
+	s := &Schedule{Duration: 10 * time.Second, Bounds: b}
 	var d Decision
 	for at := time.Duration(0); at < 20*time.Second && d.Ending == GoOn; at += 100 * time.Millisecond {
 		o := observe(at, d)
@@ -35,6 +39,28 @@
 	is.True(len(all) < 96) // 9.5 s
 }
 
+// TestBoundsByDefault: settings that state none have the default ones; a share without requests
+// besides, or those without a share, stay as they are.
+func TestBoundsByDefault(t *testing.T) {
+	is := is.New(t)
+	observe := func(at time.Duration, d Decision) Observed {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		target := uint64(0.05 * float64(n))
+		if at > 6*time.Second {
+			target += n - 900
+		}
+		return Observed{Informed: true, TargetListed: true, OldIdle: true, Totals: map[string]*Pair{
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+		}}
+	}
+	all := seenWithin(Bounds{}, observe)
+	is.Equal(all[len(all)-1].Ending, Complete)
+	is.Equal(all, seenWithin(Bounds{Share: DefaultShare, Slack: DefaultSlack}, observe))
+	for _, b := range []Bounds{{Share: 0.2}, {Slack: 9}} {
+		is.Equal(b.orDefault(), b)
+	}
+}
+
 // TestNoServerOfTheTarget: what nothing can serve is not switched to, with or without requests.
 func TestNoServerOfTheTarget(t *testing.T) {
 	is := is.New(t)
