Directory: what a relay reported of a rollout counts while its session lives

Cause: the leader kept the totals of each run of a reporter. A relay's are the sums of its gateways, which report them anew to its next run, another relay or the leader: they counted twice, and a bad version was allowed a tenth of requests that never were. Change: a relay's totals are taken back with its session. So that a fall gives nothing away, the schedule keeps the most that the target was sent, and a count that has fallen says nothing of the rate until it is back. A gateway's own totals stay, as before.

--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -141,18 +141,25 @@
 // rateMeter averages the rate of requests.
 type rateMeter struct {
 	sent    uint64
-	weight  float64 // seconds
+	since   time.Duration // that count
+	weight  float64       // seconds
 	counted float64
 	begun   bool
 }
 
+// step takes the requests so far. A count that has fallen, because a relay's gateways report
+// elsewhere, says nothing until they do.
 func (m *rateMeter) step(passed time.Duration, sent uint64) {
+	m.since += passed
+	if m.begun && sent < m.sent {
+		return
+	}
 	if m.begun {
-		kept := math.Exp(-passed.Seconds() / rateTime.Seconds())
-		m.weight = m.weight*kept + passed.Seconds()
+		kept := math.Exp(-m.since.Seconds() / rateTime.Seconds())
+		m.weight = m.weight*kept + m.since.Seconds()
 		m.counted = m.counted*kept + rise(m.sent, sent)
 	}
-	m.begun, m.sent = true, max(m.sent, sent)
+	m.begun, m.sent, m.since = true, sent, 0
 }
 
 // perSecond returns the rate, and whether it is known.
@@ -175,6 +182,7 @@
 		d.Sent += p.Target.Sent
 		d.Of += p.Target.Sent + p.Old.Sent
 	}
+	d.Sent = max(d.Sent, s.decided.Sent) // what a relay's totals take with them was sent all the same
 	if !o.Informed {
 		s.rate = rateMeter{} // what comes now was sent at any time
 	}
--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -121,6 +122,27 @@
 	is.Equal(all[len(all)-1].Ending, Complete) // at the latest, it is good by what was seen
 }
 
+// TestTotalsThatFall: while a relay's gateways report to nobody, what the target was sent is not
+// given again, and the rate stays as it was.
+func TestTotalsThatFall(t *testing.T) {
+	is := is.New(t)
+	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		target := n / 15
+		if at >= 3*time.Second && at < 4*time.Second {
+			n, target = n/3, target/3
+		}
+		d := s.Step(Observed{Elapsed: at, Informed: true, TargetListed: true, Totals: map[string]*Pair{
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+		}})
+		is.True(d.Sent >= min(uint64(at/(100*time.Millisecond)), 29))
+		if rate, known := s.rate.perSecond(); known {
+			is.True(math.Abs(rate-150) < 1)
+		}
+	}
+}
+
 // TestLateLeaderMeasuresFirst: one that comes when it has to be decided knows the rate before it
 // says that too little is known; of a pool without requests nothing has to be.
 func TestLateLeaderMeasuresFirst(t *testing.T) {
--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -27,7 +27,7 @@
 	is := is.New(t)
 	r := newLeadRollout(document.Rollout{Target: "v2"})
 	report := func(boot, sent, failed uint64, version string, paces ...uint32) {
-		r.add(reporter{"g", boot}, protocol.Outcomes{Version: version, Route: "r", Sent: sent, Answered: sent - failed, Failed: failed, Paces: paces})
+		r.add(reporter{gateway: "g", boot: boot}, protocol.Outcomes{Version: version, Route: "r", Sent: sent, Answered: sent - failed, Failed: failed, Paces: paces})
 	}
 	report(1, 3, 1, "v2", 0, 2)
 	report(1, 10, 4, "v2", 0, 2, 7)
@@ -41,6 +41,41 @@
 	is.Equal([]uint64{old.Sent, old.Answered, old.Failed}, []uint64{11, 11, 0})
 }
 
+// TestRelaysCountOnce: what a relay reported counts while its session lives, since its gateways
+// report it elsewhere then, to the relay's next run, to another relay or to the leader itself.
+func TestRelaysCountOnce(t *testing.T) {
+	is := is.New(t)
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2", Attempt: 1})
+	h := &hub{}
+	h.rollouts = rollouts{underWay: map[string]*leadRollout{"p": r}, obeyed: map[*session]obedience{}}
+	report := func(s *session, sent, failed uint64, paces ...uint32) {
+		h.addOutcomes(s, protocol.Usage{Outcomes: []protocol.Outcomes{
+			{Pool: "p", Attempt: 1, Version: "v2", Route: "r", Sent: sent, Answered: sent - failed, Failed: failed, Paces: paces},
+		}})
+	}
+	total := func() []uint64 {
+		t := r.totals["r"].Target
+		return []uint64{t.Sent, t.Answered, t.Failed, t.Paces[1]}
+	}
+	north := &session{gateway: "relay", boot: 1, relay: true}
+	report(north, 30, 4, 0, 9)
+	report(&session{gateway: "g", boot: 1}, 10, 1, 0, 3)
+	is.Equal(total(), []uint64{40, 35, 5, 12})
+	h.forgetOutcomes(north)
+	is.Equal(total(), []uint64{10, 9, 1, 3})
+	again := &session{gateway: "relay", boot: 1, relay: true} // the same run, or another
+	report(again, 20, 3, 0, 6)                                // one of its gateways is not back yet
+	h.forgetOutcomes(north)                                   // the end of its link is noticed last
+	report(again, 31, 4, 0, 9)
+	is.Equal(total(), []uint64{41, 36, 5, 12})
+	report(again, 21, 1, 0, 3) // and goes to another relay
+	report(&session{gateway: "other relay", boot: 1, relay: true}, 10, 3, 0, 6)
+	is.Equal(total(), []uint64{41, 36, 5, 12})
+	gone := &session{gateway: "g", boot: 1}
+	h.forgetOutcomes(gone) // a gateway's own stay
+	is.Equal(total(), []uint64{41, 36, 5, 12})
+}
+
 // TestOtherVersions: also those whose servers are away when the rollout is complete, but none
 // that is barred.
 func TestOtherVersions(t *testing.T) {
@@ -53,7 +88,7 @@
 	}
 	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2", Barred: []string{"v3"}})
 	for _, v := range []string{"v0", "v2", "v3"} {
-		r.add(reporter{"g", 1}, protocol.Outcomes{Version: v, Route: "r", Sent: 1})
+		r.add(reporter{gateway: "g", boot: 1}, protocol.Outcomes{Version: v, Route: "r", Sent: 1})
 	}
 	is.Equal(h.otherVersions(r), []string{"", "v0", "v1"})
 }
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -64,10 +64,19 @@
 }
 
 // reporter is one run of a gateway: its totals begin at none when it starts again, and what the
-// run before had sent counts on.
+// run before had sent counts on. What a relay reports is the totals of its gateways, which may
+// report elsewhere next: it counts while the relay's session lives.
 type reporter struct {
 	gateway string
 	boot    uint64
+	relayed *session // a relay's session; nil: a gateway's own
+}
+
+func (s *session) reporter() reporter {
+	if s.relay {
+		return reporter{relayed: s}
+	}
+	return reporter{gateway: s.gateway, boot: s.boot}
 }
 
 type outcomeKey struct{ version, route string }
@@ -84,13 +93,13 @@
 	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
 	for _, o := range u.Outcomes {
 		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
-			r.add(reporter{s.gateway, s.boot}, o)
+			r.add(s.reporter(), o)
 		}
 	}
 }
 
-// add takes one reporter's totals in place of those before. One that are less come from a
-// reporter that counts anew, and add to them.
+// add takes one reporter's totals in place of those before. Only a relay's may be less: a
+// gateway has left it.
 func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
 	mine := r.reported[from]
 	if mine == nil {
@@ -354,9 +363,25 @@
 	}
 }
 
-// forgetOutcomes forgets what a session that has ended obeys. What it reported stays: the
+// forgetOutcomes forgets what a session that has ended obeys. What a gateway reported stays: the
 // target has had those requests.
-func (h *hub) forgetOutcomes(s *session) { delete(h.rollouts.obeyed, s) }
+func (h *hub) forgetOutcomes(s *session) {
+	delete(h.rollouts.obeyed, s)
+	if !s.relay {
+		return
+	}
+	for _, r := range h.rollouts.underWay {
+		r.forget(s.reporter())
+	}
+}
+
+// forget takes back what a reporter has reported.
+func (r *leadRollout) forget(from reporter) {
+	for key := range r.reported[from] {
+		r.add(from, protocol.Outcomes{Version: key.version, Route: key.route})
+	}
+	delete(r.reported, from)
+}
 
 // logStep logs what a rollout rests on.
 func (h *hub) logStep(now time.Duration, r *leadRollout) {
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -42,6 +42,7 @@
 	// knowsVersions is whether it obeys rollouts.
 	knowsVersions bool
 	boot          uint64 // drawn at each start of the gateway
+	relay         bool   // it reports the sums of a region's gateways
 }
 
 // pushChanges sends what has changed in the registry since the last time to every
@@ -147,7 +148,7 @@
 	}
 	s := &session{
 		gateway: w.Gateway, out: link.NewOutbox(l, sessionQueue), number: w.Number,
-		knowsHalls: w.KnowsHalls, knowsVersions: w.KnowsVersions, boot: w.Boot,
+		knowsHalls: w.KnowsHalls, knowsVersions: w.KnowsVersions, boot: w.Boot, relay: w.Relay,
 	}
 	list, ok := h.wholeList()
 	if !ok {
