--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -15,8 +15,8 @@
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
-// This file defines how the leader carries out the rollouts of pools: it gathers what gateways
-// report, has package rollout decide, and sends the gateways the shares. All runs in the hub's
+// This file defines how the leader carries out the rollouts of pools: it has package rollout
+// decide on what gateways report (outcomes.go), and sends them the shares. All runs in the hub's
 // goroutine.
 
 // informedAfter is how long a new leader waits for the gateways' first reports before it gives
@@ -45,10 +45,6 @@
 	encoded  protocol.Encoded
 }
 
-// obedience is the newest lists that a session's last two reports obeyed: a report's loads were
-// taken before its list, so that only the one after says what runs under it.
-type obedience struct{ last, before uint64 }
-
 // leadRollout is one rollout under way.
 type leadRollout struct {
 	document.Rollout
@@ -63,24 +59,6 @@
 	loggedAt  time.Duration
 }
 
-// reporter is one run of a gateway: its totals begin at none when it starts again, and what the
-// run before had sent counts on. What a relay reports is the totals of its gateways, which may
-// report elsewhere next: it counts while the relay's session lives.
-type reporter struct {
-	gateway string
-	boot    uint64
-	relayed *session // a relay's session; nil: a gateway's own
-}
-
-func (s *session) reporter() reporter {
-	if s.relay {
-		return reporter{relayed: s}
-	}
-	return reporter{gateway: s.gateway, boot: s.boot}
-}
-
-type outcomeKey struct{ version, route string }
-
 // beginRollouts begins a term with the rollouts that the log holds.
 func (h *hub) beginRollouts() {
 	h.rollouts = rollouts{
@@ -88,51 +66,6 @@
 	}
 }
 
-// addOutcomes takes a gateway's report.
-func (h *hub) addOutcomes(s *session, u protocol.Usage) {
-	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
-	for _, o := range u.Outcomes {
-		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
-			r.add(s.reporter(), o)
-		}
-	}
-}
-
-// add takes one reporter's totals in place of those before. Only a relay's may be less: a
-// gateway has left it.
-func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
-	mine := r.reported[from]
-	if mine == nil {
-		mine = map[outcomeKey]protocol.Outcomes{}
-		r.reported[from] = mine
-	}
-	key := outcomeKey{o.Version, o.Route}
-	before := mine[key]
-	mine[key] = o
-	pair := r.totals[o.Route]
-	if pair == nil {
-		pair = &rollout.Pair{}
-		r.totals[o.Route] = pair
-	}
-	t := &pair.Old
-	if o.Version == r.Target {
-		t = &pair.Target
-	}
-	t.Sent += o.Sent - before.Sent // wraps around where it is less
-	t.Answered += o.Answered - before.Answered
-	t.Failed += o.Failed - before.Failed
-	for i := range t.Paces {
-		t.Paces[i] += paces(o, i) - paces(before, i)
-	}
-}
-
-func paces(o protocol.Outcomes, bucket int) uint64 {
-	if bucket < len(o.Paces) {
-		return uint64(o.Paces[bucket])
-	}
-	return 0
-}
-
 // stepRollouts decides on each rollout under way. It is called with each tick and each change
 // of the applied state.
 func (h *hub) stepRollouts() {
@@ -363,26 +296,6 @@
 	}
 }
 
-// forgetOutcomes forgets what a session that has ended obeys. What a gateway reported stays: the
-// target has had those requests.
-func (h *hub) forgetOutcomes(s *session) {
-	delete(h.rollouts.obeyed, s)
-	if !s.relay {
-		return
-	}
-	for _, r := range h.rollouts.underWay {
-		r.forget(s.reporter())
-	}
-}
-
-// forget takes back what a reporter has reported.
-func (r *leadRollout) forget(from reporter) {
-	for key := range r.reported[from] {
-		r.add(from, protocol.Outcomes{Version: key.version, Route: key.route})
-	}
-	delete(r.reported, from)
-}
-
 // logStep logs what a rollout rests on.
 func (h *hub) logStep(now time.Duration, r *leadRollout) {
 	r.loggedAt = now
