Gateway: a list counts as obeyed only while its shares are in force

Cause: a gateway reported the newest list as obeyed also without a lease, while it distrusted or had barred the target, and with the number of an earlier term: it sends to the old servers then, and complete could be said meanwhile, after which they stop. Change: none is obeyed in these cases.

--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -73,7 +73,7 @@
 
 // takeOutcomes returns what a report says of rollouts: the outcomes that have changed since
 // the last one, and the number of the newest list that is obeyed.
-func (t *table) takeOutcomes() (out []protocol.Outcomes, obeyed uint64) {
+func (t *table) takeOutcomes(now time.Duration) (out []protocol.Outcomes, obeyed uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, p := range t.pools {
@@ -90,7 +90,22 @@
 	slices.SortFunc(out, func(a, b protocol.Outcomes) int {
 		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Version, b.Version), strings.Compare(a.Route, b.Route))
 	})
-	return out, t.rollouts.seq
+	return out, t.obeyed(now)
+}
+
+// obeyed returns the number of the newest list that is obeyed. None is while shares are not in
+// force, or while this gateway sends a target less than the list gives it: the old servers are
+// needed here then. The caller holds mu.
+func (t *table) obeyed(now time.Duration) uint64 {
+	if now >= t.sharesUntil {
+		return 0
+	}
+	for _, p := range t.pools {
+		if r := p.rollout; r != nil && (r.barredHere || r.underWay() && r.mistrust.holds(now)) {
+			return 0
+		}
+	}
+	return t.rollouts.seq
 }
 
 func (c *tally) report(pool string, attempt uint64, key tallyKey) protocol.Outcomes {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -42,11 +42,12 @@
 // poolRollout is a pool's rollouts, as the directory's newest list has them.
 type poolRollout struct {
 	protocol.Rollout
-	routes    map[string]float64 // shares
-	switched  bool               // the target was given all requests last
-	oldListed bool               // a server of the old version is listed, in a hall in service
-	outcomes  outcomes
-	mistrust  mistrust
+	routes     map[string]float64 // shares
+	switched   bool               // the target was given all requests last
+	barredHere bool               // an earlier leader barred the target, and the list does not
+	oldListed  bool               // a server of the old version is listed, in a hall in service
+	outcomes   outcomes
+	mistrust   mistrust
 }
 
 // underWay reports whether there is a target that may have requests.
@@ -93,8 +94,9 @@
 	}
 	// What a leader has barred before the log had it stays barred: the next leader may not
 	// know. Only the log's end of this attempt, or another attempt, says otherwise.
-	if next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
-		!slices.Contains(next.Barred, next.Target) {
+	r.barredHere = next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
+		!slices.Contains(next.Barred, next.Target)
+	if r.barredHere {
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -148,6 +148,40 @@
 	}, oldAndNew...)
 }
 
+// TestObeyed: a list is while its shares are in force here and nothing keeps requests from the
+// target; else the old servers are needed.
+func TestObeyed(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		obeyed := func() uint64 {
+			_, seq := x.g.table.takeOutcomes(x.g.now())
+			return seq
+		}
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 7, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		is.Equal(obeyed(), uint64(0)) // no report was counted
+		x.leaseShares()
+		is.Equal(obeyed(), uint64(7))
+		time.Sleep(sharesLease)
+		is.Equal(obeyed(), uint64(0))
+		x.leaseShares()
+		x.served("/once/1", badInARow)
+		is.Equal(obeyed(), uint64(0)) // bad answers in a row
+		time.Sleep(mistrustFor)
+		x.leaseShares()
+		is.Equal(obeyed(), uint64(7))
+		x.rollouts(1, 8, protocol.Rollout{Attempt: 1, Target: "v2", Barred: []string{"v2"}})
+		is.Equal(obeyed(), uint64(8))
+		x.g.table.update(protocol.Servers{Term: 2, Whole: true})
+		is.Equal(obeyed(), uint64(0)) // it is the number of another term
+		x.rollouts(2, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		x.leaseShares()
+		is.Equal(obeyed(), uint64(0)) // the leader before has barred the target
+		x.rollouts(2, 2, protocol.Rollout{Attempt: 1, Barred: []string{"v2"}})
+		is.Equal(obeyed(), uint64(2))
+	}, answers(200, "old", time.Millisecond), answers(500, "bad", time.Millisecond))
+}
+
 // TestRetryGoesToTheOldVersion: what failed at the target, and what found no room there.
 func TestRetryGoesToTheOldVersion(t *testing.T) {
 	bubble(t, func(x *fixture) {
@@ -157,7 +191,7 @@
 		x.leaseShares()
 		is.Equal(x.served("/again/1", 3), map[string]int{"old": 3})
 		var sent, failed uint64
-		outcomes, obeyed := x.g.table.takeOutcomes()
+		outcomes, obeyed := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(obeyed, uint64(1))
 		for _, o := range outcomes {
 			if o.Version == "v2" {
@@ -273,7 +307,7 @@
 		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.9}) // lots are always low
 		x.leaseShares()
 		is.Equal(x.served("/once/1", 10), map[string]int{"new": 2, "old": 8})
-		outcomes, _ := x.g.table.takeOutcomes()
+		outcomes, _ := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(outcomes[1].Version, "v2")
 		is.Equal(outcomes[1].Answered, uint64(2))
 		is.Equal(len(outcomes[1].Paces), 0)
@@ -290,18 +324,18 @@
 		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
 		x.leaseShares()
 		x.served("/once/1", 2)
-		first, _ := x.g.table.takeOutcomes()
+		first, _ := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(len(first), 1)
 		is.Equal([]uint64{first[0].Sent, first[0].Answered, first[0].Failed}, []uint64{2, 2, 0})
-		none, _ := x.g.table.takeOutcomes()
+		none, _ := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(len(none), 0)
 		x.g.table.update(protocol.Servers{Term: 1, Whole: true, Set: []protocol.Server{x.g.table.servers["p0"].Server, x.g.table.servers["p1"].Server}})
-		again, _ := x.g.table.takeOutcomes()
+		again, _ := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(again, first)
 		x.leaseShares()
 		x.servers.does[x.g.table.servers["p1"].Address] = hangs
 		is.Equal(x.ask("/once/1", "Patience", "800").status, 504)
-		slow, _ := x.g.table.takeOutcomes()
+		slow, _ := x.g.table.takeOutcomes(x.g.now())
 		is.Equal(slow[0].Sent, uint64(3))
 		is.Equal(slow[0].Failed, uint64(0))
 		is.Equal(slow[0].Paces[rollout.PaceBucket(16)], uint32(1)) // 800 of 50 ms
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -195,7 +195,7 @@
 		seq++
 		u := w.g.accounts.takeReport()
 		u.Seq, u.Loads, u.Number = seq, w.g.table.takeReport(seq), w.g.DocumentNumber()
-		u.Outcomes, u.Obeyed = w.g.table.takeOutcomes()
+		u.Outcomes, u.Obeyed = w.g.table.takeOutcomes(w.g.now())
 		if err := l.Send(ctx, u); err != nil {
 			return // receive fails as well, and logs it
 		}
