Tests: replicas are read under a lock while they end and start

Cause: TestGoodVersionCompletes and TestBadVersionIsRolledBack announce servers from a goroutine of their own and read the replicas that the test ends and starts: 5 subtests had data races under -race. Change: a lock for a node's directory.

--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -58,6 +58,7 @@
 	gateways map[string]*gatewayNode
 	beats    map[string]uint64 // announcements made, by backend server
 	wanted   int               // replicas that vote
+	mu       sync.Mutex        // for the nodes' d, which are read while replicas end and start
 }
 
 // directoryNode is one replica and what survives its restarts.
@@ -131,17 +132,23 @@
 		x.t.Fatal(err)
 	}
 	stop := x.serve(ip+":7400", d)
-	n.d = d
+	x.set(n, d)
 	n.kill = func() {
 		stop()
 		x.net.Kill(ip)
 		cancel()
 		<-d.Done()
 		log.Close()
-		n.d = nil
+		x.set(n, nil)
 	}
 }
 
+func (x *fleet) set(n *directoryNode, d *directory.Directory) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n.d = d
+}
+
 // serve accepts links at an address until the returned function is called.
 func (x *fleet) serve(address string, h http.Handler) (stop func()) {
 	l, err := x.net.Listen(address)
@@ -183,6 +190,16 @@
 	return nil
 }
 
+// leading returns the directory that leads, or nil; any goroutine may call it.
+func (x *fleet) leading() *directory.Directory {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if n := x.leader(); n != nil {
+		return n.d
+	}
+	return nil
+}
+
 // voters returns the replicas that vote, as the leader knows them.
 func (x *fleet) voters() []string {
 	var ips []string
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -151,18 +151,18 @@
 // announceVersion announces a server of the target only once a rollout is under way: without
 // one it would get its part of the requests.
 func (x *fleet) announceVersion(id, version string) {
-	l := x.leader()
-	if l == nil {
+	d := x.leading()
+	if d == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
 	defer cancel()
-	if _, err := l.d.Rollout(ctx, "p"); err != nil && version == "v2" {
+	if _, err := d.Rollout(ctx, "p"); err != nil && version == "v2" {
 		return
 	}
 	x.beats[id]++
 	// Whoever does not lead any more refuses it.
-	_ = l.d.Announce(ctx, registry.Announcement{
+	_ = d.Announce(ctx, registry.Announcement{
 		Registration: protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 40, Version: version}, Seq: x.beats[id],
 	})
 }
