Golden: the log lines of a rollout under way

Cause: TestGoldenMetricsAndLogKeys was flaky since the leader carries out rollouts: it began and aborted one without a wait, and whether the leader's goroutine saw it begin, and wrote 'rollout step' and 'rollout ended', was left to the scheduler.

--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -122,6 +122,7 @@
 			synctest.Wait()
 		}
 		is.New(t).NoErr(d.StartRollout(t.Context(), rollout.Order{Pool: "p", Target: "v2", Duration: time.Hour}))
+		time.Sleep(interval) // for the leader to see it begin
 		is.New(t).NoErr(d.AbortRollout(t.Context(), "p"))
 		is.New(t).NoErr(x.announce("b1", true))
 		time.Sleep(5 * interval)
