Rollouts: a verdict that the log lacks is told the next leader

Cause: a leader bars a target at gateways before the log has it. If it went in between, as while it had lost its majority, the next one judged all answers since the order at once, where 400 good ones outweigh 6 bad ones, could give the target all requests, which barred gateways do not obey, and say complete when the time was nearly over; with that the bar fell, and all requests went there. Change: gateways report what they have barred beyond the newest list; the leader rolls it back.

--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -76,6 +76,23 @@
 	is.Equal(total(), []uint64{41, 36, 5, 12})
 }
 
+// TestVerdictOfTheLeaderBefore: it may have reached gateways and not the log; what was seen since
+// need not repeat it.
+func TestVerdictOfTheLeaderBefore(t *testing.T) {
+	is := is.New(t)
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2", Attempt: 2})
+	h := &hub{}
+	h.rollouts = rollouts{underWay: map[string]*leadRollout{"p": r}, obeyed: map[*session]obedience{}}
+	report := func(list ...protocol.Barred) {
+		h.addOutcomes(&session{gateway: "g", boot: 1}, protocol.Usage{Barred: list})
+	}
+	report(protocol.Barred{Pool: "p", Attempt: 1}, protocol.Barred{Pool: "q", Attempt: 2})
+	is.Equal(r.decision.Ending, rollout.GoOn)
+	report(protocol.Barred{Pool: "p", Attempt: 2})
+	is.Equal(r.decision.Ending, rollout.RollBack)
+	is.Equal(r.entry(protocol.Rollout{}), protocol.Rollout{Target: "v2", Barred: []string{"v2"}})
+}
+
 // TestOtherVersions: also those whose servers are away when the rollout is complete, but none
 // that is barred.
 func TestOtherVersions(t *testing.T) {
--- a/directory/outcomes.go
+++ b/directory/outcomes.go
@@ -40,6 +40,19 @@
 			r.add(s.reporter(), o)
 		}
 	}
+	h.takeBarred(u.Barred)
+}
+
+// barredBefore is why a target is rolled back that the leader before has barred, for the log.
+const barredBefore = "barred by the leader before"
+
+// takeBarred takes what a gateway has barred by a verdict that the log may lack.
+func (h *hub) takeBarred(list []protocol.Barred) {
+	for _, b := range list {
+		if r := h.rollouts.underWay[b.Pool]; r != nil && r.Attempt == b.Attempt && r.decision.Ending != rollout.RollBack {
+			r.decision.Ending, r.decision.Why = rollout.RollBack, barredBefore
+		}
+	}
 }
 
 // add takes one reporter's totals in place of those before. Only a relay's may be less: a
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -93,6 +93,20 @@
 	return out, t.obeyed(now)
 }
 
+// barredHere returns the targets that an earlier leader has barred and the newest list has not.
+func (t *table) barredHere() []protocol.Barred {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var barred []protocol.Barred
+	for name, p := range t.pools {
+		if r := p.rollout; r != nil && r.barredHere {
+			barred = append(barred, protocol.Barred{Pool: name, Attempt: r.Attempt})
+		}
+	}
+	slices.SortFunc(barred, func(a, b protocol.Barred) int { return strings.Compare(a.Pool, b.Pool) })
+	return barred
+}
+
 // obeyed returns the number of the newest list that is obeyed. None is while shares are not in
 // force, or while this gateway sends a target less than the list gives it: the old servers are
 // needed here then. The caller holds mu.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -196,6 +196,7 @@
 		u := w.g.accounts.takeReport()
 		u.Seq, u.Loads, u.Number = seq, w.g.table.takeReport(seq), w.g.DocumentNumber()
 		u.Outcomes, u.Obeyed = w.g.table.takeOutcomes(w.g.now())
+		u.Barred = w.g.table.barredHere()
 		if err := l.Send(ctx, u); err != nil {
 			return // receive fails as well, and logs it
 		}
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -97,7 +97,7 @@
 			{Pool: "web", Attempt: 98, Version: "v7", Route: "pay", Sent: 99, Answered: 100, Failed: 101, Paces: []uint32{102, 0, 103}},
 			{Pool: "web", Attempt: 104, Version: "v6"},
 		},
-		Obeyed: 105,
+		Obeyed: 105, Barred: []Barred{{Pool: "web", Attempt: 106}},
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -184,7 +184,7 @@
 		}
 		return m
 	case Usage:
-		m.Outcomes, m.Obeyed = nil, 0
+		m.Outcomes, m.Obeyed, m.Barred = nil, 0, nil
 		return m
 	case Announce:
 		m.List = slices.Clone(m.List)
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -40,6 +40,13 @@
 	List []Rollout `cbor:"3,keyasint,omitempty"`
 }
 
+// Barred names the rollout whose target gets nothing.
+type Barred struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    string
+	Attempt uint64 // of the pool's rollouts
+}
+
 // Outcomes counts how the attempts at one version of a pool's servers ended on one route,
 // since the gateway took notice of the rollout. A later report replaces an earlier one, so
 // that one that is lost or comes twice changes nothing.
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -134,6 +134,9 @@
 	Outcomes []Outcomes `cbor:"9,keyasint,omitempty"`
 	// Obeyed is the Seq of the newest [Rollouts] that the gateway obeys, of the session's term.
 	Obeyed uint64 `cbor:"10,keyasint,omitempty"`
+	// Barred are targets that a leader has barred here and the newest [Rollouts] has not: the log
+	// may lack the verdict. Number 11 is taken.
+	Barred []Barred `cbor:"12,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
