Gateway: versions are sorted anew when a misdirected server is dropped

Cause: dropping the last old server left it listed for the pool's rollout, and requests found no server although the target had some, until the next list. Measured: TestLastOldServerTurnsOut failed before, passes now.

--- a/gateway/table.go
+++ b/gateway/table.go
@@ -221,6 +221,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(id)
+	t.sortVersions()
 }
 
 // updateLoads takes the sums over all gateways that have changed. They hold this
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -148,6 +148,18 @@
 	}, oldAndNew...)
 }
 
+// TestLastOldServerTurnsOut to be another: the target gets all then, as without any old one.
+func TestLastOldServerTurnsOut(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2"})
+		x.leaseShares()
+		x.g.table.removeMisdirected("p0")
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+	}, oldAndNew...)
+}
+
 // TestObeyed: a list is while its shares are in force here and nothing keeps requests from the
 // target; else the old servers are needed.
 func TestObeyed(t *testing.T) {
