Gateway: one server of a target that cannot be reached is no evidence against the version

Cause: a trial goes to few of the target's servers, and three failures are a verdict: a server that crashed in the trial rolled a good version back. Change: attempts that got no connection, which cost no caller anything, wait to be counted until a second server of the target cannot be reached either, or that one answers others within a second. A target's only server counts as before. Requests lost on the way still count.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,6 +101,7 @@
 		return outcome{execution: retry.NotSent, cause: "caller left", blame: outlier.NoVerdict, err: err}
 	}
 	if !not.Refused {
+		a.unreached = true
 		return outcome{execution: retry.NotSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -52,6 +52,7 @@
 	trial       bool          // of an ejected server
 	tried       tried         // of a pool that had a rollout
 	answering   bool          // a part of the answer has come
+	unreached   bool          // it got no connection
 	ended       bool
 }
 
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -145,7 +145,7 @@
 // over took that time at least. The caller holds mu.
 func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) {
 	c := a.tried.tally
-	if c == nil {
+	if c == nil || g.countUnreached(p, a, v) {
 		return
 	}
 	switch v {
@@ -168,6 +168,34 @@
 	}
 }
 
+// countUnreached notes which of several servers of a target cannot be reached, and reports whether
+// the attempt is not counted for that. The caller holds mu.
+func (g *Gateway) countUnreached(p *pool, a *assignment, v outlier.Verdict) bool {
+	r := p.rollout
+	if !a.tried.target || r.Attempt != a.tried.attempt {
+		return false
+	}
+	switch {
+	case v == outlier.Answered:
+		r.unreached.answered(g.now(), a.server)
+	case v == outlier.Lost && a.unreached && p.targets() > 1:
+		r.unreached.add(g.now(), a.server, a.tried.tally)
+		return true
+	}
+	return false
+}
+
+// targets returns how many servers the target has. The caller holds mu.
+func (p *pool) targets() int {
+	n := 0
+	for _, k := range p.servers {
+		if k.versions&targetVersion != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Mistrust: chosen, not measured.
 const (
 	badInARow   = 4               // of the target's answers; of a version that fails 20 % one of 600
--- /dev/null
+++ b/gateway/unreached.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import "time"
+
+// This file defines unreached, which keeps one server that has gone from speaking against its
+// whole version. An attempt that got no connection costs no caller anything: it goes elsewhere.
+
+// Chosen, not measured.
+const (
+	// unreachedFor is for how long a server that could not be reached counts as such. An ejected
+	// one is tried again within that (outlier.longestWait).
+	unreachedFor = 12 * time.Second
+	// unreachedAnswers is how soon after that an answer of the server shows that it has not gone,
+	// but refuses some. One that has gone needs longer to start again.
+	unreachedAnswers = time.Second
+	// maxUnreached bounds the attempts at one server that wait to be counted; it is ejected after
+	// a few.
+	maxUnreached = 16
+)
+
+// unreached is, by the servers of a target that could not be reached, the attempts at them that
+// are not counted as failed. The zero value has none. It is guarded by table.mu.
+type unreached map[string]*gone
+
+type gone struct {
+	at      time.Duration // the newest
+	tallies []*tally
+}
+
+// add takes an attempt at a server that could not be reached. Once it is not the only one, all
+// that waited are counted.
+func (u unreached) add(now time.Duration, server string, c *tally) {
+	g := u[server]
+	if g == nil {
+		g = &gone{}
+		u[server] = g
+	}
+	g.at = now
+	if len(g.tallies) < maxUnreached {
+		g.tallies = append(g.tallies, c)
+	}
+	fresh := 0
+	for id, other := range u {
+		if now-other.at >= unreachedFor {
+			delete(u, id)
+			continue
+		}
+		fresh++
+	}
+	if fresh < 2 {
+		return
+	}
+	for _, other := range u {
+		other.count()
+	}
+}
+
+// answered takes an answer of a server.
+func (u unreached) answered(now time.Duration, server string) {
+	g := u[server]
+	if g == nil {
+		return
+	}
+	if now-g.at < unreachedAnswers {
+		g.count()
+	}
+	delete(u, server)
+}
+
+func (g *gone) count() {
+	for _, c := range g.tallies {
+		c.failed++
+		c.changed = true
+	}
+	g.tallies = nil
+}
--- /dev/null
+++ b/gateway/unreached_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests how a target's servers that cannot be reached count.
+
+// failedAtTarget returns how many attempts at the target were reported as failed.
+func (x *fixture) failedAtTarget() (failed uint64) {
+	x.g.table.beginOutcomes() // all are reported
+	outcomes, _ := x.g.table.takeOutcomes(x.g.now())
+	for _, o := range outcomes {
+		if o.Version == "v2" {
+			failed += o.Failed
+		}
+	}
+	return failed
+}
+
+// askEach asks some times, with pauses in which no ejection ends.
+func (x *fixture) askEach(times int) {
+	for range times {
+		x.leaseShares()
+		x.ask("/again/1", "Patience", "800")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestOneServerIsGone: it does not speak against the version, but two do, and an only one.
+func TestOneServerIsGone(t *testing.T) {
+	unreachable, fine := fails(forward.NotRun{Err: errReset}), answers(200, "new", time.Millisecond)
+	old := answers(200, "old", time.Millisecond)
+	for _, tt := range []struct {
+		name   string
+		counts bool
+		target []behaviour
+	}{
+		{"one of two", false, []behaviour{unreachable, fine}},
+		{"both", true, []behaviour{unreachable, unreachable}},
+		{"the only one", true, []behaviour{unreachable}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.versionsOf([]string{"v1", "v2", "v2"}[:1+len(tt.target)]...)
+				x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+				x.askEach(20)
+				is.New(x.t).Equal(x.failedAtTarget() > 0, tt.counts)
+			}, append([]behaviour{old}, tt.target...)...)
+		})
+	}
+}
+
+// TestUnreachedThatAnswers: a server that refuses some connections and answers others is bad; one
+// that starts again is not.
+func TestUnreachedThatAnswers(t *testing.T) {
+	is := is.New(t)
+	c := &tally{}
+	u := unreached{}
+	u.add(time.Second, "a", c)
+	u.answered(time.Second+unreachedAnswers, "a")
+	is.Equal(c.failed, uint64(0))
+	u.add(5*time.Second, "a", c)
+	u.add(5*time.Second, "a", c)
+	u.answered(5*time.Second+unreachedAnswers/2, "a")
+	is.Equal(c.failed, uint64(2))
+	is.True(c.changed)
+	u.add(6*time.Second, "a", c)
+	u.add(6*time.Second+unreachedFor, "b", c) // long after
+	is.Equal(c.failed, uint64(2))
+	u.add(7*time.Second+unreachedFor, "a", c)
+	is.Equal(c.failed, uint64(4))
+	u = unreached{}
+	for range 2 * maxUnreached {
+		u.add(time.Second, "a", c)
+	}
+	is.Equal(c.failed, uint64(4))
+	u.add(time.Second, "b", c)
+	is.Equal(c.failed, uint64(4+maxUnreached+1))
+}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -48,6 +48,7 @@
 	oldListed  bool               // a server of the old version is listed, in a hall in service
 	outcomes   outcomes
 	mistrust   mistrust
+	unreached  unreached
 }
 
 // underWay reports whether there is a target that may have requests.
@@ -86,7 +87,7 @@
 func (p *pool) take(next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{}
+		r = &poolRollout{unreached: unreached{}}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -100,7 +101,7 @@
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.mistrust = outcomes{}, mistrust{}
+		r.outcomes, r.mistrust, r.unreached = outcomes{}, mistrust{}, unreached{}
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
