Gateway: a trial goes on without a server that cannot be reached

Cause: with its one server gone, a trial had no more answers until the directory had dropped it: a good version whose server went at once was rolled back as too little known, and one that could not be reached at all from 3 s on was switched to and rolled back at 7.4 s. Change: those in the trial are chosen among the target's servers without it; if the next cannot be reached either, both count.

--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -37,12 +37,17 @@
 type versioned struct {
 	unnamed bool // the old servers name no version
 	fails   func(sinceOrder time.Duration) float64
+	// gone is after which time since the order servers of the target cannot be reached: the one
+	// that had a request first, or all. 0: none.
+	gone    time.Duration
+	allGone bool
 
 	mu      sync.Mutex
 	rng     *rand.Rand
 	ordered time.Time
 	target  []time.Time // arrivals at it
 	old     []time.Time
+	first   string  // server of the target that had a request
 	room    float64 // the least that the bound left, at any moment
 	bad     int     // answers of the target
 	fifty   time.Time
@@ -64,6 +69,9 @@
 		return false
 	}
 	v.target = append(v.target, now)
+	if v.first == "" {
+		v.first = address
+	}
 	sent, of := float64(len(v.target)), float64(len(v.target)+len(v.old))
 	v.room = min(v.room, exposure.Share*of+exposure.Slack-sent)
 	return v.fails != nil && v.rng.Float64() < v.fails(now.Sub(v.ordered))
@@ -73,6 +81,9 @@
 
 func (v *versioned) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
 	fails := v.arrive(at)
+	if v.hasGone(at) {
+		return nil, forward.NotRun{Server: at, Err: io.ErrClosedPipe}
+	}
 	if !sleep.For(ctx, 20*time.Millisecond) {
 		return nil, forward.Unknown{Server: at, Err: ctx.Err()}
 	}
@@ -84,6 +95,12 @@
 	return answer, nil
 }
 
+func (v *versioned) hasGone(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.gone > 0 && !v.ordered.IsZero() && time.Since(v.ordered) >= v.gone && address >= address4 && (v.allGone || address == v.first)
+}
+
 func (v *versioned) countBad() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -111,7 +128,7 @@
 func (x *fleet) rolling(v *versioned, f func()) {
 	is := is.New(x.t)
 	x.put(1)
-	stop := x.keepVersions(v.unnamed)
+	stop := x.keepVersions(v)
 	defer stop()
 	for i := range 3 {
 		x.loaded(rolloutGateway(i), v, rolloutPeriod)
@@ -131,9 +148,9 @@
 
 // keepVersions announces the servers of both versions in each interval, until stop. Before the
 // order the target's do not run.
-func (x *fleet) keepVersions(unnamed bool) (stop func()) {
+func (x *fleet) keepVersions(v *versioned) (stop func()) {
 	versions := []string{"v1", "v2"}
-	if unnamed {
+	if v.unnamed {
 		versions[0] = ""
 	}
 	ctx, cancel := context.WithCancel(x.t.Context())
@@ -141,7 +158,9 @@
 	running.Go(func() {
 		for range sleep.Every(ctx, interval) {
 			for i := range 6 {
-				x.announceVersion(fmt.Sprint("b", i+1), versions[i/3])
+				if id := fmt.Sprint("b", i+1); v.allGone || !v.hasGone(address(id)) {
+					x.announceVersion(id, versions[i/3])
+				}
 			}
 		}
 	})
@@ -263,6 +282,29 @@
 	})
 }
 
+// TestServersOfTheTargetGo: one that crashes in the trial rolls a good version back as little as
+// one of the old version would stop; a version that cannot be reached at all is rolled back.
+func TestServersOfTheTargetGo(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		for _, at := range []time.Duration{time.Millisecond, 3 * time.Second, 5 * time.Second} {
+			t.Run(fmt.Sprint("all ", all, " ", at), func(t *testing.T) {
+				inFleet(t, 3, func(x *fleet) {
+					is := is.New(x.t)
+					v := &versioned{gone: at, allGone: all}
+					x.rolling(v, func() {
+						state, after := x.ended(v)
+						x.t.Logf("%v after %v, %d requests to the target, %.0f below the bound at least", state, after, len(v.target), v.room)
+						is.Equal(state == document.RolloutRolledBack, all)
+						is.Equal(state == document.RolloutComplete, !all)
+						is.True(after <= rolloutTime)
+						is.True(!all || v.room >= 0)
+					})
+				})
+			})
+		}
+	}
+}
+
 // TestBadVersionIsRolledBack: within the bounds, whatever fails meanwhile, and for good.
 func TestBadVersionIsRolledBack(t *testing.T) {
 	versions := []struct {
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -177,9 +177,12 @@
 	}
 	switch {
 	case v == outlier.Answered:
-		r.unreached.answered(g.now(), a.server)
+		if r.unreached.answered(g.now(), a.server) {
+			p.sortVersions(g.table.hallsOut)
+		}
 	case v == outlier.Lost && a.unreached && p.targets() > 1:
 		r.unreached.add(g.now(), a.server, a.tried.tally)
+		p.sortVersions(g.table.hallsOut)
 		return true
 	}
 	return false
--- a/gateway/unreached.go
+++ b/gateway/unreached.go
@@ -57,16 +57,35 @@
 	}
 }
 
-// answered takes an answer of a server.
-func (u unreached) answered(now time.Duration, server string) {
+// answered takes an answer of a server and reports whether it could not be reached before.
+func (u unreached) answered(now time.Duration, server string) bool {
 	g := u[server]
 	if g == nil {
-		return
+		return false
 	}
 	if now-g.at < unreachedAnswers {
 		g.count()
 	}
 	delete(u, server)
+	return true
+}
+
+// others returns the servers that could be reached, or all if there is none: a trial goes on with
+// another server.
+func (u unreached) others(servers []*knownServer) []*knownServer {
+	if len(u) == 0 {
+		return servers
+	}
+	var reached []*knownServer
+	for _, k := range servers {
+		if u[k.ID] == nil {
+			reached = append(reached, k)
+		}
+	}
+	if len(reached) == 0 {
+		return servers
+	}
+	return reached
 }
 
 func (g *gone) count() {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -145,7 +145,7 @@
 			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(target, r.Share) {
+	for _, k := range trialServers(r.unreached.others(target), r.Share) {
 		k.versions |= trialVersion
 	}
 }
