--- /dev/null
+++ b/directory/versioned_test.go
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file defines a fleet with servers of two versions, gateways under load, and a rollout.
+
+// Of each test's rollout.
+const (
+	rolloutTime   = 12 * time.Second
+	rolloutPeriod = 20 * time.Millisecond // between two requests of a gateway
+)
+
+// versioned is backend servers b1 to b3 of the old version and b4 to b6 of the target, which
+// answer after 20 ms; the target's fail a part.
+type versioned struct {
+	unnamed bool // the old servers name no version
+	fails   func(sinceOrder time.Duration) float64
+	// gone is after which time since the order servers of the target cannot be reached: the one
+	// that had a request first, or all. 0: none.
+	gone    time.Duration
+	allGone bool
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	ordered time.Time
+	target  []time.Time // arrivals at it
+	old     []time.Time
+	first   string  // server of the target that had a request
+	room    float64 // the least that the bound left, at any moment
+	bad     int     // answers of the target
+	fifty   time.Time
+}
+
+func (v *versioned) DropIdle(string) {}
+func (v *versioned) DropAllIdle()    {}
+
+// arrive counts an arrival and returns whether it fails.
+func (v *versioned) arrive(address string) (fails bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	if v.ordered.IsZero() {
+		return false
+	}
+	if address < address4 {
+		v.old = append(v.old, now)
+		return false
+	}
+	v.target = append(v.target, now)
+	if v.first == "" {
+		v.first = address
+	}
+	sent, of := float64(len(v.target)), float64(len(v.target)+len(v.old))
+	v.room = min(v.room, exposure.Share*of+exposure.Slack-sent)
+	return v.fails != nil && v.rng.Float64() < v.fails(now.Sub(v.ordered))
+}
+
+var address4 = address("b4")
+
+func (v *versioned) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+	fails := v.arrive(at)
+	if v.hasGone(at) {
+		return nil, forward.NotRun{Server: at, Err: io.ErrClosedPipe}
+	}
+	if !sleep.For(ctx, 20*time.Millisecond) {
+		return nil, forward.Unknown{Server: at, Err: ctx.Err()}
+	}
+	answer := &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}
+	if fails {
+		answer.Status = 500
+		v.countBad()
+	}
+	return answer, nil
+}
+
+func (v *versioned) hasGone(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.gone > 0 && !v.ordered.IsZero() && time.Since(v.ordered) >= v.gone && address >= address4 && (v.allGone || address == v.first)
+}
+
+func (v *versioned) countBad() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.bad++; v.bad == 50 {
+		v.fifty = time.Now()
+	}
+}
+
+// after counts the arrivals at both versions after a time.
+func (v *versioned) after(from time.Time) (target, old int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	count := func(times []time.Time) (n int) {
+		for _, t := range times {
+			if t.After(from) {
+				n++
+			}
+		}
+		return n
+	}
+	return count(v.target), count(v.old)
+}
+
+// rolling is a fleet with gateways under load and a rollout to the target that begins now.
+func (x *fleet) rolling(v *versioned, f func()) {
+	is := is.New(x.t)
+	x.put(1)
+	stop := x.keepVersions(v)
+	defer stop()
+	for i := range 3 {
+		x.loaded(rolloutGateway(i), v, rolloutPeriod)
+	}
+	time.Sleep(3 * time.Second)
+	v.mu.Lock()
+	v.rng, v.room = rand.New(rand.NewPCG(1, 2)), exposure.Slack
+	v.mu.Unlock()
+	is.NoErr(x.orderRollout(rollout.Order{Pool: "p", Target: "v2", Duration: rolloutTime}))
+	v.mu.Lock()
+	v.ordered = time.Now()
+	v.mu.Unlock()
+	f()
+}
+
+func rolloutGateway(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
+
+// keepVersions announces the servers of both versions in each interval, until stop. Before the
+// order the target's do not run.
+func (x *fleet) keepVersions(v *versioned) (stop func()) {
+	versions := []string{"v1", "v2"}
+	if v.unnamed {
+		versions[0] = ""
+	}
+	ctx, cancel := context.WithCancel(x.t.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		for range sleep.Every(ctx, interval) {
+			for i := range 6 {
+				if id := fmt.Sprint("b", i+1); v.allGone || !v.hasGone(address(id)) {
+					x.announceVersion(id, versions[i/3])
+				}
+			}
+		}
+	})
+	return func() { cancel(); running.Wait() }
+}
+
+// announceVersion announces a server of the target only once a rollout is under way: without
+// one it would get its part of the requests.
+func (x *fleet) announceVersion(id, version string) {
+	d := x.leading()
+	if d == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+	defer cancel()
+	if _, err := d.Rollout(ctx, "p"); err != nil && version == "v2" {
+		return
+	}
+	x.beats[id]++
+	// Whoever does not lead any more refuses it.
+	_ = d.Announce(ctx, registry.Announcement{
+		Registration: protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 40, Version: version}, Seq: x.beats[id],
+	})
+}
+
+// ended waits for the rollout's end and returns it, and how long after the order it was.
+func (x *fleet) ended(v *versioned) (state document.RolloutState, after time.Duration) {
+	for time.Since(v.ordered) < 2*rolloutTime {
+		if state = x.rolled().State; state != document.RolloutUnderWay {
+			return state, time.Since(v.ordered)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return state, time.Since(v.ordered)
+}
