Tests: whole rollouts are played beside each other

Cause: 63 of them took most of the 26 s of the package, one after the other. Change: they are parallel; each has a bubble and a network of its own.

--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -61,6 +61,7 @@
 	for _, fault := range faults {
 		for _, at := range steps {
 			t.Run(fmt.Sprint(fault.name, " ", at), func(t *testing.T) {
+				t.Parallel()
 				inFleet(t, 5, func(x *fleet) {
 					is := is.New(x.t)
 					v := &versioned{}
@@ -144,6 +145,7 @@
 		for _, fault := range faults {
 			for _, at := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 4500 * time.Millisecond} {
 				t.Run(fmt.Sprint(version.name, " ", fault.name, " ", at), func(t *testing.T) {
+					t.Parallel()
 					inFleet(t, 5, func(x *fleet) {
 						is := is.New(x.t)
 						v := &versioned{fails: version.fails}
