--- a/coordination/rollout/model_test.go
+++ b/coordination/rollout/model_test.go
@@ -142,7 +142,10 @@
 	return r
 }
 
-func (m *poolModel) name(route int) string { return fmt.Sprint("r", route) }
+func (m *poolModel) name(route int) string { return routeNames[route] }
+
+// routeNames are for as many routes as threeRoutes has.
+var routeNames = [...]string{"r0", "r1", "r2"}
 
 func (m *poolModel) route() int {
 	x := m.rng.Float64()
