Tests: what the target had is read under its lock

Cause: TestServersOfTheTargetGo read it while gateways still sent (a data race under -race in 1 of 6 subtests); TestBadVersionIsRolledBack read it the same way. Change: versioned.exposed.

--- a/directory/versioned_test.go
+++ b/directory/versioned_test.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// exposed returns how many requests the target had, the least that the bound left, and how long
+// after its 50th bad answer the last came, 0 if there was none.
+func (v *versioned) exposed() (sent int, room float64, late time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.fifty.IsZero() {
+		late = v.target[len(v.target)-1].Sub(v.fifty)
+	}
+	return len(v.target), v.room, late
+}
+
 // after counts the arrivals at both versions after a time.
 func (v *versioned) after(from time.Time) (target, old int) {
 	v.mu.Lock()
