Rollout: what gets no requests after the switch is not complete

Cause: at 0.88 of the time a switched rollout was complete whatever became of the target: with its servers gone, without room or not usable, gateways send to the old ones, which stop then. Change: complete needs a listed server of the target; at 0.88 without one, or with less than a tenth of the requests since the switch, it is rolled back. TestBoundIsUsedUp had its target get nothing after the switch, though it was given all, and expected complete; it gets all now, and the same is expected.

--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -66,6 +66,10 @@
 	// part of a route's requests if that is less. Chosen, not measured.
 	fewestKnown = 4
 	fewestPart  = 0.1
+	// leastUsed is the part of all requests that the target must have had from the switch on. In
+	// the least time until the end, the switch reaches gateways and is reported for some half of
+	// them. Chosen, not measured.
+	leastUsed = 0.1
 	// rareSent is up to how many requests a route may stay untried.
 	rareSent = 10
 )
@@ -134,6 +138,7 @@
 	evidence evidence
 	last     time.Duration // of the last step
 	switched time.Duration // when the target got all requests; 0: not yet
+	before   Decision      // of the switch
 	rate     rateMeter
 	decided  Decision // the last one
 }
@@ -209,15 +214,24 @@
 	rest := float64(s.Duration - s.switched)
 	full := o.Elapsed-s.switched >= min(fullTime, time.Duration(fullOfRest*rest))
 	switch {
+	case full && o.Elapsed >= s.at(completePart) && (!o.TargetListed || s.unused(d)):
+		d.Ending, d.Why = RollBack, "the target gets no requests"
 	case full && o.Elapsed >= s.at(completePart):
 		d.Ending, d.Why = Complete, "the time is nearly over"
-	case full && o.OldIdle && d.Grounds.Sum < suspicion:
+	case full && o.OldIdle && o.TargetListed && d.Grounds.Sum < suspicion:
 		d.Ending, d.Why = Complete, "nothing runs on the old servers"
 	default:
 		d.Why = "all requests"
 	}
 }
 
+// unused reports whether hardly anything has gone to the target since the switch, though requests
+// came: what has no room, or cannot be used, cannot take the old servers' place.
+func (s *Schedule) unused(d *Decision) bool {
+	sent, of := rise(s.before.Sent, d.Sent), rise(s.before.Of, d.Of)
+	return of >= enoughKnown && sent < leastUsed*of
+}
+
 func (s *Schedule) at(part float64) time.Duration {
 	return time.Duration(part * float64(s.Duration))
 }
@@ -248,6 +262,7 @@
 func (s *Schedule) switchAll(o Observed, d *Decision, why string) {
 	s.switched = max(o.Elapsed, 1)
 	d.Share, d.Why = 1, why
+	s.before = *d
 }
 
 // allowed returns how many requests a bad version may have had of as many in all.
--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -111,10 +111,15 @@
 // TestBoundIsUsedUp: after a leader whose switch was not over, say: nothing more in the trial.
 func TestBoundIsUsedUp(t *testing.T) {
 	is := is.New(t)
-	all := seen(func(at time.Duration, _ Decision) Observed {
-		n := 15 * uint64(at/(100*time.Millisecond))
+	target, old := uint64(300), uint64(0)
+	all := seen(func(_ time.Duration, d Decision) Observed {
+		if d.Share == 1 {
+			target += 15
+		} else {
+			old += 15
+		}
 		return Observed{Informed: true, TargetListed: true, Totals: map[string]*Pair{
-			"r": {Target: Tally{Sent: 300, Answered: 300}, Old: Tally{Sent: n, Answered: n}},
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: old, Answered: old}},
 		}}
 	})
 	is.Equal(all[40].Share, 0.0)
@@ -122,6 +127,32 @@
 	is.Equal(all[len(all)-1].Ending, Complete) // at the latest, it is good by what was seen
 }
 
+// TestTargetUnusedAfterTheSwitch: while its servers have gone, or get nothing, the old ones may not
+// be told to stop, even if nothing runs there just now.
+func TestTargetUnusedAfterTheSwitch(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		for _, idle := range []bool{false, true} {
+			is := is.New(t)
+			var switched uint64
+			all := seen(func(at time.Duration, d Decision) Observed {
+				n := 15 * uint64(at/(100*time.Millisecond))
+				target := n / 20
+				if d.Share == 1 && switched == 0 {
+					switched = n
+				}
+				if switched > 0 {
+					target = switched / 20
+				}
+				return Observed{Informed: true, TargetListed: listed || d.Share < 1, OldIdle: idle && !listed, Totals: map[string]*Pair{
+					"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+				}}
+			})
+			is.True(switched > 0)
+			is.Equal(all[len(all)-1].Ending, RollBack)
+		}
+	}
+}
+
 // TestTotalsThatFall: while a relay's gateways report to nobody, what the target was sent is not
 // given again, and the rate stays as it was.
 func TestTotalsThatFall(t *testing.T) {
