--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -59,6 +59,7 @@
 	outcomes map[outcomeKey]protocol.Outcomes
 	number   uint64 // of its document
 	obeyed   uint64
+	barred   []protocol.Barred
 }
 
 // gathered is what was demanded and given since the last report to the leader.
@@ -116,7 +117,7 @@
 	if g.reported {
 		s.gathered.add(m)
 	}
-	g.reported, g.seq, g.loads, g.number, g.obeyed = true, m.Seq, m.Loads, m.Number, m.Obeyed
+	g.reported, g.seq, g.loads, g.number, g.obeyed, g.barred = true, m.Seq, m.Loads, m.Number, m.Obeyed, m.Barred
 	if len(m.Outcomes) > 0 {
 		g.outcomes = maps.Clone(g.outcomes)
 		if g.outcomes == nil {
@@ -166,6 +167,7 @@
 		}
 	}
 	m.Number, m.Obeyed = s.least()
+	m.Barred = s.barred()
 	m.Loads = s.feed.Next(OrderedLoads(loads), SumLoads)
 	m.Outcomes = s.changedOutcomes()
 	m.Demands, m.Served, m.Late = byAccount(s.gathered.demands), byAccount(s.gathered.served), byAccount(s.gathered.late)
@@ -176,6 +178,18 @@
 	return m
 }
 
+// barred returns what any gateway has barred, each once.
+func (s *Sums) barred() []protocol.Barred {
+	var all []protocol.Barred
+	for _, g := range s.gateways {
+		all = append(all, g.barred...)
+	}
+	slices.SortFunc(all, func(a, b protocol.Barred) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return slices.Compact(all)
+}
+
 // least returns the smallest number of a document in force at a gateway, and of the rollouts
 // that one obeys, if any does.
 func (s *Sums) least() (number, obeyed uint64) {
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -5,174 +5,19 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/badgerspoke/badgerspoke/coordination/registry"
-	"github.com/badgerspoke/badgerspoke/coordination/rollout"
-	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
-	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
 // This file tests whole rollouts: a leader, gateways under load, and servers of two versions.
 
-// Of each test's rollout.
-const (
-	rolloutTime   = 12 * time.Second
-	rolloutPeriod = 20 * time.Millisecond // between two requests of a gateway
-)
-
-// versioned is backend servers b1 to b3 of the old version and b4 to b6 of the target, which
-// answer after 20 ms; the target's fail a part.
-type versioned struct {
-	fails func(sinceOrder time.Duration) float64
-
-	mu      sync.Mutex
-	rng     *rand.Rand
-	ordered time.Time
-	target  []time.Time // arrivals at it
-	old     []time.Time
-	room    float64 // the least that the bound left, at any moment
-	bad     int     // answers of the target
-	fifty   time.Time
-}
-
-func (v *versioned) DropIdle(string) {}
-func (v *versioned) DropAllIdle()    {}
-
-// arrive counts an arrival and returns whether it fails.
-func (v *versioned) arrive(address string) (fails bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	if v.ordered.IsZero() {
-		return false
-	}
-	if address < address4 {
-		v.old = append(v.old, now)
-		return false
-	}
-	v.target = append(v.target, now)
-	sent, of := float64(len(v.target)), float64(len(v.target)+len(v.old))
-	v.room = min(v.room, exposure.Share*of+exposure.Slack-sent)
-	return v.fails != nil && v.rng.Float64() < v.fails(now.Sub(v.ordered))
-}
-
-var address4 = address("b4")
-
-func (v *versioned) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
-	fails := v.arrive(at)
-	if !sleep.For(ctx, 20*time.Millisecond) {
-		return nil, forward.Unknown{Server: at, Err: ctx.Err()}
-	}
-	answer := &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}
-	if fails {
-		answer.Status = 500
-		v.countBad()
-	}
-	return answer, nil
-}
-
-func (v *versioned) countBad() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.bad++; v.bad == 50 {
-		v.fifty = time.Now()
-	}
-}
-
-// after counts the arrivals at both versions after a time.
-func (v *versioned) after(from time.Time) (target, old int) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	count := func(times []time.Time) (n int) {
-		for _, t := range times {
-			if t.After(from) {
-				n++
-			}
-		}
-		return n
-	}
-	return count(v.target), count(v.old)
-}
-
-// rolling is a fleet with gateways under load and a rollout to the target that begins now.
-func (x *fleet) rolling(v *versioned, f func()) {
-	is := is.New(x.t)
-	x.put(1)
-	stop := x.keepVersions()
-	defer stop()
-	for i := range 3 {
-		x.loaded(rolloutGateway(i), v, rolloutPeriod)
-	}
-	time.Sleep(3 * time.Second)
-	v.mu.Lock()
-	v.rng, v.room = rand.New(rand.NewPCG(1, 2)), exposure.Slack
-	v.mu.Unlock()
-	is.NoErr(x.orderRollout(rollout.Order{Pool: "p", Target: "v2", Duration: rolloutTime}))
-	v.mu.Lock()
-	v.ordered = time.Now()
-	v.mu.Unlock()
-	f()
-}
-
-func rolloutGateway(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
-
-// keepVersions announces the servers of both versions in each interval, until stop. Before the
-// order the target's do not run.
-func (x *fleet) keepVersions() (stop func()) {
-	ctx, cancel := context.WithCancel(x.t.Context())
-	var running sync.WaitGroup
-	running.Go(func() {
-		for range sleep.Every(ctx, interval) {
-			for i := range 6 {
-				x.announceVersion(fmt.Sprint("b", i+1), fmt.Sprint("v", 1+i/3))
-			}
-		}
-	})
-	return func() { cancel(); running.Wait() }
-}
-
-// announceVersion announces a server of the target only once a rollout is under way: without
-// one it would get its part of the requests.
-func (x *fleet) announceVersion(id, version string) {
-	l := x.leader()
-	if l == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
-	defer cancel()
-	if _, err := l.d.Rollout(ctx, "p"); err != nil && version == "v2" {
-		return
-	}
-	x.beats[id]++
-	// Whoever does not lead any more refuses it.
-	_ = l.d.Announce(ctx, registry.Announcement{
-		Registration: protocol.Registration{ID: id, Pool: "p", Address: address(id), Slots: 40, Version: version}, Seq: x.beats[id],
-	})
-}
-
-// ended waits for the rollout's end and returns it, and how long after the order it was.
-func (x *fleet) ended(v *versioned) (state document.RolloutState, after time.Duration) {
-	for time.Since(v.ordered) < 2*rolloutTime {
-		if state = x.rolled().State; state != document.RolloutUnderWay {
-			return state, time.Since(v.ordered)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return state, time.Since(v.ordered)
-}
-
 // reach is how long a list takes to all gateways in touch, and what is on its way to arrive.
 const reach = 100 * time.Millisecond
 
@@ -216,6 +61,7 @@
 	for _, fault := range faults {
 		for _, at := range steps {
 			t.Run(fmt.Sprint(fault.name, " ", at), func(t *testing.T) {
+				t.Parallel()
 				inFleet(t, 5, func(x *fleet) {
 					is := is.New(x.t)
 					v := &versioned{}
@@ -241,6 +87,47 @@
 	}
 }
 
+// TestUnnamedVersion: as any other; servers that name none are replaced as well.
+func TestUnnamedVersion(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		v := &versioned{unnamed: true}
+		x.rolling(v, func() {
+			state, _ := x.ended(v)
+			end := time.Now()
+			is.Equal(state, document.RolloutComplete)
+			time.Sleep(3 * time.Second)
+			target, old := v.after(end.Add(reach))
+			is.Equal(old, 0)
+			is.True(target > 300)
+		})
+	})
+}
+
+// TestServersOfTheTargetGo: one that crashes in the trial rolls a good version back as little as
+// one of the old version would stop; a version that cannot be reached at all is rolled back.
+func TestServersOfTheTargetGo(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		for _, at := range []time.Duration{time.Millisecond, 3 * time.Second, 5 * time.Second} {
+			t.Run(fmt.Sprint("all ", all, " ", at), func(t *testing.T) {
+				inFleet(t, 3, func(x *fleet) {
+					is := is.New(x.t)
+					v := &versioned{gone: at, allGone: all}
+					x.rolling(v, func() {
+						state, after := x.ended(v)
+						sent, room, _ := v.exposed()
+						x.t.Logf("%v after %v, %d requests to the target, %.0f below the bound at least", state, after, sent, room)
+						is.Equal(state == document.RolloutRolledBack, all)
+						is.Equal(state == document.RolloutComplete, !all)
+						is.True(after <= rolloutTime)
+						is.True(!all || room >= 0)
+					})
+				})
+			})
+		}
+	}
+}
+
 // TestBadVersionIsRolledBack: within the bounds, whatever fails meanwhile, and for good.
 func TestBadVersionIsRolledBack(t *testing.T) {
 	versions := []struct {
@@ -259,6 +146,7 @@
 		for _, fault := range faults {
 			for _, at := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 4500 * time.Millisecond} {
 				t.Run(fmt.Sprint(version.name, " ", fault.name, " ", at), func(t *testing.T) {
+					t.Parallel()
 					inFleet(t, 5, func(x *fleet) {
 						is := is.New(x.t)
 						v := &versioned{fails: version.fails}
@@ -271,11 +159,12 @@
 							is.True(after <= rolloutTime)
 							time.Sleep(4 * time.Second)
 							target, old := v.after(end.Add(reach))
-							x.t.Logf("rolled back after %v, %d requests to the target, %.0f below the bound at least", after, len(v.target), v.room)
+							sent, room, late := v.exposed()
+							x.t.Logf("rolled back after %v, %d requests to the target, %.0f below the bound at least", after, sent, room)
 							is.Equal(target, 0)
 							is.True(old > 400)
-							is.True(v.room >= 0)
-							is.True(v.fifty.IsZero() || v.target[len(v.target)-1].Sub(v.fifty) < exposure.Stop)
+							is.True(room >= 0)
+							is.True(late < exposure.Stop)
 						})
 					})
 				})
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -73,7 +73,7 @@
 
 // takeOutcomes returns what a report says of rollouts: the outcomes that have changed since
 // the last one, and the number of the newest list that is obeyed.
-func (t *table) takeOutcomes() (out []protocol.Outcomes, obeyed uint64) {
+func (t *table) takeOutcomes(now time.Duration) (out []protocol.Outcomes, obeyed uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, p := range t.pools {
@@ -90,7 +90,36 @@
 	slices.SortFunc(out, func(a, b protocol.Outcomes) int {
 		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Version, b.Version), strings.Compare(a.Route, b.Route))
 	})
-	return out, t.rollouts.seq
+	return out, t.obeyed(now)
+}
+
+// barredHere returns the targets that an earlier leader has barred and the newest list has not.
+func (t *table) barredHere() []protocol.Barred {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var barred []protocol.Barred
+	for name, p := range t.pools {
+		if r := p.rollout; r != nil && r.barredHere {
+			barred = append(barred, protocol.Barred{Pool: name, Attempt: r.Attempt})
+		}
+	}
+	slices.SortFunc(barred, func(a, b protocol.Barred) int { return strings.Compare(a.Pool, b.Pool) })
+	return barred
+}
+
+// obeyed returns the number of the newest list that is obeyed. None is while shares are not in
+// force, or while this gateway sends a target less than the list gives it: the old servers are
+// needed here then. The caller holds mu.
+func (t *table) obeyed(now time.Duration) uint64 {
+	if now >= t.sharesUntil {
+		return 0
+	}
+	for _, p := range t.pools {
+		if r := p.rollout; r != nil && (r.barredHere || r.underWay() && r.mistrust.holds(now)) {
+			return 0
+		}
+	}
+	return t.rollouts.seq
 }
 
 func (c *tally) report(pool string, attempt uint64, key tallyKey) protocol.Outcomes {
@@ -116,7 +145,7 @@
 // over took that time at least. The caller holds mu.
 func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) {
 	c := a.tried.tally
-	if c == nil {
+	if c == nil || g.countUnreached(p, a, v) {
 		return
 	}
 	switch v {
@@ -139,6 +168,37 @@
 	}
 }
 
+// countUnreached notes which of several servers of a target cannot be reached, and reports whether
+// the attempt is not counted for that. The caller holds mu.
+func (g *Gateway) countUnreached(p *pool, a *assignment, v outlier.Verdict) bool {
+	r := p.rollout
+	if !a.tried.target || r.Attempt != a.tried.attempt {
+		return false
+	}
+	switch {
+	case v == outlier.Answered:
+		if r.unreached.answered(g.now(), a.server) {
+			p.sortVersions(g.table.hallsOut)
+		}
+	case v == outlier.Lost && a.unreached && p.targets() > 1:
+		r.unreached.add(g.now(), a.server, a.tried.tally)
+		p.sortVersions(g.table.hallsOut)
+		return true
+	}
+	return false
+}
+
+// targets returns how many servers the target has. The caller holds mu.
+func (p *pool) targets() int {
+	n := 0
+	for _, k := range p.servers {
+		if k.versions&targetVersion != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Mistrust: chosen, not measured.
 const (
 	badInARow   = 4               // of the target's answers; of a version that fails 20 % one of 600
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -28,10 +28,10 @@
 
 // The kinds. A server that is barred is of none.
 const (
-	oldVersion    versions = 1 << iota // any but the target
-	trialVersion                       // those of the target that a trial goes to
-	targetVersion                      // all of the target
-	replacedVersion                    // replaced by another that is listed
+	oldVersion      versions = 1 << iota // any but the target
+	trialVersion                         // those of the target that a trial goes to
+	targetVersion                        // all of the target
+	replacedVersion                      // replaced by another that is listed
 )
 
 // anyVersion is a server of a pool without a rollout, or any that is not replaced.
@@ -43,11 +43,13 @@
 // poolRollout is a pool's rollouts, as the directory's newest list has them.
 type poolRollout struct {
 	protocol.Rollout
-	routes    map[string]float64 // shares
-	switched  bool               // the target was given all requests last
-	oldListed bool               // a server of the old version is listed, in a hall in service
-	outcomes  outcomes
-	mistrust  mistrust
+	routes     map[string]float64 // shares
+	switched   bool               // the target was given all requests last
+	barredHere bool               // an earlier leader barred the target, and the list does not
+	oldListed  bool               // a server of the old version is listed, in a hall in service
+	outcomes   outcomes
+	mistrust   mistrust
+	unreached  unreached
 }
 
 // underWay reports whether there is a target that may have requests.
@@ -86,7 +88,7 @@
 func (p *pool) take(next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{}
+		r = &poolRollout{unreached: unreached{}}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -94,12 +96,13 @@
 	}
 	// What a leader has barred before the log had it stays barred: the next leader may not
 	// know. Only the log's end of this attempt, or another attempt, says otherwise.
-	if next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
-		!slices.Contains(next.Barred, next.Target) {
+	r.barredHere = next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
+		!slices.Contains(next.Barred, next.Target)
+	if r.barredHere {
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.mistrust = outcomes{}, mistrust{}
+		r.outcomes, r.mistrust, r.unreached = outcomes{}, mistrust{}, unreached{}
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
@@ -144,7 +147,7 @@
 			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(target, r.Share) {
+	for _, k := range trialServers(r.unreached.others(target), r.Share) {
 		k.versions |= trialVersion
 	}
 }
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -97,7 +97,7 @@
 			{Pool: "web", Attempt: 98, Version: "v7", Route: "pay", Sent: 99, Answered: 100, Failed: 101, Paces: []uint32{102, 0, 103}},
 			{Pool: "web", Attempt: 104, Version: "v6"},
 		},
-		Obeyed: 105, Changes: true,
+		Obeyed: 105, Changes: true, Barred: []Barred{{Pool: "web", Attempt: 106}},
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -188,7 +188,7 @@
 		}
 		return m
 	case Usage:
-		m.Outcomes, m.Obeyed, m.Changes = nil, 0, false
+		m.Outcomes, m.Obeyed, m.Changes, m.Barred = nil, 0, false, nil
 		return m
 	case Announce:
 		m.List = slices.Clone(m.List)
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -140,6 +140,9 @@
 	// Changes is set in a relay's reports: Loads are the sums that have changed since its
 	// previous report, with zeros for what runs nothing any more.
 	Changes bool `cbor:"11,keyasint,omitempty"`
+	// Barred are targets that a leader has barred here and the newest [Rollouts] has not: the log
+	// may lack the verdict.
+	Barred []Barred `cbor:"12,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
