Gateway: an attempt counts for the region where its server stood when it began

Cause: settleLink and the last log line read the server's region without the table's lock, when the attempt had ended; a list that moves the server to another hall writes it meanwhile, and the counters and the log named the region that it has then. Change: the attempt keeps the region. Measured: TestServerMovesToAnotherRegion, seen to fail before (the request was counted for another region).

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -61,6 +61,7 @@
 	answering   bool          // a part of the answer has come
 	ended       bool
 
+	region   string        // where the server stood when it began
 	left     place.Leave   // why it goes to another region
 	homes    homes         // that bound it
 	way      time.Duration // the round trip there
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -232,11 +232,11 @@
 
 // depart notes where an attempt goes, and takes what it needs of the link. The caller holds mu.
 func (t *table) depart(a *assignment, now time.Duration, req *requirements, left departure) *assignment {
-	a.left, a.homes = left.why, req.homes
+	a.region, a.left, a.homes = a.known.region, left.why, req.homes
 	if left.why == place.Stay {
 		return a
 	}
-	a.way = t.link.Way(a.known.region)
+	a.way = t.link.Way(a.region)
 	a.charged = float64(req.bytes) + t.pool(a.known.Pool).expectedAnswer()
 	t.link.Spend(now, t.site.share(req.gateways), a.charged)
 	return a
@@ -256,7 +256,7 @@
 	}
 	t.link.Spend(g.now(), t.site.share(int(g.gateways.Load())), float64(sent+a.received)-a.charged)
 	t.mu.Unlock()
-	from, to := t.site.region, a.known.region
+	from, to := t.site.region, a.region
 	count := func(name, labels string, n int) {
 		g.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_region_%s_total{%s}", name, labels)).Add(n)
 	}
@@ -273,7 +273,7 @@
 	}
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	g.table.link.ObserveWay(g.now(), a.known.region, a.opened-a.began)
+	g.table.link.ObserveWay(g.now(), a.region, a.opened-a.began)
 }
 
 // countedBody counts the bytes of an answer that comes over the link.
@@ -295,8 +295,8 @@
 	var attrs []slog.Attr
 	homes, bound := document.CommonHomes(c.route.Homes, c.account.Homes)
 	if a := c.assigned; a != nil {
-		if a.known.region != "" {
-			attrs = append(attrs, slog.String("region", a.known.region))
+		if a.region != "" {
+			attrs = append(attrs, slog.String("region", a.region))
 		}
 		if a.left != place.Stay {
 			attrs = append(attrs, slog.String("left_region", a.left.String()))
--- /dev/null
+++ b/gateway/regions_versions_test.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file tests regions and homes while a pool has a rollout, while servers move to another
+// hall, and where attempts fail.
+
+// versionAt announces servers of pool "plain" in a hall that run a version, which they answer.
+func (x *fixture) versionAt(version string, each int, halls ...string) {
+	x.at("plain", each, answers(200, version, time.Millisecond), halls...)
+	m := protocol.Servers{Term: 1}
+	for _, hall := range halls {
+		for i := range each {
+			s := x.g.table.servers[known("plain", hall, i).ID].Server
+			s.Version = version
+			m.Set = append(m.Set, s)
+		}
+	}
+	x.g.table.update(m)
+}
+
+// TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
+// began.
+func TestServerMovesToAnotherRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, answers(200, "ok", 50*time.Millisecond), "s1")
+		done := make(chan reply)
+		go func() { done <- x.ask("/again/x") }()
+		time.Sleep(10 * time.Millisecond)
+		for i := range 200 { // also while the answer is counted and logged
+			s := known("plain", "s1", 0)
+			s.Hall = []string{"w1", "n1"}[i%2]
+			x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}})
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal((<-done).status, 200)
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_requests_total{from="north",to="south",why="no-server"} 1`))
+	})
+}
