Gateway: the link's budget counts what was sent, and no gateway more than its part

Cause: an attempt that reached nobody was charged, and counted, as if its body had gone over the link; 45 gateways of two regions each took a 22nd part, 3 all of the half of a region (two of them may stand in one). Change: what was not sent counts no bytes; gateways are divided over regions upwards. Measured: TestWhatWasNotSentIsNotCounted and TestShareOfTheLink, seen to fail before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,7 +47,11 @@
 		}
 	}
 	c.counts = c.counts.With(out.execution)
-	c.g.settleLink(a, len(c.body)+headerBytes(c.r))
+	sent := len(c.body) + headerBytes(c.r)
+	if out.execution == retry.NotSent {
+		sent = 0
+	}
+	c.g.settleLink(a, sent)
 	if c.g.release(a, out.blame) {
 		c.g.stats.count("suspected", "pool", c.pool.Name)
 		c.g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.server), slog.String("cause", out.cause))
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -38,9 +38,10 @@
 }
 
 // share is what divides the link's capacity among the region's gateways: as many as if all
-// regions had equally many.
+// regions had equally many, and one more where they cannot, so that none uses more than its part.
 func (s *site) share(gateways int) place.Share {
-	return place.Share{Rate: s.linkRate, Gateways: gateways / max(s.regions, 1)}
+	regions := max(s.regions, 1)
+	return place.Share{Rate: s.linkRate, Gateways: (gateways + regions - 1) / regions}
 }
 
 // part is the servers of a pool in one region, ordered by identifier.
--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
 // This file tests regions and homes while a pool has a rollout, while servers move to another
@@ -49,3 +52,26 @@
 		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_requests_total{from="north",to="south",why="no-server"} 1`))
 	})
 }
+
+// TestWhatWasNotSentIsNotCounted: an attempt that reaches nobody puts nothing on the link.
+func TestWhatWasNotSentIsNotCounted(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, fails(forward.NotRun{Err: io.EOF}), "s1")
+		is.Equal(x.ask("/once/x", "Patience", "1000").status, 503)
+		is.True(x.servedIn("s1") > 0)
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_bytes_total{from="north",to="south"} 0`))
+	})
+}
+
+// TestShareOfTheLink: gateways that cannot be divided evenly do not use more than a region's part.
+func TestShareOfTheLink(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct{ gateways, regions, each int }{
+		{1, 2, 1}, {2, 2, 1}, {3, 2, 2}, {44, 2, 22}, {45, 2, 23}, {10, 3, 4}, {5, 0, 5},
+	} {
+		s := site{regions: tt.regions}
+		is.Equal(fmt.Sprint(tt.gateways, tt.regions, s.share(tt.gateways).Gateways), fmt.Sprint(tt.gateways, tt.regions, tt.each))
+	}
+}
