Gateway: each region has its own servers of a trial

Change: they are drawn in each region, by the same rule; with one region or none as before. Measured: TestTrialInEachRegion, seen to fail before (both trial servers' places were one, in the south); TestTrialServers as it was.

--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -32,6 +32,29 @@
 	x.g.table.update(m)
 }
 
+// TestTrialInEachRegion: each region has its own servers of a trial, so that no request leaves
+// it for the version alone.
+func TestTrialInEachRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.versionAt("old", 4, "n1", "s1", "nowhere")
+		x.versionAt("new", 4, "n2", "s2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 0.1})
+		trials := map[string]int{}
+		for _, k := range x.g.table.servers {
+			if k.versions&trialVersion != 0 {
+				trials[k.region]++
+			}
+		}
+		is.Equal(trials, map[string]int{"north": 1, "south": 1})
+		x.leaseShares()
+		x.g.cfg.Random = func() uint64 { return 1 } // lots are always low
+		is.Equal(x.served("/once/x", 20), map[string]int{"new": 20})
+		is.Equal(x.servedIn("n2"), 20)
+	})
+}
+
 // TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
 // began.
 func TestServerMovesToAnotherRegion(t *testing.T) {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -115,12 +116,12 @@
 func (t *table) sortVersions() {
 	for _, p := range t.pools {
 		if p.rollout != nil {
-			p.sortVersions(t.hallsOut)
+			t.sortVersionsOf(p)
 		}
 	}
 }
 
-func (p *pool) sortVersions(hallsOut map[string]bool) {
+func (t *table) sortVersionsOf(p *pool) {
 	r := p.rollout
 	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
 		return !slices.Contains(r.Barred, k.Version) && !slices.Contains(r.Replaced, k.Version)
@@ -133,18 +134,33 @@
 		case slices.Contains(r.Barred, k.Version):
 		case r.Target != "" && k.Version == r.Target:
 			k.versions = targetVersion
-			if !hallsOut[k.Hall] {
+			if !t.hallsOut[k.Hall] {
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
 		default:
 			k.versions = oldVersion
-			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
+			r.oldListed = r.oldListed || !t.hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(target, r.Share) {
-		k.versions |= trialVersion
+	for _, group := range t.trialGroups(target) {
+		for _, k := range trialServers(group, r.Share) {
+			k.versions |= trialVersion
+		}
+	}
+}
+
+// trialGroups returns the target's servers by region, if there are several, so that each region
+// has some in the trial and no request leaves it for that.
+func (t *table) trialGroups(target []*knownServer) [][]*knownServer {
+	if t.site.regions < 2 {
+		return [][]*knownServer{target}
+	}
+	groups := map[string][]*knownServer{}
+	for _, k := range target {
+		groups[k.region] = append(groups[k.region], k)
 	}
+	return slices.Collect(maps.Values(groups))
 }
 
 // trialServers returns the target's servers that a trial goes to: as many as the share is of
