Gateway: homes with one version of a rollout are served by it

Cause: whether the old version is listed, and whether the target can be used, was asked of the whole pool. A request whose homes have servers of the target alone was refused as overloaded, since old servers stood elsewhere; one whose homes have the old version alone was refused when its best engine was full. Change: both are asked of the servers that the request's homes allow. What is bound to such a home goes to the target beyond the trial's share, as where the pool has no other.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -140,7 +140,7 @@
 	order := t.order(p, now, &req)
 	for i, among := range []versions{order.first, order.second} {
 		req.versions = among
-		if among == 0 || (i > 0 && order.ifNone && t.anyUsable(p, now, order.first)) {
+		if among == 0 || (i > 0 && order.ifNone && t.anyUsable(p, now, &req, order.first)) {
 			continue
 		}
 		if choice, left := t.chooseWithRoom(p, now, &req); choice.Index >= 0 {
--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
@@ -55,6 +56,26 @@
 	})
 }
 
+// TestHomeWithoutTheOldVersion: where the homes have servers of the target alone, it serves.
+func TestHomeWithoutTheOldVersion(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.twoRegions()
+			x.g.apply(homesDocument(4, nil, []string{home}))
+			x.versionAt("old", 2, map[string]string{"north": "s1", "south": "n1"}[home], "nowhere")
+			x.versionAt("new", 2, home[:1]+"2")
+			x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 0.1})
+			for _, leased := range []bool{false, true} {
+				if leased {
+					x.leaseShares()
+				}
+				is.Equal(x.served("/once/x", 10), map[string]int{"new": 10})
+			}
+		})
+	}
+}
+
 // TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
 // began.
 func TestServerMovesToAnotherRegion(t *testing.T) {
@@ -98,3 +119,42 @@
 		is.Equal(fmt.Sprint(tt.gateways, tt.regions, s.share(tt.gateways).Gateways), fmt.Sprint(tt.gateways, tt.regions, tt.each))
 	}
 }
+
+// TestHomeOfTheOldVersionAfterTheSwitch: engines of a home that run the old version serve what its
+// account's share covers while the target stands elsewhere, also those that suit it less.
+func TestHomeOfTheOldVersionAfterTheSwitch(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.twoRegions()
+		x.g.apply(homesDocument(4, nil, []string{"north"}))
+		x.g.accounts.update([]protocol.Entitlement{{Account: "u", Part: 0.9, Extra: 0.9}}, nil, false) // all others are covered
+		x.at("engines", 4, streams(piece{text: event(1)}), "n1", "s1")
+		m := protocol.Servers{Term: 1}
+		for i := range 4 {
+			s := x.g.table.servers[known("engines", "s1", i).ID].Server
+			s.Version = "new"
+			m.Set = append(m.Set, s)
+		}
+		x.g.table.update(m)
+		x.g.table.updateRollouts(protocol.Rollouts{Term: 1, Seq: 1, List: []protocol.Rollout{
+			{Pool: "engines", Attempt: 1, Target: "new", Share: 1},
+		}})
+		x.leaseShares()
+		x.askWithBestFull("n")
+	})
+}
+
+// askWithBestFull asks for one prompt, lets the engine that served it be full, and asks again:
+// another engine of the region serves it in the end.
+func (x *fixture) askWithBestFull(region string) {
+	is := is.New(x.t)
+	ask := func() reply { return x.ask("/engine/x", "Shared", "a", "Tokens", "500", "Patience", "1000") }
+	is.Equal(ask().status, 200)
+	best := x.servers.arrivals[0].Header.Get("Backend")
+	t := x.g.table
+	t.mu.Lock()
+	t.servers[best].others, t.servers[best].othersAt = place.Work{Tokens: 30_000}, t.now()
+	t.mu.Unlock()
+	is.Equal(ask().status, 200)
+	is.Equal(x.servedIn(best), 1)
+	is.Equal(x.servedIn(region), 2)
+}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -194,7 +194,7 @@
 	byOwn     = "bad answers"    // this gateway's own experience
 	byAll     = "switched"       // the target gets all requests
 	byNoUse   = "none usable"    // of the target's servers
-	byOldGone = "old gone"       // no server of the old version is listed
+	byOldGone = "old gone"       // no server of the old version is listed, or none in its homes
 	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
 )
 
@@ -204,7 +204,7 @@
 	switch {
 	case r == nil || !r.underWay():
 		return order{first: anyVersion, why: byNone}
-	case !r.oldListed:
+	case !t.oldReachable(p, req):
 		return order{first: anyVersion, why: byOldGone}
 	case now >= t.sharesUntil:
 		o := order{first: oldVersion, why: byLease}
@@ -224,6 +224,18 @@
 	return order{first: oldVersion, why: byRest}
 }
 
+// oldReachable reports whether a server of the old version is listed where the request may be
+// served. The caller holds mu.
+func (t *table) oldReachable(p *pool, req *requirements) bool {
+	h := t.homes.of(req)
+	if !h.bound || !p.rollout.oldListed {
+		return p.rollout.oldListed
+	}
+	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&oldVersion != 0 && !t.hallsOut[k.Hall] && !k.unlisted && h.may(k.region)
+	})
+}
+
 // lot returns a number from 0 to 1 that does not depend on the first digits of random, which
 // choose among servers.
 func lot(random float64) float64 {
@@ -231,12 +243,12 @@
 	return rest
 }
 
-// anyUsable reports whether a server of some versions may have requests now. The caller holds
+// anyUsable reports whether a server of some versions may have the request now. The caller holds
 // mu.
-func (t *table) anyUsable(p *pool, now time.Duration, among versions) bool {
+func (t *table) anyUsable(p *pool, now time.Duration, req *requirements, among versions) bool {
 	leased := now < t.leased
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased)
+		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
 	})
 }
 
