Gateway: what the link keeps from a rollout's target goes to the old version of its region

Cause: after the switch the old version gets something only if no server of the target is a candidate; one in another region is, also while the link's budget is used up. The request waited and was refused while its own region's old servers were idle. Change: a candidate that the link alone keeps it from is none for that; and if the second versions have no candidate either, the log has what the first ones lacked. Measured: TestLinkKeepsFromTheTarget, seen to fail before (8 of 10 refused as overloaded).

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -93,11 +93,14 @@
 	p := t.pool(req.pool.Name)
 	order := t.order(p, now, &req)
 	a, full, found := t.acquireOf(p, now, req, order.first, order.why)
-	if a != nil || order.second == 0 || (order.ifNone && found) {
+	if a != nil || order.second == 0 || (order.ifNone && found && full.bound != place.Crossing) {
 		return a, full
 	}
-	a, full, _ = t.acquireOf(p, now, req, order.second, order.otherwise)
-	return a, full
+	a, other, foundOther := t.acquireOf(p, now, req, order.second, order.otherwise)
+	if a == nil && found && !foundOther {
+		return nil, full
+	}
+	return a, other
 }
 
 // acquireOf does so among some versions, and reports whether there was a candidate.
--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -76,6 +76,25 @@
 	}
 }
 
+// TestLinkKeepsFromTheTarget: after the switch, what the link has no room for goes to the old
+// version of its own region rather than be refused.
+func TestLinkKeepsFromTheTarget(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.versionAt("old", 2, "n1")
+		x.versionAt("new", 2, "s1")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 1})
+		x.leaseShares()
+		is.Equal(x.served("/once/x", 10), map[string]int{"new": 10})
+		x.g.table.mu.Lock()
+		x.g.table.link.Spend(x.g.now(), place.Share{}, 1e9)
+		x.g.table.mu.Unlock()
+		x.leaseShares()
+		is.Equal(x.served("/once/x", 10), map[string]int{"old": 10})
+	})
+}
+
 // TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
 // began.
 func TestServerMovesToAnotherRegion(t *testing.T) {
