Gateway: a home in another region serves what its account is owed with any engine

Cause: at the end of its wait a request that its account's share covers takes any engine with room, but only in the gateway's own region; one that may be served in another region alone got the best engine there or was refused. Ejected engines of the own region were taken before healthy ones elsewhere. Change: where the own region has no server for it, the other regions' with room are looked at first. Measured: TestHomeServesWhatItsAccountIsOwed, seen to fail before with the home in the south (503).

--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -201,14 +201,16 @@
 		return p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, p.servers, now, req)), departure{}
 	}
 	own := p.parts[0].servers
+	near, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
+	if why == place.NoServer {
+		if far := t.farWithRoom(p, now, req, near.Index >= 0); far.Index >= 0 {
+			return far, departure{why: why}
+		}
+	}
 	c := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, own, now, req))
-	if c.Index >= 0 {
+	if c.Index >= 0 || why == place.NoServer {
 		return p.indexed(c, own), departure{}
 	}
-	_, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
-	if why == place.Stay {
-		return c, departure{}
-	}
 	far, kept := t.chooseFar(p, now, req, why, false)
 	if kept != "" {
 		return place.Choice{Index: -1}, departure{stayed: kept}
@@ -216,6 +218,26 @@
 	return far, departure{why: why}
 }
 
+// farWithRoom returns the server with room of the nearest other region, for a request that may be
+// served nowhere else. Ejected ones are looked at unless its own region has some. The caller
+// holds mu.
+func (t *table) farWithRoom(p *pool, now time.Duration, req *requirements, ownEjected bool) place.Choice {
+	passage := place.Passage{Bytes: float64(req.bytes) + p.expectedAnswer(), Class: req.Class, Must: true}
+	if !t.link.Admits(now, t.site.share(req.gateways), passage) {
+		return place.Choice{Index: -1}
+	}
+	for _, x := range t.farParts(p) {
+		_, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, x.servers, now, req))
+		if why == place.NoServer && ownEjected {
+			continue
+		}
+		if c := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, x.servers, now, req)); c.Index >= 0 {
+			return p.indexed(c, x.servers)
+		}
+	}
+	return place.Choice{Index: -1}
+}
+
 // Bytes that an answer from another region brings, until some have come, and the weight of one
 // in what is learned. Chosen, not measured.
 const (
--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -95,6 +95,20 @@
 	})
 }
 
+// TestHomeServesWhatItsAccountIsOwed: what its account's share covers takes any engine of a home
+// in another region, as in its own, rather than be refused.
+func TestHomeServesWhatItsAccountIsOwed(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		bubble(t, func(x *fixture) {
+			x.twoRegions()
+			x.g.apply(homesDocument(4, nil, []string{home}))
+			x.g.accounts.update([]protocol.Entitlement{{Account: "u", Part: 0.9, Extra: 0.9}}, nil, false) // all others are covered
+			x.at("engines", 4, streams(piece{text: event(1)}), "n1", "s1")
+			x.askWithBestFull(home[:1])
+		})
+	}
+}
+
 // TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
 // began.
 func TestServerMovesToAnotherRegion(t *testing.T) {
