Place tests: the plays of two regions run at once, and allocate no views

Change: each of the 14 plays in its own goroutine, views kept for their memory, start and the test divided.

--- a/coordination/place/twosides_test.go
+++ b/coordination/place/twosides_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -108,6 +109,7 @@
 	over     int
 	shared   int // read again
 	workings [2]time.Duration
+	views    [2][]Server // of the last choice; kept for their memory
 }
 
 func newTwoSides(w way) *twoSides {
@@ -115,6 +117,10 @@
 	for g := range m.classes {
 		m.classes[g], m.usage[g] = entitlement.NewClassifier(), map[string][2]uint64{}
 	}
+	for e := range 2 * sideEngines {
+		of := region(e, sideEngines)
+		m.views[of] = append(m.views[of], Server{ID: fmt.Sprint("e", e), Slots: 48})
+	}
 	return m
 }
 
@@ -124,15 +130,13 @@
 // view is what a gateway knows of the engines of one region.
 func (m *twoSides) view(g, of int) []Server {
 	age := g % 6 // and up to 100 ms until the next report
-	servers := make([]Server, sideEngines)
-	for i := range servers {
-		e := of*sideEngines + i
-		s := Server{ID: fmt.Sprint("e", e), Slots: 48, Own: m.own[g][e], OthersAge: time.Duration(age) * 100 * time.Millisecond}
+	for i := range m.views[of] {
+		e, s := of*sideEngines+i, &m.views[of][i]
+		s.Own, s.OthersAge = m.own[g][e], time.Duration(age)*100*time.Millisecond
 		s.Others.Requests = m.sums[age][e].Requests - m.seen[age][g][e].Requests
 		s.Others.Tokens = m.sums[age][e].Tokens - m.seen[age][g][e].Tokens
-		servers[i] = s
 	}
-	return servers
+	return m.views[of]
 }
 
 // start lets a request begin if it finds room.
@@ -147,38 +151,50 @@
 	if c.Index < 0 || c.Bound != Free {
 		return false
 	}
-	at, delay := here, time.Duration(0)
 	if far {
-		at, delay = 1-here, sideWay
+		here = 1 - here
 		m.over++
 	}
-	e := at*sideEngines + c.Index
-	read := sideOwn
-	if i := slices.Index(m.caches[e], w.part); i >= 0 {
-		m.caches[e] = slices.Delete(m.caches[e], i, i+1)
-	} else {
-		read += sideShared
-		m.shared += sideShared
+	m.run(now, w, here*sideEngines+c.Index, c.Read, far)
+	return true
+}
+
+// run lets an engine read a request's prompt, which its gateway expects to be so many tokens.
+func (m *twoSides) run(now time.Duration, w sideWaiter, e, expected int, far bool) {
+	delay := time.Duration(0)
+	if far {
+		delay = sideWay
 	}
-	m.caches[e] = append(m.caches[e], w.part)
-	m.caches[e] = m.caches[e][max(len(m.caches[e])-sideKept, 0):]
-	took := time.Duration(read) * time.Millisecond / sideRate
+	took := time.Duration(m.read(e, w.part)) * time.Millisecond / sideRate
 	m.busy[e] = max(m.busy[e], now+delay/2) + took
-	m.workings[at] += took
+	m.workings[region(e, sideEngines)] += took
 	first := m.busy[e] + delay/2
 	if first-w.arrived <= sideGoal {
 		m.inTime++
 	}
 	m.own[w.gateway][e].Requests++
-	m.own[w.gateway][e].Tokens += c.Read
-	heap.Push(&m.events, sideEvent{first, w.gateway, e, Work{Tokens: -c.Read}})
+	m.own[w.gateway][e].Tokens += expected
+	heap.Push(&m.events, sideEvent{first, w.gateway, e, Work{Tokens: -expected}})
 	heap.Push(&m.events, sideEvent{first + sideRuns, w.gateway, e, Work{Requests: -1}})
 	u := m.usage[w.gateway][w.account]
 	u[1] += sideShared + sideOwn
 	m.usage[w.gateway][w.account] = u
 	m.classes[w.gateway].Started(now, w.account, sideShared+sideOwn)
 	m.second(now, w.account).got++
-	return true
+}
+
+// read returns the tokens of a prompt that an engine reads, and keeps its shared part.
+func (m *twoSides) read(e int, part string) int {
+	tokens := sideOwn
+	if i := slices.Index(m.caches[e], part); i >= 0 {
+		m.caches[e] = slices.Delete(m.caches[e], i, i+1)
+	} else {
+		tokens += sideShared
+		m.shared += sideShared
+	}
+	m.caches[e] = append(m.caches[e], part)
+	m.caches[e] = m.caches[e][max(len(m.caches[e])-sideKept, 0):]
+	return tokens
 }
 
 func (m *twoSides) second(now time.Duration, account string) *sideSecond {
@@ -274,7 +290,10 @@
 // part that an account got of what it asked.
 func (m *twoSides) part(account string) float64 {
 	asked, got := 0.0, 0.0
-	for _, s := range m.seconds[account][4:] {
+	for i, s := range m.seconds[account] {
+		if i < 4 {
+			continue
+		}
 		asked += s.asked
 		got += s.got
 	}
@@ -306,6 +325,30 @@
 	return worst
 }
 
+// sideResult is what a play shows: parts of the requests, of what the accounts asked, and of the
+// far region's time.
+type sideResult struct{ inTime, over, big, small, owed, idle, againM float64 }
+
+// String implements [fmt.Stringer].
+func (r sideResult) String() string {
+	return fmt.Sprintf("in time %.3f, over %.3f, big %.2f, small %.2f, of what is owed %.2f, far side idle %.2f, read again %4.1f M",
+		r.inTime, r.over, r.big, r.small, r.owed, r.idle, r.againM)
+}
+
+func (m *twoSides) result() sideResult {
+	return sideResult{
+		inTime: float64(m.inTime) / float64(m.asked), over: float64(m.over) / float64(m.asked),
+		big: m.part("big"), small: m.part("small-0"), owed: m.worst(),
+		idle: 1 - m.workings[1].Seconds()/sideSpan.Seconds()/sideEngines, againM: float64(m.shared) / 1e6,
+	}
+}
+
+// sideWays are the ways that are compared.
+var sideWays = map[string]way{
+	"own region only": ownRegionOnly, "one order": oneOrder, "sooner": soonerThere, "full": whenFull,
+	"waits 0 ms": waits(0), "waits 120 ms": waits(2 * AssumedWay), "kept": waits(AssumedWay),
+}
+
 // TestTwoRegions compares ways to leave a region, under a load that all engines of both bear,
 // and one that comes to one side alone: a large account whose callers all stand there.
 func TestTwoRegions(t *testing.T) {
@@ -317,36 +360,27 @@
 		}
 		return accounts
 	}
-	loads := []struct {
+	results := map[string]sideResult{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, load := range []struct {
 		name     string
 		accounts []sideAccount
 	}{
 		{"even", small(0.09 * sideFull)},
 		{"one side", append(small(0.04*sideFull), sideAccount{"big", 0.55 * sideFull, [2]float64{1, 0}})},
-	}
-	type result struct{ inTime, over, big, small, owed, idle float64 }
-	results := map[string]result{}
-	for _, load := range loads {
-		for _, w := range []struct {
-			name string
-			way  way
-		}{
-			{"own region only", ownRegionOnly}, {"one order", oneOrder}, {"sooner", soonerThere}, {"full", whenFull},
-			{"waits 0 ms", waits(0)}, {"waits 120 ms", waits(2 * AssumedWay)}, {"kept", waits(AssumedWay)},
-		} {
-			m := newTwoSides(w.way).play(load.accounts)
-			r := result{
-				inTime: float64(m.inTime) / float64(m.asked), over: float64(m.over) / float64(m.asked),
-				small: m.part("small-0"), owed: m.worst(), idle: 1 - m.workings[1].Seconds()/sideSpan.Seconds()/sideEngines,
-			}
-			if load.name == "one side" {
-				r.big = m.part("big")
-			}
-			t.Logf("%-9s %-16s in time %.3f, over %.3f, big %.2f, small %.2f, of what is owed %.2f, far side idle %.2f, read again %4.1f M",
-				load.name, w.name, r.inTime, r.over, r.big, r.small, r.owed, r.idle, float64(m.shared)/1e6)
-			results[load.name+" "+w.name] = r
+	} {
+		for name, w := range sideWays {
+			group.Go(func() {
+				r := newTwoSides(w).play(load.accounts).result()
+				mu.Lock()
+				defer mu.Unlock()
+				t.Logf("%-8s %-15s %v", load.name, name, r)
+				results[load.name+" "+name] = r
+			})
 		}
 	}
+	group.Wait()
 	kept, only, full := results["one side kept"], results["one side own region only"], results["one side full"]
 	is.True(results["even kept"].over < 0.01)
 	is.True(results["even kept"].inTime > 0.99)
