Gateway: what must leave its region prefers a region that is full to one that is ejected

Cause: of several other regions the nearest was kept as the one to wait for, also where all of its servers were ejected; the request went to one of those at once though a region further away had healthy servers, which it would have waited for in one pool. And 'link' was logged as what kept it where no region had a server. Change: an ejected one is taken if no other region has a healthy one; 'link' needs a server beyond it. Measured: TestEjectedRegionComesAfterOneWithoutRoom, seen to fail before (200 of the ejected one).

--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -126,7 +126,7 @@
 // one that it would wait for, and what kept it from going. Ejected ones are looked at unless
 // its own region has some. The caller holds mu.
 func (t *table) chooseFar(p *pool, now time.Duration, req *requirements, why place.Leave, ownEjected bool) (place.Choice, stayed) {
-	best, kept := place.Choice{Index: -1}, stayedForRoom
+	best, bestWhy, kept := place.Choice{Index: -1}, place.NoServer, stayedForRoom
 	must := why == place.NoServer
 	passage := place.Passage{Bytes: float64(req.bytes) + p.expectedAnswer(), Class: req.Class, Must: must}
 	admitted := t.link.Admits(now, t.site.share(req.gateways), passage)
@@ -146,11 +146,11 @@
 		case farWhy == place.Stay && admitted:
 			return c, ""
 		case !must || c.Index < 0 || (farWhy == place.NoServer && ownEjected):
-		case best.Index < 0:
-			best = c // it is waited for, or is ejected and better than none
+		case best.Index < 0 || (bestWhy == place.NoServer && farWhy != place.NoServer):
+			best, bestWhy = c, farWhy // it is waited for, or is ejected and better than none
 		}
 	}
-	if !admitted {
+	if !admitted && best.Index >= 0 {
 		return waitedFor(best), stayedForLink
 	}
 	return best, kept
--- a/gateway/regions_versions_test.go
+++ b/gateway/regions_versions_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
@@ -191,3 +192,29 @@
 	is.Equal(x.servedIn(best), 1)
 	is.Equal(x.servedIn(region), 2)
 }
+
+// TestEjectedRegionComesAfterOneWithoutRoom: what must leave waits for a healthy server of a region
+// further away rather than go to an ejected one of a nearer.
+func TestEjectedRegionComesAfterOneWithoutRoom(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "s1", "w1")
+		t := x.g.table
+		t.mu.Lock()
+		k := t.servers[known("plain", "s1", 0).ID]
+		for range 8 {
+			t.pool("plain").failures.Record(t.now(), &k.health, outlier.Lost, false)
+		}
+		t.mu.Unlock()
+		x.full(true, "w1")
+		is.Equal(x.ask("/once/x", "Patience", "300").status, 503)
+		is.Equal(x.servers.count(), 0)
+		x.full(false, "w1")
+		is.Equal(x.ask("/once/x").status, 200)
+		is.Equal(x.servedIn("w1"), 1)
+		x.gone("plain", 1, "w1")
+		is.Equal(x.ask("/once/x").status, 200) // better an ejected one than none
+		is.Equal(x.servedIn("s1"), 1)
+	})
+}
