--- a/coordination/registry/versions.go
+++ b/coordination/registry/versions.go
@@ -2,6 +2,11 @@
 
 package registry
 
+import (
+	"maps"
+	"slices"
+)
+
 // This file defines what the registry knows of the versions of a pool's backend servers.
 
 // Versions returns the versions of a pool's backend servers by handle.
@@ -14,3 +19,14 @@
 	}
 	return versions
 }
+
+// HallsOf returns the data halls in which backend servers of a pool's version are listed.
+func (r *Registry) HallsOf(pool, version string) []string {
+	halls := map[string]bool{}
+	for _, e := range r.servers {
+		if e.Pool == pool && e.Version == version {
+			halls[e.Hall] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(halls))
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,7 @@
 	meter     *link.Meter
 	hub       *hub
 	announcer *announcer
+	regions   sync.Map // region by fleet address, of nodes that have named one
 	running   sync.WaitGroup
 }
 
@@ -81,6 +82,9 @@
 	d.hub = newHub(d)
 	d.announcer = newAnnouncer(d)
 	d.meter = link.NewMeter(cfg.Metrics)
+	if d.several() {
+		d.meter = d.meter.WithRegions(d.regionOf)
+	}
 	d.state = newReplicated(cfg.OrderWindow, cfg.Rollouts.Repeats, d.hub.stateChanged)
 	d.mesh = mesh.New(ctx, cfg.Identity, func(name string) string { return name }, d.meter)
 	var err error
@@ -96,6 +100,9 @@
 	}
 	d.running.Go(d.hub.run)
 	d.running.Go(d.announcer.run)
+	if cfg.Region != "" && cfg.Topology.Several() {
+		d.running.Go(d.hub.findLeader)
+	}
 	return d, nil
 }
 
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -56,6 +56,9 @@
 	// Between an operator's command and a directory replica.
 	KindRolloutOrder  Kind = 23 // command: begin, read or end a rollout
 	KindRolloutAnswer Kind = 24 // replica: what became of it
+
+	// Between the replicas of the directory, continued.
+	KindBehind Kind = 30 // relay: the gateways that it serves
 )
 
 // kinds holds each kind's name, as metrics label it, and its decoder.
@@ -87,6 +90,7 @@
 	KindRollouts:      {"rollouts", decodeAs[Rollouts]},
 	KindRolloutOrder:  {"rollout-order", decodeAs[RolloutOrder]},
 	KindRolloutAnswer: {"rollout-answer", decodeAs[RolloutAnswer]},
+	KindBehind:        {"behind", decodeAs[Behind]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -131,6 +135,7 @@
 func (Rollouts) kind() Kind      { return KindRollouts }
 func (RolloutOrder) kind() Kind  { return KindRolloutOrder }
 func (RolloutAnswer) kind() Kind { return KindRolloutAnswer }
+func (Behind) kind() Kind        { return KindBehind }
 func (e Encoded) kind() Kind     { return e.of }
 
 // KindOf returns the kind under which m travels.
