--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -62,6 +62,7 @@
 	unreached   bool          // it got no connection
 	ended       bool
 
+	region   string        // where the server stood when it began
 	left     place.Leave   // why it goes to another region
 	homes    homes         // that bound it
 	way      time.Duration // the round trip there
@@ -93,11 +94,14 @@
 	p := t.pool(req.pool.Name)
 	order := t.order(p, now, &req)
 	a, full, found := t.acquireOf(p, now, req, order.first, order.why)
-	if a != nil || order.second == 0 || (order.ifNone && found) {
+	if a != nil || order.second == 0 || (order.ifNone && found && full.bound != place.Crossing) {
 		return a, full
 	}
-	a, full, _ = t.acquireOf(p, now, req, order.second, order.otherwise)
-	return a, full
+	a, other, foundOther := t.acquireOf(p, now, req, order.second, order.otherwise)
+	if a == nil && found && !foundOther {
+		return nil, full
+	}
+	return a, other
 }
 
 // acquireOf does so among some versions, and reports whether there was a candidate.
@@ -140,7 +144,7 @@
 	order := t.order(p, now, &req)
 	for i, among := range []versions{order.first, order.second} {
 		req.versions = among
-		if among == 0 || (i > 0 && order.ifNone && t.anyUsable(p, now, order.first)) {
+		if among == 0 || (i > 0 && order.ifNone && t.anyUsable(p, now, &req, order.first)) {
 			continue
 		}
 		if choice, left := t.chooseWithRoom(p, now, &req); choice.Index >= 0 {
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -178,11 +178,11 @@
 	switch {
 	case v == outlier.Answered:
 		if r.unreached.answered(g.now(), a.server) {
-			p.sortVersions(g.table.hallsOut)
+			g.table.sortVersionsOf(p)
 		}
 	case v == outlier.Lost && a.unreached && p.targets() > 1:
 		r.unreached.add(g.now(), a.server, a.tried.tally)
-		p.sortVersions(g.table.hallsOut)
+		g.table.sortVersionsOf(p)
 		return true
 	}
 	return false
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -38,9 +38,10 @@
 }
 
 // share is what divides the link's capacity among the region's gateways: as many as if all
-// regions had equally many.
+// regions had equally many, and one more where they cannot, so that none uses more than its part.
 func (s *site) share(gateways int) place.Share {
-	return place.Share{Rate: s.linkRate, Gateways: gateways / max(s.regions, 1)}
+	regions := max(s.regions, 1)
+	return place.Share{Rate: s.linkRate, Gateways: (gateways + regions - 1) / regions}
 }
 
 // part is the servers of a pool in one region, ordered by identifier.
@@ -125,7 +126,7 @@
 // one that it would wait for, and what kept it from going. Ejected ones are looked at unless
 // its own region has some. The caller holds mu.
 func (t *table) chooseFar(p *pool, now time.Duration, req *requirements, why place.Leave, ownEjected bool) (place.Choice, stayed) {
-	best, kept := place.Choice{Index: -1}, stayedForRoom
+	best, bestWhy, kept := place.Choice{Index: -1}, place.NoServer, stayedForRoom
 	must := why == place.NoServer
 	passage := place.Passage{Bytes: float64(req.bytes) + p.expectedAnswer(), Class: req.Class, Must: must}
 	admitted := t.link.Admits(now, t.site.share(req.gateways), passage)
@@ -145,11 +146,11 @@
 		case farWhy == place.Stay && admitted:
 			return c, ""
 		case !must || c.Index < 0 || (farWhy == place.NoServer && ownEjected):
-		case best.Index < 0:
-			best = c // it is waited for, or is ejected and better than none
+		case best.Index < 0 || (bestWhy == place.NoServer && farWhy != place.NoServer):
+			best, bestWhy = c, farWhy // it is waited for, or is ejected and better than none
 		}
 	}
-	if !admitted {
+	if !admitted && best.Index >= 0 {
 		return waitedFor(best), stayedForLink
 	}
 	return best, kept
@@ -200,14 +201,16 @@
 		return p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, p.servers, now, req)), departure{}
 	}
 	own := p.parts[0].servers
+	near, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
+	if why == place.NoServer {
+		if far := t.farWithRoom(p, now, req, near.Index >= 0); far.Index >= 0 {
+			return far, departure{why: why}
+		}
+	}
 	c := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, own, now, req))
-	if c.Index >= 0 {
+	if c.Index >= 0 || why == place.NoServer {
 		return p.indexed(c, own), departure{}
 	}
-	_, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, own, now, req))
-	if why == place.Stay {
-		return c, departure{}
-	}
 	far, kept := t.chooseFar(p, now, req, why, false)
 	if kept != "" {
 		return place.Choice{Index: -1}, departure{stayed: kept}
@@ -215,6 +218,26 @@
 	return far, departure{why: why}
 }
 
+// farWithRoom returns the server with room of the nearest other region, for a request that may be
+// served nowhere else. Ejected ones are looked at unless its own region has some. The caller
+// holds mu.
+func (t *table) farWithRoom(p *pool, now time.Duration, req *requirements, ownEjected bool) place.Choice {
+	passage := place.Passage{Bytes: float64(req.bytes) + p.expectedAnswer(), Class: req.Class, Must: true}
+	if !t.link.Admits(now, t.site.share(req.gateways), passage) {
+		return place.Choice{Index: -1}
+	}
+	for _, x := range t.farParts(p) {
+		_, why := p.placer.ChooseNear(req.choiceRequest(), t.view(p, x.servers, now, req))
+		if why == place.NoServer && ownEjected {
+			continue
+		}
+		if c := p.placer.ChooseWithRoom(req.choiceRequest(), t.view(p, x.servers, now, req)); c.Index >= 0 {
+			return p.indexed(c, x.servers)
+		}
+	}
+	return place.Choice{Index: -1}
+}
+
 // Bytes that an answer from another region brings, until some have come, and the weight of one
 // in what is learned. Chosen, not measured.
 const (
@@ -232,11 +255,11 @@
 
 // depart notes where an attempt goes, and takes what it needs of the link. The caller holds mu.
 func (t *table) depart(a *assignment, now time.Duration, req *requirements, left departure) *assignment {
-	a.left, a.homes = left.why, req.homes
+	a.region, a.left, a.homes = a.known.region, left.why, req.homes
 	if left.why == place.Stay {
 		return a
 	}
-	a.way = t.link.Way(a.known.region)
+	a.way = t.link.Way(a.region)
 	a.charged = float64(req.bytes) + t.pool(a.known.Pool).expectedAnswer()
 	t.link.Spend(now, t.site.share(req.gateways), a.charged)
 	return a
@@ -256,7 +279,7 @@
 	}
 	t.link.Spend(g.now(), t.site.share(int(g.gateways.Load())), float64(sent+a.received)-a.charged)
 	t.mu.Unlock()
-	from, to := t.site.region, a.known.region
+	from, to := t.site.region, a.region
 	count := func(name, labels string, n int) {
 		g.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("badgerspoke_gateway_region_%s_total{%s}", name, labels)).Add(n)
 	}
@@ -273,7 +296,7 @@
 	}
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	g.table.link.ObserveWay(g.now(), a.known.region, a.opened-a.began)
+	g.table.link.ObserveWay(g.now(), a.region, a.opened-a.began)
 }
 
 // countedBody counts the bytes of an answer that comes over the link.
@@ -295,8 +318,8 @@
 	var attrs []slog.Attr
 	homes, bound := document.CommonHomes(c.route.Homes, c.account.Homes)
 	if a := c.assigned; a != nil {
-		if a.known.region != "" {
-			attrs = append(attrs, slog.String("region", a.known.region))
+		if a.region != "" {
+			attrs = append(attrs, slog.String("region", a.region))
 		}
 		if a.left != place.Stay {
 			attrs = append(attrs, slog.String("left_region", a.left.String()))
--- /dev/null
+++ b/gateway/regions_versions_test.go
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests regions and homes while a pool has a rollout, while servers move to another
+// hall, and where attempts fail.
+
+// versionAt announces servers of pool "plain" in a hall that run a version, which they answer.
+func (x *fixture) versionAt(version string, each int, halls ...string) {
+	x.at("plain", each, answers(200, version, time.Millisecond), halls...)
+	m := protocol.Servers{Term: 1}
+	for _, hall := range halls {
+		for i := range each {
+			s := x.g.table.servers[known("plain", hall, i).ID].Server
+			s.Version = version
+			m.Set = append(m.Set, s)
+		}
+	}
+	x.g.table.update(m)
+}
+
+// TestTrialInEachRegion: each region has its own servers of a trial, so that no request leaves
+// it for the version alone.
+func TestTrialInEachRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.versionAt("old", 4, "n1", "s1", "nowhere")
+		x.versionAt("new", 4, "n2", "s2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 0.1})
+		trials := map[string]int{}
+		for _, k := range x.g.table.servers {
+			if k.versions&trialVersion != 0 {
+				trials[k.region]++
+			}
+		}
+		is.Equal(trials, map[string]int{"north": 1, "south": 1})
+		x.leaseShares()
+		x.g.cfg.Random = func() uint64 { return 1 } // lots are always low
+		is.Equal(x.served("/once/x", 20), map[string]int{"new": 20})
+		is.Equal(x.servedIn("n2"), 20)
+	})
+}
+
+// TestHomeWithoutTheOldVersion: where the homes have servers of the target alone, it serves.
+func TestHomeWithoutTheOldVersion(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.twoRegions()
+			x.g.apply(homesDocument(4, nil, []string{home}))
+			x.versionAt("old", 2, map[string]string{"north": "s1", "south": "n1"}[home], "nowhere")
+			x.versionAt("new", 2, home[:1]+"2")
+			x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 0.1})
+			for _, leased := range []bool{false, true} {
+				if leased {
+					x.leaseShares()
+				}
+				is.Equal(x.served("/once/x", 10), map[string]int{"new": 10})
+			}
+		})
+	}
+}
+
+// TestLinkKeepsFromTheTarget: after the switch, what the link has no room for goes to the old
+// version of its own region rather than be refused.
+func TestLinkKeepsFromTheTarget(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.versionAt("old", 2, "n1")
+		x.versionAt("new", 2, "s1")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "new", Share: 1})
+		x.leaseShares()
+		is.Equal(x.served("/once/x", 10), map[string]int{"new": 10})
+		x.g.table.mu.Lock()
+		x.g.table.link.Spend(x.g.now(), place.Share{}, 1e9)
+		x.g.table.mu.Unlock()
+		x.leaseShares()
+		is.Equal(x.served("/once/x", 10), map[string]int{"old": 10})
+	})
+}
+
+// TestHomeServesWhatItsAccountIsOwed: what its account's share covers takes any engine of a home
+// in another region, as in its own, rather than be refused.
+func TestHomeServesWhatItsAccountIsOwed(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		bubble(t, func(x *fixture) {
+			x.twoRegions()
+			x.g.apply(homesDocument(4, nil, []string{home}))
+			x.g.accounts.update([]protocol.Entitlement{{Account: "u", Part: 0.9, Extra: 0.9}}, nil, false) // all others are covered
+			x.at("engines", 4, streams(piece{text: event(1)}), "n1", "s1")
+			x.askWithBestFull(home[:1])
+		})
+	}
+}
+
+// TestServerMovesToAnotherRegion: an attempt counts for the region where its server stood when it
+// began.
+func TestServerMovesToAnotherRegion(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, answers(200, "ok", 50*time.Millisecond), "s1")
+		done := make(chan reply)
+		go func() { done <- x.ask("/again/x") }()
+		time.Sleep(10 * time.Millisecond)
+		for i := range 200 { // also while the answer is counted and logged
+			s := known("plain", "s1", 0)
+			s.Hall = []string{"w1", "n1"}[i%2]
+			x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}})
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal((<-done).status, 200)
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_requests_total{from="north",to="south",why="no-server"} 1`))
+	})
+}
+
+// TestWhatWasNotSentIsNotCounted: an attempt that reaches nobody puts nothing on the link.
+func TestWhatWasNotSentIsNotCounted(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, fails(forward.NotRun{Err: io.EOF}), "s1")
+		is.Equal(x.ask("/once/x", "Patience", "1000").status, 503)
+		is.True(x.servedIn("s1") > 0)
+		is.True(strings.Contains(x.metrics(), `badgerspoke_gateway_region_bytes_total{from="north",to="south"} 0`))
+	})
+}
+
+// TestShareOfTheLink: gateways that cannot be divided evenly do not use more than a region's part.
+func TestShareOfTheLink(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct{ gateways, regions, each int }{
+		{1, 2, 1}, {2, 2, 1}, {3, 2, 2}, {44, 2, 22}, {45, 2, 23}, {10, 3, 4}, {5, 0, 5},
+	} {
+		s := site{regions: tt.regions}
+		is.Equal(fmt.Sprint(tt.gateways, tt.regions, s.share(tt.gateways).Gateways), fmt.Sprint(tt.gateways, tt.regions, tt.each))
+	}
+}
+
+// TestHomeOfTheOldVersionAfterTheSwitch: engines of a home that run the old version serve what its
+// account's share covers while the target stands elsewhere, also those that suit it less.
+func TestHomeOfTheOldVersionAfterTheSwitch(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.twoRegions()
+		x.g.apply(homesDocument(4, nil, []string{"north"}))
+		x.g.accounts.update([]protocol.Entitlement{{Account: "u", Part: 0.9, Extra: 0.9}}, nil, false) // all others are covered
+		x.at("engines", 4, streams(piece{text: event(1)}), "n1", "s1")
+		m := protocol.Servers{Term: 1}
+		for i := range 4 {
+			s := x.g.table.servers[known("engines", "s1", i).ID].Server
+			s.Version = "new"
+			m.Set = append(m.Set, s)
+		}
+		x.g.table.update(m)
+		x.g.table.updateRollouts(protocol.Rollouts{Term: 1, Seq: 1, List: []protocol.Rollout{
+			{Pool: "engines", Attempt: 1, Target: "new", Share: 1},
+		}})
+		x.leaseShares()
+		x.askWithBestFull("n")
+	})
+}
+
+// askWithBestFull asks for one prompt, lets the engine that served it be full, and asks again:
+// another engine of the region serves it in the end.
+func (x *fixture) askWithBestFull(region string) {
+	is := is.New(x.t)
+	ask := func() reply { return x.ask("/engine/x", "Shared", "a", "Tokens", "500", "Patience", "1000") }
+	is.Equal(ask().status, 200)
+	best := x.servers.arrivals[0].Header.Get("Backend")
+	t := x.g.table
+	t.mu.Lock()
+	t.servers[best].others, t.servers[best].othersAt = place.Work{Tokens: 30_000}, t.now()
+	t.mu.Unlock()
+	is.Equal(ask().status, 200)
+	is.Equal(x.servedIn(best), 1)
+	is.Equal(x.servedIn(region), 2)
+}
+
+// TestEjectedRegionComesAfterOneWithoutRoom: what must leave waits for a healthy server of a region
+// further away rather than go to an ejected one of a nearer.
+func TestEjectedRegionComesAfterOneWithoutRoom(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.twoRegions()
+		x.at("plain", 1, answers(200, "ok", time.Millisecond), "s1", "w1")
+		t := x.g.table
+		t.mu.Lock()
+		k := t.servers[known("plain", "s1", 0).ID]
+		for range 8 {
+			t.pool("plain").failures.Record(t.now(), &k.health, outlier.Lost, false)
+		}
+		t.mu.Unlock()
+		x.full(true, "w1")
+		is.Equal(x.ask("/once/x", "Patience", "300").status, 503)
+		is.Equal(x.servers.count(), 0)
+		x.full(false, "w1")
+		is.Equal(x.ask("/once/x").status, 200)
+		is.Equal(x.servedIn("w1"), 1)
+		x.gone("plain", 1, "w1")
+		is.Equal(x.ask("/once/x").status, 200) // better an ejected one than none
+		is.Equal(x.servedIn("s1"), 1)
+	})
+}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -119,12 +120,12 @@
 func (t *table) sortVersions() {
 	for _, p := range t.pools {
 		if p.rollout != nil {
-			p.sortVersions(t.hallsOut)
+			t.sortVersionsOf(p)
 		}
 	}
 }
 
-func (p *pool) sortVersions(hallsOut map[string]bool) {
+func (t *table) sortVersionsOf(p *pool) {
 	r := p.rollout
 	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
 		return !slices.Contains(r.Barred, k.Version) && !slices.Contains(r.Replaced, k.Version)
@@ -137,19 +138,34 @@
 		case slices.Contains(r.Barred, k.Version):
 		case r.Target != "" && k.Version == r.Target:
 			k.versions = targetVersion
-			if !hallsOut[k.Hall] {
+			if !t.hallsOut[k.Hall] {
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
 			k.versions = replacedVersion
 		default:
 			k.versions = oldVersion
-			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
+			r.oldListed = r.oldListed || !t.hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(r.unreached.others(target), r.Share) {
-		k.versions |= trialVersion
+	for _, group := range t.trialGroups(r.unreached.others(target)) {
+		for _, k := range trialServers(group, r.Share) {
+			k.versions |= trialVersion
+		}
+	}
+}
+
+// trialGroups returns the target's servers by region, if there are several, so that each region
+// has some in the trial and no request leaves it for that.
+func (t *table) trialGroups(target []*knownServer) [][]*knownServer {
+	if t.site.regions < 2 {
+		return [][]*knownServer{target}
+	}
+	groups := map[string][]*knownServer{}
+	for _, k := range target {
+		groups[k.region] = append(groups[k.region], k)
 	}
+	return slices.Collect(maps.Values(groups))
 }
 
 // trialServers returns the target's servers that a trial goes to: as many as the share is of
@@ -183,7 +199,7 @@
 	byOwn     = "bad answers"    // this gateway's own experience
 	byAll     = "switched"       // the target gets all requests
 	byNoUse   = "none usable"    // of the target's servers
-	byOldGone = "old gone"       // no server of the old version is listed
+	byOldGone = "old gone"       // no server of the old version is listed, or none in its homes
 	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
 )
 
@@ -193,7 +209,7 @@
 	switch {
 	case r == nil || !r.underWay():
 		return order{first: anyVersion, why: byNone}
-	case !r.oldListed:
+	case !t.oldReachable(p, req):
 		return order{first: anyVersion, why: byOldGone}
 	case now >= t.sharesUntil:
 		o := order{first: oldVersion, why: byLease}
@@ -213,6 +229,18 @@
 	return order{first: oldVersion, why: byRest}
 }
 
+// oldReachable reports whether a server of the old version is listed where the request may be
+// served. The caller holds mu.
+func (t *table) oldReachable(p *pool, req *requirements) bool {
+	h := t.homes.of(req)
+	if !h.bound || !p.rollout.oldListed {
+		return p.rollout.oldListed
+	}
+	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&oldVersion != 0 && !t.hallsOut[k.Hall] && !k.unlisted && h.may(k.region)
+	})
+}
+
 // lot returns a number from 0 to 1 that does not depend on the first digits of random, which
 // choose among servers.
 func lot(random float64) float64 {
@@ -220,12 +248,12 @@
 	return rest
 }
 
-// anyUsable reports whether a server of some versions may have requests now. The caller holds
+// anyUsable reports whether a server of some versions may have the request now. The caller holds
 // mu.
-func (t *table) anyUsable(p *pool, now time.Duration, among versions) bool {
+func (t *table) anyUsable(p *pool, now time.Duration, req *requirements, among versions) bool {
 	leased := now < t.leased
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased)
+		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
 	})
 }
 
