Rollouts: gateways know that complete follows before the log has it

And a replica that led again within one term numbered its lists from 1, so that gateways passed over all of them. Change: the leader first sends a list that says so (Rollout.Final), under which a gateway keeps to the target without a session too; it proposes complete when all gateways obey that list, or after a second. Lists are numbered on over the terms of one process. A relay without gateways keeps nothing waiting.

--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -145,7 +145,7 @@
 		share float64
 		want  uint64
 	}{{1, 0.04, 0}, {2, 1, 2}, {3, 1, 2}, {4, 0, 0}, {5, 1, 5}} {
-		r.noteSent(step.seq, step.share)
+		r.noteSent(0, step.seq, protocol.Rollout{Share: step.share})
 		is.Equal(r.fullSeq, step.want)
 	}
 }
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -55,14 +55,17 @@
 	decision  rollout.Decision
 	sent      rollout.Decision // whose shares the gateways were sent
 	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
+	finalSeq  uint64           // of the first list that says that complete follows; 0: none does
+	finalAt   time.Duration    // when that was sent
 	proposing bool
 	loggedAt  time.Duration
 }
 
-// beginRollouts begins a term with the rollouts that the log holds.
+// beginRollouts begins a term with the rollouts that the log holds. Lists are numbered on: a
+// replica that finds itself leading again in one term would else send what gateways have passed.
 func (h *hub) beginRollouts() {
 	h.rollouts = rollouts{
-		began: h.d.replica.Now(), underWay: map[string]*leadRollout{}, obeyed: map[*session]obedience{},
+		seq: h.rollouts.seq, began: h.d.replica.Now(), underWay: map[string]*leadRollout{}, obeyed: map[*session]obedience{},
 	}
 }
 
@@ -157,6 +160,9 @@
 	}
 	switch r.decision.Ending {
 	case rollout.Complete:
+		if !h.finalObeyed(now, r) {
+			return
+		}
 		c.State, c.Replaced = document.RolloutComplete, h.otherVersions(r)
 	case rollout.RollBack:
 		c.State = document.RolloutRolledBack
@@ -204,7 +210,7 @@
 		return false
 	}
 	for s := range h.sessions {
-		if s.knowsVersions && h.rollouts.obeyed[s].before < r.fullSeq {
+		if s.obeysRollouts() && h.rollouts.obeyed[s].before < r.fullSeq {
 			return false
 		}
 	}
@@ -216,6 +222,33 @@
 	})
 }
 
+// finalWait is how long the leader waits for all gateways to obey the list that says that
+// complete follows, or half of the time that is left: one that does not obey is out of touch.
+// Chosen, not measured: several reports.
+const finalWait = time.Second
+
+// finalObeyed reports whether a rollout may be put into the log as complete: all gateways know
+// that the old servers may stop. Else one that loses its session meanwhile would go back to them.
+func (h *hub) finalObeyed(now time.Duration, r *leadRollout) bool {
+	if r.finalSeq == 0 {
+		return false
+	}
+	if now-r.finalAt >= min(finalWait, (r.Duration-r.elapsed(r.finalAt))/2) {
+		return true
+	}
+	for s := range h.sessions {
+		if s.obeysRollouts() && h.rollouts.obeyed[s].last < r.finalSeq {
+			return false
+		}
+	}
+	return true
+}
+
+// obeysRollouts reports whether a session stands for a gateway that obeys rollouts.
+func (s *session) obeysRollouts() bool {
+	return slices.ContainsFunc(s.gateways(), func(g protocol.BehindGateway) bool { return g.KnowsVersions })
+}
+
 // targetHalls returns the data halls in service in which a server of the target is listed.
 func (h *hub) targetHalls(r *leadRollout) []string {
 	out, _ := h.d.state.HallsOut()
@@ -260,7 +293,7 @@
 	h.rollouts.list, h.rollouts.seq, h.rollouts.encoded = list, m.Seq, encoded
 	for _, e := range list {
 		if r := h.rollouts.underWay[e.Pool]; r != nil {
-			r.noteSent(m.Seq, e.Share)
+			r.noteSent(h.d.replica.Now(), m.Seq, e)
 		}
 	}
 	for s := range h.sessions {
@@ -278,7 +311,7 @@
 		e.Barred = append(slices.Clone(e.Barred), r.Target)
 		return e
 	case rollout.Complete:
-		e.Share = 1
+		e.Share, e.Final = 1, true
 		return e
 	}
 	if r.decision.Differs(r.sent) {
@@ -291,10 +324,13 @@
 	return e
 }
 
-// noteSent takes the share in a list that was sent.
-func (r *leadRollout) noteSent(seq uint64, share float64) {
+// noteSent takes the entry of a list that was sent.
+func (r *leadRollout) noteSent(now time.Duration, seq uint64, e protocol.Rollout) {
+	if e.Final && r.finalSeq == 0 {
+		r.finalSeq, r.finalAt = seq, now
+	}
 	switch {
-	case share < 1:
+	case e.Share < 1:
 		r.fullSeq = 0
 	case r.fullSeq == 0:
 		r.fullSeq = seq
@@ -302,7 +338,7 @@
 }
 
 func sameEntry(a, b protocol.Rollout) bool {
-	return a.Pool == b.Pool && a.Attempt == b.Attempt && a.Target == b.Target && a.Share == b.Share &&
+	return a.Pool == b.Pool && a.Attempt == b.Attempt && a.Target == b.Target && a.Share == b.Share && a.Final == b.Final &&
 		slices.Equal(a.Barred, b.Barred) && slices.Equal(a.Replaced, b.Replaced) && slices.Equal(a.Routes, b.Routes)
 }
 
@@ -312,7 +348,7 @@
 		h.relay.sendRollouts(s)
 		return
 	}
-	if h.rollouts.seq > 0 {
+	if h.rollouts.encoded.Size() > 0 {
 		s.out.Send(h.rollouts.encoded)
 	}
 }
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -105,7 +105,7 @@
 	if next.Attempt != r.Attempt {
 		r.outcomes, r.mistrust, r.unreached = outcomes{}, mistrust{}, unreached{}
 	}
-	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
+	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share && next.Final == r.Final &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
 	r.Rollout, r.switched = next, next.Share >= 1
 	r.routes = make(map[string]float64, len(next.Routes))
@@ -211,6 +211,8 @@
 		return order{first: anyVersion, why: byNone}
 	case !t.oldReachable(p, req):
 		return order{first: anyVersion, why: byOldGone}
+	case r.Final:
+		return order{first: targetVersion, why: byAll, second: oldVersion, ifNone: true, otherwise: byNoUse}
 	case now >= t.sharesUntil:
 		o := order{first: oldVersion, why: byLease}
 		if r.switched && len(req.avoid) > 0 { // the old servers may have stopped
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -149,6 +149,23 @@
 	}, oldAndNew...)
 }
 
+// TestFinalShareStays: once complete is about to be said, the target has all requests without a
+// session as well, since the old servers may stop; until another list says otherwise.
+func TestFinalShareStays(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		is.Equal(x.served("/once/1", 10), map[string]int{"old": 10}) // no report was counted
+		x.rollouts(1, 2, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1, Final: true})
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+		x.g.table.endShares()
+		is.Equal(x.served("/once/1", 10), map[string]int{"new": 10})
+		x.rollouts(2, 1, protocol.Rollout{Attempt: 1, Target: "v2"}) // of a leader that did not say complete
+		is.Equal(x.served("/once/1", 10), map[string]int{"old": 10})
+	}, oldAndNew...)
+}
+
 // TestLastOldServerTurnsOut to be another: the target gets all then, as without any old one.
 func TestLastOldServerTurnsOut(t *testing.T) {
 	bubble(t, func(x *fixture) {
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -113,7 +113,7 @@
 	Announced{Seq: 97},
 	Rollouts{Term: 106, Seq: 107, List: []Rollout{
 		{Pool: "llm", Attempt: 108, Target: "v7", Share: 0.25, Barred: []string{"v5", "v4"}, Replaced: []string{"v3"},
-			Routes: []RouteShare{{Route: "chat", Share: 0.5}}},
+			Routes: []RouteShare{{Route: "chat", Share: 0.5}}, Final: true},
 		{Pool: "web", Attempt: 109, Barred: []string{"v8"}},
 	}},
 	RolloutOrder{Act: OrderStart, Pool: "llm", Target: "v7", Duration: 10 * time.Minute, Attempt: 110},
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -22,6 +22,9 @@
 	Replaced []string `cbor:"6,keyasint,omitempty"`
 	// Routes are other shares by route, so that a route with few requests is tried as well.
 	Routes []RouteShare `cbor:"7,keyasint,omitempty"`
+	// Final is set while the leader is about to complete the rollout: the old servers may stop
+	// at any moment, so Target has all requests for good, until a later list says otherwise.
+	Final bool `cbor:"8,keyasint,omitempty"`
 }
 
 // RouteShare is the part of one route's requests that goes to a rollout's target.
@@ -33,7 +36,7 @@
 
 // Rollouts is sent by the leader to every gateway when its session opens and with each
 // change: all pools that had a rollout. A Share is in force for as long as the session lives;
-// Barred and Replaced are in force for good.
+// Barred, Replaced and Final are in force for good.
 type Rollouts struct {
 	Term uint64    `cbor:"1,keyasint"`
 	Seq  uint64    `cbor:"2,keyasint,omitempty"` // rises within a term
