Gateway: requests move to engines of a new version over 600 ms; a trial's servers are rounded up

Cause: under a flood, what waits at all gateways went to the target's idle engines at once, by loads up to 600 ms old, and its slow answers rolled a good version back; and in the trial one of three engines had a share of 0.45, more than each old one.

--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -24,6 +24,12 @@
 // sums and some reports. Chosen, not measured.
 const sharesLease = 2 * time.Second
 
+// switchTime is how long a gateway takes from the switch on to move all requests to engines of
+// the target: the longest pause of the leader's sums. At once, what waits at all gateways would go to idle
+// engines in the time in which none knows what the others send: 68 requests in 200 ms to 24
+// slots, whose slow answers rolled a good version back (TestGoodVersionUnderAFlood).
+const switchTime = 600 * time.Millisecond
+
 // versions is a set of kinds of server, by their version.
 type versions uint8
 
@@ -46,6 +52,8 @@
 	protocol.Rollout
 	routes     map[string]float64 // shares
 	switched   bool               // the target was given all requests last
+	fullFrom   time.Duration      // when it gets all of them here, if its servers are engines
+	engine     bool               // they are
 	barredHere bool               // an earlier leader barred the target, and the list does not
 	oldListed  bool               // a server of the old version is listed, in a hall in service
 	outcomes   outcomes
@@ -77,7 +85,7 @@
 	}
 	t.rollouts = list
 	for _, next := range m.List {
-		if t.pool(next.Pool).take(next) {
+		if t.pool(next.Pool).take(t.now(), next) {
 			changed = append(changed, next)
 		}
 	}
@@ -86,7 +94,7 @@
 }
 
 // take takes the pool's rollout and reports whether it is another than before.
-func (p *pool) take(next protocol.Rollout) bool {
+func (p *pool) take(now time.Duration, next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
 		r = &poolRollout{unreached: unreached{}}
@@ -107,6 +115,9 @@
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share && next.Final == r.Final &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
+	if next.Share >= 1 && !r.switched {
+		r.fullFrom = now + switchTime
+	}
 	r.Rollout, r.switched = next, next.Share >= 1
 	r.routes = make(map[string]float64, len(next.Routes))
 	for _, s := range next.Routes {
@@ -174,7 +185,7 @@
 	if len(target) == 0 {
 		return nil
 	}
-	n := max(int(math.Round(share*float64(len(target)))), 1)
+	n := max(int(math.Ceil(share*float64(len(target)))), 1)
 	slices.SortFunc(target, func(a, b *knownServer) int {
 		return cmp.Or(cmp.Compare(xxh3.HashString(a.ID), xxh3.HashString(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -206,6 +217,9 @@
 // order returns which versions a request may go to. The caller holds mu.
 func (t *table) order(p *pool, now time.Duration, req *requirements) order {
 	r := p.rollout
+	if r != nil {
+		r.engine = req.pool.Engine
+	}
 	switch {
 	case r == nil || !r.underWay():
 		return order{first: anyVersion, why: byNone}
@@ -221,6 +235,8 @@
 		return o
 	case r.mistrust.holds(now):
 		return order{first: oldVersion, why: byOwn}
+	case r.moving(now) && lot(req.random) >= r.moved(now):
+		return order{first: oldVersion, why: byRest}
 	case r.switched:
 		return order{first: targetVersion, why: byAll, second: oldVersion, ifNone: true, otherwise: byNoUse}
 	case len(req.avoid) > 0:
@@ -243,6 +259,16 @@
 	})
 }
 
+// moving reports whether requests still move to the target after the switch.
+func (r *poolRollout) moving(now time.Duration) bool {
+	return r.switched && r.engine && now < r.fullFrom
+}
+
+// moved returns the part of the requests that has moved to the target since the switch.
+func (r *poolRollout) moved(now time.Duration) float64 {
+	return 1 - float64(r.fullFrom-now)/float64(switchTime)
+}
+
 // lot returns a number from 0 to 1 that does not depend on the first digits of random, which
 // choose among servers.
 func lot(random float64) float64 {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -279,7 +279,22 @@
 	is.True(!m.holds(time.Second))
 }
 
-// TestTrialServers: as many as the share is of all, the same at every gateway, and all once the
+// TestRequestsMoveToEngines over a while after the switch, and those of a plain service at once.
+func TestRequestsMoveToEngines(t *testing.T) {
+	is := is.New(t)
+	p := &pool{}
+	p.take(time.Second, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.04})
+	p.take(10*time.Second, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+	r := p.rollout
+	is.True(!r.moving(10 * time.Second))
+	r.engine = true
+	p.take(10*time.Second+switchTime/2, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1, Final: true}) // the same switch
+	is.True(r.moving(10*time.Second + switchTime/2))
+	is.Equal(r.moved(10*time.Second+switchTime/2), 0.5)
+	is.True(!r.moving(10*time.Second + switchTime))
+}
+
+// TestTrialServers: as many as the share is of all or one more, the same at every gateway, and all once the
 // target gets all.
 func TestTrialServers(t *testing.T) {
 	is := is.New(t)
@@ -301,9 +316,10 @@
 		}
 		return ids
 	}
-	is.Equal(len(chosen(0.04, 60)), 2)
+	is.Equal(len(chosen(0.04, 60)), 3)
 	is.Equal(chosen(0.04, 60), chosen(0.04, 60))
 	is.Equal(len(chosen(0.04, 3)), 1)
+	is.Equal(len(chosen(0.45, 3)), 2) // one would have more load than each old server
 	is.Equal(len(chosen(0.5, 60)), 30)
 	is.Equal(len(chosen(1, 60)), 60)
 	for id := range chosen(0.04, 60) { // a larger share takes servers along
