--- a/directory/relay.go
+++ b/directory/relay.go
@@ -293,11 +293,11 @@
 // pushFleet sends the gateways the sums over all, as often as the budget of a link allows.
 func (r *relay) pushFleet() {
 	now := r.h.d.replica.Now()
-	links := len(r.h.sessions)
-	if !r.fleetNew || now < r.fleetDue || links == 0 {
+	if !r.fleetNew || now < r.fleetDue || len(r.h.sessions) == 0 {
 		return
 	}
 	fleet := *r.fleet
+	links := max(fleet.Gateways, len(r.h.sessions)) // of all senders, whose budget is one
 	fleet.Loads = r.feed.Next(registry.OrderedLoads(r.loads), registry.FleetLoads(links))
 	m, ok := r.h.encode(fleet)
 	if !ok {
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -275,11 +275,12 @@
 	if now < h.fleetDue || len(h.sessions) == 0 {
 		return
 	}
-	m, ok := h.encode(h.fleetMessage(h.feed.Next(h.usage.total, registry.FleetLoads(len(h.sessions)))))
+	links := max(len(h.gateways()), len(h.sessions)) // those of relays as well: the budget is all senders' together
+	m, ok := h.encode(h.fleetMessage(h.feed.Next(h.usage.total, registry.FleetLoads(links))))
 	if !ok {
 		return
 	}
-	h.fleetDue = now + registry.FleetPause(m.Size(), len(h.sessions))
+	h.fleetDue = now + registry.FleetPause(m.Size(), links)
 	for s := range h.sessions {
 		s.out.Send(protocol.Counted{Seq: s.counted})
 		s.out.Send(m)
