--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -28,10 +28,10 @@
 
 // The kinds. A server that is barred is of none.
 const (
-	oldVersion    versions = 1 << iota // any but the target
-	trialVersion                       // those of the target that a trial goes to
-	targetVersion                      // all of the target
-	replacedVersion                    // replaced by another that is listed
+	oldVersion      versions = 1 << iota // any but the target
+	trialVersion                         // those of the target that a trial goes to
+	targetVersion                        // all of the target
+	replacedVersion                      // replaced by another that is listed
 )
 
 // anyVersion is a server of a pool without a rollout, or any that is not replaced.
