--- a/coordination/rollout/schedule_test.go
+++ b/coordination/rollout/schedule_test.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -14,7 +15,11 @@
 // seen runs a schedule of 10 s on its own steps until it ends, with observe's view of each, and
 // returns all decisions.
 func seen(observe func(at time.Duration, d Decision) Observed) (all []Decision) {
-	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	return seenWithin(Bounds{Share: 0.1, Slack: 50}, observe)
+}
+
+func seenWithin(b Bounds, observe func(at time.Duration, d Decision) Observed) (all []Decision) {
+	s := &Schedule{Duration: 10 * time.Second, Bounds: b}
 	var d Decision
 	for at := time.Duration(0); at < 20*time.Second && d.Ending == GoOn; at += 100 * time.Millisecond {
 		o := observe(at, d)
@@ -35,6 +40,28 @@
 	is.True(len(all) < 96) // 9.5 s
 }
 
+// TestBoundsByDefault: settings that state none have the default ones; a share without requests
+// besides, or those without a share, stay as they are.
+func TestBoundsByDefault(t *testing.T) {
+	is := is.New(t)
+	observe := func(at time.Duration, d Decision) Observed {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		target := uint64(0.05 * float64(n))
+		if at > 6*time.Second {
+			target += n - 900
+		}
+		return Observed{Informed: true, TargetListed: true, OldIdle: true, Totals: map[string]*Pair{
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+		}}
+	}
+	all := seenWithin(Bounds{}, observe)
+	is.Equal(all[len(all)-1].Ending, Complete)
+	is.Equal(all, seenWithin(Bounds{Share: DefaultShare, Slack: DefaultSlack}, observe))
+	for _, b := range []Bounds{{Share: 0.2}, {Slack: 9}} {
+		is.Equal(b.orDefault(), b)
+	}
+}
+
 // TestNoServerOfTheTarget: what nothing can serve is not switched to, with or without requests.
 func TestNoServerOfTheTarget(t *testing.T) {
 	is := is.New(t)
@@ -84,10 +111,15 @@
 // TestBoundIsUsedUp: after a leader whose switch was not over, say: nothing more in the trial.
 func TestBoundIsUsedUp(t *testing.T) {
 	is := is.New(t)
-	all := seen(func(at time.Duration, _ Decision) Observed {
-		n := 15 * uint64(at/(100*time.Millisecond))
+	target, old := uint64(300), uint64(0)
+	all := seen(func(_ time.Duration, d Decision) Observed {
+		if d.Share == 1 {
+			target += 15
+		} else {
+			old += 15
+		}
 		return Observed{Informed: true, TargetListed: true, Totals: map[string]*Pair{
-			"r": {Target: Tally{Sent: 300, Answered: 300}, Old: Tally{Sent: n, Answered: n}},
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: old, Answered: old}},
 		}}
 	})
 	is.Equal(all[40].Share, 0.0)
@@ -95,6 +127,53 @@
 	is.Equal(all[len(all)-1].Ending, Complete) // at the latest, it is good by what was seen
 }
 
+// TestTargetUnusedAfterTheSwitch: while its servers have gone, or get nothing, the old ones may not
+// be told to stop, even if nothing runs there just now.
+func TestTargetUnusedAfterTheSwitch(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		for _, idle := range []bool{false, true} {
+			is := is.New(t)
+			var switched uint64
+			all := seen(func(at time.Duration, d Decision) Observed {
+				n := 15 * uint64(at/(100*time.Millisecond))
+				target := n / 20
+				if d.Share == 1 && switched == 0 {
+					switched = n
+				}
+				if switched > 0 {
+					target = switched / 20
+				}
+				return Observed{Informed: true, TargetListed: listed || d.Share < 1, OldIdle: idle && !listed, Totals: map[string]*Pair{
+					"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+				}}
+			})
+			is.True(switched > 0)
+			is.Equal(all[len(all)-1].Ending, RollBack)
+		}
+	}
+}
+
+// TestTotalsThatFall: while a relay's gateways report to nobody, what the target was sent is not
+// given again, and the rate stays as it was.
+func TestTotalsThatFall(t *testing.T) {
+	is := is.New(t)
+	s := &Schedule{Duration: 10 * time.Second, Bounds: Bounds{Share: 0.1, Slack: 50}}
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		n := 15 * uint64(at/(100*time.Millisecond))
+		target := n / 15
+		if at >= 3*time.Second && at < 4*time.Second {
+			n, target = n/3, target/3
+		}
+		d := s.Step(Observed{Elapsed: at, Informed: true, TargetListed: true, Totals: map[string]*Pair{
+			"r": {Target: Tally{Sent: target, Answered: target}, Old: Tally{Sent: n - target, Answered: n - target}},
+		}})
+		is.True(d.Sent >= min(uint64(at/(100*time.Millisecond)), 29))
+		if rate, known := s.rate.perSecond(); known {
+			is.True(math.Abs(rate-150) < 1)
+		}
+	}
+}
+
 // TestLateLeaderMeasuresFirst: one that comes when it has to be decided knows the rate before it
 // says that too little is known; of a pool without requests nothing has to be.
 func TestLateLeaderMeasuresFirst(t *testing.T) {
--- a/coordination/rollout/together_test.go
+++ b/coordination/rollout/together_test.go
@@ -27,7 +27,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			all := seen(func(at time.Duration, _ Decision) Observed {
+			var switched uint64 // requests of a route until then
+			all := seen(func(at time.Duration, d Decision) Observed {
 				n := uint64(at / (100 * time.Millisecond))
 				o := Observed{Informed: true, TargetListed: true, KeptAway: test.keptAway, Totals: map[string]*Pair{
 					"a": {Target: Tally{Sent: n, Answered: n}, Old: Tally{Sent: 14 * n, Answered: 14 * n}},
@@ -36,6 +37,13 @@
 				if test.keptAway["a"] {
 					o.Totals["a"].Target = Tally{}
 				}
+				if d.Share == 1 && switched == 0 {
+					switched = n
+				}
+				if after := n - switched; switched > 0 && after > 0 { // the target has all that can go there
+					o.Totals["a"].Target = Tally{Sent: switched + 15*after, Answered: switched + 15*after}
+					o.Totals["a"].Old = Tally{Sent: 14 * switched, Answered: 14 * switched}
+				}
 				return o
 			})
 			switches := false
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -15,8 +15,8 @@
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
-// This file defines how the leader carries out the rollouts of pools: it gathers what gateways
-// report, has package rollout decide, and sends the gateways the shares. All runs in the hub's
+// This file defines how the leader carries out the rollouts of pools: it has package rollout
+// decide on what gateways report (outcomes.go), and sends them the shares. All runs in the hub's
 // goroutine.
 
 // informedAfter is how long a new leader waits for the gateways' first reports before it gives
@@ -45,10 +45,6 @@
 	encoded  protocol.Encoded
 }
 
-// obedience is the newest lists that a session's last two reports obeyed: a report's loads were
-// taken before its list, so that only the one after says what runs under it.
-type obedience struct{ last, before uint64 }
-
 // leadRollout is one rollout under way.
 type leadRollout struct {
 	document.Rollout
@@ -59,71 +55,20 @@
 	decision  rollout.Decision
 	sent      rollout.Decision // whose shares the gateways were sent
 	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
+	finalSeq  uint64           // of the first list that says that complete follows; 0: none does
+	finalAt   time.Duration    // when that was sent
 	proposing bool
 	loggedAt  time.Duration
 }
 
-// reporter is one run of a gateway: its totals begin at none when it starts again, and what the
-// run before had sent counts on.
-type reporter struct {
-	gateway string
-	boot    uint64
-}
-
-type outcomeKey struct{ version, route string }
-
-// beginRollouts begins a term with the rollouts that the log holds.
+// beginRollouts begins a term with the rollouts that the log holds. Lists are numbered on: a
+// replica that finds itself leading again in one term would else send what gateways have passed.
 func (h *hub) beginRollouts() {
 	h.rollouts = rollouts{
-		began: h.d.replica.Now(), underWay: map[string]*leadRollout{}, obeyed: map[*session]obedience{},
-	}
-}
-
-// addOutcomes takes a gateway's report.
-func (h *hub) addOutcomes(s *session, u protocol.Usage) {
-	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
-	for _, o := range u.Outcomes {
-		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
-			r.add(reporter{s.gateway, s.boot}, o)
-		}
+		seq: h.rollouts.seq, began: h.d.replica.Now(), underWay: map[string]*leadRollout{}, obeyed: map[*session]obedience{},
 	}
 }
 
-// add takes one reporter's totals in place of those before. One that are less come from a
-// reporter that counts anew, and add to them.
-func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
-	mine := r.reported[from]
-	if mine == nil {
-		mine = map[outcomeKey]protocol.Outcomes{}
-		r.reported[from] = mine
-	}
-	key := outcomeKey{o.Version, o.Route}
-	before := mine[key]
-	mine[key] = o
-	pair := r.totals[o.Route]
-	if pair == nil {
-		pair = &rollout.Pair{}
-		r.totals[o.Route] = pair
-	}
-	t := &pair.Old
-	if o.Version == r.Target {
-		t = &pair.Target
-	}
-	t.Sent += o.Sent - before.Sent // wraps around where it is less
-	t.Answered += o.Answered - before.Answered
-	t.Failed += o.Failed - before.Failed
-	for i := range t.Paces {
-		t.Paces[i] += paces(o, i) - paces(before, i)
-	}
-}
-
-func paces(o protocol.Outcomes, bucket int) uint64 {
-	if bucket < len(o.Paces) {
-		return uint64(o.Paces[bucket])
-	}
-	return 0
-}
-
 // stepRollouts decides on each rollout under way. It is called with each tick and each change
 // of the applied state.
 func (h *hub) stepRollouts() {
@@ -215,6 +160,9 @@
 	}
 	switch r.decision.Ending {
 	case rollout.Complete:
+		if !h.finalObeyed(now, r) {
+			return
+		}
 		c.State, c.Replaced = document.RolloutComplete, h.otherVersions(r)
 	case rollout.RollBack:
 		c.State = document.RolloutRolledBack
@@ -236,14 +184,22 @@
 	}()
 }
 
-// otherVersions returns the versions that the target replaces.
+// otherVersions returns the versions that the target replaces: those of servers that are
+// announced, and those that gateways have sent requests to, whose servers may be away.
 func (h *hub) otherVersions(r *leadRollout) []string {
 	others := map[string]bool{}
 	for _, v := range h.registry.Versions(r.Pool) {
-		if v != r.Target && !slices.Contains(r.Barred, v) {
-			others[v] = true
+		others[v] = true
+	}
+	for _, mine := range r.reported {
+		for key := range mine {
+			others[key.version] = true
 		}
 	}
+	delete(others, r.Target)
+	for _, v := range r.Barred {
+		delete(others, v)
+	}
 	return slices.Sorted(maps.Keys(others))
 }
 
@@ -254,7 +210,7 @@
 		return false
 	}
 	for s := range h.sessions {
-		if s.knowsVersions && h.rollouts.obeyed[s].before < r.fullSeq {
+		if s.obeysRollouts() && h.rollouts.obeyed[s].before < r.fullSeq {
 			return false
 		}
 	}
@@ -266,6 +222,33 @@
 	})
 }
 
+// finalWait is how long the leader waits for all gateways to obey the list that says that
+// complete follows, or half of the time that is left: one that does not obey is out of touch.
+// Chosen, not measured: several reports.
+const finalWait = time.Second
+
+// finalObeyed reports whether a rollout may be put into the log as complete: all gateways know
+// that the old servers may stop. Else one that loses its session meanwhile would go back to them.
+func (h *hub) finalObeyed(now time.Duration, r *leadRollout) bool {
+	if r.finalSeq == 0 {
+		return false
+	}
+	if now-r.finalAt >= min(finalWait, (r.Duration-r.elapsed(r.finalAt))/2) {
+		return true
+	}
+	for s := range h.sessions {
+		if s.obeysRollouts() && h.rollouts.obeyed[s].last < r.finalSeq {
+			return false
+		}
+	}
+	return true
+}
+
+// obeysRollouts reports whether a session stands for a gateway that obeys rollouts.
+func (s *session) obeysRollouts() bool {
+	return slices.ContainsFunc(s.gateways(), func(g protocol.BehindGateway) bool { return g.KnowsVersions })
+}
+
 // targetHalls returns the data halls in service in which a server of the target is listed.
 func (h *hub) targetHalls(r *leadRollout) []string {
 	out, _ := h.d.state.HallsOut()
@@ -310,7 +293,7 @@
 	h.rollouts.list, h.rollouts.seq, h.rollouts.encoded = list, m.Seq, encoded
 	for _, e := range list {
 		if r := h.rollouts.underWay[e.Pool]; r != nil {
-			r.noteSent(m.Seq, e.Share)
+			r.noteSent(h.d.replica.Now(), m.Seq, e)
 		}
 	}
 	for s := range h.sessions {
@@ -328,7 +311,7 @@
 		e.Barred = append(slices.Clone(e.Barred), r.Target)
 		return e
 	case rollout.Complete:
-		e.Share = 1
+		e.Share, e.Final = 1, true
 		return e
 	}
 	if r.decision.Differs(r.sent) {
@@ -341,10 +324,13 @@
 	return e
 }
 
-// noteSent takes the share in a list that was sent.
-func (r *leadRollout) noteSent(seq uint64, share float64) {
+// noteSent takes the entry of a list that was sent.
+func (r *leadRollout) noteSent(now time.Duration, seq uint64, e protocol.Rollout) {
+	if e.Final && r.finalSeq == 0 {
+		r.finalSeq, r.finalAt = seq, now
+	}
 	switch {
-	case share < 1:
+	case e.Share < 1:
 		r.fullSeq = 0
 	case r.fullSeq == 0:
 		r.fullSeq = seq
@@ -352,21 +338,21 @@
 }
 
 func sameEntry(a, b protocol.Rollout) bool {
-	return a.Pool == b.Pool && a.Attempt == b.Attempt && a.Target == b.Target && a.Share == b.Share &&
+	return a.Pool == b.Pool && a.Attempt == b.Attempt && a.Target == b.Target && a.Share == b.Share && a.Final == b.Final &&
 		slices.Equal(a.Barred, b.Barred) && slices.Equal(a.Replaced, b.Replaced) && slices.Equal(a.Routes, b.Routes)
 }
 
 // sendRollouts sends a session that opens all rollouts.
 func (h *hub) sendRollouts(s *session) {
-	if h.rollouts.seq > 0 {
+	if h.relay != nil {
+		h.relay.sendRollouts(s)
+		return
+	}
+	if h.rollouts.encoded.Size() > 0 {
 		s.out.Send(h.rollouts.encoded)
 	}
 }
 
-// forgetOutcomes forgets what a session that has ended obeys. What it reported stays: the
-// target has had those requests.
-func (h *hub) forgetOutcomes(s *session) { delete(h.rollouts.obeyed, s) }
-
 // logStep logs what a rollout rests on.
 func (h *hub) logStep(now time.Duration, r *leadRollout) {
 	r.loggedAt = now
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,12 @@
 // sums and some reports. Chosen, not measured.
 const sharesLease = 2 * time.Second
 
+// switchTime is how long a gateway takes from the switch on to move all requests to engines of
+// the target: the longest pause of the leader's sums. At once, what waits at all gateways would go to idle
+// engines in the time in which none knows what the others send: 68 requests in 200 ms to 24
+// slots, whose slow answers rolled a good version back (TestGoodVersionUnderAFlood).
+const switchTime = 600 * time.Millisecond
+
 // versions is a set of kinds of server, by their version.
 type versions uint8
 
@@ -43,11 +50,15 @@
 // poolRollout is a pool's rollouts, as the directory's newest list has them.
 type poolRollout struct {
 	protocol.Rollout
-	routes    map[string]float64 // shares
-	switched  bool               // the target was given all requests last
-	oldListed bool               // a server of the old version is listed, in a hall in service
-	outcomes  outcomes
-	mistrust  mistrust
+	routes     map[string]float64 // shares
+	switched   bool               // the target was given all requests last
+	fullFrom   time.Duration      // when it gets all of them here, if its servers are engines
+	engine     bool               // they are
+	barredHere bool               // an earlier leader barred the target, and the list does not
+	oldListed  bool               // a server of the old version is listed, in a hall in service
+	outcomes   outcomes
+	mistrust   mistrust
+	unreached  unreached
 }
 
 // underWay reports whether there is a target that may have requests.
@@ -74,7 +85,7 @@
 	}
 	t.rollouts = list
 	for _, next := range m.List {
-		if t.pool(next.Pool).take(next) {
+		if t.pool(next.Pool).take(t.now(), next) {
 			changed = append(changed, next)
 		}
 	}
@@ -83,10 +94,10 @@
 }
 
 // take takes the pool's rollout and reports whether it is another than before.
-func (p *pool) take(next protocol.Rollout) bool {
+func (p *pool) take(now time.Duration, next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{}
+		r = &poolRollout{unreached: unreached{}}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -94,15 +105,19 @@
 	}
 	// What a leader has barred before the log had it stays barred: the next leader may not
 	// know. Only the log's end of this attempt, or another attempt, says otherwise.
-	if next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
-		!slices.Contains(next.Barred, next.Target) {
+	r.barredHere = next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
+		!slices.Contains(next.Barred, next.Target)
+	if r.barredHere {
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.mistrust = outcomes{}, mistrust{}
+		r.outcomes, r.mistrust, r.unreached = outcomes{}, mistrust{}, unreached{}
 	}
-	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
+	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share && next.Final == r.Final &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
+	if next.Share >= 1 && !r.switched {
+		r.fullFrom = now + switchTime
+	}
 	r.Rollout, r.switched = next, next.Share >= 1
 	r.routes = make(map[string]float64, len(next.Routes))
 	for _, s := range next.Routes {
@@ -116,12 +131,12 @@
 func (t *table) sortVersions() {
 	for _, p := range t.pools {
 		if p.rollout != nil {
-			p.sortVersions(t.hallsOut)
+			t.sortVersionsOf(p)
 		}
 	}
 }
 
-func (p *pool) sortVersions(hallsOut map[string]bool) {
+func (t *table) sortVersionsOf(p *pool) {
 	r := p.rollout
 	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
 		return !slices.Contains(r.Barred, k.Version) && !slices.Contains(r.Replaced, k.Version)
@@ -134,28 +149,43 @@
 		case slices.Contains(r.Barred, k.Version):
 		case r.Target != "" && k.Version == r.Target:
 			k.versions = targetVersion
-			if !hallsOut[k.Hall] {
+			if !t.hallsOut[k.Hall] {
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
 			k.versions = replacedVersion
 		default:
 			k.versions = oldVersion
-			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
+			r.oldListed = r.oldListed || !t.hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(target, r.Share) {
-		k.versions |= trialVersion
+	for _, group := range t.trialGroups(r.unreached.others(target)) {
+		for _, k := range trialServers(group, r.Share) {
+			k.versions |= trialVersion
+		}
 	}
 }
 
+// trialGroups returns the target's servers by region, if there are several, so that each region
+// has some in the trial and no request leaves it for that.
+func (t *table) trialGroups(target []*knownServer) [][]*knownServer {
+	if t.site.regions < 2 {
+		return [][]*knownServer{target}
+	}
+	groups := map[string][]*knownServer{}
+	for _, k := range target {
+		groups[k.region] = append(groups[k.region], k)
+	}
+	return slices.Collect(maps.Values(groups))
+}
+
 // trialServers returns the target's servers that a trial goes to: as many as the share is of
 // all, so that each has the load that an old one has. All gateways choose the same.
 func trialServers(target []*knownServer, share float64) []*knownServer {
 	if len(target) == 0 {
 		return nil
 	}
-	n := max(int(math.Round(share*float64(len(target)))), 1)
+	n := max(int(math.Ceil(share*float64(len(target)))), 1)
 	slices.SortFunc(target, func(a, b *knownServer) int {
 		return cmp.Or(cmp.Compare(xxh3.HashString(a.ID), xxh3.HashString(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -180,18 +210,23 @@
 	byOwn     = "bad answers"    // this gateway's own experience
 	byAll     = "switched"       // the target gets all requests
 	byNoUse   = "none usable"    // of the target's servers
-	byOldGone = "old gone"       // no server of the old version is listed
+	byOldGone = "old gone"       // no server of the old version is listed, or none in its homes
 	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
 )
 
 // order returns which versions a request may go to. The caller holds mu.
 func (t *table) order(p *pool, now time.Duration, req *requirements) order {
 	r := p.rollout
+	if r != nil {
+		r.engine = req.pool.Engine
+	}
 	switch {
 	case r == nil || !r.underWay():
 		return order{first: anyVersion, why: byNone}
-	case !r.oldListed:
+	case !t.oldReachable(p, req):
 		return order{first: anyVersion, why: byOldGone}
+	case r.Final:
+		return order{first: targetVersion, why: byAll, second: oldVersion, ifNone: true, otherwise: byNoUse}
 	case now >= t.sharesUntil:
 		o := order{first: oldVersion, why: byLease}
 		if r.switched && len(req.avoid) > 0 { // the old servers may have stopped
@@ -200,6 +235,8 @@
 		return o
 	case r.mistrust.holds(now):
 		return order{first: oldVersion, why: byOwn}
+	case r.moving(now) && lot(req.random) >= r.moved(now):
+		return order{first: oldVersion, why: byRest}
 	case r.switched:
 		return order{first: targetVersion, why: byAll, second: oldVersion, ifNone: true, otherwise: byNoUse}
 	case len(req.avoid) > 0:
@@ -210,6 +247,28 @@
 	return order{first: oldVersion, why: byRest}
 }
 
+// oldReachable reports whether a server of the old version is listed where the request may be
+// served. The caller holds mu.
+func (t *table) oldReachable(p *pool, req *requirements) bool {
+	h := t.homes.of(req)
+	if !h.bound || !p.rollout.oldListed {
+		return p.rollout.oldListed
+	}
+	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&oldVersion != 0 && !t.hallsOut[k.Hall] && !k.unlisted && h.may(k.region)
+	})
+}
+
+// moving reports whether requests still move to the target after the switch.
+func (r *poolRollout) moving(now time.Duration) bool {
+	return r.switched && r.engine && now < r.fullFrom
+}
+
+// moved returns the part of the requests that has moved to the target since the switch.
+func (r *poolRollout) moved(now time.Duration) float64 {
+	return 1 - float64(r.fullFrom-now)/float64(switchTime)
+}
+
 // lot returns a number from 0 to 1 that does not depend on the first digits of random, which
 // choose among servers.
 func lot(random float64) float64 {
@@ -217,12 +276,12 @@
 	return rest
 }
 
-// anyUsable reports whether a server of some versions may have requests now. The caller holds
+// anyUsable reports whether a server of some versions may have the request now. The caller holds
 // mu.
-func (t *table) anyUsable(p *pool, now time.Duration, among versions) bool {
+func (t *table) anyUsable(p *pool, now time.Duration, req *requirements, among versions) bool {
 	leased := now < t.leased
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased)
+		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
 	})
 }
 
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -9,7 +9,9 @@
 //
 // A session starts with Watch. The leader answers with the whole list of backend
 // servers, the document if the gateway's is older, and from then on with what
-// changes; any other replica answers with WatchRedirect and closes. Numbers that
+// changes; any other replica answers with WatchRedirect and closes. A relay is a replica
+// that does the leader's part for the gateways of its region; towards the leader it opens a
+// session itself. Numbers that
 // are sent several times a second are arrays.
 
 // Watch is the first message of a gateway to a directory replica and opens a session.
@@ -26,8 +28,9 @@
 	Region string `cbor:"7,keyasint,omitempty"`
 	// Relay is set by a directory replica that opens a session for its region's gateways.
 	Relay bool `cbor:"8,keyasint,omitempty"`
-	// Direct is set by a gateway that lost a relay: the leader serves it itself.
-	Direct bool `cbor:"9,keyasint,omitempty"`
+	// Avoid are the fleet addresses of replicas that the gateway lost, or was named and did not
+	// reach, since its last session: the leader names another relay, or serves it itself.
+	Avoid []string `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchRedirect is the answer of a directory replica that does not lead to a Watch; it
@@ -134,6 +137,12 @@
 	Outcomes []Outcomes `cbor:"9,keyasint,omitempty"`
 	// Obeyed is the Seq of the newest [Rollouts] that the gateway obeys, of the session's term.
 	Obeyed uint64 `cbor:"10,keyasint,omitempty"`
+	// Changes is set in a relay's reports: Loads are the sums that have changed since its
+	// previous report, with zeros for what runs nothing any more.
+	Changes bool `cbor:"11,keyasint,omitempty"`
+	// Barred are targets that a leader has barred here and the newest [Rollouts] has not: the log
+	// may lack the verdict.
+	Barred []Barred `cbor:"12,keyasint,omitempty"`
 }
 
 // Entitlement is the part of an account's demand that its fair share covers: of
