--- a/directory/together_fixture_test.go
+++ b/directory/together_fixture_test.go
@@ -90,18 +90,18 @@
 // announceAs announces a server of the target only once a rollout is under way: without one it
 // would get its part of the requests.
 func (x *fleet) announceAs(a registry.Announcement) {
-	l := x.leader()
-	if l == nil {
+	d := x.leading()
+	if d == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
 	defer cancel()
-	if _, err := l.d.Rollout(ctx, "p"); err != nil && a.Version == "v2" {
+	if _, err := d.Rollout(ctx, "p"); err != nil && a.Version == "v2" {
 		return
 	}
 	x.beats[a.ID]++
 	a.Seq = x.beats[a.ID]
-	_ = l.d.Announce(ctx, a) // whoever does not lead any more refuses it
+	_ = d.Announce(ctx, a) // whoever does not lead any more refuses it
 }
 
 // counted counts what reaches each server of a versioned.
--- /dev/null
+++ b/directory/together_homes_test.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests a rollout whose target has servers in one region only, while a route's home is
+// the other.
+
+// homely notes which route's requests reach which server, and how they end.
+type homely struct {
+	from
+	failed map[string]int // by route, guarded by the versioned's mu
+}
+
+func (h homely) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+	h.reached.note(call.Header.Get("Id") + at)
+	return h.from.Send(ctx, at, call)
+}
+
+// ask asks on both routes in each period.
+func (h homely) ask(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
+	for range sleep.Every(ctx, rolloutPeriod) {
+		for _, route := range []string{"any", "home"} {
+			asking.Go(func() {
+				r := httptest.NewRequestWithContext(h.x.t.Context(), http.MethodPost, "/"+route, strings.NewReader("a body"))
+				r.Host = "h"
+				r.Header.Set("Id", route)
+				w := httptest.NewRecorder()
+				g.ServeHTTP(w, r)
+				if w.Code != http.StatusOK {
+					h.countFailed(route)
+				}
+			})
+		}
+	}
+}
+
+// countFailed counts what fails from the order on.
+func (h homely) countFailed(route string) {
+	h.versioned.mu.Lock()
+	defer h.versioned.mu.Unlock()
+	if !h.ordered.IsZero() {
+		h.failed[route]++
+	}
+}
+
+// homeHeld has route "any", and route "home" whose home is the south.
+func homeHeld() document.Held {
+	h := held(1)
+	home := h.Document.Routes[0]
+	home.Name, home.Prefix, home.Homes = "home", "/home", []string{south}
+	h.Document.Routes = append(h.Document.Routes, home)
+	return h
+}
+
+// TestTargetInOneRegionOnly: the route with the other as its home never leaves it, and does not
+// keep the others from the target; its requests are served by the old servers there, also after
+// the end, for as long as those are there.
+func TestTargetInOneRegionOnly(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fails func(time.Duration) float64
+		state document.RolloutState
+	}{
+		{"good", nil, document.RolloutComplete},
+		{"bad", func(time.Duration) float64 { return 0.2 }, document.RolloutRolledBack},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inRegions(t, 1_000_000, func(x *fleet) {
+				is := is.New(x.t)
+				v := &versioned{fails: test.fails}
+				halls := [7]string{1: north, 2: north, 3: south, 4: north, 5: north, 6: north}
+				r := &regional{counted: newCounted(v), x: x, halls: halls}
+				h := homely{failed: map[string]int{}}
+				x.rollingIn(v, scene{document: homeHeld(), announce: r.announce, load: func(ip string) {
+					region := map[string]string{rolloutGateway(0): north, rolloutGateway(1): north, rolloutGateway(2): south}[ip]
+					x.place(ip, region)
+					h.from = from{r, region}
+					x.loadedBy(ip, idHeaders{}, h, h.ask)
+				}}, func() {
+					state, after := x.ended(v)
+					end := time.Now()
+					x.t.Logf("ended after %v, %.0f below the bound at least", after, leastRoom(v))
+					is.Equal(state, test.state)
+					is.True(after <= rolloutTime)
+					time.Sleep(3 * time.Second)
+					at := func(route, server string, from time.Time) int {
+						n, _ := r.reached.since(route+address(server), from)
+						return n
+					}
+					for _, server := range []string{"b1", "b2", "b4", "b5", "b6"} {
+						is.Equal(at("home", server, time.Time{}), 0)
+					}
+					is.True(at("home", "b3", end) > 300)
+					v.mu.Lock()
+					is.Equal(h.failed["home"], 0)
+					v.mu.Unlock()
+					if test.fails == nil {
+						is.Equal(at("any", "b1", end.Add(reach))+at("any", "b2", end.Add(reach))+at("any", "b3", end.Add(reach)), 0)
+					} else {
+						is.Equal(at("any", "b4", end.Add(reach))+at("any", "b5", end.Add(reach))+at("any", "b6", end.Add(reach)), 0)
+						is.True(leastRoom(v) >= 0)
+					}
+				})
+			})
+		})
+	}
+}
