--- a/directory/relay.go
+++ b/directory/relay.go
@@ -219,7 +219,6 @@
 		r.h.sendAll(m)
 	case protocol.Rollouts:
 		r.rollouts = &m
-		r.sums.Listed = m.Seq
 		r.sums.KeepAttempts(m.List)
 		r.h.sendAll(m)
 	case protocol.Counted:
