--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -41,9 +41,6 @@
 
 // Sums adds up what the gateways behind one relay report. The zero value has none.
 type Sums struct {
-	// Listed is the number of the newest list of rollouts that the gateways were sent.
-	Listed uint64
-
 	gateways map[string]behind
 	gathered gathered
 	totals   map[outcomeKey]protocol.Outcomes // as last sent
@@ -194,9 +191,8 @@
 }
 
 // least returns the smallest number of a document in force at a gateway, and of the rollouts
-// that one obeys. Without a gateway that obeys any nothing here stands against the newest list.
+// that one obeys, if any does.
 func (s *Sums) least() (number, obeyed uint64) {
-	obeyed = s.Listed
 	var numbers, obeys []uint64
 	for _, g := range s.gateways {
 		numbers = append(numbers, g.number)
