Rollout: each constant of the test and of the schedule says where it is from

The error of alarm was that of 10.5 (exp(10.5) is 36,316); at 11.5 it is 1 in 99,000 (exp(11.5) is 98,716). TestModel has another name, TestBadVersions. 0.95 and 0.25 s have names. docs/DECISIONS.md gave fewestPart and rareSent a test that does not vary them. Words and names only.

--- a/coordination/rollout/evidence.go
+++ b/coordination/rollout/evidence.go
@@ -65,9 +65,9 @@
 type Pair struct{ Target, Old Tally }
 
 // Parameters of the test. The error rates that follow are measured by TestFalseAlarms and
-// TestModel.
+// TestBadVersions.
 const (
-	// alarm is the sum at which a version is bad, ln(1/error) with an error of 1 in 36,000 for
+	// alarm is the sum at which a version is bad, ln(1/error) with an error of 1 in 99,000 for
 	// each of the sums, of which a rollout has some dozens.
 	alarm = 11.5
 	// leastBad is the least part of bad answers that the old version is taken to have: an excess
@@ -77,15 +77,20 @@
 	// that hits all is less easily taken for the version's. Chosen, not measured.
 	leastBadAlone = 0.02
 	// leastSlow is the least part of slow answers that the old version is taken to have: their
-	// bound is drawn from its own answers, which may be few.
+	// bound is drawn from its own answers, which may be few. Chosen, not measured.
 	leastSlow = 0.05
-	// recentPrior is the weight of all the old version's answers in that average, in answers.
-	// Chosen, not measured.
+	// mostBad is the largest part of bad answers that it is taken to have: from 1 on there would
+	// be no excess. Chosen, not measured.
+	mostBad = 0.95
+	// recentPrior is the weight of all the old version's answers in the averages over
+	// recentTimes, in answers. Chosen, not measured.
 	recentPrior = 4.0
 	// usualPart is the part of the old version's answers that may be slower than usual.
 	// Chosen, not measured.
 	usualPart = 0.05
-	// slowMargin is by how many half octaves an answer is slower than that: 1.4 to 2 times.
+	// slowMargin is the number of half octaves between the pace that usualPart gives and the one
+	// above which an answer is slow. With 1, 3 times slower was seen in 56 instead of 74 of 80
+	// rollouts at 10 requests a second (docs/DECISIONS.md).
 	slowMargin = 0
 	// fewestOld is from how many paces on the old version's are known. Chosen, not measured.
 	fewestOld = 20
@@ -133,12 +138,12 @@
 
 // expected returns the part of bad answers that a version as good as the old one may have.
 func (r rate) expected(least float64) float64 {
-	ever := (r.ever.bad + 0.5) / (r.ever.all + 1)
+	ever := (r.ever.bad + 0.5) / (r.ever.all + 1) // Jeffreys' prior: half an answer of each kind
 	p := max(ever, least)
 	for _, c := range r.recent {
 		p = max(p, (c.bad+recentPrior*ever)/(c.all+recentPrior))
 	}
-	return min(p, 0.95)
+	return min(p, mostBad)
 }
 
 // newest returns the part of bad answers among the newest. On all routes together there are
@@ -148,7 +153,7 @@
 	for _, c := range r.recent {
 		p = max(p, c.bad/(c.all+recentPrior))
 	}
-	return min(p, 0.95)
+	return min(p, mostBad)
 }
 
 // gain returns the log likelihood ratio of answers for an excess over an expected part.
@@ -309,7 +314,7 @@
 
 func rise(before, now uint64) float64 { return float64(max(now, before) - before) }
 
-// worst returns the grounds that speak most against the target.
+// worst returns the grounds with the largest sum.
 func (e *evidence) worst() Grounds {
 	var g Grounds
 	g.Sum, g.Failures = e.overall.most()
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -40,42 +40,53 @@
 
 // The trial.
 const (
-	// trialOfBound is the share in the trial, as a part of Bounds.Share: 0.04 of 0.1.
+	// trialOfBound is the share in the trial, as a part of Bounds.Share: 0.04 of 0.1. Chosen, not
+	// measured.
 	trialOfBound = 0.4
-	// leastOfBound is the least share, as a part of Bounds.Share.
+	// leastOfBound is the least share, as a part of Bounds.Share. Chosen, not measured.
 	leastOfBound = 0.2
 	// mostShare is the most, where few requests come, so that the old version gets as many to
-	// compare with.
+	// compare with. Chosen, not measured.
 	mostShare = 0.5
 	// enoughSent is how many requests in a trial are enough on each route: 5 % of failures are
-	// seen in 150 to 300 answers (TestModel).
+	// seen in 150 to 300 answers (TestBadVersions).
 	enoughSent = 300
 	// neededSent is how many requests on each route a trial gets even if no reserve is left for
 	// what only the switch shows: without evidence the switch is the larger risk.
 	neededSent = 17
-	// usedBudget is the part of what the bound allows that a trial plans to use.
+	// usedBudget is the part of what the bound allows that a trial plans to use. Chosen, not
+	// measured.
 	usedBudget = 0.85
 	// enoughKnown is how many good answers make a route good: after 16 without a failure one
 	// that fails 20 % of them is out of the question by 35 to 1.
 	enoughKnown = 16
 	// suspicion is Page's sum from which a switch waits: about one failure.
 	suspicion = 3.5
-	// suspicionLate is the sum from which there is no switch at the latest moment.
+	// suspicionLate is the sum from which there is no switch at the latest moment, by
+	// TestFalseAlarms.
 	suspicionLate = 8
-	// fewestKnown and fewestPart are how many good answers do at the latest moment, and as which
-	// part of a route's requests if that is less. Chosen, not measured.
+	// fewestKnown is how many answers on a route are enough at the latest moment: with 8, 7 of
+	// 2,000 good versions were rolled back (docs/design/rollouts.md).
 	fewestKnown = 4
-	fewestPart  = 0.1
+	// fewestPart is the part of a route's requests whose answers are enough then, if that is less
+	// than fewestKnown. Chosen, not measured.
+	fewestPart = 0.1
 	// leastUsed is the part of all requests that the target must have had from the switch on. In
 	// the least time until the end, the switch reaches gateways and is reported for some half of
 	// them. Chosen, not measured.
 	leastUsed = 0.1
-	// rareSent is up to how many requests a route may stay untried.
+	// rareSent is the number of requests up to which a route may stay untried. Chosen, not
+	// measured.
 	rareSent = 10
 )
 
-// rateTime is over how long the rate of requests is averaged. Chosen, not measured.
-const rateTime = time.Second
+// The rate of requests. Chosen, not measured.
+const (
+	// rateTime is over how long it is averaged.
+	rateTime = time.Second
+	// leastWeight is the weight in seconds from which the average is known.
+	leastWeight = 0.25
+)
 
 // Ending is what becomes of a rollout under way. The zero value is no end.
 type Ending uint8
@@ -163,7 +174,7 @@
 	sent    uint64
 	since   time.Duration // that count
 	weight  float64       // seconds
-	counted float64
+	counted float64       // requests in that weight
 	begun   bool
 }
 
@@ -184,7 +195,7 @@
 
 // perSecond returns the rate, and whether it is known.
 func (m *rateMeter) perSecond() (rate float64, known bool) {
-	if m.weight < 0.25 { // seconds; chosen, not measured
+	if m.weight < leastWeight {
 		return 0, false
 	}
 	return m.counted / m.weight, true
@@ -293,7 +304,8 @@
 	return float64(d.Sent)+rest <= s.allowed(d.Of+uint64(rest))
 }
 
-// good reports whether each route that can be was tried and nothing speaks against the target.
+// good reports whether each route that can try the target has enough answers of it, and no sum is
+// suspicious.
 func (s *Schedule) good(o Observed, d *Decision) bool {
 	late := o.Elapsed >= s.at(latestPart)
 	if d.Grounds.Sum >= suspicion && !late || d.Grounds.Sum >= suspicionLate || d.Grounds.Known < enoughKnown {
