Gateway: comments that say what a newcomer missed

Mistrust, unreached servers, kinds of version and departures had no unit, no lock or a metaphor; a tally's receiver was c; led was true at relays as well; lotParts stood among reasons for the log. errRedirected named a replica that does not lead, but a relay sends it too. No behaviour.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,8 +31,8 @@
 
 	versions versions // the servers' versions that the choice under way is among
 
-	accountHomes  []string      // as of the document that the request was taken with
-	homes         homes         // as of the last choice
+	accountHomes  []string      // by the document with which the request was taken
+	homes         homes         // by the document in force at the last choice
 	bytes         int           // that it sends
 	since         time.Duration // when it began to wait, by the gateway's clock
 	objectiveEnds time.Duration // by the gateway's clock; 0 is none
@@ -57,13 +57,13 @@
 	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
 	opened      time.Duration // the connection; 0: it got none
 	trial       bool          // of an ejected server
-	tried       tried         // of a pool that had a rollout
+	tried       tried         // what it counts for, in a pool that had a rollout
 	answering   bool          // a part of the answer has come
 	unreached   bool          // it got no connection
 	ended       bool
 
 	region   string        // where the server stood when it began
-	left     place.Leave   // why it goes to another region
+	left     place.Leave   // why it goes to another region; place.Stay: it does not
 	homes    homes         // that bound it
 	way      time.Duration // the round trip there
 	charged  float64       // bytes that were taken of the link for it
@@ -104,7 +104,8 @@
 	return a, other
 }
 
-// acquireOf does so among some versions, and reports whether there was a candidate.
+// acquireOf is acquire among some versions, and reports whether there was a candidate. why is for
+// the log. The caller holds mu.
 func (t *table) acquireOf(p *pool, now time.Duration, req requirements, among versions, why string) (a *assignment, full shortage, found bool) {
 	req.versions = among
 	choice, left := t.choose(p, now, &req)
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -34,6 +34,7 @@
 // measured.
 const maxTallies = 256
 
+// of returns the tally of a version on a route. Beyond maxTallies it is one that no report has.
 func (o *outcomes) of(version, route string) *tally {
 	key := tallyKey{version, route}
 	if t := o.tallies[key]; t != nil {
@@ -122,18 +123,20 @@
 	return t.rollouts.seq
 }
 
-func (c *tally) report(pool string, attempt uint64, key tallyKey) protocol.Outcomes {
-	paces := c.paces[:]
+// report returns the tally as a report carries it.
+func (t *tally) report(pool string, attempt uint64, key tallyKey) protocol.Outcomes {
+	paces := t.paces[:]
 	for len(paces) > 0 && paces[len(paces)-1] == 0 {
 		paces = paces[:len(paces)-1]
 	}
 	return protocol.Outcomes{
 		Pool: pool, Attempt: attempt, Version: key.version, Route: key.route,
-		Sent: c.sent, Answered: c.answered, Failed: c.failed, Paces: slices.Clone(paces),
+		Sent: t.sent, Answered: t.answered, Failed: t.failed, Paces: slices.Clone(paces),
 	}
 }
 
-// countPace counts how long an answer took to begin. Cold servers are slow for that.
+// countPace counts how long an answer took to begin. Answers of cold servers do not count: they are
+// slow whatever their version is. The caller holds mu.
 func (a *assignment) countPace(now time.Duration, ratio float64) {
 	if c := a.tried.tally; c != nil && !a.known.cold.Cold(now) {
 		c.paces[rollout.PaceBucket(ratio)]++
@@ -199,14 +202,14 @@
 	return n
 }
 
-// Mistrust: chosen, not measured.
+// Bounds of mistrust. Chosen, not measured.
 const (
-	badInARow   = 4               // of the target's answers; of a version that fails 20 % one of 600
+	badInARow   = 4               // of the target's answers; a version that fails 20 % has 4 once in 600
 	mistrustFor = 2 * time.Second // that the target gets nothing from this gateway
 )
 
-// mistrust is what this gateway itself has seen of the target, so that a bad version stops
-// here before the leader has summed up. The zero value has seen nothing.
+// mistrust is this gateway's own count of bad answers, so that it stops sending to a bad target
+// before the leader has added up the reports. The zero value has counted none.
 type mistrust struct {
 	target, old int // bad answers in a row
 	until       time.Duration
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -20,7 +20,7 @@
 // region, the requests that leave the gateway's own, and the bytes that they put on the link.
 // The rules are in coordination/place.
 
-// site is where a gateway stands.
+// site is the gateway's region, and what its settings say of the others.
 type site struct {
 	region   string
 	topology topology.Topology
@@ -86,7 +86,7 @@
 
 // departure is why a choice leaves the gateway's region, or what kept it there.
 type departure struct {
-	why    place.Leave
+	why    place.Leave // place.Stay: it does not
 	stayed stayed
 }
 
@@ -238,11 +238,10 @@
 	return place.Choice{Index: -1}
 }
 
-// Bytes that an answer from another region brings, until some have come, and the weight of one
-// in what is learned. Chosen, not measured.
+// Answers from other regions. Chosen, not measured.
 const (
-	assumedAnswer = 4e3
-	answerWeight  = 0.05
+	assumedAnswer = 4e3  // bytes that one brings, until some have come
+	answerWeight  = 0.05 // of one in the average of the bytes
 )
 
 // expectedAnswer returns how many bytes an answer of the pool brings.
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -65,7 +65,7 @@
 	hallChanges uint64          // as of which
 	leased      time.Duration   // until when this gateway's shares of cold servers are in force
 
-	rollouts    rolloutList   // that is obeyed
+	rollouts    rolloutList   // the newest held
 	sharesUntil time.Duration // until when its shares are in force
 	link        place.Link    // between this gateway's region and others
 	homes       homesIndex    // of the document in force
--- a/gateway/unreached.go
+++ b/gateway/unreached.go
@@ -4,16 +4,17 @@
 
 import "time"
 
-// This file defines unreached, which keeps one server that has gone from speaking against its
-// whole version. An attempt that got no connection costs no caller anything: it goes elsewhere.
+// This file defines unreached, which keeps attempts at one server that has stopped from being
+// counted as failures of its version. An attempt that got no connection costs no caller anything:
+// it goes elsewhere.
 
 // Chosen, not measured.
 const (
 	// unreachedFor is for how long a server that could not be reached counts as such. An ejected
 	// one is tried again within that (outlier.longestWait).
 	unreachedFor = 12 * time.Second
-	// unreachedAnswers is how soon after that an answer of the server shows that it has not gone,
-	// but refuses some. One that has gone needs longer to start again.
+	// unreachedAnswers is how soon after that an answer of the server shows that it has not
+	// stopped, but refuses some. One that has stopped needs longer to start again.
 	unreachedAnswers = time.Second
 	// maxUnreached bounds the attempts at one server that wait to be counted; it is ejected after
 	// a few.
@@ -24,9 +25,10 @@
 // are not counted as failed. The zero value has none. It is guarded by table.mu.
 type unreached map[string]*gone
 
+// gone is the attempts at one server that could not be reached.
 type gone struct {
-	at      time.Duration // the newest
-	tallies []*tally
+	at      time.Duration // of the newest
+	tallies []*tally      // that they are counted in, once they are
 }
 
 // add takes an attempt at a server that could not be reached. Once it is not the only one, all
@@ -88,6 +90,7 @@
 	return reached
 }
 
+// count counts the attempts as failed.
 func (g *gone) count() {
 	for _, c := range g.tallies {
 		c.failed++
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -25,9 +25,10 @@
 const sharesLease = 2 * time.Second
 
 // switchTime is how long a gateway takes from the switch on to move all requests to engines of
-// the target: the longest pause of the leader's sums. At once, what waits at all gateways would go to idle
-// engines in the time in which none knows what the others send: 68 requests in 200 ms to 24
-// slots, whose slow answers rolled a good version back (TestGoodVersionUnderAFlood).
+// the target: the longest pause between two of the leader's sums. At once, what waits at all
+// gateways would go to idle engines in the time in which none knows what the others send: 68
+// requests in 200 ms to 24 slots, whose slow answers rolled a good version back
+// (TestGoodVersionUnderAFlood).
 const switchTime = 600 * time.Millisecond
 
 // versions is a set of kinds of server, by their version.
@@ -93,7 +94,7 @@
 	return changed
 }
 
-// take takes the pool's rollout and reports whether it is another than before.
+// take takes the pool's rollout from a list and reports whether it differs from the one held.
 func (p *pool) take(now time.Duration, next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
@@ -126,7 +127,7 @@
 	return !same
 }
 
-// sortVersions sorts the servers of pools that had a rollout by their versions, so that no
+// sortVersions notes the kind of version of each server in pools that had a rollout, so that no
 // choice has to compare names. The caller holds mu.
 func (t *table) sortVersions() {
 	for _, p := range t.pools {
@@ -136,6 +137,7 @@
 	}
 }
 
+// sortVersionsOf is sortVersions for one pool, which had a rollout. The caller holds mu.
 func (t *table) sortVersionsOf(p *pool) {
 	r := p.rollout
 	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
@@ -201,19 +203,22 @@
 
 // Why a request went to a version.
 const (
-	byNone    = ""               // the pool has no rollout under way
-	byShare   = "share"          // by lot
-	byRest    = "rest"           // by lot to the old version
-	byRetry   = "retry"          // it failed once
-	byRoom    = "no room"        // the target's servers in the trial have none
-	byLease   = "no lease"       // the leader's shares are not in force
-	byOwn     = "bad answers"    // this gateway's own experience
-	byAll     = "switched"       // the target gets all requests
-	byNoUse   = "none usable"    // of the target's servers
-	byOldGone = "old gone"       // no server of the old version is listed, or none in its homes
-	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
+	byNone    = ""            // the pool has no rollout under way
+	byShare   = "share"       // by lot
+	byRest    = "rest"        // by lot to the old version
+	byRetry   = "retry"       // it failed once
+	byRoom    = "no room"     // the target's servers in the trial have none
+	byLease   = "no lease"    // the leader's shares are not in force
+	byOwn     = "bad answers" // counted at this gateway (mistrust)
+	byAll     = "switched"    // the target gets all requests
+	byNoUse   = "none usable" // of the target's servers
+	byOldGone = "old gone"    // no server of the old version is listed, or none in its homes
 )
 
+// lotParts is 2 to the number of leading bits of random that lot leaves out: enough to choose
+// among any number of servers. Chosen, not measured.
+const lotParts = float64(1 << 24)
+
 // order returns which versions a request may go to. The caller holds mu.
 func (t *table) order(p *pool, now time.Duration, req *requirements) order {
 	r := p.rollout
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -103,20 +103,20 @@
 	if err := l.Send(ctx, hello); err != nil {
 		return false
 	}
-	led := false
+	served := false
 	for {
 		m, err := l.ReceiveWithin(ctx, registry.SilenceLimit)
 		if err != nil {
 			w.avoids(address)
 			w.lost(address, err)
-			return led
+			return served
 		}
 		if e, ok := m.(protocol.WatchRedirect); ok {
 			w.redirected(address, e)
 			return false
 		}
-		if !led {
-			led, w.avoid = true, nil
+		if !served {
+			served, w.avoid = true, nil
 			w.connected = true
 			w.g.cfg.Log.StateChange("directory found", slog.String("leader", address))
 			go w.report(ctx, l)
@@ -125,9 +125,9 @@
 	}
 }
 
-// redirected handles the answer of a replica that does not serve this gateway, or not
-// any more. One that names itself is tried again at once only if it has just served: it
-// passes on what another leader sends now.
+// redirected handles the message of a replica that does not serve this gateway or ends its
+// session. One that names itself is tried again at once only if it has just served: it is a
+// relay that has begun to pass on what another leader sends.
 func (w *watcher) redirected(address string, e protocol.WatchRedirect) {
 	served := w.connected
 	w.lost(address, errRedirected)
@@ -139,19 +139,19 @@
 	}
 }
 
-// avoidMost is the number of replicas to avoid that are named, the newest. Chosen, not measured:
-// the voters of the largest directory.
+// avoidMost is the number of newest replicas to avoid that are named. Chosen, not measured: the
+// voters of the largest directory.
 const avoidMost = 9
 
-// avoids keeps a replica that could not serve.
+// avoids notes a replica that was lost or not reached, to name it to the next one.
 func (w *watcher) avoids(address string) {
 	w.avoid = slices.DeleteFunc(w.avoid, func(a string) bool { return a == address })
 	w.avoid = append(w.avoid, address)
 	w.avoid = w.avoid[max(len(w.avoid)-avoidMost, 0):]
 }
 
-// errRedirected ends a session whose replica does not lead any more.
-var errRedirected = errors.New("the replica does not lead")
+// errRedirected ends a session whose replica has named another one, or itself.
+var errRedirected = errors.New("the replica does not serve this gateway")
 
 // lost logs the end of a session, if there was one.
 func (w *watcher) lost(address string, err error) {
