--- a/coordination/registry/copy.go
+++ b/coordination/registry/copy.go
@@ -29,7 +29,7 @@
 	hallChanges uint64
 }
 
-// copied is one server. What is cold is so until a time of this box.
+// copied is one server, and until when it is cold by this box's clock.
 type copied struct {
 	protocol.Server
 	coldUntil time.Duration
--- a/coordination/registry/pace.go
+++ b/coordination/registry/pace.go
@@ -24,10 +24,10 @@
 	// fleetBudget is the bytes a second of Fleet messages on one link, below the
 	// 10 KB/s a node that docs/CAPACITY.md grants to control.
 	fleetBudget = 8 << 10
-	// fleetTotal is the bytes a second of Fleet messages on all links of a leader and of its relays. With the
-	// budget of a link alone 300 gateways may be sent 2.4 MB/s, most of it to other data halls,
-	// and each has the smaller part of the requests the more there are. Chosen, not measured by
-	// itself.
+	// fleetTotal is the bytes a second of Fleet messages on all links of a leader and of its
+	// relays to gateways. With the budget of a link alone 300 gateways may be sent 2.4 MB/s, most
+	// of it to other data halls, and each has the smaller part of the requests the more there are.
+	// Chosen, not measured by itself.
 	fleetTotal = 1 << 20
 )
 
@@ -41,7 +41,8 @@
 // reports, so that one that only is late is rarely sent the whole list again.
 const ReportSilence = 3 * time.Second
 
-// linkBudget is the bytes a second of Fleet messages on one of all links to gateways.
+// linkBudget is the bytes a second of Fleet messages on one link, if there are so many links to
+// gateways in the fleet.
 func linkBudget(links int) float64 { return min(fleetBudget, fleetTotal/float64(max(links, 1))) }
 
 // FleetLoads is how many sums one Fleet message has at most on each of some links: what the
--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -16,16 +16,19 @@
 // Pace of a relay's reports to the leader. All are chosen, not measured.
 const (
 	// sumBudget is the bytes a second of one relay's reports: with fleetBudget down, two relays
-	// of a region take two thirds of the 50 KB/s that the way between regions has for the
-	// fleet's own messages.
+	// of a region take two thirds of the 50 KB/s to which the fleet's own messages between two
+	// regions are to keep (docs/CAPACITY.md).
 	sumBudget = 8 << 10
-	// sumLongest is the longest time between two reports: a third of SilenceLimit.
+	// sumLongest is the longest time between two reports: a third of RelaySilence.
 	sumLongest = 300 * time.Millisecond
+	// sumsKept is how many of the last reports are kept, to know which the leader has counted:
+	// 3.2 s of them at the least, above every silence that a session survives.
+	sumsKept = 32
 )
 
 // SumLoads is how many changed loads one report has at most, ten bytes each: half of what the
 // budget allows in the longest pause, since accounts need the rest.
-const SumLoads = sumBudget * 3 / 10 / 2 / loadBytes
+const SumLoads = int(sumBudget*sumLongest/time.Second) / 2 / loadBytes
 
 // SumPause returns how long a relay waits after a report of a size in bytes. It is less by half
 // a period because the caller looks once a period.
@@ -39,7 +42,8 @@
 // it by then and report elsewhere.
 const RelaySilence = SilenceLimit
 
-// Sums adds up what the gateways behind one relay report. The zero value has none.
+// Sums adds up what the gateways behind one relay report. The zero value has no gateways. It is
+// used by one goroutine.
 type Sums struct {
 	gateways map[string]behind
 	gathered gathered
@@ -209,11 +213,7 @@
 	return number, obeyed
 }
 
-// sumsKept is how many of the last reports are kept, to know which the leader has counted.
-// Chosen, not measured: 3.2 s at the least, above every silence that a session survives.
-const sumsKept = 32
-
-// changedOutcomes returns the totals that differ from those sent, in an order of their own.
+// changedOutcomes returns the totals that differ from those sent, ordered by their keys.
 func (s *Sums) changedOutcomes() []protocol.Outcomes {
 	totals := map[outcomeKey]protocol.Outcomes{}
 	for _, g := range s.gateways {
@@ -223,7 +223,7 @@
 	}
 	var changed []protocol.Outcomes
 	for k, o := range totals {
-		if was, ok := s.totals[k]; !ok || !equalOutcomes(was, o) {
+		if sent, ok := s.totals[k]; !ok || !equalOutcomes(sent, o) {
 			changed = append(changed, o)
 		}
 	}
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -97,8 +97,8 @@
 	LeastWindow = 4 * time.Second
 )
 
-// Orders is when the last orders for each version of a pool were taken and acknowledged. The zero value has
-// taken none, and its window is DefaultWindow.
+// Orders is when the last orders for each version of a pool were taken and acknowledged. The zero
+// value has taken none, and its window is DefaultWindow.
 type Orders struct {
 	Window time.Duration // for which senders repeat an order, LeastWindow at least; 0 is DefaultWindow
 
@@ -118,7 +118,7 @@
 
 // WithRollout returns the orders after a change that made a pool's newest rollout what it is.
 func (o Orders) WithRollout(now time.Duration, newest document.Rollout) Orders {
-	taken := o.fresh(now, o.taken)
+	taken := o.withinWindow(now, o.taken)
 	taken[version{newest.Pool, newest.Target}] = o.begun(now, newest)
 	return Orders{Window: o.Window, taken: taken, again: o.again}
 }
@@ -128,7 +128,7 @@
 // that was ordered, it does not say: perhaps a moment ago, unless no attempt between the one that
 // is known here and the newest could be of that version.
 func (o Orders) WithSnapshot(now time.Duration, newest []document.Rollout) Orders {
-	taken := o.fresh(now, o.taken)
+	taken := o.withinWindow(now, o.taken)
 	for _, r := range newest {
 		for _, barred := range r.Barred {
 			key := version{r.Pool, barred}
@@ -153,13 +153,13 @@
 
 // WithRepeat returns the orders after one that was acknowledged and began nothing.
 func (o Orders) WithRepeat(now time.Duration, order Order) Orders {
-	again := o.fresh(now, o.again)
+	again := o.withinWindow(now, o.again)
 	again[version{order.Pool, order.Target}] = ordered{at: now}
 	return Orders{Window: o.Window, taken: o.taken, again: again}
 }
 
-// fresh returns a copy of what is remembered, without what is older than the window.
-func (o Orders) fresh(now time.Duration, of map[version]ordered) map[version]ordered {
+// withinWindow returns a copy of what is remembered, without what is older than the window.
+func (o Orders) withinWindow(now time.Duration, of map[version]ordered) map[version]ordered {
 	out := map[version]ordered{}
 	maps.Copy(out, of)
 	maps.DeleteFunc(out, func(_ version, order ordered) bool { return now-order.at > o.window() })
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -35,8 +35,9 @@
 }
 
 // Rollouts is sent by the leader to every gateway when its session opens and with each
-// change: all pools that had a rollout. A Share is in force for as long as the session lives;
-// Barred, Replaced and Final are in force for good.
+// change: all pools that had a rollout. A Share is in force while the session lives, and for a
+// bounded time after the newest report that the leader has counted; Barred, Replaced and Final are
+// in force until a later list.
 type Rollouts struct {
 	Term uint64    `cbor:"1,keyasint"`
 	Seq  uint64    `cbor:"2,keyasint,omitempty"` // rises within a term
@@ -51,8 +52,8 @@
 }
 
 // Outcomes counts how the attempts at one version of a pool's servers ended on one route,
-// since the gateway took notice of the rollout. A later report replaces an earlier one, so
-// that one that is lost or comes twice changes nothing.
+// since the gateway had the first list with this attempt. A later report replaces an earlier one,
+// so that one that is lost or comes twice changes nothing.
 type Outcomes struct {
 	_        struct{} `cbor:",toarray"`
 	Pool     string
--- a/state/document/rollout.go
+++ b/state/document/rollout.go
@@ -46,15 +46,15 @@
 	Pool     string        `cbor:"1,keyasint"`
 	Target   string        `cbor:"2,keyasint"`           // version
 	Duration time.Duration `cbor:"3,keyasint"`           // from the order to its deadline
-	State    RolloutState  `cbor:"4,keyasint"`           //
+	State    RolloutState  `cbor:"4,keyasint"`           // as of the last change
 	Attempt  uint64        `cbor:"5,keyasint"`           // numbers the pool's rollouts from 1
 	Changes  uint64        `cbor:"6,keyasint"`           // of the pool's rollouts, ever applied
 	Elapsed  time.Duration `cbor:"7,keyasint,omitempty"` // since the order, as of the last change
 	// Barred are the versions that were rolled back, the one of longest ago first: their
 	// servers get nothing.
 	Barred []string `cbor:"8,keyasint,omitempty"`
-	// Replaced are the versions that the newest complete rollout has replaced, ordered. Empty is
-	// that of servers that name none.
+	// Replaced are the versions that the newest complete rollout has replaced, ordered. "" among
+	// them is the version of servers that name none.
 	Replaced []string `cbor:"9,keyasint,omitempty"`
 	// Completed is the target of the newest complete rollout: the version that has the pool's
 	// requests while no later one is under way.
@@ -134,7 +134,8 @@
 	return r, true
 }
 
-// begun returns the pool's next rollout. Its target may have requests, whatever it was before.
+// begun returns the pool's next rollout. Its target may have requests, also one that is barred or
+// replaced in r.
 func (r Rollout) begun(c RolloutChange) (next Rollout, fits bool) {
 	if c.State != RolloutUnderWay || c.Duration <= 0 || !nameFits(c.Pool) || !nameFits(c.Target) {
 		return r, false
