--- a/coordination/registry/copy.go
+++ b/coordination/registry/copy.go
@@ -13,8 +13,8 @@
 // This file defines Copy, the leader's list as a replica has it that passes it on.
 
 // goneKept is the number of newest departures that a copy keeps for those who are sent all of
-// it: a list that is not complete does not show what must be dropped. Chosen, not measured:
-// as many as the leader sends itself.
+// it: a list that is not complete does not show what must be dropped. Chosen, not measured: as
+// many as the leader sends itself (listedDepartures of package directory).
 const goneKept = 256
 
 // Copy is the list of backend servers as the leader of one term has sent it. The zero value is
--- a/coordination/rollout/raced_test.go
+++ b/coordination/rollout/raced_test.go
@@ -4,5 +4,7 @@
 
 package rollout
 
+// This file defines raced, with the race detector.
+
 // raced is whether the race detector is on.
 const raced = true
--- a/coordination/rollout/unraced_test.go
+++ b/coordination/rollout/unraced_test.go
@@ -4,5 +4,7 @@
 
 package rollout
 
+// This file defines raced, without the race detector.
+
 // raced is whether the race detector is on.
 const raced = false
--- a/coordination/topology/topology_test.go
+++ b/coordination/topology/topology_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 )
 
+// This file tests which region a data hall lies in, and what a topology refuses.
+
 func TestTopology(t *testing.T) {
 	is := is.New(t)
 	regions := map[string]string{"north-a": "north", "south-a": "south", "north-b": "north"}
--- a/gateway/unreached_test.go
+++ b/gateway/unreached_test.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// TestOneServerIsGone: it does not speak against the version, but two do, and an only one.
+// TestOneServerIsGone: attempts at it do not count as failures of the version; those at two do, and
+// those at an only one.
 func TestOneServerIsGone(t *testing.T) {
 	unreachable, fine := fails(forward.NotRun{Err: errReset}), answers(200, "new", time.Millisecond)
 	old := answers(200, "old", time.Millisecond)
--- a/internal/fakedisk/fakedisk_test.go
+++ b/internal/fakedisk/fakedisk_test.go
@@ -11,6 +11,8 @@
 	"github.com/badgerspoke/badgerspoke/internal/fakedisk"
 )
 
+// This file tests what a crash leaves of the files of a fake disk.
+
 // TestOneSeedIsOneCrash: what a crash leaves of each of several files is the same each
 // time for one seed.
 func TestOneSeedIsOneCrash(t *testing.T) {
