--- a/coordination/place/doc.go
+++ b/coordination/place/doc.go
@@ -28,5 +28,9 @@
 // and they are many, so a prompt must find the same engine from any of them;
 // leaving it takes room from all of them, and a short wait is cheaper.
 //
+// In a fleet over several regions a choice of RoomPlacer is among the servers of one region
+// (regions.go says when another one is looked at), and Link bounds what a gateway puts on the
+// link between them.
+//
 // All types are pure and not safe for concurrent use.
 package place
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -10,12 +10,15 @@
 // Announcements may be seconds late, also beyond the end of their sender. So of two
 // identifiers at one address the one with the smaller number is taken for the later
 // start: each start numbers its announcements from 1, and both announce at one interval.
-// Ways weighed: the later arrival wins (the rule before; a late announcement took the
-// address from the live server until that announced itself again); departures logged
+// Ways weighed: the later arrival wins (a late announcement takes the address from the
+// live server until that announces itself again); departures logged
 // for whoever is replaced (a wrong one would be for good); the replaced identifiers
 // kept for a while (one that was wrongly replaced must be able to come back, and a new
 // leader does not have them).
 //
+// Where gateways are served by a relay in place of the leader, it has the leader's list as a
+// Copy, and adds up its gateways' reports in Sums.
+//
 // Departures are not soft: the caller keeps them in a replicated log and passes on only
 // the announcements of backend servers that have not departed. A new leader starts from
 // the registrations in the log and is complete once all had the time to announce
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -22,10 +22,13 @@
 //     by how late the processor is, and only then reads the body. Its serve
 //     takes servers and makes attempts until one answers.
 //   - queue.go: the call gets a server at once if the one that suits it has
-//     room (choose.go), and waits in fair order otherwise.
+//     room (choose.go), and waits in fair order otherwise. Which servers are looked at
+//     depends on the regions (regions.go), on the homes of its route and account
+//     (homes.go) and, while the pool has a rollout, on their versions (versions.go).
 //   - attempt.go: one attempt sends the request and ends with what is known
 //     about its run, from which coordination/retry alone decides what follows.
-//     stall.go ends an attempt whose server sends nothing.
+//     stall.go ends an attempt whose server sends nothing. outcomes.go and
+//     unreached.go count how attempts at the versions of a rollout end.
 //   - relay.go: a plain answer goes to the caller once it is whole, a stream
 //     event by event.
 //   - finish.go: the gateway's own answer, if there is one (errors.go), the
