--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -36,8 +36,9 @@
 
 // Rollouts is sent by the leader to every gateway when its session opens and with each
 // change: all pools that had a rollout. A Share is in force while the session lives, and for a
-// bounded time after the newest report that the leader has counted; Barred, Replaced and Final are
-// in force until a later list.
+// bounded time after the newest report that the leader has counted. Barred, Replaced and Final are
+// in force until a later list, and a target that is barred also under later lists that lack it,
+// until its attempt is complete or another begins.
 type Rollouts struct {
 	Term uint64    `cbor:"1,keyasint"`
 	Seq  uint64    `cbor:"2,keyasint,omitempty"` // rises within a term
