--- a/directory/relayrollouts_test.go
+++ b/directory/relayrollouts_test.go
@@ -48,3 +48,23 @@
 		is.True(servers.Whole)
 	})
 }
+
+// TestUnawareGatewayBehindARelay: the leader names it as one that has its own session.
+func TestUnawareGatewayBehindARelay(t *testing.T) {
+	inRegions(t, 1<<20, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.put(1)
+		time.Sleep(2 * time.Second) // the relays have their sessions
+		x.place("10.0.2.1", south)
+		id := link.Identity{Name: "10.0.2.1:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.1").DialContext}
+		session, err := link.Dial(x.t.Context(), x.relays(south)[0].ip+":7400", id, nil)
+		is.NoErr(err)
+		defer session.Close()
+		is.NoErr(session.Send(x.t.Context(), protocol.Watch{Gateway: id.Name, Region: south}))
+		time.Sleep(500 * time.Millisecond)
+		names, err := x.mustLead().d.UnawareOfVersions(x.t.Context())
+		is.NoErr(err)
+		is.Equal(names, []string{id.Name})
+	})
+}
