Rollouts: the log has the switch, and the next leader goes on from there

Cause: a leader that follows one that had switched began with the trial, whose bound what the target had was above, and waited for the latest moment: complete after 10.2 to 11.1 s of 12, and after 10.002 s with real processes, where 10 are asked. Change: the note of how far a rollout is says when the target was given all requests (RolloutChange.Switched); a schedule begins there (Schedule.Resume).

--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -152,6 +152,7 @@
 	last     time.Duration // of the last step
 	switched time.Duration // when the target got all requests; 0: not yet
 	before   use           // as of the switch
+	resumed  bool          // an earlier leader switched, and before is not known yet
 	rate     rateMeter
 	decided  Decision // the last one
 }
@@ -201,6 +202,10 @@
 	return m.counted / m.weight, true
 }
 
+// Resume goes on with a rollout whose target an earlier leader gave all requests, at some time
+// since the order. Begun anew it would wait: what the target had is above the bound of a trial.
+func (s *Schedule) Resume(switched time.Duration) { s.switched, s.resumed = switched, true }
+
 // Switched reports whether the target was given all requests.
 func (s *Schedule) Switched() bool { return s.switched > 0 }
 
@@ -237,6 +242,9 @@
 // finish decides after the switch.
 func (s *Schedule) finish(o Observed, d *Decision) {
 	d.Share = 1
+	if s.resumed {
+		s.before, s.resumed = o.use(), false
+	}
 	rest := float64(s.Duration - s.switched)
 	full := o.Elapsed-s.switched >= min(fullTime, time.Duration(fullOfRest*rest))
 	switch {
--- a/directory/finalrollout_test.go
+++ b/directory/finalrollout_test.go
@@ -79,3 +79,24 @@
 		}
 	}
 }
+
+// TestSwitchOutlivesTheLeader: the next leader goes on where the one before had given the target
+// all requests. It knows nothing of the trial's bound, which that has used up.
+func TestSwitchOutlivesTheLeader(t *testing.T) {
+	for _, at := range []time.Duration{7400 * time.Millisecond, 7700 * time.Millisecond, 8 * time.Second} {
+		t.Run(at.String(), func(t *testing.T) {
+			inFleet(t, 5, func(x *fleet) {
+				is := is.New(x.t)
+				v := &versioned{}
+				x.rolling(v, func() {
+					time.Sleep(at)
+					x.mustLead().kill()
+					state, after := x.ended(v)
+					x.t.Logf("complete after %v", after)
+					is.Equal(state, document.RolloutComplete)
+					is.True(after < 10*time.Second)
+				})
+			})
+		})
+	}
+}
--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -38,7 +38,7 @@
 		{ID: "engine-4#d", Pool: "llm", Address: "10.0.0.4:80", Hall: "hall-a", Slots: 16, Version: "v7"},
 	}},
 	{Rollout: &document.RolloutChange{Pool: "llm", Target: "v7", Duration: time.Minute, State: document.RolloutUnderWay}},
-	{Rollout: &document.RolloutChange{Pool: "llm", Target: "v7", State: document.RolloutUnderWay, After: 1, Elapsed: 20 * time.Second}},
+	{Rollout: &document.RolloutChange{Pool: "llm", Target: "v7", State: document.RolloutUnderWay, After: 1, Elapsed: 20 * time.Second, Switched: 20 * time.Second}},
 	{Rollout: &document.RolloutChange{
 		Pool: "llm", Target: "v7", State: document.RolloutComplete, After: 2, Elapsed: 40 * time.Second, Replaced: []string{"v6"},
 	}},
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -98,6 +98,9 @@
 				reported: map[reporter]map[outcomeKey]protocol.Outcomes{}, totals: map[string]*rollout.Pair{},
 				schedule: rollout.Schedule{Duration: d.Duration, Bounds: h.d.cfg.Rollouts},
 			}
+			if d.Switched > 0 {
+				r.schedule.Resume(d.Switched)
+			}
 			h.rollouts.underWay[d.Pool] = r
 		}
 		r.Rollout, r.ordered = d, h.ordered[orderKey{d.Pool, d.Attempt}]
@@ -167,7 +170,9 @@
 	case rollout.RollBack:
 		c.State = document.RolloutRolledBack
 	default:
-		if c.Elapsed-r.Elapsed < max(notedPeriod, r.Duration/notedPart) {
+		if r.schedule.Switched() && r.Switched == 0 {
+			c.Switched = c.Elapsed
+		} else if c.Elapsed-r.Elapsed < max(notedPeriod, r.Duration/notedPart) {
 			return
 		}
 	}
--- a/state/document/golden_test.go
+++ b/state/document/golden_test.go
@@ -174,7 +174,8 @@
 		{Pool: "llm", Target: "v7", Duration: time.Minute, State: RolloutUnderWay},
 		{Pool: "llm", Target: "v7", State: RolloutComplete, After: 1, Elapsed: 40 * time.Second, Replaced: []string{"v5", "v6"}},
 		{Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutUnderWay, After: 2},
-		{Pool: "llm", Target: "v8", State: RolloutRolledBack, After: 3, Elapsed: 3 * time.Second},
+		{Pool: "llm", Target: "v8", State: RolloutUnderWay, After: 3, Elapsed: 2 * time.Second, Switched: 2 * time.Second},
+		{Pool: "llm", Target: "v8", State: RolloutRolledBack, After: 4, Elapsed: 3 * time.Second},
 	} {
 		is.True(s.ChangeRollout(c))
 	}
@@ -184,8 +185,8 @@
 	is.NoErr(got.UnmarshalBinary(golden.Bytes(t, "store-rollouts", b)))
 	is.Equal(got.Rollouts(), []Rollout{
 		{
-			Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutRolledBack, Attempt: 2, Changes: 4,
-			Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v5", "v6"}, Completed: "v7",
+			Pool: "llm", Target: "v8", Duration: 30 * time.Second, State: RolloutRolledBack, Attempt: 2, Changes: 5,
+			Elapsed: 3 * time.Second, Barred: []string{"v8"}, Replaced: []string{"v5", "v6"}, Completed: "v7", Switched: 2 * time.Second,
 		},
 		{Pool: "web", Target: "v2", Duration: time.Minute, State: RolloutUnderWay, Attempt: 1, Changes: 1},
 	})
--- a/state/document/rollout.go
+++ b/state/document/rollout.go
@@ -59,6 +59,8 @@
 	// Completed is the target of the newest complete rollout: the version that has the pool's
 	// requests while no later one is under way.
 	Completed string `cbor:"10,keyasint,omitempty"`
+	// Switched is when the target was given all requests, since the order; 0: it was not.
+	Switched time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // RolloutChange begins a rollout, notes how far it is, or ends it.
@@ -71,6 +73,8 @@
 	Elapsed  time.Duration `cbor:"6,keyasint,omitempty"` // since the order
 	// Replaced are the versions that a complete rollout replaces.
 	Replaced []string `cbor:"7,keyasint,omitempty"`
+	// Switched is set once the target has all requests: when, since the order.
+	Switched time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // ChangeRollout applies a change and reports whether the pool's rollout is another one now. One
@@ -119,9 +123,10 @@
 	}
 	switch c.State {
 	case RolloutUnderWay:
-		if c.Elapsed == r.Elapsed {
+		if c.Elapsed == r.Elapsed && c.Switched <= r.Switched {
 			return r, false
 		}
+		r.Switched = max(r.Switched, c.Switched)
 	case RolloutComplete:
 		r.Replaced, r.Completed = replaced(c.Replaced, c.Target), c.Target
 	case RolloutRolledBack:
