Directory: outcomes behind a relay count once

Cause: the leader keeps what a reporter sent by name and boot; a relay draws another boot for each session and then sends its gateways' totals whole, and gateways of a relay that ended report all of it elsewhere. So each end of a relay's session counted its region's outcomes again, also the failures. Now they leave the totals with the session, and before the switch the target gets nothing for the time that a new leader waits, because what it has had bounds what it may get. TestOutcomesBehindARelay failed before with 10 requests sent instead of 5.

--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -77,3 +78,33 @@
 		is.Equal(r.fullSeq, step.want)
 	}
 }
+
+// TestOutcomesBehindARelay count once: those that a relay reported count no more when its session
+// ends, since its gateways report all of it in their next sessions, wherever those are. What a
+// gateway of the leader's own has reported stays.
+func TestOutcomesBehindARelay(t *testing.T) {
+	is := is.New(t)
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2"})
+	h := &hub{rollouts: rollouts{underWay: map[string]*leadRollout{"p": r}, obeyed: map[*session]obedience{}}}
+	report := protocol.Usage{Outcomes: []protocol.Outcomes{
+		{Pool: "p", Version: "v2", Route: "r", Sent: 5, Answered: 3, Failed: 2, Paces: []uint32{1, 2}},
+		{Pool: "p", Version: "v1", Route: "r", Sent: 7, Answered: 7},
+	}}
+	direct := &session{gateway: "g", boot: 1}
+	first, again := &session{gateway: "relay", boot: 1, relay: true}, &session{gateway: "relay", boot: 2, relay: true}
+	h.addOutcomes(direct, report)
+	h.addOutcomes(first, report)
+	is.Equal(r.totals["r"].Target.Sent, uint64(10))
+	h.forgetOutcomes(time.Second, direct)
+	h.forgetOutcomes(2*time.Second, &session{gateway: "relay without reports", boot: 1, relay: true})
+	is.Equal(r.forgotAt, time.Duration(0))
+	is.Equal(r.totals["r"].Target.Sent, uint64(10))
+	h.forgetOutcomes(3*time.Second, first)
+	is.Equal(r.forgotAt, 3*time.Second) // nothing for the target until they have reported again
+	is.Equal(r.totals["r"].Target.Sent, uint64(5))
+	h.addOutcomes(again, report)
+	target, old := r.totals["r"].Target, r.totals["r"].Old
+	is.Equal([]uint64{target.Sent, target.Answered, target.Failed, old.Sent}, []uint64{10, 6, 4, 14})
+	is.Equal(target.Paces[:3], []uint64{2, 4, 0})
+	is.Equal(len(r.reported), 2)
+}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -59,19 +59,11 @@
 	decision  rollout.Decision
 	sent      rollout.Decision // whose shares the gateways were sent
 	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
+	forgotAt  time.Duration    // when what a relay had reported was taken out of the totals last
 	proposing bool
 	loggedAt  time.Duration
 }
 
-// reporter is one run of a gateway: its totals begin at none when it starts again, and what the
-// run before had sent counts on.
-type reporter struct {
-	gateway string
-	boot    uint64
-}
-
-type outcomeKey struct{ version, route string }
-
 // beginRollouts begins a term with the rollouts that the log holds.
 func (h *hub) beginRollouts() {
 	h.rollouts = rollouts{
@@ -79,51 +71,6 @@
 	}
 }
 
-// addOutcomes takes a gateway's report.
-func (h *hub) addOutcomes(s *session, u protocol.Usage) {
-	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
-	for _, o := range u.Outcomes {
-		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
-			r.add(reporter{s.gateway, s.boot}, o)
-		}
-	}
-}
-
-// add takes one reporter's totals in place of those before. One that are less come from a
-// reporter that counts anew, and add to them.
-func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
-	mine := r.reported[from]
-	if mine == nil {
-		mine = map[outcomeKey]protocol.Outcomes{}
-		r.reported[from] = mine
-	}
-	key := outcomeKey{o.Version, o.Route}
-	before := mine[key]
-	mine[key] = o
-	pair := r.totals[o.Route]
-	if pair == nil {
-		pair = &rollout.Pair{}
-		r.totals[o.Route] = pair
-	}
-	t := &pair.Old
-	if o.Version == r.Target {
-		t = &pair.Target
-	}
-	t.Sent += o.Sent - before.Sent // wraps around where it is less
-	t.Answered += o.Answered - before.Answered
-	t.Failed += o.Failed - before.Failed
-	for i := range t.Paces {
-		t.Paces[i] += paces(o, i) - paces(before, i)
-	}
-}
-
-func paces(o protocol.Outcomes, bucket int) uint64 {
-	if bucket < len(o.Paces) {
-		return uint64(o.Paces[bucket])
-	}
-	return 0
-}
-
 // stepRollouts decides on each rollout under way. It is called with each tick and each change
 // of the applied state.
 func (h *hub) stepRollouts() {
@@ -198,7 +145,7 @@
 		before := r.decision
 		r.decision = r.schedule.Step(rollout.Observed{
 			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: h.targetListed(r),
-			Informed: now-h.rollouts.began >= informedAfter && h.d.leading() == nil,
+			Informed: now-max(h.rollouts.began, r.forgotAt) >= informedAfter && h.d.leading() == nil,
 		})
 		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
 			h.logStep(now, r)
@@ -355,10 +302,6 @@
 	}
 }
 
-// forgetOutcomes forgets what a session that has ended obeys. What it reported stays: the
-// target has had those requests.
-func (h *hub) forgetOutcomes(s *session) { delete(h.rollouts.obeyed, s) }
-
 // logStep logs what a rollout rests on.
 func (h *hub) logStep(now time.Duration, r *leadRollout) {
 	r.loggedAt = now
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -241,7 +241,7 @@
 		return
 	}
 	h.usage.forget(s)
-	h.forgetOutcomes(s)
+	h.forgetOutcomes(h.d.replica.Now(), s)
 }
 
 // gateways returns all gateways of the fleet that have a session here or behind a relay, by
