Registry: what a relay obeys is what all its gateways' last loads were begun under

Cause: a relay without a gateway that obeys rollouts (of two in a region with few gateways one may have none) reported that it obeys none, so that no rollout was complete before the time was nearly over; and a relay may report twice between two reports of a gateway, so that the leader's rule of two reports did not hold for the gateway's. Now such a relay reports the list that it has, and for each gateway the list that the report before its last obeyed. TestSumsObey failed before (0, not 3). TestSumsCountOnce: the gateway's first report obeys a list as well; what is expected is unchanged. Measured: tests of coordination/registry pass.

--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -48,6 +48,7 @@
 	seq      uint64
 	sent     []sentSum // of this session with the leader, newest last
 	counted  sentSum
+	listed   uint64 // Seq of the newest rollouts of this session with the leader
 }
 
 // behind is what one gateway last reported.
@@ -58,7 +59,8 @@
 	loads    []protocol.ServerLoad
 	outcomes map[outcomeKey]protocol.Outcomes
 	number   uint64 // of its document
-	obeyed   uint64
+	obeyed   uint64 // the newest rollouts that the last report obeyed
+	before   uint64 // and the report before it, whose list is older than the last one's loads
 }
 
 // gathered is what was demanded and given since the last report to the leader.
@@ -116,7 +118,8 @@
 	if g.reported {
 		s.gathered.add(m)
 	}
-	g.reported, g.seq, g.loads, g.number, g.obeyed = true, m.Seq, m.Loads, m.Number, m.Obeyed
+	g.reported, g.seq, g.loads, g.number = true, m.Seq, m.Loads, m.Number
+	g.before, g.obeyed = g.obeyed, m.Obeyed
 	if len(m.Outcomes) > 0 {
 		g.outcomes = maps.Clone(g.outcomes)
 		if g.outcomes == nil {
@@ -177,22 +180,23 @@
 }
 
 // least returns the smallest number of a document in force at a gateway, and of the rollouts
-// that one obeys, if any does.
+// under which what runs at one was begun; without a gateway that obeys any, of those that are
+// known here.
 func (s *Sums) least() (number, obeyed uint64) {
 	var numbers, obeys []uint64
 	for _, g := range s.gateways {
 		numbers = append(numbers, g.number)
 		if g.obeys {
-			obeys = append(obeys, g.obeyed)
+			obeys = append(obeys, g.before)
 		}
 	}
 	if len(numbers) > 0 {
 		number = slices.Min(numbers)
 	}
-	if len(obeys) > 0 {
-		obeyed = slices.Min(obeys)
+	if len(obeys) == 0 {
+		return number, s.listed
 	}
-	return number, obeyed
+	return number, slices.Min(obeys)
 }
 
 // sumsKept is how many of the last reports are kept, to know which the leader has counted.
@@ -245,10 +249,11 @@
 	return a.Sent == b.Sent && a.Answered == b.Answered && a.Failed == b.Failed && slices.Equal(a.Paces, b.Paces)
 }
 
-// KeepAttempts forgets the outcomes of rollouts that are not among these.
-func (s *Sums) KeepAttempts(list []protocol.Rollout) {
+// TakeRollouts takes the leader's list of rollouts, and forgets the outcomes of others.
+func (s *Sums) TakeRollouts(m protocol.Rollouts) {
+	s.listed = m.Seq
 	attempts := map[string]uint64{}
-	for _, r := range list {
+	for _, r := range m.List {
 		attempts[r.Pool] = r.Attempt
 	}
 	old := func(k outcomeKey, _ protocol.Outcomes) bool { return attempts[k.pool] != k.attempt }
--- a/coordination/registry/sums_test.go
+++ b/coordination/registry/sums_test.go
@@ -25,7 +25,7 @@
 	s.Restart()
 	s.Open("g1", true)
 	s.Open("g2", true)
-	s.Add("g1", protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{runs(7, 2)}, Started: 1000, Demands: []protocol.Demand{{Account: "a", Tokens: 1000}}})
+	s.Add("g1", protocol.Usage{Seq: 1, Loads: []protocol.ServerLoad{runs(7, 2)}, Started: 1000, Obeyed: 4, Demands: []protocol.Demand{{Account: "a", Tokens: 1000}}})
 	m := s.Next()
 	is.Equal(m.Loads, []protocol.ServerLoad{runs(7, 2)})
 	is.Equal(m.Started, uint64(0)) // of any time
@@ -73,6 +73,29 @@
 	is.Equal(m.Loads, []protocol.ServerLoad{runs(9, 1)}) // all of it, to another leader
 }
 
+// TestSumsObey: a relay obeys the list that all its gateways obeyed one report before their last,
+// since a report's loads are older than its list; one that has just opened obeys none. Without a
+// gateway that obeys rollouts it is the list that the relay has.
+func TestSumsObey(t *testing.T) {
+	is := is.New(t)
+	var s Sums
+	s.Restart()
+	s.TakeRollouts(protocol.Rollouts{Seq: 3})
+	is.Equal(s.Next().Obeyed, uint64(3))
+	s.Open("earlier version", false)
+	is.Equal(s.Next().Obeyed, uint64(3))
+	s.Open("g", true)
+	is.Equal(s.Next().Obeyed, uint64(0))
+	s.Add("g", protocol.Usage{Seq: 1, Obeyed: 3})
+	is.Equal(s.Next().Obeyed, uint64(0)) // what ran may be older
+	is.Equal(s.Next().Obeyed, uint64(0))
+	s.Add("g", protocol.Usage{Seq: 2, Obeyed: 4})
+	is.Equal(s.Next().Obeyed, uint64(3))
+	s.Close("g")
+	s.Restart()
+	is.Equal(s.Next().Obeyed, uint64(0)) // another leader's lists
+}
+
 // TestSumsOfOutcomes: totals over the gateways that a relay has, sent when they change.
 func TestSumsOfOutcomes(t *testing.T) {
 	is := is.New(t)
@@ -95,7 +118,7 @@
 	is.Equal(s.Next().Outcomes, []protocol.Outcomes{{Pool: "p", Attempt: 2, Version: "v2", Route: "r"}})
 	s.Open("g2", true)
 	s.Add("g2", protocol.Usage{Seq: 1, Outcomes: []protocol.Outcomes{count(7, 0, 3)}})
-	s.KeepAttempts([]protocol.Rollout{{Pool: "p", Attempt: 3}})
+	s.TakeRollouts(protocol.Rollouts{List: []protocol.Rollout{{Pool: "p", Attempt: 3}}})
 	is.Equal(len(s.Next().Outcomes), 0)
 }
 
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -219,7 +219,7 @@
 		r.h.sendAll(m)
 	case protocol.Rollouts:
 		r.rollouts = &m
-		r.sums.KeepAttempts(m.List)
+		r.sums.TakeRollouts(m)
 		r.h.sendAll(m)
 	case protocol.Counted:
 		r.sums.Counted(m.Seq)
