Directory: nothing relays for a leader of an earlier version

Cause: in a rolling upgrade a newer replica in another region opens a session as a relay with an older leader, which ignores Watch.Relay and Behind: it counts the relay as one gateway, gives it shares of cold servers, and takes the changed sums in its reports for all that runs there. Now a whole list says whether its leader serves relays (Servers.Relays, only where there are several regions, so that lists of one region are as before); where it does not, the replica does not relay in that term and the leader serves the gateways, as it did.

--- a/directory/relay.go
+++ b/directory/relay.go
@@ -79,11 +79,7 @@
 		return
 	}
 	defer l.Close()
-	hello := protocol.Watch{
-		Gateway: h.d.Address(), Boot: h.d.cfg.Random(), Term: term, KnowsHalls: true, KnowsVersions: true,
-		Region: h.d.cfg.Region, Relay: true,
-	}
-	if err := l.Send(ctx, hello); err != nil {
+	if err := l.Send(ctx, h.relayHello(term)); err != nil {
 		return
 	}
 	var rollouts *protocol.Rollouts // that come before the first list, if there are any
@@ -98,16 +94,33 @@
 			continue
 		case protocol.WatchRedirect:
 			if m.Leader == leader { // it needs no relay here
-				h.refused.Store(term)
-				h.post(func() { h.endRelay(leader) })
+				h.doWithout(leader, term)
 			}
 		case protocol.Servers:
-			h.passOn(ctx, l, leader, m, rollouts)
+			if m.Relays {
+				h.passOn(ctx, l, leader, m, rollouts)
+			} else { // it takes this replica for a gateway
+				h.doWithout(leader, term)
+			}
 		}
 		return
 	}
 }
 
+// relayHello opens a session with the leader of a term.
+func (h *hub) relayHello(term uint64) protocol.Watch {
+	return protocol.Watch{
+		Gateway: h.d.Address(), Boot: h.d.cfg.Random(), Term: term, KnowsHalls: true, KnowsVersions: true,
+		Region: h.d.cfg.Region, Relay: true,
+	}
+}
+
+// doWithout ends a relay that a leader does not serve in its term.
+func (h *hub) doWithout(leader string, term uint64) {
+	h.refused.Store(term)
+	h.post(func() { h.endRelay(leader) })
+}
+
 // passOn takes what the leader sends until the session ends: the first list, the rollouts that
 // came before it, or nil, and all that follows.
 func (h *hub) passOn(ctx context.Context, l *link.Link, leader string, first protocol.Servers, rollouts *protocol.Rollouts) {
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -104,6 +104,7 @@
 		list, ok = h.encode(protocol.Servers{
 			Term: h.term, Whole: true, Complete: h.complete,
 			Set: h.registry.List(now), Gone: h.recentDepartures(), HallsOut: out, HallChanges: changes,
+			Relays: h.d.several(),
 		})
 		if !ok {
 			return list, false
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -87,7 +87,7 @@
 			},
 			{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Handle: 2},
 		},
-		Gone: []string{"engine-3#c", "engine-4#d"}, HallsOut: []string{"hall-a", "hall-b"}, HallChanges: 93,
+		Gone: []string{"engine-3#c", "engine-4#d"}, HallsOut: []string{"hall-a", "hall-b"}, HallChanges: 93, Relays: true,
 	},
 	Usage{
 		Loads:   []ServerLoad{{Handle: 7, Requests: 2, Tokens: 90000}, {Handle: 8, Requests: 300, Tokens: 1}},
@@ -186,6 +186,7 @@
 		for i := range m.Set {
 			m.Set[i].Version = ""
 		}
+		m.Relays = false
 		return m
 	case Usage:
 		m.Outcomes, m.Obeyed, m.Changes = nil, 0, false
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -99,6 +99,9 @@
 	// rises with each change; 0 says nothing about halls.
 	HallsOut    []string `cbor:"6,keyasint,omitempty"`
 	HallChanges uint64   `cbor:"7,keyasint,omitempty"`
+	// Relays is set in a whole list of a leader that serves relays. Earlier versions did not
+	// have it, and take a relay for a gateway.
+	Relays bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ServerLoad is what runs on one backend server.
