--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -61,6 +61,7 @@
 	number   uint64 // of its document
 	obeyed   uint64 // the newest rollouts that the last report obeyed
 	before   uint64 // and the report before it, whose list is older than the last one's loads
+	barred   []protocol.Barred
 }
 
 // gathered is what was demanded and given since the last report to the leader.
@@ -118,7 +119,7 @@
 	if g.reported {
 		s.gathered.add(m)
 	}
-	g.reported, g.seq, g.loads, g.number = true, m.Seq, m.Loads, m.Number
+	g.reported, g.seq, g.loads, g.number, g.barred = true, m.Seq, m.Loads, m.Number, m.Barred
 	g.before, g.obeyed = g.obeyed, m.Obeyed
 	if len(m.Outcomes) > 0 {
 		g.outcomes = maps.Clone(g.outcomes)
@@ -169,6 +170,7 @@
 		}
 	}
 	m.Number, m.Obeyed = s.least()
+	m.Barred = s.barred()
 	m.Loads = s.feed.Next(OrderedLoads(loads), SumLoads)
 	m.Outcomes = s.changedOutcomes()
 	m.Demands, m.Served, m.Late = byAccount(s.gathered.demands), byAccount(s.gathered.served), byAccount(s.gathered.late)
@@ -179,6 +181,18 @@
 	return m
 }
 
+// barred returns what any gateway has barred, each once.
+func (s *Sums) barred() []protocol.Barred {
+	var all []protocol.Barred
+	for _, g := range s.gateways {
+		all = append(all, g.barred...)
+	}
+	slices.SortFunc(all, func(a, b protocol.Barred) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return slices.Compact(all)
+}
+
 // least returns the smallest number of a document in force at a gateway, and of the rollouts
 // under which what runs at one was begun; without a gateway that obeys any, of those that are
 // known here.
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -66,6 +66,10 @@
 	// part of a route's requests if that is less. Chosen, not measured.
 	fewestKnown = 4
 	fewestPart  = 0.1
+	// leastUsed is the part of all requests that the target must have had from the switch on. In
+	// the least time until the end, the switch reaches gateways and is reported for some half of
+	// them. Chosen, not measured.
+	leastUsed = 0.1
 	// rareSent is up to how many requests a route may stay untried.
 	rareSent = 10
 )
@@ -88,11 +92,13 @@
 	Elapsed time.Duration // since the order, at least
 	// Totals are the outcomes by route since the rollout began.
 	Totals map[string]*Pair
+	// KeptAway are the routes whose homes have no server of the target: they cannot try it.
+	KeptAway map[string]bool
 	// Informed is whether all gateways in touch have reported, or have had the time.
 	Informed bool
 	// OldIdle is whether all gateways obey the switch and nothing runs on the old servers.
 	OldIdle bool
-	// TargetListed is whether a server of the target is listed.
+	// TargetListed is whether a server of the target is listed, in a data hall in service.
 	TargetListed bool
 }
 
@@ -134,25 +140,46 @@
 	evidence evidence
 	last     time.Duration // of the last step
 	switched time.Duration // when the target got all requests; 0: not yet
+	before   use           // as of the switch
 	rate     rateMeter
 	decided  Decision // the last one
 }
 
+// use is how many requests the target had, and how many there were, on routes that can try it.
+type use struct{ sent, of uint64 }
+
+func (o Observed) use() (u use) {
+	for route, p := range o.Totals {
+		if !o.KeptAway[route] {
+			u.sent += p.Target.Sent
+			u.of += p.Target.Sent + p.Old.Sent
+		}
+	}
+	return u
+}
+
 // rateMeter averages the rate of requests.
 type rateMeter struct {
 	sent    uint64
-	weight  float64 // seconds
+	since   time.Duration // that count
+	weight  float64       // seconds
 	counted float64
 	begun   bool
 }
 
+// step takes the requests so far. A count that has fallen, because a relay's gateways report
+// elsewhere, says nothing until they do.
 func (m *rateMeter) step(passed time.Duration, sent uint64) {
+	m.since += passed
+	if m.begun && sent < m.sent {
+		return
+	}
 	if m.begun {
-		kept := math.Exp(-passed.Seconds() / rateTime.Seconds())
-		m.weight = m.weight*kept + passed.Seconds()
+		kept := math.Exp(-m.since.Seconds() / rateTime.Seconds())
+		m.weight = m.weight*kept + m.since.Seconds()
 		m.counted = m.counted*kept + rise(m.sent, sent)
 	}
-	m.begun, m.sent = true, max(m.sent, sent)
+	m.begun, m.sent, m.since = true, sent, 0
 }
 
 // perSecond returns the rate, and whether it is known.
@@ -175,6 +202,7 @@
 		d.Sent += p.Target.Sent
 		d.Of += p.Target.Sent + p.Old.Sent
 	}
+	d.Sent = max(d.Sent, s.decided.Sent) // what a relay's totals take with them was sent all the same
 	if !o.Informed {
 		s.rate = rateMeter{} // what comes now was sent at any time
 	}
@@ -201,15 +229,25 @@
 	rest := float64(s.Duration - s.switched)
 	full := o.Elapsed-s.switched >= min(fullTime, time.Duration(fullOfRest*rest))
 	switch {
+	case full && o.Elapsed >= s.at(completePart) && (!o.TargetListed || s.unused(o)):
+		d.Ending, d.Why = RollBack, "the target gets no requests"
 	case full && o.Elapsed >= s.at(completePart):
 		d.Ending, d.Why = Complete, "the time is nearly over"
-	case full && o.OldIdle && d.Grounds.Sum < suspicion:
+	case full && o.OldIdle && o.TargetListed && d.Grounds.Sum < suspicion:
 		d.Ending, d.Why = Complete, "nothing runs on the old servers"
 	default:
 		d.Why = "all requests"
 	}
 }
 
+// unused reports whether hardly anything has gone to the target since the switch, though requests
+// came: what has no room, or cannot be used, cannot take the old servers' place.
+func (s *Schedule) unused(o Observed) bool {
+	now := o.use()
+	sent, of := rise(s.before.sent, now.sent), rise(s.before.of, now.of)
+	return of >= enoughKnown && sent < leastUsed*of
+}
+
 func (s *Schedule) at(part float64) time.Duration {
 	return time.Duration(part * float64(s.Duration))
 }
@@ -240,11 +278,13 @@
 func (s *Schedule) switchAll(o Observed, d *Decision, why string) {
 	s.switched = max(o.Elapsed, 1)
 	d.Share, d.Why = 1, why
+	s.before = o.use()
 }
 
 // allowed returns how many requests a bad version may have had of as many in all.
 func (s *Schedule) allowed(of uint64) float64 {
-	return s.Bounds.Share*float64(of) + s.Bounds.Slack
+	b := s.Bounds.orDefault()
+	return b.Share*float64(of) + b.Slack
 }
 
 // fits reports whether all requests until the deadline may go to a bad version.
@@ -253,13 +293,16 @@
 	return float64(d.Sent)+rest <= s.allowed(d.Of+uint64(rest))
 }
 
-// good reports whether each route was tried and nothing speaks against the target.
+// good reports whether each route that can be was tried and nothing speaks against the target.
 func (s *Schedule) good(o Observed, d *Decision) bool {
 	late := o.Elapsed >= s.at(latestPart)
 	if d.Grounds.Sum >= suspicion && !late || d.Grounds.Sum >= suspicionLate || d.Grounds.Known < enoughKnown {
 		return false
 	}
-	for _, p := range o.Totals {
+	for route, p := range o.Totals {
+		if o.KeptAway[route] {
+			continue
+		}
 		all := float64(p.Target.Sent + p.Old.Sent)
 		needed := float64(enoughKnown)
 		if late {
@@ -274,7 +317,8 @@
 
 // share sets the shares of a trial.
 func (s *Schedule) share(o Observed, d *Decision, rate float64, known bool) {
-	d.Share, d.Why = math.Round(1000*trialOfBound*s.Bounds.Share)/1000, "trial"
+	bound := s.Bounds.orDefault().Share
+	d.Share, d.Why = math.Round(1000*trialOfBound*bound)/1000, "trial"
 	if !known || rate == 0 {
 		return
 	}
@@ -282,7 +326,7 @@
 	allowed := usedBudget * s.allowed(d.Of+uint64(rate*until))
 	budget := max(allowed-usedBudget*rate*stopTime.Seconds(), min(allowed, float64(neededSent*len(o.Totals))))
 	wanted := max(d.Share, float64(enoughSent*len(o.Totals))/(float64(d.Of)+rate*until))
-	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*s.Bounds.Share)
+	d.Share = max(min((budget-float64(d.Sent))/(rate*until), wanted, mostShare), leastOfBound*bound)
 	if float64(d.Sent)+d.Share*rate*stopTime.Seconds() > s.allowed(d.Of) {
 		d.Share, d.Why = 0, "the bound is used up"
 		return
--- a/directory/outcomes.go
+++ b/directory/outcomes.go
@@ -3,19 +3,31 @@
 package directory
 
 import (
-	"time"
-
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines what the leader keeps of the outcomes that gateways and relays report.
+// This file defines what the leader gathers of gateways' reports about rollouts. All runs in the
+// hub's goroutine.
+
+// obedience is the newest lists that a session's last two reports obeyed: a report's loads were
+// taken before its list, so that only the one after says what runs under it.
+type obedience struct{ last, before uint64 }
 
 // reporter is one run of a gateway: its totals begin at none when it starts again, and what the
-// run before had sent counts on.
+// run before had sent counts on. What a relay reports is the totals of its gateways, which may
+// report elsewhere next: it counts while the relay's session lives.
 type reporter struct {
 	gateway string
 	boot    uint64
+	relayed *session // a relay's session; nil: a gateway's own
+}
+
+func (s *session) reporter() reporter {
+	if s.relay {
+		return reporter{relayed: s}
+	}
+	return reporter{gateway: s.gateway, boot: s.boot}
 }
 
 type outcomeKey struct{ version, route string }
@@ -25,13 +37,26 @@
 	h.rollouts.obeyed[s] = obedience{last: u.Obeyed, before: h.rollouts.obeyed[s].last}
 	for _, o := range u.Outcomes {
 		if r := h.rollouts.underWay[o.Pool]; r != nil && r.Attempt == o.Attempt {
-			r.add(reporter{s.gateway, s.boot}, o)
+			r.add(s.reporter(), o)
 		}
 	}
+	h.takeBarred(u.Barred)
 }
 
-// add takes one reporter's totals in place of those before. One that are less come from a
-// reporter that counts anew, and add to them.
+// barredBefore is why a target is rolled back that the leader before has barred, for the log.
+const barredBefore = "barred by the leader before"
+
+// takeBarred takes what a gateway has barred by a verdict that the log may lack.
+func (h *hub) takeBarred(list []protocol.Barred) {
+	for _, b := range list {
+		if r := h.rollouts.underWay[b.Pool]; r != nil && r.Attempt == b.Attempt && r.decision.Ending != rollout.RollBack {
+			r.decision.Ending, r.decision.Why = rollout.RollBack, barredBefore
+		}
+	}
+}
+
+// add takes one reporter's totals in place of those before. Only a relay's may be less: a
+// gateway has left it.
 func (r *leadRollout) add(from reporter, o protocol.Outcomes) {
 	mine := r.reported[from]
 	if mine == nil {
@@ -66,24 +91,20 @@
 }
 
 // forgetOutcomes forgets what a session that has ended obeys. What a gateway reported stays: the
-// target has had those requests. What a relay reported goes, because its gateways report all of
-// it again, to the relay itself or elsewhere.
-func (h *hub) forgetOutcomes(now time.Duration, s *session) {
+// target has had those requests.
+func (h *hub) forgetOutcomes(s *session) {
 	delete(h.rollouts.obeyed, s)
 	if !s.relay {
 		return
 	}
 	for _, r := range h.rollouts.underWay {
-		r.forget(now, reporter{s.gateway, s.boot})
+		r.forget(s.reporter())
 	}
 }
 
-// forget takes what one reporter reported out of the totals. Before the switch the target then
-// gets nothing until it is reported again, since what it has had bounds what it may get.
-func (r *leadRollout) forget(now time.Duration, from reporter) {
-	if len(r.reported[from]) > 0 && !r.schedule.Switched() {
-		r.forgotAt = now
-	}
+// forget takes back what a reporter has reported.
+func (r *leadRollout) forget(from reporter) {
+	r.forgot = r.forgot || len(r.reported[from]) > 0
 	for key := range r.reported[from] {
 		r.add(from, protocol.Outcomes{Version: key.version, Route: key.route})
 	}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -15,8 +15,8 @@
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
-// This file defines how the leader carries out the rollouts of pools: it gathers what gateways
-// report, has package rollout decide, and sends the gateways the shares. All runs in the hub's
+// This file defines how the leader carries out the rollouts of pools: it has package rollout
+// decide on what gateways report (outcomes.go), and sends them the shares. All runs in the hub's
 // goroutine.
 
 // informedAfter is how long a new leader waits for the gateways' first reports before it gives
@@ -45,10 +45,6 @@
 	encoded  protocol.Encoded
 }
 
-// obedience is the newest lists that a session's last two reports obeyed: a report's loads were
-// taken before its list, so that only the one after says what runs under it.
-type obedience struct{ last, before uint64 }
-
 // leadRollout is one rollout under way.
 type leadRollout struct {
 	document.Rollout
@@ -59,7 +55,8 @@
 	decision  rollout.Decision
 	sent      rollout.Decision // whose shares the gateways were sent
 	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
-	forgotAt  time.Duration    // when what a relay had reported was taken out of the totals last
+	forgot    bool             // since the last step, what a relay had reported
+	forgotAt  time.Duration
 	proposing bool
 	loggedAt  time.Duration
 }
@@ -142,9 +139,11 @@
 		r.decision = rollout.Decision{Ending: rollout.Complete, Share: 1, Why: "it has the requests"}
 		h.logStep(now, r)
 	default:
-		before := r.decision
+		r.noteForgotten(now)
+		before, halls := r.decision, h.targetHalls(r)
 		r.decision = r.schedule.Step(rollout.Observed{
-			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: h.targetListed(r),
+			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: len(halls) > 0,
+			KeptAway: h.keptAway(halls),
 			Informed: now-max(h.rollouts.began, r.forgotAt) >= informedAfter && h.d.leading() == nil,
 		})
 		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
@@ -154,6 +153,16 @@
 	h.proposeStep(now, r)
 }
 
+// noteForgotten notes when totals fell, because a relay's session ended. Before the switch the
+// target then gets nothing until its gateways have reported elsewhere, since what it has had
+// bounds what it may get.
+func (r *leadRollout) noteForgotten(now time.Duration) {
+	if r.forgot && !r.schedule.Switched() {
+		r.forgotAt = now
+	}
+	r.forgot = false
+}
+
 // proposeStep puts into the log how the rollout ends, or now and then how far it is.
 func (h *hub) proposeStep(now time.Duration, r *leadRollout) {
 	c := document.RolloutChange{
@@ -182,14 +191,22 @@
 	}()
 }
 
-// otherVersions returns the versions that the target replaces.
+// otherVersions returns the versions that the target replaces: those of servers that are
+// announced, and those that gateways have sent requests to, whose servers may be away.
 func (h *hub) otherVersions(r *leadRollout) []string {
 	others := map[string]bool{}
 	for _, v := range h.registry.Versions(r.Pool) {
-		if v != r.Target && !slices.Contains(r.Barred, v) {
-			others[v] = true
+		others[v] = true
+	}
+	for _, mine := range r.reported {
+		for key := range mine {
+			others[key.version] = true
 		}
 	}
+	delete(others, r.Target)
+	for _, v := range r.Barred {
+		delete(others, v)
+	}
 	return slices.Sorted(maps.Keys(others))
 }
 
@@ -212,14 +229,25 @@
 	})
 }
 
-// targetListed reports whether a server of the target is listed.
-func (h *hub) targetListed(r *leadRollout) bool {
-	for _, v := range h.registry.Versions(r.Pool) {
-		if v == r.Target {
-			return true
+// targetHalls returns the data halls in service in which a server of the target is listed.
+func (h *hub) targetHalls(r *leadRollout) []string {
+	out, _ := h.d.state.HallsOut()
+	return slices.DeleteFunc(h.registry.HallsOf(r.Pool, r.Target), func(hall string) bool { return slices.Contains(out, hall) })
+}
+
+// keptAway returns the routes whose homes have no server of a target that stands in some halls.
+func (h *hub) keptAway(halls []string) map[string]bool {
+	held, _ := h.d.state.Held()
+	away := map[string]bool{}
+	for _, route := range held.Document.Routes {
+		if len(route.Homes) > 0 && !slices.ContainsFunc(halls, func(hall string) bool {
+			region := h.d.cfg.Topology.Region(hall)
+			return region != "" && slices.Contains(route.Homes, region)
+		}) {
+			away[route.Name] = true
 		}
 	}
-	return false
+	return away
 }
 
 // pushRollouts sends all sessions the list, if it has changed.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,7 +47,11 @@
 		}
 	}
 	c.counts = c.counts.With(out.execution)
-	c.g.settleLink(a, len(c.body)+headerBytes(c.r))
+	sent := len(c.body) + headerBytes(c.r)
+	if out.execution == retry.NotSent {
+		sent = 0
+	}
+	c.g.settleLink(a, sent)
 	if c.g.release(a, out.blame) {
 		c.g.stats.count("suspected", "pool", c.pool.Name)
 		c.g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.server), slog.String("cause", out.cause))
@@ -107,6 +111,7 @@
 		return outcome{execution: retry.NotSent, cause: "caller left", blame: outlier.NoVerdict, err: err}
 	}
 	if !not.Refused {
+		a.unreached = true
 		return outcome{execution: retry.NotSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -26,14 +27,15 @@
 // versions is a set of kinds of server, by their version.
 type versions uint8
 
-// The kinds. A server that is barred, or replaced while there is another, is of none.
+// The kinds. A server that is barred is of none.
 const (
-	oldVersion    versions = 1 << iota // any but the target
-	trialVersion                       // those of the target that a trial goes to
-	targetVersion                      // all of the target
+	oldVersion      versions = 1 << iota // any but the target
+	trialVersion                         // those of the target that a trial goes to
+	targetVersion                        // all of the target
+	replacedVersion                      // replaced by another that is listed
 )
 
-// anyVersion is a server of a pool without a rollout, or any server.
+// anyVersion is a server of a pool without a rollout, or any that is not replaced.
 const anyVersion = oldVersion | trialVersion | targetVersion
 
 // rolloutList names a list of rollouts.
@@ -42,11 +44,13 @@
 // poolRollout is a pool's rollouts, as the directory's newest list has them.
 type poolRollout struct {
 	protocol.Rollout
-	routes    map[string]float64 // shares
-	switched  bool               // the target was given all requests last
-	oldListed bool               // a server of the old version is listed, in a hall in service
-	outcomes  outcomes
-	mistrust  mistrust
+	routes     map[string]float64 // shares
+	switched   bool               // the target was given all requests last
+	barredHere bool               // an earlier leader barred the target, and the list does not
+	oldListed  bool               // a server of the old version is listed, in a hall in service
+	outcomes   outcomes
+	mistrust   mistrust
+	unreached  unreached
 }
 
 // underWay reports whether there is a target that may have requests.
@@ -85,7 +89,7 @@
 func (p *pool) take(next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{}
+		r = &poolRollout{unreached: unreached{}}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -93,12 +97,13 @@
 	}
 	// What a leader has barred before the log had it stays barred: the next leader may not
 	// know. Only the log's end of this attempt, or another attempt, says otherwise.
-	if next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
-		!slices.Contains(next.Barred, next.Target) {
+	r.barredHere = next.Attempt == r.Attempt && next.Target != "" && slices.Contains(r.Barred, next.Target) &&
+		!slices.Contains(next.Barred, next.Target)
+	if r.barredHere {
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.mistrust = outcomes{}, mistrust{}
+		r.outcomes, r.mistrust, r.unreached = outcomes{}, mistrust{}, unreached{}
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
@@ -115,12 +120,12 @@
 func (t *table) sortVersions() {
 	for _, p := range t.pools {
 		if p.rollout != nil {
-			p.sortVersions(t.hallsOut)
+			t.sortVersionsOf(p)
 		}
 	}
 }
 
-func (p *pool) sortVersions(hallsOut map[string]bool) {
+func (t *table) sortVersionsOf(p *pool) {
 	r := p.rollout
 	other := slices.ContainsFunc(p.servers, func(k *knownServer) bool {
 		return !slices.Contains(r.Barred, k.Version) && !slices.Contains(r.Replaced, k.Version)
@@ -133,18 +138,34 @@
 		case slices.Contains(r.Barred, k.Version):
 		case r.Target != "" && k.Version == r.Target:
 			k.versions = targetVersion
-			if !hallsOut[k.Hall] {
+			if !t.hallsOut[k.Hall] {
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
+			k.versions = replacedVersion
 		default:
 			k.versions = oldVersion
-			r.oldListed = r.oldListed || !hallsOut[k.Hall] && !k.unlisted
+			r.oldListed = r.oldListed || !t.hallsOut[k.Hall] && !k.unlisted
 		}
 	}
-	for _, k := range trialServers(target, r.Share) {
-		k.versions |= trialVersion
+	for _, group := range t.trialGroups(r.unreached.others(target)) {
+		for _, k := range trialServers(group, r.Share) {
+			k.versions |= trialVersion
+		}
+	}
+}
+
+// trialGroups returns the target's servers by region, if there are several, so that each region
+// has some in the trial and no request leaves it for that.
+func (t *table) trialGroups(target []*knownServer) [][]*knownServer {
+	if t.site.regions < 2 {
+		return [][]*knownServer{target}
+	}
+	groups := map[string][]*knownServer{}
+	for _, k := range target {
+		groups[k.region] = append(groups[k.region], k)
 	}
+	return slices.Collect(maps.Values(groups))
 }
 
 // trialServers returns the target's servers that a trial goes to: as many as the share is of
@@ -178,7 +199,7 @@
 	byOwn     = "bad answers"    // this gateway's own experience
 	byAll     = "switched"       // the target gets all requests
 	byNoUse   = "none usable"    // of the target's servers
-	byOldGone = "old gone"       // no server of the old version is listed
+	byOldGone = "old gone"       // no server of the old version is listed, or none in its homes
 	lotParts  = float64(1 << 24) // the lot is drawn from what is below the first 24 bits of random
 )
 
@@ -188,7 +209,7 @@
 	switch {
 	case r == nil || !r.underWay():
 		return order{first: anyVersion, why: byNone}
-	case !r.oldListed:
+	case !t.oldReachable(p, req):
 		return order{first: anyVersion, why: byOldGone}
 	case now >= t.sharesUntil:
 		o := order{first: oldVersion, why: byLease}
@@ -208,6 +229,18 @@
 	return order{first: oldVersion, why: byRest}
 }
 
+// oldReachable reports whether a server of the old version is listed where the request may be
+// served. The caller holds mu.
+func (t *table) oldReachable(p *pool, req *requirements) bool {
+	h := t.homes.of(req)
+	if !h.bound || !p.rollout.oldListed {
+		return p.rollout.oldListed
+	}
+	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&oldVersion != 0 && !t.hallsOut[k.Hall] && !k.unlisted && h.may(k.region)
+	})
+}
+
 // lot returns a number from 0 to 1 that does not depend on the first digits of random, which
 // choose among servers.
 func lot(random float64) float64 {
@@ -215,19 +248,28 @@
 	return rest
 }
 
-// anyUsable reports whether a server of some versions may have requests now. The caller holds
+// anyUsable reports whether a server of some versions may have the request now. The caller holds
 // mu.
-func (t *table) anyUsable(p *pool, now time.Duration, among versions) bool {
+func (t *table) anyUsable(p *pool, now time.Duration, req *requirements, among versions) bool {
 	leased := now < t.leased
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased)
+		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
 	})
 }
 
-// mayHaveVersion reports whether a request may go to a server by the server's version. The
-// caller holds mu.
-func (t *table) mayHaveVersion(req *requirements, k *knownServer) bool {
-	return req.versions&k.versions != 0
+// versionsFor returns the versions that a choice is among. Where a request's homes have servers
+// in service of replaced versions alone, those serve it for as long as they are there. The caller
+// holds mu.
+func (t *table) versionsFor(p *pool, req *requirements) versions {
+	if p.rollout == nil || len(p.rollout.Replaced) == 0 || !req.homes.bound {
+		return req.versions
+	}
+	if slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versions&anyVersion != 0 && !t.hallsOut[k.Hall] && t.mayBeServedAt(req, k)
+	}) {
+		return req.versions
+	}
+	return req.versions | replacedVersion
 }
 
 // tried is what an attempt counts for, while its pool has a rollout.
