Mesh: a replica that is kept again has its link

Cause: a queue waits up to 30 s for a message before its goroutine ends; one whose replica was kept meanwhile ended all the same, and nothing dialled until the next message. Voters that left and came back had the dial of an election again. TestKeep, the first test of Keep itself, failed before (no link a minute after Keep). Measured: passes, also with -race.

--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -172,7 +172,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(queue) > 0 {
+	if len(queue) > 0 || slices.Contains(m.kept, name) { // since it was asked
 		return false
 	}
 	delete(m.queues, name)
