Directory: a slow disk hands the lead over in a fleet of one region too

Cause: replicas name their region only where there are several. In a fleet whose settings name one region, the leader took its own from the settings and found no other voter in it, so that the rule of the slow disk held in fleets without a region and with several, not with one. TestVoterRegions failed before. Measured: passes with TestBetterLeader and TestLeaderWithASlowDisk.

--- a/directory/leaderplace.go
+++ b/directory/leaderplace.go
@@ -96,8 +96,11 @@
 }
 
 // voterRegion returns the region of a replica, "" if it has not named one: it does when it
-// offers itself as a relay.
+// offers itself as a relay, in a fleet with several regions.
 func (d *Directory) voterRegion(name string) string {
+	if !d.several() { // they name none, so that this one's would differ from all
+		return ""
+	}
 	if name == d.Address() {
 		return d.cfg.Region
 	}
--- a/directory/place_internal_test.go
+++ b/directory/place_internal_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/topology"
+	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
 // TestBetterLeader: who should lead, by where the voters stand and how fast their disks are.
@@ -46,3 +49,21 @@
 		})
 	}
 }
+
+// TestVoterRegions: where replicas stand counts only where there are several regions, since
+// replicas name theirs only there; else a leader with a slow disk would find nobody in its own.
+func TestVoterRegions(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		halls    map[string]string
+		own, far string
+	}{{nil, "", ""}, {map[string]string{"x": "n", "y": "n"}, "", ""}, {map[string]string{"x": "n", "y": "s"}, "n", "s"}} {
+		regions, err := topology.New(c.halls)
+		is.NoErr(err)
+		d := &Directory{cfg: Settings{Identity: link.Identity{Name: "a"}, Region: "n", Topology: regions}}
+		d.noteRegion("b", "s")
+		is.Equal(d.voterRegion("a"), c.own)
+		is.Equal(d.voterRegion("b"), c.far)
+		is.Equal(d.voterRegion("c"), "")
+	}
+}
