--- a/directory/leaderplace_test.go
+++ b/directory/leaderplace_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,22 +39,25 @@
 // other region that their lists fill the link for seconds.
 func TestAcknowledgesSoonAfterALeader(t *testing.T) {
 	for gateways, rounds := range map[int]int{4: 10, 60: 4} {
-		inRegions(t, 1_000_000, func(x *fleet) {
-			is := is.New(x.t)
-			x.announceMany(1500)
-			x.gatewaysIn(north, gateways)
-			x.gatewaysIn(south, gateways)
-			time.Sleep(10 * time.Second)
-			longest := time.Duration(0)
-			for round := range rounds {
-				old := x.mustLead()
-				old.kill()
-				longest = max(longest, x.acknowledgedAfter(uint64(round+1), round))
-				x.start(old.ip, false)
+		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
+			t.Parallel()
+			inRegions(t, 1_000_000, func(x *fleet) {
+				is := is.New(x.t)
+				x.announceMany(1500)
+				x.gatewaysIn(north, gateways)
+				x.gatewaysIn(south, gateways)
 				time.Sleep(10 * time.Second)
-			}
-			x.t.Logf("%d gateways in each region: acknowledged after %v at worst", gateways, longest)
-			is.True(longest < 1200*time.Millisecond)
+				longest := time.Duration(0)
+				for round := range rounds {
+					old := x.mustLead()
+					old.kill()
+					longest = max(longest, x.acknowledgedAfter(uint64(round+1), round))
+					x.start(old.ip, false)
+					time.Sleep(10 * time.Second)
+				}
+				x.t.Logf("%d gateways in each region: acknowledged after %v at worst", gateways, longest)
+				is.True(longest < 1200*time.Millisecond)
+			})
 		})
 	}
 }
@@ -61,6 +65,7 @@
 // TestLeaderStandsWithTheMajority: a leader in the region with fewer voters hands over to one
 // with more, once, and what is put meanwhile is acknowledged soon.
 func TestLeaderStandsWithTheMajority(t *testing.T) {
+	t.Parallel()
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
 		changes, number := 0, uint64(0)
@@ -99,6 +104,7 @@
 
 // TestLeaderWithASlowDisk: a leader whose disk has become slow hands over to one whose has not.
 func TestLeaderWithASlowDisk(t *testing.T) {
+	t.Parallel()
 	inFleet(t, 3, func(x *fleet) {
 		is := is.New(x.t)
 		for _, n := range x.nodes {
@@ -125,6 +131,7 @@
 // TestHandoverThatFails: the only successor in the region with the majority cannot be elected,
 // since it reaches no other voter than the leader. The leader comes back, and does not try again at once.
 func TestHandoverThatFails(t *testing.T) {
+	t.Parallel()
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
 		x.leadIn(south)
--- a/directory/regions_test.go
+++ b/directory/regions_test.go
@@ -20,6 +20,7 @@
 // does not grow with those gateways, and a document is in force at all of them at once,
 // although the link carries little and every backend server has just announced itself.
 func TestBytesBetweenRegions(t *testing.T) {
+	t.Parallel()
 	const servers, measured = 600, 10 * time.Second
 	crossed := map[int]uint64{}
 	for _, gateways := range []int{5, 40} {
@@ -49,6 +50,7 @@
 // TestBusyRegionsKeepToTheirBudget: what runs on every server changes with every report of every
 // gateway, and what crosses between regions stays below 50 KB/s both ways together.
 func TestBusyRegionsKeepToTheirBudget(t *testing.T) {
+	t.Parallel()
 	const servers, gateways, measured = 600, 30, 10
 	inRegions(t, 7_500_000, func(x *fleet) {
 		is := is.New(x.t)
@@ -73,6 +75,7 @@
 // a region without the leader take few bytes of the link once the leader lists them, and stay
 // listed for longer than one that is silent does.
 func TestAnnouncementsCrossAsNumbers(t *testing.T) {
+	t.Parallel()
 	const servers, seconds = 300, 45 // a silent one is forgotten after 40
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
@@ -111,6 +114,7 @@
 // servers go on announcing themselves. Soon after the start every gateway serves again: it has
 // the document and nearly all servers.
 func TestFleetReturnsOverRegions(t *testing.T) {
+	t.Parallel()
 	const servers, gateways = 1200, 40
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
--- a/directory/relaysums_test.go
+++ b/directory/relaysums_test.go
@@ -191,6 +191,7 @@
 // one ends, when a relay ends, and when the leader does. What runs is at no time counted beside
 // its sum by more than the moving gateway's part.
 func TestSumsAcrossRelays(t *testing.T) {
+	t.Parallel()
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
 		x.leadIn(north)
@@ -262,6 +263,7 @@
 // its box is frozen, and then all that was written meanwhile. Its gateways are served elsewhere
 // before, and what it had reported counts no more.
 func TestFrozenRelayWakes(t *testing.T) {
+	t.Parallel()
 	inRegions(t, 1_000_000, func(x *fleet) {
 		is := is.New(x.t)
 		x.leadIn(north)
