Directory: a relay that has just opened keeps a rollout from being complete

Cause: a relay's session stood for the gateways that it had named, so that one that had come back and named none yet counted as idle, while what its gateways run was not in the sums either: complete could be said while old servers of that region had requests. Now a relay's own reports say what its gateways obey, none before its second report; one without gateways reports the list that it has. TestRelayThatHasJustOpened failed before.

--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -166,3 +166,19 @@
 	r.noteForgotten(4 * time.Second)
 	is.Equal(r.forgotAt, 3*time.Second)
 }
+
+// TestRelayThatHasJustOpened keeps a rollout from being complete until it has reported twice:
+// before it has named its gateways, what runs there is not in the sums either.
+func TestRelayThatHasJustOpened(t *testing.T) {
+	is := is.New(t)
+	s := &session{gateway: "relay", relay: true, knowsVersions: true}
+	earlier := &session{gateway: "g"} // of a version that does not know rollouts
+	h := &hub{registry: registry.New(0, time.Second), usage: newUsage(), sessions: map[*session]bool{s: true, earlier: true}}
+	h.rollouts = rollouts{obeyed: map[*session]obedience{}}
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2"})
+	r.fullSeq = 2
+	for _, want := range []bool{false, false, true} {
+		is.Equal(h.oldIdle(r), want)
+		h.addOutcomes(s, protocol.Usage{Obeyed: 2})
+	}
+}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -217,13 +217,14 @@
 }
 
 // oldIdle reports whether all gateways obey the list that gives the target all requests, and
-// nothing runs on servers of other versions.
+// nothing runs on servers of other versions. A relay says what all its gateways obey
+// (registry.Sums), and one that has just opened has not said so, nor what runs there.
 func (h *hub) oldIdle(r *leadRollout) bool {
 	if r.fullSeq == 0 {
 		return false
 	}
 	for s := range h.sessions {
-		if s.obeysRollouts() && h.rollouts.obeyed[s].before < r.fullSeq {
+		if s.knowsVersions && h.rollouts.obeyed[s].before < r.fullSeq {
 			return false
 		}
 	}
@@ -250,18 +251,13 @@
 		return true
 	}
 	for s := range h.sessions {
-		if s.obeysRollouts() && h.rollouts.obeyed[s].last < r.finalSeq {
+		if s.knowsVersions && h.rollouts.obeyed[s].last < r.finalSeq {
 			return false
 		}
 	}
 	return true
 }
 
-// obeysRollouts reports whether a session stands for a gateway that obeys rollouts.
-func (s *session) obeysRollouts() bool {
-	return slices.ContainsFunc(s.gateways(), func(g protocol.BehindGateway) bool { return g.KnowsVersions })
-}
-
 // targetHalls returns the data halls in service in which a server of the target is listed.
 func (h *hub) targetHalls(r *leadRollout) []string {
 	out, _ := h.d.state.HallsOut()
