--- a/directory/leaderplace.go
+++ b/directory/leaderplace.go
@@ -27,7 +27,9 @@
 	// placeSettled is how long a leader leads before it hands over: a fleet that starts, or
 	// loses leaders in turn, has other things to do. Chosen, not measured.
 	placeSettled = 3 * time.Second
-	// placeAgain is the time between two handovers that one leader tries. Chosen, not measured.
+	// placeAgain is the time between two handovers that one replica tries, also if it has led
+	// again in between: a successor that was not elected may not be the next time. Chosen, not
+	// measured.
 	placeAgain = 10 * time.Second
 	// placePeriod is the time between two looks. Chosen, not measured.
 	placePeriod = time.Second
@@ -96,8 +98,11 @@
 }
 
 // voterRegion returns the region of a replica, "" if it has not named one: it does when it
-// offers itself as a relay.
+// offers itself as a relay, in a fleet with several regions.
 func (d *Directory) voterRegion(name string) string {
+	if !d.several() { // they name none, so that this one's would differ from all
+		return ""
+	}
 	if name == d.Address() {
 		return d.cfg.Region
 	}
--- a/directory/leadrollout_test.go
+++ b/directory/leadrollout_test.go
@@ -149,3 +149,36 @@
 		is.Equal(r.fullSeq, step.want)
 	}
 }
+
+// TestTotalsFall when a relay's session ends that has reported something: that is noted, until its
+// gateways have reported elsewhere.
+func TestTotalsFall(t *testing.T) {
+	is := is.New(t)
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2", Attempt: 1})
+	silent, relay := reporter{relayed: &session{}}, reporter{relayed: &session{boot: 1}}
+	r.add(relay, protocol.Outcomes{Version: "v2", Route: "r", Sent: 5})
+	r.forget(silent)
+	r.noteForgotten(time.Second)
+	is.Equal(r.forgotAt, time.Duration(0))
+	r.forget(relay)
+	r.noteForgotten(3 * time.Second)
+	is.Equal(r.forgotAt, 3*time.Second)
+	r.noteForgotten(4 * time.Second)
+	is.Equal(r.forgotAt, 3*time.Second)
+}
+
+// TestRelayThatHasJustOpened keeps a rollout from being complete until it has reported twice:
+// before it has named its gateways, what runs there is not in the sums either.
+func TestRelayThatHasJustOpened(t *testing.T) {
+	is := is.New(t)
+	s := &session{gateway: "relay", relay: true, knowsVersions: true}
+	earlier := &session{gateway: "g"} // of a version that does not know rollouts
+	h := &hub{registry: registry.New(0, time.Second), usage: newUsage(), sessions: map[*session]bool{s: true, earlier: true}}
+	h.rollouts = rollouts{obeyed: map[*session]obedience{}}
+	r := newLeadRollout(document.Rollout{Pool: "p", Target: "v2"})
+	r.fullSeq = 2
+	for _, want := range []bool{false, false, true} {
+		is.Equal(h.oldIdle(r), want)
+		h.addOutcomes(s, protocol.Usage{Obeyed: 2})
+	}
+}
--- a/directory/outcomes.go
+++ b/directory/outcomes.go
@@ -104,6 +104,7 @@
 
 // forget takes back what a reporter has reported.
 func (r *leadRollout) forget(from reporter) {
+	r.forgot = r.forgot || len(r.reported[from]) > 0
 	for key := range r.reported[from] {
 		r.add(from, protocol.Outcomes{Version: key.version, Route: key.route})
 	}
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -57,6 +57,8 @@
 	fullSeq   uint64           // of the first list that gives the target all requests; 0: none does
 	finalSeq  uint64           // of the first list that says that complete follows; 0: none does
 	finalAt   time.Duration    // when that was sent
+	forgot    bool             // what a relay had reported was taken back since the last step
+	forgotAt  time.Duration    // when that was seen last, before the switch
 	proposing bool
 	loggedAt  time.Duration
 }
@@ -143,11 +145,12 @@
 		r.decision = rollout.Decision{Ending: rollout.Complete, Share: 1, Why: "it has the requests"}
 		h.logStep(now, r)
 	default:
+		r.noteForgotten(now)
 		before, halls := r.decision, h.targetHalls(r)
 		r.decision = r.schedule.Step(rollout.Observed{
 			Elapsed: r.elapsed(now), Totals: r.totals, OldIdle: h.oldIdle(r), TargetListed: len(halls) > 0,
 			KeptAway: h.keptAway(halls),
-			Informed: now-h.rollouts.began >= informedAfter && h.d.leading() == nil,
+			Informed: now-max(h.rollouts.began, r.forgotAt) >= informedAfter && h.d.leading() == nil,
 		})
 		if r.decision.Why != before.Why || now-r.loggedAt >= max(notedPeriod, r.Duration/notedPart) {
 			h.logStep(now, r)
@@ -156,6 +159,16 @@
 	h.proposeStep(now, r)
 }
 
+// noteForgotten notes when totals fell, because a relay's session ended. Before the switch the
+// target then gets nothing until its gateways have reported elsewhere, since what it has had
+// bounds what it may get.
+func (r *leadRollout) noteForgotten(now time.Duration) {
+	if r.forgot && !r.schedule.Switched() {
+		r.forgotAt = now
+	}
+	r.forgot = false
+}
+
 // proposeStep puts into the log how the rollout ends, or now and then how far it is.
 func (h *hub) proposeStep(now time.Duration, r *leadRollout) {
 	c := document.RolloutChange{
@@ -209,13 +222,14 @@
 }
 
 // oldIdle reports whether all gateways obey the list that gives the target all requests, and
-// nothing runs on servers of other versions.
+// nothing runs on servers of other versions. A relay says what all its gateways obey
+// (registry.Sums), and one that has just opened has not said so, nor what runs there.
 func (h *hub) oldIdle(r *leadRollout) bool {
 	if r.fullSeq == 0 {
 		return false
 	}
 	for s := range h.sessions {
-		if s.obeysRollouts() && h.rollouts.obeyed[s].before < r.fullSeq {
+		if s.knowsVersions && h.rollouts.obeyed[s].before < r.fullSeq {
 			return false
 		}
 	}
@@ -242,18 +256,13 @@
 		return true
 	}
 	for s := range h.sessions {
-		if s.obeysRollouts() && h.rollouts.obeyed[s].last < r.finalSeq {
+		if s.knowsVersions && h.rollouts.obeyed[s].last < r.finalSeq {
 			return false
 		}
 	}
 	return true
 }
 
-// obeysRollouts reports whether a session stands for a gateway that obeys rollouts.
-func (s *session) obeysRollouts() bool {
-	return slices.ContainsFunc(s.gateways(), func(g protocol.BehindGateway) bool { return g.KnowsVersions })
-}
-
 // targetHalls returns the data halls in service in which a server of the target is listed.
 func (h *hub) targetHalls(r *leadRollout) []string {
 	out, _ := h.d.state.HallsOut()
