--- a/coordination/place/link.go
+++ b/coordination/place/link.go
@@ -24,9 +24,9 @@
 // where the settings name none: 50 Mbit/s. Chosen, not measured.
 const DefaultLinkRate = 50e6 / 8
 
-// Parts of the capacity. Chosen, not measured: own messages need 10 KB/s a box
-// (docs/CAPACITY.md), 0.44 MB/s or 0.07 of the default for 44 boxes, and several times that
-// after a loss of power; a direction carries one region's requests and the other's answers, so
+// Parts of the capacity. Chosen, not measured: own messages need 50 KB/s between two regions
+// (docs/CAPACITY.md), 0.008 of the default, and the whole lists after a loss of power; a
+// direction carries one region's requests and the other's answers, so
 // each region may use half of what is left.
 const (
 	ownMessagesPart = 0.3  // of the capacity, for the fleet's own messages
