--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -78,7 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, p := range t.pools {
-		if p.rollout == nil || !p.rollout.underWay() {
+		if r := p.rollout; r == nil || (!r.underWay() && !r.barredHere) { // the next leader sees why it is barred
 			continue
 		}
 		for key, c := range p.rollout.outcomes.tallies {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -389,3 +389,27 @@
 		is.Equal(slow[0].Paces[rollout.PaceBucket(16)], uint32(1)) // 800 of 50 ms
 	}, oldAndNew...)
 }
+
+// TestNextLeaderLearnsWhyAVersionIsBarred: a verdict that the log does not have yet is lost with
+// its leader. The next one has to see what it rested on, or it takes no requests at all for few
+// of which none speaks against the version.
+func TestNextLeaderLearnsWhyAVersionIsBarred(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.draw()
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.25})
+		x.leaseShares()
+		x.served("/once/1", 100)
+		x.g.table.takeOutcomes(x.g.now())
+		x.rollouts(1, 2, protocol.Rollout{Attempt: 1, Target: "v2", Barred: []string{"v2"}})
+		x.g.table.update(protocol.Servers{Term: 2, Whole: true}) // the next leader's session
+		x.rollouts(2, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.04})
+		var sent uint64
+		outcomes, _ := x.g.table.takeOutcomes(x.g.now())
+		for _, o := range outcomes {
+			sent += o.Sent
+		}
+		is.Equal(sent, uint64(100))
+	}, oldAndNew...)
+}
