--- a/directory/place_internal_test.go
+++ b/directory/place_internal_test.go
@@ -12,6 +12,8 @@
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
+// This file tests where the leader should stand, as a decision on what it knows of the voters.
+
 // TestBetterLeader: who should lead, by where the voters stand and how fast their disks are.
 func TestBetterLeader(t *testing.T) {
 	const ms = time.Millisecond
--- a/directory/regions_fixture_test.go
+++ b/directory/regions_fixture_test.go
@@ -90,8 +90,11 @@
 	return all
 }
 
-// leadIn makes a replica of a region lead.
-func (x *fleet) leadIn(region string) {
+// leadIn makes a replica of a region lead, for long enough that it stays so.
+func (x *fleet) leadIn(region string) { x.leadAfter(region, 2*time.Second) }
+
+// leadAfter kills leaders until one in a region leads, with a pause after each start.
+func (x *fleet) leadAfter(region string, pause time.Duration) {
 	for range 20 {
 		n := x.mustLead()
 		if x.regions[n.ip] == region {
@@ -100,7 +103,7 @@
 		n.kill()
 		x.mustLead()
 		x.start(n.ip, false)
-		time.Sleep(2 * time.Second)
+		time.Sleep(pause)
 	}
 	x.t.Fatalf("nobody in the %s leads", region)
 }
--- a/directory/together_cold_test.go
+++ b/directory/together_cold_test.go
@@ -57,17 +57,21 @@
 	return answer, err
 }
 
+// goodAndBad are a version that fails nothing and one that fails a fifth, with how their
+// rollouts end.
+var goodAndBad = []struct {
+	name  string
+	fails func(time.Duration) float64
+	state document.RolloutState
+}{
+	{"good", nil, document.RolloutComplete},
+	{"bad", func(time.Duration) float64 { return 0.2 }, document.RolloutRolledBack},
+}
+
 // TestRolloutToColdServers: no cold server gets more than it bears, of all gateways together and
 // at any moment; a good version is complete in time, and a bad one rolled back within its bound.
 func TestRolloutToColdServers(t *testing.T) {
-	for _, test := range []struct {
-		name  string
-		fails func(time.Duration) float64
-		state document.RolloutState
-	}{
-		{"good", nil, document.RolloutComplete},
-		{"bad", func(time.Duration) float64 { return 0.2 }, document.RolloutRolledBack},
-	} {
+	for _, test := range goodAndBad {
 		t.Run(test.name, func(t *testing.T) {
 			inFleet(t, 5, func(x *fleet) {
 				is := is.New(x.t)
--- a/directory/together_homes_test.go
+++ b/directory/together_homes_test.go
@@ -22,19 +22,19 @@
 // This file tests a rollout whose target has servers in one region only, while a route's home is
 // the other.
 
-// homely notes which route's requests reach which server, and how they end.
-type homely struct {
+// routeServers notes which route's requests reach which server, and how they end.
+type routeServers struct {
 	from
 	failed map[string]int // by route, guarded by the versioned's mu
 }
 
-func (h homely) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+func (h routeServers) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
 	h.reached.note(call.Header.Get("Id") + at)
 	return h.from.Send(ctx, at, call)
 }
 
 // ask asks on both routes in each period.
-func (h homely) ask(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
+func (h routeServers) ask(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
 	for range sleep.Every(ctx, rolloutPeriod) {
 		for _, route := range []string{"any", "home"} {
 			asking.Go(func() {
@@ -52,7 +52,7 @@
 }
 
 // countFailed counts what fails from the order on.
-func (h homely) countFailed(route string) {
+func (h routeServers) countFailed(route string) {
 	h.versioned.mu.Lock()
 	defer h.versioned.mu.Unlock()
 	if !h.ordered.IsZero() {
@@ -73,21 +73,14 @@
 // keep the others from the target; its requests are served by the old servers there, also after
 // the end, for as long as those are there.
 func TestTargetInOneRegionOnly(t *testing.T) {
-	for _, test := range []struct {
-		name  string
-		fails func(time.Duration) float64
-		state document.RolloutState
-	}{
-		{"good", nil, document.RolloutComplete},
-		{"bad", func(time.Duration) float64 { return 0.2 }, document.RolloutRolledBack},
-	} {
+	for _, test := range goodAndBad {
 		t.Run(test.name, func(t *testing.T) {
 			inRegions(t, 1_000_000, func(x *fleet) {
 				is := is.New(x.t)
 				v := &versioned{fails: test.fails}
 				halls := [7]string{1: north, 2: north, 3: south, 4: north, 5: north, 6: north}
 				r := &regional{counted: newCounted(v), x: x, halls: halls}
-				h := homely{failed: map[string]int{}}
+				h := routeServers{failed: map[string]int{}}
 				x.rollingIn(v, scene{document: homeHeld(), announce: r.announce, load: func(ip string) {
 					region := map[string]string{rolloutGateway(0): north, rolloutGateway(1): north, rolloutGateway(2): south}[ip]
 					x.place(ip, region)
--- a/directory/together_regions_test.go
+++ b/directory/together_regions_test.go
@@ -98,20 +98,6 @@
 	}
 }
 
-// leadFrom makes a replica of a region lead, for some seconds.
-func (x *fleet) leadFrom(region string) {
-	for range 20 {
-		n := x.mustLead()
-		if x.regions[n.ip] == region {
-			return
-		}
-		n.kill()
-		x.mustLead()
-		x.start(n.ip, false)
-	}
-	x.t.Fatalf("nobody in the %s leads", region)
-}
-
 // TestRegionIsCutOffInARollout: from some moment on, for 4 s. Both sides go on, orders at the
 // minority's are refused, and the rollout ends as the target deserves, within the bound over both.
 func TestRegionIsCutOffInARollout(t *testing.T) {
@@ -137,7 +123,7 @@
 					v := &versioned{fails: test.fails}
 					x.rollingOver(v, held(1), bothHalls, func(r *regional) {
 						time.Sleep(at)
-						x.leadFrom(test.leader)
+						x.leadAfter(test.leader, 0)
 						cutOff(x, v, r, test.state)
 						is.New(x.t).True(test.fails == nil || leastRoom(v) >= 0)
 					})
