Sight: what a request is beyond its identifier, and whether a server has ended

Logs named requests by identifiers that callers draw anew, so nobody could see whether one request was at every end of a server. After a connection breaks the gateway tries a new one, and a server that refuses it has ended: line `backend ended` with the keys of what ran there, counter badgerspoke_gateway_backends_ended_total. No decision uses either yet. Before, `lost` did not tell an end from a reset or an answer that was cut off.

--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -62,6 +62,8 @@
 
 func (scripted) DropAllIdle() {}
 
+func (scripted) Refuses(context.Context, string) bool { return false }
+
 func (scripted) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
 	answer := &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}
 	switch call.Header.Get("Id") {
--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -39,6 +39,8 @@
 func (a *arrivals) DropIdle(string) {}
 func (a *arrivals) DropAllIdle()    {}
 
+func (*arrivals) Refuses(context.Context, string) bool { return false }
+
 func (a *arrivals) Send(ctx context.Context, address string, call forward.Call) (*forward.Answer, error) {
 	a.note(address)
 	if !sleep.For(ctx, 20*time.Millisecond) {
--- a/directory/versioned_test.go
+++ b/directory/versioned_test.go
@@ -54,6 +54,8 @@
 func (v *versioned) DropIdle(string) {}
 func (v *versioned) DropAllIdle()    {}
 
+func (*versioned) Refuses(context.Context, string) bool { return false }
+
 // arrive counts an arrival and returns whether it fails.
 func (v *versioned) arrive(address string) (fails bool) {
 	v.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
@@ -28,6 +29,8 @@
 	held        *heldAnswer
 	misdirected bool  // another backend server has the address
 	err         error // nil after retry.Answered only
+	// lostKey is the request's key if its connection broke while it ran, else nil.
+	lostKey *quarantine.Key
 }
 
 // attempt sends the request to one backend server and relays what it answers.
@@ -46,6 +49,11 @@
 			c.g.silentBlame(a) // nobody is blamed, but its other connections may be silent too
 		}
 	}
+	if out.execution == retry.MayHaveRun && out.blame == outlier.Lost && ctx.Err() == nil {
+		key := c.key()
+		out.lostKey = &key
+		c.g.ends.add(c.pool.Name, a, key)
+	}
 	c.counts = c.counts.With(out.execution)
 	sent := len(c.body) + headerBytes(c.r)
 	if out.execution == retry.NotSent {
@@ -146,10 +154,7 @@
 	policy := c.policy(ctx)
 	allowed, fromBudget := policy.Again(out.execution)
 	again = allowed && (!fromBudget || c.g.takeRetry(c.pool.Name))
-	c.g.cfg.Log.Failure("attempt failed", slog.String("request", c.head.ID), slog.String("backend", a.server),
-		slog.String("cause", out.cause), slog.String("error", out.err.Error()), slog.Int("attempt", c.counts.Arrived),
-		milliseconds("took_ms", c.g.now()-a.began), slog.Bool("again", again),
-		slog.String("last_event", c.relay.lastEventID))
+	c.g.cfg.Log.FailureOf("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, again) })
 	if again {
 		return true, nil
 	}
@@ -164,6 +169,26 @@
 	}
 }
 
+// failureAttrs are the attributes of a failed attempt's log line. The key shows a request that
+// comes again under another identifier.
+func (c *call) failureAttrs(a *assignment, out outcome, again bool) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String("request", c.head.ID), slog.String("backend", a.server),
+		slog.String("cause", out.cause), slog.String("error", out.err.Error()), slog.Int("attempt", c.counts.Arrived),
+		milliseconds("took_ms", c.g.now()-a.began), slog.Bool("again", again),
+		slog.String("last_event", c.relay.lastEventID),
+	}
+	if out.lostKey != nil {
+		attrs = append(attrs, slog.String("key", out.lostKey.String()))
+	}
+	return attrs
+}
+
+// key identifies the request beyond this arrival.
+func (c *call) key() quarantine.Key {
+	return quarantine.KeyOf(c.account.Name, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+}
+
 // Faults of an answer.
 var (
 	errCrossed  = faultyAnswer("the answer belongs to another request")
--- /dev/null
+++ b/gateway/ends_test.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests how a gateway tells the end of a server from a broken connection.
+
+// broken breaks each connection after the request has been sent.
+var broken = fails(forward.Unknown{Err: io.EOF})
+
+// TestEndOfAServer: a server that breaks a connection and then refuses new ones has ended; one
+// that takes new ones has not.
+func TestEndOfAServer(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		bubble(t, func(x *fixture) {
+			is := is.New(t)
+			is.Equal(x.ask("/once/").status, 502)
+			if ended {
+				x.servers.stop("10.0.5.0:80")
+			}
+			time.Sleep(time.Second)
+			is.Equal(x.counter(`badgerspoke_gateway_backends_ended_total{pool="plain"}`) > 0, ended)
+		}, broken)
+	}
+}
+
+// stop ends the server at an address.
+func (f *fakeServers) stop(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.does, address)
+}
+
+func (x *fixture) counter(name string) uint64 {
+	return x.g.cfg.Metrics.GetOrCreateCounter(name).Get()
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -100,6 +100,13 @@
 
 func (f *fakeServers) DropAllIdle() { f.DropIdle("all") }
 
+// Refuses implements Server: nothing listens where nothing is announced.
+func (f *fakeServers) Refuses(_ context.Context, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.does[address] == nil
+}
+
 func (f *fakeServers) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	DropIdle(address string)
 	// DropAllIdle closes the idle connections to all addresses.
 	DropAllIdle()
+	// Refuses reports whether nothing listens at an address: its process has ended.
+	Refuses(ctx context.Context, address string) bool
 }
 
 var _ Server = (*forward.Client)(nil)
@@ -74,6 +76,7 @@
 	accounts *accounts
 	tokens   *tokens
 	stats    *stats
+	ends     *ends
 	meter    *link.Meter
 	seq      atomic.Uint64
 	gateways atomic.Int64 // gateways in the fleet, as last reported
@@ -105,6 +108,7 @@
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
 	g.table.setSite(cfg.Region, cfg.Topology, cfg.LinkRate)
 	g.accounts = newAccounts(g.now)
+	g.ends = newEnds(g)
 	g.SetSeeds(cfg.Seeds)
 	g.gateways.Store(retry.AssumedGateways)
 	detector := overload.New(g.now())
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
@@ -89,7 +90,7 @@
 	defer n.mu.Unlock()
 	l := n.listeners[address]
 	if l == nil {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrNotExist}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	n.port++
 	local := netip.AddrPortFrom(netip.MustParseAddr(d.ip), uint16(n.port))
--- a/transport/forward/backend_test.go
+++ b/transport/forward/backend_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// TestRefuses: only a box that says that nothing listens refuses; one that is cut off says nothing.
+func TestRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakenet.New(time.Millisecond)
+		c := client(t, n)
+		is.True(c.Refuses(t.Context(), address))
+		serve(t, n, &standin.Service{})
+		is.True(!c.Refuses(t.Context(), address))
+		n.Cut("10.0.0.1")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(!c.Refuses(ctx, address))
+	})
+}
+
 func TestUnreachableHasNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -154,6 +154,7 @@
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	conns     *connections
 	refused   func(status int, h http.Header) bool
 }
@@ -170,8 +171,9 @@
 		cfg.Refused = refused
 	}
 	conns := &connections{open: map[string]map[*countingConn]bool{}}
-	return &Client{refused: cfg.Refused, conns: conns, transport: &http.Transport{
-		DialContext:            conns.countingDial(cfg),
+	dial := conns.countingDial(cfg)
+	return &Client{refused: cfg.Refused, conns: conns, dial: dial, transport: &http.Transport{
+		DialContext:            dial,
 		ResponseHeaderTimeout:  cfg.HeaderTimeout,
 		MaxIdleConnsPerHost:    max(cfg.IdlePerServer, fewestIdle),
 		IdleConnTimeout:        cfg.IdleTime,
@@ -194,6 +196,17 @@
 // DropAllIdle does the same for all addresses.
 func (c *Client) DropAllIdle() { c.transport.CloseIdleConnections() }
 
+// Refuses reports whether the box at address answers that nothing listens there: a process that
+// was there before has ended. It opens a connection, and closes it if there is one.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // nothing was sent on it
+	return false
+}
+
 // Send sends a call to the server at address and returns the head of its
 // answer. Cancelling ctx ends the call, its body included. The error is
 // [NotRun] or [Unknown].
