--- /dev/null
+++ b/directory/mortal_fixture_test.go
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file adds backend servers that end to the fixture, by themselves or under a request, and
+// callers of a fleet of them.
+
+const (
+	deadlyAfter = 60 * time.Millisecond   // from the begin of a deadly request to the end of its server
+	backAfter   = 1500 * time.Millisecond // from the end of a server to its next start
+)
+
+// mortals are backend servers of one pool. A request whose body begins with "deadly" ends the
+// server that begins it.
+type mortals struct {
+	x   *fleet
+	run time.Duration // of a request
+
+	mu        sync.Mutex
+	processes map[string]*process // by address
+	starts    int
+	ends      []time.Time
+	sent      []time.Time // deadly requests that servers began
+}
+
+// process is what runs at an address, from one start to the next.
+type process struct {
+	id    string
+	seq   uint64
+	up    bool
+	ended chan struct{}
+}
+
+// mortal returns n servers.
+func (x *fleet) mortal(n int, run time.Duration) *mortals {
+	m := &mortals{x: x, run: run, processes: map[string]*process{}}
+	for i := range n {
+		m.start(address(fmt.Sprint("b", i+1)))
+	}
+	return m
+}
+
+func (m *mortals) start(at string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.starts++
+	m.processes[at] = &process{id: fmt.Sprint("s", m.starts), up: true, ended: make(chan struct{})}
+}
+
+// end ends the servers at some addresses at once. They start again under other identifiers.
+func (m *mortals) end(addresses ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, at := range addresses {
+		p := m.processes[at]
+		if !p.up {
+			continue
+		}
+		p.up = false
+		close(p.ended)
+		m.ends = append(m.ends, time.Now())
+		time.AfterFunc(backAfter, func() {
+			m.start(at)
+			m.announce()
+		})
+	}
+}
+
+// announce announces all servers that run.
+func (m *mortals) announce() {
+	d := m.x.leading()
+	if d == nil {
+		return
+	}
+	for _, a := range m.announcements() {
+		ctx, cancel := context.WithTimeout(m.x.t.Context(), time.Second)
+		_ = d.Announce(ctx, a) // whoever does not lead any more refuses it
+		cancel()
+	}
+}
+
+func (m *mortals) announcements() (all []registry.Announcement) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for at, p := range m.processes {
+		if !p.up {
+			continue
+		}
+		p.seq++
+		all = append(all, registry.Announcement{
+			Registration: protocol.Registration{ID: p.id, Pool: "p", Address: at, Slots: 12}, Seq: p.seq,
+		})
+	}
+	return all
+}
+
+func (m *mortals) DropIdle(string) {}
+func (m *mortals) DropAllIdle()    {}
+
+// Refuses implements gateway.Server.
+func (m *mortals) Refuses(ctx context.Context, at string) bool {
+	return sleep.For(ctx, latency) && !m.at(at).up
+}
+
+func (m *mortals) at(at string) process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return *m.processes[at]
+}
+
+// Send implements gateway.Server.
+func (m *mortals) Send(ctx context.Context, at string, call forward.Call) (*forward.Answer, error) {
+	if !sleep.For(ctx, latency) {
+		return nil, forward.NotRun{Server: at, Err: ctx.Err()}
+	}
+	p := m.at(at)
+	if !p.up {
+		return nil, forward.NotRun{Server: at, Err: syscall.ECONNREFUSED}
+	}
+	run := m.run
+	if strings.HasPrefix(string(call.Body), "deadly") {
+		run = time.Hour
+		m.began()
+		time.AfterFunc(deadlyAfter, func() { m.end(at) })
+	}
+	select {
+	case <-time.After(run):
+	case <-ctx.Done():
+		return nil, forward.Unknown{Server: at, Err: ctx.Err()}
+	case <-p.ended:
+		return nil, forward.Unknown{Server: at, Err: io.EOF}
+	}
+	return &forward.Answer{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: 4, Body: io.NopCloser(strings.NewReader("done"))}, nil
+}
+
+func (m *mortals) began() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent = append(m.sent, time.Now())
+}
+
+// deadly returns how many servers have ended, and how many deadly requests were begun later than
+// some time after the third end.
+func (m *mortals) deadly(after time.Duration) (ended, late int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, at := range m.sent {
+		if len(m.ends) >= 3 && at.Sub(m.ends[2]) > after {
+			late++
+		}
+	}
+	return len(m.ends), late
+}
+
+// mortalDocument has one route, which allows a second attempt.
+func mortalDocument(number uint64) document.Held {
+	h := held(number)
+	r := &h.Document.Routes[0]
+	r.Kind, r.MaxAttempts, r.Timeout = document.Repeatable, 2, 2*time.Second
+	return h
+}
+
+// callers are the callers of the fleet's gateways and what they got.
+type callers struct {
+	x  *fleet
+	n  int // requests, for identifiers
+	mu sync.Mutex
+	of map[string]map[int]int // by kind of request, answers by status
+}
+
+// among runs f in a fleet with servers, gateways, and callers that ask each of them for something
+// else each time, and all for the same once in a while.
+func (x *fleet) among(m *mortals, gateways int, f func(c *callers)) {
+	is := is.New(x.t)
+	is.NoErr(x.mustLead().d.Put(x.t.Context(), mortalDocument(1)))
+	stop := x.keeping(m.announce)
+	defer stop()
+	c := &callers{x: x, of: map[string]map[int]int{}}
+	for i := range gateways {
+		c.gateway(m, gatewayIP(i))
+	}
+	time.Sleep(3 * time.Second)
+	c.mu.Lock()
+	clear(c.of)
+	c.mu.Unlock()
+	f(c)
+}
+
+func gatewayIP(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
+
+// Between two requests of a gateway's callers.
+const (
+	otherPeriod = 20 * time.Millisecond
+	hotPeriod   = 50 * time.Millisecond
+)
+
+// gateway starts a gateway with callers of its own.
+func (c *callers) gateway(m *mortals, ip string) {
+	c.x.loadedBy(ip, idHeaders{}, m, func(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
+		asking.Go(func() {
+			for range sleep.Every(ctx, hotPeriod) {
+				asking.Go(func() { c.ask(g, "hot", http.MethodGet, "") })
+			}
+		})
+		n := 0
+		for range sleep.Every(ctx, otherPeriod) {
+			n++
+			body := fmt.Sprint(ip, " ", n)
+			asking.Go(func() { c.ask(g, "other", http.MethodPost, body) })
+		}
+	})
+}
+
+// ask sends a request under an identifier of its own, and counts its answer.
+func (c *callers) ask(g *gateway.Gateway, kind, method, body string) (status int) {
+	c.mu.Lock()
+	c.n++
+	id := fmt.Sprint("r", c.n)
+	c.mu.Unlock()
+	r := httptest.NewRequestWithContext(c.x.t.Context(), method, "/"+kind, strings.NewReader(body))
+	r.Host = "h"
+	r.Header.Set("Id", id)
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.of[kind] == nil {
+		c.of[kind] = map[int]int{}
+	}
+	c.of[kind][w.Code]++
+	return w.Code
+}
+
+// repeat sends a body to one gateway after the other for some time.
+func (c *callers) repeat(body string, period, length time.Duration) {
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	i := 0
+	for began := time.Now(); time.Since(began) < length; time.Sleep(period) {
+		i = (i*5 + 3) % 16 // all remainders, in an order that is not that of the gateways
+		if n := c.x.gateways[gatewayIP(i%len(c.x.gateways))]; n != nil {
+			asking.Go(func() { c.ask(n.g, "deadly", http.MethodPost, body) })
+		}
+	}
+}
+
+// served returns the part of the requests of a kind that were answered, and how many were refused
+// for what they are.
+func (c *callers) served(kind string) (part float64, refused int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := 0
+	for _, n := range c.of[kind] {
+		all += n
+	}
+	return float64(c.of[kind][http.StatusOK]) / float64(max(all, 1)), c.of[kind][http.StatusBadRequest]
+}
