--- a/directory/mortal_fixture_test.go
+++ b/directory/mortal_fixture_test.go
@@ -39,9 +39,11 @@
 	streams bool          // an answer's head comes at once, its body after the run
 	keepIDs bool          // a server starts again under the identifier that it had
 	halls   []string      // where the servers stand, in turn
+	target  int           // number of the first server of another version, which is announced once it is ordered; 0: none is
 	resets  bool          // a deadly request breaks its own connection and ends nothing
 
 	mu        sync.Mutex
+	ordered   bool                // the rollout to the other version
 	processes map[string]*process // by address
 	starts    int
 	ends      []time.Time
@@ -122,9 +124,13 @@
 		if !p.up {
 			continue
 		}
+		version := m.version(at)
+		if version == "v2" && !m.ordered {
+			continue
+		}
 		p.seq++
 		all = append(all, registry.Announcement{
-			Registration: protocol.Registration{ID: p.id, Pool: "p", Address: at, Slots: 12, Hall: m.hall(at)}, Seq: p.seq,
+			Registration: protocol.Registration{ID: p.id, Pool: "p", Address: at, Slots: 12, Hall: m.hall(at), Version: version}, Seq: p.seq,
 		})
 	}
 	return all
@@ -135,9 +141,24 @@
 	if len(m.halls) == 0 {
 		return ""
 	}
-	var n int
+	return m.halls[numberOf(at)%len(m.halls)]
+}
+
+// version returns what the server at an address runs.
+func (m *mortals) version(at string) string {
+	switch {
+	case m.target == 0:
+		return ""
+	case numberOf(at) < m.target:
+		return "v1"
+	}
+	return "v2"
+}
+
+// numberOf returns the number of the server at an address.
+func numberOf(at string) (n int) {
 	_, _ = fmt.Sscanf(at, "10.0.3.%d:", &n) // as address makes it
-	return m.halls[n%len(m.halls)]
+	return n
 }
 
 func (m *mortals) DropIdle(string) {}
