Condemned requests: operators list them and let one go again

A condemned request has no age, so a server that is mended, or a mistake, needs a word: badgerspoke quarantine list and release KEY, over a fleet link like orders about rollouts. What both share of the way to the leader moved from cli/rollout.go to cli/fleetlink.go, unchanged but for its type parameter. TestReleaseOfACondemnedRequest: three more ends after a release, then it is condemned again.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -105,6 +105,9 @@
 	if len(args) > 0 && args[0] == "rollout" {
 		return runRollout(ctx, args[1:], getenv, stdout, stderr)
 	}
+	if len(args) > 0 && args[0] == "quarantine" {
+		return runQuarantine(ctx, args[1:], getenv, stdout, stderr)
+	}
 	cmd, rest := find(args)
 	if cmd == nil {
 		usage(stderr)
@@ -311,10 +314,13 @@
 		c := rolloutCommands[name]
 		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", "rollout "+name+" "+strings.Join(c.args, " "), c.summary)
 	}
+	for _, c := range quarantineCommands {
+		fmt.Fprintf(w, "  badgerspoke %-40s %s\n", strings.TrimSpace("quarantine "+c.name+" "+c.args), c.summary)
+	}
 	fmt.Fprintf(w, "  badgerspoke %-40s %s\n", "explain ID [FILE ...]", "print the life of a request from logs")
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "Every command but explain and rollout takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the")
-	fmt.Fprintf(w, "last two may come from %sSERVER and %sTOKEN. rollout takes -h, -json, -fleet IP:PORT and\n", settings.EnvPrefix, settings.EnvPrefix)
+	fmt.Fprintln(w, "Every command but explain, rollout and quarantine takes -h, -json, -server IP:PORT and -token TOKEN or @FILE; the")
+	fmt.Fprintf(w, "last two may come from %sSERVER and %sTOKEN. rollout and quarantine take -h, -json, -fleet IP:PORT and\n", settings.EnvPrefix, settings.EnvPrefix)
 	fmt.Fprintf(w, "-fleet-key-file FILE, or %s and %s. Exit codes: 0 done, 1 refused, 2 wrong\n", settings.EnvName("fleet"), settings.EnvName("fleet-key-file"))
 	fmt.Fprintln(w, "usage, 3 nobody leads or answers, 4 another change won.")
 }
--- /dev/null
+++ b/cli/fleetlink.go
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/settings"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines how commands reach the directory, not a control replica: they open a fleet
+// link with the fleet key in place of a call with a token.
+
+// operatorName is the name of an operator's side of a fleet link.
+const operatorName = "operator"
+
+// orderSilence ends one try, from the dial to the answer, so that one replica that is gone leaves
+// time for another: a replica answers within 2 s. Chosen, not measured.
+const orderSilence = 2500 * time.Millisecond
+
+// fleetFlags are the flags of a command that goes to the directory.
+type fleetFlags struct {
+	fleet   string // fleet address of any directory replica
+	keyFile string
+	key     []byte
+	json    bool
+}
+
+// define defines the flags.
+func (f *fleetFlags) define(fs *flag.FlagSet, getenv func(string) string) {
+	fs.StringVar(&f.fleet, "fleet", getenv(settings.EnvName("fleet")), "fleet address of any directory replica: IP:PORT")
+	fs.StringVar(&f.keyFile, "fleet-key-file", getenv(settings.EnvName("fleet-key-file")), "file with the key that all boxes share")
+	fs.BoolVar(&f.json, "json", false, "print the answer as JSON")
+}
+
+// readKey reads the file with the fleet key.
+func (f *fleetFlags) readKey() error {
+	if f.fleet == "" || f.keyFile == "" {
+		return errors.New("wants -fleet IP:PORT and -fleet-key-file FILE")
+	}
+	b, err := os.ReadFile(f.keyFile)
+	f.key = bytes.TrimSpace(b)
+	return err
+}
+
+// ask sends an order to the given replica or to the leader that it names, and again while nobody
+// leads or an answer was lost. outcome reads an answer: what became of the order, and who leads.
+// The error is of the last try if none got an answer.
+func ask[A protocol.Message](ctx context.Context, f *fleetFlags, order protocol.Message, outcome func(A) (protocol.OrderOutcome, string)) (A, error) {
+	replica := f.fleet
+	var last A
+	var answered bool
+	for {
+		answer, err := askOne[A](ctx, replica, f.key, order)
+		if errors.As(err, new(link.WrongKey)) {
+			return answer, err
+		}
+		replica = f.fleet
+		if err == nil {
+			became, leader := outcome(answer)
+			if became != protocol.OrderElsewhere && became != protocol.OrderUnclear {
+				return answer, nil
+			}
+			last, answered = answer, true
+			if became == protocol.OrderElsewhere && leader != "" {
+				replica = leader
+			}
+		}
+		if sleep.For(ctx, retryPause) {
+			continue
+		}
+		if answered {
+			return last, nil
+		}
+		return last, err
+	}
+}
+
+// askOne sends an order to one replica and waits for its answer.
+func askOne[A protocol.Message](ctx context.Context, replica string, key []byte, order protocol.Message) (answer A, err error) {
+	ctx, cancel := context.WithTimeout(ctx, orderSilence)
+	defer cancel()
+	l, err := link.Dial(ctx, replica, link.Identity{Name: operatorName, Key: key}, nil)
+	if err != nil {
+		return answer, err
+	}
+	defer l.Close()
+	if err := l.Send(ctx, order); err != nil {
+		return answer, err
+	}
+	m, err := l.Receive(ctx)
+	if err != nil {
+		return answer, err
+	}
+	answer, ok := m.(A)
+	if !ok {
+		return answer, fmt.Errorf("%s answers with another message", replica)
+	}
+	return answer, nil
+}
+
+// orderExit returns the exit code of an order that was not done.
+func orderExit(o protocol.OrderOutcome) int {
+	switch o {
+	case protocol.OrderConflict:
+		return ExitConflict
+	case protocol.OrderElsewhere, protocol.OrderUnclear:
+		return ExitUnavailable
+	}
+	return ExitRefused
+}
--- /dev/null
+++ b/cli/quarantine.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines the commands about condemned requests, under which backend servers end.
+
+// quarantineTimeout bounds all tries of one command together. Chosen, not measured: an election,
+// several times.
+const quarantineTimeout = 10 * time.Second
+
+// quarantineCommand is one command about condemned requests.
+type quarantineCommand struct{ name, args, summary, example string }
+
+var quarantineCommands = []quarantineCommand{
+	{"list", "", "list the requests that are sent to no backend server", "badgerspoke quarantine list -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
+	{"release", "KEY", "let a condemned request be sent again", "badgerspoke quarantine release 5f0c41d07be2a35f9c41d07be2a35f68 -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
+}
+
+// runQuarantine runs a command about condemned requests and returns the exit code.
+func runQuarantine(ctx context.Context, args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	for _, cmd := range quarantineCommands {
+		if len(args) > 0 && args[0] == cmd.name {
+			return cmd.run(ctx, args[1:], getenv, stdout, stderr)
+		}
+	}
+	usage(stderr)
+	return ExitUsage
+}
+
+func (cmd quarantineCommand) run(ctx context.Context, args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	var f fleetFlags
+	order, err := cmd.parse(&f, args, getenv, stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
+		fmt.Fprintf(stderr, "badgerspoke quarantine %s: %v\n", cmd.name, err)
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	answer, err := ask(ctx, &f, order, func(a protocol.QuarantineAnswer) (protocol.OrderOutcome, string) { return a.Outcome, a.Leader })
+	switch {
+	case errors.As(err, new(link.WrongKey)):
+		fmt.Fprintf(stderr, "badgerspoke quarantine %s: %v\n", cmd.name, err)
+		return ExitRefused
+	case err != nil:
+		fmt.Fprintf(stderr, "badgerspoke quarantine %s: %v\n", cmd.name, err)
+		return ExitUnavailable
+	case answer.Outcome != protocol.OrderDone:
+		fmt.Fprintf(stderr, "badgerspoke quarantine %s: %s\n", cmd.name, answer.Reason)
+		return orderExit(answer.Outcome)
+	}
+	printCondemned(stdout, f.json, answer.Condemned)
+	return ExitOK
+}
+
+// parse takes the key, if the command has one, and the flags behind it.
+func (cmd quarantineCommand) parse(f *fleetFlags, args []string, getenv func(string) string, stderr io.Writer) (order protocol.QuarantineOrder, err error) {
+	fs := flag.NewFlagSet("badgerspoke quarantine "+cmd.name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	f.define(fs, getenv)
+	fs.Usage = func() {
+		fmt.Fprintf(stderr, "%s\n\n  badgerspoke quarantine %s %s\n\nExample:\n  %s\n\nFlags:\n", cmd.summary, cmd.name, cmd.args, cmd.example)
+		fs.PrintDefaults()
+	}
+	if cmd.args != "" && (len(args) == 0 || !strings.HasPrefix(args[0], "-")) {
+		if len(args) == 0 {
+			return order, fmt.Errorf("wants %s; -h shows an example", cmd.args)
+		}
+		if order.Release, err = hex.DecodeString(args[0]); err != nil || len(order.Release) == 0 {
+			return order, fmt.Errorf("%q is no key: logs and quarantine list have it in hex", args[0])
+		}
+		args = args[1:]
+	}
+	if err := fs.Parse(args); err != nil {
+		return order, err
+	}
+	if fs.NArg() > 0 {
+		return order, fmt.Errorf("unexpected argument %q", fs.Arg(0))
+	}
+	if cmd.args != "" && order.Release == nil {
+		return order, fmt.Errorf("wants %s before the flags", cmd.args)
+	}
+	return order, f.readKey()
+}
+
+// condemnedJSON is a condemned request as JSON.
+type condemnedJSON struct {
+	Key     string   `json:"key"`
+	Account string   `json:"account"`
+	Pool    string   `json:"pool"`
+	Servers []string `json:"servers"`
+}
+
+func printCondemned(w io.Writer, asJSON bool, condemned []protocol.CondemnedRequest) {
+	if asJSON {
+		all := []condemnedJSON{}
+		for _, c := range condemned {
+			all = append(all, condemnedJSON{Key: hex.EncodeToString(c.Key), Account: c.Account, Pool: c.Pool, Servers: c.Servers})
+		}
+		out := json.NewEncoder(w)
+		out.SetIndent("", "  ")
+		// Standard output that takes nothing has nobody to be told.
+		_ = out.Encode(all)
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintf(t, "KEY\tACCOUNT\tPOOL\tENDED UNDER IT\n")
+	for _, c := range condemned {
+		fmt.Fprintf(t, "%x\t%s\t%s\t%s\n", c.Key, c.Account, c.Pool, strings.Join(c.Servers, " "))
+	}
+}
--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -3,44 +3,33 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
-	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
-	"github.com/badgerspoke/badgerspoke/settings"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
-// This file defines the commands about rollouts. They go to the directory, not to a control
-// replica, so they open a fleet link with the fleet key in place of a call with a token.
+// This file defines the commands about rollouts.
 
-// Times of a command about a rollout. All are chosen, not measured.
+// Times of a command about a rollout. Both are chosen, not measured.
 const (
 	// rolloutTimeout bounds all tries of one command together: for as long replicas surely
 	// take a repeated order for a copy, so that no repeat begins a second attempt.
 	rolloutTimeout = rollout.LeastWindow
-	// rolloutSilence ends one try, from the dial to the answer, so that one replica that is
-	// gone leaves time for another: a replica answers within 2 s.
-	rolloutSilence = 2500 * time.Millisecond
 	// defaultWithin is the time of an order that names none.
 	defaultWithin = 10 * time.Minute
 )
 
-// operatorName is the name of an operator's side of a fleet link.
-const operatorName = "operator"
-
 // rolloutCommand is one command about rollouts.
 type rolloutCommand struct {
 	act     protocol.OrderAct
@@ -66,11 +55,8 @@
 
 // rolloutInput is the flags of a command about a rollout.
 type rolloutInput struct {
-	order   protocol.RolloutOrder
-	fleet   string // fleet address of any directory replica
-	keyFile string
-	key     []byte
-	json    bool
+	fleetFlags
+	order protocol.RolloutOrder
 }
 
 // runRollout runs a command about a rollout and returns the exit code.
@@ -104,7 +90,7 @@
 	}
 	if answer.Outcome != protocol.OrderDone {
 		fmt.Fprintf(stderr, "badgerspoke rollout %s: %s\n", args[0], answer.Reason)
-		return rolloutExit(answer.Outcome)
+		return orderExit(answer.Outcome)
 	}
 	printRollout(stdout, in, answer.Newest)
 	return ExitOK
@@ -115,9 +101,7 @@
 	in := &rolloutInput{order: protocol.RolloutOrder{Act: cmd.act}}
 	fs := flag.NewFlagSet("badgerspoke rollout "+name, flag.ContinueOnError)
 	fs.SetOutput(stderr)
-	fs.StringVar(&in.fleet, "fleet", getenv(settings.EnvName("fleet")), "fleet address of any directory replica: IP:PORT")
-	fs.StringVar(&in.keyFile, "fleet-key-file", getenv(settings.EnvName("fleet-key-file")), "file with the key that all boxes share")
-	fs.BoolVar(&in.json, "json", false, "print the answer as JSON")
+	in.define(fs, getenv)
 	if cmd.act == protocol.OrderStart {
 		fs.DurationVar(&in.order.Duration, "within", defaultWithin, "from the order until the version is to have all requests")
 	}
@@ -145,16 +129,6 @@
 	return in, in.readKey()
 }
 
-// readKey reads the file with the fleet key.
-func (in *rolloutInput) readKey() error {
-	if in.fleet == "" || in.keyFile == "" {
-		return errors.New("wants -fleet IP:PORT and -fleet-key-file FILE")
-	}
-	b, err := os.ReadFile(in.keyFile)
-	in.key = bytes.TrimSpace(b)
-	return err
-}
-
 // carryOut sends an order until it is answered. An abort is of the attempt that is the newest
 // now: a copy of it that comes late must not end the next one.
 func carryOut(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
@@ -174,68 +148,9 @@
 	return order(ctx, &abort)
 }
 
-// order sends an order to the given replica or to the leader that it names, and again while
-// nobody leads or an answer was lost. The error is of the last try if none got an answer.
+// order sends an order about a rollout until it is answered.
 func order(ctx context.Context, in *rolloutInput) (protocol.RolloutAnswer, error) {
-	replica := in.fleet
-	var last protocol.RolloutAnswer
-	for {
-		answer, err := ask(ctx, replica, in)
-		if err == nil && answer.Outcome != protocol.OrderElsewhere && answer.Outcome != protocol.OrderUnclear {
-			return answer, nil
-		}
-		if errors.As(err, new(link.WrongKey)) {
-			return answer, err
-		}
-		replica = in.fleet
-		if err == nil {
-			last = answer
-		}
-		if err == nil && answer.Outcome == protocol.OrderElsewhere && answer.Leader != "" {
-			replica = answer.Leader
-		}
-		if sleep.For(ctx, retryPause) {
-			continue
-		}
-		if last.Outcome != 0 {
-			return last, nil
-		}
-		return last, err
-	}
-}
-
-// ask sends an order to one replica and waits for its answer.
-func ask(ctx context.Context, replica string, in *rolloutInput) (protocol.RolloutAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, rolloutSilence)
-	defer cancel()
-	l, err := link.Dial(ctx, replica, link.Identity{Name: operatorName, Key: in.key}, nil)
-	if err != nil {
-		return protocol.RolloutAnswer{}, err
-	}
-	defer l.Close()
-	if err := l.Send(ctx, in.order); err != nil {
-		return protocol.RolloutAnswer{}, err
-	}
-	m, err := l.Receive(ctx)
-	if err != nil {
-		return protocol.RolloutAnswer{}, err
-	}
-	answer, ok := m.(protocol.RolloutAnswer)
-	if !ok {
-		return answer, fmt.Errorf("%s answers with another message", replica)
-	}
-	return answer, nil
-}
-
-// rolloutExit returns the exit code of an order that was not done.
-func rolloutExit(o protocol.OrderOutcome) int {
-	switch o {
-	case protocol.OrderConflict:
-		return ExitConflict
-	case protocol.OrderElsewhere, protocol.OrderUnclear:
-		return ExitUnavailable
-	}
-	return ExitRefused
+	return ask(ctx, &in.fleetFlags, in.order, func(a protocol.RolloutAnswer) (protocol.OrderOutcome, string) { return a.Outcome, a.Leader })
 }
 
 // rolloutWords are the states as they are printed.
--- a/cli/rollout_test.go
+++ b/cli/rollout_test.go
@@ -79,14 +79,20 @@
 	return len(f.orders)
 }
 
-// runOn runs a command line against a replica, with a fleet key.
+// runOn runs a command about rollouts against a replica, with a fleet key.
 func runOn(t *testing.T, f *fakeReplica, key string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	return runCommand(t, f, key, append([]string{"rollout"}, args...)...)
+}
+
+// runCommand runs a command line against a replica, with a fleet key.
+func runCommand(t *testing.T, f *fakeReplica, key string, args ...string) (code int, stdout, stderr string) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "fleet.key")
 	is.New(t).NoErr(os.WriteFile(path, []byte(key+"\n"), 0o600))
 	var out, errs bytes.Buffer
 	env := map[string]string{"BADGERSPOKE_FLEET": f.address, "BADGERSPOKE_FLEET_KEY_FILE": path}
-	code = Run(context.Background(), append([]string{"rollout"}, args...), func(k string) string { return env[k] }, &out, &errs)
+	code = Run(context.Background(), args, func(k string) string { return env[k] }, &out, &errs)
 	return code, out.String(), errs.String()
 }
 
@@ -202,7 +208,7 @@
 func TestNobodyKnows(t *testing.T) {
 	is := is.New(t)
 	f := newReplica(t, protocol.RolloutAnswer{Outcome: protocol.OrderUnclear, Reason: "no leader"})
-	in := &rolloutInput{fleet: f.address, key: []byte(fleetKey), order: protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}}
+	in := &rolloutInput{fleetFlags: fleetFlags{fleet: f.address, key: []byte(fleetKey)}, order: protocol.RolloutOrder{Act: protocol.OrderStatus, Pool: "llm"}}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	go func() { // ends the command once an answer has come, however long that takes here
@@ -213,8 +219,8 @@
 	}()
 	answer, err := order(ctx, in)
 	is.NoErr(err)
-	is.Equal(rolloutExit(answer.Outcome), ExitUnavailable)
-	is.Equal(rolloutExit(protocol.OrderElsewhere), ExitUnavailable)
+	is.Equal(orderExit(answer.Outcome), ExitUnavailable)
+	is.Equal(orderExit(protocol.OrderElsewhere), ExitUnavailable)
 	is.True(rolloutTimeout <= rollout.LeastWindow) // later repeats would be orders of their own
 }
 
@@ -222,7 +228,7 @@
 func TestRolloutTable(t *testing.T) {
 	var got strings.Builder
 	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "llm"}}, underWay.Newest)
-	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "llm"}, json: true}, underWay.Newest)
+	printRollout(&got, &rolloutInput{fleetFlags: fleetFlags{json: true}, order: protocol.RolloutOrder{Pool: "llm"}}, underWay.Newest)
 	printRollout(&got, &rolloutInput{order: protocol.RolloutOrder{Pool: "web"}}, &protocol.RolloutStatus{Target: "v2", State: 3, Attempt: 1, Duration: time.Minute})
 	golden.Text(t, "rollout.txt", got.String())
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -117,6 +117,8 @@
 			d.hub.serveAnnouncer(ctx, l, first)
 		case protocol.RolloutOrder:
 			d.serveOrder(ctx, l, first)
+		case protocol.QuarantineOrder:
+			d.serveQuarantineOrder(ctx, l, first)
 		}
 	})
 }
--- /dev/null
+++ b/directory/quarantineorders.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file defines what operators ask about condemned requests.
+
+// NotCondemned refuses the release of a request that is not condemned. Nothing was changed.
+type NotCondemned struct{ Key string }
+
+// Error names the key.
+func (e NotCondemned) Error() string { return "no request with the key " + e.Key + " is condemned" }
+
+// Condemned returns the requests that are sent to no backend server, oldest first. The error is
+// [NotLeader] or [Unavailable].
+func (d *Directory) Condemned() ([]document.Condemned, error) {
+	if err := d.leading(); err != nil {
+		return nil, err
+	}
+	return d.state.Condemned(), nil
+}
+
+// Release lets a condemned request be sent to backend servers again. When it returns nil, that is
+// on the disks of a majority. The error is [NotCondemned], [NotLeader] or [Unavailable].
+func (d *Directory) Release(ctx context.Context, k quarantine.Key) error {
+	if err := d.leading(); err != nil {
+		return err
+	}
+	if err := d.hub.do(ctx, func() error { return d.hub.forgetKey(k) }); err != nil {
+		return err
+	}
+	released, err := d.proposeChange(ctx, command{Condemned: &document.CondemnedChange{Release: k[:]}})
+	switch {
+	case err != nil:
+		return err
+	case !released:
+		return NotCondemned{Key: k.String()}
+	}
+	d.cfg.Log.StateChange("request released", slog.String("key", k.String()), slog.String("why", "ordered"))
+	return nil
+}
+
+// forgetKey forgets the evidence against a request. The error is [Unavailable].
+func (h *hub) forgetKey(k quarantine.Key) error {
+	if h.term == 0 {
+		return Unavailable{}
+	}
+	h.evidence.seen.Clear(k)
+	delete(h.evidence.unlogged, k)
+	return nil
+}
+
+// serveQuarantineOrder answers an operator's command on a link that its first message has opened.
+func (d *Directory) serveQuarantineOrder(ctx context.Context, l *link.Link, o protocol.QuarantineOrder) {
+	ctx, waits := l.PeerWaits(ctx)
+	if !waits {
+		return // its sender sends it again
+	}
+	answering, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	_ = l.Send(ctx, d.obeyQuarantine(answering, o)) // not in the order's time: it may be over
+}
+
+func (d *Directory) obeyQuarantine(ctx context.Context, o protocol.QuarantineOrder) protocol.QuarantineAnswer {
+	if len(o.Release) > 0 {
+		k, ok := quarantine.KeyFrom(o.Release)
+		if !ok {
+			return protocol.QuarantineAnswer{Outcome: protocol.OrderRefused, Reason: "a key has 16 bytes"}
+		}
+		if err := d.Release(ctx, k); err != nil {
+			return quarantineAnswerTo(err)
+		}
+	}
+	condemned, err := d.Condemned()
+	if err != nil {
+		return quarantineAnswerTo(err)
+	}
+	answer := protocol.QuarantineAnswer{Outcome: protocol.OrderDone}
+	for _, c := range condemned {
+		answer.Condemned = append(answer.Condemned, protocol.CondemnedRequest{Key: c.Key, Account: c.Account, Pool: c.Pool, Servers: c.Servers})
+	}
+	return answer
+}
+
+// quarantineAnswerTo returns the answer to an order that ended with an error.
+func quarantineAnswerTo(err error) protocol.QuarantineAnswer {
+	a := answerTo(err)
+	return protocol.QuarantineAnswer{Outcome: a.Outcome, Reason: a.Reason, Leader: a.Leader}
+}
--- a/directory/repeated_ends_faults_test.go
+++ b/directory/repeated_ends_faults_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
+	"github.com/badgerspoke/badgerspoke/directory"
 )
 
 // This file tests requests that end servers while something else fails, and requests that end
@@ -268,3 +271,40 @@
 		})
 	})
 }
+
+// TestReleaseOfACondemnedRequest: an operator lists it and lets it go again; it is condemned again
+// after three more ends.
+func TestReleaseOfACondemnedRequest(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(t)
+		m := x.mortal(10, 100*time.Millisecond)
+		x.among(m, 4, func(c *callers) {
+			c.repeat("deadly", deadlyPeriod, 2*time.Second)
+			l := x.mustLead().d
+			condemned, err := l.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 1)
+			is.Equal(condemned[0].Pool, "p")
+			is.Equal(len(condemned[0].Servers), 3)
+			k, ok := quarantine.KeyFrom(condemned[0].Key)
+			is.True(ok)
+			is.NoErr(l.Release(x.t.Context(), k))
+			is.Equal(l.Release(x.t.Context(), k), error(directory.NotCondemned{Key: k.String()}))
+			for _, ip := range x.order {
+				if d := x.nodes[ip].d; !d.Leads() {
+					is.Equal(d.Release(x.t.Context(), k), error(directory.NotLeader{Leader: x.mustLead().ip + ":7400"}))
+				}
+			}
+			time.Sleep(time.Second)
+			sent, _ := m.deadly("deadly")
+			is.Equal(sent, 3)
+			c.repeat("deadly", deadlyPeriod, 3*time.Second)
+			sent, _ = m.deadly("deadly")
+			t.Logf("begun %d times", sent)
+			is.True(sent >= 6 && sent <= 8)
+			condemned, err = l.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 1)
+		})
+	})
+}
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -54,6 +54,10 @@
 	KindRollouts   Kind = 22 // leader: which versions of pools get requests
 	KindQuarantine Kind = 31 // leader: requests under which servers end
 
+	// Between an operator's command and a directory replica, continued.
+	KindQuarantineOrder  Kind = 32 // command: list condemned requests, or release one
+	KindQuarantineAnswer Kind = 33 // replica: what became of it
+
 	// Between an operator's command and a directory replica.
 	KindRolloutOrder  Kind = 23 // command: begin, read or end a rollout
 	KindRolloutAnswer Kind = 24 // replica: what became of it
@@ -93,6 +97,9 @@
 	KindRolloutAnswer: {"rollout-answer", decodeAs[RolloutAnswer]},
 	KindBehind:        {"behind", decodeAs[Behind]},
 	KindQuarantine:    {"quarantine", decodeAs[Quarantine]},
+
+	KindQuarantineOrder:  {"quarantine-order", decodeAs[QuarantineOrder]},
+	KindQuarantineAnswer: {"quarantine-answer", decodeAs[QuarantineAnswer]},
 }
 
 // String returns the kind's name, as metrics label it.
@@ -113,33 +120,35 @@
 // Message is any of the message types of this package.
 type Message interface{ kind() Kind }
 
-func (Hello) kind() Kind         { return KindHello }
-func (Welcome) kind() Kind       { return KindWelcome }
-func (Redirect) kind() Kind      { return KindRedirect }
-func (Renew) kind() Kind         { return KindRenew }
-func (Renewed) kind() Kind       { return KindRenewed }
-func (Report) kind() Kind        { return KindReport }
-func (View) kind() Kind          { return KindView }
-func (Configure) kind() Kind     { return KindConfigure }
-func (Claim) kind() Kind         { return KindClaim }
-func (Settle) kind() Kind        { return KindSettle }
-func (Claimed) kind() Kind       { return KindClaimed }
-func (Consensus) kind() Kind     { return KindConsensus }
-func (Watch) kind() Kind         { return KindWatch }
-func (WatchRedirect) kind() Kind { return KindWatchRedirect }
-func (Document) kind() Kind      { return KindDocument }
-func (Servers) kind() Kind       { return KindServers }
-func (Usage) kind() Kind         { return KindUsage }
-func (Fleet) kind() Kind         { return KindFleet }
-func (Counted) kind() Kind       { return KindCounted }
-func (Announce) kind() Kind      { return KindAnnounce }
-func (Announced) kind() Kind     { return KindAnnounced }
-func (Rollouts) kind() Kind      { return KindRollouts }
-func (RolloutOrder) kind() Kind  { return KindRolloutOrder }
-func (RolloutAnswer) kind() Kind { return KindRolloutAnswer }
-func (Quarantine) kind() Kind    { return KindQuarantine }
-func (Behind) kind() Kind        { return KindBehind }
-func (e Encoded) kind() Kind     { return e.of }
+func (Hello) kind() Kind            { return KindHello }
+func (Welcome) kind() Kind          { return KindWelcome }
+func (Redirect) kind() Kind         { return KindRedirect }
+func (Renew) kind() Kind            { return KindRenew }
+func (Renewed) kind() Kind          { return KindRenewed }
+func (Report) kind() Kind           { return KindReport }
+func (View) kind() Kind             { return KindView }
+func (Configure) kind() Kind        { return KindConfigure }
+func (Claim) kind() Kind            { return KindClaim }
+func (Settle) kind() Kind           { return KindSettle }
+func (Claimed) kind() Kind          { return KindClaimed }
+func (Consensus) kind() Kind        { return KindConsensus }
+func (Watch) kind() Kind            { return KindWatch }
+func (WatchRedirect) kind() Kind    { return KindWatchRedirect }
+func (Document) kind() Kind         { return KindDocument }
+func (Servers) kind() Kind          { return KindServers }
+func (Usage) kind() Kind            { return KindUsage }
+func (Fleet) kind() Kind            { return KindFleet }
+func (Counted) kind() Kind          { return KindCounted }
+func (Announce) kind() Kind         { return KindAnnounce }
+func (Announced) kind() Kind        { return KindAnnounced }
+func (Rollouts) kind() Kind         { return KindRollouts }
+func (RolloutOrder) kind() Kind     { return KindRolloutOrder }
+func (RolloutAnswer) kind() Kind    { return KindRolloutAnswer }
+func (Quarantine) kind() Kind       { return KindQuarantine }
+func (QuarantineOrder) kind() Kind  { return KindQuarantineOrder }
+func (QuarantineAnswer) kind() Kind { return KindQuarantineAnswer }
+func (Behind) kind() Kind           { return KindBehind }
+func (e Encoded) kind() Kind        { return e.of }
 
 // KindOf returns the kind under which m travels.
 func KindOf(m Message) Kind { return m.kind() }
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -134,6 +134,11 @@
 		Whole: true, Set: []Quarantined{{Key: []byte("0123456789abcdef"), Hint: 117, Ends: 3, Condemned: true}, {Key: []byte("fedcba9876543210"), Ends: 1}},
 		Gone: [][]byte{[]byte("abcdefghijklmnop")},
 	},
+	QuarantineOrder{Release: []byte("0123456789abcdef")},
+	QuarantineAnswer{
+		Outcome: OrderElsewhere, Reason: "another leads", Leader: "10.0.0.1:7000",
+		Condemned: []CondemnedRequest{{Key: []byte("0123456789abcdef"), Account: "t1", Pool: "llm", Servers: []string{"engine-1#a", "engine-2#b"}}},
+	},
 }
 
 var goldenPools = []PoolView{
@@ -221,7 +226,7 @@
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
 		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced", 22: "rollouts",
 		23: "rollout-order", 24: "rollout-answer",
-		30: "behind", 31: "quarantine",
+		30: "behind", 31: "quarantine", 32: "quarantine-order", 33: "quarantine-answer",
 	}
 	var used []int
 	for number := range 1 << 8 {
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -37,3 +37,25 @@
 	Set   []Quarantined `cbor:"2,keyasint,omitempty"`
 	Gone  [][]byte      `cbor:"3,keyasint,omitempty"` // keys
 }
+
+// QuarantineOrder is sent by an operator's command to any directory replica, as the first message
+// of a link: to list the condemned requests, or to release one. It may be sent again.
+type QuarantineOrder struct {
+	Release []byte `cbor:"1,keyasint,omitempty"` // key; empty: list
+}
+
+// QuarantineAnswer is the answer to a [QuarantineOrder], on the same link.
+type QuarantineAnswer struct {
+	Outcome   OrderOutcome       `cbor:"1,keyasint"`
+	Reason    string             `cbor:"2,keyasint,omitempty"` // unless done
+	Leader    string             `cbor:"3,keyasint,omitempty"` // fleet address, if elsewhere
+	Condemned []CondemnedRequest `cbor:"4,keyasint,omitempty"` // after the order, oldest first, if done
+}
+
+// CondemnedRequest is one request that is sent to no backend server.
+type CondemnedRequest struct {
+	Key     []byte   `cbor:"1,keyasint"`
+	Account string   `cbor:"2,keyasint,omitempty"`
+	Pool    string   `cbor:"3,keyasint,omitempty"`
+	Servers []string `cbor:"4,keyasint,omitempty"` // that ended under it
+}
