--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -116,7 +116,10 @@
 	servers     map[string]*entry
 	byAddress   map[string]string // identifier by address
 	byHandle    map[uint32]string // the same by handle
+	byName      map[string]string // the same of the newest life, by the server's name
 	next        uint32            // handle; none is used twice, and 0 is none
+	succeeded   map[string]bool   // earlier lives, of servers that have announced a later one
+	oldest      []string          // the same, oldest first
 }
 
 type entry struct {
@@ -150,14 +153,16 @@
 func New(now, interval time.Duration) *Registry {
 	return &Registry{
 		leaderSince: now, interval: interval,
-		servers: map[string]*entry{}, byAddress: map[string]string{}, byHandle: map[uint32]string{}, next: 1,
+		servers: map[string]*entry{}, byAddress: map[string]string{}, byHandle: map[uint32]string{}, byName: map[string]string{},
+		succeeded: map[string]bool{}, next: 1,
 	}
 }
 
 // Restore adds a backend server that announced itself to an earlier leader. Any
 // announcement to this one goes before it.
 func (r *Registry) Restore(now time.Duration, s protocol.Registration) {
-	if r.servers[s.ID] == nil && r.byAddress[s.Address] == "" {
+	name, _ := protocol.SplitLife(s.ID)
+	if r.servers[s.ID] == nil && r.byAddress[s.Address] == "" && r.byName[name] == "" {
 		r.add(now, s, 0)
 	}
 }
@@ -167,11 +172,13 @@
 // server whose address another one has that started later.
 func (r *Registry) Announce(now time.Duration, a Announcement) Change {
 	e := r.servers[a.ID]
-	if e == nil && r.outlived(now, a) {
+	if e == nil && (r.earlierLife(now, a.ID) || r.outlived(now, a)) {
 		return Change{}
 	}
 	if e == nil {
+		before := r.succeed(a.ID)
 		change := r.add(now, a.Registration, a.Seq)
+		change.Gone = append(before, change.Gone...)
 		e = r.servers[a.ID]
 		e.cold = e.cold.withAnnounced(now, a.ColdLeft)
 		change.Set[0] = e.server(now)
@@ -210,6 +217,9 @@
 // start for as long as it may be alive.
 func (r *Registry) outlived(now time.Duration, a Announcement) bool {
 	present := r.servers[r.byAddress[a.Address]]
+	if present != nil && sameName(present.ID, a.ID) {
+		return false // which is the later one is known
+	}
 	return present != nil && now-present.lastSeen <= aliveFor*r.interval && a.Seq > max(present.seq, firstNumbers)
 }
 
@@ -217,8 +227,7 @@
 // there.
 func (r *Registry) occupy(s protocol.Registration) (gone []string) {
 	if old, taken := r.byAddress[s.Address]; taken {
-		delete(r.byHandle, r.servers[old].Handle)
-		delete(r.servers, old)
+		r.Remove(old)
 		gone = append(gone, old)
 	}
 	r.byAddress[s.Address] = s.ID
@@ -231,6 +240,8 @@
 	e := &entry{Server: protocol.Server{Registration: s, Handle: r.next}, seq: seq, lastSeen: now}
 	r.next++
 	r.servers[s.ID], r.byHandle[e.Handle] = e, s.ID
+	name, _ := protocol.SplitLife(s.ID)
+	r.byName[name] = s.ID
 	return Change{Set: []protocol.Server{e.server(now)}, Gone: gone}
 }
 
@@ -249,6 +260,9 @@
 		if r.byAddress[e.Address] == id {
 			delete(r.byAddress, e.Address)
 		}
+		if name, _ := protocol.SplitLife(id); r.byName[name] == id {
+			delete(r.byName, name)
+		}
 	}
 }
 
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -69,7 +69,7 @@
 // [NotLeader] where the leader cannot be reached from here, or [Unavailable].
 func (n *announcer) announce(ctx context.Context, a registry.Announcement) error {
 	waiting := announcing{
-		Announcement: protocol.Announcement{Registration: a.Registration, Seq: a.Seq, ColdLeft: a.ColdLeft},
+		Announcement: protocol.Announcement{Registration: a.Registration.Sent(), Seq: a.Seq, ColdLeft: a.ColdLeft},
 		done:         make(chan error, 1),
 	}
 	select {
@@ -236,7 +236,7 @@
 		return Unavailable{}
 	}
 	for _, a := range m.List {
-		announcement := registry.Announcement{Registration: a.Registration, Seq: a.Seq, ColdLeft: a.ColdLeft}
+		announcement := registry.Announcement{Registration: a.Registration.Received(), Seq: a.Seq, ColdLeft: a.ColdLeft}
 		if announcement.Check() != nil {
 			continue
 		}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 
 // Announce takes a backend server's announcement, at any replica. When it returns nil, it is on its
 // way to the gateways; the departure of one that is leaving is then on the disks of a
-// majority. The error is [registry.Invalid], [NotLeader] or [Unavailable].
+// majority. The error is [registry.Invalid], [UnknownPool], [NotLeader] or [Unavailable].
 func (d *Directory) Announce(ctx context.Context, a registry.Announcement) error {
 	if err := a.Check(); err != nil {
 		return err
@@ -167,6 +168,9 @@
 	if a.Leaving {
 		return d.Withdraw(ctx, a.ID)
 	}
+	if !d.names(a.Pool) {
+		return UnknownPool{Pool: a.Pool}
+	}
 	if err := d.leading(); errors.As(err, new(NotLeader)) {
 		return d.announcer.announce(ctx, a)
 	} else if err != nil {
@@ -178,12 +182,26 @@
 	return d.hub.announce(ctx, a)
 }
 
-// Withdraw removes a backend server for good. When it returns nil, the departure is on
-// the disks of a majority. The error is [NotLeader] or [Unavailable].
+// names reports whether the document in force names a pool; before the first, it may be any. A
+// server of another pool is used by nobody, and would take an address from one that is.
+func (d *Directory) names(pool string) bool {
+	held, known := d.state.Held()
+	return !known || slices.ContainsFunc(held.Document.Pools, func(p document.Pool) bool { return p.Name == pool })
+}
+
+// Withdraw removes a backend server for good, or the listed life of the one that has a name. When
+// it returns nil, the departure is on the disks of a majority. The error is [NotLeader] or
+// [Unavailable].
 func (d *Directory) Withdraw(ctx context.Context, id string) error {
 	if err := d.leading(); err != nil {
 		return err
 	}
+	if _, born := protocol.SplitLife(id); born == 0 {
+		var err error
+		if id, err = d.hub.listedLife(ctx, id); err != nil {
+			return err
+		}
+	}
 	if d.state.Departed(id) {
 		return nil
 	}
--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -44,6 +44,14 @@
 	}},
 	{Rollout: &document.RolloutChange{Pool: "llm", Target: "v8", Duration: time.Minute, State: document.RolloutUnderWay, After: 3}},
 	{Rollout: &document.RolloutChange{Pool: "llm", Target: "v8", State: document.RolloutRolledBack, After: 4, Elapsed: 3 * time.Second}},
+	{Join: []protocol.Registration{
+		{ID: "engine-5", Pool: "llm", Address: "10.0.0.5:80", Hall: "hall-a", Slots: 16, Version: "v7", Born: 1790000000000},
+	}},
+	{Condemned: &document.CondemnedChange{Condemn: &document.Condemned{
+		Key: []byte("0123456789abcdef"), Hint: 117, Account: "t1", Pool: "llm", Servers: []string{"engine-1", "engine-2", "engine-3"},
+	}}},
+	{Condemned: &document.CondemnedChange{Condemn: &document.Condemned{Key: []byte("fedcba9876543210")}}},
+	{Condemned: &document.CondemnedChange{Release: []byte("fedcba9876543210")}},
 }
 
 func TestGoldenCommands(t *testing.T) {
@@ -53,32 +61,38 @@
 	var got []command
 	is.NoErr(cbor.Unmarshal(golden.Bytes(t, "commands", b), &got))
 	is.True(reflect.DeepEqual(got, goldenCommands)) // the pinned bytes give the same value
-	golden.AllSet(t, "join", goldenCommands[6].Join)
+	golden.AllSet(t, "join", goldenCommands[12].Join)
+	golden.AllSet(t, "condemned", *goldenCommands[13].Condemned.Condemn)
 }
 
-// TestGoldenEarlierLog decodes what a replica of the version before rollouts wrote, its log and
-// its snapshot, in the files whose names end in "-earlier": they are never written anew.
+// TestGoldenEarlierLog decodes what replicas of versions before wrote, their logs and their
+// snapshots, in files that are never written anew.
 func TestGoldenEarlierLog(t *testing.T) {
-	is := is.New(t)
-	const before = 7 // commands, of which none is about a rollout
-	var got []command
-	is.NoErr(cbor.Unmarshal(earlier(t, "commands"), &got))
-	is.True(reflect.DeepEqual(got, goldenCommands[:before]))
-	r, snapshot := newReplicated(0, 0, func() {}), newReplicated(0, 0, func() {})
-	for _, c := range got {
-		b, err := cbor.Marshal(c)
-		is.NoErr(err)
-		r.Apply(b)
+	for _, before := range []struct {
+		name               string // that the files' names end in
+		commands, rollouts int    // that they have
+	}{{"earlier", 7, 0}, {"before-lives", 12, 1}} {
+		is := is.New(t)
+		var got []command
+		is.NoErr(cbor.Unmarshal(pinned(t, "commands-"+before.name), &got))
+		is.True(reflect.DeepEqual(got, goldenCommands[:before.commands]))
+		r, snapshot := newReplicated(0, 0, func() {}), newReplicated(0, 0, func() {})
+		for _, c := range got {
+			b, err := cbor.Marshal(c)
+			is.NoErr(err)
+			r.Apply(b)
+		}
+		is.NoErr(snapshot.Restore(pinned(t, "snapshot-"+before.name)))
+		is.True(reflect.DeepEqual(snapshot.store, r.store))
+		is.Equal(len(snapshot.Rollouts()), before.rollouts)
+		is.Equal(len(snapshot.Condemned()), 0)
 	}
-	is.NoErr(snapshot.Restore(earlier(t, "snapshot")))
-	is.True(reflect.DeepEqual(snapshot.store, r.store))
-	is.Equal(len(snapshot.Rollouts()), 0)
 }
 
-// earlier returns the bytes that the version before rollouts wrote.
-func earlier(t *testing.T, name string) []byte {
+// pinned returns the bytes of a file that a version before wrote.
+func pinned(t *testing.T, name string) []byte {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", "golden", name+"-earlier.hex"))
+	text, err := os.ReadFile(filepath.Join("testdata", "golden", name+".hex"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +109,7 @@
 	is := is.New(t)
 	told := 0
 	r := newReplicated(0, 0, func() { told++ })
-	results := []any{true, true, false, true, true, true, false, true, true, true, true, true}
+	results := []any{true, true, false, true, true, true, false, true, true, true, true, true, false, true, true, true}
 	for i, c := range goldenCommands {
 		b, err := cbor.Marshal(c)
 		is.NoErr(err)
@@ -106,7 +120,8 @@
 	is.True(ok)
 	is.True(reflect.DeepEqual(held, *goldenCommands[0].Put))
 	is.True(r.Departed("engine-1#a"))
-	is.Equal(r.Joined(), slices.Concat(goldenCommands[2].Join, goldenCommands[6].Join))
+	is.Equal(r.Joined(), slices.Concat(goldenCommands[2].Join, goldenCommands[6].Join, []protocol.Registration{goldenCommands[12].Join[0].Received()}))
+	is.Equal(r.Condemned(), []document.Condemned{*goldenCommands[13].Condemned.Condemn})
 	out, changes := r.HallsOut()
 	is.Equal(out, []string{"hall-a"})
 	is.Equal(changes, uint64(3))
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -294,6 +294,22 @@
 	return h.do(ctx, func() error { return h.take(a) })
 }
 
+// listedLife returns the identifier under which a server is listed that names itself alone: its own
+// if none is. The error is [Unavailable].
+func (h *hub) listedLife(ctx context.Context, name string) (id string, err error) {
+	id = name
+	err = h.do(ctx, func() error {
+		switch {
+		case h.term == 0:
+			return Unavailable{}
+		case h.registry.Newest(name) != "":
+			id = h.registry.Newest(name)
+		}
+		return nil
+	})
+	return id, err
+}
+
 // take takes an announcement. The error is [Unavailable].
 func (h *hub) take(a registry.Announcement) error {
 	switch {
@@ -308,7 +324,7 @@
 	for _, s := range change.Set {
 		h.d.cfg.Log.StateChange("backend announced", slog.String("backend", s.ID), slog.String("pool", s.Pool),
 			slog.String("address", s.Address), slog.Any("replaces", change.Gone))
-		h.unlogged = append(h.unlogged, s.Registration)
+		h.unlogged = append(h.unlogged, s.Registration.Sent())
 	}
 	h.pending = h.pending.Then(change)
 	return nil
--- /dev/null
+++ b/directory/lives_test.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/transport/link"
+)
+
+// This file tests backend servers that start again under the names that they had.
+
+// life is one life of server "b1", and the announcement that it makes next.
+type life struct {
+	x    *fleet
+	born uint64
+	at   string
+	seq  uint64
+}
+
+func (l *life) announcement(leaving bool) registry.Announcement {
+	l.seq++
+	return registry.Announcement{
+		Registration: protocol.Registration{ID: protocol.LifeID("b1", l.born), Pool: "p", Address: l.at, Slots: 4},
+		Leaving:      leaving, Seq: l.seq,
+	}
+}
+
+// announce announces the life at whoever leads.
+func (l *life) announce(leaving bool) {
+	l.x.t.Helper()
+	ctx, cancel := context.WithTimeout(l.x.t.Context(), time.Second)
+	defer cancel()
+	if err := l.x.mustLead().d.Announce(ctx, l.announcement(leaving)); err != nil {
+		l.x.t.Fatal(err)
+	}
+}
+
+// beat announces the life once in each interval for some time.
+func (l *life) beat(times int) {
+	for range times {
+		l.announce(false)
+		time.Sleep(interval)
+	}
+}
+
+// TestServerStartsAgain: a server that starts again under its name is served within two seconds,
+// wherever it stands then, however its life before ended, and whatever late words there are of
+// that; nothing reaches the address of the life before.
+func TestServerStartsAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		at        string // of the later life; "": the same
+		unborn    bool   // the earlier life did not say when it began
+		ends      func(l *life)
+		meanwhile func(x *fleet, earlier *life)
+	}{
+		{name: "after a crash", at: "10.0.4.1:80"},
+		{name: "after a crash, at its address"},
+		{name: "after a life that said no start", at: "10.0.4.1:80", unborn: true},
+		{name: "after it drained", at: "10.0.4.1:80", ends: func(l *life) { l.announce(true) }},
+		{name: "after it took leave by its name", ends: func(l *life) {
+			if err := l.x.mustLead().d.Withdraw(l.x.t.Context(), "b1"); err != nil {
+				l.x.t.Fatal(err)
+			}
+		}},
+		{name: "late announcements", at: "10.0.4.1:80", meanwhile: func(_ *fleet, earlier *life) { earlier.announce(false) }},
+		{name: "a late departure", at: "10.0.4.1:80", meanwhile: func(_ *fleet, earlier *life) { earlier.announce(true) }},
+		{name: "the leader is killed", at: "10.0.4.1:80", meanwhile: func(x *fleet, earlier *life) {
+			x.mustLead().kill()
+			x.mustLead()
+			earlier.announce(false)
+		}},
+		{name: "power of the directory is lost", at: "10.0.4.1:80", meanwhile: func(x *fleet, _ *life) {
+			x.losePower()
+			for _, ip := range x.order {
+				x.start(ip, false)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, 3, func(x *fleet) {
+				is := is.New(t)
+				x.put(1)
+				earlier := &life{x: x, born: 1_790_000_000_000, at: "10.0.3.1:80", seq: 1000}
+				if tt.unborn {
+					earlier.born = 0
+				}
+				a := &arrivals{at: map[string][]time.Time{}}
+				x.loaded("10.0.2.1", a, 20*time.Millisecond)
+				x.loaded("10.0.2.2", a, 20*time.Millisecond)
+				earlier.beat(3)
+				all, _ := a.since(earlier.at, time.Time{})
+				is.True(all > 50)
+				if tt.ends != nil {
+					tt.ends(earlier)
+				}
+				later := &life{x: x, born: 1_790_000_009_000, at: tt.at}
+				if tt.at == "" {
+					later.at = earlier.at
+				}
+				began := time.Now()
+				later.announce(false)
+				if tt.meanwhile != nil {
+					time.Sleep(300 * time.Millisecond)
+					tt.meanwhile(x, earlier)
+				}
+				later.beat(4)
+				served, _ := a.since(later.at, began)
+				late, _ := a.since(later.at, began.Add(2*time.Second))
+				before, _ := a.since(earlier.at, began.Add(2*time.Second))
+				t.Logf("%d requests reach the later life, %d of them after 2 s; %d the earlier one's address", served, late, before)
+				is.True(late > 50)
+				is.True(later.at == earlier.at || before == 0)
+			})
+		})
+	}
+}
+
+// TestServerStartsAgainBehindARelay: gateways that a relay serves learn of it as well.
+func TestServerStartsAgainBehindARelay(t *testing.T) {
+	inRegions(t, 1<<20, func(x *fleet) {
+		is := is.New(x.t)
+		x.leadIn(north)
+		x.put(1)
+		x.place("10.0.2.1", south)
+		a := &arrivals{at: map[string][]time.Time{}}
+		x.loaded("10.0.2.1", a, 20*time.Millisecond)
+		earlier := &life{x: x, born: 1_790_000_000_000, at: "10.0.3.1:80", seq: 1000}
+		earlier.beat(3)
+		later := &life{x: x, born: 1_790_000_009_000, at: "10.0.4.1:80"}
+		began := time.Now()
+		later.announce(false)
+		time.Sleep(time.Second)
+		earlier.announce(true) // its departure, late
+		later.beat(3)
+		served, _ := a.since(later.at, began.Add(2*time.Second))
+		before, _ := a.since(earlier.at, began.Add(2*time.Second))
+		is.True(served > 50)
+		is.Equal(before, 0)
+	})
+}
+
+// TestVersionsWithoutLives: a gateway that takes the name for the identifier, as versions before
+// did, has the server that is listed under it, and none once that has departed.
+func TestVersionsWithoutLives(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(t)
+		x.put(1)
+		l := &life{x: x, born: 1_790_000_000_000, at: "10.0.3.1:80"}
+		id := link.Identity{Name: "10.0.2.9:7400", Key: fleetKey, Dial: x.net.Box("10.0.2.9").DialContext}
+		session, err := link.Dial(x.t.Context(), x.mustLead().ip+":7400", id, nil)
+		is.NoErr(err)
+		defer session.Close()
+		is.NoErr(session.Send(x.t.Context(), protocol.Watch{Gateway: id.Name}))
+		listed := map[string]string{}
+		take := func() {
+			for until := time.Now().Add(300 * time.Millisecond); time.Now().Before(until); {
+				m, err := session.ReceiveWithin(x.t.Context(), 300*time.Millisecond)
+				is.NoErr(err)
+				servers, ok := m.(protocol.Servers)
+				if !ok {
+					continue
+				}
+				for _, id := range servers.Gone {
+					delete(listed, id)
+				}
+				for _, b := range servers.Set {
+					listed[b.ID] = b.Address
+				}
+			}
+		}
+		l.announce(false)
+		take()
+		is.Equal(listed, map[string]string{"b1": "10.0.3.1:80"})
+		next := &life{x: x, born: 1_790_000_009_000, at: "10.0.4.1:80"}
+		next.announce(false)
+		take()
+		l.announce(true) // late
+		take()
+		is.Equal(listed, map[string]string{"b1": "10.0.4.1:80"})
+		next.announce(true)
+		take()
+		is.Equal(len(listed), 0)
+	})
+}
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -191,7 +191,7 @@
 		return r.store.ChangeCondemned(*c.Condemned)
 	}
 	for _, s := range c.Join {
-		r.store.Join(s)
+		r.store.Join(s.Received())
 	}
 	return false
 }
--- a/directory/rolloutorders.go
+++ b/directory/rolloutorders.go
@@ -17,8 +17,8 @@
 // This file defines the operators' orders about rollouts: one begins, one is aborted, and what
 // became of the newest.
 
-// UnknownPool refuses an order for a pool that no document in force names and no backend server
-// announced. Nothing was changed.
+// UnknownPool refuses an announcement for a pool that the document in force does not name, and an
+// order for one that no backend server announced either. Nothing was changed.
 type UnknownPool struct{ Pool string }
 
 // Error names the pool.
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -69,7 +69,7 @@
 		Term: h.term, Set: h.pending.Set, Gone: h.pending.Gone, Complete: h.complete, HallsOut: out, HallChanges: changes,
 	}
 	h.pending, h.list = registry.Change{}, nil
-	h.sendAll(m)
+	h.sendAll(m.Sent(h.registry.Lists))
 }
 
 // sendAll sends a message to every session.
@@ -105,7 +105,7 @@
 			Term: h.term, Whole: true, Complete: h.complete,
 			Set: h.registry.List(now), Gone: h.recentDepartures(), HallsOut: out, HallChanges: changes,
 			Relays: h.d.several(),
-		})
+		}.Sent(h.registry.Lists))
 		if !ok {
 			return list, false
 		}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -177,6 +177,7 @@
 		}
 		w.g.apply(d)
 	case protocol.Servers:
+		m = m.Received()
 		w.term = max(w.term, m.Term)
 		_, before := w.g.table.halls()
 		if joined, left := w.g.table.update(m); len(joined)+len(left) > 0 {
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -82,7 +82,7 @@
 		Term: 85, Whole: true, Complete: true,
 		Set: []Server{
 			{
-				Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7"}, Handle: 1<<32 - 1,
+				Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7", Born: 1<<41 + 118}, Handle: 1<<32 - 1,
 				Cold: &Cold{Left: 3 * time.Second, Shares: []ColdShare{{Gateway: "gateway-1", PerSecond: 5}, {Gateway: "gateway-2", PerSecond: 4}}},
 			},
 			{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Handle: 2},
@@ -112,7 +112,7 @@
 	},
 	Counted{Seq: 91},
 	Announce{Seq: 94, List: []Announcement{
-		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7"}, Seq: 95, ColdLeft: 3 * time.Second},
+		{Registration: Registration{ID: "engine-1#a", Pool: "llm", Address: "10.0.0.3:80", Hall: "hall-a", Slots: 16, Version: "v7", Born: 1<<41 + 118}, Seq: 95, ColdLeft: 3 * time.Second},
 		{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Seq: 96},
 	}, Again: []AnnouncedAgain{{Handle: 110, Seq: 111}, {Handle: 112, Seq: 113}}, Term: 114},
 	Announced{Seq: 97},
@@ -198,7 +198,7 @@
 	case Servers:
 		m.Set = slices.Clone(m.Set)
 		for i := range m.Set {
-			m.Set[i].Version = ""
+			m.Set[i].Version, m.Set[i].Born = "", 0
 		}
 		m.Relays = false
 		return m
@@ -209,7 +209,7 @@
 	case Announce:
 		m.List = slices.Clone(m.List)
 		for i := range m.List {
-			m.List[i].Version = ""
+			m.List[i].Version, m.List[i].Born = "", 0
 		}
 		m.Again, m.Term = nil, 0
 		return m
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -59,6 +59,9 @@
 	// Version is of the software that it runs, empty if it does not say. Numbers 6 and 7 are
 	// those of the fields beside a registration in [Server] and [Announcement].
 	Version string `cbor:"8,keyasint,omitempty"`
+	// Born is when this life of the server began, in Unix milliseconds; 0: it does not say. Only
+	// messages and the log have it, see [Registration.Sent].
+	Born uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Server is one announced backend server.
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -36,6 +36,7 @@
 	held    *Held
 	joined  map[string]protocol.Registration // by identifier, one an address
 	at      map[string]string                // identifier in joined by address
+	lives   map[string]string                // the same by the server's name
 	order   []string                         // departed backend servers, oldest first
 	total   uint64                           // departures ever
 	departs map[string]bool
@@ -89,16 +90,17 @@
 	if s.departs[r.ID] {
 		return
 	}
-	s.leave(r.ID)
+	name, _ := protocol.SplitLife(r.ID)
+	s.leave(s.lives[name]) // an earlier life
 	s.leave(s.at[r.Address])
 	if len(s.joined) >= MaxServers {
 		return
 	}
 	if s.joined == nil {
-		s.joined, s.at = map[string]protocol.Registration{}, map[string]string{}
+		s.joined, s.at, s.lives = map[string]protocol.Registration{}, map[string]string{}, map[string]string{}
 	}
 	s.joined[r.ID] = r
-	s.at[r.Address] = r.ID
+	s.at[r.Address], s.lives[name] = r.ID, r.ID
 }
 
 // leave removes a registration, if there is one.
@@ -106,6 +108,8 @@
 	if r, ok := s.joined[id]; ok {
 		delete(s.joined, id)
 		delete(s.at, r.Address)
+		name, _ := protocol.SplitLife(id)
+		delete(s.lives, name)
 	}
 }
 
@@ -144,11 +148,20 @@
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
 	return cbor.Marshal(image{
-		Held: s.held, Departs: s.order, Total: s.total, Joined: s.Joined(), Halls: s.Halls(), Rollouts: s.Rollouts(),
+		Held: s.held, Departs: s.order, Total: s.total, Joined: sent(s.Joined()), Halls: s.Halls(), Rollouts: s.Rollouts(),
 		Condemned: s.condemned,
 	})
 }
 
+// sent returns registrations as the log has them.
+func sent(all []protocol.Registration) []protocol.Registration {
+	out := make([]protocol.Registration, 0, len(all))
+	for _, r := range all {
+		out = append(out, r.Sent())
+	}
+	return out
+}
+
 // UnmarshalBinary implements [encoding.BinaryUnmarshaler].
 func (s *Store) UnmarshalBinary(b []byte) error {
 	var im image
@@ -161,7 +174,7 @@
 	}
 	s.total = max(s.total, im.Total)
 	for _, r := range im.Joined {
-		s.Join(r)
+		s.Join(r.Received())
 	}
 	for _, h := range im.Halls {
 		if s.halls == nil {
