Clock: nodes count the time in which their boxes are suspended

Cause: all times came from Go's steady clock, which stands still while a box is suspended. A leader that woke took a lease for its own that others had seen end, and answered a read with a document that had been replaced (TestSuspendedLeader with such a clock: document 1 after 2 was acknowledged). Leases, silences, shares and deadlines that are passed on are of the true time on waking. Measured: the same test with the clock that goes along: no leader, no read. Not looked at: timers of contexts, which still stand still.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,6 +55,7 @@
 	Rollouts rollout.Bounds
 	replica.Tuning
 	Random  func() uint64
+	Clock   func() time.Duration // as of [replica.Settings]
 	Log     *decision.Log
 	Metrics *metrics.Set
 }
@@ -93,7 +94,7 @@
 		Group: group, Name: cfg.Identity.Name, Names: cfg.Seeds,
 		Open: &replica.OpenGroup{Bootstrap: cfg.Bootstrap, Voters: cfg.Voters},
 		Dir:  cfg.Dir, Machine: d.state, Send: d.mesh.Send, Tuning: cfg.Tuning,
-		Random: cfg.Random, Log: cfg.Log.Slog(), Observe: d.hub.observe,
+		Random: cfg.Random, Clock: cfg.Clock, Log: cfg.Log.Slog(), Observe: d.hub.observe,
 	})
 	if err != nil {
 		stop()
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -58,12 +58,13 @@
 	nodes    map[string]*directoryNode // by IP
 	order    []string
 	gateways map[string]*gatewayNode
-	beats    map[string]uint64 // announcements made, by backend server
-	wanted   int               // replicas that vote
-	regions  map[string]string // by IP; without any, there is one
-	syncTime time.Duration     // of each disk
-	tuning   replica.Tuning    // of each replica
-	mu       sync.Mutex        // for the nodes' d, which are read while replicas end and start
+	beats    map[string]uint64               // announcements made, by backend server
+	wanted   int                             // replicas that vote
+	regions  map[string]string               // by IP; without any, there is one
+	syncTime time.Duration                   // of each disk
+	clocks   map[string]func() time.Duration // by IP; without one, the bubble's
+	tuning   replica.Tuning                  // of each replica
+	mu       sync.Mutex                      // for the nodes' d, which are read while replicas end and start
 }
 
 // directoryNode is one replica and what survives its restarts.
@@ -74,6 +75,7 @@
 	metrics *metrics.Set
 	kill    context.CancelFunc
 	up      atomic.Pointer[directory.Directory] // d, for other goroutines
+	clock   func() time.Duration                // nil: the bubble's
 }
 
 type gatewayNode struct {
@@ -122,7 +124,7 @@
 }
 
 func (x *fleet) add(ip string, first bool) {
-	x.nodes[ip] = &directoryNode{ip: ip, disk: fakedisk.New(x.random())}
+	x.nodes[ip] = &directoryNode{ip: ip, disk: fakedisk.New(x.random()), clock: x.clocks[ip]}
 	x.nodes[ip].disk.SyncTime(x.syncTime)
 	x.order = append(x.order, ip)
 	x.start(ip, first)
@@ -141,7 +143,7 @@
 		Identity: link.Identity{Name: ip + ":7400", Key: fleetKey, Dial: x.net.Box(ip).DialContext},
 		Seeds:    x.seeds, Bootstrap: first, Voters: x.wanted, Dir: n.disk, Interval: interval, Rollouts: exposure,
 		Region: x.regions[ip], Topology: x.topology(), Tuning: x.tuning,
-		Random: x.random, Log: log, Metrics: set,
+		Random: x.random, Clock: n.clock, Log: log, Metrics: set,
 	})
 	if err != nil {
 		x.t.Fatal(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,10 @@
 	Random func() uint64 // called by many goroutines at once
 	// Waited returns how long what was ready to run in this process has waited for the
 	// processor, since the last call; nil is unknown.
-	Waited  func() time.Duration
+	Waited func() time.Duration
+	// Clock is a monotonic clock that goes on while the box is suspended; nil is Go's, which does
+	// not.
+	Clock   func() time.Duration
 	Log     *decision.Log
 	Metrics *metrics.Set
 }
@@ -67,7 +70,7 @@
 // Gateway is a running gateway. It is the handler of callers' requests.
 type Gateway struct {
 	cfg        Settings
-	start      time.Time
+	began      time.Duration // by the clock
 	ctx        context.Context
 	stop       context.CancelFunc
 	routes     atomic.Pointer[routes] // nil before the first document
@@ -102,8 +105,12 @@
 	if cfg.Waited == nil {
 		cfg.Waited = func() time.Duration { return 0 }
 	}
+	if cfg.Clock == nil {
+		start := time.Now()
+		cfg.Clock = func() time.Duration { return time.Since(start) }
+	}
 	g := &Gateway{
-		cfg: cfg, start: time.Now(), ctx: ctx, stop: stop,
+		cfg: cfg, began: cfg.Clock(), ctx: ctx, stop: stop,
 		tokens: newTokens(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retries: map[string]*retry.Window{},
 	}
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
@@ -124,14 +131,14 @@
 func (g *Gateway) SetSeeds(seeds []string) { g.seeds.Store(&seeds) }
 
 // now is the gateway's monotonic clock. It is never 0.
-func (g *Gateway) now() time.Duration { return time.Since(g.start) + 1 }
+func (g *Gateway) now() time.Duration { return g.cfg.Clock() - g.began + 1 }
 
 // since is a time by the gateway's monotonic clock; 0 for the zero time.
 func (g *Gateway) since(t time.Time) time.Duration {
 	if t.IsZero() {
 		return 0
 	}
-	return t.Sub(g.start) + 1
+	return max(g.now()-time.Since(t), 1)
 }
 
 // Ready reports whether new callers should come here.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -64,7 +64,10 @@
 	Send    Sender
 	Tuning
 	Random func() uint64
-	Log    *slog.Logger
+	// Clock is a monotonic clock that goes on while the box is suspended, so that a leader which
+	// wakes knows that its lease is over; nil is Go's, which stands still meanwhile.
+	Clock func() time.Duration
+	Log   *slog.Logger
 	// Observe, if set, is called from the replica's goroutine after every
 	// batch of inputs with the group's state. It must not block.
 	Observe func(s consensus.Status, leads bool)
@@ -110,7 +113,7 @@
 // step function of the same name, [consensus.Replica].
 type Replica struct {
 	cfg     Settings
-	start   time.Time
+	now     func() time.Duration
 	inputs  chan input
 	stopped chan struct{}
 	err     error // why it stopped; read after stopped is closed
@@ -153,7 +156,7 @@
 		return nil, err
 	}
 	r := &Replica{
-		cfg: cfg, start: time.Now(), inputs: make(chan input, inputDepth), stopped: make(chan struct{}),
+		cfg: cfg, now: clockFrom(cfg.Clock), inputs: make(chan input, inputDepth), stopped: make(chan struct{}),
 	}
 	if err := r.loop.init(r, j, contents); err != nil {
 		j.Close()
@@ -167,7 +170,17 @@
 }
 
 // Now returns the replica's monotonic clock.
-func (r *Replica) Now() time.Duration { return time.Since(r.start) }
+func (r *Replica) Now() time.Duration { return r.now() }
+
+// clockFrom returns a clock that begins now.
+func clockFrom(clock func() time.Duration) func() time.Duration {
+	if clock == nil {
+		began := time.Now()
+		return func() time.Duration { return time.Since(began) }
+	}
+	began := clock()
+	return func() time.Duration { return clock() - began }
+}
 
 // SyncTime returns how long it takes to make entries durable here, averaged over the last ones;
 // 0 before the first.
