--- /dev/null
+++ b/protocol/size_test.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestBytesOfEnds measures what the end of a server with all its places taken costs on a link, and
+// what a server's start adds to its entry in a list.
+func TestBytesOfEnds(t *testing.T) {
+	size := func(m Message) int {
+		b, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	var u Usage
+	var set, changed Quarantine
+	for i := range 64 {
+		key := fmt.Appendf(nil, "key of 16 bytes%c", 'a'+i)[:16]
+		u.Losses = append(u.Losses, Loss{
+			Key: key, Hint: 1 << 30, Account: "account-12", Pool: "lm-pool", Server: "i-7f3a91c2e0~1790000000123", Address: "10.3.64.24:8143",
+			Ran: 300, Age: 20, Serving: true,
+		})
+		set.Set = append(set.Set, Quarantined{Key: key, Hint: 1 << 30, Ends: 1})
+		changed.Gone = append(changed.Gone, key)
+	}
+	loss := (size(u) - size(Usage{})) / 64
+	suspect, cleared := (size(set)-size(Quarantine{}))/64, (size(changed)-size(Quarantine{}))/64
+	r := Registration{ID: "i-7f3a91c2e0", Pool: "lm-pool", Address: "10.3.64.24:8143", Hall: "hall-a", Slots: 64, Version: "v1"}
+	born := r
+	born.Born = 1790000000123
+	entry, start := size(Servers{Set: []Server{{Registration: r, Handle: 70000}}}), size(Servers{Set: []Server{{Registration: born, Handle: 70000}}})
+	t.Logf("a loss %d B, a suspect %d B, one that is cleared %d B; a server's entry %d B, %d with its start", loss, suspect, cleared,
+		entry-size(Servers{}), start-size(Servers{}))
+	if loss > 120 || suspect > 32 || cleared > 20 || start-entry > 10 {
+		t.Error("more bytes than docs/CAPACITY.md says")
+	}
+}
