--- /dev/null
+++ b/state/document/condemned_test.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package document
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// condemn condemns a request of an account.
+func condemn(s *Store, account string, n int) bool {
+	return s.ChangeCondemned(CondemnedChange{Condemn: &Condemned{Key: fmt.Appendf(nil, "%s %d", account, n), Account: account}})
+}
+
+func TestCondemnedOnceAndReleased(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	is.True(condemn(&s, "a", 1))
+	is.True(!condemn(&s, "a", 1)) // again
+	is.True(condemn(&s, "a", 2))
+	is.True(s.ChangeCondemned(CondemnedChange{Release: []byte("a 1")}))
+	is.True(!s.ChangeCondemned(CondemnedChange{Release: []byte("a 1")}))
+	is.True(!s.ChangeCondemned(CondemnedChange{}))
+	b, err := s.MarshalBinary()
+	is.NoErr(err)
+	var again Store
+	is.NoErr(again.UnmarshalBinary(b))
+	is.Equal(again.Condemned(), []Condemned{{Key: []byte("a 2"), Account: "a"}})
+}
+
+// TestCondemnedAreBounded: one account cannot push out those of others, and of many accounts the
+// one with the most loses its oldest.
+func TestCondemnedAreBounded(t *testing.T) {
+	is := is.New(t)
+	var s Store
+	condemn(&s, "quiet", 0)
+	for n := range 2 * MaxCondemnedOfAccount {
+		condemn(&s, "loud", n)
+	}
+	is.Equal(len(s.Condemned()), MaxCondemnedOfAccount+1)
+	is.Equal(string(s.Condemned()[1].Key), fmt.Sprint("loud ", MaxCondemnedOfAccount))
+	for a := range 20 {
+		for n := range MaxCondemnedOfAccount / 2 {
+			condemn(&s, fmt.Sprint("account ", a), n)
+		}
+	}
+	is.Equal(len(s.Condemned()), MaxCondemned)
+	of := map[string]int{}
+	for _, c := range s.Condemned() {
+		of[c.Account]++
+	}
+	is.Equal(of["quiet"], 1)
+	is.True(of["loud"] < MaxCondemnedOfAccount)
+}
