--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -33,9 +33,9 @@
 	// SettleFar is Settle where reports pass a relay, which holds them for up to 300 ms and is
 	// 30 ms away.
 	SettleFar = 700 * time.Millisecond
-	// mostSuspects bounds the suspects, mostOfAccount those of one account. Chosen, not measured:
-	// the places of 16 large engines, and of two.
-	mostSuspects  = 1024
+	// mostSuspects bounds the suspects. Chosen, not measured: the places of 16 large engines.
+	mostSuspects = 1024
+	// mostOfAccount bounds those of one account. Chosen, not measured: the places of two.
 	mostOfAccount = 128
 	// mostEnded is the number of servers whose ends are kept. Chosen, not measured: a data hall's
 	// of the largest fleet.
@@ -57,8 +57,8 @@
 	Serving bool
 }
 
-// Held is a loss and when the server ended.
-type Held struct {
+// TimedLoss is a loss and when the server ended.
+type TimedLoss struct {
 	Loss
 	At time.Duration
 }
@@ -91,16 +91,16 @@
 
 // suspect is a key that no whole answer has cleared since the first of its ends.
 type suspect struct {
-	held    []heldAt // in a row, oldest first
+	losses  []keptLoss // in a row, oldest first
 	account string
 	hint    Hint
 	newest  time.Duration // when the last loss came
 	verdict *Verdict      // nil: it is not condemned
 }
 
-// heldAt is a loss, the end that it is of, and when it came.
-type heldAt struct {
-	Held
+// keptLoss is a loss, the end that it is of, and when it came.
+type keptLoss struct {
+	TimedLoss
 	end  *end
 	came time.Duration
 }
@@ -113,7 +113,7 @@
 
 // Add takes a loss, whose server ended at a time that is not after now. One that is known changes
 // nothing.
-func (v *Evidence) Add(now time.Duration, h Held) {
+func (v *Evidence) Add(now time.Duration, h TimedLoss) {
 	if now-h.At > memory || (len(v.ends) >= mostEnded && v.ends[h.Server] == nil) {
 		return
 	}
@@ -135,13 +135,13 @@
 		v.makeRoom(h.Account)
 		v.suspects[h.Key] = s
 	}
-	s.add(heldAt{Held: h, end: e, came: now})
+	s.add(keptLoss{TimedLoss: h, end: e, came: now})
 	s.newest = now
 	v.changed = true
 }
 
 // endOf returns the end that a loss is of, a new one if need be.
-func (v *Evidence) endOf(h Held) *end {
+func (v *Evidence) endOf(h TimedLoss) *end {
 	for _, e := range v.ends[h.Server] {
 		if (e.at - h.At).Abs() <= sameEnd {
 			return e
@@ -154,42 +154,40 @@
 
 // add keeps a loss in its place, and of all only those in a row: of runs that went on side by
 // side, as when a whole data hall ends, the first to end counts.
-func (s *suspect) add(h heldAt) {
-	at, _ := slices.BinarySearchFunc(s.held, h, func(a, b heldAt) int { return int(a.At - b.At) })
-	s.held = slices.Insert(s.held, at, h)
-	inRow := s.held[:1]
-	for _, next := range s.held[1:] {
+func (s *suspect) add(h keptLoss) {
+	at, _ := slices.BinarySearchFunc(s.losses, h, func(a, b keptLoss) int { return int(a.At - b.At) })
+	s.losses = slices.Insert(s.losses, at, h)
+	inRow := s.losses[:1]
+	for _, next := range s.losses[1:] {
 		if next.after(inRow[len(inRow)-1]) {
 			inRow = append(inRow, next)
 		}
 	}
-	s.held = inRow[max(len(inRow)-2*mostEnds, 0):]
+	s.losses = inRow[max(len(inRow)-2*mostEnds, 0):]
 }
 
 // after reports whether the run of a loss began after the end of another one.
-func (h heldAt) after(before heldAt) bool {
+func (h keptLoss) after(before keptLoss) bool {
 	return h.Again || h.At-before.At >= max(h.Ran/2, apart)
 }
 
 // makeRoom drops a suspect if there are too many, of the account or in all: the one with the
 // fewest ends and of these the oldest, of the account with the most suspects.
 func (v *Evidence) makeRoom(account string) {
-	of := map[string]int{}
+	of, all := map[string]int{}, 0
 	for _, s := range v.suspects {
 		if s.verdict == nil {
 			of[s.account]++
+			all++
 		}
 	}
 	from := account
-	if of[account] < mostOfAccount {
-		if len(v.suspects) < mostSuspects {
-			return
-		}
-		for _, a := range slices.Sorted(maps.Keys(of)) {
-			if of[a] > of[from] {
-				from = a
-			}
-		}
+	switch {
+	case of[account] >= mostOfAccount:
+	case all < mostSuspects:
+		return
+	default:
+		from = most(of)
 	}
 	var weakest Key
 	var found *suspect
@@ -201,9 +199,20 @@
 	v.forget(weakest)
 }
 
+// most returns the account that has the most, of several the first by name.
+func most(of map[string]int) (account string) {
+	for _, a := range slices.Sorted(maps.Keys(of)) {
+		if of[a] > of[account] {
+			account = a
+		}
+	}
+	return account
+}
+
+// weaker reports whether a suspect goes before another one when there is no room.
 func (s *suspect) weaker(o *suspect) bool {
-	if len(s.held) != len(o.held) {
-		return len(s.held) < len(o.held)
+	if len(s.losses) != len(o.losses) {
+		return len(s.losses) < len(o.losses)
 	}
 	return s.newest < o.newest
 }
@@ -238,8 +247,8 @@
 		}
 	}
 	for k, s := range v.suspects {
-		s.held = slices.DeleteFunc(s.held, func(h heldAt) bool { return old(h.end) })
-		if len(s.held) == 0 && s.verdict == nil {
+		s.losses = slices.DeleteFunc(s.losses, func(h keptLoss) bool { return old(h.end) })
+		if len(s.losses) == 0 && s.verdict == nil {
 			v.forget(k)
 		}
 	}
@@ -250,13 +259,13 @@
 
 // Known returns the losses of all suspects and condemned requests, oldest first: what another
 // Evidence needs to know as much.
-func (v *Evidence) Known() (all []Held) {
+func (v *Evidence) Known() (all []TimedLoss) {
 	for _, s := range v.suspects {
-		for _, h := range s.held {
-			all = append(all, h.Held)
+		for _, h := range s.losses {
+			all = append(all, h.TimedLoss)
 		}
 	}
-	slices.SortFunc(all, func(a, b Held) int { return int(a.At - b.At) })
+	slices.SortFunc(all, func(a, b TimedLoss) int { return int(a.At - b.At) })
 	return all
 }
 
@@ -283,7 +292,7 @@
 
 // unexplained returns at how many ends in a row the suspect was that nothing else explains.
 func (s *suspect) unexplained() (n int) {
-	for _, h := range s.held {
+	for _, h := range s.losses {
 		if !h.end.explained {
 			n++
 		}
--- a/coordination/quarantine/evidence_test.go
+++ b/coordination/quarantine/evidence_test.go
@@ -28,7 +28,7 @@
 // end ends a server under requests that ran for a time.
 func (s *script) end(server string, ran time.Duration, names ...string) {
 	for _, name := range names {
-		s.v.Add(s.now, Held{At: s.now, Loss: Loss{
+		s.v.Add(s.now, TimedLoss{At: s.now, Loss: Loss{
 			Key: keyNamed(name), Account: "a", Pool: "p", Server: server, Address: "at " + server, Ran: ran, Serving: true,
 		}})
 	}
@@ -102,7 +102,7 @@
 	is := is.New(t)
 	s := newScript()
 	for i := range 3 {
-		s.v.Add(s.now, Held{At: s.now, Loss: Loss{
+		s.v.Add(s.now, TimedLoss{At: s.now, Loss: Loss{
 			Key: keyNamed("deadly"), Pool: "p", Server: fmt.Sprint("s", i), Ran: 2 * time.Millisecond, Again: true, Serving: true,
 		}})
 		s.now += 3 * time.Millisecond
@@ -165,7 +165,7 @@
 	is := is.New(t)
 	s := newScript()
 	for i := range 20 {
-		s.v.Add(s.now, Held{At: s.now, Loss: Loss{Key: keyNamed("hot"), Pool: "p", Server: fmt.Sprint("s", i), Ran: time.Second}})
+		s.v.Add(s.now, TimedLoss{At: s.now, Loss: Loss{Key: keyNamed("hot"), Pool: "p", Server: fmt.Sprint("s", i), Ran: time.Second}})
 		is.Equal(s.condemned(time.Second, "hot"), []bool{false})
 	}
 }
@@ -175,9 +175,9 @@
 func TestLateAndTwice(t *testing.T) {
 	is := is.New(t)
 	s := newScript()
-	var all []Held
+	var all []TimedLoss
 	for i := range 3 {
-		all = append(all, Held{At: time.Duration(i) * time.Second, Loss: Loss{
+		all = append(all, TimedLoss{At: time.Duration(i) * time.Second, Loss: Loss{
 			Key: keyNamed("deadly"), Pool: "p", Server: fmt.Sprint("s", i), Ran: 100 * time.Millisecond, Serving: true,
 		}})
 	}
@@ -212,7 +212,7 @@
 	is := is.New(t)
 	v := NewEvidence(Settle)
 	add := func(account, name, server string, at time.Duration) {
-		v.Add(at, Held{At: at, Loss: Loss{Key: keyNamed(account + name), Account: account, Server: server, Ran: time.Millisecond, Serving: true}})
+		v.Add(at, TimedLoss{At: at, Loss: Loss{Key: keyNamed(account + name), Account: account, Server: server, Ran: time.Millisecond, Serving: true}})
 	}
 	add("quiet", "one", "s1", 0)
 	add("loud", "twice", "s1", 0)
@@ -231,6 +231,14 @@
 	is.Equal(len(v.suspects), mostSuspects)
 	_, kept = v.Find(keyNamed("quietone"))
 	is.True(kept)
+	for i := range mostSuspects { // what is condemned takes no room
+		v.Know(Entry{Key: keyNamed(fmt.Sprint("condemned ", i)), Ends: 3, Condemned: true})
+	}
+	add("late", "one", "s5", 4*time.Second)
+	add("late", "two", "s5", 4*time.Second)
+	_, one := v.Find(keyNamed("lateone"))
+	_, two := v.Find(keyNamed("latetwo"))
+	is.True(one && two)
 }
 
 // TestChanceOfInnocents plays requests that end nothing, in pools whose servers end by themselves
@@ -257,7 +265,7 @@
 type occurrence struct {
 	at  time.Duration
 	key Key
-	h   *Held
+	h   *TimedLoss
 }
 
 // playInnocents returns how many runs were lost of how many requests, and how many of these were
@@ -285,7 +293,7 @@
 			}
 			lost++
 			end := ends[server][next]
-			all = append(all, occurrence{at: end, key: key, h: &Held{At: end, Loss: Loss{
+			all = append(all, occurrence{at: end, key: key, h: &TimedLoss{At: end, Loss: Loss{
 				Key: key, Account: "a", Pool: "p", Server: fmt.Sprint(server), Address: fmt.Sprint(server),
 				Ran: end - begin, Again: n%2 == 1, Serving: true,
 			}}})
--- a/coordination/quarantine/verdict.go
+++ b/coordination/quarantine/verdict.go
@@ -19,10 +19,11 @@
 	// shortestRun is the least time that a run counts as. Chosen, not measured: servers do not
 	// end at a rate that is known for shorter times.
 	shortestRun = 100 * time.Millisecond
-	// Over these times the rate is taken at which servers end by themselves: the longer one shows
-	// servers that end now and then, the shorter one a series that has just begun. Chosen, not
+	// longRate is the time over which the rate is taken at which servers end by themselves now and
+	// then. Chosen, not measured.
+	longRate = time.Minute
+	// shortRate is the time over which a series of them shows that has just begun. Chosen, not
 	// measured.
-	longRate  = time.Minute
 	shortRate = 10 * time.Second
 )
 
@@ -89,8 +90,8 @@
 }
 
 // settled returns the losses that came until a time and that nothing else explains.
-func (s *suspect) settled(until time.Duration) (record []heldAt) {
-	for _, h := range s.held {
+func (s *suspect) settled(until time.Duration) (record []keptLoss) {
+	for _, h := range s.losses {
 		if h.came <= until && !h.end.explained {
 			record = append(record, h)
 		}
@@ -99,9 +100,9 @@
 }
 
 // shared reports whether another suspect was at all ends of a suspect's record.
-func (v *Evidence) shared(k Key, record []heldAt) bool {
+func (v *Evidence) shared(k Key, record []keptLoss) bool {
 	for other := range record[0].end.keys {
-		atAll := !slices.ContainsFunc(record, func(h heldAt) bool { return !h.end.keys[other] })
+		atAll := !slices.ContainsFunc(record, func(h keptLoss) bool { return !h.end.keys[other] })
 		if other != k && atAll && v.suspects[other].verdict == nil {
 			return true
 		}
@@ -111,7 +112,7 @@
 
 // chance returns the chance that a server that does not end for the request's sake ends within
 // its run, by the ends at which it was not.
-func (v *Evidence) chance(now time.Duration, k Key, h heldAt, servers func(pool string) int) float64 {
+func (v *Evidence) chance(now time.Duration, k Key, h keptLoss, servers func(pool string) int) float64 {
 	long, short, here := 1, 0, 0 // one end more than was seen: none seen is not none
 	for _, of := range v.ends {
 		for _, e := range of {
--- a/directory/quarantine.go
+++ b/directory/quarantine.go
@@ -52,7 +52,7 @@
 func (h *hub) takeLosses(u protocol.Usage) {
 	now := h.d.replica.Now()
 	for _, l := range u.Losses {
-		if loss, ok := heldLoss(now, l); ok {
+		if loss, ok := timedLoss(now, l); ok {
 			h.evidence.seen.Add(now, loss)
 		}
 	}
@@ -66,10 +66,10 @@
 	}
 }
 
-// heldLoss translates a reported loss. It reports false for one without a key.
-func heldLoss(now time.Duration, l protocol.Loss) (quarantine.Held, bool) {
+// timedLoss translates a reported loss. It reports false for one without a key.
+func timedLoss(now time.Duration, l protocol.Loss) (quarantine.TimedLoss, bool) {
 	k, ok := quarantine.KeyFrom(l.Key)
-	return quarantine.Held{At: now - time.Duration(l.Age)*time.Millisecond, Loss: quarantine.Loss{
+	return quarantine.TimedLoss{At: now - time.Duration(l.Age)*time.Millisecond, Loss: quarantine.Loss{
 		Key: k, Hint: quarantine.Hint(l.Hint), Account: l.Account, Pool: l.Pool, Server: l.Server, Address: l.Address,
 		Ran: time.Duration(l.Ran) * time.Millisecond, Again: l.Again, Serving: l.Serving,
 	}}, ok
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -96,7 +96,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	if err := c.suspect(); err != nil {
+	if err := c.checkQuarantine(); err != nil {
 		return err
 	}
 	c.g.countRequest(c.pool.Name)
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -34,15 +34,15 @@
 type ends struct {
 	g *Gateway
 
-	mu   sync.Mutex                   // a leaf
-	lost map[string][]quarantine.Held // of servers that are being tried
+	mu   sync.Mutex                        // a leaf
+	lost map[string][]quarantine.TimedLoss // of servers that are being tried
 }
 
-func newEnds(g *Gateway) *ends { return &ends{g: g, lost: map[string][]quarantine.Held{}} }
+func newEnds(g *Gateway) *ends { return &ends{g: g, lost: map[string][]quarantine.TimedLoss{}} }
 
 // add takes a request whose connection broke while it ran, and begins to find out whether its
 // server has ended.
-func (e *ends) add(h quarantine.Held) {
+func (e *ends) add(h quarantine.TimedLoss) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, tried := e.lost[h.Server]
@@ -57,7 +57,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for server, lost := range e.lost {
-		e.lost[server] = slices.DeleteFunc(lost, func(h quarantine.Held) bool { return h.Key == k })
+		e.lost[server] = slices.DeleteFunc(lost, func(h quarantine.TimedLoss) bool { return h.Key == k })
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -35,8 +35,8 @@
 
 	mu      sync.Mutex // a leaf
 	seen    *quarantine.Evidence
-	losses  []quarantine.Held // not reported yet
-	cleared []quarantine.Key  // the same
+	losses  []quarantine.TimedLoss // not reported yet
+	cleared []quarantine.Key       // the same
 }
 
 func newSuspicions() *suspicions {
@@ -46,7 +46,7 @@
 }
 
 // add takes requests that ran at a server that has ended.
-func (s *suspicions) add(now time.Duration, lost []quarantine.Held) {
+func (s *suspicions) add(now time.Duration, lost []quarantine.TimedLoss) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range lost {
@@ -160,9 +160,9 @@
 // measured.
 const decisionPoll = 20 * time.Millisecond
 
-// suspect looks up what is known against the request. What is condemned is refused. What is about
+// checkQuarantine looks up what is known against the request. What is condemned is refused. What is about
 // to be waits for it: to be sent now it might cost one more server.
-func (c *call) suspect() error {
+func (c *call) checkQuarantine() error {
 	if c.g.suspicions.none() {
 		return nil
 	}
@@ -188,7 +188,7 @@
 // lost takes an attempt whose connection broke while the request ran.
 func (c *call) lost(a *assignment) {
 	now := c.g.now()
-	c.g.ends.add(quarantine.Held{At: now, Loss: quarantine.Loss{
+	c.g.ends.add(quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.server, Address: a.address, Ran: now - a.began, Again: c.losses > 0,
 		Serving: c.g.table.serves(c.pool.Name, a.server),
 	}})
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -92,12 +92,13 @@
 	answered bool
 }
 
-// Of the last attempts in a pool, so many at other servers are to have been answered for the pool
-// to serve. Both are chosen, not measured: a part so small is reached while three of four callers
-// leave early, and is not in an outage.
 const (
+	// attemptsKept is how many of a pool's last attempts tell whether it serves. Chosen, not
+	// measured: the places of one large engine.
 	attemptsKept = 64
-	servingPart  = 8 // one in so many
+	// servingPart is how many of them one must have been answered of. Chosen, not measured: that is
+	// so while three of four callers leave early, and is not in an outage.
+	servingPart = 8
 )
 
 // noteEnd keeps how an attempt ended. The caller holds mu.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -177,17 +177,7 @@
 		}
 		w.g.apply(d)
 	case protocol.Servers:
-		m = m.Received()
-		w.term = max(w.term, m.Term)
-		_, before := w.g.table.halls()
-		if joined, left := w.g.table.update(m); len(joined)+len(left) > 0 {
-			w.g.cfg.Log.StateChange("backends changed", slog.Any("joined", joined), slog.Any("left", left),
-				slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
-		}
-		if out, changes := w.g.table.halls(); changes != before {
-			w.g.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes))
-		}
-		w.g.grantAll()
+		w.takeServers(m.Received())
 	case protocol.Rollouts:
 		for _, r := range w.g.table.updateRollouts(m) {
 			w.g.cfg.Log.StateChange("rollout share", slog.String("pool", r.Pool), slog.String("target", r.Target),
@@ -211,6 +201,20 @@
 	}
 }
 
+// takeServers takes backend servers that came or went, and data halls out of service.
+func (w *watcher) takeServers(m protocol.Servers) {
+	w.term = max(w.term, m.Term)
+	_, before := w.g.table.halls()
+	if joined, left := w.g.table.update(m); len(joined)+len(left) > 0 {
+		w.g.cfg.Log.StateChange("backends changed", slog.Any("joined", joined), slog.Any("left", left),
+			slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
+	}
+	if out, changes := w.g.table.halls(); changes != before {
+		w.g.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes))
+	}
+	w.g.grantAll()
+}
+
 // report sends the replica what runs here and what was demanded, until ctx ends or the
 // session is lost.
 func (w *watcher) report(ctx context.Context, l *link.Link) {
--- a/state/document/condemned.go
+++ b/state/document/condemned.go
@@ -12,10 +12,12 @@
 //
 // They have no age: a request that was tried again once in a while would end a server each time.
 
-// Bounds of the condemned requests, in all and of one account, so that one account cannot push
-// out those of others. Each costs three ends of servers. Chosen, not measured.
 const (
-	MaxCondemned          = 1024
+	// MaxCondemned bounds the condemned requests. Chosen, not measured: each has cost three ends of
+	// servers.
+	MaxCondemned = 1024
+	// MaxCondemnedOfAccount bounds those of one account, so that it cannot push out those of
+	// others. Chosen, not measured.
 	MaxCondemnedOfAccount = 128
 )
 
