--- a/coordination/quarantine/evidence_test.go
+++ b/coordination/quarantine/evidence_test.go
@@ -231,6 +231,7 @@
 	is.Equal(len(v.suspects), mostSuspects)
 	_, kept = v.Find(keyNamed("quietone"))
 	is.True(kept)
+	v = NewEvidence(Settle)
 	for i := range mostSuspects { // what is condemned takes no room
 		v.Know(Entry{Key: keyNamed(fmt.Sprint("condemned ", i)), Ends: 3, Condemned: true})
 	}
