--- /dev/null
+++ b/directory/dayend_test.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package directory_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file tests the loss of disks and of all power at one moment.
+
+// TestDisksAndAllPowerAreLost: two of five replicas lose their disks while everything loses power,
+// gateways too, right after changes were acknowledged. Nothing acknowledged is lost, and all is
+// served again.
+func TestDisksAndAllPowerAreLost(t *testing.T) {
+	inFleet(t, voters, func(x *fleet) {
+		is := is.New(t)
+		m := x.mortal(10, 100*time.Millisecond)
+		x.among(m, 4, func(c *callers) {
+			c.repeat("deadly", deadlyPeriod, 2*time.Second)
+			is.NoErr(x.mustLead().d.Put(x.t.Context(), mortalDocument(2, document.Repeatable)))
+			is.NoErr(x.mustLead().d.Withdraw(x.t.Context(), "s1"))
+			for i := range 4 {
+				x.gateways[gatewayIP(i)].kill()
+			}
+			x.losePower()
+			for _, ip := range x.order[:2] {
+				x.replaceDisk(ip)
+			}
+			for _, ip := range x.order {
+				x.start(ip, false)
+			}
+			began := time.Now()
+			l := x.mustLead().d
+			read, err := l.Read(x.t.Context())
+			is.NoErr(err)
+			is.Equal(read.Document.Number, uint64(2))
+			condemned, err := l.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 1)
+			for i := range 4 {
+				c.gateway(m, gatewayIP(i))
+			}
+			time.Sleep(3*time.Second - time.Since(began))
+			c.mu.Lock()
+			clear(c.of)
+			c.mu.Unlock()
+			c.repeat("deadly", deadlyPeriod, 2*time.Second)
+			sent, _ := m.deadly("deadly")
+			is.Equal(sent, 3)
+			others, _ := c.served("other")
+			is.True(others > 0.99)
+			for _, n := range x.gateways {
+				is.True(!slices.Contains(n.g.Servers(), "s1")) // it has left
+			}
+		})
+	})
+}
