Quarantine: a key that is no suspect is at no end

Cause: what a gateway lost that saw no answers was noted at an end without being a suspect; the look whether another suspect was at the same ends met a missing one and ended the leader. Change: only suspects and condemned requests are noted; of one server the newest 16 ends are kept. Measured: TestSomeGatewaysAreServed panics without.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -40,6 +40,9 @@
 	// mostEnded is the number of servers whose ends are kept. Chosen, not measured: a data hall's
 	// of the largest fleet.
 	mostEnded = 4096
+	// mostOfServer is how many ends of one of them are kept, the newest. Chosen, not measured: more
+	// than a request is condemned for.
+	mostOfServer = 16
 )
 
 // Loss is a request that ran at a backend server when that ended.
@@ -85,7 +88,7 @@
 type end struct {
 	server, pool, address string
 	at                    time.Duration
-	keys                  map[Key]bool // that ran there
+	keys                  map[Key]bool // suspects and condemned requests that ran there
 	explained             bool         // a condemned request ran there
 }
 
@@ -121,15 +124,15 @@
 	if e.keys[h.Key] {
 		return
 	}
-	e.keys[h.Key] = true
 	s := v.suspects[h.Key]
 	if s != nil && s.verdict != nil {
-		e.explained = true
+		e.keys[h.Key], e.explained = true, true
 		return
 	}
 	if !h.Serving {
 		return
 	}
+	e.keys[h.Key] = true
 	if s == nil {
 		s = &suspect{account: h.Account, hint: h.Hint}
 		v.makeRoom(h.Account)
@@ -148,7 +151,8 @@
 		}
 	}
 	e := &end{server: h.Server, pool: h.Pool, address: h.Address, at: h.At, keys: map[Key]bool{}}
-	v.ends[h.Server] = append(v.ends[h.Server], e)
+	of := append(v.ends[h.Server], e)
+	v.ends[h.Server] = of[max(len(of)-mostOfServer, 0):]
 	return e
 }
 
--- a/coordination/quarantine/evidence_test.go
+++ b/coordination/quarantine/evidence_test.go
@@ -170,6 +170,20 @@
 	}
 }
 
+// TestSomeGatewaysAreServed: what a gateway lost that saw no answers is not suspected, and keeps
+// nothing else from being condemned.
+func TestSomeGatewaysAreServed(t *testing.T) {
+	is := is.New(t)
+	s := newScript()
+	for i := range 3 {
+		server := fmt.Sprint("s", i)
+		s.v.Add(s.now, TimedLoss{At: s.now, Loss: Loss{Key: keyNamed("unserved"), Pool: "p", Server: server, Ran: time.Second}})
+		s.end(server, 100*time.Millisecond, "deadly")
+		s.now += time.Second
+	}
+	is.Equal(s.condemned(time.Second, "deadly", "unserved"), []bool{true, false})
+}
+
 // TestLateAndTwice: losses count once, in the order of the ends, whatever the order in which they
 // come, and not at all when they are old.
 func TestLateAndTwice(t *testing.T) {
