Gateway: what is cleared waits for a report once, and not for a leader that is not there

A listed request that is asked for all the time added its key with each answer, without bound while the gateway was out of touch (TestAnsweredSuspectIsReported fails without).

--- a/coordination/quarantine/evidence_test.go
+++ b/coordination/quarantine/evidence_test.go
@@ -333,3 +333,37 @@
 	}
 	return lost, requests, condemned
 }
+
+// TestAnyEvidence plays losses, answers, known verdicts and judgements in any order: bounds hold,
+// and nobody is condemned for fewer ends than three.
+func TestAnyEvidence(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		v, now := NewEvidence(Settle), time.Hour
+		for range 400 {
+			now += time.Duration(rng.IntN(400)) * time.Millisecond
+			key := keyNamed(fmt.Sprint(rng.IntN(12)))
+			switch rng.IntN(10) {
+			case 0:
+				v.Clear(key)
+			case 1:
+				v.Know(Entry{Key: key, Ends: 3, Condemned: true})
+			case 2, 3:
+				for _, verdict := range v.Judge(now, nine) {
+					if len(verdict.Servers) < fewestEnds || verdict.Chance > chanceAllowed {
+						t.Fatalf("seed %d: %+v", seed, verdict)
+					}
+				}
+			default:
+				server := fmt.Sprint(rng.IntN(6))
+				v.Add(now, TimedLoss{At: now - time.Duration(rng.IntN(900))*time.Second, Loss: Loss{
+					Key: key, Account: fmt.Sprint(rng.IntN(3)), Pool: "p", Server: server, Address: server,
+					Ran: time.Duration(rng.IntN(3000)) * time.Millisecond, Again: rng.IntN(4) == 0, Serving: rng.IntN(3) > 0,
+				}})
+			}
+			if len(v.Known()) > 12*2*mostEnds || len(v.Suspects()) > 12 {
+				t.Fatalf("seed %d: %d losses of %d suspects", seed, len(v.Known()), len(v.Suspects()))
+			}
+		}
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +18,9 @@
 // end: what the directory's leader lists, and what it has seen itself.
 
 const (
-	// mostUnreported is the number of losses that wait for a report: what more there is in an end
-	// of many servers at once is not suspected. Chosen, not measured.
+	// mostUnreported is the number of losses that wait for a report, and of cleared keys: what more
+	// there is in an end of many servers at once is not suspected, or is cleared by its next answer.
+	// Chosen, not measured.
 	mostUnreported = 1024
 	// mostInReport is how many of them go with one report, about 100 bytes each. Chosen, not
 	// measured: an engine's places.
@@ -66,7 +68,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen.Clear(k)
-	s.cleared = append(s.cleared, k)
+	if s.told.Load() && len(s.cleared) < mostUnreported && !slices.Contains(s.cleared, k) {
+		s.cleared = append(s.cleared, k)
+	}
 }
 
 // none reports whether nothing is known against any request.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -73,10 +73,14 @@
 			is := is.New(t)
 			x.list(1, false, "/once/suspect")
 			x.ask("/once/suspect")
+			x.ask("/once/suspect")
 			x.ask("/once/other")
 			cleared := x.reported().Cleared
 			is.Equal(len(cleared), tt.cleared)
 			is.Equal(len(x.reported().Cleared), 0) // once
+			x.g.suspicions.told.Store(false)
+			x.ask("/once/suspect")
+			is.Equal(len(x.reported().Cleared), 0) // to nobody
 		}, tt.does)
 	}
 }
