--- a/directory/lives_test.go
+++ b/directory/lives_test.go
@@ -4,13 +4,17 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
@@ -191,3 +195,80 @@
 		is.Equal(len(listed), 0)
 	})
 }
+
+// TestLifeInAHallOutOfService: a server that starts again in a hall that is out of service gets
+// nothing, and one that starts again in another hall does.
+func TestLifeInAHallOutOfService(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(t)
+		x.put(1)
+		a := &arrivals{at: map[string][]time.Time{}}
+		x.loaded("10.0.2.1", a, 20*time.Millisecond)
+		announce := func(name string, born, seq uint64, at, hall string) {
+			is.NoErr(x.mustLead().d.Announce(x.t.Context(), registry.Announcement{Registration: protocol.Registration{
+				ID: protocol.LifeID(name, born), Pool: "p", Address: at, Hall: hall, Slots: 4,
+			}, Seq: seq}))
+		}
+		announce("b1", 1, 1000, "10.0.3.1:80", "hall-a")
+		announce("b2", 1, 1000, "10.0.3.2:80", "hall-b")
+		time.Sleep(time.Second)
+		x.orderHall("hall-a", true)
+		time.Sleep(200 * time.Millisecond)
+		out := time.Now()
+		announce("b1", 2, 1, "10.0.4.1:80", "hall-a")
+		time.Sleep(2 * time.Second)
+		again, _ := a.since("10.0.4.1:80", out)
+		is.Equal(again, 0)
+		announce("b1", 3, 1, "10.0.4.1:80", "hall-b")
+		time.Sleep(2 * time.Second)
+		again, _ = a.since("10.0.4.1:80", out)
+		is.True(again > 20)
+	})
+}
+
+// TestLifeOfAnotherVersion: a server of the old version that starts again with a rollout's target
+// belongs to that from then on.
+func TestLifeOfAnotherVersion(t *testing.T) {
+	inFleet(t, 3, func(x *fleet) {
+		is := is.New(t)
+		x.put(1)
+		a := &arrivals{at: map[string][]time.Time{}}
+		var life atomic.Uint64 // of b1, which runs the version of this number
+		life.Store(1)
+		seqs := map[string]uint64{}
+		stop := x.keeping(func() {
+			d := x.leading()
+			if d == nil {
+				return
+			}
+			born := life.Load()
+			for _, s := range []protocol.Registration{
+				{ID: protocol.LifeID("b1", born), Address: "10.0.3.1:80", Version: fmt.Sprint("v", born)},
+				{ID: "b2", Address: "10.0.3.2:80", Version: "v1"},
+			} {
+				s.Pool, s.Slots = "p", 40
+				seqs[s.ID]++
+				// Whoever does not lead any more refuses it.
+				_ = d.Announce(x.t.Context(), registry.Announcement{Registration: s, Seq: seqs[s.ID]})
+			}
+		})
+		defer stop()
+		for i := range 3 {
+			x.loaded(rolloutGateway(i), a, rolloutPeriod)
+		}
+		time.Sleep(3 * time.Second)
+		is.NoErr(x.orderRollout(rollout.Order{Pool: "p", Target: "v2", Duration: rolloutTime}))
+		time.Sleep(500 * time.Millisecond)
+		life.Store(2)
+		for began := time.Now(); x.rolled().State == document.RolloutUnderWay && time.Since(began) < rolloutTime; {
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.Equal(x.rolled().State, document.RolloutComplete)
+		end := time.Now().Add(reach)
+		time.Sleep(2 * time.Second)
+		target, _ := a.since("10.0.3.1:80", end)
+		old, _ := a.since("10.0.3.2:80", end)
+		is.True(target > 100)
+		is.Equal(old, 0)
+	})
+}
