--- a/directory/mortal_fixture_test.go
+++ b/directory/mortal_fixture_test.go
@@ -274,10 +274,11 @@
 
 // callers are the callers of the fleet's gateways and what they got.
 type callers struct {
-	x  *fleet
-	n  int // requests, for identifiers
-	mu sync.Mutex
-	of map[string]map[int]int // by kind of request, answers by status
+	x        *fleet
+	n        int // requests, for identifiers
+	mu       sync.Mutex
+	of       map[string]map[int]int // by kind of request, answers by status
+	gateways map[string]*gateway.Gateway
 }
 
 // among runs f in a fleet with servers, gateways, and callers that ask each of them for something
@@ -291,7 +292,7 @@
 	is.NoErr(x.mustLead().d.Put(x.t.Context(), mortalDocument(1, kind)))
 	stop := x.keeping(m.announce)
 	defer stop()
-	c := &callers{x: x, of: map[string]map[int]int{}}
+	c := &callers{x: x, of: map[string]map[int]int{}, gateways: map[string]*gateway.Gateway{}}
 	for i := range gateways {
 		c.gateway(m, gatewayIP(i))
 	}
@@ -312,7 +313,7 @@
 
 // gateway starts a gateway with callers of its own.
 func (c *callers) gateway(m *mortals, ip string) {
-	c.x.loadedBy(ip, idHeaders{}, m, func(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
+	g := c.x.loadedBy(ip, idHeaders{}, m, func(ctx context.Context, asking *sync.WaitGroup, g *gateway.Gateway) {
 		asking.Go(func() {
 			for range sleep.Every(ctx, hotPeriod) {
 				asking.Go(func() { c.ask(g, "hot", http.MethodGet, "") })
@@ -325,6 +326,23 @@
 			asking.Go(func() { c.ask(g, "other", http.MethodPost, body) })
 		}
 	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gateways[ip] = g
+}
+
+// at returns the gateway that was started last at an address.
+func (c *callers) at(ip string) *gateway.Gateway {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gateways[ip]
+}
+
+// without sends nothing to a gateway any more.
+func (c *callers) without(ip string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gateways[ip] = nil
 }
 
 // ask sends a request under an identifier of its own, and counts its answer.
@@ -351,11 +369,14 @@
 func (c *callers) repeat(body string, period, length time.Duration) {
 	var asking sync.WaitGroup
 	defer asking.Wait()
+	c.mu.Lock()
+	gateways := len(c.gateways)
+	c.mu.Unlock()
 	i := 0
 	for began := time.Now(); time.Since(began) < length; time.Sleep(period) {
 		i = (i*5 + 3) % 16 // all remainders, in an order that is not that of the gateways
-		if n := c.x.gateways[gatewayIP(i%len(c.x.gateways))]; n != nil {
-			asking.Go(func() { c.ask(n.g, "deadly", http.MethodPost, body) })
+		if g := c.at(gatewayIP(i % gateways)); g != nil {
+			asking.Go(func() { c.ask(g, "deadly", http.MethodPost, body) })
 		}
 	}
 }
--- a/directory/repeated_ends_faults_test.go
+++ b/directory/repeated_ends_faults_test.go
@@ -43,9 +43,9 @@
 		},
 		{
 			name: "a gateway that was at the first ends is killed", after: 200 * time.Millisecond, most: 5,
-			do: func(x *fleet, _ *mortals, _ *callers) {
+			do: func(x *fleet, _ *mortals, c *callers) {
 				x.gateways[gatewayIP(3)].kill()
-				delete(x.gateways, gatewayIP(3))
+				c.without(gatewayIP(3))
 			},
 		},
 		{
