--- a/protocol/life.go
+++ b/protocol/life.go
@@ -14,7 +14,8 @@
 // [Registration] has the name alone and the start beside it: versions that do not know of lives
 // take the name for the identifier, as before.
 
-// lifeMark is between a server's name and its start. Names have none, see package registry.
+// lifeMark is between a server's name and its start. A name that has it is refused where names are
+// read.
 const lifeMark = "~"
 
 // LifeID returns the identifier of the life of a server that began at a time, in Unix
