Explain: what the same request did under other identifiers

A caller that is told 400 quarantined has an identifier that no other line has. explain now follows the key: attempts that failed, servers that ended under it and what was decided, on all boxes whose logs it was given (TestExplainQuarantined).

--- a/decision/explain.go
+++ b/decision/explain.go
@@ -95,17 +95,21 @@
 }
 
 // Explain writes the lines of a request in order, with the changes of state of its
-// processes around it, and what the cause of its refusal means. It reports whether
-// the request was found.
+// processes around it, those that tell of the same request under other identifiers, and
+// what the cause of its refusal means. It reports whether the request was found.
 func Explain(w io.Writer, lines []Line, request string) bool {
 	own, boxes, servers := requestLines(lines, request)
 	if len(own) == 0 {
 		return false
 	}
 	first, last := own[0].Time, own[len(own)-1].Time
+	keys := keysOf(own)
 	for _, l := range lines {
-		inTime := !l.Time.Before(first.Add(-leadTime)) && !l.Time.After(last)
-		if inTime && boxes[l.Box] && l.Fields["request"] == nil && l.concerns(servers) {
+		if l.Time.After(last) || l.Fields["request"] == request {
+			continue
+		}
+		around := !l.Time.Before(first.Add(-leadTime)) && boxes[l.Box] && l.Fields["request"] == nil && l.concerns(servers)
+		if around || l.tellsOf(keys) {
 			own = append(own, l)
 		}
 	}
@@ -122,6 +126,27 @@
 	return true
 }
 
+// keysOf returns the keys that lines name, by which a request is known under any identifier.
+func keysOf(lines []Line) map[string]bool {
+	keys := map[string]bool{}
+	for _, l := range lines {
+		if key, ok := l.Fields["key"].(string); ok {
+			keys[key] = true
+		}
+	}
+	return keys
+}
+
+// tellsOf reports whether the line tells of a request with one of these keys: that it failed, what
+// servers ended under it, or what was decided of it.
+func (l Line) tellsOf(keys map[string]bool) bool {
+	if key, ok := l.Fields["key"].(string); ok {
+		return keys[key]
+	}
+	ran, _ := l.Fields["keys"].([]any) // null when empty
+	return slices.ContainsFunc(ran, func(key any) bool { name, ok := key.(string); return ok && keys[name] })
+}
+
 // requestLines returns a request's own lines in order, and which boxes and backend
 // servers they name.
 func requestLines(lines []Line, request string) (own []Line, boxes, servers map[string]bool) {
@@ -170,6 +195,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %s", l.Time.Format("15:04:05.000"), l.Box, l.Event)
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if name == "keys" {
+			continue // of all that ran there, 33 bytes each
+		}
 		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
 	}
 	return b.String()
