Clock: routers and control replicas count suspended time as well

A router that woke took its slots for its own until its lease was over by a clock that had stood still. The clock moved to internal/boottime, which all four roles are given by their commands; tests in virtual time give their own (TestSuspendedRouter).

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -81,6 +81,9 @@
 	Dialer forward.Dialer
 	Dir    func(group string) (wal.Dir, error) // folder of one group of the control role
 	Random func() uint64
+	// Clock is a monotonic clock that goes on while the box is suspended; nil is Go's, which does
+	// not.
+	Clock func() time.Duration
 }
 
 // Box is a running box.
@@ -149,7 +152,7 @@
 		Identity: b.identity(), Replicas: b.cfg.Replicas,
 		Operators: addressOf(b.cfg.Operators), Dir: b.cfg.Dir, Overcommit: b.cfg.Overcommit,
 		Lease: b.cfg.Lease, Pace: b.cfg.Pace, Tuning: replica.Tuning{Election: b.cfg.Election, Heartbeat: b.cfg.Heartbeat},
-		Random: b.cfg.Random, Log: b.cfg.Log, Metrics: b.metrics,
+		Random: b.cfg.Random, Clock: b.cfg.Clock, Log: b.cfg.Log, Metrics: b.metrics,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start control role")
@@ -177,7 +180,7 @@
 	b.router = router.Start(ctx, router.Settings{
 		Identity: b.identity(), Hall: b.cfg.Hall, Replicas: b.cfg.Replicas,
 		Server: b.server, Limits: b.cfg.Limits, Pace: b.cfg.Pace,
-		StopWithoutLeader: b.cfg.StopWithoutLeader, Random: b.cfg.Random, Log: b.cfg.Log, Metrics: b.metrics,
+		StopWithoutLeader: b.cfg.StopWithoutLeader, Random: b.cfg.Random, Clock: b.cfg.Clock, Log: b.cfg.Log, Metrics: b.metrics,
 	})
 	b.serve(b.cfg.Callers, b.router, b.cfg.TLS.Clients)
 }
--- a/cmd/badgerspoked/main.go
+++ b/cmd/badgerspoked/main.go
@@ -19,6 +19,7 @@
 	"github.com/badgerspoke/badgerspoke"
 	"github.com/badgerspoke/badgerspoke/coordination/slots"
 	"github.com/badgerspoke/badgerspoke/dev"
+	"github.com/badgerspoke/badgerspoke/internal/boottime"
 	"github.com/badgerspoke/badgerspoke/router"
 	"github.com/badgerspoke/badgerspoke/settings"
 )
@@ -109,6 +110,7 @@
 		DataDir: d.DataDir, OperatorToken: d.OperatorToken,
 		Lease:      slots.Lease{Length: d.Lease, Margin: slots.DefaultLease.Margin},
 		Overcommit: d.Overcommit, Pace: pace, Limits: limits, StopWithoutLeader: d.StopWithoutLeader, Grace: d.Grace, Log: log,
+		Clock: boottime.Clock(),
 	}
 	var err error
 	if cfg.Operators, err = net.Listen("tcp", d.ListenOperators); err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,7 @@
 	Pace       slots.Pace // bounds the views sent to one router
 	replica.Tuning
 	Random  func() uint64
+	Clock   func() time.Duration // as of [replica.Settings]
 	Log     *slog.Logger
 	Metrics *metrics.Set
 }
@@ -115,7 +116,8 @@
 	names := slices.Sorted(maps.Keys(c.cfg.Replicas))
 	return replica.Start(c.ctx, replica.Settings{
 		Group: name, Name: c.cfg.Identity.Name, Names: names, Dir: dir, Machine: m,
-		Send: c.mesh.Send, Tuning: c.cfg.Tuning, Random: c.cfg.Random, Log: c.cfg.Log, Observe: observe,
+		Send: c.mesh.Send, Tuning: c.cfg.Tuning, Random: c.cfg.Random, Clock: c.cfg.Clock,
+		Log: c.cfg.Log, Observe: observe,
 	})
 }
 
--- a/process/clock_test.go
+++ b/internal/boottime/boottime_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package process
+package boottime
 
 import (
 	"testing"
@@ -12,6 +12,7 @@
 // TestClock: it goes as Go's own does while the box runs.
 func TestClock(t *testing.T) {
 	is := is.New(t)
+	clock := Clock()
 	began, own := clock(), time.Now()
 	for time.Since(own) < 20*time.Millisecond {
 		is.True(clock() >= began)
@@ -20,6 +21,7 @@
 }
 
 func BenchmarkClock(b *testing.B) {
+	clock := Clock()
 	for b.Loop() {
 		clock()
 	}
--- a/process/directory.go
+++ b/process/directory.go
@@ -17,6 +17,7 @@
 
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/directory"
+	"github.com/badgerspoke/badgerspoke/internal/boottime"
 	"github.com/badgerspoke/badgerspoke/replica"
 	"github.com/badgerspoke/badgerspoke/state/wal"
 	"github.com/badgerspoke/badgerspoke/transport/link"
@@ -161,7 +162,7 @@
 		Identity: p.identity(), Seeds: p.cfg.Seeds, Bootstrap: p.cfg.Bootstrap, Voters: p.cfg.Voters, Dir: dir,
 		Interval: p.cfg.Interval, Halls: p.cfg.Halls, OrderWindow: p.cfg.OrderWindow,
 		Region: p.cfg.Region, Topology: p.cfg.Topology, Rollouts: p.cfg.Rollouts, Tuning: replica.Tuning{Election: election, Heartbeat: heartbeat},
-		Random: rand.Uint64, Clock: suspendableClock(), Log: p.log, Metrics: p.metrics,
+		Random: rand.Uint64, Clock: boottime.Clock(), Log: p.log, Metrics: p.metrics,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start the directory")
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/gateway"
+	"github.com/badgerspoke/badgerspoke/internal/boottime"
 	"github.com/badgerspoke/badgerspoke/state/document"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
@@ -63,7 +64,7 @@
 		Identity: b.identity(), Hall: cfg.Hall, Region: cfg.Region, Topology: cfg.Topology, LinkRate: cfg.LinkRate,
 		Seeds: cfg.Seeds, Headers: headers, Server: client,
 		Retries: cfg.Retries, Grace: cfg.Grace, Bodies: int64(bodiesPart * float64(cfg.Memory)),
-		Random: rand.Uint64, Waited: newScheduling().Wait, Clock: suspendableClock(), Log: log, Metrics: metricSet,
+		Random: rand.Uint64, Waited: newScheduling().Wait, Clock: boottime.Clock(), Log: log, Metrics: metricSet,
 	})
 	callers, err := b.listenToCallers(running, g)
 	if err != nil {
--- a/router/lease_test.go
+++ b/router/lease_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,3 +39,24 @@
 		synctest.Wait()
 	})
 }
+
+// TestSuspendedRouter: a router that was suspended past the end of its lease has none when it
+// wakes.
+func TestSuspendedRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		began := time.Now()
+		var suspended atomic.Int64
+		r := Start(ctx, Settings{
+			Random: func() uint64 { return 1 }, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+			Clock: func() time.Duration { return time.Since(began) + time.Duration(suspended.Load()) },
+		})
+		r.lease.extend(r.now(), 3*time.Second)
+		is.True(r.lease.valid(r.now()))
+		suspended.Store(int64(5 * time.Second)) // in which nothing ran here
+		is.True(!r.lease.valid(r.now()))
+		stop()
+		synctest.Wait()
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -44,9 +44,12 @@
 	// StopWithoutLeader lets the lease run out when there is no leader, even if a
 	// majority of the replicas reports that there is none.
 	StopWithoutLeader bool
-	Random            func() uint64 // for the boot number, the numbers of attempts and pauses
-	Log               *slog.Logger
-	Metrics           *metrics.Set
+	// Clock is a monotonic clock that goes on while the box is suspended, so that a lease is over
+	// when it wakes; nil is Go's, which stands still meanwhile.
+	Clock   func() time.Duration
+	Random  func() uint64 // for the boot number, the numbers of attempts and pauses
+	Log     *slog.Logger
+	Metrics *metrics.Set
 }
 
 // Limits of what callers may send and of what may wait.
@@ -83,7 +86,7 @@
 type Router struct {
 	cfg     Settings
 	boot    uint64
-	start   time.Time
+	began   time.Duration // by the clock
 	ctx     context.Context
 	stop    context.CancelFunc
 	meter   *link.Meter
@@ -109,9 +112,13 @@
 func Start(ctx context.Context, cfg Settings) *Router {
 	cfg.Limits = cmp.Or(cfg.Limits, DefaultLimits)
 	cfg.Pace = cmp.Or(cfg.Pace, slots.DefaultPace)
+	if cfg.Clock == nil {
+		start := time.Now()
+		cfg.Clock = func() time.Duration { return time.Since(start) }
+	}
 	ctx, stop := context.WithCancel(ctx)
 	r := &Router{
-		cfg: cfg, boot: cfg.Random() | 1, start: time.Now(), ctx: ctx, stop: stop,
+		cfg: cfg, began: cfg.Clock(), boot: cfg.Random() | 1, ctx: ctx, stop: stop,
 		meter: link.NewMeter(cfg.Metrics), stats: newStats(cfg.Metrics), pools: map[string]*lockedPool{},
 		budget: retry.DefaultBudget,
 	}
@@ -125,7 +132,7 @@
 }
 
 // now is the router's monotonic clock.
-func (r *Router) now() time.Duration { return time.Since(r.start) }
+func (r *Router) now() time.Duration { return r.cfg.Clock() - r.began }
 
 // jitter returns a time from 0 to most.
 func (r *Router) jitter(most time.Duration) time.Duration {
