--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,8 +29,7 @@
 	held        *heldAnswer
 	misdirected bool  // another backend server has the address
 	err         error // nil after retry.Answered only
-	// lostKey is the request's key if its connection broke while it ran, else nil.
-	lostKey *quarantine.Key
+	lost        bool  // its connection broke while it ran
 }
 
 // attempt sends the request to one backend server and relays what it answers.
@@ -50,9 +49,8 @@
 		}
 	}
 	if out.execution == retry.MayHaveRun && out.blame == outlier.Lost && ctx.Err() == nil {
-		key := c.key()
-		out.lostKey = &key
 		c.lost(a)
+		out.lost = true
 	}
 	c.counts = c.counts.With(out.execution)
 	sent := len(c.body) + headerBytes(c.r)
@@ -180,15 +178,19 @@
 		milliseconds("took_ms", c.g.now()-a.began), slog.Bool("again", again),
 		slog.String("last_event", c.relay.lastEventID),
 	}
-	if out.lostKey != nil {
-		attrs = append(attrs, slog.String("key", out.lostKey.String()))
+	if out.lost {
+		attrs = append(attrs, slog.String("key", c.key().String()))
 	}
 	return attrs
 }
 
-// key identifies the request beyond this arrival.
+// key identifies the request beyond this arrival. It is made when it is first needed.
 func (c *call) key() quarantine.Key {
-	return quarantine.KeyOf(c.account.Name, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+	if c.made == nil {
+		key := quarantine.KeyOf(c.account.Name, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+		c.made = &key
+	}
+	return *c.made
 }
 
 // Faults of an answer.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,8 +49,9 @@
 
 	// What is known of servers that ended under it.
 	suspicion quarantine.Entry
-	listed    bool // suspicion is one
-	losses    int  // of its attempts, those whose connections broke
+	listed    bool            // suspicion is one
+	losses    int             // of its attempts, those whose connections broke
+	made      *quarantine.Key // nil: it was not needed yet, see [call.key]
 }
 
 // defaultBody bounds a body when the document does not, in bytes. Chosen, not
