--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -172,11 +172,8 @@
 	}
 	hint := c.hint()
 	c.suspicion, c.listed = c.g.suspicions.find(hint, c.key)
-	for until := c.g.now() + quarantine.Decision; c.suspicion.Undecided() && c.g.now() < until; {
-		if !sleep.For(c.r.Context(), decisionPoll) {
-			return callerLeft{}
-		}
-		c.suspicion, c.listed = c.g.suspicions.find(hint, c.key)
+	if c.suspicion.Undecided() && !c.awaitDecision(hint) {
+		return callerLeft{}
 	}
 	if c.suspicion.Condemned {
 		return Refusal{Cause: Quarantined}
@@ -184,6 +181,18 @@
 	return nil
 }
 
+// awaitDecision waits until the request is condemned, cleared, or has waited for long enough. It
+// reports false if the caller has left.
+func (c *call) awaitDecision(hint quarantine.Hint) bool {
+	for until := c.g.now() + quarantine.Decision; c.suspicion.Undecided() && c.g.now() < until; {
+		if !sleep.For(c.r.Context(), decisionPoll) {
+			return false
+		}
+		c.suspicion, c.listed = c.g.suspicions.find(hint, c.key)
+	}
+	return true
+}
+
 // hint is the request's hint, see package quarantine.
 func (c *call) hint() quarantine.Hint {
 	return quarantine.HintOf(c.account.Name, c.r.Method, c.r.Host, c.r.RequestURI, len(c.body))
