--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -251,7 +251,11 @@
 		k.own.Tokens -= a.tokens
 	}
 	p := g.table.pool(k.Pool)
-	p.noteEnd(k.ID, v == outlier.Answered)
+	// What reached nobody, or was refused, says nothing of whether the pool answers: while a server
+	// is down, such attempts would soon be all that is kept.
+	if !a.unreached && v != outlier.Refused {
+		p.noteEnd(k.ID, v == outlier.Answered)
+	}
 	g.countOutcome(p, a, v)
 	if v == outlier.Refused || v == outlier.Answered {
 		p.placer.ObserveAnswer(v == outlier.Refused)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -153,3 +153,19 @@
 		is.True(x.ask("/again/deadly").status != 400)
 	}, broken, broken, broken)
 }
+
+// TestUnreachedSaysNothing: attempts that reach nobody while a server is down do not hide that the
+// pool answers.
+func TestUnreachedSaysNothing(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(t)
+		for range 10 {
+			is.Equal(x.ask("/again/").status, 200)
+		}
+		x.servers.stop("10.0.5.0:80")
+		for range attemptsKept {
+			x.ask("/again/")
+		}
+		is.True(x.g.table.serves("plain", "another"))
+	}, answers(200, "done", time.Millisecond))
+}
