--- a/directory/repeated_ends_faults_test.go
+++ b/directory/repeated_ends_faults_test.go
@@ -308,3 +308,27 @@
 		})
 	})
 }
+
+// TestDeadlyRequestWhileARelayIsLost: what a relay has not passed on yet is told again by its
+// gateways, and costs a few ends.
+func TestDeadlyRequestWhileARelayIsLost(t *testing.T) {
+	inRegions(t, 1<<20, func(x *fleet) {
+		is := is.New(t)
+		x.leadIn(north)
+		for i := range 4 {
+			x.place(gatewayIP(i), south)
+		}
+		m := x.mortal(10, 100*time.Millisecond)
+		m.halls = []string{south}
+		x.among(m, 4, func(c *callers) {
+			time.AfterFunc(200*time.Millisecond, func() { x.relays(south)[0].kill() })
+			c.repeat("deadly", deadlyPeriod, 8*time.Second)
+			sent, late := m.deadly("deadly")
+			_, refused := c.served("other")
+			t.Logf("begun %d times, %d late", sent, late)
+			is.True(sent <= 8)
+			is.Equal(late, 0)
+			is.Equal(refused, 0)
+		})
+	})
+}
