Test: a lead that was lost before the minute does not count in it

Cause: the leader tries a handover every 10 s and has no lead for 1 to 2 s of each; the test took it to lead when the minute began. A loss just before the minute so counted as a seventh.

--- a/directory/leaderplace_test.go
+++ b/directory/leaderplace_test.go
@@ -141,11 +141,15 @@
 		defer x.net.Reunite() // also when the test fails, or dials would wait for ever
 		x.net.Isolate(x.order[0], other.ip)
 		time.Sleep(5 * time.Second)
-		losses, led := 0, true
-		for began := time.Now(); time.Since(began) < time.Minute; time.Sleep(20 * time.Millisecond) {
+		const sample, again = 20 * time.Millisecond, 10 * time.Second
+		losses, last := 0, -again
+		led := x.leader() == leader // a lead that is lost already counts before the minute
+		for began := time.Now(); time.Since(began) < time.Minute; time.Sleep(sample) {
 			leads := x.leader() == leader
 			if led && !leads {
 				losses++
+				is.True(time.Since(began)-last >= again-sample) // no two tries sooner
+				last = time.Since(began)
 			}
 			led = leads
 		}
