Returns: what a share covers by much comes back within its objective

The next try is as likely to be covered soon, and then it can be in time. Change: where the share covers 0.4 of what the account asks for, or more, the caller is told 0.2 to 0.45 of the objective, by lot, if it can still be in time; else as before.

--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -64,28 +64,48 @@
 // before the first part of the answer. A request that may have run is not refused.
 func CanEnd(w Waiting) bool { return w.Runs > 0 || w.Left >= scale(w.Expected, surePart) }
 
-// Times after which a refused caller should come back. Chosen, not measured.
+// Times after which a refused caller should come back.
 const (
 	Soon  = 50 * time.Millisecond // what refused it passes quickly, or another gateway has room
 	Later = time.Second           // what refused it lasts
 
 	leftPart = 0.1 // of the time that the caller has left: room for several tries
 
-	// sharePart is the same for what its account's share does not cover: the flood lasts,
+	// sharePart is the same for what its account's share does not cover by far: the flood lasts,
 	// and a second refusal is worth nothing to the caller. Callers wait for up to a third.
 	sharePart = 0.33
 	spread    = 0.25 // by which that is less, at most, so that callers do not meet again
 )
 
+// A request beyond a share that covers much of what its account asks for comes back within its
+// objective: the next try is as likely to be covered, and can still be in time.
+const (
+	likelyPart = 0.4 // of the account's requests that the share covers, at least
+	// againFrom and againUpTo are when it comes back, as parts of the objective, by lot: long
+	// enough for the marked part to reach it, and short enough for the answer.
+	againFrom = 0.2
+	againUpTo = 0.45
+)
+
 // After returns when a refused caller that has some time left should come back.
 func After(left time.Duration) time.Duration {
 	return min(max(scale(left, leftPart), Soon), Later)
 }
 
-// AfterShare returns the same for a request that its account's share does not cover.
-// random is from 0 to 1.
-func AfterShare(left time.Duration, random float64) time.Duration {
-	return max(scale(left, sharePart*(1-spread*random)), Soon)
+// Share is what decides when a request comes back that its account's share does not cover.
+type Share struct {
+	Part      float64       // of the account's requests that the share covers
+	Objective time.Duration // of its route; 0 is none
+	Spent     time.Duration // since its caller asked first
+	Left      time.Duration // until its deadline
+}
+
+// After returns when the request should come back. random is from 0 to 1.
+func (s Share) After(random float64) time.Duration {
+	if soon := scale(s.Objective, againFrom+(againUpTo-againFrom)*random); s.Part >= likelyPart && s.Spent+soon < s.Objective {
+		return max(soon, Soon)
+	}
+	return max(scale(s.Left, sharePart*(1-spread*random)), Soon)
 }
 
 // AfterOverload returns the same for a caller whom the gateway's processor
@@ -95,7 +115,7 @@
 	if class <= entitlement.Entitled {
 		return Soon
 	}
-	return AfterShare(left, random)
+	return Share{Left: left}.After(random)
 }
 
 // Times after which a server that sends nothing is given up. Chosen, not
--- a/coordination/retry/timeout_test.go
+++ b/coordination/retry/timeout_test.go
@@ -54,9 +54,31 @@
 	is.Equal(After(time.Minute), Later)
 	is.Equal(AfterOverload(entitlement.Entitled, time.Minute, 0.5), Soon)
 	is.Equal(AfterOverload(entitlement.Extra, 10*time.Second, 0), 3300*ms)
-	is.Equal(AfterShare(-time.Second, 0), Soon)
-	is.Equal(AfterShare(10*time.Second, 0), 3300*ms) // callers wait for up to a third of what is left
-	is.Equal(AfterShare(10*time.Second, 1), 2475*ms)
+	is.Equal(Share{Left: -time.Second}.After(0), Soon)
+	is.Equal(Share{Left: 10 * time.Second}.After(0), 3300*ms) // callers wait for up to a third of what is left
+	is.Equal(Share{Left: 10 * time.Second}.After(1), 2475*ms)
+}
+
+// TestWhenToComeBackToAShare: a request comes back within its objective where the share covers
+// much of what its account asks for, and it can still be in time.
+func TestWhenToComeBackToAShare(t *testing.T) {
+	is := is.New(t)
+	much := Share{Part: 0.5, Objective: 400 * ms, Left: 12 * time.Second}
+	is.Equal(much.After(0), 80*ms)
+	is.Equal(much.After(1), 180*ms)
+	little := much
+	little.Part = 0.3
+	is.Equal(little.After(0), 3960*ms)
+	late := much
+	late.Spent = 300 * ms
+	is.Equal(late.After(0), 80*ms) // 380 ms after it asked first
+	is.Equal(late.After(1), 2970*ms)
+	short := much
+	short.Objective = 100 * ms
+	is.Equal(short.After(0), Soon)
+	none := much
+	none.Objective = 0
+	is.Equal(none.After(0), 3960*ms)
 }
 
 func TestStallTimeouts(t *testing.T) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -149,7 +149,7 @@
 		return Refusal{Cause: ProcessorOverload, RetryAfter: retry.AfterOverload(c.class, c.left(), c.g.random())}
 	}
 	if c.pool.Engine && !c.g.accounts.admits(c.account.Name, c.class) {
-		return Refusal{Cause: BeyondShare, RetryAfter: retry.AfterShare(c.left(), c.g.random())}
+		return Refusal{Cause: BeyondShare, RetryAfter: c.afterShare()}
 	}
 	return nil
 }
@@ -158,6 +158,14 @@
 // be in time.
 func (c *call) late() bool { return c.route.Objective > 0 && c.spent >= c.route.Objective }
 
+// afterShare is when the caller should come back with a request that its account's share does not
+// cover.
+func (c *call) afterShare() time.Duration {
+	e, _ := c.g.accounts.entitlement(c.account.Name)
+	share := retry.Share{Part: float64(e.Extra), Objective: c.route.Objective, Spent: c.spent, Left: c.left()}
+	return share.After(c.g.random())
+}
+
 // countStarted counts the request when it gets its first backend server. An attempt that
 // reaches nobody does not make the next one another start.
 func (c *call) countStarted() {
@@ -338,7 +346,7 @@
 	case !causes[cause].notRun:
 		return Refusal{Cause: cause}
 	case cause == BeyondShare:
-		return Refusal{Cause: cause, RetryAfter: retry.AfterShare(c.left(), c.g.random())}
+		return Refusal{Cause: cause, RetryAfter: c.afterShare()}
 	}
 	return Refusal{Cause: cause, RetryAfter: retry.After(c.left())}
 }
