Place: what is beyond the named shares goes in front of nobody

Hypothesis: an engine reads in order of arrival, so that a long prompt beyond the shares, a stream that holds a slot, and shared parts that are read again elsewhere are what those within their shares feel of a full engine. Change: of what is beyond the named shares (class extra) its own tokens count in the bound of what is read first, 0.12 of the objective together (0.1 without them before); it has up to three quarters of an engine's slots, and stays at the engine that keeps its shared parts.

--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -13,23 +13,21 @@
 // This file defines whether a server has room for one more request, and what is
 // learned of the pool's servers for that.
 
-// roomParts are the parts of the objective that may pass before an engine
-// begins to read a request. Entitled and extra, by scores on two sites: 0.35 and
-// 0.08 gave 0.498 and 0.588; 0.22 and 0.03 gave 0.399 and 0.708; these gave 0.916
-// and 0.779 (commit e68a0bb). Covered: the only value tried; with the fallback of
-// ChooseWithRoom it took one day from 0.649 to 0.681 (commit 56b7511).
+// roomParts are the parts of the objective that may pass before an engine begins to read a
+// request, or has read it ([waitedFor]).
 var roomParts = [...]float64{
-	entitlement.Covered: 0.45, entitlement.Entitled: 0.25, entitlement.Extra: 0.1,
+	entitlement.Covered: 0.45, entitlement.Entitled: 0.25, entitlement.Extra: 0.12,
 	entitlement.Beyond: 0, // only where there is nothing to read
 }
 
-// Bounds of the requests on one server, as multiples of its slots. The values
-// are chosen, not measured; moving between the two bounds of engines took refusals
-// from 10,785 of 32,599 requests to 7,009 of 28,845 (commit cc59287).
+// Bounds of the requests on one server, as multiples of its slots.
 const (
 	plainPerSlot  = 2.0  // on a plain service, whose work is short
 	enginePerSlot = 1.25 // on an engine, when it queues what is beyond its slots
 	fewestPerSlot = 0.7  // and when it refuses that
+	// extraPerSlot is the bound for what is beyond the named shares: a stream holds its slot for
+	// seconds, and what is within a share must find one meanwhile.
+	extraPerSlot = 0.75
 )
 
 // Weights of one answer in refusing: chosen, not measured. One refusal counts as
@@ -79,23 +77,41 @@
 	if r.Connections > 0 && c.Own.Requests >= ownConnections(r.Connections, r.Gateways, c.Slots) {
 		return Connections
 	}
-	perSlot := plainPerSlot
-	if r.Engine {
-		perSlot = p.requestsPerSlot()
-	}
-	if c.Slots > 0 && float64(c.load.Requests) >= perSlot*float64(c.Slots) {
+	if c.Slots > 0 && float64(c.load.Requests) >= p.perSlot(r)*float64(c.Slots) {
 		return Slots
 	}
 	if !r.Engine {
 		return Free
 	}
-	wait := float64(c.load.Tokens) * c.slowness / p.readRate() // ms
+	wait := float64(waitedFor(r, c)) * c.slowness / p.readRate() // ms
 	if wait > roomParts[r.Class]*float64(r.Objective)/float64(time.Millisecond) {
 		return Reading
 	}
 	return Free
 }
 
+// perSlot returns how many requests for each of its slots keep a server from taking one more.
+func (p *RoomPlacer) perSlot(r Request) float64 {
+	switch {
+	case !r.Engine:
+		return plainPerSlot
+	case r.Class >= entitlement.Extra:
+		return min(p.requestsPerSlot(), extraPerSlot)
+	}
+	return p.requestsPerSlot()
+}
+
+// waitedFor returns the tokens that decide whether an engine has room: those in front of the
+// request, and of one beyond the named shares its own as well. An engine reads in order of arrival, so
+// that what is within a share waits behind all that was begun: a long prompt beyond them would
+// make it late.
+func waitedFor(r Request, c candidate) int {
+	if r.Class == entitlement.Extra {
+		return c.load.Tokens + r.Prompt.Own
+	}
+	return c.load.Tokens
+}
+
 // Learned is what the placer has learned of its servers.
 type Learned struct {
 	Rate    float64 // tokens that an engine reads in a millisecond; 0 is unknown
--- a/coordination/place/roomplacer.go
+++ b/coordination/place/roomplacer.go
@@ -96,13 +96,24 @@
 	if !r.Engine {
 		return p.spread(r, found)
 	}
-	best, read, ok := cheapest(r.Prompt, found)
+	best, read, ok := suited(r, found)
 	if !ok {
 		return Choice{Index: -1}
 	}
 	return Choice{Index: best.index, Bound: p.bound(r, best), Read: read, Before: best.load, Slowness: best.slowness}
 }
 
+// suited returns the candidate that suits the request best and the tokens that it has to read for
+// it. What is beyond the named shares stays at the engine that keeps its shared parts: elsewhere
+// they would be read again, which takes room from what is within a share.
+func suited(r Request, found []candidate) (best candidate, read int, ok bool) {
+	if r.Class < entitlement.Extra || len(r.Prompt.Shared) == 0 || len(found) == 0 {
+		return cheapest(r.Prompt, found)
+	}
+	order := rendezvous(r.Prompt.key(), found)
+	return found[order.indexes[0]], r.Prompt.Own, true
+}
+
 // ChooseWithRoom returns the server that suits the request best among those
 // that have room. It is for requests that would otherwise be refused and should not
 // be. There may be few of them, because what is read again takes room from others.
