--- a/coordination/entitlement/hold.go
+++ b/coordination/entitlement/hold.go
@@ -46,6 +46,14 @@
 	return min(level, float64(h))
 }
 
+// holding returns the hold where it bounds the level now, else 0.
+func (d *Demand) holding() int64 {
+	if d.extra < float64(d.hold) {
+		return 0
+	}
+	return int64(d.hold)
+}
+
 // leastGiven returns the least that any account is given of those that get much less than they are
 // due.
 func (d *Demand) leastGiven() float64 {
--- a/coordination/entitlement/rates.go
+++ b/coordination/entitlement/rates.go
@@ -14,6 +14,7 @@
 type Rates struct {
 	Level, Extra    int64 // of the named rate, and of what the engines make
 	Started, Missed int64
+	Hold            int64          // bound of Extra by an account that gets too little; 0: none now
 	Busy            float64        // part of the engines that run something; 0: not known
 	Accounts        []AccountRates // the largest demands first
 }
@@ -28,6 +29,7 @@
 func (d *Demand) Rates(most int) Rates {
 	r := Rates{
 		Level: int64(d.level), Extra: int64(d.extra), Started: int64(d.started.average), Missed: int64(d.missed.average), Busy: d.busy,
+		Hold: d.holding(),
 	}
 	for name, a := range d.accounts {
 		r.Accounts = append(r.Accounts, AccountRates{Account: name, Demand: int64(a.demand.average), Given: int64(a.given.average)})
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -54,6 +54,7 @@
 	tokens      int // that it has to read
 	began       time.Duration
 	tokensAhead int           // tokens in front when it began
+	expected    time.Duration // from its beginning to the first part of the answer
 	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
 	opened      time.Duration // the connection; 0: it got none
 	trial       bool          // of an ejected server
@@ -241,7 +242,8 @@
 	k.cold = k.cold.WithBegun(now)
 	return &assignment{
 		known: k, server: k.ID, address: k.Address, tokens: choice.Read, began: now,
-		tokensAhead: choice.Before.Tokens, trial: k.health.Sent(now), tried: p.begin(k, req, choice, why),
+		tokensAhead: choice.Before.Tokens, expected: p.placer.ExpectedFirst(req.pool.Engine, choice.Read+choice.Before.Tokens),
+		trial: k.health.Sent(now), tried: p.begin(k, req, choice, why),
 	}
 }
 
