--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -96,7 +96,7 @@
 	servers []*http.Server
 }
 
-// Bounds of every listener. All four were chosen, not measured.
+// Bounds of every listener.
 const (
 	// readHeaderTimeout is the longest time for a caller to send its headers.
 	readHeaderTimeout = 5 * time.Second
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -54,7 +54,7 @@
 	ExitConflict    = 4 // another change took the revision that this one builds on
 )
 
-// Defaults of the calls to the fleet. Both times are chosen, not measured.
+// Defaults of the calls to the fleet.
 const (
 	defaultServer  = "127.0.0.1:8081"       // the default of badgerspoked's -listen-operators
 	commandTimeout = 10 * time.Second       // for all calls of one command together
--- a/cli/fleetlink.go
+++ b/cli/fleetlink.go
@@ -23,8 +23,8 @@
 // operatorName is the name of an operator's side of a fleet link.
 const operatorName = "operator"
 
-// orderSilence ends one try, from the dial to the answer, so that one replica that is gone leaves
-// time for another: a replica answers within 2 s. Chosen, not measured.
+// orderSilence ends one try, from the dial to the answer, so that one replica that is gone leaves time
+// for another: a replica answers within 2 s.
 const orderSilence = 2500 * time.Millisecond
 
 // fleetFlags are the flags of a command that goes to the directory.
--- a/cli/quarantine.go
+++ b/cli/quarantine.go
@@ -20,8 +20,7 @@
 
 // This file defines the commands about condemned requests, under which backend servers end.
 
-// quarantineTimeout bounds all tries of one command together. Chosen, not measured: an election,
-// several times.
+// quarantineTimeout bounds all tries of one command together. An election, several times.
 const quarantineTimeout = 10 * time.Second
 
 // quarantineCommand is one command about condemned requests.
--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -21,7 +21,7 @@
 
 // This file defines the commands about rollouts.
 
-// Times of a command about a rollout. Both are chosen, not measured.
+// Times of a command about a rollout.
 const (
 	// rolloutTimeout bounds all tries of one command together: for as long replicas surely
 	// take a repeated order for a copy, so that no repeat begins a second attempt.
--- a/cmd/badgerspoke-standin/main.go
+++ b/cmd/badgerspoke-standin/main.go
@@ -13,7 +13,7 @@
 	"github.com/badgerspoke/badgerspoke/standin"
 )
 
-// readHeaderTimeout is the longest time for a request's headers. Chosen, not measured.
+// readHeaderTimeout is the longest time for a request's headers.
 const readHeaderTimeout = 5 * time.Second
 
 func main() {
--- a/cmd/badgerspoked/main.go
+++ b/cmd/badgerspoked/main.go
@@ -146,8 +146,8 @@
 	return func() { os.RemoveAll(d.DataDir) }, err
 }
 
-// devTimeout bounds the first configuration of a development fleet, which waits
-// until the group has a leader. Chosen, not measured.
+// devTimeout bounds the first configuration of a development fleet, which waits until the group has a
+// leader.
 const devTimeout = 20 * time.Second
 
 // fillDev configures a development fleet and starts its backend servers.
--- a/control/control.go
+++ b/control/control.go
@@ -121,8 +121,8 @@
 	})
 }
 
-// proposeTimeout bounds how long a proposal may take: five of the default election
-// timeouts (replica.Tuning), so that a change of leaders fits in. Chosen, not measured.
+// proposeTimeout bounds how long a proposal may take: five of the default election timeouts
+// (replica.Tuning), so that a change of leaders fits in.
 const proposeTimeout = 3 * time.Second
 
 // propose puts a command into the log of one group and returns what the group's
@@ -163,8 +163,8 @@
 // Err returns why the replica stopped, after Done.
 func (c *Control) Err() error { return c.config.Err() }
 
-// handoverElections bounds, in election timeouts, how long a stop waits for a
-// successor: when no other replica runs, none will come. Chosen, not measured.
+// handoverElections bounds, in election timeouts, how long a stop waits for a successor: when no other
+// replica runs, none will come.
 const handoverElections = 5
 
 // handOver transfers the leadership of both groups to another replica.
--- a/control/dispatcher.go
+++ b/control/dispatcher.go
@@ -19,7 +19,7 @@
 // This file defines dispatcher, the goroutine that owns the allocator and the
 // routers' sessions while this replica leads.
 
-// Bounds of the dispatcher's work. All are chosen, not measured.
+// Bounds of the dispatcher's work.
 const (
 	// eventDepth is the number of events that may wait for the dispatcher; beyond it
 	// their senders wait.
--- a/control/operators.go
+++ b/control/operators.go
@@ -24,7 +24,7 @@
 // This file defines the operators' calls that change the configuration. Those
 // that only read are in status.go, the shape of errors in rpcerror.go.
 
-// Bounds of operators' calls. All are chosen, not measured.
+// Bounds of operators' calls.
 const (
 	// maxOperatorMessage bounds one call, in bytes.
 	maxOperatorMessage = 1 << 20
--- a/control/session.go
+++ b/control/session.go
@@ -13,8 +13,7 @@
 // This file defines a router's session on the control side: its opening, the
 // messages that it carries, and its end.
 
-// routerQueue is the number of messages that may wait for one router's link; one more
-// closes the link. Chosen, not measured.
+// routerQueue is the number of messages that may wait for one router's link; one more closes the link.
 const routerQueue = 1024
 
 // serveRouter runs one session until its link ends.
--- a/control/status.go
+++ b/control/status.go
@@ -49,8 +49,8 @@
 	return connect.NewResponse(out), nil
 }
 
-// awaitInterval is between two checks of AwaitRevision. Chosen, not measured; its load is
-// worked out in docs/CAPACITY.md, "Operators' front".
+// awaitInterval is between two checks of AwaitRevision. Its load is worked out in docs/CAPACITY.md,
+// "Operators' front".
 const awaitInterval = 50 * time.Millisecond
 
 func (o *operators) AwaitRevision(ctx context.Context, req *connect.Request[operatorv1.AwaitRevisionRequest]) (*connect.Response[operatorv1.AwaitRevisionResponse], error) {
--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -31,17 +31,14 @@
 
 // This file defines Register and its commands.
 
-// Window is how long a settled claim is remembered, in milliseconds: a day, as
-// docs/CALLERS.md promises. Chosen, not measured; a remembered claim takes 311 B
-// (BenchmarkClaimMemory).
+// Window is how long a settled claim is remembered, in milliseconds: a day, as docs/CALLERS.md
+// promises. A remembered claim takes 311 B (BenchmarkClaimMemory).
 const Window = 24 * 60 * 60 * 1000
 
-// MaxAnswer is the largest answer that is kept, in bytes of its body. Chosen,
-// not measured; docs/CALLERS.md promises it.
+// MaxAnswer is the largest answer that is kept, in bytes of its body (docs/CALLERS.md).
 const MaxAnswer = 16 << 10
 
-// MaxKey bounds an idempotency key, in bytes. Chosen, not measured;
-// docs/CALLERS.md promises it.
+// MaxKey bounds an idempotency key, in bytes (docs/CALLERS.md).
 const MaxKey = 255
 
 // Holder is a process that may hold claims.
--- a/coordination/coldstart/coldstart.go
+++ b/coordination/coldstart/coldstart.go
@@ -39,22 +39,19 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// Holders is how many gateways have a share of one cold server. Fewer would waste more of
-// it when one of them has no request or is lost, more would leave shares under one request
-// a second at 18. Chosen, not measured.
+// Holders is how many gateways have a share of one cold server. Fewer would waste more of it when one
+// of them has no request or is lost, more would leave shares under one request a second at 18.
 const Holders = 4
 
-// Lease is for how long a share holds after the report by which it was last renewed. It is
-// above the longest pause between two of the leader's messages (registry.FleetBudget).
-// Chosen, not measured.
+// Lease is for how long a share holds after the report by which it was last renewed. It is above the
+// longest pause between two of the leader's messages (registry.FleetBudget).
 const Lease = time.Second
 
 // window is the time over which requests are counted: rates are a second's.
 const window = time.Second
 
-// WarmSpread is the time over which the gateways begin to use a server that is not cold
-// any more, each at a moment of its own, so that what it gets does not jump. Chosen, not
-// measured.
+// WarmSpread is the time over which the gateways begin to use a server that is not cold any more, each
+// at a moment of its own, so that what it gets does not jump.
 const WarmSpread = time.Second
 
 // Divide gives a cold server's rate, in requests a second, to Holders of the gateways: the
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -32,10 +32,8 @@
 	r.resetDeadline()
 }
 
-// preVoteParts is how many times in an election timeout, at most, a pre-candidate
-// repeats its requests. Chosen, not measured; that it is more than one brought the
-// time to a leader after a restart in turn from 141 to 127 ms at a timeout of
-// 100 ms (TestRestartInTurnElectsSoon, commit 8b29d0c).
+// preVoteParts is how many times in an election timeout, at most, a pre-candidate repeats its
+// requests, so that a restart in turn elects soon (TestRestartInTurnElectsSoon).
 const preVoteParts = 4
 
 // resetPreVote draws the next time to request pre-votes. It is soon: pre-votes
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -19,7 +19,7 @@
 // with a majority after it. Removing first costs no availability, because the
 // lost incarnation could not have answered anyway.
 
-// Limits of silence. All three are chosen, not measured.
+// Limits of silence.
 const (
 	// voterSilences is how many election timeouts a voter of an open group may
 	// leave unanswered before a learner takes its place.
--- a/coordination/consensus/replica.go
+++ b/coordination/consensus/replica.go
@@ -34,7 +34,7 @@
 	MaxInflight int // unanswered appends
 }
 
-// Defaults of Config: chosen, not measured.
+// Defaults of Config.
 const (
 	defaultMaxAppend   = 256 << 10 // bytes of entries in one message
 	defaultMaxPiece    = 64 << 10  // bytes; a snapshot of 1 MB takes 15 round trips (docs/CAPACITY.md)
--- a/coordination/consensus/replicate.go
+++ b/coordination/consensus/replicate.go
@@ -304,9 +304,8 @@
 	})
 }
 
-// DriftMargin is the part of the election timeout by which a lease is
-// shortened: clocks of two boxes may differ in speed by that much. Chosen, not
-// measured.
+// DriftMargin is the part of the election timeout by which a lease is shortened: clocks of two boxes
+// may differ in speed by that much.
 const DriftMargin = 0.1
 
 // leaseEnd returns when this leader must stop acting as one. Until then no other
--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -17,8 +17,7 @@
 	// gateway had taken (docs/FINDINGS.md, served for 0.4 of the grace;
 	// TestStop). 0.34 is chosen.
 	acceptPart = 0.34
-	// finishPart leaves the rest of the grace to close connections and write
-	// the log. Chosen, not measured.
+	// finishPart leaves the rest of the grace to close connections and write the log.
 	finishPart = 0.88
 )
 
--- a/coordination/entitlement/bucket.go
+++ b/coordination/entitlement/bucket.go
@@ -6,8 +6,8 @@
 
 // This file defines bucket, a bound on what one account is given at one gateway.
 
-// bucketSpan is how long an account that was given nothing may be given more than the
-// rate: bursts of an account that its share covers must pass. Chosen, not measured.
+// bucketSpan is how long an account that was given nothing may be given more than the rate: bursts of
+// an account that its share covers must pass.
 const bucketSpan = 500 * time.Millisecond
 
 // bucket is what an account was given beyond the rate that fills it, in tokens. It may
--- a/coordination/entitlement/class.go
+++ b/coordination/entitlement/class.go
@@ -36,13 +36,11 @@
 	return c <= Entitled || (c == Extra && gatewayLacks)
 }
 
-// staleAfter is the age at which the fleet's list is not used any more, so that
-// shares outlast a change of leaders (docs/design/platform.md, "Which promises
-// need the lease"). Chosen, not measured.
+// staleAfter is the age at which the fleet's list is not used any more, so that shares outlast a
+// change of leaders (docs/design/platform.md, "Which promises need the lease").
 const staleAfter = 10 * time.Second
 
-// Bounds of what a gateway gives one account without news of the leader. Chosen, not
-// measured.
+// Bounds of what a gateway gives one account without news of the leader.
 const (
 	silentAfter = time.Second // lists come every 0.1 to 0.6 s
 	silentPart  = 0.5         // an account's callers are seen to meet at two or three gateways
--- a/coordination/entitlement/cost.go
+++ b/coordination/entitlement/cost.go
@@ -4,7 +4,7 @@
 
 // This file defines Cost, what a request counts against its account's share.
 
-// outputCost is what a token made costs, in tokens read. Chosen, not measured.
+// outputCost is what a token made costs, in tokens read.
 const outputCost = 2
 
 // Cost returns the cost of a request in tokens read, by the tokens that it
--- a/coordination/entitlement/demand.go
+++ b/coordination/entitlement/demand.go
@@ -13,8 +13,8 @@
 // This file defines Demand, the leader's estimate of what each account demands and is
 // given and of what the engines make, and the entitlements that follow from it.
 
-// leastRate, in tokens a second, is below any request's: an account that demands
-// less sends nothing any more. Chosen, not measured.
+// leastRate, in tokens a second, is below any request's: an account that demands less sends nothing
+// any more.
 const leastRate = 1
 
 // Demand estimates the accounts' demands from the gateways' reports.
@@ -96,43 +96,6 @@
 	d.entitle(elapsed, capacity)
 }
 
-// missedWeight is how much of what is made beyond the named rate is held back
-// for what is missed within shares: some gateway cannot serve its part, and
-// what others get more than their share must not run away from that. Chosen:
-// with 3 the two days that had broken fairness kept it (commit 83224a5); other
-// values were not tried.
-const missedWeight = 3
-
-// probe is how much more than they made last the engines are asked to make: what they could
-// make is not reported, and while several accounts wait it is found this way alone. Chosen;
-// from the named rate it finds twice as much in about ten seconds.
-const probe = 1.25
-
-// idleUsed is how much of the time of engines that run nothing is counted on: some of them may be off. Chosen,
-// not measured.
-const idleUsed = 0.5
-
-// SetBusy takes which part of the engines run something, of those that are the busiest; 0 is not known.
-func (d *Demand) SetBusy(part float64) { d.busy = part }
-
-// idle reports whether most engines run nothing.
-func (d *Demand) idle() bool { return d.busy > 0 && idleUsed/d.busy > probe }
-
-// makes is what the engines may be asked to make, in tokens a second: less than they made last
-// while any account is missed or owed something, else a little more, and where most of them run nothing what these
-// would make as well: nobody is missed for want of engines there. What is found a quarter at a time alone refuses accounts
-// a part of what they demand, for seconds after their demand has begun, beside engines that run nothing.
-func (d *Demand) makes() float64 {
-	lacking := d.missed.average + d.owed()
-	if lacking > shortPart*d.started.average {
-		return d.started.average - missedWeight*lacking
-	}
-	if d.idle() {
-		return idleUsed / d.busy * d.started.average
-	}
-	return probe * d.started.average
-}
-
 // entitle finds two levels: of the named capacity, and of what is made if that
 // is more. Without the second, what the engines make beyond the named rate
 // would go to the account with the largest demand. Each account's share is the level,
@@ -232,8 +195,7 @@
 func (d *Demand) Known() bool { return d.weights.full() }
 
 // shortPart is the part of what is made that may be missed within shares
-// before no request beyond them is served. Chosen: with it the days that had broken
-// fairness kept it (commit ddfd6cc); other values were not tried.
+// before no request beyond them is served.
 const shortPart = 0.02
 
 // Short reports whether what is beyond every share must wait: because requests within
--- a/coordination/entitlement/marker.go
+++ b/coordination/entitlement/marker.go
@@ -16,8 +16,7 @@
 	largest float64 // cost seen lately
 }
 
-// largestMemory is the part of the largest cost that is left after a request:
-// half after 34. Chosen, not measured.
+// largestMemory is the part of the largest cost that is left after a request: half after 34.
 const largestMemory = 0.98
 
 // Entitled reports whether a request of that cost is within the part.
--- a/coordination/entitlement/rate.go
+++ b/coordination/entitlement/rate.go
@@ -28,8 +28,7 @@
 )
 
 // leastSpan is how much time an average must hold to be taken for what it says; one
-// over a shorter time is taken for less. Before short averages were scaled up at all,
-// floods were unknown for 0.7 s after each change of leaders (commit b9a79bb).
+// over a shorter time is taken for less. Floods are known that soon after a change of leaders.
 const leastSpan = 300 * time.Millisecond
 
 // weights say how much of an average is filled, 0 to 1: all begin at nothing, at the
--- a/coordination/entitlement/served.go
+++ b/coordination/entitlement/served.go
@@ -11,8 +11,7 @@
 // This file defines Served, what accounts were served lately, and the order in
 // which waiting requests go.
 
-// servedMemory is the time constant with which service is forgotten. Chosen,
-// not measured.
+// servedMemory is the time constant with which service is forgotten.
 const servedMemory = 4 * time.Second
 
 // Served holds for each account a decaying sum of the tokens that it was
--- a/coordination/evacuation/evacuation.go
+++ b/coordination/evacuation/evacuation.go
@@ -41,7 +41,7 @@
 	Unclear                // it may be a late copy, and changes nothing
 )
 
-// DefaultWindow is for deployments that state none. Chosen, not measured.
+// DefaultWindow is for deployments that state none.
 const DefaultWindow = 5 * time.Second
 
 // Orders is when the last order of each kind was taken, by hall. The zero value has taken
--- a/coordination/outlier/consecutive.go
+++ b/coordination/outlier/consecutive.go
@@ -6,7 +6,7 @@
 
 // This file defines Consecutive, the routers' rule: failures in a row.
 
-// Bounds of a router's ejections: chosen, not measured.
+// Bounds of a router's ejections.
 const (
 	failuresToEject = 3 // in a row
 	shortestEject   = time.Second
--- a/coordination/outlier/rate.go
+++ b/coordination/outlier/rate.go
@@ -20,12 +20,11 @@
 	NoVerdict                // the end was none of the server's doing
 )
 
-// weights are the parts of a failure that verdicts count for: chosen, not
-// measured. A refusal weighs least, since full engines refuse in normal
-// operation.
+// weights are the parts of a failure that verdicts count for: A refusal weighs least, since full
+// engines refuse in normal operation.
 var weights = [...]float64{Answered: 0, Refused: 0.4, Faulty: 0.7, Lost: 1}
 
-// Parameters of a gateway's ejections: chosen, not measured.
+// Parameters of a gateway's ejections.
 const (
 	serverMemory = 12               // attempts over which a server's failures are averaged
 	poolMemory   = 0.02             // weight of one attempt in the pool's average: one of 50
--- a/coordination/outlier/silence.go
+++ b/coordination/outlier/silence.go
@@ -10,8 +10,8 @@
 // until a connection opened after it is silent too. Outage tells that from connections to
 // one server alone, so that not each server's are found out by requests that wait in vain.
 
-// doubtFor is how long the silence of one connection excuses others opened before it.
-// Chosen, not measured: above the time for which idle connections are kept.
+// doubtFor is how long the silence of one connection excuses others opened before it. Above the time
+// for which idle connections are kept.
 const doubtFor = 10 * time.Second
 
 // Doubt is what is known of the connections to one server. The zero value has no doubt.
@@ -36,9 +36,8 @@
 	return Lost, false
 }
 
-// togetherWithin is how soon after each other the connections to two servers must be found
-// silent for it to be the network's doing. Chosen, not measured: requests of all kinds are
-// given up within about two objectives.
+// togetherWithin is how soon after each other the connections to two servers must be found silent for
+// it to be the network's doing. Requests of all kinds are given up within about two objectives.
 const togetherWithin = 2 * time.Second
 
 // Outage is what is known of silence on kept connections to all servers. The zero value
--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -35,12 +35,10 @@
 // This file defines Detector, which averages how late a timer fires, and the
 // thresholds of that delay.
 
-// TickPeriod is the period of the timer that is watched. Chosen, not measured.
+// TickPeriod is the period of the timer that is watched.
 const TickPeriod = 20 * time.Millisecond
 
-// Thresholds of the averaged delay. Chosen while days with flooding accounts
-// were played (commits 0eb340d, 87040e2 and cc59287 give the results); none was
-// measured against other values.
+// Thresholds of the averaged delay.
 const (
 	DelayNoticed = 5 * time.Millisecond  // pieces of streams are gathered from here on
 	DelayBeyond  = 12 * time.Millisecond // and for longer; the gateway is not ready; what is beyond every share is refused
@@ -49,9 +47,8 @@
 	delayShort   = 10 * time.Millisecond // a pressure that was high is over
 )
 
-// A firing counts for as long as it took to come, because a starved timer
-// fires rarely; a machine that stood still looks the same for the first half
-// second after. Chosen, not measured: with these, one firing that is seconds
+// A firing counts for as long as it took to come, because a starved timer fires rarely; a machine that
+// stood still looks the same for the first half second after. With these, one firing that is seconds
 // late is forgotten within 700 ms.
 const (
 	delayMost   = 120 * time.Millisecond // that one firing counts
@@ -62,9 +59,7 @@
 // which checks every second, must see it twice before it sends callers elsewhere.
 const unreadyFor = 2500 * time.Millisecond
 
-// How long a stream waits after a piece. Chosen, not measured: an event costs
-// 26.1 µs of processor time with a gateway in between and 12.5 µs without,
-// nearly all of it in system calls (commit 87040e2).
+// How long a stream waits after a piece: what an event costs is nearly all system calls.
 const (
 	coalesceMin  = 40 * time.Millisecond  // whatever the gap between events
 	coalesceMax  = 100 * time.Millisecond // however long that gap may be
--- a/coordination/place/affinity.go
+++ b/coordination/place/affinity.go
@@ -59,10 +59,7 @@
 	return h.Sum64() | 1
 }
 
-// Prices of the parts of a choice, in tokens. Those of reading again lie between
-// measured ones: 20, and 40 with a bound of 25,000 (docs/design/platform.md,
-// commit 3c9399e; 30 and 40,000 were not played themselves). The others are chosen,
-// not measured.
+// Prices of the parts of a choice, in tokens.
 const (
 	againPrice   = 30     // each shared token on any server but the first of the order
 	againMost    = 40_000 // for all of them
@@ -72,8 +69,7 @@
 	farPrice     = 40     // another data hall
 )
 
-// orderDepth is how many servers of a prompt's order are ranked; the rest share
-// one rank. Chosen, not measured.
+// orderDepth is how many servers of a prompt's order are ranked; the rest share one rank.
 const orderDepth = 4
 
 // cheapest returns the cheapest candidate and the tokens that it has to read for
--- a/coordination/place/index.go
+++ b/coordination/place/index.go
@@ -12,15 +12,14 @@
 // This file defines the approximate index of which server's cache holds which
 // prompt blocks.
 
-// Sizes of the index: chosen, not measured.
+// Sizes of the index.
 const (
 	BlockBytes      = 512 // bytes of prompt that one block covers
 	MaxBlocks       = 64  // of one prompt that are looked at
 	serversPerBlock = 3   // that are remembered
 )
 
-// doubtfulPart is the part that is left of a benefit when the server's events
-// had a gap: chosen, not measured.
+// doubtfulPart is the part that is left of a benefit when the server's events had a gap.
 const doubtfulPart = 0.5
 
 // Block is the hash of a prompt's prefix up to some block's end.
--- a/coordination/place/link.go
+++ b/coordination/place/link.go
@@ -20,14 +20,13 @@
 // direction needs the other region's use, which comes late. One bucket for both directions
 // (kept) wastes what answers do not need of the one and requests of the other.
 
-// DefaultLinkRate is the capacity of the link between two regions one way, in bytes a second,
-// where the settings name none: 50 Mbit/s. Chosen, not measured.
+// DefaultLinkRate is the capacity of the link between two regions one way, in bytes a second, where
+// the settings name none: 50 Mbit/s.
 const DefaultLinkRate = 50e6 / 8
 
-// Parts of the capacity. Chosen, not measured: own messages need 50 KB/s between two regions
-// (docs/CAPACITY.md), 0.008 of the default, and the whole lists after a loss of power; a
-// direction carries one region's requests and the other's answers, so
-// each region may use half of what is left.
+// Parts of the capacity. Own messages need 50 KB/s between two regions (docs/CAPACITY.md), 0.008 of
+// the default, and the whole lists after a loss of power; a direction carries one region's requests
+// and the other's answers, so each region may use half of what is left.
 const (
 	ownMessagesPart = 0.3  // of the capacity, for the fleet's own messages
 	regionPart      = 0.5  // of the rest, for the requests of one region
@@ -37,7 +36,7 @@
 	smallestBurst   = 32e3 // bytes that a bucket holds at least: a few requests
 )
 
-// The way to another region. Chosen, not measured.
+// The way to another region.
 const (
 	// AssumedWay is the round trip to another region until one is learned: twice the 30 ms
 	// that regions of one country lie apart.
--- a/coordination/place/ranks.go
+++ b/coordination/place/ranks.go
@@ -23,7 +23,7 @@
 // servers, so few are kept when they come again); a ring (arcs differ, so that some servers are first
 // for many times as many prompts as others); an order of groups and of the servers in each (kept).
 
-// Sizes of the order. All are chosen, not measured.
+// Sizes of the order.
 const (
 	groups    = 128 // of servers, in each of which about as many are: 78 of 10,000
 	ranksKept = 64  // first servers of an order: what one prompt's requests need when they are many
@@ -92,7 +92,7 @@
 	return ids
 }
 
-// Width of a prompt's servers in a large pool. All are chosen, not measured.
+// Width of a prompt's servers in a large pool.
 const (
 	busyWait  = 0.125 // of the objective: the wait for the prompts in front from which a server is busy
 	busySlots = 0.75  // of its slots, the same
--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -30,8 +30,7 @@
 	extraPerSlot = 0.75
 )
 
-// Weights of one answer in refusing: chosen, not measured. One refusal counts as
-// much as 25 answers.
+// Weights of one answer in refusing: One refusal counts as much as 25 answers.
 const (
 	refusalWeight = 0.05  // of a refusal
 	answerWeight  = 0.002 // of an answer
@@ -48,7 +47,7 @@
 	plainExpected  = 50.0  // ms that a plain service is expected to need
 )
 
-// Division of a server's connections among gateways: chosen, not measured.
+// Division of a server's connections among gateways.
 const (
 	connectionsUsed   = 0.9 // part of them; the rest is reserve
 	fewestConnections = 2   // of each gateway, even if the sum is too large then
@@ -182,7 +181,7 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// Parameters of a server's pace: chosen, not measured.
+// Parameters of a server's pace.
 const (
 	paceWeight   = 0.1 // of one answer
 	fewestPaces  = 4   // answers before a pace counts
--- a/coordination/place/roomplacer.go
+++ b/coordination/place/roomplacer.go
@@ -50,9 +50,9 @@
 	Lost      int  // requests in a row, from this gateway
 }
 
-// MaxOthersAge is the age from which the report of other gateways' work is not
-// counted, so that a gateway that is cut off from the directory goes by its own
-// work alone. Chosen, not measured; reports come every 100 to 600 ms.
+// MaxOthersAge is the age from which the report of other gateways' work is not counted, so that a
+// gateway that is cut off from the directory goes by its own work alone. Reports come every 100 to 600
+// ms.
 const MaxOthersAge = 4 * time.Second
 
 // fromAll returns what runs on the server from all gateways, without the others
@@ -84,8 +84,8 @@
 // that has room, if any has.
 //
 // An engine is returned whether it has room or not, and others that have room are not taken
-// instead. That was tried (0.264 on a day that had 0.555 before, commit 3c9399e): what is
-// read again takes room from others, so that ever more requests leave their first engine.
+// instead: what is read again takes room from others, so that ever more requests leave their first
+// engine.
 func (p *RoomPlacer) Choose(r Request, servers []Server) Choice {
 	found, _ := candidates(r, servers)
 	return p.choose(r, found)
--- a/coordination/place/slotplacer.go
+++ b/coordination/place/slotplacer.go
@@ -29,13 +29,13 @@
 	At      time.Duration // when the report was made, by this router's clock
 }
 
-// Weights of the parts of a price, in blocks of prompt: chosen, not measured.
+// Weights of the parts of a price, in blocks of prompt.
 const (
 	queuePrice      = 8.0 // one request per slot in front
 	preferenceBonus = 0.5 // the rendezvous choice, enough to break ties
 )
 
-// loadHalfLife is the age at which a report counts half: chosen, not measured.
+// loadHalfLife is the age at which a report counts half.
 const loadHalfLife = time.Second
 
 // SlotPlacer chooses servers of one pool.
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -17,14 +17,13 @@
 	// mostEnds is the number of ends from which a request is condemned though another one was at
 	// all of them as well: three later than the third is what the fleet's users bear.
 	mostEnds = 6
-	// memory is how long an end counts. Chosen, not measured: a request that comes so rarely ends
-	// a server in five minutes.
+	// memory is how long an end counts. A request that comes so rarely ends a server in five minutes.
 	memory = 10 * time.Minute
-	// sameEnd is how far apart the ends of one server are that count as one: different gateways
-	// see it at different times. Chosen, not measured: below the time in which a server starts.
+	// sameEnd is how far apart the ends of one server are that count as one: different gateways see it
+	// at different times. Below the time in which a server starts.
 	sameEnd = time.Second
-	// apart is the least time between two ends of which the second one's run counts as begun
-	// after the first. Chosen, not measured: what reports of gateways differ by.
+	// apart is the least time between two ends of which the second one's run counts as begun after the
+	// first. What reports of gateways differ by.
 	apart = 25 * time.Millisecond
 	// Settle is how long after an end no request is condemned for it, in a fleet of one region:
 	// two periods of reports, in which all that ran there is known, and one in which gateways
@@ -33,15 +32,14 @@
 	// SettleFar is Settle where reports pass a relay, which holds them for up to 300 ms and is
 	// 30 ms away.
 	SettleFar = 700 * time.Millisecond
-	// mostSuspects bounds the suspects. Chosen, not measured: the places of 16 large engines.
+	// mostSuspects bounds the suspects. The places of 16 large engines.
 	mostSuspects = 1024
-	// mostOfAccount bounds those of one account. Chosen, not measured: the places of two.
+	// mostOfAccount bounds those of one account. The places of two.
 	mostOfAccount = 128
-	// mostEnded is the number of servers whose ends are kept. Chosen, not measured: a data hall's
-	// of the largest fleet.
+	// mostEnded is the number of servers whose ends are kept. A data hall's of the largest fleet.
 	mostEnded = 4096
-	// mostOfServer is how many ends of one of them are kept, the newest. Chosen, not measured: more
-	// than a request is condemned for.
+	// mostOfServer is how many ends of one of them are kept, the newest. More than a request is
+	// condemned for.
 	mostOfServer = 16
 )
 
--- a/coordination/quarantine/list.go
+++ b/coordination/quarantine/list.go
@@ -92,8 +92,8 @@
 // shares them with another one.
 func (e Entry) Undecided() bool { return !e.Condemned && e.Ends >= fewestEnds }
 
-// Decision is how long a request that is undecided waits for what becomes of it. Chosen, not
-// measured: Settle, and the messages before and after it.
+// Decision is how long a request that is undecided waits for what becomes of it. Settle, and the
+// messages before and after it.
 const Decision = Settle + 100*time.Millisecond
 
 // MayTryAgain reports whether a request whose attempt has just been lost may be tried once more:
--- a/coordination/quarantine/verdict.go
+++ b/coordination/quarantine/verdict.go
@@ -16,14 +16,13 @@
 	// five pools whose servers ended by themselves, each up to every 10 s, none was condemned
 	// (TestChanceOfInnocents); with 1e-6 for the product of the chances alone one was.
 	chanceAllowed = 1e-6
-	// shortestRun is the least time that a run counts as. Chosen, not measured: servers do not
-	// end at a rate that is known for shorter times.
+	// shortestRun is the least time that a run counts as. Servers do not end at a rate that is known
+	// for shorter times.
 	shortestRun = 100 * time.Millisecond
 	// longRate is the time over which the rate is taken at which servers end by themselves now and
-	// then. Chosen, not measured.
+	// then.
 	longRate = time.Minute
-	// shortRate is the time over which a series of them shows that has just begun. Chosen, not
-	// measured.
+	// shortRate is the time over which a series of them shows that has just begun.
 	shortRate = 10 * time.Second
 )
 
--- a/coordination/registry/cold.go
+++ b/coordination/registry/cold.go
@@ -13,13 +13,11 @@
 
 // This file defines which backend servers are cold, and who may send to them meanwhile.
 
-// longestCold bounds what an announcement may say. Chosen, not measured: a model is loaded
-// in minutes.
+// longestCold bounds what an announcement may say. A model is loaded in minutes.
 const longestCold = time.Hour
 
-// coldJitter is by how much later the end of a cold time may be announced than before
-// without being another one: the network and the announcer's own delay. Chosen, not
-// measured.
+// coldJitter is by how much later the end of a cold time may be announced than before without being
+// another one: the network and the announcer's own delay.
 const coldJitter = 500 * time.Millisecond
 
 // suspectFor is how long a backend server whose hall was put back into service counts as
--- a/coordination/registry/copy.go
+++ b/coordination/registry/copy.go
@@ -15,9 +15,9 @@
 // A copy outlives its leader. When the next one sends its whole list, the gateways are passed only
 // what differs: their servers have the same handles, which are this replica's own.
 
-// goneKept is the number of newest departures that a copy keeps for those who are sent all of
-// it: a list that is not complete does not show what must be dropped. Chosen, not measured: as
-// many as the leader sends itself (listedDepartures of package directory).
+// goneKept is the number of newest departures that a copy keeps for those who are sent all of it: a
+// list that is not complete does not show what must be dropped. As many as the leader sends itself
+// (listedDepartures of package directory).
 const goneKept = 256
 
 // Copy is the list of backend servers as leaders have sent it.
--- a/coordination/registry/feed.go
+++ b/coordination/registry/feed.go
@@ -16,8 +16,8 @@
 // loadBytes is the size of one sum in a Fleet message.
 const loadBytes = 10
 
-// requestWeight is what a request more or less counts against tokens that are more or
-// less, when not all that has changed fits. Chosen, not measured: a short prompt.
+// requestWeight is what a request more or less counts against tokens that are more or less, when not
+// all that has changed fits. A short prompt.
 const requestWeight = 500
 
 // Feed is what the gateways were sent of the sums. All are sent the same: a message for
--- a/coordination/registry/listpace.go
+++ b/coordination/registry/listpace.go
@@ -15,18 +15,18 @@
 // pace that leaves a part of the link to all else, whoever asks for them and whenever.
 
 const (
-	// listAhead is the time for which lists may be ahead of their pace: what comes behind them on
-	// the link waits for half of it, an eighth of a heartbeat's period and a sixteenth of an
-	// election timeout at 80 and 400 ms. Chosen, not measured.
+	// listAhead is the time for which lists may be ahead of their pace: what comes behind them on the
+	// link waits for half of it, an eighth of a heartbeat's period and a sixteenth of an election
+	// timeout at 80 and 400 ms.
 	listAhead = 20 * time.Millisecond
 	// changesAhead is the same for changes of lists, which go to all sessions at once, each period of
 	// Fleet messages: in smaller pieces they are as many bytes and more messages, and the loop of a
-	// leader of 985 sessions that sent some each 10 ms was 109 ms late. A heartbeat waits for half of it
-	// at the most. Chosen, not measured.
+	// leader of 985 sessions that sent some each 10 ms was 109 ms late. A heartbeat waits for half of
+	// it at the most.
 	changesAhead = FleetPeriod
 )
 
-// Measuring the size of an entry. Chosen, not measured.
+// Measuring the size of an entry.
 const (
 	entriesMeasured = 10 // servers in a message at the least: in a smaller one the rest of it counts too much
 	entrySpread     = 4  // it counts as between serverBytes divided and multiplied by this
--- a/coordination/registry/lives.go
+++ b/coordination/registry/lives.go
@@ -15,9 +15,8 @@
 // step back between two lives, so an earlier start counts as late only while the later life is
 // alive, or once it has been succeeded here.
 
-// succeededKept is the number of earlier lives that are remembered: a late announcement of one
-// changes nothing, also when the later life has gone. Chosen, not measured: all servers of a data
-// hall that start again.
+// succeededKept is the number of earlier lives that are remembered: a late announcement of one changes
+// nothing, also when the later life has gone. All servers of a data hall that start again.
 const succeededKept = 4096
 
 // sameName reports whether two identifiers are of lives of one server.
--- a/coordination/registry/pace.go
+++ b/coordination/registry/pace.go
@@ -13,8 +13,7 @@
 // it only together with its other changes.
 const ReportPeriod = 100 * time.Millisecond
 
-// FleetPeriod is the shortest time between two Fleet messages on one link. Chosen,
-// not measured.
+// FleetPeriod is the shortest time between two Fleet messages on one link.
 const FleetPeriod = 100 * time.Millisecond
 
 const (
@@ -34,8 +33,8 @@
 	// together a gateway's part falls with the fleet, 1,064 B/s at 985 of them, and does not rise
 	// with the replicas.
 	senderTotal = 256 << 10
-	// fleetLinkPart is the part of a box's link that Fleet messages may have. Chosen, not measured:
-	// they are one of several kinds.
+	// fleetLinkPart is the part of a box's link that Fleet messages may have. They are one of several
+	// kinds.
 	fleetLinkPart = 0.1
 )
 
@@ -59,10 +58,10 @@
 // above fleetLongest, not measured.
 const SilenceLimit = time.Second
 
-// ReportSilence is the silence of a gateway after which the leader ends its session, so
-// that what it reported last does not count for ever. A gateway whose connection fell
-// silent has left it after SilenceLimit and opened another. Chosen, not measured: 30
-// reports, so that one that only is late is rarely sent the whole list again.
+// ReportSilence is the silence of a gateway after which the leader ends its session, so that what it
+// reported last does not count for ever. A gateway whose connection fell silent has left it after
+// SilenceLimit and opened another. 30 reports, so that one that only is late is rarely sent the whole
+// list again.
 const ReportSilence = 3 * time.Second
 
 // ofLink is the bytes a second of Fleet messages on one of some links that share the budget.
@@ -88,9 +87,9 @@
 // leader was there in 0.46 s, but gateways whose pause had grown found it 0.3 to 0.7 s
 // later: so the pause stays short for as long as an election or two take.
 const (
-	redialPause   = 50 * time.Millisecond  // at first; chosen, not measured
-	redialLongest = 300 * time.Millisecond // later; chosen, not measured
-	redialsAtOnce = 60                     // redials before the pause grows; chosen, not measured
+	redialPause   = 50 * time.Millisecond  // at first
+	redialLongest = 300 * time.Millisecond // later
+	redialsAtOnce = 60                     // redials before the pause grows
 )
 
 // RedialPause returns how long a gateway waits after that many failures in a row to
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -131,23 +131,22 @@
 	cold     coldness
 }
 
-// completeAfter is how long a leader waits, in announcement intervals, before it
-// takes its list for complete: one announcement may be late and one lost. Chosen, not
-// measured.
+// completeAfter is how long a leader waits, in announcement intervals, before it takes its list for
+// complete: one announcement may be late and one lost.
 const completeAfter = 3
 
-// forgetAfter is the silence, in announcement intervals, after which a backend server
-// is forgotten. It is long because gateways see sooner whether the server answers;
-// this bound only keeps the table from growing. Chosen, not measured.
+// forgetAfter is the silence, in announcement intervals, after which a backend server is forgotten. It
+// is long because gateways see sooner whether the server answers; this bound only keeps the table from
+// growing.
 const forgetAfter = 40
 
 // Which of two backend servers has an address.
 const (
-	// firstNumbers are of a backend server that has just started: one announcement may
-	// have got no answer. Chosen, not measured.
+	// firstNumbers are of a backend server that has just started: one announcement may have got no
+	// answer.
 	firstNumbers = 2
-	// aliveFor is how long a backend server counts as alive after an announcement, in
-	// intervals: one may be late. Chosen, not measured.
+	// aliveFor is how long a backend server counts as alive after an announcement, in intervals: one
+	// may be late.
 	aliveFor = 2
 )
 
--- a/coordination/registry/spread.go
+++ b/coordination/registry/spread.go
@@ -13,13 +13,13 @@
 
 const (
 	// spreadFrom is how long the lists of all gateways may take a leader's link: a quarter of an
-	// election timeout. Chosen, not measured.
+	// election timeout.
 	spreadFrom = 100 * time.Millisecond
-	// spreadPart is the part of that below which sessions are gathered again: the number of those
-	// that come and go must not decide. Chosen, not measured.
+	// spreadPart is the part of that below which sessions are gathered again: the number of those that
+	// come and go must not decide.
 	spreadPart = 0.25
-	// spreadStays is for how long it must have been so. Chosen, not measured: longer than it takes
-	// a fleet that has lost power to come back.
+	// spreadStays is for how long it must have been so. Longer than it takes a fleet that has lost
+	// power to come back.
 	spreadStays = 5 * time.Minute
 	// serverBytes is a server's part of a list, in bytes (docs/CAPACITY.md).
 	serverBytes = 75
--- a/coordination/registry/sums.go
+++ b/coordination/registry/sums.go
@@ -13,7 +13,7 @@
 
 // This file defines Sums, the reports of several gateways as one, and its pace.
 
-// Pace of a relay's reports to the leader. All are chosen, not measured.
+// Pace of a relay's reports to the leader.
 const (
 	// sumBudget is the bytes a second of one relay's reports: with fleetBudget down, two relays
 	// of a region take two thirds of the 50 KB/s to which the fleet's own messages between two
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -15,8 +15,7 @@
 	saved float64
 }
 
-// DefaultBudget is the budget of one router: a tenth of the requests
-// (docs/design/outcomes.md). Both figures are chosen, not measured.
+// DefaultBudget is the budget of one router: a tenth of the requests (docs/design/outcomes.md).
 var DefaultBudget = Budget{Part: 0.1, Burst: 10}
 
 // Request counts a first attempt.
--- a/coordination/retry/patience.go
+++ b/coordination/retry/patience.go
@@ -26,21 +26,19 @@
 	// patienceBins is the number of waits that are told apart: to 1 part in 64 to 128 of the
 	// longest, under a half of the objectives seen.
 	patienceBins = 128
-	// patienceSpan is the time after which what was seen counts half. Chosen, not measured:
-	// longer than a flood's first seconds, in which few ask first, and short against the
-	// time in which callers' software changes.
+	// patienceSpan is the time after which what was seen counts half. Longer than a flood's first
+	// seconds, in which few ask first, and short against the time in which callers' software changes.
 	patienceSpan = 10 * time.Second
-	// fewestFirst is how many must have asked first before anything is told from them. Of
-	// 16 a gateway that few callers reach learned nothing in 15 s. Chosen, not measured.
+	// fewestFirst is how many must have asked first before anything is told from them. Of 16 a gateway
+	// that few callers reach learned nothing in 15 s.
 	fewestFirst = 6
 	// unseenRanges is how many times the part of the range that n waits leave unseen on
 	// average, 1/(n+1), is not certain. Chosen: with 1.5 a
 	// twenty-fifth of first requests count as come back where eight of a half were seen, with
 	// this under a fiftieth (TestFewCallersTellLittle).
 	unseenRanges = 2.5
-	// nearPart is how far around a wait, as a part of it, others count as like it: few
-	// samples leave holes. What a quarter of the time told leaves is further. Chosen, not
-	// measured.
+	// nearPart is how far around a wait, as a part of it, others count as like it: few samples leave
+	// holes. What a quarter of the time told leaves is further.
 	nearPart = 0.05
 	// heldPart is the part of those that ask first that a wait must have near it to be one
 	// with which callers ask first: some of accounts within their shares come back as well.
--- a/coordination/retry/policy.go
+++ b/coordination/retry/policy.go
@@ -12,12 +12,10 @@
 
 // Bounds of the attempts of one request, besides its route's.
 const (
-	// maxArrived bounds arrivals, so that servers that refuse everything do
-	// not multiply the load. Chosen, not measured.
+	// maxArrived bounds arrivals, so that servers that refuse everything do not multiply the load.
 	maxArrived = 3
-	// MaxBegun bounds all attempts: without it, a request whose only server
-	// refused connections was sent 3,000 times in 3 s
-	// (TestOnlyBackendIsUnreachable). The value is chosen, not measured.
+	// MaxBegun bounds all attempts: without it, a request whose only server refused connections was
+	// sent 3,000 times in 3 s (TestOnlyBackendIsUnreachable).
 	MaxBegun = 5
 )
 
--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -15,14 +15,13 @@
 
 // Bounds of the wait for a server, from the arrival on.
 const (
-	// beyondPart is the part of the objective that a request beyond its account's share
-	// waits: it finds room at once or only once others have gone. Chosen, not measured.
+	// beyondPart is the part of the objective that a request beyond its account's share waits: it
+	// finds room at once or only once others have gone.
 	beyondPart = 0.1
-	// reserve is the part of the objective that is kept for what delays a request after
-	// its wait: the server's own queue, the network. Chosen, not measured.
+	// reserve is the part of the objective that is kept for what delays a request after its wait: the
+	// server's own queue, the network.
 	reserve = 0.3
 	// lastWait bounds the wait where the objective cannot be kept, or there is none.
-	// Chosen, not measured.
 	lastWait = time.Second
 )
 
@@ -55,8 +54,8 @@
 	return min(most-w.Waited, w.Left)
 }
 
-// surePart is the part of the expected time to an answer below which there will be none: a
-// server may be twice as fast as expected. Chosen, not measured.
+// surePart is the part of the expected time to an answer below which there will be none: a server may
+// be twice as fast as expected.
 const surePart = 0.5
 
 // CanEnd reports whether the request may still get an answer before its deadline. What
@@ -118,8 +117,7 @@
 	return Share{Left: left}.After(random)
 }
 
-// Times after which a server that sends nothing is given up. Chosen, not
-// measured.
+// Times after which a server that sends nothing is given up.
 const (
 	stallObjectives = 2.5                    // before the first part of an answer, in the route's objective
 	stallGaps       = 4.0                    // between two parts, in the route's longest gap between events
--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -13,9 +13,8 @@
 	Window time.Duration // over which both hold
 }
 
-// AssumedGateways is the number of gateways before the directory has reported
-// one: many, so that an unconnected gateway takes a small part of the extra.
-// Chosen, not measured.
+// AssumedGateways is the number of gateways before the directory has reported one: many, so that an
+// unconnected gateway takes a small part of the extra.
 const AssumedGateways = 16
 
 // safety is the part of the allowance that is used: the windows of gateways and
--- a/coordination/rollout/doc.go
+++ b/coordination/rollout/doc.go
@@ -16,7 +16,7 @@
 
 // This file defines Bounds.
 
-// Bounds of deployments that state neither a share nor requests besides. Chosen, not measured.
+// Bounds of deployments that state neither a share nor requests besides.
 const (
 	DefaultShare = 0.1 // of a pool's requests
 	DefaultSlack = 50  // requests
--- a/coordination/rollout/evidence.go
+++ b/coordination/rollout/evidence.go
@@ -70,29 +70,28 @@
 	// alarm is the sum at which a version is bad, ln(1/error) with an error of 1 in 99,000 for
 	// each of the sums, of which a rollout has some dozens.
 	alarm = 11.5
-	// leastBad is the least part of bad answers that the old version is taken to have: an excess
-	// over none at all would make one failure a verdict. Chosen, not measured.
+	// leastBad is the least part of bad answers that the old version is taken to have: an excess over
+	// none at all would make one failure a verdict.
 	leastBad = 0.005
-	// leastBadAlone is the same where the old version gets nothing any more, so that trouble
-	// that hits all is less easily taken for the version's. Chosen, not measured.
+	// leastBadAlone is the same where the old version gets nothing any more, so that trouble that hits
+	// all is less easily taken for the version's.
 	leastBadAlone = 0.02
-	// leastSlow is the least part of slow answers that the old version is taken to have: their
-	// bound is drawn from its own answers, which may be few. Chosen, not measured.
+	// leastSlow is the least part of slow answers that the old version is taken to have: their bound
+	// is drawn from its own answers, which may be few.
 	leastSlow = 0.05
-	// mostBad is the largest part of bad answers that it is taken to have: from 1 on there would
-	// be no excess. Chosen, not measured.
+	// mostBad is the largest part of bad answers that it is taken to have: from 1 on there would be no
+	// excess.
 	mostBad = 0.95
-	// recentPrior is the weight of all the old version's answers in the averages over
-	// recentTimes, in answers. Chosen, not measured.
+	// recentPrior is the weight of all the old version's answers in the averages over recentTimes, in
+	// answers.
 	recentPrior = 4.0
 	// usualPart is the part of the old version's answers that may be slower than usual.
-	// Chosen, not measured.
 	usualPart = 0.05
 	// slowMargin is the number of half octaves between the pace that usualPart gives and the one
 	// above which an answer is slow. With 1, 3 times slower was seen in 56 instead of 74 of 80
 	// rollouts at 10 requests a second (docs/DECISIONS.md).
 	slowMargin = 0
-	// fewestOld is from how many paces on the old version's are known. Chosen, not measured.
+	// fewestOld is from how many paces on the old version's are known.
 	fewestOld = 20
 )
 
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -42,8 +42,7 @@
 	Duration time.Duration // from the order to the deadline
 }
 
-// longestRollout bounds the time of an order. Chosen, not measured: what is to take longer is
-// a mistake of the unit.
+// longestRollout bounds the time of an order. What is to take longer is a mistake of the unit.
 const longestRollout = 30 * 24 * time.Hour
 
 // InvalidOrder refuses an order. Nothing was changed.
@@ -88,7 +87,7 @@
 	return "unknown"
 }
 
-// Windows. Both are chosen, not measured.
+// Windows.
 const (
 	// DefaultWindow is for deployments that state none.
 	DefaultWindow = 5 * time.Second
--- a/coordination/rollout/schedule.go
+++ b/coordination/rollout/schedule.go
@@ -25,12 +25,12 @@
 	completePart = 0.88
 )
 
-// fullTime is for how long the target must have had all requests before a rollout is complete:
-// what only all of them show is seen in some 100 ms. Chosen, not measured.
+// fullTime is for how long the target must have had all requests before a rollout is complete: what
+// only all of them show is seen in some 100 ms.
 const fullTime = time.Second
 
-// fullOfRest is the same as a part of what is left until the deadline at the switch, where that
-// is less. Chosen, not measured.
+// fullOfRest is the same as a part of what is left until the deadline at the switch, where that is
+// less.
 const fullOfRest = 0.5
 
 // stopTime is how long it takes from a switch until the leader has seen that the target is bad
@@ -40,13 +40,12 @@
 
 // The trial.
 const (
-	// trialOfBound is the share in the trial, as a part of Bounds.Share: 0.04 of 0.1. Chosen, not
-	// measured.
+	// trialOfBound is the share in the trial, as a part of Bounds.Share: 0.04 of 0.1.
 	trialOfBound = 0.4
-	// leastOfBound is the least share, as a part of Bounds.Share. Chosen, not measured.
+	// leastOfBound is the least share, as a part of Bounds.Share.
 	leastOfBound = 0.2
-	// mostShare is the most, where few requests come, so that the old version gets as many to
-	// compare with. Chosen, not measured.
+	// mostShare is the most, where few requests come, so that the old version gets as many to compare
+	// with.
 	mostShare = 0.5
 	// enoughSent is how many requests in a trial are enough on each route: 5 % of failures are
 	// seen in 150 to 300 answers (TestBadVersions).
@@ -54,8 +53,7 @@
 	// neededSent is how many requests on each route a trial gets even if no reserve is left for
 	// what only the switch shows: without evidence the switch is the larger risk.
 	neededSent = 17
-	// usedBudget is the part of what the bound allows that a trial plans to use. Chosen, not
-	// measured.
+	// usedBudget is the part of what the bound allows that a trial plans to use.
 	usedBudget = 0.85
 	// enoughKnown is how many good answers make a route good: after 16 without a failure one
 	// that fails 20 % of them is out of the question by 35 to 1.
@@ -68,19 +66,17 @@
 	// fewestKnown is how many answers on a route are enough at the latest moment: with 8, 7 of
 	// 2,000 good versions were rolled back (docs/design/rollouts.md).
 	fewestKnown = 4
-	// fewestPart is the part of a route's requests whose answers are enough then, if that is less
-	// than fewestKnown. Chosen, not measured.
+	// fewestPart is the part of a route's requests whose answers are enough then, if that is less than
+	// fewestKnown.
 	fewestPart = 0.1
-	// leastUsed is the part of all requests that the target must have had from the switch on. In
-	// the least time until the end, the switch reaches gateways and is reported for some half of
-	// them. Chosen, not measured.
+	// leastUsed is the part of all requests that the target must have had from the switch on. In the
+	// least time until the end, the switch reaches gateways and is reported for some half of them.
 	leastUsed = 0.1
-	// rareSent is the number of requests up to which a route may stay untried. Chosen, not
-	// measured.
+	// rareSent is the number of requests up to which a route may stay untried.
 	rareSent = 10
 )
 
-// The rate of requests. Chosen, not measured.
+// The rate of requests.
 const (
 	// rateTime is over how long it is averaged.
 	rateTime = time.Second
@@ -124,8 +120,8 @@
 	Of      uint64 // requests of the pool
 }
 
-// hardly is the part by which a share may differ from the one that gateways were sent before
-// they are sent another: every message goes to every gateway. Chosen, not measured.
+// hardly is the part by which a share may differ from the one that gateways were sent before they are
+// sent another: every message goes to every gateway.
 const hardly = 0.2
 
 // Differs reports whether gateways have to be sent d's shares in place of those of before.
--- a/coordination/share/cost.go
+++ b/coordination/share/cost.go
@@ -25,9 +25,8 @@
 	Second  float64 // per second of a plain service
 }
 
-// DefaultWeights count a prompt token as a quarter of a generated one, as
-// prompts are computed in parallel, and a cached one as a fortieth. Output and
-// Second define the unit; the others are chosen, not measured.
+// DefaultWeights count a prompt token as a quarter of a generated one, as prompts are computed in
+// parallel, and a cached one as a fortieth. Output and Second define the unit.
 var DefaultWeights = Weights{Input: 0.25, Cached: 0.025, Output: 1, Request: 1, Second: 1000}
 
 // Cost returns the cost of u.
@@ -45,8 +44,8 @@
 
 type estimateKey struct{ account, class string }
 
-// estimateGain is the weight of the newest request in the running mean, so
-// that it follows about the last ten. Chosen, not measured.
+// estimateGain is the weight of the newest request in the running mean, so that it follows about the
+// last ten.
 const estimateGain = 0.1
 
 // NewEstimator returns an estimator that answers initial, in units of cost,
--- a/coordination/share/flow.go
+++ b/coordination/share/flow.go
@@ -11,8 +11,8 @@
 // This file defines flows, the first-in first-out lists of one user's requests
 // inside an account.
 
-// maxFlows bounds the idle flows that one account is remembered for: users are
-// named by callers, who may name any number. Chosen, not measured.
+// maxFlows bounds the idle flows that one account is remembered for: users are named by callers, who
+// may name any number.
 const maxFlows = 1024
 
 // flow is the waiting requests of one user or class of an account.
--- a/coordination/share/report.go
+++ b/coordination/share/report.go
@@ -74,9 +74,8 @@
 	}
 }
 
-// serviceStep is how many steps of reported service make a unit of cost:
-// coarse values encode in five bytes instead of nine. What the rounding leaves
-// goes with the next report. The value is chosen, not measured.
+// serviceStep is how many steps of reported service make a unit of cost: coarse values encode in five
+// bytes instead of nine. What the rounding leaves goes with the next report.
 const serviceStep = 8
 
 // TakeChanges returns what happened since the previous call, in the order of
--- a/coordination/slots/account.go
+++ b/coordination/slots/account.go
@@ -53,8 +53,7 @@
 // costMean is the running mean of what a request costs.
 type costMean struct{ service, started float64 }
 
-// costMemory is the number of requests that the mean remembers. Chosen, not
-// measured.
+// costMemory is the number of requests that the mean remembers.
 const costMemory = 64
 
 func (m *costMean) add(service float64, started int) {
@@ -109,8 +108,7 @@
 	p.lift = max(p.lift, lift)
 }
 
-// The rate by which routers extrapolate the floor between two views. Both
-// figures are chosen, not measured.
+// The rate by which routers extrapolate the floor between two views.
 const (
 	rateInterval = 100 * time.Millisecond // least time between two measurements
 	rateGain     = 0.2                    // weight of the newest measurement
@@ -126,8 +124,7 @@
 	p.rateFloor, p.rateAt = p.floor, now
 }
 
-// slackTime is how much of the floor's rise is added to the slack. Chosen, not
-// measured.
+// slackTime is how much of the floor's rise is added to the slack.
 const slackTime = 200 * time.Millisecond
 
 // slack is how far above the floor a slot may be used again, in virtual time:
--- a/coordination/slots/decide.go
+++ b/coordination/slots/decide.go
@@ -21,10 +21,9 @@
 	Return               // give the slot back
 )
 
-// ViewLife is how long a router acts on a view of the fleet. An older one is
-// ignored: a slot in use is better than a slot returned with no allocator to
-// grant it. The fairness bound counts on views being at most that old. Chosen,
-// not measured.
+// ViewLife is how long a router acts on a view of the fleet. An older one is ignored: a slot in use is
+// better than a slot returned with no allocator to grant it. The fairness bound counts on views being
+// at most that old.
 const ViewLife = time.Second
 
 // FleetView is what the allocator last sent of one pool. The zero value is a
--- a/coordination/slots/grant.go
+++ b/coordination/slots/grant.go
@@ -12,15 +12,13 @@
 // behind first, at the router where most of its work waits, on the server with
 // the largest free part.
 
-// TurnGap is the shortest time between two allocations: what arrives in
-// between is taken together, since an allocation looks at every session and the
-// allocator's work would grow with the square of the fleet (BenchmarkScale).
-// The value is chosen, not measured.
+// TurnGap is the shortest time between two allocations: what arrives in between is taken together,
+// since an allocation looks at every session and the allocator's work would grow with the square of
+// the fleet (BenchmarkScale).
 const TurnGap = time.Millisecond
 
-// candidatesLooked is how many routers, and how many servers, a grant is chosen
-// among: other ones each time, so that its cost does not grow with the fleet.
-// Chosen, not measured.
+// candidatesLooked is how many routers, and how many servers, a grant is chosen among: other ones each
+// time, so that its cost does not grow with the fleet.
 const candidatesLooked = 8
 
 // grant is one slot on its way to a router for the work of an account.
--- a/coordination/slots/pacer.go
+++ b/coordination/slots/pacer.go
@@ -24,15 +24,11 @@
 
 // DefaultPace sends what is urgent every 5 ms and the rest every 250 ms, and
 // stretches that under 2,000 bytes a second.
-//
-// Short was measured against 2 ms and Long against 500 ms (BenchmarkFleet/linen;
-// docs/design/fair-sharing.md): 5 ms gave a smaller gap for the same bytes,
-// 500 ms a p99 nearly twice as long for a tenth fewer bytes. Budget was set as
-// a goal, which by that page is missed; Burst is chosen, not measured.
+// BenchmarkFleet/linen compares paces (docs/design/fair-sharing.md).
 var DefaultPace = Pace{Short: 5 * time.Millisecond, Long: 250 * time.Millisecond, Budget: 2000, Burst: 4000}
 
-// StretchMost is how many times its usual gap a full message may be late: 1 s
-// at DefaultPace, which is [ViewLife]. Chosen, not measured.
+// StretchMost is how many times its usual gap a full message may be late: 1 s at DefaultPace, which is
+// [ViewLife].
 const StretchMost = 4
 
 // Pacer decides when a coalesced message may go. The zero value sends at
--- a/coordination/slots/recall.go
+++ b/coordination/slots/recall.go
@@ -7,8 +7,8 @@
 // This file defines the rule which slots are recalled from routers, and when a
 // pool counts as short of slots.
 
-// recallLife is how long the allocator counts on a recall. A slot in use may
-// take longer to come back, and is used then too. Chosen, not measured.
+// recallLife is how long the allocator counts on a recall. A slot in use may take longer to come back,
+// and is used then too.
 const recallLife = time.Second
 
 // recall recalls slots that work elsewhere waits for: free ones that routers
--- a/coordination/slots/report.go
+++ b/coordination/slots/report.go
@@ -11,12 +11,11 @@
 
 // This file defines how the reports of routers go into the allocator's tables.
 
-// suspectFor is how long a router is not given slots of a backend server
-// that it could not reach. Chosen, not measured.
+// suspectFor is how long a router is not given slots of a backend server that it could not reach.
 const suspectFor = 2 * time.Second
 
-// maxService bounds the service of one report, in units of cost: more than any
-// router can do between two. Chosen, not measured.
+// maxService bounds the service of one report, in units of cost: more than any router can do between
+// two.
 const maxService = 1e12
 
 // Report takes what happened at a router. A report of an unlinked session is
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -34,11 +34,10 @@
 	Failure int
 }
 
-// DefaultBudget is for a box with a small part of a core: at most about 30 KB a
-// second. Chosen, not measured.
+// DefaultBudget is for a box with a small part of a core: at most about 30 KB a second.
 var DefaultBudget = Budget{Routine: 20, Failure: 80}
 
-// Bounds of the memory and of the writes. Chosen, not measured.
+// Bounds of the memory and of the writes.
 const (
 	queueDepth = 1024        // lines: ten seconds of the default budget
 	maxLine    = 4096        // bytes; a longer line is dropped
--- a/decision/explain.go
+++ b/decision/explain.go
@@ -27,11 +27,10 @@
 }
 
 // leadTime is how long before a request's first line changes of state are shown.
-// Chosen, not measured.
 const leadTime = 10 * time.Second
 
-// maxScan bounds a line of a log that is read, in bytes. Longer than maxLine,
-// since files may hold lines of other programs. Chosen, not measured.
+// maxScan bounds a line of a log that is read, in bytes. Longer than maxLine, since files may hold
+// lines of other programs.
 const maxScan = 1 << 20
 
 // meanings explain the cause of a refusal and name what to look at next.
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -148,8 +148,7 @@
 	return nil
 }
 
-// leaderPoll is the pause between two requests for the status; chosen, not
-// measured.
+// leaderPoll is the pause between two requests for the status.
 const leaderPoll = 50 * time.Millisecond
 
 func awaitLeader(ctx context.Context, c operatorv1connect.OperatorServiceClient) error {
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -33,19 +33,18 @@
 // of them behind the link, would else take 150 KB/s of it.
 
 const (
-	// batchPause is how long announcements are gathered: short against the second within
-	// which a backend server wants its answer. Chosen, not measured.
+	// batchPause is how long announcements are gathered: short against the second within which a
+	// backend server wants its answer.
 	batchPause = 20 * time.Millisecond
-	// batchMost is the number of announcements in one message. Chosen, not measured: 100 B
-	// each, 50 KB.
+	// batchMost is the number of announcements in one message. 100 B each, 50 KB.
 	batchMost = 512
-	// waitingMost is the number of announcements that may wait; beyond it they are refused.
-	// Chosen, not measured: a replica's part of 10,000 backend servers, several times.
+	// waitingMost is the number of announcements that may wait; beyond it they are refused. A
+	// replica's part of 10,000 backend servers, several times.
 	waitingMost = 8192
-	// announceSilence ends a link to the leader that answers nothing. Chosen, not measured:
-	// within the time that a backend server waits.
+	// announceSilence ends a link to the leader that answers nothing. Within the time that a backend
+	// server waits.
 	announceSilence = 800 * time.Millisecond
-	// announceIdle ends one at the leader on which nothing came. Chosen, not measured.
+	// announceIdle ends one at the leader on which nothing came.
 	announceIdle = 30 * time.Second
 )
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -273,8 +273,8 @@
 // Err returns why, after Done.
 func (d *Directory) Err() error { return d.replica.Err() }
 
-// handoverElections bounds, in election timeouts, how long a stop waits for a
-// successor: when no other replica runs, none will come. Chosen, not measured.
+// handoverElections bounds, in election timeouts, how long a stop waits for a successor: when no other
+// replica runs, none will come.
 const handoverElections = 3
 
 // Stop hands the leadership over, if another replica can take it, and stops.
--- a/directory/halls.go
+++ b/directory/halls.go
@@ -16,7 +16,7 @@
 
 // This file defines the orders that take a data hall out of service or put it back.
 
-// maxHallName bounds a hall's name, in bytes. Chosen, not measured.
+// maxHallName bounds a hall's name, in bytes.
 const maxHallName = 255
 
 // UnknownHall refuses an order for a data hall that neither the settings name nor any
@@ -54,8 +54,8 @@
 	return out, err
 }
 
-// orderTries is how often an order is decided on anew whose change another one came before.
-// Chosen, not measured: two operators at most give orders at a time.
+// orderTries is how often an order is decided on anew whose change another one came before. Two
+// operators at most give orders at a time.
 const orderTries = 4
 
 // orderHall carries an order out. A change that another one came before is decided anew.
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -21,8 +21,8 @@
 // gateways' sessions while this replica leads.
 
 const (
-	// eventDepth is the number of announcements and reports that may wait for the
-	// hub; beyond it their senders wait. Chosen, not measured.
+	// eventDepth is the number of announcements and reports that may wait for the hub; beyond it their
+	// senders wait.
 	eventDepth = 8192
 )
 
--- a/directory/joins.go
+++ b/directory/joins.go
@@ -17,12 +17,11 @@
 // committed; the next one knew none of them. So they go in at a pace of their own, beside that of lists: nobody waits
 // for them, and lists are not to wait for them.
 
-// joinPart is the part of the box's link that they may have. Chosen, not measured: with half of it for lists 0.4 are
-// left for what keeps a leader.
+// joinPart is the part of the box's link that they may have. With half of it for lists 0.4 are left
+// for what keeps a leader.
 const joinPart = 0.1
 
 // joinTimeout bounds how long the logging of announced backend servers is tried.
-// Chosen, not measured.
 const joinTimeout = 2 * time.Second
 
 // logJoins puts backend servers that have announced themselves into the log. It is called once a tick.
--- a/directory/leaderplace.go
+++ b/directory/leaderplace.go
@@ -24,20 +24,19 @@
 // when the region is lost); a handover once the leader has settled (kept).
 
 const (
-	// placeSettled is how long a leader leads before it hands over: a fleet that starts, or
-	// loses leaders in turn, has other things to do. Chosen, not measured.
+	// placeSettled is how long a leader leads before it hands over: a fleet that starts, or loses
+	// leaders in turn, has other things to do.
 	placeSettled = 3 * time.Second
-	// placeAgain is the time between two handovers that one replica tries, also if it has led
-	// again in between: a successor that was not elected may not be the next time. Chosen, not
-	// measured.
+	// placeAgain is the time between two handovers that one replica tries, also if it has led again in
+	// between: a successor that was not elected may not be the next time.
 	placeAgain = 10 * time.Second
-	// placePeriod is the time between two looks. Chosen, not measured.
+	// placePeriod is the time between two looks.
 	placePeriod = time.Second
-	// slowSync is the average time of a sync below which no disk counts as slow. Chosen, not
-	// measured: four times the 5 ms of a good one.
+	// slowSync is the average time of a sync below which no disk counts as slow. Four times the 5 ms
+	// of a good one.
 	slowSync = 20 * time.Millisecond
-	// slowTimes is how many times the sync of a slow disk takes what another replica's takes.
-	// Chosen, not measured: below it, a handover, during which nothing is decided, gains little.
+	// slowTimes is how many times the sync of a slow disk takes what another replica's takes. Below
+	// it, a handover, during which nothing is decided, gains little.
 	slowTimes = 4
 )
 
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -18,8 +18,8 @@
 // Without the turns a fleet of 985 gateways and 9,998 servers never had a leader for longer than
 // 1.4 s (TestCrowdComesAtOnce: 12 to 14 terms led in 10 s, one with them).
 
-// listPart is the part of the box's link that whole lists and their changes may have: the other half is for what keeps
-// a leader, documents, reports and answers. Chosen, not measured.
+// listPart is the part of the box's link that whole lists and their changes may have: the other half
+// is for what keeps a leader, documents, reports and answers.
 const listPart = 0.5
 
 // giveList sends a session the whole list, or what comes in its place until it is its turn. It
@@ -138,5 +138,5 @@
 	}
 }
 
-// shortestTurn bounds the timer's work. Chosen, not measured: half of what lists may be ahead.
+// shortestTurn bounds the timer's work. Half of what lists may be ahead.
 const shortestTurn = 10 * time.Millisecond
--- a/directory/ordercalls.go
+++ b/directory/ordercalls.go
@@ -16,8 +16,8 @@
 
 // This file defines how operators' commands about rollouts are answered on fleet links.
 
-// commandTimeout bounds what one command waits for. Chosen, not measured: a commit takes
-// milliseconds, an election some hundred.
+// commandTimeout bounds what one command waits for. A commit takes milliseconds, an election some
+// hundred.
 const commandTimeout = 2 * time.Second
 
 // serveOrder answers an operator's command on a link that its first message has opened. An operator
--- a/directory/quarantine.go
+++ b/directory/quarantine.go
@@ -22,8 +22,8 @@
 // a session with the next one. What is condemned is in the log, since gateways and directory may
 // end together, and none of them is to try such a request anew.
 
-// condemnTimeout bounds one try to put a condemned request into the log. Until one succeeds the
-// next tick tries again. Chosen, not measured.
+// condemnTimeout bounds one try to put a condemned request into the log. Until one succeeds the next
+// tick tries again.
 const condemnTimeout = time.Second
 
 // evidence is what the leader of one term knows of ends.
--- a/directory/regions.go
+++ b/directory/regions.go
@@ -14,16 +14,16 @@
 // sessions that are spread.
 
 const (
-	// relayWait is how long a gateway waits at a replica that may serve it in a moment, and for
-	// how long a new leader expects relays: below registry.SilenceLimit, after which a gateway
-	// leaves. Chosen, not measured: a dial between regions takes three of their round trips.
+	// relayWait is how long a gateway waits at a replica that may serve it in a moment, and for how
+	// long a new leader expects relays: below registry.SilenceLimit, after which a gateway leaves. A
+	// dial between regions takes three of their round trips.
 	relayWait = 600 * time.Millisecond
-	// directStay is how long the leader serves a gateway itself that had lost a relay, before it
-	// names one again. Chosen, not measured: a gateway that reaches none is without the directory
-	// for the time of one dial or two each time.
+	// directStay is how long the leader serves a gateway itself that had lost a relay, before it names
+	// one again. A gateway that reaches none is without the directory for the time of one dial or two
+	// each time.
 	directStay = 15 * time.Second
 	// movesAtOnce is the number of gateways that a replica sends to others in a tick, at the least:
-	// each is sent the whole list there. Chosen, not measured.
+	// each is sent the whole list there.
 	movesAtOnce = 8
 )
 
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -22,20 +22,16 @@
 // they stay (lasting.go).
 
 const (
-	// relayPoll is how often a replica looks whether it should open a session with the leader,
-	// and how long it waits after one that failed. Chosen, not measured: a dial between regions
-	// takes longer.
+	// relayPoll is how often a replica looks whether it should open a session with the leader, and how
+	// long it waits after one that failed. A dial between regions takes longer.
 	relayPoll = 50 * time.Millisecond
-	// relayDial is the time for one connection to the leader. Chosen, not measured: as for a
-	// gateway.
+	// relayDial is the time for one connection to the leader. As for a gateway.
 	relayDial = 700 * time.Millisecond
 	// relayGrace is how long a relay keeps its gateways without the leader: an election, twice.
-	// Chosen, not measured.
 	relayGrace = 3 * time.Second
-	// spreadGrace is the same where sessions are spread: a replica that is cut off from the others, and
-	// not from its gateways, shows so after registry.SilenceLimit, and they have a second then to be
-	// sent a document within 3.5 s of its acknowledgement. Chosen, not measured: an election, and a
-	// dial.
+	// spreadGrace is the same where sessions are spread: a replica that is cut off from the others,
+	// and not from its gateways, shows so after registry.SilenceLimit, and they have a second then to
+	// be sent a document within 3.5 s of its acknowledgement. An election, and a dial.
 	spreadGrace = 1500 * time.Millisecond
 )
 
--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -19,20 +19,19 @@
 // decide on what gateways report (outcomes.go), and sends them the shares. All runs in the hub's
 // goroutine.
 
-// informedAfter is how long a new leader waits for the gateways' first reports before it gives
-// a target anything: it does not know yet what was seen. Chosen, not measured: gateways leave a
-// silent leader after registry.SilenceLimit, and come at once when their link closes.
+// informedAfter is how long a new leader waits for the gateways' first reports before it gives a
+// target anything: it does not know yet what was seen. Gateways leave a silent leader after
+// registry.SilenceLimit, and come at once when their link closes.
 const informedAfter = time.Second
 
-// Notes in the log of how far a rollout is, at the shortest after a second. Chosen, not
-// measured: a new leader takes at most as much too little for elapsed.
+// Notes in the log of how far a rollout is, at the shortest after a second. A new leader takes at most
+// as much too little for elapsed.
 const (
 	notedPeriod = time.Second
 	notedPart   = 50 // of the rollout's duration
 )
 
-// endTimeout bounds one try to put a change of a rollout into the log; the next step tries
-// again. Chosen, not measured.
+// endTimeout bounds one try to put a change of a rollout into the log; the next step tries again.
 const endTimeout = time.Second
 
 // rollouts is the rollouts of one term.
@@ -241,9 +240,8 @@
 	})
 }
 
-// finalWait is how long the leader waits for all gateways to obey the list that says that
-// complete follows, or half of the time that is left: one that does not obey is out of touch.
-// Chosen, not measured: several reports.
+// finalWait is how long the leader waits for all gateways to obey the list that says that complete
+// follows, or half of the time that is left: one that does not obey is out of touch. Several reports.
 const finalWait = time.Second
 
 // finalObeyed reports whether a rollout may be put into the log as complete: all gateways know
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -26,12 +26,12 @@
 // sessions, each of which came back for the whole list (TestManyAnnounceAtOnce). What does
 // grow with it, lists and their changes, goes out at the pace of the link (lists.go).
 
-// sessionQueue is the number of messages that may wait for one gateway's link, at
-// most ten of them a second being Fleet messages. Chosen, not measured.
+// sessionQueue is the number of messages that may wait for one gateway's link, at most ten of them a
+// second being Fleet messages.
 const sessionQueue = 256
 
-// listedDepartures is the number of newest departures that go out with a whole list;
-// earlier ones show in the first complete list. Chosen, not measured.
+// listedDepartures is the number of newest departures that go out with a whole list; earlier ones show
+// in the first complete list.
 const listedDepartures = 256
 
 // session is one gateway's link, or at the leader one relay's.
--- a/directory/spread.go
+++ b/directory/spread.go
@@ -29,7 +29,6 @@
 func (h *hub) spreads() bool { return h.d.state.Spread() }
 
 // spreadTimeout bounds one try to log whether sessions are spread; a later tick tries again.
-// Chosen, not measured.
 const spreadTimeout = time.Second
 
 // decideSpread puts into the log whether sessions are to be spread, if that changes.
--- a/directory/sums.go
+++ b/directory/sums.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// Lines with the shares. Chosen, not measured.
+// Lines with the shares.
 const (
 	sharesPeriod   = time.Second
 	loggedAccounts = 8 // with the largest demands
--- a/directory/together_flood_test.go
+++ b/directory/together_flood_test.go
@@ -165,8 +165,8 @@
 	return least
 }
 
-// noise is by how much the part of a covered account's requests that is served may be less with
-// a rollout than without: one or two of 60. Chosen, not measured.
+// noise is by how much the part of a covered account's requests that is served may be less with a
+// rollout than without: one or two of 60.
 const noise = 0.03
 
 // TestGoodVersionUnderAFlood: an account asks for seven times its share from the trial on. That
--- /dev/null
+++ b/gateway/assignment.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/place"
+)
+
+// This file defines assignment, and what its answer and its end tell of the backend server.
+
+// assignment is a backend server given to one attempt of a request.
+type assignment struct {
+	known       *knownServer
+	server      string
+	address     string
+	tokens      int // that it has to read
+	began       time.Duration
+	tokensAhead int           // tokens in front when it began
+	expected    time.Duration // from its beginning to the first part of the answer
+	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
+	opened      time.Duration // the connection; 0: it got none
+	trial       bool          // of an ejected server
+	tried       tried         // what it counts for, in a pool that had a rollout
+	answering   bool          // a part of the answer has come
+	unreached   bool          // it got no connection
+	ended       bool
+
+	region   string        // where the server stood when it began
+	left     place.Leave   // why it goes to another region; place.Stay: it does not
+	homes    homes         // that bound it
+	way      time.Duration // the round trip there
+	charged  float64       // bytes that were taken of the link for it
+	received int           // bytes that came from another region
+}
+
+// countFirstPart counts that the first part of an answer has come, so that the prompt
+// has been read.
+func (g *Gateway) countFirstPart(a *assignment, engine bool) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if a.answering {
+		return
+	}
+	a.answering = true
+	a.untilFirst = g.now() - a.began
+	a.known.own.Tokens -= a.tokens
+	p := g.table.pool(a.known.Pool)
+	// A gateway that is late itself would take its own lateness for the servers'.
+	if !g.overload.Load().Late(g.now()) {
+		ratio := p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, max(a.untilFirst-a.way, 0))
+		a.known.pace.Observe(ratio)
+		p.notePace(a.known)
+		a.countPace(g.now(), ratio)
+	}
+}
+
+// notePace notes that a server has a pace, unless it has left the pool. The caller holds mu.
+func (p *pool) notePace(k *knownServer) {
+	if !k.pace.Counts() || k.left {
+		return
+	}
+	if p.paced == nil {
+		p.paced = map[*knownServer]bool{}
+	}
+	p.paced[k] = true
+}
+
+// silentBlame returns the verdict for an attempt that ended because nothing came from
+// its backend server, and has the next requests try new connections if that is a kept
+// connection's fault.
+func (g *Gateway) silentBlame(a *assignment) outlier.Verdict {
+	now := g.now()
+	g.table.mu.Lock()
+	v, drop := a.known.doubt.Silent(now, a.began, a.opened)
+	dropAll := v == outlier.NoVerdict && g.table.outage.Silent(now, a.server)
+	g.table.mu.Unlock()
+	switch {
+	case dropAll:
+		g.cfg.Server.DropAllIdle()
+	case drop:
+		g.cfg.Server.DropIdle(a.address)
+	default:
+		return v
+	}
+	g.cfg.Log.Failure("connection silent", slog.String("backend", a.server), milliseconds("open_ms", now-a.opened), slog.Bool("others", dropAll))
+	return v
+}
+
+// release ends an attempt at its backend server, with the verdict on the server, and
+// reports whether that ejects it. A server that the directory does not list is used
+// as long as it answers, and no longer.
+func (g *Gateway) release(a *assignment, v outlier.Verdict) (ejected bool) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	a.ended = true
+	k := a.known
+	k.own.Requests--
+	if !a.answering {
+		k.own.Tokens -= a.tokens
+	}
+	p := g.table.pool(k.Pool)
+	if k.own.Requests == 0 {
+		delete(p.busy, k)
+	}
+	// What reached nobody, or was refused, says nothing of whether the pool answers: while a server
+	// is down, such attempts would soon be all that is kept.
+	if !a.unreached && v != outlier.Refused {
+		p.noteEnd(k.ID, v == outlier.Answered)
+	}
+	g.countOutcome(p, a, v)
+	if v == outlier.Refused || v == outlier.Answered {
+		p.placer.ObserveAnswer(v == outlier.Refused)
+	}
+	ejected = p.failures.Record(g.now(), &k.health, v, a.trial)
+	if ejected && k.unlisted {
+		g.table.remove(k.ID)
+	}
+	g.grantWaiting(p)
+	return ejected
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,8 +54,7 @@
 	made      *quarantine.Key // nil: it was not needed yet, see [call.key]
 }
 
-// defaultBody bounds a body when the document does not, in bytes. Chosen, not
-// measured.
+// defaultBody bounds a body when the document does not, in bytes.
 const defaultBody = 4 << 20
 
 // ServeHTTP serves one caller's request.
@@ -271,83 +270,3 @@
 		}
 	}
 }
-
-// takeServer waits for a backend server. The error is a [Refusal] or a
-// [callerLeft].
-func (c *call) takeServer(ctx context.Context) (*assignment, error) {
-	req := requirements{
-		Waiting: entitlement.Waiting{
-			Class: c.class, Priority: entitlement.Priority(c.account.Priority, c.route.Priority), Account: c.account.Name,
-		},
-		pool: c.pool, route: c.route, prompt: c.head.Prompt,
-		repeat: c.route.MayRepeat(), avoid: c.avoid, gateways: int(c.g.gateways.Load()), random: c.g.random(),
-		accountHomes: c.account.Homes, bytes: len(c.body) + headerBytes(c.r), since: c.g.now(),
-	}
-	if c.route.Objective > 0 {
-		req.objectiveEnds = c.arrived + c.route.Objective - c.spent
-	}
-	waiting := c.waiting()
-	switch {
-	case c.r.Context().Err() != nil:
-		return nil, callerLeft{}
-	case !retry.CanEnd(waiting):
-		return nil, Refusal{Cause: TooLate}
-	}
-	patience := retry.QueueTimeout(waiting)
-	var a *assignment
-	if a, c.shortage = c.g.awaitServer(ctx, req, patience); a != nil {
-		c.countStarted()
-		return a, nil
-	}
-	return nil, c.withoutServer(ctx, &req)
-}
-
-// withoutServer is the end of a request that got no backend server. What its homes let nothing
-// serve does not count as missed: no engine lacks for it.
-func (c *call) withoutServer(ctx context.Context, req *requirements) error {
-	policy := c.policy(ctx)
-	if !policy.TimeLeft && c.r.Context().Err() != nil {
-		return callerLeft{}
-	}
-	if c.shortage.stayed != "" {
-		c.g.stats.count("region_stayed", "why", string(c.shortage.stayed))
-	}
-	if policy.TimeLeft && c.counts.Arrived == 0 && c.shortage.homes == "" {
-		c.countMissed(false)
-	}
-	if policy.TimeLeft && c.counts.Runs == 0 {
-		switch {
-		case c.shortage.homes != "":
-			return Refusal{Cause: c.shortage.homes, RetryAfter: retry.Later}
-		case len(c.shortage.halls) > 0:
-			return Refusal{Cause: HallsOut, RetryAfter: retry.Later}
-		}
-	}
-	allTried := c.g.table.reachable(req) <= len(c.avoid)
-	return c.refusal(policy.WithoutServer(c.class, allTried))
-}
-
-// waiting is what decides how long the request may wait for a server.
-func (c *call) waiting() retry.Waiting {
-	return retry.Waiting{
-		Route: c.route, Class: c.class, Runs: c.counts.Runs, Spent: c.spent, Waited: c.g.now() - c.arrived, Left: c.left(),
-		Expected: c.g.table.expectedFirst(c.pool, c.head.Prompt),
-	}
-}
-
-// policy is what decides about further attempts, as of now.
-func (c *call) policy(ctx context.Context) retry.Request {
-	return retry.Request{Route: c.route, Counts: c.counts, HeadWritten: c.relay.headWritten, TimeLeft: ctx.Err() == nil}
-}
-
-// refusal is the gateway's own answer for an ending.
-func (c *call) refusal(e retry.Ending) error {
-	cause := endings[e]
-	switch {
-	case !causes[cause].notRun:
-		return Refusal{Cause: cause}
-	case cause == BeyondShare:
-		return Refusal{Cause: cause, RetryAfter: c.afterShare()}
-	}
-	return Refusal{Cause: cause, RetryAfter: retry.After(c.left())}
-}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -3,13 +3,11 @@
 package gateway
 
 import (
-	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
-	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
@@ -46,31 +44,6 @@
 	}
 }
 
-// assignment is a backend server given to one attempt of a request.
-type assignment struct {
-	known       *knownServer
-	server      string
-	address     string
-	tokens      int // that it has to read
-	began       time.Duration
-	tokensAhead int           // tokens in front when it began
-	expected    time.Duration // from its beginning to the first part of the answer
-	untilFirst  time.Duration // from its beginning to the first part of the answer; 0 before
-	opened      time.Duration // the connection; 0: it got none
-	trial       bool          // of an ejected server
-	tried       tried         // what it counts for, in a pool that had a rollout
-	answering   bool          // a part of the answer has come
-	unreached   bool          // it got no connection
-	ended       bool
-
-	region   string        // where the server stood when it began
-	left     place.Leave   // why it goes to another region; place.Stay: it does not
-	homes    homes         // that bound it
-	way      time.Duration // the round trip there
-	charged  float64       // bytes that were taken of the link for it
-	received int           // bytes that came from another region
-}
-
 // shortage is why a request got no backend server: the one that suits it best, with
 // what was known to run there. It is empty if there was no candidate.
 type shortage struct {
@@ -197,7 +170,7 @@
 
 // spreadAmong is the number of servers from which a prompt's requests part by lot over as many of the
 // first ones of its order as they need ([place.RoomPlacer.ChooseSpread]): below, the sums of what runs
-// name all that is busy, and a look at all servers is short. Chosen, not measured.
+// name all that is busy, and a look at all servers is short.
 const spreadAmong = 256
 
 // chooseSpread is choose among the first servers of the request's order. ok is false if all have to be
@@ -254,92 +227,3 @@
 	}
 	p.busy[k] = true
 }
-
-// countFirstPart counts that the first part of an answer has come, so that the prompt
-// has been read.
-func (g *Gateway) countFirstPart(a *assignment, engine bool) {
-	g.table.mu.Lock()
-	defer g.table.mu.Unlock()
-	if a.answering {
-		return
-	}
-	a.answering = true
-	a.untilFirst = g.now() - a.began
-	a.known.own.Tokens -= a.tokens
-	p := g.table.pool(a.known.Pool)
-	// A gateway that is late itself would take its own lateness for the servers'.
-	if !g.overload.Load().Late(g.now()) {
-		ratio := p.placer.ObserveFirst(engine, a.tokens+a.tokensAhead, max(a.untilFirst-a.way, 0))
-		a.known.pace.Observe(ratio)
-		p.notePace(a.known)
-		a.countPace(g.now(), ratio)
-	}
-}
-
-// notePace notes that a server has a pace, unless it has left the pool. The caller holds mu.
-func (p *pool) notePace(k *knownServer) {
-	if !k.pace.Counts() || k.left {
-		return
-	}
-	if p.paced == nil {
-		p.paced = map[*knownServer]bool{}
-	}
-	p.paced[k] = true
-}
-
-// silentBlame returns the verdict for an attempt that ended because nothing came from
-// its backend server, and has the next requests try new connections if that is a kept
-// connection's fault.
-func (g *Gateway) silentBlame(a *assignment) outlier.Verdict {
-	now := g.now()
-	g.table.mu.Lock()
-	v, drop := a.known.doubt.Silent(now, a.began, a.opened)
-	dropAll := v == outlier.NoVerdict && g.table.outage.Silent(now, a.server)
-	g.table.mu.Unlock()
-	switch {
-	case dropAll:
-		g.cfg.Server.DropAllIdle()
-	case drop:
-		g.cfg.Server.DropIdle(a.address)
-	default:
-		return v
-	}
-	g.cfg.Log.Failure("connection silent", slog.String("backend", a.server), milliseconds("open_ms", now-a.opened), slog.Bool("others", dropAll))
-	return v
-}
-
-// release ends an attempt at its backend server, with the verdict on the server, and
-// reports whether that ejects it. A server that the directory does not list is used
-// as long as it answers, and no longer.
-func (g *Gateway) release(a *assignment, v outlier.Verdict) (ejected bool) {
-	g.table.mu.Lock()
-	defer g.table.mu.Unlock()
-	if a.ended {
-		return false
-	}
-	a.ended = true
-	k := a.known
-	k.own.Requests--
-	if !a.answering {
-		k.own.Tokens -= a.tokens
-	}
-	p := g.table.pool(k.Pool)
-	if k.own.Requests == 0 {
-		delete(p.busy, k)
-	}
-	// What reached nobody, or was refused, says nothing of whether the pool answers: while a server
-	// is down, such attempts would soon be all that is kept.
-	if !a.unreached && v != outlier.Refused {
-		p.noteEnd(k.ID, v == outlier.Answered)
-	}
-	g.countOutcome(p, a, v)
-	if v == outlier.Refused || v == outlier.Answered {
-		p.placer.ObserveAnswer(v == outlier.Refused)
-	}
-	ejected = p.failures.Record(g.now(), &k.health, v, a.trial)
-	if ejected && k.unlisted {
-		g.table.remove(k.ID)
-	}
-	g.grantWaiting(p)
-	return ejected
-}
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -23,7 +23,7 @@
 	// new one: its others break meanwhile. In the logs of servers that ended, those of up to 34
 	// requests broke within 5 ms.
 	endGathers = 20 * time.Millisecond
-	// endTry bounds that try. Chosen, not measured: as for a connection that carries a request.
+	// endTry bounds that try. As for a connection that carries a request.
 	endTry = 350 * time.Millisecond
 	// mostLogged is how many keys the log line of an end has. With all 64 requests of a large
 	// engine it stays under the length at which lines are dropped.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,8 +244,7 @@
 // random returns a number from 0 to 1.
 func (g *Gateway) random() float64 { return float64(g.cfg.Random()>>11) / (1 << 53) }
 
-// stopPoll is how often a stopping gateway looks whether it may end. Chosen,
-// not measured.
+// stopPoll is how often a stopping gateway looks whether it may end.
 const stopPoll = 20 * time.Millisecond
 
 // Stop ends the gateway: it is not ready at once, each connection closes after
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -15,8 +15,8 @@
 // This file defines what a gateway reports to run on backend servers, and what it takes of the sums
 // over all gateways.
 
-// reportsKept is how many of the last reports are kept, to be taken from the sums that
-// hold them. Chosen, not measured: 3.2 s, above every delay with which sums are used.
+// reportsKept is how many of the last reports are kept, to be taken from the sums that hold them. 3.2
+// s, above every delay with which sums are used.
 const reportsKept = 32
 
 // report is what was reported to run here, under its number.
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -30,8 +30,7 @@
 
 type tallyKey struct{ version, route string }
 
-// maxTallies bounds the tallies of one pool: a few versions on some routes. Chosen, not
-// measured.
+// maxTallies bounds the tallies of one pool: a few versions on some routes.
 const maxTallies = 256
 
 // of returns the tally of a version on a route. Beyond maxTallies it is one that no report has.
@@ -202,7 +201,7 @@
 	return n
 }
 
-// Bounds of mistrust. Chosen, not measured.
+// Bounds of mistrust.
 const (
 	badInARow   = 4               // of the target's answers; a version that fails 20 % has 4 once in 600
 	mistrustFor = 2 * time.Second // that the target gets nothing from this gateway
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -20,10 +20,8 @@
 const (
 	// mostUnreported is the number of losses that wait for a report, and of cleared keys: what more
 	// there is in an end of many servers at once is not suspected, or is cleared by its next answer.
-	// Chosen, not measured.
 	mostUnreported = 1024
-	// mostInReport is how many of them go with one report, about 100 bytes each. Chosen, not
-	// measured: an engine's places.
+	// mostInReport is how many of them go with one report, about 100 bytes each. An engine's places.
 	mostInReport = 64
 )
 
@@ -160,8 +158,7 @@
 	}
 }
 
-// decisionPoll is how often an undecided request looks for what became of it. Chosen, not
-// measured.
+// decisionPoll is how often an undecided request looks for what became of it.
 const decisionPoll = 20 * time.Millisecond
 
 // checkQuarantine looks up what is known against the request. What is condemned is refused. What is about
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -241,7 +241,7 @@
 	return place.Choice{Index: -1}
 }
 
-// Answers from other regions. Chosen, not measured.
+// Answers from other regions.
 const (
 	assumedAnswer = 4e3  // bytes that one brings, until some have come
 	answerWeight  = 0.05 // of one in the average of the bytes
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,7 +20,7 @@
 // This file defines relay, how an answer reaches the caller: a plain answer
 // once it is whole, a stream event by event.
 
-// Bounds of memory for one answer, in bytes. Chosen, not measured.
+// Bounds of memory for one answer, in bytes.
 const (
 	maxPlain = 256 << 10 // a plain answer that is kept until it is whole; larger ones pass as they come
 	maxEvent = 1 << 20   // one event of a stream
@@ -230,8 +230,7 @@
 	return nil
 }
 
-// writeTimeout bounds how long a caller may take no byte of a stream. Chosen,
-// not measured.
+// writeTimeout bounds how long a caller may take no byte of a stream.
 const writeTimeout = 10 * time.Second
 
 // extendWriteDeadline moves the deadline now and then; for every event would
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -93,11 +93,11 @@
 }
 
 const (
-	// attemptsKept is how many of a pool's last attempts tell whether it serves. Chosen, not
-	// measured: the places of one large engine.
+	// attemptsKept is how many of a pool's last attempts tell whether it serves. The places of one
+	// large engine.
 	attemptsKept = 64
-	// servingPart is how many of them one must have been answered of. Chosen, not measured: that is
-	// so while three of four callers leave early, and is not in an outage.
+	// servingPart is how many of them one must have been answered of. Is so while three of four
+	// callers leave early, and is not in an outage.
 	servingPart = 8
 )
 
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -111,7 +111,7 @@
 	return sorted
 }
 
-// Lines of the log. Chosen, not measured.
+// Lines of the log.
 const (
 	tokensPeriod   = time.Second
 	loggedAccounts = 2 // of one second: a flood is one account or two at one gateway
--- a/gateway/unreached.go
+++ b/gateway/unreached.go
@@ -8,7 +8,6 @@
 // counted as failures of its version. An attempt that got no connection costs no caller anything:
 // it goes elsewhere.
 
-// Chosen, not measured.
 const (
 	// unreachedFor is for how long a server that could not be reached counts as such. An ejected
 	// one is tried again within that (outlier.longestWait).
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -19,9 +19,9 @@
 // This file defines which versions of a pool's backend servers a request may go to while the
 // pool has a rollout. What is counted of the answers is in outcomes.go.
 
-// sharesLease is for how long a share is in force after the report by which it was last
-// renewed: the leader has counted it. It is twice the longest pause between two of the leader's
-// sums and some reports. Chosen, not measured.
+// sharesLease is for how long a share is in force after the report by which it was last renewed: the
+// leader has counted it. It is twice the longest pause between two of the leader's sums and some
+// reports.
 const sharesLease = 2 * time.Second
 
 // switchTime is how long a gateway takes from the switch on to move all requests to engines of
@@ -215,8 +215,8 @@
 	byOldGone = "old gone"    // no server of the old version is listed, or none in its homes
 )
 
-// lotParts is 2 to the number of leading bits of random that lot leaves out: enough to choose
-// among any number of servers. Chosen, not measured.
+// lotParts is 2 to the number of leading bits of random that lot leaves out: enough to choose among
+// any number of servers.
 const lotParts = float64(1 << 24)
 
 // order returns which versions a request may go to. The caller holds mu.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -22,8 +22,8 @@
 // This file defines watcher, the gateway's session with the directory's
 // leader.
 
-// dialTimeout is the time for one connection, after which a box that is off is left
-// for the next candidate. Chosen, not measured.
+// dialTimeout is the time for one connection, after which a box that is off is left for the next
+// candidate.
 const dialTimeout = 700 * time.Millisecond
 
 // watcher keeps the session. Only the goroutine of run uses its fields.
@@ -145,8 +145,8 @@
 	}
 }
 
-// avoidMost is the number of newest replicas to avoid that are named. Chosen, not measured: the
-// voters of the largest directory.
+// avoidMost is the number of newest replicas to avoid that are named. The voters of the largest
+// directory.
 const avoidMost = 9
 
 // avoids notes a replica that was lost or not reached, to name it to the next one.
--- a/process/connections.go
+++ b/process/connections.go
@@ -18,7 +18,6 @@
 // not in use: after the time that the document allows, and sooner when there
 // are nearly too many.
 
-// Chosen, not measured.
 const (
 	sweepPeriod = time.Second // how late an idle connection may be ended
 	fullPart    = 0.8         // of the most connections, above which idle ones are ended
--- a/process/directory.go
+++ b/process/directory.go
@@ -32,21 +32,17 @@
 // form.
 type API func(d *directory.Directory, log *decision.Log) http.Handler
 
-// reopenPause is the time between two attempts to open the data folder. Chosen,
-// not measured.
+// reopenPause is the time between two attempts to open the data folder.
 const reopenPause = 500 * time.Millisecond
 
-// Times of the consensus group, whose replicas are a few milliseconds apart and
-// sync their disks in a few more. An election timeout of 400 ms was measured
-// together with logged joins: 0.916 to 0.937 and 0.779 to 0.803 of the score
-// (commit b993e30). The heartbeat is a fifth of it: chosen, not measured.
+// Times of the consensus group, whose replicas are a few milliseconds apart and sync their disks in a
+// few more. The heartbeat is a fifth of the election timeout.
 const (
 	election  = 400 * time.Millisecond // silence of the leader until a replica begins an election
 	heartbeat = 80 * time.Millisecond  // between two messages of an idle leader
 )
 
-// stopPart is the part of the grace in which a replica may hand its leadership
-// over. Chosen, not measured.
+// stopPart is the part of the grace in which a replica may hand its leadership over.
 const stopPart = 0.5
 
 // directoryProcess is a directory replica and its listeners, which outlive it.
@@ -99,8 +95,7 @@
 	return nil
 }
 
-// Connections of the API's callers, nearly all of them backend servers that announce
-// themselves. Chosen, not measured.
+// Connections of the API's callers, nearly all of them backend servers that announce themselves.
 const (
 	// apiPart is the part of the descriptors that they may have: the rest is for gateways'
 	// links, of which there are as many at the leader, and files.
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -23,7 +23,7 @@
 // This file defines the process of a gateway: its callers' connections, its
 // connections to backend servers, and its stop.
 
-// Connections to backend servers. Chosen, not measured.
+// Connections to backend servers.
 const (
 	serverDialTimeout = 350 * time.Millisecond // short: another backend server can be tried
 	serverIdleTimeout = 4 * time.Second        // short, so that a backend server rarely closes first
--- a/process/process.go
+++ b/process/process.go
@@ -81,8 +81,7 @@
 // went over its memory.
 const heapPart = 0.55
 
-// Limits of every listener, and the most that a document allows callers. Chosen,
-// not measured.
+// Limits of every listener, and the most that a document allows callers.
 const (
 	readHeaderTimeout = 5 * time.Second // for a whole head
 	idleTimeout       = 5 * time.Minute // between two requests of a connection
--- a/process/reload.go
+++ b/process/reload.go
@@ -16,8 +16,7 @@
 
 // This file defines the reload of settings.
 
-// reloadPeriod is how often the settings are read without a signal: they may
-// change without one. Chosen, not measured.
+// reloadPeriod is how often the settings are read without a signal: they may change without one.
 const reloadPeriod = 2 * time.Second
 
 // Reload loads the settings on SIGHUP and every two seconds until ctx ends, and
--- a/process/unread.go
+++ b/process/unread.go
@@ -24,8 +24,8 @@
 	// mostUnread is the bound: at 250 us of processor time each, which a gateway of a fifth
 	// of a core needs for a connection and its refusal, 40 ms. Chosen.
 	mostUnread = 32
-	// unreadFor is how long a connection counts of which nothing comes: callers that open
-	// one ahead of time must not keep others out. Chosen, not measured.
+	// unreadFor is how long a connection counts of which nothing comes: callers that open one ahead of
+	// time must not keep others out.
 	unreadFor = 100 * time.Millisecond
 )
 
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -156,8 +156,8 @@
 // KindOf returns the kind under which m travels.
 func KindOf(m Message) Kind { return m.kind() }
 
-// The decoder's bounds keep a malformed message from taking memory. They are above what
-// a fleet sends at the sizes of docs/CAPACITY.md. Chosen, not measured.
+// The decoder's bounds keep a malformed message from taking memory. They are above what a fleet sends
+// at the sizes of docs/CAPACITY.md.
 var (
 	encMode = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16, Sort: cbor.SortNone}.EncMode())
 	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode())
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -35,11 +35,9 @@
 }
 
 const (
-	// maxBatch is how many inputs share one sync. Chosen, not measured;
-	// TestProposalsShareSyncs shows the sharing.
+	// maxBatch is how many inputs share one sync. TestProposalsShareSyncs shows the sharing.
 	maxBatch = 512
-	// ticksPerHeartbeat is how often in a heartbeat the time is looked at when
-	// there is no input. Chosen, not measured.
+	// ticksPerHeartbeat is how often in a heartbeat the time is looked at when there is no input.
 	ticksPerHeartbeat = 3
 	// shortestTick bounds the timer's work for very short heartbeats.
 	shortestTick = time.Millisecond
@@ -262,8 +260,7 @@
 	return l.rotate(*ready.Snapshot)
 }
 
-// syncParts is the part of one sync in the average, inverted. Chosen, not measured: eight syncs
-// outweigh what was before.
+// syncParts is the part of one sync in the average, inverted. Eight syncs outweigh what was before.
 const syncParts = 8
 
 // measure averages the time of a sync that began at a time.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -91,7 +91,7 @@
 	CompactAt int64
 }
 
-// Defaults of Tuning. All three are chosen, not measured.
+// Defaults of Tuning.
 const (
 	defaultElection  = 600 * time.Millisecond // without a message of the leader
 	defaultHeartbeat = 120 * time.Millisecond // a fifth of that
@@ -140,11 +140,11 @@
 }
 
 const (
-	// inputDepth is how many inputs may wait for the loop; messages beyond it are
-	// dropped, callers wait. Chosen, not measured.
+	// inputDepth is how many inputs may wait for the loop; messages beyond it are dropped, callers
+	// wait.
 	inputDepth = 4096
-	// transferPolls is how many times in a heartbeat Transfer looks whether the
-	// leadership is handed over. Chosen, not measured.
+	// transferPolls is how many times in a heartbeat Transfer looks whether the leadership is handed
+	// over.
 	transferPolls = 4
 )
 
--- a/router/callers.go
+++ b/router/callers.go
@@ -45,7 +45,7 @@
 
 const defaultClass = "interactive"
 
-// maxUser bounds the name of a user, in bytes. Chosen, not measured.
+// maxUser bounds the name of a user, in bytes.
 const maxUser = 128
 
 // ServeHTTP serves callers.
--- a/router/claimclient.go
+++ b/router/claimclient.go
@@ -17,11 +17,10 @@
 // and again over the next one, until they are answered.
 
 const (
-	// claimRetryPause is between two sendings of one claim, with jitter of
-	// half of it to either side. Chosen, not measured.
+	// claimRetryPause is between two sendings of one claim, with jitter of half of it to either side.
 	claimRetryPause = 50 * time.Millisecond
-	// claimTimeout is for a claim before dispatch, while the call occupies a
-	// slot: longer than an election (1.2 s). Chosen, not measured.
+	// claimTimeout is for a claim before dispatch, while the call occupies a slot: longer than an
+	// election (1.2 s).
 	claimTimeout = 5 * time.Second
 )
 
--- a/router/errors.go
+++ b/router/errors.go
@@ -53,7 +53,7 @@
 	ourProblem   = "server_error"
 )
 
-// Values of RetryAfter. Chosen, not measured.
+// Values of RetryAfter.
 const (
 	soon  = time.Second     // the least that Retry-After can express
 	later = 2 * time.Second // after a whole wait in vain
--- a/router/leader.go
+++ b/router/leader.go
@@ -24,10 +24,10 @@
 // slower elections and silentPart of 1 the lease ran out in 3 of 60 runs of
 // TestLeaderIsKilledUnderLoad, since then in none (commit 8ab89cd).
 const (
-	shortestRetry = 20 * time.Millisecond  // first pause, doubled with every failure; chosen, not measured
+	shortestRetry = 20 * time.Millisecond  // first pause, doubled with every failure
 	leasedRetry   = 250 * time.Millisecond // longest pause while the lease runs; by TestLeaderIsKilledUnderLoad
-	longestRetry  = time.Second            // longest pause without a lease; chosen, not measured
-	helloTimeout  = 2 * time.Second        // for a replica's answer, the dial included; chosen, not measured
+	longestRetry  = time.Second            // longest pause without a lease
+	helloTimeout  = 2 * time.Second        // for a replica's answer, the dial included
 	defaultLease  = 3 * time.Second        // slots.DefaultLease, until a leader has given its own
 )
 
--- a/router/relay.go
+++ b/router/relay.go
@@ -26,11 +26,9 @@
 	// pool instead of 32 KB each took BenchmarkRouterThroughput from 1,479 to
 	// 2,363 requests a second and core.
 	relayBuffer = 16 << 10
-	// chargeEvery is the number of streamed chunks between two charges. Chosen,
-	// not measured.
+	// chargeEvery is the number of streamed chunks between two charges.
 	chargeEvery = 16
-	// maxUsageParse bounds the bytes of an answer that are kept to read its
-	// usage. Chosen, not measured.
+	// maxUsageParse bounds the bytes of an answer that are kept to read its usage.
 	maxUsageParse = 1 << 20
 )
 
@@ -130,7 +128,7 @@
 	return err == nil && rc.Flush() == nil
 }
 
-// maxResumes bounds the resumptions of one answer. Chosen, not measured.
+// maxResumes bounds the resumptions of one answer.
 const maxResumes = 3
 
 // resume requests the rest of a broken answer from its server, from the first
@@ -159,8 +157,7 @@
 	return true
 }
 
-// endTimeout bounds the call that ends an answer at its server. Chosen, not
-// measured.
+// endTimeout bounds the call that ends an answer at its server.
 const endTimeout = 2 * time.Second
 
 // endAtServer ends an answer whose caller has left and that its server would
--- a/router/router.go
+++ b/router/router.go
@@ -66,16 +66,15 @@
 	Linger         time.Duration // how long an unused slot is kept
 }
 
-// DefaultLimits suit a box of 256 MB: bodies take at most half of it, and a
-// waiting request 53 KB besides (BenchmarkRouterMemory). The parts are chosen,
-// not measured.
+// DefaultLimits suit a box of 256 MB: bodies take at most half of it, and a waiting request 53 KB
+// besides (BenchmarkRouterMemory).
 var DefaultLimits = Limits{
 	Body: 8 << 20, Bodies: 128 << 20, Read: 30 * time.Second, Write: 30 * time.Second,
 	Waiting: 4096, WaitingBytes: 64 << 20, AccountWaiting: 1024, AccountBytes: 32 << 20,
 	Wait: 60 * time.Second, Linger: 50 * time.Millisecond,
 }
 
-// Settings of every pool. Chosen, not measured.
+// Settings of every pool.
 const (
 	firstEstimate = 256                   // cost, in share.Weights, of a request whose account and class have finished none
 	prefixBlocks  = 8192                  // prompt blocks remembered by each pool
@@ -159,7 +158,7 @@
 	r.stop()
 }
 
-// zeroPoll is between two checks of a count during a stop. Chosen, not measured.
+// zeroPoll is between two checks of a count during a stop.
 const zeroPoll = 10 * time.Millisecond
 
 // awaitZero waits until a count is zero, or ctx ends. A WaitGroup would not do:
--- a/router/session.go
+++ b/router/session.go
@@ -27,8 +27,7 @@
 	silentPart = 2 // a link without a message for this part of the lease is dead
 )
 
-// outboxDepth is the number of messages that may wait to be sent on a session;
-// one more ends it. Chosen, not measured.
+// outboxDepth is the number of messages that may wait to be sent on a session; one more ends it.
 const outboxDepth = 256
 
 // session is one link to a leader.
--- a/router/usage.go
+++ b/router/usage.go
@@ -40,8 +40,8 @@
 	return v.Usage
 }
 
-// maxLine bounds the memory that an unfinished line of a stream takes. A
-// longer line passes through uncounted. Chosen, not measured.
+// maxLine bounds the memory that an unfinished line of a stream takes. A longer line passes through
+// uncounted.
 const maxLine = 64 << 10
 
 // streamScan reads a stream of server-sent events as it passes.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,7 +68,7 @@
 	Control = "control"
 )
 
-// Bounds of settings. All are chosen, not measured.
+// Bounds of settings.
 const (
 	MinFleetKey      = 16                     // bytes of the fleet key
 	minLease         = 500 * time.Millisecond // of a router, which renews six times in a lease
@@ -125,8 +125,8 @@
 }
 
 // flags returns the flags that fill r. The defaults of -lease and -control-budget are
-// slots.DefaultLease and slots.DefaultPace, that of -overcommit is measured in
-// docs/design/fair-sharing.md; all others are chosen, not measured.
+// slots.DefaultLease and slots.DefaultPace, that of -overcommit is measured in docs/design/fair-
+// sharing.md.
 func (r *raw) flags(usage io.Writer) *flag.FlagSet {
 	d := &r.d
 	fs := flag.NewFlagSet("badgerspoked", flag.ContinueOnError)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -77,8 +77,7 @@
 	MaxTokens int    `json:"max_tokens"`
 }
 
-// defaultTokens is the length of an answer without max_tokens; chosen, not
-// measured.
+// defaultTokens is the length of an answer without max_tokens.
 const defaultTokens = 16
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
@@ -113,8 +112,7 @@
 
 const (
 	loadHeader = "Badgerspoke-Load"
-	// loadLag is how old the load may be that answers report. Real engines
-	// report with a lag too; its length is chosen, not measured.
+	// loadLag is how old the load may be that answers report. Real engines report with a lag too.
 	loadLag = time.Second
 )
 
--- a/state/config/objects.go
+++ b/state/config/objects.go
@@ -14,8 +14,7 @@
 // This file defines the two objects that operators manage, Account and
 // Server, with the checks that each must pass by itself.
 
-// Bounds on what operators may set; a change beyond one is refused. All are chosen,
-// not measured.
+// Bounds on what operators may set; a change beyond one is refused.
 const (
 	MaxShare   = 1e6       // weight of an account
 	MaxSlots   = 4096      // requests at once on one backend server
@@ -176,7 +175,7 @@
 	}
 }
 
-// The length of a name was chosen, not measured.
+// namePattern is what names consist of.
 var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
 
 // ValidName reports whether a name of an account, server, pool or box is usable
--- a/state/config/store.go
+++ b/state/config/store.go
@@ -11,12 +11,11 @@
 // the current configuration, and enough of the past to answer a resend and to
 // send deltas.
 
-// HistoryLength is the number of past changes remembered. At 28,000 changes a
-// day (docs/CAPACITY.md) it covers more than three hours of resends and of missed
-// deltas. Chosen, not measured.
+// HistoryLength is the number of past changes remembered. At 28,000 changes a day (docs/CAPACITY.md)
+// it covers more than three hours of resends and of missed deltas.
 const HistoryLength = 4096
 
-// MaxChangeID bounds a change identifier, in bytes. Chosen, not measured.
+// MaxChangeID bounds a change identifier, in bytes.
 const MaxChangeID = 128
 
 // Change is what an operator proposes.
--- a/state/document/condemned.go
+++ b/state/document/condemned.go
@@ -13,11 +13,9 @@
 // They have no age: a request that was tried again once in a while would end a server each time.
 
 const (
-	// MaxCondemned bounds the condemned requests. Chosen, not measured: each has cost three ends of
-	// servers.
+	// MaxCondemned bounds the condemned requests. Each has cost three ends of servers.
 	MaxCondemned = 1024
-	// MaxCondemnedOfAccount bounds those of one account, so that it cannot push out those of
-	// others. Chosen, not measured.
+	// MaxCondemnedOfAccount bounds those of one account, so that it cannot push out those of others.
 	MaxCondemnedOfAccount = 128
 )
 
--- a/state/document/rollout.go
+++ b/state/document/rollout.go
@@ -16,7 +16,6 @@
 // decided on from one state, the log applies one.
 
 // Bounds of what is remembered, so that no store grows with the names that are sent to it.
-// Chosen, not measured.
 const (
 	// MaxRollouts is the number of pools whose rollouts are remembered. A change of a new
 	// pool beyond it does nothing.
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -14,8 +14,8 @@
 // This file defines Store, the state machine of documents, departures, joins, halls,
 // rollouts, condemned requests and the spread of sessions.
 
-// MaxDepartures is the number of departed backend servers that are remembered. A late
-// announcement of one that departed before them adds it again. Chosen, not measured.
+// MaxDepartures is the number of departed backend servers that are remembered. A late announcement of
+// one that departed before them adds it again.
 const MaxDepartures = 8192
 
 // Held is a document with the bytes that its author sent.
--- a/state/wal/frame.go
+++ b/state/wal/frame.go
@@ -20,8 +20,7 @@
 	lengthBytes = 4          // bytes of a record's length, a little-endian uint32
 	// sectorSize, in bytes, is the smallest unit that a disk writes at once.
 	sectorSize = 512
-	// maxFrame is the largest payload, in bytes, that is taken for one when a log
-	// is read. Chosen, not measured.
+	// maxFrame is the largest payload, in bytes, that is taken for one when a log is read.
 	maxFrame = 1 << 30
 )
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -143,7 +143,7 @@
 	Opened func()
 }
 
-// Defaults of a client. All are chosen, not measured.
+// Defaults of a client.
 const (
 	defaultDialTimeout = 2 * time.Second  // to open a connection
 	defaultIdleTime    = 30 * time.Second // for which an unused connection is kept
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -45,7 +45,7 @@
 // Path is where a box accepts links.
 const Path = "/fleet/v1/link"
 
-// Limits on a peer. Both are chosen, not measured.
+// Limits on a peer.
 const (
 	// HandshakeTimeout is from the dial, or from the accepted request, to the
 	// last frame of the handshake. A dialer's context may end it sooner.
@@ -55,8 +55,8 @@
 	WriteTimeout = 5 * time.Second
 )
 
-// Pings of a link on which nothing comes back otherwise. Chosen, not measured: a second
-// bears two lost packets, and a gateway waits as long for a leader (registry.SilenceLimit).
+// Pings of a link on which nothing comes back otherwise. A second bears two lost packets, and a
+// gateway waits as long for a leader (registry.SilenceLimit).
 const (
 	pingPeriod  = 250 * time.Millisecond // between an answer and the next ping
 	pingTimeout = time.Second            // for the answer to any ping
@@ -173,7 +173,7 @@
 	return l.receive(func() ([]byte, error) { return l.readParts(ctx, func() { timer.Reset(silence) }) })
 }
 
-// partSize is how much of a message is read at a time, in bytes. Chosen, not measured.
+// partSize is how much of a message is read at a time, in bytes.
 const partSize = 16 << 10
 
 // readParts reads the bytes of one message and calls came after each part.
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -30,7 +30,7 @@
 
 // This file defines Mesh.
 
-// Limits of the link to one replica. All are chosen, not measured.
+// Limits of the link to one replica.
 const (
 	queueDepth     = 4096                  // messages; more are dropped
 	redialShortest = 50 * time.Millisecond // after a failed dial, doubling
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -14,15 +14,13 @@
 	"time"
 )
 
-// Silence is how long sent bytes may stay unacknowledged. Chosen, not measured:
-// far above the delay between data halls.
+// Silence is how long sent bytes may stay unacknowledged. Far above the delay between data halls.
 const Silence = 2 * time.Second
 
-// DialTimeout bounds the opening of a connection. Chosen, not measured.
+// DialTimeout bounds the opening of a connection.
 const DialTimeout = time.Second
 
-// Probes of an idle connection: by arithmetic a silent peer is noticed after five
-// seconds. All three are chosen, not measured.
+// Probes of an idle connection: by arithmetic a silent peer is noticed after five seconds.
 const (
 	probeAfter = 2 * time.Second // without traffic, until the first probe
 	probeEvery = time.Second     // between two probes
