--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -80,10 +80,10 @@
 // objective: the next try is as likely to be covered, and can still be in time.
 const (
 	likelyPart = 0.4 // of the account's requests that the share covers, at least
-	// againFrom and againUpTo are when it comes back, as parts of the objective, by lot: long
-	// enough for the marked part to reach it, and short enough for the answer.
-	againFrom = 0.2
-	againUpTo = 0.45
+	// When it comes back, as parts of the objective, by lot: long enough for a list to be newer, and
+	// short enough for the answer.
+	againFrom = 0.2  // at the earliest
+	againUpTo = 0.45 // at the latest
 )
 
 // After returns when a refused caller that has some time left should come back.
