Returns: a share that covers a tenth is enough

Hypothesis: the next try is as likely to be covered soon as late, whatever the part; only a flood that is refused nearly whole is better kept away for a while. Change: 0.1 in place of 0.4.

--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -70,16 +70,16 @@
 
 	leftPart = 0.1 // of the time that the caller has left: room for several tries
 
-	// sharePart is the same for what its account's share does not cover by far: the flood lasts,
+	// sharePart is the same for what its account's share hardly covers: the flood lasts,
 	// and a second refusal is worth nothing to the caller. Callers wait for up to a third.
 	sharePart = 0.33
 	spread    = 0.25 // by which that is less, at most, so that callers do not meet again
 )
 
-// A request beyond a share that covers much of what its account asks for comes back within its
+// A request beyond a share that covers some of what its account asks for comes back within its
 // objective: the next try is as likely to be covered, and can still be in time.
 const (
-	likelyPart = 0.4 // of the account's requests that the share covers, at least
+	likelyPart = 0.1 // of the account's requests that the share covers, at least
 	// When it comes back, as parts of the objective, by lot: long enough for a list to be newer, and
 	// short enough for the answer.
 	againFrom = 0.2  // at the earliest
