--- a/coordination/retry/timeout_test.go
+++ b/coordination/retry/timeout_test.go
@@ -60,23 +60,23 @@
 }
 
 // TestWhenToComeBackToAShare: a request comes back within its objective where the share covers
-// much of what its account asks for, and it can still be in time.
+// some of what its account asks for, and it can still be in time.
 func TestWhenToComeBackToAShare(t *testing.T) {
 	is := is.New(t)
-	much := Share{Part: 0.1, Objective: 400 * ms, Left: 12 * time.Second}
-	is.Equal(much.After(0), 80*ms)
-	is.Equal(much.After(1), 180*ms)
-	little := much
+	some := Share{Part: 0.1, Objective: 400 * ms, Left: 12 * time.Second}
+	is.Equal(some.After(0), 80*ms)
+	is.Equal(some.After(1), 180*ms)
+	little := some
 	little.Part = 0.09
 	is.Equal(little.After(0), 3960*ms)
-	late := much
+	late := some
 	late.Spent = 300 * ms
 	is.Equal(late.After(0), 80*ms) // 380 ms after it asked first
 	is.Equal(late.After(1), 2970*ms)
-	short := much
+	short := some
 	short.Objective = 100 * ms
 	is.Equal(short.After(0), Soon)
-	none := much
+	none := some
 	none.Objective = 0
 	is.Equal(none.After(0), 3960*ms)
 }
