--- a/coordination/place/room.go
+++ b/coordination/place/room.go
@@ -30,7 +30,7 @@
 	extraPerSlot = 0.75
 )
 
-// Weights of one answer in refusing: One refusal counts as much as 25 answers.
+// Weights of one answer in refusing: one refusal counts as much as 25 answers.
 const (
 	refusalWeight = 0.05  // of a refusal
 	answerWeight  = 0.002 // of an answer
