--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -101,8 +101,9 @@
 
 // After returns when the request should come back. random is from 0 to 1.
 func (s Share) After(random float64) time.Duration {
-	if soon := scale(s.Objective, againFrom+(againUpTo-againFrom)*random); s.Part >= likelyPart && s.Spent+soon < s.Objective {
-		return max(soon, Soon)
+	again := max(scale(s.Objective, againFrom+(againUpTo-againFrom)*random), Soon)
+	if s.Part >= likelyPart && s.Spent+again < s.Objective {
+		return again
 	}
 	return max(scale(s.Left, sharePart*(1-spread*random)), Soon)
 }
