--- a/coordination/entitlement/promise_test.go
+++ b/coordination/entitlement/promise_test.go
@@ -33,10 +33,16 @@
 // at two, over a change of leaders; then floods at random.
 func TestWhoWaitsGetsHalf(t *testing.T) {
 	t.Run("chosen", func(t *testing.T) { chosenFloods(t, made) })
-	for seed := range uint64(20) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFloods(t, seed, made) })
+	drawnFloods(t, 20, heldFloods, made)
+}
+
+// drawnFloods plays the first seeds and some more.
+func drawnFloods(t *testing.T, first uint64, more []uint64, made float64) {
+	seeds := more
+	for seed := range first {
+		seeds = append(seeds, seed)
 	}
-	for _, seed := range heldFloods {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFloods(t, seed, made) })
 	}
 }
@@ -53,12 +59,7 @@
 // only what its gateways have no processor for. Its seeds stop where brokenFloods has the next one.
 func TestWhoWaitsGetsHalfBesideIdleEngines(t *testing.T) {
 	t.Run("chosen", func(t *testing.T) { chosenFloods(t, madeIdle) })
-	for seed := range uint64(19) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFloods(t, seed, madeIdle) })
-	}
-	for _, seed := range heldBesideIdle {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFloods(t, seed, madeIdle) })
-	}
+	drawnFloods(t, 19, heldBesideIdle, madeIdle)
 }
 
 // brokenFloods are the seeds, of the first 300, whose floods break the promise beside idle engines: they are up to
