Log: what a server says when a gateway's attempt fails

On-call could not tell whether a server's wish for rest is not read or is read and not kept: the line of a failed attempt had neither the status nor the server's Retry-After. It has status and rest_ms now. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
@@ -30,6 +31,9 @@
 	misdirected bool  // another backend server has the address
 	err         error // nil after retry.Answered only
 	lost        bool  // its connection broke while it ran
+	// What the answer said, if one came.
+	status int
+	rest   time.Duration // for which the backend server wants nothing more
 }
 
 // attempt sends the request to one backend server and relays what it answers.
@@ -81,6 +85,13 @@
 		answer.Body = countedBody{ReadCloser: answer.Body, n: &a.received}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
+	out := c.answered(ctx, a, answer, head)
+	out.status, out.rest = answer.Status, head.Rest
+	return out
+}
+
+// answered relays an answer, unless it is none to this request.
+func (c *call) answered(ctx context.Context, a *assignment, answer *forward.Answer, head AnswerHead) outcome {
 	if head.ID != c.head.ID {
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", blame: outlier.Faulty, err: errCrossed}
 	}
@@ -121,10 +132,17 @@
 		return outcome{execution: retry.NotSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
-	if head.ID != "" && head.ID != c.head.ID {
+	out := c.refused(head, err)
+	out.status, out.rest = not.Status, head.Rest
+	return out
+}
+
+// refused is the outcome of a refusal.
+func (c *call) refused(head AnswerHead, err error) outcome {
+	switch {
+	case head.ID != "" && head.ID != c.head.ID:
 		return outcome{execution: retry.MayHaveRun, cause: "crossed refusal", blame: outlier.Faulty, err: errCrossed}
-	}
-	if head.Misdirected {
+	case head.Misdirected:
 		return outcome{execution: retry.Refused, cause: "misplaced", blame: outlier.NoVerdict, misdirected: true, err: err}
 	}
 	return outcome{execution: retry.Refused, cause: "refused", blame: outlier.Refused, err: err}
@@ -178,6 +196,12 @@
 		milliseconds("took_ms", c.g.now()-a.began), slog.Bool("again", again),
 		slog.String("last_event", c.relay.lastEventID),
 	}
+	if out.status > 0 {
+		attrs = append(attrs, slog.Int("status", out.status))
+	}
+	if out.rest > 0 {
+		attrs = append(attrs, milliseconds("rest_ms", out.rest))
+	}
 	if out.lost {
 		attrs = append(attrs, slog.String("key", c.key().String()))
 	}
