Servers that ask for rest get nothing until it is over

Servers that had asked a gateway for 3 s of rest got up to 18 requests from it in that time.

Cause: Retry-After of a refusal was read by nobody. A refusal kept the one request from that server and weighed as 0.4 of a failure, which never ejects a server when a third of the pool refuses. The class: what a peer says of the future is taken for the end of one request.

Where all rest, what has not run is refused at once and told when to come back. It is kept over the directory's lists and ends with the server's life; absurd and malformed values are bounded or passed over.

--- /dev/null
+++ b/coordination/backpressure/backpressure.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package backpressure decides when a gateway sends nothing to a backend server because the
+// server has said so in an answer.
+//
+// That is no health check (package outlier): a server that is overloaded and says so is
+// well, and no trial is due before the time that it named is over. It holds for one gateway and
+// one life of a server: another gateway asks for itself, and a server that starts again has
+// asked for nothing.
+//
+// All types are pure values.
+package backpressure
+
+import "time"
+
+// LongestRest bounds a rest, so that a server whose answers are wrong is not lost for good while
+// it runs.
+const LongestRest = time.Hour
+
+// Notice is what one life of a backend server has said of further requests. The zero value has
+// said nothing.
+type Notice struct {
+	restUntil time.Duration
+}
+
+// WithRest returns the notice after the server has asked for a rest from now on. It does not
+// shorten one that lasts longer; a rest of 0 or less asks for nothing.
+func (n Notice) WithRest(now, rest time.Duration) Notice {
+	n.restUntil = max(n.restUntil, now+min(rest, LongestRest))
+	return n
+}
+
+// Admits reports whether the server may have a request.
+func (n Notice) Admits(now time.Duration) bool { return n.Rest(now) == 0 }
+
+// Rest returns what is left of the rest that the server asked for.
+func (n Notice) Rest(now time.Duration) time.Duration { return max(n.restUntil-now, 0) }
--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -118,6 +118,12 @@
 	return Share{Left: left}.After(random)
 }
 
+// AfterRest returns when a caller should come back whose servers all take requests again after a rest:
+// not all callers at once. random is from 0 to 1.
+func AfterRest(rest, left time.Duration, random float64) time.Duration {
+	return max(rest+scale(max(left, 0), leftPart*random), Soon)
+}
+
 // Times after which a server that sends nothing is given up.
 const (
 	stallObjectives = 2.5                    // before the first part of an answer, in the route's objective
--- a/coordination/retry/timeout_test.go
+++ b/coordination/retry/timeout_test.go
@@ -111,3 +111,12 @@
 	w.Runs = 1 // it may have run, and must not be refused as if it had not
 	is.True(CanEnd(w))
 }
+
+// TestWhenToComeBackAfterARest: not before it is over, and not all at once.
+func TestWhenToComeBackAfterARest(t *testing.T) {
+	is := is.New(t)
+	is.Equal(AfterRest(2*time.Second, 10*time.Second, 0), 2*time.Second)
+	is.Equal(AfterRest(2*time.Second, 10*time.Second, 1), 3*time.Second)
+	is.Equal(AfterRest(2*time.Second, -time.Second, 1), 2*time.Second) // its time is over
+	is.Equal(AfterRest(0, 0, 0), Soon)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,6 +85,7 @@
 		answer.Body = countedBody{ReadCloser: answer.Body, n: &a.received}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
+	c.g.heed(a, head)
 	out := c.answered(ctx, a, answer, head)
 	out.status, out.rest = answer.Status, head.Rest
 	return out
@@ -111,7 +112,7 @@
 	return forward.Call{
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
 		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body,
-		Unwanted: func() bool { return callerHasLeft(c.r.Context()) },
+		Unwanted: func() bool { return callerHasLeft(c.r.Context()) || !c.g.table.admits(a.server) },
 	}
 }
 
@@ -125,18 +126,27 @@
 		return outcome{execution: retry.MayHaveRun, cause: "lost", blame: outlier.Lost, err: err}
 	}
 	if forward.Unwanted(not.Err) {
-		return outcome{execution: retry.NotSent, cause: "caller left", blame: outlier.NoVerdict, err: err}
+		return outcome{execution: retry.NotSent, cause: c.unwantedCause(), blame: outlier.NoVerdict, err: err}
 	}
 	if !not.Refused {
 		a.unreached = true
 		return outcome{execution: retry.NotSent, cause: "unreachable", blame: c.unreachableBlame(), err: err}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
+	c.g.heed(a, head)
 	out := c.refused(head, err)
 	out.status, out.rest = not.Status, head.Rest
 	return out
 }
 
+// unwantedCause is why a call was not sent when it had its connection.
+func (c *call) unwantedCause() string {
+	if callerHasLeft(c.r.Context()) {
+		return "caller left"
+	}
+	return "backend wants none"
+}
+
 // refused is the outcome of a refusal.
 func (c *call) refused(head AnswerHead, err error) outcome {
 	switch {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -26,6 +26,9 @@
 	avoid    map[string]bool // backend servers that had the request already
 	gateways int
 	random   float64 // from 0 to 1
+	// outlast is how long a rest of all servers may be for the request to wait for its end. What has not
+	// run is refused at once instead: another gateway's servers may take it.
+	outlast time.Duration
 
 	versions versions // the servers' versions that the choice under way is among
 
@@ -57,10 +60,12 @@
 	halls    []string      // out of service, where all servers of the pool are
 	homes    Cause         // why its homes let nothing serve it, if so
 	stayed   stayed        // what kept it in its region, if it had a reason to leave
+	atRest   bool          // all asked for more rest than it waits
+	rest     time.Duration // until one takes requests again, if so
 }
 
 // final reports whether waiting is of no use.
-func (s *shortage) final() bool { return len(s.halls) > 0 || s.homes != "" }
+func (s *shortage) final() bool { return len(s.halls) > 0 || s.homes != "" || s.atRest }
 
 // acquire returns the backend server that suits the request best if it has room, or
 // nil and why. The caller holds mu.
@@ -68,7 +73,8 @@
 	p := t.pool(req.pool.Name)
 	order := t.order(p, now, &req)
 	a, full, found := t.acquireOf(p, now, req, order.first, order.why)
-	if a != nil || order.second == 0 || (order.ifNone && found && full.bound != place.Crossing) {
+	usable := found && full.bound != place.Crossing || full.atRest // a rest does not bring an old version back
+	if a != nil || order.second == 0 || (order.ifNone && usable) {
 		return a, full
 	}
 	a, other, foundOther := t.acquireOf(p, now, req, order.second, order.otherwise)
@@ -85,7 +91,10 @@
 	choice, left := t.choose(p, now, &req)
 	switch {
 	case choice.Index < 0:
-		return nil, shortage{halls: t.allOut(p, &req), homes: t.homesRefusal(p, &req), stayed: left.stayed}, false
+		rest, atRest := t.allAtRest(p, now, &req)
+		return nil, shortage{
+			halls: t.allOut(p, &req), homes: t.homesRefusal(p, &req), stayed: left.stayed, atRest: atRest, rest: rest,
+		}, false
 	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
 		return nil, shortage{
@@ -163,8 +172,9 @@
 	return place.Server{
 		ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - t.othersAt,
 		Lately: k.lately.At(now), Pace: k.pace, Health: k.health.State(now), Avoid: req.avoid[k.ID],
-		Lost:   k.health.LostInARow(),
-		Closed: (v.alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, v.leased) || v.among&k.versions == 0 || !t.mayBeServedAt(req, k),
+		Lost: k.health.LostInARow(),
+		Closed: (v.alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, v.leased) || v.among&k.versions == 0 ||
+			!t.mayBeServedAt(req, k) || !k.notice.Admits(now),
 	}
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -17,10 +17,18 @@
 type waiter struct {
 	requirements
 	seq      uint64
-	granted  chan *assignment // buffered
+	granted  chan *assignment // buffered; nil: waiting is of no use any more
 	shortage shortage         // why it got nothing when it was last looked at
 }
 
+// result is what the request got once it was granted a, which may be nil.
+func (wt *waiter) result(a *assignment) (*assignment, shortage) {
+	if a == nil {
+		return nil, wt.shortage
+	}
+	return a, shortage{}
+}
+
 // awaitServer returns a backend server for the request, waiting for room until
 // ctx ends or patience is over; then it returns nil and why. It locks table.mu.
 func (g *Gateway) awaitServer(ctx context.Context, req requirements, patience time.Duration) (*assignment, shortage) {
@@ -43,7 +51,7 @@
 	defer timer.Stop()
 	select {
 	case a := <-waiting.granted:
-		return a, shortage{}
+		return waiting.result(a)
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -59,7 +67,7 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *waiter) bool { return o == wt })
 	select {
 	case a := <-wt.granted:
-		return a, shortage{}
+		return wt.result(a)
 	default:
 	}
 	if wt.pool.Engine && wt.Class == entitlement.Covered && ctx.Err() == nil {
@@ -92,6 +100,8 @@
 		a, full := g.table.acquire(now, wt.requirements)
 		if a == nil {
 			wt.shortage = full
+		}
+		if a == nil && !full.atRest {
 			return false
 		}
 		wt.granted <- a
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -6,11 +6,14 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
+	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -18,9 +21,9 @@
 // for rest.
 
 // askingForRest refuses every call, asks for rest, and counts.
-func askingForRest(rest time.Duration, calls *int) behaviour {
+func askingForRest(rest time.Duration, calls *atomic.Int64) behaviour {
 	return func(_ context.Context, call forward.Call) (*forward.Answer, error) {
-		*calls++
+		calls.Add(1)
 		h := http.Header{"Id": call.Header["Id"], "Rest": {rest.String()}}
 		return nil, forward.NotRun{Refused: true, Status: http.StatusServiceUnavailable, Header: h, Err: io.EOF}
 	}
@@ -48,34 +51,199 @@
 		t.Run(tt.name, func(t *testing.T) {
 			bubble(t, func(x *fixture) {
 				is := is.New(x.t)
-				calls := 0
+				var calls atomic.Int64
 				x.serversOf(tt.pool, askingForRest(rest, &calls), tt.other, tt.other)
-				for calls == 0 {
+				for calls.Load() == 0 {
 					x.ask(tt.path, "Patience", "2000")
 					time.Sleep(time.Millisecond)
 				}
 				asked := x.g.now()
-				for x.g.now() < asked+rest-20*time.Millisecond {
+				for x.g.now() < asked+rest-300*time.Millisecond { // longer than any of them takes
 					x.ask(tt.path, "Patience", "2000")
 					time.Sleep(10 * time.Millisecond)
 				}
-				is.Equal(calls, 1) // within the time that it asked for
-				time.Sleep(20 * time.Millisecond)
+				is.Equal(calls.Load(), int64(1)) // within the time that it asked for
+				time.Sleep(asked + rest - x.g.now())
 				for range 40 {
 					x.ask(tt.path, "Patience", "2000")
 				}
-				is.True(calls > 1) // after it
+				is.True(calls.Load() > 1) // after it
 			})
 		})
 	}
 }
 
+// TestAllServersAtRest: what nothing serves for now is refused at once, as not run, and comes back when
+// the first server takes requests again.
+func TestAllServersAtRest(t *testing.T) {
+	for _, pool := range []string{"plain", "engines"} {
+		t.Run(pool, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				is := is.New(x.t)
+				path := map[string]string{"plain": "/once/1", "engines": "/engine/1"}[pool]
+				var calls atomic.Int64
+				x.serversOf(pool, askingForRest(2*time.Second, &calls), askingForRest(3*time.Second, &calls))
+				for range 10 {
+					x.ask(path, "Patience", "9000")
+				}
+				is.Equal(calls.Load(), int64(2))
+				r := x.ask(path, "Patience", "9000")
+				is.Equal(r.status, 503)
+				is.Equal(r.body, "{\"error\":\"servers-at-rest\"}\n")
+				is.Equal(r.took, time.Duration(0))
+				is.Equal(r.header.Get("Retry-After"), "2.000")
+				time.Sleep(2 * time.Second)
+				x.ask(path, "Patience", "9000")
+				is.Equal(calls.Load(), int64(3))
+			})
+		})
+	}
+}
+
+// TestLastServerAsksForRestWhileOthersWait: what waits is refused at once as well.
+func TestLastServerAsksForRestWhileOthersWait(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls atomic.Int64
+		refusal := askingForRest(3*time.Second, &calls)
+		x.serversOf("plain", func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
+			time.Sleep(100 * time.Millisecond)
+			return refusal(ctx, call)
+		})
+		done := make(chan reply, 20)
+		for range 20 {
+			go func() { done <- x.ask("/once/1", "Patience", "2000") }()
+		}
+		for range 20 {
+			r := <-done
+			is.Equal(r.status, 503)
+			is.True(r.took <= 100*time.Millisecond)
+		}
+		is.Equal(calls.Load(), int64(8)) // what it had room for when it asked
+	})
+}
+
+// TestMayHaveRunOutlastsAShortRest: what cannot be told that it has not run waits for a server while
+// there is hope.
+func TestMayHaveRunOutlastsAShortRest(t *testing.T) {
+	for rest, status := range map[time.Duration]int{300 * time.Millisecond: 200, 2 * time.Second: 502} {
+		t.Run(rest.String(), func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				is := is.New(x.t)
+				var calls atomic.Int64
+				x.serversOf("plain", fails(forward.Unknown{Err: errReset}), askingForRest(rest, &calls))
+				for calls.Load() == 0 {
+					x.ask("/once/1", "Patience", "2000")
+				}
+				x.servers.does["10.0.5.1:80"] = answers(200, "ok", time.Millisecond)
+				ended := time.AfterFunc(rest+time.Millisecond, x.g.grantAll)
+				defer ended.Stop()
+				r := x.ask("/again/1", "Patience", "2900")
+				is.Equal(r.status, status)
+				is.True(r.took < time.Second)
+			})
+		})
+	}
+}
+
+// TestConnectionThatOpensAfterTheWish: a call that waited for its connection when the server asked for
+// rest is not sent, and goes elsewhere.
+func TestConnectionThatOpensAfterTheWish(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls, sent atomic.Int64
+		refusal := askingForRest(3*time.Second, &calls)
+		x.serversOf("plain", func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
+			if sent.Add(1) == 1 {
+				return refusal(ctx, call)
+			}
+			time.Sleep(50 * time.Millisecond) // opens a connection
+			if call.Unwanted() {
+				return nil, forward.NotRun{Err: errors.WithStack(forward.ErrUnwanted)}
+			}
+			calls.Add(1)
+			return refusal(ctx, call)
+		}, answers(200, "ok", time.Millisecond))
+		done := make(chan reply, 6)
+		for range 6 {
+			go func() { done <- x.ask("/once/1", "Patience", "2000") }()
+		}
+		for range 6 {
+			is.Equal((<-done).status, 200)
+		}
+		is.Equal(calls.Load(), int64(1))
+	})
+}
+
+// TestRestOfAnotherLife: it ends with the server, not with what the directory lists.
+func TestRestOfAnotherLife(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls atomic.Int64
+		x.serversOf("plain", askingForRest(3*time.Second, &calls))
+		ask := func() int64 {
+			x.ask("/once/1", "Patience", "2000")
+			return calls.Load()
+		}
+		is.Equal(ask(), int64(1))
+		listed := x.g.table.servers["p0"].Server
+		x.g.table.update(protocol.Servers{Term: 1, Gone: []string{"p0"}})
+		x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{listed}})
+		is.Equal(ask(), int64(1))
+		x.g.table.update(protocol.Servers{Term: 2, Whole: true, Complete: true, Set: []protocol.Server{listed}})
+		is.Equal(ask(), int64(1))
+		listed.ID = "p0-again"
+		x.g.table.update(protocol.Servers{Term: 2, Set: []protocol.Server{listed}})
+		is.Equal(ask(), int64(2))
+		time.Sleep(4 * time.Second)
+		x.g.table.update(protocol.Servers{Term: 2, Gone: []string{"p0-again"}})
+		is.Equal(len(x.g.table.unlistedNotices), 0) // none is kept longer than it matters
+	})
+}
+
+// TestRestBringsNoOldVersionBack: what a rollout has moved to another version is refused while all
+// servers of that version rest.
+func TestRestBringsNoOldVersionBack(t *testing.T) {
+	var calls atomic.Int64
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.versionsOf("v1", "v2")
+		x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		x.leaseShares()
+		x.ask("/once/1", "Patience", "800")
+		is.Equal(calls.Load(), int64(1))
+		x.leaseShares()
+		is.Equal(x.ask("/once/1", "Patience", "800").status, 503)
+		is.Equal(calls.Load(), int64(1))
+		is.Equal(x.servers.count(), 1)
+	}, answers(200, "old", time.Millisecond), askingForRest(3*time.Second, &calls))
+}
+
+// TestRestOfAnAnswerThatRan: a 503 asks for rest whether it has run the request or not.
+func TestRestOfAnAnswerThatRan(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls atomic.Int64
+		x.serversOf("plain", func(_ context.Context, call forward.Call) (*forward.Answer, error) {
+			calls.Add(1)
+			h := headOf(call)
+			h.Set("Rest", "3s")
+			return &forward.Answer{Status: 503, Header: h, Length: 0, Body: http.NoBody}, nil
+		}, answers(200, "ok", time.Millisecond))
+		for range 40 {
+			x.ask("/again/1", "Patience", "2000")
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(calls.Load(), int64(1))
+	})
+}
+
 // TestWaitingRequestsGoToNoServerAtRest: what waited for room when the server asked is not given to it
 // as the other servers fill up.
 func TestWaitingRequestsGoToNoServerAtRest(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
-		calls := 0
+		var calls atomic.Int64
 		x.serversOf("plain", askingForRest(3*time.Second, &calls), answers(200, "ok", 300*time.Millisecond))
 		done := make(chan reply, 100)
 		for i := range 100 {
@@ -87,6 +255,6 @@
 		for range 100 {
 			<-done
 		}
-		is.Equal(calls, 1)
+		is.Equal(calls.Load(), int64(1))
 	})
 }
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/badgerspoke/badgerspoke/coordination/backpressure"
 	"github.com/badgerspoke/badgerspoke/coordination/coldstart"
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
@@ -29,11 +30,12 @@
 	others   place.Work // of all but this gateway, as of the table's othersAt
 	lately   place.Peak // of all
 	cold     coldstart.Allowance
-	region   string   // of its hall; empty if no setting names it
-	versions versions // its version, as the pool's rollout has it
-	list     uint64   // number of the last whole list that had it, itself or by a change since
-	unlisted bool     // a complete list of the directory lacked it
-	left     bool     // the pool
+	notice   backpressure.Notice // what it said of further requests
+	region   string              // of its hall; empty if no setting names it
+	versions versions            // its version, as the pool's rollout has it
+	list     uint64              // number of the last whole list that had it, itself or by a change since
+	unlisted bool                // a complete list of the directory lacked it
+	left     bool                // the pool
 }
 
 type table struct {
@@ -58,6 +60,9 @@
 	// one and not in the other.
 	unequal []*knownServer
 
+	// unlistedNotices are those of servers that are not listed now.
+	unlistedNotices map[string]backpressure.Notice
+
 	hallsOut    map[string]bool // data halls whose servers get nothing
 	hallChanges uint64          // as of which
 	leased      time.Duration   // until when this gateway's shares of cold servers are in force
@@ -128,7 +133,10 @@
 }
 
 func newTable(gateway, hall string, now func() time.Duration) *table {
-	return &table{gateway: gateway, hall: hall, now: now, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{}, at: map[string]*knownServer{}, pools: map[string]*pool{}}
+	return &table{
+		gateway: gateway, hall: hall, now: now, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{},
+		at: map[string]*knownServer{}, pools: map[string]*pool{}, unlistedNotices: map[string]backpressure.Notice{},
+	}
 }
 
 // pool returns a pool, new if need be. The caller holds mu.
@@ -251,7 +259,8 @@
 	if other := t.at[s.Address]; other != nil {
 		t.remove(other.ID)
 	}
-	k = &knownServer{Server: s, list: t.lists, versions: anyVersion}
+	k = &knownServer{Server: s, list: t.lists, versions: anyVersion, notice: t.unlistedNotices[s.ID]}
+	delete(t.unlistedNotices, s.ID)
 	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
 	p := t.pool(s.Pool)
@@ -276,6 +285,7 @@
 		return false
 	}
 	delete(t.servers, id)
+	t.setNotice(t.now(), id, k.notice)
 	delete(t.byHandle, k.Handle)
 	t.leaveAddress(k)
 	p := t.pool(k.Pool)
--- a/gateway/take.go
+++ b/gateway/take.go
@@ -33,6 +33,9 @@
 		return nil, Refusal{Cause: TooLate}
 	}
 	patience := retry.QueueTimeout(waiting)
+	if c.counts.Runs > 0 {
+		req.outlast = patience
+	}
 	var a *assignment
 	if a, c.shortage = c.g.awaitServer(ctx, req, patience); a != nil {
 		c.countStarted()
@@ -60,6 +63,8 @@
 			return Refusal{Cause: c.shortage.homes, RetryAfter: retry.Later}
 		case len(c.shortage.halls) > 0:
 			return Refusal{Cause: HallsOut, RetryAfter: retry.Later}
+		case c.shortage.atRest:
+			return Refusal{Cause: ServersAtRest, RetryAfter: retry.AfterRest(c.shortage.rest, c.left(), c.g.random())}
 		}
 	}
 	allTried := c.g.table.reachable(req) <= len(c.avoid)
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -27,11 +27,11 @@
 	unwanted atomic.Pointer[func() bool]
 }
 
-// errUnwanted ends a call that nobody wants any more.
-var errUnwanted = errors.New("the call is not wanted any more")
+// ErrUnwanted ends a call that nobody wants any more.
+var ErrUnwanted = errors.New("the call is not wanted any more")
 
 // Unwanted reports whether a call failed because nobody wanted it any more.
-func Unwanted(err error) bool { return errors.Is(err, errUnwanted) }
+func Unwanted(err error) bool { return errors.Is(err, ErrUnwanted) }
 
 // Write implements [net.Conn]. The first write of a call that is unwanted fails: between any
 // earlier look and this one, goroutines hand the call on, and each of them waits for the
@@ -39,7 +39,7 @@
 // left.
 func (c *countingConn) Write(b []byte) (int, error) {
 	if unwanted := c.unwanted.Swap(nil); unwanted != nil && (*unwanted)() {
-		return 0, errUnwanted
+		return 0, ErrUnwanted
 	}
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
