--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,8 +32,9 @@
 	err         error // nil after retry.Answered only
 	lost        bool  // its connection broke while it ran
 	// What the answer said, if one came.
-	status int
-	rest   time.Duration // for which the backend server wants nothing more
+	status  int
+	rest    time.Duration // for which the backend server wants nothing more
+	leaving bool          // it is about to stop
 }
 
 // attempt sends the request to one backend server and relays what it answers.
@@ -87,7 +88,7 @@
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
 	c.g.heed(a, head)
 	out := c.answered(ctx, a, answer, head)
-	out.status, out.rest = answer.Status, head.Rest
+	out.status, out.rest, out.leaving = answer.Status, head.Rest, head.Leaving
 	return out
 }
 
@@ -135,7 +136,7 @@
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
 	c.g.heed(a, head)
 	out := c.refused(head, err)
-	out.status, out.rest = not.Status, head.Rest
+	out.status, out.rest, out.leaving = not.Status, head.Rest, head.Leaving
 	return out
 }
 
@@ -212,6 +213,9 @@
 	if out.rest > 0 {
 		attrs = append(attrs, milliseconds("rest_ms", out.rest))
 	}
+	if out.leaving {
+		attrs = append(attrs, slog.Bool("leaving", true))
+	}
 	if out.lost {
 		attrs = append(attrs, slog.String("key", c.key().String()))
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -66,6 +66,7 @@
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return AnswerHead{
 		ID: h.Get("Id"), Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Sealed") != "", Rest: rest,
+		Leaving: h.Get("Leaving") != "",
 	}
 }
 
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -36,7 +36,8 @@
 	Signed      bool   // the answer carries the backend server's signature
 	// Rest is for how long the backend server wants nothing more from this gateway, as it says when
 	// it turns a request away; 0 is no wish. It may be absurdly long.
-	Rest time.Duration
+	Rest    time.Duration
+	Leaving bool // the backend server is about to stop, and wants no more requests
 }
 
 // HeaderCodec translates heads. Its methods are safe for concurrent use.
