Servers that say that they leave get nothing new

What callers would see: requests sent to a server that is about to stop, and broken off or refused there, where the directory does not know that it leaves: its heartbeat was lost, or the two cannot reach each other. Servers say so in every answer.

Cause: nobody read it; gateways knew of a departure from the directory alone. The class is that of the rests: what a peer says of the future.

Mend: it is part of the same notice, heeded from the head of any answer on, for the life of the server. It is kept when the directory takes the server off its list and lists it again. In a rollout such a server counts as one of a hall out of service. Where all leave, a request waits for the next server.

Each condition was switched off: TestLeavingServersOfAVersion, TestLeavingServerIsListedAgain and TestAllServersLeave notice; not covered by a test of their own: homes together with a rollout, and the covered request's last look.

--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -4,9 +4,9 @@
 // server has said so in an answer.
 //
 // That is no health check (package outlier): a server that is overloaded and says so is
-// well, and no trial is due before the time that it named is over. It holds for one gateway and
-// one life of a server: another gateway asks for itself, and a server that starts again has
-// asked for nothing.
+// well, and no trial is due before the time that it named is over; one that leaves is not tried at
+// all. It holds for one gateway and one life of a server: each gateway is told by itself, and a
+// server that starts again has said nothing.
 //
 // All types are pure values.
 package backpressure
@@ -21,6 +21,7 @@
 // said nothing.
 type Notice struct {
 	restUntil time.Duration
+	leaving   bool
 }
 
 // WithRest returns the notice after the server has asked for a rest from now on. It does not
@@ -30,8 +31,18 @@
 	return n
 }
 
+// WithLeaving returns the notice after the server has said that it leaves. A life does not take that
+// back.
+func (n Notice) WithLeaving() Notice {
+	n.leaving = true
+	return n
+}
+
+// Leaving reports whether the server has said that it leaves.
+func (n Notice) Leaving() bool { return n.leaving }
+
 // Admits reports whether the server may have a request.
-func (n Notice) Admits(now time.Duration) bool { return n.Rest(now) == 0 }
+func (n Notice) Admits(now time.Duration) bool { return !n.leaving && n.Rest(now) == 0 }
 
 // Rest returns what is left of the rest that the server asked for.
 func (n Notice) Rest(now time.Duration) time.Duration { return max(n.restUntil-now, 0) }
--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -10,6 +10,15 @@
 	"github.com/matryer/is"
 )
 
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	n := Notice{}.WithLeaving()
+	is.True(n.Leaving())
+	is.True(!n.Admits(1000 * time.Hour))
+	is.Equal(n.Rest(0), time.Duration(0))
+	is.True(!n.WithRest(0, time.Second).Admits(2 * time.Second)) // a rest that is over changes nothing
+}
+
 func TestRest(t *testing.T) {
 	is := is.New(t)
 	var n Notice
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/backpressure"
+	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -94,6 +96,126 @@
 			}
 		}
 		is.Equal(int64(served), calls.Load()) // what ran there ends in peace
-		is.True(served <= 5) // what it had room for before it said so
+		is.True(served <= 5)                  // what it had room for before it said so
 	})
 }
+
+// TestLeavingServerIsListedAgain: what it said holds for its life, whatever the directory lists, and not
+// for the next one.
+func TestLeavingServerIsListedAgain(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls atomic.Int64
+		x.serversOf("plain", leaving(answers(200, "ok", time.Millisecond), &calls))
+		ask := func() int64 {
+			x.ask("/once/1", "Patience", "500")
+			return calls.Load()
+		}
+		is.Equal(ask(), int64(1))
+		listed := x.g.table.servers["p0"].Server
+		for _, m := range []protocol.Servers{
+			{Term: 1, Set: []protocol.Server{listed}},
+			{Term: 1, Gone: []string{"p0"}},
+			{Term: 1, Set: []protocol.Server{listed}},
+			{Term: 2, Whole: true, Complete: true, Set: []protocol.Server{listed}},
+		} {
+			x.g.table.update(m)
+			time.Sleep(5 * time.Second)
+			is.Equal(ask(), int64(1))
+		}
+		listed.ID = "p0-again"
+		x.g.table.update(protocol.Servers{Term: 2, Set: []protocol.Server{listed}})
+		is.Equal(ask(), int64(2))
+		x.g.table.update(protocol.Servers{Term: 2, Gone: []string{"p0-again"}})
+		is.Equal(len(x.g.table.unlistedNotices), 2)
+		time.Sleep(backpressure.LongestRest + time.Minute)
+		listed.ID = "p0-more"
+		x.g.table.update(protocol.Servers{Term: 2, Set: []protocol.Server{listed}})
+		is.Equal(ask(), int64(3))
+		x.g.table.update(protocol.Servers{Term: 2, Gone: []string{"p0-more"}})
+		is.Equal(len(x.g.table.unlistedNotices), 1) // none is kept for good
+	})
+}
+
+// TestAllServersLeave: a request waits for another one as where none is listed, and the last ones that
+// serve at rest are told apart from those that leave.
+func TestAllServersLeave(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		is := is.New(x.t)
+		var calls atomic.Int64
+		ok := answers(200, "ok", time.Millisecond)
+		x.serversOf("plain", leaving(ok, &calls))
+		is.Equal(x.ask("/once/1", "Patience", "2000").status, 200)
+		r := x.ask("/once/1", "Patience", "2000")
+		is.Equal(r.status, 503)
+		is.True(r.took > 0)
+		time.AfterFunc(50*time.Millisecond, func() {
+			another := x.g.table.servers["p0"].Server
+			another.ID, another.Address = "p1", "10.0.5.1:80"
+			x.servers.does[another.Address] = askingForRest(3*time.Second, &calls)
+			x.g.takeNew(another)
+		})
+		is.Equal(x.ask("/once/1", "Patience", "2000").status, 503)
+		is.Equal(calls.Load(), int64(2)) // the new one had it
+		r = x.ask("/once/1", "Patience", "2000")
+		is.Equal(r.body, "{\"error\":\"servers-at-rest\"}\n")
+		is.Equal(r.took, time.Duration(0))
+	})
+}
+
+// takeNew takes a server that the directory has added.
+func (g *Gateway) takeNew(s protocol.Server) {
+	g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}})
+	g.grantAll()
+}
+
+// TestLeavingServersOfAVersion: an old version whose servers all leave is gone, and a trial goes to servers
+// of the target that stay.
+func TestLeavingServersOfAVersion(t *testing.T) {
+	ok := answers(200, "ok", time.Millisecond)
+	t.Run("old", func(t *testing.T) {
+		var calls atomic.Int64
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.versionsOf("v1", "v2")
+			x.rollouts(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 0})
+			for range 5 {
+				x.leaseShares()
+				is.Equal(x.ask("/once/1", "Patience", "800").status, 200)
+			}
+			is.Equal(calls.Load(), int64(1))
+		}, leaving(ok, &calls), ok)
+	})
+	t.Run("target", func(t *testing.T) {
+		var calls atomic.Int64
+		bubble(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.versionsOf("v1", "v2", "v2")
+			for i := range 3 {
+				x.rollouts(1, uint64(i+1), protocol.Rollout{Attempt: 1, Target: "v2", Share: 0.5, Routes: []protocol.RouteShare{{Route: "once", Share: 1}}})
+				x.leaseShares()
+				is.Equal(x.ask("/once/1", "Patience", "800").status, 200)
+			}
+			is.Equal(calls.Load(), int64(1)) // one of the two, whichever the trial began with
+			targets := 0
+			for _, k := range x.g.table.servers {
+				if k.versions&trialVersion != 0 {
+					is.True(!k.notice.Leaving())
+					targets++
+				}
+			}
+			is.Equal(targets, 1)
+		}, ok, leavingFirst(ok, &calls), leavingFirst(ok, &calls))
+	})
+}
+
+// leavingFirst is leaving for the first call that counts, and the behaviour alone after it.
+func leavingFirst(does behaviour, calls *atomic.Int64) behaviour {
+	leaves := leaving(does, calls)
+	return func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
+		if calls.Load() == 0 {
+			return leaves(ctx, call)
+		}
+		return does(ctx, call)
+	}
+}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -16,24 +16,37 @@
 // heed takes what the backend server of an attempt says of further requests. An answer from another
 // server at its address says nothing of it.
 func (g *Gateway) heed(a *assignment, head AnswerHead) {
-	if head.Misdirected || head.Rest <= 0 {
+	if head.Misdirected || (head.Rest <= 0 && !head.Leaving) {
 		return
 	}
-	g.stats.count("rests", "pool", a.known.Pool)
-	if g.table.rest(a.server, head.Rest) {
+	before, now := g.table.heed(a.server, head)
+	if head.Rest > 0 {
+		g.stats.count("rests", "pool", a.known.Pool)
+	}
+	switch {
+	case now.Leaving() && !before.Leaving():
+		g.stats.count("leaving", "pool", a.known.Pool)
+		g.cfg.Log.StateChange("backend leaving", slog.String("backend", a.server))
+	case before.Admits(g.now()) && !now.Admits(g.now()):
 		g.cfg.Log.StateChange("backend at rest", slog.String("backend", a.server), milliseconds("rest_ms", head.Rest))
 	}
 }
 
-// rest notes that a backend server wants nothing for a while, and reports whether it took requests
-// until now.
-func (t *table) rest(server string, rest time.Duration) (began bool) {
+// heed takes what a backend server says, and returns what it had said before and has said now.
+func (t *table) heed(server string, head AnswerHead) (before, after backpressure.Notice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	notice := t.notice(server)
-	t.setNotice(now, server, notice.WithRest(now, rest))
-	return notice.Admits(now)
+	before = t.notice(server)
+	after = before.WithRest(now, head.Rest)
+	if head.Leaving {
+		after = after.WithLeaving()
+	}
+	t.setNotice(now, server, after)
+	if after.Leaving() && !before.Leaving() {
+		t.sortVersions()
+	}
+	return before, after
 }
 
 // admits reports whether a backend server may have a request, as far as it has said.
@@ -48,7 +61,19 @@
 	if k := t.servers[server]; k != nil {
 		return k.notice
 	}
-	return t.unlistedNotices[server]
+	return t.unlistedNotices[server].Notice
+}
+
+// unlistedNotice is what a backend server has said that is not listed.
+type unlistedNotice struct {
+	backpressure.Notice
+	since time.Duration // it is not listed
+}
+
+// expired reports whether the notice need not be kept: servers that leave end, and are not listed again
+// after so long.
+func (n unlistedNotice) expired(now time.Duration) bool {
+	return n.Admits(now) || now-n.since > backpressure.LongestRest
 }
 
 // setNotice keeps what a backend server has said. Of one that is not listed it is kept as well, for as
@@ -58,19 +83,20 @@
 		k.notice = n
 		return
 	}
-	maps.DeleteFunc(t.unlistedNotices, func(_ string, o backpressure.Notice) bool { return o.Admits(now) })
-	if !n.Admits(now) {
-		t.unlistedNotices[server] = n
+	if n.Admits(now) {
+		return
 	}
+	maps.DeleteFunc(t.unlistedNotices, func(_ string, o unlistedNotice) bool { return o.expired(now) })
+	t.unlistedNotices[server] = unlistedNotice{Notice: n, since: now}
 }
 
-// allAtRest reports whether all servers that the request may have and has not tried want nothing for
-// longer than it waits, and how long it is until the first of all that it may have takes requests.
+// allAtRest reports whether all servers that the request may have and has not tried, those that leave
+// aside, want nothing for longer than it waits, and how long it is until the first of all that it may have takes requests.
 // The caller holds mu.
 func (t *table) allAtRest(p *pool, now time.Duration, req *requirements) (soonest time.Duration, all bool) {
 	soonest = backpressure.LongestRest
 	for _, k := range p.servers {
-		if t.hallsOut[k.Hall] || k.versions&req.versions == 0 || !t.mayBeServedAt(req, k) {
+		if !t.inService(k) || k.versions&req.versions == 0 || !t.mayBeServedAt(req, k) {
 			continue
 		}
 		left := k.notice.Rest(now)
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -196,8 +196,9 @@
 		x.g.table.update(protocol.Servers{Term: 2, Set: []protocol.Server{listed}})
 		is.Equal(ask(), int64(2))
 		time.Sleep(4 * time.Second)
+		is.Equal(ask(), int64(3))
 		x.g.table.update(protocol.Servers{Term: 2, Gone: []string{"p0-again"}})
-		is.Equal(len(x.g.table.unlistedNotices), 0) // none is kept longer than it matters
+		is.Equal(len(x.g.table.unlistedNotices), 1) // what is over is not kept
 	})
 }
 
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -61,7 +61,7 @@
 	unequal []*knownServer
 
 	// unlistedNotices are those of servers that are not listed now.
-	unlistedNotices map[string]backpressure.Notice
+	unlistedNotices map[string]unlistedNotice
 
 	hallsOut    map[string]bool // data halls whose servers get nothing
 	hallChanges uint64          // as of which
@@ -135,7 +135,7 @@
 func newTable(gateway, hall string, now func() time.Duration) *table {
 	return &table{
 		gateway: gateway, hall: hall, now: now, servers: map[string]*knownServer{}, byHandle: map[uint32]*knownServer{},
-		at: map[string]*knownServer{}, pools: map[string]*pool{}, unlistedNotices: map[string]backpressure.Notice{},
+		at: map[string]*knownServer{}, pools: map[string]*pool{}, unlistedNotices: map[string]unlistedNotice{},
 	}
 }
 
@@ -259,7 +259,7 @@
 	if other := t.at[s.Address]; other != nil {
 		t.remove(other.ID)
 	}
-	k = &knownServer{Server: s, list: t.lists, versions: anyVersion, notice: t.unlistedNotices[s.ID]}
+	k = &knownServer{Server: s, list: t.lists, versions: anyVersion, notice: t.unlistedNotices[s.ID].Notice}
 	delete(t.unlistedNotices, s.ID)
 	t.setCold(k)
 	t.servers[s.ID], t.byHandle[s.Handle], t.at[s.Address] = k, k, k
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -151,14 +151,14 @@
 		case slices.Contains(r.Barred, k.Version):
 		case r.Target != "" && k.Version == r.Target:
 			k.versions = targetVersion
-			if !t.hallsOut[k.Hall] {
+			if t.inService(k) {
 				target = append(target, k)
 			}
 		case other && slices.Contains(r.Replaced, k.Version):
 			k.versions = replacedVersion
 		default:
 			k.versions = oldVersion
-			r.oldListed = r.oldListed || !t.hallsOut[k.Hall] && !k.unlisted
+			r.oldListed = r.oldListed || t.inService(k) && !k.unlisted
 		}
 	}
 	for _, group := range t.trialGroups(r.unreached.others(target)) {
@@ -260,7 +260,7 @@
 		return p.rollout.oldListed
 	}
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&oldVersion != 0 && !t.hallsOut[k.Hall] && !k.unlisted && h.may(k.region)
+		return k.versions&oldVersion != 0 && t.inService(k) && !k.unlisted && h.may(k.region)
 	})
 }
 
@@ -281,12 +281,16 @@
 	return rest
 }
 
+// inService reports whether a server is there for new requests, if not at this moment: its data hall is in
+// service and it does not leave. The caller holds mu.
+func (t *table) inService(k *knownServer) bool { return !t.hallsOut[k.Hall] && !k.notice.Leaving() }
+
 // anyUsable reports whether a server of some versions may have the request now. The caller holds
 // mu.
 func (t *table) anyUsable(p *pool, now time.Duration, req *requirements, among versions) bool {
 	leased := now < t.leased
 	return slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&among != 0 && !t.hallsOut[k.Hall] && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
+		return k.versions&among != 0 && t.inService(k) && k.cold.Admits(now, leased) && t.mayBeServedAt(req, k)
 	})
 }
 
@@ -298,7 +302,7 @@
 		return req.versions
 	}
 	if slices.ContainsFunc(p.servers, func(k *knownServer) bool {
-		return k.versions&anyVersion != 0 && !t.hallsOut[k.Hall] && t.mayBeServedAt(req, k)
+		return k.versions&anyVersion != 0 && t.inService(k) && t.mayBeServedAt(req, k)
 	}) {
 		return req.versions
 	}
