Routers leave a server alone that refused a call and asked for rest

Three refusals in a row ejected the server for a second, and each trial after that was refused again. Callers saw a failed request for each where no retry was left.

The notice of coordination/backpressure is part of a router's choice now; the slots of a server at rest go back to the allocator. It ends when the server leaves the configuration.

--- a/callers_test.go
+++ b/callers_test.go
@@ -159,6 +159,32 @@
 	}
 }
 
+// TestRouterLeavesAServerAtRestAlone: a server that refuses and asks for rest gets nothing from the router
+// until that is over, however long the router would have suspected it.
+func TestRouterLeavesAServerAtRestAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := wholeFleet(t, 1)
+		for range 200 { // earn retries
+			f.do(request{router: "r1", method: "GET", path: "/services/stock/warm", key: "hotel"})
+		}
+		at := f.engines["e1"]
+		at.AskForRest(8 * time.Second)
+		ask := func(times int) {
+			for range times {
+				is.Equal(f.do(completion("r1", "hotel", 4, false)).status, 200)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		ask(60)
+		is.Equal(at.RefusedAtRest(), 1)
+		time.Sleep(8 * time.Second)
+		before := at.Runs()
+		ask(60)
+		is.True(at.Runs() > before)
+	})
+}
+
 // TestRepeatedCallMayHaveRun: a call that was lost and sent again may have run,
 // whatever becomes of it afterwards.
 func TestRepeatedCallMayHaveRun(t *testing.T) {
--- a/coordination/place/slotplacer.go
+++ b/coordination/place/slotplacer.go
@@ -3,11 +3,13 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"time"
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/badgerspoke/badgerspoke/coordination/backpressure"
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 )
 
@@ -43,11 +45,28 @@
 	Index  *Index
 	Health *outlier.Consecutive
 	loads  map[string]Load
+	// notices are of servers that asked for rest and have not been heard of as gone.
+	notices map[string]backpressure.Notice
 }
 
 // NewSlotPlacer returns a placer whose index holds at most blocks prompt blocks.
 func NewSlotPlacer(blocks int) *SlotPlacer {
-	return &SlotPlacer{Index: NewIndex(blocks), Health: outlier.NewConsecutive(), loads: map[string]Load{}}
+	return &SlotPlacer{Index: NewIndex(blocks), Health: outlier.NewConsecutive(), loads: map[string]Load{}, notices: map[string]backpressure.Notice{}}
+}
+
+// Rest takes that a server wants nothing for a while.
+func (p *SlotPlacer) Rest(now time.Duration, server string, rest time.Duration) {
+	p.notices[server] = p.notices[server].WithRest(now, rest)
+}
+
+// Forget forgets what servers asked for, but for those that are listed.
+func (p *SlotPlacer) Forget(listed func(server string) bool) {
+	maps.DeleteFunc(p.notices, func(server string, _ backpressure.Notice) bool { return !listed(server) })
+}
+
+// Usable reports whether a request may go to a server: it is not ejected, and does not rest.
+func (p *SlotPlacer) Usable(now time.Duration, server string) bool {
+	return p.Health.Usable(now, server) && p.notices[server].Admits(now)
 }
 
 // Report takes a server's load report. An older one than held is dropped.
@@ -57,13 +76,13 @@
 	}
 }
 
-// Choose returns the cheapest candidate, or false if all are ejected.
+// Choose returns the cheapest candidate, or false if none is usable.
 // It costs O(candidates × prompt blocks).
 func (p *SlotPlacer) Choose(now time.Duration, candidates []FreeServer, prompt []Block) (string, bool) {
 	best, bestPrice := "", math.Inf(1)
 	preferred := Preferred(candidates, prompt)
 	for _, c := range candidates {
-		if !p.Health.Usable(now, c.Server) {
+		if !p.Usable(now, c.Server) {
 			continue
 		}
 		price := p.price(now, c, prompt)
--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -103,6 +103,7 @@
 		p.servers[s.Name] = s
 	}
 	p.placer.Health.SetSize(len(p.servers))
+	p.placer.Forget(func(name string) bool { _, ok := p.servers[name]; return ok })
 	for _, name := range p.holder.FreeServers() {
 		if _, ok := p.servers[name]; !ok {
 			p.holder.Return(name, math.MaxInt)
@@ -201,7 +202,7 @@
 			p.holder.Return(name, math.MaxInt)
 			continue
 		}
-		if !p.placer.Health.Usable(now, name) {
+		if !p.placer.Usable(now, name) {
 			p.holder.Return(name, math.MaxInt)
 			p.suspects = append(p.suspects, name)
 			continue
@@ -249,6 +250,11 @@
 	return ejected
 }
 
+// Rest takes that a server wants nothing for a while. Its free slots go back with the next Dispatch.
+func (p *Pool) Rest(now time.Duration, server string, rest time.Duration) {
+	p.placer.Rest(now, server, rest)
+}
+
 // Report takes a server's load report.
 func (p *Pool) Report(server string, l place.Load) { p.placer.Report(server, l) }
 
--- a/router/call.go
+++ b/router/call.go
@@ -193,7 +193,9 @@
 // settles the slot, and the claim if the call ends here.
 func (r *Router) sendFailed(ctx context.Context, c *call, server config.Server, err error) (again bool, f *Failure) {
 	f, claim, last := failBroken.With(err.Error()), protocol.ClaimUnknown, retry.MayHaveRun
-	if errors.As(err, new(forward.NotRun)) {
+	var not forward.NotRun
+	if errors.As(err, &not) {
+		r.heed(c, server, not)
 		f, claim, last = failUnreachable.With(err.Error()), protocol.ClaimReleased, retry.Refused
 	}
 	result, gone := pool.Failed, ctx.Err() != nil
@@ -209,6 +211,17 @@
 	return false, f
 }
 
+// heed takes for how long a server that refused a call wants nothing. What is malformed says nothing.
+func (r *Router) heed(c *call, server config.Server, refusal forward.NotRun) {
+	if !refusal.Refused {
+		return
+	}
+	if rest, _ := forward.RetryAfter(refusal.Header); rest > 0 {
+		r.pool(c.pool).update(func(now time.Duration, pl *pool.Pool) { pl.Rest(now, server.ID, rest) })
+		r.stats.rests.Inc()
+	}
+}
+
 // retry takes one retry out of the budget.
 func (r *Router) retry() bool {
 	r.budgetMu.Lock()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -90,8 +90,7 @@
 		req.MaxTokens = defaultTokens
 	}
 	how := e.take()
-	if how == Refuse {
-		refuse(w)
+	if e.refuses(w, how) {
 		return
 	}
 	if e.batch.enter(r.Context()) != nil {
--- a/standin/failure.go
+++ b/standin/failure.go
@@ -2,7 +2,12 @@
 
 package standin
 
-import "sync"
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
 
 // This file defines the failures that a test chooses for a stand-in.
 
@@ -22,6 +27,41 @@
 type failures struct {
 	mu   sync.Mutex
 	next []Failure
+
+	rest    time.Duration
+	rested  time.Time // when the rest is over
+	refused int       // for it
+}
+
+// AskForRest makes the stand-in refuse every request from now on until the rest is over, and say so in
+// whole seconds.
+func (f *failures) AskForRest(rest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rest, f.rested, f.refused = rest, time.Now().Add(rest), 0
+}
+
+// RefusedAtRest returns how many requests came since AskForRest and were refused.
+func (f *failures) RefusedAtRest() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
+// refuses reports whether a request was refused: it has that failure, or the stand-in rests.
+func (f *failures) refuses(w http.ResponseWriter, how Failure) bool {
+	f.mu.Lock()
+	resting := time.Now().Before(f.rested)
+	if resting {
+		f.refused++
+		w.Header().Set("Retry-After", strconv.Itoa(int(f.rest/time.Second)))
+	}
+	f.mu.Unlock()
+	if resting || how == Refuse {
+		refuse(w)
+		return true
+	}
+	return false
 }
 
 // FailNext makes the next request fail in that way, after those of earlier
--- a/standin/service.go
+++ b/standin/service.go
@@ -41,8 +41,7 @@
 		return
 	}
 	how := s.take()
-	if how == Refuse {
-		refuse(w)
+	if s.refuses(w, how) {
 		return
 	}
 	runs := s.run(string(body))
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -27,6 +27,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -76,6 +77,22 @@
 	return running, waiting, errR == nil && errW == nil && running >= 0 && waiting >= 0
 }
 
+// RetryAfter returns the longest time that the Retry-After of an answer names, in seconds with
+// fractions, and those of its values that are malformed: a time of day is, since clocks differ.
+func RetryAfter(h http.Header) (longest time.Duration, malformed []string) {
+	for _, text := range h["Retry-After"] {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+			malformed = append(malformed, text)
+			continue
+		}
+		// Beyond what a Duration holds, the conversion would give any value.
+		bounded := min(seconds, time.Duration(math.MaxInt64).Seconds()/2)
+		longest = max(longest, time.Duration(bounded*float64(time.Second)))
+	}
+	return longest, malformed
+}
+
 // Answer is a server's answer; the caller closes Body.
 type Answer struct {
 	Status int
