Metrics: connections that a paced gateway does not take

A late gateway takes few of the connections that come, and nothing told how many it leaves: neither a log nor a metric could tell an account that asks for little from one that is not let in. No decision changes.

--- /dev/null
+++ b/gateway/queued.go
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/overload"
+)
+
+// This file defines queued, the lock around what is known of connections that the gateway has not
+// taken. The rule is in coordination/overload.
+
+// queued is the callers' connections in the kernel's queue. The zero value is ready.
+type queued struct {
+	mu       sync.Mutex // a leaf
+	arrivals overload.Arrivals
+}
+
+// begin forgets what was seen: the queue is looked at only while connections are paced.
+func (q *queued) begin() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.arrivals = overload.Arrivals{}
+}
+
+func (q *queued) took() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.arrivals = q.arrivals.WithTaken()
+}
+
+func (q *queued) look(now time.Duration, waiting, most int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.arrivals = q.arrivals.WithLook(now, waiting, most)
+}
+
+// untaken returns how many connections came since the last call and were not taken.
+func (q *queued) untaken(now time.Duration) (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n, q.arrivals = q.arrivals.Untaken(now)
+	return n
+}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -14,7 +14,8 @@
 // are names of the document only, never what callers send.
 
 type stats struct {
-	set *metrics.Set
+	set     *metrics.Set
+	untaken *metrics.Counter // connections, estimated
 
 	mu         sync.Mutex // a leaf; guards the caches
 	counters   map[counterKey]*metrics.Counter
@@ -52,7 +53,9 @@
 type histogramKey struct{ name, account, route string }
 
 func newStats(set *metrics.Set) *stats {
-	return &stats{set: set, counters: map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{}}
+	return &stats{
+		set: set, untaken: set.GetOrCreateCounter("badgerspoke_gateway_connections_untaken_total"), counters: map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{},
+	}
 }
 
 // count adds one to a counter with one label.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -231,6 +231,7 @@
 	for range w.reportTimes(ctx) {
 		seq++
 		u := w.g.accounts.takeReport()
+		w.g.stats.untaken.Add(w.g.queued.untaken(w.g.now()))
 		u.Seq, u.Loads, u.Number = seq, w.g.table.takeReport(seq), w.g.DocumentNumber()
 		u.Term = w.g.table.followed() // before what is obeyed, which may be of the next leader
 		u.Outcomes, u.Obeyed = w.g.table.takeOutcomes(w.g.now())
--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -31,6 +31,7 @@
 
 func (unpaced) TakeConnection() bool   { return true }
 func (unpaced) ConnectionsPaced() bool { return false }
+func (unpaced) ObserveQueue(_, _ int)  {}
 
 // callers runs f with a function that connects to a server of callers, and the
 // limits in force there.
--- a/process/pace.go
+++ b/process/pace.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/badgerspoke/badgerspoke/decision"
 )
 
@@ -39,6 +41,9 @@
 	TakeConnection() bool
 	// ConnectionsPaced reports whether some are kept waiting.
 	ConnectionsPaced() bool
+	// ObserveQueue takes how many connections the kernel holds that were not taken, and how many it
+	// holds at most.
+	ObserveQueue(waiting, most int)
 }
 
 // pacedListener waits before it takes a connection for as long as its pacer says no.
@@ -49,6 +54,7 @@
 	closed <-chan struct{}
 	log    *decision.Log
 	short  bool // the kernel's queue
+	blind  bool // the kernel does not say how full it is
 	unread unreadConns
 }
 
@@ -63,6 +69,7 @@
 func (l *pacedListener) Accept() (net.Conn, error) {
 	for l.unread.full() || !l.pacer.TakeConnection() {
 		l.fitBacklog()
+		l.look()
 		select {
 		case <-l.closed:
 			return nil, net.ErrClosed
@@ -77,6 +84,42 @@
 	return l.unread.track(conn), nil
 }
 
+// look tells the pacer how full the kernel's queue is, if the kernel says so.
+func (l *pacedListener) look() {
+	if !l.short || l.blind {
+		return
+	}
+	waiting, most, err := queueOf(l.Listener)
+	if err != nil || most == 0 {
+		l.blind = true
+		return
+	}
+	l.pacer.ObserveQueue(waiting, most)
+}
+
+// queueOf returns how many connections wait in a listener's queue, and how many it holds; 0 if the kernel
+// does not say. The error is of the listener, or of the system call.
+func queueOf(listener net.Listener) (waiting, most int, err error) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return 0, 0, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var info *unix.TCPInfo
+	var failed error
+	if err := raw.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return 0, 0, err
+	}
+	if failed != nil {
+		return 0, 0, failed
+	}
+	// Of a listening socket these two fields are its queue (tcp_get_info of the kernel).
+	return int(info.Unacked), int(info.Sacked), nil
+}
+
 // fitBacklog changes the kernel's queue when the pacing begins or ends.
 func (l *pacedListener) fitBacklog() {
 	paced := l.pacer.ConnectionsPaced()
--- a/process/pace_test.go
+++ b/process/pace_test.go
@@ -20,6 +20,7 @@
 
 func (a *allowance) TakeConnection() bool   { return a.Add(-1) >= 0 }
 func (a *allowance) ConnectionsPaced() bool { return true }
+func (a *allowance) ObserveQueue(_, _ int)  {}
 
 // TestConnectionsArePaced: no connection is taken while the gateway may take none, those
 // that wait are taken in time, and the end of the listener ends a wait.
@@ -70,3 +71,35 @@
 	// wait for a second until a request is read.
 	is.True(float64(longBacklog)/overload.LeastPace < 1)
 }
+
+// TestQueueThatTheKernelShows: what the pacer is told is what waits.
+func TestQueueThatTheKernelShows(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	paced := newPacedListener(l, &allowance{}, nil, nil)
+	paced.fitBacklog()
+	is.True(paced.short)
+	for range 7 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	waiting, most, err := queueOf(l)
+	is.NoErr(err)
+	is.Equal(waiting, 7)
+	is.Equal(most, shortBacklog)
+	conn, err := l.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	waiting, _, err = queueOf(l)
+	is.NoErr(err)
+	is.Equal(waiting, 6)
+	waiting, most, err = queueOf(fakeListener{})
+	is.NoErr(err)
+	is.Equal([]int{waiting, most}, []int{0, 0}) // it does not say
+}
+
+// fakeListener is none of the kernel's.
+type fakeListener struct{ net.Listener }
--- a/process/unread_test.go
+++ b/process/unread_test.go
@@ -18,6 +18,7 @@
 
 func (always) TakeConnection() bool   { return true }
 func (always) ConnectionsPaced() bool { return false }
+func (always) ObserveQueue(_, _ int)  {}
 
 // TestUnreadConnectionsAreBounded: more than mostUnread connections are accepted only as
 // others are read or ended, or nothing came of them for a while.
