A gateway that is not late takes no more at once than it can relay

What callers saw: a flood begins at a gateway, which takes all of it in the tenth of a second until its delay shows, relays that for two seconds and reads nothing meanwhile; callers leave unread, its session is lost, and the account gets nothing while others get twice their share.

Cause: the pace of connections bounds a gateway once it is late, and nothing before. The class: a bound that begins after what it is to bound.

Mend: a gateway that is not late takes up to 64 connections at once, and then twice what came lately, at least 300 a second.

--- a/coordination/overload/pace.go
+++ b/coordination/overload/pace.go
@@ -7,8 +7,11 @@
 	"time"
 )
 
-// This file defines Pace, how many new connections a gateway takes while its processor
-// is late.
+// This file defines Pace, how many new connections a gateway takes.
+//
+// That a processor is late shows only after what makes it late has begun: a gateway that takes all
+// that a flood brings begins in a tenth of a second what it relays for two, and reads nothing
+// meanwhile. So what it takes grows no faster than its delay can show.
 //
 // Whatever a gateway does with a connection costs more than leaving it alone: closing it
 // unread was tried, and at 6,000 a second took a whole fifth of a core, so that nothing
@@ -28,24 +31,38 @@
 	arrivedMemory = 100 * time.Millisecond
 )
 
+// Bounds of a gateway that is not late.
+const (
+	freeBurst  = 64.0           // connections at once: what waits in the short queue of a paced one
+	freeGrowth = 2.0            // times what came lately
+	freeLeast  = LeastPace      // connections a second, however few came
+	freeSpan   = 5 * TickPeriod // that a late firing makes up for
+)
+
 // LeastPace is the lowest rate, in connections a second: at 250 µs each two fifths of a
 // fifth of a core. Chosen.
 const LeastPace = 300.0
 
-// Pace is the bound at one firing of the timer. The zero value does not bound.
+// Pace is the bound at one firing of the timer. The zero value is of a gateway that is not late.
 type Pace struct {
-	rate    float64       // connections a second; 0: not bounded
+	rate    float64       // connections a second; 0: it is not late
+	credit  float64       // connections that one that is not late may take at once
 	arrived float64       // average of those taken
 	at      time.Duration // of this firing; 0: there was none
 }
 
-// Bounded reports whether connections are kept waiting.
+// Bounded reports whether connections are kept waiting because the gateway is late.
 func (p Pace) Bounded() bool { return p.rate > 0 }
 
-// Allowance is how many connections may be taken until the next firing; ok is false
-// without a bound.
-func (p Pace) Allowance() (n int, ok bool) {
-	return max(int(p.rate*TickPeriod.Seconds()), 1), p.rate > 0
+// Allowance is how many connections may be taken until the next firing.
+func (p Pace) Allowance() int {
+	switch {
+	case p.Bounded():
+		return max(int(p.rate*TickPeriod.Seconds()), 1)
+	case p.at == 0:
+		return int(freeBurst)
+	}
+	return int(p.credit)
 }
 
 // Next returns the pace after a firing: delay is the detector's, taken the connections
@@ -54,9 +71,11 @@
 	elapsed := max(now-p.at, time.Millisecond)
 	if p.at == 0 {
 		elapsed = TickPeriod
+		p.credit = freeBurst
 	}
 	p.at = now
 	periods := elapsed.Seconds() / TickPeriod.Seconds()
+	p.credit = p.refilled(elapsed, taken)
 	p.arrived += (1 - math.Exp(-elapsed.Seconds()/arrivedMemory.Seconds())) * (float64(taken)/elapsed.Seconds() - p.arrived)
 	switch {
 	case delay >= DelayBeyond && p.rate == 0:
@@ -71,3 +90,13 @@
 	}
 	return p
 }
+
+// refilled returns the credit after a time in which some connections were taken.
+func (p Pace) refilled(elapsed time.Duration, taken int) float64 {
+	if p.Bounded() {
+		return 0
+	}
+	rate := max(freeLeast, freeGrowth*p.arrived)
+	most := max(freeBurst, rate*TickPeriod.Seconds())
+	return min(max(p.credit-float64(taken), 0)+rate*min(elapsed, freeSpan).Seconds(), most)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,7 @@
 
 	// Callers' connections, see [overload.Pace].
 	paced   atomic.Bool
-	allowed atomic.Int64 // to be taken until the next tick, while paced
+	allowed atomic.Int64 // to be taken until the next tick
 	taken   atomic.Int64 // since the last tick
 	queued  queued
 
@@ -123,6 +123,7 @@
 	g.gateways.Store(retry.AssumedGateways)
 	detector := overload.New(g.now())
 	g.overload.Store(&detector)
+	g.allowed.Store(int64(overload.Pace{}.Allowance()))
 	go (&watcher{g: g, startID: cfg.Random() | 1}).run()
 	go g.tick()
 	go g.logTokens()
@@ -152,7 +153,7 @@
 // TakeConnection reports whether one more connection of a caller may be taken now, and
 // counts it.
 func (g *Gateway) TakeConnection() bool {
-	if g.paced.Load() && g.allowed.Add(-1) < 0 {
+	if g.allowed.Add(-1) < 0 {
 		return false
 	}
 	g.taken.Add(1)
@@ -215,7 +216,7 @@
 
 // setPace brings a pace of callers' connections into force and returns it.
 func (g *Gateway) setPace(old, p overload.Pace, delay time.Duration) overload.Pace {
-	n, bounded := p.Allowance()
+	n, bounded := p.Allowance(), p.Bounded()
 	g.allowed.Store(int64(n))
 	g.paced.Store(bounded)
 	if bounded != old.Bounded() {
