--- a/coordination/overload/arrivals.go
+++ b/coordination/overload/arrivals.go
@@ -10,18 +10,20 @@
 // Arrivals is what looks at the kernel's queue of connections have shown. The zero value has seen
 // nothing.
 //
-// A queue that is full hides what comes. So only the times between two looks count at whose begin it
-// had room: while it fills, at a rate far above what is taken, they are short, and what does not fit is
-// not seen. The estimate is too low then, by as much as what is taken between two looks goes into
-// what comes.
+// A full queue hides what comes. So only those times between two looks count at whose begin it had room.
+// What does not fit within one of them is not seen: the estimate is at most the room that the taken
+// connections leave, for each time between two looks, and never too high.
 type Arrivals struct {
-	at      time.Duration // of the last look; 0: none
-	waiting int           // then
-	taken   int           // since then
-	came    int           // while the queue had room
-	room    time.Duration // for which it had
-	since   time.Duration // of the last estimate
-	all     int           // taken since then
+	// As of the last look.
+	at      time.Duration // 0: there was none
+	waiting int
+	taken   int // since then
+
+	// Since the last estimate.
+	since time.Duration
+	room  time.Duration // for which the queue had room
+	came  int           // in that time
+	all   int           // that were taken
 }
 
 // WithTaken returns the arrivals after a connection was taken out of the queue.
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -19,15 +19,16 @@
 	if head.Misdirected || (head.Rest <= 0 && !head.Leaving) {
 		return
 	}
-	before, now := g.table.heed(a.server, head)
+	before, after := g.table.heed(a.server, head)
 	if head.Rest > 0 {
 		g.stats.count("rests", "pool", a.known.Pool)
 	}
+	now := g.now()
 	switch {
-	case now.Leaving() && !before.Leaving():
+	case after.Leaving() && !before.Leaving():
 		g.stats.count("leaving", "pool", a.known.Pool)
 		g.cfg.Log.StateChange("backend leaving", slog.String("backend", a.server))
-	case before.Admits(g.now()) && !now.Admits(g.now()):
+	case before.Admits(now) && !after.Admits(now):
 		g.cfg.Log.StateChange("backend at rest", slog.String("backend", a.server), milliseconds("rest_ms", head.Rest))
 	}
 }
