--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -172,12 +172,22 @@
 	return place.Server{
 		ID: k.ID, Slots: k.Slots, SameHall: k.Hall == t.hall, Own: k.own, Others: k.others, OthersAge: now - t.othersAt,
 		Lately: k.lately.At(now), Pace: k.pace, Health: k.health.State(now), Avoid: req.avoid[k.ID],
-		Lost: k.health.LostInARow(),
-		Closed: (v.alone && req.avoid[k.ID]) || t.hallsOut[k.Hall] || !k.cold.Admits(now, v.leased) || v.among&k.versions == 0 ||
-			!t.mayBeServedAt(req, k) || !k.notice.Admits(now),
+		Lost: k.health.LostInARow(), Closed: t.closed(k, now, req, v),
 	}
 }
 
+// closed reports whether a server gets nothing of the request now, whatever else there is. The caller
+// holds mu.
+func (t *table) closed(k *knownServer, now time.Duration, req *requirements, v viewing) bool {
+	switch {
+	case v.alone && req.avoid[k.ID]:
+		return true
+	case t.hallsOut[k.Hall], v.among&k.versions == 0, !t.mayBeServedAt(req, k):
+		return true
+	}
+	return !k.cold.Admits(now, v.leased) || !k.notice.Admits(now)
+}
+
 // spreadAmong is the number of servers from which a prompt's requests part by lot over as many of the
 // first ones of its order as they need ([place.RoomPlacer.ChooseSpread]): below, the sums of what runs
 // name all that is busy, and a look at all servers is short.
