Names: backoff and notices, the field's words

What servers ask for with Retry-After is a backoff in code, logs, metrics and pages: cause backing-off, line backend backoff, key backoff_ms, counters badgerspoke_gateway_backoffs_total and badgerspoke_backoffs_total. No decision changes.

--- a/callers_test.go
+++ b/callers_test.go
@@ -159,9 +159,9 @@
 	}
 }
 
-// TestRouterLeavesAServerAtRestAlone: a server that refuses and asks for rest gets nothing from the router
+// TestRouterLeavesABackedOffServerAlone: a server that refuses and asks for backoff gets nothing from the router
 // until that is over, however long the router would have suspected it.
-func TestRouterLeavesAServerAtRestAlone(t *testing.T) {
+func TestRouterLeavesABackedOffServerAlone(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := wholeFleet(t, 1)
@@ -169,7 +169,7 @@
 			f.do(request{router: "r1", method: "GET", path: "/services/stock/warm", key: "hotel"})
 		}
 		at := f.engines["e1"]
-		at.AskForRest(8 * time.Second)
+		at.AskForBackoff(8 * time.Second)
 		ask := func(times int) {
 			for range times {
 				is.Equal(f.do(completion("r1", "hotel", 4, false)).status, 200)
@@ -177,7 +177,7 @@
 			}
 		}
 		ask(60)
-		is.Equal(at.RefusedAtRest(), 1)
+		is.Equal(at.RefusedInBackoff(), 1)
 		time.Sleep(8 * time.Second)
 		before := at.Runs()
 		ask(60)
--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -13,21 +13,21 @@
 
 import "time"
 
-// LongestRest bounds a rest, so that a server whose answers are wrong is not lost for good while
+// LongestBackoff bounds a backoff, so that a server whose answers are wrong is not lost for good while
 // it runs.
-const LongestRest = time.Hour
+const LongestBackoff = time.Hour
 
 // Notice is what one life of a backend server has said of further requests. The zero value has
 // said nothing.
 type Notice struct {
-	restUntil time.Duration
-	leaving   bool
+	backoffUntil time.Duration
+	leaving      bool
 }
 
-// WithRest returns the notice after the server has asked for a rest from now on. It does not
-// shorten one that lasts longer; a rest of 0 or less asks for nothing.
-func (n Notice) WithRest(now, rest time.Duration) Notice {
-	n.restUntil = max(n.restUntil, now+min(rest, LongestRest))
+// WithBackoff returns the notice after the server has asked for a backoff from now on. It does not
+// shorten one that lasts longer; a backoff of 0 or less asks for nothing.
+func (n Notice) WithBackoff(now, backoff time.Duration) Notice {
+	n.backoffUntil = max(n.backoffUntil, now+min(backoff, LongestBackoff))
 	return n
 }
 
@@ -42,7 +42,7 @@
 func (n Notice) Leaving() bool { return n.leaving }
 
 // Admits reports whether the server may have a request.
-func (n Notice) Admits(now time.Duration) bool { return !n.leaving && n.Rest(now) == 0 }
+func (n Notice) Admits(now time.Duration) bool { return !n.leaving && n.Backoff(now) == 0 }
 
-// Rest returns what is left of the rest that the server asked for.
-func (n Notice) Rest(now time.Duration) time.Duration { return max(n.restUntil-now, 0) }
+// Backoff returns what is left of the time that the server asked for.
+func (n Notice) Backoff(now time.Duration) time.Duration { return max(n.backoffUntil-now, 0) }
--- a/coordination/place/slotplacer.go
+++ b/coordination/place/slotplacer.go
@@ -45,7 +45,7 @@
 	Index  *Index
 	Health *outlier.Consecutive
 	loads  map[string]Load
-	// notices are of servers that asked for rest and have not been heard of as gone.
+	// notices are of servers that asked for backoff.
 	notices map[string]backpressure.Notice
 }
 
@@ -54,9 +54,9 @@
 	return &SlotPlacer{Index: NewIndex(blocks), Health: outlier.NewConsecutive(), loads: map[string]Load{}, notices: map[string]backpressure.Notice{}}
 }
 
-// Rest takes that a server wants nothing for a while.
-func (p *SlotPlacer) Rest(now time.Duration, server string, rest time.Duration) {
-	p.notices[server] = p.notices[server].WithRest(now, rest)
+// Backoff takes that a server wants nothing for a while.
+func (p *SlotPlacer) Backoff(now time.Duration, server string, backoff time.Duration) {
+	p.notices[server] = p.notices[server].WithBackoff(now, backoff)
 }
 
 // Forget forgets what servers asked for, but for those that are listed.
@@ -64,7 +64,7 @@
 	maps.DeleteFunc(p.notices, func(server string, _ backpressure.Notice) bool { return !listed(server) })
 }
 
-// Usable reports whether a request may go to a server: it is not ejected, and does not rest.
+// Usable reports whether a request may go to a server: it is not ejected, and wants some.
 func (p *SlotPlacer) Usable(now time.Duration, server string) bool {
 	return p.Health.Usable(now, server) && p.notices[server].Admits(now)
 }
--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -250,9 +250,9 @@
 	return ejected
 }
 
-// Rest takes that a server wants nothing for a while. Its free slots go back with the next Dispatch.
-func (p *Pool) Rest(now time.Duration, server string, rest time.Duration) {
-	p.placer.Rest(now, server, rest)
+// Backoff takes that a server wants nothing for a while. Its free slots go back with the next Dispatch.
+func (p *Pool) Backoff(now time.Duration, server string, backoff time.Duration) {
+	p.placer.Backoff(now, server, backoff)
 }
 
 // Report takes a server's load report.
--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -118,10 +118,10 @@
 	return Share{Left: left}.After(random)
 }
 
-// AfterRest returns when a caller should come back whose servers all take requests again after a rest:
+// AfterBackoff returns when a caller should come back whose servers all asked for backoff:
 // not all callers at once. random is from 0 to 1.
-func AfterRest(rest, left time.Duration, random float64) time.Duration {
-	return max(rest+scale(max(left, 0), leftPart*random), Soon)
+func AfterBackoff(backoff, left time.Duration, random float64) time.Duration {
+	return max(backoff+scale(max(left, 0), leftPart*random), Soon)
 }
 
 // Times after which a server that sends nothing is given up.
--- a/coordination/retry/timeout_test.go
+++ b/coordination/retry/timeout_test.go
@@ -112,11 +112,11 @@
 	is.True(CanEnd(w))
 }
 
-// TestWhenToComeBackAfterARest: not before it is over, and not all at once.
-func TestWhenToComeBackAfterARest(t *testing.T) {
+// TestWhenToComeBackAfterABackoff: not before it is over, and not all at once.
+func TestWhenToComeBackAfterABackoff(t *testing.T) {
 	is := is.New(t)
-	is.Equal(AfterRest(2*time.Second, 10*time.Second, 0), 2*time.Second)
-	is.Equal(AfterRest(2*time.Second, 10*time.Second, 1), 3*time.Second)
-	is.Equal(AfterRest(2*time.Second, -time.Second, 1), 2*time.Second) // its time is over
-	is.Equal(AfterRest(0, 0, 0), Soon)
+	is.Equal(AfterBackoff(2*time.Second, 10*time.Second, 0), 2*time.Second)
+	is.Equal(AfterBackoff(2*time.Second, 10*time.Second, 1), 3*time.Second)
+	is.Equal(AfterBackoff(2*time.Second, -time.Second, 1), 2*time.Second) // its time is over
+	is.Equal(AfterBackoff(0, 0, 0), Soon)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,7 +33,7 @@
 	lost        bool  // its connection broke while it ran
 	// What the answer said, if one came.
 	status  int
-	rest    time.Duration // for which the backend server wants nothing more
+	backoff time.Duration // for which the backend server wants nothing more
 	leaving bool          // it is about to stop
 }
 
@@ -88,7 +88,7 @@
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
 	c.g.heed(a, head)
 	out := c.answered(ctx, a, answer, head)
-	out.status, out.rest, out.leaving = answer.Status, head.Rest, head.Leaving
+	out.status, out.backoff, out.leaving = answer.Status, head.Backoff, head.Leaving
 	return out
 }
 
@@ -136,7 +136,7 @@
 	head := c.g.cfg.Headers.DecodeAnswer(not.Status, not.Header)
 	c.g.heed(a, head)
 	out := c.refused(head, err)
-	out.status, out.rest, out.leaving = not.Status, head.Rest, head.Leaving
+	out.status, out.backoff, out.leaving = not.Status, head.Backoff, head.Leaving
 	return out
 }
 
@@ -210,8 +210,8 @@
 	if out.status > 0 {
 		attrs = append(attrs, slog.Int("status", out.status))
 	}
-	if out.rest > 0 {
-		attrs = append(attrs, milliseconds("rest_ms", out.rest))
+	if out.backoff > 0 {
+		attrs = append(attrs, milliseconds("backoff_ms", out.backoff))
 	}
 	if out.leaving {
 		attrs = append(attrs, slog.Bool("leaving", true))
--- a/gateway/rest_test.go
+++ b/gateway/backoff_test.go
@@ -18,21 +18,21 @@
 )
 
 // This file tests what a gateway sends to a backend server that has turned it away and asked
-// for rest.
+// for backoff.
 
-// askingForRest refuses every call, asks for rest, and counts.
-func askingForRest(rest time.Duration, calls *atomic.Int64) behaviour {
+// askingForBackoff refuses every call, asks for backoff, and counts.
+func askingForBackoff(backoff time.Duration, calls *atomic.Int64) behaviour {
 	return func(_ context.Context, call forward.Call) (*forward.Answer, error) {
 		calls.Add(1)
-		h := http.Header{"Id": call.Header["Id"], "Rest": {rest.String()}}
+		h := http.Header{"Id": call.Header["Id"], "Backoff": {backoff.String()}}
 		return nil, forward.NotRun{Refused: true, Status: http.StatusServiceUnavailable, Header: h, Err: io.EOF}
 	}
 }
 
-// TestServerAskingForRestGetsNothing: neither a first attempt, nor another one, nor a stream that is
+// TestServerAskingForBackoffGetsNothing: neither a first attempt, nor another one, nor a stream that is
 // taken up goes to a server in the time that it asked for, and it gets requests again after it.
-func TestServerAskingForRestGetsNothing(t *testing.T) {
-	const rest = 3 * time.Second
+func TestServerAskingForBackoffGetsNothing(t *testing.T) {
+	const backoff = 3 * time.Second
 	whole := streams(piece{event(1) + event(2), 0, io.EOF})
 	for _, tt := range []struct {
 		name  string
@@ -52,18 +52,18 @@
 			bubble(t, func(x *fixture) {
 				is := is.New(x.t)
 				var calls atomic.Int64
-				x.serversOf(tt.pool, askingForRest(rest, &calls), tt.other, tt.other)
+				x.serversOf(tt.pool, askingForBackoff(backoff, &calls), tt.other, tt.other)
 				for calls.Load() == 0 {
 					x.ask(tt.path, "Patience", "2000")
 					time.Sleep(time.Millisecond)
 				}
 				asked := x.g.now()
-				for x.g.now() < asked+rest-300*time.Millisecond { // longer than any of them takes
+				for x.g.now() < asked+backoff-300*time.Millisecond { // longer than any of them takes
 					x.ask(tt.path, "Patience", "2000")
 					time.Sleep(10 * time.Millisecond)
 				}
 				is.Equal(calls.Load(), int64(1)) // within the time that it asked for
-				time.Sleep(asked + rest - x.g.now())
+				time.Sleep(asked + backoff - x.g.now())
 				for range 40 {
 					x.ask(tt.path, "Patience", "2000")
 				}
@@ -73,23 +73,23 @@
 	}
 }
 
-// TestAllServersAtRest: what nothing serves for now is refused at once, as not run, and comes back when
+// TestAllServersBackedOff: what nothing serves for now is refused at once, as not run, and comes back when
 // the first server takes requests again.
-func TestAllServersAtRest(t *testing.T) {
+func TestAllServersBackedOff(t *testing.T) {
 	for _, pool := range []string{"plain", "engines"} {
 		t.Run(pool, func(t *testing.T) {
 			bubble(t, func(x *fixture) {
 				is := is.New(x.t)
 				path := map[string]string{"plain": "/once/1", "engines": "/engine/1"}[pool]
 				var calls atomic.Int64
-				x.serversOf(pool, askingForRest(2*time.Second, &calls), askingForRest(3*time.Second, &calls))
+				x.serversOf(pool, askingForBackoff(2*time.Second, &calls), askingForBackoff(3*time.Second, &calls))
 				for range 10 {
 					x.ask(path, "Patience", "9000")
 				}
 				is.Equal(calls.Load(), int64(2))
 				r := x.ask(path, "Patience", "9000")
 				is.Equal(r.status, 503)
-				is.Equal(r.body, "{\"error\":\"servers-at-rest\"}\n")
+				is.Equal(r.body, "{\"error\":\"backing-off\"}\n")
 				is.Equal(r.took, time.Duration(0))
 				is.Equal(r.header.Get("Retry-After"), "2.000")
 				time.Sleep(2 * time.Second)
@@ -100,12 +100,12 @@
 	}
 }
 
-// TestLastServerAsksForRestWhileOthersWait: what waits is refused at once as well.
-func TestLastServerAsksForRestWhileOthersWait(t *testing.T) {
+// TestLastServerAsksForBackoffWhileOthersWait: what waits is refused at once as well.
+func TestLastServerAsksForBackoffWhileOthersWait(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
 		var calls atomic.Int64
-		refusal := askingForRest(3*time.Second, &calls)
+		refusal := askingForBackoff(3*time.Second, &calls)
 		x.serversOf("plain", func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
 			time.Sleep(100 * time.Millisecond)
 			return refusal(ctx, call)
@@ -123,20 +123,20 @@
 	})
 }
 
-// TestMayHaveRunOutlastsAShortRest: what cannot be told that it has not run waits for a server while
+// TestMayHaveRunOutlastsAShortBackoff: what cannot be told that it has not run waits for a server while
 // there is hope.
-func TestMayHaveRunOutlastsAShortRest(t *testing.T) {
-	for rest, status := range map[time.Duration]int{300 * time.Millisecond: 200, 2 * time.Second: 502} {
-		t.Run(rest.String(), func(t *testing.T) {
+func TestMayHaveRunOutlastsAShortBackoff(t *testing.T) {
+	for backoff, status := range map[time.Duration]int{300 * time.Millisecond: 200, 2 * time.Second: 502} {
+		t.Run(backoff.String(), func(t *testing.T) {
 			bubble(t, func(x *fixture) {
 				is := is.New(x.t)
 				var calls atomic.Int64
-				x.serversOf("plain", fails(forward.Unknown{Err: errReset}), askingForRest(rest, &calls))
+				x.serversOf("plain", fails(forward.Unknown{Err: errReset}), askingForBackoff(backoff, &calls))
 				for calls.Load() == 0 {
 					x.ask("/once/1", "Patience", "2000")
 				}
 				x.servers.does["10.0.5.1:80"] = answers(200, "ok", time.Millisecond)
-				ended := time.AfterFunc(rest+time.Millisecond, x.g.grantAll)
+				ended := time.AfterFunc(backoff+time.Millisecond, x.g.grantAll)
 				defer ended.Stop()
 				r := x.ask("/again/1", "Patience", "2900")
 				is.Equal(r.status, status)
@@ -146,13 +146,13 @@
 	}
 }
 
-// TestConnectionThatOpensAfterTheWish: a call that waited for its connection when the server asked for
-// rest is not sent, and goes elsewhere.
-func TestConnectionThatOpensAfterTheWish(t *testing.T) {
+// TestConnectionThatOpensAfterTheRefusal: a call that waited for its connection when the server asked for
+// backoff is not sent, and goes elsewhere.
+func TestConnectionThatOpensAfterTheRefusal(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
 		var calls, sent atomic.Int64
-		refusal := askingForRest(3*time.Second, &calls)
+		refusal := askingForBackoff(3*time.Second, &calls)
 		x.serversOf("plain", func(ctx context.Context, call forward.Call) (*forward.Answer, error) {
 			if sent.Add(1) == 1 {
 				return refusal(ctx, call)
@@ -175,12 +175,12 @@
 	})
 }
 
-// TestRestOfAnotherLife: it ends with the server, not with what the directory lists.
-func TestRestOfAnotherLife(t *testing.T) {
+// TestBackoffOfAnotherLife: it ends with the server, not with what the directory lists.
+func TestBackoffOfAnotherLife(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
 		var calls atomic.Int64
-		x.serversOf("plain", askingForRest(3*time.Second, &calls))
+		x.serversOf("plain", askingForBackoff(3*time.Second, &calls))
 		ask := func() int64 {
 			x.ask("/once/1", "Patience", "2000")
 			return calls.Load()
@@ -202,9 +202,9 @@
 	})
 }
 
-// TestRestBringsNoOldVersionBack: what a rollout has moved to another version is refused while all
-// servers of that version rest.
-func TestRestBringsNoOldVersionBack(t *testing.T) {
+// TestBackoffBringsNoOldVersionBack: what a rollout has moved to another version is refused while all
+// servers of that version backoff.
+func TestBackoffBringsNoOldVersionBack(t *testing.T) {
 	var calls atomic.Int64
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -217,18 +217,18 @@
 		is.Equal(x.ask("/once/1", "Patience", "800").status, 503)
 		is.Equal(calls.Load(), int64(1))
 		is.Equal(x.servers.count(), 1)
-	}, answers(200, "old", time.Millisecond), askingForRest(3*time.Second, &calls))
+	}, answers(200, "old", time.Millisecond), askingForBackoff(3*time.Second, &calls))
 }
 
-// TestRestOfAnAnswerThatRan: a 503 asks for rest whether it has run the request or not.
-func TestRestOfAnAnswerThatRan(t *testing.T) {
+// TestBackoffOfAnAnswerThatRan: a 503 asks for backoff whether it has run the request or not.
+func TestBackoffOfAnAnswerThatRan(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
 		var calls atomic.Int64
 		x.serversOf("plain", func(_ context.Context, call forward.Call) (*forward.Answer, error) {
 			calls.Add(1)
 			h := headOf(call)
-			h.Set("Rest", "3s")
+			h.Set("Backoff", "3s")
 			return &forward.Answer{Status: 503, Header: h, Length: 0, Body: http.NoBody}, nil
 		}, answers(200, "ok", time.Millisecond))
 		for range 40 {
@@ -239,13 +239,13 @@
 	})
 }
 
-// TestWaitingRequestsGoToNoServerAtRest: what waited for room when the server asked is not given to it
+// TestWaitingRequestsGoToNoBackedOffServer: what waited for room when the server asked is not given to it
 // as the other servers fill up.
-func TestWaitingRequestsGoToNoServerAtRest(t *testing.T) {
+func TestWaitingRequestsGoToNoBackedOffServer(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
 		var calls atomic.Int64
-		x.serversOf("plain", askingForRest(3*time.Second, &calls), answers(200, "ok", 300*time.Millisecond))
+		x.serversOf("plain", askingForBackoff(3*time.Second, &calls), answers(200, "ok", 300*time.Millisecond))
 		done := make(chan reply, 100)
 		for i := range 100 {
 			go func() {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -26,7 +26,7 @@
 	avoid    map[string]bool // backend servers that had the request already
 	gateways int
 	random   float64 // from 0 to 1
-	// outlast is how long a rest of all servers may be for the request to wait for its end. What has not
+	// outlast is how long a backoff of all servers may be for the request to wait for its end. What has not
 	// run is refused at once instead: another gateway's servers may take it.
 	outlast time.Duration
 
@@ -50,22 +50,22 @@
 // shortage is why a request got no backend server: the one that suits it best, with
 // what was known to run there. It is empty if there was no candidate.
 type shortage struct {
-	server   string
-	bound    place.Bound
-	requests int
-	tokens   int
-	slowness float64
-	learned  place.Learned
-	age      time.Duration // of what is known of other gateways' requests
-	halls    []string      // out of service, where all servers of the pool are
-	homes    Cause         // why its homes let nothing serve it, if so
-	stayed   stayed        // what kept it in its region, if it had a reason to leave
-	atRest   bool          // all asked for more rest than it waits
-	rest     time.Duration // until one takes requests again, if so
+	server     string
+	bound      place.Bound
+	requests   int
+	tokens     int
+	slowness   float64
+	learned    place.Learned
+	age        time.Duration // of what is known of other gateways' requests
+	halls      []string      // out of service, where all servers of the pool are
+	homes      Cause         // why its homes let nothing serve it, if so
+	stayed     stayed        // what kept it in its region, if it had a reason to leave
+	backingOff bool          // all asked for more backoff than it waits
+	backoff    time.Duration // until one takes requests again, if so
 }
 
 // final reports whether waiting is of no use.
-func (s *shortage) final() bool { return len(s.halls) > 0 || s.homes != "" || s.atRest }
+func (s *shortage) final() bool { return len(s.halls) > 0 || s.homes != "" || s.backingOff }
 
 // acquire returns the backend server that suits the request best if it has room, or
 // nil and why. The caller holds mu.
@@ -73,7 +73,7 @@
 	p := t.pool(req.pool.Name)
 	order := t.order(p, now, &req)
 	a, full, found := t.acquireOf(p, now, req, order.first, order.why)
-	usable := found && full.bound != place.Crossing || full.atRest // a rest does not bring an old version back
+	usable := found && full.bound != place.Crossing || full.backingOff // a backoff does not bring an old version back
 	if a != nil || order.second == 0 || (order.ifNone && usable) {
 		return a, full
 	}
@@ -91,9 +91,9 @@
 	choice, left := t.choose(p, now, &req)
 	switch {
 	case choice.Index < 0:
-		rest, atRest := t.allAtRest(p, now, &req)
+		backoff, backingOff := t.allBackingOff(p, now, &req)
 		return nil, shortage{
-			halls: t.allOut(p, &req), homes: t.homesRefusal(p, &req), stayed: left.stayed, atRest: atRest, rest: rest,
+			halls: t.allOut(p, &req), homes: t.homesRefusal(p, &req), stayed: left.stayed, backingOff: backingOff, backoff: backoff,
 		}, false
 	case choice.Bound != place.Free:
 		k := p.servers[choice.Index]
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -34,7 +34,7 @@
 	MayHaveRun        Cause = "may-have-run"       // an answer was lost, a second run is not allowed
 	TooLate           Cause = "too-late"           // no answer can come before its deadline
 	HallsOut          Cause = "halls-out"          // all its servers are in halls out of service - retry.Later
-	ServersAtRest     Cause = "servers-at-rest"    // all its servers asked for rest - retry.AfterRest
+	BackingOff        Cause = "backing-off"        // all its servers asked for backoff - retry.AfterBackoff
 	// NoCommonHome: route and account have homes, and none in common - retry.Later.
 	NoCommonHome Cause = "no-common-home"
 	// HomesWithoutServer: no listed server of the pool is in its homes - retry.Later.
@@ -66,7 +66,7 @@
 	NoBudget:          {http.StatusServiceUnavailable, true, true},
 	NotRunThere:       {http.StatusServiceUnavailable, true, true},
 	HallsOut:          {http.StatusServiceUnavailable, true, false},
-	ServersAtRest:     {http.StatusServiceUnavailable, true, true}, // another gateway's servers may not rest
+	BackingOff:        {http.StatusServiceUnavailable, true, true}, // another gateway's servers may take it
 	TooLate:           {http.StatusServiceUnavailable, true, false},
 	// Not 403: the caller may have what it asks for, the fleet cannot give it. 503 promises that
 	// it has not run, and the next document or server may mend it.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -63,9 +63,9 @@
 }
 
 func (testHeaders) DecodeAnswer(status int, h http.Header) AnswerHead {
-	rest, _ := time.ParseDuration(h.Get("Rest"))
+	backoff, _ := time.ParseDuration(h.Get("Backoff"))
 	return AnswerHead{
-		ID: h.Get("Id"), Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Sealed") != "", Rest: rest,
+		ID: h.Get("Id"), Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Sealed") != "", Backoff: backoff,
 		Leaving: h.Get("Leaving") != "",
 	}
 }
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -34,9 +34,9 @@
 	ID          string // of the request that it answers
 	Misdirected bool   // another backend server has the address
 	Signed      bool   // the answer carries the backend server's signature
-	// Rest is for how long the backend server wants nothing more from this gateway, as it says when
-	// it turns a request away; 0 is no wish. It may be absurdly long.
-	Rest    time.Duration
+	// Backoff is for how long the backend server wants nothing more from this gateway, as it says when
+	// it turns a request away; 0: it does not say. It may be absurdly long.
+	Backoff time.Duration
 	Leaving bool // the backend server is about to stop, and wants no more requests
 }
 
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -128,7 +128,7 @@
 		is.Equal(ask(), int64(2))
 		x.g.table.update(protocol.Servers{Term: 2, Gone: []string{"p0-again"}})
 		is.Equal(len(x.g.table.unlistedNotices), 2)
-		time.Sleep(backpressure.LongestRest + time.Minute)
+		time.Sleep(backpressure.LongestBackoff + time.Minute)
 		listed.ID = "p0-more"
 		x.g.table.update(protocol.Servers{Term: 2, Set: []protocol.Server{listed}})
 		is.Equal(ask(), int64(3))
@@ -138,7 +138,7 @@
 }
 
 // TestAllServersLeave: a request waits for another one as where none is listed, and the last ones that
-// serve at rest are told apart from those that leave.
+// serve backed off from are told apart from those that leave.
 func TestAllServersLeave(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -152,13 +152,13 @@
 		time.AfterFunc(50*time.Millisecond, func() {
 			another := x.g.table.servers["p0"].Server
 			another.ID, another.Address = "p1", "10.0.5.1:80"
-			x.servers.does[another.Address] = askingForRest(3*time.Second, &calls)
+			x.servers.does[another.Address] = askingForBackoff(3*time.Second, &calls)
 			x.g.takeNew(another)
 		})
 		is.Equal(x.ask("/once/1", "Patience", "2000").status, 503)
 		is.Equal(calls.Load(), int64(2)) // the new one had it
 		r = x.ask("/once/1", "Patience", "2000")
-		is.Equal(r.body, "{\"error\":\"servers-at-rest\"}\n")
+		is.Equal(r.body, "{\"error\":\"backing-off\"}\n")
 		is.Equal(r.took, time.Duration(0))
 	})
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -16,12 +16,12 @@
 // heed takes what the backend server of an attempt says of further requests. An answer from another
 // server at its address says nothing of it.
 func (g *Gateway) heed(a *assignment, head AnswerHead) {
-	if head.Misdirected || (head.Rest <= 0 && !head.Leaving) {
+	if head.Misdirected || (head.Backoff <= 0 && !head.Leaving) {
 		return
 	}
 	before, after := g.table.heed(a.server, head)
-	if head.Rest > 0 {
-		g.stats.count("rests", "pool", a.known.Pool)
+	if head.Backoff > 0 {
+		g.stats.count("backoffs", "pool", a.known.Pool)
 	}
 	now := g.now()
 	switch {
@@ -29,7 +29,7 @@
 		g.stats.count("leaving", "pool", a.known.Pool)
 		g.cfg.Log.StateChange("backend leaving", slog.String("backend", a.server))
 	case before.Admits(now) && !after.Admits(now):
-		g.cfg.Log.StateChange("backend at rest", slog.String("backend", a.server), milliseconds("rest_ms", head.Rest))
+		g.cfg.Log.StateChange("backend backoff", slog.String("backend", a.server), milliseconds("backoff_ms", head.Backoff))
 	}
 }
 
@@ -39,7 +39,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	before = t.notice(server)
-	after = before.WithRest(now, head.Rest)
+	after = before.WithBackoff(now, head.Backoff)
 	if head.Leaving {
 		after = after.WithLeaving()
 	}
@@ -74,7 +74,7 @@
 // expired reports whether the notice need not be kept: servers that leave end, and are not listed again
 // after so long.
 func (n unlistedNotice) expired(now time.Duration) bool {
-	return n.Admits(now) || now-n.since > backpressure.LongestRest
+	return n.Admits(now) || now-n.since > backpressure.LongestBackoff
 }
 
 // setNotice keeps what a backend server has said. Of one that is not listed it is kept as well, for as
@@ -91,16 +91,16 @@
 	t.unlistedNotices[server] = unlistedNotice{Notice: n, since: now}
 }
 
-// allAtRest reports whether all servers that the request may have and has not tried, those that leave
-// aside, want nothing for longer than it waits, and how long it is until the first of all that it may have takes requests.
-// The caller holds mu.
-func (t *table) allAtRest(p *pool, now time.Duration, req *requirements) (soonest time.Duration, all bool) {
-	soonest = backpressure.LongestRest
+// allBackingOff reports whether all servers that the request may have and has not tried, those that leave
+// aside, want nothing for longer than it waits, and how long it is until the first of all that it may have
+// takes requests. The caller holds mu.
+func (t *table) allBackingOff(p *pool, now time.Duration, req *requirements) (soonest time.Duration, all bool) {
+	soonest = backpressure.LongestBackoff
 	for _, k := range p.servers {
 		if !t.inService(k) || k.versions&req.versions == 0 || !t.mayBeServedAt(req, k) {
 			continue
 		}
-		left := k.notice.Rest(now)
+		left := k.notice.Backoff(now)
 		if left <= req.outlast && !req.avoid[k.ID] {
 			return 0, false
 		}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -101,7 +101,7 @@
 		if a == nil {
 			wt.shortage = full
 		}
-		if a == nil && !full.atRest {
+		if a == nil && !full.backingOff {
 			return false
 		}
 		wt.granted <- a
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -54,7 +54,8 @@
 
 func newStats(set *metrics.Set) *stats {
 	return &stats{
-		set: set, untaken: set.GetOrCreateCounter("badgerspoke_gateway_connections_untaken_total"), counters: map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{},
+		set: set, untaken: set.GetOrCreateCounter("badgerspoke_gateway_connections_untaken_total"),
+		counters: map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{},
 	}
 }
 
--- a/gateway/take.go
+++ b/gateway/take.go
@@ -63,8 +63,8 @@
 			return Refusal{Cause: c.shortage.homes, RetryAfter: retry.Later}
 		case len(c.shortage.halls) > 0:
 			return Refusal{Cause: HallsOut, RetryAfter: retry.Later}
-		case c.shortage.atRest:
-			return Refusal{Cause: ServersAtRest, RetryAfter: retry.AfterRest(c.shortage.rest, c.left(), c.g.random())}
+		case c.shortage.backingOff:
+			return Refusal{Cause: BackingOff, RetryAfter: retry.AfterBackoff(c.shortage.backoff, c.left(), c.g.random())}
 		}
 	}
 	allTried := c.g.table.reachable(req) <= len(c.avoid)
--- a/router/call.go
+++ b/router/call.go
@@ -216,9 +216,9 @@
 	if !refusal.Refused {
 		return
 	}
-	if rest, _ := forward.RetryAfter(refusal.Header); rest > 0 {
-		r.pool(c.pool).update(func(now time.Duration, pl *pool.Pool) { pl.Rest(now, server.ID, rest) })
-		r.stats.rests.Inc()
+	if backoff, _ := forward.RetryAfter(refusal.Header); backoff > 0 {
+		r.pool(c.pool).update(func(now time.Duration, pl *pool.Pool) { pl.Backoff(now, server.ID, backoff) })
+		r.stats.backoffs.Inc()
 	}
 }
 
--- a/router/stats.go
+++ b/router/stats.go
@@ -18,7 +18,7 @@
 	handles      sync.Map // seriesKey → *series
 	waitedOut    *metrics.Counter
 	ejected      *metrics.Counter
-	rests        *metrics.Counter
+	backoffs     *metrics.Counter
 	retried      *metrics.Counter
 	resumed      *metrics.Counter // resumptions of broken answers
 	budgetEmpty  *metrics.Counter // retries that the budget did not allow
@@ -30,7 +30,7 @@
 		set:          set,
 		waitedOut:    set.GetOrCreateCounter("badgerspoke_waited_too_long_total"),
 		ejected:      set.GetOrCreateCounter("badgerspoke_ejections_total"),
-		rests:        set.GetOrCreateCounter("badgerspoke_rests_total"),
+		backoffs:     set.GetOrCreateCounter("badgerspoke_backoffs_total"),
 		retried:      set.GetOrCreateCounter("badgerspoke_retries_total"),
 		resumed:      set.GetOrCreateCounter("badgerspoke_resumed_total"),
 		budgetEmpty:  set.GetOrCreateCounter("badgerspoke_retries_refused_total"),
--- a/standin/failure.go
+++ b/standin/failure.go
@@ -28,33 +28,33 @@
 	mu   sync.Mutex
 	next []Failure
 
-	rest    time.Duration
-	rested  time.Time // when the rest is over
+	backoff time.Duration
+	rested  time.Time // when the backoff is over
 	refused int       // for it
 }
 
-// AskForRest makes the stand-in refuse every request from now on until the rest is over, and say so in
+// AskForBackoff makes the stand-in refuse every request from now on until the backoff is over, and say so in
 // whole seconds.
-func (f *failures) AskForRest(rest time.Duration) {
+func (f *failures) AskForBackoff(backoff time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rest, f.rested, f.refused = rest, time.Now().Add(rest), 0
+	f.backoff, f.rested, f.refused = backoff, time.Now().Add(backoff), 0
 }
 
-// RefusedAtRest returns how many requests came since AskForRest and were refused.
-func (f *failures) RefusedAtRest() int {
+// RefusedInBackoff returns how many requests came since AskForBackoff and were refused.
+func (f *failures) RefusedInBackoff() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.refused
 }
 
-// refuses reports whether a request was refused: it has that failure, or the stand-in rests.
+// refuses reports whether a request was refused: it has that failure, or the stand-in backoffs.
 func (f *failures) refuses(w http.ResponseWriter, how Failure) bool {
 	f.mu.Lock()
 	resting := time.Now().Before(f.rested)
 	if resting {
 		f.refused++
-		w.Header().Set("Retry-After", strconv.Itoa(int(f.rest/time.Second)))
+		w.Header().Set("Retry-After", strconv.Itoa(int(f.backoff/time.Second)))
 	}
 	f.mu.Unlock()
 	if resting || how == Refuse {
