Count crashes that the leader does not know of yet

Callers saw: while all open connections of the fleet are silent, or while the leader changes, a request that crashes each backend server that begins it is sent on. TestCrashingRequestDuringFaults, case "connections between nodes are silent": 9 servers begin it where 8 are allowed.

Cause: a gateway counted the crashes of a request by the leader's list if the request was on it, else by its own evidence, and that only without a session. A crash that it had just seen did not count until the leader listed it; the old list hid its own evidence, a verdict included; the next leader's first list, which is empty until gateways have reported again, replaced the old one; and a wait for a decision ended 350 ms after the arrival also if the leader came at its end.

Evidence: a trace of calls, starts and state changes.

Change: quarantine.Recent keeps for 5 s what a gateway knows beyond the list; find takes the strongest of list, recent and own evidence; a wait in which a new leader's list arrives begins again; a session's first report is sent at once if there are losses. The line "attempt failed" has the crashes that were known (ends).

TestCrashCountsBeforeLeaderListsIt, TestNewLeaderForgetsNoSuspect, TestUndecidedRequestWaitsForNewLeader and TestOldListHidesNoLocalVerdict fail on the code before. The two tests that build suspicions themselves pass it a clock now; their checks are unchanged.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -59,6 +59,9 @@
 	// PoolAnswering is whether other servers of the pool gave complete answers recently. While none
 	// do, a missing answer is no evidence against a request.
 	PoolAnswering bool
+	// KnownFailures is the number of consecutive failures that the gateway knew of when the run
+	// began. Only [Recent] uses it.
+	KnownFailures int
 }
 
 // TimedLoss is a loss and the time of the server's failure.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -221,7 +221,7 @@
 		attrs = append(attrs, slog.Bool("leaving", true))
 	}
 	if out.connectionBroke {
-		attrs = append(attrs, slog.String("key", c.key().String()))
+		attrs = append(attrs, slog.String("key", c.key().String()), slog.Int("ends", c.knownFailures()))
 	}
 	return attrs
 }
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -274,7 +274,7 @@
 		list []quarantine.Entry
 	}{{"empty", nil}, {"others", others}, {"same but for the body", append(others[1:], same)}} {
 		b.Run(tt.name, func(b *testing.B) {
-			g := &Gateway{suspicions: newSuspicions()}
+			g := &Gateway{suspicions: newSuspicions(monotonic())}
 			l := quarantine.List{}.WithChanges(tt.list, nil)
 			g.suspicions.list.Store(&l)
 			g.suspicions.followsLeader.Store(true)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
 	g.table.setSite(cfg.Region, cfg.Topology, cfg.LinkRate)
 	g.accounts = newAccounts(g.now)
-	g.crashDetector, g.suspicions = newCrashDetector(g), newSuspicions()
+	g.crashDetector, g.suspicions = newCrashDetector(g), newSuspicions(g.now)
 	g.SetSeeds(cfg.Seeds)
 	g.gatewayCount.Store(retry.AssumedGateways)
 	detector := overload.New(g.now())
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -29,10 +29,13 @@
 
 // suspicions holds the suspected and condemned requests that this gateway has learned of.
 type suspicions struct {
-	list atomic.Pointer[quarantine.List]
+	now    func() time.Duration
+	list   atomic.Pointer[quarantine.List]
+	recent atomic.Pointer[quarantine.Recent] // stored while mu is held
 	// followsLeader says whether list comes from a leader with which the gateway has a session.
 	// Otherwise the gateway decides by its own evidence.
 	followsLeader atomic.Bool
+	listedAt      atomic.Int64 // nanoseconds on the gateway's clock; when the last whole list arrived
 
 	unreported chan struct{} // has a capacity of one; filled while losses wait to be reported
 
@@ -42,12 +45,16 @@
 	cleared  []quarantine.Key       // not yet reported
 }
 
-func newSuspicions() *suspicions {
-	s := &suspicions{evidence: quarantine.NewEvidence(quarantine.SettleTime), unreported: make(chan struct{}, 1)}
+func newSuspicions(now func() time.Duration) *suspicions {
+	s := &suspicions{now: now, evidence: quarantine.NewEvidence(quarantine.SettleTime), unreported: make(chan struct{}, 1)}
 	s.list.Store(&quarantine.List{})
+	s.recent.Store(&quarantine.Recent{})
 	return s
 }
 
+// setRecent stores the next value of recent. The caller holds mu.
+func (s *suspicions) setRecent(r quarantine.Recent) { s.recent.Store(&r) }
+
 // add records requests that were running at a server that has crashed.
 func (s *suspicions) add(now time.Duration, lost []quarantine.TimedLoss) {
 	s.mu.Lock()
@@ -58,6 +65,12 @@
 			s.losses = append(s.losses, loss)
 		}
 	}
+	s.setRecent(s.recent.Load().WithLosses(now, lost))
+	s.requestReport()
+}
+
+// requestReport makes the next report due at once.
+func (s *suspicions) requestReport() {
 	select {
 	case s.unreported <- struct{}{}:
 	default:
@@ -69,6 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evidence.Clear(k)
+	s.setRecent(s.recent.Load().Without([]quarantine.Key{k}))
 	if s.followsLeader.Load() && len(s.cleared) < maxUnreported && !slices.Contains(s.cleared, k) {
 		s.cleared = append(s.cleared, k)
 	}
@@ -76,7 +90,7 @@
 
 // isEmpty reports whether no request is suspected or condemned.
 func (s *suspicions) isEmpty() bool {
-	if !s.list.Load().Empty() {
+	if !s.list.Load().Empty() || !s.recent.Load().Empty() {
 		return false
 	}
 	if s.followsLeader.Load() {
@@ -89,46 +103,68 @@
 
 // find returns the entry of a request, if there is one. key is called only if the hint matches or
 // the gateway decides by its own evidence.
-func (s *suspicions) find(hint quarantine.Hint, key func() quarantine.Key) (quarantine.Entry, bool) {
-	if l := s.list.Load(); l.HasHint(hint) {
-		if e, listed := l.Find(key()); listed {
-			return e, true
+//
+// The list alone is not enough: it is as old as the last message of a leader that may be gone, and
+// the first list of the next leader lacks what gateways have not reported again.
+func (s *suspicions) find(hint quarantine.Hint, key func() quarantine.Key) (e quarantine.Entry, found bool) {
+	consider := func(o quarantine.Entry, listed bool) {
+		if listed {
+			e, found = e.OrStronger(o), true
 		}
 	}
-	if s.followsLeader.Load() {
-		return quarantine.Entry{}, false
+	if l := s.list.Load(); l.HasHint(hint) {
+		consider(l.Find(key()))
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.evidence.Find(key())
+	if r := s.recent.Load(); r.HasHint(hint) {
+		consider(r.Find(s.now(), key()))
+	}
+	if !s.followsLeader.Load() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		consider(s.evidence.Find(key()))
+	}
+	return e, found
 }
 
 // applyList applies the leader's list. Requests that are no longer listed have been cleared by
-// another gateway's answer, so their local evidence is dropped.
+// another gateway's answer, so their local evidence is dropped. A whole list drops nothing, since a
+// new leader's list lacks what gateways have not reported again.
 func (s *suspicions) applyList(m protocol.Quarantine) {
-	l := s.list.Load().Apply(m)
-	s.list.Store(&l)
-	s.followsLeader.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old := *s.list.Load()
+	current := old.Apply(m)
+	if m.Whole {
+		s.setRecent(s.recent.Load().WithMissing(s.now(), old, current))
+		s.listedAt.Store(int64(s.now()))
+	}
+	var removed []quarantine.Key
 	for _, b := range m.Removed {
 		if k, ok := quarantine.KeyFrom(b); ok {
 			s.evidence.Clear(k)
+			removed = append(removed, k)
 		}
 	}
+	s.setRecent(s.recent.Load().Without(removed))
+	s.list.Store(&current)
+	s.followsLeader.Store(true)
 }
 
-// beginSession queues all local evidence for the next reports, since a new leader may lack it.
+// beginSession queues all local evidence for the next report, since a new leader may lack it.
 func (s *suspicions) beginSession() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.losses, s.cleared = s.evidence.Losses(), nil
+	if len(s.losses) > 0 {
+		s.requestReport()
+	}
 }
 
 // addToReport adds the queued losses and cleared keys to a report.
 func (s *suspicions) addToReport(now time.Duration, u *protocol.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setRecent(s.recent.Load().At(now))
 	n := min(len(s.losses), maxLossesPerReport)
 	for _, loss := range s.losses[:n] {
 		u.Losses = append(u.Losses, protocol.Loss{
@@ -184,10 +220,12 @@
 	return nil
 }
 
-// awaitDecision waits until the request is condemned or cleared, or the maximum wait is over. It
-// returns false if the caller has left.
+// awaitDecision waits until the request is condemned or cleared, or the maximum wait is over. A
+// leader whose list arrives meanwhile has the whole wait to decide, since gateways report to it
+// only now. It returns false if the caller has left.
 func (c *call) awaitDecision(hint quarantine.Hint) bool {
-	for until := c.g.now() + quarantine.DecisionWait; c.suspicion.Undecided() && c.g.now() < until; {
+	arrived := c.g.now()
+	for c.suspicion.Undecided() && c.g.now() < c.g.suspicions.decisionDue(arrived) {
 		if !sleep.For(c.r.Context(), decisionPollInterval) {
 			return false
 		}
@@ -196,17 +234,27 @@
 	return true
 }
 
+// decisionDue returns the time by which a leader has decided on a request that arrived at the
+// given time.
+func (s *suspicions) decisionDue(arrived time.Duration) time.Duration {
+	return max(arrived, time.Duration(s.listedAt.Load())) + quarantine.DecisionWait
+}
+
 // hint returns the request's hint, see package quarantine.
 func (c *call) hint() quarantine.Hint {
 	return quarantine.HintOf(c.account.Name, c.r.Method, c.r.Host, c.r.RequestURI, len(c.body))
 }
 
+// knownFailures returns the number of consecutive server failures under the request that this
+// gateway knows of.
+func (c *call) knownFailures() int { return c.suspicion.Failures + c.losses }
+
 // recordLoss records an attempt whose connection broke while the request was running.
 func (c *call) recordLoss(a *assignment) {
 	now := c.g.now()
 	c.g.crashDetector.add(quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.serverID, Address: a.address, RunTime: now - a.startedAt, Retry: c.losses > 0,
-		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID),
+		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(),
 	}})
 	c.losses++
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -155,6 +155,77 @@
 	}, breaksConnection, breaksConnection, breaksConnection)
 }
 
+// crash sends a request that crashes the server at an address, and waits until that is found.
+func (x *fixture) crash(path, address string) {
+	x.request(path)
+	x.servers.stop(address)
+	time.Sleep(2 * crashProbeDelay)
+}
+
+// TestCrashCountsBeforeLeaderListsIt checks that a gateway counts a crash that it has seen although
+// the leader's list does not include it, as when the link to the leader has gone silent.
+func TestCrashCountsBeforeLeaderListsIt(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(t)
+		x.request("/again/fine")
+		x.listSuspects(2, false, "/again/deadly")
+		x.crash("/again/deadly", "10.0.5.0:80")
+		sent := x.servers.count()
+		r := x.request("/again/deadly")
+		is.True(r.took >= quarantine.DecisionWait) // the third crash makes the request undecided
+		is.Equal(x.servers.count(), sent+1)        // and no attempt follows the next crash
+	}, breaksConnection, answers(200, "done", time.Millisecond))
+}
+
+// TestNewLeaderForgetsNoSuspect checks that a gateway still counts the crashes of a list that the
+// next leader's first list lacks, and that an answer at another gateway ends that.
+func TestNewLeaderForgetsNoSuspect(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(t)
+			x.listSuspects(2, false, "/again/deadly")
+			x.listSuspects(0, false) // the first list of the next leader
+			if answered {
+				k := requestKey("/again/deadly")
+				x.g.suspicions.applyList(protocol.Quarantine{Removed: [][]byte{k[:]}})
+			}
+			x.request("/again/deadly")
+			is.Equal(x.servers.count() == 1, !answered) // two crashes are known, so one more attempt is allowed
+		}, breaksConnection, breaksConnection)
+	}
+}
+
+// TestUndecidedRequestWaitsForNewLeader checks that a request that waits for a decision while the
+// leader changes gives the next leader the time to decide.
+func TestUndecidedRequestWaitsForNewLeader(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(t)
+		x.listSuspects(3, false, "/again/deadly")
+		newLeader := quarantine.DecisionWait - 50*time.Millisecond
+		time.AfterFunc(newLeader, func() { x.listSuspects(0, false) })
+		time.AfterFunc(newLeader+quarantine.SettleTime, func() { x.listSuspects(3, true, "/again/deadly") })
+		is.Equal(x.request("/again/deadly").status, 400)
+		is.Equal(x.servers.count(), 0)
+	}, breaksConnection)
+}
+
+// TestOldListHidesNoLocalVerdict checks that a gateway without a leader refuses a request that it
+// has condemned although the last leader's list has it as a suspect.
+func TestOldListHidesNoLocalVerdict(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(t)
+		x.listSuspects(1, false, "/again/deadly")
+		x.g.suspicions.followsLeader.Store(false)
+		for i := range 3 {
+			x.g.suspicions.add(x.g.now(), []quarantine.TimedLoss{{At: x.g.now(), Loss: quarantine.Loss{
+				Key: requestKey("/again/deadly"), Pool: "plain", Server: fmt.Sprint("p", i), RunTime: 50 * time.Millisecond, PoolAnswering: true,
+			}}})
+			time.Sleep(time.Second)
+		}
+		is.Equal(x.request("/again/deadly").status, 400)
+	}, breaksConnection)
+}
+
 // TestUnreachedAttemptsDoNotHideAnswers checks that attempts that reach no server while one is down
 // do not hide that the rest of the pool answers.
 func TestUnreachedAttemptsDoNotHideAnswers(t *testing.T) {
