Name the failure that ended a call's connection

Callers saw: a gateway whose goroutines run late counts a server as unreachable that it did not ask, because it had given the call up before its first byte; several in a row eject the server.

Cause: a failed write closes the connection, which fails the pending read too, and net/http returns either error where the call's goroutine finds both. Only one of them is ErrAbandoned.

Evidence: all failed runs are of the abandoned call, NotRun with "use of closed network connection", and the server received nothing; persistConn.roundTrip selects at random among the errors that are ready.

Change: countingConn records the first failure that is not a consequence of its own Close, and Send adds it to the call's error. Found by reading and mended with it: a connection timeout that the write had taken was lost in the same way.

--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -16,11 +17,13 @@
 // byte of a call was sent on it and whether it is idle. net/http reports neither.
 
 // countingConn counts the bytes that the kernel has accepted and the calls that were
-// given the connection.
+// given the connection, and records the failure that ended it.
 type countingConn struct {
 	net.Conn
 	openedAt     time.Time
-	deregister   func() // removes the connection from the client's list
+	closed       atomic.Bool           // by this process
+	failure      atomic.Pointer[error] // first failure of a read or write before that
+	deregister   func()                // removes the connection from the client's list
 	bytesWritten atomic.Int64
 	callsStarted atomic.Int64 // calls that were given the connection
 	lastIdleCall atomic.Int64 // number of the last call after which the connection became idle
@@ -39,15 +42,33 @@
 // short of processor time it would be sent up to half a second after its caller had left.
 func (c *countingConn) Write(b []byte) (int, error) {
 	if abandoned := c.abandoned.Swap(nil); abandoned != nil && (*abandoned)() {
+		c.recordFailure(ErrAbandoned)
 		return 0, ErrAbandoned
 	}
 	n, err := c.Conn.Write(b)
 	c.bytesWritten.Add(int64(n))
+	c.recordFailure(err)
 	return n, err
 }
 
+// Read implements [net.Conn].
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.recordFailure(err)
+	return n, err
+}
+
+// recordFailure records the error of a read or write if it is the first one. Errors after Close
+// are its consequences.
+func (c *countingConn) recordFailure(err error) {
+	if err != nil && !c.closed.Load() {
+		c.failure.CompareAndSwap(nil, &err)
+	}
+}
+
 // Close implements [net.Conn].
 func (c *countingConn) Close() error {
+	c.closed.Store(true)
 	c.deregister()
 	return c.Conn.Close()
 }
@@ -153,6 +174,20 @@
 	return c != nil && c.bytesWritten.Load() > s.writtenBefore
 }
 
+// withConnFailure returns the error of a call together with the failure that ended its connection.
+// net/http closes the connection after a failed write, which fails the read that waits for the
+// answer as well, and returns either error.
+func (s *callTrace) withConnFailure(err error) error {
+	c := s.conn.Load()
+	if c == nil {
+		return err
+	}
+	if failure := c.failure.Load(); failure != nil && !errors.Is(err, *failure) {
+		return fmt.Errorf("%w: %w", err, *failure)
+	}
+	return err
+}
+
 // connOpenedAt returns when the call's connection was opened, or the zero time without one.
 func (s *callTrace) connOpenedAt() time.Time {
 	if c := s.conn.Load(); c != nil {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -238,6 +238,7 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
+		err = trace.withConnFailure(err)
 		if trace.mayHaveSent() {
 			return nil, MayHaveRun{Server: address, ConnOpenedAt: trace.connOpenedAt(), Err: err}
 		}
