Make a paced gateway's accept queue as long as its pace drains in 0.21 s

Callers saw: TestGatewaySurvivesAFlood beside busy loops: 132 to 480 requests neither answered nor closed within a second, while the others are answered in milliseconds.

Cause: pacing cuts the kernel's queue to 64 connections, which is 0.21 s at the minimum pace. Pacing begins at the recent rate, though, here 2,500 to 2,950 a second: 64 are then 22 ms, 150 callers overflow them, and the kernel of a caller repeats a dropped handshake after a second.

Change: the length follows the pace, at least 64 and at most 256. At the minimum pace it is as it was. The fakes of the tests name a rate where they said that they pace; their checks are unchanged.

--- a/coordination/overload/acceptlimit.go
+++ b/coordination/overload/acceptlimit.go
@@ -54,6 +54,9 @@
 // Bounded reports whether the rate is limited because the gateway is late.
 func (l AcceptLimit) Bounded() bool { return l.rate > 0 }
 
+// Rate returns the limit in connections a second, or 0 if the gateway is not late.
+func (l AcceptLimit) Rate() float64 { return l.rate }
+
 // Allowance returns how many connections may be accepted until the next tick.
 func (l AcceptLimit) Allowance() int {
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -94,8 +95,9 @@
 
 	// Limit on accepting callers' connections, see [overload.AcceptLimit].
 	acceptLimited       atomic.Bool
-	connectionAllowance atomic.Int64 // connections that may be accepted until the next tick
-	connectionsAdmitted atomic.Int64 // connections accepted since the last tick
+	acceptRate          atomic.Uint64 // bits of a float64: connections a second; 0 without a limit
+	connectionAllowance atomic.Int64  // connections that may be accepted until the next tick
+	connectionsAdmitted atomic.Int64  // connections accepted since the last tick
 	acceptBacklog       acceptBacklog
 
 	retriesMu    sync.Mutex               // leaf lock; guards retryWindows
@@ -169,8 +171,9 @@
 	g.acceptBacklog.observe(g.now(), waiting, capacity)
 }
 
-// ConnectionsPaced reports whether the accept rate of callers' connections is limited now.
-func (g *Gateway) ConnectionsPaced() bool { return g.acceptLimited.Load() }
+// AcceptRate returns the limit on the accept rate of callers' connections, in connections per
+// second, or 0 without one.
+func (g *Gateway) AcceptRate() float64 { return math.Float64frombits(g.acceptRate.Load()) }
 
 // Limits returns the size and time limits for callers' requests from the document in force;
 // before the first document, there are none.
@@ -223,6 +226,7 @@
 	n, bounded := limit.Allowance(), limit.Bounded()
 	g.connectionAllowance.Store(int64(n))
 	g.acceptLimited.Store(bounded)
+	g.acceptRate.Store(math.Float64bits(limit.Rate()))
 	if bounded != old.Bounded() {
 		g.acceptBacklog.reset()
 		g.cfg.Log.StateChange("connections paced", slog.Bool("bounded", bounded), slog.Int("in_20_ms", n),
--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -30,7 +30,7 @@
 type unpaced struct{}
 
 func (unpaced) AdmitConnection() bool       { return true }
-func (unpaced) ConnectionsPaced() bool      { return false }
+func (unpaced) AcceptRate() float64         { return 0 }
 func (unpaced) ObserveAcceptQueue(_, _ int) {}
 
 // runCallerServer starts a server for callers and runs f with a function that connects to it and
--- a/process/pace.go
+++ b/process/pace.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/decision"
 )
 
@@ -24,15 +25,23 @@
 // of 1,024 takes 3.4 s to drain: a request in it reaches a server 2.3 s after it was sent,
 // shortly before its caller's deadline.
 //
-// Paced, the queue is short. Connections in it are not answered, and their unread bytes are
-// memory of this process: 4.6 MB with bodies of 72 KB. An accepted connection must still be
-// able to meet its objective at the minimum pace (overload.MinAcceptRate). With 200, a wait
-// of 0.67 s, a flooded gateway spends its processor on requests that are already late.
+// Paced, the queue is as long as the pace drains in maxQueueWait. Connections in it are not
+// answered, and their unread bytes are memory of this process: 4.6 MB with 64 bodies of 72 KB.
+// An accepted connection must still be able to meet its objective: with a wait of 0.67 s, a
+// flooded gateway spends its processor on requests that are already late. A queue that is
+// shorter than that overflows while the gateway has the processor for more, and the caller of
+// each connection beyond it waits a second until the kernel repeats the handshake.
 const (
-	longBacklog  = 256 // 0.85 s at the minimum pace
-	shortBacklog = 64  // 0.21 s at the minimum pace (docs/design/hundreds-of-boxes.md)
+	longBacklog  = 256                                   // 0.85 s at the minimum pace
+	shortBacklog = 64                                    // 0.21 s at the minimum pace (docs/design/hundreds-of-boxes.md)
+	maxQueueWait = shortBacklog / overload.MinAcceptRate // seconds
 )
 
+// pacedBacklog returns the length of the queue at a pace in connections per second.
+func pacedBacklog(rate float64) int {
+	return min(max(int(rate*maxQueueWait), shortBacklog), longBacklog)
+}
+
 // pacePollInterval is how often a paced listener checks whether it may accept: a quarter of the
 // time between two allowances (overload.TickPeriod).
 const pacePollInterval = 5 * time.Millisecond
@@ -42,8 +51,8 @@
 	// AdmitConnection reports whether another connection may be accepted now, and counts it if
 	// so.
 	AdmitConnection() bool
-	// ConnectionsPaced reports whether connections are being held back.
-	ConnectionsPaced() bool
+	// AcceptRate returns the pace in connections per second, or 0 while no connection is held back.
+	AcceptRate() float64
 	// ObserveAcceptQueue records the length and the capacity of the kernel's queue.
 	ObserveAcceptQueue(waiting, capacity int)
 }
@@ -55,7 +64,8 @@
 	pacer             pacer
 	closed            <-chan struct{}
 	log               *decision.Log
-	isBacklogShort    bool // whether the backlog is shortBacklog
+	backlog           int  // length of the kernel's queue
+	isPaced           bool // as of the last adjustment of the backlog
 	isQueueUnreported bool // whether the kernel does not report the length of its queue
 	unread            unreadConns
 }
@@ -63,7 +73,7 @@
 // newPacedListener returns a listener with a backlog of longBacklog.
 func newPacedListener(l net.Listener, p pacer, closed <-chan struct{}, log *decision.Log) *pacedListener {
 	paced := &pacedListener{Listener: l, pacer: p, closed: closed, log: log}
-	paced.setBacklog(longBacklog)
+	paced.adjustBacklog()
 	return paced
 }
 
@@ -88,7 +98,7 @@
 
 // reportQueue reports the length of the kernel's queue to the pacer, if it is available.
 func (l *pacedListener) reportQueue() {
-	if !l.isBacklogShort || l.isQueueUnreported {
+	if !l.isPaced || l.isQueueUnreported {
 		return
 	}
 	waiting, capacity, err := acceptQueue(l.Listener)
@@ -122,17 +132,17 @@
 	return int(info.Unacked), int(info.Sacked), nil
 }
 
-// adjustBacklog sets the short backlog when pacing begins and the long one when it ends.
+// adjustBacklog makes the kernel's queue as long as the pace allows.
 func (l *pacedListener) adjustBacklog() {
-	paced := l.pacer.ConnectionsPaced()
-	if paced == l.isBacklogShort {
-		return
+	rate := l.pacer.AcceptRate()
+	l.isPaced = rate > 0
+	backlog := longBacklog
+	if l.isPaced {
+		backlog = pacedBacklog(rate)
 	}
-	l.isBacklogShort = paced
-	if paced {
-		l.setBacklog(shortBacklog)
-	} else {
-		l.setBacklog(longBacklog)
+	if backlog != l.backlog {
+		l.backlog = backlog
+		l.setBacklog(backlog)
 	}
 }
 
--- a/process/pace_test.go
+++ b/process/pace_test.go
@@ -19,7 +19,7 @@
 type allowance struct{ atomic.Int64 }
 
 func (a *allowance) AdmitConnection() bool       { return a.Add(-1) >= 0 }
-func (a *allowance) ConnectionsPaced() bool      { return true }
+func (a *allowance) AcceptRate() float64         { return overload.MinAcceptRate }
 func (a *allowance) ObserveAcceptQueue(_, _ int) {}
 
 // TestConnectionsArePaced checks that no connection is accepted without an allowance, that
@@ -73,6 +73,38 @@
 	is.True(float64(longBacklog)/overload.MinAcceptRate < 1)
 }
 
+// pace is a pacer that allows no connection and has a changing rate.
+type pace struct{ rate float64 }
+
+func (*pace) AdmitConnection() bool       { return false }
+func (p *pace) AcceptRate() float64       { return p.rate }
+func (*pace) ObserveAcceptQueue(_, _ int) {}
+
+// TestQueueFollowsThePace checks that the kernel's queue is as long as the pace drains in the same
+// time at any rate. A queue for the minimum pace overflows at a higher one, and a caller whose
+// connection does not fit waits for a second.
+func TestQueueFollowsThePace(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	var p pace
+	paced := newPacedListener(l, &p, nil, nil)
+	for _, tt := range []struct {
+		rate     float64
+		capacity int
+	}{
+		{0, longBacklog}, {10 * overload.MinAcceptRate, longBacklog}, {2 * overload.MinAcceptRate, 2 * shortBacklog},
+		{overload.MinAcceptRate, shortBacklog}, {overload.MinAcceptRate / 2, shortBacklog}, {0, longBacklog},
+	} {
+		p.rate = tt.rate
+		paced.adjustBacklog()
+		_, capacity, err := acceptQueue(l)
+		is.NoErr(err)
+		is.Equal(capacity, tt.capacity)
+	}
+}
+
 // TestAcceptQueueLength checks that the reported queue length is the number of waiting
 // connections.
 func TestAcceptQueueLength(t *testing.T) {
@@ -82,7 +114,7 @@
 	defer l.Close()
 	paced := newPacedListener(l, &allowance{}, nil, nil)
 	paced.adjustBacklog()
-	is.True(paced.isBacklogShort)
+	is.True(paced.isPaced)
 	for range 7 {
 		conn, err := net.Dial("tcp", l.Addr().String())
 		is.NoErr(err)
@@ -110,8 +142,8 @@
 // test.
 type queueReports chan int
 
-func (w queueReports) AdmitConnection() bool  { return false }
-func (w queueReports) ConnectionsPaced() bool { return true }
+func (w queueReports) AdmitConnection() bool { return false }
+func (w queueReports) AcceptRate() float64   { return overload.MinAcceptRate }
 func (w queueReports) ObserveAcceptQueue(waiting, _ int) {
 	select {
 	case w <- waiting:
--- a/process/unread_test.go
+++ b/process/unread_test.go
@@ -17,7 +17,7 @@
 type acceptAll struct{}
 
 func (acceptAll) AdmitConnection() bool       { return true }
-func (acceptAll) ConnectionsPaced() bool      { return false }
+func (acceptAll) AcceptRate() float64         { return 0 }
 func (acceptAll) ObserveAcceptQueue(_, _ int) {}
 
 // TestUnreadConnectionsAreBounded checks that beyond maxUnread, connections are accepted only
