--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -222,7 +222,7 @@
 
 // awaitDecision waits until the request is condemned or cleared, or the maximum wait is over. A
 // leader whose list arrives meanwhile has the whole wait to decide, since gateways report to it
-// only now. It returns false if the caller has left.
+// only then. It returns false if the caller has left.
 func (c *call) awaitDecision(hint quarantine.Hint) bool {
 	arrived := c.g.now()
 	for c.suspicion.Undecided() && c.g.now() < c.g.suspicions.decisionDue(arrived) {
@@ -235,9 +235,11 @@
 }
 
 // decisionDue returns the time by which a leader has decided on a request that arrived at the
-// given time.
+// given time. Leaders that change again and again extend the wait only once.
 func (s *suspicions) decisionDue(arrived time.Duration) time.Duration {
-	return max(arrived, time.Duration(s.listedAt.Load())) + quarantine.DecisionWait
+	due := arrived + quarantine.DecisionWait
+	listedAt := time.Duration(s.listedAt.Load())
+	return min(max(arrived, listedAt), due) + quarantine.DecisionWait
 }
 
 // hint returns the request's hint, see package quarantine.
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -61,9 +61,11 @@
 // recordFailure records the error of a read or write if it is the first one. Errors after Close
 // are its consequences.
 func (c *countingConn) recordFailure(err error) {
-	if err != nil && !c.closed.Load() {
-		c.failure.CompareAndSwap(nil, &err)
+	if err == nil || c.closed.Load() {
+		return
 	}
+	failure := err // only this copy is allocated, not the argument of every call
+	c.failure.CompareAndSwap(nil, &failure)
 }
 
 // Close implements [net.Conn].
