Log which version began a stream, and where it goes on

The logs of an incident could not tell whether a stream of two versions was mixed within one answer or over its caller's tries: a gateway named a server's version only during a rollout, the directory never, and the header that names the try which began a stream was not read.

Now: line "stream resumed" (request, resumes, last_event, backend, version, began_version, known_by) for each attempt that continues a stream; version in the lines that end a request, in "attempt failed" and in "backend announced"; resumes in the last line of a request that takes a stream up.

--- a/directory/hub.go
+++ b/directory/hub.go
@@ -285,7 +285,7 @@
 	change := h.registry.Announce(h.d.replica.Now(), a)
 	for _, s := range change.Set {
 		h.d.cfg.Log.StateChange("backend announced", slog.String("backend", s.ID), slog.String("pool", s.Pool),
-			slog.String("address", s.Address), slog.Any("replaces", change.Gone))
+			slog.String("address", s.Address), slog.String("version", s.Version), slog.Any("replaces", change.Gone))
 		h.unloggedJoins = append(h.unloggedJoins, s.Registration.ToWire())
 	}
 	h.pendingChange = h.pendingChange.Merge(change)
--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -18,6 +18,7 @@
 	entry          *knownServer
 	serverID       string
 	address        string
+	version        string // of the server's software, at the start
 	tokensToRead   int // prompt tokens not in the server's cache
 	startedAt      time.Duration
 	tokensAhead    int            // tokens queued on the server at the start
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -211,6 +211,7 @@
 		milliseconds("took_ms", c.g.now()-a.startedAt), slog.Bool("again", again),
 		slog.String("last_event", c.relay.lastEventID),
 	}
+	attrs = append(attrs, a.versionAttrs()...)
 	if out.status > 0 {
 		attrs = append(attrs, slog.Int("status", out.status))
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -45,6 +45,7 @@
 	assigned     *assignment     // last attempt
 	shortage     shortage        // why no backend server was available in the end
 	relay        *relay          // nil until the request is admitted
+	stream       streamOrigin    // of the stream that the request continues
 	stall        *stallTimer     // current attempt
 
 	// Evidence that servers crashed while running this request.
@@ -245,7 +246,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.timeLeft())
 	defer cancel()
 	c.triedServers = map[string]bool{}
-	c.relay = &relay{c: c}
+	c.relay, c.stream = &relay{c: c}, c.initialOrigin()
 	for {
 		a, err := c.acquireServer(ctx)
 		if err != nil && c.relay.headWritten {
@@ -261,6 +262,7 @@
 		}
 		c.assigned = a
 		c.g.stats.countVersion(c.pool.Name, &a.versionAttempt)
+		c.logResumption(a)
 		out := c.attempt(ctx, a)
 		if out.execution == retry.Answered {
 			if c.relay.succeeded() {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -237,7 +237,7 @@
 	p.markBusy(k)
 	k.cold = k.cold.WithBegun(now)
 	return &assignment{
-		entry: k, serverID: k.ID, address: k.Address, tokensToRead: choice.Read, startedAt: now,
+		entry: k, serverID: k.ID, address: k.Address, version: k.Version, tokensToRead: choice.Read, startedAt: now,
 		tokensAhead: choice.Before.Tokens, expectedFirst: p.placer.ExpectedTimeToFirst(req.pool.Engine, choice.Read+choice.Before.Tokens),
 		trial: k.health.Sent(now), versionAttempt: p.beginAttempt(k, req, choice, reason),
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -108,8 +108,12 @@
 		attrs = append(attrs, slog.String("backend", a.serverID), slog.Int("tokens_ahead", a.tokensAhead),
 			slog.Int("tokens_read", a.tokensToRead), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
 			milliseconds("queued_ms", a.startedAt-c.arrived), milliseconds("first_ms", a.timeToFirst), milliseconds("expected_ms", a.expectedFirst))
+		attrs = append(attrs, a.versionAttrs()...)
 		attrs = append(attrs, a.versionAttempt.logAttrs()...)
 	}
+	if c.head.Resumes != "" {
+		attrs = append(attrs, c.stream.logAttrs()...)
+	}
 	attrs = append(attrs, c.regionAttrs()...)
 	if r := c.relay; r != nil && r.writes > 0 {
 		attrs = append(attrs, slog.Int("pieces", r.writes), slog.String("last_event", r.lastEventID),
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -19,6 +19,9 @@
 	Timeout     time.Duration // how long the caller waits; 0 means unknown
 	Prompt      place.Prompt
 	LastEventID string // last event that the caller has received of a broken stream
+	// Resumes is the ID of the request that brought the first event of the stream that this request
+	// takes up; empty for a new stream.
+	Resumes string
 }
 
 // Forwarding holds the fields that the gateway adds to a request for a backend server.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -174,6 +174,7 @@
 	if !r.headWritten {
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
 		r.writeHead(answer.Status, answer.Header, -1)
+		r.c.recordOrigin(a)
 	}
 	return r.relayEvents(chunk, flusher)
 }
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -339,10 +339,10 @@
 	return t
 }
 
-// logAttrs returns the version attributes of the log line of a request's end.
+// logAttrs returns why the request went to its version, for the log line of its end.
 func (t *versionAttempt) logAttrs() []slog.Attr {
 	if t.reason == "" && t.version == "" {
 		return nil
 	}
-	return []slog.Attr{slog.String("version", t.version), slog.String("version_for", t.reason)}
+	return []slog.Attr{slog.String("version_for", t.reason)}
 }
