--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -19,7 +19,7 @@
 	serverID       string
 	address        string
 	version        string // of the server's software, at the start
-	tokensToRead   int // prompt tokens not in the server's cache
+	tokensToRead   int    // prompt tokens not in the server's cache
 	startedAt      time.Duration
 	tokensAhead    int            // tokens queued on the server at the start
 	expectedFirst  time.Duration  // expected time to the first part of the answer
