Take a broken stream up only at the version that began it

Callers got answers whose parts were written by two software versions: a gateway that took a broken stream up chose among all servers of the pool, by load alone.

The request now keeps the version of the server whose answer began, and only servers of it are candidates, whatever a rollout's shares are. If none takes requests (left, barred, replaced, its hall out of service), the answer is cut off at once instead of waiting. The only server of a version is tried a second time, as the only server of a pool is. If the server is listed with another version meanwhile under its identifier, either may have begun the stream, and it is cut off too.

The golden file of refusals has two new causes, version-gone and version-unknown.

--- a/decision/explain.go
+++ b/decision/explain.go
@@ -52,6 +52,8 @@
 	"homes-without-server": "no backend of the pool is known in the regions where it may be served: see 'homes', 'backends changed', and the halls' regions in that node's settings",
 	"quarantined":          "backends end under this request, by 'key' and not by its identifier: see 'backend ended', and 'request condemned' at the directory's leader; 'badgerspoke quarantine release' lets it go again",
 	"halls-out":            "every backend of the pool is in a hall that an operator took out of service: see 'halls_out' and 'halls out of service'",
+	"version-gone":         "the stream began at a version of which no backend takes requests: see 'began_version', 'backends changed', and 'backend announced' at the directory's leader",
+	"version-unknown":      "several versions may have begun the stream: see 'resumes', and 'stream resumed' or 'answered' of that request; a gateway that was killed may not have reported it",
 	"stopping":             "the gateway was being stopped: see 'stopping' on that node",
 }
 
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -14,13 +14,17 @@
 
 // acquireServer waits for a backend server. The error is a [Refusal] or a [callerLeft].
 func (c *call) acquireServer(ctx context.Context) (*assignment, error) {
+	c.confirmOrigin()
+	if c.relay.headWritten && c.stream.source == versionUnknown {
+		return nil, Refusal{Cause: VersionUnknown}
+	}
 	req := requirements{
 		WaitingRequest: entitlement.WaitingRequest{
 			Class: c.class, Priority: entitlement.Priority(c.account.Priority, c.route.Priority), Account: c.account.Name,
 		},
 		pool: c.pool, route: c.route, prompt: c.head.Prompt,
 		repeatable: c.route.MayRepeat(), triedServers: c.triedServers, gateways: int(c.g.gatewayCount.Load()), random: c.g.randomFraction(),
-		accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
+		version: c.stream.limit(), accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
 	}
 	if c.route.Objective > 0 {
 		req.objectiveDeadline = c.arrived + c.route.Objective - c.spentBeforeArrival
@@ -45,7 +49,7 @@
 }
 
 // noServerError returns the error for a request that got no backend server. A request whose homes
-// exclude every server does not count as missed, because engine capacity is not what it lacks.
+// or version exclude every server does not count as missed, because engine capacity is not what it lacks.
 func (c *call) noServerError(ctx context.Context, req *requirements) error {
 	policy := c.policy(ctx)
 	if !policy.TimeLeft && c.r.Context().Err() != nil {
@@ -54,7 +58,7 @@
 	if c.shortage.stayReason != "" {
 		c.g.stats.count("region_stayed", "why", string(c.shortage.stayReason))
 	}
-	if policy.TimeLeft && c.counts.Arrived == 0 && c.shortage.homesCause == "" {
+	if policy.TimeLeft && c.counts.Arrived == 0 && c.shortage.homesCause == "" && !c.shortage.versionGone {
 		c.countMissed(false)
 	}
 	if policy.TimeLeft && c.counts.Runs == 0 {
@@ -63,6 +67,8 @@
 			return Refusal{Cause: c.shortage.homesCause, RetryAfter: retry.LongDelay}
 		case len(c.shortage.hallsOut) > 0:
 			return Refusal{Cause: HallsOut, RetryAfter: retry.LongDelay}
+		case c.shortage.versionGone:
+			return Refusal{Cause: VersionGone, RetryAfter: retry.LongDelay}
 		case c.shortage.backingOff:
 			return Refusal{Cause: BackingOff, RetryAfter: retry.AfterBackoff(c.shortage.backoff, c.timeLeft(), c.g.randomFraction())}
 		}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,7 +31,8 @@
 	// accept it.
 	maxBackoff time.Duration
 
-	versionSet versionSet // server versions that the current selection is limited to
+	versionSet versionSet   // server versions that the current selection is limited to
+	version    versionLimit // the version that a stream may go on at
 
 	accountHomes      []string      // from the document under which the request was admitted
 	homes             homes         // from the document in force at the last selection
@@ -61,18 +62,24 @@
 	hallsOut       []string      // halls out of service, if they hold all servers of the pool
 	homesCause     Cause         // set if the homes exclude every server
 	stayReason     stayReason    // why the request stayed in its region, if it had a reason to leave
+	versionGone    bool          // no server of the version that began the request's stream takes requests
 	backingOff     bool          // every server is in backoff for longer than the request waits
 	backoff        time.Duration // until the first server accepts requests again; set with backingOff
 }
 
 // final reports whether waiting cannot help.
-func (s *shortage) final() bool { return len(s.hallsOut) > 0 || s.homesCause != "" || s.backingOff }
+func (s *shortage) final() bool {
+	return len(s.hallsOut) > 0 || s.homesCause != "" || s.versionGone || s.backingOff
+}
 
 // acquire assigns the most suitable backend server if it has capacity, and otherwise returns nil
 // and the reason. The caller holds mu.
 func (t *table) acquire(now time.Duration, req requirements) (*assignment, shortage) {
 	p := t.pool(req.pool.Name)
 	order := t.versionOrder(p, now, &req)
+	if t.versionGone(p, &req, order.first|order.second) {
+		return nil, shortage{versionGone: true}
+	}
 	a, short, found := t.acquireAmong(p, now, req, order.first, order.firstReason)
 	usable := found && short.bound != place.RegionLink || short.backingOff // a backoff does not re-enable the old version
 	if a != nil || order.second == 0 || (order.onlyIfNone && usable) {
@@ -153,14 +160,35 @@
 	// A pool's only server may be retried. The only server of a region may not, if the pool has
 	// servers elsewhere.
 	onlyInRegion := len(servers) == 1 && len(p.servers) > 1 && !req.homes.restricted
-	versions := t.candidateVersions(p, req)
+	v := candidateContext{coldSharesInForce: coldSharesInForce, versions: t.candidateVersions(p, req), onlyInRegion: onlyInRegion}
 	p.candidateBuf = p.candidateBuf[:0]
 	for _, k := range servers {
-		p.candidateBuf = append(p.candidateBuf, t.candidate(k, now, req, candidateContext{coldSharesInForce: coldSharesInForce, versions: versions, onlyInRegion: onlyInRegion}))
+		p.candidateBuf = append(p.candidateBuf, t.candidate(k, now, req, v))
+	}
+	if req.version.limited {
+		retryOnlyServer(p.candidateBuf)
 	}
 	return p.candidateBuf
 }
 
+// retryOnlyServer allows a second attempt at the only server that a stream may go on at, as at the
+// only server of a pool.
+func retryOnlyServer(all []place.Server) {
+	only := -1
+	for i := range all {
+		switch {
+		case all[i].Closed:
+		case only >= 0:
+			return
+		default:
+			only = i
+		}
+	}
+	if only >= 0 {
+		all[only].Avoid = false
+	}
+}
+
 // candidateContext holds the values that are the same for all candidates of a selection.
 type candidateContext struct {
 	coldSharesInForce bool       // shares of cold servers are in force
@@ -183,7 +211,7 @@
 	switch {
 	case v.onlyInRegion && req.triedServers[k.ID]:
 		return true
-	case t.hallsOut[k.Hall], v.versions&k.versionSet == 0, !t.homesAllow(req, k):
+	case t.hallsOut[k.Hall], v.versions&k.versionSet == 0, !req.version.allows(k.Version), !t.homesAllow(req, k):
 		return true
 	}
 	return !k.cold.Admits(now, v.coldSharesInForce) || !k.notice.Admits(now)
@@ -198,7 +226,7 @@
 // chooseFromRanks selects among the first servers of the request's ranking. ok is false if all servers
 // have to be examined. The caller holds mu.
 func (t *table) chooseFromRanks(p *pool, now time.Duration, req *requirements) (c place.Choice, ok bool) {
-	if !req.pool.Engine || len(p.servers) < minSpreadServers || len(req.prompt.Shared) == 0 {
+	if !req.pool.Engine || len(p.servers) < minSpreadServers || len(req.prompt.Shared) == 0 || req.version.limited {
 		return c, false
 	}
 	ids := p.ranks.First(req.prompt)
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -40,7 +40,11 @@
 	NoCommonHome Cause = "no-common-home"
 	// HomesWithoutServer: no listed server of the pool is in the request's homes - retry.LongDelay.
 	HomesWithoutServer Cause = "homes-without-server"
-	TimedOut           Cause = "timed-out" // a server was still running the request at the deadline
+	// VersionGone: the stream began at a version of which no server takes requests - retry.LongDelay.
+	VersionGone Cause = "version-gone"
+	// VersionUnknown: several versions may have begun the stream - retry.LongDelay.
+	VersionUnknown Cause = "version-unknown"
+	TimedOut       Cause = "timed-out" // a server was still running the request at the deadline
 	// Quarantined: servers repeatedly crash while running the request; it must not be sent again.
 	Quarantined Cause = "quarantined"
 )
@@ -73,6 +77,8 @@
 	// promises that it has not run, and the next document or server may resolve the condition.
 	NoCommonHome:       {http.StatusServiceUnavailable, true, false},
 	HomesWithoutServer: {http.StatusServiceUnavailable, true, false},
+	VersionUnknown:     {http.StatusServiceUnavailable, true, false},
+	VersionGone:        {http.StatusServiceUnavailable, true, false},
 	MayHaveRun:         {http.StatusBadGateway, false, false},
 	TimedOut:           {http.StatusGatewayTimeout, false, false},
 	NoRoute:            {http.StatusNotFound, false, false},
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -98,7 +98,7 @@
 func (t *table) allBackingOff(p *pool, now time.Duration, req *requirements) (soonest time.Duration, all bool) {
 	soonest = backpressure.MaxBackoff
 	for _, k := range p.servers {
-		if !t.inService(k) || k.versionSet&req.versionSet == 0 || !t.homesAllow(req, k) {
+		if !t.inService(k) || k.versionSet&req.versionSet == 0 || !req.version.allows(k.Version) || !t.homesAllow(req, k) {
 			continue
 		}
 		left := k.notice.BackoffLeft(now)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -101,7 +101,7 @@
 		if a == nil {
 			wt.shortage = short
 		}
-		if a == nil && !short.backingOff {
+		if a == nil && !short.backingOff && !short.versionGone {
 			return false
 		}
 		wt.granted <- a
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -13,6 +13,7 @@
 	resumes string       // ID of the request that brought the first event; empty before it
 	version string       // of the server's software; meaningless with versionUnknown
 	source  originSource // how the version is known
+	began   *assignment  // attempt of this answer that brought the first event; nil if another request did
 }
 
 // originSource says how the version that began a stream is known. It is a value of a log attribute.
@@ -27,6 +28,11 @@
 // continues reports whether the request continues a stream.
 func (o streamOrigin) continues() bool { return o.resumes != "" }
 
+// limit returns the version to which the stream limits the request's servers.
+func (o streamOrigin) limit() versionLimit {
+	return versionLimit{limited: o.continues() && o.source != versionUnknown, version: o.version}
+}
+
 // logAttrs returns the attributes of log lines about a request that continues a stream.
 func (o streamOrigin) logAttrs() []slog.Attr {
 	if !o.continues() {
@@ -43,10 +49,24 @@
 	return streamOrigin{resumes: c.head.Resumes, source: versionUnknown}
 }
 
-// recordOrigin records the server whose answer begins a stream.
+// recordOrigin records the server whose answer begins a stream, or the first one that is known to
+// continue it.
 func (c *call) recordOrigin(a *assignment) {
+	if c.stream.limit().limited {
+		return
+	}
 	if !c.stream.continues() {
-		c.stream = streamOrigin{resumes: c.head.ID, version: a.version, source: knownFromAnswer}
+		c.stream.resumes = c.head.ID
+	}
+	c.stream.version, c.stream.source, c.stream.began = a.version, knownFromAnswer, a
+	c.confirmOrigin()
+}
+
+// confirmOrigin marks the origin as unknown if the server that began the stream has meanwhile been listed
+// with another version: it may have begun the stream with either.
+func (c *call) confirmOrigin() {
+	if c.stream.began != nil && !c.g.table.keepsVersion(c.stream.began) {
+		c.stream.source = versionUnknown
 	}
 }
 
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -329,6 +329,24 @@
 	t.classifyVersions()
 }
 
+// keepsVersion reports whether the server of an attempt is still listed with the version that it had at the
+// start of the attempt, or no longer listed at all.
+func (t *table) keepsVersion(a *assignment) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := a.entry
+	if !k.removed {
+		return k.Version == a.version
+	}
+	name, _ := protocol.SplitLife(k.ID)
+	next := t.byAddress[k.Address]
+	if next == nil {
+		return true
+	}
+	nextName, _ := protocol.SplitLife(next.ID)
+	return nextName != name || next.Version == a.version
+}
+
 // size returns the number of known backend servers.
 func (t *table) size() int {
 	t.mu.Lock()
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -217,6 +217,7 @@
 	reasonSwitched   = "switched"    // the target gets all requests
 	reasonNoneUsable = "none usable" // no server of the target is usable
 	reasonOldGone    = "old gone"    // no server of the old version is listed in the request's homes
+	reasonStream     = "stream"      // the version began the request's stream
 )
 
 // versionDrawScale is 2 to the power of the number of leading bits of a random number that
@@ -232,6 +233,8 @@
 	switch {
 	case r == nil || !r.underWay():
 		return versionOrder{first: anyVersion, firstReason: reasonNone}
+	case req.version.limited:
+		return versionOrder{first: t.streamVersions(p, now, req), firstReason: reasonStream}
 	case !t.oldInHomes(p, req):
 		return versionOrder{first: anyVersion, firstReason: reasonOldGone}
 	case r.Final:
@@ -256,6 +259,45 @@
 	return versionOrder{first: oldVersion, firstReason: reasonRest}
 }
 
+// streamVersions returns the versions at which streams may go on: all that get requests now, whatever
+// their shares. The pool has a rollout under way. The caller holds mu.
+func (t *table) streamVersions(p *pool, now time.Duration, req *requirements) versionSet {
+	r := p.rollout
+	switch {
+	case !t.oldInHomes(p, req):
+		return anyVersion
+	case r.Final:
+		return targetVersion
+	case r.switched:
+		return oldVersion | targetVersion
+	case now >= t.rolloutSharesUntil, r.breaker.isOpen(now):
+		return oldVersion
+	}
+	return oldVersion | trialVersion
+}
+
+// versionLimit limits a request to one version of the servers' software. The zero value is no limit.
+type versionLimit struct {
+	limited bool
+	version string
+}
+
+// allows reports whether the request may go to a server of a version.
+func (v versionLimit) allows(version string) bool { return !v.limited || v.version == version }
+
+// versionGone reports whether no server that takes requests may take this one because of its version:
+// waiting would not help it. The caller holds mu.
+func (t *table) versionGone(p *pool, req *requirements, among versionSet) bool {
+	if !req.version.limited {
+		return false
+	}
+	req.versionSet, req.homes = among, t.homes.forRequest(req)
+	among = t.candidateVersions(p, req)
+	return !slices.ContainsFunc(p.servers, func(k *knownServer) bool {
+		return k.versionSet&among != 0 && req.version.allows(k.Version) && t.inService(k) && t.homesAllow(req, k)
+	})
+}
+
 // oldInHomes reports whether a server of the old version is listed in the request's homes. The
 // caller holds mu.
 func (t *table) oldInHomes(p *pool, req *requirements) bool {
