Let a caller's stream go on only at the version that began it, at any gateway

Callers whose gateway had been killed, or whose answer had been cut off, got a stream of two versions: the gateway that they sent the rest of it to placed it like a new request, and knew nothing of the server that had begun it.

Gateways now report the requests that began streams, eight bytes each, every 20 ms to the replica that serves them, and only of pools whose servers have several versions or that share a route. A gateway that is asked to take a stream up knows its own; otherwise it asks the directory, whose replicas hold the records in memory (a relay passes the query on to the leader, the leader to its other relays) and get them again when a gateway opens a session. A stream in no record goes on if one version alone can have begun it, which the leader decides from what it lists, what left within twice the longest request and the versions that the log remembers; else it is refused as not run. A box without a session refuses what it does not know after 0.4 s. A stream goes to the pool that began it where its route leads to several.

Ruled out: that gateways had the wrong version of a server (no mixed stream is left with the versions as listed).

TestCallersStreamStaysAtItsVersion, TestStreamIsRefusedOnceItsVersionHasLeft, TestCallersStreamStaysAtItsVersionAcrossRegions and TestStreamsOfTwoVersions failed before and pass.

--- a/coordination/registry/busyshare.go
+++ b/coordination/registry/busyshare.go
@@ -15,6 +15,7 @@
 	if r.counts[at] += n; r.counts[at] == 0 {
 		delete(r.counts, at)
 	}
+	r.versions[poolVersion{s.Pool, s.Version}] += n
 }
 
 // PoolSize returns the number of backend servers of a pool.
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -119,10 +119,11 @@
 	byHandle      map[uint32]string // identifiers by handle
 	byName        map[string]string // identifiers of the newest lives by server name
 	handles       *Handles
-	coldUntil     time.Duration    // no server is cold from then on
-	counts        map[location]int // number of servers
-	replaced      map[string]bool  // identifiers of replaced lives
-	replacedOrder []string         // the same, oldest first
+	coldUntil     time.Duration       // no server is cold from then on
+	counts        map[location]int    // number of servers
+	versions      map[poolVersion]int // number of servers; 0 until the next ObserveVersions
+	replaced      map[string]bool     // identifiers of replaced lives
+	replacedOrder []string            // the same, oldest first
 }
 
 type entry struct {
@@ -157,7 +158,7 @@
 	return &Registry{
 		leaderSince: now, interval: interval, handles: handles,
 		servers: map[string]*entry{}, byAddress: map[string]string{}, byHandle: map[uint32]string{}, byName: map[string]string{},
-		counts: map[location]int{}, replaced: map[string]bool{},
+		counts: map[location]int{}, versions: map[poolVersion]int{}, replaced: map[string]bool{},
 	}
 }
 
--- a/coordination/registry/versions.go
+++ b/coordination/registry/versions.go
@@ -9,6 +9,20 @@
 
 // This file defines queries about the versions of a pool's backend servers.
 
+// poolVersion is a version of a pool's servers.
+type poolVersion struct{ pool, version string }
+
+// ObserveVersions calls observe for each version of a pool of which servers are listed, or were since the last
+// call.
+func (r *Registry) ObserveVersions(observe func(pool, version string)) {
+	for v, n := range r.versions {
+		observe(v.pool, v.version)
+		if n == 0 {
+			delete(r.versions, v)
+		}
+	}
+}
+
 // Versions returns the versions of a pool's backend servers by handle.
 func (r *Registry) Versions(pool string) map[uint32]string {
 	versions := map[uint32]string{}
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -69,6 +69,7 @@
 
 	rollouts       rollouts
 	evidence       evidence
+	streams        streamOrigins
 	orderTimes     map[attemptKey]time.Duration // when active rollouts were ordered; kept across terms
 	sharesLoggedAt time.Duration                // when the shares were last logged
 
@@ -178,6 +179,7 @@
 
 func (h *hub) tick() {
 	h.syncLeadership()
+	h.dropOldQueries()
 	h.sendDeferredServers()
 	if h.relay != nil {
 		h.relay.tick()
@@ -187,6 +189,7 @@
 		return
 	}
 	now := h.d.replica.Now()
+	h.observeVersions(now)
 	h.pendingChange = h.pendingChange.Merge(h.registry.ExpireSilent(now))
 	h.divideColdRates(now)
 	completed := !h.complete && h.registry.Complete(now)
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -205,6 +205,10 @@
 		r.h.broadcast(m)
 	case protocol.Quarantine:
 		r.applyQuarantine(m)
+	case protocol.StreamQuery:
+		r.answerLeader(m)
+	case protocol.StreamAnswer:
+		r.h.handleStreamAnswer(nil, m)
 	case protocol.ServingReplicas:
 		r.servingReplicas = m.List
 	case protocol.Counted:
--- a/directory/replicated.go
+++ b/directory/replicated.go
@@ -87,6 +87,13 @@
 	return r.store.Joined()
 }
 
+// Versions returns the versions of the servers that were ever registered, by pool.
+func (r *Replicated) Versions() map[string][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Versions()
+}
+
 // HallsOut returns the data halls that are out of service, and the number of hall changes so far.
 func (r *Replicated) HallsOut() (out []string, changes uint64) {
 	r.mu.Lock()
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -138,6 +138,12 @@
 		return
 	}
 	switch m := m.(type) {
+	case protocol.StreamQuery:
+		h.handleStreamQuery(s, m)
+	case protocol.StreamAnswer:
+		h.handleStreamAnswer(s, m)
+	case protocol.Streams:
+		h.addStreams(m.List)
 	case protocol.Usage:
 		if h.relay != nil {
 			h.relay.aggregator.Add(s.gateway, m)
--- a/directory/streams_fixture_test.go
+++ b/directory/streams_fixture_test.go
@@ -243,7 +243,7 @@
 	is := is.New(x.t)
 	var inFlight sync.WaitGroup
 	for i := range n {
-		s := &callersStream{x: x, id: fmt.Sprint("stream", i)}
+		s := &callersStream{x: x, id: fmt.Sprintf("stream-%x-%d", x.random(), i)}
 		all = append(all, s)
 		inFlight.Go(func() { s.request(ip, s.id+"-1", length) })
 	}
--- a/directory/terms.go
+++ b/directory/terms.go
@@ -66,6 +66,7 @@
 	h.missingLives, h.sentServingReplicas, h.lastNotSpread = nil, nil, 0
 	h.beginRollouts()
 	h.beginEvidence()
+	h.beginStreams()
 	h.d.cfg.Metrics.GetOrCreateCounter("badgerspoke_directory_terms_led_total").Inc()
 	h.d.cfg.Log.StateChange("leading", slog.Uint64("term", term), slog.Any("members", h.leadership.Load().voters))
 }
--- a/directory/wholelist.go
+++ b/directory/wholelist.go
@@ -27,6 +27,7 @@
 	switch {
 	case h.relay != nil && (h.cachedList == nil || h.relay.serverList.AnyCold(now)):
 		h.cachedList = &wholeList{servers: h.relay.serverList.WholeList(now)}
+		h.cachedList.servers.AnswersStreams = true
 	case h.relay == nil && (h.cachedList == nil || h.registry.AnyCold(now)):
 		h.cachedList = &wholeList{servers: h.leaderList()}
 	}
@@ -39,7 +40,7 @@
 	m := protocol.Servers{
 		Term: h.term, HandleSpace: h.handles.Space(), Whole: true, Complete: h.complete,
 		Set: h.registry.List(h.d.replica.Now()), Removed: h.recentDepartures(), HallsOut: out, HallChanges: changes,
-		Relays: h.d.hasMultipleRegions() || h.isSpread(),
+		Relays: h.d.hasMultipleRegions() || h.isSpread(), AnswersStreams: true,
 	}.ToWire(h.registry.IsListed)
 	slices.SortFunc(m.Set, func(a, b protocol.Server) int { return strings.Compare(a.ID, b.ID) }) // the registry orders by the name without the start time
 	return m
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -15,7 +15,7 @@
 // acquireServer waits for a backend server. The error is a [Refusal] or a [callerLeft].
 func (c *call) acquireServer(ctx context.Context) (*assignment, error) {
 	c.confirmOrigin()
-	if c.relay.headWritten && c.stream.source == versionUnknown {
+	if c.stream.source == versionUnknown {
 		return nil, Refusal{Cause: VersionUnknown}
 	}
 	req := requirements{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -246,7 +246,10 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.timeLeft())
 	defer cancel()
 	c.triedServers = map[string]bool{}
-	c.relay, c.stream = &relay{c: c}, c.initialOrigin()
+	c.relay = &relay{c: c}
+	if err := c.findOrigin(); err != nil {
+		return err
+	}
 	for {
 		a, err := c.acquireServer(ctx)
 		if err != nil && c.relay.headWritten {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -111,7 +111,7 @@
 		attrs = append(attrs, a.versionAttrs()...)
 		attrs = append(attrs, a.versionAttempt.logAttrs()...)
 	}
-	if c.head.Resumes != "" {
+	if c.resumesStream() {
 		attrs = append(attrs, c.stream.logAttrs()...)
 	}
 	attrs = append(attrs, c.regionAttrs()...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	stats               *stats
 	crashDetector       *crashDetector
 	suspicions          *suspicions
+	origins             *origins
 	meter               *link.Meter
 	seq                 atomic.Uint64
 	gatewayCount        atomic.Int64 // gateways in the fleet, as last reported by the directory
@@ -121,7 +122,7 @@
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
 	g.table.setSite(cfg.Region, cfg.Topology, cfg.LinkRate)
 	g.accounts = newAccounts(g.now)
-	g.crashDetector, g.suspicions = newCrashDetector(g), newSuspicions(g.now)
+	g.crashDetector, g.suspicions, g.origins = newCrashDetector(g), newSuspicions(g.now), newOrigins()
 	g.SetSeeds(cfg.Seeds)
 	g.gatewayCount.Store(retry.AssumedGateways)
 	detector := overload.New(g.now())
--- /dev/null
+++ b/gateway/origins_test.go
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/streamversion"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
+
+// This file tests how a gateway finds out which version began a stream that its caller takes up. The sessions are tested
+// with real directories, in package directory.
+
+// directory answers all queries of a gateway with the same answer, after a delay.
+func (x *fixture) directory(answer protocol.StreamAnswer, delay time.Duration) {
+	x.g.origins.beginSession(func(q protocol.StreamQuery) {
+		answer.Seq = q.Seq
+		time.AfterFunc(delay, func() { x.g.origins.answer(answer) })
+	})
+	x.g.origins.setListed(true)
+}
+
+// TestStreamOfUnknownVersionIsRefused checks where a gateway lets a stream of another gateway go on, and that it
+// refuses it at once as not run where several versions may have begun it.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	v2 := protocol.StreamAnswer{Known: true, Pool: "plain", Version: "v2"}
+	for _, tt := range []struct {
+		name     string
+		versions []string
+		session  func(x *fixture)
+		server   string // that gets the request; empty if it is refused
+		cause    Cause
+	}{
+		{"the directory knows", []string{"v1", "v2"}, func(x *fixture) { x.directory(v2, time.Millisecond) }, "p1", ""},
+		{"the directory does not know", []string{"v1", "v2"}, func(x *fixture) { x.directory(protocol.StreamAnswer{}, time.Millisecond) }, "", VersionUnknown},
+		{"the directory does not answer", []string{"v1", "v2"}, func(x *fixture) { x.directory(v2, time.Hour) }, "", VersionUnknown},
+		{"there is no session", []string{"v1", "v2"}, func(*fixture) {}, "", VersionUnknown},
+		{"there is no session, one version is listed", []string{"v1", "v1"}, func(*fixture) {}, "", VersionUnknown},
+		{"the session ends", []string{"v1", "v2"}, func(x *fixture) {
+			x.directory(v2, time.Hour)
+			time.AfterFunc(10*time.Millisecond, x.g.origins.endSession)
+		}, "", VersionUnknown},
+		{"the next session begins soon", []string{"v1", "v2"}, func(x *fixture) {
+			x.directory(v2, time.Hour)
+			time.AfterFunc(10*time.Millisecond, x.g.origins.endSession)
+			time.AfterFunc(100*time.Millisecond, func() { x.directory(v2, time.Millisecond) })
+		}, "p1", ""},
+		{"the replica cannot be asked, one version is listed", []string{"v1", "v1"}, func(x *fixture) {
+			x.g.origins.beginSession(func(protocol.StreamQuery) {})
+			x.g.origins.setListed(false)
+		}, "p", ""},
+		{"the replica cannot be asked", []string{"v1", "v2"}, func(x *fixture) {
+			x.g.origins.beginSession(func(protocol.StreamQuery) {})
+			x.g.origins.setListed(false)
+		}, "", VersionUnknown},
+		{"its version has left", []string{"v1", "v3"}, func(x *fixture) { x.directory(v2, time.Millisecond) }, "", VersionGone},
+		{"the route led to another pool", []string{"v1", "v2"}, func(x *fixture) {
+			x.directory(protocol.StreamAnswer{Known: true, Pool: "engines", Version: "v2"}, time.Millisecond)
+		}, "", VersionGone},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.setVersions(tt.versions...)
+				time.Sleep(time.Minute) // until the servers' earlier listing without versions is forgotten
+				tt.session(x)
+				for range 4 {
+					x.servers.arrivals = nil
+					got := x.request("/resume/x", "Id", "second", "Resumes", "first", "After", "3")
+					is.True(got.took < time.Second)
+					if tt.server == "" {
+						is.Equal(got.status, 503)
+						is.True(strings.Contains(got.body, string(tt.cause)))
+						is.Equal(x.servers.count(), 0)
+						continue
+					}
+					is.Equal(got.status, 200)
+					is.True(strings.HasPrefix(x.servers.arrivals[0].Header.Get("Backend"), tt.server))
+				}
+			}, resuming(6, 0, nil), resuming(6, 0, nil))
+		})
+	}
+}
+
+// TestOwnStreamNeedsNoDirectory checks that a stream that began at the same gateway goes on at its version without a
+// session, in the pool where it began.
+func TestOwnStreamNeedsNoDirectory(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		d := testDocument()
+		d.Number++
+		for i := range d.Routes {
+			if d.Routes[i].Name == "resume" {
+				d.Routes[i].Targets = []document.Target{{Pool: "plain", Weight: 1}, {Pool: "engines", Weight: 1}}
+			}
+		}
+		x.g.apply(d)
+		x.announceServers("engines", resuming(6, 0, nil), resuming(6, 0, nil))
+		x.setVersions("v1", "v2")
+		x.cycleDraws()
+		for i := range 20 {
+			ctx, leave := context.WithTimeout(x.t.Context(), 3*pause+pause/2)
+			x.servers.arrivals = nil
+			id := string(rune('a' + i))
+			x.requestWith(ctx, "POST", "/resume/x", "", "Id", id)
+			leave()
+			first := x.servers.arrivals[0].Header.Get("Backend")
+			got := x.request("/resume/x", "Id", id+"-2", "Resumes", id, "After", "3")
+			is.Equal(got.status, 200)
+			second := x.servers.arrivals[1].Header.Get("Backend")
+			is.Equal(second[:1], first[:1]) // the pool
+			if first[:1] == "p" {
+				is.Equal(second, first) // the only server of its version
+			}
+		}
+	}, resuming(6, 0, nil), resuming(6, 0, nil))
+}
+
+// TestReportedStreams checks that streams are reported once several versions serve, also those that began before, and
+// again in the next session.
+func TestReportedStreams(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		report := func() (ids []streamversion.ID) {
+			for _, rec := range streamversion.FromWire(x.g.takeStreams()) {
+				is.Equal(rec.Origin, streamversion.Origin{Pool: "plain", Version: "v1"})
+				ids = append(ids, rec.ID)
+			}
+			return ids
+		}
+		x.setVersions("v1", "v1")
+		time.Sleep(time.Minute) // until the servers' earlier listing without versions is forgotten
+		x.g.origins.beginSession(func(protocol.StreamQuery) {})
+		x.request("/resume/x", "Id", "one")
+		x.request("/stream/x", "Id", "other") // cannot be taken up
+		is.Equal(len(report()), 0)            // one version
+		x.announceServers("engines", resuming(6, 0, nil))
+		is.Equal(len(report()), 0) // another pool
+		x.setVersions("v1", "v2")
+		is.Equal(report(), []streamversion.ID{streamversion.IDOf("one")})
+		is.Equal(len(report()), 0)
+		x.g.origins.endSession()
+		x.g.origins.beginSession(func(protocol.StreamQuery) {})
+		is.Equal(report(), []streamversion.ID{streamversion.IDOf("one")})
+	}, resuming(6, 0, nil), resuming(6, 0, nil))
+}
+
+// TestReportsAreBounded checks the size of one report, and that the newest streams are reported first.
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	o, pools := newOrigins(), map[string]bool{"p": true}
+	o.take(pools)
+	for i := range 3 * maxStreamsPerReport {
+		o.add(0, time.Minute, beganStream{Record: streamversion.Record{Origin: streamversion.Origin{Pool: "p"}, ID: streamversion.ID(i)}})
+	}
+	first := o.take(pools)
+	is.Equal(len(first), maxStreamsPerReport)
+	is.Equal(first[len(first)-1].ID, streamversion.ID(3*maxStreamsPerReport-1))
+	is.Equal(len(o.take(pools))+len(o.take(pools))+len(o.take(pools)), 2*maxStreamsPerReport)
+}
+
+// TestStreamOfAmbiguousServerIsNotReported checks that a stream is not reported if its server is listed with another
+// version right after its first event: the server may have restarted before the gateway learned of it.
+func TestStreamOfAmbiguousServerIsNotReported(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.setVersions("v1", "v2")
+		x.g.takeStreams()
+		go x.request("/resume/x", "Id", "one")
+		time.Sleep(2 * pause)
+		x.setVersions("v2", "v1")
+		is.Equal(len(x.g.takeStreams()), 0)
+		_, known := x.g.origins.find(streamversion.IDOf("one"))
+		is.True(!known)
+		time.Sleep(10 * pause)
+		synctest.Wait()
+	}, resuming(6, 0, nil), resuming(6, 0, nil))
+}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -16,6 +16,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -191,6 +192,7 @@
 func TestCallerResumesStream(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
+		x.directory(protocol.StreamAnswer{Known: true, Pool: "plain", Inferred: true}, time.Millisecond) // it lists one version
 		got := x.request("/resume/x", "After", "3")
 		is.Equal(got.body, event(4)+event(5))
 	}, resuming(5, 0, nil))
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -2,7 +2,15 @@
 
 package gateway
 
-import "log/slog"
+import (
+	"log/slog"
+	"slices"
+
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/streamversion"
+	"github.com/badgerspoke/badgerspoke/protocol"
+	"github.com/badgerspoke/badgerspoke/state/document"
+)
 
 // This file defines streamOrigin, which says what is known of the version of the servers that began
 // a stream.
@@ -10,10 +18,11 @@
 // streamOrigin is the origin of the stream that a request continues: one that broke within this
 // answer, or one that its caller takes up. The zero value is that of a request that continues none.
 type streamOrigin struct {
-	resumes string       // ID of the request that brought the first event; empty before it
-	version string       // of the server's software; meaningless with versionUnknown
-	source  originSource // how the version is known
-	began   *assignment  // attempt of this answer that brought the first event; nil if another request did
+	continues bool
+	resumes   string       // ID of the request that brought the first event; empty if the caller names none
+	version   string       // of the server's software; meaningless with versionUnknown
+	source    originSource // how the version is known
+	began     *assignment  // attempt of this answer that brought the first event; nil if another request did
 }
 
 // originSource says how the version that began a stream is known. It is a value of a log attribute.
@@ -21,45 +30,86 @@
 
 // Sources of the version that began a stream.
 const (
-	versionUnknown  originSource = "unknown"
-	knownFromAnswer originSource = "answer" // the stream broke within this answer
+	versionUnknown     originSource = "unknown"
+	knownFromAnswer    originSource = "answer"       // the stream broke within this answer
+	knownFromRecord    originSource = "own record"   // the stream began at this gateway
+	knownFromDirectory originSource = "directory"    // it began at another gateway
+	onlyVersion        originSource = "only version" // no other version can have begun it
 )
 
-// continues reports whether the request continues a stream.
-func (o streamOrigin) continues() bool { return o.resumes != "" }
-
 // limit returns the version to which the stream limits the request's servers.
 func (o streamOrigin) limit() versionLimit {
-	return versionLimit{limited: o.continues() && o.source != versionUnknown, version: o.version}
+	return versionLimit{limited: o.continues && o.source != versionUnknown, version: o.version}
 }
 
 // logAttrs returns the attributes of log lines about a request that continues a stream.
 func (o streamOrigin) logAttrs() []slog.Attr {
-	if !o.continues() {
+	if !o.continues {
 		return nil
 	}
 	return []slog.Attr{slog.String("resumes", o.resumes), slog.String("began_version", o.version), slog.String("known_by", string(o.source))}
 }
 
-// initialOrigin returns the origin of the stream that a caller takes up with this request.
-func (c *call) initialOrigin() streamOrigin {
-	if c.head.Resumes == "" {
-		return streamOrigin{}
+// resumesStream reports whether the caller takes up a stream with this request.
+func (c *call) resumesStream() bool {
+	return c.route.Kind == document.Stream && c.route.Resumable && (c.head.Resumes != "" || c.head.LastEventID != "")
+}
+
+// findOrigin finds the version that began the stream that the caller takes up. The error is a [Refusal]: a
+// stream of an unknown version must not go on.
+func (c *call) findOrigin() error {
+	if !c.resumesStream() {
+		return nil
+	}
+	c.stream = streamOrigin{continues: true, resumes: c.head.Resumes, source: versionUnknown}
+	origin, source := c.lookUpOrigin()
+	if source == versionUnknown {
+		return Refusal{Cause: VersionUnknown, RetryAfter: retry.LongDelay}
+	}
+	if !slices.ContainsFunc(c.route.Targets, func(t document.Target) bool { return t.Pool == origin.Pool }) {
+		return Refusal{Cause: VersionGone, RetryAfter: retry.LongDelay} // the route was moved
 	}
-	return streamOrigin{resumes: c.head.Resumes, source: versionUnknown}
+	c.pool, c.stream.version, c.stream.source = c.routes.pools[origin.Pool], origin.Version, source
+	return nil
 }
 
-// recordOrigin records the server whose answer begins a stream, or the first one that is known to
-// continue it.
+// lookUpOrigin returns the origin of the stream that the caller takes up, and how it is known.
+func (c *call) lookUpOrigin() (streamversion.Origin, originSource) {
+	id := streamversion.IDOf(c.head.Resumes)
+	if origin, known := c.g.origins.find(id); known {
+		return origin, knownFromRecord
+	}
+	q := protocol.StreamQuery{ID: uint64(id)}
+	if len(c.route.Targets) == 1 {
+		q.Pool, q.Versions = c.pool.Name, c.g.table.possibleVersions(c.pool.Name, c.g.streamRetention())
+	}
+	answer, supported := c.g.origins.ask(c.r.Context(), q)
+	origin := streamversion.Origin{Pool: answer.Pool, Version: answer.Version}
+	switch {
+	case answer.Known && answer.Inferred:
+		return origin, onlyVersion
+	case answer.Known:
+		return origin, knownFromDirectory
+	case !supported && len(q.Versions) == 1: // the replica runs an earlier version of this program
+		return streamversion.Origin{Pool: q.Pool, Version: q.Versions[0]}, onlyVersion
+	}
+	return streamversion.Origin{}, versionUnknown
+}
+
+// recordOrigin records the server whose answer begins a stream, or the stream that its answer takes up.
 func (c *call) recordOrigin(a *assignment) {
-	if c.stream.limit().limited {
+	if !c.route.Resumable {
 		return
 	}
-	if !c.stream.continues() {
-		c.stream.resumes = c.head.ID
+	if !c.stream.continues {
+		c.stream = streamOrigin{continues: true, resumes: c.head.ID, version: a.version, source: knownFromAnswer, began: a}
+		c.confirmOrigin()
+	}
+	if c.stream.source == versionUnknown || c.stream.resumes == "" {
+		return
 	}
-	c.stream.version, c.stream.source, c.stream.began = a.version, knownFromAnswer, a
-	c.confirmOrigin()
+	rec := streamversion.Record{Origin: streamversion.Origin{Pool: c.pool.Name, Version: c.stream.version}, ID: streamversion.IDOf(c.stream.resumes)}
+	c.g.origins.add(c.g.now(), c.g.streamRetention(), beganStream{Record: rec, began: c.stream.began})
 }
 
 // confirmOrigin marks the origin as unknown if the server that began the stream has meanwhile been listed
@@ -72,7 +122,7 @@
 
 // logResumption logs where a stream goes on.
 func (c *call) logResumption(a *assignment) {
-	if !c.stream.continues() {
+	if !c.stream.continues {
 		return
 	}
 	c.g.cfg.Log.FailureFunc("stream resumed", func() []slog.Attr {
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -13,6 +13,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/coldstart"
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/coordination/streamversion"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
@@ -89,6 +90,36 @@
 	answerBytes float64 // average size of an answer from another region; zero if unknown
 
 	recentResults []attemptResult // most recent attempts, oldest first
+
+	versionCounts map[string]int         // number of servers by version
+	versions      streamversion.Versions // that may have begun a stream
+}
+
+// countServer counts a server that is added (n is 1) or removed (n is -1) by its version. The caller holds mu.
+func (p *pool) countServer(now time.Duration, version string, n int) {
+	if p.versionCounts == nil {
+		p.versionCounts = map[string]int{}
+	}
+	if p.versionCounts[version] += n; p.versionCounts[version] == 0 {
+		delete(p.versionCounts, version)
+	}
+	p.versions.Observe(now, version)
+}
+
+// possibleVersions returns the versions of a pool's servers that may have begun a stream that can still be
+// taken up, as far as this gateway has listed them.
+func (t *table) possibleVersions(name string, retention time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pool(name).possibleVersions(t.now(), retention)
+}
+
+// possibleVersions is [table.possibleVersions] for this pool. The caller holds mu.
+func (p *pool) possibleVersions(now, retention time.Duration) []string {
+	for version := range p.versionCounts {
+		p.versions.Observe(now, version)
+	}
+	return p.versions.Possible(now, retention)
 }
 
 // attemptResult records whether an attempt ended with a complete answer.
@@ -115,6 +146,19 @@
 	p.recentResults = append(p.recentResults, attemptResult{server: server, answered: answered})
 }
 
+// poolsWithVersions returns the pools with several possible versions.
+func (t *table) poolsWithVersions(retention time.Duration) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pools := map[string]bool{}
+	for name, p := range t.pools {
+		if len(p.possibleVersions(t.now(), retention)) > 1 {
+			pools[name] = true
+		}
+	}
+	return pools
+}
+
 // othersAnswering reports whether servers of the pool other than the given one recently returned
 // complete answers to this gateway. It also returns true if they received no attempts.
 func (t *table) othersAnswering(name, except string) bool {
@@ -252,6 +296,8 @@
 			t.pool(k.Pool).removeFromRegion(k)
 			defer t.addToRegion(t.pool(k.Pool), k)
 		}
+		t.pool(k.Pool).countServer(t.now(), k.Version, -1)
+		t.pool(k.Pool).countServer(t.now(), s.Version, 1)
 		k.Server, k.lastList, k.unlisted = s, t.listCount, false
 		t.setCold(k)
 		t.byHandle[s.Handle], t.byAddress[s.Address] = k, k
@@ -268,6 +314,7 @@
 	p := t.pool(s.Pool)
 	p.servers = insertServer(p.servers, k)
 	p.ranks.Add(k.ID)
+	p.countServer(t.now(), k.Version, 1)
 	t.addToRegion(p, k)
 	return true
 }
@@ -293,6 +340,7 @@
 	p := t.pool(k.Pool)
 	p.servers = slices.DeleteFunc(p.servers, func(o *knownServer) bool { return o == k })
 	p.ranks.Remove(k.ID)
+	p.countServer(t.now(), k.Version, -1)
 	delete(p.withReliableRatio, k)
 	delete(p.busy, k)
 	k.removed = true
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -118,7 +118,9 @@
 			served, w.avoided = true, nil
 			w.connected = true
 			w.g.cfg.Log.StateChange("directory found", slog.String("leader", address))
+			w.g.origins.beginSession(func(q protocol.StreamQuery) { _ = l.Send(ctx, q) }) // a lost link ends the session
 			go w.report(ctx, l)
+			go w.reportStreams(ctx, l)
 		}
 		w.handle(m)
 	}
@@ -169,6 +171,7 @@
 	w.connected = false
 	w.g.table.endShares()
 	w.g.suspicions.followsLeader.Store(false)
+	w.g.origins.endSession()
 	w.g.cfg.Log.StateChange("directory lost", slog.String("leader", address), slog.String("error", err.Error()),
 		slog.Uint64("document", w.g.DocumentNumber()), slog.Int("backends", w.g.table.size()))
 }
@@ -194,6 +197,8 @@
 		w.g.grantAll()
 	case protocol.Quarantine:
 		w.g.suspicions.applyList(m)
+	case protocol.StreamAnswer:
+		w.g.origins.answer(m)
 	case protocol.Counted:
 		w.countedReport = m.Seq
 	case protocol.Fleet:
@@ -214,6 +219,9 @@
 		w.term = m.Term
 		w.g.suspicions.beginSession()
 	}
+	if m.Whole {
+		w.g.origins.setListed(m.AnswersStreams)
+	}
 	_, oldChanges := w.g.table.listHallsOut()
 	if joined, left := w.g.table.update(m); len(joined)+len(left) > 0 {
 		w.g.cfg.Log.StateChange("backends changed", slog.Any("joined", joined), slog.Any("left", left),
@@ -247,6 +255,23 @@
 	}
 }
 
+// streamReportPeriod is the time between two reports of streams that have begun. Streams that a gateway has not
+// reported before it is killed cannot go on, so it is short compared with the length of a stream.
+const streamReportPeriod = 20 * time.Millisecond
+
+// reportStreams sends the replica the streams that have begun here until ctx ends or the session is lost.
+func (w *watcher) reportStreams(ctx context.Context, l *link.Link) {
+	for range sleep.Every(ctx, streamReportPeriod) {
+		list := w.g.takeStreams()
+		if len(list) == 0 {
+			continue
+		}
+		if err := l.Send(ctx, protocol.Streams{List: list}); err != nil {
+			return // the session's receive fails as well and logs the cause
+		}
+	}
+}
+
 // reportTimes yields whenever a report is due: once per period, and as soon as servers have ended,
 // so that the leader learns of the requests that ran there before they are retried.
 func (w *watcher) reportTimes(ctx context.Context) iter.Seq[struct{}] {
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -61,7 +61,7 @@
 func TestEndOfASessionIsLogged(t *testing.T) {
 	is := is.New(t)
 	var text bytes.Buffer
-	g := &Gateway{table: newTable("g", "z", monotonic()), suspicions: newSuspicions(monotonic())}
+	g := &Gateway{table: newTable("g", "z", monotonic()), suspicions: newSuspicions(monotonic()), origins: newOrigins()}
 	g.cfg.Log = decision.New(&text, slog.LevelInfo, decision.DefaultBudget, metrics.NewSet())
 	w := &watcher{g: g, connected: true}
 	w.handleRedirect("a:1", protocol.WatchRedirect{Leader: "b:1", Members: []string{"a:1", "b:1"}})
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -63,6 +63,11 @@
 	KindRolloutOrder  Kind = 23 // command: begin, read or end a rollout
 	KindRolloutAnswer Kind = 24 // replica: the result of the order
 
+	// Between a gateway and a directory replica, and between the replicas of the directory, continued.
+	KindStreams      Kind = 35 // gateway: the versions of streams that have begun
+	KindStreamQuery  Kind = 36 // gateway, relay or leader: which version began a stream
+	KindStreamAnswer Kind = 37 // the answer to KindStreamQuery
+
 	// Between the replicas of the directory, continued.
 	KindRelayGateways   Kind = 30 // relay: the gateways that it serves
 	KindServingReplicas Kind = 34 // leader: the replicas that serve gateways
@@ -100,6 +105,9 @@
 	KindRelayGateways:   {"behind", decodeAs[RelayGateways]},
 	KindQuarantine:      {"quarantine", decodeAs[Quarantine]},
 	KindServingReplicas: {"places", decodeAs[ServingReplicas]},
+	KindStreams:         {"streams", decodeAs[Streams]},
+	KindStreamQuery:     {"stream-query", decodeAs[StreamQuery]},
+	KindStreamAnswer:    {"stream-answer", decodeAs[StreamAnswer]},
 
 	KindQuarantineOrder:  {"quarantine-order", decodeAs[QuarantineOrder]},
 	KindQuarantineAnswer: {"quarantine-answer", decodeAs[QuarantineAnswer]},
@@ -152,6 +160,9 @@
 func (QuarantineAnswer) kind() Kind { return KindQuarantineAnswer }
 func (RelayGateways) kind() Kind    { return KindRelayGateways }
 func (ServingReplicas) kind() Kind  { return KindServingReplicas }
+func (Streams) kind() Kind          { return KindStreams }
+func (StreamQuery) kind() Kind      { return KindStreamQuery }
+func (StreamAnswer) kind() Kind     { return KindStreamAnswer }
 func (e Encoded) kind() Kind        { return e.messageKind }
 
 // KindOf returns the kind of m.
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -89,7 +89,7 @@
 			{Registration: Registration{ID: "engine-2#b", Pool: "llm", Address: "10.0.0.4:80"}, Handle: 2},
 		},
 		Removed: []string{"engine-3#c", "engine-4#d"}, HallsOut: []string{"hall-a", "hall-b"}, HallChanges: 93, Relays: true,
-		HandleSpace: bigNumber, Unlisted: []string{"engine-5#e"}, Part: true,
+		HandleSpace: bigNumber, Unlisted: []string{"engine-5#e"}, Part: true, AnswersStreams: true,
 	},
 	Usage{
 		Loads:          []ServerLoad{{Handle: 7, Requests: 2, Tokens: 90000}, {Handle: 8, Requests: 300, Tokens: 1}},
@@ -142,6 +142,9 @@
 		Condemned: []CondemnedRequest{{Key: []byte("0123456789abcdef"), Account: "t1", Pool: "llm", Servers: []string{"engine-1#a", "engine-2#b"}}},
 	},
 	ServingReplicas{List: []ServingReplica{{Address: "10.0.0.1:7000", Hall: "hall-1"}, {Address: "10.0.0.2:7000"}}},
+	Streams{List: []StreamsBegun{{Pool: "llm", Version: "v7", IDs: []byte("0123456789abcdef")}, {Pool: "llm", IDs: []byte("01234567")}}},
+	StreamQuery{Seq: 120, ID: bigNumber, Pool: "llm", Versions: []string{"v7", "v8"}},
+	StreamAnswer{Seq: 121, Known: true, Pool: "llm", Version: "v7", Inferred: true},
 }
 
 var goldenPools = []PoolView{
@@ -205,7 +208,7 @@
 		for i := range m.Set {
 			m.Set[i].Version, m.Set[i].Born = "", 0
 		}
-		m.Relays, m.HandleSpace, m.Unlisted, m.Part = false, 0, nil, false
+		m.Relays, m.HandleSpace, m.Unlisted, m.Part, m.AnswersStreams = false, 0, nil, false, false
 		return m
 	case Usage:
 		m.Outcomes, m.AppliedRollouts, m.Incremental, m.Barred = nil, 0, false, nil
@@ -231,7 +234,7 @@
 		9: "claim", 10: "settle", 11: "claimed", 12: "consensus", 13: "watch", 14: "elsewhere", 15: "document",
 		16: "backends", 17: "usage", 18: "fleet", 19: "counted", 20: "announce", 21: "announced", 22: "rollouts",
 		23: "rollout-order", 24: "rollout-answer",
-		30: "behind", 31: "quarantine", 32: "quarantine-order", 33: "quarantine-answer", 34: "places",
+		30: "behind", 31: "quarantine", 32: "quarantine-order", 33: "quarantine-answer", 34: "places", 35: "streams", 36: "stream-query", 37: "stream-answer",
 	}
 	var used []int
 	for number := range 1 << 8 {
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -117,6 +117,9 @@
 	// Relays is set in the whole list of a leader that supports relays. Earlier versions do
 	// not send it, and treat a relay as a gateway.
 	Relays bool `cbor:"8,keyasint,omitempty"`
+	// AnswersStreams is set in the whole list of a replica that answers [StreamQuery]. Earlier versions
+	// do not send it.
+	AnswersStreams bool `cbor:"12,keyasint,omitempty"`
 	// HandleSpace identifies the leader that assigned the handles in the message. Earlier
 	// versions send 0: the handles are those of the term's leader.
 	HandleSpace uint64 `cbor:"9,keyasint,omitempty"`
--- a/state/document/document.go
+++ b/state/document/document.go
@@ -34,6 +34,14 @@
 	Limits   Limits    `cbor:"5,keyasint"`
 }
 
+// LongestTimeout returns the longest time that a request of any route may take.
+func (d Document) LongestTimeout() (longest time.Duration) {
+	for _, r := range d.Routes {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
+
 // Route directs the requests for one host and path prefix to pools.
 type Route struct {
 	Name    string        `cbor:"1,keyasint"`
--- a/state/document/store.go
+++ b/state/document/store.go
@@ -31,8 +31,8 @@
 
 // Store holds the document in force, the newest departures, the registrations of
 // backend servers that have not departed, the data halls out of service, the pools'
-// rollouts, the condemned requests, and whether gateways' sessions are spread. It is
-// not safe for concurrent use. The zero value is empty.
+// rollouts, the condemned requests, whether gateways' sessions are spread, and the
+// versions that servers had. It is not safe for concurrent use. The zero value is empty.
 type Store struct {
 	current        *StoredDocument
 	joined         map[string]protocol.Registration // by identifier, at most one per address
@@ -46,6 +46,7 @@
 	rollouts  map[string]Rollout
 	condemned []Condemned // oldest first
 	spread    bool
+	versions  map[string][]string // of the servers that were ever registered, by pool, oldest first
 }
 
 // Current returns the document in force, or false before the first one.
@@ -102,9 +103,28 @@
 		s.joined, s.idByAddress, s.idByName = map[string]protocol.Registration{}, map[string]string{}, map[string]string{}
 	}
 	s.joined[r.ID] = r
+	s.recordVersion(r.Pool, r.Version)
 	s.idByAddress[r.Address], s.idByName[name] = r.ID, r.ID
 }
 
+// MaxVersionPools is the largest number of pools whose versions are remembered.
+const MaxVersionPools = 1024
+
+// recordVersion remembers a version of a pool's servers. The newest MaxVersions of each pool are kept.
+func (s *Store) recordVersion(pool, version string) {
+	known := s.versions[pool]
+	if known == nil && len(s.versions) >= MaxVersionPools || slices.Contains(known, version) || len(version) > MaxVersionName {
+		return
+	}
+	if s.versions == nil {
+		s.versions = map[string][]string{}
+	}
+	s.versions[pool] = append(known[max(0, len(known)+1-MaxVersions):len(known):len(known)], version)
+}
+
+// Versions returns the versions of the servers that were ever registered, by pool, oldest first.
+func (s *Store) Versions() map[string][]string { return maps.Clone(s.versions) }
+
 // removeRegistration removes a registration, if there is one.
 func (s *Store) removeRegistration(id string) {
 	if r, ok := s.joined[id]; ok {
@@ -158,13 +178,31 @@
 	Condemned []Condemned `cbor:"7,keyasint,omitempty"`
 	// Spread reports whether the gateways' sessions are spread over the replicas.
 	Spread bool `cbor:"8,keyasint,omitempty"`
+	// Versions is ordered by pool.
+	Versions []poolVersions `cbor:"9,keyasint,omitempty"`
+}
+
+// poolVersions are the versions of a pool's servers, oldest first.
+type poolVersions struct {
+	Pool     string   `cbor:"1,keyasint"`
+	Versions []string `cbor:"2,keyasint"`
+}
+
+// versionLists returns the versions by pool, for those pools whose servers had several.
+func (s *Store) versionLists() (all []poolVersions) {
+	for _, pool := range slices.Sorted(maps.Keys(s.versions)) {
+		if len(s.versions[pool]) > 1 {
+			all = append(all, poolVersions{Pool: pool, Versions: s.versions[pool]})
+		}
+	}
+	return all
 }
 
 // MarshalBinary implements [encoding.BinaryMarshaler].
 func (s *Store) MarshalBinary() ([]byte, error) {
 	return cbor.Marshal(image{
 		Document: s.current, Departures: s.departureOrder, DepartureCount: s.departureCount, Joined: sentForms(s.Joined()), Halls: s.Halls(), Rollouts: s.Rollouts(),
-		Condemned: s.condemned, Spread: s.spread,
+		Condemned: s.condemned, Spread: s.spread, Versions: s.versionLists(),
 	})
 }
 
@@ -188,6 +226,11 @@
 		s.Depart(id)
 	}
 	s.departureCount = max(s.departureCount, im.DepartureCount)
+	for _, p := range im.Versions {
+		for _, version := range p.Versions {
+			s.recordVersion(p.Pool, version)
+		}
+	}
 	for _, r := range im.Joined {
 		s.Join(r.FromWire())
 	}
