Share the origins of streams with the gateways of a replica

A replica now sends its gateways the newest records with each tick, at most 25, which are 2 KB a second for each gateway; in a larger fleet the rest stays at the replica. A gateway holds at most 16,384 of them.

--- a/directory/hub.go
+++ b/directory/hub.go
@@ -180,6 +180,7 @@
 func (h *hub) tick() {
 	h.syncLeadership()
 	h.dropOldQueries()
+	h.shareStreams()
 	h.sendDeferredServers()
 	if h.relay != nil {
 		h.relay.tick()
--- a/directory/streams.go
+++ b/directory/streams.go
@@ -23,6 +23,9 @@
 	// maxStreamRecords bounds the records of one replica. At the size of docs/CAPACITY.md a replica serves
 	// gateways at which 450,000 streams begin within the retention time.
 	maxStreamRecords = 1 << 19
+	// maxSharedStreams bounds the records that a replica sends its gateways in one tick: 250 streams a second, which
+	// are 2 KB a second for each gateway. Of more streams, the newest are sent.
+	maxSharedStreams = 25
 	// maxStreamQueries bounds the queries that wait for other replicas' answers.
 	maxStreamQueries = 1 << 14
 	// streamQueryTimeout is how long a query waits for other replicas' answers. It exceeds the time for which
@@ -34,6 +37,7 @@
 type streamOrigins struct {
 	records  streamversion.Records
 	versions map[string]*streamversion.Versions // by pool; at the leader only
+	unshared []streamversion.Record             // reported since the last message to the gateways, newest last
 	queries  map[uint64]*streamQuery            // by the number under which they were passed on
 	lastSeq  uint64
 }
@@ -84,7 +88,9 @@
 	h.streams.records.Max = maxStreamRecords
 	for _, rec := range streamversion.FromWire(list) {
 		h.streams.records.Add(now, retention, rec)
+		h.streams.unshared = append(h.streams.unshared, rec)
 	}
+	h.streams.unshared = h.streams.unshared[max(len(h.streams.unshared)-maxSharedStreams, 0):]
 	if h.term == 0 {
 		return
 	}
@@ -93,6 +99,24 @@
 	}
 }
 
+// shareStreams sends the gateways the newest records, so that they survive the replica together with the gateway that
+// reported them, and a gateway without a session knows them.
+func (h *hub) shareStreams() {
+	if len(h.streams.unshared) == 0 {
+		return
+	}
+	m, ok := h.encode(protocol.Streams{List: streamversion.ToWire(h.streams.unshared)})
+	h.streams.unshared = nil
+	if !ok {
+		return
+	}
+	for s := range h.sessions {
+		if !s.isRelay {
+			s.out.Send(m)
+		}
+	}
+}
+
 // handleStreamQuery answers the query of a gateway or a relay, or passes it on.
 func (h *hub) handleStreamQuery(s *session, m protocol.StreamQuery) {
 	if origin, known := h.streams.records.Find(streamversion.ID(m.ID)); known {
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -20,6 +20,9 @@
 	// maxOwnStreams bounds the records of a gateway. At the size of docs/CAPACITY.md 2,800 streams begin
 	// there within the retention time.
 	maxOwnStreams = 1 << 13
+	// maxOtherStreams bounds the records of other gateways' streams: those that the directory shares within the shortest
+	// retention time.
+	maxOtherStreams = 1 << 14
 	// maxStreamsPerReport bounds the records in one report, at eight bytes each, so that the reports of all
 	// gateways to a new leader leave its link room for everything else.
 	maxStreamsPerReport = 64
@@ -34,6 +37,7 @@
 type origins struct {
 	mu         sync.Mutex
 	records    streamversion.Records // of streams that this gateway has begun or taken up
+	others     streamversion.Records // of streams of other gateways, as the directory shares them
 	reporting  map[string]bool       // pools whose streams are reported, because their servers have several versions
 	unreported []beganStream         // of these pools and in this session, oldest first
 	send       func(protocol.StreamQuery)
@@ -51,7 +55,7 @@
 
 func newOrigins() *origins {
 	return &origins{
-		records: streamversion.Records{Max: maxOwnStreams}, listed: make(chan struct{}), waiting: map[uint64]chan protocol.StreamAnswer{},
+		records: streamversion.Records{Max: maxOwnStreams}, others: streamversion.Records{Max: maxOtherStreams}, listed: make(chan struct{}), waiting: map[uint64]chan protocol.StreamAnswer{},
 	}
 }
 
@@ -96,11 +100,30 @@
 	}
 }
 
-// find returns the origin of a stream if this gateway has begun or taken it up.
-func (o *origins) find(id streamversion.ID) (origin streamversion.Origin, known bool) {
+// addOthers records streams that the directory shares.
+func (o *origins) addOthers(now, retention time.Duration, records []streamversion.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.records.Find(id)
+	for _, rec := range records {
+		o.others.Add(now, retention, rec)
+	}
+}
+
+// find returns the origin of a stream without asking the directory, and how it is known.
+func (o *origins) find(id streamversion.ID) (streamversion.Origin, originSource) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	own, isOwn := o.records.Find(id)
+	shared, isShared := o.others.Find(id)
+	switch {
+	case isOwn && isShared && own != shared:
+		return streamversion.Origin{}, versionUnknown
+	case isOwn:
+		return own, knownFromRecord
+	case isShared:
+		return shared, knownFromDirectory
+	}
+	return streamversion.Origin{}, versionUnknown
 }
 
 // take returns the newest unreported streams of the pools whose servers have several versions. If a pool had
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -76,8 +76,8 @@
 // lookUpOrigin returns the origin of the stream that the caller takes up, and how it is known.
 func (c *call) lookUpOrigin() (streamversion.Origin, originSource) {
 	id := streamversion.IDOf(c.head.Resumes)
-	if origin, known := c.g.origins.find(id); known {
-		return origin, knownFromRecord
+	if origin, source := c.g.origins.find(id); source != versionUnknown {
+		return origin, source
 	}
 	q := protocol.StreamQuery{ID: uint64(id)}
 	if len(c.route.Targets) == 1 {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/badgerspoke/badgerspoke/coordination/registry"
+	"github.com/badgerspoke/badgerspoke/coordination/streamversion"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
@@ -197,6 +198,8 @@
 		w.g.grantAll()
 	case protocol.Quarantine:
 		w.g.suspicions.applyList(m)
+	case protocol.Streams:
+		w.g.origins.addOthers(w.g.now(), w.g.streamRetention(), streamversion.FromWire(m.List))
 	case protocol.StreamAnswer:
 		w.g.origins.answer(m)
 	case protocol.Counted:
--- a/protocol/codec.go
+++ b/protocol/codec.go
@@ -64,7 +64,7 @@
 	KindRolloutAnswer Kind = 24 // replica: the result of the order
 
 	// Between a gateway and a directory replica, and between the replicas of the directory, continued.
-	KindStreams      Kind = 35 // gateway: the versions of streams that have begun
+	KindStreams      Kind = 35 // gateway or replica: the versions of streams that have begun
 	KindStreamQuery  Kind = 36 // gateway, relay or leader: which version began a stream
 	KindStreamAnswer Kind = 37 // the answer to KindStreamQuery
 
