Streams: retention and split pools from the document's index, counter, tests of waiting and stalled streams

TestWaitingStreamIsRefusedOnceItsVersionHasLeft and TestStalledStreamStaysAtItsVersion check cases that the mends cover.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -179,19 +179,18 @@
 // the route: pools with several versions, and those of routes that lead to several pools.
 func (g *Gateway) reportedPools() map[string]bool {
 	pools := g.table.poolsWithVersions(g.streamRetention())
-	for _, r := range g.document().Routes {
-		if r.Resumable && len(r.Targets) > 1 {
-			for _, target := range r.Targets {
-				pools[target.Pool] = true
-			}
-		}
+	if rs := g.routes.Load(); rs != nil {
+		maps.Copy(pools, rs.splitPools)
 	}
 	return pools
 }
 
 // streamRetention returns how long the origin of a stream is remembered.
 func (g *Gateway) streamRetention() time.Duration {
-	return streamversion.Retention(g.document().LongestTimeout())
+	if rs := g.routes.Load(); rs != nil {
+		return rs.streamRetention
+	}
+	return streamversion.Retention(0)
 }
 
 // ask asks the directory which version began a stream, and waits for a session if there is none. supported is
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -184,3 +184,40 @@
 		synctest.Wait()
 	}, resuming(6, 0, nil), resuming(6, 0, nil))
 }
+
+// TestWaitingStreamIsRefusedOnceItsVersionHasLeft checks that a stream that waits for capacity at its version is refused as
+// soon as that version has left.
+func TestWaitingStreamIsRefusedOnceItsVersionHasLeft(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.setVersions("v1", "v2")
+		x.directory(protocol.StreamAnswer{Known: true, Pool: "plain", Version: "v1"}, time.Millisecond)
+		ctx, stop := context.WithCancel(x.t.Context())
+		for i := range 20 { // both servers are full
+			go x.requestWith(ctx, "POST", "/again/x", "", "Id", string(rune('a'+i)))
+		}
+		time.Sleep(10 * time.Millisecond)
+		before := x.servers.count()
+		time.AfterFunc(100*time.Millisecond, func() { x.g.table.update(protocol.Servers{Term: 1, Removed: []string{"p0"}}); x.g.grantAll() })
+		got := x.request("/resume/x", "Id", "second", "Resumes", "first", "After", "3")
+		is.Equal(got.status, 503)
+		is.True(strings.Contains(got.body, string(VersionGone)))
+		is.True(got.took >= 100*time.Millisecond && got.took < 200*time.Millisecond)
+		is.Equal(x.servers.count(), before)
+		stop()
+		synctest.Wait()
+	}, hangs, hangs)
+}
+
+// TestStalledStreamStaysAtItsVersion checks that a stream whose server sends nothing goes on at its version.
+func TestStalledStreamStaysAtItsVersion(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		stalls := streams(piece{text: event(1), after: pause}, piece{after: time.Hour})
+		x.announceInOrder([]behaviour{stalls, resuming(6, 0, nil), resuming(6, 0, nil)})
+		x.setVersions("v1", "v2", "v1")
+		got := x.request("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+		is.Equal(x.servers.arrivals[1].Header.Get("Backend"), "p2")
+	})
+}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/coordination/streamversion"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
@@ -23,6 +24,9 @@
 	byHost        map[string][]document.Route // routes by host, the longest prefix first
 	accountsByKey map[string]document.Account // accounts by API key
 	pools         map[string]document.Pool    // pools by name
+
+	streamRetention time.Duration   // how long the origin of a stream is remembered
+	splitPools      map[string]bool // pools that do not follow from the route of a resumable stream
 }
 
 // newRoutes indexes a document. The callers' history of previous, the routes in force, is carried
@@ -51,9 +55,25 @@
 	for _, p := range d.Pools {
 		rs.pools[p.Name] = p
 	}
+	rs.streamRetention = streamversion.Retention(d.LongestTimeout())
+	rs.splitPools = splitPools(d)
 	return rs
 }
 
+// splitPools returns the pools of routes for resumable streams that lead to several pools.
+func splitPools(d document.Document) map[string]bool {
+	pools := map[string]bool{}
+	for _, r := range d.Routes {
+		if !r.Resumable || len(r.Targets) < 2 {
+			continue
+		}
+		for _, target := range r.Targets {
+			pools[target.Pool] = true
+		}
+	}
+	return pools
+}
+
 // callerHistory holds what has been learned about the callers of each route of a document.
 type callerHistory struct {
 	mu       sync.Mutex // leaf lock
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -120,11 +120,12 @@
 	}
 }
 
-// logResumption logs where a stream goes on.
+// logResumption counts a stream that goes on, and logs where.
 func (c *call) logResumption(a *assignment) {
 	if !c.stream.continues {
 		return
 	}
+	c.g.stats.count("streams_resumed", "known_by", string(c.stream.source))
 	c.g.cfg.Log.FailureFunc("stream resumed", func() []slog.Attr {
 		attrs := []slog.Attr{slog.String("request", c.head.ID), slog.String("backend", a.serverID), slog.String("last_event", c.lastEventID())}
 		attrs = append(attrs, a.versionAttrs()...)
