--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -22,8 +22,9 @@
 // directory answers all queries of a gateway with the same answer, after a delay.
 func (x *fixture) directory(answer protocol.StreamAnswer, delay time.Duration) {
 	x.g.origins.beginSession(func(q protocol.StreamQuery) {
-		answer.Seq = q.Seq
-		time.AfterFunc(delay, func() { x.g.origins.answer(answer) })
+		m := answer
+		m.Seq = q.Seq
+		time.AfterFunc(delay, func() { x.g.origins.answer(m) })
 	})
 	x.g.origins.setListed(true)
 }
