Streams: decide by versions before asking relays, and bound the versions that records name

Found by reading. Where one version alone can have begun a stream, a relay that does not answer delayed and refused it although no record could say otherwise; the leader now asks its relays only if several versions are possible. Records that had named 1,024 versions recorded no further one; they now start anew.

--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -25,7 +25,8 @@
 const (
 	// minRetention is the shortest time for which the version of a stream is remembered.
 	minRetention = 30 * time.Second
-	// MaxPoolVersions is the largest number of versions, over all pools, that records may name.
+	// MaxPoolVersions is the largest number of versions, over all pools, that records may name. Servers choose
+	// these names.
 	MaxPoolVersions = 1024
 )
 
@@ -49,7 +50,7 @@
 // ambiguous is the index of a stream that was recorded with several origins.
 const ambiguous originIndex = 0
 
-// Records are the origins of streams. They take about 20 bytes each. The zero value holds none.
+// Records are the origins of streams. They take about 32 bytes each. The zero value holds none.
 type Records struct {
 	Max int // largest number of records; about half of them are kept when it is reached
 
@@ -60,12 +61,9 @@
 }
 
 // Add records the origin of a stream. Records are dropped after one to two retention times, or when there are
-// too many.
+// too many. All are dropped when they name too many versions.
 func (r *Records) Add(now, retention time.Duration, rec Record) {
-	index, ok := r.index(rec.Origin)
-	if !ok {
-		return
-	}
+	index := r.index(rec.Origin)
 	if r.newer == nil || len(r.newer) >= r.Max/2 || now-r.newerSince >= retention {
 		r.newer, r.older, r.newerSince = map[ID]originIndex{}, r.newer, now
 	}
@@ -75,21 +73,19 @@
 	r.newer[rec.ID] = index
 }
 
-// index returns the index of an origin, or false if there are too many.
-func (r *Records) index(o Origin) (originIndex, bool) {
+// index returns the index of an origin.
+func (r *Records) index(o Origin) originIndex {
 	if index, ok := r.indexes[o]; ok {
-		return index, true
-	}
-	if len(r.origins) > MaxPoolVersions {
-		return 0, false
+		return index
 	}
-	if r.indexes == nil {
+	if r.indexes == nil || len(r.origins) > MaxPoolVersions {
 		r.origins, r.indexes = []Origin{{}}, map[Origin]originIndex{}
+		r.newer, r.older = nil, nil
 	}
 	index := originIndex(len(r.origins))
 	r.origins = append(r.origins, o)
 	r.indexes[o] = index
-	return index, true
+	return index
 }
 
 func (r *Records) find(id ID) (originIndex, bool) {
--- a/directory/streams.go
+++ b/directory/streams.go
@@ -126,15 +126,11 @@
 	q := &streamQuery{StreamQuery: m, asker: s, receivedAt: h.d.replica.Now()}
 	switch {
 	case h.relay != nil && h.relay.out != nil:
-		h.passOn(q, []*session{})
+		h.passOn(q, nil)
 	case h.relay != nil:
 		s.out.Send(protocol.StreamAnswer{Seq: m.Seq})
 	default:
-		if relays := h.otherRelays(s); len(relays) > 0 {
-			h.passOn(q, relays)
-			return
-		}
-		h.conclude(q)
+		h.answerByVersions(q)
 	}
 }
 
@@ -186,26 +182,40 @@
 		q.asker.out.Send(m)
 	case len(q.unanswered) == 0:
 		delete(h.streams.queries, m.Seq)
-		h.conclude(q)
+		h.answerUnknown(q)
 	}
 }
 
-// conclude answers a query about a stream that no replica has a record of. The replica leads.
-func (h *hub) conclude(q *streamQuery) {
-	if h.term == 0 || q.Pool == "" {
-		q.asker.out.Send(protocol.StreamAnswer{Seq: q.Seq})
+// answerByVersions answers a query about a stream that this replica, the leader, has no record of: by the
+// versions that may have begun it if there is only one, otherwise by the records of the relays.
+func (h *hub) answerByVersions(q *streamQuery) {
+	possible := h.possibleVersions(q)
+	if len(possible) == 1 {
+		q.asker.out.Send(protocol.StreamAnswer{Seq: q.Seq, Known: true, Pool: q.Pool, Version: possible[0], Inferred: true})
 		return
 	}
+	if relays := h.otherRelays(q.asker); len(relays) > 0 {
+		h.passOn(q, relays)
+		return
+	}
+	h.answerUnknown(q)
+}
+
+// possibleVersions returns the versions that may have begun a stream, or none if that is not certain.
+func (h *hub) possibleVersions(q *streamQuery) []string {
+	if h.term == 0 || q.Pool == "" {
+		return nil
+	}
 	now := h.d.replica.Now()
 	h.observeVersions(now)
 	possible := append(h.poolVersions(q.Pool).Possible(now, h.streamRetention()), q.Versions...)
 	slices.Sort(possible)
-	possible = slices.Compact(possible)
-	if len(possible) == 1 {
-		q.asker.out.Send(protocol.StreamAnswer{Seq: q.Seq, Known: true, Pool: q.Pool, Version: possible[0], Inferred: true})
-		return
-	}
-	h.d.cfg.Log.Failure("stream of unknown version", slog.String("pool", q.Pool), slog.Any("versions", possible))
+	return slices.Compact(possible)
+}
+
+// answerUnknown answers a query about a stream that no replica has a record of.
+func (h *hub) answerUnknown(q *streamQuery) {
+	h.d.cfg.Log.Failure("stream of unknown version", slog.String("pool", q.Pool), slog.Any("versions", h.possibleVersions(q)))
 	q.asker.out.Send(protocol.StreamAnswer{Seq: q.Seq})
 }
 
--- a/protocol/size_test.go
+++ b/protocol/size_test.go
@@ -40,3 +40,23 @@
 		t.Error("messages are larger than docs/CAPACITY.md allows")
 	}
 }
+
+// TestStreamMessageSizes checks the bytes that a stream takes on a gateway's link, and those of a query and its answer.
+func TestStreamMessageSizes(t *testing.T) {
+	size := func(m Message) int {
+		b, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	streams := func(n int) int {
+		return size(Streams{List: []StreamsBegun{{Pool: "lm-pool", Version: "v1.12.3", IDs: make([]byte, 8*n)}}})
+	}
+	query := size(StreamQuery{Seq: 1 << 20, ID: 1 << 60, Pool: "lm-pool", Versions: []string{"v1.12.3", "v1.12.4"}})
+	answer := size(StreamAnswer{Seq: 1 << 20, Known: true, Pool: "lm-pool", Version: "v1.12.3"})
+	t.Logf("report of 1 stream %d B, of 2 %d B, of 25 %d B; query %d B, answer %d B", streams(1), streams(2), streams(25), query, answer)
+	if streams(1) > 40 || streams(25) > 240 || query > 60 || answer > 40 {
+		t.Error("messages are larger than docs/CAPACITY.md allows")
+	}
+}
