--- a/coordination/registry/versions.go
+++ b/coordination/registry/versions.go
@@ -12,8 +12,8 @@
 // poolVersion is a version of a pool's servers.
 type poolVersion struct{ pool, version string }
 
-// ObserveVersions calls observe for each version of a pool of which servers are listed, or were since the last
-// call.
+// ObserveVersions calls observe for each version of a pool of which servers are listed, or were
+// since the last call.
 func (r *Registry) ObserveVersions(observe func(pool, version string)) {
 	for v, n := range r.versions {
 		observe(v.pool, v.version)
--- a/coordination/streamversion/doc.go
+++ b/coordination/streamversion/doc.go
@@ -2,10 +2,11 @@
 
 // Package streamversion knows which version of a pool's backend servers began a stream.
 //
-// What two versions of a server's software write does not fit together, and servers do not check it:
-// a stream that breaks may go on only at a server of the version that began it. The caller, who may
-// take it up at any gateway, names only the request that brought its first event. Gateways therefore
-// report the requests that began streams, and the directory answers the question which version began one:
+// What two versions of a server's software write does not fit together, and servers do not check
+// it: a stream that breaks may go on only at a server of the version that began it. The caller, who
+// may take it up at any gateway, names only the request that brought its first event. Gateways
+// therefore report the requests that began streams, and the directory answers the question which
+// version began one:
 //
 //   - [Records] hold the versions of streams that have begun. They are bounded by number and age.
 //   - [Versions] are those of a pool that may have begun a stream that can still be taken up. A stream
--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -25,14 +25,14 @@
 const (
 	// minRetention is the shortest time for which the version of a stream is remembered.
 	minRetention = 30 * time.Second
-	// MaxPoolVersions is the largest number of versions, over all pools, that records may name. Servers choose
-	// these names.
+	// MaxPoolVersions is the largest number of versions, over all pools, that records may name.
+	// Servers choose these names.
 	MaxPoolVersions = 1024
 )
 
-// Retention returns how long the version of a stream is remembered after the stream began or was last taken
-// up. longest is the longest time that a request may take: a stream lasts no longer, and its caller
-// takes it up no later than after as much time again.
+// Retention returns how long the version of a stream is remembered after the stream began or was
+// last taken up. longest is the longest time that a request may take: a stream lasts no longer, and
+// its caller takes it up no later than after as much time again.
 func Retention(longest time.Duration) time.Duration { return max(2*longest, minRetention) }
 
 // Origin is the version that began a stream.
@@ -60,8 +60,8 @@
 	newerSince   time.Duration
 }
 
-// Add records the origin of a stream. Records are dropped after one to two retention times, or when there are
-// too many. All are dropped when they name too many versions.
+// Add records the origin of a stream. Records are dropped after one to two retention times, or when
+// there are too many. All are dropped when they name too many versions.
 func (r *Records) Add(now, retention time.Duration, rec Record) {
 	index := r.index(rec.Origin)
 	if r.newer == nil || len(r.newer) >= r.Max/2 || now-r.newerSince >= retention {
--- a/coordination/streamversion/records_test.go
+++ b/coordination/streamversion/records_test.go
@@ -36,8 +36,8 @@
 	is.Equal([]string{found(1), found(2), found(3)}, []string{"v1", "", "v2"})
 }
 
-// TestStreamOfTwoOriginsIsUnknown checks that a request that is recorded with two versions has none, whichever
-// record comes last.
+// TestStreamOfTwoOriginsIsUnknown checks that a request that is recorded with two versions has
+// none, whichever record comes last.
 func TestStreamOfTwoOriginsIsUnknown(t *testing.T) {
 	is := is.New(t)
 	r := Records{Max: 100}
--- a/directory/doc.go
+++ b/directory/doc.go
@@ -25,6 +25,9 @@
 // fleet is too large for one replica to serve all its gateways: every replica then serves a part of
 // them, preferably those of its own data hall, and their sessions outlive the leader.
 //
+// Each replica holds, in memory, which versions of servers began the streams of the gateways that it
+// serves (streams.go). Gateways report their streams again in their next session.
+//
 // Server lists, their changes and documents are large. Their rate is limited to what the box's link
 // can carry, so that they never delay a leader's heartbeats (lists.go).
 //
--- a/directory/streams.go
+++ b/directory/streams.go
@@ -11,25 +11,26 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines the directory's part in finding out which version began a stream. Everything runs in the
-// hub's goroutine.
+// This file defines the directory's part in finding out which version began a stream. Everything
+// runs in the hub's goroutine.
 //
-// The records of a gateway's streams are held by the replica that serves it, in memory: gateways report them
-// again when they open a session with another replica. A replica asks the others only if it lacks the record, so
-// the records cost no bytes between regions. Whether a single version can have begun a stream is
-// decided by the leader alone, because it is the first to list a server.
+// The records of a gateway's streams are held by the replica that serves it, in memory: gateways
+// report them again when they open a session with another replica. A replica asks the others only
+// if it lacks the record, so the records cost no bytes between regions. Whether a single version
+// can have begun a stream is decided by the leader alone, because it is the first to list a server.
 
 const (
-	// maxStreamRecords bounds the records of one replica. At the size of docs/CAPACITY.md a replica serves
-	// gateways at which 450,000 streams begin within the retention time.
+	// maxStreamRecords bounds the records of one replica. At the size of docs/CAPACITY.md a replica
+	// serves gateways at which 450,000 streams begin within the retention time.
 	maxStreamRecords = 1 << 19
-	// maxSharedStreams bounds the records that a replica sends its gateways in one tick: 250 streams a second, which
-	// are 2 KB a second for each gateway. Of more streams, the newest are sent.
+	// maxSharedStreams bounds the records that a replica sends its gateways in one tick: 250
+	// streams a second, which are 2 KB a second for each gateway. Of more streams, the newest are
+	// sent.
 	maxSharedStreams = 25
 	// maxStreamQueries bounds the queries that wait for other replicas' answers.
 	maxStreamQueries = 1 << 14
-	// streamQueryTimeout is how long a query waits for other replicas' answers. It exceeds the time for which
-	// gateways wait.
+	// streamQueryTimeout is how long a query waits for other replicas' answers. It exceeds the time
+	// for which gateways wait.
 	streamQueryTimeout = 2 * time.Second
 )
 
@@ -50,7 +51,8 @@
 	unanswered map[*session]bool // relays that have not answered; nil at a relay
 }
 
-// beginStreams begins the leader's records of versions. Those in the log may have been listed until now.
+// beginStreams begins the leader's records of versions. Those in the log may have been listed until
+// now.
 func (h *hub) beginStreams() {
 	h.streams.versions = map[string]*streamversion.Versions{}
 	now := h.d.replica.Now()
@@ -99,8 +101,8 @@
 	}
 }
 
-// shareStreams sends the gateways the newest records, so that they survive the replica together with the gateway that
-// reported them, and a gateway without a session knows them.
+// shareStreams sends the gateways the newest records, so that they survive the replica together
+// with the gateway that reported them, and a gateway without a session knows them.
 func (h *hub) shareStreams() {
 	if len(h.streams.unshared) == 0 {
 		return
@@ -168,7 +170,8 @@
 	}
 }
 
-// handleStreamAnswer handles the answer of a relay, or at a relay that of the leader, for which s is nil.
+// handleStreamAnswer handles the answer of a relay, or at a relay that of the leader, for which s
+// is nil.
 func (h *hub) handleStreamAnswer(s *session, m protocol.StreamAnswer) {
 	q := h.streams.queries[m.Seq]
 	if q == nil {
@@ -186,8 +189,9 @@
 	}
 }
 
-// answerByVersions answers a query about a stream that this replica, the leader, has no record of: by the
-// versions that may have begun it if there is only one, otherwise by the records of the relays.
+// answerByVersions answers a query about a stream that this replica, the leader, has no record of:
+// by the versions that may have begun it if there is only one, otherwise by the records of the
+// relays.
 func (h *hub) answerByVersions(q *streamQuery) {
 	possible := h.possibleVersions(q)
 	if len(possible) == 1 {
--- a/directory/streams_fixture_test.go
+++ b/directory/streams_fixture_test.go
@@ -42,8 +42,8 @@
 	halls    []string          // of the servers, in turn
 }
 
-// setVersions starts servers of the given versions in place of the present ones. Those of an empty version are
-// down.
+// setVersions starts servers of the given versions in place of the present ones. Those of an empty
+// version are down.
 func (m *streamServers) setVersions(versions ...string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,8 +254,8 @@
 	return all
 }
 
-// resume takes streams up at a gateway and returns how many are complete, how many were refused, and how many hold
-// events of two versions.
+// resume takes streams up at a gateway and returns how many are complete, how many were refused,
+// and how many hold events of two versions.
 func resume(all []*callersStream, ip string) (complete, refused, mixed int) {
 	var inFlight sync.WaitGroup
 	for _, s := range all {
--- a/directory/streams_test.go
+++ b/directory/streams_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// TestStreamIsRefusedOnceItsVersionHasLeft guards against streams that go on at another version because none of
-// their own serves any more, while streams of the versions that serve go on.
+// TestStreamIsRefusedOnceItsVersionHasLeft guards against streams that go on at another version
+// because none of their own serves any more, while streams of the versions that serve go on.
 func TestStreamIsRefusedOnceItsVersionHasLeft(t *testing.T) {
 	withFleet(t, voters, func(x *fleet) {
 		is := is.New(x.t)
@@ -134,8 +134,8 @@
 	})
 }
 
-// TestCallersStreamStaysAtItsVersionAcrossRegions is TestCallersStreamStaysAtItsVersion for a stream that is taken
-// up in another region, whose gateways are served by another replica.
+// TestCallersStreamStaysAtItsVersionAcrossRegions is TestCallersStreamStaysAtItsVersion for a
+// stream that is taken up in another region, whose gateways are served by another replica.
 func TestCallersStreamStaysAtItsVersionAcrossRegions(t *testing.T) {
 	withTwoRegions(t, 10<<20, func(x *fleet) {
 		is := is.New(x.t)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -29,6 +29,9 @@
 //     server sends nothing. outcomes.go and unreached.go count the results per version during a
 //     rollout.
 //   - relay.go: a plain answer is forwarded once it is complete, a stream event by event.
+//   - streamorigin.go, origins.go: a stream that breaks continues only at the version of the server
+//     that began it. The gateway records its own streams, reports them to the directory, and asks it
+//     about those of other gateways (coordination/streamversion).
 //   - finish.go: the gateway's own error response if there is one (errors.go), the counters
 //     (stats.go; tokens.go per account) and the log line.
 //
@@ -45,12 +48,13 @@
 // # Goroutines
 //
 // There is one goroutine per request (from net/http); one for the watcher (watch.go) and one for
-// its reports during a session; one for tick (gateway.go), which measures the processor's
-// scheduling delay; and one that logs token totals once a second (tokens.go).
+// its reports during a session, and one for those of streams; one for tick (gateway.go), which
+// measures the processor's scheduling delay; and one that logs token totals once a second
+// (tokens.go).
 //
 // # Locks
 //
 // table.mu is acquired before accounts.mu, because ordering waiting requests reads the service
-// received by their accounts. Gateway.retriesMu, stats.mu and tokenCounters.mu are never held
-// together with another lock. No lock is held across I/O or a blocking channel send.
+// received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu and origins.mu are never
+// held together with another lock. No lock is held across I/O or a blocking channel send.
 package gateway
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -13,21 +13,21 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
 
-// This file defines origins, which records the versions that began this gateway's streams, reports them to
-// the directory, and asks it about other streams.
+// This file defines origins, which records the versions that began this gateway's streams, reports
+// them to the directory, and asks it about other streams.
 
 const (
-	// maxOwnStreams bounds the records of a gateway. At the size of docs/CAPACITY.md 2,800 streams begin
-	// there within the retention time.
+	// maxOwnStreams bounds the records of a gateway. At the size of docs/CAPACITY.md 2,800 streams
+	// begin there within the retention time.
 	maxOwnStreams = 1 << 13
-	// maxOtherStreams bounds the records of other gateways' streams: those that the directory shares within the shortest
-	// retention time.
+	// maxOtherStreams bounds the records of other gateways' streams: those that the directory
+	// shares within the shortest retention time.
 	maxOtherStreams = 1 << 14
-	// maxStreamsPerReport bounds the records in one report, at eight bytes each, so that the reports of all
-	// gateways to a new leader leave its link room for everything else.
+	// maxStreamsPerReport bounds the records in one report, at eight bytes each, so that the
+	// reports of all gateways to a new leader leave its link room for everything else.
 	maxStreamsPerReport = 64
-	// originTimeout is how long a request waits for the directory's answer: two round trips between regions
-	// and a message's wait in a busy replica.
+	// originTimeout is how long a request waits for the directory's answer: two round trips between
+	// regions and a message's wait in a busy replica.
 	originTimeout = 400 * time.Millisecond
 	// maxWaitingQueries bounds the queries whose answers are awaited. Older ones have timed out.
 	maxWaitingQueries = 1 << 10
@@ -55,7 +55,8 @@
 
 func newOrigins() *origins {
 	return &origins{
-		records: streamversion.Records{Max: maxOwnStreams}, others: streamversion.Records{Max: maxOtherStreams}, listed: make(chan struct{}), waiting: map[uint64]chan protocol.StreamAnswer{},
+		records: streamversion.Records{Max: maxOwnStreams}, others: streamversion.Records{Max: maxOtherStreams},
+		listed: make(chan struct{}), waiting: map[uint64]chan protocol.StreamAnswer{},
 	}
 }
 
@@ -126,8 +127,8 @@
 	return streamversion.Origin{}, versionUnknown
 }
 
-// take returns the newest unreported streams of the pools whose servers have several versions. If a pool had
-// one version until now, all its streams are unreported.
+// take returns the newest unreported streams of the pools whose servers have several versions. If a
+// pool had one version until now, all its streams are unreported.
 func (o *origins) take(pools map[string]bool) []beganStream {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -161,8 +162,8 @@
 	o.records.Disown(id)
 }
 
-// takeStreams returns the streams to report. A stream is left out if its server is meanwhile listed with another
-// version, so that either may have begun it.
+// takeStreams returns the streams to report. A stream is left out if its server is meanwhile listed
+// with another version, so that either may have begun it.
 func (g *Gateway) takeStreams() []protocol.StreamsBegun {
 	var records []streamversion.Record
 	for _, s := range g.origins.take(g.reportedPools()) {
@@ -175,8 +176,9 @@
 	return streamversion.ToWire(records)
 }
 
-// reportedPools returns the pools whose streams have to be reported, because their origin does not follow from
-// the route: pools with several versions, and those of routes that lead to several pools.
+// reportedPools returns the pools whose streams have to be reported, because their origin does not
+// follow from the route: pools with several versions, and those of routes that lead to several
+// pools.
 func (g *Gateway) reportedPools() map[string]bool {
 	pools := g.table.poolsWithVersions(g.streamRetention())
 	if rs := g.routes.Load(); rs != nil {
@@ -193,8 +195,9 @@
 	return streamversion.Retention(0)
 }
 
-// ask asks the directory which version began a stream, and waits for a session if there is none. supported is
-// false if the session's replica cannot answer. Without an answer in time, the version is unknown.
+// ask asks the directory which version began a stream, and waits for a session if there is none.
+// supported is false if the session's replica cannot answer. Without an answer in time, the version
+// is unknown.
 func (o *origins) ask(ctx context.Context, q protocol.StreamQuery) (answer protocol.StreamAnswer, supported bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -222,8 +225,8 @@
 	return answer, true
 }
 
-// sendQuery sends a query and returns the channel for its answer, or false if the session's replica answers none. If
-// the session has ended, the channel is closed.
+// sendQuery sends a query and returns the channel for its answer, or false if the session's replica
+// answers none. If the session has ended, the channel is closed.
 func (o *origins) sendQuery(q protocol.StreamQuery) (answers chan protocol.StreamAnswer, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -16,8 +16,8 @@
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
 
-// This file tests how a gateway finds out which version began a stream that its caller takes up. The sessions are tested
-// with real directories, in package directory.
+// This file tests how a gateway finds out which version began a stream that its caller takes up.
+// The sessions are tested with real directories, in package directory.
 
 // directory answers all queries of a gateway with the same answer, after a delay.
 func (x *fixture) directory(answer protocol.StreamAnswer, delay time.Duration) {
@@ -29,8 +29,8 @@
 	x.g.origins.setListed(true)
 }
 
-// TestStreamOfUnknownVersionIsRefused checks where a gateway lets a stream of another gateway go on, and that it
-// refuses it at once as not run where several versions may have begun it.
+// TestStreamOfUnknownVersionIsRefused checks where a gateway lets a stream of another gateway go
+// on, and that it refuses it at once as not run where several versions may have begun it.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	v2 := protocol.StreamAnswer{Known: true, Pool: "plain", Version: "v2"}
 	for _, tt := range []struct {
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestOwnStreamNeedsNoDirectory checks that a stream that began at the same gateway goes on at its version without a
-// session, in the pool where it began.
+// TestOwnStreamNeedsNoDirectory checks that a stream that began at the same gateway goes on at its
+// version without a session, in the pool where it began.
 func TestOwnStreamNeedsNoDirectory(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -125,8 +125,8 @@
 	}, resuming(6, 0, nil), resuming(6, 0, nil))
 }
 
-// TestReportedStreams checks that streams are reported once several versions serve, also those that began before, and
-// again in the next session.
+// TestReportedStreams checks that streams are reported once several versions serve, also those that
+// began before, and again in the next session.
 func TestReportedStreams(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -168,8 +168,9 @@
 	is.Equal(len(o.take(pools))+len(o.take(pools))+len(o.take(pools)), 2*maxStreamsPerReport)
 }
 
-// TestStreamOfAmbiguousServerIsNotReported checks that a stream is not reported if its server is listed with another
-// version right after its first event: the server may have restarted before the gateway learned of it.
+// TestStreamOfAmbiguousServerIsNotReported checks that a stream is not reported if its server is
+// listed with another version right after its first event: the server may have restarted before the
+// gateway learned of it.
 func TestStreamOfAmbiguousServerIsNotReported(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -186,8 +187,8 @@
 	}, resuming(6, 0, nil), resuming(6, 0, nil))
 }
 
-// TestWaitingStreamIsRefusedOnceItsVersionHasLeft checks that a stream that waits for capacity at its version is refused as
-// soon as that version has left.
+// TestWaitingStreamIsRefusedOnceItsVersionHasLeft checks that a stream that waits for capacity at
+// its version is refused as soon as that version has left.
 func TestWaitingStreamIsRefusedOnceItsVersionHasLeft(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
@@ -210,7 +211,8 @@
 	}, hangs, hangs)
 }
 
-// TestStalledStreamStaysAtItsVersion checks that a stream whose server sends nothing goes on at its version.
+// TestStalledStreamStaysAtItsVersion checks that a stream whose server sends nothing goes on at its
+// version.
 func TestStalledStreamStaysAtItsVersion(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -55,8 +55,8 @@
 	return c.route.Kind == document.Stream && c.route.Resumable && (c.head.Resumes != "" || c.head.LastEventID != "")
 }
 
-// findOrigin finds the version that began the stream that the caller takes up. The error is a [Refusal]: a
-// stream of an unknown version must not go on.
+// findOrigin finds the version that began the stream that the caller takes up. The error is a
+// [Refusal]: a stream of an unknown version must not go on.
 func (c *call) findOrigin() error {
 	if !c.resumesStream() {
 		return nil
@@ -112,8 +112,8 @@
 	c.g.origins.add(c.g.now(), c.g.streamRetention(), beganStream{Record: rec, began: c.stream.began})
 }
 
-// confirmOrigin marks the origin as unknown if the server that began the stream has meanwhile been listed
-// with another version: it may have begun the stream with either.
+// confirmOrigin marks the origin as unknown if the server that began the stream has meanwhile been
+// listed with another version: it may have begun the stream with either.
 func (c *call) confirmOrigin() {
 	if c.stream.began != nil && !c.g.table.keepsVersion(c.stream.began) {
 		c.stream.source = versionUnknown
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -95,7 +95,8 @@
 	versions      streamversion.Versions // that may have begun a stream
 }
 
-// countServer counts a server that is added (n is 1) or removed (n is -1) by its version. The caller holds mu.
+// countServer counts a server that is added (n is 1) or removed (n is -1) by its version. The caller
+// holds mu.
 func (p *pool) countServer(now time.Duration, version string, n int) {
 	if p.versionCounts == nil {
 		p.versionCounts = map[string]int{}
@@ -106,8 +107,8 @@
 	p.versions.Observe(now, version)
 }
 
-// possibleVersions returns the versions of a pool's servers that may have begun a stream that can still be
-// taken up, as far as this gateway has listed them.
+// possibleVersions returns the versions of a pool's servers that may have begun a stream that can
+// still be taken up, as far as this gateway has listed them.
 func (t *table) possibleVersions(name string, retention time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -377,8 +378,8 @@
 	t.classifyVersions()
 }
 
-// keepsVersion reports whether the server of an attempt is still listed with the version that it had at the
-// start of the attempt, or no longer listed at all.
+// keepsVersion reports whether the server of an attempt is still listed with the version that it
+// had at the start of the attempt, or no longer listed at all.
 func (t *table) keepsVersion(a *assignment) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -259,8 +259,8 @@
 	return versionOrder{first: oldVersion, firstReason: reasonRest}
 }
 
-// streamVersions returns the versions at which streams may go on: all that get requests now, whatever
-// their shares. The pool has a rollout under way. The caller holds mu.
+// streamVersions returns the versions at which streams may go on: all that get requests now,
+// whatever their shares. The pool has a rollout under way. The caller holds mu.
 func (t *table) streamVersions(p *pool, now time.Duration, req *requirements) versionSet {
 	r := p.rollout
 	switch {
@@ -285,8 +285,8 @@
 // allows reports whether the request may go to a server of a version.
 func (v versionLimit) allows(version string) bool { return !v.limited || v.version == version }
 
-// versionGone reports whether no server that takes requests may take this one because of its version:
-// waiting would not help it. The caller holds mu.
+// versionGone reports whether no server that takes requests may take this one because of its
+// version, so that waiting would not help it. The caller holds mu.
 func (t *table) versionGone(p *pool, req *requirements, among versionSet) bool {
 	if !req.version.limited {
 		return false
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -258,8 +258,9 @@
 	}
 }
 
-// streamReportPeriod is the time between two reports of streams that have begun. Streams that a gateway has not
-// reported before it is killed cannot go on, so it is short compared with the length of a stream.
+// streamReportPeriod is the time between two reports of streams that have begun. Streams that a
+// gateway has not reported before it is killed cannot go on, so it is short compared with the length
+// of a stream.
 const streamReportPeriod = 20 * time.Millisecond
 
 // reportStreams sends the replica the streams that have begun here until ctx ends or the session is lost.
--- a/protocol/streams.go
+++ b/protocol/streams.go
@@ -12,9 +12,9 @@
 	IDs     []byte // eight bytes for each request (streamversion.ID)
 }
 
-// Streams is sent by a gateway to the replica that serves it: the streams that began at the gateway, and that it
-// has not reported in this session, of pools whose servers have several versions. The replica sends the newest ones on
-// to all gateways that it serves.
+// Streams is sent by a gateway to the replica that serves it: the streams that began at the
+// gateway, and that it has not reported in this session, of pools whose servers have several
+// versions. The replica sends the newest ones on to all gateways that it serves.
 type Streams struct {
 	List []StreamsBegun `cbor:"1,keyasint"`
 }
