Take streams for unknown whose server restarted with another version meanwhile

Found by reading. A server that starts again under its name, at its address, gets requests before gateways learn of the restart; what it streams until then was recorded with the version that it had before, and a caller could take it up there.

When a server is listed with another version under its identifier, or as a later life under its name, the gateway reports both versions of each stream that began there in the 2 s before: a record with two versions is unknown at every gateway. TestStreamOfRestartedServerIsUnknown does not build on the code before; without recordRestart its first two cases fail, with the version before as origin.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -31,7 +31,8 @@
 //   - relay.go: a plain answer is forwarded once it is complete, a stream event by event.
 //   - streamorigin.go, origins.go: a stream that breaks continues only at the version of the server
 //     that began it. The gateway records its own streams, reports them to the directory, and asks it
-//     about those of other gateways (coordination/streamversion).
+//     about those of other gateways (coordination/streamversion). restarts.go finds the streams
+//     whose server has restarted with another version.
 //   - finish.go: the gateway's own error response if there is one (errors.go), the counters
 //     (stats.go; tokens.go per account) and the log line.
 //
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// addDoubtful records streams with both versions that may have begun them, here and in the next
+// reports: a stream with two origins is of unknown version.
+func (o *origins) addDoubtful(now, retention time.Duration, d doubtfulStreams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, id := range d.ids {
+		for _, version := range d.versions {
+			rec := streamversion.Record{Origin: streamversion.Origin{Pool: d.pool, Version: version}, ID: id}
+			o.records.Add(now, retention, rec)
+			o.unreported = append(o.unreported, beganStream{Record: rec})
+		}
+	}
+}
+
 // addOthers records streams that the directory shares.
 func (o *origins) addOthers(now, retention time.Duration, records []streamversion.Record) {
 	o.mu.Lock()
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -224,3 +224,56 @@
 		is.Equal(x.servers.arrivals[1].Header.Get("Backend"), "p2")
 	})
 }
+
+// TestStreamOfRestartedServerIsUnknown guards against streams that are recorded with the version that
+// their server had before a restart of which the gateway did not know yet.
+func TestStreamOfRestartedServerIsUnknown(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		restart  func(x *fixture)
+		delay    time.Duration
+		doubtful bool
+	}{
+		{"under its identifier", func(x *fixture) { x.list(x.server("p0", "p0", "v2")) }, 500 * time.Millisecond, true},
+		{"under its name", func(x *fixture) { x.list(x.server("p0", protocol.LifeID("p0", 7), "v2"), "p0") }, 500 * time.Millisecond, true},
+		{"with the same version", func(x *fixture) { x.list(x.server("p0", protocol.LifeID("p0", 7), "v1"), "p0") }, 500 * time.Millisecond, false},
+		{"another server at its address", func(x *fixture) { x.list(x.server("p0", "p9", "v2"), "p0") }, 500 * time.Millisecond, false},
+		{"long after the stream began", func(x *fixture) { x.list(x.server("p0", "p0", "v2")) }, 5 * time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.setVersions("v1")
+				x.request("/resume/x", "Id", "one")
+				x.g.takeStreams()
+				time.Sleep(tt.delay)
+				tt.restart(x)
+				origin, source := x.g.origins.find(streamversion.IDOf("one"))
+				if !tt.doubtful {
+					is.Equal(origin.Version, "v1")
+					return
+				}
+				is.Equal(source, versionUnknown)
+				directory := streamversion.Records{Max: 100}
+				directory.Add(0, time.Minute, streamversion.Record{Origin: streamversion.Origin{Pool: "plain", Version: "v1"}, ID: streamversion.IDOf("one")})
+				for _, rec := range streamversion.FromWire(x.g.takeStreams()) {
+					directory.Add(0, time.Minute, rec)
+				}
+				_, known := directory.Find(streamversion.IDOf("one"))
+				is.True(!known)
+			}, resuming(1, 0, nil))
+		})
+	}
+}
+
+// server returns a listed server with another identifier and version.
+func (x *fixture) server(listed, id, version string) protocol.Server {
+	s := x.g.table.servers[listed].Server
+	s.ID, s.Version = id, version
+	return s
+}
+
+// list handles a message that lists a server and removes others.
+func (x *fixture) list(s protocol.Server, removed ...string) {
+	(&watcher{g: x.g}).applyServers(protocol.Servers{Term: 1, Set: []protocol.Server{s}, Removed: removed})
+}
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -108,7 +108,11 @@
 	if c.stream.source == versionUnknown || c.stream.resumes == "" {
 		return
 	}
-	rec := streamversion.Record{Origin: streamversion.Origin{Pool: c.pool.Name, Version: c.stream.version}, ID: streamversion.IDOf(c.stream.resumes)}
+	id := streamversion.IDOf(c.stream.resumes)
+	if c.stream.began != nil {
+		c.g.table.recordBegun(a, id)
+	}
+	rec := streamversion.Record{Origin: streamversion.Origin{Pool: c.pool.Name, Version: c.stream.version}, ID: id}
 	c.g.origins.add(c.g.now(), c.g.streamRetention(), beganStream{Record: rec, began: c.stream.began})
 }
 
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -36,6 +36,7 @@
 	lastList     uint64              // number (table.listCount) of the last whole list that named it, itself or by a later change
 	unlisted     bool                // not announcing itself to the leader, see [table.markUnlisted]
 	removed      bool                // no longer in the pool
+	begun        []begunStream       // streams that began here recently, see restarts.go
 }
 
 // table holds the backend servers known to the gateway, by pool, with their load.
@@ -61,6 +62,8 @@
 	// reported by this gateway was subtracted from one of them.
 	staleOthers []*knownServer
 
+	restarts restarts
+
 	// unlistedNotices holds the notices of servers that are not listed at present.
 	unlistedNotices map[string]unlistedNotice
 
@@ -297,6 +300,7 @@
 			t.pool(k.Pool).removeFromRegion(k)
 			defer t.addToRegion(t.pool(k.Pool), k)
 		}
+		t.recordRestart(k, s.Version)
 		t.pool(k.Pool).countServer(t.now(), k.Version, -1)
 		t.pool(k.Pool).countServer(t.now(), s.Version, 1)
 		k.Server, k.lastList, k.unlisted = s, t.listCount, false
@@ -308,6 +312,9 @@
 	if other := t.byAddress[s.Address]; other != nil {
 		t.remove(other.ID)
 	}
+	if earlier := t.restarts.removedLife(s.ID); earlier != nil && earlier.Pool == s.Pool {
+		t.recordRestart(earlier, s.Version)
+	}
 	k = &knownServer{Server: s, lastList: t.listCount, versionSet: anyVersion, notice: t.unlistedNotices[s.ID].Notice}
 	delete(t.unlistedNotices, s.ID)
 	t.setCold(k)
@@ -346,6 +353,7 @@
 	delete(p.busy, k)
 	k.removed = true
 	p.removeFromRegion(k)
+	t.restarts.addRemoved(t.now(), k)
 	return true
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -230,6 +230,11 @@
 		w.g.cfg.Log.StateChange("backends changed", slog.Any("joined", joined), slog.Any("left", left),
 			slog.Uint64("term", m.Term), slog.Bool("whole", m.Whole), slog.Bool("complete", m.Complete))
 	}
+	for _, d := range w.g.table.takeDoubtful() {
+		w.g.origins.addDoubtful(w.g.now(), w.g.streamRetention(), d)
+		w.g.cfg.Log.StateChange("stream versions in doubt", slog.String("pool", d.pool), slog.Any("versions", d.versions),
+			slog.Int("streams", len(d.ids)))
+	}
 	if out, changes := w.g.table.listHallsOut(); changes != oldChanges {
 		w.g.cfg.Log.StateChange("halls out of service", slog.Any("halls", out), slog.Uint64("changes", changes))
 	}
