--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -115,11 +115,19 @@
 		attrs = append(attrs, c.stream.logAttrs()...)
 	}
 	attrs = append(attrs, c.regionAttrs()...)
-	if r := c.relay; r != nil && r.writes > 0 {
-		attrs = append(attrs, slog.Int("pieces", r.writes), slog.String("last_event", r.lastEventID),
-			milliseconds("quiet_ms", c.g.now()-r.lastWriteAt), milliseconds("longest_gap_ms", r.longestGap))
+	return append(attrs, c.writeAttrs()...)
+}
+
+// writeAttrs returns the log attributes of the stream written to the caller, if there is one.
+func (c *call) writeAttrs() []slog.Attr {
+	r := c.relay
+	if r == nil || r.writes == 0 {
+		return nil
+	}
+	return []slog.Attr{
+		slog.Int("pieces", r.writes), slog.String("last_event", r.lastEventID),
+		milliseconds("quiet_ms", c.g.now()-r.lastWriteAt), milliseconds("longest_gap_ms", r.longestGap),
 	}
-	return attrs
 }
 
 // milliseconds returns an attribute with a duration in whole milliseconds.
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -29,6 +29,17 @@
 	x.g.origins.setListed(true)
 }
 
+// TestCallerResumesStream checks that the position from which a caller resumes its stream is
+// passed on to the backend server.
+func TestCallerResumesStream(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.directory(protocol.StreamAnswer{Known: true, Pool: "plain", Inferred: true}, time.Millisecond) // it lists one version
+		got := x.request("/resume/x", "After", "3")
+		is.Equal(got.body, event(4)+event(5))
+	}, resuming(5, 0, nil))
+}
+
 // TestStreamOfUnknownVersionIsRefused checks where a gateway lets a stream of another gateway go
 // on, and that it refuses it at once as not run where several versions may have begun it.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -16,7 +16,6 @@
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
-	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -187,17 +186,6 @@
 	}, endless)
 }
 
-// TestCallerResumesStream checks that the position from which a caller resumes its stream is
-// passed on to the backend server.
-func TestCallerResumesStream(t *testing.T) {
-	withGateway(t, func(x *fixture) {
-		is := is.New(x.t)
-		x.directory(protocol.StreamAnswer{Known: true, Pool: "plain", Inferred: true}, time.Millisecond) // it lists one version
-		got := x.request("/resume/x", "After", "3")
-		is.Equal(got.body, event(4)+event(5))
-	}, resuming(5, 0, nil))
-}
-
 // TestRelayedStreamIsIndependentOfChunks checks that the relayed bytes do not depend on how the
 // events are split.
 func TestRelayedStreamIsIndependentOfChunks(t *testing.T) {
