--- a/directory/streams_test.go
+++ b/directory/streams_test.go
@@ -111,27 +111,46 @@
 // TestStreamIsRefusedOnceItsVersionHasLeft guards against streams that go on at another version
 // because none of their own serves any more, while streams of the versions that serve go on.
 func TestStreamIsRefusedOnceItsVersionHasLeft(t *testing.T) {
-	withFleet(t, voters, func(x *fleet) {
-		is := is.New(x.t)
-		x.withStreams(2, []string{"v1", "v2", "v1", "v2"}, func(m *streamServers) {
-			all := x.beginStreams(20, gatewayIP(0), 400*time.Millisecond)
-			time.Sleep(200 * time.Millisecond)
+	for _, tt := range []struct {
+		name  string
+		fault func(x *fleet, m *streamServers) // to the servers of v1, b1 and b3
+	}{
+		{"its servers leave", func(_ *fleet, m *streamServers) {
 			m.depart("b1")
 			m.depart("b3")
-			time.Sleep(300 * time.Millisecond)
-			began := 0
-			for _, s := range all {
-				if s.versions[0] == "v1" {
-					began++
-				}
-			}
-			complete, refused, mixed := resume(all, gatewayIP(1))
-			is.Equal(mixed, 0)
-			is.Equal(refused, began)
-			is.Equal(complete, len(all)-began)
-			is.True(began > 0 && began < len(all)) // both versions began streams
+		}},
+		{"its hall is taken out of service", func(x *fleet, _ *streamServers) { x.orderHall("odd", true) }},
+		{"its servers are back under their identifiers with another version", func(_ *fleet, m *streamServers) {
+			time.Sleep(3 * time.Second) // the streams were not begun by the new processes
+			m.setVersions("v2", "v2", "v2", "v2")
+			m.announce()
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withFleet(t, voters, func(x *fleet) {
+				is := is.New(x.t)
+				x.withStreams(2, []string{"v1", "v2", "v1", "v2"}, func(m *streamServers) {
+					m.halls = []string{"even", "odd"}
+					m.announce()
+					all := x.beginStreams(20, gatewayIP(0), 400*time.Millisecond)
+					time.Sleep(200 * time.Millisecond)
+					tt.fault(x, m)
+					time.Sleep(300 * time.Millisecond)
+					began := 0
+					for _, s := range all {
+						if s.versions[0] == "v1" {
+							began++
+						}
+					}
+					complete, refused, mixed := resume(all, gatewayIP(1))
+					is.Equal(mixed, 0)
+					is.Equal(refused, began)
+					is.Equal(complete, len(all)-began)
+					is.True(began > 0 && began < len(all)) // both versions began streams
+				})
+			})
 		})
-	})
+	}
 }
 
 // TestCallersStreamStaysAtItsVersionAcrossRegions is TestCallersStreamStaysAtItsVersion for a
