--- a/directory/streams_fixture_test.go
+++ b/directory/streams_fixture_test.go
@@ -142,7 +142,7 @@
 
 func (streamHeaders) DecodeRequest(r *http.Request) gateway.RequestHead {
 	return gateway.RequestHead{
-		ID: r.Header.Get("Id"), Timeout: 8 * time.Second, LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes"),
+		ID: r.Header.Get("Id"), Timeout: 8 * time.Second, LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Begun-By"),
 	}
 }
 
@@ -203,7 +203,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", id)
 	if s.begunBy != "" {
-		r.Header.Set("Resumes", s.begunBy)
+		r.Header.Set("Begun-By", s.begunBy)
 		r.Header.Set("After", strconv.Itoa(s.last))
 	}
 	w, began := httptest.NewRecorder(), time.Now()
--- a/directory/streams_test.go
+++ b/directory/streams_test.go
@@ -47,6 +47,13 @@
 			x.net.Cut(gatewayIP(1))
 			time.Sleep(2 * time.Second)
 		}},
+		{name: "there is no leader", goOn: true, fault: func(x *fleet, _ *streamServers) {
+			x.killGateway(0)
+			x.killMajority()
+		}},
+		{name: "the stream is unknown, there is no leader", versions: []string{"v1", "v1", "v1"}, forget: true, fault: func(x *fleet, _ *streamServers) {
+			x.killMajority()
+		}},
 		{name: "the stream is unknown", forget: true},
 		{name: "the stream is unknown, the second gateway is cut off", versions: []string{"v1", "v1", "v1"}, forget: true, fault: func(x *fleet, _ *streamServers) {
 			x.net.Cut(gatewayIP(1))
@@ -180,3 +187,15 @@
 	x.gateways[ip].kill()
 	x.net.Kill(ip)
 }
+
+// killMajority kills at least three of five replicas, the leader among them, and waits until the others
+// know.
+func (x *fleet) killMajority() {
+	x.awaitLeader().kill()
+	for _, ip := range x.ips[:3] {
+		if n := x.nodes[ip]; n.d != nil {
+			n.kill()
+		}
+	}
+	time.Sleep(3 * time.Second)
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -46,7 +46,7 @@
 	}
 	return RequestHead{
 		ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond,
-		Prompt: prompt, LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes"),
+		Prompt: prompt, LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Begun-By"),
 	}
 }
 
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -86,7 +86,7 @@
 				tt.session(x)
 				for range 4 {
 					x.servers.arrivals = nil
-					got := x.request("/resume/x", "Id", "second", "Resumes", "first", "After", "3")
+					got := x.request("/resume/x", "Id", "second", "Begun-By", "first", "After", "3")
 					is.True(got.took < time.Second)
 					if tt.server == "" {
 						is.Equal(got.status, 503)
@@ -125,7 +125,7 @@
 			x.requestWith(ctx, "POST", "/resume/x", "", "Id", id)
 			leave()
 			first := x.servers.arrivals[0].Header.Get("Backend")
-			got := x.request("/resume/x", "Id", id+"-2", "Resumes", id, "After", "3")
+			got := x.request("/resume/x", "Id", id+"-2", "Begun-By", id, "After", "3")
 			is.Equal(got.status, 200)
 			second := x.servers.arrivals[1].Header.Get("Backend")
 			is.Equal(second[:1], first[:1]) // the pool
@@ -212,7 +212,7 @@
 		time.Sleep(10 * time.Millisecond)
 		before := x.servers.count()
 		time.AfterFunc(100*time.Millisecond, func() { x.g.table.update(protocol.Servers{Term: 1, Removed: []string{"p0"}}); x.g.grantAll() })
-		got := x.request("/resume/x", "Id", "second", "Resumes", "first", "After", "3")
+		got := x.request("/resume/x", "Id", "second", "Begun-By", "first", "After", "3")
 		is.Equal(got.status, 503)
 		is.True(strings.Contains(got.body, string(VersionGone)))
 		is.True(got.took >= 100*time.Millisecond && got.took < 200*time.Millisecond)
