Log how a server's answer states its end

Without it the logs do not tell answers that end by length or by chunks from those that end with their connection. No decision reads it.

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -8,6 +8,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/place"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
 // This file defines assignment, and how an attempt's answer and end update the state of its backend
@@ -21,14 +22,15 @@
 	version        string // of the server's software, at the start
 	tokensToRead   int    // prompt tokens not in the server's cache
 	startedAt      time.Duration
-	tokensAhead    int            // tokens queued on the server at the start
-	expectedFirst  time.Duration  // expected time to the first part of the answer
-	timeToFirst    time.Duration  // actual time to the first part of the answer; zero before it
-	connOpenedAt   time.Duration  // zero if no connection was established
-	trial          bool           // the attempt tests an ejected server
-	versionAttempt versionAttempt // how it counts in the pool's rollout
-	answering      bool           // the first part of the answer was received
-	unreached      bool           // no connection was established
+	tokensAhead    int             // tokens queued on the server at the start
+	expectedFirst  time.Duration   // expected time to the first part of the answer
+	timeToFirst    time.Duration   // actual time to the first part of the answer; zero before it
+	connOpenedAt   time.Duration   // zero if no connection was established
+	trial          bool            // the attempt tests an ejected server
+	versionAttempt versionAttempt  // how it counts in the pool's rollout
+	answering      bool            // the first part of the answer was received
+	framing        forward.Framing // of the answer; empty before it
+	unreached      bool            // no connection was established
 	ended          bool
 
 	region        string            // of the server, at the start
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,7 +81,7 @@
 		return c.handleSendError(a, err)
 	}
 	defer answer.Body.Close()
-	a.connOpenedAt = c.g.monotonicTime(answer.ConnOpenedAt)
+	a.connOpenedAt, a.framing = c.g.monotonicTime(answer.ConnOpenedAt), answer.Framing()
 	c.g.observeRoundTrip(a)
 	if a.leaveReason != place.Stay {
 		answer.Body = countingBody{ReadCloser: answer.Body, n: &a.receivedBytes}
@@ -212,6 +212,7 @@
 		slog.String("last_event", c.relay.lastEventID),
 	}
 	attrs = append(attrs, a.versionAttrs()...)
+	attrs = append(attrs, a.framingAttrs()...)
 	if out.status > 0 {
 		attrs = append(attrs, slog.Int("status", out.status))
 	}
@@ -227,6 +228,14 @@
 	return attrs
 }
 
+// framingAttrs returns the attribute for how the answer states its end, if one was received.
+func (a *assignment) framingAttrs() []slog.Attr {
+	if a.framing == "" {
+		return nil
+	}
+	return []slog.Attr{slog.String("framing", string(a.framing))}
+}
+
 // key returns the quarantine key, which identifies the request across arrivals. It is computed on
 // first use.
 func (c *call) key() quarantine.Key {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -109,6 +109,7 @@
 			slog.Int("tokens_read", a.tokensToRead), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
 			milliseconds("queued_ms", a.startedAt-c.arrived), milliseconds("first_ms", a.timeToFirst), milliseconds("expected_ms", a.expectedFirst))
 		attrs = append(attrs, a.versionAttrs()...)
+		attrs = append(attrs, a.framingAttrs()...)
 		attrs = append(attrs, a.versionAttempt.logAttrs()...)
 	}
 	if c.resumesStream() {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -100,10 +100,38 @@
 	Status       int
 	Header       http.Header
 	Length       int64 // of the body in bytes, -1 if unknown
+	Unframed     bool  // only the end of the connection ends the body, see [Framing]
 	Body         io.ReadCloser
 	ConnOpenedAt time.Time // when the connection was opened
 }
 
+// Framing says by what a response states the end of its body (RFC 9112, section 6.3).
+type Framing string
+
+// Framings of a body. A body without one ends with the connection, so that io.EOF does not show that it
+// is complete: a server that fails closes its connections as well.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	NotFramed      Framing = "none"
+)
+
+// Framing returns by what the response states the end of its body.
+func (a *Response) Framing() Framing {
+	switch {
+	case a.Unframed:
+		return NotFramed
+	case a.Length >= 0:
+		return FramedByLength
+	}
+	return FramedByChunks
+}
+
+// isUnframed reports whether a response has a body that ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // NotRun is the error of a call that certainly did not run.
 type NotRun struct {
 	Server  string      // address
@@ -254,7 +282,8 @@
 		}
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, ConnOpenedAt: trace.connOpenedAt(),
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: isUnframed(resp), Body: resp.Body,
+		ConnOpenedAt: trace.connOpenedAt(),
 	}, nil
 }
 
