Tests of broken answers that are framed as whole, failing

Virtual time: a router frames what its server did not, and records a part of an answer under its idempotency key.

--- a/requests_test.go
+++ b/requests_test.go
@@ -52,6 +52,7 @@
 	outcome string
 	body    string
 	header  http.Header
+	framed  bool // it has a length or chunks
 	err     error
 	took    time.Duration
 }
@@ -84,7 +85,7 @@
 	body, err := io.ReadAll(resp.Body)
 	return response{
 		status: resp.StatusCode, outcome: resp.Header.Get("Badgerspoke-Outcome"), body: string(body),
-		header: resp.Header, err: err, took: time.Since(began),
+		header: resp.Header, framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, err: err, took: time.Since(began),
 	}
 }
 
--- a/standin/failure.go
+++ b/standin/failure.go
@@ -16,11 +16,13 @@
 
 // Failures of a request.
 const (
-	Refuse              Failure = "refuse"   // respond that the request was not started
-	AbortBeforeResponse Failure = "die"      // run the request, then close the connection without a response
-	AbortMidResponse    Failure = "die-mid"  // close the connection in the middle of the response
-	Truncate            Failure = "truncate" // engines only: end a stream cleanly but without its end mark
-	Hang                Failure = "hang"     // services only: never respond
+	Refuse              Failure = "refuse"            // respond that the request was not started
+	AbortBeforeResponse Failure = "die"               // run the request, then close the connection without a response
+	AbortMidResponse    Failure = "die-mid"           // close the connection in the middle of the response
+	Truncate            Failure = "truncate"          // engines only: end a stream cleanly but without its end mark
+	Hang                Failure = "hang"              // services only: never respond
+	Unframed            Failure = "unframed"          // no failure: respond without a length or chunks, and close the connection
+	TruncateUnframed    Failure = "truncate-unframed" // as Unframed, but close the connection in the middle of the response
 )
 
 // failures holds the failures injected into the next requests and the current backoff.
--- a/standin/service.go
+++ b/standin/service.go
@@ -60,12 +60,21 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]string{ // fails only if the caller has disconnected
+	// Encoding strings does not fail.
+	text, _ := json.Marshal(map[string]string{
 		"method": r.Method, "path": r.URL.RequestURI(), "body": string(body),
 		"account": r.Header.Get("Badgerspoke-Account"), "authorization": r.Header.Get("Authorization"),
 		"runs": strconv.Itoa(runs),
 	})
+	w.Header().Set("Content-Type", "application/json")
+	if failure == Unframed || failure == TruncateUnframed {
+		w.Header().Set("Transfer-Encoding", "identity") // makes net/http frame nothing
+	}
+	text = append(text, '\n')
+	if failure == TruncateUnframed {
+		text = text[:len(text)/2]
+	}
+	_, _ = w.Write(text) // fails only if the caller has disconnected
 }
 
 func (s *Service) run(body string) int {
--- /dev/null
+++ b/unframed_test.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package badgerspoke_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/standin"
+)
+
+// This file tests that a router states the end of a response only where the backend server has stated it.
+
+// TestResponseOfUnknownEndIsNotFramed guards against a length or a last chunk for a response that ended with
+// the server's connection.
+func TestResponseOfUnknownEndIsNotFramed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		whole := f.do(order("r1", "hotel", "sheets", ""))
+		is.True(whole.framed)
+		f.services["s1"].FailNext(standin.Unframed)
+		got := f.do(order("r1", "hotel", "towels", ""))
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.True(!got.framed)
+		is.True(strings.HasSuffix(got.body, "}\n"))
+		f.services["s1"].FailNext(standin.TruncateUnframed)
+		got = f.do(order("r1", "hotel", "soap", ""))
+		is.True(!got.framed)
+		is.True(len(got.body) < len(whole.body))
+	})
+}
+
+// TestResponseOfUnknownEndIsNotReplayed guards against a response that may be incomplete being recorded
+// under its idempotency key.
+func TestResponseOfUnknownEndIsNotReplayed(t *testing.T) {
+	for _, failure := range []standin.Failure{standin.Unframed, standin.TruncateUnframed} {
+		inBubble(t, func(t *testing.T) {
+			is := is.New(t)
+			f := smallFleet(t)
+			f.services["s1"].FailNext(failure)
+			is.Equal(f.do(order("r1", "hotel", "sheets", "k1")).status, http.StatusOK)
+			again := f.do(order("r1", "hotel", "sheets", "k1"))
+			is.Equal(again.status, http.StatusConflict)
+			is.Equal(again.outcome, "unknown")
+			is.Equal(f.services["s1"].Runs("sheets"), 1)
+		})
+	}
+}
