gateway: pass on without framing what the server did not frame

Callers saw a part of an answer with a length or a last chunk. Cause: io.EOF ends a body without length and chunks also when its server has broken it off, and the gateway then stated an end of its own: a counted length for answers that it holds, chunks for large ones and streams, a length of 0 for a stream without an event. Evidence: framing=none in the lines of all of them.

Such an answer now goes on as it came, ended by the connection; a break that shows (a reset) is a reset for the caller too. A stream that began with chunks and goes on without them is cut.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -248,10 +248,11 @@
 
 // Answers that count as faults of the backend server.
 var (
-	errCrossed  = faultyAnswer("the answer belongs to another request")
-	errUnsigned = faultyAnswer("the answer is not signed")
-	errShort    = faultyAnswer("the stream ended inside an event")
-	errTooLarge = faultyAnswer(fmt.Sprintf("an event exceeds %d bytes", maxEvent))
+	errCrossed    = faultyAnswer("the answer belongs to another request")
+	errUnsigned   = faultyAnswer("the answer is not signed")
+	errShort      = faultyAnswer("the stream ended inside an event")
+	errEndUnknown = faultyAnswer("nothing states that the stream is complete")
+	errTooLarge   = faultyAnswer(fmt.Sprintf("an event exceeds %d bytes", maxEvent))
 )
 
 // faultyAnswer describes a fault in a backend server's answer.
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -33,6 +33,30 @@
 	return ok && left()
 }
 
+// callerResetKey is the context key of the function passed to WithCallerReset.
+type callerResetKey struct{}
+
+// WithCallerReset returns a context with a function that makes the next close of the caller's connection
+// reset it. The gateway calls it when it cuts off an answer whose end nothing but the connection states.
+func WithCallerReset(ctx context.Context, reset func() error) context.Context {
+	return context.WithValue(ctx, callerResetKey{}, reset)
+}
+
+// resetCaller makes the end of the connection show that the answer is incomplete. A chunked answer, or one
+// with a length, shows it without a reset, which could discard what the caller has not read yet.
+func (c *call) resetCaller() {
+	if !c.relay.unframed && c.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	reset, ok := c.r.Context().Value(callerResetKey{}).(func() error)
+	if !ok {
+		return
+	}
+	if err := reset(); err != nil {
+		c.g.cfg.Log.Failure("connection not reset", slog.String("request", c.head.ID), slog.String("error", err.Error()))
+	}
+}
+
 // Error implements error.
 func (callerLeft) Error() string { return "the caller has left" }
 
@@ -67,6 +91,7 @@
 	case errors.As(err, &broken):
 		c.g.stats.count("broken", "route", c.route.Name)
 		c.g.cfg.Log.Failure("answer cut off", append(c.logAttrs(took), slog.String("error", broken.err.Error()))...)
+		c.resetCaller()
 		panic(http.ErrAbortHandler)
 	default:
 		c.g.stats.count("left", "route", c.route.Name)
@@ -109,8 +134,8 @@
 			slog.Int("tokens_read", a.tokensToRead), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
 			milliseconds("queued_ms", a.startedAt-c.arrived), milliseconds("first_ms", a.timeToFirst), milliseconds("expected_ms", a.expectedFirst))
 		attrs = append(attrs, a.versionAttrs()...)
-		attrs = append(attrs, a.framingAttrs()...)
 		attrs = append(attrs, a.versionAttempt.logAttrs()...)
+		attrs = append(attrs, a.framingAttrs()...)
 	}
 	if c.resumesStream() {
 		attrs = append(attrs, c.stream.logAttrs()...)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,6 +32,7 @@
 	c           *call
 	headWritten bool   // the response head has been written
 	status      int    // status code of the response head
+	unframed    bool   // the response to the caller ends with its connection
 	lastEventID string // identifier of the last event passed on
 	partial     []byte // received part of an incomplete event
 	// Statistics of the stream so far, for the log.
@@ -43,9 +44,10 @@
 
 // heldAnswer is a whole plain answer.
 type heldAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	status   int
+	header   http.Header
+	body     []byte
+	unframed bool // the server did not state the end of the body
 }
 
 // relayPlain handles a plain answer. A success is written to the caller once it is whole; a failure
@@ -56,7 +58,7 @@
 		return outcome{execution: retry.MayHaveRun, cause: "cut off", verdict: outlier.Lost, err: err}
 	}
 	r.c.g.recordFirstPart(a, r.c.pool.Engine)
-	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}
 	if len(body) == maxHeldAnswer {
 		return r.relayLarge(answer, held)
 	}
@@ -70,7 +72,7 @@
 
 // relayLarge passes on an answer that is too large to be held.
 func (r *relay) relayLarge(answer *forward.Response, head *heldAnswer) outcome {
-	r.writeHead(head.status, head.header, answer.Length)
+	r.writeHead(head.status, head.header, answer.Length, answer.Unframed)
 	_, err := io.Copy(callerWriter{r.c.w}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
 	case err == nil:
@@ -108,13 +110,14 @@
 
 // writeHeld writes a whole answer to the caller.
 func (r *relay) writeHeld(h *heldAnswer) {
-	r.writeHead(h.status, h.header, int64(len(h.body)))
+	r.writeHead(h.status, h.header, int64(len(h.body)), h.unframed)
 	_, _ = r.c.w.Write(h.body) // a failure means that the caller has left; net/http then closes the connection
 }
 
-// writeHead writes the response head. A negative length is unknown.
-func (r *relay) writeHead(status int, header http.Header, length int64) {
-	r.headWritten, r.status = true, status
+// writeHead writes the response head. A negative length is unknown. An unframed response gets neither a
+// length nor chunks, since each of them would state an end that the server did not state.
+func (r *relay) writeHead(status int, header http.Header, length int64, unframed bool) {
+	r.headWritten, r.status, r.unframed = true, status, unframed
 	h := r.c.w.Header()
 	for name, values := range r.c.g.cfg.Headers.AnswerHeader(header) {
 		h[name] = values
@@ -124,7 +127,10 @@
 			h[name] = nil
 		}
 	}
-	if length >= 0 && r.c.r.Method != http.MethodHead {
+	switch {
+	case unframed:
+		h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+	case length >= 0 && r.c.r.Method != http.MethodHead:
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	r.c.w.WriteHeader(status)
@@ -173,13 +179,14 @@
 	}
 	if !r.headWritten {
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
-		r.writeHead(answer.Status, answer.Header, -1)
+		r.writeHead(answer.Status, answer.Header, -1, answer.Unframed)
 		r.c.recordOrigin(a)
 	}
 	return r.relayEvents(chunk, flusher)
 }
 
-// finishStream handles the end of a stream's body.
+// finishStream handles the end of a stream's body. A stream that began with chunks and goes on in a body
+// without them ends like a broken one: its last chunk would state an end that nothing else states.
 func (r *relay) finishStream(answer *forward.Response, flusher *http.ResponseController) outcome {
 	if len(r.partial) > 0 && !r.c.route.Resumable {
 		if _, err := r.c.w.Write(r.partial); err != nil {
@@ -191,7 +198,10 @@
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 	}
 	if !r.headWritten {
-		r.writeHead(answer.Status, answer.Header, 0)
+		r.writeHead(answer.Status, answer.Header, 0, answer.Unframed)
+	}
+	if answer.Unframed && !r.unframed {
+		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.NoVerdict, err: errEndUnknown}
 	}
 	_ = flusher.Flush() // unflushed bytes are sent when the handler returns
 	return outcome{execution: retry.Answered}
--- /dev/null
+++ b/gateway/unframed_test.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file tests answers that only the end of their connection ends: nothing may conclude from it that
+// they are complete.
+
+// unframed returns a behaviour that answers like another one, but without a length or chunks.
+func unframed(behave behaviour) behaviour {
+	return func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+		a, err := behave(ctx, call)
+		if err == nil {
+			a.Length, a.Unframed = -1, true
+		}
+		return a, err
+	}
+}
+
+// isFramed reports whether a reply states its end.
+func (r reply) isFramed() bool { return r.header.Get("Transfer-Encoding") != "identity" }
+
+// TestUnframedAnswerGetsNoFraming guards against a length or chunks of the gateway's own for an answer
+// that may have been broken off.
+func TestUnframedAnswerGetsNoFraming(t *testing.T) {
+	large := strings.Repeat("x", 2*maxHeldAnswer)
+	for _, tt := range []struct {
+		name, path, body string
+		behave           behaviour
+	}{
+		{"safe", "/again/x", "part", answers(200, "part", 0)},
+		{"unsafe", "/once/x", "part", answers(200, "part", 0)},
+		{"empty", "/again/x", "", answers(200, "", 0)},
+		{"failure", "/once/x", "part", answers(500, "part", 0)},
+		{"large", "/again/x", large, answers(200, large, 0)},
+		{"stream", "/stream/x", wholeStream(3), resuming(3, 0, nil)},
+		{"resumable stream", "/resume/x", wholeStream(3), resuming(3, 0, nil)},
+		{"stream without an event", "/stream/x", "", streams()},
+		{"resumable stream without an event", "/resume/x", "", streams()},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, framed := range []bool{true, false} {
+				behave := tt.behave
+				if !framed {
+					behave = unframed(behave)
+				}
+				withGateway(t, func(x *fixture) {
+					is := is.New(x.t)
+					got := x.request(tt.path)
+					is.Equal(got.body, tt.body)
+					is.Equal(got.isFramed(), framed)
+					is.True(framed || got.header.Get("Content-Length") == "")
+					is.True(!got.cut)
+					is.Equal(x.servers.count(), 1) // nothing shows that it was broken off
+				}, behave)
+			}
+		})
+	}
+}
+
+// TestStreamThatBeganWithChunksIsNotEndedByThem guards against a last chunk for a stream that goes on in an
+// answer without chunks.
+func TestStreamThatBeganWithChunksIsNotEndedByThem(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{resuming(6, 3, errReset), unframed(resuming(5, 0, nil))})
+		got := x.request("/resume/x")
+		is.Equal(got.body, wholeStream(5))
+		is.True(got.isFramed())
+		is.True(got.cut)
+	})
+}
+
+// TestStreamThatBeganUnframedGoesOnFramed checks that a stream which began without chunks arrives whole when
+// it is taken up by an answer with them.
+func TestStreamThatBeganUnframedGoesOnFramed(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{unframed(resuming(6, 3, errReset)), resuming(6, 0, nil)})
+		got := x.request("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+		is.True(!got.isFramed())
+		is.True(!got.cut)
+	})
+}
+
+// TestCutUnframedAnswerResetsItsCaller checks that a known break is visible to a caller for whom only the
+// end of the connection ends the answer.
+func TestCutUnframedAnswerResetsItsCaller(t *testing.T) {
+	large := answers(200, strings.Repeat("x", 2*maxHeldAnswer), 0)
+	for _, tt := range []struct {
+		name, path string
+		behave     behaviour
+		resets     bool
+	}{
+		{"large answer", "/again/x", unframed(cutOff(large)), true},
+		{"stream", "/stream/x", unframed(resuming(6, 3, errReset)), true},
+		{"framed stream", "/stream/x", resuming(6, 3, errReset), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				resets := 0
+				ctx := WithCallerReset(x.t.Context(), func() error { resets++; return errors.ErrUnsupported })
+				got := x.requestWith(ctx, http.MethodPost, tt.path, "a body")
+				is.True(got.cut)
+				is.Equal(resets > 0, tt.resets)
+			}, tt.behave)
+		})
+	}
+}
+
+// TestBrokenUnframedAnswerIsRetried checks that an answer without framing whose connection breaks is sent
+// again like any other.
+func TestBrokenUnframedAnswerIsRetried(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{unframed(cutOff(answers(200, "part", 0))), answers(200, "whole", time.Millisecond)})
+		got := x.request("/again/x")
+		is.Equal(got.body, "whole")
+		is.True(got.isFramed())
+	})
+}
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -206,6 +207,7 @@
 	n             *Network
 	in, out       *pipe
 	local, remote netip.AddrPort
+	resets        atomic.Bool // Close resets the connection
 }
 
 var _ net.Conn = (*conn)(nil)
@@ -218,7 +220,13 @@
 	delete(c.n.conns, c)
 	c.n.mu.Unlock()
 	c.in.closeRead()
-	c.out.closeWrite()
+	c.out.closeWrite(c.resets.Load())
+	return nil
+}
+
+// SetLinger makes Close reset the connection if seconds is zero, like the method of [net.TCPConn].
+func (c *conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
 	return nil
 }
 
@@ -247,6 +255,7 @@
 	data []byte
 	at   time.Time // arrival
 	end  bool      // the writer has closed
+	err  error     // of a read at the end
 }
 
 func newPipe(n *Network, from, to string) *pipe {
@@ -282,13 +291,17 @@
 	return n, err
 }
 
-// closeWrite ends the stream. The end arrives after the bytes written before.
-func (p *pipe) closeWrite() {
+// closeWrite ends the stream, with a reset or in order. The end arrives after the bytes written before.
+func (p *pipe) closeWrite(reset bool) {
 	at := p.n.arrival(p.from, p.to, 0)
 	p.update(func() {
 		if !p.writeClosed {
 			p.writeClosed = true
-			p.chunks = append(p.chunks, chunk{end: true, at: at})
+			end := chunk{end: true, at: at, err: io.EOF}
+			if reset {
+				end.err = syscall.ECONNRESET
+			}
+			p.chunks = append(p.chunks, end)
 		}
 	})
 }
@@ -334,7 +347,7 @@
 		return 0, min(wait, early), p.changed, nil
 	}
 	if c.end {
-		return 0, 0, nil, io.EOF
+		return 0, 0, nil, c.err
 	}
 	n = copy(b, c.data)
 	if c.data = c.data[n:]; len(c.data) == 0 {
--- a/process/caller.go
+++ b/process/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines callerConn, which applies the header timeout of the document in force to a
@@ -56,6 +57,9 @@
 // a backend server. A close that has not reached the kernel is not detected.
 func (c *callerConn) hasLeft() bool { return isClosed(c.Conn) }
 
+// resetOnClose makes Close send a reset instead of an orderly end. Bytes that are not sent yet are lost.
+func (c *callerConn) resetOnClose() error { return socket.ResetOnClose(c.Conn) }
+
 // isClosed reports whether the peer or this process has closed a connection.
 func isClosed(c net.Conn) bool {
 	conn, ok := c.(syscall.Conn)
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -115,9 +115,11 @@
 	return limited
 }
 
-// callerContext adds to ctx a function that reports whether the caller has disconnected.
+// callerContext adds to ctx functions that report whether the caller has disconnected, and that make
+// the close of its connection a reset.
 func callerContext(ctx context.Context, conn net.Conn) context.Context {
-	return gateway.WithCallerLeft(ctx, conn.(*callerConn).hasLeft)
+	c := conn.(*callerConn)
+	return gateway.WithCallerReset(gateway.WithCallerLeft(ctx, c.hasLeft), c.resetOnClose)
 }
 
 // maxConnections returns the limit of callers' connections.
--- a/process/unread.go
+++ b/process/unread.go
@@ -72,6 +72,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the wrapped connection.
+func (c *unreadConn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements [syscall.Conn]. It returns ENOTSUP if the wrapped connection does not
 // support it.
 func (c *unreadConn) SyscallConn() (syscall.RawConn, error) {
--- a/transport/socket/limit.go
+++ b/transport/socket/limit.go
@@ -63,6 +63,9 @@
 	return nil, errors.ErrUnsupported
 }
 
+// NetConn returns the wrapped connection.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *limitedConn) Close() error {
 	c.release()
 	return c.Conn.Close()
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -49,6 +50,18 @@
 	return lc.Listen(context.Background(), "tcp", address)
 }
 
+// ResetOnClose makes the close of a connection send a reset instead of an orderly end. Bytes that are not
+// sent yet are lost. Wrapped connections need a method NetConn, as *tls.Conn has one.
+func ResetOnClose(c net.Conn) error {
+	switch c := c.(type) {
+	case interface{ SetLinger(seconds int) error }:
+		return c.SetLinger(0)
+	case interface{ NetConn() net.Conn }:
+		return ResetOnClose(c.NetConn())
+	}
+	return errors.ErrUnsupported
+}
+
 // setUserTimeout limits how long sent bytes may stay unacknowledged. Accepted
 // connections inherit the option from their listener. On a kernel without the option,
 // the connection fails later, after the maximum number of retransmissions.
