gateway: cut off streams that end inside an event

Callers saw a stream that its server had broken off inside an event with a last chunk, or ended in order. Cause: the rest of a stream that may not be taken up was written and counted as answered.

Events may end with CRLF: such a stream was passed on as one piece at its end, and would be cut off now. An answer of another content type on a stream's route has no events and goes on like any answer.

TestRelayFailureIsAttributed had a row for a failed write of the partial event, which is not written any more; the row checks now that the break is attributed to the server. TestNonResumableStreamEndingInsideAnEventIsCutOff failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
@@ -103,12 +104,18 @@
 	switch {
 	case success && !head.Signed:
 		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
-	case success && c.route.Kind == document.Stream:
+	case success && c.route.Kind == document.Stream && mayBeEventStream(answer.Header):
 		return c.relay.relayStream(ctx, a, answer)
 	}
 	return c.relay.relayPlain(a, answer)
 }
 
+// mayBeEventStream reports whether an answer is an event stream or does not state its type.
+func mayBeEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // outgoing returns the request in the form sent to a backend server.
 func (c *call) outgoing(a *assignment) forward.Call {
 	f := Forwarding{Timeout: c.timeLeft(), Server: a.serverID, Account: c.account.Name, LastEventID: c.relay.lastEventID}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -188,12 +188,6 @@
 // finishStream handles the end of a stream's body. A stream that began with chunks and goes on in a body
 // without them ends like a broken one: its last chunk would state an end that nothing else states.
 func (r *relay) finishStream(answer *forward.Response, flusher *http.ResponseController) outcome {
-	if len(r.partial) > 0 && !r.c.route.Resumable {
-		if _, err := r.c.w.Write(r.partial); err != nil {
-			return callerLeftOutcome(err)
-		}
-		r.partial = r.partial[:0]
-	}
 	if len(r.partial) > 0 {
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 	}
@@ -207,21 +201,30 @@
 	return outcome{execution: retry.Answered}
 }
 
-// eventSeparator separates the events of a stream.
-var eventSeparator = []byte("\n\n")
+// endOfEvents returns the length of the whole events at the beginning of b. An empty line ends an event;
+// lines end with LF or CRLF.
+func endOfEvents(b []byte) int {
+	end := 0
+	for _, emptyLine := range []string{"\n\n", "\n\r\n"} {
+		if at := bytes.LastIndex(b, []byte(emptyLine)); at >= 0 {
+			end = max(end, at+len(emptyLine))
+		}
+	}
+	return end
+}
 
 // relayEvents passes on the whole events received so far with one write and keeps the rest. The
 // error is errTooLarge or that of the write.
 func (r *relay) relayEvents(chunk []byte, flusher *http.ResponseController) error {
 	r.partial = append(r.partial, chunk...)
-	end := bytes.LastIndex(r.partial, eventSeparator)
-	if end < 0 {
+	end := endOfEvents(r.partial)
+	if end == 0 {
 		if len(r.partial) > maxEvent {
 			return errTooLarge
 		}
 		return nil
 	}
-	whole := r.partial[:end+len(eventSeparator)]
+	whole := r.partial[:end]
 	if id, ok := parseLastEventID(whole); ok {
 		r.lastEventID = id
 	}
@@ -232,7 +235,7 @@
 	if err := flusher.Flush(); err != nil {
 		return err
 	}
-	r.partial = append(r.partial[:0], r.partial[end+len(eventSeparator):]...)
+	r.partial = append(r.partial[:0], r.partial[end:]...)
 	now := r.c.g.now()
 	if r.writes > 0 {
 		r.longestGap = max(r.longestGap, now-r.lastWriteAt)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -63,7 +63,7 @@
 		{"large answer, the rest", "/again/x", "caller gone", 1, large, false},
 		{"large answer, cut off", "/again/x", "cut off", 9, cutOff(large), true},
 		{"event", "/stream/x", "caller gone", 0, streams(piece{text: event(1)}), false},
-		{"end of a stream", "/stream/x", "caller gone", 0, streams(piece{text: "data: half"}), false},
+		{"end of a stream inside an event", "/stream/x", "stream cut off", 9, streams(piece{text: "data: half"}), true},
 		{"event too large", "/stream/x", "stream broken", 9, endlessEvent, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -101,3 +101,40 @@
 	body := io.NopCloser(strings.NewReader(strings.Repeat("x", 2*maxEvent)))
 	return &forward.Response{Status: http.StatusOK, Header: answerHeader(call), Length: -1, Body: body}, nil
 }
+
+// TestNonResumableStreamEndingInsideAnEventIsCutOff guards against a last chunk for a stream that its server
+// broke off inside an event. Lines end with LF or CRLF.
+func TestNonResumableStreamEndingInsideAnEventIsCutOff(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n"} {
+		whole := strings.ReplaceAll(wholeStream(3), "\n", lineEnd)
+		half := strings.TrimSuffix(whole, lineEnd)
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			got := x.request("/stream/x")
+			is.Equal(got.body, strings.ReplaceAll(wholeStream(2), "\n", lineEnd))
+			is.True(got.cut)
+		}, streams(piece{text: half}))
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			got := x.request("/stream/x")
+			is.Equal(got.body, whole)
+			is.True(!got.cut)
+		}, streams(piece{text: whole}))
+	}
+}
+
+// TestOtherContentOnStreamRouteIsRelayed checks that an answer which is no event stream needs no events.
+func TestOtherContentOnStreamRouteIsRelayed(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			got := x.request(path)
+			is.Equal(got.body, `{"items":[]}`)
+			is.True(!got.cut)
+		}, func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+			a, err := answers(200, `{"items":[]}`, 0)(ctx, call)
+			a.Header.Set("Content-Type", "application/json")
+			return a, err
+		})
+	}
+}
