gateway: take nothing for good that ended with its connection

An answer that only the end of its connection ends cleared a suspected request, at the leader too, counted as a good answer of its server (ejections, the trial that ends one) and of its version in a rollout, and hid the crash that ended it: the request that was running then was not suspected. Cause: such an attempt had the verdict Answered. Evidence: with that verdict TestWholeAnswerClearsSuspectedRequest (new row), TestCrashThatEndsUnframedAnswerIsDetected and TestUnframedAnswerIsNoOutcomeOfItsVersion fail.

Its verdict is Unconfirmed now: neither a success nor a failure. In rollouts such answers count by how soon they begin. Three unconfirmed trials end an ejection, since a server may never confirm an answer. Whether the server has crashed is checked as after a broken connection, without a probe where another connection to it is open; a server that goes on counts as answering. The metric unconfirmed_total counts these answers, answered_total no longer does.

--- a/coordination/outlier/rate.go
+++ b/coordination/outlier/rate.go
@@ -12,11 +12,12 @@
 
 // Verdicts on an attempt.
 const (
-	Answered  Verdict = iota // complete and without a server error
-	Refused                  // for lack of capacity, without having run
-	Faulty                   // answered with a server error or an unusable answer
-	Lost                     // no answer or an incomplete one
-	NoVerdict                // ended for a reason other than the server
+	Answered    Verdict = iota // complete and without a server error
+	Refused                    // for lack of capacity, without having run
+	Faulty                     // answered with a server error or an unusable answer
+	Lost                       // no answer or an incomplete one
+	NoVerdict                  // ended for a reason other than the server
+	Unconfirmed                // answered, but nothing states that the answer is complete
 )
 
 // failureWeights are the weights of verdicts in the failure rate. Refusals weigh least, since full engines
@@ -29,6 +30,7 @@
 	poolWeight         = 0.02             // weight of one attempt in the average of the pool, about 50 attempts
 	rateToEject        = 0.35             // difference to the pool's rate from which a server is ejected
 	lostToEject        = 3                // consecutive lost requests, whatever the failure rate
+	unconfirmedTrials  = 3                // unconfirmed trials that end an ejection: a server may never confirm an answer
 	maxGatewayEjection = 12 * time.Second // maximum ejection, reached after failed trials
 
 	// MinSamples is the minimum number of attempts since the last ejection for a server's rate to count.
@@ -46,14 +48,16 @@
 	rate    float64 // average weighted failure rate, 0 to 1
 	samples int     // attempts since the last ejection
 	lost    int     // consecutive lost requests
+	// unconfirmed is the number of unconfirmed trials since the last ejection.
+	unconfirmed int
 }
 
 // Record records the result of an attempt at a server of the pool and reports whether the server is ejected
 // because of it. trial is whether the attempt was the server's trial.
 func (p *PoolRate) Record(now time.Duration, f *FailureRate, v Verdict, trial bool) (ejected bool) {
-	if v == NoVerdict {
+	if v == NoVerdict || v == Unconfirmed {
 		if trial {
-			f.inTrial = false
+			f.endTrial(v)
 		}
 		return false
 	}
@@ -72,7 +76,7 @@
 	}
 	ejected = f.until == 0 || f.inTrial
 	f.eject(now, MinGatewayEjection, maxGatewayEjection)
-	f.samples, f.rate, f.lost = 0, 0, 0
+	f.samples, f.rate, f.lost, f.unconfirmed = 0, 0, 0, 0
 	return ejected
 }
 
@@ -80,6 +84,17 @@
 // ejected.
 func (f *FailureRate) LostInARow() int { return f.lost }
 
+// endTrial ends a trial that shows neither a success nor a failure.
+func (f *FailureRate) endTrial(v Verdict) {
+	f.inTrial = false
+	if v != Unconfirmed {
+		return
+	}
+	if f.unconfirmed++; f.unconfirmed == unconfirmedTrials {
+		f.until = 0
+	}
+}
+
 // succeeded ends an ejection and halves the duration of the next one.
 func (f *FailureRate) succeeded() {
 	f.until, f.inTrial, f.lost = 0, false, 0
--- a/coordination/outlier/rate_test.go
+++ b/coordination/outlier/rate_test.go
@@ -23,6 +23,8 @@
 		{"faulty answers", 0, []Verdict{Faulty, Faulty, Faulty, Faulty}, true},
 		{"faulty answers in a pool that fails alike", 0.5, []Verdict{Faulty, Faulty, Faulty, Faulty}, false},
 		{"full, refuses half", 0, slices.Repeat([]Verdict{Answered, Refused}, 10), false},
+		{"lost, with unconfirmed answers in between", 0, slices.Repeat([]Verdict{Lost, Unconfirmed, Unconfirmed}, 3), true},
+		{"unconfirmed answers", 0, slices.Repeat([]Verdict{Unconfirmed}, 10), false},
 		{"results without a verdict", 0, slices.Repeat([]Verdict{NoVerdict}, 10), false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -62,3 +64,22 @@
 	is.True(!p.Record(now, &s, Answered, true))
 	is.Equal(s.State(now), InUse)
 }
+
+// TestUnconfirmedTrials checks that one answer whose end nothing states does not end an ejection, and that a
+// server which gives no others returns after several.
+func TestUnconfirmedTrials(t *testing.T) {
+	is := is.New(t)
+	var p PoolRate
+	var s FailureRate
+	now := time.Second
+	for range lostToEject {
+		p.Record(now, &s, Lost, false)
+	}
+	now += MinGatewayEjection
+	for range unconfirmedTrials {
+		is.Equal(s.State(now), Trial)
+		is.True(s.Sent(now))
+		p.Record(now, &s, Unconfirmed, true)
+	}
+	is.Equal(s.State(now), InUse)
+}
--- a/coordination/retry/outcome.go
+++ b/coordination/retry/outcome.go
@@ -15,7 +15,7 @@
 	Refused                     // the server promised that it has not run the request and will not
 	MayHaveRun                  // the server may have run it
 	HasRun                      // the server ran it and failed, and its complete answer was received
-	Answered                    // the server ran it and the caller has the complete answer
+	Answered                    // the server ran it and the caller has the answer, complete as far as anything states its end
 )
 
 // MayGoElsewhere is the rule shared by gateway and router: a request that has not run may be sent to
--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -115,11 +115,11 @@
 	}
 	// Attempts that were refused or never connected don't show whether the pool answers. While a
 	// server is down, they would soon displace all others.
-	if !a.unreached && v != outlier.Refused {
+	if !a.unreached && v != outlier.Refused && v != outlier.Unconfirmed {
 		p.recordResult(k.ID, v == outlier.Answered)
 	}
 	g.countOutcome(p, a, v)
-	if v == outlier.Refused || v == outlier.Answered {
+	if v == outlier.Refused || v == outlier.Answered || v == outlier.Unconfirmed {
 		p.placer.ObserveAnswer(v == outlier.Refused)
 	}
 	ejected = p.failures.Record(g.now(), &k.health, v, a.trial)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,9 +54,13 @@
 			c.g.silentVerdict(a) // no verdict on the server, but its other connections may be dead too
 		}
 	}
-	if out.execution == retry.MayHaveRun && out.verdict == outlier.Lost && ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost:
 		c.recordLoss(a)
 		out.connectionBroke = true
+	case out.verdict == outlier.Unconfirmed:
+		c.recordUnconfirmed(a)
 	}
 	c.counts = c.counts.With(out.execution)
 	sent := len(c.body) + headerBytes(c.r)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,6 +47,7 @@
 	relay        *relay          // nil until the request is admitted
 	stream       streamOrigin    // of the stream that the request continues
 	stall        *stallTimer     // current attempt
+	unconfirmed  bool            // nothing states that the answer is complete
 
 	// Evidence that servers crashed while running this request.
 	suspicion    quarantine.Entry
@@ -268,7 +269,8 @@
 		c.logResumption(a)
 		out := c.attempt(ctx, a)
 		if out.execution == retry.Answered {
-			if c.relay.succeeded() {
+			c.unconfirmed = out.verdict == outlier.Unconfirmed
+			if c.relay.succeeded() && !c.unconfirmed {
 				c.clearSuspicion()
 			}
 			return nil
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -17,8 +17,9 @@
 // this gateway ran on them. A process that stopped for another reason counts as crashed.
 //
 // A broken connection alone does not distinguish a process that has crashed from a reset or a
-// truncated answer. A process that has crashed refuses new connections, so the gateway opens one to
-// find out.
+// truncated answer, nor does an answer that ends with its connection. A process that has crashed
+// refuses new connections, so the gateway opens one to find out. After an answer that ended without an
+// error it does so only if it has no open connection to the server, which a crash would have closed.
 
 const (
 	// crashProbeDelay is the time from the first broken connection to a server until the probe, so
@@ -36,23 +37,37 @@
 type crashDetector struct {
 	g *Gateway
 
-	mu            sync.Mutex                        // leaf lock
-	pendingLosses map[string][]quarantine.TimedLoss // by ID of the servers being probed
+	mu     sync.Mutex                // leaf lock
+	probes map[string]*pendingLosses // by ID of the servers being probed
+}
+
+// pendingLosses holds the requests that are lost if their server has crashed.
+type pendingLosses struct {
+	losses []quarantine.TimedLoss
+	broken bool // a connection broke
 }
 
 func newCrashDetector(g *Gateway) *crashDetector {
-	return &crashDetector{g: g, pendingLosses: map[string][]quarantine.TimedLoss{}}
+	return &crashDetector{g: g, probes: map[string]*pendingLosses{}}
 }
 
 // add records a request whose connection broke while it ran, and starts probing its server.
-func (d *crashDetector) add(loss quarantine.TimedLoss) {
+func (d *crashDetector) add(loss quarantine.TimedLoss) { d.addPending(loss, true) }
+
+// addUnconfirmed records a request whose answer ended with its connection.
+func (d *crashDetector) addUnconfirmed(loss quarantine.TimedLoss) { d.addPending(loss, false) }
+
+func (d *crashDetector) addPending(loss quarantine.TimedLoss, broken bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, probing := d.pendingLosses[loss.Server]
-	d.pendingLosses[loss.Server] = append(d.pendingLosses[loss.Server], loss)
-	if !probing {
+	p := d.probes[loss.Server]
+	if p == nil {
+		p = &pendingLosses{}
+		d.probes[loss.Server] = p
 		go d.probe(loss.Pool, loss.Server, loss.Address)
 	}
+	p.losses = append(p.losses, loss)
+	p.broken = p.broken || broken
 }
 
 // forget drops a request that got a complete answer before its lost attempt was attributed to a
@@ -60,8 +75,8 @@
 func (d *crashDetector) forget(k quarantine.Key) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for server, lost := range d.pendingLosses {
-		d.pendingLosses[server] = slices.DeleteFunc(lost, func(loss quarantine.TimedLoss) bool { return loss.Key == k })
+	for _, p := range d.probes {
+		p.losses = slices.DeleteFunc(p.losses, func(loss quarantine.TimedLoss) bool { return loss.Key == k })
 	}
 }
 
@@ -70,16 +85,18 @@
 	if !sleep.For(d.g.ctx, crashProbeDelay) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.g.ctx, crashProbeTimeout)
-	defer cancel()
-	refuses := d.g.cfg.Transport.RefusesConnections(ctx, address)
+	refuses := d.refusesConnections(server, address)
 	d.mu.Lock()
-	lost := d.pendingLosses[server]
-	delete(d.pendingLosses, server)
+	p := d.probes[server]
+	delete(d.probes, server)
 	d.mu.Unlock()
 	if !refuses {
+		if !p.broken {
+			d.g.table.recordAlive(pool, server)
+		}
 		return
 	}
+	lost := p.losses
 	d.g.stats.count("backends_ended", "pool", pool)
 	d.g.suspicions.add(d.g.now(), lost)
 	var keys []string
@@ -89,3 +106,16 @@
 	d.g.cfg.Log.StateChange("backend ended", slog.String("backend", server), slog.String("pool", pool),
 		slog.Int("requests", len(lost)), slog.Any("keys", keys))
 }
+
+// refusesConnections reports whether a server refuses connections.
+func (d *crashDetector) refusesConnections(server, address string) bool {
+	d.mu.Lock()
+	broken := d.probes[server].broken
+	d.mu.Unlock()
+	if !broken && d.g.cfg.Transport.HasOpen(address) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(d.g.ctx, crashProbeTimeout)
+	defer cancel()
+	return d.g.cfg.Transport.RefusesConnections(ctx, address)
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -76,6 +76,9 @@
 	var refusal Refusal
 	var broken brokenAnswer
 	switch {
+	case err == nil && c.unconfirmed:
+		c.g.stats.count("unconfirmed", "route", c.route.Name)
+		c.g.cfg.Log.RoutineFunc("answered", func() []slog.Attr { return c.logAttrs(took) })
 	case err == nil:
 		c.g.stats.count("answered", "route", c.route.Name)
 		c.g.stats.observe(answerSeconds, c.account.Name, c.route.Name, took)
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -182,7 +182,7 @@
 		return false
 	}
 	switch {
-	case v == outlier.Answered:
+	case v == outlier.Answered, v == outlier.Unconfirmed:
 		if r.unreached.recordAnswer(g.now(), a.serverID) {
 			g.table.classifyPoolVersions(p)
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -253,12 +253,23 @@
 
 // recordLoss records an attempt whose connection broke while the request was running.
 func (c *call) recordLoss(a *assignment) {
+	c.g.crashDetector.add(c.lossAt(a))
+	c.losses++
+}
+
+// recordUnconfirmed records an attempt whose answer ended with its connection, which a crash of the server
+// does as well.
+func (c *call) recordUnconfirmed(a *assignment) {
+	c.g.crashDetector.addUnconfirmed(c.lossAt(a))
+}
+
+// lossAt returns the loss of the request if the server of an attempt has crashed.
+func (c *call) lossAt(a *assignment) quarantine.TimedLoss {
 	now := c.g.now()
-	c.g.crashDetector.add(quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
+	return quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.serverID, Address: a.address, RunTime: now - a.startedAt, Retry: c.losses > 0,
 		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(),
-	}})
-	c.losses++
+	}}
 }
 
 // clearSuspicion reports a whole answer to a request that is listed or was lost before.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -67,7 +67,7 @@
 		behave  behaviour
 		cleared int
 	}{
-		{answers(200, "done", 0), 1}, {answers(404, "no", 0), 0}, {answers(500, "no", 0), 0}, {breaksConnection, 0},
+		{answers(200, "done", 0), 1}, {unframed(answers(200, "done", 0)), 0}, {answers(404, "no", 0), 0}, {answers(500, "no", 0), 0}, {breaksConnection, 0},
 		{fails(forward.NotRun{Err: io.EOF}), 0},
 	} {
 		withGateway(t, func(x *fixture) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -67,7 +67,15 @@
 		return outcome{execution: retry.HasRun, cause: "server error", verdict: outlier.Faulty, held: held, err: err}
 	}
 	r.writeHeld(held)
-	return outcome{execution: retry.Answered}
+	return passedOn(answer)
+}
+
+// passedOn returns the outcome of an attempt whose answer the caller has, as far as it came.
+func passedOn(answer *forward.Response) outcome {
+	if answer.Unframed {
+		return outcome{execution: retry.Answered, verdict: outlier.Unconfirmed}
+	}
+	return outcome{execution: retry.Answered, verdict: outlier.Answered}
 }
 
 // relayLarge passes on an answer that is too large to be held.
@@ -76,7 +84,7 @@
 	_, err := io.Copy(callerWriter{r.c.w}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
 	case err == nil:
-		return outcome{execution: retry.Answered}
+		return passedOn(answer)
 	case errors.As(err, new(writeFailed)):
 		return callerLeftOutcome(err)
 	}
@@ -195,10 +203,10 @@
 		r.writeHead(answer.Status, answer.Header, 0, answer.Unframed)
 	}
 	if answer.Unframed && !r.unframed {
-		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.NoVerdict, err: errEndUnknown}
+		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
 	}
 	_ = flusher.Flush() // unflushed bytes are sent when the handler returns
-	return outcome{execution: retry.Answered}
+	return passedOn(answer)
 }
 
 // endOfEvents returns the length of the whole events at the beginning of b. An empty line ends an event;
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -122,6 +122,13 @@
 	p.recentResults = append(p.recentResults, attemptResult{server: server, answered: answered})
 }
 
+// recordAlive records an answer whose end nothing stated and whose server was alive afterwards.
+func (t *table) recordAlive(pool, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pool(pool).recordResult(server, true)
+}
+
 // othersAnswering reports whether servers of the pool other than the given one recently returned
 // complete answers to this gateway. It also returns true if they received no attempts.
 func (t *table) othersAnswering(name, except string) bool {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -133,3 +134,42 @@
 		is.True(got.isFramed())
 	})
 }
+
+// TestCrashThatEndsUnframedAnswerIsDetected guards against a crash that no request is suspected of because
+// its answer seemed to end in order. An answer of a server that goes on is evidence that its pool answers.
+func TestCrashThatEndsUnframedAnswerIsDetected(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			is.Equal(x.request("/again/x").status, 200)
+			if crashed {
+				x.servers.stop("10.0.5.0:80")
+			}
+			time.Sleep(time.Second)
+			is.Equal(len(x.nextReport().Losses) == 1, crashed)
+			is.Equal(x.counter(`badgerspoke_gateway_backends_ended_total{pool="plain"}`) == 1, crashed)
+			is.Equal(len(x.g.table.pool("plain").recentResults) == 1, !crashed)
+		}, unframed(answers(200, "part", time.Millisecond)))
+	}
+}
+
+// TestUnframedAnswerIsNoOutcomeOfItsVersion guards against a rollout that goes on because of answers that
+// may have been broken off.
+func TestUnframedAnswerIsNoOutcomeOfItsVersion(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.setVersions("v1", "v2")
+		x.sendRollout(1, 1, protocol.Rollout{Attempt: 1, Target: "v2", Share: 1})
+		x.renewShares()
+		x.countAnswers("/once/1", 2)
+		got, _ := x.g.table.takeOutcomes(x.g.now())
+		is.Equal([]uint64{got[0].Sent, got[0].Answered, got[0].Failed}, []uint64{2, 0, 0})
+		begun := uint32(0)
+		for _, n := range got[0].PaceCounts {
+			begun += n
+		}
+		is.Equal(begun, uint32(2)) // it shows how soon the answers began
+		is.Equal(x.counter(`badgerspoke_gateway_unconfirmed_total{route="once"}`), uint64(2))
+		is.Equal(x.counter(`badgerspoke_gateway_answered_total{route="once"}`), uint64(0))
+	}, oldAndNew[0], unframed(oldAndNew[1]))
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -244,6 +244,9 @@
 // DropAllIdle closes the idle connections to all addresses.
 func (c *Client) DropAllIdle() { c.transport.CloseIdleConnections() }
 
+// HasOpen reports whether a connection to an address is open and has not failed.
+func (c *Client) HasOpen(address string) bool { return c.conns.hasOpen(address) }
+
 // RefusesConnections reports whether the box at address refuses connections, which means that the process
 // that listened there has ended. It dials the address and closes the connection if one opens.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
