router: state and record the end of an answer only where its server has stated it

Callers saw a part of an answer framed as whole, and with an Idempotency-Key the part was recorded and replayed with a length. Cause: the relay took io.EOF for the end of any answer that is no engine's stream.

Over HTTP/2, where the end of a stream states that it is whole, it is reset after its last byte. An engine's stream states its end itself (its end mark) and keeps its chunks; any other stream that ends inside an event is broken. A cut of an answer without framing is a reset. Gateways and routers share the connection's context in transport/socket.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -209,7 +209,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, Protocols: &protocols,
+		MaxHeaderBytes: maxHeaderBytes, Protocols: &protocols, ConnContext: socket.WithConn,
 		ErrorLog: slog.NewLogLogger(b.cfg.Log.Handler(), slog.LevelDebug),
 	}
 	b.httpServers = append(b.httpServers, s)
--- a/coordination/outlier/consecutive.go
+++ b/coordination/outlier/consecutive.go
@@ -23,6 +23,8 @@
 type streak struct {
 	ejection
 	failures int // consecutive
+	// unconfirmed is the number of unconfirmed trials since the last ejection.
+	unconfirmed int
 }
 
 // NewConsecutive returns a tracker with all servers in use.
@@ -56,6 +58,18 @@
 	}
 }
 
+// Unconfirmed records an answer of the server that nothing states to be complete.
+func (c *Consecutive) Unconfirmed(server string) {
+	s := c.servers[server]
+	if s == nil || !s.inTrial {
+		return
+	}
+	s.inTrial = false
+	if s.unconfirmed++; s.unconfirmed == unconfirmedTrials {
+		delete(c.servers, server)
+	}
+}
+
 // Failed records a failure of the server and reports whether the server is ejected now.
 func (c *Consecutive) Failed(now time.Duration, server string) bool {
 	s := c.servers[server]
@@ -76,6 +90,7 @@
 	if s.until == 0 && 2*(c.ejected()+1) > c.size {
 		return false
 	}
+	s.unconfirmed = 0
 	s.eject(now, minRouterEjection, maxRouterEjection)
 	return true
 }
--- a/coordination/outlier/consecutive_test.go
+++ b/coordination/outlier/consecutive_test.go
@@ -51,3 +51,23 @@
 		}
 	})
 }
+
+// TestUnconfirmedAnswers checks that an answer whose end nothing states neither ends a row of failures nor an
+// ejection, and that a server which gives no others returns after several trials.
+func TestUnconfirmedAnswers(t *testing.T) {
+	is := is.New(t)
+	c := NewConsecutive()
+	c.SetSize(3)
+	for n := range failuresToEject {
+		c.Unconfirmed("s")
+		is.Equal(c.Failed(time.Second, "s"), n == failuresToEject-1)
+	}
+	now := time.Second + minRouterEjection
+	for range unconfirmedTrials {
+		is.True(c.Usable(now, "s"))
+		c.Sent(now, "s")
+		is.True(!c.Usable(now, "s"))
+		c.Unconfirmed("s")
+	}
+	is.Equal(len(c.servers), 0)
+}
--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -219,9 +219,10 @@
 
 // Results of work.
 const (
-	Served    Result = iota // the server answered
-	Failed                  // the server failed
-	Abandoned               // the request left the slot early, which is no evidence about the server
+	Served      Result = iota // the server answered
+	Failed                    // the server failed
+	Abandoned                 // the request left the slot early, which is no evidence about the server
+	Unconfirmed               // the server answered, but nothing states that the answer is complete
 )
 
 // Finish settles work that used a slot and reports whether its server is ejected now.
@@ -240,6 +241,9 @@
 		}
 	case Abandoned:
 		p.placer.Health.Abandoned(server)
+	case Unconfirmed:
+		p.costs.Observe(w.Account, w.Class, cost)
+		p.placer.Health.Unconfirmed(server)
 	}
 	return ejected
 }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines how a call ends: the response to the caller, the counters and the log line.
@@ -33,26 +34,13 @@
 	return ok && left()
 }
 
-// callerResetKey is the context key of the function passed to WithCallerReset.
-type callerResetKey struct{}
-
-// WithCallerReset returns a context with a function that makes the next close of the caller's connection
-// reset it. The gateway calls it when it cuts off an answer whose end nothing but the connection states.
-func WithCallerReset(ctx context.Context, reset func() error) context.Context {
-	return context.WithValue(ctx, callerResetKey{}, reset)
-}
-
 // resetCaller makes the end of the connection show that the answer is incomplete. A chunked answer, or one
 // with a length, shows it without a reset, which could discard what the caller has not read yet.
 func (c *call) resetCaller() {
 	if !c.relay.unframed && c.r.ProtoAtLeast(1, 1) {
 		return
 	}
-	reset, ok := c.r.Context().Value(callerResetKey{}).(func() error)
-	if !ok {
-		return
-	}
-	if err := reset(); err != nil {
+	if err := socket.ResetConn(c.r.Context()); err != nil {
 		c.g.cfg.Log.Failure("connection not reset", slog.String("request", c.head.ID), slog.String("error", err.Error()))
 	}
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"errors"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +14,7 @@
 
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file tests answers that only the end of their connection ends: nothing may conclude from it that
@@ -97,6 +98,18 @@
 	})
 }
 
+// resettableConn records whether its close is to be a reset.
+type resettableConn struct {
+	net.Conn
+	resets bool
+}
+
+// SetLinger is the method of [net.TCPConn].
+func (c *resettableConn) SetLinger(seconds int) error {
+	c.resets = seconds == 0
+	return nil
+}
+
 // TestCutUnframedAnswerResetsItsCaller checks that a known break is visible to a caller for whom only the
 // end of the connection ends the answer.
 func TestCutUnframedAnswerResetsItsCaller(t *testing.T) {
@@ -113,11 +126,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			withGateway(t, func(x *fixture) {
 				is := is.New(x.t)
-				resets := 0
-				ctx := WithCallerReset(x.t.Context(), func() error { resets++; return errors.ErrUnsupported })
-				got := x.requestWith(ctx, http.MethodPost, tt.path, "a body")
+				var conn resettableConn
+				got := x.requestWith(socket.WithConn(x.t.Context(), &conn), http.MethodPost, tt.path, "a body")
 				is.True(got.cut)
-				is.Equal(resets > 0, tt.resets)
+				is.Equal(conn.resets, tt.resets)
 			}, tt.behave)
 		})
 	}
--- a/process/caller.go
+++ b/process/caller.go
@@ -57,8 +57,8 @@
 // a backend server. A close that has not reached the kernel is not detected.
 func (c *callerConn) hasLeft() bool { return isClosed(c.Conn) }
 
-// resetOnClose makes Close send a reset instead of an orderly end. Bytes that are not sent yet are lost.
-func (c *callerConn) resetOnClose() error { return socket.ResetOnClose(c.Conn) }
+// NetConn returns the wrapped connection.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
 
 // isClosed reports whether the peer or this process has closed a connection.
 func isClosed(c net.Conn) bool {
@@ -79,18 +79,10 @@
 	return ended || err != nil // closed on this side
 }
 
-// connectionKey is the context key of the connection on which a request arrived at a listener
-// of [base.listen].
-type connectionKey struct{}
-
-func withConnection(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, conn)
-}
-
 // CallerHasLeft reports whether the caller of a request has closed its connection, so that
 // nobody waits for the answer of a delayed request. ctx is the request's context. The result is
 // false if it holds no connection.
 func CallerHasLeft(ctx context.Context) bool {
-	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
-	return ok && isClosed(conn)
+	conn := socket.ConnFrom(ctx)
+	return conn != nil && isClosed(conn)
 }
--- a/process/caller_test.go
+++ b/process/caller_test.go
@@ -167,7 +167,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		read, resume, left := make(chan struct{}), make(chan struct{}), make(chan bool)
-		s := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		s := &http.Server{ConnContext: socket.WithConn, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.ReadAll(r.Body) // the whole body arrived
 			read <- struct{}{}
 			left <- CallerHasLeft(r.Context())
--- a/process/directory.go
+++ b/process/directory.go
@@ -116,7 +116,7 @@
 	}
 	limit := max(int(apiDescriptorShare*float64(p.cfg.DescriptorLimit)), minAPIConnections)
 	idle := newIdleConnections(limit)
-	p.serve(socket.LimitListener(l, limit), &http.Server{Handler: &p.api, ConnContext: withConnection, ConnState: idle.track})
+	p.serve(socket.LimitListener(l, limit), &http.Server{Handler: &p.api, ConnContext: socket.WithConn, ConnState: idle.track})
 	go idle.sweep(ctx, func() time.Duration { return apiIdleIntervals * p.cfg.AnnounceInterval })
 	return nil
 }
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -115,11 +115,10 @@
 	return limited
 }
 
-// callerContext adds to ctx functions that report whether the caller has disconnected, and that make
-// the close of its connection a reset.
+// callerContext adds to ctx the caller's connection, and a function that reports whether the caller has
+// disconnected.
 func callerContext(ctx context.Context, conn net.Conn) context.Context {
-	c := conn.(*callerConn)
-	return gateway.WithCallerReset(gateway.WithCallerLeft(ctx, c.hasLeft), c.resetOnClose)
+	return gateway.WithCallerLeft(socket.WithConn(ctx, conn), conn.(*callerConn).hasLeft)
 }
 
 // maxConnections returns the limit of callers' connections.
--- a/process/process.go
+++ b/process/process.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	b.serve(l, &http.Server{Handler: h, ConnContext: withConnection})
+	b.serve(l, &http.Server{Handler: h, ConnContext: socket.WithConn})
 	return nil
 }
 
--- a/router/call.go
+++ b/router/call.go
@@ -36,6 +36,8 @@
 	holdsClaim      bool            // the claim was granted and is not settled
 	reservedBytes   int64           // bytes counted in Router.bodyBytes
 	abortConnection bool            // the connection must be closed because the answer is incomplete
+	unframed        bool            // the answer to the caller ends with its connection
+	http2           bool            // the caller uses HTTP/2, where the end of an answer states that it is complete
 	arrivedAt       time.Duration   // by Router.now
 	work            *pool.Work      // queue entry of the current attempt
 }
@@ -178,8 +180,10 @@
 	r.stats.seriesOf(c).requests.Inc()
 	r.stats.seriesOf(c).service.Add(end.cost)
 	if end.failure != nil {
-		r.settle(c, protocol.ClaimUnknown, nil)
 		r.stats.countFailure(end.failure)
+	}
+	if end.failure != nil || end.result == pool.Unconfirmed {
+		r.settle(c, protocol.ClaimUnknown, nil)
 		return false, nil
 	}
 	var recorded *protocol.Answer
--- a/router/callers.go
+++ b/router/callers.go
@@ -21,6 +21,7 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines the callers' interface: paths, API keys, and how an HTTP request becomes a
@@ -202,16 +203,22 @@
 		c.claim.Digest = xxh3.Hash(append([]byte(req.Method+" "+c.forwardCall.Path+"\n"), c.body...))
 	}
 	r.serve(w, req, c)
-	if c.abortConnection {
-		panic(http.ErrAbortHandler)
+	if !c.abortConnection {
+		return nil
 	}
-	return nil
+	if c.unframed || !req.ProtoAtLeast(1, 1) {
+		// Without a reset the caller would take the end of the connection for the end of the answer.
+		if err := socket.ResetConn(req.Context()); err != nil {
+			r.cfg.Log.Warn("connection not reset", "error", err)
+		}
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // newCall checks the headers that callers may set on any call and reads the body. The caller must
 // release the body.
 func (r *Router) newCall(w http.ResponseWriter, req *http.Request, a config.Account) (*call, *Failure) {
-	c := &call{account: a, class: defaultClass, flow: req.Header.Get(userHeader)}
+	c := &call{account: a, class: defaultClass, flow: req.Header.Get(userHeader), http2: req.ProtoMajor >= 2}
 	if len(c.flow) > maxUser {
 		return nil, failHeader.WithMessage(userHeader + " is longer than 128 bytes")
 	}
--- a/router/parse_test.go
+++ b/router/parse_test.go
@@ -103,3 +103,15 @@
 	is.Equal(len(to), 2)
 	is.Equal(strings.Join(to["Content-Type"], ""), "text/plain")
 }
+
+// TestStreamEndingInsideAnEvent checks which ends of a stream are inside an event.
+func TestStreamEndingInsideAnEvent(t *testing.T) {
+	for text, inside := range map[string]bool{
+		"": false, "data: a\n\n": false, "data: a\r\n\r\n": false, "data: a\n\n: comment\n\n": false,
+		"data: a\n": true, "data: a": true, "data: a\r\n": true, "data: a\n\nid": true, strings.Repeat("x", 2*maxLine): true,
+	} {
+		var s streamScan
+		s.write([]byte(text))
+		is.New(t).Equal(s.insideEvent(), inside)
+	}
+}
--- a/router/relay.go
+++ b/router/relay.go
@@ -45,6 +45,7 @@
 	retained         []byte      // body for the register, up to claim.MaxAnswerBytes
 	tooLargeToRetain bool        // the body exceeds claim.MaxAnswerBytes
 	relayedBytes     int64       // bytes of the body received so far
+	length           int64       // of the whole body in bytes, -1 if unknown
 	resumptions      int
 }
 
@@ -62,10 +63,11 @@
 
 // run relays the answer to its end.
 func (r *relay) run(w http.ResponseWriter) relayResult {
-	r.writeHead(w)
 	if isEventStream(r.answer.Header) {
 		r.scan = &streamScan{}
 	}
+	r.length = r.answer.Length
+	r.writeHead(w)
 	callerLeft, err := r.copyBody(w)
 	end := relayResult{cost: r.cost(), result: pool.Served}
 	switch {
@@ -75,12 +77,25 @@
 	case err != nil || r.isTruncated():
 		end.failure, end.result = failBroken, pool.Failed
 		r.signalBrokenAnswer(w, failBroken)
+	case r.endUnknown():
+		end.result = pool.Unconfirmed
+		r.call.abortConnection = !r.call.unframed
 	case !r.tooLargeToRetain:
 		end.wholeBody = r.retained
 	}
 	return end
 }
 
+// statesEnd reports whether the content of the answer states its end, as an engine's stream does.
+func (r *relay) statesEnd() bool {
+	return r.scan != nil && r.call.engine && r.answer.Status == http.StatusOK
+}
+
+// endUnknown reports whether nothing states that an answer which ended without an error is complete.
+func (r *relay) endUnknown() bool {
+	return r.answer.Unframed && !r.statesEnd() && r.relayedBytes != r.length
+}
+
 func (r *relay) writeHead(w http.ResponseWriter) {
 	h := w.Header()
 	for name, values := range r.answer.Header {
@@ -88,6 +103,10 @@
 			h[name] = values
 		}
 	}
+	if r.answer.Unframed && !r.statesEnd() && !r.call.http2 {
+		h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+		r.call.unframed = true
+	}
 	w.WriteHeader(r.answer.Status)
 }
 
@@ -150,7 +169,7 @@
 		return false
 	}
 	r.answer.Body.Close()
-	r.answer.Body = a.Body
+	r.answer.Body, r.answer.Unframed = a.Body, a.Unframed
 	r.router.stats.resumed.Inc()
 	return true
 }
@@ -226,9 +245,12 @@
 const bytesPerToken = 4
 
 // isTruncated reports whether an answer that ended without an error is incomplete, which is the case
-// for an engine's stream without its end mark.
+// for an engine's stream without its end mark and for any other stream that ends inside an event.
 func (r *relay) isTruncated() bool {
-	return r.scan != nil && r.call.engine && r.answer.Status == http.StatusOK && !r.scan.done
+	if r.statesEnd() {
+		return !r.scan.done
+	}
+	return r.scan != nil && r.scan.insideEvent()
 }
 
 // signalBrokenAnswer makes a broken answer visible to the caller: a stream gets an error event, and any other
--- a/router/usage.go
+++ b/router/usage.go
@@ -50,6 +50,7 @@
 	chunks      int    // data lines, except the end mark
 	usage       *usage // last usage seen
 	done        bool   // the end mark was seen
+	inEvent     bool   // the last complete line was not empty
 }
 
 var (
@@ -70,6 +71,7 @@
 		if !s.lineTooLong {
 			s.scanLine(s.partialLine)
 		}
+		s.inEvent = s.lineTooLong || len(bytes.TrimSuffix(s.partialLine, []byte("\r"))) > 0
 		s.partialLine, s.lineTooLong = s.partialLine[:0], false
 		b = b[i+1:]
 	}
@@ -103,6 +105,9 @@
 	}
 }
 
+// insideEvent reports whether the stream so far ends inside an event.
+func (s *streamScan) insideEvent() bool { return s.inEvent || s.lineTooLong || len(s.partialLine) > 0 }
+
 // lineTerminator returns the bytes that end an incomplete line and event, so that an event can be
 // appended.
 func (s *streamScan) lineTerminator() []byte {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -165,6 +165,9 @@
 
 func (c *completion) stream() {
 	c.w.Header().Set("Content-Type", "text/event-stream")
+	if c.failure == Unframed {
+		c.w.Header().Set("Transfer-Encoding", "identity") // makes net/http frame nothing
+	}
 	for i := range c.req.MaxTokens {
 		if c.failure == AbortMidResponse && i == c.req.MaxTokens/2 {
 			panic(http.ErrAbortHandler)
--- a/standin/failure.go
+++ b/standin/failure.go
@@ -22,7 +22,7 @@
 	Truncate            Failure = "truncate"          // engines only: end a stream cleanly but without its end mark
 	Hang                Failure = "hang"              // services only: never respond
 	Unframed            Failure = "unframed"          // no failure: respond without a length or chunks, and close the connection
-	TruncateUnframed    Failure = "truncate-unframed" // as Unframed, but close the connection in the middle of the response
+	TruncateUnframed    Failure = "truncate-unframed" // services only: as Unframed, but close the connection in the middle of the response
 )
 
 // failures holds the failures injected into the next requests and the current backoff.
--- /dev/null
+++ b/transport/socket/context.go
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package socket
+
+import (
+	"context"
+	"net"
+)
+
+// This file defines contexts that hold the connection on which a request arrived.
+
+type connKey struct{}
+
+// WithConn returns a context that holds a connection. It serves as ConnContext of an [http.Server].
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnFrom returns the connection that a context holds, or nil.
+func ConnFrom(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
+// ResetConn makes the connection of a request end with a reset, see [ResetOnClose].
+func ResetConn(ctx context.Context) error { return ResetOnClose(ConnFrom(ctx)) }
--- a/unframed_test.go
+++ b/unframed_test.go
@@ -51,3 +51,35 @@
 		})
 	}
 }
+
+// TestEndMarkStatesEndOfUnframedStream checks that an engine's stream which states its end itself is framed.
+func TestEndMarkStatesEndOfUnframedStream(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		f.engines["e1"].FailNext(standin.Unframed)
+		got := f.do(completion("r1", "hotel", 3, true))
+		is.NoErr(got.err)
+		is.True(got.framed)
+		is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n"))
+	})
+}
+
+// TestResponseOfUnknownEndIsResetOverHTTP2 guards against an end of an HTTP/2 stream, which states that the
+// response is complete.
+func TestResponseOfUnknownEndIsResetOverHTTP2(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		f.client.Transport = &http.Transport{DialContext: f.net.DialerFrom(clientIP).DialContext, Protocols: &protocols}
+		f.services["s1"].FailNext(standin.Unframed)
+		got := f.do(order("r1", "hotel", "towels", ""))
+		is.Equal(got.status, http.StatusOK)
+		is.True(got.err != nil)
+		is.True(strings.HasSuffix(got.body, "}\n"))
+		is.NoErr(f.do(order("r1", "hotel", "sheets", "")).err)
+		f.client.CloseIdleConnections()
+	})
+}
