--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -59,6 +59,8 @@
 	// PoolAnswering is whether other servers of the pool gave complete answers recently. While none
 	// do, a missing answer is no evidence against a request.
 	PoolAnswering bool
+	// Parts are the names of the prompt's shared parts, unless the answer had begun.
+	Parts []string
 	// KnownFailures is the number of consecutive failures that the gateway knew of when the run
 	// began. Only [Recent] uses it.
 	KnownFailures int
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -235,6 +235,9 @@
 	}
 	if out.connectionBroke {
 		attrs = append(attrs, slog.String("key", c.key().String()), slog.Int("ends", c.knownFailures()))
+		if parts := c.unansweredParts(a); len(parts) > 0 {
+			attrs = append(attrs, slog.Any("parts", parts[:min(len(parts), maxLoggedParts)]))
+		}
 	}
 	return attrs
 }
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -3,9 +3,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +34,8 @@
 	// maxLoggedKeys is the number of keys in the log line of a crash. With 64 keys, one per slot of
 	// a large engine, the line stays below the length at which lines are dropped.
 	maxLoggedKeys = 64
+	// maxLoggedParts is the same for the names of prompt parts.
+	maxLoggedParts = 64
 )
 
 // crashDetector collects the requests whose connections broke, by backend server.
@@ -104,7 +109,22 @@
 		keys = append(keys, loss.Key.String())
 	}
 	d.g.cfg.Log.StateChange("backend ended", slog.String("backend", server), slog.String("pool", pool),
-		slog.Int("requests", len(lost)), slog.Any("keys", keys))
+		slog.Int("requests", len(lost)), slog.Any("keys", keys), slog.Any("parts", lostParts(lost)))
+}
+
+// lostParts returns the names of the prompt parts of lost requests whose answers had not begun, the most
+// frequent first.
+func lostParts(lost []quarantine.TimedLoss) []string {
+	counts := map[string]int{}
+	for _, loss := range lost {
+		for _, name := range loss.Parts {
+			counts[name]++
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(counts[b]-counts[a], strings.Compare(a, b))
+	})
+	return names[:min(len(names), maxLoggedParts)]
 }
 
 // refusesConnections reports whether a server refuses connections.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -268,10 +268,21 @@
 	now := c.g.now()
 	return quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.serverID, Address: a.address, RunTime: now - a.startedAt, Retry: c.losses > 0,
-		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(),
+		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(), Parts: c.unansweredParts(a),
 	}}
 }
 
+// unansweredParts returns the names of the prompt's shared parts, or nil if the server has begun to answer.
+func (c *call) unansweredParts(a *assignment) (names []string) {
+	if a.answering {
+		return nil
+	}
+	for _, part := range c.head.Prompt.Shared {
+		names = append(names, part.Name)
+	}
+	return names
+}
+
 // clearSuspicion reports a whole answer to a request that is listed or was lost before.
 func (c *call) clearSuspicion() {
 	if !c.hasSuspicion && c.losses == 0 {
