--- a/directory/crashes_fixture_test.go
+++ b/directory/crashes_fixture_test.go
@@ -31,8 +31,8 @@
 	restartDelay = 1500 * time.Millisecond // from the crash of a server to its restart
 )
 
-// crashingServers are backend servers of one pool. A crashing request, whose body begins with "deadly",
-// crashes the server that begins it.
+// crashingServers are backend servers of one pool. A crashing request, whose body begins with "deadly" or
+// whose prompt has a part with such a name, crashes the server that begins it.
 type crashingServers struct {
 	x           *fleet
 	runTime     time.Duration // run time of a request
@@ -189,8 +189,8 @@
 		return nil, forward.NotRun{Server: at, Err: syscall.ECONNREFUSED}
 	}
 	run := m.runTime
-	if strings.HasPrefix(string(call.Body), "deadly") {
-		m.recordStart(string(call.Body))
+	if cause := crashCause(call); cause != "" {
+		m.recordStart(cause)
 		if m.resets {
 			return nil, forward.MayHaveRun{Server: at, Err: syscall.ECONNRESET}
 		}
@@ -206,6 +206,16 @@
 	return &forward.Response{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: -1, Body: body}, nil
 }
 
+// crashCause returns the body or the prompt part of a call that crashes servers, or "" for a harmless one.
+func crashCause(call forward.Call) string {
+	for _, cause := range append(strings.Fields(call.Header.Get("Parts")), string(call.Body)) {
+		if strings.HasPrefix(cause, "deadly") {
+			return cause
+		}
+	}
+	return ""
+}
+
 // crashingBody is an answer's body, which can be read when the run is over.
 type crashingBody struct {
 	ctx   context.Context
--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -23,6 +23,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/coordination/rollout"
 	"github.com/badgerspoke/badgerspoke/decision"
@@ -40,11 +41,15 @@
 // them with testdata/golden, which pins these external names. Run with -update to rewrite the
 // golden files.
 
-// testHeaders reads a request's identifier.
+// testHeaders reads a request's identifier and the shared parts of its prompt.
 type testHeaders struct{}
 
 func (testHeaders) DecodeRequest(r *http.Request) gateway.RequestHead {
-	return gateway.RequestHead{ID: r.Header.Get("Id"), Timeout: 300 * time.Millisecond}
+	head := gateway.RequestHead{ID: r.Header.Get("Id"), Timeout: 300 * time.Millisecond}
+	for _, name := range strings.Fields(r.Header.Get("Parts")) {
+		head.Prompt.Shared = append(head.Prompt.Shared, place.Part{Name: name, Tokens: 100})
+	}
+	return head
 }
 func (testHeaders) ForwardHeader(from http.Header, _ gateway.Forwarding) http.Header {
 	return from.Clone()
