--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -59,8 +59,10 @@
 	// PoolAnswering is whether other servers of the pool gave complete answers recently. While none
 	// do, a missing answer is no evidence against a request.
 	PoolAnswering bool
-	// Parts are the names of the prompt's shared parts, unless the answer had begun.
+	// Parts are the names of the prompt's shared parts, unless the answer had begun, and Model is the model
+	// that they were for.
 	Parts []string
+	Model string
 	// KnownFailures is the number of consecutive failures that the gateway knew of when the run
 	// began. Only [Recent] uses it.
 	KnownFailures int
@@ -265,6 +267,15 @@
 	}
 }
 
+// Explain records that a crash has another cause than the requests that were running there.
+func (v *Evidence) Explain(id CrashID) {
+	for _, f := range v.failures[id.Server] {
+		if (f.at-id.At).Abs() <= sameFailure && !f.explained {
+			f.explained, v.changed = true, true
+		}
+	}
+}
+
 // Empty reports whether there are neither suspects nor condemned requests.
 func (v *Evidence) Empty() bool { return len(v.suspects) == 0 }
 
--- a/coordination/quarantine/list.go
+++ b/coordination/quarantine/list.go
@@ -89,6 +89,9 @@
 // Entries returns all entries. The map must not be modified.
 func (l List) Entries() map[Key]Entry { return l.entries }
 
+// UndecidedFailures is the number of failures from which a request is undecided.
+const UndecidedFailures = minFailures
+
 // Undecided reports whether a request was running at so many failures that it is either about to be
 // condemned, or shares them with another request.
 func (e Entry) Undecided() bool { return !e.Condemned && e.Failures >= minFailures }
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -105,6 +105,8 @@
 			{Key: []byte("fedcba9876543210"), Pool: "llm", Server: "engine-1#a"},
 		},
 		Cleared: [][]byte{[]byte("0123456789abcdef")}, Term: 96,
+		LostParts:  []LostParts{{Loss: 1, Model: "badger-small", Names: []string{"5c1e07a2", "91bd3f06"}}},
+		BegunParts: [][]byte{[]byte("fedcba9876543210")},
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -134,12 +136,18 @@
 	RelayGateways{Gateways: []RelayGateway{{Gateway: "gateway-1", SupportsHalls: true, SupportsRollouts: true}, {Gateway: "gateway-2"}}},
 	Quarantine{
 		Whole: true, Set: []Quarantined{{Key: []byte("0123456789abcdef"), Hint: 117, Ends: 3, Condemned: true}, {Key: []byte("fedcba9876543210"), Ends: 1}},
-		Removed: [][]byte{[]byte("abcdefghijklmnop")},
+		Removed:        [][]byte{[]byte("abcdefghijklmnop")},
+		SuspectParts:   []SuspectPart{{Key: []byte("0123456789abcdef"), Crashes: 2, AgeMillis: 122}, {Key: []byte("fedcba9876543210"), Crashes: 3}},
+		CondemnedParts: []CondemnedParts{{Parts: [][]byte{[]byte("0123456789abcdef"), []byte("fedcba9876543210")}}},
+		RemovedParts:   [][]byte{[]byte("abcdefghijklmnop")},
 	},
 	QuarantineOrder{Release: []byte("0123456789abcdef")},
 	QuarantineAnswer{
 		Outcome: OrderNotLeader, Reason: "another leads", Leader: "10.0.0.1:7000",
-		Condemned: []CondemnedRequest{{Key: []byte("0123456789abcdef"), Account: "t1", Pool: "llm", Servers: []string{"engine-1#a", "engine-2#b"}}},
+		Condemned: []CondemnedRequest{{
+			Key: []byte("0123456789abcdef"), Account: "t1", Pool: "llm", Servers: []string{"engine-1#a", "engine-2#b"},
+			Parts: []string{"5c1e07a2", "91bd3f06"}, Model: "badger-small",
+		}},
 	},
 	ServingReplicas{List: []ServingReplica{{Address: "10.0.0.1:7000", Hall: "hall-1"}, {Address: "10.0.0.2:7000"}}},
 	Streams{List: []StreamsBegun{{Pool: "llm", Version: "v7", IDs: []byte("0123456789abcdef")}, {Pool: "llm", IDs: []byte("01234567")}}},
@@ -212,7 +220,14 @@
 		return m
 	case Usage:
 		m.Outcomes, m.AppliedRollouts, m.Incremental, m.Barred = nil, 0, false, nil
-		m.Losses, m.Cleared, m.Unread, m.Term = nil, nil, nil, 0
+		m.Losses, m.Cleared, m.Unread, m.Term, m.LostParts, m.BegunParts = nil, nil, nil, 0, nil, nil
+		return m
+	case Quarantine:
+		m.SuspectParts, m.CondemnedParts, m.RemovedParts = nil, nil, nil
+		return m
+	case QuarantineAnswer:
+		m.Condemned = slices.Clone(m.Condemned)
+		m.Condemned[0].Parts, m.Condemned[0].Model = nil, ""
 		return m
 	case Announce:
 		m.List = slices.Clone(m.List)
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -38,6 +38,33 @@
 	Whole   bool          `cbor:"1,keyasint,omitempty"`
 	Set     []Quarantined `cbor:"2,keyasint,omitempty"`
 	Removed [][]byte      `cbor:"3,keyasint,omitempty"` // keys
+	// SuspectParts and CondemnedParts are parts of prompts. RemovedParts are the keys of parts and of
+	// condemned sets that are no longer listed.
+	SuspectParts   []SuspectPart    `cbor:"4,keyasint,omitempty"`
+	CondemnedParts []CondemnedParts `cbor:"5,keyasint,omitempty"`
+	RemovedParts   [][]byte         `cbor:"6,keyasint,omitempty"`
+}
+
+// SuspectPart is a part of prompts whose requests were waiting for their answers on servers that ended.
+type SuspectPart struct {
+	_         struct{} `cbor:",toarray"`
+	Key       []byte
+	Crashes   uint8
+	AgeMillis uint32 // since the first crash, as of sending
+}
+
+// CondemnedParts is a set of parts. A request with all of them must not be sent to any server.
+type CondemnedParts struct {
+	_     struct{} `cbor:",toarray"`
+	Parts [][]byte // keys, sorted
+}
+
+// LostParts are the parts of the prompt of a [Loss] of the same report, if its answer had not begun.
+type LostParts struct {
+	_     struct{} `cbor:",toarray"`
+	Loss  uint32   // index in Usage.Losses
+	Model string
+	Names []string
 }
 
 // QuarantineOrder is sent by an operator's command to any directory replica, as the first
@@ -60,4 +87,7 @@
 	Account string   `cbor:"2,keyasint,omitempty"`
 	Pool    string   `cbor:"3,keyasint,omitempty"`
 	Servers []string `cbor:"4,keyasint,omitempty"` // servers that ended while running it
+	// Parts are set instead of Account if all requests with these parts in their prompts are condemned.
+	Parts []string `cbor:"5,keyasint,omitempty"`
+	Model string   `cbor:"6,keyasint,omitempty"`
 }
--- a/protocol/size_test.go
+++ b/protocol/size_test.go
@@ -41,6 +41,35 @@
 	}
 }
 
+// TestPartMessageSizes checks the bytes that prompt parts take on a link: of a lost request with three parts,
+// and of a listed, a condemned and a removed part.
+func TestPartMessageSizes(t *testing.T) {
+	size := func(m Message) int {
+		b, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	var u, begun Usage
+	var suspects, condemned, removed Quarantine
+	for i := range 64 {
+		key := fmt.Appendf(nil, "key of 16 bytes%c", 'a'+i)[:16]
+		u.LostParts = append(u.LostParts, LostParts{Loss: uint32(i), Model: "badger-small", Names: []string{"5c1e07a2", "91bd3f06", "e4402b7d"}})
+		begun.BegunParts = append(begun.BegunParts, key)
+		suspects.SuspectParts = append(suspects.SuspectParts, SuspectPart{Key: key, Crashes: 3, AgeMillis: 100_000})
+		condemned.CondemnedParts = append(condemned.CondemnedParts, CondemnedParts{Parts: [][]byte{key}})
+		removed.RemovedParts = append(removed.RemovedParts, key)
+	}
+	lost, cleared := (size(u)-size(Usage{}))/64, (size(begun)-size(Usage{}))/64
+	empty := size(Quarantine{})
+	suspect, set, gone := (size(suspects)-empty)/64, (size(condemned)-empty)/64, (size(removed)-empty)/64
+	t.Logf("lost request's parts %d B, begun part %d B, suspected part %d B, condemned part %d B, removed part %d B", lost, cleared, suspect, set, gone)
+	if lost > 50 || cleared > 20 || suspect > 28 || set > 24 || gone > 20 {
+		t.Error("messages are larger than docs/CAPACITY.md allows")
+	}
+}
+
 // TestStreamMessageSizes checks the bytes that a stream takes on a gateway's link, and those of a query and its answer.
 func TestStreamMessageSizes(t *testing.T) {
 	size := func(m Message) int {
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -179,6 +179,10 @@
 	Losses []Loss `cbor:"13,keyasint,omitempty"`
 	// Cleared are the keys of listed requests that got a complete answer at this gateway.
 	Cleared [][]byte `cbor:"14,keyasint,omitempty"`
+	// LostParts are the prompt parts of Losses. Earlier versions do not send them.
+	LostParts []LostParts `cbor:"17,keyasint,omitempty"`
+	// BegunParts are the keys of listed parts of which a request has begun to be answered at this gateway.
+	BegunParts [][]byte `cbor:"18,keyasint,omitempty"`
 	// Unread estimates, by account, the demand on connections that the gateway has not
 	// accepted. It is not included in Demands.
 	Unread []Demand `cbor:"16,keyasint,omitempty"`
