Send no requests with a part that crashes servers

Callers saw servers end one after the other under requests with one part in their prompts, no two alike: 15 and 11 such requests reached servers later than three seconds after the fifth crash, and sound requests were lost with the servers. Cause: suspects were whole requests, and gateways shared nothing about parts. Evidence: the five servers that ended first had no key in common, and no verdict.

Gateways report lost requests with the parts of those that had not begun to be answered; the leader judges (PartEvidence), logs condemned sets and lists them and the suspects at two crashes to all gateways; a gateway reports listed parts of which an answer has begun, also one from before the list. Requests with a condemned set are refused (400, not run), also those that wait for a server, and not sent again; an undecided part waits like an undecided request, but for half of the time left at most. Crashes under a condemned part are no evidence against other requests. A gateway without a leader judges by its own crashes. Operators list and release sets like requests.

--- a/cli/quarantine.go
+++ b/cli/quarantine.go
@@ -18,8 +18,8 @@
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
-// This file defines the commands about condemned requests, whose backend servers ended while
-// running them.
+// This file defines the commands about condemned requests and prompt parts, whose backend servers ended
+// while running them.
 
 // quarantineTimeout bounds all attempts of one command together. It allows for several
 // elections.
@@ -29,8 +29,8 @@
 type quarantineCommand struct{ name, args, summary, example string }
 
 var quarantineCommands = []quarantineCommand{
-	{"list", "", "list the condemned requests, which are sent to no backend server", "badgerspoke quarantine list -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
-	{"release", "KEY", "allow a condemned request to be sent again", "badgerspoke quarantine release 5f0c41d07be2a35f9c41d07be2a35f68 -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
+	{"list", "", "list the condemned requests and prompt parts, which are sent to no backend server", "badgerspoke quarantine list -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
+	{"release", "KEY", "allow a condemned request to be sent again, or those with condemned prompt parts", "badgerspoke quarantine release 5f0c41d07be2a35f9c41d07be2a35f68 -fleet 10.0.0.3:7400 -fleet-key-file fleet.key"},
 }
 
 // runQuarantine runs a command about condemned requests and returns the exit code.
@@ -102,19 +102,21 @@
 	return order, f.readKey()
 }
 
-// condemnedJSON is the JSON form of a condemned request.
+// condemnedJSON is the JSON form of a condemned request or set of prompt parts.
 type condemnedJSON struct {
 	Key     string   `json:"key"`
 	Account string   `json:"account"`
 	Pool    string   `json:"pool"`
 	Servers []string `json:"servers"`
+	Parts   []string `json:"parts,omitempty"`
+	Model   string   `json:"model,omitempty"`
 }
 
 func printCondemned(w io.Writer, asJSON bool, condemned []protocol.CondemnedRequest) {
 	if asJSON {
 		all := []condemnedJSON{}
 		for _, c := range condemned {
-			all = append(all, condemnedJSON{Key: hex.EncodeToString(c.Key), Account: c.Account, Pool: c.Pool, Servers: c.Servers})
+			all = append(all, condemnedJSON{Key: hex.EncodeToString(c.Key), Account: c.Account, Pool: c.Pool, Servers: c.Servers, Parts: c.Parts, Model: c.Model})
 		}
 		out := json.NewEncoder(w)
 		out.SetIndent("", "  ")
@@ -124,8 +126,8 @@
 	}
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	defer t.Flush()
-	fmt.Fprintf(t, "KEY\tACCOUNT\tPOOL\tENDED UNDER IT\n")
+	fmt.Fprintf(t, "KEY\tACCOUNT\tPOOL\tENDED UNDER IT\tPROMPT PARTS\n")
 	for _, c := range condemned {
-		fmt.Fprintf(t, "%x\t%s\t%s\t%s\n", c.Key, c.Account, c.Pool, strings.Join(c.Servers, " "))
+		fmt.Fprintf(t, "%x\t%s\t%s\t%s\t%s\n", c.Key, c.Account, c.Pool, strings.Join(c.Servers, " "), strings.Join(c.Parts, " "))
 	}
 }
--- a/cli/quarantine_test.go
+++ b/cli/quarantine_test.go
@@ -17,6 +17,7 @@
 var condemned = protocol.QuarantineAnswer{Outcome: protocol.OrderDone, Condemned: []protocol.CondemnedRequest{
 	{Key: []byte("0123456789abcdef"), Account: "hotel", Pool: "llm", Servers: []string{"e1", "e2", "e3"}},
 	{Key: []byte("fedcba9876543210"), Pool: "web", Servers: []string{"w1", "w2", "w3"}},
+	{Key: []byte("0011223344556677"), Pool: "llm", Servers: []string{"e4", "e5", "e6"}, Parts: []string{"5c1e07a2", "91bd3f06"}, Model: "badger-small"},
 }}
 
 func TestQuarantineCommands(t *testing.T) {
--- a/directory/crashes_fixture_test.go
+++ b/directory/crashes_fixture_test.go
@@ -206,16 +206,6 @@
 	return &forward.Response{Status: 200, Header: http.Header{"Id": call.Header["Id"]}, Length: -1, Body: body}, nil
 }
 
-// crashCause returns the body or the prompt part of a call that crashes servers, or "" for a harmless one.
-func crashCause(call forward.Call) string {
-	for _, cause := range append(strings.Fields(call.Header.Get("Parts")), string(call.Body)) {
-		if strings.HasPrefix(cause, "deadly") {
-			return cause
-		}
-	}
-	return ""
-}
-
 // crashingBody is an answer's body, which can be read when the run is over.
 type crashingBody struct {
 	ctx   context.Context
--- a/directory/crashingpart_fixture_test.go
+++ b/directory/crashingpart_fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/badgerspoke/badgerspoke/gateway"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
 // This file defines callers of a fleet whose requests share parts of their prompts. One of the parts
@@ -189,3 +190,13 @@
 	is.True(during >= soundAtLeast*before)
 	is.True(sharing >= soundAtLeast*before)
 }
+
+// crashCause returns the body or the prompt part of a call that crashes servers, or "" for a harmless one.
+func crashCause(call forward.Call) string {
+	for _, cause := range append(strings.Fields(call.Header.Get("Parts")), string(call.Body)) {
+		if strings.HasPrefix(cause, "deadly") {
+			return cause
+		}
+	}
+	return ""
+}
--- a/directory/crashingpart_test.go
+++ b/directory/crashingpart_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
+	"github.com/badgerspoke/badgerspoke/directory"
 )
 
 // These tests guard against a part of prompts that crashes every server that begins to answer a request
@@ -114,3 +117,57 @@
 		})
 	})
 }
+
+// TestReleaseOfCondemnedPart checks that an operator can list and release a condemned part, and that it is
+// condemned again after more crashes.
+func TestReleaseOfCondemnedPart(t *testing.T) {
+	withFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		m := x.startCrashingServers(12, 100*time.Millisecond)
+		x.withPartLoad(m, func(l *partLoad) {
+			l.sendCrashing(crashingPartPeriod, 2*time.Second, "deadly")
+			d := x.awaitLeader().d
+			condemned, err := d.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 1)
+			is.Equal(condemned[0].Parts, []string{"deadly"})
+			is.Equal(condemned[0].Pool, "p")
+			is.True(len(condemned[0].Servers) >= 3)
+			k, ok := quarantine.KeyFrom(condemned[0].Key)
+			is.True(ok)
+			before, _ := l.countLate("deadly")
+			is.NoErr(d.Release(x.t.Context(), k))
+			is.Equal(d.Release(x.t.Context(), k), error(directory.NotCondemned{Key: k.String()}))
+			time.Sleep(time.Second)
+			l.sendCrashing(crashingPartPeriod, 2*time.Second, "deadly")
+			after, _ := l.countLate("deadly")
+			t.Logf("begun %d times, and %d times after the release", before, after-before)
+			is.True(after-before >= 3)
+			condemned, err = d.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 1)
+		})
+	})
+}
+
+// TestAnswerReleasesCondemnedPart checks that a condemned part which turns out to be harmless, because a
+// request that was running has been answered, is released at all gateways and in the log.
+func TestAnswerReleasesCondemnedPart(t *testing.T) {
+	withFleet(t, 3, func(x *fleet) {
+		is := is.New(x.t)
+		m := x.startCrashingServers(12, 100*time.Millisecond)
+		x.withPartLoad(m, func(l *partLoad) {
+			l.sendCrashing(crashingPartPeriod, 2*time.Second, "deadly")
+			k := quarantine.Part{Pool: "p", Name: "deadly"}.Key()
+			is.NoErr(x.awaitLeader().d.ReportPartBegun(x.t.Context(), k))
+			time.Sleep(time.Second)
+			condemned, err := x.awaitLeader().d.Condemned()
+			is.NoErr(err)
+			is.Equal(len(condemned), 0)
+			before, _ := l.countLate("deadly")
+			l.sendCrashing(crashingPartPeriod, 300*time.Millisecond, "deadly")
+			after, _ := l.countLate("deadly")
+			is.True(after > before)
+		})
+	})
+}
--- a/directory/export_test.go
+++ b/directory/export_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/document"
 )
@@ -39,3 +40,8 @@
 	})
 	return names, err
 }
+
+// ReportPartBegun reports to the leader that an answer to a request with a prompt part has begun, for tests.
+func (d *Directory) ReportPartBegun(ctx context.Context, k quarantine.Key) error {
+	return d.hub.do(ctx, func() error { d.hub.addPartLosses(protocol.Usage{BegunParts: [][]byte{k[:]}}); return nil })
+}
--- a/directory/golden_test.go
+++ b/directory/golden_test.go
@@ -53,6 +53,9 @@
 	{Condemned: &document.CondemnedChange{Condemn: &document.Condemned{Key: []byte("fedcba9876543210")}}},
 	{Condemned: &document.CondemnedChange{Release: []byte("fedcba9876543210")}},
 	{Spread: &isSpread},
+	{Condemned: &document.CondemnedChange{Condemn: &document.Condemned{
+		Key: []byte("part 56789abcdef"), Pool: "llm", Servers: []string{"engine-4", "engine-5", "engine-6"}, Parts: []string{"5c1e07a2", "91bd3f06"}, Model: "m",
+	}}},
 }
 
 var isSpread = true
@@ -65,16 +68,18 @@
 	is.NoErr(cbor.Unmarshal(golden.Bytes(t, "commands", b), &got))
 	is.True(reflect.DeepEqual(got, goldenCommands)) // the pinned bytes decode to the same value
 	golden.AllSet(t, "join", goldenCommands[12].Join)
-	golden.AllSet(t, "condemned", *goldenCommands[13].Condemned.Condemn)
+	condemned := *goldenCommands[13].Condemned.Condemn
+	condemned.Parts, condemned.Model = goldenCommands[17].Condemned.Condemn.Parts, goldenCommands[17].Condemned.Condemn.Model
+	golden.AllSet(t, "condemned", condemned)
 }
 
 // TestGoldenEarlierLog decodes logs and snapshots written by earlier versions. Their files are
 // never rewritten.
 func TestGoldenEarlierLog(t *testing.T) {
 	for _, before := range []struct {
-		name               string // suffix of the file names
-		commands, rollouts int    // numbers of commands and rollouts in the files
-	}{{"earlier", 7, 0}, {"before-lives", 12, 1}} {
+		name                          string // suffix of the file names
+		commands, rollouts, condemned int    // numbers of commands, rollouts and condemned requests in the files
+	}{{"earlier", 7, 0, 0}, {"before-lives", 12, 1, 0}, {"before-parts", 17, 1, 1}} {
 		is := is.New(t)
 		var got []command
 		is.NoErr(cbor.Unmarshal(readPinned(t, "commands-"+before.name), &got))
@@ -88,7 +93,7 @@
 		is.NoErr(snapshot.Restore(readPinned(t, "snapshot-"+before.name)))
 		is.True(reflect.DeepEqual(snapshot.store, r.store))
 		is.Equal(len(snapshot.Rollouts()), before.rollouts)
-		is.Equal(len(snapshot.Condemned()), 0)
+		is.Equal(len(snapshot.Condemned()), before.condemned)
 	}
 }
 
@@ -112,7 +117,7 @@
 	is := is.New(t)
 	notifications := 0
 	r := newReplicated(0, 0, func() { notifications++ })
-	results := []any{true, true, false, true, true, true, false, true, true, true, true, true, false, true, true, true, true}
+	results := []any{true, true, false, true, true, true, false, true, true, true, true, true, false, true, true, true, true, true}
 	for i, c := range goldenCommands {
 		b, err := cbor.Marshal(c)
 		is.NoErr(err)
@@ -124,7 +129,7 @@
 	is.True(reflect.DeepEqual(held, *goldenCommands[0].Put))
 	is.True(r.Departed("engine-1#a"))
 	is.Equal(r.Joined(), slices.Concat(goldenCommands[2].Join, goldenCommands[6].Join, []protocol.Registration{goldenCommands[12].Join[0].FromWire()}))
-	is.Equal(r.Condemned(), []document.Condemned{*goldenCommands[13].Condemned.Condemn})
+	is.Equal(r.Condemned(), []document.Condemned{*goldenCommands[13].Condemned.Condemn, *goldenCommands[17].Condemned.Condemn})
 	is.True(r.Spread())
 	out, changes := r.HallsOut()
 	is.Equal(out, []string{"hall-a"})
--- a/directory/quarantine.go
+++ b/directory/quarantine.go
@@ -32,6 +32,7 @@
 	condemnedRevision uint64                                // of the log's condemned requests that the list includes
 	unlogged          map[quarantine.Key]document.Condemned // condemned, not yet in the log
 	proposing         bool                                  // whether a change is being proposed
+	parts             partEvidence
 }
 
 // beginEvidence resets the evidence for a new term. The list starts with the log's condemned requests.
@@ -45,6 +46,7 @@
 	for _, e := range condemned {
 		h.evidence.tracker.AddCondemned(e)
 	}
+	h.beginPartEvidence(settle)
 	h.evidence.sentList, h.evidence.condemnedRevision = quarantine.List{}.WithChanges(condemned, nil), h.d.state.condemnedRevision()
 }
 
@@ -56,7 +58,9 @@
 			h.evidence.tracker.Add(now, loss)
 		}
 	}
+	h.addPartLosses(u)
 	if len(u.Losses) > 0 {
+		h.pushParts()
 		h.pushQuarantine() // not with the next tick: until gateways have the list they retry the request
 	}
 	for _, b := range u.Cleared {
@@ -98,6 +102,7 @@
 			Key: verdict.Key[:], Hint: uint32(verdict.Hint), Account: verdict.Account, Pool: verdict.Pool, Servers: verdict.Servers,
 		}
 	}
+	h.stepParts()
 	h.proposeUnlogged()
 	if revision := h.d.state.condemnedRevision(); revision != e.condemnedRevision || e.tracker.TakeChanged() {
 		e.condemnedRevision = revision
@@ -129,17 +134,34 @@
 				return
 			}
 			h.evidence.proposing = false
-			if err == nil && c.Condemn != nil {
-				k, _ := quarantine.KeyFrom(c.Condemn.Key) // valid: it was made from a key
-				delete(h.evidence.unlogged, k)
+			if err == nil {
+				h.recordLogged(c)
 			}
 		})
 	}()
 }
 
+// recordLogged records that a change of the condemned requests and parts is in the log.
+func (h *hub) recordLogged(c document.CondemnedChange) {
+	b := c.Release
+	if c.Condemn != nil {
+		b = c.Condemn.Key
+	}
+	k, _ := quarantine.KeyFrom(b) // valid: it was made from a key
+	if c.Condemn == nil {
+		delete(h.evidence.parts.stale, k)
+		return
+	}
+	delete(h.evidence.unlogged, k)
+	delete(h.evidence.parts.unlogged, k)
+}
+
 // condemnedEntries returns the log's condemned requests as list entries.
 func (h *hub) condemnedEntries() (all []quarantine.Entry) {
 	for _, c := range h.d.state.Condemned() {
+		if len(c.Parts) > 0 {
+			continue
+		}
 		if k, ok := quarantine.KeyFrom(c.Key); ok {
 			all = append(all, quarantine.Entry{Key: k, Hint: quarantine.Hint(c.Hint), Failures: len(c.Servers), Condemned: true})
 		}
@@ -188,39 +210,52 @@
 	return m
 }
 
-// fullQuarantine returns the message with the whole list, which a session starts with.
-func fullQuarantine(l quarantine.List) protocol.Quarantine {
+// fullQuarantine returns the message with the whole lists, which a session starts with.
+func fullQuarantine(now time.Duration, l quarantine.List, parts quarantine.PartList) protocol.Quarantine {
 	var all []quarantine.Entry
 	for _, e := range l.Entries() {
 		all = append(all, e)
 	}
 	m := quarantineMessage(all, nil)
 	m.Whole = true
+	parts.AppendTo(now, &m)
 	return m
 }
 
 // sendQuarantine sends the whole list to a gateway or a relay that opens a session.
 func (h *hub) sendQuarantine(s *session) {
-	l := h.evidence.sentList
+	l, parts := h.evidence.sentList, h.evidence.parts.sentList
 	if h.relay != nil {
-		l = h.relay.quarantine
+		l, parts = h.relay.quarantine, h.relay.parts
 	}
-	s.out.Send(fullQuarantine(l))
+	s.out.Send(fullQuarantine(h.d.replica.Now(), l, parts))
 }
 
 // applyQuarantine applies a list message of the leader and forwards it to the gateways.
 func (r *relay) applyQuarantine(m protocol.Quarantine) {
-	r.quarantine = r.quarantine.Apply(m)
+	r.quarantine, r.parts = r.quarantine.Apply(m), r.parts.Apply(r.h.d.replica.Now(), m)
 	r.h.broadcast(m)
 }
 
 // bufferLosses holds the losses that a gateway reports until the next report to the leader.
 func (r *relay) bufferLosses(u protocol.Usage) {
 	now := r.h.d.replica.Now()
+	first := len(r.losses)
 	for _, l := range u.Losses {
 		r.losses = append(r.losses, bufferedLoss{Loss: l, receivedAt: now})
 	}
+	for _, l := range u.LostParts {
+		if int(l.Loss) < len(u.Losses) {
+			l.Loss += uint32(first)
+			r.lostParts = append(r.lostParts, l)
+		}
+	}
 	r.cleared = append(r.cleared, u.Cleared...)
+	for _, k := range u.BegunParts {
+		if !slices.ContainsFunc(r.begunParts, func(o []byte) bool { return bytes.Equal(o, k) }) {
+			r.begunParts = append(r.begunParts, k)
+		}
+	}
 }
 
 // appendLosses moves the buffered losses to a report and updates their ages.
@@ -230,8 +265,8 @@
 		l.AgeMillis += uint32((now - l.receivedAt).Milliseconds())
 		u.Losses = append(u.Losses, l.Loss)
 	}
-	u.Cleared = r.cleared
-	r.losses, r.cleared = nil, nil
+	u.Cleared, u.LostParts, u.BegunParts = r.cleared, r.lostParts, r.begunParts
+	r.losses, r.cleared, r.lostParts, r.begunParts = nil, nil, nil, nil
 	return u
 }
 
--- a/directory/quarantineorders.go
+++ b/directory/quarantineorders.go
@@ -18,7 +18,9 @@
 type NotCondemned struct{ Key string }
 
 // Error names the key.
-func (e NotCondemned) Error() string { return "no request with the key " + e.Key + " is condemned" }
+func (e NotCondemned) Error() string {
+	return "no request or set of parts with the key " + e.Key + " is condemned"
+}
 
 // Condemned returns the condemned requests, which are sent to no backend server, oldest first. The
 // error is [NotLeader] or [Unavailable].
@@ -56,6 +58,8 @@
 	}
 	h.evidence.tracker.Clear(k)
 	delete(h.evidence.unlogged, k)
+	h.evidence.parts.tracker.Release(k)
+	delete(h.evidence.parts.unlogged, k)
 	return nil
 }
 
@@ -86,7 +90,9 @@
 	}
 	answer := protocol.QuarantineAnswer{Outcome: protocol.OrderDone}
 	for _, c := range condemned {
-		answer.Condemned = append(answer.Condemned, protocol.CondemnedRequest{Key: c.Key, Account: c.Account, Pool: c.Pool, Servers: c.Servers})
+		answer.Condemned = append(answer.Condemned, protocol.CondemnedRequest{
+			Key: c.Key, Account: c.Account, Pool: c.Pool, Servers: c.Servers, Parts: c.Parts, Model: c.Model,
+		})
 	}
 	return answer
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -59,8 +59,11 @@
 	servingReplicas []protocol.ServingReplica // those that serve the region's gateways; set at relays in the leader's region
 
 	quarantine quarantine.List
-	losses     []bufferedLoss // not yet reported to the leader
-	cleared    [][]byte       // keys not yet reported to the leader
+	parts      quarantine.PartList
+	losses     []bufferedLoss       // not yet reported to the leader
+	cleared    [][]byte             // keys not yet reported to the leader
+	lostParts  []protocol.LostParts // of losses
+	begunParts [][]byte             // keys not yet reported to the leader
 }
 
 // relayFrom handles the messages of a session with the leader until it ends: first those that came
--- a/directory/sessioncarryover.go
+++ b/directory/sessioncarryover.go
@@ -39,7 +39,7 @@
 		h: h, serverList: registry.CopyOf(h.d.replica.Now(), h.registry, h.term, out, changes), feed: h.feed,
 		lostAt: h.d.replica.Now(), servingReplicas: h.sentServingReplicas,
 	}
-	r.quarantine = h.evidence.sentList
+	r.quarantine, r.parts = h.evidence.sentList, h.evidence.parts.sentList
 	h.endTermBoundSessions("")
 	h.relay, h.cachedList = r, nil
 	for s := range h.sessions {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,7 +104,7 @@
 	if head.ID != c.head.ID {
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", verdict: outlier.Faulty, err: errCrossed}
 	}
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	success := isSuccess(answer.Status)
 	switch {
 	case success && !head.Signed:
 		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
@@ -195,7 +195,8 @@
 	policy := c.policy(ctx)
 	allowed, fromBudget := policy.MayRetry(out.execution)
 	// A request during which three servers crashed might crash another one.
-	allowed = allowed && c.suspicion.MayRetry(c.losses)
+	c.findPartSuspicion()
+	allowed = allowed && c.suspicion.MayRetry(c.losses) && c.partSuspicion.mayRetry(c.losses)
 	again = allowed && (!fromBudget || c.g.allowRetry(c.pool.Name))
 	c.g.cfg.Log.FailureFunc("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, again) })
 	if again {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,6 +54,10 @@
 	hasSuspicion bool            // suspicion holds an entry
 	losses       int             // attempts whose connection broke
 	cachedKey    *quarantine.Key // nil until call.key is first called
+
+	// Evidence that servers crashed before they answered requests with a part of the prompt.
+	partSuspicion  partSuspicion
+	cachedPartKeys []quarantine.Key // nil until call.partKeys is first called
 }
 
 // defaultMaxBodyBytes applies if the document sets no limit.
@@ -264,6 +268,9 @@
 			c.g.release(a, outlier.NoVerdict)
 			return callerLeft{}
 		}
+		if err := c.checkPartsBeforeSend(a); err != nil {
+			return err
+		}
 		c.assigned = a
 		c.g.stats.countVersion(c.pool.Name, &a.versionAttempt)
 		c.logResumption(a)
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -103,6 +103,7 @@
 	if c.hasSuspicion {
 		attrs = append(attrs, slog.String("key", c.suspicion.Key.String()), slog.Int("ends", c.suspicion.Failures))
 	}
+	attrs = append(attrs, c.partSuspicion.logAttrs()...)
 	if c.spentBeforeArrival > 0 {
 		attrs = append(attrs, milliseconds("spent_ms", c.spentBeforeArrival))
 	}
--- /dev/null
+++ b/gateway/partquarantine.go
@@ -0,0 +1,264 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
+	"github.com/badgerspoke/badgerspoke/protocol"
+)
+
+// This file defines partSuspicions: the parts of prompts whose requests crash backend servers, as listed by
+// the directory's leader and as observed by this gateway, and the parts that it knows to be harmless.
+
+// partSuspicions holds the suspected and condemned parts that this gateway has learned of.
+type partSuspicions struct {
+	now           func() time.Duration
+	followsLeader *atomic.Bool // see suspicions
+	list          atomic.Pointer[quarantine.PartList]
+	recent        atomic.Pointer[quarantine.Recent] // stored while mu is held
+
+	mu       sync.Mutex // leaf lock; guards the fields below
+	evidence *quarantine.PartEvidence
+	begun    quarantine.Begun
+	cleared  []quarantine.Key // not yet reported
+}
+
+func newPartSuspicions(now func() time.Duration, followsLeader *atomic.Bool) *partSuspicions {
+	p := &partSuspicions{now: now, followsLeader: followsLeader, evidence: quarantine.NewPartEvidence(quarantine.SettleTime)}
+	p.list.Store(&quarantine.PartList{})
+	p.recent.Store(&quarantine.Recent{})
+	return p
+}
+
+// setRecent stores the next value of recent. The caller holds mu.
+func (p *partSuspicions) setRecent(r quarantine.Recent) { p.recent.Store(&r) }
+
+// isEmpty reports whether no part is suspected or condemned.
+func (p *partSuspicions) isEmpty() bool {
+	if !p.list.Load().Empty() || !p.recent.Load().Empty() {
+		return false
+	}
+	if p.followsLeader.Load() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evidence.Empty()
+}
+
+// add records the parts of requests that were waiting for their answers at a server that has crashed.
+func (p *partSuspicions) add(now time.Duration, lost []quarantine.TimedLoss) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var losses []quarantine.TimedLoss // of parts
+	for _, loss := range lost {
+		p.evidence.Add(now, loss)
+		for _, part := range quarantine.PartsOf(loss.Loss) {
+			k := part.Key()
+			if !p.begun.Since(k, loss.At) {
+				losses = append(losses, quarantine.TimedLoss{At: loss.At, Loss: quarantine.Loss{
+					Key: k, PoolAnswering: loss.PoolAnswering, KnownFailures: p.knownCrashes(k),
+				}})
+			}
+		}
+	}
+	p.setRecent(p.recent.Load().WithLosses(now, losses))
+}
+
+// knownCrashes returns the number of crashes of a part that the gateway knows of.
+func (p *partSuspicions) knownCrashes(k quarantine.Key) int {
+	listed, _ := p.list.Load().Suspect(k)
+	recent, _ := p.recent.Load().Find(p.now(), k)
+	return max(listed.Crashes, recent.Failures)
+}
+
+// answerBegan records that a request with the given parts has begun to be answered, which clears them.
+func (p *partSuspicions) answerBegan(parts []quarantine.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun.Record(p.now(), parts)
+	for _, k := range parts {
+		p.clear(k, p.followsLeader.Load())
+	}
+}
+
+// clear clears a part that is suspected or condemned, and queues it for the next report if there is a leader
+// to report to. The caller holds mu.
+func (p *partSuspicions) clear(k quarantine.Key, hasLeader bool) {
+	p.evidence.Clear(k)
+	if recent := p.recent.Load(); !recent.Empty() {
+		p.setRecent(recent.Without([]quarantine.Key{k}))
+	}
+	if p.list.Load().Holds(k) && hasLeader && len(p.cleared) < maxUnreported && !slices.Contains(p.cleared, k) {
+		p.cleared = append(p.cleared, k)
+	}
+}
+
+// applyList applies the leader's list. Listed parts of which an answer has begun here since their first
+// crash are cleared at once.
+func (p *partSuspicions) applyList(m protocol.Quarantine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	old := *p.list.Load()
+	current := old.Apply(now, m)
+	if m.Whole {
+		p.setRecent(p.recent.Load().WithMissing(now, suspectEntries(old), suspectEntries(current)))
+	}
+	p.list.Store(&current)
+	for k, s := range current.Suspects() {
+		if p.begun.Since(k, s.Since) {
+			p.clear(k, true)
+		}
+	}
+	for _, b := range m.RemovedParts {
+		if k, ok := quarantine.KeyFrom(b); ok {
+			p.evidence.Clear(k)
+			p.setRecent(p.recent.Load().Without([]quarantine.Key{k}))
+		}
+	}
+}
+
+// suspectEntries returns the suspects and the condemned parts of a list as entries of a [quarantine.List].
+func suspectEntries(l quarantine.PartList) quarantine.List {
+	var entries []quarantine.Entry
+	for k, s := range l.Suspects() {
+		entries = append(entries, quarantine.Entry{Key: k, Failures: s.Crashes})
+	}
+	for _, k := range l.CondemnedParts() {
+		entries = append(entries, quarantine.Entry{Key: k, Failures: quarantine.UndecidedFailures})
+	}
+	return quarantine.List{}.WithChanges(entries, nil)
+}
+
+// addToReport adds the cleared parts to a report.
+func (p *partSuspicions) addToReport(now time.Duration, u *protocol.Usage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setRecent(p.recent.Load().At(now))
+	for _, k := range p.cleared {
+		u.BegunParts = append(u.BegunParts, k[:])
+	}
+	p.cleared = nil
+}
+
+// condemn condemns parts by local evidence while no leader decides, and returns the new verdicts.
+func (p *partSuspicions) condemn(now time.Duration, servers func(pool string) int) []quarantine.PartVerdict {
+	if p.followsLeader.Load() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evidence.Evaluate(now, servers)
+}
+
+// partSuspicion is what a gateway knows of the parts of one request.
+type partSuspicion struct {
+	condemned bool
+	set       quarantine.Key // condemned
+	crashes   int            // the most that one of the parts was at
+}
+
+// find returns what is known of the given parts. The sources are those of [suspicions.find].
+func (p *partSuspicions) find(parts []quarantine.Key) (s partSuspicion) {
+	list := p.list.Load()
+	if s.set, s.condemned = list.Condemned(parts); s.condemned {
+		return s
+	}
+	for _, k := range parts {
+		s.crashes = max(s.crashes, p.knownCrashes(k))
+	}
+	if p.followsLeader.Load() {
+		return s
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if set, condemned := p.evidence.List().Condemned(parts); condemned {
+		return partSuspicion{condemned: true, set: set}
+	}
+	for _, k := range parts {
+		s.crashes = max(s.crashes, p.evidence.Crashes(k))
+	}
+	return s
+}
+
+// undecided reports whether the parts were at so many crashes that one of them is about to be condemned.
+func (s partSuspicion) undecided() bool {
+	return quarantine.Entry{Failures: s.crashes, Condemned: s.condemned}.Undecided()
+}
+
+// mayRetry reports whether a request may be sent again after losses of its own.
+func (s partSuspicion) mayRetry(losses int) bool {
+	return !s.condemned && quarantine.Entry{Failures: s.crashes}.MayRetry(losses)
+}
+
+// logAttrs returns the attributes of log lines.
+func (s partSuspicion) logAttrs() []slog.Attr {
+	switch {
+	case s.condemned:
+		return []slog.Attr{slog.String("part_key", s.set.String())}
+	case s.crashes > 0:
+		return []slog.Attr{slog.Int("part_ends", s.crashes)}
+	}
+	return nil
+}
+
+// partKeys returns the keys of the prompt's shared parts. They are computed on first use.
+func (c *call) partKeys() []quarantine.Key {
+	if c.cachedPartKeys == nil && len(c.head.Prompt.Shared) > 0 {
+		for _, part := range quarantine.PartsOf(quarantine.Loss{Pool: c.pool.Name, Model: c.head.Prompt.Model, Parts: c.partNames()}) {
+			c.cachedPartKeys = append(c.cachedPartKeys, part.Key())
+		}
+	}
+	return c.cachedPartKeys
+}
+
+// partNames returns the names of the prompt's shared parts.
+func (c *call) partNames() (names []string) {
+	for _, part := range c.head.Prompt.Shared {
+		names = append(names, part.Name)
+	}
+	return names
+}
+
+// unansweredParts returns the names of the prompt's shared parts, or nil if the server has begun to answer.
+func (c *call) unansweredParts(a *assignment) []string {
+	if a.answering {
+		return nil
+	}
+	return c.partNames()
+}
+
+// partsBegun records that a successful answer to the request has begun.
+func (c *call) partsBegun() {
+	if parts := c.partKeys(); len(parts) > 0 {
+		c.g.suspicions.parts.answerBegan(parts)
+	}
+}
+
+// findPartSuspicion looks up the prompt's parts.
+func (c *call) findPartSuspicion() {
+	if !c.g.suspicions.parts.isEmpty() {
+		c.partSuspicion = c.g.suspicions.parts.find(c.partKeys())
+	}
+}
+
+// checkPartsBeforeSend refuses a request whose parts were condemned while it waited for a server.
+func (c *call) checkPartsBeforeSend(a *assignment) error {
+	if c.counts.Arrived > 0 {
+		return nil // handleFailure has checked
+	}
+	if c.findPartSuspicion(); !c.partSuspicion.condemned {
+		return nil
+	}
+	c.g.settleLink(a, 0)
+	c.g.release(a, outlier.NoVerdict)
+	return Refusal{Cause: Quarantined}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -37,6 +37,7 @@
 	followsLeader atomic.Bool
 	listedAt      atomic.Int64 // nanoseconds on the gateway's clock; when the last whole list arrived
 
+	parts      *partSuspicions
 	unreported chan struct{} // has a capacity of one; filled while losses wait to be reported
 
 	mu       sync.Mutex // leaf lock; guards the fields below
@@ -47,6 +48,7 @@
 
 func newSuspicions(now func() time.Duration) *suspicions {
 	s := &suspicions{now: now, evidence: quarantine.NewEvidence(quarantine.SettleTime), unreported: make(chan struct{}, 1)}
+	s.parts = newPartSuspicions(now, &s.followsLeader)
 	s.list.Store(&quarantine.List{})
 	s.recent.Store(&quarantine.Recent{})
 	return s
@@ -57,6 +59,7 @@
 
 // add records requests that were running at a server that has crashed.
 func (s *suspicions) add(now time.Duration, lost []quarantine.TimedLoss) {
+	s.parts.add(now, lost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, loss := range lost {
@@ -90,7 +93,7 @@
 
 // isEmpty reports whether no request is suspected or condemned.
 func (s *suspicions) isEmpty() bool {
-	if !s.list.Load().Empty() || !s.recent.Load().Empty() {
+	if !s.list.Load().Empty() || !s.recent.Load().Empty() || !s.parts.isEmpty() {
 		return false
 	}
 	if s.followsLeader.Load() {
@@ -130,6 +133,7 @@
 // another gateway's answer, so their local evidence is dropped. A whole list drops nothing, since a
 // new leader's list lacks what gateways have not reported again.
 func (s *suspicions) applyList(m protocol.Quarantine) {
+	s.parts.applyList(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := *s.list.Load()
@@ -162,11 +166,15 @@
 
 // addToReport adds the queued losses and cleared keys to a report.
 func (s *suspicions) addToReport(now time.Duration, u *protocol.Usage) {
+	s.parts.addToReport(now, u)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setRecent(s.recent.Load().At(now))
 	n := min(len(s.losses), maxLossesPerReport)
 	for _, loss := range s.losses[:n] {
+		if len(loss.Parts) > 0 {
+			u.LostParts = append(u.LostParts, protocol.LostParts{Loss: uint32(len(u.Losses)), Model: loss.Model, Names: loss.Parts})
+		}
 		u.Losses = append(u.Losses, protocol.Loss{
 			Key: loss.Key[:], Hint: uint32(loss.Hint), Account: loss.Account, Pool: loss.Pool, Server: loss.Server, Address: loss.Address,
 			RanMillis: uint32(loss.RunTime.Milliseconds()), AgeMillis: uint32((now - loss.At).Milliseconds()), AfterLoss: loss.Retry,
@@ -191,12 +199,29 @@
 	return s.evidence.Evaluate(now, servers)
 }
 
-// condemnLocally condemns requests by local evidence while the gateway has no session.
+// condemnParts is like condemn for parts of prompts. Their crashes are no evidence against other requests.
+func (s *suspicions) condemnParts(now time.Duration, servers func(pool string) int) []quarantine.PartVerdict {
+	verdicts := s.parts.condemn(now, servers)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range verdicts {
+		for _, id := range v.Crashes {
+			s.evidence.Explain(id)
+		}
+	}
+	return verdicts
+}
+
+// condemnLocally condemns requests and parts by local evidence while the gateway has no session.
 func (g *Gateway) condemnLocally() {
 	for _, v := range g.suspicions.condemn(g.now(), g.table.poolSize) {
 		g.cfg.Log.StateChange("request condemned", slog.String("key", v.Key.String()), slog.String("tenant", v.Account),
 			slog.String("pool", v.Pool), slog.Any("backends", v.Servers), slog.Float64("chance", v.Probability))
 	}
+	for _, v := range g.suspicions.condemnParts(g.now(), g.table.poolSize) {
+		g.cfg.Log.StateChange("parts condemned", slog.String("key", v.Key().String()), slog.Any("parts", v.Names), slog.String("pool", v.Pool),
+			slog.Any("backends", v.Servers), slog.Float64("chance", v.Probability))
+	}
 }
 
 // decisionPollInterval is how often a waiting request checks whether it has been condemned or
@@ -210,26 +235,46 @@
 		return nil
 	}
 	hint := c.hint()
-	c.suspicion, c.hasSuspicion = c.g.suspicions.find(hint, c.key)
-	if c.suspicion.Undecided() && !c.awaitDecision(hint) {
+	c.findSuspicion(hint)
+	if c.isUndecided() && !c.awaitDecision(hint) {
 		return callerLeft{}
 	}
-	if c.suspicion.Condemned {
+	if c.suspicion.Condemned || c.partSuspicion.condemned {
 		return Refusal{Cause: Quarantined}
 	}
 	return nil
 }
 
+// findSuspicion looks up the request and the parts of its prompt.
+func (c *call) findSuspicion(hint quarantine.Hint) {
+	c.suspicion, c.hasSuspicion = c.g.suspicions.find(hint, c.key)
+	c.findPartSuspicion()
+}
+
+// isUndecided reports whether the request or one of its parts is about to be condemned.
+func (c *call) isUndecided() bool {
+	if c.suspicion.Condemned || c.partSuspicion.condemned {
+		return false
+	}
+	return c.suspicion.Undecided() || c.partSuspicion.undecided()
+}
+
 // awaitDecision waits until the request is condemned or cleared, or the maximum wait is over. A
 // leader whose list arrives meanwhile has the whole wait to decide, since gateways report to it
 // only then. It returns false if the caller has left.
 func (c *call) awaitDecision(hint quarantine.Hint) bool {
 	arrived := c.g.now()
-	for c.suspicion.Undecided() && c.g.now() < c.g.suspicions.decisionDue(arrived) {
+	// A part is shared by requests that may all have little time: if none of them were sent, none of their
+	// answers could clear it.
+	partDue := arrived + c.timeLeft()/2
+	for c.isUndecided() && c.g.now() < c.g.suspicions.decisionDue(arrived) {
+		if !c.suspicion.Undecided() && c.g.now() >= partDue {
+			break
+		}
 		if !sleep.For(c.r.Context(), decisionPollInterval) {
 			return false
 		}
-		c.suspicion, c.hasSuspicion = c.g.suspicions.find(hint, c.key)
+		c.findSuspicion(hint)
 	}
 	return true
 }
@@ -268,21 +313,11 @@
 	now := c.g.now()
 	return quarantine.TimedLoss{At: now, Loss: quarantine.Loss{
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.serverID, Address: a.address, RunTime: now - a.startedAt, Retry: c.losses > 0,
-		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(), Parts: c.unansweredParts(a),
+		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(),
+		Parts: c.unansweredParts(a), Model: c.head.Prompt.Model,
 	}}
 }
 
-// unansweredParts returns the names of the prompt's shared parts, or nil if the server has begun to answer.
-func (c *call) unansweredParts(a *assignment) (names []string) {
-	if a.answering {
-		return nil
-	}
-	for _, part := range c.head.Prompt.Shared {
-		names = append(names, part.Name)
-	}
-	return names
-}
-
 // clearSuspicion reports a whole answer to a request that is listed or was lost before.
 func (c *call) clearSuspicion() {
 	if !c.hasSuspicion && c.losses == 0 {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -58,6 +58,9 @@
 		return outcome{execution: retry.MayHaveRun, cause: "cut off", verdict: outlier.Lost, err: err}
 	}
 	r.c.g.recordFirstPart(a, r.c.pool.Engine)
+	if isSuccess(answer.Status) && (len(body) > 0 || !answer.Unframed) {
+		r.c.partsBegun()
+	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}
 	if len(body) == maxHeldAnswer {
 		return r.relayLarge(answer, held)
@@ -145,8 +148,10 @@
 }
 
 // succeeded reports whether a success was written to the caller.
-func (r *relay) succeeded() bool {
-	return r.status >= http.StatusOK && r.status < http.StatusMultipleChoices
+func (r *relay) succeeded() bool { return isSuccess(r.status) }
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
 // relayStream passes on the events of a stream, each as soon as it is whole.
@@ -184,6 +189,7 @@
 	r.c.stall.progressed()
 	if !a.answering {
 		r.c.g.recordFirstPart(a, r.c.pool.Engine)
+		r.c.partsBegun()
 	}
 	if !r.headWritten {
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
--- a/state/document/condemned.go
+++ b/state/document/condemned.go
@@ -7,8 +7,8 @@
 	"slices"
 )
 
-// This file defines Condemned, a request that crashed several backend servers and is no longer
-// sent to any.
+// This file defines Condemned, a request or a part of prompts that crashed several backend servers and is
+// no longer sent to any.
 //
 // Condemned requests do not expire: each retry of an expired one would crash another server.
 
@@ -20,13 +20,16 @@
 	MaxCondemnedPerAccount = 128
 )
 
-// Condemned identifies a condemned request and records how it was condemned.
+// Condemned identifies a condemned request, or a set of parts of which no request may have all, and records
+// how it was condemned. Sets of parts have no account and count together as those of one.
 type Condemned struct {
 	Key     []byte   `cbor:"1,keyasint"` // computed by package quarantine
 	Hint    uint32   `cbor:"2,keyasint,omitempty"`
 	Account string   `cbor:"3,keyasint,omitempty"`
 	Pool    string   `cbor:"4,keyasint,omitempty"`
 	Servers []string `cbor:"5,keyasint,omitempty"` // servers that crashed on it, oldest first
+	Parts   []string `cbor:"6,keyasint,omitempty"` // names of the parts; empty for a request
+	Model   string   `cbor:"7,keyasint,omitempty"` // of the parts
 }
 
 // CondemnedChange condemns or releases a request. Exactly one field is set.
