quarantine: bound what listing and judging parts costs

In a series of crashes parts that are asked for everywhere were listed, cleared and listed again, and each judgement went through all crashes for each run of a record: 16 kB a second for each gateway at 600 crashes a second, and minutes of processor time.

TestInnocentPartsAreNotCondemned unchanged. TestCrashingPartWithoutDirectory: gateways that reach no directory.

--- a/coordination/quarantine/partevidence.go
+++ b/coordination/quarantine/partevidence.go
@@ -21,9 +21,9 @@
 	maxPartSuspects = 1024
 	// maxPartSets bounds the condemned sets of parts.
 	maxPartSets = 128
-	// maxPartsPerRequest bounds the parts of one request that are considered, the last ones: parts at the
+	// MaxPartsPerRequest bounds the parts of one request that are considered, the last ones: parts at the
 	// front are shared by the most requests.
-	maxPartsPerRequest = 16
+	MaxPartsPerRequest = 16
 	// maxPartRequests bounds the requests that are kept for a part at one crash.
 	maxPartRequests = 8
 )
@@ -37,6 +37,10 @@
 	suspects map[Key]*partSuspect
 	sets     []PartSet // condemned, oldest first
 	changed  bool
+
+	listed        map[Key]bool // suspects in the last List
+	listingBudget float64      // suspects that may be listed now
+	listingAt     time.Duration
 }
 
 // crash is one crash of a server.
@@ -65,12 +69,12 @@
 // NewPartEvidence returns empty evidence. A part is not condemned for a crash until settle has passed since
 // its report.
 func NewPartEvidence(settle time.Duration) *PartEvidence {
-	return &PartEvidence{settle: settle, crashes: map[string][]*crash{}, suspects: map[Key]*partSuspect{}}
+	return &PartEvidence{settle: settle, crashes: map[string][]*crash{}, suspects: map[Key]*partSuspect{}, listed: map[Key]bool{}}
 }
 
 // PartsOf returns the parts of a lost request that count.
 func PartsOf(loss Loss) (parts []Part) {
-	for _, name := range loss.Parts[max(len(loss.Parts)-maxPartsPerRequest, 0):] {
+	for _, name := range loss.Parts[max(len(loss.Parts)-MaxPartsPerRequest, 0):] {
 		parts = append(parts, Part{Pool: loss.Pool, Model: loss.Model, Name: name})
 	}
 	return parts
@@ -88,7 +92,7 @@
 	for _, p := range parts {
 		keys = append(keys, p.Key())
 	}
-	if slices.ContainsFunc(v.sets, func(s PartSet) bool { return hasAll(keys, s.Keys()) }) {
+	if _, condemned := v.Condemned(keys); condemned {
 		c.explained, v.changed = true, true
 		return true
 	}
@@ -226,6 +230,16 @@
 // Sets returns the condemned sets, oldest first.
 func (v *PartEvidence) Sets() []PartSet { return slices.Clone(v.sets) }
 
+// Condemned reports whether a request with the given parts is condemned, and the key of the set.
+func (v *PartEvidence) Condemned(parts []Key) (set Key, condemned bool) {
+	for _, s := range v.sets {
+		if hasAll(parts, s.Keys()) {
+			return s.Key(), true
+		}
+	}
+	return Key{}, false
+}
+
 // Empty reports whether there are neither suspects nor condemned sets.
 func (v *PartEvidence) Empty() bool { return len(v.suspects)+len(v.sets) == 0 }
 
--- a/coordination/quarantine/partevidence_test.go
+++ b/coordination/quarantine/partevidence_test.go
@@ -192,7 +192,7 @@
 		for _, name := range names {
 			keys = append(keys, partKey(name))
 		}
-		_, condemned := s.v.List().Condemned(keys)
+		_, condemned := s.v.List(s.now).Condemned(keys)
 		return condemned
 	}
 	is.True(condemned("first", "bad", "beside"))
--- a/coordination/quarantine/partlist.go
+++ b/coordination/quarantine/partlist.go
@@ -16,8 +16,11 @@
 	// minListedCrashes is the number of crashes from which a part is listed. Most parts are at one crash, and
 	// their next answer clears them.
 	minListedCrashes = 2
-	// maxListedParts bounds the listed suspects, at 30 bytes each. Those with the most crashes are listed.
-	maxListedParts = 128
+	// maxListedParts bounds the listed suspects, at 24 bytes each.
+	maxListedParts = 64
+	// maxListingRate bounds the suspects that are newly listed in a second. In a series of crashes many parts
+	// come and go, at about 65 bytes for each gateway.
+	maxListingRate = 100
 )
 
 // SuspectPart is a suspected part of a [PartList].
@@ -33,10 +36,12 @@
 	members  map[Key][]Key // keys of the sets by key of a part
 }
 
-// List returns the suspects and the condemned sets as they are sent to gateways.
-func (v *PartEvidence) List() PartList {
+// List returns the suspects and the condemned sets as they are sent to gateways. A suspect remains listed
+// until it is cleared; those with the most crashes are listed first.
+func (v *PartEvidence) List(now time.Duration) PartList {
+	v.updateListed(now)
 	l := PartList{suspects: map[Key]SuspectPart{}}
-	for _, k := range v.listedSuspects() {
+	for k := range v.listed {
 		crashes := v.suspects[k].unexplained()
 		l.suspects[k] = SuspectPart{Crashes: min(len(crashes), minFailures), Since: crashes[0].at}
 	}
@@ -46,22 +51,35 @@
 	return l
 }
 
-// listedSuspects returns the suspects that are listed, those with the most crashes.
-func (v *PartEvidence) listedSuspects() (keys []Key) {
+// updateListed removes the listed parts that are no longer suspected, and lists others within the bounds.
+func (v *PartEvidence) updateListed(now time.Duration) {
+	v.listingBudget = min(v.listingBudget+(now-v.listingAt).Seconds()*maxListingRate, maxListedParts)
+	v.listingAt = now
 	counts := map[Key]int{}
+	var waiting []Key
 	for k := range v.suspects {
-		if n := v.Crashes(k); n >= minListedCrashes {
-			keys = append(keys, k)
-			counts[k] = n
+		counts[k] = v.Crashes(k)
+		switch {
+		case counts[k] < minListedCrashes:
+			delete(v.listed, k)
+		case !v.listed[k]:
+			waiting = append(waiting, k)
 		}
 	}
-	slices.SortFunc(keys, func(a, b Key) int {
+	maps.DeleteFunc(v.listed, func(k Key, _ bool) bool { return v.suspects[k] == nil })
+	slices.SortFunc(waiting, func(a, b Key) int {
 		if counts[a] != counts[b] {
 			return counts[b] - counts[a]
 		}
 		return compareKeys(a, b)
 	})
-	return keys[:min(len(keys), maxListedParts)]
+	for _, k := range waiting {
+		if len(v.listed) >= maxListedParts || v.listingBudget < 1 {
+			return
+		}
+		v.listed[k] = true
+		v.listingBudget--
+	}
 }
 
 // withSet returns the list with a condemned set.
--- a/coordination/quarantine/partlist_test.go
+++ b/coordination/quarantine/partlist_test.go
@@ -39,7 +39,7 @@
 				s.crash(fmt.Sprint(s.now), shortRun, []string{name(), name()})
 			}
 			var changes, whole protocol.Quarantine
-			current := s.v.List()
+			current := s.v.List(s.now)
 			sent.AppendChanges(s.now, current, &changes)
 			sent, held = current, held.Apply(s.now, changes)
 			whole.Whole = true
@@ -80,12 +80,12 @@
 	for i := range 2 * maxListedParts {
 		s.crash("a", shortRun, []string{fmt.Sprint(i)})
 	}
-	is.True(s.v.List().Empty())
+	is.True(s.v.List(s.now).Empty())
 	s.now += 2 * time.Second
 	for i := range 2 * maxListedParts {
 		s.crash("b", shortRun, []string{fmt.Sprint(i)})
 	}
-	is.Equal(len(s.v.List().Suspects()), maxListedParts)
+	is.Equal(len(s.v.List(s.now).Suspects()), maxListedParts)
 }
 
 // TestBegun checks how long parts with answers are remembered, and how many.
@@ -106,3 +106,56 @@
 	}
 	is.True(len(b.current)+len(b.older) <= 2*maxBegun)
 }
+
+// TestPartListBytes bounds the bytes a second that each gateway gets of the list, and that all of them report,
+// while servers crash all the time and parts are cleared.
+func TestPartListBytes(t *testing.T) {
+	const (
+		length         = time.Minute
+		crashPeriod    = 50 * time.Millisecond
+		crashesPerTick = 2      // of the leader, which sends changes then
+		requests       = 30     // waiting at a crash
+		maxListRate    = 10_000 // bytes a second: what a node may spend on control
+		maxReportRate  = 60_000 // bytes a second of all gateways together, at the leader
+	)
+	size := func(m protocol.Message) int {
+		b, err := protocol.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	rng := rand.New(rand.NewPCG(8, 8))
+	s := newPartScenario()
+	var sent PartList
+	listed, reported := 0, 0
+	for at := time.Duration(0); at < length; at += crashPeriod {
+		s.now += crashPeriod
+		var u protocol.Usage
+		server := fmt.Sprint("server", rng.IntN(2000))
+		for i := range requests {
+			parts := []string{fmt.Sprint("account", rng.IntN(30)), fmt.Sprint("part", int(rng.ExpFloat64()*300))}
+			s.crash(server, shortRun, parts)
+			u.LostParts = append(u.LostParts, protocol.LostParts{Loss: uint32(i), Model: "m", Names: parts})
+		}
+		for k := range sent.Suspects() {
+			if rng.IntN(3) == 0 { // an answer begins
+				s.v.Clear(k)
+				u.BegunParts = append(u.BegunParts, k[:])
+			}
+		}
+		reported += size(u)
+		s.v.Evaluate(s.now, nineServers)
+		var m protocol.Quarantine
+		next := s.v.List(s.now)
+		if sent.AppendChanges(s.now, next, &m) {
+			listed += size(m)
+		}
+		sent = next
+	}
+	seconds := int(length / time.Second)
+	t.Logf("list %d B a second to each gateway, reports %d B a second in all", listed/seconds, reported/seconds)
+	if listed/seconds > maxListRate || reported/seconds > maxReportRate {
+		t.Errorf("want at most %d and %d", maxListRate, maxReportRate)
+	}
+}
--- a/coordination/quarantine/partverdict.go
+++ b/coordination/quarantine/partverdict.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -38,10 +39,16 @@
 // servers in a pool.
 func (v *PartEvidence) Evaluate(now time.Duration, servers func(pool string) int) (all []PartVerdict) {
 	v.expire(now)
-	for _, k := range v.candidates(now) {
-		if verdict, condemned := v.evaluatePart(now, k, servers); condemned {
+	candidates := v.candidates(now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	history := newCrashHistory(now, v.allCrashes)
+	for _, k := range candidates {
+		if verdict, condemned := v.evaluatePart(now, k, history, servers); condemned {
 			v.condemn(&verdict, k)
 			all = append(all, verdict)
+			history = newCrashHistory(now, v.allCrashes)
 		}
 	}
 	return all
@@ -70,7 +77,7 @@
 }
 
 // evaluatePart returns the verdict on a part and its companions, and whether they are condemned.
-func (v *PartEvidence) evaluatePart(now time.Duration, k Key, servers func(pool string) int) (PartVerdict, bool) {
+func (v *PartEvidence) evaluatePart(now time.Duration, k Key, history crashHistory, servers func(pool string) int) (PartVerdict, bool) {
 	s := v.suspects[k]
 	var settled []*crash
 	for _, c := range s.unexplained() {
@@ -84,7 +91,7 @@
 	for _, record := range [][]*crash{sequence(settled, k), separate(settled)} {
 		companions := v.companions(k, record)
 		enough := len(record) >= decisiveCrashes || len(record) >= minFailures && isSequence(record, k) && !v.isShared(k, companions, record)
-		p := v.recordProbability(now, k, record, servers)
+		p := v.recordProbability(now, k, record, history, servers)
 		if !enough || p > maxProbability {
 			continue
 		}
@@ -180,40 +187,70 @@
 
 // recordProbability returns the probability that all runs of a record are lost to crashes with another
 // cause.
-func (v *PartEvidence) recordProbability(now time.Duration, k Key, record []*crash, servers func(pool string) int) float64 {
+func (v *PartEvidence) recordProbability(now time.Duration, k Key, record []*crash, history crashHistory, servers func(pool string) int) float64 {
+	own := newCrashHistory(now, slices.Values(v.suspects[k].crashes))
 	product := 1.0
 	for _, c := range record {
-		rate := v.crashRate(now, k, c, servers)
+		rate := history.without(own).rate(now, c, servers)
 		product *= min(rate*max(c.parts[k].length, minRunTime).Seconds(), 1)
 	}
 	return product
 }
 
-// crashRate returns the crashes per second of the server of a crash, estimated from the crashes at which
-// the part was not.
-func (v *PartEvidence) crashRate(now time.Duration, k Key, of *crash, servers func(pool string) int) float64 {
-	long, short, burst, sameAddress := 1, 0, 0, 0 // one more than observed, so that the rate is never 0
+// crashHistory holds the times of unexplained crashes within longWindow.
+type crashHistory struct {
+	byPool    map[string][]time.Duration // sorted
+	byAddress map[string]int
+	except    *crashHistory // crashes that do not count, or nil
+}
+
+func newCrashHistory(now time.Duration, crashes iter.Seq[*crash]) crashHistory {
+	h := crashHistory{byPool: map[string][]time.Duration{}, byAddress: map[string]int{}}
+	for c := range crashes {
+		if !c.explained && now-c.at <= longWindow {
+			h.byPool[c.pool] = append(h.byPool[c.pool], c.at)
+			h.byAddress[c.address]++
+		}
+	}
+	for _, times := range h.byPool {
+		slices.Sort(times)
+	}
+	return h
+}
+
+func (h crashHistory) without(o crashHistory) crashHistory {
+	h.except = &o
+	return h
+}
+
+// between returns the number of crashes in a pool from one time to another, both included.
+func (h crashHistory) between(pool string, from, to time.Duration) int {
+	first, _ := slices.BinarySearch(h.byPool[pool], from)
+	end, _ := slices.BinarySearch(h.byPool[pool], to+1)
+	n := end - first
+	if h.except != nil {
+		n -= h.except.between(pool, from, to)
+	}
+	return n
+}
+
+// rate returns the estimated crashes per second of the server of a crash.
+func (h crashHistory) rate(now time.Duration, c *crash, servers func(pool string) int) float64 {
+	long := 1 + h.between(c.pool, now-longWindow, now) // one more than observed, so that the rate is never 0
+	short := h.between(c.pool, now-shortWindow, now)
+	burst := h.between(c.pool, c.at-burstWindow/2, c.at+burstWindow/2)
+	rate := max(float64(long)/longWindow.Seconds(), float64(short)/shortWindow.Seconds(), float64(burst)/burstWindow.Seconds())
+	sameAddress := h.byAddress[c.address] - h.except.byAddress[c.address]
+	return rate/float64(max(servers(c.pool), 1)) + float64(sameAddress)/longWindow.Seconds()
+}
+
+// allCrashes yields all recorded crashes.
+func (v *PartEvidence) allCrashes(yield func(*crash) bool) {
 	for _, crashes := range v.crashes {
-		for _, c := range slices.Backward(crashes) {
-			age := now - c.at
-			if age > longWindow {
-				break
-			}
-			if c.pool != of.pool || c.explained || c.parts[k] != nil {
-				continue
-			}
-			long++
-			if age <= shortWindow {
-				short++
-			}
-			if (c.at - of.at).Abs() <= burstWindow/2 {
-				burst++
-			}
-			if c.address == of.address {
-				sameAddress++
+		for _, c := range crashes {
+			if !yield(c) {
+				return
 			}
 		}
 	}
-	rate := max(float64(long)/longWindow.Seconds(), float64(short)/shortWindow.Seconds(), float64(burst)/burstWindow.Seconds())
-	return rate/float64(max(servers(of.pool), 1)) + float64(sameAddress)/longWindow.Seconds()
 }
--- a/directory/crashingpart_test.go
+++ b/directory/crashingpart_test.go
@@ -171,3 +171,20 @@
 		})
 	})
 }
+
+// TestCrashingPartWithoutDirectory checks that gateways which reach no directory judge by their own crashes.
+func TestCrashingPartWithoutDirectory(t *testing.T) {
+	withFleet(t, 3, func(x *fleet) {
+		m := x.startCrashingServers(12, 100*time.Millisecond)
+		x.withPartLoad(m, func(l *partLoad) {
+			for _, ip := range x.ips {
+				x.net.Cut(ip)
+			}
+			time.Sleep(2 * time.Second)
+			l.sendCrashing(crashingPartPeriod, 8*time.Second, "deadly")
+			began, _ := l.countLate("deadly")
+			t.Logf("begun %d times at %d gateways", began, partGateways)
+			is.New(x.t).True(began <= partGateways*6) // five crashes at each, and one request under way
+		})
+	})
+}
--- a/directory/partquarantine.go
+++ b/directory/partquarantine.go
@@ -34,7 +34,7 @@
 			p.tracker.AddCondemned(quarantine.PartSet{Pool: c.Pool, Model: c.Model, Names: c.Parts, Servers: c.Servers})
 		}
 	}
-	p.sentList = p.tracker.List()
+	p.sentList = p.tracker.List(h.d.replica.Now())
 	h.evidence.parts = p
 }
 
@@ -129,7 +129,7 @@
 // pushParts sends changes of the list of parts to the gateways.
 func (h *hub) pushParts() {
 	now, p := h.d.replica.Now(), &h.evidence.parts
-	current := p.tracker.List()
+	current := p.tracker.List(now)
 	var m protocol.Quarantine
 	if p.sentList.AppendChanges(now, current, &m) {
 		h.broadcast(m)
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -291,6 +291,32 @@
 	}
 }
 
+// BenchmarkParts measures what the parts of a prompt cost a request: their keys, the check against a list and
+// the record that an answer has begun.
+func BenchmarkParts(b *testing.B) {
+	g := &Gateway{suspicions: newSuspicions(monotonic())}
+	g.suspicions.followsLeader.Store(true)
+	var m protocol.Quarantine
+	for i := range 64 {
+		k := quarantine.Part{Pool: "p", Name: fmt.Sprint("other", i)}.Key()
+		m.SuspectParts = append(m.SuspectParts, protocol.SuspectPart{Key: k[:], Crashes: 2})
+	}
+	prompt := place.Prompt{Model: "m", Shared: []place.Part{{Name: "5c1e07a2"}, {Name: "91bd3f06"}, {Name: "e4402b7d"}}}
+	for _, listed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("listed=%t", listed), func(b *testing.B) {
+			if listed {
+				g.suspicions.parts.applyList(m)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c := &call{g: g, head: RequestHead{Prompt: prompt}, pool: document.Pool{Name: "p"}}
+				c.findPartSuspicion()
+				c.partsBegun()
+			}
+		})
+	}
+}
+
 // BenchmarkLoadReport measures the periodic work of a gateway with two requests in flight and
 // 10,000 listed servers: its report and the update from the leader's sums, ten times per second.
 func BenchmarkLoadReport(b *testing.B) {
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -28,10 +28,16 @@
 	evidence *quarantine.PartEvidence
 	begun    quarantine.Begun
 	cleared  []quarantine.Key // not yet reported
+
+	keysMu sync.Mutex                         // leaf lock
+	keys   map[quarantine.Part]quarantine.Key // of parts seen lately, at most maxPartKeys
 }
 
+// maxPartKeys bounds the keys that are kept because a hash costs more than a lookup.
+const maxPartKeys = 2048
+
 func newPartSuspicions(now func() time.Duration, followsLeader *atomic.Bool) *partSuspicions {
-	p := &partSuspicions{now: now, followsLeader: followsLeader, evidence: quarantine.NewPartEvidence(quarantine.SettleTime)}
+	p := &partSuspicions{now: now, followsLeader: followsLeader, evidence: quarantine.NewPartEvidence(quarantine.SettleTime), keys: map[quarantine.Part]quarantine.Key{}}
 	p.list.Store(&quarantine.PartList{})
 	p.recent.Store(&quarantine.Recent{})
 	return p
@@ -180,7 +186,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if set, condemned := p.evidence.List().Condemned(parts); condemned {
+	if set, condemned := p.evidence.Condemned(parts); condemned {
 		return partSuspicion{condemned: true, set: set}
 	}
 	for _, k := range parts {
@@ -210,12 +216,32 @@
 	return nil
 }
 
-// partKeys returns the keys of the prompt's shared parts. They are computed on first use.
-func (c *call) partKeys() []quarantine.Key {
-	if c.cachedPartKeys == nil && len(c.head.Prompt.Shared) > 0 {
-		for _, part := range quarantine.PartsOf(quarantine.Loss{Pool: c.pool.Name, Model: c.head.Prompt.Model, Parts: c.partNames()}) {
-			c.cachedPartKeys = append(c.cachedPartKeys, part.Key())
+// keyOf returns the key of a part.
+func (p *partSuspicions) keyOf(part quarantine.Part) quarantine.Key {
+	p.keysMu.Lock()
+	defer p.keysMu.Unlock()
+	k, known := p.keys[part]
+	if !known {
+		if len(p.keys) >= maxPartKeys {
+			clear(p.keys)
 		}
+		k = part.Key()
+		p.keys[part] = k
+	}
+	return k
+}
+
+// partKeys returns the keys of the prompt's shared parts that count. They are looked up on first use.
+func (c *call) partKeys() []quarantine.Key {
+	shared := c.head.Prompt.Shared
+	if c.cachedPartKeys != nil || len(shared) == 0 {
+		return c.cachedPartKeys
+	}
+	shared = shared[max(len(shared)-quarantine.MaxPartsPerRequest, 0):]
+	c.cachedPartKeys = make([]quarantine.Key, 0, len(shared))
+	for _, part := range shared {
+		k := c.g.suspicions.parts.keyOf(quarantine.Part{Pool: c.pool.Name, Model: c.head.Prompt.Model, Name: part.Name})
+		c.cachedPartKeys = append(c.cachedPartKeys, k)
 	}
 	return c.cachedPartKeys
 }
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -70,6 +70,7 @@
 		return Refusal{Cause: VersionGone, RetryAfter: retry.LongDelay} // the route was moved
 	}
 	c.pool, c.stream.version, c.stream.source = c.routes.pools[origin.Pool], origin.Version, source
+	c.cachedPartKeys = nil // they depend on the pool
 	return nil
 }
 
