--- a/decision/explain.go
+++ b/decision/explain.go
@@ -50,7 +50,7 @@
 	"too-late":             "the caller's deadline came before any answer could have begun: see 'took_ms', and 'processor pressure' on that node",
 	"no-common-home":       "the regions of the route and those of the tenant have none in common: compare 'document' with what the operator put",
 	"homes-without-server": "no backend of the pool is known in the regions where it may be served: see 'homes', 'backends changed', and the halls' regions in that node's settings",
-	"quarantined":          "backends end under this request, by 'key' and not by its identifier: see 'backend ended', and 'request condemned' at the directory's leader; 'badgerspoke quarantine release' lets it go again",
+	"quarantined":          "backends end under this request, by 'key' and not by its identifier, or under requests with a part of its prompt, by 'part_key': see 'backend ended', and 'request condemned' or 'parts condemned' at the directory's leader; 'badgerspoke quarantine release' lets it go again",
 	"halls-out":            "every backend of the pool is in a hall that an operator took out of service: see 'halls_out' and 'halls out of service'",
 	"version-gone":         "the stream began at a version of which no backend takes requests: see 'began_version', 'backends changed', and 'backend announced' at the directory's leader",
 	"version-unknown":      "several versions may have begun the stream: see 'resumes', and 'stream resumed' or 'answered' of that request; a gateway that was killed may not have reported it",
@@ -128,12 +128,15 @@
 	return true
 }
 
-// keysOf returns the quarantine keys in the lines. A key identifies a request under any ID.
+// keysOf returns the quarantine keys in the lines, of requests and of condemned parts. A key identifies a
+// request under any ID.
 func keysOf(lines []Line) map[string]bool {
 	keys := map[string]bool{}
 	for _, l := range lines {
-		if key, ok := l.Fields["key"].(string); ok {
-			keys[key] = true
+		for _, name := range []string{"key", "part_key"} {
+			if key, ok := l.Fields[name].(string); ok {
+				keys[key] = true
+			}
 		}
 	}
 	return keys
