--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package quarantine detects requests that make backend servers fail, so that they are no longer
-// sent to any server.
+// Package quarantine detects requests, and parts of prompts, that make backend servers fail, so that
+// they are no longer sent to any server.
 //
 // Callers use a new identifier for each attempt, so a repeated request is recognized by its
 // content, its [Key]. When a server fails, each request that was running there is a suspect, and
@@ -20,6 +20,18 @@
 // running at most failures, is not condemned. Gateways hold a [List] of condemned keys, which they
 // refuse, and of suspects, whose answers they report.
 //
+// A part of prompts may make servers fail in requests of which no two are alike. [PartEvidence] records
+// the parts of requests that were waiting for their answers at failing servers, and condemns them by
+// similar conditions, with these differences:
+//
+//   - The first byte of an answer clears all parts of its request, at any gateway ([Begun]): such a part
+//     makes a server fail before it.
+//   - A part needs failures under three different requests.
+//   - Parts that are always together are condemned as a [PartSet]: only requests with all of them are
+//     refused, and the answer to a request with one of them tells them apart.
+//
+// Gateways hold a [PartList] of condemned sets and suspected parts.
+//
 // Alternatives considered:
 //   - Counting failures alone: of 230 requests that ran at 16 servers failing by themselves, one
 //     was running at three failures.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -28,7 +28,12 @@
 //     coordination/retry decides from that alone whether to retry. stall.go ends an attempt whose
 //     server sends nothing. outcomes.go and unreached.go count the results per version during a
 //     rollout.
-//   - relay.go: a plain answer is forwarded once it is complete, a stream event by event.
+//   - relay.go: a plain answer is forwarded once it is complete, a stream event by event. An answer
+//     that only the end of its connection ends is forwarded in the same way: nothing states that it is
+//     complete, and nothing concludes that it is.
+//   - quarantine.go, partquarantine.go: requests, and parts of prompts, under which backend servers
+//     crash (crashdetector.go) are reported to the directory, and refused once it has condemned them
+//     (coordination/quarantine).
 //   - streamorigin.go, origins.go: a stream that breaks continues only at the version of the server
 //     that began it. The gateway records its own streams, reports them to the directory, and asks it
 //     about those of other gateways (coordination/streamversion). restarts.go finds the streams
@@ -56,6 +61,7 @@
 // # Locks
 //
 // table.mu is acquired before accounts.mu, because ordering waiting requests reads the service
-// received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu and origins.mu are never
-// held together with another lock. No lock is held across I/O or a blocking channel send.
+// received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu, origins.mu and the locks
+// of suspicions and partSuspicions are never held together with another lock. No lock is held across
+// I/O or a blocking channel send.
 package gateway
