gateway: forget a part's suspicion with the last entry of the list

A request that waits for the decision on a part waited on, and was not retried, after the part had been cleared if the list was empty then: what had been found for it was kept. Found on reading. TestUndecidedPartWaitsForDecision, case cleared, failed before.

--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -271,6 +271,7 @@
 
 // findPartSuspicion looks up the prompt's parts.
 func (c *call) findPartSuspicion() {
+	c.partSuspicion = partSuspicion{}
 	if !c.g.suspicions.parts.isEmpty() {
 		c.partSuspicion = c.g.suspicions.parts.find(c.partKeys())
 	}
--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -173,6 +173,38 @@
 	}, answers(200, "done", 200*time.Millisecond))
 }
 
+// TestUndecidedPartWaitsForDecision checks how long a request with an undecided part waits: until the part is
+// condemned or cleared, at most for the time of a decision and for half of the time that it has left.
+func TestUndecidedPartWaitsForDecision(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		patience string // milliseconds
+		decide   func(x *fixture)
+		status   int
+		wait     time.Duration
+	}{
+		{"no decision", "3000", nil, 200, quarantine.DecisionWait},
+		{"little time", "200", nil, 200, 100 * time.Millisecond},
+		{"condemned", "3000", func(x *fixture) { x.listParts(nil, "part") }, 400, 60 * time.Millisecond},
+		{"cleared", "3000", func(x *fixture) {
+			x.g.suspicions.applyList(protocol.Quarantine{RemovedParts: [][]byte{partKey("part")}})
+		}, 200, 60 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.listParts(map[string]int{"part": 3})
+				if tt.decide != nil {
+					time.AfterFunc(50*time.Millisecond, func() { tt.decide(x) })
+				}
+				got := x.request("/again/x", "Shared", "part", "Patience", tt.patience)
+				is.Equal(got.status, tt.status)
+				is.True(got.took >= tt.wait && got.took <= tt.wait+decisionPollInterval)
+			}, answers(200, "done", 0))
+		})
+	}
+}
+
 // TestGatewayWithoutLeaderCondemnsParts checks that a gateway without a leader judges by its own evidence.
 func TestGatewayWithoutLeaderCondemnsParts(t *testing.T) {
 	withGateway(t, func(x *fixture) {
