gateway: a stream that ends before its first event without framing is broken

Callers got an empty stream, ended in order, where a server had closed its connection after the header. Nothing states that such a stream is empty, and no whole one was seen to be: it is sent again where it may be taken up, else answered with 502. With a length or chunks an empty stream is whole as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -265,7 +265,7 @@
 var (
 	errCrossed    = faultyAnswer("the answer belongs to another request")
 	errUnsigned   = faultyAnswer("the answer is not signed")
-	errShort      = faultyAnswer("the stream ended inside an event")
+	errShort      = faultyAnswer("the stream ended inside an event or before the first one")
 	errEndUnknown = faultyAnswer("nothing states that the stream is complete")
 	errTooLarge   = faultyAnswer(fmt.Sprintf("an event exceeds %d bytes", maxEvent))
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -199,14 +199,15 @@
 	return r.relayEvents(chunk, flusher)
 }
 
-// finishStream handles the end of a stream's body. A stream that began with chunks and goes on in a body
+// finishStream handles the end of a stream's body. One that ends inside an event, or before the first one
+// without stating that this is its end, is broken. A stream that began with chunks and goes on in a body
 // without them ends like a broken one: its last chunk would state an end that nothing else states.
 func (r *relay) finishStream(answer *forward.Response, flusher *http.ResponseController) outcome {
-	if len(r.partial) > 0 {
+	if len(r.partial) > 0 || answer.Unframed && !r.headWritten {
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 	}
 	if !r.headWritten {
-		r.writeHead(answer.Status, answer.Header, 0, answer.Unframed)
+		r.writeHead(answer.Status, answer.Header, 0, false)
 	}
 	if answer.Unframed && !r.unframed {
 		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -49,8 +49,6 @@
 		{"large", "/again/x", large, answers(200, large, 0)},
 		{"stream", "/stream/x", wholeStream(3), resuming(3, 0, nil)},
 		{"resumable stream", "/resume/x", wholeStream(3), resuming(3, 0, nil)},
-		{"stream without an event", "/stream/x", "", streams()},
-		{"resumable stream without an event", "/resume/x", "", streams()},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			for _, framed := range []bool{true, false} {
@@ -72,6 +70,30 @@
 	}
 }
 
+// TestStreamWithoutEventsNeedsFraming guards against taking a connection that ends before the first event of a
+// stream for the end of an empty one.
+func TestStreamWithoutEventsNeedsFraming(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			got := x.request(path)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.header.Get("Content-Length"), "0")
+		}, streams())
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.announceInOrder([]behaviour{unframed(streams()), resuming(3, 0, nil)})
+			got := x.request(path)
+			if path == "/resume/x" {
+				is.Equal(got.body, wholeStream(3))
+				return
+			}
+			is.Equal(got.status, http.StatusBadGateway)
+			is.Equal(x.servers.count(), 1)
+		})
+	}
+}
+
 // TestStreamThatBeganWithChunksIsNotEndedByThem guards against a last chunk for a stream that goes on in an
 // answer without chunks.
 func TestStreamThatBeganWithChunksIsNotEndedByThem(t *testing.T) {
