--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -22,6 +22,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/badgerspoke/badgerspoke/platform"
 )
 
 // This file defines Fleet and Node: the processes under test and what the platform does to them.
@@ -223,7 +225,7 @@
 	words := strings.Fields(n.f.opts.Command[role])
 	cmd := exec.Command(filepath.Join(n.f.opts.Root, words[0]), words[1:]...)
 	cmd.Dir = n.f.opts.Root
-	cmd.Env = []string{"BADGERSPOKE_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Env = []string{platform.SettingsVariable + "=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	n.mu.Lock()
