--- a/review/2/resume/main.go
+++ b/review/2/resume/main.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/review/fleet"
@@ -23,12 +24,17 @@
 
 const (
 	fronts, cores = 2, 5
-	clients       = 10 // at each front
-	requests      = 8  // of each client
-	events        = 40 // of a stream
-	brokenAt      = 12 // last whole event before a worker breaks off
-	brokenShare   = 0.5
+	clients       = 10      // at each front: about 21 requests a second, as on the sheet
+	events        = 40      // of a stream
+	brokenAt      = 12      // last whole event before a worker breaks off
 	longFailure   = 300_000 // bytes
+
+	// The disruptions come together, more than once, with the largest doses of the site file, not doubled.
+	rounds      = 8
+	troubleFor  = 4 * time.Second // srv_grey: for_s = 4.0
+	calmFor     = 4 * time.Second
+	brokenShare = 0.05 // garble: x = 0.05
+	failedShare = 0.45 // srv_grey: how = "errors all", share = 1.0, x = 0.45
 )
 
 // play is the state of one run.
@@ -36,6 +42,7 @@
 	f       *fleet.Fleet
 	rec     *fleet.Record
 	trouble bool
+	on      atomic.Bool // the disruptions last
 	workers []*fleet.Worker
 
 	mu     sync.Mutex
@@ -78,12 +85,20 @@
 	}
 	time.Sleep((fleet.ContactMs + 1000) * time.Millisecond)
 	var all sync.WaitGroup
+	stop := make(chan struct{})
 	for _, n := range f.Fronts {
 		for range clients {
 			all.Add(1)
-			go func() { defer all.Done(); p.client(n) }()
+			go func() { defer all.Done(); p.client(n, stop) }()
 		}
 	}
+	for range rounds {
+		p.on.Store(p.trouble)
+		time.Sleep(troubleFor)
+		p.on.Store(false)
+		time.Sleep(calmFor)
+	}
+	close(stop)
 	all.Wait()
 	for _, w := range p.workers {
 		w.Stop()
@@ -120,8 +135,8 @@
 	return fmt.Appendf(nil, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
 }
 
-// stream answers as a model worker does. In trouble it breaks off some streams within an event, and fails
-// the requests that take one up.
+// stream answers as a model worker does. In trouble it fails a part of all requests, and breaks off some
+// streams within an event.
 func (p *play) stream(w *fleet.Worker) func(http.ResponseWriter, *http.Request, []byte) {
 	return func(rw http.ResponseWriter, r *http.Request, _ []byte) {
 		id, last := r.Header.Get("X-Request-Id"), 0
@@ -129,11 +144,11 @@
 			last, _ = strconv.Atoi(text)
 		}
 		time.Sleep(40 * time.Millisecond)
-		if p.trouble && last > 0 {
+		if p.on.Load() && rand.Float64() < failedShare {
 			p.fail(w, rw, id, last)
 			return
 		}
-		breaks := p.trouble && rand.Float64() < brokenShare
+		breaks := p.on.Load() && rand.Float64() < brokenShare
 		rw.Header().Set("Content-Type", "text/event-stream")
 		rw.Header().Set("X-Server-Seal", w.Seal(id, nil))
 		rw.Header().Set("X-Weight-Versions", "1")
@@ -155,7 +170,7 @@
 	}
 }
 
-// failures are the ways in which workers fail requests that take up a stream.
+// failures are the ways in which workers fail requests.
 var failures = []struct {
 	name   string
 	status int
@@ -167,7 +182,7 @@
 	{"500 with 24 bytes", http.StatusInternalServerError, []byte("error: the model failed\n")},
 }
 
-// fail answers a request that takes up a stream with a failure of the worker's own.
+// fail answers a request with a failure of the worker's own.
 func (p *play) fail(w *fleet.Worker, rw http.ResponseWriter, id string, last int) {
 	how := failures[rand.IntN(len(failures))]
 	rw.Header().Set("Content-Type", "text/plain")
@@ -195,11 +210,16 @@
 	p.rec.Add(w.ID, "breaks off %s within event %d", id, n)
 }
 
-// client sends streams on a kept connection and judges the answers.
-func (p *play) client(n *fleet.Node) {
+// client sends streams on a kept connection until stop is closed, and judges the answers.
+func (p *play) client(n *fleet.Node, stop chan struct{}) {
 	c := &fleet.Client{Front: n}
 	defer c.Close()
-	for range requests {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
 		p.mu.Lock()
 		p.seq++
 		id := fmt.Sprintf("9c41%012x", p.seq)
@@ -225,11 +245,11 @@
 	case a.Status != http.StatusOK:
 		p.counts[fmt.Sprintf("status %d", a.Status)]++
 	case !a.Complete:
-		p.counts[fmt.Sprintf("200, cut and seen to be cut; taken up at a worker that answered: %q", p.failed[id])]++
+		p.counts[fmt.Sprintf("200, cut and seen to be cut; last failure of a worker: %q", p.failed[id])]++
 	case pieces == events && len(whole) == 0:
 		p.counts["200, whole"]++
 	default:
-		p.counts[fmt.Sprintf("200, ends as complete after %d of %d pieces and %d other bytes; taken up at a worker that answered: %q", pieces, events, len(whole), p.failed[id])]++
+		p.counts[fmt.Sprintf("200, ends as complete after %d of %d pieces and %d other bytes; last failure of a worker: %q", pieces, events, len(whole), p.failed[id])]++
 		p.broken++
 	}
 }
--- a/review/fleet/client.go
+++ b/review/fleet/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 	Err      error
 }
 
+// LongestWait is the longest time in nanoseconds that a piece of a body has waited to be taken.
+var LongestWait atomic.Int64
+
 // Client is a client with one connection to one front. It is used by one goroutine.
 type Client struct {
 	Front *Node
@@ -102,7 +106,12 @@
 	}
 	for rest := r.Body; len(rest) > 0; {
 		n := min(piece, len(rest))
-		if _, err := conn.Write(rest[:n]); err != nil {
+		began := time.Now()
+		_, err := conn.Write(rest[:n])
+		if took := time.Since(began).Nanoseconds(); took > LongestWait.Load() {
+			LongestWait.Store(took) // an approximate maximum is enough
+		}
+		if err != nil {
 			return err
 		}
 		if rest = rest[n:]; r.Rate > 0 {
