--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -30,6 +30,7 @@
 	versionAttempt versionAttempt  // how it counts in the pool's rollout
 	answering      bool            // the first part of the answer was received
 	framing        forward.Framing // of the answer; empty before it
+	status         int             // of the answer; zero before it
 	unreached      bool            // no connection was established
 	ended          bool
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 		return c.handleSendError(a, err)
 	}
 	defer answer.Body.Close()
-	a.connOpenedAt, a.framing = c.g.monotonicTime(answer.ConnOpenedAt), answer.Framing()
+	a.connOpenedAt, a.framing, a.status = c.g.monotonicTime(answer.ConnOpenedAt), answer.Framing(), answer.Status
 	c.g.observeRoundTrip(a)
 	if a.leaveReason != place.Stay {
 		answer.Body = countingBody{ReadCloser: answer.Body, n: &a.receivedBytes}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -128,6 +128,9 @@
 		attrs = append(attrs, a.versionAttrs()...)
 		attrs = append(attrs, a.versionAttempt.logAttrs()...)
 		attrs = append(attrs, a.framingAttrs()...)
+		if a.status > 0 {
+			attrs = append(attrs, slog.Int("server_status", a.status))
+		}
 	}
 	if c.resumesStream() {
 		attrs = append(attrs, c.stream.logAttrs()...)
