gateway: only a stream continues a stream that has begun

Cause: an answer to a resumption was relayed by its kind alone; each that was no success went through the path of plain answers, which writes any answer below 500, and any of 256 KiB or more, into the response. Evidence: with the status in the log, the 13 streams that "answered" after event 12 ended with 429, 404 and 500, and all that ended with 200 had 40 events.

Once a head has been written, an answer is relayed only if it has the status of that head and is an event stream. Any other ends the attempt as failed ("no continuation"): the stream goes on at another server while attempts and the budget last, and is cut off then.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,7 +99,8 @@
 }
 
 // checkAndRelay relays an answer after checking that it belongs to this request and, if it is a
-// success, that it carries the server's signature.
+// success, that it carries the server's signature. Once a response has begun, only its continuation is
+// relayed.
 func (c *call) checkAndRelay(ctx context.Context, a *assignment, answer *forward.Response, head AnswerHead) outcome {
 	if head.ID != c.head.ID {
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", verdict: outlier.Faulty, err: errCrossed}
@@ -108,6 +109,8 @@
 	switch {
 	case success && !head.Signed:
 		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
+	case c.relay.headWritten:
+		return c.relay.continueStream(ctx, a, answer)
 	case success && c.route.Kind == document.Stream && mayBeEventStream(answer.Header):
 		return c.relay.relayStream(ctx, a, answer)
 	}
