gateway: a stream goes on only with events that follow its last one

Callers got events a second time, events without a place in the stream, or the end of the stream, from an answer to a resumption that was a success but not the rest: one that began from the beginning, with an event without an ID, behind a gap, or that had no event at all. A stream that had passed on an event without an ID was taken up behind the last ID, which repeats that event. Cause: the events of a resumption were passed on unseen, and its end was taken for the stream's.

The first event of a continuation must follow the last one passed on: its ID is above it, and the next number where the IDs have counted up so far; further IDs rise. Until then nothing is written, and the answer counts as none of its server or version. An answer without an event ends no stream, unless the one before had ended in order without stating it. A stream that cannot be placed is cut off at once.

--- a/coordination/retry/policy.go
+++ b/coordination/retry/policy.go
@@ -26,6 +26,7 @@
 	Route document.Route
 	Counts
 	HeadWritten bool // whether the head of an answer was sent to the caller
+	Final       bool // whether no other answer can continue the one whose head was sent
 	TimeLeft    bool // whether the limits of the caller and the route have not expired
 }
 
@@ -37,7 +38,7 @@
 	maxRuns := max(r.Route.MaxAttempts, 1)
 	switch {
 	case !r.TimeLeft,
-		r.HeadWritten && !r.Route.Resumable,
+		r.HeadWritten && (r.Final || !r.Route.Resumable),
 		r.Arrived >= min(maxRuns+1, maxArrived),
 		r.Begun >= MaxBegun,
 		r.Runs >= maxRuns,
--- a/coordination/retry/policy_test.go
+++ b/coordination/retry/policy_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// TestFinalAnswerEndsRequest checks that a request whose answer nothing can continue is cut off, also on a
+// resumable route.
+func TestFinalAnswerEndsRequest(t *testing.T) {
+	for _, final := range []bool{false, true} {
+		is := is.New(t)
+		r := Request{Route: resumable, Counts: Counts{}.With(MayHaveRun), HeadWritten: true, Final: final, TimeLeft: true}
+		allowed, _ := r.MayRetry(MayHaveRun)
+		is.Equal(allowed, !final)
+		is.Equal(r.EndingAfterAttempt(MayHaveRun, false), EndBroken)
+	}
+	r := Request{Route: resumable, Counts: Counts{}.With(MayHaveRun), Final: true, TimeLeft: true}
+	allowed, _ := r.MayRetry(MayHaveRun)
+	is.New(t).True(allowed) // nothing has been written yet
+}
+
 func TestEndingWithoutServer(t *testing.T) {
 	is := is.New(t)
 	const covered, extra = entitlement.Covered, entitlement.Extra
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -87,7 +87,9 @@
 
 // policy returns the current inputs for deciding on further attempts.
 func (c *call) policy(ctx context.Context) retry.Request {
-	return retry.Request{Route: c.route, Counts: c.counts, HeadWritten: c.relay.headWritten, TimeLeft: ctx.Err() == nil}
+	return retry.Request{
+		Route: c.route, Counts: c.counts, HeadWritten: c.relay.headWritten, Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
+	}
 }
 
 // refusal returns the gateway's own error response for an ending.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,7 +125,7 @@
 
 // outgoing returns the request in the form sent to a backend server.
 func (c *call) outgoing(a *assignment) forward.Call {
-	f := Forwarding{Timeout: c.timeLeft(), Server: a.serverID, Account: c.account.Name, LastEventID: c.relay.lastEventID}
+	f := Forwarding{Timeout: c.timeLeft(), Server: a.serverID, Account: c.account.Name, LastEventID: c.relay.position.id}
 	return forward.Call{
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
 		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body,
@@ -224,7 +224,7 @@
 		slog.String("request", c.head.ID), slog.String("backend", a.serverID),
 		slog.String("cause", out.cause), slog.String("error", out.err.Error()), slog.Int("attempt", c.counts.Arrived),
 		milliseconds("took_ms", c.g.now()-a.startedAt), slog.Bool("again", again),
-		slog.String("last_event", c.relay.lastEventID),
+		slog.String("last_event", c.relay.position.id),
 	}
 	attrs = append(attrs, a.versionAttrs()...)
 	attrs = append(attrs, a.framingAttrs()...)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -251,7 +251,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.timeLeft())
 	defer cancel()
 	c.triedServers = map[string]bool{}
-	c.relay = &relay{c: c}
+	c.relay = &relay{c: c, position: positionAt(c.head.LastEventID)}
 	if err := c.findOrigin(); err != nil {
 		return err
 	}
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -96,3 +97,150 @@
 		}
 	}
 }
+
+// TestSuccessThatIsNoRestDoesNotContinueStream guards against a success that reaches the caller inside a stream, or
+// ends it as complete, without being its rest.
+func TestSuccessThatIsNoRestDoesNotContinueStream(t *testing.T) {
+	const eventStream = "text/event-stream"
+	withStatus := func(status int, behave behaviour) behaviour {
+		return func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+			a, err := behave(ctx, call)
+			a.Status = status
+			return a, err
+		}
+	}
+	for _, tt := range []struct {
+		name   string
+		answer behaviour
+	}{
+		{"another type", withType("application/json", answers(200, `{"items":[]}`, 0))},
+		{"another type, empty", withType("text/plain", answers(200, "", 0))},
+		{"another type, large", withType("text/plain", answers(200, strings.Repeat("x", 2*maxHeldAnswer), 0))},
+		{"another type with events", withType("text/plain", resuming(6, 0, nil))},
+		{"no content", withStatus(204, answers(200, "", 0))},
+		{"another success", withStatus(201, withType(eventStream, resuming(6, 0, nil)))},
+		{"partial content", withStatus(206, withType(eventStream, resuming(6, 0, nil)))},
+		{"no events", withType(eventStream, answers(200, "", 0))},
+		{"no events, no type", answers(200, "", 0)},
+		{"comment only", withType(eventStream, answers(200, ": nothing\n\n", 0))},
+		{"text", withType(eventStream, answers(200, "no such stream", 0))},
+		{"paragraphs", answers(200, "no such stream\n\n", 0)},
+		{"event without an ID", withType(eventStream, answers(200, "event: error\ndata: no such stream\n\n", 0))},
+		{"event without an ID before the rest", withType(eventStream, answers(200, "data: again\n\n"+event(4)+event(5)+event(6), 0))},
+		{"from the beginning", withType(eventStream, answers(200, wholeStream(6), 0))},
+		{"from the beginning, after a comment", withType(eventStream, answers(200, ": again\n\n"+wholeStream(6), 0))},
+		{"from the last event", withType(eventStream, answers(200, event(3)+event(4)+event(5)+event(6), 0))},
+		{"later events", withType(eventStream, answers(200, event(5)+event(6), 0))},
+		{"an event again", withType(eventStream, answers(200, event(3)+event(4), 0))},
+		{"one earlier event", withType(eventStream, answers(200, event(2), 0))},
+	} {
+		for framing, answer := range framings(tt.answer) {
+			t.Run(tt.name+", "+string(framing), func(t *testing.T) { checkNotContinued(t, answer) })
+		}
+	}
+}
+
+// TestRestContinuesStream checks that the rest of a stream is accepted in all its forms.
+func TestRestContinuesStream(t *testing.T) {
+	const eventStream = "text/event-stream"
+	rest := event(4) + event(5) + event(6)
+	for _, tt := range []struct {
+		name   string
+		answer behaviour
+		body   string
+	}{
+		{"no type", answers(200, rest, 0), rest},
+		{"type with a parameter", withType(eventStream+"; charset=utf-8", answers(200, rest, 0)), rest},
+		{"comment first", withType(eventStream, answers(200, ": wait\n\n"+rest, 0)), ": wait\n\n" + rest},
+		{"ID behind the data", answers(200, "data: x\nid: 4\n\n", 0), "data: x\nid: 4\n\n"},
+		{"no space", answers(200, "id:4\ndata:x\n\n", 0), "id:4\ndata:x\n\n"},
+		{"CRLF", answers(200, "id: 4\r\ndata: x\r\n\r\n", 0), "id: 4\r\ndata: x\r\n\r\n"},
+		{"event without an ID behind the others", answers(200, rest+"data: end\n\n", 0), rest + "data: end\n\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.announceInOrder([]behaviour{resuming(6, 3, errReset), tt.answer})
+				got := x.request("/resume/x")
+				is.Equal(got.body, wholeStream(3)+tt.body)
+				is.True(!got.cut)
+				is.Equal(x.counter(`badgerspoke_gateway_answered_total{route="resume"}`), uint64(1))
+			})
+		})
+	}
+}
+
+// TestEmptyRestConfirmsUnstatedEnd checks that a stream whose last answer ended in order, without stating it, is
+// complete if another server has no further events.
+func TestEmptyRestConfirmsUnstatedEnd(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.allowAttempts(3)
+		x.announceInOrder([]behaviour{resuming(6, 3, errReset), unframed(resuming(6, 0, nil)), resuming(6, 0, nil)})
+		got := x.request("/resume/x")
+		is.Equal(got.body, wholeStream(6))
+		is.True(!got.cut)
+		is.Equal(x.servers.count(), 3)
+	})
+}
+
+// TestStreamWithoutPositionIsCutOff guards against repeating events without an ID: no server can tell where a
+// stream that ended behind them goes on.
+func TestStreamWithoutPositionIsCutOff(t *testing.T) {
+	for _, text := range []string{"data: a\n\n", event(1) + "data: b\n\n"} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			broken := streams(piece{text: text}, piece{after: pause, err: errReset})
+			x.announceInOrder([]behaviour{broken, answers(200, text+event(2), 0)})
+			got := x.request("/resume/x")
+			is.Equal(got.body, text)
+			is.True(got.cut)
+			is.Equal(x.servers.count(), 1)
+		})
+	}
+}
+
+// TestStreamThatBrokeBeforeItsFirstEventStartsAgain checks that a stream of which no event has been passed on may
+// come from the beginning, and only as a stream.
+func TestStreamThatBrokeBeforeItsFirstEventStartsAgain(t *testing.T) {
+	broken := streams(piece{text: "data: ha"}, piece{after: pause, err: errReset})
+	for _, text := range []string{wholeStream(3), "data: a\n\ndata: b\n\n"} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.announceInOrder([]behaviour{broken, answers(200, text, 0)})
+			got := x.request("/resume/x")
+			is.Equal(got.body, text)
+			is.True(!got.cut)
+		})
+	}
+	for _, answer := range []behaviour{answers(500, "failed", 0), answers(200, "", 0), unframed(answers(200, "", 0))} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.announceInOrder([]behaviour{broken, answer})
+			got := x.request("/resume/x")
+			is.Equal(got.body, "")
+			is.True(got.cut)
+		})
+	}
+}
+
+// TestRejectedAnswerIsNotObserved guards against evidence from an answer that did not continue its stream.
+func TestRejectedAnswerIsNotObserved(t *testing.T) {
+	for _, answer := range []behaviour{answers(404, "no such stream", 0), answers(200, wholeStream(6), 0)} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.announceInOrder([]behaviour{resuming(6, 3, errReset), answer})
+			x.request("/resume/x")
+			is.Equal(x.counter(`badgerspoke_gateway_attempts_failed_total{cause="no continuation"}`), uint64(1))
+			x.g.table.mu.Lock()
+			defer x.g.table.mu.Unlock()
+			observed := 0
+			for _, k := range x.g.table.servers {
+				if k.latencyRatio != (place.LatencyRatio{}) {
+					observed++
+				}
+			}
+			is.Equal(observed, 1)
+		})
+	}
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	return []slog.Attr{
-		slog.Int("pieces", r.writes), slog.String("last_event", r.lastEventID),
+		slog.Int("pieces", r.writes), slog.String("last_event", r.position.id),
 		milliseconds("quiet_ms", c.g.now()-r.lastWriteAt), milliseconds("longest_gap_ms", r.longestGap),
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,11 +31,14 @@
 // relay passes on the answer of one request, across all its attempts.
 type relay struct {
 	c           *call
-	headWritten bool   // the response head has been written
-	status      int    // status code of the response head
-	unframed    bool   // the response to the caller ends with its connection
-	lastEventID string // identifier of the last event passed on
-	partial     []byte // received part of an incomplete event
+	headWritten bool     // the response head has been written
+	status      int      // status code of the response head
+	unframed    bool     // the response to the caller ends with its connection
+	position    position // of the stream, at the last event passed on
+	partial     []byte   // received part that has not been passed on
+	resumes     bool     // the current answer is to continue a stream that has begun
+	continues   bool     // the current answer has shown that it does, or need not
+	endUnstated bool     // the previous answer ended the stream in order without stating that this is its end
 	// Statistics of the stream so far, for the log.
 	writes          int // number of writes to the caller
 	lastWriteAt     time.Duration
@@ -157,17 +161,14 @@
 // relayStream passes on the events of a stream, each as soon as it is whole.
 func (r *relay) relayStream(ctx context.Context, a *assignment, answer *forward.Response) outcome {
 	r.partial = r.partial[:0]
+	r.resumes, r.continues = r.headWritten, !r.headWritten
 	buffer := make([]byte, readSize)
 	flusher := http.NewResponseController(r.c.w)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			writeErr := r.relayChunk(a, answer, buffer[:n], flusher)
-			switch {
-			case writeErr == errTooLarge:
-				return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: writeErr}
-			case writeErr != nil:
-				return callerLeftOutcome(writeErr)
+			if err := r.relayChunk(a, answer, buffer[:n], flusher); err != nil {
+				return chunkErrorOutcome(err)
 			}
 		}
 		if err == io.EOF {
@@ -183,33 +184,92 @@
 	}
 }
 
-// relayChunk handles the bytes of one read. The first ones of an attempt count as the first part of
-// its answer; the first ones of the call are preceded by the response head.
+// chunkErrorOutcome returns the outcome of an attempt for which relayChunk returned an error.
+func chunkErrorOutcome(err error) outcome {
+	switch {
+	case errors.As(err, new(notContinuation)):
+		return notContinuedOutcome(err)
+	case err == errTooLarge:
+		return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: err}
+	}
+	return callerLeftOutcome(err)
+}
+
+// relayChunk handles the bytes of one read. The first ones of the call are preceded by the response head. The
+// error is errTooLarge, a [notContinuation], or that of a write.
 func (r *relay) relayChunk(a *assignment, answer *forward.Response, chunk []byte, flusher *http.ResponseController) error {
 	r.c.stall.progressed()
-	if !a.answering {
-		r.c.g.recordFirstPart(a, r.c.pool.Engine)
-		r.c.partsBegun()
+	if r.continues {
+		r.recordBegun(a)
 	}
 	if !r.headWritten {
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
 		r.writeHead(answer.Status, answer.Header, -1, answer.Unframed)
 		r.c.recordOrigin(a)
 	}
-	return r.relayEvents(chunk, flusher)
+	r.partial = append(r.partial, chunk...)
+	end := endOfEvents(r.partial)
+	if end == 0 {
+		return r.checkPartialSize()
+	}
+	position, err := r.positionAfter(r.partial[:end])
+	if err != nil {
+		return err
+	}
+	if !r.continues {
+		return r.checkPartialSize() // comments before the first event
+	}
+	r.recordBegun(a)
+	return r.writeEvents(end, position, flusher)
+}
+
+// recordBegun records that the attempt's answer has begun, at its first call in an attempt.
+func (r *relay) recordBegun(a *assignment) {
+	if !a.answering {
+		r.c.g.recordFirstPart(a, r.c.pool.Engine)
+		r.c.partsBegun()
+	}
+}
+
+// checkPartialSize returns an error if too many bytes wait to be passed on.
+func (r *relay) checkPartialSize() error {
+	if len(r.partial) > maxEvent {
+		return errTooLarge
+	}
+	return nil
+}
+
+// positionAfter returns the position of the stream after whole events. Those of an answer that resumes the stream
+// must follow the last event passed on, the first one with an ID. The error is a [notContinuation].
+func (r *relay) positionAfter(events []byte) (position, error) {
+	p := r.position
+	for id := range eventIDs(events) {
+		placed := len(id) > 0 || !r.continues // an event without an ID belongs behind the one before it
+		if r.resumes && placed && !p.isFollowedBy(id) {
+			return p, notContinuation{fmt.Sprintf("event %q after event %q", id, p.id)}
+		}
+		r.continues = true
+		p = p.withEvent(id)
+	}
+	return p, nil
 }
 
 // finishStream handles the end of a stream's body. One that ends inside an event, or before the first one
 // without stating that this is its end, is broken. A stream that began with chunks and goes on in a body
 // without them ends like a broken one: its last chunk would state an end that nothing else states.
 func (r *relay) finishStream(answer *forward.Response, flusher *http.ResponseController) outcome {
-	if len(r.partial) > 0 || answer.Unframed && !r.headWritten {
+	confirmed := r.endUnstated && !answer.Unframed && len(r.partial) == 0
+	switch {
+	case len(r.partial) > 0 || answer.Unframed && !r.headWritten:
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
+	case !r.continues && !confirmed:
+		return notContinuedOutcome(errNoEvents)
 	}
 	if !r.headWritten {
 		r.writeHead(answer.Status, answer.Header, 0, false)
 	}
 	if answer.Unframed && !r.unframed {
+		r.endUnstated = true
 		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
 	}
 	_ = flusher.Flush() // unflushed bytes are sent when the handler returns
@@ -228,25 +288,13 @@
 	return end
 }
 
-// relayEvents passes on the whole events received so far with one write and keeps the rest. The
-// error is errTooLarge or that of the write.
-func (r *relay) relayEvents(chunk []byte, flusher *http.ResponseController) error {
-	r.partial = append(r.partial, chunk...)
-	end := endOfEvents(r.partial)
-	if end == 0 {
-		if len(r.partial) > maxEvent {
-			return errTooLarge
-		}
-		return nil
-	}
-	whole := r.partial[:end]
-	if id, ok := parseLastEventID(whole); ok {
-		r.lastEventID = id
-	}
+// writeEvents passes on the first bytes received so far, which are whole events, with one write and keeps the rest.
+func (r *relay) writeEvents(end int, position position, flusher *http.ResponseController) error {
 	r.extendWriteDeadline(flusher)
-	if _, err := r.c.w.Write(whole); err != nil {
+	if _, err := r.c.w.Write(r.partial[:end]); err != nil {
 		return err
 	}
+	r.position, r.endUnstated = position, false
 	if err := flusher.Flush(); err != nil {
 		return err
 	}
@@ -274,14 +322,3 @@
 	// A writer that does not support deadlines is no error: the route's timeout still ends the stream.
 	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
 }
-
-// parseLastEventID returns the identifier of the last event that has one.
-func parseLastEventID(events []byte) (string, bool) {
-	at := bytes.LastIndex(events, []byte("\nid:")) + 1 // 0, the start of the first line, if there is none
-	line, found := bytes.CutPrefix(events[at:], []byte("id:"))
-	if !found {
-		return "", false
-	}
-	id, _, _ := bytes.Cut(line, []byte("\n"))
-	return string(bytes.TrimSpace(id)), true
-}
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -132,20 +132,12 @@
 	}
 	c.g.stats.count("streams_resumed", "known_by", string(c.stream.source))
 	c.g.cfg.Log.FailureFunc("stream resumed", func() []slog.Attr {
-		attrs := []slog.Attr{slog.String("request", c.head.ID), slog.String("backend", a.serverID), slog.String("last_event", c.lastEventID())}
+		attrs := []slog.Attr{slog.String("request", c.head.ID), slog.String("backend", a.serverID), slog.String("last_event", c.relay.position.id)}
 		attrs = append(attrs, a.versionAttrs()...)
 		return append(attrs, c.stream.logAttrs()...)
 	})
 }
 
-// lastEventID returns the last event that the caller has received.
-func (c *call) lastEventID() string {
-	if c.relay.lastEventID != "" {
-		return c.relay.lastEventID
-	}
-	return c.head.LastEventID
-}
-
 // versionAttrs returns the attribute for the version of an attempt's server, if it stated one.
 func (a *assignment) versionAttrs() []slog.Attr {
 	if a.version == "" {
