gateway: nothing continues a plain answer that has begun

Callers got another server's answer inside a plain answer of more than 256 KiB that had broken off, on routes of resumable streams. Cause: whether a further attempt may follow a head was decided by the route alone, not by what had begun.

An answer that is passed on as it comes is final, so it is cut off where it breaks.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -244,3 +244,32 @@
 		})
 	}
 }
+
+// TestBegunPlainAnswerIsNotContinued guards against another server's answer inside a large plain answer that broke
+// off on the route of resumable streams.
+func TestBegunPlainAnswerIsNotContinued(t *testing.T) {
+	large := strings.Repeat("x", 2*maxHeldAnswer)
+	for _, status := range []int{200, 404, 500} {
+		for framing, begun := range framings(withType("application/json", answers(status, large, 0))) {
+			for name, next := range map[string]behaviour{
+				"large":  withType("application/json", answers(status, large, 0)),
+				"short":  withType("application/json", answers(status, "short", 0)),
+				"stream": withType("text/event-stream", resuming(6, 0, nil)),
+				"failed": answers(500, "failed", 0),
+			} {
+				t.Run(fmt.Sprintf("%d, %s, then %s", status, framing, name), func(t *testing.T) {
+					withGateway(t, func(x *fixture) {
+						is := is.New(x.t)
+						x.announceInOrder([]behaviour{cutOff(begun), next})
+						got := x.request("/resume/x")
+						is.Equal(got.status, status)
+						is.Equal(len(got.body), len(large))
+						is.True(got.cut)
+						is.Equal(x.servers.count(), 1)
+						is.Equal(x.counter(`badgerspoke_gateway_broken_total{route="resume"}`), uint64(1))
+					})
+				})
+			}
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,6 +33,7 @@
 	c           *call
 	headWritten bool     // the response head has been written
 	status      int      // status code of the response head
+	plain       bool     // the response is no stream
 	unframed    bool     // the response to the caller ends with its connection
 	position    position // of the stream, at the last event passed on
 	partial     []byte   // received part that has not been passed on
@@ -87,6 +88,7 @@
 
 // relayLarge passes on an answer that is too large to be held.
 func (r *relay) relayLarge(answer *forward.Response, head *heldAnswer) outcome {
+	r.plain = true
 	r.writeHead(head.status, head.header, answer.Length, answer.Unframed)
 	_, err := io.Copy(callerWriter{r.c.w}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
