gateway: a pause does not end an answer that nothing can continue

Callers of repeatable routes got a large plain answer cut off where its server paused for longer than the stall timeout, 1 s in the test, as "silent". Cause: a server is given up for another one that could take over, and none can once a plain answer has begun, or while the last event of a stream has no ID; the watch went on. Evidence: TestPauseDoesNotEndFinalAnswer failed before, the body without its end.

The watch pauses until the next part of the answer.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -273,3 +275,42 @@
 		}
 	}
 }
+
+// TestPauseDoesNotEndFinalAnswer guards against giving up a server that pauses within an answer which no other
+// server can continue: a large plain one, or a stream without IDs.
+func TestPauseDoesNotEndFinalAnswer(t *testing.T) {
+	text := strings.Repeat("x", maxHeldAnswer)
+	large := func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+		a, err := withType("application/json", inChunks(answers(200, text, 0)))(ctx, call)
+		end := &pieceReader{ctx: ctx, pieces: []piece{{text: "end", after: 2 * time.Second}}}
+		a.Body = io.NopCloser(io.MultiReader(a.Body, end))
+		return a, err
+	}
+	for _, path := range []string{"/resume/x", "/again/x"} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.announceInOrder([]behaviour{large, large})
+			got := x.request(path)
+			is.Equal(len(got.body), len(text)+len("end"))
+			is.True(!got.cut)
+			is.Equal(x.servers.count(), 1)
+		})
+	}
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		text := []piece{{text: "data: a\n\n"}, {text: "data: b\n\n", after: 2 * time.Second}}
+		x.announceInOrder([]behaviour{streams(text...), streams(text...)})
+		got := x.request("/resume/x")
+		is.Equal(got.body, "data: a\n\ndata: b\n\n")
+		is.True(!got.cut)
+		is.Equal(x.servers.count(), 1)
+	})
+	withGateway(t, func(x *fixture) { // a later event with an ID can be followed again
+		is := is.New(x.t)
+		text := []piece{{text: "data: a\n\n"}, {text: event(1)}, {text: event(2), after: time.Hour}}
+		x.announceInOrder([]behaviour{streams(text...), resuming(2, 0, nil)})
+		got := x.request("/resume/x")
+		is.Equal(got.body, "data: a\n\n"+wholeStream(2))
+		is.True(got.took < time.Second)
+	})
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -89,6 +89,7 @@
 // relayLarge passes on an answer that is too large to be held.
 func (r *relay) relayLarge(answer *forward.Response, head *heldAnswer) outcome {
 	r.plain = true
+	r.c.stall.pause()
 	r.writeHead(head.status, head.header, answer.Length, answer.Unframed)
 	_, err := io.Copy(callerWriter{r.c.w}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
@@ -222,7 +223,13 @@
 		return r.checkPartialSize() // comments before the first event
 	}
 	r.recordBegun(a)
-	return r.writeEvents(end, position, flusher)
+	if err := r.writeEvents(end, position, flusher); err != nil {
+		return err
+	}
+	if !r.canContinue() {
+		r.c.stall.pause()
+	}
+	return nil
 }
 
 // recordBegun records that the attempt's answer has begun, at its first call in an attempt.
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -17,6 +17,7 @@
 type stallTimer struct {
 	timer   *time.Timer   // nil if the attempt is not watched
 	maxGap  time.Duration // longest time between two parts of the answer
+	paused  bool          // silence is not watched for now
 	expired atomic.Bool   // the attempt was ended because it stalled
 }
 
@@ -47,11 +48,19 @@
 
 // progressed restarts the wait because a part of the answer has arrived.
 func (s *stallTimer) progressed() {
-	if s.timer != nil && s.timer.Stop() {
+	if s.timer != nil && (s.timer.Stop() || s.paused) {
+		s.paused = false
 		s.timer.Reset(s.maxGap)
 	}
 }
 
+// pause ends the watch until the next part of the answer, because no other server could continue it now.
+func (s *stallTimer) pause() {
+	if s.timer != nil && s.timer.Stop() {
+		s.paused = true
+	}
+}
+
 // stop ends the watch and reports whether the attempt was ended because it stalled.
 func (s *stallTimer) stop() bool {
 	if s.timer != nil {
