router: only the rest of an answer follows its broken part

Callers of a router got bytes beyond an answer's length, of another type or encoding, or a part of an answer framed as the whole, behind an answer that had broken off; and a part was recorded under its idempotency key and replayed as the whole. Cause: a 206 whose Content-Range began at the right byte was taken for the rest, whatever its end, total, length, type and encoding, and its end for that of the answer.

What the range states must agree with the answer's length, and decides where the answer is whole: a part of the rest is taken up again, as often as before, and further bytes break the answer.

--- a/router/relay.go
+++ b/router/relay.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/badgerspoke/badgerspoke/coordination/claim"
 	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
@@ -116,7 +118,10 @@
 	defer relayBuffers.Put(buf)
 	for {
 		n, err := r.answer.Body.Read(*buf)
-		if n > 0 && !r.writeChunk(w, (*buf)[:n]) {
+		switch {
+		case r.exceedsLength(n):
+			return false, errTooLong
+		case n > 0 && !r.writeChunk(w, (*buf)[:n]):
 			return true, nil
 		}
 		switch {
@@ -163,13 +168,13 @@
 	if err != nil {
 		return false
 	}
-	rest := fmt.Sprintf("bytes %d-", r.relayedBytes)
-	if a.Status != http.StatusPartialContent || !strings.HasPrefix(a.Header.Get("Content-Range"), rest) {
+	length, ok := r.isRest(a)
+	if !ok {
 		a.Body.Close()
 		return false
 	}
 	r.answer.Body.Close()
-	r.answer.Body, r.answer.Unframed = a.Body, a.Unframed
+	r.answer.Body, r.answer.Unframed, r.length = a.Body, a.Unframed, length
 	r.router.stats.resumed.Inc()
 	return true
 }
@@ -245,14 +250,26 @@
 const bytesPerToken = 4
 
 // isTruncated reports whether an answer that ended without an error is incomplete, which is the case
-// for an engine's stream without its end mark and for any other stream that ends inside an event.
+// for an engine's stream without its end mark, for any other stream that ends inside an event, and for a rest that
+// is shorter than the answer. The HTTP client itself notices that the answer's first part is too short.
 func (r *relay) isTruncated() bool {
-	if r.statesEnd() {
+	switch {
+	case r.statesEnd():
 		return !r.scan.done
+	case r.resumptions > 0 && r.relayedBytes < r.length:
+		return true
 	}
 	return r.scan != nil && r.scan.insideEvent()
 }
 
+// errTooLong is the error of a rest that is longer than the answer.
+var errTooLong = errors.New("the rest of the answer is too long")
+
+// exceedsLength reports whether further n bytes of a rest would go beyond the answer's length.
+func (r *relay) exceedsLength(n int) bool {
+	return r.resumptions > 0 && r.length >= 0 && r.relayedBytes+int64(n) > r.length
+}
+
 // signalBrokenAnswer makes a broken answer visible to the caller: a stream gets an error event, and any other
 // answer loses its connection before its declared end.
 func (r *relay) signalBrokenAnswer(w http.ResponseWriter, f *Failure) {
