gateway: one place writes a response's head, and a second one is an error

That nothing but its continuation follows in a response was a matter of several places that asked whether the head had been written; two of them did not (the faults before). transport/response has a Writer whose Begin writes the only head and returns the only way to write a body. A second head is refused with a typed error and counted (second_heads_total), and its line is an error that is never dropped. A refusal in a response that has begun becomes a cut in one place, finish.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -88,7 +88,7 @@
 // policy returns the current inputs for deciding on further attempts.
 func (c *call) policy(ctx context.Context) retry.Request {
 	return retry.Request{
-		Route: c.route, Counts: c.counts, HeadWritten: c.relay.headWritten, Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
+		Route: c.route, Counts: c.counts, HeadWritten: c.response.Begun(), Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,7 +109,7 @@
 	switch {
 	case success && !head.Signed:
 		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
-	case c.relay.headWritten:
+	case c.response.Begun():
 		return c.relay.continueStream(ctx, a, answer)
 	case success && c.route.Kind == document.Stream && mayBeEventStream(answer.Header):
 		return c.relay.relayStream(ctx, a, answer)
@@ -209,8 +209,7 @@
 	case retry.EndBroken:
 		return false, brokenAnswer{err: out.err}
 	case retry.EndServerError:
-		c.relay.writeHeld(out.held)
-		return false, nil
+		return false, c.relay.writeHeld(out.held)
 	default:
 		return false, c.refusal(ending)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/state/document"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines call, which handles one request from arrival to end: admission, attempts at
@@ -22,7 +23,7 @@
 // call is the state of one request. Only the goroutine that serves the request uses it.
 type call struct {
 	g        *Gateway
-	w        http.ResponseWriter
+	response *response.Writer
 	r        *http.Request
 	arrived  time.Duration
 	deadline time.Duration // end of the caller's or the route's timeout, whichever is earlier
@@ -68,9 +69,9 @@
 	g.inFlight.Add(1)
 	g.requestsSinceReport.Add(1)
 	defer g.inFlight.Add(-1)
-	c := &call{g: g, w: w, r: r, arrived: g.now(), head: g.cfg.Headers.DecodeRequest(r)}
+	c := &call{g: g, response: response.New(w, g.recordSecondHead), r: r, arrived: g.now(), head: g.cfg.Headers.DecodeRequest(r)}
 	if g.stopping() > 0 {
-		w.Header().Set("Connection", "close")
+		c.response.CloseConnection()
 	}
 	defer func() { g.bodyBytes.Add(-int64(len(c.body))) }()
 	err := c.admit()
@@ -221,9 +222,9 @@
 	}
 	// Writers without deadline support are fine: the HTTP server's own timeouts still bound the
 	// read.
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.timeLeft()))
+	_ = c.response.SetReadDeadline(time.Now().Add(c.timeLeft()))
 	body, err := readAll(io.LimitReader(c.r.Body, limit+1), c.r.ContentLength)
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{}) // see above
+	_ = c.response.SetReadDeadline(time.Time{}) // see above
 	c.body = body
 	c.g.bodyBytes.Add(int64(len(body)))
 	switch {
@@ -257,9 +258,6 @@
 	}
 	for {
 		a, err := c.acquireServer(ctx)
-		if err != nil && c.relay.headWritten {
-			return brokenAnswer{err: err} // once the head is written, no other answer can follow
-		}
 		if err != nil {
 			return err
 		}
@@ -277,7 +275,7 @@
 		out := c.attempt(ctx, a)
 		if out.execution == retry.Answered {
 			c.unconfirmed = out.verdict == outlier.Unconfirmed
-			if c.relay.succeeded() && !c.unconfirmed {
+			if isSuccess(c.response.Status()) && !c.unconfirmed {
 				c.clearSuspicion()
 			}
 			return nil
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/place"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file tests that only its own continuation follows a response that has begun.
@@ -314,3 +317,25 @@
 		is.True(got.took < time.Second)
 	})
 }
+
+// TestNothingIsRefusedInBegunResponse guards against an error response of the gateway inside a response that has
+// begun, whatever ends the request.
+func TestNothingIsRefusedInBegunResponse(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		for cause := range responsesByCause {
+			is := is.New(x.t)
+			w := httptest.NewRecorder()
+			c := &call{g: x.g, r: httptest.NewRequestWithContext(x.t.Context(), http.MethodPost, "/resume/x", nil)}
+			c.response = response.New(w, x.g.recordSecondHead)
+			c.relay = &relay{c: c}
+			is.NoErr(c.relay.writeHead(http.StatusOK, http.Header{}, -1, false))
+			_, _ = c.relay.body.Write([]byte(event(1)))
+			func() {
+				defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+				c.finish(Refusal{Cause: cause})
+			}()
+			is.Equal(w.Body.String(), event(1))
+			is.Equal(x.counter(fmt.Sprintf("badgerspoke_gateway_refused_total{cause=%q}", cause)), uint64(0))
+		}
+	})
+}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines Refusal, the error response that the gateway sends on its own, and the table of
@@ -109,18 +110,22 @@
 // Status returns the HTTP status code.
 func (r Refusal) Status() int { return responsesByCause[r.Cause].status }
 
-// write sends the response. No part of an answer may have been written before.
-func (r Refusal) write(w http.ResponseWriter) {
-	h := w.Header()
-	h["Date"] = nil
-	h.Set("Content-Type", "application/json")
-	if r.RetryAfter > 0 {
-		h.Set("Retry-After", fmt.Sprintf("%.3f", r.RetryAfter.Seconds()))
-	}
+// write sends the response. The error is a [response.SecondHead].
+func (r Refusal) write(w *response.Writer) error {
 	if responsesByCause[r.Cause].closesConnection {
-		h.Set("Connection", "close")
+		w.CloseConnection()
+	}
+	body, err := w.Begin(r.Status(), func(h http.Header) {
+		h["Date"] = nil
+		h.Set("Content-Type", "application/json")
+		if r.RetryAfter > 0 {
+			h.Set("Retry-After", fmt.Sprintf("%.3f", r.RetryAfter.Seconds()))
+		}
+	})
+	if err != nil {
+		return err
 	}
-	w.WriteHeader(r.Status())
 	// A write error means that the caller has gone, and there is nobody left to answer.
-	_, _ = fmt.Fprintf(w, "{\"error\":%q}\n", r.Cause)
+	_, _ = fmt.Fprintf(body, "{\"error\":%q}\n", r.Cause)
+	return nil
 }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
@@ -34,6 +35,12 @@
 	return ok && left()
 }
 
+// cutOff ends a response that has begun so that the caller sees that it is incomplete.
+func (c *call) cutOff() {
+	c.resetCaller()
+	panic(http.ErrAbortHandler)
+}
+
 // resetCaller makes the end of the connection show that the answer is incomplete. A chunked answer, or one
 // with a length, shows it without a reset, which could discard what the caller has not read yet.
 func (c *call) resetCaller() {
@@ -55,10 +62,25 @@
 // Error implements error.
 func (b brokenAnswer) Error() string { return "answer cut off: " + b.err.Error() }
 
+// endingOf returns the error with which a call ends. In a response that has begun nothing can be refused any more.
+func (c *call) endingOf(err error) error {
+	if c.response.Begun() && errors.As(err, new(Refusal)) {
+		return brokenAnswer{err: err}
+	}
+	return err
+}
+
+// recordSecondHead records a head that was refused because the response had begun.
+func (g *Gateway) recordSecondHead(e response.SecondHead) {
+	g.stats.secondHeads.Inc()
+	g.cfg.Log.Slog().Error("second response head", slog.Int("status", e.Second), slog.Int("begun_with", e.First))
+}
+
 // finish writes the gateway's own error response if there is one, and updates counters and the log.
 func (c *call) finish(err error) {
 	took := c.g.now() - c.arrived
-	if c.wasAssigned && !c.relay.headWritten {
+	err = c.endingOf(err)
+	if c.wasAssigned && !c.response.Begun() {
 		c.g.accounts.countNotServed(c.account.Name, c.cost)
 	}
 	var refusal Refusal
@@ -78,12 +100,13 @@
 			return append(c.logAttrs(took), slog.String("cause", string(refusal.Cause)),
 				slog.Int("status", refusal.Status()), milliseconds("after_ms", refusal.RetryAfter))
 		})
-		refusal.write(c.w)
+		if err := refusal.write(c.response); err != nil {
+			c.cutOff()
+		}
 	case errors.As(err, &broken):
 		c.g.stats.count("broken", "route", c.route.Name)
 		c.g.cfg.Log.Failure("answer cut off", append(c.logAttrs(took), slog.String("error", broken.err.Error()))...)
-		c.resetCaller()
-		panic(http.ErrAbortHandler)
+		c.cutOff()
 	default:
 		c.g.stats.count("left", "route", c.route.Name)
 		c.g.cfg.Log.Failure("caller left", c.logAttrs(took)...)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -235,6 +235,9 @@
 			x.g.stop()
 			x.g.cfg.Log.Close()
 			synctest.Wait()
+			if n := x.counter("badgerspoke_gateway_second_heads_total"); n > 0 {
+				t.Errorf("%d heads followed another one in the same response", n)
+			}
 		}()
 		x.g.gatewayCount.Store(1)
 		x.g.apply(testDocument())
--- a/gateway/golden_test.go
+++ b/gateway/golden_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/internal/golden"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file compares the gateway's own error responses, as callers see them, with testdata/golden,
@@ -22,7 +23,10 @@
 	for _, cause := range slices.Sorted(maps.Keys(responsesByCause)) {
 		for _, after := range []time.Duration{0, 1500 * time.Millisecond} {
 			w := httptest.NewRecorder()
-			Refusal{cause, after}.write(w)
+			refusal := Refusal{cause, after}
+			if err := refusal.write(response.New(w, func(response.SecondHead) {})); err != nil {
+				t.Error(err)
+			}
 			fmt.Fprintf(&got, "%s, come back after %v: %d\n", cause, after, w.Code)
 			for _, name := range slices.Sorted(maps.Keys(w.Header())) {
 				fmt.Fprintf(&got, "  %s: %q\n", name, w.Header()[name])
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines relay, which passes an answer on to the caller: a plain answer once it is
@@ -31,15 +33,14 @@
 // relay passes on the answer of one request, across all its attempts.
 type relay struct {
 	c           *call
-	headWritten bool     // the response head has been written
-	status      int      // status code of the response head
-	plain       bool     // the response is no stream
-	unframed    bool     // the response to the caller ends with its connection
-	position    position // of the stream, at the last event passed on
-	partial     []byte   // received part that has not been passed on
-	resumes     bool     // the current answer is to continue a stream that has begun
-	continues   bool     // the current answer has shown that it does, or need not
-	endUnstated bool     // the previous answer ended the stream in order without stating that this is its end
+	body        *response.Body // of the response to the caller; nil before its head
+	plain       bool           // the response is no stream
+	unframed    bool           // the response ends with its connection
+	position    position       // of the stream, at the last event passed on
+	partial     []byte         // received part that has not been passed on
+	resumes     bool           // the current answer is to continue a stream that has begun
+	continues   bool           // the current answer has shown that it does, or need not
+	endUnstated bool           // the previous answer ended the stream in order without stating that this is its end
 	// Statistics of the stream so far, for the log.
 	writes          int // number of writes to the caller
 	lastWriteAt     time.Duration
@@ -74,7 +75,9 @@
 		err := faultyAnswer("status " + strconv.Itoa(answer.Status))
 		return outcome{execution: retry.HasRun, cause: "server error", verdict: outlier.Faulty, held: held, err: err}
 	}
-	r.writeHeld(held)
+	if err := r.writeHeld(held); err != nil {
+		return secondHeadOutcome(err)
+	}
 	return passedOn(answer)
 }
 
@@ -88,10 +91,12 @@
 
 // relayLarge passes on an answer that is too large to be held.
 func (r *relay) relayLarge(answer *forward.Response, head *heldAnswer) outcome {
+	if err := r.writeHead(head.status, head.header, answer.Length, answer.Unframed); err != nil {
+		return secondHeadOutcome(err)
+	}
 	r.plain = true
 	r.c.stall.pause()
-	r.writeHead(head.status, head.header, answer.Length, answer.Unframed)
-	_, err := io.Copy(callerWriter{r.c.w}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
+	_, err := io.Copy(callerWriter{r.body}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
 	case err == nil:
 		return passedOn(answer)
@@ -107,6 +112,12 @@
 	return outcome{execution: retry.MayHaveRun, cause: "caller gone", verdict: outlier.NoVerdict, err: err}
 }
 
+// secondHeadOutcome returns the outcome of an attempt whose answer came after the response had begun with another
+// one. This is a fault of the gateway.
+func secondHeadOutcome(err error) outcome {
+	return outcome{execution: retry.MayHaveRun, cause: "second head", verdict: outlier.NoVerdict, err: err}
+}
+
 // callerWriter writes to the caller and wraps errors in [writeFailed], so that the error of a copy
 // shows which side failed.
 type callerWriter struct{ w io.Writer }
@@ -126,37 +137,40 @@
 // Error implements error.
 func (e writeFailed) Error() string { return e.err.Error() }
 
-// writeHeld writes a whole answer to the caller.
-func (r *relay) writeHeld(h *heldAnswer) {
-	r.writeHead(h.status, h.header, int64(len(h.body)), h.unframed)
-	_, _ = r.c.w.Write(h.body) // a failure means that the caller has left; net/http then closes the connection
+// writeHeld writes a whole answer to the caller. The error is a [response.SecondHead].
+func (r *relay) writeHeld(h *heldAnswer) error {
+	if err := r.writeHead(h.status, h.header, int64(len(h.body)), h.unframed); err != nil {
+		return err
+	}
+	_, _ = r.body.Write(h.body) // a failure means that the caller has left; net/http then closes the connection
+	return nil
 }
 
 // writeHead writes the response head. A negative length is unknown. An unframed response gets neither a
-// length nor chunks, since each of them would state an end that the server did not state.
-func (r *relay) writeHead(status int, header http.Header, length int64, unframed bool) {
-	r.headWritten, r.status, r.unframed = true, status, unframed
-	h := r.c.w.Header()
-	for name, values := range r.c.g.cfg.Headers.AnswerHeader(header) {
-		h[name] = values
-	}
-	for _, name := range []string{"Date", "Content-Type"} { // nil keeps net/http from adding them
-		if _, set := h[name]; !set {
-			h[name] = nil
+// length nor chunks, since each of them would state an end that the server did not state. The error is a
+// [response.SecondHead].
+func (r *relay) writeHead(status int, header http.Header, length int64, unframed bool) error {
+	body, err := r.c.response.Begin(status, func(h http.Header) {
+		maps.Copy(h, r.c.g.cfg.Headers.AnswerHeader(header))
+		for _, name := range []string{"Date", "Content-Type"} { // nil keeps net/http from adding them
+			if _, set := h[name]; !set {
+				h[name] = nil
+			}
 		}
+		switch {
+		case unframed:
+			h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+		case length >= 0 && r.c.r.Method != http.MethodHead:
+			h.Set("Content-Length", strconv.FormatInt(length, 10))
+		}
+	})
+	if err != nil {
+		return err
 	}
-	switch {
-	case unframed:
-		h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
-	case length >= 0 && r.c.r.Method != http.MethodHead:
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	r.c.w.WriteHeader(status)
+	r.body, r.unframed = body, unframed
+	return nil
 }
 
-// succeeded reports whether a success was written to the caller.
-func (r *relay) succeeded() bool { return isSuccess(r.status) }
-
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
@@ -164,18 +178,18 @@
 // relayStream passes on the events of a stream, each as soon as it is whole.
 func (r *relay) relayStream(ctx context.Context, a *assignment, answer *forward.Response) outcome {
 	r.partial = r.partial[:0]
-	r.resumes, r.continues = r.headWritten, !r.headWritten
+	r.resumes = r.c.response.Begun()
+	r.continues = !r.resumes
 	buffer := make([]byte, readSize)
-	flusher := http.NewResponseController(r.c.w)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			if err := r.relayChunk(a, answer, buffer[:n], flusher); err != nil {
+			if err := r.relayChunk(a, answer, buffer[:n]); err != nil {
 				return chunkErrorOutcome(err)
 			}
 		}
 		if err == io.EOF {
-			return r.finishStream(answer, flusher)
+			return r.finishStream(answer)
 		}
 		// A delayed gateway pauses between reads, so that one read returns several events.
 		if err == nil && !sleep.For(ctx, r.c.g.overload.Load().Coalesce(r.c.route.EventGap)) {
@@ -192,6 +206,8 @@
 	switch {
 	case errors.As(err, new(notContinuation)):
 		return notContinuedOutcome(err)
+	case errors.As(err, new(response.SecondHead)):
+		return secondHeadOutcome(err)
 	case err == errTooLarge:
 		return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: err}
 	}
@@ -199,15 +215,17 @@
 }
 
 // relayChunk handles the bytes of one read. The first ones of the call are preceded by the response head. The
-// error is errTooLarge, a [notContinuation], or that of a write.
-func (r *relay) relayChunk(a *assignment, answer *forward.Response, chunk []byte, flusher *http.ResponseController) error {
+// error is errTooLarge, a [notContinuation], a [response.SecondHead], or that of a write.
+func (r *relay) relayChunk(a *assignment, answer *forward.Response, chunk []byte) error {
 	r.c.stall.progressed()
 	if r.continues {
 		r.recordBegun(a)
 	}
-	if !r.headWritten {
+	if r.body == nil {
+		if err := r.writeHead(answer.Status, answer.Header, -1, answer.Unframed); err != nil {
+			return err
+		}
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
-		r.writeHead(answer.Status, answer.Header, -1, answer.Unframed)
 		r.c.recordOrigin(a)
 	}
 	r.partial = append(r.partial, chunk...)
@@ -223,7 +241,7 @@
 		return r.checkPartialSize() // comments before the first event
 	}
 	r.recordBegun(a)
-	if err := r.writeEvents(end, position, flusher); err != nil {
+	if err := r.writeEvents(end, position); err != nil {
 		return err
 	}
 	if !r.canContinue() {
@@ -266,22 +284,24 @@
 // finishStream handles the end of a stream's body. One that ends inside an event, or before the first one
 // without stating that this is its end, is broken. A stream that began with chunks and goes on in a body
 // without them ends like a broken one: its last chunk would state an end that nothing else states.
-func (r *relay) finishStream(answer *forward.Response, flusher *http.ResponseController) outcome {
+func (r *relay) finishStream(answer *forward.Response) outcome {
 	confirmed := r.endUnstated && !answer.Unframed && len(r.partial) == 0
 	switch {
-	case len(r.partial) > 0 || answer.Unframed && !r.headWritten:
+	case len(r.partial) > 0 || answer.Unframed && r.body == nil:
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 	case !r.continues && !confirmed:
 		return notContinuedOutcome(errNoEvents)
 	}
-	if !r.headWritten {
-		r.writeHead(answer.Status, answer.Header, 0, false)
+	if r.body == nil {
+		if err := r.writeHead(answer.Status, answer.Header, 0, false); err != nil {
+			return secondHeadOutcome(err)
+		}
 	}
 	if answer.Unframed && !r.unframed {
 		r.endUnstated = true
 		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
 	}
-	_ = flusher.Flush() // unflushed bytes are sent when the handler returns
+	_ = r.body.Flush() // unflushed bytes are sent when the handler returns
 	return passedOn(answer)
 }
 
@@ -298,13 +318,13 @@
 }
 
 // writeEvents passes on the first bytes received so far, which are whole events, with one write and keeps the rest.
-func (r *relay) writeEvents(end int, position position, flusher *http.ResponseController) error {
-	r.extendWriteDeadline(flusher)
-	if _, err := r.c.w.Write(r.partial[:end]); err != nil {
+func (r *relay) writeEvents(end int, position position) error {
+	r.extendWriteDeadline()
+	if _, err := r.body.Write(r.partial[:end]); err != nil {
 		return err
 	}
 	r.position, r.endUnstated = position, false
-	if err := flusher.Flush(); err != nil {
+	if err := r.body.Flush(); err != nil {
 		return err
 	}
 	r.partial = append(r.partial[:0], r.partial[end:]...)
@@ -322,12 +342,12 @@
 
 // extendWriteDeadline moves the write deadline at most every quarter of writeTimeout, since moving
 // it for each event would cost more than relaying the event.
-func (r *relay) extendWriteDeadline(flusher *http.ResponseController) {
+func (r *relay) extendWriteDeadline() {
 	now := r.c.g.now()
 	if now < r.deadlineMovedAt+writeTimeout/4 && r.deadlineMovedAt > 0 {
 		return
 	}
 	r.deadlineMovedAt = now
 	// A writer that does not support deadlines is no error: the route's timeout still ends the stream.
-	_ = flusher.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = r.body.SetWriteDeadline(time.Now().Add(writeTimeout))
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -16,6 +16,7 @@
 type stats struct {
 	metricSet             *metrics.Set
 	connectionsUnaccepted *metrics.Counter // estimate of connections that were not accepted
+	secondHeads           *metrics.Counter // heads that were refused because the response had begun; a fault of this program
 
 	mu         sync.Mutex // leaf lock; guards the caches below
 	counters   map[counterKey]*metrics.Counter
@@ -57,7 +58,8 @@
 func newStats(set *metrics.Set) *stats {
 	return &stats{
 		metricSet: set, connectionsUnaccepted: set.GetOrCreateCounter("badgerspoke_gateway_connections_untaken_total"),
-		counters: map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{},
+		secondHeads: set.GetOrCreateCounter("badgerspoke_gateway_second_heads_total"),
+		counters:    map[counterKey]*metrics.Counter{}, histograms: map[histogramKey]*metrics.Histogram{},
 	}
 }
 
