router: one place writes a response's head, and a second one is an error

The router responds through the Writer of transport/response as well: answers, replayed answers, failures and probes. That a failure follows no answer rested on the order of the calls. The fleets of the tests fail if a router logs a second head.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -125,7 +126,7 @@
 	cfg := badgerspoke.Settings{
 		Name: name, FleetKey: []byte("a key that all boxes share"), Replicas: f.replicas, OperatorToken: operatorToken,
 		Dialer: f.net.DialerFrom(b.ip), Random: f.random, Grace: 100 * time.Millisecond,
-		Router: !b.control, Control: b.control,
+		Router: !b.control, Control: b.control, Log: slog.New(headChecker{f.t}),
 		OpenDir: func(group string) (wal.Dir, error) {
 			if b.disks[group] == nil {
 				b.disks[group] = fakedisk.New(f.random())
@@ -148,6 +149,27 @@
 	b.box = box
 }
 
+// headChecker is a log handler that fails the test if a router tries to write a second head into a response. It
+// ignores all other lines.
+type headChecker struct{ t *testing.T }
+
+// Enabled implements [slog.Handler].
+func (headChecker) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelError }
+
+// Handle implements [slog.Handler].
+func (c headChecker) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "second response head" {
+		c.t.Error(r.Message)
+	}
+	return nil
+}
+
+// WithAttrs implements [slog.Handler].
+func (c headChecker) WithAttrs([]slog.Attr) slog.Handler { return c }
+
+// WithGroup implements [slog.Handler].
+func (c headChecker) WithGroup(string) slog.Handler { return c }
+
 func (f *testFleet) listen(address string) net.Listener {
 	l, err := f.net.Listen(address)
 	if err != nil {
--- a/router/call.go
+++ b/router/call.go
@@ -15,6 +15,7 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines call, one request from its admission to its end: it waits for a slot, claims
@@ -43,7 +44,7 @@
 }
 
 // serve runs a call to its end and writes its answer.
-func (r *Router) serve(w http.ResponseWriter, req *http.Request, c *call) {
+func (r *Router) serve(w *response.Writer, req *http.Request, c *call) {
 	c.arrivedAt = r.now()
 	r.countRequest()
 	if f := r.run(w, req.Context(), c); f != nil {
@@ -66,7 +67,7 @@
 
 // run queues the call, claims its key and sends it to a server, and repeats this until the call is
 // answered or fails. It returns a failure only if nothing has been written to the caller yet.
-func (r *Router) run(w http.ResponseWriter, ctx context.Context, c *call) *Failure {
+func (r *Router) run(w *response.Writer, ctx context.Context, c *call) *Failure {
 	for {
 		server, f := r.awaitServer(ctx, c)
 		if f != nil {
@@ -119,7 +120,7 @@
 // claimKey claims the idempotency key of a call that has a slot. If the claim is not granted at
 // once, the slot is released, because waiting for another router's outcome may take long. answered
 // reports that the caller has its answer.
-func (r *Router) claimKey(w http.ResponseWriter, ctx context.Context, c *call, server config.Server) (answered bool, f *Failure) {
+func (r *Router) claimKey(w *response.Writer, ctx context.Context, c *call, server config.Server) (answered bool, f *Failure) {
 	cctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	got, ok := r.claims.claim(cctx, *c.claim, false)
 	cancel()
@@ -142,7 +143,7 @@
 
 // answerClaimed answers the caller with the recorded outcome of the request with this key. It
 // answers nothing if the claim was granted, since this router then runs the request.
-func (r *Router) answerClaimed(w http.ResponseWriter, c *call, got protocol.Claimed) (answered bool, f *Failure) {
+func (r *Router) answerClaimed(w *response.Writer, c *call, got protocol.Claimed) (answered bool, f *Failure) {
 	switch got.State {
 	case protocol.ClaimGranted:
 		c.holdsClaim = true
@@ -153,15 +154,14 @@
 		if got.Answer == nil {
 			return false, failAlreadyRan
 		}
-		replay(w, *got.Answer)
-		return true, nil
+		return true, replay(w, *got.Answer)
 	}
 	return false, failUnknownRun
 }
 
 // attempt sends the call to a server and relays the answer. again reports that the call did not
 // run, or may be repeated, and should be queued again.
-func (r *Router) attempt(w http.ResponseWriter, ctx context.Context, c *call, server config.Server) (again bool, f *Failure) {
+func (r *Router) attempt(w *response.Writer, ctx context.Context, c *call, server config.Server) (again bool, f *Failure) {
 	p := r.pool(c.pool)
 	began := r.now()
 	a, err := r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
@@ -250,13 +250,17 @@
 }
 
 // replay writes a recorded answer.
-func replay(w http.ResponseWriter, a protocol.Answer) {
-	h := w.Header()
-	if a.ContentType != "" {
-		h.Set("Content-Type", a.ContentType)
+func replay(w *response.Writer, a protocol.Answer) *Failure {
+	body, err := w.Begin(a.Status, func(h http.Header) {
+		if a.ContentType != "" {
+			h.Set("Content-Type", a.ContentType)
+		}
+		h.Set(OutcomeHeader, string(Ran))
+		h.Set("Badgerspoke-Replayed", "true")
+	})
+	if err != nil {
+		return failBroken
 	}
-	h.Set(OutcomeHeader, string(Ran))
-	h.Set("Badgerspoke-Replayed", "true")
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // fails only for a caller that has left
+	_, _ = body.Write(a.Body) // fails only for a caller that has left
+	return nil
 }
--- a/router/callers.go
+++ b/router/callers.go
@@ -21,6 +21,7 @@
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
@@ -50,13 +51,14 @@
 const maxUser = 128
 
 // ServeHTTP serves callers and health probes.
-func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+func (r *Router) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	w := response.New(rw, r.recordSecondHead)
 	path := req.URL.Path
 	switch {
 	case path == "/healthz":
-		_, _ = io.WriteString(w, "ok\n") // a prober notices a truncated answer itself
+		r.writeText(w, http.StatusOK, "ok\n")
 	case path == "/readyz":
 		r.serveReady(w)
 	case path == "/v1/models":
@@ -70,32 +72,48 @@
 	}
 }
 
-func (r *Router) refuse(w http.ResponseWriter, f *Failure) {
+// refuse responds with a failure. A response that has begun is cut off instead.
+func (r *Router) refuse(w *response.Writer, f *Failure) {
 	r.stats.countFailure(f)
-	f.write(w)
+	if err := f.write(w); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// recordSecondHead records a head that was refused because the response had begun.
+func (r *Router) recordSecondHead(e response.SecondHead) {
+	r.stats.secondHeads.Inc()
+	r.cfg.Log.Error("second response head", "status", e.Second, "begun_with", e.First)
 }
 
-func (r *Router) serveReady(w http.ResponseWriter) {
+func (r *Router) serveReady(w *response.Writer) {
 	if !r.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = io.WriteString(w, "not ready\n") // a prober notices a truncated answer itself
+		r.writeText(w, http.StatusServiceUnavailable, "not ready\n")
 		return
 	}
-	_, _ = io.WriteString(w, "ready\n") // a prober notices a truncated answer itself
+	r.writeText(w, http.StatusOK, "ready\n")
+}
+
+// writeText responds to a health probe.
+func (r *Router) writeText(w *response.Writer, status int, text string) {
+	body, err := w.Begin(status, func(http.Header) {})
+	if err == nil {
+		_, _ = io.WriteString(body, text) // a prober notices a truncated answer itself
+	}
 }
 
 // handler serves a request of an account. A returned failure has not been written to the caller.
-type handler func(w http.ResponseWriter, req *http.Request, a config.Account) *Failure
+type handler func(w *response.Writer, req *http.Request, a config.Account) *Failure
 
 // withAccount calls h with the request's account and writes the failure if h returns one. It
 // refuses requests with another method, without a valid key, or during a stop.
-func (r *Router) withAccount(w http.ResponseWriter, req *http.Request, method string, h handler) {
+func (r *Router) withAccount(w *response.Writer, req *http.Request, method string, h handler) {
 	if f := r.admit(w, req, method, h); f != nil {
 		r.refuse(w, f)
 	}
 }
 
-func (r *Router) admit(w http.ResponseWriter, req *http.Request, method string, h handler) *Failure {
+func (r *Router) admit(w *response.Writer, req *http.Request, method string, h handler) *Failure {
 	if method != "" && req.Method != method {
 		return failMethod.WithMessage("use " + method)
 	}
@@ -113,7 +131,7 @@
 	return failAPIKey
 }
 
-func (r *Router) serveModels(w http.ResponseWriter, _ *http.Request, _ config.Account) *Failure {
+func (r *Router) serveModels(w *response.Writer, _ *http.Request, _ config.Account) *Failure {
 	type model struct {
 		ID     string `json:"id"`
 		Object string `json:"object"`
@@ -127,9 +145,10 @@
 	for _, name := range slices.Sorted(maps.Keys(t.models)) {
 		list.Data = append(list.Data, model{ID: name, Object: "model", Owner: t.models[name]})
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(list); err != nil {
-		return failMalformed.WithMessage(err.Error())
+	text, _ := json.Marshal(list) // marshalling strings cannot fail
+	body, err := w.Begin(http.StatusOK, func(h http.Header) { h.Set("Content-Type", "application/json") })
+	if err == nil {
+		_, _ = body.Write(append(text, '\n')) // fails only if the caller has left
 	}
 	return nil
 }
@@ -141,7 +160,7 @@
 	User   string `json:"user"`
 }
 
-func (r *Router) serveEngine(w http.ResponseWriter, req *http.Request, a config.Account) *Failure {
+func (r *Router) serveEngine(w *response.Writer, req *http.Request, a config.Account) *Failure {
 	c, f := r.newCall(w, req, a)
 	if f != nil {
 		return f
@@ -168,7 +187,7 @@
 	return r.serveCall(w, req, c)
 }
 
-func (r *Router) serveService(w http.ResponseWriter, req *http.Request, a config.Account) *Failure {
+func (r *Router) serveService(w *response.Writer, req *http.Request, a config.Account) *Failure {
 	rest := strings.TrimPrefix(req.URL.EscapedPath(), "/services/")
 	name, path, _ := strings.Cut(rest, "/")
 	t := r.routes.Load()
@@ -197,7 +216,7 @@
 
 // serveCall runs a call. If its answer broke off and the body cannot show that, it aborts the
 // connection.
-func (r *Router) serveCall(w http.ResponseWriter, req *http.Request, c *call) *Failure {
+func (r *Router) serveCall(w *response.Writer, req *http.Request, c *call) *Failure {
 	if c.claim != nil {
 		c.repeatable = false
 		c.claim.Digest = xxh3.Hash(append([]byte(req.Method+" "+c.forwardCall.Path+"\n"), c.body...))
@@ -217,7 +236,7 @@
 
 // newCall checks the headers that callers may set on any call and reads the body. The caller must
 // release the body.
-func (r *Router) newCall(w http.ResponseWriter, req *http.Request, a config.Account) (*call, *Failure) {
+func (r *Router) newCall(w *response.Writer, req *http.Request, a config.Account) (*call, *Failure) {
 	c := &call{account: a, class: defaultClass, flow: req.Header.Get(userHeader), http2: req.ProtoMajor >= 2}
 	if len(c.flow) > maxUser {
 		return nil, failHeader.WithMessage(userHeader + " is longer than 128 bytes")
@@ -253,7 +272,7 @@
 
 // readBody reads a body within the limit on all bodies together. A body of unknown length
 // counts with the largest allowed size until releaseBody.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request, c *call) ([]byte, *Failure) {
+func (r *Router) readBody(w *response.Writer, req *http.Request, c *call) ([]byte, *Failure) {
 	limits := r.cfg.Limits
 	if req.ContentLength > limits.BodyBytes {
 		return nil, failTooLarge
@@ -267,17 +286,16 @@
 		return nil, failFull.WithMessage("the bodies of all requests together are at their limit")
 	}
 	c.reservedBytes = reserved
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(limits.ReadTimeout)) // fails only on a closed connection, and then the read fails as well
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.BodyBytes))
+	_ = w.SetReadDeadline(time.Now().Add(limits.ReadTimeout)) // fails only on a closed connection, and then the read fails as well
+	body, err := io.ReadAll(w.LimitBody(req.Body, limits.BodyBytes))
 	if err != nil {
 		// The deadline is kept: without it, the server would wait for the rest of
 		// the body before it closes the connection.
-		w.Header().Set("Connection", "close")
+		w.CloseConnection()
 		r.releaseBody(c)
 		return nil, bodyFailure(err)
 	}
-	_ = rc.SetReadDeadline(time.Time{}) // as above
+	_ = w.SetReadDeadline(time.Time{}) // as above
 	return body, nil
 }
 
--- a/router/errors.go
+++ b/router/errors.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines Failure, the form in which a request fails, and the tables of failures with
@@ -124,16 +126,20 @@
 	return b
 }
 
-// write answers a request with the failure.
-func (f Failure) write(w http.ResponseWriter) {
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(OutcomeHeader, string(f.Outcome))
-	if f.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(max(f.RetryAfter/time.Second, 1))))
+// write answers a request with the failure. The error is a [response.SecondHead].
+func (f Failure) write(w *response.Writer) error {
+	body, err := w.Begin(f.Status, func(h http.Header) {
+		h.Set("Content-Type", "application/json")
+		h.Set(OutcomeHeader, string(f.Outcome))
+		if f.RetryAfter > 0 {
+			h.Set("Retry-After", strconv.Itoa(int(max(f.RetryAfter/time.Second, 1))))
+		}
+	})
+	if err != nil {
+		return err
 	}
-	w.WriteHeader(f.Status)
-	_, _ = w.Write(append(f.body(), '\n')) // fails only if the caller has left
+	_, _ = body.Write(append(f.body(), '\n')) // fails only if the caller has left
+	return nil
 }
 
 // event returns the failure as the last event of a broken stream.
--- a/router/relay.go
+++ b/router/relay.go
@@ -17,6 +17,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
+	"github.com/badgerspoke/badgerspoke/transport/response"
 )
 
 // This file defines relay, which copies a backend server's answer to the caller as it arrives, byte
@@ -41,6 +42,7 @@
 	pool      *lockedPool
 	answer    *forward.Response
 	startedAt time.Duration
+	body      *response.Body // of the response to the caller
 
 	scan             *streamScan // scanner of an event stream; nil for any other answer
 	plainBody        []byte      // body of any other answer, up to maxUsageParse
@@ -64,13 +66,16 @@
 }
 
 // run relays the answer to its end.
-func (r *relay) run(w http.ResponseWriter) relayResult {
+func (r *relay) run(w *response.Writer) relayResult {
 	if isEventStream(r.answer.Header) {
 		r.scan = &streamScan{}
 	}
 	r.length = r.answer.Length
-	r.writeHead(w)
-	callerLeft, err := r.copyBody(w)
+	if err := r.writeHead(w); err != nil {
+		r.call.abortConnection = true
+		return relayResult{cost: r.cost(), result: pool.Abandoned, failure: failBroken}
+	}
+	callerLeft, err := r.copyBody()
 	end := relayResult{cost: r.cost(), result: pool.Served}
 	switch {
 	case callerLeft:
@@ -78,7 +83,7 @@
 		end.failure, end.result = failCallerGone, pool.Abandoned
 	case err != nil || r.isTruncated():
 		end.failure, end.result = failBroken, pool.Failed
-		r.signalBrokenAnswer(w, failBroken)
+		r.signalBrokenAnswer(failBroken)
 	case r.endUnknown():
 		end.result = pool.Unconfirmed
 		r.call.abortConnection = !r.call.unframed
@@ -98,22 +103,25 @@
 	return r.answer.Unframed && !r.statesEnd() && r.relayedBytes != r.length
 }
 
-func (r *relay) writeHead(w http.ResponseWriter) {
-	h := w.Header()
-	for name, values := range r.answer.Header {
-		if !hopByHop[name] && name != forward.ResumeHeader && name != forward.LoadHeader {
-			h[name] = values
+// writeHead begins the response with the head of the answer. The error is a [response.SecondHead].
+func (r *relay) writeHead(w *response.Writer) (err error) {
+	unframed := r.answer.Unframed && !r.statesEnd() && !r.call.http2
+	r.body, err = w.Begin(r.answer.Status, func(h http.Header) {
+		for name, values := range r.answer.Header {
+			if !hopByHop[name] && name != forward.ResumeHeader && name != forward.LoadHeader {
+				h[name] = values
+			}
 		}
-	}
-	if r.answer.Unframed && !r.statesEnd() && !r.call.http2 {
-		h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
-		r.call.unframed = true
-	}
-	w.WriteHeader(r.answer.Status)
+		if unframed {
+			h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+		}
+	})
+	r.call.unframed = unframed && err == nil
+	return err
 }
 
 // copyBody copies the body to its end and resumes it after a break where possible.
-func (r *relay) copyBody(w http.ResponseWriter) (callerLeft bool, err error) {
+func (r *relay) copyBody() (callerLeft bool, err error) {
 	buf := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(buf)
 	for {
@@ -121,7 +129,7 @@
 		switch {
 		case r.exceedsLength(n):
 			return false, errTooLong
-		case n > 0 && !r.writeChunk(w, (*buf)[:n]):
+		case n > 0 && !r.writeChunk((*buf)[:n]):
 			return true, nil
 		}
 		switch {
@@ -138,16 +146,15 @@
 
 // writeChunk counts one chunk of the body and writes it to the caller at once. It reports whether
 // the caller is still connected.
-func (r *relay) writeChunk(w http.ResponseWriter, b []byte) bool {
+func (r *relay) writeChunk(b []byte) bool {
 	if r.relayedBytes == 0 {
 		r.router.stats.seriesOf(r.call).first.Update((r.router.now() - r.call.arrivedAt).Seconds())
 	}
 	r.recordChunk(b)
-	rc := http.NewResponseController(w)
 	// This fails only on a closed connection, and then the write fails as well.
-	_ = rc.SetWriteDeadline(time.Now().Add(r.router.cfg.Limits.WriteTimeout))
-	_, err := w.Write(b)
-	return err == nil && rc.Flush() == nil
+	_ = r.body.SetWriteDeadline(time.Now().Add(r.router.cfg.Limits.WriteTimeout))
+	_, err := r.body.Write(b)
+	return err == nil && r.body.Flush() == nil
 }
 
 // maxResumes bounds the resumptions of one answer.
@@ -272,11 +279,11 @@
 
 // signalBrokenAnswer makes a broken answer visible to the caller: a stream gets an error event, and any other
 // answer loses its connection before its declared end.
-func (r *relay) signalBrokenAnswer(w http.ResponseWriter, f *Failure) {
+func (r *relay) signalBrokenAnswer(f *Failure) {
 	if r.scan != nil {
 		// Both fail only if the caller has left, and then no event is needed.
-		_, _ = w.Write(append(r.scan.lineTerminator(), f.event()...))
-		_ = http.NewResponseController(w).Flush() // as above
+		_, _ = r.body.Write(append(r.scan.lineTerminator(), f.event()...))
+		_ = r.body.Flush() // as above
 		return
 	}
 	r.call.abortConnection = true
--- a/router/stats.go
+++ b/router/stats.go
@@ -23,6 +23,7 @@
 	resumed       *metrics.Counter // resumptions of broken answers
 	budgetEmpty   *metrics.Counter // retries that the retry budget did not allow
 	leaseExpired  *metrics.Counter
+	secondHeads   *metrics.Counter // heads that were refused because the response had begun; a fault of this program
 }
 
 func newStats(set *metrics.Set) *stats {
@@ -35,6 +36,7 @@
 		resumed:       set.GetOrCreateCounter("badgerspoke_resumed_total"),
 		budgetEmpty:   set.GetOrCreateCounter("badgerspoke_retries_refused_total"),
 		leaseExpired:  set.GetOrCreateCounter("badgerspoke_lease_expired_total"),
+		secondHeads:   set.GetOrCreateCounter("badgerspoke_second_heads_total"),
 	}
 }
 
--- a/transport/response/response_test.go
+++ b/transport/response/response_test.go
@@ -64,7 +64,7 @@
 // TestOnlyThisPackageWritesHeads guards against a router or gateway that responds other than through a Writer: its
 // handlers may only pass their http.ResponseWriter to New.
 func TestOnlyThisPackageWritesHeads(t *testing.T) {
-	for _, dir := range []string{"../../gateway"} {
+	for _, dir := range []string{"../../gateway", "../../router"} {
 		files, err := filepath.Glob(dir + "/*.go")
 		if err != nil || len(files) == 0 {
 			t.Fatalf("no files in %s: %v", dir, err)
