gateway: nothing follows a write that failed

A caller whose connection failed one write, in part, got the event again from another server, behind the half of it, if its context was still alive (TestNothingFollowsFailedWrite, which failed before; net/http ends the context, so this was not seen at callers). Cause: a failed write ended the attempt, and the route allowed another one. A body accepts nothing after its first failure now, and such a response is final.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -28,7 +28,10 @@
 var errNoEvents = notContinuation{"no events"}
 
 // canContinue reports whether another answer can continue the response that has begun.
-func (r *relay) canContinue() bool { return !r.plain && !r.position.passedID }
+func (r *relay) canContinue() bool {
+	callerLeft := r.body != nil && r.body.Err() != nil
+	return !callerLeft && !r.plain && !r.position.passedID
+}
 
 // continueStream relays an answer as the rest of the stream that has begun, if it is one.
 func (r *relay) continueStream(ctx context.Context, a *assignment, answer *forward.Response) outcome {
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -339,3 +339,31 @@
 		}
 	})
 }
+
+// deafCaller is a caller whose connection fails one write and accepts the others.
+type deafCaller struct {
+	*httptest.ResponseRecorder
+	writes, failing int
+}
+
+func (d *deafCaller) Write(p []byte) (int, error) {
+	d.writes++
+	if d.writes == d.failing {
+		n, _ := d.ResponseRecorder.Write(p[:len(p)/2])
+		return n, errReset
+	}
+	return d.ResponseRecorder.Write(p)
+}
+
+// TestNothingFollowsFailedWrite guards against further events behind one that its caller got only in part, and
+// against running a request again for a caller that cannot get the rest.
+func TestNothingFollowsFailedWrite(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{resuming(6, 0, nil), resuming(6, 0, nil)})
+		w := &deafCaller{ResponseRecorder: httptest.NewRecorder(), failing: 3}
+		x.requestInto("/resume/x", w)
+		is.Equal(w.Body.String(), wholeStream(2)+event(3)[:len(event(3))/2])
+		is.Equal(x.servers.count(), 1)
+	})
+}
--- a/transport/response/response.go
+++ b/transport/response/response.go
@@ -74,17 +74,32 @@
 	return http.MaxBytesReader(w.w, body, n)
 }
 
-// Body is the body of a response that has begun.
+// Body is the body of a response that has begun. After a failure, which means that the caller has left or has stopped
+// reading, nothing more is written, because the caller may have received a part of what failed.
 type Body struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	err        error // first failure
 }
 
-// Write implements [io.Writer]. It fails if the caller has left.
-func (b *Body) Write(p []byte) (int, error) { return b.w.Write(p) }
+// Write implements [io.Writer].
+func (b *Body) Write(p []byte) (n int, err error) {
+	if b.err == nil {
+		n, b.err = b.w.Write(p)
+	}
+	return n, b.err
+}
+
+// Flush sends what has been written.
+func (b *Body) Flush() error {
+	if b.err == nil {
+		b.err = b.controller.Flush()
+	}
+	return b.err
+}
 
-// Flush sends what has been written. It fails if the caller has left.
-func (b *Body) Flush() error { return b.controller.Flush() }
+// Err returns the first failure of Write or Flush.
+func (b *Body) Err() error { return b.err }
 
 // SetWriteDeadline sets the deadline for the caller to accept what is written. It fails for a connection that is
 // closed or does not support deadlines.
