consensus: a learner whose change was lost asks to join again

A replica stayed outside its group for good, so that the group kept one voter fewer, if the leader that had made it a learner was lost before any voter had the change: the replica took itself for a member and asked nobody, and the next leader did not know it. Cause: only a replica that is no member by its own log asks.

A learner without a leader for five election timeouts asks its members. A leader that knows it ignores that.

--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -27,8 +27,8 @@
 	// learnerSilenceFactor is the silence after which an open group removes a learner,
 	// as a multiple of a voter's limit.
 	learnerSilenceFactor = 5
-	// repairTimeouts is the number of election timeouts that a blank replica waits for
-	// the next message from a leader that began to repair it.
+	// repairTimeouts is the number of election timeouts that a blank replica, or a learner,
+	// waits for the next message from a leader.
 	repairTimeouts = 5
 )
 
@@ -67,16 +67,21 @@
 }
 
 // tickJoin requests membership once per election timeout, if this replica is not a
-// member.
+// member, or is a learner without a leader: the change that made it one may have been
+// lost with its leader, and then no other leader sends to it.
 func (r *Replica) tickJoin() {
 	m := r.log.members()
 	all := slices.Concat(m.Voters, m.Learners)
-	if slices.Contains(all, r.cfg.Self) || r.now < r.nextJoin {
+	isLearner := slices.Contains(m.Learners, r.cfg.Self)
+	orphaned := isLearner && r.now-r.lastLeaderContact > repairTimeouts*r.cfg.ElectionTimeout
+	if slices.Contains(all, r.cfg.Self) && !orphaned || r.now < r.nextJoin {
 		return
 	}
 	r.nextJoin = r.now + r.cfg.ElectionTimeout
 	for _, p := range all {
-		r.send(protocol.Consensus{Kind: protocol.MsgJoin, To: p})
+		if p != r.cfg.Self {
+			r.send(protocol.Consensus{Kind: protocol.MsgJoin, To: p})
+		}
 	}
 }
 
--- a/coordination/consensus/open_test.go
+++ b/coordination/consensus/open_test.go
@@ -3,6 +3,7 @@
 package consensus
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -262,3 +263,34 @@
 	c.add(stopped + "'")
 	return true
 }
+
+// TestLearnerOfLostChangeJoinsAgain loses the leader that made a replica a learner, and with it the change, which only
+// the learner has received. The learner takes itself for a member, but the next leader sends nothing to it.
+func TestLearnerOfLostChangeJoinsAgain(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 13, "a", "b", "c")
+	old := c.awaitLeader()
+	c.run(time.Second)
+	c.bootstrap = false
+	others := otherNames(c, old)
+	c.add("d")
+	isLearner := func(name string) bool {
+		m := c.members[name]
+		return m.r != nil && slices.Contains(m.r.log.members().Learners, c.members["d"].self())
+	}
+	for !isLearner("d") {
+		c.tick(5 * time.Millisecond)
+		for len(c.inFlight) > 0 && !isLearner("d") {
+			for _, n := range others {
+				c.isolated[n] = isLearner(old)
+			}
+			c.deliver(0)
+		}
+	}
+	c.inFlight = nil
+	c.kill(old)
+	c.isolated = map[string]bool{}
+	c.awaitLeader()
+	c.run(3 * time.Second)
+	is.True(c.voters()["d"])
+}
