consensus: a seed that was killed at the first start helps to found the group

Cause: a seed that restarts finds Bootstrap=false in its settings and then neither reports a blank disk nor founds, while the founder waits for all seeds, and where it is the founder nobody else may.

A blank data folder keeps the flag, written with its incarnation. A blank seed without the flag says so in its answers, and takes part if a majority of the seeds has the flag and all are blank: every foundation has all seeds as voters, so a group that had committed anything would have data at one of that majority. A process that opens its folder again after it was in the group does not use the flag any more. Seeds of earlier versions get no such answer, since they would take it for one with the flag.

--- a/coordination/consensus/cluster_test.go
+++ b/coordination/consensus/cluster_test.go
@@ -28,6 +28,7 @@
 // disk holds the durable state of a replica.
 type disk struct {
 	incarnation uint64
+	firstStart  bool // the replica's first start was that of the group
 	durable     DurableState
 }
 
@@ -82,6 +83,7 @@
 	voterCount int
 	seeds      []string
 	bootstrap  bool
+	group      uint64 // the group that has elected a leader; zero before
 }
 
 type logPosition struct{ index, term uint64 }
@@ -122,8 +124,15 @@
 	m.applied, m.restored = nil, 0
 	if m.disk.durable.Snapshot.Group == 0 {
 		m.formation = NewFormation("g", m.self(), c.seeds, c.rng.Uint64()|1, testHeartbeat)
-		if c.voterCount > 0 && !(c.bootstrap && slices.Contains(c.seeds, name)) {
+		m.disk.firstStart = m.disk.firstStart || c.bootstrap
+		switch {
+		case c.voterCount == 0:
+		case !slices.Contains(c.seeds, name):
 			m.formation.JoinOnly()
+		case m.disk.firstStart:
+			m.formation.WithStart(protocol.FirstStart)
+		default:
+			m.formation.WithStart(protocol.LaterStart)
 		}
 		return
 	}
--- a/coordination/consensus/formation.go
+++ b/coordination/consensus/formation.go
@@ -28,6 +28,11 @@
 // seeds, and the members that they name, until the leader adds it. The flag is needed
 // because a blank replica whose seeds are all unreachable or new cannot find out
 // whether a group exists.
+//
+// A seed that restarts during the first start may have lost the flag, with or without
+// its disk. It takes part like the others if a majority of the seeds still has the flag
+// and all of them are blank: a group that had committed anything would have data at one
+// of that majority, since all seeds are voters of the foundation.
 
 // Formation is the state of a replica that has no log yet. It is not safe for
 // concurrent use.
@@ -41,7 +46,8 @@
 	answers         map[string]blankAnswer
 	promisedFounder protocol.Peer // founder whose query received the last reply
 	joinOnly        bool          // never founds a group and never reports a blank disk
-	hints           []string      // names of members of an existing group, learned from its replicas
+	start           protocol.GroupStart
+	hints           []string // names of members of an existing group, learned from its replicas
 	outbox          []protocol.Consensus
 }
 
@@ -49,6 +55,7 @@
 type blankAnswer struct {
 	peer  protocol.Peer
 	blank bool
+	start protocol.GroupStart
 }
 
 // NewFormation returns the state of a blank replica. groupID is a random number that
@@ -62,8 +69,14 @@
 	}
 }
 
+// WithStart states what a seed of an open group knows of the group's start. It returns f.
+func (f *Formation) WithStart(s protocol.GroupStart) *Formation {
+	f.start = s
+	return f
+}
+
 // JoinOnly makes the replica join an existing group and never found one, because it
-// is not one of the seeds or because the group was started before. It returns f.
+// is not one of the seeds or because a leader has contacted it. It returns f.
 func (f *Formation) JoinOnly() *Formation {
 	f.joinOnly = true
 	return f
@@ -79,14 +92,23 @@
 	if f.joinOnly || f.names[0] != f.self.Name {
 		return protocol.Snapshot{}, false
 	}
-	voters := []protocol.Peer{f.self}
+	voters, later := []protocol.Peer{f.self}, 0 // later counts the seeds without the bootstrap flag
+	if f.start == protocol.LaterStart {
+		later++
+	}
 	for _, name := range f.names[1:] {
 		a, ok := f.answers[name]
 		if !ok || !a.blank {
 			return protocol.Snapshot{}, false
 		}
+		if a.start == protocol.LaterStart {
+			later++
+		}
 		voters = append(voters, a.peer)
 	}
+	if 2*later >= len(voters) {
+		return protocol.Snapshot{}, false
+	}
 	s := protocol.Snapshot{
 		Group: f.groupID, Index: 1, Term: 1, Members: protocol.Membership{Voters: voters},
 	}
@@ -101,7 +123,7 @@
 func (f *Formation) query() {
 	for _, name := range slices.Concat(f.names, f.hints) {
 		if name != f.self.Name {
-			f.send(protocol.Consensus{Kind: protocol.MsgBlankQuery, To: protocol.Peer{Name: name}})
+			f.send(protocol.Consensus{Kind: protocol.MsgBlankQuery, To: protocol.Peer{Name: name}, Start: f.start})
 		}
 	}
 }
@@ -126,15 +148,16 @@
 	}
 	switch m.Kind {
 	case protocol.MsgBlankQuery:
-		if f.joinOnly {
+		// An earlier version of this program takes every reply for that of a seed with the flag.
+		if f.joinOnly || f.start == protocol.LaterStart && m.Start == protocol.StartNotStated {
 			return protocol.Snapshot{}, false
 		}
 		if m.From.Name == f.names[0] {
 			f.promisedFounder = m.From
 		}
-		f.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From})
+		f.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From, Start: f.start})
 	case protocol.MsgBlankReply:
-		f.answers[m.From.Name] = blankAnswer{peer: m.From, blank: m.Group == 0}
+		f.answers[m.From.Name] = blankAnswer{peer: m.From, blank: m.Group == 0, start: m.Start}
 		f.addHints(m)
 	case protocol.MsgFound:
 		valid := !f.joinOnly && m.Snapshot != nil && m.To == f.self &&
--- /dev/null
+++ b/coordination/consensus/founding_test.go
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/badgerspoke/badgerspoke/internal/seeds"
+)
+
+// This file tests the foundation of open groups while their seeds are killed. A seed that restarts has no bootstrap
+// flag in its settings any more, and keeps it on its disk only if it had written there.
+
+// restart kills a replica and starts it again without the flag, with its disk or, if it was killed before it could
+// write, with a blank one.
+func (c *cluster) restart(name string, hadWritten bool, pause time.Duration) {
+	c.bootstrap = false
+	c.kill(name)
+	if !hadWritten {
+		c.replaceDisk(name)
+	}
+	c.run(pause)
+	c.start(name)
+}
+
+// TestGroupFormsAfterSeedIsKilled guards against a system that never starts because one seed was killed before the
+// group was founded.
+func TestGroupFormsAfterSeedIsKilled(t *testing.T) {
+	for _, victim := range []string{"a", "b", "c"} {
+		for _, hadWritten := range []bool{true, false} {
+			for messages := range 40 { // delivered before the kill
+				t.Run(fmt.Sprintf("%s, disk written %t, after %d messages", victim, hadWritten, messages), func(t *testing.T) {
+					is := is.New(t)
+					c := openCluster(t, uint64(messages), "a", "b", "c", "d", "e")
+					c.tick(5 * time.Millisecond)
+					for range messages {
+						if len(c.inFlight) == 0 {
+							c.tick(5 * time.Millisecond)
+						}
+						if len(c.inFlight) > 0 {
+							c.deliver(0)
+						}
+					}
+					c.restart(victim, hadWritten, 500*time.Millisecond)
+					c.awaitLeader()
+					c.run(time.Second)
+					is.Equal(len(c.voters()), openVoters)
+					is.True(c.propose(c.awaitLeader()))
+					c.run(200 * time.Millisecond)
+					c.checkConverged()
+				})
+			}
+		}
+	}
+}
+
+// TestGroupFormsAfterAllReplicasAreKilled checks that the flag on the disks is enough.
+func TestGroupFormsAfterAllReplicasAreKilled(t *testing.T) {
+	is := is.New(t)
+	c := openCluster(t, 1, "a", "b", "c", "d", "e")
+	c.bootstrap = false
+	for _, n := range c.names {
+		c.kill(n)
+	}
+	c.run(500 * time.Millisecond)
+	for _, n := range c.names {
+		c.start(n)
+	}
+	c.awaitLeader()
+	c.run(time.Second)
+	is.Equal(len(c.voters()), openVoters)
+}
+
+// TestMinorityWithFlagFoundsNothing guards against a second group: if two of three seeds have no flag, they may have
+// lost the disks of a group.
+func TestMinorityWithFlagFoundsNothing(t *testing.T) {
+	for _, kept := range []string{"a", "b", "c"} {
+		is := is.New(t)
+		c := openCluster(t, 2, "a", "b", "c", "d", "e")
+		for _, n := range []string{"a", "b", "c"} {
+			if n != kept {
+				c.restart(n, false, 0)
+			}
+		}
+		c.run(5 * time.Second)
+		is.Equal(c.leader(), "")
+	}
+}
+
+// TestRandomFoundings starts an open group, kills and restarts its replicas at random while messages are delivered out
+// of order or lost, and checks that one group forms. At most one seed is killed before it could write.
+func TestRandomFoundings(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		c := randomFounding(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 300).Draw(t, "steps"), func(m *member, lost int) bool {
+			return m.formation != nil && lost == 0
+		})
+		c.awaitLeader()
+		c.run(2 * time.Second)
+		l := c.awaitLeader()
+		if n := len(c.voters()); n != openVoters {
+			c.t.Fatalf("%d voters, want %d", n, openVoters)
+		}
+		c.propose(l)
+		c.run(time.Second)
+		c.awaitLeader()
+		c.checkConverged()
+	})
+}
+
+// TestRandomFoundingsWithLostDisks is TestRandomFoundings with disks lost at any time and in any number. There may be
+// no group in the end, but never two.
+func TestRandomFoundingsWithLostDisks(t *testing.T) {
+	seeds.Check(t, func(t *rapid.T) {
+		c := randomFounding(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 300).Draw(t, "steps"), func(*member, int) bool { return true })
+		for range 50 {
+			c.run(20 * time.Millisecond)
+			c.checkOneGroup()
+		}
+	})
+}
+
+// checkOneGroup checks that only one group has elected a leader.
+func (c *cluster) checkOneGroup() {
+	for _, n := range c.names {
+		m := c.members[n]
+		if m.r == nil || m.r.role != Leader {
+			continue
+		}
+		if group := m.r.log.snapshot.Group; c.group != 0 && group != c.group {
+			c.t.Fatalf("%s leads a second group", n)
+		} else {
+			c.group = group
+		}
+	}
+}
+
+// randomFounding plays the steps of a schedule. mayLose says whether a replica that is killed may lose its disk, given
+// how many have.
+func randomFounding(t testingT, seed uint64, steps int, mayLose func(m *member, lost int) bool) *cluster {
+	c := openCluster(t, seed, "a", "b", "c", "d", "e")
+	lost := 0
+	for _, n := range c.names { // replicas start at different times
+		if c.rng.IntN(2) == 0 {
+			c.kill(n)
+		}
+	}
+	c.bootstrap = false
+	for range steps {
+		c.tick(time.Duration(c.rng.Int64N(int64(10 * time.Millisecond))))
+		for range c.rng.IntN(8) {
+			if n := len(c.inFlight); n > 0 && c.rng.IntN(10) > 0 {
+				c.deliver(c.rng.IntN(n))
+			} else if n > 0 {
+				i := c.rng.IntN(n)
+				c.inFlight = slices.Delete(c.inFlight, i, i+1)
+			}
+		}
+		name := c.names[c.rng.IntN(len(c.names))]
+		switch m := c.members[name]; {
+		case c.rng.IntN(20) > 0:
+		case !m.running:
+			c.start(name)
+		case mayLose(m, lost) && c.rng.IntN(3) == 0:
+			lost++
+			c.kill(name)
+			c.replaceDisk(name)
+		default:
+			c.kill(name)
+		}
+		c.checkOneGroup()
+		if l := c.leader(); l != "" && c.rng.IntN(10) == 0 {
+			c.propose(l)
+		}
+	}
+	for _, n := range c.names {
+		if !c.members[n].running {
+			c.start(n)
+		}
+	}
+	return c
+}
--- a/process/directory.go
+++ b/process/directory.go
@@ -195,6 +195,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	if p.running.InGroup() {
+		p.cfg.Bootstrap = false // if the folder is blank when it is opened again, its disk was lost
+	}
 	p.running.Stop(ctx)
 	p.running = nil
 	p.links.current.Store(nil)
--- a/protocol/consensus.go
+++ b/protocol/consensus.go
@@ -102,4 +102,17 @@
 	// Sync, in a MsgAppendReply, is the time that the sender takes to make entries durable, in
 	// nanoseconds; 0 if it is not reported.
 	Sync int64 `cbor:"18,keyasint,omitempty"`
+	// Start, in a MsgBlankQuery or MsgBlankReply of a blank seed, is what the seed knows of the group's start.
+	Start GroupStart `cbor:"19,keyasint,omitempty"`
 }
+
+// GroupStart is what a blank seed of an open group knows of the group's start.
+type GroupStart uint8
+
+// Knowledge of a group's start. Seeds that run an earlier version of this program, and replicas of closed groups,
+// state nothing.
+const (
+	StartNotStated GroupStart = 0
+	FirstStart     GroupStart = 1 // there was no group when the replica's disk was first used
+	LaterStart     GroupStart = 2 // there may have been a group
+)
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -71,7 +71,7 @@
 			},
 			Data: []byte("piece"),
 		},
-		Offset: 71, Total: 72, Sync: 115,
+		Offset: 71, Total: 72, Sync: 115, Start: LaterStart,
 	},
 	Watch{
 		Gateway: "gateway-1", BootID: bigNumber, DocumentNumber: 82, Term: 83, SupportsHalls: true, SupportsRollouts: true, Region: "north", Relay: true, Avoid: []string{"10.0.0.1:7000", "10.0.0.2:7000"},
@@ -205,7 +205,7 @@
 func withoutNewerFields(m Message) Message {
 	switch m := m.(type) {
 	case Consensus:
-		m.Sync = 0
+		m.Sync, m.Start = 0, StartNotStated
 		return m
 	case Watch:
 		m.SupportsRollouts, m.Region, m.Relay, m.Avoid = false, "", false, nil
@@ -286,6 +286,9 @@
 	for i, o := range []OrderOutcome{OrderDone, OrderRefused, OrderConflict, OrderNotLeader, OrderUnknown} {
 		is.Equal(int(o), i+1)
 	}
+	for i, s := range []GroupStart{StartNotStated, FirstStart, LaterStart} {
+		is.Equal(int(s), i)
+	}
 	is.Equal(int(EntryCommand), 0)
 	is.Equal(int(EntryMembership), 1)
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -49,8 +49,14 @@
 	l.proposals = map[uint64]pendingProposal{}
 	if c.Snapshot.Group == 0 {
 		l.formation = l.newFormation()
-		if o := r.cfg.Open; o != nil && (!o.Bootstrap || !slices.Contains(r.cfg.Names, r.cfg.Name)) {
+		switch {
+		case r.cfg.Open == nil:
+		case !slices.Contains(r.cfg.Names, r.cfg.Name):
 			l.formation.JoinOnly()
+		case c.FirstStart || r.cfg.Open.Bootstrap:
+			l.formation.WithStart(protocol.FirstStart)
+		default:
+			l.formation.WithStart(protocol.LaterStart)
 		}
 		return nil
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -73,7 +73,7 @@
 
 // OpenGroup holds the settings of an open group.
 type OpenGroup struct {
-	// Bootstrap marks the first start of the group, when the seeds may found it.
+	// Bootstrap marks the first start of the group, when the seeds may found it. A blank data folder keeps it.
 	Bootstrap bool
 	// Voters is the number of voters. Further replicas are learners, ready to replace
 	// a silent voter.
@@ -151,7 +151,7 @@
 // Start opens the journal and runs the replica until ctx ends or the disk
 // fails.
 func Start(ctx context.Context, cfg Settings) (*Replica, error) {
-	j, contents, err := journal.Open(cfg.Dir, cfg.Random)
+	j, contents, err := journal.Open(cfg.Dir, cfg.Random, cfg.Open != nil && cfg.Open.Bootstrap)
 	if err != nil {
 		return nil, err
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -201,3 +201,24 @@
 		})
 	}
 }
+
+// TestSeedKeepsBootstrapFlagOnDisk checks that a seed whose first start ended at once founds the group at its second
+// one, when the settings no longer have the flag.
+func TestSeedKeepsBootstrapFlagOnDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := fakedisk.New(1)
+		cfg := testSettings(d, &counter{})
+		cfg.Open = &OpenGroup{Bootstrap: true, Voters: 1}
+		ctx, stop := context.WithCancel(context.Background())
+		r, err := Start(ctx, cfg)
+		is.NoErr(err)
+		stop() // before the first tick
+		<-r.Done()
+		d.Crash()
+		cfg.Open = &OpenGroup{Voters: 1}
+		r, err = Start(t.Context(), cfg)
+		is.NoErr(err)
+		is.Equal(mustPropose(t, r), 1)
+	})
+}
