directory: the first document waits until the group has its voters

Cause: the group is founded by three seeds, the other replicas get a vote 0.1 to 0.2 s after the first leader, and what is acknowledged in between is on two disks of a group that two lost disks end.

While there is no document and the group has too few voters, a leader refuses the document as unavailable, at most until no replica has joined for three election timeouts. Joins of backend servers are still logged meanwhile: they are announced again.

--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -203,6 +203,6 @@
 	r.leaseVoid = false
 	r.peers = map[protocol.Peer]*progress{}
 	r.syncPeers()
-	r.nextHeartbeat = r.now
+	r.nextHeartbeat, r.grewAt = r.now, r.now
 	r.noopIndex = r.appendOwn(protocol.EntryCommand, nil).Index
 }
--- a/coordination/consensus/founding_test.go
+++ b/coordination/consensus/founding_test.go
@@ -185,3 +185,51 @@
 	}
 	return c
 }
+
+// TestGroupGrowsBeforeItIsComplete checks how long the leader of a group that was just founded expects further voters.
+func TestGroupGrowsBeforeItIsComplete(t *testing.T) {
+	for _, names := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}, {"a", "b", "c", "d", "e"}} {
+		is := is.New(t)
+		c := openCluster(t, 3, names...)
+		began := c.now
+		for c.leader() == "" {
+			c.tick(time.Millisecond)
+			c.drain()
+		}
+		is.True(c.members[c.leader()].r.Status().Growing)
+		for c.members[c.leader()].r.Status().Growing {
+			c.run(time.Millisecond)
+		}
+		is.Equal(len(c.voters()), len(names))
+		is.True(c.now-began < 8*testElection) // with a replica that never joins
+	}
+}
+
+// TestFirstCommandSurvivesTwoLostDisks loses the disks of any two replicas right after the first command that is
+// proposed once the group does not grow any more.
+func TestFirstCommandSurvivesTwoLostDisks(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for i := range names {
+		for j := range i {
+			is := is.New(t)
+			c := openCluster(t, 4, names...)
+			for c.leader() == "" || c.members[c.leader()].r.Status().Growing {
+				c.run(time.Millisecond)
+			}
+			c.bootstrap = false
+			is.True(c.propose(c.leader()))
+			for len(c.acked) == 0 {
+				c.run(time.Millisecond)
+			}
+			for _, n := range []string{names[i], names[j]} {
+				c.kill(n)
+				c.replaceDisk(n)
+				c.start(n)
+			}
+			c.run(3 * time.Second)
+			c.awaitLeader()
+			c.checkConverged()
+			is.Equal(len(c.voters()), openVoters)
+		}
+	}
+}
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -30,6 +30,9 @@
 	// repairTimeouts is the number of election timeouts that a blank replica, or a learner,
 	// waits for the next message from a leader.
 	repairTimeouts = 5
+	// growthTimeouts is the number of election timeouts for which a group that has too few
+	// voters waits for the next replica to join. Replicas that start together join within one.
+	growthTimeouts = 3
 )
 
 // ChangeMembership appends a new membership. The error is [NotLeader], [TransferPending]
@@ -46,9 +49,17 @@
 		return ChangePending{Index: r.log.lastChangeIndex()}
 	}
 	r.appendOwn(protocol.EntryMembership, encodeMembership(m))
+	r.grewAt = r.now
 	return nil
 }
 
+// growing reports whether this leader of an open group with too few voters expects further ones: the last change of
+// its members, or its election, is not long ago. A group that was just founded has the seeds as its voters, a quorum of
+// which may be two disks.
+func (r *Replica) growing() bool {
+	return r.role == Leader && len(r.log.members().Voters) < r.cfg.Voters && r.now-r.grewAt <= growthTimeouts*r.cfg.ElectionTimeout
+}
+
 // changePending reports whether a membership change must wait, because another one
 // is uncommitted or this leader has not committed an entry of its own term yet.
 func (r *Replica) changePending() bool {
--- a/coordination/consensus/replica.go
+++ b/coordination/consensus/replica.go
@@ -101,6 +101,7 @@
 	log  memLog
 
 	leader            protocol.Peer
+	grewAt            time.Duration // leader: time of the election or of the newest membership change
 	lastLeaderContact time.Duration // time of the newest message from a leader, or of the start
 	campaignAt        time.Duration // when to campaign
 	votes             map[protocol.Peer]bool
@@ -278,6 +279,7 @@
 	Members       protocol.Membership
 	LeaseEnd      time.Duration // on the replica's clock; zero without a lease
 	LeadershipEnd LeadershipEnd // end of this replica's last leadership
+	Growing       bool          // this leader of an open group expects further voters, see [Replica.growing]
 }
 
 // Status returns the current state.
@@ -285,7 +287,7 @@
 	return Status{
 		Group: r.log.snapshot.Group, Role: r.role, Term: r.hard.Term,
 		Leader: r.leader, Commit: r.commit, Applied: r.applied, LastIndex: r.log.lastIndex(),
-		SnapshotIndex: r.log.snapshot.Index, Members: r.log.members(), LeaseEnd: r.leaseEnd(), LeadershipEnd: r.leadershipEnd(),
+		SnapshotIndex: r.log.snapshot.Index, Members: r.log.members(), LeaseEnd: r.leaseEnd(), LeadershipEnd: r.leadershipEnd(), Growing: r.growing(),
 	}
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -135,9 +135,19 @@
 	if held, err := d.Read(ctx); err == nil && held.Document.Number >= h.Document.Number {
 		return nil
 	}
+	if d.isForming() {
+		return Unavailable{Err: GroupForming{}}
+	}
 	return d.propose(ctx, command{Put: &h})
 }
 
+// isForming reports whether the group was just founded and still waits for voters: a document that a quorum of the
+// first voters has could be lost with fewer disks than the group tolerates.
+func (d *Directory) isForming() bool {
+	_, known := d.state.CurrentDocument()
+	return !known && d.hub.leadership.Load().growing
+}
+
 // NoDocument is returned by a read before the first document.
 type NoDocument struct{}
 
--- a/directory/errors.go
+++ b/directory/errors.go
@@ -24,3 +24,9 @@
 
 // Unwrap returns the cause.
 func (e Unavailable) Unwrap() error { return e.Err }
+
+// GroupForming is the cause of an [Unavailable] before the group has its voters. A retry helps.
+type GroupForming struct{}
+
+// Error implements error.
+func (GroupForming) Error() string { return "the directory's group is still forming" }
--- a/directory/fixture_test.go
+++ b/directory/fixture_test.go
@@ -97,6 +97,15 @@
 
 // withPreparedFleet is withFleetVoters, and calls prepare before anything runs.
 func withPreparedFleet(t *testing.T, n, voterCount int, prepare, f func(x *fleet)) {
+	withStartingFleet(t, n, voterCount, prepare, func(x *fleet) {
+		x.awaitLeader()
+		time.Sleep(2 * time.Second)
+		f(x)
+	})
+}
+
+// withStartingFleet is withPreparedFleet, but runs f right after the replicas were started.
+func withStartingFleet(t *testing.T, n, voterCount int, prepare, f func(x *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{
 			voterCount: voterCount,
@@ -111,8 +120,6 @@
 		for i := range n {
 			x.addReplica(fmt.Sprintf("10.0.1.%d", i+1), true)
 		}
-		x.awaitLeader()
-		time.Sleep(2 * time.Second)
 		f(x)
 	})
 }
--- a/directory/hub.go
+++ b/directory/hub.go
@@ -34,6 +34,7 @@
 	leaseEnd time.Duration
 	voters   []string // fleet addresses
 	inGroup  bool     // the replica has a log
+	growing  bool     // the group expects further voters
 }
 
 // relayRefusal records that the leader of a term needed no relay here, and whether sessions were
@@ -117,7 +118,7 @@
 // observe publishes the leadership. The replica's goroutine calls it after every batch.
 func (h *hub) observe(s consensus.Status, leads bool) {
 	old := h.leadership.Load()
-	next := &leadership{leads: leads, term: s.Term, leader: s.Leader.Name, leaseEnd: s.LeaseEnd, inGroup: true}
+	next := &leadership{leads: leads, term: s.Term, leader: s.Leader.Name, leaseEnd: s.LeaseEnd, inGroup: true, growing: s.Growing}
 	for _, p := range s.Members.Voters {
 		next.voters = append(next.voters, p.Name)
 	}
