gateway: bodies that are being read count for their memory

Cause: bodies of all requests were bounded by a sum to which a body was added once it had been read, and a body of unknown length was not compared at all.

The memory is taken before a body is read, or before its buffer grows, and a body without room is refused at once as not run.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -35,6 +34,7 @@
 	account            document.Account
 	pool               document.Pool
 	body               []byte
+	bodyMemory         int64             // bytes taken from Gateway.bodies
 	cost               float64           // tokens
 	spentBeforeArrival time.Duration     // since the caller's first try, before this request arrived
 	class              entitlement.Class // set for requests to engines
@@ -61,9 +61,6 @@
 	cachedPartKeys []quarantine.Key // nil until call.partKeys is first called
 }
 
-// defaultMaxBodyBytes applies if the document sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -73,7 +70,7 @@
 	if g.stopping() > 0 {
 		c.response.CloseConnection()
 	}
-	defer func() { g.bodyBytes.Add(-int64(len(c.body))) }()
+	defer func() { g.bodies.release(c.bodyMemory) }()
 	err := c.admit()
 	if err == nil {
 		err = c.serve()
@@ -204,48 +201,6 @@
 // timeLeft returns the time until the deadline. It may be negative.
 func (c *call) timeLeft() time.Duration { return c.deadline - c.g.now() }
 
-// readBody reads the body within the limits on one body and on all bodies together.
-func (c *call) readBody() error {
-	if c.r.Body == http.NoBody || c.r.ContentLength == 0 {
-		return nil
-	}
-	limit := c.routes.document.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		return Refusal{Cause: BodyTooLarge}
-	}
-	if c.g.bodyBytes.Load()+max(c.r.ContentLength, 0) > c.g.cfg.MaxTotalBodyBytes {
-		c.countMissed(true)
-		return Refusal{Cause: Overloaded, RetryAfter: retry.ShortDelay}
-	}
-	// Writers without deadline support are fine: the HTTP server's own timeouts still bound the
-	// read.
-	_ = c.response.SetReadDeadline(time.Now().Add(c.timeLeft()))
-	body, err := readAll(io.LimitReader(c.r.Body, limit+1), c.r.ContentLength)
-	_ = c.response.SetReadDeadline(time.Time{}) // see above
-	c.body = body
-	c.g.bodyBytes.Add(int64(len(body)))
-	switch {
-	case err != nil:
-		return Refusal{Cause: BodyBroken}
-	case int64(len(body)) > limit:
-		return Refusal{Cause: BodyTooLarge}
-	}
-	return nil
-}
-
-// readAll reads to the end, into a single allocation if the length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	b := make([]byte, length)
-	n, err := io.ReadFull(r, b)
-	return b[:n], err
-}
-
 // serve makes attempts at backend servers until one returns a complete answer or no further attempt
 // is allowed. The error is a [Refusal], a [brokenAnswer] or a [callerLeft].
 func (c *call) serve() error {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -18,7 +18,7 @@
 //   - headers.go: a [HeaderCodec] decodes the head, so that header names are up to the deployment.
 //   - call.go: ServeHTTP creates a call. call.admit matches it to a route and an account
 //     (routes.go), classifies it by the account's share (accounts.go), checks the processor's
-//     scheduling delay, and only then reads the body. call.serve acquires servers and makes
+//     scheduling delay, and only then reads the body (bodies.go). call.serve acquires servers and makes
 //     attempts until one answers.
 //   - acquire.go, queue.go: the call gets a server at once if the most suitable one has
 //     capacity (choose.go), and waits in fair order otherwise. The candidates depend on the regions
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,7 @@
 	gatewayCount        atomic.Int64 // gateways in the fleet, as last reported by the directory
 	inFlight            atomic.Int64 // requests being served
 	requestsSinceReport atomic.Int64 // requests received since the last report
-	bodyBytes           atomic.Int64 // bytes of the bodies of requests in flight
+	bodies              bodyMemory
 	stopBeganAt         atomic.Int64 // when the stop began, by now(); 0 while running
 
 	overload atomic.Pointer[overload.Detector] // replaced by tick
@@ -118,7 +118,7 @@
 		cfg.Clock = func() time.Duration { return time.Since(start) }
 	}
 	g := &Gateway{
-		cfg: cfg, startedAt: cfg.Clock(), ctx: ctx, stop: stop,
+		cfg: cfg, startedAt: cfg.Clock(), ctx: ctx, stop: stop, bodies: bodyMemory{limit: cfg.MaxTotalBodyBytes},
 		tokenCounters: newTokenCounters(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retryWindows: map[string]*retry.Window{},
 	}
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
