--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -31,7 +31,7 @@
 //   - relay.go: a plain answer is forwarded once it is complete, a stream event by event. An answer
 //     that only the end of its connection ends is forwarded in the same way: nothing states that it is
 //     complete, and nothing concludes that it is.
-//   - continuation.go: what may follow in a response that has begun. The response is written through a
+//   - continuation.go, position.go: what may follow in a response that has begun. The response is written through a
 //     [response.Writer], which refuses a second head.
 //   - quarantine.go, partquarantine.go: requests, and parts of prompts, under which backend servers
 //     crash (crashdetector.go) are reported to the directory, and refused once it has condemned them
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -144,16 +144,8 @@
 	if out, changes := c.g.table.listHallsOut(); len(out) > 0 {
 		attrs = append(attrs, slog.Any("halls_out", out), slog.Uint64("hall_changes", changes))
 	}
-	if a := c.assigned; a != nil {
-		attrs = append(attrs, slog.String("backend", a.serverID), slog.Int("tokens_ahead", a.tokensAhead),
-			slog.Int("tokens_read", a.tokensToRead), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
-			milliseconds("queued_ms", a.startedAt-c.arrived), milliseconds("first_ms", a.timeToFirst), milliseconds("expected_ms", a.expectedFirst))
-		attrs = append(attrs, a.versionAttrs()...)
-		attrs = append(attrs, a.versionAttempt.logAttrs()...)
-		attrs = append(attrs, a.framingAttrs()...)
-		if a.status > 0 {
-			attrs = append(attrs, slog.Int("server_status", a.status))
-		}
+	if c.assigned != nil {
+		attrs = append(attrs, c.serverAttrs(c.assigned)...)
 	}
 	if c.resumesStream() {
 		attrs = append(attrs, c.stream.logAttrs()...)
@@ -162,6 +154,22 @@
 	return append(attrs, c.writeAttrs()...)
 }
 
+// serverAttrs returns the log attributes of the last attempt's backend server and answer.
+func (c *call) serverAttrs(a *assignment) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String("backend", a.serverID), slog.Int("tokens_ahead", a.tokensAhead),
+		slog.Int("tokens_read", a.tokensToRead), slog.Int("tokens_shared", c.head.Prompt.SharedTokens()),
+		milliseconds("queued_ms", a.startedAt-c.arrived), milliseconds("first_ms", a.timeToFirst), milliseconds("expected_ms", a.expectedFirst),
+	}
+	attrs = append(attrs, a.versionAttrs()...)
+	attrs = append(attrs, a.versionAttempt.logAttrs()...)
+	attrs = append(attrs, a.framingAttrs()...)
+	if a.status > 0 {
+		attrs = append(attrs, slog.Int("server_status", a.status))
+	}
+	return attrs
+}
+
 // writeAttrs returns the log attributes of the stream written to the caller, if there is one.
 func (c *call) writeAttrs() []slog.Attr {
 	r := c.relay
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -233,7 +233,7 @@
 	if end == 0 {
 		return r.checkPartialSize()
 	}
-	position, err := r.positionAfter(r.partial[:end])
+	after, err := r.positionAfter(r.partial[:end])
 	if err != nil {
 		return err
 	}
@@ -241,7 +241,7 @@
 		return r.checkPartialSize() // comments before the first event
 	}
 	r.recordBegun(a)
-	if err := r.writeEvents(end, position); err != nil {
+	if err := r.writeEvents(end, after); err != nil {
 		return err
 	}
 	if !r.canContinue() {
@@ -318,12 +318,12 @@
 }
 
 // writeEvents passes on the first bytes received so far, which are whole events, with one write and keeps the rest.
-func (r *relay) writeEvents(end int, position position) error {
+func (r *relay) writeEvents(end int, after position) error {
 	r.extendWriteDeadline()
 	if _, err := r.body.Write(r.partial[:end]); err != nil {
 		return err
 	}
-	r.position, r.endUnstated = position, false
+	r.position, r.endUnstated = after, false
 	if err := r.body.Flush(); err != nil {
 		return err
 	}
