--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -103,12 +103,12 @@
 
 // growBody gives the body a buffer of another size, if there is memory for it beside the present one.
 func (c *call) growBody(size int64) bool {
-	if !c.g.bodies.take(c.bodyMemory, size) {
+	if !c.g.bodies.take(c.bodyTaken, size) {
 		return false
 	}
 	c.body = append(make([]byte, 0, size), c.body...)
-	c.g.bodies.release(c.bodyMemory)
-	c.bodyMemory = size
+	c.g.bodies.release(c.bodyTaken)
+	c.bodyTaken = size
 	return true
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,7 +34,7 @@
 	account            document.Account
 	pool               document.Pool
 	body               []byte
-	bodyMemory         int64             // bytes taken from Gateway.bodies
+	bodyTaken          int64             // bytes taken from Gateway.bodies
 	cost               float64           // tokens
 	spentBeforeArrival time.Duration     // since the caller's first try, before this request arrived
 	class              entitlement.Class // set for requests to engines
@@ -70,7 +70,7 @@
 	if g.stopping() > 0 {
 		c.response.CloseConnection()
 	}
-	defer func() { g.bodies.release(c.bodyMemory) }()
+	defer func() { g.bodies.release(c.bodyTaken) }()
 	err := c.admit()
 	if err == nil {
 		err = c.serve()
