gateway: log why a request gets no further attempt

Cause: "attempt failed" with again=false did not say whether the attempts were used up, the retry budget was empty, or the request is suspected of crashing servers. The hypotheses on requests that end while their server is sound cannot be told apart without it. Change: attribute denied_by (policy, suspect, budget). No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -196,16 +196,12 @@
 	}
 	c.triedServers[a.serverID] = true
 	policy := c.policy(ctx)
-	allowed, fromBudget := policy.MayRetry(out.execution)
-	// A request during which three servers crashed might crash another one.
-	c.findPartSuspicion()
-	allowed = allowed && c.suspicion.MayRetry(c.losses) && c.partSuspicion.mayRetry(c.losses)
-	again = allowed && (!fromBudget || c.g.allowRetry(c.pool.Name))
-	c.g.cfg.Log.FailureFunc("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, again) })
-	if again {
+	denial := c.retryDenial(policy, out.execution)
+	c.g.cfg.Log.FailureFunc("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, denial) })
+	if denial == retryAllowed {
 		return true, nil
 	}
-	switch ending := policy.EndingAfterAttempt(out.execution, allowed); ending {
+	switch ending := policy.EndingAfterAttempt(out.execution, denial == deniedByBudget); ending {
 	case retry.EndBroken:
 		return false, brokenAnswer{err: out.err}
 	case retry.EndServerError:
@@ -215,16 +211,46 @@
 	}
 }
 
+// retryDenial says why a request gets no further attempt. It is a value of a log attribute.
+type retryDenial string
+
+// Reasons for no further attempt.
+const (
+	retryAllowed    retryDenial = ""
+	deniedByPolicy  retryDenial = "policy"  // by the limits of its route, or because nothing can continue its answer
+	deniedBySuspect retryDenial = "suspect" // it may have crashed servers
+	deniedByBudget  retryDenial = "budget"
+)
+
+// retryDenial decides whether the request gets a further attempt, and charges the retry budget if so.
+func (c *call) retryDenial(policy retry.Request, last retry.Execution) retryDenial {
+	allowed, fromBudget := policy.MayRetry(last)
+	// A request during which three servers crashed might crash another one.
+	c.findPartSuspicion()
+	switch {
+	case !allowed:
+		return deniedByPolicy
+	case !c.suspicion.MayRetry(c.losses), !c.partSuspicion.mayRetry(c.losses):
+		return deniedBySuspect
+	case fromBudget && !c.g.allowRetry(c.pool.Name):
+		return deniedByBudget
+	}
+	return retryAllowed
+}
+
 // failureAttrs returns the attributes of a failed attempt's log line. The key identifies the
 // request when a caller sends it again under another ID. "attempt" counts only the attempts that
 // reached a server ([retry.Counts].Arrived), as "sends" does in the request's final line.
-func (c *call) failureAttrs(a *assignment, out outcome, again bool) []slog.Attr {
+func (c *call) failureAttrs(a *assignment, out outcome, denial retryDenial) []slog.Attr {
 	attrs := []slog.Attr{
 		slog.String("request", c.head.ID), slog.String("backend", a.serverID),
 		slog.String("cause", out.cause), slog.String("error", out.err.Error()), slog.Int("attempt", c.counts.Arrived),
-		milliseconds("took_ms", c.g.now()-a.startedAt), slog.Bool("again", again),
+		milliseconds("took_ms", c.g.now()-a.startedAt), slog.Bool("again", denial == retryAllowed),
 		slog.String("last_event", c.relay.position.id),
 	}
+	if denial != retryAllowed {
+		attrs = append(attrs, slog.String("denied_by", string(denial)))
+	}
 	attrs = append(attrs, a.versionAttrs()...)
 	attrs = append(attrs, a.framingAttrs()...)
 	if out.status > 0 {
