gateway: a silent server is given up only for one that answers

Callers saw streams cut off and 502 although the server that made the answer was only silent. Cause: the timer of silence ended the attempt, and only then the gateway found out whether another server, place, version, retry or attempt may be had, and whether that server takes the request. Change: silence ends nothing. Further attempts (hedges) are made beside the silent one, within the attempts of the route and the retry budget. The first attempt that has something for the caller wins: whole events that follow, or a whole plain success; only then the others are cancelled and their servers released. If the silent server goes on first, the hedges end. If it fails for real, the hedges under way go on in its place. Silence counts against the server when the timeout passes, as before, and is taken back when the server goes on. Tests changed: in TestSilentServerIsNotGivenUpForNothing "ends at once" before the first event is left out, because an empty stream that states its end is a whole answer (the trace shows status 200 and no cut). TestSilentIdleConnectionsEjectNoServer: its fake server reports when its connection was opened when the call gets it, as the transport now does, not only when the call ends.

--- a/coordination/outlier/rate.go
+++ b/coordination/outlier/rate.go
@@ -80,6 +80,14 @@
 	return ejected
 }
 
+// Resumed takes back a request that was recorded as lost because its server was silent: the server goes on, so an
+// ejection ends and the next one is no longer for it.
+func (p *PoolRate) Resumed(f *FailureRate) {
+	p.rate = max((p.rate-poolWeight*failureWeights[Lost])/(1-poolWeight), 0)
+	f.uncount(failureWeights[Lost])
+	f.succeeded()
+}
+
 // LostInARow returns the number of consecutive requests lost at the server since it last answered or was
 // ejected.
 func (f *FailureRate) LostInARow() int { return f.lost }
@@ -101,6 +109,16 @@
 	f.nextDuration = max(f.nextDuration/2, MinGatewayEjection)
 }
 
+// uncount takes one attempt out of the average, unless an ejection has reset it meanwhile.
+func (f *FailureRate) uncount(weight float64) {
+	if f.samples == 0 {
+		return
+	}
+	n := float64(min(f.samples, serverSamples))
+	f.samples--
+	f.rate = max(f.rate*n-weight, 0) / max(n-1, 1)
+}
+
 // count updates the average, over all attempts at first and later over about serverSamples of them.
 func (f *FailureRate) count(weight float64) {
 	f.samples++
--- a/coordination/retry/outcome.go
+++ b/coordination/retry/outcome.go
@@ -41,3 +41,8 @@
 	}
 	return c
 }
+
+// Plus returns the counts of both together.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{Begun: c.Begun + o.Begun, Arrived: c.Arrived + o.Arrived, Runs: c.Runs + o.Runs}
+}
--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -44,11 +44,16 @@
 	w.requests[w.slice%sliceCount]++
 }
 
-// AllowRetry reports whether one more attempt is within the budget of one of n gateways, and if so charges it.
-func (w *Window) AllowRetry(now time.Duration, n int) bool {
+// HasRetry reports whether one more attempt is within the budget of one of n gateways.
+func (w *Window) HasRetry(now time.Duration, n int) bool {
 	w.advance(now)
 	allowed := usedFraction * (w.limits.Ratio*float64(sum(w.requests[:])) + w.limits.Extra/float64(max(n, 1)))
-	if float64(sum(w.retries[:])+1) > allowed {
+	return float64(sum(w.retries[:])+1) <= allowed
+}
+
+// AllowRetry is HasRetry, and charges the attempt to the budget if it is within.
+func (w *Window) AllowRetry(now time.Duration, n int) bool {
+	if !w.HasRetry(now, n) {
 		return false
 	}
 	w.retries[w.slice%(sliceCount+1)]++
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
@@ -18,17 +19,6 @@
 	if c.stream.source == versionUnknown {
 		return nil, Refusal{Cause: VersionUnknown}
 	}
-	req := requirements{
-		WaitingRequest: entitlement.WaitingRequest{
-			Class: c.class, Priority: entitlement.Priority(c.account.Priority, c.route.Priority), Account: c.account.Name,
-		},
-		pool: c.pool, route: c.route, prompt: c.head.Prompt,
-		repeatable: c.route.MayRepeat(), triedServers: c.triedServers, gateways: int(c.g.gatewayCount.Load()), random: c.g.randomFraction(),
-		version: c.stream.limit(), accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
-	}
-	if c.route.Objective > 0 {
-		req.objectiveDeadline = c.arrived + c.route.Objective - c.spentBeforeArrival
-	}
 	waiting := c.queuedRequest()
 	switch {
 	case c.r.Context().Err() != nil:
@@ -37,9 +27,7 @@
 		return nil, Refusal{Cause: TooLate}
 	}
 	queueTimeout := retry.QueueTimeout(waiting)
-	if c.counts.Runs > 0 {
-		req.maxBackoff = queueTimeout
-	}
+	req := c.requirements(queueTimeout)
 	var a *assignment
 	if a, c.shortage = c.g.awaitServer(ctx, req, queueTimeout); a != nil {
 		c.countStarted()
@@ -48,6 +36,26 @@
 	return nil, c.noServerError(ctx, &req)
 }
 
+// requirements returns the inputs for selecting a backend server for the next attempt, which waits for one up to
+// queueTimeout.
+func (c *call) requirements(queueTimeout time.Duration) requirements {
+	req := requirements{
+		WaitingRequest: entitlement.WaitingRequest{
+			Class: c.class, Priority: entitlement.Priority(c.account.Priority, c.route.Priority), Account: c.account.Name,
+		},
+		pool: c.pool, route: c.route, prompt: c.head.Prompt,
+		repeatable: c.route.MayRepeat(), triedServers: c.triedServers, gateways: int(c.g.gatewayCount.Load()), random: c.g.randomFraction(),
+		version: c.stream.limit(), accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
+	}
+	if c.route.Objective > 0 {
+		req.objectiveDeadline = c.arrived + c.route.Objective - c.spentBeforeArrival
+	}
+	if c.counts.Runs > 0 {
+		req.maxBackoff = queueTimeout
+	}
+	return req
+}
+
 // noServerError returns the error for a request that got no backend server. A request whose homes
 // or version exclude every server does not count as missed, because engine capacity is not what it lacks.
 func (c *call) noServerError(ctx context.Context, req *requirements) error {
@@ -88,7 +96,7 @@
 // policy returns the current inputs for deciding on further attempts.
 func (c *call) policy(ctx context.Context) retry.Request {
 	return retry.Request{
-		Route: c.route, Counts: c.counts, HeadWritten: c.response.Begun(), Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
+		Route: c.route, Counts: c.counts, HeadWritten: c.relay.begun(), Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
 	}
 }
 
--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
@@ -25,14 +26,18 @@
 	tokensAhead    int             // tokens queued on the server at the start
 	expectedFirst  time.Duration   // expected time to the first part of the answer
 	timeToFirst    time.Duration   // actual time to the first part of the answer; zero before it
-	connOpenedAt   time.Duration   // zero if no connection was established
+	connOpenedAt   atomic.Int64    // when the connection was opened, as a time.Duration; zero if none was established
 	trial          bool            // the attempt tests an ejected server
 	versionAttempt versionAttempt  // how it counts in the pool's rollout
 	answering      bool            // the first part of the answer was received
 	framing        forward.Framing // of the answer; empty before it
 	status         int             // of the answer; zero before it
 	unreached      bool            // no connection was established
+
+	// Guarded by table.mu.
 	ended          bool
+	silenceCounted bool            // a silence of the server counts against it
+	silentVerdict  outlier.Verdict // of the last silence that counted
 
 	region        string            // of the server, at the start
 	leaveReason   place.LeaveReason // why the request goes to another region; place.Stay if it does not
@@ -42,6 +47,11 @@
 	receivedBytes int               // received from another region
 }
 
+// openedAt returns when the attempt's connection was opened, zero if none was established.
+func (a *assignment) openedAt() time.Duration { return time.Duration(a.connOpenedAt.Load()) }
+
+func (a *assignment) setOpenedAt(t time.Duration) { a.connOpenedAt.Store(int64(t)) }
+
 // recordFirstPart records the first part of an answer, which shows that the prompt has been
 // processed.
 func (g *Gateway) recordFirstPart(a *assignment, engine bool) {
@@ -75,13 +85,12 @@
 	p.withReliableRatio[k] = true
 }
 
-// silentVerdict returns the verdict for an attempt that ended because its backend server sent
-// nothing. If a dead idle connection may be the cause, it closes idle connections so that the next
-// requests open new ones.
-func (g *Gateway) silentVerdict(a *assignment) outlier.Verdict {
-	now := g.now()
+// observeSilence returns the verdict for an attempt whose backend server sends nothing. If a dead idle connection may
+// be the cause, it closes idle connections so that the next requests open new ones.
+func (g *Gateway) observeSilence(a *assignment) outlier.Verdict {
+	now, openedAt := g.now(), a.openedAt()
 	g.table.mu.Lock()
-	v, drop := a.entry.silence.ObserveSilence(now, a.startedAt, a.connOpenedAt)
+	v, drop := a.entry.silence.ObserveSilence(now, a.startedAt, openedAt)
 	dropAll := v == outlier.NoVerdict && g.table.outage.ObserveSilence(now, a.serverID)
 	g.table.mu.Unlock()
 	switch {
@@ -92,12 +101,52 @@
 	default:
 		return v
 	}
-	g.cfg.Log.Failure("connection silent", slog.String("backend", a.serverID), milliseconds("open_ms", now-a.connOpenedAt), slog.Bool("others", dropAll))
+	g.cfg.Log.Failure("connection silent", slog.String("backend", a.serverID), milliseconds("open_ms", now-openedAt), slog.Bool("others", dropAll))
 	return v
 }
 
+// recordSilence counts the silence of an attempt's backend server against it, while the attempt goes on: a server that
+// has died must not get requests until all of its attempts have ended.
+func (g *Gateway) recordSilence(a *assignment) {
+	v := g.observeSilence(a)
+	g.table.mu.Lock()
+	a.silenceCounted, a.silentVerdict = true, v
+	ejected := g.recordVerdict(a, v)
+	g.table.mu.Unlock()
+	if ejected {
+		g.logSuspected(a, "silent")
+	}
+}
+
+// withdrawSilence takes back what the silence of an attempt's backend server has counted, because the server goes on.
+func (g *Gateway) withdrawSilence(a *assignment) {
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	a.silenceCounted = false
+	if a.silentVerdict == outlier.Lost {
+		g.table.pool(a.entry.Pool).failures.Resumed(&a.entry.health)
+	}
+}
+
+// recordVerdict records a verdict on a backend server and reports whether that ejects it. A server that the directory
+// does not list is removed once it is ejected. The caller holds table.mu.
+func (g *Gateway) recordVerdict(a *assignment, v outlier.Verdict) (ejected bool) {
+	k := a.entry
+	ejected = g.table.pool(k.Pool).failures.Record(g.now(), &k.health, v, a.trial)
+	if ejected && k.unlisted {
+		g.table.remove(k.ID)
+	}
+	return ejected
+}
+
+// logSuspected counts and logs that a backend server was ejected.
+func (g *Gateway) logSuspected(a *assignment, cause string) {
+	g.stats.count("suspected", "pool", a.entry.Pool)
+	g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.serverID), slog.String("cause", cause))
+}
+
 // release ends an attempt at its backend server, records the verdict, and reports whether that
-// ejects the server. A server that the directory does not list is removed once it is ejected.
+// ejects the server. A silence that has counted is not recorded again.
 func (g *Gateway) release(a *assignment, v outlier.Verdict) (ejected bool) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
@@ -123,9 +172,8 @@
 	if v == outlier.Refused || v == outlier.Answered || v == outlier.Unconfirmed {
 		p.placer.ObserveAnswer(v == outlier.Refused)
 	}
-	ejected = p.failures.Record(g.now(), &k.health, v, a.trial)
-	if ejected && k.unlisted {
-		g.table.remove(k.ID)
+	if !a.silenceCounted || v != a.silentVerdict {
+		ejected = g.recordVerdict(a, v)
 	}
 	g.grantWaiting(p)
 	return ejected
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,20 +40,47 @@
 
 // attempt sends the request to one backend server and relays its answer.
 func (c *call) attempt(ctx context.Context, a *assignment) outcome {
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.stall = c.watchStall(cancel)
-	out := c.exchange(ctx, a)
+	c.watch = c.watchSilence(ctx, a, cancel)
+	c.watch.await()
+	answer, head, out := c.open(attemptCtx, a)
+	c.watch.suspend()
+	if answer != nil {
+		out = c.relayAnswer(attemptCtx, a, answer, head)
+	}
+	return c.endAttempt(attemptCtx, a, out)
+}
+
+// takeOver relays the answer of a hedge that has replaced the primary attempt.
+func (c *call) takeOver(ctx context.Context, h *hedge) outcome {
+	defer h.cancel()
+	c.watch = c.watchSilence(ctx, h.a, h.cancel)
+	return c.endAttempt(h.ctx, h.a, c.relayAnswer(h.ctx, h.a, h.answer, h.head))
+}
+
+// endAttempt completes the outcome of an attempt by why it ended, and follows it up.
+func (c *call) endAttempt(ctx context.Context, a *assignment, out outcome) outcome {
 	answered := out.execution == retry.Answered
-	silent := c.stall.stop() || forward.IsConnTimeout(out.err)
-	if silent && !answered && c.r.Context().Err() == nil {
-		out.verdict, out.cause = c.g.silentVerdict(a), "silent"
+	if c.watch.stop() && !answered && c.r.Context().Err() == nil {
+		out.verdict, out.cause = a.silentVerdict, "silent"
 	} else if ctx.Err() != nil && !answered {
 		out.verdict = outlier.NoVerdict // the caller left or the deadline passed
-		if c.r.Context().Err() == nil && !a.answering && a.connOpenedAt > 0 && a.connOpenedAt < a.startedAt {
-			c.g.silentVerdict(a) // no verdict on the server, but its other connections may be dead too
+		if openedAt := a.openedAt(); c.r.Context().Err() == nil && !a.answering && openedAt > 0 && openedAt < a.startedAt {
+			c.g.observeSilence(a) // no verdict on the server, but its other connections may be dead too
 		}
 	}
+	out = c.conclude(ctx, a, out)
+	c.counts = c.counts.With(out.execution)
+	return out
+}
+
+// conclude follows up an attempt that has ended: it releases the server with the verdict on it. It returns the
+// outcome as it counts.
+func (c *call) conclude(ctx context.Context, a *assignment, out outcome) outcome {
+	if ctx.Err() == nil && out.execution != retry.Answered && forward.IsConnTimeout(out.err) {
+		out.verdict, out.cause = c.g.observeSilence(a), "silent"
+	}
 	switch {
 	case ctx.Err() != nil:
 	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost:
@@ -62,15 +89,13 @@
 	case out.verdict == outlier.Unconfirmed:
 		c.recordUnconfirmed(a)
 	}
-	c.counts = c.counts.With(out.execution)
 	sent := len(c.body) + headerBytes(c.r)
 	if out.execution == retry.NotSent {
 		sent = 0
 	}
 	c.g.settleLink(a, sent)
 	if c.g.release(a, out.verdict) {
-		c.g.stats.count("suspected", "pool", c.pool.Name)
-		c.g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.serverID), slog.String("cause", out.cause))
+		c.g.logSuspected(a, out.cause)
 	}
 	if out.misdirected {
 		c.g.table.removeMisdirected(a.serverID)
@@ -79,44 +104,68 @@
 	return out
 }
 
-// exchange sends the request to the assigned server and relays its answer.
-func (c *call) exchange(ctx context.Context, a *assignment) outcome {
+// open sends the request to the assigned server and returns the answer, or the outcome if there is none.
+func (c *call) open(ctx context.Context, a *assignment) (*forward.Response, AnswerHead, outcome) {
 	answer, err := c.g.cfg.Transport.Send(ctx, a.address, c.outgoing(a))
 	if err != nil {
-		return c.handleSendError(a, err)
+		return nil, AnswerHead{}, c.handleSendError(a, err)
 	}
-	defer answer.Body.Close()
-	a.connOpenedAt, a.framing, a.status = c.g.monotonicTime(answer.ConnOpenedAt), answer.Framing(), answer.Status
+	a.setOpenedAt(c.g.monotonicTime(answer.ConnOpenedAt))
+	a.framing, a.status = answer.Framing(), answer.Status
 	c.g.observeRoundTrip(a)
 	if a.leaveReason != place.Stay {
 		answer.Body = countingBody{ReadCloser: answer.Body, n: &a.receivedBytes}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(answer.Status, answer.Header)
 	c.g.applyNotice(a, head)
-	out := c.checkAndRelay(ctx, a, answer, head)
-	out.status, out.backoff, out.leaving = answer.Status, head.Backoff, head.Leaving
-	return out
+	return answer, head, outcome{}
+}
+
+// relayAnswer relays an answer and closes it.
+func (c *call) relayAnswer(ctx context.Context, a *assignment, answer *forward.Response, head AnswerHead) outcome {
+	defer answer.Body.Close()
+	return c.checkAndRelay(ctx, a, answer, head).withHead(answer, head)
+}
+
+// withHead returns the outcome with what the head of the answer states.
+func (o outcome) withHead(answer *forward.Response, head AnswerHead) outcome {
+	o.status, o.backoff, o.leaving = answer.Status, head.Backoff, head.Leaving
+	return o
 }
 
 // checkAndRelay relays an answer after checking that it belongs to this request and, if it is a
 // success, that it carries the server's signature. Once a response has begun, only its continuation is
 // relayed.
 func (c *call) checkAndRelay(ctx context.Context, a *assignment, answer *forward.Response, head AnswerHead) outcome {
-	if head.ID != c.head.ID {
-		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", verdict: outlier.Faulty, err: errCrossed}
+	if out := c.checkOwner(answer, head); out.err != nil {
+		return out
 	}
-	success := isSuccess(answer.Status)
 	switch {
-	case success && !head.Signed:
-		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
-	case c.response.Begun():
+	case c.relay.begun():
 		return c.relay.continueStream(ctx, a, answer)
-	case success && c.route.Kind == document.Stream && mayBeEventStream(answer.Header):
+	case c.isStream(answer):
 		return c.relay.relayStream(ctx, a, answer)
 	}
 	return c.relay.relayPlain(a, answer)
 }
 
+// checkOwner returns the outcome of an answer that does not belong to the request, or, if it is a success, is not
+// signed. For any other answer the outcome has no error.
+func (c *call) checkOwner(answer *forward.Response, head AnswerHead) outcome {
+	switch {
+	case head.ID != c.head.ID:
+		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", verdict: outlier.Faulty, err: errCrossed}
+	case isSuccess(answer.Status) && !head.Signed:
+		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
+	}
+	return outcome{}
+}
+
+// isStream reports whether an answer begins the stream that was requested.
+func (c *call) isStream(answer *forward.Response) bool {
+	return isSuccess(answer.Status) && c.route.Kind == document.Stream && mayBeEventStream(answer.Header)
+}
+
 // mayBeEventStream reports whether an answer is an event stream or does not state its type.
 func mayBeEventStream(h http.Header) bool {
 	contentType := h.Get("Content-Type")
@@ -130,6 +179,7 @@
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
 		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body,
 		Abandoned: func() bool { return callerHasLeft(c.r.Context()) || !c.g.table.admits(a.serverID) },
+		Connected: func(openedAt time.Time) { a.setOpenedAt(c.g.monotonicTime(openedAt)) },
 	}
 }
 
@@ -137,7 +187,7 @@
 func (c *call) handleSendError(a *assignment, err error) outcome {
 	var unknown forward.MayHaveRun
 	if errors.As(err, &unknown) {
-		a.connOpenedAt = c.g.monotonicTime(unknown.ConnOpenedAt)
+		a.setOpenedAt(c.g.monotonicTime(unknown.ConnOpenedAt))
 	}
 	var notRun forward.NotRun
 	if !errors.As(err, &notRun) {
@@ -190,14 +240,13 @@
 // handleFailure follows up a failed attempt. It either allows another one or ends the request, with
 // an error unless a held answer was written.
 func (c *call) handleFailure(ctx context.Context, a *assignment, out outcome) (again bool, err error) {
-	c.g.stats.count("attempts_failed", "cause", out.cause)
 	if c.r.Context().Err() != nil {
+		c.g.stats.count("attempts_failed", "cause", out.cause)
 		return false, callerLeft{}
 	}
-	c.triedServers[a.serverID] = true
 	policy := c.policy(ctx)
 	denial := c.retryDenial(policy, out.execution)
-	c.g.cfg.Log.FailureFunc("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, denial) })
+	c.recordFailure(a, out, denial)
 	if denial == retryAllowed {
 		return true, nil
 	}
@@ -211,6 +260,13 @@
 	}
 }
 
+// recordFailure records a failed attempt of the call's goroutine.
+func (c *call) recordFailure(a *assignment, out outcome, denial retryDenial) {
+	c.g.stats.count("attempts_failed", "cause", out.cause)
+	c.triedServers[a.serverID] = true
+	c.g.cfg.Log.FailureFunc("attempt failed", func() []slog.Attr { return c.failureAttrs(a, out, denial) })
+}
+
 // retryDenial says why a request gets no further attempt. It is a value of a log attribute.
 type retryDenial string
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,7 +47,7 @@
 	shortage     shortage        // why no backend server was available in the end
 	relay        *relay          // nil until the request is admitted
 	stream       streamOrigin    // of the stream that the request continues
-	stall        *stallTimer     // current attempt
+	watch        *silenceWatch   // of the current attempt
 	unconfirmed  bool            // nothing states that the answer is complete
 
 	// Evidence that servers crashed while running this request.
@@ -224,19 +224,35 @@
 		if err := c.checkPartsBeforeSend(a); err != nil {
 			return err
 		}
-		c.assigned = a
 		c.g.stats.countVersion(c.pool.Name, &a.versionAttempt)
 		c.logResumption(a)
-		out := c.attempt(ctx, a)
-		if out.execution == retry.Answered {
-			c.unconfirmed = out.verdict == outlier.Unconfirmed
-			if isSuccess(c.response.Status()) && !c.unconfirmed {
-				c.clearSuspicion()
-			}
-			return nil
-		}
-		if again, err := c.handleFailure(ctx, a, out); !again {
+		if again, err := c.attemptWithHedges(ctx, a); !again {
 			return err
 		}
 	}
 }
+
+// attemptWithHedges makes an attempt, and goes on with the hedge that replaces it, if one does. It reports whether
+// another attempt is allowed; if not, the error is nil once the caller has an answer.
+func (c *call) attemptWithHedges(ctx context.Context, a *assignment) (again bool, err error) {
+	c.assigned = a
+	out := c.attempt(ctx, a)
+	for out.execution != retry.Answered {
+		h, held := c.watch.replacement()
+		if h == nil {
+			if held != nil && out.held == nil {
+				out.execution, out.held = held.execution, held.held
+			}
+			return c.handleFailure(ctx, a, out)
+		}
+		c.recordFailure(a, out, retryAllowed)
+		a = h.a
+		c.assigned = a
+		out = c.takeOver(ctx, h)
+	}
+	c.unconfirmed = out.verdict == outlier.Unconfirmed
+	if isSuccess(c.response.Status()) && !c.unconfirmed {
+		c.clearSuspicion()
+	}
+	return false, nil
+}
--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -43,7 +43,7 @@
 // a [notContinuation].
 func (r *relay) checkContinuationHead(answer *forward.Response) error {
 	switch {
-	case answer.Status != r.c.response.Status():
+	case answer.Status != r.status:
 		return notContinuation{fmt.Sprintf("status %d", answer.Status)}
 	case !mayBeEventStream(answer.Header):
 		return notContinuation{"content type " + answer.Header.Get("Content-Type")}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,6 +245,13 @@
 	return g.retryWindow(pool).AllowRetry(g.now(), int(g.gatewayCount.Load()))
 }
 
+// hasRetry reports whether an attempt is left in the pool's retry budget.
+func (g *Gateway) hasRetry(pool string) bool {
+	g.retriesMu.Lock()
+	defer g.retriesMu.Unlock()
+	return g.retryWindow(pool).HasRetry(g.now(), int(g.gatewayCount.Load()))
+}
+
 // countRequest counts a request towards the retry budget of its pool.
 func (g *Gateway) countRequest(pool string) {
 	g.retriesMu.Lock()
--- /dev/null
+++ b/gateway/hedge.go
@@ -0,0 +1,319 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+	"github.com/badgerspoke/badgerspoke/transport/forward"
+)
+
+// This file defines hedges: the attempts that a call makes beside one whose server is silent. Each counts as an attempt
+// of the request and is charged to the retry budget. A hedge that is not needed any more is cancelled and its
+// server released.
+
+// hedge is one attempt beside a silent one.
+type hedge struct {
+	hedges *hedges
+	a      *assignment
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	answer *forward.Response // with something for the caller; nil unless the hedge was offered as a replacement
+	head   AnswerHead        // of the answer
+	out    outcome           // if there is no answer
+	silent bool              // it has been silent for too long
+
+	// Guarded by silenceWatch.mu.
+	ended     bool
+	execution retry.Execution // once ended
+}
+
+// hedges makes hedges while a server is silent, until the server goes on or a hedge wins. Its fields belong to the
+// goroutine of run, but for those that silenceWatch.mu guards.
+type hedges struct {
+	w       *silenceWatch
+	c       *call // copy of the call, as it was when the server fell silent
+	ctx     context.Context
+	cancel  context.CancelFunc // makes run start no more hedges
+	results chan *hedge        // hedges that have ended
+	won     chan struct{}      // closed when a hedge has won
+	done    chan struct{}      // closed when run has ended
+
+	last    retry.Execution // of the last hedge that ended
+	pending int             // hedges under way
+
+	// Guarded by silenceWatch.mu.
+	made         []*hedge
+	primaryEnded bool
+	losses       int      // hedges whose connection broke
+	held         *outcome // of the last hedge whose answer reports a failure
+}
+
+// hedgePollInterval is how often a request whose server is silent looks for a server that may take over.
+const hedgePollInterval = 100 * time.Millisecond
+
+// startHedges starts to make hedges, or returns nil if nothing could take over from the primary attempt. The caller
+// holds w.mu.
+func startHedges(w *silenceWatch) *hedges {
+	if !w.c.relay.canContinue() {
+		return nil
+	}
+	hs := &hedges{
+		w: w, c: w.c.snapshot(), results: make(chan *hedge, retry.MaxBegun), won: make(chan struct{}), done: make(chan struct{}),
+		last: retry.MayHaveRun,
+	}
+	hs.c.counts = hs.c.counts.With(retry.MayHaveRun) // the primary attempt
+	hs.c.triedServers[w.primary.serverID] = true
+	hs.ctx, hs.cancel = context.WithCancel(w.ctx)
+	go hs.run()
+	return hs
+}
+
+// snapshot returns a copy of the call for hedges. It shares nothing that the call's goroutine changes and cannot write
+// to the caller. The call's goroutine must be waiting for a server.
+func (c *call) snapshot() *call {
+	s := *c
+	s.triedServers = maps.Clone(c.triedServers)
+	s.response, s.watch, s.assigned = nil, nil, nil
+	s.relay = &relay{c: &s, status: c.relay.status, plain: c.relay.plain, unframed: c.relay.unframed, position: c.relay.position, endUnstated: c.relay.endUnstated}
+	return &s
+}
+
+// run makes hedges, one after another, until none is allowed and none is under way.
+func (hs *hedges) run() {
+	defer close(hs.done)
+	defer hs.cancel()
+	for {
+		wait := time.Duration(0)
+		if hs.mayStart() {
+			wait = hedgePollInterval
+			if a := hs.acquire(); a != nil {
+				hs.start(a)
+				wait = hs.w.first
+			}
+		}
+		if hs.pending == 0 && (wait == 0 || hs.ctx.Err() != nil) {
+			return
+		}
+		hs.await(wait)
+	}
+}
+
+// mayStart reports whether the request may have one more attempt beside those under way.
+func (hs *hedges) mayStart() bool {
+	c := hs.c
+	policy := c.policy(hs.ctx)
+	policy.Counts = hs.counts()
+	if allowed, _ := policy.MayRetry(hs.last); !allowed || hs.pending == 0 && hs.hasPrimaryEnded() {
+		return false
+	}
+	c.findPartSuspicion()
+	c.confirmOrigin()
+	return c.suspicion.MayRetry(c.losses) && c.partSuspicion.mayRetry(c.losses) && c.stream.source != versionUnknown
+}
+
+// hasPrimaryEnded reports whether the primary attempt has ended. Without a hedge under way, the call then goes on like
+// after any failed attempt.
+func (hs *hedges) hasPrimaryEnded() bool {
+	hs.w.mu.Lock()
+	defer hs.w.mu.Unlock()
+	return hs.primaryEnded
+}
+
+// counts returns the request's attempts, those under way included.
+func (hs *hedges) counts() retry.Counts {
+	hs.w.mu.Lock()
+	defer hs.w.mu.Unlock()
+	return hs.c.counts.Plus(hs.madeCounts(nil))
+}
+
+// madeCounts counts the hedges but for one. Those under way may have run. The caller holds silenceWatch.mu.
+func (hs *hedges) madeCounts(except *hedge) (n retry.Counts) {
+	for _, h := range hs.made {
+		switch {
+		case h == except:
+		case h.ended:
+			n = n.With(h.execution)
+		default:
+			n = n.With(retry.MayHaveRun)
+		}
+	}
+	return n
+}
+
+// acquire returns a server for a hedge and charges the retry budget, or returns nil. Only the first hedge waits in the
+// queue: while another is under way, its result comes first.
+func (hs *hedges) acquire() *assignment {
+	c := hs.c
+	fromBudget := hs.last != retry.NotSent
+	if fromBudget && !c.g.hasRetry(c.pool.Name) {
+		return nil
+	}
+	queueTimeout := time.Duration(0)
+	if hs.pending == 0 {
+		queueTimeout = max(retry.QueueTimeout(c.queuedRequest()), 0)
+	}
+	a, _ := c.g.awaitServer(hs.ctx, c.requirements(queueTimeout), queueTimeout)
+	if a == nil {
+		return nil
+	}
+	if hs.ctx.Err() != nil || fromBudget && !c.g.allowRetry(c.pool.Name) {
+		c.g.settleLink(a, 0)
+		c.g.release(a, outlier.NoVerdict)
+		return nil
+	}
+	return a
+}
+
+// start starts a hedge, unless hedges are not needed any more.
+func (hs *hedges) start(a *assignment) {
+	h := &hedge{hedges: hs, a: a}
+	h.ctx, h.cancel = context.WithCancel(hs.w.ctx)
+	hs.w.mu.Lock()
+	needed := hs.ctx.Err() == nil
+	if needed {
+		hs.made = append(hs.made, h)
+	}
+	hs.w.mu.Unlock()
+	if !needed {
+		h.cancel()
+		hs.c.g.settleLink(a, 0)
+		hs.c.g.release(a, outlier.NoVerdict)
+		return
+	}
+	hs.pending++
+	hs.c.triedServers[a.serverID] = true
+	hs.c.g.stats.countVersion(hs.c.pool.Name, &a.versionAttempt)
+	hs.c.logResumption(a)
+	go h.run()
+}
+
+// run sends the request and offers the answer as a replacement once it has something for the caller.
+func (h *hedge) run() {
+	c := h.hedges.c
+	answer, head, out := c.open(h.ctx, h.a)
+	if answer != nil {
+		if out = c.awaitUsable(answer, head); out.execution == retry.Answered {
+			h.answer, h.head = answer, head
+		}
+		out = out.withHead(answer, head)
+	}
+	if h.answer != nil && h.hedges.w.offer(h) {
+		h.hedges.results <- h
+		return
+	}
+	if answer != nil {
+		answer.Body.Close()
+	}
+	h.answer, h.out = nil, out
+	h.hedges.results <- h
+}
+
+// await waits for the end of a hedge, or for the given time if it is not zero. A hedge that is silent all that time
+// counts against its server.
+func (hs *hedges) await(wait time.Duration) {
+	var expired <-chan time.Time
+	if wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		expired = t.C
+	}
+	ended := hs.ctx.Done()
+	if hs.ctx.Err() != nil {
+		ended = nil // hedges under way end soon
+	}
+	select {
+	case h := <-hs.results:
+		hs.pending--
+		hs.conclude(h)
+	case <-expired:
+		hs.recordSilence()
+	case <-ended:
+	}
+}
+
+// recordSilence counts the hedges that have been silent for too long against their servers.
+func (hs *hedges) recordSilence() {
+	now := hs.c.g.now()
+	if hs.c.g.overload.Load().Late(now) {
+		return
+	}
+	for _, h := range hs.made {
+		if silent := now - h.a.startedAt; !h.ended && !h.silent && silent >= hs.w.first {
+			h.silent = true
+			hs.c.g.recordSilence(h.a)
+			hs.c.logSilence(h.a, silent)
+		}
+	}
+}
+
+// conclude follows up a hedge that has ended.
+func (hs *hedges) conclude(h *hedge) {
+	c := hs.c
+	if h.answer != nil {
+		c.g.stats.count("hedges", "end", "won")
+		return
+	}
+	defer h.cancel()
+	needed := h.ctx.Err() == nil
+	if !needed {
+		h.out.verdict, h.out.cause = outlier.NoVerdict, "not needed"
+	}
+	h.out = c.conclude(h.ctx, h.a, h.out)
+	hs.w.mu.Lock()
+	h.ended, h.execution = true, h.out.execution
+	if h.out.connectionBroke {
+		hs.losses++
+	}
+	if h.out.held != nil {
+		hs.held = &h.out
+	}
+	hs.w.mu.Unlock()
+	if !needed {
+		c.g.stats.count("hedges", "end", "not needed")
+		return
+	}
+	hs.last = h.out.execution
+	c.g.stats.count("hedges", "end", "failed")
+	c.g.stats.count("attempts_failed", "cause", h.out.cause)
+	c.g.cfg.Log.FailureFunc("hedge failed", func() []slog.Attr { return c.failureAttrs(h.a, h.out, retryAllowed) })
+}
+
+// end ends all hedges but the winner. The caller holds silenceWatch.mu.
+func (hs *hedges) end() {
+	hs.cancel()
+	for _, h := range hs.made {
+		if h != hs.w.winner {
+			h.cancel()
+		}
+	}
+}
+
+// endPrimary records that the primary attempt has ended, and ends run unless a hedge is under way. The caller holds
+// silenceWatch.mu.
+func (hs *hedges) endPrimary() {
+	hs.primaryEnded = true
+	for _, h := range hs.made {
+		if !h.ended {
+			return
+		}
+	}
+	hs.cancel()
+}
+
+// adoptCounts adds the hedges, but for the winner, to the call's attempts.
+func (c *call) adoptCounts(hs *hedges, winner *hedge) {
+	c.counts = c.counts.Plus(hs.madeCounts(winner))
+	c.losses += hs.losses
+	for _, h := range hs.made {
+		if h != winner {
+			c.triedServers[h.a.serverID] = true
+		}
+	}
+}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -299,12 +299,13 @@
 // opened for an attempt there. Samples are skipped while this process is delayed itself, since they
 // would include its own delay.
 func (g *Gateway) observeRoundTrip(a *assignment) {
-	if a.leaveReason == place.Stay || a.connOpenedAt <= a.startedAt || g.overload.Load().Late(g.now()) {
+	openedAt := a.openedAt()
+	if a.leaveReason == place.Stay || openedAt <= a.startedAt || g.overload.Load().Late(g.now()) {
 		return
 	}
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	g.table.linkBudget.ObserveRoundTrip(g.now(), a.region, a.connOpenedAt-a.startedAt)
+	g.table.linkBudget.ObserveRoundTrip(g.now(), a.region, openedAt-a.startedAt)
 }
 
 // countingBody counts the bytes of an answer that are read from the link.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,6 +34,7 @@
 type relay struct {
 	c           *call
 	body        *response.Body // of the response to the caller; nil before its head
+	status      int            // of the response's head; zero before it
 	plain       bool           // the response is no stream
 	unframed    bool           // the response ends with its connection
 	position    position       // of the stream, at the last event passed on
@@ -59,7 +60,9 @@
 // relayPlain handles a plain answer. A success is written to the caller once it is whole; a failure
 // is held in case another backend server succeeds.
 func (r *relay) relayPlain(a *assignment, answer *forward.Response) outcome {
+	r.c.watch.await()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswer))
+	r.c.watch.suspend()
 	if err != nil {
 		return outcome{execution: retry.MayHaveRun, cause: "cut off", verdict: outlier.Lost, err: err}
 	}
@@ -68,19 +71,32 @@
 		r.c.partsBegun()
 	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}
+	if len(body) < maxHeldAnswer && answer.Status >= http.StatusInternalServerError {
+		return heldOutcome(held, outlier.Faulty)
+	}
+	if err := r.c.watch.received(); err != nil {
+		return replacedOutcome(err)
+	}
 	if len(body) == maxHeldAnswer {
 		return r.relayLarge(answer, held)
 	}
-	if answer.Status >= http.StatusInternalServerError {
-		err := faultyAnswer("status " + strconv.Itoa(answer.Status))
-		return outcome{execution: retry.HasRun, cause: "server error", verdict: outlier.Faulty, held: held, err: err}
-	}
 	if err := r.writeHeld(held); err != nil {
 		return secondHeadOutcome(err)
 	}
 	return passedOn(answer)
 }
 
+// heldOutcome returns the outcome of an attempt whose whole answer reports a failure.
+func heldOutcome(held *heldAnswer, v outlier.Verdict) outcome {
+	err := faultyAnswer("status " + strconv.Itoa(held.status))
+	return outcome{execution: retry.HasRun, cause: "server error", verdict: v, held: held, err: err}
+}
+
+// replacedOutcome returns the outcome of an attempt that a hedge has replaced.
+func replacedOutcome(err error) outcome {
+	return outcome{execution: retry.MayHaveRun, cause: "silent", verdict: outlier.NoVerdict, err: err}
+}
+
 // passedOn returns the outcome of an attempt whose answer the caller has, as far as it came.
 func passedOn(answer *forward.Response) outcome {
 	if answer.Unframed {
@@ -95,7 +111,6 @@
 		return secondHeadOutcome(err)
 	}
 	r.plain = true
-	r.c.stall.pause()
 	_, err := io.Copy(callerWriter{r.body}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
 	case err == nil:
@@ -167,10 +182,13 @@
 	if err != nil {
 		return err
 	}
-	r.body, r.unframed = body, unframed
+	r.body, r.unframed, r.status = body, unframed, status
 	return nil
 }
 
+// begun reports whether the response to the caller has begun.
+func (r *relay) begun() bool { return r.status != 0 }
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
@@ -178,10 +196,11 @@
 // relayStream passes on the events of a stream, each as soon as it is whole.
 func (r *relay) relayStream(ctx context.Context, a *assignment, answer *forward.Response) outcome {
 	r.partial = r.partial[:0]
-	r.resumes = r.c.response.Begun()
+	r.resumes = r.begun()
 	r.continues = !r.resumes
 	buffer := make([]byte, readSize)
 	for {
+		r.c.watch.await()
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			if err := r.relayChunk(a, answer, buffer[:n]); err != nil {
@@ -204,6 +223,8 @@
 // chunkErrorOutcome returns the outcome of an attempt for which relayChunk returned an error.
 func chunkErrorOutcome(err error) outcome {
 	switch {
+	case err == errReplaced:
+		return replacedOutcome(err)
 	case errors.As(err, new(notContinuation)):
 		return notContinuedOutcome(err)
 	case errors.As(err, new(response.SecondHead)):
@@ -217,7 +238,9 @@
 // relayChunk handles the bytes of one read. The first ones of the call are preceded by the response head. The
 // error is errTooLarge, a [notContinuation], a [response.SecondHead], or that of a write.
 func (r *relay) relayChunk(a *assignment, answer *forward.Response, chunk []byte) error {
-	r.c.stall.progressed()
+	if err := r.c.watch.received(); err != nil {
+		return err
+	}
 	if r.continues {
 		r.recordBegun(a)
 	}
@@ -241,13 +264,7 @@
 		return r.checkPartialSize() // comments before the first event
 	}
 	r.recordBegun(a)
-	if err := r.writeEvents(end, after); err != nil {
-		return err
-	}
-	if !r.canContinue() {
-		r.c.stall.pause()
-	}
-	return nil
+	return r.writeEvents(end, after)
 }
 
 // recordBegun records that the attempt's answer has begun, at its first call in an attempt.
@@ -292,6 +309,9 @@
 	case !r.continues && !confirmed:
 		return notContinuedOutcome(errNoEvents)
 	}
+	if err := r.c.watch.received(); err != nil {
+		return replacedOutcome(err)
+	}
 	if r.body == nil {
 		if err := r.writeHead(answer.Status, answer.Header, 0, false); err != nil {
 			return secondHeadOutcome(err)
--- /dev/null
+++ b/gateway/silence.go
@@ -0,0 +1,212 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/badgerspoke/badgerspoke/coordination/retry"
+)
+
+// This file defines silenceWatch, which notices that the backend server of an attempt sends nothing. The attempt
+// goes on: a sound server may be silent for a while. Meanwhile hedges (hedge.go) may be made beside it, and the
+// first attempt with something for the caller wins.
+
+// silenceWatch watches the attempt that the call's goroutine makes, the primary one. The call's goroutine calls await
+// before it waits for the server, received before it passes anything on to the caller, and stop at the end.
+type silenceWatch struct {
+	c       *call
+	ctx     context.Context // of the request
+	primary *assignment
+	cancel  context.CancelFunc // ends the primary attempt
+	first   time.Duration      // longest time before the first part of an answer
+	gap     time.Duration      // longest time between two parts
+
+	mu      sync.Mutex // leaf lock; guards the fields below
+	timer   *time.Timer
+	waiting bool          // the call's goroutine waits for the server
+	since   time.Duration // when the server began to be silent
+	due     time.Duration // when the silence is too long
+	counted bool          // the present silence is too long and counts against the server
+	hedges  *hedges       // nil unless the present silence is too long and the request may be hedged
+	winner  *hedge        // has replaced the primary attempt
+}
+
+// errReplaced is the error of an attempt that a hedge has replaced.
+var errReplaced = errors.New("another backend server has answered first")
+
+// watchSilence returns the watch of an attempt. Silence of an attempt that no other one may follow is not watched.
+func (c *call) watchSilence(ctx context.Context, a *assignment, cancel context.CancelFunc) *silenceWatch {
+	w := &silenceWatch{c: c, ctx: ctx, primary: a, cancel: cancel}
+	first, gap, watched := retry.StallTimeouts(c.route, c.counts.Runs)
+	if watched {
+		w.first, w.gap = first, gap
+		w.since = c.g.now()
+		w.due = w.since + first
+	}
+	return w
+}
+
+// await starts the wait for the next part of the answer.
+func (w *silenceWatch) await() {
+	if w.first == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = true
+	w.arm(w.due - w.c.g.now())
+}
+
+// arm sets the timer. The caller holds mu.
+func (w *silenceWatch) arm(d time.Duration) {
+	if w.timer == nil {
+		w.timer = time.AfterFunc(d, w.expire)
+		return
+	}
+	w.timer.Reset(d)
+}
+
+// suspend ends the wait without a part of the answer, while the call's goroutine is busy otherwise.
+func (w *silenceWatch) suspend() {
+	if w.first == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopTimer()
+}
+
+// stopTimer ends the wait. The caller holds mu.
+func (w *silenceWatch) stopTimer() {
+	w.waiting = false
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// received ends the wait because a part of the answer has arrived, and the hedges with it. The error is errReplaced
+// if a hedge was first: nothing of this attempt may then be passed on.
+func (w *silenceWatch) received() error {
+	if w.first == 0 {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopTimer()
+	if w.winner != nil {
+		return errReplaced
+	}
+	now := w.c.g.now()
+	if w.counted {
+		w.endSilence(now)
+	}
+	w.since, w.due = now, now+w.gap
+	return nil
+}
+
+// endSilence ends a silence that counted against the server, because the server goes on. The caller holds mu.
+func (w *silenceWatch) endSilence(now time.Duration) {
+	w.counted = false
+	w.c.g.withdrawSilence(w.primary)
+	made := 0
+	if w.hedges != nil {
+		made = len(w.hedges.made)
+		w.hedges.end()
+		w.c.adoptCounts(w.hedges, nil)
+		w.hedges = nil
+	}
+	silent := now - w.since
+	w.c.g.cfg.Log.FailureFunc("silence over", func() []slog.Attr {
+		return []slog.Attr{
+			slog.String("request", w.c.head.ID), slog.String("backend", w.primary.serverID),
+			milliseconds("silent_ms", silent), slog.Int("hedges", made),
+		}
+	})
+}
+
+// expire is called by the timer when the silence may be too long. While the gateway is delayed itself, the silence is
+// not counted, since received data may not have been read yet.
+func (w *silenceWatch) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.c.g.now()
+	switch {
+	case !w.waiting || w.counted || w.winner != nil:
+		return
+	case now < w.due:
+		w.arm(w.due - now)
+		return
+	case w.c.g.overload.Load().Late(now):
+		w.arm(retry.MinStall)
+		return
+	}
+	w.counted = true
+	w.c.g.recordSilence(w.primary)
+	w.c.logSilence(w.primary, now-w.since)
+	w.hedges = startHedges(w)
+}
+
+// logSilence logs that a server is silent for too long.
+func (c *call) logSilence(a *assignment, silent time.Duration) {
+	c.g.stats.count("silences", "pool", c.pool.Name)
+	c.g.cfg.Log.FailureFunc("backend silent", func() []slog.Attr {
+		return []slog.Attr{
+			slog.String("request", c.head.ID), slog.String("backend", a.serverID), milliseconds("silent_ms", silent),
+			slog.String("last_event", c.relay.position.id),
+		}
+	})
+}
+
+// offer makes a hedge the winner unless the primary attempt was first, and reports whether it is. All other attempts
+// are ended.
+func (w *silenceWatch) offer(h *hedge) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hedges != h.hedges || w.winner != nil || h.ctx.Err() != nil {
+		return false
+	}
+	w.winner = h
+	w.hedges.end()
+	w.cancel()
+	close(w.hedges.won)
+	return true
+}
+
+// stop ends the watch and reports whether a hedge has replaced the attempt.
+func (w *silenceWatch) stop() (replaced bool) {
+	if w.first == 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopTimer()
+	return w.winner != nil
+}
+
+// replacement returns the hedge that goes on in place of the primary attempt, which has ended. It waits for hedges that
+// are under way. If none goes on, it returns the outcome of one whose answer reports a failure, if there is one.
+func (w *silenceWatch) replacement() (h *hedge, held *outcome) {
+	w.mu.Lock()
+	hs := w.hedges
+	if hs != nil && w.winner == nil {
+		hs.endPrimary()
+	}
+	w.mu.Unlock()
+	if hs == nil {
+		return nil, nil
+	}
+	select {
+	case <-hs.won:
+	case <-hs.done:
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.c.adoptCounts(hs, w.winner)
+	w.hedges = nil
+	return w.winner, hs.held
+}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -61,6 +61,9 @@
 func TestSilentServerIsNotGivenUpForNothing(t *testing.T) {
 	for name, replacement := range replacements {
 		for _, after := range []int{0, 2} {
+			if name == "ends at once" && after == 0 {
+				continue // a whole answer
+			}
 			for attempts := 2; attempts <= 5; attempts++ {
 				t.Run(fmt.Sprintf("%s, after event %d, %d attempts", name, after, attempts), func(t *testing.T) {
 					withGateway(t, func(x *fixture) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -318,6 +318,7 @@
 	onKeptConn := func(behave behaviour) behaviour {
 		return func(ctx context.Context, call forward.Call) (*forward.Response, error) {
 			if silent {
+				call.Connected(openedAt)
 				<-ctx.Done()
 				return nil, forward.MayHaveRun{ConnOpenedAt: openedAt, Err: ctx.Err()}
 			}
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -153,8 +153,9 @@
 	conn          atomic.Pointer[countingConn]
 	callNumber    int64 // of the call on the connection
 	writtenBefore int64 // bytes written on the connection before the call
-	// abandoned is the call's Abandoned function, or nil.
+	// abandoned and connected are the call's functions of the same names, or nil.
 	abandoned func() bool
+	connected func(openedAt time.Time)
 }
 
 // attach returns a context that makes net/http report the call's progress to s.
@@ -173,6 +174,9 @@
 		c.abandoned.Store(&s.abandoned)
 	}
 	s.conn.Store(c)
+	if s.connected != nil {
+		s.connected(c.openedAt)
+	}
 }
 
 // putIdleConn is called by net/http when it returns the connection to the idle pool.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -55,6 +55,8 @@
 	// Abandoned, if set, is called right before the first byte is written. If it returns
 	// true, nothing is sent and the call fails with a [NotRun] that wraps [ErrAbandoned].
 	Abandoned func() bool
+	// Connected, if set, is called when the call gets its connection, with the time at which that was opened.
+	Connected func(openedAt time.Time)
 }
 
 // ResumeHeader is set by a server that can resume a response after its connection
@@ -262,7 +264,7 @@
 // has arrived. Cancelling ctx aborts the call, including the reading of its body. The
 // error is a [NotRun] or an [MayHaveRun].
 func (c *Client) Send(ctx context.Context, address string, call Call) (*Response, error) {
-	trace := callTrace{abandoned: call.Abandoned}
+	trace := callTrace{abandoned: call.Abandoned, connected: call.Connected}
 	req, err := newRequest(trace.attach(ctx), address, call)
 	if err != nil {
 		return nil, NotRun{Server: address, Err: err}
