--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -85,47 +85,72 @@
 	p.withReliableRatio[k] = true
 }
 
-// observeSilence returns the verdict for an attempt whose backend server sends nothing. If a dead idle connection may
-// be the cause, it closes idle connections so that the next requests open new ones.
-func (g *Gateway) observeSilence(a *assignment) outlier.Verdict {
-	now, openedAt := g.now(), a.openedAt()
+// silenceEvidence is what the silence of an attempt's backend server shows.
+type silenceEvidence struct {
+	verdict  outlier.Verdict
+	drop     bool // the server's idle connections may be dead too
+	dropAll  bool // those to all servers may be
+	ejected  bool
+	openedAt time.Duration // of the attempt's connection
+}
+
+// countSilence counts the silence of an attempt's backend server against it, while the attempt goes on: a server that
+// has died must not get requests until all of its attempts have ended.
+func (g *Gateway) countSilence(a *assignment) silenceEvidence {
 	g.table.mu.Lock()
-	v, drop := a.entry.silence.ObserveSilence(now, a.startedAt, openedAt)
-	dropAll := v == outlier.NoVerdict && g.table.outage.ObserveSilence(now, a.serverID)
-	g.table.mu.Unlock()
+	defer g.table.mu.Unlock()
+	e := g.observeSilence(a)
+	a.silenceCounted, a.silentVerdict = true, e.verdict
+	e.ejected = g.recordVerdict(a, e.verdict)
+	return e
+}
+
+// observeSilence returns what the silence of an attempt's backend server shows. The caller holds table.mu.
+func (g *Gateway) observeSilence(a *assignment) silenceEvidence {
+	now, e := g.now(), silenceEvidence{openedAt: a.openedAt()}
+	e.verdict, e.drop = a.entry.silence.ObserveSilence(now, a.startedAt, e.openedAt)
+	e.dropAll = e.verdict == outlier.NoVerdict && g.table.outage.ObserveSilence(now, a.serverID)
+	return e
+}
+
+// followSilence closes idle connections that may be dead, so that the next requests open new ones, and logs what the
+// silence shows.
+func (g *Gateway) followSilence(a *assignment, e silenceEvidence) {
+	if e.ejected {
+		g.logSuspected(a, "silent")
+	}
 	switch {
-	case dropAll:
+	case e.dropAll:
 		g.cfg.Transport.DropAllIdle()
-	case drop:
+	case e.drop:
 		g.cfg.Transport.DropIdle(a.address)
 	default:
-		return v
+		return
 	}
-	g.cfg.Log.Failure("connection silent", slog.String("backend", a.serverID), milliseconds("open_ms", now-openedAt), slog.Bool("others", dropAll))
-	return v
+	g.cfg.Log.Failure("connection silent", slog.String("backend", a.serverID), milliseconds("open_ms", g.now()-e.openedAt), slog.Bool("others", e.dropAll))
 }
 
-// recordSilence counts the silence of an attempt's backend server against it, while the attempt goes on: a server that
-// has died must not get requests until all of its attempts have ended.
-func (g *Gateway) recordSilence(a *assignment) {
-	v := g.observeSilence(a)
+// silenceAtEnd returns the verdict for an attempt that ended without an answer because of its server's silence.
+func (g *Gateway) silenceAtEnd(a *assignment) outlier.Verdict {
 	g.table.mu.Lock()
-	a.silenceCounted, a.silentVerdict = true, v
-	ejected := g.recordVerdict(a, v)
-	g.table.mu.Unlock()
-	if ejected {
-		g.logSuspected(a, "silent")
+	if a.silenceCounted {
+		defer g.table.mu.Unlock()
+		return a.silentVerdict
 	}
+	e := g.observeSilence(a)
+	g.table.mu.Unlock()
+	g.followSilence(a, e)
+	return e.verdict
 }
 
 // withdrawSilence takes back what the silence of an attempt's backend server has counted, because the server goes on.
 func (g *Gateway) withdrawSilence(a *assignment) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	a.silenceCounted = false
-	if a.silentVerdict == outlier.Lost {
+	if a.silenceCounted && a.silentVerdict == outlier.Lost {
 		g.table.pool(a.entry.Pool).failures.Resumed(&a.entry.health)
 	}
+	a.silenceCounted = false
 }
 
 // recordVerdict records a verdict on a backend server and reports whether that ejects it. A server that the directory
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,6 +55,7 @@
 // takeOver relays the answer of a hedge that has replaced the primary attempt.
 func (c *call) takeOver(ctx context.Context, h *hedge) outcome {
 	defer h.cancel()
+	c.g.withdrawSilence(h.a)
 	c.watch = c.watchSilence(ctx, h.a, h.cancel)
 	return c.endAttempt(h.ctx, h.a, c.relayAnswer(h.ctx, h.a, h.answer, h.head))
 }
@@ -63,11 +64,11 @@
 func (c *call) endAttempt(ctx context.Context, a *assignment, out outcome) outcome {
 	answered := out.execution == retry.Answered
 	if c.watch.stop() && !answered && c.r.Context().Err() == nil {
-		out.verdict, out.cause = a.silentVerdict, "silent"
+		out.verdict, out.cause = c.g.silenceAtEnd(a), "silent"
 	} else if ctx.Err() != nil && !answered {
 		out.verdict = outlier.NoVerdict // the caller left or the deadline passed
 		if openedAt := a.openedAt(); c.r.Context().Err() == nil && !a.answering && openedAt > 0 && openedAt < a.startedAt {
-			c.g.observeSilence(a) // no verdict on the server, but its other connections may be dead too
+			c.g.silenceAtEnd(a) // no verdict on the server, but its other connections may be dead too
 		}
 	}
 	out = c.conclude(ctx, a, out)
@@ -79,7 +80,7 @@
 // outcome as it counts.
 func (c *call) conclude(ctx context.Context, a *assignment, out outcome) outcome {
 	if ctx.Err() == nil && out.execution != retry.Answered && forward.IsConnTimeout(out.err) {
-		out.verdict, out.cause = c.g.observeSilence(a), "silent"
+		out.verdict, out.cause = c.g.silenceAtEnd(a), "silent"
 	}
 	switch {
 	case ctx.Err() != nil:
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -247,8 +247,8 @@
 	for _, h := range hs.made {
 		if silent := now - h.a.startedAt; !h.ended && !h.silent && silent >= hs.w.first {
 			h.silent = true
-			hs.c.g.recordSilence(h.a)
-			hs.c.logSilence(h.a, silent)
+			hs.c.g.followSilence(h.a, hs.c.g.countSilence(h.a))
+			hs.c.logSilence(h.a, silent, hs.c.relay.position.id)
 		}
 	}
 }
@@ -307,8 +307,8 @@
 	hs.cancel()
 }
 
-// adoptCounts adds the hedges, but for the winner, to the call's attempts.
-func (c *call) adoptCounts(hs *hedges, winner *hedge) {
+// adoptAttempts adds the hedges, but for the winner, to the call's attempts. The caller holds silenceWatch.mu.
+func (c *call) adoptAttempts(hs *hedges, winner *hedge) {
 	c.counts = c.counts.Plus(hs.madeCounts(winner))
 	c.losses += hs.losses
 	for _, h := range hs.made {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -26,7 +26,7 @@
 	first   time.Duration      // longest time before the first part of an answer
 	gap     time.Duration      // longest time between two parts
 
-	mu      sync.Mutex // leaf lock; guards the fields below
+	mu      sync.Mutex // before table.mu in the lock order; guards the fields below
 	timer   *time.Timer
 	waiting bool          // the call's goroutine waits for the server
 	since   time.Duration // when the server began to be silent
@@ -96,68 +96,71 @@
 		return nil
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.stopTimer()
 	if w.winner != nil {
+		w.mu.Unlock()
 		return errReplaced
 	}
 	now := w.c.g.now()
-	if w.counted {
-		w.endSilence(now)
+	silent, ended := now-w.since, w.counted
+	if ended {
+		w.endSilence()
 	}
 	w.since, w.due = now, now+w.gap
+	w.mu.Unlock()
+	if ended {
+		w.c.g.cfg.Log.FailureFunc("silence over", func() []slog.Attr {
+			return []slog.Attr{slog.String("request", w.c.head.ID), slog.String("backend", w.primary.serverID), milliseconds("silent_ms", silent)}
+		})
+	}
 	return nil
 }
 
-// endSilence ends a silence that counted against the server, because the server goes on. The caller holds mu.
-func (w *silenceWatch) endSilence(now time.Duration) {
+// endSilence ends a silence that has counted against the server, which goes on. The caller holds mu.
+func (w *silenceWatch) endSilence() {
 	w.counted = false
 	w.c.g.withdrawSilence(w.primary)
-	made := 0
 	if w.hedges != nil {
-		made = len(w.hedges.made)
 		w.hedges.end()
-		w.c.adoptCounts(w.hedges, nil)
+		w.c.adoptAttempts(w.hedges, nil)
 		w.hedges = nil
 	}
-	silent := now - w.since
-	w.c.g.cfg.Log.FailureFunc("silence over", func() []slog.Attr {
-		return []slog.Attr{
-			slog.String("request", w.c.head.ID), slog.String("backend", w.primary.serverID),
-			milliseconds("silent_ms", silent), slog.Int("hedges", made),
-		}
-	})
 }
 
 // expire is called by the timer when the silence may be too long. While the gateway is delayed itself, the silence is
 // not counted, since received data may not have been read yet.
 func (w *silenceWatch) expire() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	now := w.c.g.now()
 	switch {
 	case !w.waiting || w.counted || w.winner != nil:
+		w.mu.Unlock()
 		return
 	case now < w.due:
 		w.arm(w.due - now)
+		w.mu.Unlock()
 		return
 	case w.c.g.overload.Load().Late(now):
 		w.arm(retry.MinStall)
+		w.mu.Unlock()
 		return
 	}
 	w.counted = true
-	w.c.g.recordSilence(w.primary)
-	w.c.logSilence(w.primary, now-w.since)
+	silent, evidence := now-w.since, w.c.g.countSilence(w.primary)
 	w.hedges = startHedges(w)
+	lastEvent := w.c.relay.position.id
+	w.mu.Unlock()
+	w.c.g.followSilence(w.primary, evidence)
+	w.c.logSilence(w.primary, silent, lastEvent)
 }
 
 // logSilence logs that a server is silent for too long.
-func (c *call) logSilence(a *assignment, silent time.Duration) {
+func (c *call) logSilence(a *assignment, silent time.Duration, lastEvent string) {
 	c.g.stats.count("silences", "pool", c.pool.Name)
 	c.g.cfg.Log.FailureFunc("backend silent", func() []slog.Attr {
 		return []slog.Attr{
 			slog.String("request", c.head.ID), slog.String("backend", a.serverID), milliseconds("silent_ms", silent),
-			slog.String("last_event", c.relay.position.id),
+			slog.String("last_event", lastEvent),
 		}
 	})
 }
@@ -206,7 +209,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.c.adoptCounts(hs, w.winner)
+	w.c.adoptAttempts(hs, w.winner)
 	w.hedges = nil
 	return w.winner, hs.held
 }
