--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -25,9 +25,10 @@
 //     (regions.go), on the homes of its route and account (homes.go) and, during a rollout of the
 //     pool, on their versions (versions.go).
 //   - attempt.go: one attempt sends the request and reports whether it ran;
-//     coordination/retry decides from that alone whether to retry. stall.go ends an attempt whose
-//     server sends nothing. outcomes.go and unreached.go count the results per version during a
-//     rollout.
+//     coordination/retry decides from that alone whether to retry. outcomes.go and unreached.go count
+//     the results per version during a rollout.
+//   - silence.go: a server that sends nothing is given up only once another one has answered. hedge.go
+//     makes attempts beside it, and usable.go says which answer may take over.
 //   - relay.go: a plain answer is forwarded once it is complete, a stream event by event. An answer
 //     that only the end of its connection ends is forwarded in the same way: nothing states that it is
 //     complete, and nothing concludes that it is.
@@ -55,15 +56,17 @@
 //
 // # Goroutines
 //
-// There is one goroutine per request (from net/http); one for the watcher (watch.go) and one for
+// There is one goroutine per request (from net/http), and while its server is silent one that makes
+// hedges and one for each of them; they use a copy of the call, and never the response. There is one for the watcher (watch.go) and one for
 // its reports during a session, and one for those of streams; one for tick (gateway.go), which
 // measures the processor's scheduling delay; and one that logs token totals once a second
 // (tokens.go).
 //
 // # Locks
 //
-// table.mu is acquired before accounts.mu, because ordering waiting requests reads the service
-// received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu, origins.mu and the locks
+// silenceWatch.mu is acquired before table.mu, because whether a silence still counts is decided
+// together with what it counts. table.mu is acquired before accounts.mu, because ordering waiting
+// requests reads the service received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu, origins.mu and the locks
 // of suspicions and partSuspicions are never held together with another lock. No lock is held across
 // I/O or a blocking channel send.
 package gateway
