gateway: a body that is refused for lack of memory returns its own at once

Callers with bodies of unknown length that grow in step were all refused at the same doubling of their buffers, where some could be read. Cause: a refused body returned its memory only after its request had ended, and the sum was raised for a moment by each one that was refused. Change: the sum is compared and changed under a lock, and a refusal takes the body out of it.

--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -5,7 +5,7 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
@@ -17,7 +17,9 @@
 // several goroutines.
 type bodyMemory struct {
 	limit int64 // bytes
-	taken atomic.Int64
+
+	mu    sync.Mutex // leaf lock
+	taken int64
 }
 
 const (
@@ -28,23 +30,38 @@
 	largeBody = 16
 )
 
-// take takes memory for a body that already has some, and reports whether there was enough.
+// take takes memory for a body that already has some, and reports whether there was enough. If not, the body has
+// none any more: of several bodies that grow at the same time, those that are refused leave their memory to the others.
 func (m *bodyMemory) take(has, more int64) bool {
 	limit := m.limit
 	if has+more > limit/largeBody {
 		limit -= limit / smallBodies
 	}
-	after := m.taken.Add(more)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	after := m.taken + more
 	// A body may be larger than the part for large bodies if it is the only one.
 	if after <= limit || after == has+more && after <= m.limit {
+		m.taken = after
 		return true
 	}
-	m.taken.Add(-more)
+	m.taken -= has
 	return false
 }
 
 // release returns the memory of a body.
-func (m *bodyMemory) release(n int64) { m.taken.Add(-n) }
+func (m *bodyMemory) release(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.taken -= n
+}
+
+// inUse returns the memory that bodies have taken, in bytes.
+func (m *bodyMemory) inUse() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.taken
+}
 
 // defaultMaxBodyBytes applies if the document sets no limit.
 const defaultMaxBodyBytes = 4 << 20
@@ -101,9 +118,11 @@
 	}
 }
 
-// growBody gives the body a buffer of another size, if there is memory for it beside the present one.
+// growBody gives the body a buffer of another size, if there is memory for it beside the present one. If not, the body
+// is dropped.
 func (c *call) growBody(size int64) bool {
 	if !c.g.bodies.take(c.bodyTaken, size) {
+		c.body, c.bodyTaken = nil, 0
 		return false
 	}
 	c.body = append(make([]byte, 0, size), c.body...)
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -58,7 +58,7 @@
 		for range 20 {
 			time.Sleep(10 * time.Millisecond)
 			synctest.Wait()
-			most = max(most, x.g.bodies.taken.Load())
+			most = max(most, x.g.bodies.inUse())
 		}
 		is.Equal(x.request("/again/x").status, 200) // a small one
 		group.Wait()
@@ -75,7 +75,7 @@
 		is.Equal(served+refused, callers)
 		is.True(served > 0)
 		is.True(refused > 0)
-		is.Equal(x.g.bodies.taken.Load(), int64(0))
+		is.Equal(x.g.bodies.inUse(), int64(0))
 	}, answers(200, "read", 0))
 }
 
@@ -101,7 +101,7 @@
 				}
 				is.Equal(got.status, 200)
 				is.True(bytes.Equal(x.servers.arrivals[0].Body, body))
-				is.Equal(x.g.bodies.taken.Load(), int64(0))
+				is.Equal(x.g.bodies.inUse(), int64(0))
 			}, answers(200, "read", 0))
 		}
 	}
@@ -120,5 +120,5 @@
 		is.True(m.take(0, 100)) // small ones may use it
 	}
 	is.True(!m.take(0, 1))
-	is.Equal(m.taken.Load(), int64(1600))
+	is.Equal(m.inUse(), int64(1600))
 }
--- a/gateway/shares_test.go
+++ b/gateway/shares_test.go
@@ -258,10 +258,10 @@
 func TestRefusalsForLackOfGatewayCapacityAreMissed(t *testing.T) {
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
-		x.g.bodies.taken.Store(x.g.cfg.MaxTotalBodyBytes)
+		x.g.bodies.release(-x.g.cfg.MaxTotalBodyBytes)
 		is.Equal(x.request("/engine/x", "Tokens", "700").status, 503)
 		is.Equal(x.g.accounts.takeReport().Missed, uint64(700))
-		x.g.bodies.taken.Store(0)
+		x.g.bodies.release(x.g.bodies.inUse())
 		x.g.stopBeganAt.Store(int64(x.g.now()))
 		time.Sleep(x.g.cfg.Grace)
 		is.Equal(x.request("/engine/x", "Tokens", "900").status, 503)
@@ -279,7 +279,7 @@
 		x.g.table.updateLoads(x.g.now(), 0, []protocol.ServerLoad{{Handle: 70, Requests: 1, Tokens: 6000}})
 		is.Equal(x.request("/engine/x", "Tokens", "700").status, 429)
 		is.Equal(x.g.accounts.takeReport().Missed, uint64(0))
-		x.g.bodies.taken.Store(x.g.cfg.MaxTotalBodyBytes)
+		x.g.bodies.release(-x.g.cfg.MaxTotalBodyBytes)
 		is.Equal(x.request("/engine/x", "Tokens", "700").status, 503)
 		is.Equal(x.g.accounts.takeReport().Missed, uint64(700))
 	})
