router: a server's silence does not use up the caller's time to accept a chunk

What callers saw: an answer whose server paused for longer than Limits.WriteTimeout (30 s) was cut off although both sides were sound. Over HTTP/2 the stream was reset with INTERNAL_ERROR at the end of that time; over HTTP/1 an answer in chunks lost its end when the pause came after its last byte.

Cause: the write deadline of a chunk stayed in force after the chunk had been accepted. net/http resets an HTTP/2 stream when the deadline passes, whether or not a write is under way, and writes the last chunk of an HTTP/1 body under it.

Change: the deadline is removed once a chunk has been accepted, and set again for the end of the body. fakenet's connections now fail writes after their write deadline, as TCP connections do; they ignored it.

--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -232,22 +232,28 @@
 
 func (c *conn) LocalAddr() net.Addr                { return net.TCPAddrFromAddrPort(c.local) }
 func (c *conn) RemoteAddr() net.Addr               { return net.TCPAddrFromAddrPort(c.remote) }
-func (c *conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
-func (c *conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
-func (c *conn) SetWriteDeadline(t time.Time) error { return nil } // writes never block
+func (c *conn) SetReadDeadline(t time.Time) error  { c.in.setReadDeadline(t); return nil }
+func (c *conn) SetWriteDeadline(t time.Time) error { c.out.setWriteDeadline(t); return nil }
+
+func (c *conn) SetDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
+	return nil
+}
 
 // pipe is one direction of a connection.
 type pipe struct {
 	n        *Network
 	from, to string
 
-	mu          sync.Mutex
-	chunks      []chunk
-	writeClosed bool // the writer has closed
-	readClosed  bool // the reader has closed
-	silent      bool // nothing arrives anymore
-	deadline    time.Time
-	changed     chan struct{} // closed and replaced on every change
+	mu            sync.Mutex
+	chunks        []chunk
+	writeClosed   bool // the writer has closed
+	readClosed    bool // the reader has closed
+	silent        bool // nothing arrives anymore
+	readDeadline  time.Time
+	writeDeadline time.Time     // writes never block, but fail after it
+	changed       chan struct{} // closed and replaced on every change
 }
 
 // chunk holds the bytes of one write, or the end of the stream.
@@ -281,6 +287,10 @@
 			err = net.ErrClosed
 			return
 		}
+		if isPast(p.writeDeadline) {
+			err = os.ErrDeadlineExceeded
+			return
+		}
 		if p.readClosed && !p.silent && !cut {
 			err = io.ErrClosedPipe
 			return
@@ -307,8 +317,12 @@
 }
 
 // closeRead makes later reads fail, and later writes unless the pipe is silent or cut off.
-func (p *pipe) closeRead()              { p.update(func() { p.readClosed = true }) }
-func (p *pipe) setDeadline(t time.Time) { p.update(func() { p.deadline = t }) }
+func (p *pipe) closeRead()                   { p.update(func() { p.readClosed = true }) }
+func (p *pipe) setReadDeadline(t time.Time)  { p.update(func() { p.readDeadline = t }) }
+func (p *pipe) setWriteDeadline(t time.Time) { p.update(func() { p.writeDeadline = t }) }
+
+// isPast reports whether a deadline is set and has passed.
+func isPast(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
@@ -333,11 +347,11 @@
 	switch {
 	case p.readClosed:
 		return 0, 0, nil, net.ErrClosed
-	case !p.deadline.IsZero() && !now.Before(p.deadline):
+	case isPast(p.readDeadline):
 		return 0, 0, nil, os.ErrDeadlineExceeded
 	}
-	if !p.deadline.IsZero() {
-		wait = p.deadline.Sub(now)
+	if !p.readDeadline.IsZero() {
+		wait = p.readDeadline.Sub(now)
 	}
 	if cut || p.silent || len(p.chunks) == 0 {
 		return 0, wait, p.changed, nil
--- a/router/relay.go
+++ b/router/relay.go
@@ -76,6 +76,7 @@
 		return relayResult{cost: r.cost(), result: pool.Abandoned, failure: failBroken}
 	}
 	callerLeft, err := r.copyBody()
+	r.startWriteTimeout() // net/http writes the end of the body later
 	end := relayResult{cost: r.cost(), result: pool.Served}
 	switch {
 	case callerLeft:
@@ -151,10 +152,25 @@
 		r.router.stats.seriesOf(r.call).first.Update((r.router.now() - r.call.arrivedAt).Seconds())
 	}
 	r.recordChunk(b)
+	r.startWriteTimeout()
+	_, err := r.body.Write(b)
+	if err != nil || r.body.Flush() != nil {
+		return false
+	}
+	r.stopWriteTimeout()
+	return true
+}
+
+// startWriteTimeout sets the deadline for the caller to accept what is written next.
+func (r *relay) startWriteTimeout() {
 	// This fails only on a closed connection, and then the write fails as well.
 	_ = r.body.SetWriteDeadline(time.Now().Add(r.router.cfg.Limits.WriteTimeout))
-	_, err := r.body.Write(b)
-	return err == nil && r.body.Flush() == nil
+}
+
+// stopWriteTimeout removes the deadline while the server's next chunk is awaited. A deadline that passes
+// meanwhile resets an HTTP/2 stream, and on HTTP/1 fails the end of the body.
+func (r *relay) stopWriteTimeout() {
+	_ = r.body.SetWriteDeadline(time.Time{}) // as above
 }
 
 // maxResumes bounds the resumptions of one answer.
