router: a server that accepts no connection for a moment fails no call

What callers saw: a call got 502 backend_unreachable after a second although its server was sound and only accepted no connection for 1.4 s. It needed an empty retry budget, which a router has for its first ten requests and whenever a tenth of its requests was sent again.

Cause: the slot was released when the dial timed out (socket.DialTimeout, 1 s), and the call ended if the budget allowed no retry. Nothing had been sent, and nothing replaced the attempt.

Change: while no retry is allowed, the call keeps its slot and dials again, up to three times in all, as long as the lease and the configuration allow calls to the server. With a retry it leaves the server as soon as before. Each dial that times out still counts as a failure of the server (Pool.RecordFailure), so it is ejected as soon as before; an answer withdraws the failures. A call to a dead server without a retry fails after 3 s instead of 1 s.

--- a/coordination/pool/pool.go
+++ b/coordination/pool/pool.go
@@ -236,9 +236,7 @@
 		p.costs.Observe(w.Account, w.Class, cost)
 		p.placer.Health.Succeeded(server)
 	case Failed:
-		if ejected = p.placer.Health.Failed(now, server); ejected {
-			p.suspects = append(p.suspects, server)
-		}
+		ejected = p.RecordFailure(now, server)
 	case Abandoned:
 		p.placer.Health.Abandoned(server)
 	case Unconfirmed:
@@ -248,6 +246,15 @@
 	return ejected
 }
 
+// RecordFailure records a failure of a server while the work on it goes on, and reports whether the server is
+// ejected now.
+func (p *Pool) RecordFailure(now time.Duration, server string) (ejected bool) {
+	if ejected = p.placer.Health.Failed(now, server); ejected {
+		p.suspects = append(p.suspects, server)
+	}
+	return ejected
+}
+
 // SetBackoff records that a server has asked to receive no requests for a while. The next Dispatch returns its
 // free slots.
 func (p *Pool) SetBackoff(now time.Duration, server string, backoff time.Duration) {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,9 +50,11 @@
 	services map[string]*standin.Service
 	servers  []*http.Server
 	client   *http.Client
-	certify  func(ip string) *settings.TLS
-	scheme   string
-	changes  int
+	// dialTimeout limits how long a box takes to open a connection; zero means no limit.
+	dialTimeout atomic.Int64
+	certify     func(ip string) *settings.TLS
+	scheme      string
+	changes     int
 }
 
 // testBox is one box, including the state that survives its restarts.
@@ -125,7 +128,7 @@
 	b.kill = cancel
 	cfg := badgerspoke.Settings{
 		Name: name, FleetKey: []byte("a key that all boxes share"), Replicas: f.replicas, OperatorToken: operatorToken,
-		Dialer: f.net.DialerFrom(b.ip), Random: f.random, Grace: 100 * time.Millisecond,
+		Dialer: boxDialer{f.net.DialerFrom(b.ip), &f.dialTimeout}, Random: f.random, Grace: 100 * time.Millisecond,
 		Router: !b.control, Control: b.control, Log: slog.New(headChecker{f.t}),
 		OpenDir: func(group string) (wal.Dir, error) {
 			if b.disks[group] == nil {
@@ -149,6 +152,22 @@
 	b.box = box
 }
 
+// boxDialer opens the connections of a box within timeout nanoseconds, unless that is zero.
+type boxDialer struct {
+	fakenet.Dialer
+	timeout *atomic.Int64
+}
+
+// DialContext implements [forward.Dialer].
+func (d boxDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if timeout := time.Duration(d.timeout.Load()); timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return d.Dialer.DialContext(ctx, network, address)
+}
+
 // headChecker is a log handler that fails the test if a router tries to write a second head into a response. It
 // ignores all other lines.
 type headChecker struct{ t *testing.T }
--- a/router/call.go
+++ b/router/call.go
@@ -164,9 +164,9 @@
 func (r *Router) attempt(w *response.Writer, ctx context.Context, c *call, server config.Server) (again bool, f *Failure) {
 	p := r.pool(c.pool)
 	began := r.now()
-	a, err := r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
+	a, retryAllowed, err := r.send(ctx, c, server)
 	if err != nil {
-		return r.handleSendError(ctx, c, server, err)
+		return r.handleSendError(ctx, c, server, err, retryAllowed)
 	}
 	defer func() { a.Body.Close() }() // the relay may have replaced the body
 	if running, waiting, ok := a.Load(); ok {
@@ -194,22 +194,56 @@
 	return false, nil
 }
 
+// maxDials bounds how often one attempt dials a server that accepts no connection.
+const maxDials = 3
+
+// send sends the call to a server. A server that accepts no connection in time may be silent for a moment only:
+// while no retry is allowed, the call keeps its slot and the server is dialled again. retryAllowed reports that a
+// retry was taken out of the budget.
+func (r *Router) send(ctx context.Context, c *call, server config.Server) (a *forward.Response, retryAllowed bool, err error) {
+	for dials := 1; ; dials++ {
+		a, err = r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
+		if err == nil {
+			return a, false, nil
+		}
+		retryAllowed = ctx.Err() == nil && executionAfter(err).MayGoElsewhere(c.repeatable) && r.allowRetry()
+		if retryAllowed || dials == maxDials || ctx.Err() != nil || !forward.IsDialTimeout(err) || !r.mayUse(server) {
+			return nil, retryAllowed, err
+		}
+		r.pool(c.pool).recordFailure(server.ID)
+	}
+}
+
+// executionAfter returns what the error of a call says about its execution.
+func executionAfter(err error) retry.Execution {
+	if errors.As(err, new(forward.NotRun)) {
+		return retry.Refused
+	}
+	return retry.MayHaveRun
+}
+
+// mayUse reports whether the lease and the configuration in force still allow calls to a server.
+func (r *Router) mayUse(server config.Server) bool {
+	now, listed := r.routes.Load().servers[server.ID]
+	return listed && now.Mark == config.Serving && now.Address == server.Address && r.lease.valid(r.now())
+}
+
 // handleSendError handles an attempt that got no answer: it releases the slot, and settles the claim if
 // the call ends here.
-func (r *Router) handleSendError(ctx context.Context, c *call, server config.Server, err error) (again bool, f *Failure) {
-	f, claimState, execution := failBroken.WithMessage(err.Error()), protocol.ClaimUnknown, retry.MayHaveRun
+func (r *Router) handleSendError(ctx context.Context, c *call, server config.Server, err error, retryAllowed bool) (again bool, f *Failure) {
+	f, claimState := failBroken.WithMessage(err.Error()), protocol.ClaimUnknown
 	var notRun forward.NotRun
 	if errors.As(err, &notRun) {
 		r.applyBackoff(c, server, notRun)
-		f, claimState, execution = failUnreachable.WithMessage(err.Error()), protocol.ClaimReleased, retry.Refused
+		f, claimState = failUnreachable.WithMessage(err.Error()), protocol.ClaimReleased
 	}
 	result, gone := pool.Failed, ctx.Err() != nil
 	if gone {
 		f, result = failCallerGone.WithOutcome(f.Outcome), pool.Abandoned
 	}
 	r.pool(c.pool).finish(c.work, server.ID, 0, result)
-	if !gone && execution.MayGoElsewhere(c.repeatable) && r.allowRetry() {
-		c.repeated = c.repeated || execution == retry.MayHaveRun
+	if retryAllowed {
+		c.repeated = c.repeated || executionAfter(err) == retry.MayHaveRun
 		return true, nil
 	}
 	r.settle(c, claimState, nil)
--- a/router/pool.go
+++ b/router/pool.go
@@ -131,6 +131,15 @@
 	})
 }
 
+// recordFailure records a failure of a server at which a request keeps its slot.
+func (p *lockedPool) recordFailure(server string) {
+	p.update(func(now time.Duration, pl *pool.Pool) {
+		if pl.RecordFailure(now, server) {
+			p.router.stats.ejected.Inc()
+		}
+	})
+}
+
 // tick fails requests that have waited too long and, without a lease, all queued requests.
 func (p *lockedPool) tick(leased bool) {
 	p.mu.Lock()
--- a/silent_servers_test.go
+++ b/silent_servers_test.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	operatorv1 "github.com/badgerspoke/badgerspoke/protocol/operator/v1"
 	"github.com/badgerspoke/badgerspoke/router"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file tests that a router gives up nothing that a sound backend server is doing while that server is
@@ -22,10 +24,12 @@
 	beforeHead time.Duration // before the head of the answer
 	inside     time.Duration // between the two parts of the body
 	beforeEnd  time.Duration // between the last byte of the body and its end
+	runs       atomic.Int64
 }
 
 // ServeHTTP implements [http.Handler].
-func (s silentService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *silentService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.runs.Add(1)
 	_, _ = io.Copy(io.Discard, r.Body) // fails only if the router has left
 	time.Sleep(s.beforeHead)
 	for i, part := range []string{"first part, ", "second part"} {
@@ -69,13 +73,13 @@
 	silence := router.DefaultLimits.WriteTimeout + time.Second
 	for _, tt := range []struct {
 		name    string
-		service silentService
+		service *silentService
 		http2   bool
 	}{
-		{"inside the answer", silentService{inside: silence}, false},
-		{"before its end", silentService{beforeEnd: silence}, false},
-		{"inside the answer, HTTP/2", silentService{inside: silence}, true},
-		{"before its end, HTTP/2", silentService{beforeEnd: silence}, true},
+		{"inside the answer", &silentService{inside: silence}, false},
+		{"before its end", &silentService{beforeEnd: silence}, false},
+		{"inside the answer, HTTP/2", &silentService{inside: silence}, true},
+		{"before its end, HTTP/2", &silentService{beforeEnd: silence}, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
@@ -92,3 +96,109 @@
 		})
 	}
 }
+
+// silenceOfServer is longer than a connection may take to open, and shorter than two of them.
+const silenceOfServer = 1400 * time.Millisecond
+
+// fallSilent drops all traffic of the service for a time.
+func (f *testFleet) fallSilent(ip string, silence time.Duration) {
+	f.net.Cut(ip)
+	time.AfterFunc(silence, func() { f.net.Restore(ip) })
+}
+
+// TestServerSilentForAMomentFailsNoCall guards against a call that fails as unreachable because its server accepts no
+// connection for a moment and the retry budget is empty: nothing was sent, and nothing replaces the attempt.
+func TestServerSilentForAMomentFailsNoCall(t *testing.T) {
+	neverRepeated := order("r1", "hotel", "sheets", "")
+	neverRepeated.header = map[string]string{"Badgerspoke-Repeat": "never"}
+	for _, tt := range []struct {
+		name string
+		r    request
+	}{
+		{"plain", order("r1", "hotel", "sheets", "")},
+		{"never repeated", neverRepeated},
+		{"with an idempotency key", order("r1", "hotel", "sheets", "k1")},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startSilentService(t, &silentService{})
+				f.dialTimeout.Store(int64(socket.DialTimeout))
+				f.fallSilent(silentServiceIP, silenceOfServer)
+				got := f.do(tt.r)
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+				is.True(got.took < 2*silenceOfServer)
+			})
+		})
+	}
+}
+
+// TestDeadServerFailsCall guards against a caller that waits without end for a server whose box is gone.
+func TestDeadServerFailsCall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startSilentService(t, &silentService{})
+		f.dialTimeout.Store(int64(socket.DialTimeout))
+		f.net.Cut(silentServiceIP)
+		got := f.do(order("r1", "hotel", "sheets", "k1"))
+		is.Equal(got.status, http.StatusBadGateway)
+		is.Equal(got.outcome, "not-run")
+		is.True(got.took < 3*socket.DialTimeout+100*time.Millisecond)
+		f.net.Restore(silentServiceIP)
+		is.Equal(f.do(order("r1", "hotel", "sheets", "k1")).status, http.StatusOK) // the claim was released
+	})
+}
+
+// TestDeadServerIsLeftForAnother guards against calls that go on being sent to a server whose box is gone.
+func TestDeadServerIsLeftForAnother(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		warm   int // requests that earn budget for retries
+		status int // of the first call
+	}{
+		{"retries allowed", 40, http.StatusOK},
+		{"no retry allowed", 0, http.StatusBadGateway},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				f := standardFleet(t, 1)
+				f.dialTimeout.Store(int64(socket.DialTimeout))
+				for range tt.warm {
+					f.do(request{router: "r1", method: "GET", path: "/services/stock/warm", key: "hotel"})
+				}
+				f.net.Cut("10.0.3.1") // engine e1
+				got := f.do(completion("r1", "hotel", 1, false))
+				is.Equal(got.status, tt.status)
+				is.True(got.took < 3*socket.DialTimeout+100*time.Millisecond) // three failures eject the server
+				for range 20 {
+					got := f.do(completion("r1", "hotel", 1, false))
+					is.Equal(got.status, http.StatusOK)
+					is.True(got.took < 100*time.Millisecond)
+				}
+				f.net.Restore("10.0.3.1")
+			})
+		})
+	}
+}
+
+// TestSilentServerThatIsLeavingGetsNoCall guards against a call that reaches a server after a configuration without it
+// is in force, because the server was dialled again.
+func TestSilentServerThatIsLeavingGetsNoCall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &silentService{}
+		f := startSilentService(t, s)
+		f.dialTimeout.Store(int64(socket.DialTimeout))
+		f.fallSilent(silentServiceIP, silenceOfServer)
+		answer := f.startAll(order("r1", "hotel", "sheets", ""))
+		time.Sleep(500 * time.Millisecond)
+		f.markServer("s1", operatorv1.Mark_MARK_LEAVING)
+		got := answer()[0]
+		is.Equal(got.status, http.StatusBadGateway)
+		is.Equal(got.outcome, "not-run")
+		time.Sleep(time.Minute)
+		is.Equal(s.runs.Load(), int64(0))
+	})
+}
--- a/transport/forward/backend_test.go
+++ b/transport/forward/backend_test.go
@@ -141,6 +141,40 @@
 	})
 }
 
+// TestOnlyUnansweredDialIsDialTimeout guards against a call that is taken for one to a silent server, and sent there
+// again, although the server refused it, refuses connections, or may have run it.
+func TestOnlyUnansweredDialIsDialTimeout(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		failure standin.Failure
+		fault   func(n *fakenet.Network)
+		want    bool
+	}{
+		{"accepts no connection", "", func(n *fakenet.Network) { n.Cut("10.0.0.1") }, true},
+		{"refuses connections", "", func(n *fakenet.Network) { n.Kill("10.0.0.1") }, false},
+		{"refuses the call", standin.Refuse, nil, false},
+		{"sends no header in time", standin.Hang, nil, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := fakenet.New(time.Millisecond)
+				s := &standin.Service{}
+				s.FailNext(tt.failure)
+				serve(t, n, s)
+				c := client(t, n)
+				if tt.fault != nil {
+					tt.fault(n)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				_, err := c.Send(ctx, address, forward.Call{Method: "POST", Path: "/orders", Body: []byte("sheets")})
+				is.New(t).Equal(forward.IsDialTimeout(err), tt.want)
+				n.Restore("10.0.0.1")
+			})
+		})
+	}
+}
+
 // TestTransportDoesNotRetryByItself closes a reused connection just as a second call is
 // sent on it. Go's transport retries such a call by itself when it looks
 // idempotent: a GET, or any request with an Idempotency-Key. A call that must not
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -152,6 +152,14 @@
 // Unwrap returns the cause.
 func (e NotRun) Unwrap() error { return e.Err }
 
+// IsDialTimeout reports whether a call failed because the server did not respond in time to the attempt to
+// connect. It may be silent for a moment only. Not one byte of the call was sent.
+func IsDialTimeout(err error) bool {
+	var notRun NotRun
+	var cause interface{ Timeout() bool }
+	return errors.As(err, &notRun) && errors.As(notRun.Err, &cause) && cause.Timeout()
+}
+
 // MayHaveRun is the error of a call that may have run.
 type MayHaveRun struct {
 	Server       string    // address
