router: the rest of a broken answer is asked for again while its server is silent

What callers saw: an answer whose connection broke stayed broken although its server had the rest and offered it (Badgerspoke-Resume), if that server then accepted no connection for a moment.

Cause: the first dial that timed out (1 s) gave the answer up, with two of the three attempts to resume unused. Nothing but this server has the rest.

Change: a dial that times out is followed by another attempt to resume, within the three. Each counts as a failure of the server, as for new calls. Any other failure and any response that is not the rest still end the answer at once. An answer of a dead server ends after 3 s instead of 1 s.

Measured: TestSilentServerOfBrokenAnswerKeepsItsRest failed before the change (1 of 1, unexpected EOF). Broken on purpose: with one attempt it fails again, with nine TestDeadServerOfBrokenAnswerEndsIt does (go test . -run 'BrokenAnswer|Rest|Resum').

--- a/continuation_test.go
+++ b/continuation_test.go
@@ -35,6 +35,8 @@
 	contentType string
 	rests       []rest
 	asked       int // rests requested
+	// afterBreak, if set, is called when the service breaks its answer off.
+	afterBreak func()
 }
 
 // brokenAt is the number of bytes after which the service breaks its answer off.
@@ -57,6 +59,9 @@
 	}
 	_, _ = w.Write([]byte(s.text[:brokenAt])) // fails only if the router has left
 	_ = http.NewResponseController(w).Flush()
+	if s.afterBreak != nil {
+		s.afterBreak()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/router/call.go
+++ b/router/call.go
@@ -174,7 +174,7 @@
 			pl.RecordLoad(server.ID, place.LoadReport{Running: running, Waiting: waiting, At: r.now()})
 		})
 	}
-	rel := relay{router: r, ctx: ctx, server: server.Address, call: c, pool: p, answer: a, startedAt: began}
+	rel := relay{router: r, ctx: ctx, server: server, call: c, pool: p, answer: a, startedAt: began}
 	end := rel.run(w)
 	p.finish(c.work, server.ID, end.cost, end.result)
 	r.stats.seriesOf(c).requests.Inc()
--- a/router/relay.go
+++ b/router/relay.go
@@ -16,6 +16,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/claim"
 	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/response"
 )
@@ -37,7 +38,7 @@
 type relay struct {
 	router    *Router
 	ctx       context.Context
-	server    string // address
+	server    config.Server
 	call      *call
 	pool      *lockedPool
 	answer    *forward.Response
@@ -173,24 +174,34 @@
 	_ = r.body.SetWriteDeadline(time.Time{}) // as above
 }
 
-// maxResumes bounds the resumptions of one answer.
+// maxResumes bounds the attempts to resume one answer.
 const maxResumes = 3
 
 // resume requests the rest of a broken answer from its server, from the first byte that the caller
 // has not received, and reports whether it got it. This does not repeat the request: the server sends
-// the rest of the same run.
+// the rest of the same run. A server that accepts no connection in time may be silent for a moment only,
+// and nothing else has the rest, so it is dialled again.
 func (r *relay) resume() bool {
 	path := r.answer.Header.Get(forward.ResumeHeader)
-	if path == "" || r.resumptions >= maxResumes {
-		return false
-	}
-	r.resumptions++
-	a, err := r.router.cfg.Transport.Send(r.ctx, r.server, forward.Call{
-		Method: http.MethodGet, Path: path, Header: http.Header{"Range": {fmt.Sprintf("bytes=%d-", r.relayedBytes)}},
-	})
-	if err != nil {
-		return false
+	for path != "" && r.resumptions < maxResumes {
+		r.resumptions++
+		a, err := r.router.cfg.Transport.Send(r.ctx, r.server.Address, forward.Call{
+			Method: http.MethodGet, Path: path, Header: http.Header{"Range": {fmt.Sprintf("bytes=%d-", r.relayedBytes)}},
+		})
+		switch {
+		case err == nil:
+			return r.continueWith(a)
+		case r.ctx.Err() != nil || !forward.IsDialTimeout(err):
+			return false
+		}
+		r.pool.recordFailure(r.server.ID)
 	}
+	return false
+}
+
+// continueWith makes a the part of the answer that is relayed next, if it is the rest, and reports
+// whether it is.
+func (r *relay) continueWith(a *forward.Response) bool {
 	length, ok := r.isRest(a)
 	if !ok {
 		a.Body.Close()
@@ -214,7 +225,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.router.ctx, discardTimeout)
 	defer cancel()
-	a, err := r.router.cfg.Transport.Send(ctx, r.server, forward.Call{Method: http.MethodDelete, Path: path})
+	a, err := r.router.cfg.Transport.Send(ctx, r.server.Address, forward.Call{Method: http.MethodDelete, Path: path})
 	if err == nil {
 		a.Body.Close()
 	}
--- a/silent_servers_test.go
+++ b/silent_servers_test.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -202,3 +203,42 @@
 		is.Equal(s.runs.Load(), int64(0))
 	})
 }
+
+// TestSilentServerOfBrokenAnswerKeepsItsRest guards against an answer that stays broken because its server, which has
+// the rest of it, accepts no connection for a moment.
+func TestSilentServerOfBrokenAnswerKeepsItsRest(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		text := strings.Repeat("0123456789", 80)
+		s := &resumableService{
+			text: text, statesEnd: true, contentType: "text/plain",
+			rests: []rest{partial("bytes 500-799/800", text[brokenAt:])},
+		}
+		f := startSilentService(t, s)
+		f.dialTimeout.Store(int64(socket.DialTimeout))
+		s.afterBreak = func() {
+			// The silence begins once the router has received the break.
+			time.AfterFunc(networkLatency+networkLatency/2, func() { f.fallSilent(silentServiceIP, silenceOfServer) })
+		}
+		got := f.do(order("r1", "hotel", "sheets", ""))
+		is.NoErr(got.err)
+		is.Equal(got.body, text)
+	})
+}
+
+// TestDeadServerOfBrokenAnswerEndsIt guards against an answer that waits without end for its rest.
+func TestDeadServerOfBrokenAnswerEndsIt(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &resumableService{text: strings.Repeat("0123456789", 80), statesEnd: true, contentType: "text/plain"}
+		f := startSilentService(t, s)
+		f.dialTimeout.Store(int64(socket.DialTimeout))
+		s.afterBreak = func() {
+			time.AfterFunc(networkLatency+networkLatency/2, func() { f.net.Cut(silentServiceIP) })
+		}
+		got := f.do(order("r1", "hotel", "sheets", ""))
+		is.True(got.err != nil)
+		is.Equal(got.body, s.text[:brokenAt])
+		is.True(got.took < 3*socket.DialTimeout+100*time.Millisecond)
+	})
+}
