router: a caller that leaves while its answer is resumed is taken for gone

What was seen: a caller left while the router dialled a silent server for the rest of its answer. The router counted a broken answer and a failure of the server, and did not tell the server to discard the rest (DELETE of its Badgerspoke-Resume path), which the server then kept for nobody.

Cause: the failed attempt to resume was not checked against the caller's context, as a failed read is.

Change: it is.

Measured: TestCallerLeavingDuringResumptionDiscardsAnswer failed before the change (0 discards instead of 1), passes after it.

--- a/continuation_test.go
+++ b/continuation_test.go
@@ -35,6 +35,7 @@
 	contentType string
 	rests       []rest
 	asked       int // rests requested
+	discarded   int // requests to discard the rest
 	// afterBreak, if set, is called when the service breaks its answer off.
 	afterBreak func()
 }
@@ -46,6 +47,7 @@
 func (s *resumableService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.Method == http.MethodDelete:
+		s.discarded++
 		return
 	case r.Header.Get("Range") != "":
 		s.asked++
--- a/router/relay.go
+++ b/router/relay.go
@@ -141,7 +141,7 @@
 		case r.ctx.Err() != nil:
 			return true, nil
 		case !r.resume():
-			return false, err
+			return r.ctx.Err() != nil, err
 		}
 	}
 }
--- a/silent_servers_test.go
+++ b/silent_servers_test.go
@@ -3,6 +3,7 @@
 package badgerspoke_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -242,3 +243,24 @@
 		is.True(got.took < 3*socket.DialTimeout+100*time.Millisecond)
 	})
 }
+
+// TestCallerLeavingDuringResumptionDiscardsAnswer guards against an answer that its server keeps, and a failure that
+// counts against that server, because the caller left while the server was silent.
+func TestCallerLeavingDuringResumptionDiscardsAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &resumableService{text: strings.Repeat("0123456789", 80), statesEnd: true, contentType: "text/plain"}
+		f := startSilentService(t, s)
+		f.dialTimeout.Store(int64(socket.DialTimeout))
+		s.afterBreak = func() {
+			time.AfterFunc(networkLatency+networkLatency/2, func() { f.fallSilent(silentServiceIP, silenceOfServer) })
+		}
+		r := order("r1", "hotel", "sheets", "")
+		ctx, cancel := context.WithTimeout(context.Background(), silenceOfServer/2)
+		defer cancel()
+		r.ctx = ctx
+		is.True(f.do(r).err != nil)
+		time.Sleep(time.Minute)
+		is.Equal(s.discarded, 1)
+	})
+}
