router: tests that a silent server keeps its call

Pins what held already: a call is not ended, sent again or settled as unknown while its server is silent before its answer, inside it or before its end, for 1.4 s and for 3 min, while its network link is silent for 1.4 s, or while the router's lease ends; plain and with an idempotency key, 8 cases of 2.

Broken on purpose: HeaderTimeout of 1 s in badgerspoke.go fails "before the answer" and "link, before the answer"; a body that is closed after 1 s without a byte fails "inside the answer" and "link, inside the answer"; a call that ends with the lease fails "while the lease ends" (go test . -run SilentServerKeeps).

--- a/silent_servers_test.go
+++ b/silent_servers_test.go
@@ -108,6 +108,57 @@
 	time.AfterFunc(silence, func() { f.net.Restore(ip) })
 }
 
+// TestSilentServerKeepsItsCall guards against a call that is ended, or sent again, because the server that runs it is
+// silent, in its process or on its network link, and against one that ends with the router's lease.
+func TestSilentServerKeepsItsCall(t *testing.T) {
+	none := func(*testFleet) {}
+	cutAfter := func(d time.Duration, ip string, silence time.Duration) func(*testFleet) {
+		return func(f *testFleet) { time.AfterFunc(d, func() { f.fallSilent(ip, silence) }) }
+	}
+	for _, tt := range []struct {
+		name    string
+		service *silentService
+		fault   func(f *testFleet)
+		took    time.Duration
+	}{
+		{"before the answer", &silentService{beforeHead: silenceOfServer}, none, silenceOfServer},
+		{"long before the answer", &silentService{beforeHead: 3 * time.Minute}, none, 3 * time.Minute},
+		{"inside the answer", &silentService{inside: silenceOfServer}, none, silenceOfServer},
+		{"long inside the answer", &silentService{inside: 3 * time.Minute}, none, 3 * time.Minute},
+		{"before the end of the answer", &silentService{beforeEnd: 3 * time.Minute}, none, 3 * time.Minute},
+		{
+			"link, before the answer", &silentService{beforeHead: time.Second},
+			cutAfter(500*time.Millisecond, silentServiceIP, silenceOfServer), 500*time.Millisecond + silenceOfServer,
+		},
+		{
+			"link, inside the answer", &silentService{inside: time.Second},
+			cutAfter(500*time.Millisecond, silentServiceIP, silenceOfServer), 500*time.Millisecond + silenceOfServer,
+		},
+		{
+			"while the lease ends", &silentService{beforeHead: 10 * time.Second},
+			cutAfter(500*time.Millisecond, "10.0.1.1", 20*time.Second), 10 * time.Second,
+		},
+	} {
+		for _, key := range []string{"", "k1"} {
+			t.Run(tt.name+", key "+key, func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					is := is.New(t)
+					tt.service.runs.Store(0)
+					f := startSilentService(t, tt.service)
+					f.dialTimeout.Store(int64(socket.DialTimeout))
+					tt.fault(f)
+					got := f.do(order("r1", "hotel", "sheets", key))
+					is.NoErr(got.err)
+					is.Equal(got.status, http.StatusOK)
+					is.Equal(got.body, "first part, second part")
+					is.True(got.took < tt.took+100*time.Millisecond)
+					is.Equal(tt.service.runs.Load(), int64(1))
+				})
+			})
+		}
+	}
+}
+
 // TestServerSilentForAMomentFailsNoCall guards against a call that fails as unreachable because its server accepts no
 // connection for a moment and the retry budget is empty: nothing was sent, and nothing replaces the attempt.
 func TestServerSilentForAMomentFailsNoCall(t *testing.T) {
