router: a call at a silent server moves only once its retry has a slot

What callers saw: a call whose server accepted no connection for 1.4 s lost its slot after 1 s if the retry budget allowed a retry, and waited for another behind everything queued, or was refused with queue_full. Without a retry it would have kept the slot. On one slot with three calls of 5 s behind it, the call was answered after 21.4 s instead of 6.4 s.

Cause: the slot was released before the retry had one. The next call in the queue got it, at the same silent server.

Change: after a dial that timed out, the retry is queued while the call dials again. Whichever comes first is used: the connection, or a turn at another server; the other one is withdrawn. forward.Call.Abandoned decides between them before the first byte, so that the call runs once. A turn at the same server is given back, as its dial is under way. If the queue is full, the call has only its dials. A dead server is left as soon as another one has a slot, after 1 s at the earliest as before.

--- a/router/call.go
+++ b/router/call.go
@@ -41,6 +41,8 @@
 	http2           bool            // the caller uses HTTP/2, where the end of an answer states that it is complete
 	arrivedAt       time.Duration   // by Router.now
 	work            *pool.Work      // queue entry of the current attempt
+	retryTaken      bool            // a retry was taken out of the budget and is not used yet
+	retry           *waiter         // queue entry of that retry; nil if it is not queued
 }
 
 // serve runs a call to its end and writes its answer.
@@ -90,20 +92,31 @@
 	}
 }
 
-// awaitServer queues the call and waits for a slot. It returns the server to use.
-func (r *Router) awaitServer(ctx context.Context, c *call) (config.Server, *Failure) {
+// enqueue adds the call to the queue of its pool.
+func (r *Router) enqueue(c *call) (*waiter, *Failure) {
 	if !r.lease.valid(r.now()) {
-		return config.Server{}, failNoLease
+		return nil, failNoLease
 	}
 	p := r.pool(c.pool)
 	if p == nil {
-		return config.Server{}, failNoServer
+		return nil, failNoServer
 	}
-	w, f := p.enqueue(c)
-	if f != nil {
-		return config.Server{}, f
+	return p.enqueue(c)
+}
+
+// awaitServer queues the call, unless its retry is queued already, and waits for a slot. It returns the
+// server to use.
+func (r *Router) awaitServer(ctx context.Context, c *call) (config.Server, *Failure) {
+	w := c.retry
+	c.retry = nil
+	if w == nil {
+		var f *Failure
+		if w, f = r.enqueue(c); f != nil {
+			return config.Server{}, f
+		}
 	}
 	c.work = w.work
+	p := r.pool(c.pool)
 	began := r.now()
 	select {
 	case got := <-w.result:
@@ -164,10 +177,11 @@
 func (r *Router) attempt(w *response.Writer, ctx context.Context, c *call, server config.Server) (again bool, f *Failure) {
 	p := r.pool(c.pool)
 	began := r.now()
-	a, retryAllowed, err := r.send(ctx, c, server)
+	a, server, err := r.send(ctx, c, server)
 	if err != nil {
-		return r.handleSendError(ctx, c, server, err, retryAllowed)
+		return r.handleSendError(ctx, c, server, err)
 	}
+	r.withdrawRetry(c)
 	defer func() { a.Body.Close() }() // the relay may have replaced the body
 	if running, waiting, ok := a.Load(); ok {
 		p.withLock(func(pl *pool.Pool) {
@@ -194,58 +208,26 @@
 	return false, nil
 }
 
-// maxDials bounds how often one attempt dials a server that accepts no connection.
-const maxDials = 3
-
-// send sends the call to a server. A server that accepts no connection in time may be silent for a moment only:
-// while no retry is allowed, the call keeps its slot and the server is dialled again. retryAllowed reports that a
-// retry was taken out of the budget.
-func (r *Router) send(ctx context.Context, c *call, server config.Server) (a *forward.Response, retryAllowed bool, err error) {
-	for dials := 1; ; dials++ {
-		a, err = r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
-		if err == nil {
-			return a, false, nil
-		}
-		retryAllowed = ctx.Err() == nil && executionAfter(err).MayGoElsewhere(c.repeatable) && r.allowRetry()
-		if retryAllowed || dials == maxDials || ctx.Err() != nil || !forward.IsDialTimeout(err) || !r.mayUse(server) {
-			return nil, retryAllowed, err
-		}
-		r.pool(c.pool).recordFailure(server.ID)
-	}
-}
-
-// executionAfter returns what the error of a call says about its execution.
-func executionAfter(err error) retry.Execution {
-	if errors.As(err, new(forward.NotRun)) {
-		return retry.Refused
-	}
-	return retry.MayHaveRun
-}
-
-// mayUse reports whether the lease and the configuration in force still allow calls to a server.
-func (r *Router) mayUse(server config.Server) bool {
-	now, listed := r.routes.Load().servers[server.ID]
-	return listed && now.Mark == config.Serving && now.Address == server.Address && r.lease.valid(r.now())
-}
-
 // handleSendError handles an attempt that got no answer: it releases the slot, and settles the claim if
 // the call ends here.
-func (r *Router) handleSendError(ctx context.Context, c *call, server config.Server, err error, retryAllowed bool) (again bool, f *Failure) {
-	f, claimState := failBroken.WithMessage(err.Error()), protocol.ClaimUnknown
+func (r *Router) handleSendError(ctx context.Context, c *call, server config.Server, err error) (again bool, f *Failure) {
+	f, claimState, execution := failBroken.WithMessage(err.Error()), protocol.ClaimUnknown, retry.MayHaveRun
 	var notRun forward.NotRun
 	if errors.As(err, &notRun) {
 		r.applyBackoff(c, server, notRun)
-		f, claimState = failUnreachable.WithMessage(err.Error()), protocol.ClaimReleased
+		f, claimState, execution = failUnreachable.WithMessage(err.Error()), protocol.ClaimReleased, retry.Refused
 	}
 	result, gone := pool.Failed, ctx.Err() != nil
 	if gone {
 		f, result = failCallerGone.WithOutcome(f.Outcome), pool.Abandoned
 	}
 	r.pool(c.pool).finish(c.work, server.ID, 0, result)
-	if retryAllowed {
-		c.repeated = c.repeated || executionAfter(err) == retry.MayHaveRun
+	if !gone && execution.MayGoElsewhere(c.repeatable) && r.takeRetry(c) {
+		c.retryTaken = false
+		c.repeated = c.repeated || execution == retry.MayHaveRun
 		return true, nil
 	}
+	r.withdrawRetry(c)
 	r.settle(c, claimState, nil)
 	return false, f
 }
--- a/router/doc.go
+++ b/router/doc.go
@@ -21,9 +21,10 @@
 // While no control replica leads, a majority of the replicas can extend the
 // lease (see pollReplicas in leader.go).
 //
-// Goroutines: net/http's own, one per request; run of the leaderClient, with two
-// more per session (sendRenewals, sendReports) and one per replica during
-// pollReplicas; tick; one per settlement that has not been answered.
+// Goroutines: net/http's own, one per request; one per further dial of a silent
+// server; run of the leaderClient, with two more per session (sendRenewals,
+// sendReports) and one per replica during pollReplicas; tick; one per settlement
+// that has not been answered.
 //
 // Lock order: Router.mu (the table of pools), then lockedPool.mu.
 // Router.budgetMu and the locks of a session and of the claimClient are leaf
