--- a/continuation_test.go
+++ b/continuation_test.go
@@ -35,6 +35,9 @@
 	contentType string
 	rests       []rest
 	asked       int // rests requested
+	discarded   int // requests to discard the rest
+	// afterBreak, if set, is called when the service breaks its answer off.
+	afterBreak func()
 }
 
 // brokenAt is the number of bytes after which the service breaks its answer off.
@@ -44,6 +47,7 @@
 func (s *resumableService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.Method == http.MethodDelete:
+		s.discarded++
 		return
 	case r.Header.Get("Range") != "":
 		s.asked++
@@ -57,6 +61,9 @@
 	}
 	_, _ = w.Write([]byte(s.text[:brokenAt])) // fails only if the router has left
 	_ = http.NewResponseController(w).Flush()
+	if s.afterBreak != nil {
+		s.afterBreak()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/router/call.go
+++ b/router/call.go
@@ -41,6 +41,8 @@
 	http2           bool            // the caller uses HTTP/2, where the end of an answer states that it is complete
 	arrivedAt       time.Duration   // by Router.now
 	work            *pool.Work      // queue entry of the current attempt
+	retryTaken      bool            // a retry was taken out of the budget and is not used yet
+	retry           *waiter         // queue entry of that retry; nil if it is not queued
 }
 
 // serve runs a call to its end and writes its answer.
@@ -90,20 +92,31 @@
 	}
 }
 
-// awaitServer queues the call and waits for a slot. It returns the server to use.
-func (r *Router) awaitServer(ctx context.Context, c *call) (config.Server, *Failure) {
+// enqueue adds the call to the queue of its pool.
+func (r *Router) enqueue(c *call) (*waiter, *Failure) {
 	if !r.lease.valid(r.now()) {
-		return config.Server{}, failNoLease
+		return nil, failNoLease
 	}
 	p := r.pool(c.pool)
 	if p == nil {
-		return config.Server{}, failNoServer
+		return nil, failNoServer
 	}
-	w, f := p.enqueue(c)
-	if f != nil {
-		return config.Server{}, f
+	return p.enqueue(c)
+}
+
+// awaitServer queues the call, unless its retry is queued already, and waits for a slot. It returns the
+// server to use.
+func (r *Router) awaitServer(ctx context.Context, c *call) (config.Server, *Failure) {
+	w := c.retry
+	c.retry = nil
+	if w == nil {
+		var f *Failure
+		if w, f = r.enqueue(c); f != nil {
+			return config.Server{}, f
+		}
 	}
 	c.work = w.work
+	p := r.pool(c.pool)
 	began := r.now()
 	select {
 	case got := <-w.result:
@@ -164,17 +177,18 @@
 func (r *Router) attempt(w *response.Writer, ctx context.Context, c *call, server config.Server) (again bool, f *Failure) {
 	p := r.pool(c.pool)
 	began := r.now()
-	a, err := r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
+	a, server, err := r.send(ctx, c, server)
 	if err != nil {
 		return r.handleSendError(ctx, c, server, err)
 	}
+	r.withdrawRetry(c)
 	defer func() { a.Body.Close() }() // the relay may have replaced the body
 	if running, waiting, ok := a.Load(); ok {
 		p.withLock(func(pl *pool.Pool) {
 			pl.RecordLoad(server.ID, place.LoadReport{Running: running, Waiting: waiting, At: r.now()})
 		})
 	}
-	rel := relay{router: r, ctx: ctx, server: server.Address, call: c, pool: p, answer: a, startedAt: began}
+	rel := relay{router: r, ctx: ctx, server: server, call: c, pool: p, answer: a, startedAt: began}
 	end := rel.run(w)
 	p.finish(c.work, server.ID, end.cost, end.result)
 	r.stats.seriesOf(c).requests.Inc()
@@ -208,10 +222,12 @@
 		f, result = failCallerGone.WithOutcome(f.Outcome), pool.Abandoned
 	}
 	r.pool(c.pool).finish(c.work, server.ID, 0, result)
-	if !gone && execution.MayGoElsewhere(c.repeatable) && r.allowRetry() {
+	if !gone && execution.MayGoElsewhere(c.repeatable) && r.takeRetry(c) {
+		c.retryTaken = false
 		c.repeated = c.repeated || execution == retry.MayHaveRun
 		return true, nil
 	}
+	r.withdrawRetry(c)
 	r.settle(c, claimState, nil)
 	return false, f
 }
--- a/router/relay.go
+++ b/router/relay.go
@@ -16,6 +16,7 @@
 	"github.com/badgerspoke/badgerspoke/coordination/claim"
 	"github.com/badgerspoke/badgerspoke/coordination/pool"
 	"github.com/badgerspoke/badgerspoke/coordination/share"
+	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/response"
 )
@@ -37,7 +38,7 @@
 type relay struct {
 	router    *Router
 	ctx       context.Context
-	server    string // address
+	server    config.Server
 	call      *call
 	pool      *lockedPool
 	answer    *forward.Response
@@ -76,6 +77,7 @@
 		return relayResult{cost: r.cost(), result: pool.Abandoned, failure: failBroken}
 	}
 	callerLeft, err := r.copyBody()
+	r.startWriteTimeout() // net/http writes the end of the body later
 	end := relayResult{cost: r.cost(), result: pool.Served}
 	switch {
 	case callerLeft:
@@ -139,7 +141,7 @@
 		case r.ctx.Err() != nil:
 			return true, nil
 		case !r.resume():
-			return false, err
+			return r.ctx.Err() != nil, err
 		}
 	}
 }
@@ -151,30 +153,55 @@
 		r.router.stats.seriesOf(r.call).first.Update((r.router.now() - r.call.arrivedAt).Seconds())
 	}
 	r.recordChunk(b)
+	r.startWriteTimeout()
+	_, err := r.body.Write(b)
+	if err != nil || r.body.Flush() != nil {
+		return false
+	}
+	r.stopWriteTimeout()
+	return true
+}
+
+// startWriteTimeout sets the deadline for the caller to accept what is written next.
+func (r *relay) startWriteTimeout() {
 	// This fails only on a closed connection, and then the write fails as well.
 	_ = r.body.SetWriteDeadline(time.Now().Add(r.router.cfg.Limits.WriteTimeout))
-	_, err := r.body.Write(b)
-	return err == nil && r.body.Flush() == nil
 }
 
-// maxResumes bounds the resumptions of one answer.
+// stopWriteTimeout removes the deadline while the server's next chunk is awaited. A deadline that passes
+// meanwhile resets an HTTP/2 stream, and on HTTP/1 fails the end of the body.
+func (r *relay) stopWriteTimeout() {
+	_ = r.body.SetWriteDeadline(time.Time{}) // as above
+}
+
+// maxResumes bounds the attempts to resume one answer.
 const maxResumes = 3
 
 // resume requests the rest of a broken answer from its server, from the first byte that the caller
 // has not received, and reports whether it got it. This does not repeat the request: the server sends
-// the rest of the same run.
+// the rest of the same run. A server that accepts no connection in time may be silent for a moment only,
+// and nothing else has the rest, so it is dialled again.
 func (r *relay) resume() bool {
 	path := r.answer.Header.Get(forward.ResumeHeader)
-	if path == "" || r.resumptions >= maxResumes {
-		return false
-	}
-	r.resumptions++
-	a, err := r.router.cfg.Transport.Send(r.ctx, r.server, forward.Call{
-		Method: http.MethodGet, Path: path, Header: http.Header{"Range": {fmt.Sprintf("bytes=%d-", r.relayedBytes)}},
-	})
-	if err != nil {
-		return false
+	for path != "" && r.resumptions < maxResumes {
+		r.resumptions++
+		a, err := r.router.cfg.Transport.Send(r.ctx, r.server.Address, forward.Call{
+			Method: http.MethodGet, Path: path, Header: http.Header{"Range": {fmt.Sprintf("bytes=%d-", r.relayedBytes)}},
+		})
+		switch {
+		case err == nil:
+			return r.continueWith(a)
+		case r.ctx.Err() != nil || !forward.IsDialTimeout(err):
+			return false
+		}
+		r.pool.recordFailure(r.server.ID)
 	}
+	return false
+}
+
+// continueWith makes a the part of the answer that is relayed next, if it is the rest, and reports
+// whether it is.
+func (r *relay) continueWith(a *forward.Response) bool {
 	length, ok := r.isRest(a)
 	if !ok {
 		a.Body.Close()
@@ -198,7 +225,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.router.ctx, discardTimeout)
 	defer cancel()
-	a, err := r.router.cfg.Transport.Send(ctx, r.server, forward.Call{Method: http.MethodDelete, Path: path})
+	a, err := r.router.cfg.Transport.Send(ctx, r.server.Address, forward.Call{Method: http.MethodDelete, Path: path})
 	if err == nil {
 		a.Body.Close()
 	}
