gateway: the end of a stream gets its own time to be accepted

A stream whose server is silent for most of the time that a caller has for an event, and then ends it, could lose its end: the deadline of the last event was still in force when net/http wrote the end of the body. Change: the deadline is moved before the end as before an event. Evidence: TestEndAfterSilenceReachesCaller failed before and passes now. Found by reading, after the same fault at routers; not seen at callers.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -322,7 +322,8 @@
 		r.endUnstated = true
 		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
 	}
-	_ = r.body.Flush() // unflushed bytes are sent when the handler returns
+	r.extendWriteDeadline() // for the end of the body, which net/http writes later
+	_ = r.body.Flush()      // unflushed bytes are sent when the handler returns
 	return passedOn(answer)
 }
 
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -185,3 +186,32 @@
 	s.Hall = hall
 	x.g.table.update(protocol.Servers{Term: 1, Set: []protocol.Server{s}})
 }
+
+// deadlineRecorder records the deadline for the caller to accept what is written.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
+}
+
+// TestEndAfterSilenceReachesCaller guards against a stream whose end is lost because the time that the caller had for
+// the event before it is over when a silent server ends the stream.
+func TestEndAfterSilenceReachesCaller(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		d := testDocument()
+		d.Number++
+		for i := range d.Routes {
+			d.Routes[i].Timeout = time.Minute
+		}
+		x.g.apply(d)
+		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		x.requestInto("/stream/x", w)
+		is.Equal(w.Body.String(), wholeStream(2))
+		is.True(time.Until(w.deadline) >= writeTimeout/2)
+	}, streams(piece{text: event(1)}, piece{text: event(2), after: writeTimeout/4 - time.Millisecond}, piece{after: writeTimeout - time.Second, err: io.EOF}))
+}
