--- a/coordination/retry/timeout.go
+++ b/coordination/retry/timeout.go
@@ -126,7 +126,7 @@
 	return max(backoff+scale(max(left, 0), delayFraction*random), ShortDelay)
 }
 
-// Times after which a silent server is given up.
+// Times after which a server that sends nothing counts as silent.
 const (
 	stallObjectives = 2.5                    // before the first part of an answer, as a multiple of the route's objective
 	stallGaps       = 4.0                    // between two parts, as a multiple of the route's maximum gap between events
@@ -134,8 +134,7 @@
 )
 
 // StallTimeouts returns how long a server may be silent before the first part of its answer, and between
-// two parts. Silence is watched only if another server may take over the request after this attempt;
-// otherwise waiting is always better than giving up.
+// two parts, before others are tried beside it. Silence is watched only if the route allows another attempt.
 func StallTimeouts(route document.Route, runs int) (first, gap time.Duration, watched bool) {
 	if !route.MayRepeat() || runs+1 >= route.MaxAttempts {
 		return 0, 0, false
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,14 +71,14 @@
 			c.g.silenceAtEnd(a) // no verdict on the server, but its other connections may be dead too
 		}
 	}
-	out = c.conclude(ctx, a, out)
+	out = c.releaseServer(ctx, a, out)
 	c.counts = c.counts.With(out.execution)
 	return out
 }
 
-// conclude follows up an attempt that has ended: it releases the server with the verdict on it. It returns the
-// outcome as it counts.
-func (c *call) conclude(ctx context.Context, a *assignment, out outcome) outcome {
+// releaseServer releases the server of an attempt that has ended, with the verdict on it. It returns the outcome as it
+// counts.
+func (c *call) releaseServer(ctx context.Context, a *assignment, out outcome) outcome {
 	if ctx.Err() == nil && out.execution != retry.Answered && forward.IsConnTimeout(out.err) {
 		out.verdict, out.cause = c.g.silenceAtEnd(a), "silent"
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -19,7 +19,8 @@
 // This file defines call, which handles one request from arrival to end: admission, attempts at
 // backend servers, and the final answer.
 
-// call is the state of one request. Only the goroutine that serves the request uses it.
+// call is the state of one request. Only the goroutine that serves the request uses it, but for hedges, which use a
+// copy (call.snapshot).
 type call struct {
 	g        *Gateway
 	response *response.Writer
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -24,7 +24,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	answer *forward.Response // with something for the caller; nil unless the hedge was offered as a replacement
+	answer *forward.Response // with something for the caller; nil once the hedge has ended without winning
 	head   AnswerHead        // of the answer
 	out    outcome           // if there is no answer
 	silent bool              // it has been silent for too long
@@ -105,7 +105,7 @@
 		if hs.pending == 0 && (wait == 0 || hs.ctx.Err() != nil) {
 			return
 		}
-		hs.await(wait)
+		hs.awaitEnd(wait)
 	}
 }
 
@@ -259,9 +259,9 @@
 	h.hedges.results <- h
 }
 
-// await waits for the end of a hedge, or for the given time if it is not zero. A hedge that is silent all that time
+// awaitEnd waits for the end of a hedge, or for the given time if it is not zero. A hedge that is silent for too long
 // counts against its server.
-func (hs *hedges) await(wait time.Duration) {
+func (hs *hedges) awaitEnd(wait time.Duration) {
 	var expired <-chan time.Time
 	if wait > 0 {
 		t := time.NewTimer(wait)
@@ -275,7 +275,7 @@
 	select {
 	case h := <-hs.results:
 		hs.pending--
-		hs.conclude(h)
+		hs.recordEnd(h)
 	case <-expired:
 		hs.recordSilence()
 	case <-ended:
@@ -289,16 +289,28 @@
 		return
 	}
 	for _, h := range hs.made {
-		if silent := now - h.a.startedAt; !h.ended && !h.silent && silent >= hs.w.first {
-			h.silent = true
-			hs.c.g.followSilence(h.a, hs.c.g.countSilence(h.a))
-			hs.c.logSilence(h.a, silent, hs.c.relay.position.id)
+		if silent := now - h.a.startedAt; silent >= hs.w.first && !h.silent {
+			if evidence, counted := hs.countSilence(h); counted {
+				hs.c.g.followSilence(h.a, evidence)
+				hs.c.logSilence(h.a, silent, hs.c.relay.position.id)
+			}
 		}
 	}
 }
 
-// conclude follows up a hedge that has ended.
-func (hs *hedges) conclude(h *hedge) {
+// countSilence counts the silence of a hedge against its server, unless the hedge has ended or won meanwhile.
+func (hs *hedges) countSilence(h *hedge) (e silenceEvidence, counted bool) {
+	hs.w.mu.Lock()
+	defer hs.w.mu.Unlock()
+	if h.ended || hs.ctx.Err() != nil {
+		return e, false
+	}
+	h.silent = true
+	return hs.c.g.countSilence(h.a), true
+}
+
+// recordEnd follows up a hedge that has ended.
+func (hs *hedges) recordEnd(h *hedge) {
 	c := hs.c
 	if h.answer != nil {
 		c.g.stats.count("hedges", "end", "won")
@@ -310,7 +322,7 @@
 		h.out.verdict, h.out.cause = outlier.NoVerdict, "not needed"
 		h.a.notNeeded = true
 	}
-	h.out = c.conclude(h.ctx, h.a, h.out)
+	h.out = c.releaseServer(h.ctx, h.a, h.out)
 	hs.w.mu.Lock()
 	h.ended, h.execution = true, h.out.execution
 	if h.out.connectionBroke {
--- a/gateway/hedge_usable_test.go
+++ b/gateway/hedge_usable_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -36,6 +37,7 @@
 	}
 	for name, hedge := range map[string]behaviour{
 		"to another request": crossed(whole), "another type": withType("text/plain", whole), "leaves out events": skips,
+		"comment": streams(piece{text: ": wait\n\n"}, piece{after: time.Hour}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			withGateway(t, func(x *fixture) {
@@ -129,3 +131,85 @@
 		is.Equal(closed.Load(), opened.Load())
 	})
 }
+
+// lostInARow returns the number of consecutive requests lost at a server.
+func (x *fixture) lostInARow(id string) int {
+	x.g.table.mu.Lock()
+	defer x.g.table.mu.Unlock()
+	return x.g.table.servers[id].health.LostInARow()
+}
+
+// TestSilenceCountsOnce guards against counting the silence of a server, and then the end of its attempt.
+func TestSilenceCountsOnce(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{hangs, resuming(6, 0, nil)})
+		is.Equal(x.request("/resume/x").body, wholeStream(6))
+		is.Equal(x.lostInARow("p0")+x.lostInARow("p1"), 1)
+	})
+}
+
+// TestServerThatDiesAfterSilenceCounts guards against a server whose connection breaks after a silence that no longer
+// counts, without a loss.
+func TestServerThatDiesAfterSilenceCounts(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.g.cfg.Retries.Ratio, x.g.cfg.Retries.Extra = 0, 0
+		x.request("/resume/x")
+		is.Equal(x.lostInARow("p0"), 1)
+	}, streams(piece{text: event(1), after: pause}, piece{text: event(2), after: silence}, piece{after: pause, err: errReset}))
+}
+
+// TestSilenceWithoutVerdictTakesNothingBack guards against ending the evidence of other requests once a server goes on
+// whose silence was none.
+func TestSilenceWithoutVerdictTakesNothingBack(t *testing.T) {
+	var openedAt time.Time
+	kept := func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+		call.Connected(openedAt)
+		a, err := pausing(6, 2, silence)(ctx, call)
+		a.ConnOpenedAt = openedAt
+		return a, err
+	}
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		openedAt = time.Now()
+		time.Sleep(time.Second)
+		x.g.cfg.Retries.Ratio, x.g.cfg.Retries.Extra = 0, 0
+		x.g.table.mu.Lock()
+		for range 2 {
+			x.g.table.pool("plain").failures.Record(x.g.now(), &x.g.table.servers["p0"].health, outlier.Lost, false)
+		}
+		x.g.table.mu.Unlock()
+		go x.request("/resume/x")
+		time.Sleep(2*pause + silence + pause/2)
+		is.Equal(x.lostInARow("p0"), 2)
+		time.Sleep(time.Second)
+		is.Equal(x.lostInARow("p0"), 0)
+	}, kept)
+}
+
+// TestUnneededHedgeIsNoEvidence guards against evidence against a server whose hedge was cancelled.
+func TestUnneededHedgeIsNoEvidence(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.announceInOrder([]behaviour{pausing(6, 2, time.Second), hangs})
+		is.Equal(x.request("/resume/x").body, wholeStream(6))
+		time.Sleep(time.Millisecond)
+		is.Equal(x.servers.count(), 2)
+		is.Equal(x.lostInARow("p0")+x.lostInARow("p1"), 0)
+	})
+}
+
+// TestHedgeThatWinsAfterSilenceIsNoEvidence guards against evidence against a server whose slow hedge has won.
+func TestHedgeThatWinsAfterSilenceIsNoEvidence(t *testing.T) {
+	withGateway(t, func(x *fixture) {
+		is := is.New(x.t)
+		x.allowAttempts(3)
+		x.announceInOrder([]behaviour{hangs, later(1200*time.Millisecond, resuming(6, 0, nil)), hangs})
+		go x.request("/resume/x")
+		time.Sleep(2200*time.Millisecond + 3*pause + pause/2)
+		is.Equal(x.servers.count(), 3)
+		is.Equal(x.lostInARow("p0")+x.lostInARow("p1")+x.lostInARow("p2"), 1) // the first
+		time.Sleep(time.Second)
+	})
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -72,7 +72,7 @@
 	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}
 	if len(body) < maxHeldAnswer && answer.Status >= http.StatusInternalServerError {
-		return heldOutcome(held, outlier.Faulty)
+		return heldOutcome(held)
 	}
 	if err := r.c.watch.received(); err != nil {
 		return replacedOutcome(err)
@@ -87,9 +87,9 @@
 }
 
 // heldOutcome returns the outcome of an attempt whose whole answer reports a failure.
-func heldOutcome(held *heldAnswer, v outlier.Verdict) outcome {
+func heldOutcome(held *heldAnswer) outcome {
 	err := faultyAnswer("status " + strconv.Itoa(held.status))
-	return outcome{execution: retry.HasRun, cause: "server error", verdict: v, held: held, err: err}
+	return outcome{execution: retry.HasRun, cause: "server error", verdict: outlier.Faulty, held: held, err: err}
 }
 
 // replacedOutcome returns the outcome of an attempt that a hedge has replaced.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -23,8 +23,9 @@
 	ctx     context.Context // of the request
 	primary *assignment
 	cancel  context.CancelFunc // ends the primary attempt
-	first   time.Duration      // longest time before the first part of an answer
-	gap     time.Duration      // longest time between two parts
+	watched bool
+	first   time.Duration // longest time before the first part of an answer
+	gap     time.Duration // longest time between two parts
 
 	mu      sync.Mutex // before table.mu in the lock order; guards the fields below
 	timer   *time.Timer
@@ -44,17 +45,15 @@
 // watchSilence returns the watch of an attempt. Silence of an attempt that no other one may follow is not watched.
 func (c *call) watchSilence(ctx context.Context, a *assignment, cancel context.CancelFunc) *silenceWatch {
 	w := &silenceWatch{c: c, ctx: ctx, primary: a, cancel: cancel}
-	first, gap, watched := retry.StallTimeouts(c.route, c.counts.Runs)
-	if watched {
-		w.first, w.gap, w.limit = first, gap, first
-	}
+	w.first, w.gap, w.watched = retry.StallTimeouts(c.route, c.counts.Runs)
+	w.limit = w.first
 	return w
 }
 
 // await starts the wait for the next part of the answer. The time before it, for which the caller may have accepted
 // nothing, is no silence of the server.
 func (w *silenceWatch) await() {
-	if w.first == 0 {
+	if !w.watched {
 		return
 	}
 	w.mu.Lock()
@@ -78,7 +77,7 @@
 
 // suspend ends the wait without a part of the answer, while the call's goroutine is busy otherwise.
 func (w *silenceWatch) suspend() {
-	if w.first == 0 {
+	if !w.watched {
 		return
 	}
 	w.mu.Lock()
@@ -97,7 +96,7 @@
 // received ends the wait because a part of the answer has arrived, and the hedges with it. The error is errReplaced
 // if a hedge was first: nothing of this attempt may then be passed on.
 func (w *silenceWatch) received() error {
-	if w.first == 0 {
+	if !w.watched {
 		return nil
 	}
 	w.mu.Lock()
@@ -187,7 +186,7 @@
 
 // stop ends the watch and reports whether the attempt was ended in favour of a hedge.
 func (w *silenceWatch) stop() (replaced bool) {
-	if w.first == 0 {
+	if !w.watched {
 		return false
 	}
 	w.mu.Lock()
--- a/gateway/usable.go
+++ b/gateway/usable.go
@@ -52,11 +52,10 @@
 
 // failedPlain returns the outcome of a plain answer that reports a failure. One that is too large to be held is dropped.
 func failedPlain(answer *forward.Response, body []byte) outcome {
-	v := outlier.Answered
-	if answer.Status >= http.StatusInternalServerError {
-		v = outlier.Faulty
+	out := heldOutcome(&heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed})
+	if answer.Status < http.StatusInternalServerError {
+		out.cause, out.verdict = "no success", outlier.Answered
 	}
-	out := heldOutcome(&heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}, v)
 	if len(body) == maxHeldAnswer {
 		out.execution, out.held = retry.MayHaveRun, nil
 	}
