consensus: a replica votes whether or not its log has it and the candidate as voters

The learner, whose log did not have the change yet, dropped each request for its vote. The same function dropped a candidate that is a voter but not by the receiver's log, with the same end where that candidate alone has the newest log.

Change: a replica with a log votes without regard to the membership in it, as Raft does (4.2.2). A leader still repairs a candidate that is no member. Ways weighed: a. this one. One leader a term: votes are written before they are sent, once a term, whoever asks, and a candidate counts its own voters only; majorities of two memberships that differ by one voter overlap. Committed entries: the comparison of the logs is as before. Lease: the rule that requests are ignored for an election timeout after a leader's message applies to all who vote, thus also to the learner whose replies the leader counts already. Changes: still one at a time, after an entry of the leader's own term. Lost disk: its new incarnation is another peer, which no candidate counts before a leader made it a voter; a replica without a log, which would forget its vote when its repair stops, never votes. b. only learners by their own log vote as well. Mends the traced schedule, and leaves the case of the unknown candidate. c. the leader promotes a learner by two changes, so that it knows before it is counted. A change more for each voter, and the second one may be lost in the same way.

--- a/coordination/consensus/doc.go
+++ b/coordination/consensus/doc.go
@@ -35,10 +35,10 @@
 //     as soon as the leader offers leadership to another replica
 //     (TestLeadershipTransfer).
 //   - A replica is identified by a [protocol.Peer]: a name and the incarnation of its
-//     disk. A replica that lost its disk is a different peer and not a voter, so it
-//     never votes from a blank log (TestBlankReplicaNeverVotes). The leader removes
-//     the lost peer, adds the new one as a learner and promotes it
-//     (TestLostDiskIsRepaired) once it holds everything
+//     disk. A replica that lost its disk is a different peer and not a voter, and it
+//     never votes from a blank log (TestBlankReplicaNeverVotes,
+//     TestReplicaWithoutLogNeverVotes). The leader removes the lost peer, adds the new
+//     one as a learner and promotes it (TestLostDiskIsRepaired) once it holds everything
 //     (TestLearnerIsPromotedOnlyWhenCaughtUp). A blank replica whose leader fails
 //     during the repair searches for its group again (TestRepairSurvivesLossOfLeader).
 //   - A closed group has the names of its replicas in the settings and forms only
--- a/coordination/consensus/election.go
+++ b/coordination/consensus/election.go
@@ -96,22 +96,23 @@
 	return granted >= r.quorum()
 }
 
-// ignoresVoteRequest reports whether this replica must drop a vote request: it is not
-// a voter, it received a message from a leader within an election timeout, or the
-// candidate is not a voter (the request then shows that the candidate is alive, and
-// the leader repairs it). The request is dropped and not rejected, so that this replica
-// does not adopt the candidate's term.
+// ignoresVoteRequest reports whether this replica must drop a vote request: it has no log,
+// so that it would forget its vote (see RepairStopped), or it received a message from a
+// leader within an election timeout. The request is dropped and not rejected, so that this
+// replica does not adopt the candidate's term.
+//
+// The membership in this replica's log does not matter, neither for itself nor for the
+// candidate: the change that made either a voter may not have arrived yet, and the
+// candidate may need the vote (Raft, section 4.2.2). The candidate counts the votes of its
+// own voters only. A leader repairs a candidate that is not a member.
 func (r *Replica) ignoresVoteRequest(m protocol.Consensus) bool {
 	if m.Kind != protocol.MsgPreVote && m.Kind != protocol.MsgVote {
 		return false
 	}
-	if !r.isVoter(r.cfg.Self) {
-		return true
-	}
-	if !r.isVoter(m.From) {
-		r.stepJoin(m)
+	if r.log.snapshot.Group == 0 {
 		return true
 	}
+	r.stepJoin(m)
 	if m.Force {
 		return false
 	}
--- a/coordination/consensus/founding_test.go
+++ b/coordination/consensus/founding_test.go
@@ -250,3 +250,71 @@
 		}
 	}
 }
+
+// growToFour starts an open group of three seeds and lets a fourth replica join. It returns the leader, the two other
+// seeds and the fourth replica, once a change has made that one a voter at the leader alone, or at the replicas that
+// the given function leaves connected to it.
+func growToFour(t testingT, connected func(c *cluster, leader string) []string) (c *cluster, leader string, followers []string) {
+	c = openCluster(t, 21, "a", "b", "c")
+	leader = c.awaitLeader()
+	c.run(time.Second)
+	followers = otherNames(c, leader)
+	c.bootstrap = false
+	c.add("d")
+	isVoter := func() bool { return c.members[leader].r.isVoter(c.members["d"].self()) }
+	for !isVoter() {
+		c.tick(5 * time.Millisecond)
+		for len(c.inFlight) > 0 && !isVoter() {
+			c.deliver(0)
+		}
+	}
+	for _, n := range c.names {
+		c.isolated[n] = n != leader && !slices.Contains(connected(c, leader), n)
+	}
+	c.run(testElection / 2)
+	return c, leader, followers
+}
+
+// TestNewVoterVotesBeforeItsLogMakesItOne guards against a group without a leader. The change that makes the fourth
+// replica a voter reaches one of the three others and not the fourth one, and then the leader restarts and a seed
+// loses its disk. The quorum of three needs the vote of the fourth replica, whose log has it as a learner.
+func TestNewVoterVotesBeforeItsLogMakesItOne(t *testing.T) {
+	is := is.New(t)
+	c, leader, followers := growToFour(t, func(c *cluster, leader string) []string { return otherNames(c, leader)[:1] })
+	is.True(c.members[followers[0]].r.isVoter(c.members["d"].self()))
+	is.True(!c.members["d"].r.isVoter(c.members["d"].self()))
+	lost := followers[1]
+	c.kill(lost)
+	c.replaceDisk(lost)
+	c.kill(leader)
+	c.isolated = map[string]bool{}
+	c.start(lost)
+	c.start(leader)
+	c.awaitLeader()
+	c.run(time.Second)
+	is.Equal(len(c.voters()), 4)
+	c.checkConverged()
+}
+
+// TestVoterVotesForCandidateThatItDoesNotKnow guards against a group without a leader. The change that makes the fourth
+// replica a voter does not reach one seed, the next entry reaches the fourth replica alone, and then the leader loses its
+// disk. Only the fourth replica has the newest log, and it needs the vote of the seed that does not know it.
+func TestVoterVotesForCandidateThatItDoesNotKnow(t *testing.T) {
+	is := is.New(t)
+	c, leader, followers := growToFour(t, func(c *cluster, leader string) []string { return append(otherNames(c, leader)[:1], "d") })
+	knows, knowsNot := followers[0], followers[1]
+	is.True(c.members[knows].r.isVoter(c.members["d"].self()))
+	is.True(!c.members[knowsNot].r.isVoter(c.members["d"].self()))
+	c.isolated[knows] = true
+	is.True(c.propose(leader))
+	c.run(testElection / 4)
+	is.True(c.members["d"].r.log.lastIndex() > c.members[knows].r.log.lastIndex())
+	c.kill(leader)
+	c.replaceDisk(leader)
+	c.isolated = map[string]bool{}
+	c.start(leader)
+	c.awaitLeader()
+	c.run(time.Second)
+	is.Equal(len(c.voters()), 4)
+	c.checkConverged()
+}
