consensus: replicas that do not lead name their members to whoever wants to join

From reading, and then on a fleet: a replica that was replaced while it was down never returns while a replica leads that joined meanwhile, so that it is no replacement for the next voter that is lost.

Change: a replica that does not lead answers a request to join, and a vote request of one that is no member, with its members (MsgBlankReply, the answer that blank replicas get already). The other one asks these too: if its log has it as no member or a learner, or if it is a voter by its log but was named members without it; for members only after five election timeouts without a leader. What it was named is forgotten at a leader's message. Ways weighed: a. this one. It adds messages only: memberships are changed by the leader alone, one at a time, and no vote or commitment looks at what was named.

It is renamed to TestFoundingsThatFailedBefore and has six more schedules, which were found while counting.

--- a/coordination/consensus/doc.go
+++ b/coordination/consensus/doc.go
@@ -47,6 +47,10 @@
 //     (TestNonSeedsJoinOpenGroup, TestBlankReplicaJoinsThroughFollower); it forms only
 //     if the operator marks the start as the first one
 //     (TestBlankReplicasNeverFoundSecondGroup).
+//   - A replica that is outside the group, but a member by its own log, finds a leader that
+//     its log does not contain through the members that others name
+//     (TestLearnerOfLostChangeFindsLeaderThatJoinedLater,
+//     TestRemovedVoterFindsLeaderThatJoinedLater).
 //   - An open group has a fixed number of voters. A learner replaces a silent voter:
 //     the learner is promoted first and the silent voter removed afterwards. Without
 //     a learner the silent replica stays a voter (TestBlankReplicaReplacesStoppedVoter,
--- a/coordination/consensus/formation.go
+++ b/coordination/consensus/formation.go
@@ -202,13 +202,14 @@
 		return false
 	}
 	r.now = max(r.now, now)
-	members := protocol.Snapshot{Members: r.log.members()}
-	r.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: m.From, Snapshot: &members})
+	r.sendMembers(m.From)
 	if s := r.log.snapshot; s.Index == 1 && slices.Contains(s.Members.Voters, m.From) {
 		// This voter is still blank, so the foundation message to it was lost. The
 		// message names the voter's current incarnation, so it may be sent again.
 		r.send(protocol.Consensus{Kind: protocol.MsgFound, To: m.From, Snapshot: &s})
 	}
-	r.stepJoin(m)
+	if r.role == Leader {
+		r.stepJoin(m)
+	}
 	return true
 }
--- a/coordination/consensus/founding_test.go
+++ b/coordination/consensus/founding_test.go
@@ -101,8 +101,8 @@
 	})
 }
 
-// TestFoundingsThatStillFail replays schedules of TestRandomFoundings that fail.
-func TestFoundingsThatStillFail(t *testing.T) {
+// TestFoundingsThatFailedBefore replays schedules of TestRandomFoundings that failed in the past.
+func TestFoundingsThatFailedBefore(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
 		seed  uint64
@@ -110,6 +110,12 @@
 	}{
 		{"a voter that does not know yet that it is one grants no vote", 0x6b8a, 119},
 		{"a learner whose change was lost does not know the leader, which joined later", 0xc6ae7acf6, 228},
+		{"no leader", 0x6f70783deb64d12c, 294},
+		{"no leader", 0xc1d069728b38b4cf, 283},
+		{"no leader", 0xe58feec6636ee9a9, 188},
+		{"no leader", 0x15c656f41fc58b0b, 254},
+		{"four voters", 0xdefa63228b0d3bfb, 257},
+		{"four voters", 0xde4eb5084b07e9eb, 250},
 	} {
 		t.Run(tt.name, func(t *testing.T) { checkFounding(t, tt.seed, tt.steps) })
 	}
--- a/coordination/consensus/membership.go
+++ b/coordination/consensus/membership.go
@@ -77,25 +77,44 @@
 	return d
 }
 
-// tickJoin requests membership once per election timeout, if this replica is not a
-// member, or is a learner without a leader: the change that made it one may have been
-// lost with its leader, and then no other leader sends to it.
+// tickJoin requests membership once per election timeout, if this replica is outside the
+// group: by its own log, or because it has no leader and is a learner, or no member by the
+// log of another replica. The change that made it a member may have been lost with its
+// leader, or a later one may have removed it, and then no other leader sends to it.
 func (r *Replica) tickJoin() {
-	m := r.log.members()
-	all := slices.Concat(m.Voters, m.Learners)
-	isLearner := slices.Contains(m.Learners, r.cfg.Self)
-	orphaned := isLearner && r.now-r.lastLeaderContact > repairTimeouts*r.cfg.ElectionTimeout
-	if slices.Contains(all, r.cfg.Self) && !orphaned || r.now < r.nextJoin {
+	outside := !r.isMember(r.cfg.Self)
+	if !r.isVoter(r.cfg.Self) || len(r.contacts) > 0 {
+		outside = outside || r.now-r.lastLeaderContact > repairTimeouts*r.cfg.ElectionTimeout
+	}
+	if !outside || r.now < r.nextJoin {
 		return
 	}
 	r.nextJoin = r.now + r.cfg.ElectionTimeout
-	for _, p := range all {
+	m := r.log.members()
+	for _, p := range slices.Concat(m.Voters, m.Learners, r.contacts) {
 		if p != r.cfg.Self {
 			r.send(protocol.Consensus{Kind: protocol.MsgJoin, To: p})
 		}
 	}
 }
 
+// stepMembers stores the members that another replica names in reply to a request to join.
+// The leader may be one that this replica's log does not contain.
+func (r *Replica) stepMembers(m protocol.Consensus) {
+	if r.role == Leader || m.Snapshot == nil {
+		return
+	}
+	named := slices.Concat(m.Snapshot.Members.Voters, m.Snapshot.Members.Learners)
+	if slices.Contains(named, r.cfg.Self) {
+		return // the sender's log contains this replica again
+	}
+	for _, p := range append(named, m.From) {
+		if !r.isMember(p) && !slices.Contains(r.contacts, p) {
+			r.contacts = append(r.contacts, p)
+		}
+	}
+}
+
 // RepairStopped reports whether a replica without a log has lost the leader that
 // began to repair it. The replica has no address of another member, and the next
 // leader may have no record of it, so it must search for its group again as after a
@@ -104,14 +123,18 @@
 	return r.log.snapshot.Group == 0 && r.now-r.lastLeaderContact > repairTimeouts*r.cfg.ElectionTimeout
 }
 
-// stepJoin takes, at the leader, the next step in the repair of a replica that is not
-// a member. Vote requests come here too, as they show that a replica with an unknown
-// incarnation is alive.
+// stepJoin takes, at the leader, the next step in the repair of a replica that is not a
+// member, and names the members to it at any other replica. Vote requests come here too,
+// as they show that a replica with an unknown incarnation is alive.
 func (r *Replica) stepJoin(m protocol.Consensus) {
-	members := r.log.members()
-	if slices.Contains(slices.Concat(members.Voters, members.Learners), m.From) || !r.cfg.Admit(m.From.Name) {
+	if r.isMember(m.From) || !r.cfg.Admit(m.From.Name) {
+		return
+	}
+	if r.role != Leader {
+		r.sendMembers(m.From)
 		return
 	}
+	members := r.log.members()
 	next := protocol.Membership{Voters: without(members.Voters, m.From.Name), Learners: members.Learners}
 	if len(next.Voters) == 0 {
 		return // the lost voter was the only one, so no quorum can commit the change
@@ -119,11 +142,16 @@
 	if len(next.Voters) == len(members.Voters) {
 		next.Learners = append(without(members.Learners, m.From.Name), m.From)
 	}
-	// A follower rejects the change, as does a leader during another change or a
-	// leadership transfer. The replica repeats its request.
+	// Rejected during another change or a leadership transfer. The replica repeats its
+	// request.
 	_ = r.ChangeMembership(next)
 }
 
+func (r *Replica) sendMembers(p protocol.Peer) {
+	members := protocol.Snapshot{Members: r.log.members()}
+	r.send(protocol.Consensus{Kind: protocol.MsgBlankReply, To: p, Snapshot: &members})
+}
+
 // tickMembership starts the membership change that is due, if any.
 func (r *Replica) tickMembership() {
 	if next, due := r.dueChange(r.log.members()); due {
--- a/coordination/consensus/replica.go
+++ b/coordination/consensus/replica.go
@@ -120,6 +120,7 @@
 	repairGroup uint64 // group whose leader repairs this blank replica
 	incoming    *incomingSnapshot
 	nextJoin    time.Duration
+	contacts    []protocol.Peer // members that are not in the log, as others named them; empty once a leader is found
 
 	hardChanged    bool
 	firstUnwritten uint64 // first index that no Ready has returned for writing
@@ -183,9 +184,13 @@
 	if !r.isAddressee(m) {
 		return
 	}
-	if m.Kind == protocol.MsgJoin {
+	switch m.Kind {
+	case protocol.MsgJoin:
 		r.stepJoin(m)
 		return
+	case protocol.MsgBlankReply:
+		r.stepMembers(m)
+		return
 	}
 	if r.ignoresVoteRequest(m) {
 		return
@@ -342,4 +347,8 @@
 
 func (r *Replica) isVoter(p protocol.Peer) bool { return slices.Contains(r.log.members().Voters, p) }
 
+func (r *Replica) isMember(p protocol.Peer) bool {
+	return r.isVoter(p) || slices.Contains(r.log.members().Learners, p)
+}
+
 func (r *Replica) quorum() int { return len(r.log.members().Voters)/2 + 1 }
--- a/coordination/consensus/replicate.go
+++ b/coordination/consensus/replicate.go
@@ -148,6 +148,7 @@
 		r.becomeFollower(r.hard.Term, p)
 	}
 	r.lastLeaderContact = r.now
+	r.contacts = nil
 	r.resetElectionTimer()
 }
 
--- a/protocol/consensus.go
+++ b/protocol/consensus.go
@@ -75,7 +75,7 @@
 	MsgCampaignNow   ConsensusKind = 9  // leadership transfer: campaign at once
 	MsgJoin          ConsensusKind = 10 // a non-member requests to join
 	MsgBlankQuery    ConsensusKind = 11 // formation: queries whether the receiver's disk is blank
-	MsgBlankReply    ConsensusKind = 12 // blank if Group is 0, else Snapshot has the members
+	MsgBlankReply    ConsensusKind = 12 // blank if Group is 0, else Snapshot has the members; also replies to MsgJoin
 	MsgFound         ConsensusKind = 13 // formation: the first snapshot
 )
 
