--- a/coordination/consensus/founding_test.go
+++ b/coordination/consensus/founding_test.go
@@ -101,8 +101,8 @@
 	})
 }
 
-// TestFoundingsThatStillFail replays schedules of TestRandomFoundings that fail.
-func TestFoundingsThatStillFail(t *testing.T) {
+// TestFoundingsThatFailedBefore replays schedules of TestRandomFoundings that failed in the past.
+func TestFoundingsThatFailedBefore(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
 		seed  uint64
@@ -110,19 +110,46 @@
 	}{
 		{"a voter that does not know yet that it is one grants no vote", 0x6b8a, 119},
 		{"a learner whose change was lost does not know the leader, which joined later", 0xc6ae7acf6, 228},
+		{"no leader", 0x6f70783deb64d12c, 294},
+		{"no leader", 0xc1d069728b38b4cf, 283},
+		{"no leader", 0xe58feec6636ee9a9, 188},
+		{"no leader", 0x15c656f41fc58b0b, 254},
+		{"four voters", 0xdefa63228b0d3bfb, 257},
+		{"four voters", 0xde4eb5084b07e9eb, 250},
 	} {
 		t.Run(tt.name, func(t *testing.T) { checkFounding(t, tt.seed, tt.steps) })
 	}
 }
 
+// TestFoundingsWithOneLostDiskThatStillFail replays schedules that fail. In them one replica loses its disk at any time,
+// also when it is a member.
+func TestFoundingsWithOneLostDiskThatStillFail(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		seed  uint64
+		steps int
+	}{
+		{"the founder loses its disk, and a seed refuses the foundation that another seed passes on", 0xd4b4180dfa40f022, 63},
+		{"a leader is lost that repaired a seed which the foundation had not reached", 0x9b71b69caf12ad0b, 276},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			checkGroupOfAll(randomFounding(t, tt.seed, tt.steps, func(_ *member, lost int) bool { return lost == 0 }))
+		})
+	}
+}
+
 // checkFounding plays a schedule and checks that a group of all replicas forms.
 func checkFounding(t testingT, seed uint64, steps int) {
-	c := randomFounding(t, seed, steps, func(m *member, lost int) bool { return m.formation != nil && lost == 0 })
+	checkGroupOfAll(randomFounding(t, seed, steps, func(m *member, lost int) bool { return m.formation != nil && lost == 0 }))
+}
+
+// checkGroupOfAll checks, once all replicas run, that they form a group which has everything that was acknowledged.
+func checkGroupOfAll(c *cluster) {
 	c.awaitLeader()
 	c.run(2 * time.Second)
 	l := c.awaitLeader()
 	if n := len(c.voters()); n != openVoters {
-		t.Fatalf("%d voters, want %d", n, openVoters)
+		c.t.Fatalf("%d voters, want %d", n, openVoters)
 	}
 	c.propose(l)
 	c.run(time.Second)
@@ -250,3 +277,71 @@
 		}
 	}
 }
+
+// growToFour starts an open group of three seeds and lets a fourth replica join. It returns the leader, the two other
+// seeds and the fourth replica, once a change has made that one a voter at the leader alone, or at the replicas that
+// the given function leaves connected to it.
+func growToFour(t testingT, connected func(c *cluster, leader string) []string) (c *cluster, leader string, followers []string) {
+	c = openCluster(t, 21, "a", "b", "c")
+	leader = c.awaitLeader()
+	c.run(time.Second)
+	followers = otherNames(c, leader)
+	c.bootstrap = false
+	c.add("d")
+	isVoter := func() bool { return c.members[leader].r.isVoter(c.members["d"].self()) }
+	for !isVoter() {
+		c.tick(5 * time.Millisecond)
+		for len(c.inFlight) > 0 && !isVoter() {
+			c.deliver(0)
+		}
+	}
+	for _, n := range c.names {
+		c.isolated[n] = n != leader && !slices.Contains(connected(c, leader), n)
+	}
+	c.run(testElection / 2)
+	return c, leader, followers
+}
+
+// TestNewVoterVotesBeforeItsLogMakesItOne guards against a group without a leader. The change that makes the fourth
+// replica a voter reaches one of the three others and not the fourth one, and then the leader restarts and a seed
+// loses its disk. The quorum of three needs the vote of the fourth replica, whose log has it as a learner.
+func TestNewVoterVotesBeforeItsLogMakesItOne(t *testing.T) {
+	is := is.New(t)
+	c, leader, followers := growToFour(t, func(c *cluster, leader string) []string { return otherNames(c, leader)[:1] })
+	is.True(c.members[followers[0]].r.isVoter(c.members["d"].self()))
+	is.True(!c.members["d"].r.isVoter(c.members["d"].self()))
+	lost := followers[1]
+	c.kill(lost)
+	c.replaceDisk(lost)
+	c.kill(leader)
+	c.isolated = map[string]bool{}
+	c.start(lost)
+	c.start(leader)
+	c.awaitLeader()
+	c.run(time.Second)
+	is.Equal(len(c.voters()), 4)
+	c.checkConverged()
+}
+
+// TestVoterVotesForCandidateThatItDoesNotKnow guards against a group without a leader. The change that makes the fourth
+// replica a voter does not reach one seed, the next entry reaches the fourth replica alone, and then the leader loses its
+// disk. Only the fourth replica has the newest log, and it needs the vote of the seed that does not know it.
+func TestVoterVotesForCandidateThatItDoesNotKnow(t *testing.T) {
+	is := is.New(t)
+	c, leader, followers := growToFour(t, func(c *cluster, leader string) []string { return append(otherNames(c, leader)[:1], "d") })
+	knows, knowsNot := followers[0], followers[1]
+	is.True(c.members[knows].r.isVoter(c.members["d"].self()))
+	is.True(!c.members[knowsNot].r.isVoter(c.members["d"].self()))
+	c.isolated[knows] = true
+	is.True(c.propose(leader))
+	c.run(testElection / 4)
+	is.True(c.members["d"].r.log.lastIndex() > c.members[knows].r.log.lastIndex())
+	c.kill(leader)
+	c.replaceDisk(leader)
+	c.isolated = map[string]bool{}
+	c.start(leader)
+	c.awaitLeader()
+	c.run(time.Second)
+	is.Equal(len(c.voters()), 4)
+	c.checkConverged()
+}
