outlier: requests under way do not lengthen an ejection

Callers saw sound servers out of use for up to 12 s after one silence of a second. Cause: each three further requests lost at an ejected server began its ejection anew, twice as long, also requests that had been sent before it: 12 streams under way at a server that falls silent sufficed for 12 s. Change: only the trial of an ejected server lengthens its ejection. The first one begins as early as before.

--- a/coordination/outlier/rate.go
+++ b/coordination/outlier/rate.go
@@ -62,6 +62,9 @@
 		return false
 	}
 	p.rate += poolWeight * (failureWeights[v] - p.rate)
+	if v != Answered && f.until != 0 && !f.inTrial {
+		return false // began before the ejection, which must not grow with the number of requests under way
+	}
 	f.count(failureWeights[v])
 	if v == Answered {
 		f.succeeded()
@@ -74,10 +77,9 @@
 	if !f.inTrial && !above && f.lost < lostToEject {
 		return false
 	}
-	ejected = f.until == 0 || f.inTrial
 	f.eject(now, MinGatewayEjection, maxGatewayEjection)
 	f.samples, f.rate, f.lost, f.unconfirmed = 0, 0, 0, 0
-	return ejected
+	return true
 }
 
 // Resumed takes back a request that was recorded as lost because its server was silent: the server goes on, so an
--- a/coordination/outlier/rate_test.go
+++ b/coordination/outlier/rate_test.go
@@ -83,3 +83,23 @@
 	}
 	is.Equal(s.State(now), InUse)
 }
+
+// recordAll records attempts at a server of the pool.
+func recordAll(p *PoolRate, s *FailureRate, now time.Duration, verdicts ...Verdict) {
+	for _, v := range verdicts {
+		p.Record(now, s, v, false)
+	}
+}
+
+// TestSilenceOfOneServerEjectsItOnce guards against ejections of many seconds for one short silence: the requests
+// that were under way at the server are all lost in it, and only the first ones may eject it.
+func TestSilenceOfOneServerEjectsItOnce(t *testing.T) {
+	for _, n := range []int{lostToEject, 2 * lostToEject, 12, 40} {
+		is := is.New(t)
+		var p PoolRate
+		var s FailureRate
+		recordAll(&p, &s, time.Second, slices.Repeat([]Verdict{Lost}, n)...)
+		is.Equal(s.State(time.Second+MinGatewayEjection-1), Ejected)
+		is.Equal(s.State(time.Second+MinGatewayEjection), Trial)
+	}
+}
