outlier: a server that goes on after a silence is as before it

Callers saw sound servers used too early or too late after a silence, and servers ejected that failed like all others. Cause: Resumed halved the next ejection once for each silent request, ended ejections for other failures as well and dropped what had counted for them, and took each silence out of the pool's rate as if nothing had been recorded since: after 50 silences and 100 other attempts a pool that fails at 0.35 stood at 0.00. Change: the record that an ejection was for is kept. Resumed ends the ejection if lost requests were part of it, gives the next one the duration that it would have had, and restores the rest of the record. The pool's rate gives back only what is left of the lost request in its average.

--- a/coordination/outlier/ejection.go
+++ b/coordination/outlier/ejection.go
@@ -51,3 +51,9 @@
 	e.until = now + e.nextDuration
 	e.nextDuration *= 2
 }
+
+// withdraw ends the ejection as if it had not begun. shortest is the duration of the first one.
+func (e *ejection) withdraw(shortest time.Duration) {
+	e.until, e.inTrial = 0, false
+	e.nextDuration = max(e.nextDuration/2, shortest)
+}
--- a/coordination/outlier/rate.go
+++ b/coordination/outlier/rate.go
@@ -2,7 +2,10 @@
 
 package outlier
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file defines FailureRate and PoolRate, the gateways' rule: the failure rate of a server compared
 // with that of its pool.
@@ -40,18 +43,28 @@
 )
 
 // PoolRate is the average weighted failure rate of all servers of one pool. The zero value has no failures.
-type PoolRate struct{ rate float64 }
+type PoolRate struct {
+	rate     float64
+	attempts uint64 // counted in the rate
+}
 
 // FailureRate is the state of one server. The zero value is a server in use.
 type FailureRate struct {
 	ejection
-	rate    float64 // average weighted failure rate, 0 to 1
-	samples int     // attempts since the last ejection
-	lost    int     // consecutive lost requests
+	record     // since the last ejection
+	ejectedFor record
+	lostAt     uint64 // value of PoolRate.attempts after the last lost attempt
 	// unconfirmed is the number of unconfirmed trials since the last ejection.
 	unconfirmed int
 }
 
+// record sums up attempts at a server.
+type record struct {
+	rate    float64 // average weighted failure rate, 0 to 1
+	samples int
+	lost    int // consecutive lost requests
+}
+
 // Record records the result of an attempt at a server of the pool and reports whether the server is ejected
 // because of it. trial is whether the attempt was the server's trial.
 func (p *PoolRate) Record(now time.Duration, f *FailureRate, v Verdict, trial bool) (ejected bool) {
@@ -61,33 +74,44 @@
 		}
 		return false
 	}
+	p.attempts++
 	p.rate += poolWeight * (failureWeights[v] - p.rate)
+	if v == Lost {
+		f.lostAt = p.attempts
+	}
 	if v != Answered && f.until != 0 && !f.inTrial {
 		return false // began before the ejection, which must not grow with the number of requests under way
 	}
-	f.count(failureWeights[v])
+	f.count(v)
 	if v == Answered {
 		f.succeeded()
 		return false
 	}
-	if v == Lost {
-		f.lost++
-	}
-	above := f.samples >= MinSamples && f.rate > p.rate+rateToEject
-	if !f.inTrial && !above && f.lost < lostToEject {
+	if !f.inTrial && !f.isOutlier(p.rate) {
 		return false
 	}
 	f.eject(now, MinGatewayEjection, maxGatewayEjection)
-	f.samples, f.rate, f.lost, f.unconfirmed = 0, 0, 0, 0
+	f.ejectedFor, f.record, f.unconfirmed = f.record, record{}, 0
 	return true
 }
 
-// Resumed takes back a request that was recorded as lost because its server was silent: the server goes on, so an
-// ejection ends and the next one is no longer for it.
+// Resumed takes back a request that was recorded as lost because its server was silent: the server goes on. An
+// ejection for lost requests ends, and what else it was for counts on.
 func (p *PoolRate) Resumed(f *FailureRate) {
-	p.rate = max((p.rate-poolWeight*failureWeights[Lost])/(1-poolWeight), 0)
-	f.uncount(failureWeights[Lost])
-	f.succeeded()
+	p.takeBack(f.lostAt)
+	if f.until != 0 && f.ejectedFor.lost > 0 {
+		f.withdraw(MinGatewayEjection)
+		f.record = f.ejectedFor
+	}
+	f.uncount(Lost)
+	f.lost = 0
+}
+
+// takeBack takes a lost attempt out of the average, as far as later ones have not displaced it. After many losses it
+// takes too little rather than too much: with too small a rate, servers that fail like all others would be ejected.
+func (p *PoolRate) takeBack(lostAt uint64) {
+	weight := poolWeight * math.Pow(1-poolWeight, float64(p.attempts-lostAt)-1)
+	p.rate = max(p.rate-weight*(failureWeights[Lost]-p.rate), 0)
 }
 
 // LostInARow returns the number of consecutive requests lost at the server since it last answered or was
@@ -111,18 +135,26 @@
 	f.nextDuration = max(f.nextDuration/2, MinGatewayEjection)
 }
 
-// uncount takes one attempt out of the average, unless an ejection has reset it meanwhile.
-func (f *FailureRate) uncount(weight float64) {
-	if f.samples == 0 {
-		return
+// isOutlier reports whether the record ejects a server of a pool with the given failure rate.
+func (r *record) isOutlier(poolRate float64) bool {
+	return r.lost >= lostToEject || r.samples >= MinSamples && r.rate > poolRate+rateToEject
+}
+
+// count adds an attempt: to the average over all of them at first, later over about serverSamples.
+func (r *record) count(v Verdict) {
+	r.samples++
+	r.rate += (failureWeights[v] - r.rate) / float64(min(r.samples, serverSamples))
+	if v == Lost {
+		r.lost++
 	}
-	n := float64(min(f.samples, serverSamples))
-	f.samples--
-	f.rate = max(f.rate*n-weight, 0) / max(n-1, 1)
 }
 
-// count updates the average, over all attempts at first and later over about serverSamples of them.
-func (f *FailureRate) count(weight float64) {
-	f.samples++
-	f.rate += (weight - f.rate) / float64(min(f.samples, serverSamples))
+// uncount takes an attempt out of the record, unless that has been reset meanwhile.
+func (r *record) uncount(v Verdict) {
+	if r.samples == 0 {
+		return
+	}
+	n := float64(min(r.samples, serverSamples))
+	r.rate = max(r.rate*n-failureWeights[v], 0) / max(n-1, 1)
+	r.samples--
 }
--- a/coordination/outlier/rate_test.go
+++ b/coordination/outlier/rate_test.go
@@ -3,6 +3,8 @@
 package outlier
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -103,3 +105,125 @@
 		is.Equal(s.State(time.Second+MinGatewayEjection), Trial)
 	}
 }
+
+// ejectedAndTried ejects a server, sends it trials that are lost, and one that is answered.
+func ejectedAndTried(p *PoolRate, s *FailureRate, lostTrials int) (now time.Duration) {
+	now = time.Second
+	recordAll(p, s, now, Lost, Lost, Lost)
+	for range lostTrials {
+		now = s.until
+		s.Sent(now)
+		p.Record(now, s, Lost, true)
+	}
+	now = s.until
+	s.Sent(now)
+	p.Record(now, s, Answered, true)
+	return now
+}
+
+// TestResumedServerIsAsBefore guards against a sound server that stays out of use after a silence, or that is ejected
+// for longer the next time. Another server with the same history but without the silence shows what must be.
+func TestResumedServerIsAsBefore(t *testing.T) {
+	for lostTrials := range 5 {
+		for _, silences := range []int{1, 2, lostToEject, 5, 12, 40} {
+			t.Run(fmt.Sprintf("%d lost trials, %d silences", lostTrials, silences), func(t *testing.T) {
+				is := is.New(t)
+				var p, samePool PoolRate
+				var s, same FailureRate
+				ejectedAndTried(&samePool, &same, lostTrials)
+				now := ejectedAndTried(&p, &s, lostTrials)
+				recordAll(&p, &s, now, slices.Repeat([]Verdict{Lost}, silences)...)
+				is.Equal(s.State(now) == Ejected, silences >= lostToEject)
+				for range silences {
+					p.Resumed(&s)
+					is.Equal(s.State(now), InUse)
+				}
+				is.True(math.Abs(p.rate-samePool.rate) < 0.001)
+				recordAll(&p, &s, now, Lost, Lost, Lost)
+				recordAll(&samePool, &same, now, Lost, Lost, Lost)
+				is.Equal(s.until, same.until)
+			})
+		}
+	}
+}
+
+// TestSilentTrialOfResumedServer guards against a server that stays out of use, or is ejected for longer, because it
+// was silent during its trial and then went on.
+func TestSilentTrialOfResumedServer(t *testing.T) {
+	is := is.New(t)
+	var p PoolRate
+	var s FailureRate
+	now := time.Second
+	recordAll(&p, &s, now, Lost, Lost, Lost)
+	now += MinGatewayEjection
+	is.True(s.Sent(now))
+	is.True(p.Record(now, &s, Lost, true))
+	is.Equal(s.State(now+MinGatewayEjection), Ejected)
+	p.Resumed(&s)
+	is.Equal(s.State(now), InUse)
+	recordAll(&p, &s, now, Lost, Lost, Lost)
+	is.Equal(s.State(now+2*MinGatewayEjection), Trial)
+}
+
+// TestResumedServerStaysEjectedForOtherReasons guards against a faulty server that is used because one of its answers
+// goes on after a silence.
+func TestResumedServerStaysEjectedForOtherReasons(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		verdicts []Verdict
+		after    State
+	}{
+		{"silences alone", []Verdict{Lost, Lost, Lost}, InUse},
+		{"too few faulty answers without the silence", []Verdict{Lost, Faulty, Faulty, Faulty}, InUse},
+		{"faulty answers", []Verdict{Faulty, Faulty, Faulty, Faulty, Lost}, Ejected},
+		{"answered since", []Verdict{Lost, Answered, Faulty, Faulty, Faulty, Faulty}, Ejected},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var p PoolRate
+			var s FailureRate
+			recordAll(&p, &s, time.Second, tt.verdicts...)
+			is.Equal(s.State(time.Second), Ejected)
+			p.Resumed(&s)
+			is.Equal(s.State(time.Second), tt.after)
+		})
+	}
+}
+
+// TestEvidenceOutlastsResumption guards against a faulty server that starts with a clean record because the silence
+// that completed its ejection is over.
+func TestEvidenceOutlastsResumption(t *testing.T) {
+	is := is.New(t)
+	var p PoolRate
+	var s FailureRate
+	recordAll(&p, &s, time.Second, Faulty, Faulty, Faulty, Lost)
+	is.Equal(s.State(time.Second), Ejected)
+	p.Resumed(&s)
+	is.Equal(s.State(time.Second), InUse)
+	is.True(p.Record(time.Second, &s, Faulty, false))
+}
+
+// TestPoolRateAfterSilence guards against a pool whose failure rate seems small after a silence of many servers, so
+// that servers which fail like all others are ejected.
+func TestPoolRateAfterSilence(t *testing.T) {
+	for _, attempts := range []int{0, 10, 100, 500} { // between the silence and its end
+		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
+			var p PoolRate
+			var others FailureRate
+			failing := slices.Repeat([]Verdict{Faulty, Answered}, 200)
+			recordAll(&p, &others, time.Second, failing...)
+			silent := make([]FailureRate, 50)
+			for i := range silent {
+				p.Record(time.Second, &silent[i], Lost, false)
+			}
+			recordAll(&p, &others, time.Second, failing[:min(attempts, len(failing))]...)
+			before := p.rate
+			for i := range silent {
+				p.Resumed(&silent[i])
+			}
+			if p.rate < 0.3 || p.rate > before {
+				t.Errorf("the rate is %.2f, and was %.2f", p.rate, before)
+			}
+		})
+	}
+}
