gateway: a silence of one target server does not roll a version back

Callers saw nothing of it, operators did: a good version was rolled back because one of its servers was silent for 1.4 s. Cause: all requests under way at the silent server end badly or begin late at once, and three failures or five slow answers in a row are proof for the leader's test. Change: a gateway leaves out the outcomes at a server of the target that has sent nothing since the requests came, if several waited there in vain, for at most 2 s once in 12 s. They count after all once another server of the target is silent too, or the silence goes on. Meanwhile the trial goes to another server, as with one that cannot be reached. A single request that waited alone counts when the server goes on, or after 2 s. Limit: where many gateways have a single request each at the silent server, the version is rolled back as before; the leader would have to know the outcomes by server.

--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -82,6 +82,7 @@
 		if r := p.rollout; r == nil || (!r.underWay() && !r.barredLocally) { // a barred target is reported, to show the next leader the reason
 			continue
 		}
+		p.rollout.silences.countOverdue(now)
 		for key, c := range p.rollout.outcomes.tallies {
 			if c.changed {
 				c.changed = false
@@ -141,12 +142,32 @@
 // Answers of cold servers are not counted, because they are slow whatever their version. The caller
 // holds mu.
 func (a *assignment) countLatencyRatio(now time.Duration, ratio float64) {
-	if c := a.versionAttempt.tally; c != nil && !a.entry.cold.Cold(now) {
-		c.latencyRatioCounts[rollout.PaceBucket(ratio)]++
-		c.changed = true
+	v := &a.versionAttempt
+	if v.tally == nil {
+		return
+	}
+	if o := (versionOutcome{tally: v.tally, paceBucket: rollout.PaceBucket(ratio)}); !a.entry.cold.Cold(now) && !a.withholds(now, o) {
+		o.count()
+	}
+	if a.answering && v.isTarget {
+		v.silences.recordSent(now, a.serverID)
 	}
 }
 
+// withholds reports whether an outcome at the target is not to be counted, because the server is or was silent. The
+// caller holds mu.
+func (a *assignment) withholds(now time.Duration, o versionOutcome) bool {
+	v := &a.versionAttempt
+	if !v.isTarget || !v.severalServers {
+		return false
+	}
+	others := a.entry.ownLoad.Requests
+	if !a.ended {
+		others--
+	}
+	return v.silences.withhold(now, waitingAttempt{server: a.serverID, startedAt: a.startedAt, expectedFirst: v.expectedFirst, others: others}, o)
+}
+
 // countOutcome counts how an attempt ended. An attempt that timed out before its first part counts
 // with the latency ratio that the elapsed time gives. The caller holds mu.
 func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) {
@@ -154,15 +175,24 @@
 	if c == nil || g.recordUnreached(p, a, v) {
 		return
 	}
+	now := g.now()
+	if a.versionAttempt.isTarget && (v == outlier.Answered || v == outlier.Faulty || v == outlier.Refused) {
+		a.versionAttempt.silences.recordSent(now, a.serverID)
+	}
 	switch v {
 	case outlier.Answered:
 		c.answered++
-	case outlier.Faulty, outlier.Lost:
+	case outlier.Lost:
+		if o := (versionOutcome{tally: c, failed: true}); a.silenceCounted && a.withholds(now, o) {
+			return
+		}
+		c.failed++
+	case outlier.Faulty:
 		c.failed++
 	case outlier.NoVerdict:
-		took := g.now() - a.startedAt
-		if !a.answering && took > a.versionAttempt.expectedFirst && !g.overload.Load().Late(g.now()) {
-			a.countLatencyRatio(g.now(), float64(took)/float64(a.versionAttempt.expectedFirst))
+		took := now - a.startedAt
+		if !a.answering && took > a.versionAttempt.expectedFirst && !g.overload.Load().Late(now) {
+			a.countLatencyRatio(now, float64(took)/float64(a.versionAttempt.expectedFirst))
 		}
 		return
 	default:
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -61,6 +61,8 @@
 	outcomes      outcomes
 	breaker       breaker
 	unreached     unreached
+	silences      targetSilences
+	silentTargets int // servers of the target that were silent when the trial's servers were chosen
 }
 
 // underWay reports whether there is a target and it is not barred.
@@ -99,7 +101,7 @@
 func (p *pool) applyRollout(now time.Duration, next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{unreached: unreached{}}
+		r = &poolRollout{unreached: unreached{}, silences: targetSilences{}}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -114,7 +116,7 @@
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.breaker, r.unreached = outcomes{}, breaker{}, unreached{}
+		r.outcomes, r.breaker, r.unreached, r.silences = outcomes{}, breaker{}, unreached{}, targetSilences{}
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share && next.Final == r.Final &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
@@ -164,7 +166,8 @@
 			r.oldListed = r.oldListed || t.inService(k) && !k.unlisted
 		}
 	}
-	for _, group := range t.trialGroups(r.unreached.reachable(target)) {
+	r.silentTargets = r.silences.countOpen()
+	for _, group := range t.trialGroups(r.silences.speaking(r.unreached.reachable(target))) {
 		for _, k := range trialServers(group, r.Share) {
 			k.versionSet |= trialVersion
 		}
@@ -229,6 +232,9 @@
 	r := p.rollout
 	if r != nil {
 		r.isEngine = req.pool.Engine
+		if r.silences.countOpen() != r.silentTargets {
+			t.classifyPoolVersions(p)
+		}
 	}
 	switch {
 	case r == nil || !r.underWay():
@@ -363,6 +369,8 @@
 	isTarget       bool
 	reason         string        // why the request went to this version, for the log
 	expectedFirst  time.Duration // expected time to the first part of the answer
+	severalServers bool          // the target has more than one server
+	silences       targetSilences
 }
 
 // beginAttempt counts the start of an attempt at a server.
@@ -376,6 +384,7 @@
 		t.tally = r.outcomes.tallyFor(k.Version, req.route.Name)
 		t.tally.sent++
 		t.tally.changed = true
+		t.silences, t.severalServers = r.silences, t.isTarget && p.targetCount() > 1
 		t.expectedFirst = p.placer.ExpectedTimeToFirst(req.pool.Engine, choice.Read+choice.Before.Tokens)
 	}
 	return t
