place: late answers of one silence count once

Callers saw that a sound server got 7 of the 46 requests that were its part in the 14 s that began 10 s after a silence of 1.4 s (six servers, 20 requests a second), at gateways with fewer requests for longer: the average does not age, and a server that looks 16 times slower hardly gets the answers that would correct it. Cause: each answer that waits for the end of a silence counts in full, 28 times late. Change: LatencyRatio.ObserveAnswer counts only the first of several late answers that were waited for at the same time, and that one up to four times the present ratio.

--- a/coordination/place/capacity.go
+++ b/coordination/place/capacity.go
@@ -190,6 +190,7 @@
 	minLatencySamples  = 4   // answers before a ratio is reliable
 	slowThreshold      = 1.6 // multiple of the typical ratio; smaller differences are ignored
 	maxSlowness        = 16  // upper bound of the slowness
+	maxLateness        = 4   // multiple of the present ratio up to which a late answer counts
 )
 
 // LatencyRatio is the moving average of the time until a server's answers begin, relative to the expected
@@ -197,6 +198,20 @@
 type LatencyRatio struct {
 	ratio   float64
 	answers int
+	lateAt  time.Duration // when the last late answer that counted began to arrive; zero if none did
+}
+
+// ObserveAnswer records the ratio of an answer that begins now, to a request that was sent at sentAt. Of several late
+// answers that were waited for at the same time only the first one counts, and not fully: a sound server may send
+// nothing for a while, and one that is slow goes on to be late.
+func (l *LatencyRatio) ObserveAnswer(now, sentAt time.Duration, ratio float64) {
+	if l.answers > 0 && ratio > slowThreshold*l.ratio {
+		if l.lateAt > 0 && sentAt < l.lateAt {
+			return
+		}
+		l.lateAt, ratio = now, min(ratio, maxLateness*l.ratio)
+	}
+	l.Observe(ratio)
 }
 
 // Observe records the ratio of one answer.
