outlier: a trial that no repeatable request makes is made by another one

Callers saw that a sound server which could not be reached for 1.4 s got no requests for as long as the test ran, 0 of the last 250 of 500, where its part was 83: in a pool all of whose requests must not be repeated. Cause: only a request that may be repeated is made the trial that ends an ejection. Change: a trial that has been due for 3 s may be made by any request. An ejected server that hangs thus costs such a pool one request in 4.5 s to 15 s at each gateway; one that cannot be reached costs none, since the request goes elsewhere.

--- a/coordination/outlier/ejection.go
+++ b/coordination/outlier/ejection.go
@@ -12,11 +12,15 @@
 
 // States of a server.
 const (
-	InUse   State = iota // requests may be sent
-	Ejected              // no requests may be sent, or a trial is under way
-	Trial                // the ejection has ended and one request may try the server
+	InUse        State = iota // requests may be sent
+	Ejected                   // no requests may be sent, or a trial is under way
+	Trial                     // the ejection has ended and one request may try the server
+	OverdueTrial              // the same for trialPatience: even a request that must not be repeated may try it
 )
 
+// trialPatience is how long a trial waits for a request that may be repeated. A pool may get no such requests.
+const trialPatience = 3 * time.Second
+
 // ejection is the ejection state of one server. The zero value is a server in use.
 type ejection struct {
 	until        time.Duration // zero if not ejected
@@ -31,13 +35,15 @@
 		return InUse
 	case now < e.until || e.inTrial:
 		return Ejected
+	case now < e.until+trialPatience:
+		return Trial
 	}
-	return Trial
+	return OverdueTrial
 }
 
 // Sent records a request sent to the server and reports whether it is the trial.
 func (e *ejection) Sent(now time.Duration) (trial bool) {
-	if e.State(now) != Trial {
+	if s := e.State(now); s != Trial && s != OverdueTrial {
 		return false
 	}
 	e.inTrial = true
--- a/coordination/outlier/rate_test.go
+++ b/coordination/outlier/rate_test.go
@@ -227,3 +227,19 @@
 		})
 	}
 }
+
+// TestOverdueTrial guards against a server that stays out of use for good because only requests that must not be
+// repeated come, none of which is made its trial.
+func TestOverdueTrial(t *testing.T) {
+	is := is.New(t)
+	var p PoolRate
+	var s FailureRate
+	recordAll(&p, &s, time.Second, Lost, Lost, Lost)
+	due := time.Second + MinGatewayEjection
+	is.Equal(s.State(due+trialPatience-1), Trial)
+	is.Equal(s.State(due+trialPatience), OverdueTrial)
+	is.True(s.Sent(due + trialPatience))
+	is.Equal(s.State(due+trialPatience), Ejected) // one trial at a time
+	is.True(p.Record(due+trialPatience, &s, Lost, true))
+	is.Equal(s.State(due+trialPatience+2*MinGatewayEjection-1), Ejected)
+}
--- a/coordination/place/capacity_test.go
+++ b/coordination/place/capacity_test.go
@@ -60,7 +60,7 @@
 }
 
 func TestCandidates(t *testing.T) {
-	inUse, ejected, trial := Server{}, Server{Health: outlier.Ejected}, Server{Health: outlier.Trial}
+	inUse, ejected, trial, overdue := Server{}, Server{Health: outlier.Ejected}, Server{Health: outlier.Trial}, Server{Health: outlier.OverdueTrial}
 	avoided := Server{Avoid: true}
 	for _, tt := range []struct {
 		name       string
@@ -70,6 +70,7 @@
 	}{
 		{"in use", false, []Server{inUse, ejected, avoided, trial}, []int{0}},
 		{"a trial, for a repeatable request", true, []Server{inUse, ejected, avoided, trial}, []int{0, 3}},
+		{"an overdue trial, for any request", false, []Server{inUse, ejected, overdue, trial}, []int{0, 2}},
 		{"ejected ones if no others are left", false, []Server{ejected, avoided, trial}, []int{0, 2}},
 		{"none if the request failed on all", true, []Server{avoided, avoided}, nil},
 		{"the only server, although the request failed there", true, []Server{avoided}, []int{0}},
--- a/coordination/place/capacityplacer.go
+++ b/coordination/place/capacityplacer.go
@@ -147,7 +147,7 @@
 }
 
 // candidates returns the servers that the request may be sent to: those in use and, if the request
-// may run more than once, those due for a trial. If there are none, it falls back to ejected servers,
+// may run more than once, those due for a trial, or else those whose trial is overdue. If there are none, it falls back to ejected servers,
 // and healthy is false; only then may the sole server of a pool get the same request again.
 func candidates(r Request, servers []Server) (cands []candidate, healthy bool) {
 	cands = make([]candidate, 0, len(servers))
@@ -169,5 +169,5 @@
 
 // usableFor reports whether a server is in use, or due for a trial that the request may serve as.
 func usableFor(r Request, s *Server) bool {
-	return s.Health == outlier.InUse || (s.Health == outlier.Trial && r.Repeatable)
+	return s.Health == outlier.InUse || s.Health == outlier.OverdueTrial || (s.Health == outlier.Trial && r.Repeatable)
 }
--- a/gateway/silencecost_test.go
+++ b/gateway/silencecost_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
+	"github.com/badgerspoke/badgerspoke/internal/sleep"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 )
 
@@ -162,3 +163,44 @@
 		})
 	}
 }
+
+// TestServerReturnsWithoutRepeatableRequests guards against a sound server that gets no requests any more after it could
+// not be reached for a while, because no request of its pool may be repeated.
+func TestServerReturnsWithoutRepeatableRequests(t *testing.T) {
+	const from = 2 * time.Second
+	var began time.Time
+	unreachable := func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+		if now := time.Since(began); now >= from && now < from+silence {
+			sleep.For(ctx, 350*time.Millisecond) // the time limit of a connection attempt
+			return nil, forward.NotRun{Err: errReset}
+		}
+		return answers(200, "new", 10*time.Millisecond)(ctx, call)
+	}
+	fine := answers(200, "fine", 10*time.Millisecond)
+	withGateway(t, func(x *fixture) {
+		var mu sync.Mutex
+		rng := rand.New(rand.NewPCG(1, 2))
+		x.g.cfg.Random = func() uint64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return rng.Uint64()
+		}
+		began = time.Now()
+		var requests sync.WaitGroup
+		got := 0
+		for range 20 * 25 {
+			requests.Go(func() {
+				last := time.Since(began) > 10*time.Second
+				if x.request("/once/x").body == "new" && last {
+					mu.Lock()
+					defer mu.Unlock()
+					got++
+				}
+			})
+			time.Sleep(40 * time.Millisecond)
+		}
+		requests.Wait()
+		x.t.Logf("%d requests of the last 250", got)
+		is.New(x.t).True(got > 40) // its part is 83
+	}, unreachable, fine, fine)
+}
