--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -22,11 +22,13 @@
 // DialTimeout bounds the opening of a connection.
 const DialTimeout = time.Second
 
-// Keep-alive probes of an idle connection. They detect an unresponsive peer after five seconds.
+// Keep-alive probes of an idle connection. They detect an unresponsive peer after three seconds: Linux ends a connection
+// that has a user timeout once that has passed and one probe is unanswered, whatever maxFailedProbes is. A single lost probe
+// ends the connection as well.
 const (
 	probeIdleTime   = 2 * time.Second // idle time before the first probe
 	probeInterval   = time.Second     // interval between probes
-	maxFailedProbes = 3               // unanswered probes after which the connection fails
+	maxFailedProbes = 3               // unanswered probes after which the connection fails, without a user timeout
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT from linux/tcp.h, which package syscall does not define.
