gateway: what a silence has counted is taken back once the server sends, everywhere

Callers saw sound servers out of use after a silence: a server ejected for it stayed ejected although it went on with a stream that nothing else could continue; one that had been silent for 1.4 s got 7 of the 46 requests that were its part, 10 s later; connections that time out counted as crashes under the request, so that one crash made it undecided; and a version whose answers hang after the switch was completed, since silent attempts counted only at their end. Change: any part of an answer ends an ejection for silence; the latency ratio counts the late answers of one silence once; a connection that timed out is no crash; a silence counts for the rollout when it is too long, and is taken back with it.

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -39,6 +39,7 @@
 	// Guarded by table.mu.
 	ended          bool
 	streaming      bool            // it has begun a stream
+	silenceTallied bool            // it counts as a failure of the server's version
 	silenceCounted bool            // a silence of the server counts against it
 	silentVerdict  outlier.Verdict // of the last silence that counted
 
@@ -74,7 +75,7 @@
 	// With a high scheduling delay, the gateway would attribute its own delay to the servers.
 	if !g.overload.Load().Late(g.now()) {
 		ratio := p.placer.ObserveTimeToFirst(engine, a.tokensToRead+a.tokensAhead, max(a.timeToFirst-a.roundTrip, 0))
-		a.entry.latencyRatio.Observe(ratio)
+		a.entry.latencyRatio.ObserveAnswer(g.now(), a.startedAt, ratio)
 		p.markReliableRatio(a.entry)
 		a.countLatencyRatio(g.now(), ratio)
 	}
@@ -108,7 +109,12 @@
 	defer g.table.mu.Unlock()
 	e := g.observeSilence(a)
 	a.silenceCounted, a.silentVerdict = true, e.verdict
-	e.ejected = g.table.pool(a.entry.Pool).failures.Record(g.now(), &a.entry.health, e.verdict, a.trial)
+	p := g.table.pool(a.entry.Pool)
+	a.silenceTallied = g.countOutcome(p, a, e.verdict)
+	e.ejected = p.failures.Record(g.now(), &a.entry.health, e.verdict, a.trial)
+	if e.ejected {
+		a.entry.ejectedSilent.Store(true)
+	}
 	a.trial = false // the next one may begin before this attempt ends
 	return e
 }
@@ -159,6 +165,29 @@
 		g.table.pool(a.entry.Pool).failures.Resumed(&a.entry.health)
 	}
 	a.silenceCounted = false
+	a.withdrawTally()
+}
+
+// withdrawTally takes back that a silence counts as a failure of the server's version. The caller holds table.mu.
+func (a *assignment) withdrawTally() {
+	if a.silenceTallied {
+		a.silenceTallied = false
+		a.versionAttempt.tally.failed--
+		a.versionAttempt.tally.changed = true
+	}
+}
+
+// recordSent ends the ejection of a server that was silent, because it sends something to an attempt.
+func (g *Gateway) recordSent(a *assignment) {
+	k := a.entry
+	if !k.ejectedSilent.Load() || !k.ejectedSilent.Swap(false) {
+		return
+	}
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	if k.health.State(g.now()) != outlier.InUse {
+		g.table.pool(k.Pool).failures.Resumed(&k.health)
+	}
 }
 
 // recordVerdict records the verdict on a backend server at the end of an attempt and reports whether that ejects it. A
@@ -208,8 +237,12 @@
 	if a.streaming {
 		k.streams--
 	}
-	if !a.notNeeded {
-		g.countOutcome(p, a, a.verdictOnVersion(v))
+	switch version := a.verdictOnVersion(v); {
+	case a.notNeeded:
+		a.withdrawTally()
+	case !a.silenceCounted || version != a.silentVerdict:
+		a.withdrawTally()
+		g.countOutcome(p, a, version)
 	}
 	if v == outlier.Refused || v == outlier.Answered || v == outlier.Unconfirmed {
 		p.placer.ObserveAnswer(v == outlier.Refused)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,7 +84,7 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost:
+	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost && out.cause != "silent":
 		c.recordLoss(a)
 		out.connectionBroke = true
 	case out.verdict == outlier.Unconfirmed:
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -169,11 +169,11 @@
 }
 
 // countOutcome counts how an attempt ended. An attempt that timed out before its first part counts
-// with the latency ratio that the elapsed time gives. The caller holds mu.
-func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) {
+// with the latency ratio that the elapsed time gives. It reports whether the attempt counts as failed. The caller holds mu.
+func (g *Gateway) countOutcome(p *pool, a *assignment, v outlier.Verdict) (failed bool) {
 	c := a.versionAttempt.tally
 	if c == nil || g.recordUnreached(p, a, v) {
-		return
+		return false
 	}
 	now := g.now()
 	if a.versionAttempt.isTarget && (v == outlier.Answered || v == outlier.Faulty || v == outlier.Refused) {
@@ -184,7 +184,7 @@
 		c.answered++
 	case outlier.Lost:
 		if o := (versionOutcome{tally: c, failed: true}); a.silenceCounted && a.withholds(now, o) {
-			return
+			return false
 		}
 		c.failed++
 	case outlier.Faulty:
@@ -194,14 +194,15 @@
 		if !a.answering && took > a.versionAttempt.expectedFirst && !g.overload.Load().Late(now) {
 			a.countLatencyRatio(now, float64(took)/float64(a.versionAttempt.expectedFirst))
 		}
-		return
+		return false
 	default:
-		return
+		return false
 	}
 	c.changed = true
 	if r := p.rollout; r.Attempt == a.versionAttempt.rolloutAttempt {
 		r.breaker = r.breaker.withAnswer(g.now(), a.versionAttempt.isTarget, v != outlier.Answered)
 	}
+	return v != outlier.Answered
 }
 
 // recordUnreached records an attempt at an unreachable server if the target has several servers. It
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -96,6 +96,7 @@
 // received ends the wait because a part of the answer has arrived, and the hedges with it. The error is errReplaced
 // if a hedge was first: nothing of this attempt may then be passed on.
 func (w *silenceWatch) received() error {
+	w.c.g.recordSent(w.primary)
 	if !w.watched {
 		return nil
 	}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -23,23 +23,24 @@
 // knownServer is the table's entry for one backend server.
 type knownServer struct {
 	protocol.Server
-	health       outlier.FailureRate
-	silence      outlier.ServerSilence
-	latencyRatio place.LatencyRatio
-	ownLoad      place.Work   // from this gateway; prompts count until their first event
-	streams      int          // begun streams of this gateway
-	heardAt      atomic.Int64 // when a part of an answer last came, on the gateway's clock in ns
-	totalLoad    place.Work   // from all gateways, as last sent by the leader
-	othersLoad   place.Work   // from all other gateways, as of table.othersUpdatedAt
-	peakLoad     place.Peak   // recent peak of totalLoad
-	cold         coldstart.Allowance
-	notice       backpressure.Notice // last notice of backoff or leaving
-	region       string              // region of its hall; empty if no setting assigns one
-	versionSet   versionSet          // kinds of its version in the pool's rollout
-	lastList     uint64              // number (table.listCount) of the last whole list that named it, itself or by a later change
-	unlisted     bool                // not announcing itself to the leader, see [table.markUnlisted]
-	removed      bool                // no longer in the pool
-	begun        []begunStream       // streams that began here recently, see restarts.go
+	health        outlier.FailureRate
+	silence       outlier.ServerSilence
+	ejectedSilent atomic.Bool // ejected while an attempt was silent, and has sent nothing since
+	latencyRatio  place.LatencyRatio
+	ownLoad       place.Work   // from this gateway; prompts count until their first event
+	streams       int          // begun streams of this gateway
+	heardAt       atomic.Int64 // when a part of an answer last came, on the gateway's clock in ns
+	totalLoad     place.Work   // from all gateways, as last sent by the leader
+	othersLoad    place.Work   // from all other gateways, as of table.othersUpdatedAt
+	peakLoad      place.Peak   // recent peak of totalLoad
+	cold          coldstart.Allowance
+	notice        backpressure.Notice // last notice of backoff or leaving
+	region        string              // region of its hall; empty if no setting assigns one
+	versionSet    versionSet          // kinds of its version in the pool's rollout
+	lastList      uint64              // number (table.listCount) of the last whole list that named it, itself or by a later change
+	unlisted      bool                // not announcing itself to the leader, see [table.markUnlisted]
+	removed       bool                // no longer in the pool
+	begun         []begunStream       // streams that began here recently, see restarts.go
 }
 
 // quietFor returns how long nothing has come from a server that streams to this gateway, and zero from another one. The
