place: a first answer that waited for a silence does not make a server slow

The average is mostly that answer until it is reliable; ObserveAnswer takes the smallest of the first four instead, which for a slow server is late as well. TestFirstAnswerAfterSilence failed before (16 times slow after 3 more answers) and passes; go test ./coordination/place passes.

--- a/coordination/place/capacity.go
+++ b/coordination/place/capacity.go
@@ -212,6 +212,9 @@
 		l.lateAt, ratio = now, min(ratio, maxLateness*l.ratio)
 	}
 	l.Observe(ratio)
+	if l.answers <= minLatencySamples {
+		l.ratio = min(l.ratio, ratio) // until it is reliable, the average is mostly the first answer
+	}
 }
 
 // Observe records the ratio of one answer.
--- a/coordination/place/latencyratio_test.go
+++ b/coordination/place/latencyratio_test.go
@@ -65,3 +65,17 @@
 		})
 	}
 }
+
+// TestFirstAnswerAfterSilence guards against a new server that looks slow for dozens of answers because its first one waited
+// for the end of a silence.
+func TestFirstAnswerAfterSilence(t *testing.T) {
+	is := is.New(t)
+	var l LatencyRatio
+	answersOf(&l, 0, time.Second, time.Second, takes(1400*time.Millisecond))
+	answersOf(&l, 2*time.Second, 5*time.Second, time.Second, takes(20*time.Millisecond))
+	is.True(l.Reliable())
+	is.Equal(l.slowness(1), 1.0)
+	var slow LatencyRatio
+	answersOf(&slow, 0, 4*time.Second, time.Second, takes(100*time.Millisecond))
+	is.True(slow.slowness(1) > 1)
+}
