gateway: silent target servers are found without a pass over all

Choosing a server counted the silent ones of a rollout's target among all of its servers, under the table's lock, for each request. They are kept apart, and a change is noted. Tests unchanged but for the constructor.

--- a/gateway/targetsilence.go
+++ b/gateway/targetsilence.go
@@ -21,7 +21,15 @@
 )
 
 // targetSilences holds the silences of the servers of a rollout's target, by identifier. It is guarded by table.mu.
-type targetSilences map[string]*targetSilence
+type targetSilences struct {
+	servers map[string]*targetSilence
+	silent  map[string]*targetSilence // those that are silent, or have an outcome while no other request waited
+	changed bool                      // servers have become silent or gone on since the trial's servers were chosen
+}
+
+func newTargetSilences() *targetSilences {
+	return &targetSilences{servers: map[string]*targetSilence{}, silent: map[string]*targetSilence{}}
+}
 
 // targetSilence is the last silence of a server that may be left out.
 type targetSilence struct {
@@ -54,20 +62,20 @@
 }
 
 // of returns the state of a server.
-func (s targetSilences) of(server string) *targetSilence {
-	t := s[server]
+func (s *targetSilences) of(server string) *targetSilence {
+	t := s.servers[server]
 	if t == nil {
 		t = &targetSilence{}
-		s[server] = t
+		s.servers[server] = t
 	}
 	return t
 }
 
 // speaking returns the servers that are not silent, or all if there are none: a trial goes on with other servers.
-func (s targetSilences) speaking(servers []*knownServer) []*knownServer {
+func (s *targetSilences) speaking(servers []*knownServer) []*knownServer {
 	var speaking []*knownServer
 	for _, k := range servers {
-		if t := s[k.ID]; t == nil || !t.isOpen() {
+		if t := s.silent[k.ID]; t == nil || !t.isOpen() {
 			speaking = append(speaking, k)
 		}
 	}
@@ -77,24 +85,15 @@
 	return speaking
 }
 
-// countOpen returns the number of servers that are silent.
-func (s targetSilences) countOpen() (n int) {
-	for _, t := range s {
-		if t.isOpen() {
-			n++
-		}
-	}
-	return n
-}
-
 // recordSent records that a server has sent something. What was withheld is left out.
-func (s targetSilences) recordSent(now time.Duration, server string) {
+func (s *targetSilences) recordSent(now time.Duration, server string) {
 	t := s.of(server)
 	t.lastSent = now
 	t.countAlone()
 	if t.isOpen() {
-		t.ended, t.withheld = now, nil
+		t.ended, t.withheld, s.changed = now, nil, true
 	}
+	delete(s.silent, server)
 }
 
 // waitingAttempt is an attempt that ends, or whose answer begins.
@@ -106,7 +105,7 @@
 }
 
 // withhold reports whether the outcome of an attempt is not to be counted, because the server is or was silent.
-func (s targetSilences) withhold(now time.Duration, a waitingAttempt, o versionOutcome) bool {
+func (s *targetSilences) withhold(now time.Duration, a waitingAttempt, o versionOutcome) bool {
 	t := s.of(a.server)
 	quietSince := max(a.startedAt, t.lastSent)
 	if now-quietSince > maxTargetSilence {
@@ -123,9 +122,11 @@
 				return false
 			}
 			t.alone, t.aloneAt = &o, now
+			s.silent[a.server] = t
 			return true
 		}
 		t.begin(quietSince)
+		s.silent[a.server], s.changed = t, true
 	}
 	if s.countIfShared(now, a.server) || t.isOpen() && now-t.began > maxTargetSilence {
 		t.countWithheld()
@@ -150,8 +151,8 @@
 
 // countOverdue counts the outcomes after which neither the server has sent anything nor another request has waited there
 // in vain. A silence may seem long because the server gets no requests.
-func (s targetSilences) countOverdue(now time.Duration) {
-	for _, t := range s {
+func (s *targetSilences) countOverdue(now time.Duration) {
+	for _, t := range s.silent {
 		if now-t.aloneAt > maxTargetSilence {
 			t.countAlone()
 		}
@@ -159,8 +160,8 @@
 }
 
 // countIfShared counts the outcomes of all servers that are silent if there is another one than the given.
-func (s targetSilences) countIfShared(now time.Duration, server string) (shared bool) {
-	for id, t := range s {
+func (s *targetSilences) countIfShared(now time.Duration, server string) (shared bool) {
+	for id, t := range s.silent {
 		if id != server && (t.alone != nil || t.isOpen() && now-t.began <= targetSilencePeriod) {
 			t.countAlone()
 			t.countWithheld()
--- a/gateway/targetsilence_test.go
+++ b/gateway/targetsilence_test.go
@@ -132,7 +132,7 @@
 		{"again later", []event{bad(1000, "a", 1), sent(1500, "a"), bad(16000, "a", 1)}, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			s, c := targetSilences{}, &tally{}
+			s, c := newTargetSilences(), &tally{}
 			for _, e := range tt.events {
 				at := e.at * time.Millisecond
 				if e.sent {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -61,8 +61,7 @@
 	outcomes      outcomes
 	breaker       breaker
 	unreached     unreached
-	silences      targetSilences
-	silentTargets int // servers of the target that were silent when the trial's servers were chosen
+	silences      *targetSilences
 }
 
 // underWay reports whether there is a target and it is not barred.
@@ -101,7 +100,7 @@
 func (p *pool) applyRollout(now time.Duration, next protocol.Rollout) bool {
 	r := p.rollout
 	if r == nil {
-		r = &poolRollout{unreached: unreached{}, silences: targetSilences{}}
+		r = &poolRollout{unreached: unreached{}, silences: newTargetSilences()}
 		p.rollout = r
 	}
 	if next.Attempt < r.Attempt {
@@ -116,7 +115,7 @@
 		next.Barred = append(slices.Clone(next.Barred), next.Target)
 	}
 	if next.Attempt != r.Attempt {
-		r.outcomes, r.breaker, r.unreached, r.silences = outcomes{}, breaker{}, unreached{}, targetSilences{}
+		r.outcomes, r.breaker, r.unreached, r.silences = outcomes{}, breaker{}, unreached{}, newTargetSilences()
 	}
 	same := next.Attempt == r.Attempt && next.Target == r.Target && next.Share == r.Share && next.Final == r.Final &&
 		slices.Equal(next.Barred, r.Barred) && slices.Equal(next.Replaced, r.Replaced)
@@ -166,7 +165,7 @@
 			r.oldListed = r.oldListed || t.inService(k) && !k.unlisted
 		}
 	}
-	r.silentTargets = r.silences.countOpen()
+	r.silences.changed = false
 	for _, group := range t.trialGroups(r.silences.speaking(r.unreached.reachable(target))) {
 		for _, k := range trialServers(group, r.Share) {
 			k.versionSet |= trialVersion
@@ -232,7 +231,7 @@
 	r := p.rollout
 	if r != nil {
 		r.isEngine = req.pool.Engine
-		if r.silences.countOpen() != r.silentTargets {
+		if r.silences.changed {
 			t.classifyPoolVersions(p)
 		}
 	}
@@ -370,7 +369,7 @@
 	reason         string        // why the request went to this version, for the log
 	expectedFirst  time.Duration // expected time to the first part of the answer
 	severalServers bool          // the target has more than one server
-	silences       targetSilences
+	silences       *targetSilences
 }
 
 // beginAttempt counts the start of an attempt at a server.
