socket: a call that waits for a sound server bears a silent link

What callers saw: 502, a cut stream or a second run after a link to a sound server was silent for 0.15 s or longer at the wrong moment while a call waited for its answer. Cause: once nothing has been received for TCP_USER_TIMEOUT (2 s), Linux ends a connection as soon as one keep-alive probe is unanswered; the first probe goes out after 2 s, and is found unanswered 1 s later. Change: connections of gateways and routers to backend servers (ServerDialer) have a user timeout of 4.5 s, so that three probes must be unanswered, from 1 s after their last write on, if the kernel then holds no unacknowledged byte (SIOCOUTQ), and of 2 s again from the next write on. The check of SIOCOUTQ takes the place of a time that must be longer than the kernel's retransmissions (2.42 s here, more with a longer round trip). Two system calls when a wait begins, one when it ends, none while writes follow each other within a second; one timer, stopped by Close. Links between boxes and accepted connections stay as they are.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -176,7 +176,7 @@
 func (b *Box) startRouter(ctx context.Context) {
 	dialer := b.cfg.Dialer
 	if dialer == nil {
-		dialer = socket.Dialer(socket.DialTimeout)
+		dialer = socket.NewServerDialer(socket.DialTimeout)
 	}
 	b.serverClient = forward.New(forward.Settings{Dialer: dialer})
 	b.router = router.Start(ctx, router.Settings{
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -58,7 +58,7 @@
 	defer b.close()
 	opened := metricSet.GetOrCreateCounter("badgerspoke_gateway_backend_connections_total")
 	client := forward.New(forward.Settings{
-		Dialer: socket.Dialer(serverDialTimeout), MaxIdlePerServer: maxIdlePerServer, MaxIdle: maxIdleTotal, IdleTimeout: serverIdleTimeout,
+		Dialer: socket.NewServerDialer(serverDialTimeout), MaxIdlePerServer: maxIdlePerServer, MaxIdle: maxIdleTotal, IdleTimeout: serverIdleTimeout,
 		IsRefusal: isRefusal, OnOpen: opened.Inc,
 	})
 	defer client.Close()
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -4,7 +4,7 @@
 //
 // A box that loses power or is cut off from the network does not close its
 // connections. A connection opened or accepted here fails once sent data has been
-// unacknowledged for [AckTimeout], or, while idle, once keep-alive probes are not answered.
+// unacknowledged for [AckTimeout], or, while nothing is sent, once keep-alive probes are not answered.
 package socket
 
 import (
@@ -22,7 +22,8 @@
 // DialTimeout bounds the opening of a connection.
 const DialTimeout = time.Second
 
-// Keep-alive probes of an idle connection. They detect an unresponsive peer after five seconds.
+// Keep-alive probes of a connection on which nothing is sent. They detect an unresponsive peer after
+// five seconds, on a connection of [Dial] after three: there [AckTimeout] ends it at the second probe.
 const (
 	probeIdleTime   = 2 * time.Second // idle time before the first probe
 	probeInterval   = time.Second     // interval between probes
@@ -36,17 +37,16 @@
 
 // Dial opens a connection within DialTimeout. Its signature is that of net.Dialer.DialContext.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return Dialer(DialTimeout).DialContext(ctx, network, address)
+	return newDialer(DialTimeout).DialContext(ctx, network, address)
 }
 
-// Dialer returns a dialer that opens each connection within timeout.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
 }
 
 // Listen opens a listener whose connections detect an unresponsive peer.
 func Listen(address string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setAckTimeout}
 	return lc.Listen(context.Background(), "tcp", address)
 }
 
@@ -62,12 +62,14 @@
 	return errors.ErrUnsupported
 }
 
-// setUserTimeout limits how long sent bytes may stay unacknowledged. Accepted
-// connections inherit the option from their listener. On a kernel without the option,
-// the connection fails later, after the maximum number of retransmissions.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// setAckTimeout sets AckTimeout on a new socket. Accepted connections inherit it from their listener.
+func setAckTimeout(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, AckTimeout) }
+
+// setUserTimeout limits how long sent bytes may stay unacknowledged. It fails on a closed connection. On a
+// socket without the option, the connection fails later, after the maximum number of retransmissions.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	return c.Control(func(fd uintptr) {
 		// The error is ignored: without the option the connection still fails, see above.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(AckTimeout.Milliseconds()))
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 }
