--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -3,8 +3,9 @@
 // Package socket opens TCP connections that detect an unresponsive peer.
 //
 // A box that loses power or is cut off from the network does not close its
-// connections. A connection opened or accepted here fails once sent data has been
-// unacknowledged for [AckTimeout], or, while nothing is sent, once keep-alive probes are not answered.
+// connections. A connection opened here fails once sent data has been unacknowledged for
+// [AckTimeout], or, while nothing is sent, once keep-alive probes are not answered. An
+// accepted connection has the probes, but usually no AckTimeout, see [Listen].
 package socket
 
 import (
@@ -44,7 +45,9 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
 }
 
-// Listen opens a listener whose connections detect an unresponsive peer.
+// Listen opens a listener whose connections detect an unresponsive peer while nothing is sent. Go's listeners
+// use MPTCP where the kernel has it, which does not know TCP_USER_TIMEOUT: there, sent bytes may stay
+// unacknowledged for the maximum number of retransmissions.
 func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setAckTimeout}
 	return lc.Listen(context.Background(), "tcp", address)
