gateway: one place returns a server to which nothing was sent

The same two calls stood in four places. Such an attempt no longer counts as a missing answer of its pool.

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -34,7 +34,7 @@
 	status         int             // of the answer; zero before it
 	unreached      bool            // no connection was established
 
-	notNeeded bool // it was a hedge and is cancelled
+	notNeeded bool // nothing was sent, or it was a hedge and is cancelled
 
 	// Guarded by table.mu.
 	ended          bool
@@ -211,6 +211,13 @@
 	g.cfg.Log.StateChange("backend suspected", slog.String("backend", a.serverID), slog.String("cause", cause))
 }
 
+// returnServer ends an attempt of which nothing was sent.
+func (g *Gateway) returnServer(a *assignment) {
+	a.notNeeded = true
+	g.settleLink(a, 0)
+	g.release(a, outlier.NoVerdict)
+}
+
 // release ends an attempt at its backend server, records the verdict, and reports whether that
 // ejects the server.
 func (g *Gateway) release(a *assignment, v outlier.Verdict) (ejected bool) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -218,8 +218,7 @@
 			return err
 		}
 		if callerHasLeft(ctx) {
-			c.g.settleLink(a, 0)
-			c.g.release(a, outlier.NoVerdict)
+			c.g.returnServer(a)
 			return callerLeft{}
 		}
 		if err := c.checkPartsBeforeSend(a); err != nil {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -205,8 +205,7 @@
 		return nil
 	}
 	if hs.ctx.Err() != nil || fromBudget && !c.g.allowRetry(c.pool.Name) {
-		c.g.settleLink(a, 0)
-		c.g.release(a, outlier.NoVerdict)
+		c.g.returnServer(a)
 		return nil
 	}
 	if !fromBudget {
@@ -227,8 +226,7 @@
 	hs.w.mu.Unlock()
 	if !needed {
 		h.cancel()
-		hs.c.g.settleLink(a, 0)
-		hs.c.g.release(a, outlier.NoVerdict)
+		hs.c.g.returnServer(a)
 		return
 	}
 	hs.pending++
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
 	"github.com/badgerspoke/badgerspoke/protocol"
 )
@@ -285,7 +284,6 @@
 	if c.findPartSuspicion(); !c.partSuspicion.condemned {
 		return nil
 	}
-	c.g.settleLink(a, 0)
-	c.g.release(a, outlier.NoVerdict)
+	c.g.returnServer(a)
 	return Refusal{Cause: Quarantined}
 }
