gateway: a hedge goes to no server that has sent nothing to the requests that wait there

Change: a server with requests of this gateway that has sent nothing for half of the time after which it would count as silent gets no hedge, whether it streams or not. Evidence: TestHedgeGoesToNoSilentServer, two rows more.

--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -228,6 +228,9 @@
 	}
 	a.ended = true
 	k := a.entry
+	if v == outlier.Answered || v == outlier.Faulty || v == outlier.Refused {
+		k.heard(g.now())
+	}
 	k.ownLoad.Requests--
 	if !a.answering {
 		k.ownLoad.Tokens -= a.tokensToRead
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -30,9 +30,8 @@
 	// request that has not run, which is refused at once because another gateway's servers may
 	// accept it.
 	maxBackoff time.Duration
-	// maxQuiet is how long a server that streams to this gateway may have sent nothing; zero means any
-	// time. A hedge goes to no server that is silent itself.
-	maxQuiet time.Duration
+	// maxQuiet excludes servers that seem to be silent themselves. It is nil but for hedges.
+	maxQuiet *quietLimit
 
 	versionSet versionSet   // server versions that the current selection is limited to
 	version    versionLimit // the version that a stream may go on at
@@ -216,7 +215,7 @@
 		return true
 	case t.hallsOut[k.Hall], v.versions&k.versionSet == 0, !req.version.allows(k.Version), !t.homesAllow(req, k):
 		return true
-	case req.maxQuiet > 0 && k.quietFor(now) > req.maxQuiet:
+	case req.maxQuiet != nil && k.isQuiet(now, *req.maxQuiet):
 		return true
 	}
 	return !k.cold.Admits(now, v.coldSharesInForce) || !k.notice.Admits(now)
@@ -265,6 +264,9 @@
 // assign records a request on the selected backend server.
 func (p *pool) assign(now time.Duration, choice place.Choice, req *requirements, reason string) *assignment {
 	k := p.servers[choice.Index]
+	if k.ownLoad.Requests == 0 {
+		k.heard(now)
+	}
 	k.ownLoad.Requests++
 	k.ownLoad.Tokens += choice.Read
 	p.markBusy(k)
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -199,7 +199,7 @@
 		queueTimeout = max(retry.QueueTimeout(c.queuedRequest()), 0)
 	}
 	req := c.requirements(queueTimeout)
-	req.maxQuiet = hs.w.gap / 2
+	req.maxQuiet = &quietLimit{streaming: hs.w.gap / 2, other: hs.w.first / 2}
 	a, _ := c.g.awaitServer(hs.ctx, req, queueTimeout)
 	if a == nil {
 		return nil
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -268,22 +268,27 @@
 // against two servers that work on a stream unseen.
 func TestHedgeGoesToNoSilentServer(t *testing.T) {
 	const requests = 12
-	pauses := pausing(6, 2, silence+hedgePollInterval/2) // goes on between two looks for a server
-	withGateway(t, func(x *fixture) {
-		is := is.New(x.t)
-		x.drawAtRandom()
-		var callers sync.WaitGroup
-		for range requests {
-			callers.Go(func() { is.Equal(x.request("/resume/x").body, wholeStream(6)) })
-		}
-		callers.Wait()
-		is.Equal(x.servers.count(), requests)
-		servers := map[string]bool{}
-		for _, a := range x.servers.arrivals {
-			servers[a.Header.Get("Backend")] = true
-		}
-		is.Equal(len(servers), 3) // all streamed, and were silent behind event 2
-	}, pauses, pauses, pauses)
+	goesOn := silence + hedgePollInterval/2 // between two looks for a server
+	for _, tt := range []struct {
+		path, body string
+		pauses     behaviour
+	}{{"/resume/x", wholeStream(6), pausing(6, 2, goesOn)}, {"/resume/x", wholeStream(6), pausing(6, 0, goesOn-pause)}, {"/again/x", "fine", answers(200, "fine", goesOn)}} {
+		withGateway(t, func(x *fixture) {
+			is := is.New(x.t)
+			x.drawAtRandom()
+			var callers sync.WaitGroup
+			for range requests {
+				callers.Go(func() { is.Equal(x.request(tt.path).body, tt.body) })
+			}
+			callers.Wait()
+			is.Equal(x.servers.count(), requests)
+			servers := map[string]bool{}
+			for _, a := range x.servers.arrivals {
+				servers[a.Header.Get("Backend")] = true
+			}
+			is.Equal(len(servers), 3) // all have requests, and are silent at the same time
+		}, tt.pauses, tt.pauses, tt.pauses)
+	}
 }
 
 // drawAtRandom makes the gateway's random numbers differ.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -241,7 +241,7 @@
 	if err := r.c.watch.received(); err != nil {
 		return err
 	}
-	a.entry.heardAt.Store(int64(r.c.g.now()))
+	a.entry.heard(r.c.g.now())
 	if r.continues {
 		r.recordBegun(a)
 	}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -29,7 +29,7 @@
 	latencyRatio  place.LatencyRatio
 	ownLoad       place.Work   // from this gateway; prompts count until their first event
 	streams       int          // begun streams of this gateway
-	heardAt       atomic.Int64 // when a part of an answer last came, on the gateway's clock in ns
+	heardAt       atomic.Int64 // when the server last sent something, or was given its first request; gateway clock in ns
 	totalLoad     place.Work   // from all gateways, as last sent by the leader
 	othersLoad    place.Work   // from all other gateways, as of table.othersUpdatedAt
 	peakLoad      place.Peak   // recent peak of totalLoad
@@ -43,13 +43,23 @@
 	begun         []begunStream       // streams that began here recently, see restarts.go
 }
 
-// quietFor returns how long nothing has come from a server that streams to this gateway, and zero from another one. The
+// heard records that something came from the server, or that it has got its first request.
+func (k *knownServer) heard(now time.Duration) { k.heardAt.Store(int64(now)) }
+
+// quietLimit is how long a server with requests of this gateway may send nothing and still get a hedge.
+type quietLimit struct {
+	streaming time.Duration // if it streams to this gateway
+	other     time.Duration
+}
+
+// isQuiet reports whether the server has requests of this gateway and has sent nothing for longer than the limit. The
 // caller holds table.mu.
-func (k *knownServer) quietFor(now time.Duration) time.Duration {
-	if k.streams == 0 {
-		return 0
+func (k *knownServer) isQuiet(now time.Duration, limit quietLimit) bool {
+	quiet := now - time.Duration(k.heardAt.Load())
+	if k.streams > 0 {
+		return quiet > limit.streaming
 	}
-	return now - time.Duration(k.heardAt.Load())
+	return k.ownLoad.Requests > 0 && quiet > limit.other
 }
 
 // table holds the backend servers known to the gateway, by pool, with their load.
