--- a/gateway/assignment.go
+++ b/gateway/assignment.go
@@ -131,7 +131,7 @@
 // silence shows.
 func (g *Gateway) followSilence(a *assignment, e silenceEvidence) {
 	if e.ejected {
-		g.logSuspected(a, "silent")
+		g.logSuspected(a, causeSilent)
 	}
 	switch {
 	case e.dropAll:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,9 @@
 	leaving bool          // the server is about to stop
 }
 
+// causeSilent is the cause of an attempt that ended because its server sent nothing.
+const causeSilent = "silent"
+
 // attempt sends the request to one backend server and relays its answer.
 func (c *call) attempt(ctx context.Context, a *assignment) outcome {
 	attemptCtx, cancel := context.WithCancel(ctx)
@@ -64,7 +67,7 @@
 func (c *call) endAttempt(ctx context.Context, a *assignment, out outcome) outcome {
 	answered := out.execution == retry.Answered
 	if c.watch.stop() && !answered && c.r.Context().Err() == nil {
-		out.verdict, out.cause = c.g.silenceAtEnd(a), "silent"
+		out.verdict, out.cause = c.g.silenceAtEnd(a), causeSilent
 	} else if ctx.Err() != nil && !answered {
 		out.verdict = outlier.NoVerdict // the caller left or the deadline passed
 		if openedAt := a.openedAt(); c.r.Context().Err() == nil && !a.answering && openedAt > 0 && openedAt < a.startedAt {
@@ -80,11 +83,11 @@
 // counts.
 func (c *call) releaseServer(ctx context.Context, a *assignment, out outcome) outcome {
 	if ctx.Err() == nil && out.execution != retry.Answered && forward.IsConnTimeout(out.err) {
-		out.verdict, out.cause = c.g.silenceAtEnd(a), "silent"
+		out.verdict, out.cause = c.g.silenceAtEnd(a), causeSilent
 	}
 	switch {
 	case ctx.Err() != nil:
-	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost && out.cause != "silent":
+	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost && out.cause != causeSilent:
 		c.recordLoss(a)
 		out.connectionBroke = true
 	case out.verdict == outlier.Unconfirmed:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -94,7 +94,7 @@
 
 // replacedOutcome returns the outcome of an attempt that a hedge has replaced.
 func replacedOutcome(err error) outcome {
-	return outcome{execution: retry.MayHaveRun, cause: "silent", verdict: outlier.NoVerdict, err: err}
+	return outcome{execution: retry.MayHaveRun, cause: causeSilent, verdict: outlier.NoVerdict, err: err}
 }
 
 // passedOn returns the outcome of an attempt whose answer the caller has, as far as it came.
