response: an answer that ends with its connection is reset until its end

What callers saw: streams with neither a length nor chunks that a gateway broke off by its death ended in order, as whole ones do. Cause: only the end of the connection ends such an answer, and the kernel closes the connections of a process that dies in order; the reset that shows the break was left to the process, when it knew of one. A caller with HTTP/1.0 gets no chunks, so the same held for every stream to it.

Now the connection is set to be reset (SO_LINGER of 0) before the head of such an answer, and to be closed in order again only once the whole of it is in the kernel (response.Body.End). Whatever ends the process, the handler or the connection before that leaves a reset, without a list of ways and without anybody acting: the two places that reset known breaks are gone, with their log line. Routers do the same.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -67,7 +67,7 @@
 	g.inFlight.Add(1)
 	g.requestsSinceReport.Add(1)
 	defer g.inFlight.Add(-1)
-	c := &call{g: g, response: response.New(w, g.recordSecondHead), r: r, arrived: g.now(), head: g.cfg.Headers.DecodeRequest(r)}
+	c := &call{g: g, response: response.New(w, r, g.recordSecondHead), r: r, arrived: g.now(), head: g.cfg.Headers.DecodeRequest(r)}
 	if g.stopping() > 0 {
 		c.response.CloseConnection()
 	}
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -326,7 +326,7 @@
 			is := is.New(x.t)
 			w := httptest.NewRecorder()
 			c := &call{g: x.g, r: httptest.NewRequestWithContext(x.t.Context(), http.MethodPost, "/resume/x", nil)}
-			c.response = response.New(w, x.g.recordSecondHead)
+			c.response = response.New(w, c.r, x.g.recordSecondHead)
 			c.relay = &relay{c: c}
 			is.NoErr(c.relay.writeHead(http.StatusOK, http.Header{}, -1, false))
 			_, _ = c.relay.body.Write([]byte(event(1)))
@@ -362,7 +362,7 @@
 		is := is.New(x.t)
 		x.announceInOrder([]behaviour{resuming(6, 0, nil), resuming(6, 0, nil)})
 		w := &deafCaller{ResponseRecorder: httptest.NewRecorder(), failing: 3}
-		x.requestInto("/resume/x", w)
+		x.requestInto(x.t.Context(), "/resume/x", w)
 		is.Equal(w.Body.String(), wholeStream(2)+event(3)[:len(event(3))/2])
 		is.Equal(x.servers.count(), 1)
 	})
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -115,17 +115,11 @@
 	if responsesByCause[r.Cause].closesConnection {
 		w.CloseConnection()
 	}
-	body, err := w.Begin(r.Status(), func(h http.Header) {
+	return w.Respond(r.Status(), fmt.Appendf(nil, "{\"error\":%q}\n", r.Cause), func(h http.Header) {
 		h["Date"] = nil
 		h.Set("Content-Type", "application/json")
 		if r.RetryAfter > 0 {
 			h.Set("Retry-After", fmt.Sprintf("%.3f", r.RetryAfter.Seconds()))
 		}
 	})
-	if err != nil {
-		return err
-	}
-	// A write error means that the caller has gone, and there is nobody left to answer.
-	_, _ = fmt.Fprintf(body, "{\"error\":%q}\n", r.Cause)
-	return nil
 }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -11,7 +11,6 @@
 
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
 	"github.com/badgerspoke/badgerspoke/transport/response"
-	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines how a call ends: the response to the caller, the counters and the log line.
@@ -35,22 +34,8 @@
 	return ok && left()
 }
 
-// cutOff ends a response that has begun so that the caller sees that it is incomplete.
-func (c *call) cutOff() {
-	c.resetCaller()
-	panic(http.ErrAbortHandler)
-}
-
-// resetCaller makes the end of the connection show that the answer is incomplete. A chunked answer, or one
-// with a length, shows it without a reset, which could discard what the caller has not read yet.
-func (c *call) resetCaller() {
-	if !c.relay.unframed && c.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	if err := socket.ResetConn(c.r.Context()); err != nil {
-		c.g.cfg.Log.Failure("connection not reset", slog.String("request", c.head.ID), slog.String("error", err.Error()))
-	}
-}
+// abortResponse ends a response that has begun without its end, see package response.
+func abortResponse() { panic(http.ErrAbortHandler) }
 
 // Error implements error.
 func (callerLeft) Error() string { return "the caller has left" }
@@ -101,12 +86,12 @@
 				slog.Int("status", refusal.Status()), milliseconds("after_ms", refusal.RetryAfter))
 		})
 		if err := refusal.write(c.response); err != nil {
-			c.cutOff()
+			abortResponse()
 		}
 	case errors.As(err, &broken):
 		c.g.stats.count("broken", "route", c.route.Name)
 		c.g.cfg.Log.Failure("answer cut off", append(c.logAttrs(took), slog.String("error", broken.err.Error()))...)
-		c.cutOff()
+		abortResponse()
 	default:
 		c.g.stats.count("left", "route", c.route.Name)
 		c.g.cfg.Log.Failure("caller left", c.logAttrs(took)...)
--- a/gateway/golden_test.go
+++ b/gateway/golden_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -24,7 +25,7 @@
 		for _, after := range []time.Duration{0, 1500 * time.Millisecond} {
 			w := httptest.NewRecorder()
 			refusal := Refusal{cause, after}
-			if err := refusal.write(response.New(w, func(response.SecondHead) {})); err != nil {
+			if err := refusal.write(response.New(w, httptest.NewRequest(http.MethodPost, "/", nil), func(response.SecondHead) {})); err != nil {
 				t.Error(err)
 			}
 			fmt.Fprintf(&got, "%s, come back after %v: %d\n", cause, after, w.Code)
--- a/gateway/hedge_rules_test.go
+++ b/gateway/hedge_rules_test.go
@@ -175,7 +175,7 @@
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
 		w := &slowCaller{ResponseRecorder: httptest.NewRecorder()}
-		x.requestInto("/resume/x", w)
+		x.requestInto(x.t.Context(), "/resume/x", w)
 		is.Equal(w.Body.String(), wholeStream(6))
 		is.Equal(x.servers.count(), 1)
 		is.Equal(x.counter(`badgerspoke_gateway_silences_total{pool="plain"}`), uint64(0))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -114,6 +114,7 @@
 	_, err := io.Copy(callerWriter{r.body}, io.MultiReader(bytes.NewReader(head.body), answer.Body))
 	switch {
 	case err == nil:
+		_ = r.body.End() // as in writeHeld
 		return passedOn(answer)
 	case errors.As(err, new(writeFailed)):
 		return callerLeftOutcome(err)
@@ -157,7 +158,9 @@
 	if err := r.writeHead(h.status, h.header, int64(len(h.body)), h.unframed); err != nil {
 		return err
 	}
-	_, _ = r.body.Write(h.body) // a failure means that the caller has left; net/http then closes the connection
+	// A failure means that the caller has left; net/http then closes the connection.
+	_, _ = r.body.Write(h.body)
+	_ = r.body.End() // as above
 	return nil
 }
 
@@ -174,7 +177,7 @@
 		}
 		switch {
 		case unframed:
-			h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+			response.Unframe(h)
 		case length >= 0 && r.c.r.Method != http.MethodHead:
 			h.Set("Content-Length", strconv.FormatInt(length, 10))
 		}
@@ -324,6 +327,7 @@
 	}
 	r.extendWriteDeadline() // for the end of the body, which net/http writes later
 	_ = r.body.Flush()      // unflushed bytes are sent when the handler returns
+	_ = r.body.End()        // as in writeHeld
 	return passedOn(answer)
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -36,8 +36,8 @@
 }
 
 // requestInto sends a request whose answer is written to w.
-func (x *fixture) requestInto(path string, w http.ResponseWriter) {
-	r := httptest.NewRequestWithContext(x.t.Context(), http.MethodPost, path, strings.NewReader("a body"))
+func (x *fixture) requestInto(ctx context.Context, path string, w http.ResponseWriter) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("a body"))
 	r.Host = "host"
 	r.Header.Set("Id", "request-1")
 	r.Header.Set("Key", "key")
@@ -70,7 +70,7 @@
 			withGateway(t, func(x *fixture) {
 				is := is.New(x.t)
 				for range 5 { // enough failures to eject a server
-					x.requestInto(tt.path, &brokenCaller{ResponseRecorder: httptest.NewRecorder(), writesLeft: tt.writes})
+					x.requestInto(x.t.Context(), tt.path, &brokenCaller{ResponseRecorder: httptest.NewRecorder(), writesLeft: tt.writes})
 				}
 				failed := func(cause string) uint64 {
 					name := fmt.Sprintf("badgerspoke_gateway_attempts_failed_total{cause=%q}", cause)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -210,7 +210,7 @@
 		}
 		x.g.apply(d)
 		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-		x.requestInto("/stream/x", w)
+		x.requestInto(x.t.Context(), "/stream/x", w)
 		is.Equal(w.Body.String(), wholeStream(2))
 		is.True(time.Until(w.deadline) >= writeTimeout/2)
 	}, streams(piece{text: event(1)}, piece{text: event(2), after: writeTimeout/4 - time.Millisecond}, piece{after: writeTimeout - time.Second, err: io.EOF}))
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -157,6 +158,45 @@
 	}
 }
 
+// observedCaller records whether a write found a connection whose close is no reset.
+type observedCaller struct {
+	*httptest.ResponseRecorder
+	conn    *resettableConn
+	orderly bool
+}
+
+func (c *observedCaller) Write(p []byte) (int, error) {
+	c.orderly = c.orderly || !c.conn.resets
+	return c.ResponseRecorder.Write(p)
+}
+
+// TestUnframedAnswerIsResetUntilItsEnd guards against a gateway that dies in the middle of an answer and leaves the
+// orderly end that the kernel sends, which its caller takes for that of the whole answer.
+func TestUnframedAnswerIsResetUntilItsEnd(t *testing.T) {
+	large := strings.Repeat("x", 2*maxHeldAnswer)
+	for _, tt := range []struct {
+		name, path string
+		behave     behaviour
+	}{
+		{"safe", "/again/x", answers(200, "part", 0)},
+		{"failure", "/once/x", answers(500, "part", 0)},
+		{"large", "/again/x", answers(200, large, 0)},
+		{"stream", "/stream/x", resuming(3, 0, nil)},
+		{"resumable stream", "/resume/x", resuming(3, 0, nil)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				w := &observedCaller{ResponseRecorder: httptest.NewRecorder(), conn: &resettableConn{}}
+				x.requestInto(socket.WithConn(x.t.Context(), w.conn), tt.path, w)
+				is.True(w.Body.Len() > 0)
+				is.True(!w.orderly)
+				is.True(!w.conn.resets) // once the answer has ended
+			}, unframed(tt.behave))
+		})
+	}
+}
+
 // TestBrokenUnframedAnswerIsRetried checks that an answer without framing whose connection breaks is sent
 // again like any other.
 func TestBrokenUnframedAnswerIsRetried(t *testing.T) {
--- a/router/call.go
+++ b/router/call.go
@@ -267,7 +267,7 @@
 
 // replay writes a recorded answer.
 func replay(w *response.Writer, a protocol.Answer) *Failure {
-	body, err := w.Begin(a.Status, func(h http.Header) {
+	err := w.Respond(a.Status, a.Body, func(h http.Header) {
 		if a.ContentType != "" {
 			h.Set("Content-Type", a.ContentType)
 		}
@@ -277,6 +277,5 @@
 	if err != nil {
 		return failBroken
 	}
-	_, _ = body.Write(a.Body) // fails only for a caller that has left
 	return nil
 }
--- a/router/callers.go
+++ b/router/callers.go
@@ -22,7 +22,6 @@
 	"github.com/badgerspoke/badgerspoke/state/config"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/response"
-	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines the callers' interface: paths, API keys, and how an HTTP request becomes a
@@ -54,7 +53,7 @@
 func (r *Router) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	w := response.New(rw, r.recordSecondHead)
+	w := response.New(rw, req, r.recordSecondHead)
 	path := req.URL.Path
 	switch {
 	case path == "/healthz":
@@ -96,10 +95,7 @@
 
 // writeText responds to a health probe.
 func (r *Router) writeText(w *response.Writer, status int, text string) {
-	body, err := w.Begin(status, func(http.Header) {})
-	if err == nil {
-		_, _ = io.WriteString(body, text) // a prober notices a truncated answer itself
-	}
+	_ = w.Respond(status, []byte(text), func(http.Header) {}) // recorded by the writer
 }
 
 // handler serves a request of an account. A returned failure has not been written to the caller.
@@ -146,10 +142,8 @@
 		list.Data = append(list.Data, model{ID: name, Object: "model", Owner: t.models[name]})
 	}
 	text, _ := json.Marshal(list) // marshalling strings cannot fail
-	body, err := w.Begin(http.StatusOK, func(h http.Header) { h.Set("Content-Type", "application/json") })
-	if err == nil {
-		_, _ = body.Write(append(text, '\n')) // fails only if the caller has left
-	}
+	// A second head is recorded by the writer.
+	_ = w.Respond(http.StatusOK, append(text, '\n'), func(h http.Header) { h.Set("Content-Type", "application/json") })
 	return nil
 }
 
@@ -215,23 +209,17 @@
 }
 
 // serveCall runs a call. If its answer broke off and the body cannot show that, it aborts the
-// connection.
+// connection, see package response.
 func (r *Router) serveCall(w *response.Writer, req *http.Request, c *call) *Failure {
 	if c.claim != nil {
 		c.repeatable = false
 		c.claim.Digest = xxh3.Hash(append([]byte(req.Method+" "+c.forwardCall.Path+"\n"), c.body...))
 	}
 	r.serve(w, req, c)
-	if !c.abortConnection {
-		return nil
-	}
-	if c.unframed || !req.ProtoAtLeast(1, 1) {
-		// Without a reset the caller would take the end of the connection for the end of the answer.
-		if err := socket.ResetConn(req.Context()); err != nil {
-			r.cfg.Log.Warn("connection not reset", "error", err)
-		}
+	if c.abortConnection {
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
+	return nil
 }
 
 // newCall checks the headers that callers may set on any call and reads the body. The caller must
--- a/router/errors.go
+++ b/router/errors.go
@@ -128,18 +128,13 @@
 
 // write answers a request with the failure. The error is a [response.SecondHead].
 func (f Failure) write(w *response.Writer) error {
-	body, err := w.Begin(f.Status, func(h http.Header) {
+	return w.Respond(f.Status, append(f.body(), '\n'), func(h http.Header) {
 		h.Set("Content-Type", "application/json")
 		h.Set(OutcomeHeader, string(f.Outcome))
 		if f.RetryAfter > 0 {
 			h.Set("Retry-After", strconv.Itoa(int(max(f.RetryAfter/time.Second, 1))))
 		}
 	})
-	if err != nil {
-		return err
-	}
-	_, _ = body.Write(append(f.body(), '\n')) // fails only if the caller has left
-	return nil
 }
 
 // event returns the failure as the last event of a broken stream.
--- a/router/relay.go
+++ b/router/relay.go
@@ -89,7 +89,9 @@
 	case r.endUnknown():
 		end.result = pool.Unconfirmed
 		r.call.abortConnection = !r.call.unframed
-	case !r.tooLargeToRetain:
+		_ = r.body.End() // fails only for a caller that has left
+	default:
+		_ = r.body.End() // as above
 		end.wholeBody = r.retained
 	}
 	return end
@@ -115,7 +117,7 @@
 			}
 		}
 		if unframed {
-			h.Set("Transfer-Encoding", "identity") // not sent: it makes net/http end the body with the connection
+			response.Unframe(h)
 		}
 	})
 	r.call.unframed = unframed && err == nil
--- a/transport/response/response.go
+++ b/transport/response/response.go
@@ -6,19 +6,29 @@
 // that no part of another answer can get into a response that has begun. A second head is refused with a [SecondHead].
 // It is a fault of the program, and is also passed to the function given to [New], for logs and metrics.
 //
+// A body that has neither a length nor chunks ends with its connection, and the kernel closes the connections of a
+// process that dies in order. Therefore the connection of such a response is set to be reset from its head on. Only
+// [Body.End] sets it to be closed in order again, once the whole body has been sent: a handler that returns or panics
+// without it, and a process that dies, leave a reset.
+//
 // A Writer and its Body are used by the goroutine that serves the request.
 package response
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // Writer writes the response to one request.
 type Writer struct {
 	w          http.ResponseWriter
+	r          *http.Request
 	secondHead func(SecondHead)
 	status     int // of the head; zero before it
 }
@@ -31,9 +41,9 @@
 	return fmt.Sprintf("head with status %d after one with status %d", e.Second, e.First)
 }
 
-// New returns a writer that responds through w, and calls secondHead for each head that it refuses.
-func New(w http.ResponseWriter, secondHead func(SecondHead)) *Writer {
-	return &Writer{w: w, secondHead: secondHead}
+// New returns a writer that responds to r through w, and calls secondHead for each head that it refuses.
+func New(w http.ResponseWriter, r *http.Request, secondHead func(SecondHead)) *Writer {
+	return &Writer{w: w, r: r, secondHead: secondHead}
 }
 
 // Status returns the status of the head, zero before it.
@@ -52,8 +62,55 @@
 	}
 	w.status = status
 	setHeader(w.w.Header())
+	b := &Body{w: w.w, controller: http.NewResponseController(w.w)}
+	if w.endsWithConnection() {
+		b.conn = w.r.Context()
+		// It fails only on a connection that is closed already.
+		_ = socket.ResetConn(b.conn)
+	}
 	w.w.WriteHeader(status)
-	return &Body{w: w.w, controller: http.NewResponseController(w.w)}, nil
+	return b, nil
+}
+
+// endsWithConnection reports whether only the end of the connection will end the body.
+func (w *Writer) endsWithConnection() bool {
+	h := w.w.Header()
+	switch {
+	case w.r.ProtoAtLeast(2, 0), !w.mayHaveBody(w.status):
+		return false
+	case h.Get("Transfer-Encoding") == unframed:
+		return true
+	}
+	return !w.r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == ""
+}
+
+// mayHaveBody reports whether a response with a status has a body (RFC 9112, section 6.3).
+func (w *Writer) mayHaveBody(status int) bool {
+	return w.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// Respond writes a whole response. setHeader is as for Begin. The error is a [SecondHead].
+func (w *Writer) Respond(status int, body []byte, setHeader func(h http.Header)) error {
+	b, err := w.Begin(status, func(h http.Header) {
+		setHeader(h)
+		if w.mayHaveBody(status) {
+			h.Set("Content-Length", strconv.Itoa(len(body)))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	_, _ = b.Write(body) // fails only for a caller that has left
+	return nil
+}
+
+// unframed is a Transfer-Encoding that net/http does not send. It makes net/http end the body with the connection.
+const unframed = "identity"
+
+// Unframe makes a response with this header end with its connection: it gets neither a length nor chunks.
+func Unframe(h http.Header) {
+	h.Del("Content-Length")
+	h.Set("Transfer-Encoding", unframed)
 }
 
 // CloseConnection closes the caller's connection after the response. It has no effect once the head has been written.
@@ -79,7 +136,8 @@
 type Body struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	err        error // first failure
+	conn       context.Context // holds the connection that ends the body; nil if the body states its end
+	err        error           // first failure
 }
 
 // Write implements [io.Writer].
@@ -98,6 +156,17 @@
 	return b.err
 }
 
+// End ends the body: what has been written is the whole of it. The error is that of sending it.
+func (b *Body) End() error {
+	if b.conn == nil {
+		return b.err // net/http sends the end when the handler returns
+	}
+	if err := b.Flush(); err != nil {
+		return err
+	}
+	return socket.CloseConnInOrder(b.conn)
+}
+
 // Err returns the first failure of Write or Flush.
 func (b *Body) Err() error { return b.err }
 
--- a/transport/response/response_test.go
+++ b/transport/response/response_test.go
@@ -22,7 +22,7 @@
 // ExampleWriter shows that nothing of a second response gets into the first one.
 func ExampleWriter() {
 	recorder := httptest.NewRecorder()
-	w := response.New(recorder, func(e response.SecondHead) { fmt.Println("refused:", e) })
+	w := response.New(recorder, httptest.NewRequest(http.MethodPost, "/", nil), func(e response.SecondHead) { fmt.Println("refused:", e) })
 	body, _ := w.Begin(http.StatusOK, func(h http.Header) { h.Set("Content-Type", "text/plain") })
 	fmt.Fprint(body, "first")
 	body, err := w.Begin(http.StatusInternalServerError, func(h http.Header) { h.Set("Content-Type", "text/html") })
@@ -36,7 +36,7 @@
 
 func TestBegun(t *testing.T) {
 	is := is.New(t)
-	w := response.New(httptest.NewRecorder(), func(response.SecondHead) {})
+	w := response.New(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil), func(response.SecondHead) {})
 	is.True(!w.Begun())
 	is.Equal(w.Status(), 0)
 	_, err := w.Begin(http.StatusTeapot, func(http.Header) {})
@@ -52,7 +52,7 @@
 func TestCloseConnection(t *testing.T) {
 	for _, begun := range []bool{false, true} {
 		recorder := httptest.NewRecorder()
-		w := response.New(recorder, func(response.SecondHead) {})
+		w := response.New(recorder, httptest.NewRequest(http.MethodPost, "/", nil), func(response.SecondHead) {})
 		if begun {
 			_, _ = w.Begin(http.StatusOK, func(http.Header) {})
 		}
--- a/transport/socket/context.go
+++ b/transport/socket/context.go
@@ -24,3 +24,6 @@
 
 // ResetConn makes the connection of a request end with a reset, see [ResetOnClose].
 func ResetConn(ctx context.Context) error { return ResetOnClose(ConnFrom(ctx)) }
+
+// CloseConnInOrder makes the connection of a request end in order again, after ResetConn.
+func CloseConnInOrder(ctx context.Context) error { return setLinger(ConnFrom(ctx), defaultLinger) }
--- a/transport/socket/socket.go
+++ b/transport/socket/socket.go
@@ -53,14 +53,23 @@
 	return lc.Listen(context.Background(), "tcp", address)
 }
 
-// ResetOnClose makes the close of a connection send a reset instead of an orderly end. Bytes that are not
-// sent yet are lost. Wrapped connections need a method NetConn, as *tls.Conn has one.
-func ResetOnClose(c net.Conn) error {
+// Times for which the close of a connection waits until sent bytes are acknowledged, in seconds.
+const (
+	noLinger      = 0  // the close discards them and sends a reset
+	defaultLinger = -1 // the kernel goes on sending them, and then an orderly end
+)
+
+// ResetOnClose makes the close of a connection send a reset instead of an orderly end, also when this process dies.
+// Bytes that are not sent yet are lost. Wrapped connections need a method NetConn, as *tls.Conn has one.
+func ResetOnClose(c net.Conn) error { return setLinger(c, noLinger) }
+
+// setLinger sets SO_LINGER, see [net.TCPConn.SetLinger].
+func setLinger(c net.Conn, seconds int) error {
 	switch c := c.(type) {
 	case interface{ SetLinger(seconds int) error }:
-		return c.SetLinger(0)
+		return c.SetLinger(seconds)
 	case interface{ NetConn() net.Conn }:
-		return ResetOnClose(c.NetConn())
+		return setLinger(c.NetConn(), seconds)
 	}
 	return errors.ErrUnsupported
 }
