forward: an end that nothing states is passed on once the server is seen to go on

What callers saw: parts of plain answers and streams, without a length or chunks, that ended in order because their server had died. Cause: the kernel closes the connections of a process that dies in order, exactly between two events or within a plain answer. The gateway passed the end on, and found out 20 ms later, for the evidence, that the server was gone.

Now the body of such an answer ends with io.EOF only once its server has accepted a connection that was opened after the end; one that refuses is a ServerEnded, and one that does not respond is dialled again while the request has time. So it holds for every reader of a body, at gateways (plain, large, streams, hedges) and at routers, and what may be repeated or continued goes to another server. While the gateway waits the silence of the server is watched as before. Bytes are not held back, only the end. An engine's stream whose end mark has come needs no confirmation.

The gateway's own probe after such an answer is gone with Client.HasOpen, which only it used, and so its test: whether another connection is still open says less than a new one, since the end of that may not be read yet. TestCrashThatEndsUnframedAnswerIsDetected now also asks that the caller gets no 200 and that the attempt counts as lost.

--- a/directory/crashes_fixture_test.go
+++ b/directory/crashes_fixture_test.go
@@ -165,9 +165,6 @@
 func (m *crashingServers) DropIdle(string) {}
 func (m *crashingServers) DropAllIdle()    {}
 
-// HasOpen implements gateway.Transport.
-func (*crashingServers) HasOpen(string) bool { return false }
-
 // RefusesConnections implements gateway.Transport.
 func (m *crashingServers) RefusesConnections(ctx context.Context, at string) bool {
 	return sleep.For(ctx, networkLatency) && !m.processAt(at).up
--- a/directory/golden_run_test.go
+++ b/directory/golden_run_test.go
@@ -66,9 +66,6 @@
 
 func (scriptedServer) DropAllIdle() {}
 
-// HasOpen implements gateway.Transport.
-func (scriptedServer) HasOpen(string) bool { return false }
-
 func (scriptedServer) RefusesConnections(context.Context, string) bool { return false }
 
 func (scriptedServer) Send(ctx context.Context, address string, call forward.Call) (*forward.Response, error) {
--- a/directory/halls_test.go
+++ b/directory/halls_test.go
@@ -39,9 +39,6 @@
 func (a *arrivals) DropIdle(string) {}
 func (a *arrivals) DropAllIdle()    {}
 
-// HasOpen implements gateway.Transport.
-func (*arrivals) HasOpen(string) bool { return false }
-
 func (*arrivals) RefusesConnections(context.Context, string) bool { return false }
 
 func (a *arrivals) Send(ctx context.Context, address string, call forward.Call) (*forward.Response, error) {
--- a/directory/streams_fixture_test.go
+++ b/directory/streams_fixture_test.go
@@ -93,9 +93,6 @@
 func (m *streamServers) DropIdle(string) {}
 func (m *streamServers) DropAllIdle()    {}
 
-// HasOpen implements gateway.Transport.
-func (*streamServers) HasOpen(string) bool { return false }
-
 // RefusesConnections implements gateway.Transport.
 func (m *streamServers) RefusesConnections(_ context.Context, at string) bool {
 	return m.versionAt(at) == ""
--- a/directory/versioned_fixture_test.go
+++ b/directory/versioned_fixture_test.go
@@ -54,9 +54,6 @@
 func (v *versionedServers) DropIdle(string) {}
 func (v *versionedServers) DropAllIdle()    {}
 
-// HasOpen implements gateway.Transport.
-func (*versionedServers) HasOpen(string) bool { return false }
-
 func (*versionedServers) RefusesConnections(context.Context, string) bool { return false }
 
 // recordArrival records a request and reports whether it fails.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,7 +91,7 @@
 		c.recordLoss(a)
 		out.connectionBroke = true
 	case out.verdict == outlier.Unconfirmed:
-		c.recordUnconfirmed(a)
+		c.g.table.recordAlive(c.pool.Name, a.serverID) // the transport has seen it
 	}
 	sent := len(c.body) + headerBytes(c.r)
 	if out.execution == retry.NotSent {
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -20,9 +20,7 @@
 // this gateway ran on them. A process that stopped for another reason counts as crashed.
 //
 // A broken connection alone does not distinguish a process that has crashed from a reset or a
-// truncated answer, nor does an answer that ends with its connection. A process that has crashed
-// refuses new connections, so the gateway opens one to find out. After an answer that ended without an
-// error it does so only if it has no open connection to the server, which a crash would have closed.
+// truncated answer. A process that has crashed refuses new connections, so the gateway opens one to find out.
 
 const (
 	// crashProbeDelay is the time from the first broken connection to a server until the probe, so
@@ -42,37 +40,23 @@
 type crashDetector struct {
 	g *Gateway
 
-	mu     sync.Mutex                // leaf lock
-	probes map[string]*pendingLosses // by ID of the servers being probed
-}
-
-// pendingLosses holds the requests that are lost if their server has crashed.
-type pendingLosses struct {
-	losses []quarantine.TimedLoss
-	broken bool // a connection broke
+	mu     sync.Mutex                        // leaf lock
+	probes map[string][]quarantine.TimedLoss // requests that are lost if their server has crashed, by its ID
 }
 
 func newCrashDetector(g *Gateway) *crashDetector {
-	return &crashDetector{g: g, probes: map[string]*pendingLosses{}}
+	return &crashDetector{g: g, probes: map[string][]quarantine.TimedLoss{}}
 }
 
 // add records a request whose connection broke while it ran, and starts probing its server.
-func (d *crashDetector) add(loss quarantine.TimedLoss) { d.addPending(loss, true) }
-
-// addUnconfirmed records a request whose answer ended with its connection.
-func (d *crashDetector) addUnconfirmed(loss quarantine.TimedLoss) { d.addPending(loss, false) }
-
-func (d *crashDetector) addPending(loss quarantine.TimedLoss, broken bool) {
+func (d *crashDetector) add(loss quarantine.TimedLoss) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.probes[loss.Server]
-	if p == nil {
-		p = &pendingLosses{}
-		d.probes[loss.Server] = p
+	losses, probing := d.probes[loss.Server]
+	d.probes[loss.Server] = append(losses, loss)
+	if !probing {
 		go d.probe(loss.Pool, loss.Server, loss.Address)
 	}
-	p.losses = append(p.losses, loss)
-	p.broken = p.broken || broken
 }
 
 // forget drops a request that got a complete answer before its lost attempt was attributed to a
@@ -80,8 +64,8 @@
 func (d *crashDetector) forget(k quarantine.Key) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.probes {
-		p.losses = slices.DeleteFunc(p.losses, func(loss quarantine.TimedLoss) bool { return loss.Key == k })
+	for server, losses := range d.probes {
+		d.probes[server] = slices.DeleteFunc(losses, func(loss quarantine.TimedLoss) bool { return loss.Key == k })
 	}
 }
 
@@ -90,18 +74,14 @@
 	if !sleep.For(d.g.ctx, crashProbeDelay) {
 		return
 	}
-	refuses := d.refusesConnections(server, address)
+	refuses := d.refusesConnections(address)
 	d.mu.Lock()
-	p := d.probes[server]
+	lost := d.probes[server]
 	delete(d.probes, server)
 	d.mu.Unlock()
 	if !refuses {
-		if !p.broken {
-			d.g.table.recordAlive(pool, server)
-		}
 		return
 	}
-	lost := p.losses
 	d.g.stats.count("backends_ended", "pool", pool)
 	d.g.suspicions.add(d.g.now(), lost)
 	var keys []string
@@ -128,13 +108,7 @@
 }
 
 // refusesConnections reports whether a server refuses connections.
-func (d *crashDetector) refusesConnections(server, address string) bool {
-	d.mu.Lock()
-	broken := d.probes[server].broken
-	d.mu.Unlock()
-	if !broken && d.g.cfg.Transport.HasOpen(address) {
-		return false
-	}
+func (d *crashDetector) refusesConnections(address string) bool {
 	ctx, cancel := context.WithTimeout(d.g.ctx, crashProbeTimeout)
 	defer cancel()
 	return d.g.cfg.Transport.RefusesConnections(ctx, address)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -109,9 +109,6 @@
 	return f.behaviours[address] == nil
 }
 
-// HasOpen implements [Transport]. The fake servers have no connections.
-func (*fakeServers) HasOpen(string) bool { return false }
-
 func (f *fakeServers) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,8 +37,6 @@
 	// RefusesConnections reports whether an address refuses connections, which means that the
 	// server's process has ended.
 	RefusesConnections(ctx context.Context, address string) bool
-	// HasOpen reports whether a connection to an address is open and has not failed.
-	HasOpen(address string) bool
 }
 
 var _ Transport = (*forward.Client)(nil)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -302,12 +302,6 @@
 	c.losses++
 }
 
-// recordUnconfirmed records an attempt whose answer ended with its connection, which a crash of the server
-// does as well.
-func (c *call) recordUnconfirmed(a *assignment) {
-	c.g.crashDetector.addUnconfirmed(c.lossAt(a))
-}
-
 // lossAt returns the loss of the request if the server of an attempt has crashed.
 func (c *call) lossAt(a *assignment) quarantine.TimedLoss {
 	now := c.g.now()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -218,6 +218,7 @@
 			err = ctx.Err()
 		}
 		if err != nil {
+			r.endUnstated = len(r.partial) == 0 && errors.As(err, new(forward.ServerEnded))
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Lost, err: err}
 		}
 	}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -209,21 +210,79 @@
 	})
 }
 
+// endingWithServer returns a behaviour that answers like another one, but whose server ends with its answer.
+func endingWithServer(x *fixture, behave behaviour) behaviour {
+	return func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+		a, err := behave(ctx, call)
+		if err == nil {
+			address := "10.0.5." + strings.TrimPrefix(call.Header.Get("Backend"), "p") + ":80"
+			a.Body = io.NopCloser(io.MultiReader(a.Body, stoppingReader{x, address}))
+		}
+		return a, err
+	}
+}
+
+// stoppingReader stops a server and fails as the transport does that has noticed it.
+type stoppingReader struct {
+	x       *fixture
+	address string
+}
+
+func (r stoppingReader) Read([]byte) (int, error) {
+	r.x.servers.stop(r.address)
+	return 0, forward.ServerEnded{Server: r.address}
+}
+
 // TestCrashThatEndsUnframedAnswerIsDetected guards against a crash that no request is suspected of because
 // its answer seemed to end in order. An answer of a server that goes on is evidence that its pool answers.
 func TestCrashThatEndsUnframedAnswerIsDetected(t *testing.T) {
 	for _, crashed := range []bool{false, true} {
 		withGateway(t, func(x *fixture) {
 			is := is.New(x.t)
-			is.Equal(x.request("/again/x").status, 200)
+			behave := unframed(answers(200, "part", time.Millisecond))
 			if crashed {
-				x.servers.stop("10.0.5.0:80")
+				behave = endingWithServer(x, behave)
 			}
+			x.announceInOrder([]behaviour{behave})
+			is.Equal(x.request("/again/x").status == 200, !crashed)
 			time.Sleep(time.Second)
 			is.Equal(len(x.nextReport().Losses) == 1, crashed)
 			is.Equal(x.counter(`badgerspoke_gateway_backends_ended_total{pool="plain"}`) == 1, crashed)
-			is.Equal(len(x.g.table.pool("plain").recentResults) == 1, !crashed)
-		}, unframed(answers(200, "part", time.Millisecond)))
+			is.Equal(x.g.table.pool("plain").recentResults, []attemptResult{{server: "p0", answered: !crashed}})
+		})
+	}
+}
+
+// TestServerThatEndsWithItsAnswerIsReplaced guards against a part of an answer that is passed on as the whole because
+// its server ended between two events, or within a plain answer, and the kernel closed the connection in order.
+func TestServerThatEndsWithItsAnswerIsReplaced(t *testing.T) {
+	large := strings.Repeat("x", 2*maxHeldAnswer)
+	for _, tt := range []struct {
+		name, path string
+		part       behaviour
+		next       behaviour // of the other server
+		body       string
+		cut        bool
+	}{
+		{"safe", "/again/x", answers(200, "part", 0), answers(200, "whole", 0), "whole", false},
+		{"unsafe", "/once/x", answers(200, "part", 0), answers(200, "whole", 0), "{\"error\":\"may-have-run\"}\n", false},
+		{"large", "/again/x", answers(200, large, 0), answers(200, "whole", 0), large, true},
+		{"stream", "/stream/x", resuming(3, 0, nil), resuming(6, 0, nil), wholeStream(3), true},
+		{"resumable stream", "/resume/x", resuming(3, 0, nil), resuming(6, 0, nil), wholeStream(6), false},
+		{"resumable stream, unframed rest", "/resume/x", resuming(3, 0, nil), unframed(resuming(6, 0, nil)), wholeStream(6), false},
+		{"whole resumable stream", "/resume/x", resuming(6, 0, nil), resuming(6, 0, nil), wholeStream(6), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withGateway(t, func(x *fixture) {
+				is := is.New(x.t)
+				x.announceInOrder([]behaviour{endingWithServer(x, unframed(tt.part)), tt.next})
+				var conn resettableConn
+				got := x.requestWith(socket.WithConn(x.t.Context(), &conn), http.MethodPost, tt.path, "a body")
+				is.Equal(got.body, tt.body)
+				is.Equal(got.cut, tt.cut)
+				is.Equal(conn.resets, tt.cut)
+			})
+		})
 	}
 }
 
--- a/router/relay.go
+++ b/router/relay.go
@@ -102,6 +102,9 @@
 	return r.scan != nil && r.call.engine && r.answer.Status == http.StatusOK
 }
 
+// hasEndMark reports whether the content of the answer has stated its end.
+func (r *relay) hasEndMark() bool { return r.statesEnd() && r.scan.done }
+
 // endUnknown reports whether nothing states that an answer which ended without an error is complete.
 func (r *relay) endUnknown() bool {
 	return r.answer.Unframed && !r.statesEnd() && r.relayedBytes != r.length
@@ -135,6 +138,8 @@
 			return false, errTooLong
 		case n > 0 && !r.writeChunk((*buf)[:n]):
 			return true, nil
+		case r.answer.Unframed && r.hasEndMark():
+			return false, nil // the end of the connection states nothing more
 		}
 		switch {
 		case err == nil:
@@ -291,7 +296,7 @@
 func (r *relay) isTruncated() bool {
 	switch {
 	case r.statesEnd():
-		return !r.scan.done
+		return !r.hasEndMark()
 	case r.resumptions > 0 && r.relayedBytes < r.length:
 		return true
 	}
--- a/transport/forward/backend_test.go
+++ b/transport/forward/backend_test.go
@@ -104,25 +104,6 @@
 	})
 }
 
-// TestHasOpen checks that an open connection counts until its server closes it.
-func TestHasOpen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		n := fakenet.New(time.Millisecond)
-		c := client(t, n)
-		is.True(!c.HasOpen(address))
-		serve(t, n, &standin.Service{})
-		a, err := c.Send(t.Context(), address, forward.Call{Method: "POST", Path: "/"})
-		is.NoErr(err)
-		_, _ = io.Copy(io.Discard, a.Body) // only the connection is of interest
-		a.Body.Close()
-		is.True(c.HasOpen(address))
-		n.Kill("10.0.0.1")
-		time.Sleep(time.Second)
-		is.True(!c.HasOpen(address))
-	})
-}
-
 // TestUnreachableServerGivesNotRun calls an address where nothing listens and one that is cut off
 // from the network.
 func TestUnreachableServerGivesNotRun(t *testing.T) {
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -122,18 +122,6 @@
 	return idle
 }
 
-// hasOpen reports whether a connection to an address has not failed.
-func (o *connections) hasOpen(address string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for c := range o.open[address] {
-		if c.failure.Load() == nil {
-			return true
-		}
-	}
-	return false
-}
-
 // countingDial returns a dial function that registers its connections in o.
 func (o *connections) countingDial(cfg Settings) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -102,7 +102,7 @@
 	Status       int
 	Header       http.Header
 	Length       int64 // of the body in bytes, -1 if unknown
-	Unframed     bool  // only the end of the connection ends the body, see [Framing]
+	Unframed     bool  // only the end of the connection ends the body, see [Framing] and [ServerEnded]
 	Body         io.ReadCloser
 	ConnOpenedAt time.Time // when the connection was opened
 }
@@ -111,7 +111,7 @@
 type Framing string
 
 // Framings of a body. A body without one ends with the connection, so that io.EOF does not show that it
-// is complete: a server that fails closes its connections as well.
+// is complete: a server that fails may close its connections as well, and go on.
 const (
 	FramedByLength Framing = "length"
 	FramedByChunks Framing = "chunks"
@@ -254,9 +254,6 @@
 // DropAllIdle closes the idle connections to all addresses.
 func (c *Client) DropAllIdle() { c.transport.CloseIdleConnections() }
 
-// HasOpen reports whether a connection to an address is open and has not failed.
-func (c *Client) HasOpen(address string) bool { return c.conns.hasOpen(address) }
-
 // RefusesConnections reports whether the box at address refuses connections, which means that the process
 // that listened there has ended. It dials the address and closes the connection if one opens.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
@@ -294,10 +291,14 @@
 			Err: errors.Errorf("status %d", resp.StatusCode),
 		}
 	}
-	return &Response{
+	a := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: isUnframed(resp), Body: resp.Body,
 		ConnOpenedAt: trace.connOpenedAt(),
-	}, nil
+	}
+	if a.Unframed {
+		a.Body = &unframedBody{ReadCloser: resp.Body, confirm: func() error { return c.confirmEnd(ctx, address) }}
+	}
+	return a, nil
 }
 
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
--- a/unframed_test.go
+++ b/unframed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -83,3 +84,40 @@
 		f.client.CloseIdleConnections()
 	})
 }
+
+// TestServerThatEndsWithItsResponseBreaksIt guards against a part of a response that ends in order because its server
+// ended, whose connections the kernel closes in order.
+func TestServerThatEndsWithItsResponseBreaksIt(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		is.Equal(f.do(order("r1", "hotel", "sheets", "")).status, http.StatusOK) // opens a connection
+		f.services["s1"].FailNext(standin.Unframed)
+		whole := f.do(order("r1", "hotel", "sheets", ""))
+		is.NoErr(whole.err)
+		f.services["s1"].FailNext(standin.TruncateUnframed)
+		time.AfterFunc(whole.took/2, func() { f.net.Kill("10.0.4.1") }) // most of the time the router waits for the end
+		got := f.do(order("r1", "hotel", "towels", ""))
+		is.Equal(got.status, http.StatusOK)
+		is.True(got.body != "")
+		is.True(got.err != nil)
+	})
+}
+
+// TestStreamWithEndMarkNeedsNoServer guards against breaking off a stream whose content has stated its end because its
+// server ended afterwards, and against waiting for the end of its connection.
+func TestStreamWithEndMarkNeedsNoServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := smallFleet(t)
+		framed := f.do(completion("r1", "hotel", 3, true))
+		for range 2 {
+			f.engines["e1"].FailNext(standin.Unframed)
+			got := f.do(completion("r1", "hotel", 3, true))
+			is.NoErr(got.err)
+			is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n"))
+			is.True(got.took <= framed.took)
+			time.AfterFunc(framed.took, func() { f.net.Kill("10.0.3.1") })
+		}
+	})
+}
