forward: a refusal does not wait for the end of its body

A server that refuses a call and then sends the body of its refusal slowly, without end or not at all held the call until its time was over (10 s in the test): the body was read so that the connection could be reused. It is now read for 50 ms at most; then the connection is closed.

Heads that stop: TestHeadThatStopsIsNoResponse ends a connection in order after each byte of six heads (with a length, chunks or neither, behind an interim head or not). None is a response: the report of a 200 with an empty or short body is not reproduced.

--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -204,9 +204,10 @@
 const (
 	defaultDialTimeout = 2 * time.Second
 	defaultIdleTimeout = 30 * time.Second
-	minIdlePerServer   = 16       // connections to one server
-	maxResponseHeader  = 64 << 10 // bytes; the same limit as for requests to the fleet's listeners
-	maxRefusal         = 4 << 10  // bytes of a refusal's body that are read, so that its connection can be reused
+	minIdlePerServer   = 16                    // connections to one server
+	maxResponseHeader  = 64 << 10              // bytes; the same limit as for requests to the fleet's listeners
+	maxRefusal         = 4 << 10               // bytes of a refusal's body that are read, so that its connection can be reused
+	refusalTimeout     = 50 * time.Millisecond // for that; a refused call is sent elsewhere at once
 )
 
 // Client sends calls to backend servers. It is safe for concurrent use.
@@ -283,9 +284,7 @@
 		return nil, NotRun{Server: address, Err: err}
 	}
 	if c.isRefusal(resp.StatusCode, resp.Header) {
-		// If the body cannot be read, the connection is not reused.
-		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusal)
-		resp.Body.Close()
+		discardRefusal(resp.Body)
 		return nil, NotRun{
 			Server: address, Refused: true, Status: resp.StatusCode, Header: resp.Header,
 			Err: errors.Errorf("status %d", resp.StatusCode),
@@ -301,6 +300,15 @@
 	return a, nil
 }
 
+// discardRefusal reads the body of a refusal so that its connection can be reused. If it does not end soon, the
+// connection is closed.
+func discardRefusal(body io.ReadCloser) {
+	timer := time.AfterFunc(refusalTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, body, maxRefusal) // an error closes the connection
+	_ = body.Close()
+}
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+"/", requestBody(call))
 	if err != nil {
