gateway: the server of a hedge that was not needed may run the request again

What callers saw: a stream whose server is silent for 0.5 s, sends one more event and dies is cut at the route's timeout. Cause: the hedge that the event ended has used the second of two attempts, and nothing is left when the server dies. It is charged to the retry budget, and three arrivals remain the most.

--- a/coordination/retry/policy.go
+++ b/coordination/retry/policy.go
@@ -25,6 +25,7 @@
 type Request struct {
 	Route document.Route
 	Counts
+	Reusable    int  // servers that may be sent the request again, because their runs were ended as not needed
 	HeadWritten bool // whether the head of an answer was sent to the caller
 	Final       bool // whether no other answer can continue the one whose head was sent
 	TimeLeft    bool // whether the limits of the caller and the route have not expired
@@ -33,7 +34,8 @@
 // MayRetry reports whether another attempt is allowed after one that ended without a complete answer, and
 // whether it is charged to the retry budget. Within the limits, a request that has not run may always
 // be sent elsewhere, and one that may have run only if its route allows a second run. An attempt that
-// reached no server caused no load, so the next one is not charged.
+// reached no server caused no load, so the next one is not charged. The route limits the servers that may run the
+// request, so one whose run was ended as not needed may run it again.
 func (r Request) MayRetry(last Execution) (allowed, fromBudget bool) {
 	maxRuns := max(r.Route.MaxAttempts, 1)
 	switch {
@@ -41,7 +43,7 @@
 		r.HeadWritten && (r.Final || !r.Route.Resumable),
 		r.Arrived >= min(maxRuns+1, maxArrived),
 		r.Begun >= MaxBegun,
-		r.Runs >= maxRuns,
+		r.Runs-r.Reusable >= maxRuns,
 		!last.MayGoElsewhere(r.Route.MayRepeat()):
 		return false, false
 	}
--- a/coordination/retry/policy_test.go
+++ b/coordination/retry/policy_test.go
@@ -121,3 +121,20 @@
 	}
 	is.Equal(c, Counts{Begun: 5, Arrived: 4, Runs: 3})
 }
+
+// TestUnneededRunLeavesItsServer checks that a server whose run was ended as not needed may run the request again, and
+// that all other limits hold.
+func TestUnneededRunLeavesItsServer(t *testing.T) {
+	is := is.New(t)
+	r := Request{Route: document.Route{Kind: document.Repeatable, MaxAttempts: 2}, TimeLeft: true}
+	r.Counts = r.With(MayHaveRun).With(MayHaveRun)
+	allowed, _ := r.MayRetry(MayHaveRun)
+	is.True(!allowed)
+	r.Reusable = 1
+	allowed, fromBudget := r.MayRetry(MayHaveRun)
+	is.True(allowed)
+	is.True(fromBudget)
+	r.Counts = r.With(Refused)
+	allowed, _ = r.MayRetry(MayHaveRun)
+	is.True(!allowed) // three arrivals
+}
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -53,9 +53,17 @@
 	if c.counts.Runs > 0 {
 		req.maxBackoff = queueTimeout
 	}
+	c.limitServers(&req, c.counts.Runs)
 	return req
 }
 
+// limitServers limits the next attempt to servers that have run the request once the route allows no others.
+func (c *call) limitServers(req *requirements, runs int) {
+	if runs >= max(c.route.MaxAttempts, 1) {
+		req.onlyServers = c.reusable
+	}
+}
+
 // noServerError returns the error for a request that got no backend server. A request whose homes
 // or version exclude every server does not count as missed, because engine capacity is not what it lacks.
 func (c *call) noServerError(ctx context.Context, req *requirements) error {
@@ -96,7 +104,7 @@
 // policy returns the current inputs for deciding on further attempts.
 func (c *call) policy(ctx context.Context) retry.Request {
 	return retry.Request{
-		Route: c.route, Counts: c.counts, HeadWritten: c.relay.begun(), Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
+		Route: c.route, Counts: c.counts, Reusable: len(c.reusable), HeadWritten: c.relay.begun(), Final: !c.relay.canContinue(), TimeLeft: ctx.Err() == nil,
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,7 @@
 	counts       retry.Counts
 	wasAssigned  bool            // it has been assigned a backend server
 	triedServers map[string]bool // IDs of servers that have already been tried
+	reusable     map[string]bool // IDs of servers whose hedges were ended as not needed
 	assigned     *assignment     // last attempt
 	shortage     shortage        // why no backend server was available in the end
 	relay        *relay          // nil until the request is admitted
@@ -207,7 +208,7 @@
 func (c *call) serve() error {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.timeLeft())
 	defer cancel()
-	c.triedServers = map[string]bool{}
+	c.triedServers, c.reusable = map[string]bool{}, map[string]bool{}
 	c.relay = &relay{c: c, position: positionAt(c.head.LastEventID)}
 	if err := c.findOrigin(); err != nil {
 		return err
@@ -224,6 +225,7 @@
 		if err := c.checkPartsBeforeSend(a); err != nil {
 			return err
 		}
+		delete(c.reusable, a.serverID)
 		c.g.stats.countVersion(c.pool.Name, &a.versionAttempt)
 		c.logResumption(a)
 		if again, err := c.attemptWithHedges(ctx, a); !again {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -24,6 +24,7 @@
 	prompt       place.Prompt
 	repeatable   bool            // may run more than once
 	triedServers map[string]bool // IDs of servers that have already been tried
+	onlyServers  map[string]bool // IDs of the servers that the request may go to; nil means all
 	gateways     int
 	random       float64 // in [0, 1)
 	// maxBackoff is how long the request waits if all servers are in backoff. It is zero for a
@@ -215,6 +216,8 @@
 		return true
 	case t.hallsOut[k.Hall], v.versions&k.versionSet == 0, !req.version.allows(k.Version), !t.homesAllow(req, k):
 		return true
+	case req.onlyServers != nil && !req.onlyServers[k.ID]:
+		return true
 	case req.maxQuiet != nil && k.isQuiet(now, *req.maxQuiet):
 		return true
 	}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -81,7 +81,7 @@
 // to the caller. The call's goroutine must be waiting for a server.
 func (c *call) snapshot() *call {
 	s := *c
-	s.triedServers = maps.Clone(c.triedServers)
+	s.triedServers, s.reusable = maps.Clone(c.triedServers), maps.Clone(c.reusable)
 	s.response, s.watch, s.assigned = nil, nil, nil
 	s.relay = &relay{c: &s, status: c.relay.status, plain: c.relay.plain, unframed: c.relay.unframed, position: c.relay.position, endUnstated: c.relay.endUnstated}
 	return &s
@@ -199,6 +199,7 @@
 		queueTimeout = max(retry.QueueTimeout(c.queuedRequest()), 0)
 	}
 	req := c.requirements(queueTimeout)
+	c.limitServers(&req, hs.counts().Runs)
 	req.maxQuiet = &quietLimit{streaming: hs.w.gap / 2, other: hs.w.first / 2}
 	a, _ := c.g.awaitServer(hs.ctx, req, queueTimeout)
 	if a == nil {
@@ -231,6 +232,7 @@
 	}
 	hs.pending++
 	hs.c.triedServers[a.serverID] = true
+	delete(hs.c.reusable, a.serverID)
 	hs.c.g.stats.countVersion(hs.c.pool.Name, &a.versionAttempt)
 	hs.c.logResumption(a)
 	go h.run()
@@ -365,13 +367,19 @@
 	hs.cancel()
 }
 
-// adoptAttempts adds the hedges, but for the winner, to the call's attempts. The caller holds silenceWatch.mu.
+// adoptAttempts adds the hedges, but for the winner, to the call's attempts. Those that have not ended are not needed.
+// The caller holds silenceWatch.mu.
 func (c *call) adoptAttempts(hs *hedges, winner *hedge) {
 	c.counts = c.counts.Plus(hs.madeCounts(winner))
 	c.losses += hs.losses
 	for _, h := range hs.made {
-		if h != winner {
-			c.triedServers[h.a.serverID] = true
+		delete(c.reusable, h.a.serverID)
+		if h == winner {
+			continue
+		}
+		c.triedServers[h.a.serverID] = true
+		if !h.ended {
+			c.reusable[h.a.serverID] = true
 		}
 	}
 }
