--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -306,7 +306,7 @@
 	timer := time.AfterFunc(refusalTimeout, func() { _ = body.Close() })
 	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, body, maxRefusal) // an error closes the connection
-	_ = body.Close()
+	body.Close()
 }
 
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
