--- a/silent_servers_test.go
+++ b/silent_servers_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -215,6 +216,7 @@
 		r.ctx = ctx
 		is.True(f.do(r).err != nil)
 		time.Sleep(time.Minute)
+		synctest.Wait() // orders the server's writes before the check
 		is.Equal(s.discarded, 1)
 	})
 }
