gateway: each byte of an event is searched once

What callers would see: one server in trouble that sends an event without end in small pieces takes a gateway's processor time from all its requests, up to 1 MiB an attempt.

Cause: the search for the end of an event began anew at the first byte with each piece, and so did that for IDs behind comments at the beginning of a continuation.

Change: eventBuffer remembers what it has searched. One buffer serves the relay and the search for usable continuations.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,7 +26,6 @@
 // Memory bounds for one answer, in bytes.
 const (
 	maxHeldAnswer = 256 << 10 // a plain answer that is held until it is whole; larger ones are passed on as they arrive
-	maxEvent      = 1 << 20   // one event of a stream
 	readSize      = 8 << 10   // read buffer of a stream
 )
 
@@ -38,7 +37,7 @@
 	plain       bool           // the response is no stream
 	unframed    bool           // the response ends with its connection
 	position    position       // of the stream, at the last event passed on
-	partial     []byte         // received part that has not been passed on
+	received    eventBuffer    // received part that has not been passed on
 	resumes     bool           // the current answer is to continue a stream that has begun
 	continues   bool           // the current answer has shown that it does, or need not
 	endUnstated bool           // the previous answer ended the stream in order without stating that this is its end
@@ -198,7 +197,7 @@
 
 // relayStream passes on the events of a stream, each as soon as it is whole.
 func (r *relay) relayStream(ctx context.Context, a *assignment, answer *forward.Response) outcome {
-	r.partial = r.partial[:0]
+	r.received.reset()
 	r.resumes = r.begun()
 	r.continues = !r.resumes
 	buffer := make([]byte, readSize)
@@ -218,7 +217,7 @@
 			err = ctx.Err()
 		}
 		if err != nil {
-			r.endUnstated = len(r.partial) == 0 && errors.As(err, new(forward.ServerEnded))
+			r.endUnstated = r.received.isEmpty() && errors.As(err, new(forward.ServerEnded))
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Lost, err: err}
 		}
 	}
@@ -256,20 +255,19 @@
 		r.c.g.stats.observe(firstSeconds, r.c.account.Name, r.c.route.Name, r.c.g.now()-r.c.arrived)
 		r.c.recordOrigin(a)
 	}
-	r.partial = append(r.partial, chunk...)
-	end := endOfEvents(r.partial)
-	if end == 0 {
-		return r.checkPartialSize()
+	completed := r.received.add(chunk)
+	if len(completed) == 0 {
+		return r.checkReceivedSize()
 	}
-	after, err := r.positionAfter(r.partial[:end])
+	after, err := r.positionAfter(completed)
 	if err != nil {
 		return err
 	}
 	if !r.continues {
-		return r.checkPartialSize() // comments before the first event
+		return r.checkReceivedSize() // comments before the first event
 	}
 	r.recordBegun(a)
-	return r.writeEvents(end, after)
+	return r.writeEvents(after)
 }
 
 // recordBegun records that the attempt's answer has begun, at its first call in an attempt.
@@ -280,9 +278,9 @@
 	}
 }
 
-// checkPartialSize returns an error if too many bytes wait to be passed on.
-func (r *relay) checkPartialSize() error {
-	if len(r.partial) > maxEvent {
+// checkReceivedSize returns an error if too many bytes wait to be passed on.
+func (r *relay) checkReceivedSize() error {
+	if r.received.isFull() {
 		return errTooLarge
 	}
 	return nil
@@ -307,9 +305,9 @@
 // without stating that this is its end, is broken. A stream that began with chunks and goes on in a body
 // without them ends like a broken one: its last chunk would state an end that nothing else states.
 func (r *relay) finishStream(answer *forward.Response) outcome {
-	confirmed := r.endUnstated && !answer.Unframed && len(r.partial) == 0
+	confirmed := r.endUnstated && !answer.Unframed && r.received.isEmpty()
 	switch {
-	case len(r.partial) > 0 || answer.Unframed && r.body == nil:
+	case !r.received.isEmpty() || answer.Unframed && r.body == nil:
 		return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 	case !r.continues && !confirmed:
 		return notContinuedOutcome(errNoEvents)
@@ -332,29 +330,17 @@
 	return passedOn(answer)
 }
 
-// endOfEvents returns the length of the whole events at the beginning of b. An empty line ends an event;
-// lines end with LF or CRLF.
-func endOfEvents(b []byte) int {
-	end := 0
-	for _, emptyLine := range []string{"\n\n", "\n\r\n"} {
-		if at := bytes.LastIndex(b, []byte(emptyLine)); at >= 0 {
-			end = max(end, at+len(emptyLine))
-		}
-	}
-	return end
-}
-
-// writeEvents passes on the first bytes received so far, which are whole events, with one write and keeps the rest.
-func (r *relay) writeEvents(end int, after position) error {
+// writeEvents passes on the whole events received so far with one write and keeps the rest.
+func (r *relay) writeEvents(after position) error {
 	r.extendWriteDeadline()
-	if _, err := r.body.Write(r.partial[:end]); err != nil {
+	if _, err := r.body.Write(r.received.wholeEvents()); err != nil {
 		return err
 	}
 	r.position, r.endUnstated = after, false
 	if err := r.body.Flush(); err != nil {
 		return err
 	}
-	r.partial = append(r.partial[:0], r.partial[end:]...)
+	r.received.removeWhole()
 	now := r.c.g.now()
 	if r.writes > 0 {
 		r.longestGap = max(r.longestGap, now-r.lastWriteAt)
--- a/gateway/usable.go
+++ b/gateway/usable.go
@@ -65,23 +65,20 @@
 // awaitEvents reads a stream until it has a whole event that follows the last one passed on, or ends whole.
 func (r *relay) awaitEvents(answer *forward.Response) outcome {
 	next := relay{position: r.position, resumes: r.begun()}
-	var received []byte
+	var received eventBuffer
 	buffer := make([]byte, readSize)
 	for {
 		n, err := answer.Body.Read(buffer)
-		received = append(received, buffer[:n]...)
-		if end := endOfEvents(received); end > 0 {
-			if _, err := next.positionAfter(received[:end]); err != nil {
-				return notContinuedOutcome(err)
-			}
-			if next.continues {
-				unread(answer, received)
-				return outcome{execution: retry.Answered}
-			}
+		if _, err := next.positionAfter(received.add(buffer[:n])); err != nil {
+			return notContinuedOutcome(err)
+		}
+		if next.continues {
+			unread(answer, received.bytes)
+			return outcome{execution: retry.Answered}
 		}
 		switch {
-		case err == io.EOF && r.endsWhole(answer, received):
-			unread(answer, received)
+		case err == io.EOF && r.endsWhole(answer, &received):
+			unread(answer, received.bytes)
 			return outcome{execution: retry.Answered}
 		case err == io.EOF && r.begun():
 			return notContinuedOutcome(errNoEvents)
@@ -89,15 +86,15 @@
 			return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 		case err != nil:
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Lost, err: err}
-		case len(received) > maxEvent:
+		case received.isFull():
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: errTooLarge}
 		}
 	}
 }
 
 // endsWhole reports whether a stream that ends before its first event states that this is its end.
-func (r *relay) endsWhole(answer *forward.Response, received []byte) bool {
-	return !answer.Unframed && endOfEvents(received) == len(received) && (!r.begun() || r.endUnstated)
+func (r *relay) endsWhole(answer *forward.Response, received *eventBuffer) bool {
+	return !answer.Unframed && received.whole == len(received.bytes) && (!r.begun() || r.endUnstated)
 }
 
 // unread puts bytes that were read from an answer back into its body.
