directory: a relay that is cut off lets its gateways go in time

Cause: a relay that was cut off from all other replicas, but not from its gateways, kept them for 3 s after it had noticed that, and then named itself as the replica to go to, where they waited 0.6 s a time. Fleets with spread sessions had a bound of 1.5 s for this, and named no replica.

Change: that bound and that redirect for all relays.

--- a/directory/relay.go
+++ b/directory/relay.go
@@ -28,14 +28,11 @@
 	relayPollInterval = 50 * time.Millisecond
 	// relayDialTimeout bounds a dial to the leader. It is the same as for gateways.
 	relayDialTimeout = 700 * time.Millisecond
-	// relayGracePeriod is how long a relay keeps its gateways without the leader: the time of two
-	// elections.
-	relayGracePeriod = 3 * time.Second
-	// spreadGracePeriod is the same where sessions are spread. A replica that is cut off from the others,
-	// but not from its gateways, detects that after registry.LeaderTimeout. After this period its gateways
-	// have one second left to be sent a document within 3.5 s of its acknowledgement. The period covers an
-	// election and a dial.
-	spreadGracePeriod = 1500 * time.Millisecond
+	// relayGracePeriod is how long a relay keeps its gateways without the leader. A replica that is cut off
+	// from the others, but not from its gateways, detects that after registry.LeaderTimeout. After this period
+	// its gateways have one second left to be sent a document within 3.5 s of its acknowledgement. The period
+	// covers an election and a dial.
+	relayGracePeriod = 1500 * time.Millisecond
 )
 
 // relay is the state of a replica that forwards the leader's messages. Everything runs in the hub's
@@ -147,28 +144,14 @@
 	case r == nil:
 	case r.out != nil && l.term > r.serverList.Term():
 		r.disconnectLeader(r.out)
-	case r.out == nil && h.d.replica.Now()-r.lostAt > h.gracePeriod():
-		h.endRelay(h.redirectTarget())
+	case r.out == nil && h.d.replica.Now()-r.lostAt > relayGracePeriod:
+		h.endRelay(anyReplica)
 	}
 }
 
-// redirectTarget returns the replica to which a relay without a leader redirects its gateways. Where
-// sessions are spread this is "", which means any other replica. Otherwise it is this replica, because a
-// region has few relays, and this one serves again as soon as it has a leader.
-func (h *hub) redirectTarget() string {
-	if h.isSpread() {
-		return ""
-	}
-	return h.d.Address()
-}
-
-// gracePeriod returns how long a relay keeps its gateways without the leader.
-func (h *hub) gracePeriod() time.Duration {
-	if h.isSpread() {
-		return spreadGracePeriod
-	}
-	return relayGracePeriod
-}
+// anyReplica is the target of a redirect to any other replica. A relay without a leader may be cut off from all of them, so
+// it does not name itself.
+const anyReplica = ""
 
 // endRelay ends the sessions of all gateways and redirects them to a replica.
 func (h *hub) endRelay(to string) {
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -212,3 +212,25 @@
 		is.True(time.Since(began) < 2*time.Second)
 	})
 }
+
+// TestPartitionedRelayRedirectsGateways: a relay is partitioned from all other replicas but not from its gateways. It must
+// redirect them, so that a document that is accepted meanwhile is in force at all gateways within 3.5 s.
+func TestPartitionedRelayRedirectsGateways(t *testing.T) {
+	t.Parallel()
+	withRelays(t, 20, 8, func(x *fleet, near, far []*gateway.Gateway) {
+		is := is.New(x.t)
+		defer x.net.HealPartitions() // also if the test fails, as dials would block forever
+		for i, ip := range []string{x.relays(south)[0].ip, x.relays(south)[1].ip} {
+			for _, other := range x.ips {
+				if other != ip {
+					x.net.Partition(ip, other)
+				}
+			}
+			took := x.awaitDocument(uint64(i+2), append(near, far...)...)
+			x.t.Logf("in force after %v", took)
+			is.True(took <= 3500*time.Millisecond)
+			x.net.HealPartitions()
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
