--- a/directory/relay.go
+++ b/directory/relay.go
@@ -19,7 +19,7 @@
 //
 // A relay has one session with the leader, as a gateway has. It reads documents from the replicated log,
 // which it has anyway. In another region than the leader's, its gateways keep their sessions until the
-// relay has a session with the next leader, and then open new ones. Where sessions are spread they
+// relay has a session with the next leader, for relayGracePeriod at most, and then open new ones. Where sessions are spread they
 // outlive the leader (sessioncarryover.go).
 
 const (
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -24,8 +24,8 @@
 	openedAt     time.Time
 	closed       atomic.Bool           // by this process
 	failure      atomic.Pointer[error] // first failure of a read or write before that
-	writing      sync.Mutex            // leaf lock, held during a write; guards lostBy
-	lostBy       error                 // first failure of a write that shows a loss of the connection, see isLoss
+	writing      sync.Mutex            // leaf lock, held during a write; guards lost
+	lost         error                 // first failure of a write that shows the loss of the connection, see isLoss
 	deregister   func()                // removes the connection from the client's list
 	bytesWritten atomic.Int64
 	callsStarted atomic.Int64 // calls that were given the connection
@@ -53,8 +53,8 @@
 	n, err := c.Conn.Write(b)
 	c.bytesWritten.Add(int64(n))
 	c.recordFailure(err)
-	if c.lostBy == nil && isLoss(err) {
-		c.lostBy = err
+	if c.lost == nil && isLoss(err) {
+		c.lost = err
 	}
 	return n, err
 }
@@ -65,12 +65,12 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed)
 }
 
-// endsInOrder returns the failure that ended the connection, nil if the peer ended it in order. The kernel reports a failure
+// lossError returns the failure of a write that shows the loss of the connection, nil without one. The kernel reports a loss
 // once, to a read or to a write, and a read after that returns io.EOF. It waits for a write that has not returned.
-func (c *countingConn) endsInOrder() error {
+func (c *countingConn) lossError() error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.lostBy
+	return c.lost
 }
 
 // Read implements [net.Conn].
@@ -216,10 +216,10 @@
 	return err
 }
 
-// endsInOrder is the function of the same name of the call's connection.
-func (s *callTrace) endsInOrder() error {
+// lossError returns the failure of a write that shows the loss of the call's connection, nil without one.
+func (s *callTrace) lossError() error {
 	if c := s.conn.Load(); c != nil {
-		return c.endsInOrder()
+		return c.lossError()
 	}
 	return nil
 }
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -296,7 +296,7 @@
 	}
 	if a.Unframed {
 		a.Body = &unframedBody{ReadCloser: resp.Body, confirm: func() error {
-			if err := trace.endsInOrder(); err != nil {
+			if err := trace.lossError(); err != nil {
 				return err
 			}
 			return c.confirmEnd(ctx, address)
