--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,12 +88,12 @@
 }
 
 // writeEndlessly writes text at a pace until the other side closes, and returns how many bytes it has written.
-func writeEndlessly(conn net.Conn, text string) (n int) {
+func writeEndlessly(conn net.Conn, text string) (n int64) {
 	const pace = time.Millisecond
 	for {
 		time.Sleep(pace)
 		written, err := io.WriteString(conn, text)
-		n += written
+		n += int64(written)
 		if err != nil {
 			return n
 		}
@@ -123,10 +124,10 @@
 			t.Run(tt.name+" "+path, func(t *testing.T) {
 				withGateway(t, func(x *fixture) {
 					is := is.New(x.t)
-					received := 0
+					var received atomic.Int64 // bytes that the gateway has taken in
 					endless := x.overNetwork(func(conn net.Conn) {
 						_, _ = io.WriteString(conn, tt.head)
-						received += writeEndlessly(conn, tt.text)
+						received.Add(writeEndlessly(conn, tt.text))
 					})
 					x.announceServers("plain", endless, endless)
 					got := x.request(path)
@@ -134,7 +135,7 @@
 					is.True(got.took <= longest)
 					time.Sleep(time.Second) // for the server to notice
 					if strings.Contains(path, "/stream") || strings.Contains(path, "/resume") {
-						is.True(received <= 2*(maxEvent+4*readSize)) // at both attempts
+						is.True(received.Load() <= 2*(maxEvent+4*readSize)) // at both attempts
 					}
 				})
 			})
--- a/malformed_test.go
+++ b/malformed_test.go
@@ -48,19 +48,20 @@
 	for _, framing := range []string{"Content-Length: 4000\r\n", "Transfer-Encoding: chunked\r\n", ""} {
 		head := "HTTP/1.1 200 OK\r\n" + framing + "Content-Type: application/json\r\n\r\n"
 		inBubble(t, func(t *testing.T) {
-			sent, arrived := 0, 0
+			var length, arrived atomic.Int64
 			f := startWriter(t, func(conn net.Conn) {
-				arrived++
-				_, _ = io.WriteString(conn, head[:sent])
+				arrived.Add(1)
+				_, _ = io.WriteString(conn, head[:length.Load()])
 			})
-			for ; sent < len(head); sent++ {
-				got := f.do(order("r1", "hotel", "sheets", fmt.Sprintf("k%d", sent)))
+			for n := range len(head) {
+				length.Store(int64(n))
+				got := f.do(order("r1", "hotel", "sheets", fmt.Sprintf("k%d", n)))
 				if got.status < http.StatusInternalServerError || got.err != nil {
-					t.Errorf("after %q status %d, error %v", head[:sent], got.status, got.err)
+					t.Errorf("after %q status %d, error %v", head[:n], got.status, got.err)
 				}
 				time.Sleep(pause)
 			}
-			is.New(t).Equal(arrived, len(head))
+			is.New(t).Equal(arrived.Load(), int64(len(head)))
 		})
 	}
 }
