--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -94,6 +94,20 @@
 	return does(ctx, call)
 }
 
+// set sets the behaviour of an address.
+func (f *fakeServers) set(address string, d behaviour) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behaviours[address] = d
+}
+
+// at returns the behaviour of an address.
+func (f *fakeServers) at(address string) behaviour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behaviours[address]
+}
+
 func (f *fakeServers) DropIdle(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -250,7 +264,7 @@
 		b := protocol.Server{Handle: uint32(len(pool)*10 + i), Registration: protocol.Registration{
 			ID: fmt.Sprintf("%s%d", pool[:1], i), Pool: pool, Address: fmt.Sprintf("10.0.%d.%d:80", len(pool), i), Hall: "z", Slots: 4,
 		}}
-		x.servers.behaviours[b.Address] = d
+		x.servers.set(b.Address, d)
 		m.Set = append(m.Set, b)
 	}
 	x.g.table.update(m)
--- a/gateway/silencecost_test.go
+++ b/gateway/silencecost_test.go
@@ -45,7 +45,7 @@
 	withGateway(t, func(x *fixture) {
 		is := is.New(x.t)
 		await := x.silentRequests("/resume/1", "/resume/2", "/resume/3", "/stream/4")
-		x.announceServers("plain", x.servers.behaviours["10.0.5.0:80"], resuming(40, 0, nil))
+		x.announceServers("plain", x.servers.at("10.0.5.0:80"), resuming(40, 0, nil))
 		time.Sleep(silence - 2*pause)
 		is.Equal(x.serverState("p0"), outlier.Ejected)
 		time.Sleep(6 * pause)
