--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -27,25 +27,15 @@
 // closes the connection in order.
 func (x *fixture) overNetwork(write func(conn net.Conn)) behaviour {
 	n := fakenet.New(time.Millisecond)
-	l, err := n.Listen(malformedAddress)
+	l, err := n.Serve(malformedAddress, func(conn net.Conn) {
+		if _, err := conn.Read(make([]byte, 4096)); err == nil { // fails on a connection that only confirms an end
+			write(conn)
+		}
+	})
 	if err != nil {
 		x.t.Fatal(err)
 	}
 	x.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 4096)); err == nil { // fails on a connection that only confirms an end
-					write(conn)
-				}
-			}()
-		}
-	}()
 	c := forward.New(forward.Settings{Dialer: n.DialerFrom("10.9.0.2")})
 	return func(ctx context.Context, call forward.Call) (*forward.Response, error) {
 		return c.Send(ctx, malformedAddress, call)
--- a/transport/forward/backend_test.go
+++ b/transport/forward/backend_test.go
@@ -36,6 +36,15 @@
 	t.Cleanup(func() { s.Close(); time.Sleep(time.Minute) })
 }
 
+// serveConns handles the connections to the server's address.
+func serveConns(t *testing.T, n *fakenet.Network, handle func(conn net.Conn)) {
+	l, err := n.Serve(address, handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); time.Sleep(time.Minute) })
+}
+
 func client(t *testing.T, n *fakenet.Network) *forward.Client {
 	c := forward.New(forward.Settings{Dialer: n.DialerFrom("10.0.0.2"), HeaderTimeout: 10 * time.Second})
 	t.Cleanup(c.Close)
@@ -202,24 +211,10 @@
 // serveAndClose responds to requests for /warm. It counts any other request and closes its
 // connection without a response.
 func serveAndClose(t *testing.T, n *fakenet.Network, requests *atomic.Int32) {
-	l, err := n.Listen(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close(); time.Sleep(time.Minute) })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveWarm(c, requests)
-		}
-	}()
+	serveConns(t, n, func(conn net.Conn) { serveWarm(conn, requests) })
 }
 
 func serveWarm(c net.Conn, requests *atomic.Int32) {
-	defer c.Close()
 	b := make([]byte, 4096)
 	for {
 		n, err := c.Read(b)
--- a/transport/forward/broken_heads_test.go
+++ b/transport/forward/broken_heads_test.go
@@ -22,25 +22,11 @@
 
 // serveText serves connections, one request each, by writing to them.
 func serveText(t *testing.T, n *fakenet.Network, write func(conn net.Conn)) {
-	l, err := n.Listen(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close(); time.Sleep(time.Minute) })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 4096)); err == nil { // the request
-					write(conn)
-				}
-			}()
+	serveConns(t, n, func(conn net.Conn) {
+		if _, err := conn.Read(make([]byte, 4096)); err == nil { // the request
+			write(conn)
 		}
-	}()
+	})
 }
 
 // TestHeadThatStopsIsNoResponse guards against a response with an empty or short body, framed as whole, from a server
--- a/transport/forward/sent_test.go
+++ b/transport/forward/sent_test.go
@@ -25,33 +25,19 @@
 // rawServer reads requests, calls respond for each with its number, and returns a pointer
 // to the count of requests read.
 func rawServer(t *testing.T, n *fakenet.Network, respond func(conn net.Conn, r *bufio.Reader, request int)) *int {
-	l, err := n.Listen(address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close(); time.Sleep(time.Minute) })
 	requests := new(int)
-	go func() {
+	serveConns(t, n, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
 		for {
-			conn, err := l.Accept()
+			req, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					*requests++
-					respond(conn, r, *requests)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, req.Body)
+			*requests++
+			respond(conn, r, *requests)
 		}
-	}()
+	})
 	return requests
 }
 
