gateway: the silence of a broken attempt is no longer watched when its end is noted

What callers could see: a hedge that begins as its attempt breaks may take the end of a broken stream for a stated one, or the other way round.

The copy is made under the watch's lock, so ending the wait first suffices.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -217,6 +217,7 @@
 			err = ctx.Err()
 		}
 		if err != nil {
+			r.c.watch.suspend() // a hedge that it starts copies what is set here
 			r.endUnstated = r.received.isEmpty() && errors.As(err, new(forward.ServerEnded))
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Lost, err: err}
 		}
