--- a/review/4/hotlookup/main.go
+++ b/review/5/hotlookup/main.go
@@ -20,18 +20,19 @@
 )
 
 const (
-	clients  = 30
+	clients  = 33
 	pause    = 120 * time.Millisecond // of a client between two lookups, on average
-	work     = 80 * time.Millisecond  // of a worker on a lookup
+	work     = 78 * time.Millisecond  // of a worker on a lookup
 	things   = 100                    // that are looked up
 	hotShare = 0.28                   // of the lookups are about one thing
 	hotFor   = 5500 * time.Millisecond
 	deadline = 3 * time.Second
-	between  = 36 * time.Millisecond   // between two crashes
+	between  = 37 * time.Millisecond   // between two crashes
 	downFor  = 4500 * time.Millisecond // of a worker that crashed
-	rounds   = 3
-	every    = 13 * time.Second // from one round to the next
+	rounds   = 2
+	every    = 66 * time.Second // from one round to the next: crashes count against later ones for a minute
 	settle   = 6 * time.Second  // of traffic before the first round
+	after    = 10 * time.Second // of traffic after the last round
 )
 
 func main() {
@@ -53,7 +54,7 @@
 }
 
 func run() int {
-	s, err := stage.New("review/4")
+	s, err := stage.New("review/5")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -105,7 +106,7 @@
 		wg.Go(func() { p.client(ctx, p.s.Fronts()[i%3]) })
 	}
 	time.Sleep(settle)
-	for range rounds {
+	for round := range rounds {
 		began := time.Now()
 		p.mu.Lock()
 		p.hotTill = began.Add(hotFor)
@@ -113,10 +114,9 @@
 		p.s.Logf("one thing is hot")
 		time.Sleep(3 * time.Second)
 		if p.trouble {
+			first := time.Now()
 			for i, w := range workers {
-				if i > 0 {
-					time.Sleep(between)
-				}
+				time.Sleep(time.Until(first.Add(time.Duration(i) * between)))
 				p.s.Logf("worker %s crashes", w.ID)
 				w.Kill()
 			}
@@ -128,8 +128,11 @@
 				}
 			}
 		}
-		time.Sleep(every - time.Since(began))
+		if round+1 < rounds {
+			time.Sleep(every - time.Since(began))
+		}
 	}
+	time.Sleep(after)
 	cancel()
 	wg.Wait()
 	if ended := p.s.Ended(); len(ended) > 0 {
--- a/review/5/doubled/main.go
+++ b/review/6/doubled/main.go
@@ -49,7 +49,7 @@
 }
 
 func run() int {
-	s, err := stage.New("review/5")
+	s, err := stage.New("review/6")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -7,11 +7,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 )
@@ -89,3 +91,16 @@
 	}
 	return a
 }
+
+// Open reports whether the client has a connection that the gateway has not closed.
+func (c *Client) Open() bool {
+	if c.conn == nil {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
+	if _, err := c.r.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.Close()
+		return false
+	}
+	return true
+}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -138,7 +138,7 @@
 	if err := os.WriteFile(path, []byte(s.settings(n, zone, core, dir)), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
+	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -174,7 +174,7 @@
 	}
 	lines := []string{
 		"NodeName=" + n.Name, "Ip=" + n.IP, "Zone=" + zone, "Region=region-1", fmt.Sprintf("PortRange=%d,%d", firstPort, lastPort),
-		"Seeds=" + strings.Join(seeds, ","), "Bootstrap=true", "Limits.LinkMbps=1000.0", "Limits.Cores=1",
+		"Seeds=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%t", n.cmd == nil), "Limits.LinkMbps=1000.0", "Limits.Cores=1",
 		"Discovery=registry", "Entry=vip", "HeartbeatMs=1200", "Contracts=base,drain,config,cost,retry,recover,engine,stream,tenants",
 		"FaultTolerance.Machines=2", "FaultTolerance.Zones=0", "FaultTolerance.Regions=0",
 		"Bounds.SeedLagS=3", "Bounds.ReuseAfterS=2", "Bounds.ContactMs=3000", "Bounds.AckMs=4000", "Bounds.CatchUpS=4", "Bounds.DrainMs=2000",
@@ -248,3 +248,45 @@
 	s.record.Close()
 	os.RemoveAll(s.dir)
 }
+
+// Front is a gateway as the platform sees it.
+type Front struct {
+	Address string
+	s       *Stage
+	node    *Node
+	zone    string
+}
+
+// FrontNodes returns the gateways.
+func (s *Stage) FrontNodes() (all []*Front) {
+	for i, n := range s.fronts {
+		all = append(all, &Front{Address: fmt.Sprintf("%s:%d", n.IP, frontPort), s: s, node: n, zone: zones[i%len(zones)]})
+	}
+	return all
+}
+
+// Name returns the gateway's name.
+func (f *Front) Name() string { return f.node.Name }
+
+// Ready asks the gateway whether it is ready, as the platform does.
+func (f *Front) Ready() bool {
+	status, _, err := callOnce("GET", fmt.Sprintf("%s:%d", f.node.IP, readyPort), "/readyz", nil)
+	return err == nil && status == 200
+}
+
+// Restart stops the gateway with SIGTERM, with SIGKILL once the grace is over, and starts it again. It returns how long
+// the gateway ran after the SIGTERM.
+func (f *Front) Restart(grace time.Duration) (ran time.Duration, err error) {
+	began := time.Now()
+	if err := f.node.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return 0, err
+	}
+	select {
+	case <-f.node.exited:
+	case <-time.After(grace):
+		_ = f.node.cmd.Process.Kill() // it may have ended meanwhile
+		<-f.node.exited
+	}
+	ran = time.Since(began)
+	return ran, f.s.startNode(f.node, f.zone, false)
+}
