--- a/review/4/stopping/main.go
+++ b/review/4/stopping/main.go
@@ -23,13 +23,13 @@
 )
 
 const (
-	clients   = 2400                  // each keeps one connection
+	clients   = 3000                  // each keeps one connection
 	shortest  = 3 * time.Second       // between two requests of a client
 	longest   = 11 * time.Second      // the same; four fifths of IdleTimeoutMs are 12 s
 	work      = 15 * time.Millisecond // of a worker on a request
 	deadline  = 1000 * time.Millisecond
 	grace     = 8 * time.Second // GraceS
-	rounds    = 4               // times that each gateway is stopped and started
+	rounds    = 6               // times that each gateway is stopped and started
 	gap       = 1300 * time.Millisecond
 	settle    = 12 * time.Second // until all connections are open
 	afterStop = grace + time.Second
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -109,17 +109,30 @@
 
 // StartNodes starts a whole system for the first time.
 func (s *Stage) StartNodes(cores, fronts int) error {
-	for i := range cores {
-		s.cores = append(s.cores, &Node{Name: fmt.Sprintf("core-%s-%d", zones[i%len(zones)], i+1), IP: s.IP(20 + i)})
+	if err := s.StartCores(cores); err != nil {
+		return err
 	}
-	for i := range fronts {
-		s.fronts = append(s.fronts, &Node{Name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), IP: s.IP(40 + i)})
+	return s.StartFronts(fronts)
+}
+
+// StartCores starts the directory replicas for the first time.
+func (s *Stage) StartCores(count int) error {
+	for i := range count {
+		s.cores = append(s.cores, &Node{Name: fmt.Sprintf("core-%s-%d", zones[i%len(zones)], i+1), IP: s.IP(20 + i)})
 	}
 	for i, n := range s.cores {
 		if err := s.startNode(n, zones[i%len(zones)], true); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// StartFronts starts the gateways for the first time.
+func (s *Stage) StartFronts(count int) error {
+	for i := range count {
+		s.fronts = append(s.fronts, &Node{Name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), IP: s.IP(40 + i)})
+	}
 	for i, n := range s.fronts {
 		if err := s.startNode(n, zones[i%len(zones)], false); err != nil {
 			return err
@@ -290,3 +303,22 @@
 	ran = time.Since(began)
 	return ran, f.s.startNode(f.node, f.zone, false)
 }
+
+// KillCores kills the processes of all directory replicas, and starts them again after pause. Their disks are kept.
+func (s *Stage) KillCores(pause time.Duration) error {
+	for _, n := range s.cores {
+		_ = n.cmd.Process.Kill() // it may have ended
+	}
+	for _, n := range s.cores {
+		<-n.exited
+	}
+	s.Logf("all core processes are killed")
+	time.Sleep(pause)
+	for i, n := range s.cores {
+		if err := s.startNode(n, zones[i%len(zones)], true); err != nil {
+			return err
+		}
+	}
+	s.Logf("all core processes are started again")
+	return nil
+}
