--- a/review/4/stopping/main.go
+++ b/review/4/stopping/main.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	clients   = 3000                  // each keeps one connection
+	clients   = 4200                  // each keeps one connection
 	shortest  = 3 * time.Second       // between two requests of a client
 	longest   = 11 * time.Second      // the same; four fifths of IdleTimeoutMs are 12 s
 	work      = 15 * time.Millisecond // of a worker on a request
