--- a/review/4/stopping/main.go
+++ b/review/4/stopping/main.go
@@ -23,15 +23,17 @@
 )
 
 const (
-	clients   = 4200                  // each keeps one connection
-	shortest  = 3 * time.Second       // between two requests of a client
-	longest   = 11 * time.Second      // the same; four fifths of IdleTimeoutMs are 12 s
-	work      = 15 * time.Millisecond // of a worker on a request
+	gateways  = 7
+	workers   = 6
+	clients   = 9000                     // each keeps one connection
+	shortest  = 8 * time.Second          // between two requests of a client
+	longest   = 11900 * time.Millisecond // the same; four fifths of IdleTimeoutMs are 12 s
+	work      = 15 * time.Millisecond    // of a worker on a request
 	deadline  = 1000 * time.Millisecond
-	grace     = 8 * time.Second // GraceS
-	rounds    = 6               // times that each gateway is stopped and started
-	gap       = 1300 * time.Millisecond
-	settle    = 12 * time.Second // until all connections are open
+	grace     = 8 * time.Second         // GraceS
+	rounds    = 8                       // times that each gateway is stopped and started
+	gap       = 1300 * time.Millisecond // from one SIGTERM to the next
+	settle    = 12 * time.Second        // until all connections are open
 	afterStop = grace + time.Second
 )
 
@@ -78,15 +80,15 @@
 }
 
 func (p *play) play() error {
-	if err := p.s.StartNodes(5, 3); err != nil {
+	if err := p.s.StartNodes(5, gateways); err != nil {
 		return err
 	}
 	if err := p.s.Order(http.MethodPut, "/config", config(), 15*time.Second); err != nil {
 		return err
 	}
-	for i := range 3 {
+	for i := range workers {
 		_, err := p.s.StartWorker(stage.WorkerSettings{
-			ID: fmt.Sprintf("i-%d", i+1), Address: fmt.Sprintf("%s:8080", p.s.IP(60+i)), Service: "app", Zone: []string{"hall-a", "hall-b", "hall-c"}[i],
+			ID: fmt.Sprintf("i-%d", i+1), Address: fmt.Sprintf("%s:8080", p.s.IP(60+i)), Service: "app", Zone: []string{"hall-a", "hall-b", "hall-c"}[i%3],
 			Controls: p.s.Controls(), Slots: 6, Work: work,
 		}, p.line)
 		if err != nil {
@@ -111,28 +113,46 @@
 	defer wg.Wait()
 	defer cancel()
 	time.Sleep(settle)
+	if err := p.roll(); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// roll stops the gateways in turn and starts each of them again as soon as it has ended.
+func (p *play) roll() error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	failed := make(chan error, rounds*gateways)
 	for range rounds {
-		for i, f := range p.fronts {
+		for _, f := range p.fronts {
+			time.Sleep(gap)
 			if !p.trouble {
-				time.Sleep(4 * time.Second)
+				continue
+			}
+			if !f.Ready() {
+				p.s.Logf("%s is not ready yet, and is left out", f.Name())
 				continue
 			}
 			p.mu.Lock()
 			p.stops[f.Name()] = append(p.stops[f.Name()], time.Now())
 			p.mu.Unlock()
 			p.s.Logf("SIGTERM to %s", f.Name())
-			ran, err := f.Restart(grace)
-			if err != nil {
+			wg.Go(func() {
+				ran, err := f.Restart(grace)
+				if err != nil {
+					failed <- err
+				}
+				p.s.Logf("%s ended %v after the SIGTERM and is started again", f.Name(), ran.Round(time.Millisecond))
+			})
+			select {
+			case err := <-failed:
 				return err
-			}
-			p.s.Logf("%s ended %v after the SIGTERM and is started again", f.Name(), ran.Round(time.Millisecond))
-			time.Sleep(gap)
-			for until := time.Now().Add(8 * time.Second); !p.in[i].Load() && time.Now().Before(until); {
-				time.Sleep(50 * time.Millisecond)
+			default:
 			}
 		}
 	}
-	time.Sleep(2 * time.Second)
 	return nil
 }
 
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -20,6 +20,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/badgerspoke/badgerspoke/platform"
 )
 
 // Ports of the nodes, the same on all of them as on the platform.
@@ -157,7 +159,7 @@
 	}
 	defer log.Close()
 	n.cmd = exec.Command(s.node)
-	n.cmd.Env = []string{"BADGERSPOKE_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "LANG=" + os.Getenv("LANG")}
+	n.cmd.Env = []string{platform.SettingsVariable + "=" + path, "PATH=" + os.Getenv("PATH"), "LANG=" + os.Getenv("LANG")}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := s.start(n.cmd); err != nil {
 		return err
