--- a/review/4/stopping/main.go
+++ b/review/4/stopping/main.go
@@ -25,15 +25,15 @@
 const (
 	gateways  = 7
 	workers   = 6
-	clients   = 9000                     // each keeps one connection
-	shortest  = 8 * time.Second          // between two requests of a client
-	longest   = 11900 * time.Millisecond // the same; four fifths of IdleTimeoutMs are 12 s
-	work      = 15 * time.Millisecond    // of a worker on a request
+	clients   = 9000                 // each keeps one connection
+	shortest  = 4 * time.Second      // between two requests of a client
+	longest   = 8 * time.Second      // the same
+	work      = 8 * time.Millisecond // of a worker on a request
 	deadline  = 1000 * time.Millisecond
 	grace     = 8 * time.Second         // GraceS
-	rounds    = 8                       // times that each gateway is stopped and started
+	rounds    = 9                       // times that each gateway is stopped and started
 	gap       = 1300 * time.Millisecond // from one SIGTERM to the next
-	settle    = 12 * time.Second        // until all connections are open
+	settle    = 9 * time.Second         // until all connections are open
 	afterStop = grace + time.Second
 )
 
