--- a/review/4/stopping/main.go
+++ b/review/4/stopping/main.go
@@ -64,7 +64,7 @@
 }
 
 func run() int {
-	s, err := stage.New("review/4")
+	s, err := stage.New()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -212,13 +212,19 @@
 		p.s.Logf("client %d at %s: POST id %s: status %d seal %q err %v", n, c.Address, a.ID, a.Status, a.Seal, a.Err)
 		p.mu.Lock()
 		p.statuses[a.Status]++
-		if a.Status == 0 && !errors.Is(a.Err, os.ErrDeadlineExceeded) {
+		if a.Err != nil && !errors.Is(a.Err, os.ErrDeadlineExceeded) {
 			p.unanswered = append(p.unanswered, attempt{id: a.ID, gateway: p.name(c.Address), sent: sent, ended: time.Now(), err: a.Err})
 		}
 		p.mu.Unlock()
 	}
 }
 
+// excused reports whether a request may be cut, by when it was sent and ended after the SIGTERM: its worker was still at
+// work in the last sixth of the grace.
+func excused(sent, ended time.Duration) bool {
+	return sent <= 3*time.Second && ended >= grace-grace/6
+}
+
 // name returns the name of the gateway at an address.
 func (p *play) name(address string) string {
 	for _, f := range p.fronts {
@@ -234,11 +240,11 @@
 	defer p.mu.Unlock()
 	lost := 0
 	for _, a := range p.unanswered {
-		if !p.begun[a.id] || time.Since(a.sent) < 0 {
-			continue // not passed on
+		if !p.begun[a.id] || a.ended.Sub(a.sent) >= deadline {
+			continue // not passed on, or its time was over
 		}
 		for _, at := range p.stops[a.gateway] {
-			if a.ended.After(at) && a.ended.Before(at.Add(afterStop)) {
+			if a.ended.After(at) && a.ended.Before(at.Add(afterStop)) && !excused(a.sent.Sub(at), a.ended.Sub(at)) {
 				lost++
 				p.s.Logf("lost: %s, sent to %s %v after its SIGTERM and passed on to a worker, ended %v later without an answer: %v",
 					a.id, a.gateway, a.sent.Sub(at).Round(time.Millisecond), a.ended.Sub(a.sent).Round(time.Millisecond), a.err)
--- a/review/5/hotlookup/main.go
+++ b/review/5/hotlookup/main.go
@@ -54,7 +54,7 @@
 }
 
 func run() int {
-	s, err := stage.New("review/5")
+	s, err := stage.New()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -129,9 +129,18 @@
 			}
 		}
 		if round+1 < rounds {
+			time.Sleep(10 * time.Second)
+			p.mu.Lock()
+			p.hotTill = time.Now().Add(hotFor)
+			p.mu.Unlock()
+			p.s.Logf("the same thing is hot")
 			time.Sleep(every - time.Since(began))
 		}
 	}
+	p.mu.Lock()
+	p.hotTill = time.Now().Add(hotFor)
+	p.mu.Unlock()
+	p.s.Logf("the same thing is hot")
 	time.Sleep(after)
 	cancel()
 	wg.Wait()
@@ -173,7 +182,7 @@
 	if time.Now().Before(p.hotTill) && rand.Float64() < hotShare {
 		return 0
 	}
-	return rand.IntN(things/5) * rand.IntN(6) % things // some are looked up more often than others
+	return rand.IntN(things)
 }
 
 func (p *play) record(q stage.Request, a stage.Answer) {
--- a/review/6/doubled/main.go
+++ b/review/6/doubled/main.go
@@ -49,7 +49,7 @@
 }
 
 func run() int {
-	s, err := stage.New("review/6")
+	s, err := stage.New()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -125,11 +125,9 @@
 	}
 	for range rounds {
 		time.Sleep(2 * time.Second)
-		doubled := 0
 		if p.trouble {
-			doubled = 1
+			workers[2].Tell(fmt.Sprintf("refuse %d 1", refused))
 		}
-		workers[2].Tell(fmt.Sprintf("refuse %d %d", refused, doubled))
 	}
 	time.Sleep(3 * time.Second)
 	if ended := p.s.Ended(); len(ended) > 0 {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -58,8 +58,11 @@
 	exited   chan struct{}
 }
 
-// New prepares a run whose record is written to record.txt in the folder of the case.
-func New(caseFolder string) (*Stage, error) {
+// New prepares a run. The first argument of the program is the file for its record.
+func New() (*Stage, error) {
+	if len(os.Args) != 2 {
+		return nil, fmt.Errorf("usage: %s RECORD", os.Args[0])
+	}
 	node, err := filepath.Abs("target/badgerspoke-node")
 	if err != nil {
 		return nil, err
@@ -67,7 +70,7 @@
 	if _, err := os.Stat(node); err != nil {
 		return nil, fmt.Errorf("the build of the deploy file is missing: %w", err)
 	}
-	record, err := os.Create(filepath.Join(caseFolder, "record.txt"))
+	record, err := os.Create(os.Args[1])
 	if err != nil {
 		return nil, err
 	}
@@ -111,17 +114,22 @@
 
 // StartNodes starts a whole system for the first time.
 func (s *Stage) StartNodes(cores, fronts int) error {
-	if err := s.StartCores(cores); err != nil {
+	s.PlanCores(cores)
+	if err := s.StartCores(); err != nil {
 		return err
 	}
 	return s.StartFronts(fronts)
 }
 
-// StartCores starts the directory replicas for the first time.
-func (s *Stage) StartCores(count int) error {
+// PlanCores names the directory replicas, the first three of which are the seeds.
+func (s *Stage) PlanCores(count int) {
 	for i := range count {
 		s.cores = append(s.cores, &Node{Name: fmt.Sprintf("core-%s-%d", zones[i%len(zones)], i+1), IP: s.IP(20 + i)})
 	}
+}
+
+// StartCores starts the directory replicas for the first time.
+func (s *Stage) StartCores() error {
 	for i, n := range s.cores {
 		if err := s.startNode(n, zones[i%len(zones)], true); err != nil {
 			return err
