gateway: nothing is sent to a server once a stop has decided to end

What callers saw: around planned stops of a gateway, requests that servers had begun lost their connection without a byte of an answer, 2.7 s and more after the SIGTERM.

Cause: the stop sampled the number of running requests and then closed connections one after the other; requests that arrived in between were still admitted and passed on. The same class, by reading and by test: a request admitted early, whose body or server came late, was sent although it could outlast the grace; at the cut-off what ran and what waited was closed without an answer; an answer still in net/http's buffer after its handler had returned was not waited for.

Change: admission counts a request or refuses it, under the same lock as the decision to end. Whether a stopping gateway may begin a request is decided again just before it is sent. The cut-off ends requests as a deadline does, so their callers are answered (504 if they may have run), within 0.95 of the grace. The callers' server then accepts nothing, answers what it has read, gives half-read heads 0.5 s, and closes the rest. Unrestricted admission lasts 3 s at most, whatever the grace.

TestStop held a request at 2.8 s "to keep the gateway from ending early", 80 ms after the gateway had ended, so its late request was served by a stopped gateway: the fault itself. It now begins at 2.6 s; what it asks is the same. The table of TestAdmits uses a grace of 8 s, since the bound of 3 s would shorten one of 10 s; TestLongGraceAdmitsNoLonger has that.

--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	grace = Grace(10 * time.Second) // admits until 3.4 s, cuts off at 8.8 s
+	grace = Grace(8 * time.Second) // admits until 2.72 s, cuts off at 7.04 s
 	ms    = time.Millisecond
 )
 
@@ -21,11 +21,11 @@
 		admitted        bool
 	}{
 		{0, time.Hour, true}, // not stopping
-		{3400 * ms, time.Hour, true},
-		{3401 * ms, time.Hour, false},
-		{3401 * ms, 5399 * ms, true},
-		{3401 * ms, 5400 * ms, false},
-		{8801 * ms, 0, false},
+		{2720 * ms, time.Hour, true},
+		{2721 * ms, time.Hour, false},
+		{2721 * ms, 4319 * ms, true},
+		{2721 * ms, 4320 * ms, false},
+		{7041 * ms, 0, false},
 	} {
 		is.Equal(grace.Admits(tt.since, tt.patience), tt.admitted) // tt
 	}
@@ -40,13 +40,24 @@
 		step    Step
 	}{
 		{100 * ms, 0, Continue}, // balancers may still send some
-		{3400 * ms, 0, Continue},
-		{3401 * ms, 0, End},
-		{3401 * ms, 1, Continue},
-		{8800 * ms, 1, Continue},
-		{8801 * ms, 1, CutOff},
-		{8801 * ms, 0, CutOff},
+		{2720 * ms, 0, Continue},
+		{2721 * ms, 0, End},
+		{2721 * ms, 1, Continue},
+		{7040 * ms, 1, Continue},
+		{7041 * ms, 1, CutOff},
+		{7041 * ms, 0, CutOff},
 	} {
 		is.Equal(grace.Next(tt.since, tt.running), tt.step) // tt
 	}
 }
+
+// TestLongGraceAdmitsNoLonger guards against requests that are admitted after balancers have stopped sending, and are cut
+// off at the end of a long grace period.
+func TestLongGraceAdmitsNoLonger(t *testing.T) {
+	is := is.New(t)
+	long := Grace(20 * time.Second)
+	is.True(long.Admits(3000*ms, time.Hour))
+	is.True(!long.Admits(3001*ms, time.Hour))
+	is.True(long.Admits(3001*ms, 14*time.Second))
+	is.Equal(long.CloseBy(), 19*time.Second)
+}
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -25,15 +25,24 @@
 		return nil, callerLeft{}
 	case !retry.CanAnswerInTime(waiting):
 		return nil, Refusal{Cause: TooLate}
+	case !c.mayBegin():
+		return nil, c.refuseForStop()
 	}
 	queueTimeout := retry.QueueTimeout(waiting)
 	req := c.requirements(queueTimeout)
 	var a *assignment
-	if a, c.shortage = c.g.awaitServer(ctx, req, queueTimeout); a != nil {
-		c.countStarted()
-		return a, nil
+	a, c.shortage = c.g.awaitServer(ctx, req, queueTimeout)
+	switch {
+	case a == nil && c.mayBegin():
+		return nil, c.noServerError(ctx, &req)
+	case a == nil:
+		return nil, c.refuseForStop()
+	case !c.mayBegin():
+		c.g.returnServer(a)
+		return nil, c.refuseForStop()
 	}
-	return nil, c.noServerError(ctx, &req)
+	c.countStarted()
+	return a, nil
 }
 
 // requirements returns the inputs for selecting a backend server for the next attempt, which waits for one up to
@@ -45,7 +54,7 @@
 		},
 		pool: c.pool, route: c.route, prompt: c.head.Prompt,
 		repeatable: c.route.MayRepeat(), triedServers: c.triedServers, gateways: int(c.g.gatewayCount.Load()), random: c.g.randomFraction(),
-		version: c.stream.limit(), accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
+		mayBegin: c.mayBegin, version: c.stream.limit(), accountHomes: c.account.Homes, requestBytes: len(c.body) + headerBytes(c.r), waitingSince: c.g.now(),
 	}
 	if c.route.Objective > 0 {
 		req.objectiveDeadline = c.arrived + c.route.Objective - c.spentBeforeArrival
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/badgerspoke/badgerspoke/coordination/drain"
 	"github.com/badgerspoke/badgerspoke/coordination/entitlement"
 	"github.com/badgerspoke/badgerspoke/coordination/outlier"
 	"github.com/badgerspoke/badgerspoke/coordination/quarantine"
@@ -65,15 +64,17 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
+	admitted := g.admission.begin()
+	if admitted {
+		defer g.admission.end()
+	}
 	g.requestsSinceReport.Add(1)
-	defer g.inFlight.Add(-1)
 	c := &call{g: g, response: response.New(w, r, g.recordSecondHead), r: r, arrived: g.now(), head: g.cfg.Headers.DecodeRequest(r)}
 	if g.stopping() > 0 {
 		c.response.CloseConnection()
 	}
 	defer func() { g.bodies.release(c.bodyTaken) }()
-	err := c.admit()
+	err := c.admit(admitted)
 	if err == nil {
 		err = c.serve()
 	}
@@ -82,8 +83,9 @@
 
 // admit matches the request to a route and an account, classifies it and then reads its body.
 // Refusing a request for its class is cheap, because its body is never buffered, so a flooding
-// account costs little memory. The error is a [Refusal].
-func (c *call) admit() error {
+// account costs little memory. A request that was not admitted by a stopping gateway gets no
+// further than its match. The error is a [Refusal].
+func (c *call) admit(admitted bool) error {
 	if err := c.match(); err != nil {
 		return err
 	}
@@ -96,9 +98,8 @@
 	if err := c.classify(); err != nil {
 		return err
 	}
-	if !drain.Grace(c.g.cfg.Grace).Admits(c.g.stopping(), requestTimeout) {
-		c.countMissed(true)
-		return Refusal{Cause: Stopping, RetryAfter: retry.ShortDelay}
+	if !admitted || !c.mayBegin() {
+		return c.refuseForStop()
 	}
 	if err := c.readBody(); err != nil {
 		return err
@@ -110,6 +111,14 @@
 	return nil
 }
 
+// refuseForStop counts and returns the refusal of a request that a stopping gateway does not begin.
+func (c *call) refuseForStop() error {
+	if !c.wasAssigned {
+		c.countMissed(true)
+	}
+	return Refusal{Cause: Stopping, RetryAfter: retry.ShortDelay}
+}
+
 // match looks up the request's route, account and pool in the document in force.
 func (c *call) match() error {
 	if c.routes = c.g.routes.Load(); c.routes == nil {
@@ -208,6 +217,7 @@
 func (c *call) serve() error {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.timeLeft())
 	defer cancel()
+	defer context.AfterFunc(c.g.requests, cancel)()
 	c.triedServers, c.reusable = map[string]bool{}, map[string]bool{}
 	c.relay = &relay{c: c, position: positionAt(c.head.LastEventID)}
 	if err := c.findOrigin(); err != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -27,6 +27,9 @@
 	onlyServers  map[string]bool // IDs of the servers that the request may go to; nil means all
 	gateways     int
 	random       float64 // in [0, 1)
+	// mayBegin reports whether the request may still be sent when the gateway stops; nil means that
+	// it may.
+	mayBegin func() bool
 	// maxBackoff is how long the request waits if all servers are in backoff. It is zero for a
 	// request that has not run, which is refused at once because another gateway's servers may
 	// accept it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/badgerspoke/badgerspoke/coordination/drain"
 	"github.com/badgerspoke/badgerspoke/coordination/overload"
 	"github.com/badgerspoke/badgerspoke/coordination/retry"
 	"github.com/badgerspoke/badgerspoke/coordination/topology"
@@ -24,8 +23,7 @@
 	"github.com/badgerspoke/badgerspoke/transport/link"
 )
 
-// This file defines Gateway: its settings, start and stop, and its reaction to processor
-// overload.
+// This file defines Gateway: its settings and start, and its reaction to processor overload.
 
 // Transport sends calls to backend servers. [forward.Client] implements it.
 type Transport interface {
@@ -87,10 +85,14 @@
 	meter               *link.Meter
 	seq                 atomic.Uint64
 	gatewayCount        atomic.Int64 // gateways in the fleet, as last reported by the directory
-	inFlight            atomic.Int64 // requests being served
+	admission           admission
 	requestsSinceReport atomic.Int64 // requests received since the last report
 	bodies              bodyMemory
-	stopBeganAt         atomic.Int64 // when the stop began, by now(); 0 while running
+	stopBeganAt         atomic.Int64    // when the stop began, by now(); 0 while running
+	lateStarts          context.Context // ends when a stopping gateway begins no long requests any more
+	endLateStarts       context.CancelFunc
+	requests            context.Context // ends when a stopping gateway cuts off its requests
+	cutOff              context.CancelFunc
 
 	overload atomic.Pointer[overload.Detector] // replaced by tick
 
@@ -119,6 +121,8 @@
 		cfg: cfg, startedAt: cfg.Clock(), ctx: ctx, stop: stop, bodies: bodyMemory{limit: cfg.MaxTotalBodyBytes},
 		tokenCounters: newTokenCounters(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retryWindows: map[string]*retry.Window{},
 	}
+	g.lateStarts, g.endLateStarts = context.WithCancel(context.Background())
+	g.requests, g.cutOff = context.WithCancel(context.Background())
 	g.table = newTable(cfg.Identity.Name, cfg.Hall, g.now)
 	g.table.setSite(cfg.Region, cfg.Topology, cfg.LinkRate)
 	g.accounts = newAccounts(g.now)
@@ -215,7 +219,7 @@
 		limit = g.setAcceptLimit(limit, limit.Next(g.now(), d.Delay, int(g.connectionsAdmitted.Swap(0))), d.Delay)
 		if d.High != previous.High {
 			g.cfg.Log.StateChange("processor pressure", slog.Bool("high", d.High),
-				milliseconds("delay_ms", d.Delay.Round(time.Millisecond)), slog.Int64("requests", g.inFlight.Load()))
+				milliseconds("delay_ms", d.Delay.Round(time.Millisecond)), slog.Int64("requests", g.admission.count()))
 		}
 		g.condemnLocally()
 		g.grantAll()
@@ -231,7 +235,7 @@
 	if bounded != old.Bounded() {
 		g.acceptBacklog.reset()
 		g.cfg.Log.StateChange("connections paced", slog.Bool("bounded", bounded), slog.Int("in_20_ms", n),
-			milliseconds("delay_ms", delay.Round(time.Millisecond)), slog.Int64("requests", g.inFlight.Load()))
+			milliseconds("delay_ms", delay.Round(time.Millisecond)), slog.Int64("requests", g.admission.count()))
 	}
 	return limit
 }
@@ -270,33 +274,4 @@
 // randomFraction returns a random number in [0, 1).
 func (g *Gateway) randomFraction() float64 { return float64(g.cfg.Random()>>11) / (1 << 53) }
 
-// stopPollInterval is how often a stopping gateway checks whether it may end.
-const stopPollInterval = 20 * time.Millisecond
-
-// Stop drains and ends the gateway. The gateway reports not ready at once and closes each
-// connection after its answer. Package drain decides which requests may still start and when the
-// remaining ones are cut off.
-func (g *Gateway) Stop(ctx context.Context) {
-	g.stopBeganAt.Store(int64(g.now()))
-	defer g.stop()
-	for range sleep.Every(ctx, stopPollInterval) {
-		switch drain.Grace(g.cfg.Grace).Next(g.stopping(), g.inFlight.Load()) {
-		case drain.CutOff:
-			g.cfg.Log.StateChange("requests cut off by stop", slog.Int64("requests", g.inFlight.Load()))
-			return
-		case drain.End:
-			return
-		}
-	}
-}
-
-// stopping returns how long the gateway has been stopping, or 0 if it is not.
-func (g *Gateway) stopping() time.Duration {
-	began := g.stopBeganAt.Load()
-	if began == 0 {
-		return 0
-	}
-	return g.now() - time.Duration(began)
-}
-
 var _ http.Handler = (*Gateway)(nil)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -349,7 +349,7 @@
 		early := x.request("/once/x")
 		is.Equal(early.status, 200) // the load balancer has not noticed yet
 		is.Equal(early.header.Get("Connection"), "close")
-		time.Sleep(900 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
 		group.Go(func() { x.request("/once/x") }) // keeps the gateway from ending early
 		time.Sleep(800 * time.Millisecond)        // after a third of the grace
 		late := x.request("/once/x", "Patience", "2900")
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -29,8 +29,9 @@
 	return a, shortage{}
 }
 
-// awaitServer returns a backend server for the request. It waits for capacity until ctx ends or
-// queueTimeout has passed, and then returns nil and the reason. It locks table.mu.
+// awaitServer returns a backend server for the request. It waits for capacity until ctx ends,
+// queueTimeout has passed or the stopping gateway begins no such request any more, and then returns
+// nil and the reason. It locks table.mu.
 func (g *Gateway) awaitServer(ctx context.Context, req requirements, queueTimeout time.Duration) (*assignment, shortage) {
 	t := g.table
 	t.mu.Lock()
@@ -47,17 +48,35 @@
 	waiting := &waiter{requirements: req, seq: g.seq.Add(1), granted: make(chan *assignment, 1), shortage: short}
 	p.waiting = append(p.waiting, waiting)
 	t.mu.Unlock()
-	timer := time.NewTimer(queueTimeout)
-	defer timer.Stop()
-	select {
-	case a := <-waiting.granted:
+	if a, granted := g.awaitGrant(ctx, waiting, queueTimeout); granted {
 		return waiting.result(a)
-	case <-ctx.Done():
-	case <-timer.C:
 	}
 	return g.stopWaiting(ctx, p, waiting)
 }
 
+// awaitGrant waits until a server is granted to a waiting request, or waiting cannot help any more.
+// It reports false at the end of the wait.
+func (g *Gateway) awaitGrant(ctx context.Context, wt *waiter, queueTimeout time.Duration) (a *assignment, granted bool) {
+	timer := time.NewTimer(queueTimeout)
+	defer timer.Stop()
+	lateStarts := g.lateStarts.Done()
+	for {
+		select {
+		case a := <-wt.granted:
+			return a, true
+		case <-ctx.Done():
+			return nil, false
+		case <-timer.C:
+			return nil, false
+		case <-lateStarts:
+			if wt.mayBegin != nil && !wt.mayBegin() {
+				return nil, false
+			}
+			lateStarts = nil
+		}
+	}
+}
+
 // stopWaiting removes a request from the queue; a backend server may have been granted just before.
 // A request that its account's share covers takes any server with capacity rather than being
 // refused.
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -164,6 +164,6 @@
 	metrics.Read(samples)
 	value := func(i int) uint64 { return samples[i].Value.Uint64() }
 	g.cfg.Log.StateChange("process load", milliseconds("delay_ms", g.overload.Load().Delay),
-		slog.Int64("requests", g.inFlight.Load()), slog.Int64("bodies_bytes", g.bodies.inUse()),
+		slog.Int64("requests", g.admission.count()), slog.Int64("bodies_bytes", g.bodies.inUse()),
 		slog.Uint64("memory_bytes", value(0)-value(1)), slog.Uint64("goroutines", value(2)), slog.Uint64("collections", value(3)))
 }
--- a/process/caller.go
+++ b/process/caller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -37,6 +38,27 @@
 	net.Conn
 	limits  func() document.Limits
 	serving atomic.Bool // whether the header of a request was read and the request is not answered yet
+	begun   atomic.Bool // whether anything was read since the connection was opened or became idle
+}
+
+// Read implements [net.Conn].
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.begun.Load() {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
+// headBegun implements headReader.
+func (c *callerConn) headBegun() bool { return c.begun.Load() }
+
+// setState records a state of net/http.
+func (c *callerConn) setState(state http.ConnState) {
+	c.serving.Store(state == http.StateActive)
+	if state == http.StateIdle {
+		c.begun.Store(false)
+	}
 }
 
 // SetReadDeadline implements [net.Conn]. net/http sets a deadline within readHeaderTimeout when
--- a/process/connections.go
+++ b/process/connections.go
@@ -15,25 +15,31 @@
 )
 
 // This file defines idleConnections, which closes callers' idle connections: after the idle
-// timeout of the document, and earlier when the connection limit is nearly reached.
+// timeout of the document, earlier when the connection limit is nearly reached, and all of them when
+// the process stops.
 
 const (
 	sweepPeriod       = time.Second // bounds how late an idle connection is closed
 	evictionThreshold = 0.8         // fraction of maxOpen above which idle connections are closed
 	evictionShare     = 0.1         // fraction of maxOpen closed at a time
+	// drainInterval is the time between two passes over the connections of a process that stops.
+	drainInterval = 10 * time.Millisecond
+	// headLinger is how long a process that stops waits for the rest of a head.
+	headLinger = 500 * time.Millisecond
 )
 
 // idleConnections tracks the open connections of a server and closes idle ones.
 type idleConnections struct {
 	maxOpen int // limit of open connections
 
-	mu   sync.Mutex // a leaf lock
-	open int
-	idle map[net.Conn]time.Time // start of the idle time
+	mu     sync.Mutex // a leaf lock
+	open   int
+	unused map[net.Conn]bool      // no request was read from them yet
+	idle   map[net.Conn]time.Time // start of the idle time
 }
 
 func newIdleConnections(maxOpen int) *idleConnections {
-	return &idleConnections{maxOpen: maxOpen, idle: map[net.Conn]time.Time{}}
+	return &idleConnections{maxOpen: maxOpen, unused: map[net.Conn]bool{}, idle: map[net.Conn]time.Time{}}
 }
 
 // track records a state change of a connection. It is the server's ConnState hook.
@@ -43,15 +49,18 @@
 	switch state {
 	case http.StateNew:
 		c.open++
+		c.unused[conn] = true
 		if float64(c.open) > evictionThreshold*float64(c.maxOpen) {
 			c.expireOldest(max(int(evictionShare*float64(c.maxOpen)), 1))
 		}
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
 	case http.StateActive:
+		delete(c.unused, conn)
 		delete(c.idle, conn)
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		delete(c.unused, conn)
 		delete(c.idle, conn)
 	}
 }
@@ -100,3 +109,36 @@
 		}
 	}
 }
+
+// headReader is a connection that knows whether the head of a request has begun to arrive on it.
+type headReader interface{ headBegun() bool }
+
+// drain closes the connections as they become idle, until none is open or ctx ends. A request whose
+// head has begun to arrive is read and answered first, unless the rest takes longer than headLinger.
+// The server must accept no further connections.
+func (c *idleConnections) drain(ctx context.Context) {
+	lingerUntil := time.Now().Add(headLinger)
+	for c.expireUnused(time.Now().Before(lingerUntil)) > 0 && sleep.For(ctx, drainInterval) {
+	}
+}
+
+// expireUnused closes the connections that carry no request, and returns the number of open ones. If
+// linger is set, it spares those on which a head has begun to arrive.
+func (c *idleConnections) expireUnused(linger bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.unused {
+		expireUnlessBegun(conn, linger)
+	}
+	for conn := range c.idle {
+		expireUnlessBegun(conn, linger)
+	}
+	return c.open
+}
+
+func expireUnlessBegun(conn net.Conn, linger bool) {
+	if r, ok := conn.(headReader); linger && ok && r.headBegun() {
+		return
+	}
+	expire(conn)
+}
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"github.com/badgerspoke/badgerspoke/coordination/drain"
 	"github.com/badgerspoke/badgerspoke/decision"
 	"github.com/badgerspoke/badgerspoke/gateway"
 	"github.com/badgerspoke/badgerspoke/internal/boottime"
@@ -74,13 +75,16 @@
 	if err != nil {
 		return err
 	}
-	if err := b.listen(cfg.ReadyAddress, readiness(g, callers)); err != nil {
+	if err := b.listen(cfg.ReadyAddress, readiness(g, callers.listener)); err != nil {
 		return err
 	}
 	for {
 		select {
 		case <-ctx.Done():
-			g.Stop(runCtx)
+			stopCtx, cancel := context.WithTimeout(runCtx, drain.Grace(cfg.Grace).CloseBy())
+			defer cancel()
+			g.Stop(stopCtx)
+			callers.drain(stopCtx)
 			return nil
 		case next := <-reloads:
 			g.SetSeeds(next.Seeds)
@@ -88,31 +92,44 @@
 	}
 }
 
+// callerServer serves callers on a listener.
+type callerServer struct {
+	listener    *socket.LimitedListener
+	connections *idleConnections
+}
+
+// drain accepts no further connections and closes the open ones once what they carry is answered,
+// until ctx ends.
+func (s callerServer) drain(ctx context.Context) {
+	_ = s.listener.Close() // it is not used any more
+	s.connections.drain(ctx)
+}
+
 // listenToCallers opens a listener on the callers' address and serves it.
-func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (*socket.LimitedListener, error) {
+func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (callerServer, error) {
 	// Keep-alive probes are off: the idle and write timeouts already end the connections of
 	// callers that have disappeared, and probes would cost system calls for each caller.
 	listenConfig := net.ListenConfig{KeepAlive: -1}
 	l, err := listenConfig.Listen(ctx, "tcp", b.cfg.CallersAddress)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", b.cfg.CallersAddress)
+		return callerServer{}, errors.Wrapf(err, "listen on %s", b.cfg.CallersAddress)
 	}
 	return b.serveCallers(ctx, l, g, g.Limits, g), nil
 }
 
 // serveCallers serves callers with a bound on their connections and the limits of the document
 // in force.
-func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) *socket.LimitedListener {
+func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) callerServer {
 	limit := b.cfg.maxConnections()
 	idle := newIdleConnections(limit)
 	paced := newPacedListener(l, p, ctx.Done(), b.log)
 	limited := socket.LimitListener(paced, limit)
 	b.serve(&callerListener{Listener: limited, limits: limits}, &http.Server{Handler: h, ConnContext: callerContext, ConnState: func(conn net.Conn, state http.ConnState) {
-		conn.(*callerConn).serving.Store(state == http.StateActive)
+		conn.(*callerConn).setState(state)
 		idle.track(conn, state)
 	}})
 	go idle.sweep(ctx, func() time.Duration { return limits().IdleTimeout })
-	return limited
+	return callerServer{listener: limited, connections: idle}
 }
 
 // callerContext adds to ctx the caller's connection, and a function that reports whether the caller has
--- a/process/process.go
+++ b/process/process.go
@@ -128,7 +128,7 @@
 	s.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
 	b.servers = append(b.servers, s)
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			b.log.StateChange("listener failed", slog.String("address", l.Addr().String()), slog.String("error", err.Error()))
 		}
 	}()
