router: a request that waits when a stop's time is over is refused, not cut

What callers saw: at the end of -stop-timeout the connections of requests that still waited for a slot were closed, although they had not run and could be refused as such.

Cause: Stop only waited for running requests; the queues went on until the connections were closed.

Change: at the cut-off the queues are dropped under their locks and take nothing more, and the refusals get 200 ms, their connections 100 ms, to be written.

--- a/badgerspoke.go
+++ b/badgerspoke.go
@@ -260,6 +260,19 @@
 	if b.serverClient != nil {
 		b.serverClient.Close()
 	}
+	b.closeServers(ctx)
+}
+
+// closeTimeout is how long a stop whose time is over waits for responses that are being written.
+const closeTimeout = 100 * time.Millisecond
+
+// closeServers closes the listeners, and the connections once their responses are written.
+func (b *Box) closeServers(ctx context.Context) {
+	if ctx.Err() != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+	}
 	for _, s := range b.httpServers {
 		if s.Shutdown(ctx) != nil {
 			s.Close()
--- a/router/pool.go
+++ b/router/pool.go
@@ -27,6 +27,7 @@
 	pool      *pool.Pool
 	servers   map[string]config.Server // by identifier, whatever their mark
 	accepting bool                     // some server is serving or joining
+	stopped   bool                     // the router is stopping and starts nothing any more
 }
 
 // waiter is a request in a pool's queue. result receives the end of its wait.
@@ -96,6 +97,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped {
+		return nil, failStopping
+	}
 	if !p.accepting {
 		return nil, failNoServer
 	}
@@ -122,6 +126,14 @@
 	return got, got.fail == nil
 }
 
+// stop refuses the queued requests and all that would be queued later.
+func (p *lockedPool) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	failAll(p.pool.Drop(), failStopping)
+}
+
 // finish releases the slot of a request and lets the next one start.
 func (p *lockedPool) finish(w *pool.Work, server string, cost float64, r pool.Result) {
 	p.update(func(now time.Duration, pl *pool.Pool) {
--- a/router/router.go
+++ b/router/router.go
@@ -145,18 +145,35 @@
 
 // Stop ends the router without cutting off requests. The router reports not ready at once but
 // serves new requests for grace, because the load balancer takes some time to react. Then it waits
-// for the running requests and hands its slots back. When ctx ends first, the remaining requests
-// are cut off.
+// for the running requests and hands its slots back. When ctx ends first, those that still wait for
+// a slot are refused, and the running ones are cut off.
 func (r *Router) Stop(ctx context.Context, grace time.Duration) {
 	r.serving.Store(false)
 	sleep.For(ctx, grace)
 	r.refusing.Store(true)
 	awaitZero(ctx, &r.inFlight)
+	if r.inFlight.Load() > 0 {
+		r.refuseWaiting()
+	}
 	r.claims.flush(ctx)
 	r.leader.returnSlots(ctx)
 	r.stop()
 }
 
+// refusalTimeout is how long a router that cuts off its requests waits for the refusals of others to
+// be written.
+const refusalTimeout = 200 * time.Millisecond
+
+// refuseWaiting refuses the requests that wait for a slot.
+func (r *Router) refuseWaiting() {
+	for _, p := range r.poolList() {
+		p.stop()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
+	defer cancel()
+	awaitZero(ctx, &r.inFlight)
+}
+
 // zeroPollInterval is the time between two checks of a count during a stop.
 const zeroPollInterval = 10 * time.Millisecond
 
