process: a directory replica that stops answers what its API has read

What callers saw: nothing reported; the class of the gateway's stop, found by reading. An operator's or a server's request that is being answered when the replica has stopped loses its connection.

Cause: the process closed the API's connections as soon as the replica had stopped.

Change: the API is drained like the callers' connections of a gateway, for a quarter of the grace at most.

TestStoppingReplicaAnswersItsAPI fails without the drain ("not true: answered(conn)").

--- a/process/connections.go
+++ b/process/connections.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/badgerspoke/badgerspoke/internal/sleep"
+	"github.com/badgerspoke/badgerspoke/transport/socket"
 )
 
 // This file defines idleConnections, which closes callers' idle connections: after the idle
@@ -142,3 +143,16 @@
 	}
 	expire(conn)
 }
+
+// drainedServer is a running HTTP server that can be drained.
+type drainedServer struct {
+	listener    *socket.LimitedListener
+	connections *idleConnections
+}
+
+// drain accepts no further connections and closes the open ones once what they carry is answered,
+// until ctx ends.
+func (s drainedServer) drain(ctx context.Context) {
+	_ = s.listener.Close() // it is not used any more
+	s.connections.drain(ctx)
+}
--- a/process/directory.go
+++ b/process/directory.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -45,13 +46,18 @@
 // over its leadership.
 const handoverGraceShare = 0.5
 
+// apiDrainGraceShare is the fraction of the grace period after that in which the API answers the
+// requests that it has read.
+const apiDrainGraceShare = 0.25
+
 // directoryProcess runs a directory replica behind listeners that outlive it.
 type directoryProcess struct {
 	*base
-	newAPI  NewAPIFunc
-	links   swapHandler
-	api     swapHandler
-	running *directory.Directory // nil while the folder cannot be opened
+	newAPI    NewAPIFunc
+	links     swapHandler
+	api       swapHandler
+	apiServer drainedServer
+	running   *directory.Directory // nil while the folder cannot be opened
 }
 
 // swapHandler delegates to the handler of the running replica. It answers 503 while none runs.
@@ -91,9 +97,17 @@
 		return err
 	}
 	p.run(ctx, reloads)
+	p.drainAPI()
 	return nil
 }
 
+// drainAPI answers the requests that the API has read and closes its connections.
+func (p *directoryProcess) drainAPI() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(apiDrainGraceShare*float64(p.cfg.Grace)))
+	defer cancel()
+	p.apiServer.drain(ctx)
+}
+
 // Limits on API connections, nearly all of which belong to backend servers that announce
 // themselves.
 const (
@@ -114,11 +128,18 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", p.cfg.APIAddress)
 	}
+	p.serveAPI(ctx, l)
+	return nil
+}
+
+// serveAPI serves the API on a listener.
+func (p *directoryProcess) serveAPI(ctx context.Context, l net.Listener) {
 	limit := max(int(apiDescriptorShare*float64(p.cfg.DescriptorLimit)), minAPIConnections)
 	idle := newIdleConnections(limit)
-	p.serve(socket.LimitListener(l, limit), &http.Server{Handler: &p.api, ConnContext: socket.WithConn, ConnState: idle.track})
+	limited := socket.LimitListener(l, limit)
+	p.serve(limited, &http.Server{Handler: &p.api, ConnContext: socket.WithConn, ConnState: idle.track})
 	go idle.sweep(ctx, func() time.Duration { return apiIdleIntervals * p.cfg.AnnounceInterval })
-	return nil
+	p.apiServer = drainedServer{listener: limited, connections: idle}
 }
 
 // run stops the replica when its disk fails, and tries to open the folder again while no replica
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -92,34 +92,21 @@
 	}
 }
 
-// callerServer serves callers on a listener.
-type callerServer struct {
-	listener    *socket.LimitedListener
-	connections *idleConnections
-}
-
-// drain accepts no further connections and closes the open ones once what they carry is answered,
-// until ctx ends.
-func (s callerServer) drain(ctx context.Context) {
-	_ = s.listener.Close() // it is not used any more
-	s.connections.drain(ctx)
-}
-
 // listenToCallers opens a listener on the callers' address and serves it.
-func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (callerServer, error) {
+func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (drainedServer, error) {
 	// Keep-alive probes are off: the idle and write timeouts already end the connections of
 	// callers that have disappeared, and probes would cost system calls for each caller.
 	listenConfig := net.ListenConfig{KeepAlive: -1}
 	l, err := listenConfig.Listen(ctx, "tcp", b.cfg.CallersAddress)
 	if err != nil {
-		return callerServer{}, errors.Wrapf(err, "listen on %s", b.cfg.CallersAddress)
+		return drainedServer{}, errors.Wrapf(err, "listen on %s", b.cfg.CallersAddress)
 	}
 	return b.serveCallers(ctx, l, g, g.Limits, g), nil
 }
 
 // serveCallers serves callers with a bound on their connections and the limits of the document
 // in force.
-func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) callerServer {
+func (b *base) serveCallers(ctx context.Context, l net.Listener, h http.Handler, limits func() document.Limits, p pacer) drainedServer {
 	limit := b.cfg.maxConnections()
 	idle := newIdleConnections(limit)
 	paced := newPacedListener(l, p, ctx.Done(), b.log)
@@ -129,7 +116,7 @@
 		idle.track(conn, state)
 	}})
 	go idle.sweep(ctx, func() time.Duration { return limits().IdleTimeout })
-	return callerServer{listener: limited, connections: idle}
+	return drainedServer{listener: limited, connections: idle}
 }
 
 // callerContext adds to ctx the caller's connection, and a function that reports whether the caller has
--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -23,7 +23,7 @@
 type drainFixture struct {
 	t       *testing.T
 	network *fakenet.Network
-	server  callerServer
+	server  drainedServer
 	served  atomic.Int64
 }
 
@@ -115,3 +115,31 @@
 		is.Equal(x.served.Load(), int64(0))
 	})
 }
+
+// TestStoppingReplicaAnswersItsAPI guards against an operator's request that a directory replica has read and whose
+// connection it closes without an answer, because the replica has stopped meanwhile.
+func TestStoppingReplicaAnswersItsAPI(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := fakenet.New(time.Millisecond)
+		l, err := network.Listen(callersAddress)
+		is.NoErr(err)
+		p := &directoryProcess{base: &base{cfg: Settings{Grace: 8 * time.Second, AnnounceInterval: time.Second}}}
+		p.api.set(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(w, "answer") // an error shows in the answer
+		}))
+		p.serveAPI(t.Context(), l)
+		conn, err := network.DialerFrom("10.0.0.2").DialContext(t.Context(), "tcp", callersAddress)
+		is.NoErr(err)
+		_, err = io.WriteString(conn, "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+		began := time.Now()
+		p.drainAPI()
+		p.close()
+		is.True(time.Since(began) < 100*time.Millisecond)
+		is.True(answered(conn))
+		synctest.Wait()
+	})
+}
