quarantine: a series of crashes condemns nothing that was served, and verdicts end by themselves

What callers saw: after servers had crashed one after the other for some seconds, proper requests got 400 until an operator released them: those with a popular part of a prompt, and a popular lookup.

Cause: the chance of an innocent record is estimated from the crashes at which the suspect was not running. What is running all the time is at each crash of a series, so none is left to show another cause. Waiting for the verdict held back the requests that could clear it, and nothing but an operator ended a verdict.

Change: a loss says what its gateway had served before; for such a suspect all crashes of the pool count. Nobody waits for a verdict on what was served lately, or one that the leader has had the time for. One condemned request is sent again, at one gateway that the leader names: of a set of parts a second after the verdict, once the pool is calm, of a request a minute after it, ever more rarely after failures. Until a probe confirms it, a verdict on parts answers 503, not run.

Messages between boxes get fields that earlier versions ignore; the golden files change for those and for the cause quarantine-pending.

--- a/coordination/quarantine/begun.go
+++ b/coordination/quarantine/begun.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// Has reports whether an answer to a request with a part has begun lately.
+func (b *Begun) Has(k Key) bool { return b.Since(k, -1) }
+
 // Since reports whether an answer to a request with a part has begun after the given time.
 func (b *Begun) Since(k Key, at time.Duration) bool {
 	last, known := b.current[k]
--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -17,7 +17,9 @@
 //     longer counts against others.
 //
 // A complete answer clears a key at once, so a key that is requested all the time, and is therefore
-// running at most failures, is not condemned. Gateways hold a [List] of condemned keys, which they
+// running at most failures, is rarely condemned. Servers that fail in series leave no time for one, so a key that
+// was served before, or a part, needs a record that a series does not explain ([Loss].Served). And no verdict is
+// for good: [Probes] says when one request may be sent again. Gateways hold a [List] of condemned keys, which they
 // refuse, and of suspects, whose answers they report.
 //
 // A part of prompts may make servers fail in requests of which no two are alike. [PartEvidence] records
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -63,6 +63,11 @@
 	// that they were for.
 	Parts []string
 	Model string
+	// Served is whether the request was answered in full lately, and ServedParts are those of Parts of which an
+	// answer has begun lately, before the run. What has been served before is a likely cause only of failures that
+	// are more than a series of the pool's own.
+	Served      bool
+	ServedParts []string
 	// KnownFailures is the number of consecutive failures that the gateway knew of when the run
 	// began. Only [Recent] uses it.
 	KnownFailures int
@@ -105,6 +110,7 @@
 	losses       []recordedLoss // consecutive losses, oldest first
 	account      string
 	hint         Hint
+	served       bool          // it had been answered in full before a loss
 	lastReported time.Duration // when the last loss was reported
 	verdict      *Verdict      // nil unless condemned
 }
@@ -147,6 +153,7 @@
 		v.suspects[loss.Key] = s
 	}
 	s.add(recordedLoss{TimedLoss: loss, failure: f, reported: now})
+	s.served = s.served || loss.Served
 	s.lastReported = now
 	v.changed = true
 }
--- a/coordination/quarantine/partevidence.go
+++ b/coordination/quarantine/partevidence.go
@@ -63,6 +63,7 @@
 type partSuspect struct {
 	part         Part
 	crashes      []*crash // oldest first
+	served       bool     // an answer had begun before a crash
 	lastReported time.Duration
 }
 
@@ -80,6 +81,14 @@
 	return parts
 }
 
+// PartKeysOf returns the keys of the parts of a lost request that count.
+func PartKeysOf(loss Loss) (keys []Key) {
+	for _, p := range PartsOf(loss) {
+		keys = append(keys, p.Key())
+	}
+	return keys
+}
+
 // Add records a loss, whose time must not be after now, and reports whether a condemned set explains the
 // crash. A loss that is already recorded changes nothing.
 func (v *PartEvidence) Add(now time.Duration, loss TimedLoss) (explained bool) {
@@ -87,11 +96,7 @@
 		return false
 	}
 	c := v.crashOf(loss)
-	parts := PartsOf(loss.Loss)
-	var keys []Key
-	for _, p := range parts {
-		keys = append(keys, p.Key())
-	}
+	parts, keys := PartsOf(loss.Loss), PartKeysOf(loss.Loss)
 	if _, condemned := v.Condemned(keys); condemned {
 		c.explained, v.changed = true, true
 		return true
@@ -103,7 +108,9 @@
 		if !c.add(now, loss, k, keys) {
 			continue
 		}
-		v.suspectFor(k, parts[i]).add(now, c)
+		s := v.suspectFor(k, parts[i])
+		s.add(now, c)
+		s.served = s.served || slices.Contains(loss.ServedParts, parts[i].Name)
 		v.changed = true
 	}
 	return c.explained
--- a/coordination/quarantine/partlist.go
+++ b/coordination/quarantine/partlist.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	suspects map[Key]SuspectPart
 	sets     map[Key][]Key // keys of the parts by key of the set
 	members  map[Key][]Key // keys of the sets by key of a part
+	// provisional holds the keys of the sets that no probe has confirmed, see [Probes].
+	provisional map[Key]bool
 }
 
 // List returns the suspects and the condemned sets as they are sent to gateways. A suspect remains listed
@@ -92,11 +95,26 @@
 	return l
 }
 
+// WithProvisional returns the list with those sets marked as provisional that isProvisional reports.
+func (l PartList) WithProvisional(isProvisional func(set Key) bool) PartList {
+	l.provisional = map[Key]bool{}
+	for set := range l.sets {
+		if isProvisional(set) {
+			l.provisional[set] = true
+		}
+	}
+	return l
+}
+
+// IsProvisional reports whether no probe has confirmed a condemned set yet.
+func (l PartList) IsProvisional(set Key) bool { return l.provisional[set] }
+
 // withoutSet returns the list without a condemned set.
 func (l PartList) withoutSet(set Key) PartList {
 	parts := l.sets[set]
-	l.sets, l.members = cloneOrNew(l.sets), cloneOrNew(l.members)
+	l.sets, l.members, l.provisional = cloneOrNew(l.sets), cloneOrNew(l.members), cloneOrNew(l.provisional)
 	delete(l.sets, set)
+	delete(l.provisional, set)
 	for _, k := range parts {
 		rest := slices.DeleteFunc(slices.Clone(l.members[k]), func(o Key) bool { return o == set })
 		if l.members[k] = rest; len(rest) == 0 {
@@ -140,6 +158,9 @@
 		if len(parts) > 0 && len(parts) == len(s.Parts) {
 			set := keyOfSet(parts)
 			l = l.withoutSet(set).withSet(set, parts)
+			if containsKey(m.Provisional, set) {
+				l.provisional[set] = true
+			}
 		}
 	}
 	return l
@@ -175,9 +196,12 @@
 		}
 	}
 	for _, set := range sortedKeys(next.sets) {
-		if l.sets[set] != nil {
+		if l.sets[set] != nil && l.provisional[set] == next.provisional[set] {
 			continue
 		}
+		if next.provisional[set] {
+			m.Provisional = append(m.Provisional, set[:])
+		}
 		var parts [][]byte
 		for _, k := range next.sets[set] {
 			parts = append(parts, k[:])
@@ -186,6 +210,11 @@
 	}
 }
 
+// containsKey reports whether encoded keys contain a key.
+func containsKey(encoded [][]byte, k Key) bool {
+	return slices.ContainsFunc(encoded, func(b []byte) bool { return bytes.Equal(b, k[:]) })
+}
+
 func sortedKeys[V any](m map[Key]V) []Key { return slices.SortedFunc(maps.Keys(m), compareKeys) }
 
 // Empty reports whether the list has no entries.
--- a/coordination/quarantine/partverdict.go
+++ b/coordination/quarantine/partverdict.go
@@ -186,12 +186,15 @@
 }
 
 // recordProbability returns the probability that all runs of a record are lost to crashes with another
-// cause.
+// cause. The rate of those is estimated from the crashes at which the part was not, or from all if it has been
+// served before: a part of most prompts is at each crash of a series.
 func (v *PartEvidence) recordProbability(now time.Duration, k Key, record []*crash, history crashHistory, servers func(pool string) int) float64 {
-	own := newCrashHistory(now, slices.Values(v.suspects[k].crashes))
+	if !v.suspects[k].served {
+		history = history.without(newCrashHistory(now, slices.Values(v.suspects[k].crashes)))
+	}
 	product := 1.0
 	for _, c := range record {
-		rate := history.without(own).rate(now, c, servers)
+		rate := history.rate(now, c, servers)
 		product *= min(rate*max(c.parts[k].length, minRunTime).Seconds(), 1)
 	}
 	return product
@@ -240,7 +243,10 @@
 	short := h.between(c.pool, now-shortWindow, now)
 	burst := h.between(c.pool, c.at-burstWindow/2, c.at+burstWindow/2)
 	rate := max(float64(long)/longWindow.Seconds(), float64(short)/shortWindow.Seconds(), float64(burst)/burstWindow.Seconds())
-	sameAddress := h.byAddress[c.address] - h.except.byAddress[c.address]
+	sameAddress := h.byAddress[c.address]
+	if h.except != nil {
+		sameAddress -= h.except.byAddress[c.address]
+	}
 	return rate/float64(max(servers(c.pool), 1)) + float64(sameAddress)/longWindow.Seconds()
 }
 
--- a/coordination/quarantine/verdict.go
+++ b/coordination/quarantine/verdict.go
@@ -65,6 +65,9 @@
 		probabilities = append(probabilities, v.failureProbability(now, k, loss, servers))
 	}
 	verdict.Probability = combinedProbability(probabilities)
+	if s.served {
+		verdict.Probability = productOf(probabilities) // the rate in them is that of a series already
+	}
 	unambiguous := len(record) >= decisiveFailures || !v.isShared(k, record)
 	return verdict, unambiguous && verdict.Probability <= maxProbability
 }
@@ -73,10 +76,7 @@
 // is this small by chance (Fisher's method). A product of several is small more often than each of
 // them.
 func combinedProbability(probabilities []float64) float64 {
-	product := 1.0
-	for _, p := range probabilities {
-		product *= p
-	}
+	product := productOf(probabilities)
 	if product == 0 {
 		return 0
 	}
@@ -88,6 +88,14 @@
 	return min(product*sum, 1)
 }
 
+func productOf(probabilities []float64) float64 {
+	product := 1.0
+	for _, p := range probabilities {
+		product *= p
+	}
+	return product
+}
+
 // settled returns the unexplained losses reported by the given time.
 func (s *suspect) settled(until time.Duration) (record []recordedLoss) {
 	for _, loss := range s.losses {
@@ -110,16 +118,22 @@
 }
 
 // failureProbability returns the probability that a server fails during the run for another reason.
-// It is estimated from the failures at which the request was not running.
+// It is estimated from the failures at which the request was not running. For a request that has been
+// served before, all failures count: one that is requested all the time runs at each failure of a series,
+// and no failure is left to show that they have another cause.
 func (v *Evidence) failureProbability(now time.Duration, k Key, loss recordedLoss, servers func(pool string) int) float64 {
-	long, short, sameAddress := 1, 0, 0 // one more than observed, so that the rate is never 0
+	served := v.suspects[k].served
+	long, short, burst, sameAddress := 1, 0, 0, 0 // one more than observed, so that the rate is never 0
 	for _, failures := range v.failures {
 		for _, f := range failures {
 			age := now - f.at
-			if f.pool != loss.Pool || f.explained || f.keys[k] || age > longWindow {
+			if f.pool != loss.Pool || f.explained || f.keys[k] && !served || age > longWindow {
 				continue
 			}
 			long++
+			if served && (f.at-loss.At).Abs() <= burstWindow/2 {
+				burst++
+			}
 			if age <= shortWindow {
 				short++
 			}
@@ -129,6 +143,6 @@
 		}
 	}
 	poolSize := float64(max(servers(loss.Pool), 1))
-	rate := max(float64(long)/longWindow.Seconds(), float64(short)/shortWindow.Seconds())/poolSize + float64(sameAddress)/longWindow.Seconds()
+	rate := max(float64(long)/longWindow.Seconds(), float64(short)/shortWindow.Seconds(), float64(burst)/burstWindow.Seconds())/poolSize + float64(sameAddress)/longWindow.Seconds()
 	return min(rate*max(loss.RunTime, minRunTime).Seconds(), 1)
 }
--- a/directory/crashes_fixture_test.go
+++ b/directory/crashes_fixture_test.go
@@ -3,6 +3,7 @@
 package directory_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,8 +42,10 @@
 	halls       []string      // halls of the servers, in turn
 	firstTarget int           // number of the first server of another version, which is announced after the order; 0 for none
 	resets      bool          // a crashing request only breaks its own connection
+	downTime    time.Duration // from a crash to the restart; 0 means restartDelay
 
 	mu                    sync.Mutex
+	repaired              bool                // crashing requests crash no server any more
 	ordered               bool                // the rollout to the other version was ordered
 	processes             map[string]*process // by address
 	starts                int
@@ -98,7 +101,7 @@
 		p.up = false
 		close(p.ended)
 		m.crashes = append(m.crashes, time.Now())
-		time.AfterFunc(restartDelay, func() {
+		time.AfterFunc(cmp.Or(m.downTime, restartDelay), func() {
 			m.restart(at, p)
 			m.announce()
 		})
@@ -186,7 +189,7 @@
 		return nil, forward.NotRun{Server: at, Err: syscall.ECONNREFUSED}
 	}
 	run := m.runTime
-	if cause := crashCause(call); cause != "" {
+	if cause := crashCause(call); cause != "" && !m.isRepaired() {
 		m.recordStart(cause)
 		if m.resets {
 			return nil, forward.MayHaveRun{Server: at, Err: syscall.ECONNRESET}
@@ -239,6 +242,19 @@
 // Close implements io.Closer.
 func (b *crashingBody) Close() error { return nil }
 
+// setRepaired says whether crashing requests are harmless.
+func (m *crashingServers) setRepaired(repaired bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.repaired = repaired
+}
+
+func (m *crashingServers) isRepaired() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.repaired
+}
+
 func (m *crashingServers) recordStart(body string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/directory/export_test.go
+++ b/directory/export_test.go
@@ -43,5 +43,5 @@
 
 // ReportPartBegun reports to the leader that an answer to a request with a prompt part has begun, for tests.
 func (d *Directory) ReportPartBegun(ctx context.Context, k quarantine.Key) error {
-	return d.hub.do(ctx, func() error { d.hub.addPartLosses(protocol.Usage{BegunParts: [][]byte{k[:]}}); return nil })
+	return d.hub.do(ctx, func() error { d.hub.addLosses(protocol.Usage{BegunParts: [][]byte{k[:]}}); return nil })
 }
--- a/directory/partquarantine.go
+++ b/directory/partquarantine.go
@@ -34,32 +34,17 @@
 			p.tracker.AddCondemned(quarantine.PartSet{Pool: c.Pool, Model: c.Model, Names: c.Parts, Servers: c.Servers})
 		}
 	}
-	p.sentList = p.tracker.List(h.d.replica.Now())
+	p.sentList = p.tracker.List(h.d.replica.Now()).WithProvisional(h.evidence.probes.IsProvisional)
 	h.evidence.parts = p
 }
 
-// addPartLosses adds the losses of a report, and clears the parts of which an answer has begun.
-func (h *hub) addPartLosses(u protocol.Usage) {
-	now, p := h.d.replica.Now(), &h.evidence.parts
-	parts := map[uint32]protocol.LostParts{}
-	for _, l := range u.LostParts {
-		parts[l.Loss] = l
-	}
-	for i, l := range u.Losses {
-		loss, ok := timedLoss(now, l)
-		if !ok {
-			continue
-		}
-		loss.Parts, loss.Model = parts[uint32(i)].Names, parts[uint32(i)].Model
-		if p.tracker.Add(now, loss) {
+// addPartLosses adds the losses of a report.
+func (h *hub) addPartLosses(losses []quarantine.TimedLoss) {
+	for _, loss := range losses {
+		if h.evidence.parts.tracker.Add(h.d.replica.Now(), loss) {
 			h.evidence.tracker.Explain(quarantine.CrashID{Server: loss.Server, At: loss.At})
 		}
 	}
-	for _, b := range u.BegunParts {
-		if k, ok := quarantine.KeyFrom(b); ok {
-			h.clearPart(k)
-		}
-	}
 }
 
 // clearPart clears a part of which an answer has begun. Condemned sets with it are replaced or released.
@@ -99,12 +84,14 @@
 			slog.Any("backends", v.Servers), slog.Float64("chance", v.Probability))
 		p.unlogged[v.Key()] = v.PartSet
 		delete(p.stale, v.Key())
+		h.evidence.probes.CondemnSet(h.d.replica.Now(), v.Key(), v.Pool)
 		for _, id := range v.Crashes {
 			h.evidence.tracker.Explain(id)
 		}
 	}
 	h.proposePartSets()
-	if p.tracker.TakeChanged() {
+	if p.tracker.TakeChanged() || h.evidence.confirmed {
+		h.evidence.confirmed = false
 		h.pushParts()
 	}
 }
@@ -129,7 +116,7 @@
 // pushParts sends changes of the list of parts to the gateways.
 func (h *hub) pushParts() {
 	now, p := h.d.replica.Now(), &h.evidence.parts
-	current := p.tracker.List(now)
+	current := p.tracker.List(now).WithProvisional(h.evidence.probes.IsProvisional)
 	var m protocol.Quarantine
 	if p.sentList.AppendChanges(now, current, &m) {
 		h.broadcast(m)
--- a/directory/quarantine.go
+++ b/directory/quarantine.go
@@ -32,6 +32,8 @@
 	condemnedRevision uint64                                // of the log's condemned requests that the list includes
 	unlogged          map[quarantine.Key]document.Condemned // condemned, not yet in the log
 	proposing         bool                                  // whether a change is being proposed
+	probes            *quarantine.Probes                    // of all that is condemned, parts included
+	confirmed         bool                                  // a verdict on parts was confirmed and the list is not sent yet
 	parts             partEvidence
 }
 
@@ -41,7 +43,8 @@
 	if h.d.hasMultipleRegions() {
 		settle = quarantine.SettleTimeViaRelay
 	}
-	h.evidence = evidence{tracker: quarantine.NewEvidence(settle), unlogged: map[quarantine.Key]document.Condemned{}}
+	h.evidence = evidence{tracker: quarantine.NewEvidence(settle), unlogged: map[quarantine.Key]document.Condemned{}, probes: quarantine.NewProbes()}
+	h.evidence.probes.Sync(h.d.replica.Now(), h.exclusions())
 	condemned := h.condemnedEntries()
 	for _, e := range condemned {
 		h.evidence.tracker.AddCondemned(e)
@@ -53,12 +56,30 @@
 // addLosses adds the losses in a report of a gateway or a relay to the evidence.
 func (h *hub) addLosses(u protocol.Usage) {
 	now := h.d.replica.Now()
-	for _, l := range u.Losses {
+	parts := map[uint32]protocol.LostParts{}
+	for _, l := range u.LostParts {
+		parts[l.Loss] = l
+	}
+	served := map[uint32]protocol.ServedLoss{}
+	for _, l := range u.ServedLosses {
+		served[l.Loss] = l
+	}
+	var losses []quarantine.TimedLoss
+	for i, l := range u.Losses {
 		if loss, ok := timedLoss(now, l); ok {
+			loss.Parts, loss.Model = parts[uint32(i)].Names, parts[uint32(i)].Model
+			loss.Served, loss.ServedParts = served[uint32(i)].Request, served[uint32(i)].Parts
+			losses = append(losses, loss)
+			h.recordProbeLoss(loss)
 			h.evidence.tracker.Add(now, loss)
 		}
 	}
-	h.addPartLosses(u)
+	h.addPartLosses(losses)
+	for _, b := range u.BegunParts {
+		if k, ok := quarantine.KeyFrom(b); ok {
+			h.clearPart(k)
+		}
+	}
 	if len(u.Losses) > 0 {
 		h.pushParts()
 		h.pushQuarantine() // not with the next tick: until gateways have the list they retry the request
@@ -103,6 +124,7 @@
 		}
 	}
 	h.stepParts()
+	e.probes.Sync(h.d.replica.Now(), h.exclusions())
 	h.proposeUnlogged()
 	if revision := h.d.state.condemnedRevision(); revision != e.condemnedRevision || e.tracker.TakeChanged() {
 		e.condemnedRevision = revision
@@ -233,12 +255,17 @@
 
 // applyQuarantine applies a list message of the leader and forwards it to the gateways.
 func (r *relay) applyQuarantine(m protocol.Quarantine) {
+	if len(m.Probes) > 0 {
+		r.passProbes(m.Probes)
+		return
+	}
 	r.quarantine, r.parts = r.quarantine.Apply(m), r.parts.Apply(r.h.d.replica.Now(), m)
 	r.h.broadcast(m)
 }
 
 // bufferLosses holds the losses that a gateway reports until the next report to the leader.
-func (r *relay) bufferLosses(u protocol.Usage) {
+func (r *relay) bufferLosses(s *session, u protocol.Usage) {
+	r.bufferRefused(s, u.Refused)
 	now := r.h.d.replica.Now()
 	first := len(r.losses)
 	for _, l := range u.Losses {
@@ -250,6 +277,12 @@
 			r.lostParts = append(r.lostParts, l)
 		}
 	}
+	for _, l := range u.ServedLosses {
+		if int(l.Loss) < len(u.Losses) {
+			l.Loss += uint32(first)
+			r.servedLosses = append(r.servedLosses, l)
+		}
+	}
 	r.cleared = append(r.cleared, u.Cleared...)
 	for _, k := range u.BegunParts {
 		if !slices.ContainsFunc(r.begunParts, func(o []byte) bool { return bytes.Equal(o, k) }) {
@@ -265,8 +298,9 @@
 		l.AgeMillis += uint32((now - l.receivedAt).Milliseconds())
 		u.Losses = append(u.Losses, l.Loss)
 	}
-	u.Cleared, u.LostParts, u.BegunParts = r.cleared, r.lostParts, r.begunParts
-	r.losses, r.cleared, r.lostParts, r.begunParts = nil, nil, nil, nil
+	u.Cleared, u.LostParts, u.ServedLosses, u.BegunParts = r.cleared, r.lostParts, r.servedLosses, r.begunParts
+	r.losses, r.cleared, r.lostParts, r.servedLosses, r.begunParts = nil, nil, nil, nil, nil
+	u.Refused = r.takeRefused()
 	return u
 }
 
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -55,12 +55,16 @@
 
 	servingReplicas []protocol.ServingReplica // those that serve the region's gateways; set at relays in the leader's region
 
-	quarantine quarantine.List
-	parts      quarantine.PartList
-	losses     []bufferedLoss       // not yet reported to the leader
-	cleared    [][]byte             // keys not yet reported to the leader
-	lostParts  []protocol.LostParts // of losses
-	begunParts [][]byte             // keys not yet reported to the leader
+	quarantine   quarantine.List
+	parts        quarantine.PartList
+	losses       []bufferedLoss        // not yet reported to the leader
+	cleared      [][]byte              // keys not yet reported to the leader
+	lostParts    []protocol.LostParts  // of losses
+	servedLosses []protocol.ServedLoss // of losses
+	begunParts   [][]byte              // keys not yet reported to the leader
+	// refusedBy holds by condemned key the session whose gateway has refused such a request, since the last
+	// report; probers holds those of the report before.
+	refusedBy, probers map[quarantine.Key]*session
 }
 
 // relayFrom handles the messages of a session with the leader until it ends: first those that came
--- a/directory/sessions.go
+++ b/directory/sessions.go
@@ -147,12 +147,13 @@
 	case protocol.Usage:
 		if h.relay != nil {
 			h.relay.aggregator.Add(s.gateway, m)
-			h.relay.bufferLosses(m)
+			h.relay.bufferLosses(s, m)
 			return
 		}
 		h.usage.addReport(s, m)
 		h.addOutcomes(s, m)
 		h.addLosses(m)
+		h.grantProbes(s, m.Refused)
 	case protocol.RelayGateways:
 		s.relayedGateways = m.Gateways
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -56,6 +56,7 @@
 	hasSuspicion bool            // suspicion holds an entry
 	losses       int             // attempts whose connection broke
 	cachedKey    *quarantine.Key // nil until call.key is first called
+	isProbe      bool            // it may be sent although it is condemned
 
 	// Evidence that servers crashed before they answered requests with a part of the prompt.
 	partSuspicion  partSuspicion
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -48,6 +48,9 @@
 	TimedOut       Cause = "timed-out" // a server was still running the request at the deadline
 	// Quarantined: servers repeatedly crash while running the request; it must not be sent again.
 	Quarantined Cause = "quarantined"
+	// QuarantinePending: the same, but no probe has confirmed yet that it is the request which crashes
+	// them - retry.LongDelay.
+	QuarantinePending Cause = "quarantine-pending"
 )
 
 // errorResponse defines the gateway's response for one cause.
@@ -88,7 +91,8 @@
 	BodyTooLarge:       {http.StatusRequestEntityTooLarge, false, false},
 	BodyBroken:         {http.StatusBadRequest, false, false},
 	// Not 503, which makes callers retry: the request will not be served later either.
-	Quarantined: {http.StatusBadRequest, false, false},
+	Quarantined:       {http.StatusBadRequest, false, false},
+	QuarantinePending: {http.StatusServiceUnavailable, true, false},
 }
 
 // causesByEnding maps the retry policy's endings to causes. retry.EndBroken and
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -166,34 +166,50 @@
 
 // partSuspicion is what a gateway knows of the parts of one request.
 type partSuspicion struct {
-	condemned bool
-	set       quarantine.Key // condemned
-	crashes   int            // the most that one of the parts was at
+	condemned   bool
+	provisional bool           // condemned, and no probe has confirmed it
+	set         quarantine.Key // condemned
+	crashes     int            // the most that one of the parts was at
 }
 
 // find returns what is known of the given parts. The sources are those of [suspicions.find].
 func (p *partSuspicions) find(parts []quarantine.Key) (s partSuspicion) {
 	list := p.list.Load()
 	if s.set, s.condemned = list.Condemned(parts); s.condemned {
-		return s
-	}
-	for _, k := range parts {
-		s.crashes = max(s.crashes, p.knownCrashes(k))
-	}
-	if p.followsLeader.Load() {
+		s.provisional = list.IsProvisional(s.set)
 		return s
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if set, condemned := p.evidence.Condemned(parts); condemned {
-		return partSuspicion{condemned: true, set: set}
+	isLocal := !p.followsLeader.Load()
+	if isLocal {
+		if set, condemned := p.evidence.Condemned(parts); condemned {
+			return partSuspicion{condemned: true, set: set}
+		}
 	}
 	for _, k := range parts {
-		s.crashes = max(s.crashes, p.evidence.Crashes(k))
+		if p.begun.Has(k) {
+			continue // crashes alone say little about it, and only its answers can clear it
+		}
+		s.crashes = max(s.crashes, p.knownCrashes(k))
+		if isLocal {
+			s.crashes = max(s.crashes, p.evidence.Crashes(k))
+		}
 	}
 	return s
 }
 
+// condemnedSets returns for each of the lost requests the key of the condemned set that it had, or the zero key.
+func (p *partSuspicions) condemnedSets(lost []quarantine.TimedLoss) []quarantine.Key {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sets := make([]quarantine.Key, len(lost))
+	for i, loss := range lost {
+		sets[i], _ = p.evidence.Condemned(quarantine.PartKeysOf(loss.Loss))
+	}
+	return sets
+}
+
 // undecided reports whether the parts were at so many crashes that one of them is about to be condemned.
 func (s partSuspicion) undecided() bool {
 	return quarantine.Entry{Failures: s.crashes, Condemned: s.condemned}.Undecided()
@@ -261,6 +277,24 @@
 	return c.partNames()
 }
 
+// servedParts returns the names of the prompt's shared parts of which an answer has begun here lately.
+func (c *call) servedParts() (names []string) {
+	if len(c.partKeys()) == 0 {
+		return nil
+	}
+	shared := c.head.Prompt.Shared
+	shared = shared[len(shared)-len(c.partKeys()):]
+	p := c.g.suspicions.parts
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, k := range c.partKeys() {
+		if p.begun.Has(k) {
+			names = append(names, shared[i].Name)
+		}
+	}
+	return names
+}
+
 // partsBegun records that a successful answer to the request has begun.
 func (c *call) partsBegun() {
 	if parts := c.partKeys(); len(parts) > 0 {
@@ -281,9 +315,10 @@
 	if c.counts.Arrived > 0 {
 		return nil // handleFailure has checked
 	}
-	if c.findPartSuspicion(); !c.partSuspicion.condemned {
-		return nil
+	c.findPartSuspicion()
+	err := c.refuseCondemned()
+	if err != nil {
+		c.g.returnServer(a)
 	}
-	c.g.returnServer(a)
-	return Refusal{Cause: Quarantined}
+	return err
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -40,14 +40,17 @@
 	parts      *partSuspicions
 	unreported chan struct{} // has a capacity of one; filled while losses wait to be reported
 
-	mu       sync.Mutex // leaf lock; guards the fields below
-	evidence *quarantine.Evidence
-	losses   []quarantine.TimedLoss // not yet reported
-	cleared  []quarantine.Key       // not yet reported
+	mu        sync.Mutex // leaf lock; guards the fields below
+	evidence  *quarantine.Evidence
+	losses    []quarantine.TimedLoss // not yet reported
+	cleared   []quarantine.Key       // not yet reported
+	probes    probeGrants
+	served    quarantine.Begun                  // requests that were answered in full
+	undecided map[quarantine.Key]undecidedEntry // in list
 }
 
 func newSuspicions(now func() time.Duration) *suspicions {
-	s := &suspicions{now: now, evidence: quarantine.NewEvidence(quarantine.SettleTime), unreported: make(chan struct{}, 1)}
+	s := &suspicions{now: now, evidence: quarantine.NewEvidence(quarantine.SettleTime), probes: newProbeGrants(), undecided: map[quarantine.Key]undecidedEntry{}, unreported: make(chan struct{}, 1)}
 	s.parts = newPartSuspicions(now, &s.followsLeader)
 	s.list.Store(&quarantine.List{})
 	s.recent.Store(&quarantine.Recent{})
@@ -60,9 +63,11 @@
 // add records requests that were running at a server that has crashed.
 func (s *suspicions) add(now time.Duration, lost []quarantine.TimedLoss) {
 	s.parts.add(now, lost)
+	sets := s.parts.condemnedSets(lost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, loss := range lost {
+	for i, loss := range lost {
+		s.probes.recordLoss(now, loss, sets[i])
 		s.evidence.Add(now, loss)
 		if len(s.losses) < maxUnreported {
 			s.losses = append(s.losses, loss)
@@ -85,6 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evidence.Clear(k)
+	s.probes.own.Release(k)
 	s.setRecent(s.recent.Load().Without([]quarantine.Key{k}))
 	if s.followsLeader.Load() && len(s.cleared) < maxUnreported && !slices.Contains(s.cleared, k) {
 		s.cleared = append(s.cleared, k)
@@ -133,6 +139,10 @@
 // another gateway's answer, so their local evidence is dropped. A whole list drops nothing, since a
 // new leader's list lacks what gateways have not reported again.
 func (s *suspicions) applyList(m protocol.Quarantine) {
+	if len(m.Probes) > 0 {
+		s.allowProbes(m.Probes)
+		return
+	}
 	s.parts.applyList(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,6 +160,7 @@
 		}
 	}
 	s.setRecent(s.recent.Load().Without(removed))
+	s.recordUndecided(current)
 	s.list.Store(&current)
 	s.followsLeader.Store(true)
 }
@@ -175,6 +186,9 @@
 		if len(loss.Parts) > 0 {
 			u.LostParts = append(u.LostParts, protocol.LostParts{Loss: uint32(len(u.Losses)), Model: loss.Model, Names: loss.Parts})
 		}
+		if loss.Served || len(loss.ServedParts) > 0 {
+			u.ServedLosses = append(u.ServedLosses, protocol.ServedLoss{Loss: uint32(len(u.Losses)), Request: loss.Served, Parts: loss.ServedParts})
+		}
 		u.Losses = append(u.Losses, protocol.Loss{
 			Key: loss.Key[:], Hint: uint32(loss.Hint), Account: loss.Account, Pool: loss.Pool, Server: loss.Server, Address: loss.Address,
 			RanMillis: uint32(loss.RunTime.Milliseconds()), AgeMillis: uint32((now - loss.At).Milliseconds()), AfterLoss: loss.Retry,
@@ -186,6 +200,7 @@
 		u.Cleared = append(u.Cleared, k[:])
 	}
 	s.cleared = nil
+	u.Refused = s.probes.takeRefused()
 }
 
 // condemn condemns requests by local evidence while no leader decides, and returns the new
@@ -215,10 +230,12 @@
 // condemnLocally condemns requests and parts by local evidence while the gateway has no session.
 func (g *Gateway) condemnLocally() {
 	for _, v := range g.suspicions.condemn(g.now(), g.table.poolSize) {
+		g.suspicions.beginProbes(v.Key, quarantine.Exclusion{Pool: v.Pool})
 		g.cfg.Log.StateChange("request condemned", slog.String("key", v.Key.String()), slog.String("tenant", v.Account),
 			slog.String("pool", v.Pool), slog.Any("backends", v.Servers), slog.Float64("chance", v.Probability))
 	}
 	for _, v := range g.suspicions.condemnParts(g.now(), g.table.poolSize) {
+		g.suspicions.beginProbes(v.Key(), quarantine.Exclusion{Pool: v.Pool, IsSet: true})
 		g.cfg.Log.StateChange("parts condemned", slog.String("key", v.Key().String()), slog.Any("parts", v.Names), slog.String("pool", v.Pool),
 			slog.Any("backends", v.Servers), slog.Float64("chance", v.Probability))
 	}
@@ -239,10 +256,7 @@
 	if c.isUndecided() && !c.awaitDecision(hint) {
 		return callerLeft{}
 	}
-	if c.suspicion.Condemned || c.partSuspicion.condemned {
-		return Refusal{Cause: Quarantined}
-	}
-	return nil
+	return c.refuseCondemned()
 }
 
 // findSuspicion looks up the request and the parts of its prompt.
@@ -256,7 +270,14 @@
 	if c.suspicion.Condemned || c.partSuspicion.condemned {
 		return false
 	}
-	return c.suspicion.Undecided() || c.partSuspicion.undecided()
+	return c.isRequestUndecided() || c.partSuspicion.undecided()
+}
+
+// isRequestUndecided reports whether the request itself is about to be condemned. One that was served
+// lately is not held back, since only its answers can clear it, and neither is one on which the leader has
+// had the time to decide: without another crash there is nothing to decide.
+func (c *call) isRequestUndecided() bool {
+	return c.suspicion.Undecided() && !c.g.suspicions.hasServed(c.key()) && !c.g.suspicions.hadTimeToDecide(c.suspicion)
 }
 
 // awaitDecision waits until the request is condemned or cleared, or the maximum wait is over. A
@@ -268,7 +289,7 @@
 	// answers could clear it.
 	partDue := arrived + c.timeLeft()/2
 	for c.isUndecided() && c.g.now() < c.g.suspicions.decisionDue(arrived) {
-		if !c.suspicion.Undecided() && c.g.now() >= partDue {
+		if !c.isRequestUndecided() && c.g.now() >= partDue {
 			break
 		}
 		if !sleep.For(c.r.Context(), decisionPollInterval) {
@@ -309,11 +330,66 @@
 		Key: c.key(), Hint: c.hint(), Account: c.account.Name, Pool: c.pool.Name, Server: a.serverID, Address: a.address, RunTime: now - a.startedAt, Retry: c.losses > 0,
 		PoolAnswering: c.g.table.othersAnswering(c.pool.Name, a.serverID), KnownFailures: c.knownFailures(),
 		Parts: c.unansweredParts(a), Model: c.head.Prompt.Model,
+		Served: c.g.suspicions.hasServed(c.key()), ServedParts: c.servedParts(),
 	}}
 }
 
-// clearSuspicion reports a whole answer to a request that is listed or was lost before.
+// maxServedBody bounds the bodies, in bytes, of requests of which answers are remembered. What is requested often is
+// small, and hashing takes about 2 us for each KB.
+const maxServedBody = 4 << 10
+
+// recordServed records a whole answer to a request.
+func (s *suspicions) recordServed(k quarantine.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served.Record(s.now(), []quarantine.Key{k})
+}
+
+// undecidedTime is how long after a change of a suspect the leader may still condemn it for that. It covers
+// [quarantine.SettleTimeViaRelay] and the messages before and after it.
+const undecidedTime = 1500 * time.Millisecond
+
+// hadTimeToDecide reports whether the leader's list has had an entry for longer than the leader needs.
+func (s *suspicions) hadTimeToDecide(e quarantine.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed, known := s.undecided[e.Key]
+	return known && listed.failures == e.Failures && s.now()-listed.at > undecidedTime
+}
+
+// recordUndecided records when the leader's list has changed to what it says of an undecided request. The
+// caller holds mu.
+func (s *suspicions) recordUndecided(current quarantine.List) {
+	for k := range s.undecided {
+		if e, listed := current.Find(k); !listed || !e.Undecided() {
+			delete(s.undecided, k)
+		}
+	}
+	for k, e := range current.Entries() {
+		if e.Undecided() && s.undecided[k].failures != e.Failures {
+			s.undecided[k] = undecidedEntry{failures: e.Failures, at: s.now()}
+		}
+	}
+}
+
+// undecidedEntry is an undecided request in the leader's list.
+type undecidedEntry struct {
+	failures int
+	at       time.Duration // when the number of failures was listed
+}
+
+// hasServed reports whether a request was answered in full lately.
+func (s *suspicions) hasServed(k quarantine.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served.Has(k)
+}
+
+// clearSuspicion records a whole answer, and reports it if the request is listed or was lost before.
 func (c *call) clearSuspicion() {
+	if len(c.body) <= maxServedBody {
+		c.g.suspicions.recordServed(c.key())
+	}
 	if !c.hasSuspicion && c.losses == 0 {
 		return
 	}
--- a/protocol/golden_test.go
+++ b/protocol/golden_test.go
@@ -105,8 +105,9 @@
 			{Key: []byte("fedcba9876543210"), Pool: "llm", Server: "engine-1#a"},
 		},
 		Cleared: [][]byte{[]byte("0123456789abcdef")}, Term: 96,
-		LostParts:  []LostParts{{Loss: 1, Model: "badger-small", Names: []string{"5c1e07a2", "91bd3f06"}}},
-		BegunParts: [][]byte{[]byte("fedcba9876543210")},
+		LostParts:    []LostParts{{Loss: 1, Model: "badger-small", Names: []string{"5c1e07a2", "91bd3f06"}}},
+		BegunParts:   [][]byte{[]byte("fedcba9876543210")},
+		ServedLosses: []ServedLoss{{Loss: 1, Request: true, Parts: []string{"5c1e07a2"}}}, Refused: [][]byte{[]byte("0123456789abcdef")},
 	},
 	Fleet{
 		Gateways: 3, Loads: []ServerLoad{{Handle: 9, Requests: 10, Tokens: 11}, {Handle: 12, Requests: 13, Tokens: 14}},
@@ -140,6 +141,7 @@
 		SuspectParts:   []SuspectPart{{Key: []byte("0123456789abcdef"), Crashes: 2, AgeMillis: 122}, {Key: []byte("fedcba9876543210"), Crashes: 3}},
 		CondemnedParts: []CondemnedParts{{Parts: [][]byte{[]byte("0123456789abcdef"), []byte("fedcba9876543210")}}},
 		RemovedParts:   [][]byte{[]byte("abcdefghijklmnop")},
+		Provisional:    [][]byte{[]byte("0123456789abcdef")}, Probes: [][]byte{[]byte("fedcba9876543210")},
 	},
 	QuarantineOrder{Release: []byte("0123456789abcdef")},
 	QuarantineAnswer{
@@ -221,9 +223,10 @@
 	case Usage:
 		m.Outcomes, m.AppliedRollouts, m.Incremental, m.Barred = nil, 0, false, nil
 		m.Losses, m.Cleared, m.Unread, m.Term, m.LostParts, m.BegunParts = nil, nil, nil, 0, nil, nil
+		m.ServedLosses, m.Refused = nil, nil
 		return m
 	case Quarantine:
-		m.SuspectParts, m.CondemnedParts, m.RemovedParts = nil, nil, nil
+		m.SuspectParts, m.CondemnedParts, m.RemovedParts, m.Provisional, m.Probes = nil, nil, nil, nil, nil
 		return m
 	case QuarantineAnswer:
 		m.Condemned = slices.Clone(m.Condemned)
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -43,6 +43,12 @@
 	SuspectParts   []SuspectPart    `cbor:"4,keyasint,omitempty"`
 	CondemnedParts []CondemnedParts `cbor:"5,keyasint,omitempty"`
 	RemovedParts   [][]byte         `cbor:"6,keyasint,omitempty"`
+	// Provisional are the keys of those sets of CondemnedParts that no probe has confirmed. Earlier
+	// versions take them for confirmed.
+	Provisional [][]byte `cbor:"7,keyasint,omitempty"`
+	// Probes are keys of condemned requests and sets of which the receiver may send one request. They
+	// change no list. Earlier versions ignore them.
+	Probes [][]byte `cbor:"8,keyasint,omitempty"`
 }
 
 // SuspectPart is a part of prompts whose requests were waiting for their answers on servers that ended.
@@ -67,6 +73,14 @@
 	Names []string
 }
 
+// ServedLoss says what of a [Loss] of the same report its gateway had served before.
+type ServedLoss struct {
+	_       struct{} `cbor:",toarray"`
+	Loss    uint32   // index in Usage.Losses
+	Request bool     // the request was answered in full
+	Parts   []string // parts of its prompt of which an answer had begun
+}
+
 // QuarantineOrder is sent by an operator's command to any directory replica, as the first
 // message of a link. It lists the condemned requests or releases one. Resending it is safe.
 type QuarantineOrder struct {
--- a/protocol/watch.go
+++ b/protocol/watch.go
@@ -183,6 +183,11 @@
 	LostParts []LostParts `cbor:"17,keyasint,omitempty"`
 	// BegunParts are the keys of listed parts of which a request has begun to be answered at this gateway.
 	BegunParts [][]byte `cbor:"18,keyasint,omitempty"`
+	// ServedLosses says of Losses what had been served before. Earlier versions do not send it.
+	ServedLosses []ServedLoss `cbor:"20,keyasint,omitempty"`
+	// Refused are the keys of condemned requests and sets of parts of which this gateway has refused
+	// requests since the last report. Earlier versions do not send them.
+	Refused [][]byte `cbor:"19,keyasint,omitempty"`
 	// Unread estimates, by account, the demand on connections that the gateway has not
 	// accepted. It is not included in Demands.
 	Unread []Demand `cbor:"16,keyasint,omitempty"`
