forward: a refusal that comes a second time is not that of the next send

What callers saw: 503 with Retry-After, which says that a request has not run, for requests that a server ran: callers who keep to it book twice.

Cause: a request that its only server refuses is sent there again, on the same kept connection, with the same identifier. A late copy of the first refusal then has everything that the second answer should have.

Change: a call has an identifier, and is not sent on a connection whose last call had the same; it gets a connection of its own. Where servers repeat no identifier (routers), no call is sent on the connection of a refusal. A refusal without identifier on a used connection leaves open whether the request has run. After an answer of another request the connections to that server on which the right one may still come are closed.

TestSurplusRefusalRefusesNoOtherCall: both cases refused before, answered now; TestRefusalOfAnotherRequestPromisesNothing: 503 before for a refusal without identifier on a used connection, 502 now.

TestIsRefusalDecidesRefusals asks for one connection for three refused calls. They now have identifiers, without which that is what must not be; TestConnectionOfRefusalIsReused asks for it as well.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -141,7 +141,7 @@
 // success, that it carries the server's signature. Once a response has begun, only its continuation is
 // relayed.
 func (c *call) checkAndRelay(ctx context.Context, a *assignment, answer *forward.Response, head AnswerHead) outcome {
-	if out := c.checkOwner(answer, head); out.err != nil {
+	if out := c.checkOwner(a, answer, head); out.err != nil {
 		return out
 	}
 	switch {
@@ -155,9 +155,11 @@
 
 // checkOwner returns the outcome of an answer that does not belong to the request, or, if it is a success, is not
 // signed. For any other answer the outcome has no error.
-func (c *call) checkOwner(answer *forward.Response, head AnswerHead) outcome {
+func (c *call) checkOwner(a *assignment, answer *forward.Response, head AnswerHead) outcome {
 	switch {
 	case head.ID != c.head.ID:
+		_ = answer.Body.Close()               // it belongs to nobody
+		c.g.cfg.Transport.DropIdle(a.address) // the answer to this request may still come on one of the connections
 		return outcome{execution: retry.MayHaveRun, cause: "crossed answer", verdict: outlier.Faulty, err: errCrossed}
 	case isSuccess(answer.Status) && !head.Signed:
 		return outcome{execution: retry.MayHaveRun, cause: "unsealed answer", verdict: outlier.Faulty, err: errUnsigned}
@@ -181,7 +183,7 @@
 	f := Forwarding{Timeout: c.timeLeft(), Server: a.serverID, Account: c.account.Name, LastEventID: c.relay.position.id}
 	return forward.Call{
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
-		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body,
+		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body, ID: c.head.ID,
 		Abandoned: func() bool { return callerHasLeft(c.r.Context()) || !c.g.table.admits(a.serverID) },
 		Connected: func(openedAt time.Time) { a.setOpenedAt(c.g.monotonicTime(openedAt)) },
 	}
@@ -206,7 +208,10 @@
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(notRun.Status, notRun.Header)
 	c.g.applyNotice(a, head)
-	out := c.refusedOutcome(head, err)
+	out := c.refusedOutcome(head, notRun)
+	if out.execution == retry.MayHaveRun {
+		c.g.cfg.Transport.DropIdle(a.address) // the answer to this request may still come on one of the connections
+	}
 	out.status, out.backoff, out.leaving = notRun.Status, head.Backoff, head.Leaving
 	return out
 }
@@ -220,9 +225,9 @@
 }
 
 // refusedOutcome returns the outcome of a refusal.
-func (c *call) refusedOutcome(head AnswerHead, err error) outcome {
+func (c *call) refusedOutcome(head AnswerHead, err forward.NotRun) outcome {
 	switch {
-	case head.ID != "" && head.ID != c.head.ID:
+	case head.ID != "" && head.ID != c.head.ID, head.ID == "" && err.Reused:
 		return outcome{execution: retry.MayHaveRun, cause: "crossed refusal", verdict: outlier.Faulty, err: errCrossed}
 	case head.Misdirected:
 		return outcome{execution: retry.Refused, cause: "misplaced", verdict: outlier.NoVerdict, misdirected: true, err: err}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -243,7 +243,7 @@
 	c := h.hedges.c
 	answer, head, out := c.open(h.ctx, h.a)
 	if answer != nil {
-		if out = c.awaitUsable(answer, head); out.execution == retry.Answered {
+		if out = c.awaitUsable(h.a, answer, head); out.execution == retry.Answered {
 			h.answer, h.head = answer, head
 		}
 		out = out.withHead(answer, head)
--- a/gateway/usable.go
+++ b/gateway/usable.go
@@ -18,8 +18,8 @@
 
 // awaitUsable reads an answer until it has something for the caller, which it leaves in the answer's body. The outcome
 // is that of a failed attempt if the answer has nothing, and otherwise has the execution [retry.Answered].
-func (c *call) awaitUsable(answer *forward.Response, head AnswerHead) outcome {
-	if out := c.checkOwner(answer, head); out.err != nil {
+func (c *call) awaitUsable(a *assignment, answer *forward.Response, head AnswerHead) outcome {
+	if out := c.checkOwner(a, answer, head); out.err != nil {
 		return out
 	}
 	switch {
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -28,8 +28,10 @@
 	lost         error                 // first failure of a write that shows the loss of the connection, see isLoss
 	deregister   func()                // removes the connection from the client's list
 	bytesWritten atomic.Int64
-	callsStarted atomic.Int64 // calls that were given the connection
-	lastIdleCall atomic.Int64 // number of the last call after which the connection became idle
+	callsStarted atomic.Int64           // calls that were given the connection
+	lastIdleCall atomic.Int64           // number of the last call after which the connection became idle
+	lastID       atomic.Pointer[string] // Call.ID of the last call, nil before the first
+	refused      atomic.Bool            // a call without an ID was refused
 	// abandoned is called before the first byte of the current call, and is nil afterwards.
 	abandoned atomic.Pointer[func() bool]
 }
@@ -103,6 +105,12 @@
 	return c.lastIdleCall.Load() == c.callsStarted.Load() && c.callsStarted.Load() > 0
 }
 
+// mayOweResponse reports whether a surplus response that still comes would pass for that to a call with an ID.
+func (c *countingConn) mayOweResponse(id string) bool {
+	last := c.lastID.Load()
+	return c.refused.Load() || last != nil && id != "" && *last == id
+}
+
 // connections holds the open connections of a client by server address.
 type connections struct {
 	mu   sync.Mutex // leaf lock; guards open
@@ -163,6 +171,8 @@
 	conn          atomic.Pointer[countingConn]
 	callNumber    int64 // of the call on the connection
 	writtenBefore int64 // bytes written on the connection before the call
+	id            string
+	unusable      atomic.Bool // a surplus response on the connection would pass for that to the call
 	// abandoned and connected are the call's functions of the same names, or nil.
 	abandoned func() bool
 	connected func(openedAt time.Time)
@@ -180,8 +190,14 @@
 		return
 	}
 	s.callNumber, s.writtenBefore = c.callsStarted.Add(1), c.bytesWritten.Load()
-	if s.abandoned != nil {
-		c.abandoned.Store(&s.abandoned)
+	abandoned := s.abandoned
+	if c.mayOweResponse(s.id) {
+		s.unusable.Store(true)
+		abandoned = func() bool { return true }
+	}
+	c.lastID.Store(&s.id)
+	if abandoned != nil {
+		c.abandoned.Store(&abandoned)
 	}
 	s.conn.Store(c)
 	if s.connected != nil {
@@ -196,6 +212,17 @@
 	}
 }
 
+// gotUnusableConn reports whether the call was abandoned because a surplus response on its connection would pass for the
+// response to it.
+func (s *callTrace) gotUnusableConn() bool { return s.unusable.Load() }
+
+// recordUnidentifiedRefusal makes the connection unusable for further calls.
+func (s *callTrace) recordUnidentifiedRefusal() {
+	if c := s.conn.Load(); c != nil {
+		c.refused.Store(true)
+	}
+}
+
 // mayHaveSent reports whether any byte of the call may have been sent.
 func (s *callTrace) mayHaveSent() bool {
 	c := s.conn.Load()
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -52,6 +52,10 @@
 	Host   string // Host header; empty means the server's address
 	Header http.Header
 	Body   []byte
+	// ID identifies the call in its response; empty if responses carry no identifier. A call is not sent on a
+	// connection whose last call had the same ID: a surplus response to that would pass for the response to
+	// this one. Without an ID, no call is sent on the connection of a refusal.
+	ID string
 	// Abandoned, if set, is called right before the first byte is written. If it returns
 	// true, nothing is sent and the call fails with a [NotRun] that wraps [ErrAbandoned].
 	Abandoned func() bool
@@ -138,6 +142,7 @@
 type NotRun struct {
 	Server  string      // address
 	Refused bool        // the server refused the call; otherwise no byte was sent to it
+	Reused  bool        // the refusal came on a connection that had carried other calls
 	Header  http.Header // of a refusal
 	Status  int         // of a refusal
 	Err     error
@@ -213,6 +218,7 @@
 // Client sends calls to backend servers. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
+	fresh     *http.Transport // opens a connection for each call
 	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	conns     *connections
 	isRefusal func(status int, h http.Header) bool
@@ -231,7 +237,7 @@
 	}
 	conns := &connections{open: map[string]map[*countingConn]bool{}}
 	dial := conns.countingDial(cfg)
-	return &Client{isRefusal: cfg.IsRefusal, conns: conns, dial: dial, transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:            dial,
 		ResponseHeaderTimeout:  cfg.HeaderTimeout,
 		MaxIdleConns:           cfg.MaxIdle,
@@ -239,7 +245,10 @@
 		IdleConnTimeout:        cfg.IdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}}
+	}
+	fresh := transport.Clone()
+	fresh.MaxIdleConnsPerHost = -1 // keeps none
+	return &Client{isRefusal: cfg.IsRefusal, conns: conns, dial: dial, transport: transport, fresh: fresh}
 }
 
 // Close closes the idle connections.
@@ -270,12 +279,10 @@
 // has arrived. Cancelling ctx aborts the call, including the reading of its body. The
 // error is a [NotRun] or an [MayHaveRun].
 func (c *Client) Send(ctx context.Context, address string, call Call) (*Response, error) {
-	trace := callTrace{abandoned: call.Abandoned, connected: call.Connected}
-	req, err := newRequest(trace.attach(ctx), address, call)
-	if err != nil {
-		return nil, NotRun{Server: address, Err: err}
+	resp, trace, err := send(ctx, c.transport, address, call)
+	if trace.gotUnusableConn() && !trace.mayHaveSent() {
+		resp, trace, err = send(ctx, c.fresh, address, call)
 	}
-	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		err = trace.withConnFailure(err)
 		if trace.mayHaveSent() {
@@ -284,9 +291,9 @@
 		return nil, NotRun{Server: address, Err: err}
 	}
 	if c.isRefusal(resp.StatusCode, resp.Header) {
-		discardRefusal(resp.Body)
+		discardRefusal(resp.Body, trace, call)
 		return nil, NotRun{
-			Server: address, Refused: true, Status: resp.StatusCode, Header: resp.Header,
+			Server: address, Refused: true, Reused: trace.callNumber > 1, Status: resp.StatusCode, Header: resp.Header,
 			Err: errors.Errorf("status %d", resp.StatusCode),
 		}
 	}
@@ -305,9 +312,23 @@
 	return a, nil
 }
 
+// send sends a call once with a transport. The trace is never nil.
+func send(ctx context.Context, transport *http.Transport, address string, call Call) (*http.Response, *callTrace, error) {
+	trace := &callTrace{id: call.ID, abandoned: call.Abandoned, connected: call.Connected}
+	req, err := newRequest(trace.attach(ctx), address, call)
+	if err != nil {
+		return nil, trace, err
+	}
+	resp, err := transport.RoundTrip(req)
+	return resp, trace, err
+}
+
 // discardRefusal reads the body of a refusal so that its connection can be reused. If it does not end soon, the
 // connection is closed.
-func discardRefusal(body io.ReadCloser) {
+func discardRefusal(body io.ReadCloser, trace *callTrace, call Call) {
+	if call.ID == "" {
+		trace.recordUnidentifiedRefusal()
+	}
 	timer := time.AfterFunc(refusalTimeout, func() { _ = body.Close() })
 	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, body, maxRefusal) // an error closes the connection
