gateway: what is held of all answers together is bounded

What callers saw (reported by another operator): servers that send bytes without end use up a machine's memory, and the requests of all its callers end with it.

Cause here: each answer had a bound, 1 MiB of an event and 256 KiB of a plain one; all of them together had none.

Change: what is held beyond 16 KiB an answer takes its memory from a bounded part (0.12 of the process's). A plain answer without memory is passed on as it arrives; an event without memory ends its attempt like one that is too long.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -360,6 +360,7 @@
 	errUnsigned   = faultyAnswer("the answer is not signed")
 	errShort      = faultyAnswer("the stream ended inside an event or before the first one")
 	errEndUnknown = faultyAnswer("nothing states that the stream is complete")
+	errNoMemory   = faultyAnswer("an event is longer than there is memory for answers")
 	errTooLarge   = faultyAnswer(fmt.Sprintf("an event exceeds %d bytes", maxEvent))
 )
 
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -13,8 +13,8 @@
 
 // This file defines how the bodies of requests are read within their part of the memory.
 
-// bodyMemory is the memory for the bodies of all requests, which is taken before a body is read. It may be used by
-// several goroutines.
+// bodyMemory is the memory for the bodies of all requests, which is taken before a body is read, or for all that is held
+// of answers. It may be used by several goroutines.
 type bodyMemory struct {
 	limit int64 // bytes
 
@@ -33,6 +33,15 @@
 // take takes memory for a body that already has some, and reports whether there was enough. If not, the body has
 // none any more: of several bodies that grow at the same time, those that are refused leave their memory to the others.
 func (m *bodyMemory) take(has, more int64) bool {
+	if m.takeMore(has, more) {
+		return true
+	}
+	m.release(has)
+	return false
+}
+
+// takeMore is take but for a body that keeps what it has if there was not enough.
+func (m *bodyMemory) takeMore(has, more int64) bool {
 	limit := m.limit
 	if has+more > limit/largeBody {
 		limit -= limit / smallBodies
@@ -45,7 +54,6 @@
 		m.taken = after
 		return true
 	}
-	m.taken -= has
 	return false
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -35,6 +35,7 @@
 	pool               document.Pool
 	body               []byte
 	bodyTaken          int64             // bytes taken from Gateway.bodies
+	held               *answerMemory     // taken from Gateway.answers
 	cost               float64           // tokens
 	spentBeforeArrival time.Duration     // since the caller's first try, before this request arrived
 	class              entitlement.Class // set for requests to engines
@@ -74,7 +75,8 @@
 	if g.stopping() > 0 {
 		c.response.CloseConnection()
 	}
-	defer func() { g.bodies.release(c.bodyTaken) }()
+	c.held = &answerMemory{total: &g.answers}
+	defer func() { g.bodies.release(c.bodyTaken); c.held.release() }()
 	err := c.admit(admitted)
 	if err == nil {
 		err = c.serve()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -20,6 +20,7 @@
 type eventBuffer struct {
 	bytes []byte
 	whole int // length of the whole events at the beginning
+	taken int // capacity for which memory was taken
 }
 
 // add appends bytes and returns the events that they complete, empty if there is none.
@@ -48,8 +49,19 @@
 // isEmpty reports whether no byte waits.
 func (b *eventBuffer) isEmpty() bool { return len(b.bytes) == 0 }
 
-// isFull reports whether more bytes wait than one event may have.
-func (b *eventBuffer) isFull() bool { return len(b.bytes) > maxEvent }
+// checkSize takes memory for what waits. It returns errTooLarge if that is more than one event may have, and errNoMemory if
+// there is no memory for it.
+func (b *eventBuffer) checkSize(m *answerMemory) error {
+	size := cap(b.bytes)
+	switch {
+	case len(b.bytes) > maxEvent:
+		return errTooLarge
+	case size > b.taken && !m.grow(b.taken, size):
+		return errNoMemory
+	}
+	b.taken = max(b.taken, size)
+	return nil
+}
 
 // endOfEvents returns the length of the whole events at the beginning of b.
 func endOfEvents(b []byte) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,10 @@
 	Grace time.Duration
 	// MaxTotalBodyBytes bounds the memory used by all request bodies together.
 	MaxTotalBodyBytes int64
-	Random            func() uint64 // must be safe for concurrent use
+	// MaxTotalAnswerBytes bounds the memory used by what is held of all answers together; 0 means no
+	// bound.
+	MaxTotalAnswerBytes int64
+	Random              func() uint64 // must be safe for concurrent use
 	// ProcessorWait returns how long runnable threads of this process have waited for a processor
 	// since the last call; nil if this is not measured.
 	ProcessorWait func() time.Duration
@@ -88,6 +91,7 @@
 	admission           admission
 	requestsSinceReport atomic.Int64 // requests received since the last report
 	bodies              bodyMemory
+	answers             bodyMemory      // what is held of answers
 	stopBeganAt         atomic.Int64    // when the stop began, by now(); 0 while running
 	lateStarts          context.Context // ends when a stopping gateway begins no long requests any more
 	endLateStarts       context.CancelFunc
@@ -118,7 +122,7 @@
 		cfg.Clock = func() time.Duration { return time.Since(start) }
 	}
 	g := &Gateway{
-		cfg: cfg, startedAt: cfg.Clock(), ctx: ctx, stop: stop, bodies: bodyMemory{limit: cfg.MaxTotalBodyBytes},
+		cfg: cfg, startedAt: cfg.Clock(), ctx: ctx, stop: stop, bodies: bodyMemory{limit: cfg.MaxTotalBodyBytes}, answers: bodyMemory{limit: cfg.MaxTotalAnswerBytes},
 		tokenCounters: newTokenCounters(cfg.Metrics), stats: newStats(cfg.Metrics), meter: link.NewMeter(cfg.Metrics), retryWindows: map[string]*retry.Window{},
 	}
 	g.lateStarts, g.endLateStarts = context.WithCancel(context.Background())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -60,7 +60,7 @@
 // is held in case another backend server succeeds.
 func (r *relay) relayPlain(a *assignment, answer *forward.Response) outcome {
 	r.c.watch.await()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswer))
+	body, whole, err := r.c.held.readHeld(answer.Body)
 	r.c.watch.suspend()
 	if err != nil {
 		return outcome{execution: retry.MayHaveRun, cause: "cut off", verdict: outlier.Lost, err: err}
@@ -70,13 +70,13 @@
 		r.c.partsBegun()
 	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed}
-	if len(body) < maxHeldAnswer && answer.Status >= http.StatusInternalServerError {
+	if whole && answer.Status >= http.StatusInternalServerError {
 		return heldOutcome(held)
 	}
 	if err := r.c.watch.received(); err != nil {
 		return replacedOutcome(err)
 	}
-	if len(body) == maxHeldAnswer {
+	if !whole {
 		return r.relayLarge(answer, held)
 	}
 	if err := r.writeHeld(held); err != nil {
@@ -233,7 +233,7 @@
 		return notContinuedOutcome(err)
 	case errors.As(err, new(response.SecondHead)):
 		return secondHeadOutcome(err)
-	case err == errTooLarge:
+	case err == errTooLarge, err == errNoMemory:
 		return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: err}
 	}
 	return callerLeftOutcome(err)
@@ -281,10 +281,11 @@
 
 // checkReceivedSize returns an error if too many bytes wait to be passed on.
 func (r *relay) checkReceivedSize() error {
-	if r.received.isFull() {
-		return errTooLarge
+	err := r.received.checkSize(r.c.held)
+	if err != nil {
+		r.received = eventBuffer{} // the request may wait for another server
 	}
-	return nil
+	return err
 }
 
 // positionAfter returns the position of the stream after whole events. Those of an answer that resumes the stream
--- a/gateway/usable.go
+++ b/gateway/usable.go
@@ -31,18 +31,18 @@
 	case c.isStream(answer):
 		return c.relay.awaitEvents(answer)
 	}
-	return awaitPlain(answer)
+	return c.awaitPlain(answer)
 }
 
 // awaitPlain reads a plain answer as far as it is held before it is passed on.
-func awaitPlain(answer *forward.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswer))
+func (c *call) awaitPlain(answer *forward.Response) outcome {
+	body, whole, err := c.held.readHeld(answer.Body)
 	if err != nil {
 		return outcome{execution: retry.MayHaveRun, cause: "cut off", verdict: outlier.Lost, err: err}
 	}
 	switch {
 	case !isSuccess(answer.Status):
-		return failedPlain(answer, body)
+		return failedPlain(answer, body, whole)
 	case len(body) == 0 && answer.Unframed:
 		return outcome{execution: retry.MayHaveRun, cause: "end unknown", verdict: outlier.Unconfirmed, err: errEndUnknown}
 	}
@@ -51,12 +51,12 @@
 }
 
 // failedPlain returns the outcome of a plain answer that reports a failure. One that is too large to be held is dropped.
-func failedPlain(answer *forward.Response, body []byte) outcome {
+func failedPlain(answer *forward.Response, body []byte, whole bool) outcome {
 	out := heldOutcome(&heldAnswer{status: answer.Status, header: answer.Header, body: body, unframed: answer.Unframed})
 	if answer.Status < http.StatusInternalServerError {
 		out.cause, out.verdict = "no success", outlier.Answered
 	}
-	if len(body) == maxHeldAnswer {
+	if !whole {
 		out.execution, out.held = retry.MayHaveRun, nil
 	}
 	return out
@@ -86,8 +86,9 @@
 			return outcome{execution: retry.MayHaveRun, cause: "stream cut off", verdict: outlier.Lost, err: errShort}
 		case err != nil:
 			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Lost, err: err}
-		case received.isFull():
-			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: errTooLarge}
+		}
+		if err := received.checkSize(r.c.held); err != nil {
+			return outcome{execution: retry.MayHaveRun, cause: "stream broken", verdict: outlier.Faulty, err: err}
 		}
 	}
 }
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -34,6 +34,9 @@
 	// connection: 150 per second, idle for serverIdleTimeout, add up to 600.
 	maxIdleTotal    = reservedDescriptors / 2
 	bodyMemoryShare = 0.12 // fraction of the memory for the bodies of all requests
+	// answerMemoryShare is the fraction of the memory for what is held of answers: events and plain answers that
+	// are not whole.
+	answerMemoryShare = 0.12
 )
 
 // Limits on callers' connections, by memory and by descriptors; the lower one applies. In a
@@ -69,7 +72,8 @@
 		Identity: b.identity(), Hall: cfg.Hall, Region: cfg.Region, Topology: cfg.Topology, LinkRate: cfg.LinkRate,
 		Seeds: cfg.Seeds, Headers: headers, Transport: client,
 		Retries: cfg.Retries, Grace: cfg.Grace, MaxTotalBodyBytes: int64(bodyMemoryShare * float64(cfg.MemoryLimit)),
-		Random: rand.Uint64, ProcessorWait: newSchedulingDelay().Mean, Clock: boottime.Clock(), Log: log, Metrics: metricSet,
+		MaxTotalAnswerBytes: int64(answerMemoryShare * float64(cfg.MemoryLimit)),
+		Random:              rand.Uint64, ProcessorWait: newSchedulingDelay().Mean, Clock: boottime.Clock(), Log: log, Metrics: metricSet,
 	})
 	callers, err := b.listenToCallers(runCtx, g)
 	if err != nil {
