streams: what makes a stream's version unknown arrives whole, or not at all

What callers saw (with real nodes, by others): where servers keep their identifier over an upgrade, streams that go on at another version; one that began at v1 was told to be of v2.

Cause: a stream that either of two versions may have begun has two records. A replica shares the newest 25 records of a message, which holds them sorted by version, and a gateway reports the newest 64: one of the two went alone, and looked certain.

Change: a stream's records are kept together, and those whose version has become unknown are shared apart from the 25, so that they undo what gateways know as certain.

--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -154,3 +154,28 @@
 	}
 	return records
 }
+
+// NewestStreams returns the records of the newest max streams, in their order. A stream that either of two versions may
+// have begun has two records, of which neither is returned without the other.
+func NewestStreams(records []Record, max int) (newest []Record) {
+	ids := map[ID]bool{}
+	for i := len(records) - 1; i >= 0 && len(ids) < max; i-- {
+		ids[records[i].ID] = true
+	}
+	for _, rec := range records {
+		if ids[rec.ID] {
+			newest = append(newest, rec)
+		}
+	}
+	return newest
+}
+
+// anyVersion is added to the name of a version to get one that no server has.
+const anyVersion = "?"
+
+// Doubt returns records of a stream that make its origin unknown to whoever adds them.
+func (rec Record) Doubt() []Record {
+	other := rec
+	other.Version += anyVersion
+	return []Record{rec, other}
+}
--- a/coordination/streamversion/records_test.go
+++ b/coordination/streamversion/records_test.go
@@ -107,3 +107,18 @@
 	is.Equal(Retention(0), minRetention)
 	is.Equal(Retention(time.Minute), 2*time.Minute)
 }
+
+// TestNewestStreamsKeepTheirDoubt guards against one of the two records of a stream of unknown version without the other,
+// which makes it look certain.
+func TestNewestStreamsKeepTheirDoubt(t *testing.T) {
+	is := is.New(t)
+	all := append([]Record{{v1, 1}, {v1, 2}, {v1, 3}}, []Record{{v2, 1}, {v2, 2}, {v2, 3}, {v1, 4}}...)
+	is.Equal(NewestStreams(all, 3), []Record{{v1, 2}, {v1, 3}, {v2, 2}, {v2, 3}, {v1, 4}})
+	is.Equal(len(NewestStreams(all, 100)), len(all))
+	r := Records{Max: 100}
+	for _, rec := range (Record{v1, 5}).Doubt() {
+		r.Add(0, time.Minute, rec)
+	}
+	_, known := r.Find(5)
+	is.True(!known)
+}
--- a/directory/streams.go
+++ b/directory/streams.go
@@ -27,6 +27,9 @@
 	// streams a second, which are 2 KB a second for each gateway. Of more streams, the newest are
 	// sent.
 	maxSharedStreams = 25
+	// maxSharedDoubtful bounds those whose version has become unknown, which gateways may know as certain: those of
+	// one server at one gateway.
+	maxSharedDoubtful = 256
 	// maxStreamQueries bounds the queries that wait for other replicas' answers.
 	maxStreamQueries = 1 << 14
 	// streamQueryTimeout is how long a query waits for other replicas' answers. It exceeds the time
@@ -39,6 +42,7 @@
 	records  streamversion.Records
 	versions map[string]*streamversion.Versions // by pool; at the leader only
 	unshared []streamversion.Record             // reported since the last message to the gateways, newest last
+	doubtful []streamversion.Record             // the same of streams whose version has become unknown
 	queries  map[uint64]*streamQuery            // by the number under which they were passed on
 	lastSeq  uint64
 }
@@ -90,9 +94,14 @@
 	h.streams.records.Max = maxStreamRecords
 	for _, rec := range streamversion.FromWire(list) {
 		h.streams.records.Add(now, retention, rec)
-		h.streams.unshared = append(h.streams.unshared, rec)
+		if _, known := h.streams.records.Find(rec.ID); known {
+			h.streams.unshared = append(h.streams.unshared, rec)
+		} else {
+			h.streams.doubtful = append(h.streams.doubtful, rec.Doubt()...)
+		}
 	}
-	h.streams.unshared = h.streams.unshared[max(len(h.streams.unshared)-maxSharedStreams, 0):]
+	h.streams.unshared = streamversion.NewestStreams(h.streams.unshared, maxSharedStreams)
+	h.streams.doubtful = streamversion.NewestStreams(h.streams.doubtful, maxSharedDoubtful)
 	if h.term == 0 {
 		return
 	}
@@ -104,11 +113,12 @@
 // shareStreams sends the gateways the newest records, so that they survive the replica together
 // with the gateway that reported them, and a gateway without a session knows them.
 func (h *hub) shareStreams() {
-	if len(h.streams.unshared) == 0 {
+	records := append(h.streams.unshared, h.streams.doubtful...)
+	if len(records) == 0 {
 		return
 	}
-	m, ok := h.encode(protocol.Streams{List: streamversion.ToWire(h.streams.unshared)})
-	h.streams.unshared = nil
+	m, ok := h.encode(protocol.Streams{List: streamversion.ToWire(records)})
+	h.streams.unshared, h.streams.doubtful = nil, nil
 	if !ok {
 		return
 	}
--- a/directory/streams_test.go
+++ b/directory/streams_test.go
@@ -199,3 +199,67 @@
 	}
 	time.Sleep(3 * time.Second)
 }
+
+// TestStreamsOfRestartedServersStayAtTheirVersion guards against many streams whose servers restart with another version
+// under their identifiers, right after the streams began: all that is known of such a stream is that either version may
+// have begun it, and no gateway may learn of one of them alone.
+func TestStreamsOfRestartedServersStayAtTheirVersion(t *testing.T) {
+	withFleet(t, voters, func(x *fleet) {
+		is := is.New(x.t)
+		x.withStreams(2, []string{"v1", "v2", "v1", "v2", "v1", "v2"}, func(m *streamServers) {
+			all := x.beginStreams(240, gatewayIP(0), 400*time.Millisecond)
+			m.setVersions("v2", "v1", "v2", "v1", "v1", "v2")
+			m.announce()
+			time.Sleep(500 * time.Millisecond)
+			x.killGateway(0)
+			complete, refused, mixed := resume(all, gatewayIP(1))
+			x.t.Logf("%d complete, %d refused, %d of two versions", complete, refused, mixed)
+			is.Equal(mixed, 0)
+			is.True(complete >= len(all)/4) // those of the servers that did not restart, as far as they are known
+		})
+	})
+}
+
+// TestGatewayOutOfStepMixesNoVersions guards against streams that are taken up at a gateway that was out of step while
+// servers of another version joined, and go on at another version there: it knows neither the streams that began at them
+// nor that there is another version.
+func TestGatewayOutOfStepMixesNoVersions(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		resumes func(x *fleet) // before the streams are taken up
+		leave   bool           // the new servers, once their streams have begun
+	}{
+		{name: "cut off until then", resumes: func(x *fleet) { x.net.Restore(gatewayIP(1)) }},
+		{name: "still cut off", resumes: func(*fleet) {}},
+		{name: "cut off until then, the new servers have left", leave: true, resumes: func(x *fleet) { x.net.Restore(gatewayIP(1)) }},
+		{name: "still cut off, the new servers have left", leave: true, resumes: func(*fleet) {}},
+		{name: "cut off until a second before", resumes: func(x *fleet) {
+			x.net.Restore(gatewayIP(1))
+			time.Sleep(time.Second)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withFleet(t, voters, func(x *fleet) {
+				is := is.New(x.t)
+				x.withStreams(2, []string{"v1", "v1"}, func(m *streamServers) {
+					x.net.Cut(gatewayIP(1))
+					m.setVersions("v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2")
+					m.announce()
+					time.Sleep(300 * time.Millisecond)
+					all := x.beginStreams(60, gatewayIP(0), 400*time.Millisecond)
+					if tt.leave {
+						m.setVersions("v1", "v1")
+						for _, id := range []string{"b3", "b4", "b5", "b6", "b7", "b8"} {
+							m.depart(id)
+						}
+						time.Sleep(300 * time.Millisecond)
+					}
+					tt.resumes(x)
+					complete, refused, mixed := resume(all, gatewayIP(1))
+					x.t.Logf("%d complete, %d refused, %d of two versions", complete, refused, mixed)
+					is.Equal(mixed, 0)
+				})
+			})
+		})
+	}
+}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -154,6 +154,9 @@
 	o.reporting = pools
 	o.unreported = slices.DeleteFunc(o.unreported, func(s beganStream) bool { return !pools[s.Pool] })
 	first := max(len(o.unreported)-maxStreamsPerReport, 0)
+	for first > 0 && o.unreported[first-1].ID == o.unreported[first].ID {
+		first-- // either record of a stream in doubt would look certain alone
+	}
 	taken := slices.Clone(o.unreported[first:])
 	o.unreported = o.unreported[:first]
 	return taken
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -288,3 +288,26 @@
 func (x *fixture) list(s protocol.Server, removed ...string) {
 	(&watcher{g: x.g}).applyServers(protocol.Servers{Term: 1, Set: []protocol.Server{s}, Removed: removed})
 }
+
+// TestReportKeepsDoubt guards against a report with one of the two records of a stream of unknown version, which makes it
+// look certain to the directory.
+func TestReportKeepsDoubt(t *testing.T) {
+	is := is.New(t)
+	o, pools := newOrigins(), map[string]bool{"p": true}
+	o.take(pools)
+	d := doubtfulStreams{pool: "p", versions: [2]string{"v1", "v2"}}
+	for i := range 2 * maxStreamsPerReport {
+		d.ids = append(d.ids, streamversion.ID(i))
+	}
+	o.addDoubtful(0, time.Minute, d)
+	o.add(0, time.Minute, beganStream{Record: streamversion.Record{Origin: streamversion.Origin{Pool: "p", Version: "v1"}, ID: 1 << 20}})
+	for range 5 {
+		records := streamversion.Records{Max: 1000}
+		for _, s := range o.take(pools) {
+			records.Add(0, time.Minute, s.Record)
+		}
+		for _, rec := range records.All() {
+			is.Equal(rec.ID, streamversion.ID(1<<20))
+		}
+	}
+}
