gateway: a stream goes on at no server that has ended and is not listed anew

Cause: a server that restarts under its identifier listens before its first announcement has reached the gateway, which sends it the rest of a stream of its earlier version.

Change: a refused connection puts a server in doubt, and at a gateway that has stood still for 0.3 s also a broken one. A stream does not go on there until it is listed with another version, or has answered for 2 s in a session with the directory. New requests go there as before.

TestStreamGoesOnAtNoServerInDoubt: the stream went to p0 before; to no server, and to the one that the list names, now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,6 +90,9 @@
 	case out.execution == retry.MayHaveRun && out.verdict == outlier.Lost && out.cause != causeSilent:
 		c.recordLoss(a)
 		out.connectionBroke = true
+		if c.g.pauses.wereRecent(c.g.now()) {
+			c.g.table.doubtRestart(a.serverID)
+		}
 	case out.verdict == outlier.Unconfirmed:
 		c.g.table.recordAlive(c.pool.Name, a.serverID) // the transport has seen it
 	}
@@ -115,6 +118,7 @@
 		return nil, AnswerHead{}, c.handleSendError(a, err)
 	}
 	a.setOpenedAt(c.g.monotonicTime(answer.ConnOpenedAt))
+	c.g.table.recordBack(a.entry)
 	a.framing, a.status = answer.Framing(), answer.Status
 	c.g.observeRoundTrip(a)
 	if a.leaveReason != place.Stay {
@@ -204,6 +208,9 @@
 	}
 	if !notRun.Refused {
 		a.unreached = true
+		if isRefusedConnection(err) {
+			c.g.table.doubtRestart(a.serverID)
+		}
 		return outcome{execution: retry.NotSent, cause: "unreachable", verdict: c.unreachableVerdict(), err: err}
 	}
 	head := c.g.cfg.Headers.DecodeAnswer(notRun.Status, notRun.Header)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -223,6 +223,8 @@
 		return true
 	case req.maxQuiet != nil && k.isQuiet(now, *req.maxQuiet):
 		return true
+	case req.version.limited && k.doubt.holds(now, t.listeningSince):
+		return true
 	}
 	return !k.cold.Admits(now, v.coldSharesInForce) || !k.notice.Admits(now)
 }
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -82,6 +82,7 @@
 	if !refuses {
 		return
 	}
+	d.g.table.doubtRestart(server)
 	d.g.stats.count("backends_ended", "pool", pool)
 	d.g.suspicions.add(d.g.now(), lost)
 	var keys []string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,8 @@
 	admission           admission
 	requestsSinceReport atomic.Int64 // requests received since the last report
 	bodies              bodyMemory
-	answers             bodyMemory      // what is held of answers
+	answers             bodyMemory // what is held of answers
+	pauses              pauses
 	stopBeganAt         atomic.Int64    // when the stop began, by now(); 0 while running
 	lateStarts          context.Context // ends when a stopping gateway begins no long requests any more
 	endLateStarts       context.CancelFunc
@@ -217,6 +218,7 @@
 func (g *Gateway) tick() {
 	var limit overload.AcceptLimit
 	for range sleep.Every(g.ctx, overload.TickPeriod) {
+		g.pauses.tick(g.now())
 		previous := g.overload.Load()
 		d := previous.Tick(g.now(), g.cfg.ProcessorWait())
 		g.overload.Store(&d)
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -41,6 +41,7 @@
 	unlisted      bool                // not announcing itself to the leader, see [table.markUnlisted]
 	removed       bool                // no longer in the pool
 	begun         []begunStream       // streams that began here recently, see restarts.go
+	doubt         restartDoubt
 }
 
 // heard records that something came from the server, or that it has got its first request.
@@ -75,9 +76,10 @@
 	byAddress       map[string]*knownServer // keyed by HOST:PORT
 	pools           map[string]*pool
 	term            uint64
-	handleSpace     uint64 // identifies the numbering that handles belong to
-	listCount       uint64 // number of whole lists received
-	markedList      uint64 // number of the list by which servers were last marked as unlisted
+	handleSpace     uint64        // identifies the numbering that handles belong to
+	listeningSince  time.Duration // when the session with the directory began; 0 without one
+	listCount       uint64        // number of whole lists received
+	markedList      uint64        // number of the list by which servers were last marked as unlisted
 	outage          outlier.Outage
 	reports         []loadReport // sent in this session, newest last
 	othersUpdatedAt time.Duration
@@ -290,6 +292,9 @@
 			defer t.addToRegion(t.pool(k.Pool), k)
 		}
 		t.recordRestart(k, s.Version)
+		if k.Version != s.Version {
+			k.doubt.clear()
+		}
 		t.pool(k.Pool).countServer(t.now(), k.Version, -1)
 		t.pool(k.Pool).countServer(t.now(), s.Version, 1)
 		k.Server, k.lastList, k.unlisted = s, t.listCount, false
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -118,6 +118,7 @@
 		if !served {
 			served, w.avoided = true, nil
 			w.connected = true
+			w.g.table.setListening(true)
 			w.g.cfg.Log.StateChange("directory found", slog.String("leader", address))
 			w.g.origins.beginSession(func(q protocol.StreamQuery) { _ = l.Send(ctx, q) }) // a lost link ends the session
 			go w.report(ctx, l)
@@ -171,6 +172,7 @@
 	}
 	w.connected = false
 	w.g.table.endShares()
+	w.g.table.setListening(false)
 	w.g.suspicions.followsLeader.Store(false)
 	w.g.origins.endSession()
 	w.g.cfg.Log.StateChange("directory lost", slog.String("leader", address), slog.String("error", err.Error()),
