forward: the end of an answer of a server that has announced its leave is believed

What callers saw (with real nodes, by others): servers that announce that they leave, close their listener and finish what is open have whole streams without a length reset behind their last byte, and whole answers to unsafe requests replaced by 502.

Cause: an unstated end was believed only while its server accepts connections.

Change: a refused connection is no sign of a death once the server has announced its leave: to the directory (it is not listed any more, and no other server has its address), with an answer, or at a router by its mark. Resumable streams are ended by another server as before.

TestPoliteStopBreaksNoAnswer: six of six answers broken before, none now; six without an announcement, or with another server at the address, stay broken. What it costs: a server that is killed after its announcement has its last answers passed on as whole.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -189,10 +189,20 @@
 		Method: c.r.Method, Path: c.r.RequestURI, Host: c.r.Host,
 		Header: c.g.cfg.Headers.ForwardHeader(c.r.Header, f), Body: c.body, ID: c.head.ID,
 		Abandoned: func() bool { return callerHasLeft(c.r.Context()) || !c.g.table.admits(a.serverID) },
+		Leaving:   c.leaving(a),
 		Connected: func(openedAt time.Time) { a.setOpenedAt(c.g.monotonicTime(openedAt)) },
 	}
 }
 
+// leaving returns a function that reports whether the server of an attempt has announced that it leaves. It is nil for a
+// stream that another server can end instead, which is certain in any case.
+func (c *call) leaving(a *assignment) func() bool {
+	if c.route.Kind == document.Stream && c.route.Resumable {
+		return nil
+	}
+	return func() bool { return c.g.table.hasAnnouncedLeave(a.entry) }
+}
+
 // handleSendError returns the outcome of an attempt for which Send returned an error.
 func (c *call) handleSendError(a *assignment, err error) outcome {
 	var unknown forward.MayHaveRun
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -57,6 +57,14 @@
 	return t.notice(server).Admits(t.now())
 }
 
+// hasAnnouncedLeave reports whether a server has announced that it leaves, with an answer or to the directory, which
+// then lists it no longer. A server that is not listed because another one has its address has announced nothing.
+func (t *table) hasAnnouncedLeave(k *knownServer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.notice(k.ID).Leaving() || k.removed && t.byAddress[k.Address] == nil
+}
+
 // notice returns a backend server's notice, whether the server is listed or not. The caller holds
 // mu.
 func (t *table) notice(server string) backpressure.Notice {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/badgerspoke/badgerspoke/internal/fakenet"
 	"github.com/badgerspoke/badgerspoke/protocol"
 	"github.com/badgerspoke/badgerspoke/transport/forward"
 	"github.com/badgerspoke/badgerspoke/transport/socket"
@@ -306,3 +307,47 @@
 		is.Equal(x.counter(`badgerspoke_gateway_answered_total{route="once"}`), uint64(0))
 	}, oldAndNew[0], unframed(oldAndNew[1]))
 }
+
+// TestPoliteStopBreaksNoAnswer guards against whole answers that are broken because their server, which has announced that
+// it leaves, closes its listener and then sends the rest of what is open. A server that has announced nothing, or whose
+// address another one has taken, has died with its answer.
+func TestPoliteStopBreaksNoAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		leave func(x *fixture)
+		whole bool
+	}{
+		{"to the directory", func(x *fixture) { x.g.table.update(protocol.Servers{Term: 1, Removed: []string{"p0"}}) }, true},
+		{"with an answer", func(x *fixture) { x.g.table.recordNotice("p0", AnswerHead{Leaving: true}) }, true},
+		{"not at all", func(*fixture) {}, false},
+		{"another server has its address", func(x *fixture) { x.list(x.server("p0", "p9", ""), "p0") }, false},
+	} {
+		for path, body := range map[string]string{"/once/x": "whole", "/again/x": "whole", "/stream/x": wholeStream(2)} {
+			t.Run(tt.name+path, func(t *testing.T) {
+				withGateway(t, func(x *fixture) {
+					is := is.New(x.t)
+					n := fakenet.New(time.Millisecond)
+					l, err := n.Listen(malformedAddress)
+					is.NoErr(err)
+					go func() {
+						conn, err := l.Accept()
+						is.NoErr(err)
+						_, err = conn.Read(make([]byte, 4096))
+						is.NoErr(err)
+						tt.leave(x)
+						l.Close()
+						_, _ = io.WriteString(conn, signedHead("")+body) // the end shows what came of it
+						conn.Close()
+					}()
+					c := forward.New(forward.Settings{Dialer: n.DialerFrom("10.9.0.2")})
+					x.announceInOrder([]behaviour{func(ctx context.Context, call forward.Call) (*forward.Response, error) {
+						return c.Send(ctx, malformedAddress, call)
+					}})
+					var conn resettableConn
+					got := x.requestWith(socket.WithConn(x.t.Context(), &conn), http.MethodPost, path, "a body", "Patience", "400")
+					is.Equal(got.body == body && got.status == 200 && !got.cut, tt.whole)
+				})
+			})
+		}
+	}
+}
--- a/router/silent.go
+++ b/router/silent.go
@@ -21,19 +21,29 @@
 // retry, if the budget allows one, waits for its turn. The first of the two to succeed is used. send returns the
 // server whose slot the call has at the end.
 func (r *Router) send(ctx context.Context, c *call, server config.Server) (*forward.Response, config.Server, error) {
-	a, err := r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
+	a, err := r.cfg.Transport.Send(ctx, server.Address, r.callTo(c, server))
 	for dials := 1; forward.IsDialTimeout(err) && dials < maxDials && ctx.Err() == nil && r.mayUse(server); dials++ {
 		r.pool(c.pool).recordFailure(server.ID)
 		r.queueRetry(c)
 		next := server
 		if a, next, err = r.dialAgain(ctx, c, server); next.ID != server.ID {
 			server, dials = next, 0
-			a, err = r.cfg.Transport.Send(ctx, server.Address, c.forwardCall)
+			a, err = r.cfg.Transport.Send(ctx, server.Address, r.callTo(c, server))
 		}
 	}
 	return a, server, err
 }
 
+// callTo returns the call as it is sent to a server.
+func (r *Router) callTo(c *call, server config.Server) forward.Call {
+	f := c.forwardCall
+	f.Leaving = func() bool {
+		now, listed := r.routes.Load().servers[server.ID]
+		return listed && now.Mark == config.Leaving
+	}
+	return f
+}
+
 // mayUse reports whether the lease and the configuration in force still allow calls to a server.
 func (r *Router) mayUse(server config.Server) bool {
 	now, listed := r.routes.Load().servers[server.ID]
@@ -82,7 +92,7 @@
 // that case it releases the slot of server and returns the other one.
 func (r *Router) dialAgain(ctx context.Context, c *call, server config.Server) (*forward.Response, config.Server, error) {
 	var state atomic.Int32
-	again := c.forwardCall
+	again := r.callTo(c, server)
 	again.Abandoned = func() bool { return !state.CompareAndSwap(dialling, sending) }
 	sent := make(chan sendResult, 1)
 	go func() {
--- a/transport/forward/confirm.go
+++ b/transport/forward/confirm.go
@@ -15,8 +15,8 @@
 // This file defines unframedBody, a body that only the end of its connection ends.
 //
 // The kernel closes the connections of a process that dies in order, and with them its listener. So the end of such a
-// body is that of a whole one only if its server still accepts connections. Until it has accepted one that was opened
-// afterwards, the end is not passed on.
+// body is that of a whole one only if its server still accepts connections, or had announced that it stops. Until it
+// has accepted one that was opened afterwards, the end is not passed on.
 
 const (
 	// confirmDelay is the time from the end of a body until its server is dialled. The kernel closes the descriptors
@@ -58,9 +58,9 @@
 }
 
 // confirmEnd waits until the server at address accepts a connection and then returns io.EOF. It returns [ServerEnded]
-// if the server refuses connections, and the error of ctx if that ends before. A server that does not respond may be
-// silent for a moment only.
-func (c *Client) confirmEnd(ctx context.Context, address string) error {
+// if the server refuses connections and has not announced that it stops, and the error of ctx if that ends before. A
+// server that does not respond may be silent for a moment only.
+func (c *Client) confirmEnd(ctx context.Context, address string, leaving func() bool) error {
 	for wait := confirmDelay; sleep.For(ctx, wait); wait = confirmInterval {
 		conn, err := c.dial(ctx, "tcp", address)
 		if err == nil {
@@ -68,6 +68,9 @@
 			return io.EOF
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
+			if leaving != nil && leaving() {
+				return io.EOF
+			}
 			return ServerEnded{Server: address}
 		}
 	}
--- a/transport/forward/confirm_test.go
+++ b/transport/forward/confirm_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,8 +25,8 @@
 const answerTimeout = 5 * time.Second
 
 // endOfAnswer serves one answer with the given framing, calls end once its body has been sent, and returns how the
-// client reads it.
-func endOfAnswer(t *testing.T, framing string, end func(n *fakenet.Network, l net.Listener)) (body string, took time.Duration, err error) {
+// client reads it. leaving is Call.Leaving.
+func endOfAnswer(t *testing.T, framing string, leaving func() bool, end func(n *fakenet.Network, l net.Listener)) (body string, took time.Duration, err error) {
 	n := fakenet.New(time.Millisecond)
 	l, err := n.Listen(address)
 	if err != nil {
@@ -45,7 +46,7 @@
 	c := forward.New(forward.Settings{Dialer: n.DialerFrom("10.0.0.2")})
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
-	a, err := c.Send(ctx, address, forward.Call{Method: "POST", Path: "/"})
+	a, err := c.Send(ctx, address, forward.Call{Method: "POST", Path: "/", Leaving: leaving})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,6 +61,7 @@
 // server has ended, or nothing shows that it goes on.
 func TestUnstatedEndNeedsLivingServer(t *testing.T) {
 	const most = 100 * time.Millisecond // for the confirmation by a server that responds
+	var leaving atomic.Bool
 	for _, tt := range []struct {
 		name    string
 		framing string
@@ -81,12 +83,14 @@
 		{"server is silent for good", "", func(n *fakenet.Network, _ net.Listener) {
 			time.AfterFunc(5*time.Millisecond, func() { n.Cut("10.0.0.1") })
 		}, false, false, time.Second, answerTimeout},
+		{"server ends as it has announced", "", func(_ *fakenet.Network, l net.Listener) { leaving.Store(true); l.Close() }, true, false, 0, most},
 		{"server ends after a body with a length", "Content-Length: 6\r\n", func(_ *fakenet.Network, l net.Listener) { l.Close() }, true, false, 0, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				body, took, err := endOfAnswer(t, tt.framing, tt.end)
+				leaving.Store(false)
+				body, took, err := endOfAnswer(t, tt.framing, leaving.Load, tt.end)
 				is.Equal(body, "answer") // also what came of a body that is not whole
 				is.Equal(err == nil, tt.whole)
 				is.Equal(errors.As(err, new(forward.ServerEnded)), tt.ended)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -59,6 +59,9 @@
 	// Abandoned, if set, is called right before the first byte is written. If it returns
 	// true, nothing is sent and the call fails with a [NotRun] that wraps [ErrAbandoned].
 	Abandoned func() bool
+	// Leaving, if set, reports whether the server has announced that it stops, so that it may close its listener
+	// before its last responses: the end of a body without framing then needs no confirmation by it.
+	Leaving func() bool
 	// Connected, if set, is called when the call gets its connection, with the time at which that was opened.
 	Connected func(openedAt time.Time)
 }
@@ -306,7 +309,7 @@
 			if err := trace.lossError(); err != nil {
 				return err
 			}
-			return c.confirmEnd(ctx, address)
+			return c.confirmEnd(ctx, address, call.Leaving)
 		}}
 	}
 	return a, nil
