--- a/directory/crashes_fixture_test.go
+++ b/directory/crashes_fixture_test.go
@@ -242,19 +242,6 @@
 // Close implements io.Closer.
 func (b *crashingBody) Close() error { return nil }
 
-// setRepaired says whether crashing requests are harmless.
-func (m *crashingServers) setRepaired(repaired bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.repaired = repaired
-}
-
-func (m *crashingServers) isRepaired() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.repaired
-}
-
 func (m *crashingServers) recordStart(body string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/directory/crashseries_test.go
+++ b/directory/crashseries_test.go
@@ -15,6 +15,19 @@
 // crash in series, for a common cause, and what is requested all the time runs at each of the crashes. They also check
 // that what was condemned is served again once it crashes no server.
 
+// setRepaired says whether crashing requests are harmless.
+func (m *crashingServers) setRepaired(repaired bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.repaired = repaired
+}
+
+func (m *crashingServers) isRepaired() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.repaired
+}
+
 // TestSeriesOfCrashesCondemnsNoSharedPart crashes one server after the other for 4.5 s, beginning with a third of them
 // twice, while all requests share a part of their prompts.
 func TestSeriesOfCrashesCondemnsNoSharedPart(t *testing.T) {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -34,13 +34,15 @@
 //     complete, and nothing concludes that it is.
 //   - continuation.go, position.go: what may follow in a response that has begun. The response is written through a
 //     [response.Writer], which refuses a second head.
+//   - stop.go: a stopping gateway counts a request before it ends, or refuses it.
+//   - answermemory.go: what is held of answers takes its memory from a bounded part.
 //   - quarantine.go, partquarantine.go: requests, and parts of prompts, under which backend servers
 //     crash (crashdetector.go) are reported to the directory, and refused once it has condemned them
-//     (coordination/quarantine).
+//     (coordination/quarantine). probes.go sends one of them again now and then.
 //   - streamorigin.go, origins.go: a stream that breaks continues only at the version of the server
 //     that began it. The gateway records its own streams, reports them to the directory, and asks it
 //     about those of other gateways (coordination/streamversion). restarts.go finds the streams
-//     whose server has restarted with another version.
+//     whose server has restarted with another version, restartdoubt.go the servers that may have.
 //   - finish.go: the gateway's own error response if there is one (errors.go), the counters
 //     (stats.go; tokens.go per account) and the log line.
 //
@@ -66,7 +68,8 @@
 //
 // silenceWatch.mu is acquired before table.mu, because whether a silence still counts is decided
 // together with what it counts. table.mu is acquired before accounts.mu, because ordering waiting
-// requests reads the service received by their accounts. Gateway.retriesMu, stats.mu, tokenCounters.mu, origins.mu and the locks
+// requests reads the service received by their accounts. answerMemory.mu is acquired before bodyMemory.mu.
+// admission.mu, Gateway.retriesMu, stats.mu, tokenCounters.mu, origins.mu and the locks
 // of suspicions and partSuspicions are never held together with another lock. No lock is held across
 // I/O or a blocking channel send.
 package gateway
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -218,3 +218,19 @@
 	w.hedges = nil
 	return w.winner, hs.held
 }
+
+// quietLimit is how long a server with requests of this gateway may send nothing and still get a hedge.
+type quietLimit struct {
+	streaming time.Duration // if it streams to this gateway
+	other     time.Duration
+}
+
+// isQuiet reports whether the server has requests of this gateway and has sent nothing for longer than the limit. The
+// caller holds table.mu.
+func (k *knownServer) isQuiet(now time.Duration, limit quietLimit) bool {
+	quiet := now - time.Duration(k.heardAt.Load())
+	if k.streams > 0 {
+		return quiet > limit.streaming
+	}
+	return k.ownLoad.Requests > 0 && quiet > limit.other
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -47,22 +47,6 @@
 // heard records that something came from the server, or that it has got its first request.
 func (k *knownServer) heard(now time.Duration) { k.heardAt.Store(int64(now)) }
 
-// quietLimit is how long a server with requests of this gateway may send nothing and still get a hedge.
-type quietLimit struct {
-	streaming time.Duration // if it streams to this gateway
-	other     time.Duration
-}
-
-// isQuiet reports whether the server has requests of this gateway and has sent nothing for longer than the limit. The
-// caller holds table.mu.
-func (k *knownServer) isQuiet(now time.Duration, limit quietLimit) bool {
-	quiet := now - time.Duration(k.heardAt.Load())
-	if k.streams > 0 {
-		return quiet > limit.streaming
-	}
-	return k.ownLoad.Requests > 0 && quiet > limit.other
-}
-
 // table holds the backend servers known to the gateway, by pool, with their load.
 type table struct {
 	gateway string // name of this gateway
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -85,10 +85,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			stopCtx, cancel := context.WithTimeout(runCtx, drain.Grace(cfg.Grace).CloseBy())
-			defer cancel()
-			g.Stop(stopCtx)
-			callers.drain(stopCtx)
+			stopGateway(g, callers, drain.Grace(cfg.Grace))
 			return nil
 		case next := <-reloads:
 			g.SetSeeds(next.Seeds)
@@ -96,6 +93,14 @@
 	}
 }
 
+// stopGateway stops a gateway and closes its callers' connections, both within the grace period.
+func stopGateway(g *gateway.Gateway, callers drainedServer, grace drain.Grace) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace.CloseBy())
+	defer cancel()
+	g.Stop(ctx)
+	callers.drain(ctx)
+}
+
 // listenToCallers opens a listener on the callers' address and serves it.
 func (b *base) listenToCallers(ctx context.Context, g *gateway.Gateway) (drainedServer, error) {
 	// Keep-alive probes are off: the idle and write timeouts already end the connections of
