forward: an idle connection does not keep the last call

The identifier of the last call on a connection was kept by a pointer into the call's trace, which holds the call and its body as long as the connection is open. It is copied now.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -335,7 +335,7 @@
 }
 
 // maxServedBody bounds the bodies, in bytes, of requests of which answers are remembered. What is requested often is
-// small, and hashing takes about 2 us for each KB.
+// small, and larger bodies cost more to hash.
 const maxServedBody = 4 << 10
 
 // recordServed records a whole answer to a request.
--- a/transport/forward/counting.go
+++ b/transport/forward/counting.go
@@ -195,7 +195,8 @@
 		s.unusable.Store(true)
 		abandoned = func() bool { return true }
 	}
-	c.lastID.Store(&s.id)
+	id := s.id // a copy: the trace holds the call, which an idle connection must not keep
+	c.lastID.Store(&id)
 	if abandoned != nil {
 		c.abandoned.Store(&abandoned)
 	}
