--- a/directory/crashseries_test.go
+++ b/directory/crashseries_test.go
@@ -122,6 +122,30 @@
 	})
 }
 
+// TestCondemnedPartIsProbedBehindRelay checks that the leader's permission for a probe reaches a gateway behind a relay, if
+// only that one is asked for the part.
+func TestCondemnedPartIsProbedBehindRelay(t *testing.T) {
+	withTwoRegions(t, 1<<20, func(x *fleet) {
+		is := is.New(x.t)
+		x.electLeaderIn(north)
+		for i := range partGateways {
+			x.place(gatewayIP(i), []string{north, south}[i%2])
+		}
+		m := x.startCrashingServers(12, 100*time.Millisecond)
+		m.halls = []string{north, south}
+		x.withPartLoad(m, func(l *partLoad) {
+			l.sendCrashing(crashingPartPeriod, 2*time.Second, "deadly")
+			m.setRepaired(true)
+			status := 0
+			for range 200 {
+				status = l.send(l.gateways[1], "common account-1 companion deadly")
+				time.Sleep(100 * time.Millisecond)
+			}
+			is.Equal(status, http.StatusOK)
+		})
+	})
+}
+
 // TestCondemnedRequestIsServedOnceRepaired checks the same of a whole request, which gets its first probe a minute after
 // the verdict.
 func TestCondemnedRequestIsServedOnceRepaired(t *testing.T) {
