gateway: a probe that has not begun at one server is sent to another

It may be tried again as long as no attempt may have run. TestGatewayWithoutLeaderProbes failed with 503 before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -312,7 +312,7 @@
 	switch {
 	case !allowed:
 		return deniedByPolicy
-	case !c.suspicion.MayRetry(c.losses), !c.partSuspicion.mayRetry(c.losses):
+	case c.mayCrashServers() && !(c.isProbe && c.counts.Runs == 0): // a probe is one run, not one attempt
 		return deniedBySuspect
 	case fromBudget && !c.g.allowRetry(c.pool.Name):
 		return deniedByBudget
@@ -320,6 +320,12 @@
 	return retryAllowed
 }
 
+// mayCrashServers reports whether too many servers have crashed under the request, or under others with a part of its
+// prompt, for another run.
+func (c *call) mayCrashServers() bool {
+	return !c.suspicion.MayRetry(c.losses) || !c.partSuspicion.mayRetry(c.losses)
+}
+
 // failureAttrs returns the attributes of a failed attempt's log line. The key identifies the
 // request when a caller sends it again under another ID. "attempt" counts only the attempts that
 // reached a server ([retry.Counts].Arrived), as "sends" does in the request's final line.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -154,7 +154,7 @@
 	}
 	c.findPartSuspicion()
 	c.confirmOrigin()
-	return c.suspicion.MayRetry(c.losses) && c.partSuspicion.mayRetry(c.losses) && c.stream.source != versionUnknown
+	return !c.mayCrashServers() && c.stream.source != versionUnknown
 }
 
 // hasPrimaryEnded reports whether the primary attempt has ended. Without a hedge under way, the call then goes on like
